Lay out the workspace, the shared types and the micro-kernel

Every part shares names, sizes, times, classes and verdicts, so they stand in one crate without I/O before work goes side by side. docs/architecture.md says who decides what.

--- /dev/null
+++ b/crates/base/tests/names.rs
@@ -0,0 +1,58 @@
+//! Names, numbers and times: what is accepted, and what is said otherwise.
+
+use std::time::Duration;
+
+use base::{BrandName, Class, DriftMargin, Fence, Time, Verdict};
+use googletest::prelude::*;
+
+base::cases! {
+    /// Accepted names come back as written, bad ones say which character.
+    name_is_checked: check_name => {
+        plain: ("hk-drafting2", None),
+        empty: ("", Some("a name may not be empty")),
+        upper: ("Hk", Some("`H` may not stand in a name: only a-z, 0-9, `-` and `_` may, and a letter or digit first")),
+        dash_first: ("-a", Some("`-` may not stand in a name: only a-z, 0-9, `-` and `_` may, and a letter or digit first")),
+    }
+}
+
+fn check_name((raw, err): (&str, Option<&str>)) {
+    let parsed = BrandName::try_from(raw);
+    match err {
+        None => assert_that!(parsed.unwrap().as_str(), eq(raw)),
+        Some(err) => assert_that!(parsed.unwrap_err().to_string(), eq(err)),
+    }
+}
+
+#[test]
+fn words_round_trip() {
+    for class in Class::ALL {
+        assert_that!(class.as_str().parse::<Class>(), ok(eq(&class)));
+    }
+    for verdict in Verdict::ALL {
+        assert_that!(verdict.as_str().parse::<Verdict>(), ok(eq(&verdict)));
+    }
+    assert_that!("7".parse::<Fence>(), ok(eq(&Fence(7))));
+    assert_that!("x".parse::<Fence>(), err(anything()));
+}
+
+#[test]
+fn a_worse_verdict_wins() {
+    assert_that!(
+        Verdict::NotRun.max(Verdict::MayHaveRun),
+        eq(Verdict::MayHaveRun)
+    );
+    assert_that!(Verdict::MayHaveRun.max(Verdict::Ran), eq(Verdict::Ran));
+}
+
+#[test]
+fn a_grantor_waits_longer_than_the_holder() {
+    let lease = Duration::from_secs(2);
+    assert_that!(
+        DriftMargin::DEFAULT.stretch(lease),
+        eq(Duration::from_millis(2100))
+    );
+    assert_that!(
+        Time::from_millis(5).since(Time::from_millis(9)),
+        eq(Duration::ZERO)
+    );
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control.
--- /dev/null
+++ b/crates/controld/src/main.rs
@@ -0,0 +1,3 @@
+//! Thin daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership.
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement.
--- /dev/null
+++ b/crates/quetzalarch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Library.
--- /dev/null
+++ b/crates/replog/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log.
--- /dev/null
+++ b/crates/request/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Telemetry.
