Add the wire types and the checked model of the text

Both stand before the parts that use them, so that these can be built side by side: calls between processes, the operators' and the platform's JSON, engine orders and reports, header names, and the model every check ends in.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -22,8 +22,8 @@
 pub use crate::{
     class::{BadClass, Class, Mark},
     name::{
-        AdapterName, BadName, BrandName, ChangeId, InstanceName, NAME_MAX, ServiceName, StableHash,
-        TargetName, ZoneName, stable_hash,
+        AdapterName, BadName, BaseName, BrandName, ChangeId, InstanceName, NAME_MAX, PoolName,
+        ServiceName, StableHash, TargetName, ZoneName, stable_hash,
     },
     no::{AdapterKey, AdapterNo, BrandNo, InstanceNo, TargetNo, Ticket},
     size::{BadNumber, Bytes, Fence, Incarnation, PerSecond, Seed, TextVersion, Tokens, Version},
--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -125,6 +125,10 @@
     ServiceName
     /// Names a target: an engine or a plain service's replica.
     TargetName
+    /// Names a pool: targets that are alike and stand in for each other.
+    PoolName
+    /// Names a base model.
+    BaseName
     /// Names an instance: one machine that runs the system's own processes.
     InstanceName
     /// Names an availability zone.
--- /dev/null
+++ b/crates/wire/src/call.rs
@@ -0,0 +1,247 @@
+//! Calls between our own processes.
+//!
+//! Every call is small and answered at once; bulk (bodies and streams of
+//! requests) goes over HTTP connections of its own and never waits here.
+
+use std::time::Duration;
+
+use base::{
+    AdapterName, BrandName, Fence, Incarnation, InstanceName, TargetName, TextVersion, Version,
+    ZoneName, record,
+};
+
+use crate::operator::{Applied, Apply};
+
+record! {
+    /// A call from one process to another.
+    pub enum Call {
+        /// Entry to control: alive, and asks for leases.
+        Beat(Beat),
+        /// Anyone to anyone: asks for the newest text.
+        Text {
+            /// The version that the asker has.
+            have: TextVersion,
+        },
+        /// Entry to control: claims a marked request before it is sent.
+        Claim(Claim),
+        /// Entry to control: what became of a claimed request.
+        Settle(Settle),
+        /// Control to control: a change passed on to the leader.
+        Apply(Apply),
+        /// Control to control: a message of the replicated log.
+        Log(Vec<u8>),
+        /// Entry to entry of the same zone: asks it to confirm ownership.
+        Confirm(Confirm),
+        /// Owner to entry instances: what its engines hold.
+        Residents(Residents),
+        /// Owner to owner: hands over an engine.
+        Handover(Handover),
+        /// Control or operator to entry: stop in order.
+        Drain,
+    }
+
+    /// The answer to a call.
+    pub enum Reply {
+        /// Nothing to say.
+        Done,
+        /// Answers [`Call::Beat`].
+        Beat(BeatReply),
+        /// Answers [`Call::Text`] with a newer text.
+        Text {
+            /// Its version.
+            version: TextVersion,
+            /// The whole text.
+            text: String,
+        },
+        /// Answers [`Call::Claim`] and [`Call::Settle`].
+        Claim(ClaimReply),
+        /// Answers [`Call::Apply`].
+        Applied(Applied),
+        /// Answers [`Call::Confirm`].
+        Confirm {
+            /// Whether the asker may go on for the time it asked for.
+            granted: bool,
+        },
+        /// The callee can't answer; the leader may.
+        Elsewhere {
+            /// The leader as far as the callee knows.
+            leader: Option<InstanceName>,
+        },
+    }
+
+    /// A sign of life of an entry instance.
+    pub struct Beat {
+        /// Who.
+        pub instance: InstanceName,
+        /// Where.
+        pub zone: ZoneName,
+        /// Which life of it.
+        pub incarnation: Incarnation,
+        /// IP and port of its peer listener.
+        pub peer: String,
+        /// The text in force there.
+        pub text: TextVersion,
+        /// Whether it is stopping and wants no more engines.
+        pub leaving: bool,
+        /// Counts the beats of one life; the reply repeats it.
+        pub serial: u64,
+        /// Engines it can reach, from the platform's list, of its own zone.
+        pub engines: Vec<TargetName>,
+        /// Loads it waits to make, for its part of the store's budget.
+        pub loads: u32,
+    }
+
+    /// The leader's answer to a beat.
+    pub struct BeatReply {
+        /// The beat's serial: a lease counts from when that beat was sent.
+        pub serial: u64,
+        /// The newest accepted version.
+        pub text: TextVersion,
+        /// Engines that the asker owns.
+        pub leases: Vec<Lease>,
+        /// Loads from the store that the asker may start each second, in
+        /// thousandths.
+        pub loads: u32,
+        /// Other entry instances.
+        pub peers: Vec<Peer>,
+    }
+
+    /// A lease on one engine.
+    pub struct Lease {
+        /// The engine.
+        pub target: TargetName,
+        /// The fencing number for its orders.
+        pub fence: Fence,
+        /// How long it holds, from when the beat was sent.
+        pub lasts: Duration,
+        /// Whether the owner before may still have requests running there.
+        pub inherited: bool,
+    }
+
+    /// Another entry instance, as the leader knows it.
+    pub struct Peer {
+        /// Its name.
+        pub instance: InstanceName,
+        /// Its zone.
+        pub zone: ZoneName,
+        /// IP and port of its peer listener.
+        pub address: String,
+        /// Engines that it owns.
+        pub owns: Vec<(TargetName, Fence)>,
+    }
+
+    /// A claim of a marked request.
+    pub struct Claim {
+        /// Whose key.
+        pub brand: BrandName,
+        /// Hash of the idempotency key; the key itself never travels.
+        pub key: [u8; 16],
+        /// Hash of method, path and body.
+        pub body: [u8; 16],
+        /// Who claims.
+        pub instance: InstanceName,
+        /// Tells two tries of one instance apart.
+        pub attempt: u64,
+        /// The key's own date in milliseconds since 1970, where it has one.
+        pub dated: Option<u64>,
+    }
+
+    /// The answer to a claim.
+    pub enum ClaimReply {
+        /// The asker may send it, nobody else may.
+        Yours,
+        /// Somebody else has it under way.
+        Running,
+        /// It ran; its answer, where kept.
+        Ran(Option<Answer>),
+        /// Nobody can tell whether it ran.
+        MayHaveRun,
+        /// The key was used with another body.
+        OtherBody,
+        /// The key is older than what is remembered: refused for good.
+        TooOld,
+        /// Not claimed, and certainly not: come back later.
+        NotNow {
+            /// When.
+            retry: Duration,
+        },
+    }
+
+    /// A kept answer.
+    pub struct Answer {
+        /// HTTP status.
+        pub status: u16,
+        /// Content type.
+        pub content: String,
+        /// The body.
+        pub body: Vec<u8>,
+    }
+
+    /// What became of a claimed request.
+    pub struct Settle {
+        /// Whose key.
+        pub brand: BrandName,
+        /// Hash of the idempotency key.
+        pub key: [u8; 16],
+        /// Who had claimed it.
+        pub instance: InstanceName,
+        /// Under which attempt.
+        pub attempt: u64,
+        /// What became of it.
+        pub fate: Fate,
+    }
+
+    /// What became of a claimed request.
+    pub enum Fate {
+        /// It certainly did not run: the key is free again.
+        NotRun,
+        /// It ran; its answer, where small enough to keep.
+        Ran(Option<Answer>),
+        /// Nobody can tell.
+        MayHaveRun,
+    }
+
+    /// Asks a zone-mate to confirm ownership while the leader is away.
+    pub struct Confirm {
+        /// Who asks.
+        pub instance: InstanceName,
+        /// For which engine.
+        pub target: TargetName,
+        /// Under which fencing number.
+        pub fence: Fence,
+        /// For how long, from when it was asked.
+        pub lasts: Duration,
+    }
+
+    /// What an owner's engine holds and how busy it is.
+    pub struct Residents {
+        /// The owner.
+        pub owner: InstanceName,
+        /// The engine.
+        pub target: TargetName,
+        /// The owner's fencing number; older news is dropped.
+        pub fence: Fence,
+        /// Counts messages under one fencing number; a hole asks for all.
+        pub serial: u64,
+        /// Whether `added` is everything rather than a change.
+        pub whole: bool,
+        /// Newly resident.
+        pub added: Vec<(AdapterName, Version)>,
+        /// No longer resident.
+        pub removed: Vec<(AdapterName, Version)>,
+        /// Requests admitted and not finished.
+        pub in_flight: u32,
+        /// Requests queued before the engine.
+        pub queued: u32,
+    }
+
+    /// A planned handover of an engine.
+    pub struct Handover {
+        /// The engine.
+        pub target: TargetName,
+        /// The fencing number of the owner that leaves it.
+        pub fence: Fence,
+        /// Adapters with requests still running, which stay with the old owner.
+        pub in_use: Vec<(AdapterName, Version)>,
+    }
+}
