Read the daemons' settings from flags and environment

A daemon that stops at the first wrong setting is started again once per mistake. Values are therefore taken raw by clap and checked here, so that all errors come out together; clap's own value parsers stop at the first and were ruled out for that. The environment is handed in, not read, so that tests need no process-wide state.

--- /dev/null
+++ b/crates/settings/src/shared.rs
@@ -0,0 +1,204 @@
+//! Settings that both daemons have.
+
+use std::{fmt, net::SocketAddr, path::PathBuf, str::FromStr};
+
+use base::{InstanceName, ZoneName};
+
+use crate::{
+    options::{Options, Spec},
+    parse,
+};
+
+/// Largest share of new traces that may be left out: one in this many kept.
+const TRACE_MOST: u64 = 1_000_000;
+
+pub(crate) const IDENTITY: &[Spec] = &[
+    Spec {
+        name: "name",
+        value: "NAME",
+        help: "Name of this instance",
+    },
+    Spec {
+        name: "zone",
+        value: "ZONE",
+        help: "Availability zone it stands in",
+    },
+    Spec {
+        name: "listen",
+        value: "IP:PORT",
+        help: "Where callers (entry) or operators (control) connect",
+    },
+    Spec {
+        name: "peer-listen",
+        value: "IP:PORT",
+        help: "Where other instances connect",
+    },
+    Spec {
+        name: "peer-address",
+        value: "IP:PORT",
+        help: "Where others reach the peer listener, if not at --peer-listen",
+    },
+    Spec {
+        name: "platform",
+        value: "URL",
+        help: "The platform's list, as http://ip:port",
+    },
+];
+
+pub(crate) const TELEMETRY: &[Spec] = &[
+    Spec {
+        name: "log-level",
+        value: "LEVEL",
+        help: "error, warn, info, debug or trace; info if not set",
+    },
+    Spec {
+        name: "log-file",
+        value: "PATH",
+        help: "File for the log; standard error if not set",
+    },
+    Spec {
+        name: "otlp",
+        value: "URL",
+        help: "OTLP collector for metrics and traces, as http://ip:port; none if not set",
+    },
+    Spec {
+        name: "trace-one-in",
+        value: "N",
+        help: "Keep one in N of the traces that begin here; 1 if not set",
+    },
+];
+
+/// Who a process is and where it is reached.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Name of the instance.
+    pub name: InstanceName,
+    /// Availability zone it stands in.
+    pub zone: ZoneName,
+    /// Where callers (entry) or operators (control) connect.
+    pub listen: SocketAddr,
+    /// Where other instances connect.
+    pub peer_listen: SocketAddr,
+    /// Where others are told to connect.
+    pub peer_address: SocketAddr,
+    /// The platform's list.
+    pub platform: SocketAddr,
+}
+
+impl Identity {
+    pub(crate) fn read(options: &mut Options) -> Option<Self> {
+        let name = options.required("name", InstanceName::from_str);
+        let zone = options.required("zone", ZoneName::from_str);
+        let listen = options.required("listen", parse::listen);
+        let peer_listen = options.required("peer-listen", parse::listen);
+        let told = options.optional("peer-address", parse::address);
+        let platform = options.required("platform", parse::http_address);
+        if let (Some(listen), Some(peer)) = (listen, peer_listen)
+            && listen == peer
+            && listen.port() != 0
+        {
+            options.wrong("peer-listen", "is the same as --listen");
+        }
+        let peer_listen = peer_listen?;
+        if told.is_none() && parse::address(&peer_listen.to_string()).is_err() {
+            options.wrong(
+                "peer-address",
+                "must be set where --peer-listen has no fixed ip and port",
+            );
+        }
+        Some(Identity {
+            name: name?,
+            zone: zone?,
+            listen: listen?,
+            peer_listen,
+            peer_address: told.unwrap_or(peer_listen),
+            platform: platform?,
+        })
+    }
+}
+
+/// How loud the log is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LogLevel {
+    /// What needs somebody.
+    Error,
+    /// What may need somebody.
+    Warn,
+    /// Each change of state.
+    #[default]
+    Info,
+    /// Each request.
+    Debug,
+    /// Each message.
+    Trace,
+}
+
+impl LogLevel {
+    const ALL: [LogLevel; 5] = [
+        LogLevel::Error,
+        LogLevel::Warn,
+        LogLevel::Info,
+        LogLevel::Debug,
+        LogLevel::Trace,
+    ];
+
+    /// Returns the level as written in settings and log lines.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            LogLevel::Error => "error",
+            LogLevel::Warn => "warn",
+            LogLevel::Info => "info",
+            LogLevel::Debug => "debug",
+            LogLevel::Trace => "trace",
+        }
+    }
+}
+
+impl fmt::Display for LogLevel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for LogLevel {
+    type Err = String;
+
+    fn from_str(raw: &str) -> Result<Self, String> {
+        let found = LogLevel::ALL
+            .into_iter()
+            .find(|level| level.as_str() == raw);
+        found.ok_or_else(|| format!("`{raw}` is no level: error, warn, info, debug or trace"))
+    }
+}
+
+/// Where logs, metrics and traces go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Telemetry {
+    /// Availability zone, written on every line.
+    pub zone: ZoneName,
+    /// Least urgent lines that are written.
+    pub level: LogLevel,
+    /// File for the log; standard error if none.
+    pub file: Option<PathBuf>,
+    /// OTLP collector; nothing is exported if none.
+    pub otlp: Option<SocketAddr>,
+    /// One in this many of the traces that begin here is kept.
+    pub trace_one_in: u64,
+}
+
+impl Telemetry {
+    pub(crate) fn read(options: &mut Options, zone: Option<&ZoneName>) -> Option<Self> {
+        let level = options.optional("log-level", LogLevel::from_str);
+        let file = options.optional("log-file", parse::path);
+        let otlp = options.optional("otlp", parse::http_address);
+        let one_in = options.optional("trace-one-in", |raw| parse::number(raw, 1, TRACE_MOST));
+        Some(Telemetry {
+            zone: zone?.clone(),
+            level: level.unwrap_or_default(),
+            file,
+            otlp,
+            trace_one_in: one_in.unwrap_or(1),
+        })
+    }
+}
