Start logs, metrics and traces of a process

The JSON line is composed here and passed through flexi_logger's format function; log's key-value records were ruled out, as they would need a second serialisation in the formatter. Labels leave out adapters: 48,000 of them would make as many series.

--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,32 @@
-//! Telemetry.
+//! Logs, metrics and traces of a process.
+//!
+//! Logs are JSON lines with numbered events (see `docs/logs.md`); metrics and
+//! traces are OpenTelemetry's and leave the process only where a collector is
+//! set. Keys and prompts never go into any of them: wrap what is secret in a
+//! [`Secret`], which writes itself as stars.
+
+mod events;
+mod export;
+mod fields;
+mod logs;
+mod metrics;
+mod secret;
+mod start;
+mod trace;
+
+#[doc(hidden)]
+pub use serde_json;
+#[doc(hidden)]
+pub use tracing;
+
+pub use settings::{LogLevel, Telemetry as TelemetrySettings};
+
+pub use crate::{
+    events::Event,
+    fields::Fields,
+    logs::{enabled, event},
+    metrics::{Load, Metrics, metrics},
+    secret::Secret,
+    start::{Guard, start},
+    trace::{TARGET, parent, set_parent, trace_id, traceparent},
+};
--- /dev/null
+++ b/crates/telemetry/src/logs.rs
@@ -0,0 +1,123 @@
+//! One JSON line for each event.
+//!
+//! The line is composed here and handed to `flexi_logger` as a message;
+//! its format function puts time, level and origin before it. Libraries' own
+//! lines pass through the same function under the event number 0.
+
+use std::{io, sync::OnceLock};
+
+use anyhow::Result;
+use flexi_logger::{DeferredNow, FileSpec, LogSpecification, Logger, LoggerHandle, Record};
+use log::LevelFilter;
+use serde::Serialize;
+
+use crate::{Event, Fields, LogLevel, TelemetrySettings, trace};
+
+/// Target of our own lines, which are JSON already.
+const OWN: &str = "quetzalarch";
+
+static ORIGIN: OnceLock<Origin> = OnceLock::new();
+
+/// Where a line comes from.
+#[derive(Serialize)]
+struct Origin {
+    service: String,
+    instance: String,
+    zone: String,
+}
+
+/// The part of a line that its event determines.
+#[derive(Serialize)]
+struct Body<'a> {
+    event: String,
+    name: String,
+    message: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    trace: Option<String>,
+    #[serde(skip_serializing_if = "Fields::is_empty")]
+    fields: Fields,
+}
+
+/// Returns whether `event` is written at the level that is set.
+#[must_use]
+pub fn enabled(event: Event) -> bool {
+    level(event.level()) <= log::max_level()
+}
+
+/// Writes one line for `event`; see [`event!`](crate::event!).
+pub fn event(event: Event, fields: Fields) {
+    let body = Body {
+        event: event.to_string(),
+        name: format!("{event:?}"),
+        message: event.message(),
+        trace: trace::trace_id(&tracing::Span::current()),
+        fields,
+    };
+    let body = serde_json::to_string(&body).unwrap_or_default();
+    if let Some(level) = level(event.level()).to_level() {
+        log::log!(target: OWN, level, "{body}");
+    }
+}
+
+pub(crate) fn start(
+    service: &str,
+    instance: &str,
+    settings: &TelemetrySettings,
+) -> Result<LoggerHandle> {
+    ORIGIN.get_or_init(|| Origin {
+        service: service.to_owned(),
+        instance: instance.to_owned(),
+        zone: settings.zone.to_string(),
+    });
+    DeferredNow::force_utc();
+    let spec = LogSpecification::builder()
+        .default(LevelFilter::Warn)
+        .module(OWN, level(settings.level))
+        .build();
+    let logger = Logger::with(spec).format(line);
+    let logger = match &settings.file {
+        Some(file) => logger.log_to_file(FileSpec::try_from(file)?).append(),
+        None => logger.log_to_stderr(),
+    };
+    Ok(logger.start()?)
+}
+
+fn level(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+        LogLevel::Trace => LevelFilter::Trace,
+    }
+}
+
+/// Writes a whole line: head, then the event's body without its brace.
+fn line(out: &mut dyn io::Write, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+    let time = now.now().to_rfc3339();
+    let level = record.level().as_str().to_lowercase();
+    write!(out, r#"{{"time":"{time}","level":"{level}""#)?;
+    if let Some(origin) = ORIGIN.get() {
+        let origin = serde_json::to_string(origin)?;
+        write!(out, ",{}", inner(&origin))?;
+    }
+    if record.target() == OWN {
+        let body = record.args().to_string();
+        return write!(out, ",{}}}", inner(&body));
+    }
+    let foreign = Body {
+        event: "E0".to_owned(),
+        name: record.target().to_owned(),
+        message: &record.args().to_string(),
+        trace: None,
+        fields: Fields::new(),
+    };
+    let foreign = serde_json::to_string(&foreign)?;
+    write!(out, ",{}}}", inner(&foreign))
+}
+
+/// Returns a JSON object without its braces.
+fn inner(object: &str) -> &str {
+    let object = object.strip_prefix('{').unwrap_or(object);
+    object.strip_suffix('}').unwrap_or(object)
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,220 @@
+//! What is measured, with the units and labels that `docs/logs.md` lists.
+//!
+//! Labels are kept to brands, classes, zones and outcomes: an adapter's name
+//! as a label would make 48,000 series.
+
+use std::{sync::OnceLock, time::Duration};
+
+use base::{BrandName, Class, PoolName, Refusal, TextVersion, Verdict};
+use opentelemetry::{
+    KeyValue, global,
+    metrics::{Counter, Gauge, Histogram, Meter},
+};
+
+/// Bounds of histograms of seconds: from a hop inside a zone to an overnight
+/// queue.
+const SECONDS: [f64; 16] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.037, 0.05, 0.1, 0.25, 0.5, 1.0, 1.9, 5.0, 10.0, 60.0,
+    3600.0,
+];
+/// Bounds of histograms of a fraction.
+const FRACTION: [f64; 10] = [0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0];
+
+static METRICS: OnceLock<Metrics> = OnceLock::new();
+
+/// Returns the process's metrics. Called before [`start`](crate::start), it
+/// binds them to nowhere for good: start telemetry first.
+#[must_use]
+pub fn metrics() -> &'static Metrics {
+    METRICS.get_or_init(|| Metrics::new(&global::meter("quetzalarch")))
+}
+
+/// How a load of an adapter ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Load {
+    /// The adapter is resident.
+    Done,
+    /// The engine or the store refused.
+    Failed,
+    /// The engine refused a stale owner.
+    Fenced,
+}
+
+impl Load {
+    fn as_str(self) -> &'static str {
+        match self {
+            Load::Done => "done",
+            Load::Failed => "failed",
+            Load::Fenced => "fenced",
+        }
+    }
+}
+
+/// All instruments of a process.
+#[derive(Debug)]
+pub struct Metrics {
+    requests: Counter<u64>,
+    tokens: Counter<u64>,
+    first_token: Histogram<f64>,
+    token_gap: Histogram<f64>,
+    queue_wait: Histogram<f64>,
+    load_stall: Histogram<f64>,
+    loads: Counter<u64>,
+    load_time: Histogram<f64>,
+    batch: Histogram<f64>,
+    owned: Gauge<u64>,
+    restricted: Gauge<u64>,
+    text: Gauge<u64>,
+    apply_lag: Histogram<f64>,
+    silent: Counter<u64>,
+    control_bytes: Counter<u64>,
+}
+
+impl Metrics {
+    fn new(meter: &Meter) -> Self {
+        let seconds = |name: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_boundaries(SECONDS.to_vec())
+                .build()
+        };
+        let fraction = |name: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("1")
+                .with_boundaries(FRACTION.to_vec())
+                .build()
+        };
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let gauge = |name: &'static str| meter.u64_gauge(name).build();
+        Metrics {
+            requests: counter("quetzal.requests"),
+            tokens: counter("quetzal.tokens"),
+            first_token: seconds("quetzal.first_token"),
+            token_gap: seconds("quetzal.token_gap"),
+            queue_wait: seconds("quetzal.queue_wait"),
+            load_stall: seconds("quetzal.load_stall"),
+            loads: counter("quetzal.loads"),
+            load_time: seconds("quetzal.load_time"),
+            batch: fraction("quetzal.batch_efficiency"),
+            owned: gauge("quetzal.engines_owned"),
+            restricted: gauge("quetzal.engines_restricted"),
+            text: gauge("quetzal.text_version"),
+            apply_lag: seconds("quetzal.apply_lag"),
+            silent: counter("quetzal.silent_connections"),
+            control_bytes: counter("quetzal.control_bytes"),
+        }
+    }
+
+    /// Counts a request that was answered in full.
+    pub fn answered(&self, brand: &BrandName, class: Class) {
+        self.requests
+            .add(1, &outcome(brand, class, "ok", Verdict::Ran));
+    }
+
+    /// Counts a request that failed.
+    pub fn failed(&self, brand: &BrandName, class: Class, reason: Refusal, verdict: Verdict) {
+        self.requests
+            .add(1, &outcome(brand, class, reason.as_str(), verdict));
+    }
+
+    /// Counts generated tokens.
+    pub fn tokens(&self, brand: &BrandName, tokens: u64) {
+        self.tokens.add(tokens, &[brand_label(brand)]);
+    }
+
+    /// Records the time from a request's arrival to its first token.
+    pub fn first_token(&self, class: Class, wait: Duration) {
+        self.first_token
+            .record(wait.as_secs_f64(), &[class_label(class)]);
+    }
+
+    /// Records the time between two tokens of a stream.
+    pub fn token_gap(&self, class: Class, gap: Duration) {
+        self.token_gap
+            .record(gap.as_secs_f64(), &[class_label(class)]);
+    }
+
+    /// Records the time a request waited for a place at an engine.
+    pub fn queue_wait(&self, class: Class, wait: Duration) {
+        self.queue_wait
+            .record(wait.as_secs_f64(), &[class_label(class)]);
+    }
+
+    /// Records the time a request waited for an adapter to be loaded: the
+    /// measure that the agency weighs most. Requests that found it resident
+    /// count with zero.
+    pub fn load_stall(&self, class: Class, wait: Duration) {
+        self.load_stall
+            .record(wait.as_secs_f64(), &[class_label(class)]);
+    }
+
+    /// Counts a load and records how long it took.
+    pub fn load(&self, pool: &PoolName, how: Load, took: Duration) {
+        let labels = [pool_label(pool), KeyValue::new("outcome", how.as_str())];
+        self.loads.add(1, &labels);
+        self.load_time.record(took.as_secs_f64(), &labels);
+    }
+
+    /// Records how much of an engine's batch was used: the measure that the
+    /// consortium weighs most.
+    pub fn batch_efficiency(&self, pool: &PoolName, used: u32, places: u32) {
+        let share = f64::from(used) / f64::from(places.max(1));
+        self.batch.record(share, &[pool_label(pool)]);
+    }
+
+    /// Sets how many engines this instance owns, and how many of them under a
+    /// lease that nobody could confirm.
+    pub fn engines(&self, owned: u64, restricted: u64) {
+        self.owned.record(owned, &[]);
+        self.restricted.record(restricted, &[]);
+    }
+
+    /// Sets the version of the text in force here.
+    pub fn text_version(&self, version: TextVersion) {
+        self.text.record(version.get(), &[]);
+    }
+
+    /// Records the time from a change's acceptance to its being in force here.
+    pub fn apply_lag(&self, lag: Duration) {
+        self.apply_lag.record(lag.as_secs_f64(), &[]);
+    }
+
+    /// Counts a connection that was replaced because it had gone silent.
+    pub fn silent_connection(&self) {
+        self.silent.add(1, &[]);
+    }
+
+    /// Counts bytes of control messages between instances; `way` is `in` or
+    /// `out`.
+    pub fn control_bytes(&self, way: &'static str, bytes: u64) {
+        self.control_bytes.add(bytes, &[KeyValue::new("way", way)]);
+    }
+}
+
+fn outcome(
+    brand: &BrandName,
+    class: Class,
+    outcome: &'static str,
+    verdict: Verdict,
+) -> [KeyValue; 4] {
+    [
+        brand_label(brand),
+        class_label(class),
+        KeyValue::new("outcome", outcome),
+        KeyValue::new("verdict", verdict.as_str()),
+    ]
+}
+
+fn brand_label(brand: &BrandName) -> KeyValue {
+    KeyValue::new("brand", brand.to_string())
+}
+
+fn class_label(class: Class) -> KeyValue {
+    KeyValue::new("class", class.as_str())
+}
+
+fn pool_label(pool: &PoolName) -> KeyValue {
+    KeyValue::new("pool", pool.to_string())
+}
