--- a/crates/text/src/read/brand.rs
+++ b/crates/text/src/read/brand.rs
@@ -67,7 +67,8 @@
     // safe default. An assistant only writes text.
     let mark = match kind {
         Some(RawKind::Assistant(_)) => mark(table, "mark").or(Some(Mark::Repeatable)),
-        _ => table.must("mark", mark),
+        Some(RawKind::Plain) => table.must("mark", mark),
+        None => mark(table, "mark"),
     };
     let name = table.name_of(name, at)?;
     Some(RawService {
--- a/crates/text/src/read/table.rs
+++ b/crates/text/src/read/table.rs
@@ -162,8 +162,9 @@
         key: &str,
         read: impl Fn(&str) -> Result<T, E>,
     ) -> Option<Vec<At<T>>> {
+        let items = self.items(key)?;
         let mut values = Vec::new();
-        for item in self.items(key)? {
+        for item in items {
             let at = item.span().start;
             let DeValue::String(text) = item.get_ref() else {
                 self.wrong_type::<()>(key, "a list of texts", item);
@@ -174,7 +175,7 @@
                 Err(err) => self.note(at, err.into()),
             }
         }
-        Some(values)
+        whole(items, values)
     }
 
     /// Reads a list of names.
@@ -189,12 +190,12 @@
 
     /// Reads a list of whole numbers from 1 to `most`.
     pub(crate) fn numbers(&mut self, key: &str, most: u64) -> Option<Vec<At<u64>>> {
-        let items = self.items(key)?.iter();
-        Some(
-            items
-                .filter_map(|item| self.number_of(key, item, 1, most))
-                .collect(),
-        )
+        let items = self.items(key)?;
+        let numbers = items
+            .iter()
+            .filter_map(|item| self.number_of(key, item, 1, most));
+        let numbers = numbers.collect();
+        whole(items, numbers)
     }
 
     /// Opens a table inside this one.
@@ -297,3 +298,9 @@
         None
     }
 }
+
+/// Returns `values`, unless every one of the list's items was wrong: an empty
+/// list would draw a second message.
+fn whole<I, T>(items: &[I], values: Vec<T>) -> Option<Vec<T>> {
+    (items.is_empty() || !values.is_empty()).then_some(values)
+}
