Test the daemons' settings by table

Every wrong setting of one start is expected in one list, and a first replica must name itself at its own address: a typing error there would found a second log beside the one that runs.

--- /dev/null
+++ b/crates/settings/tests/settings.rs
@@ -0,0 +1,180 @@
+//! Settings by flag and environment: what is accepted, and every error at once.
+
+use std::{ffi::OsString, time::Duration};
+
+use googletest::prelude::*;
+use settings::{Begin, Errors, LogLevel, env_name};
+
+/// Flags of an entry instance with nothing wrong.
+const ENTRY: &[&str] = &[
+    "--name=e1",
+    "--zone=dubrava",
+    "--listen=127.0.0.1:8080",
+    "--peer-listen=127.0.0.1:7000",
+    "--controls=c1=127.0.0.1:7100,c2=127.0.0.1:7200",
+    "--platform=http://127.0.0.1:9000",
+];
+
+/// Flags of a control instance with nothing wrong.
+const CONTROL: &[&str] = &[
+    "--name=c1",
+    "--zone=dubrava",
+    "--listen=127.0.0.1:8100",
+    "--peer-listen=127.0.0.1:7100",
+    "--platform=http://127.0.0.1:9000/",
+    "--data=/tmp/c1",
+    "--voters=c1=127.0.0.1:7100,c2=127.0.0.1:7200",
+];
+
+/// Returns `usual` with `flags` in place of those of the same name.
+fn args(usual: &[&str], flags: &[&str]) -> Vec<OsString> {
+    let name = |flag: &str| flag.split('=').next().unwrap().to_owned();
+    let kept = usual
+        .iter()
+        .filter(|flag| !flags.iter().any(|f| name(f) == name(flag)));
+    let flags = flags
+        .iter()
+        .filter(|flag| flag.contains('=') || flag.starts_with("--h"));
+    ["daemon"]
+        .iter()
+        .chain(kept)
+        .chain(flags)
+        .map(OsString::from)
+        .collect()
+}
+
+fn env(pairs: &[(&str, &str)]) -> Vec<(OsString, OsString)> {
+    pairs
+        .iter()
+        .map(|(name, value)| ((*name).into(), (*value).into()))
+        .collect()
+}
+
+fn lines(errors: &Errors) -> Vec<String> {
+    match errors {
+        Errors::Bad(list) => list.iter().map(ToString::to_string).collect(),
+        Errors::Help(text) | Errors::Usage(text) => vec![text.clone()],
+    }
+}
+
+base::cases! {
+    /// A flag without a value in the row takes the usual flag away.
+    entry_is_checked: check_entry => {
+        usual: (&[], &[], &[]),
+        from_env: (&["--name"], &[("QUETZAL_NAME", "e7")], &[]),
+        empty_env_is_unset: (&[], &[("QUETZAL_OTLP", "")], &[]),
+        nothing: (
+            &["--name", "--zone", "--listen", "--peer-listen", "--controls", "--platform"],
+            &[],
+            &[
+                "--name (QUETZAL_NAME): must be set",
+                "--zone (QUETZAL_ZONE): must be set",
+                "--listen (QUETZAL_LISTEN): must be set",
+                "--peer-listen (QUETZAL_PEER_LISTEN): must be set",
+                "--platform (QUETZAL_PLATFORM): must be set",
+                "--controls (QUETZAL_CONTROLS): must be set",
+            ],
+        ),
+        all_wrong: (
+            &[
+                "--name=E1", "--listen=localhost:80", "--peer-address=0.0.0.0:7000",
+                "--platform=127.0.0.1:9000", "--controls=c1=127.0.0.1:1,c1=127.0.0.1:2,c3",
+                "--drain-grace=1s", "--seed=-1", "--log-level=loud", "--trace-one-in=0",
+            ],
+            &[("QUETZAL_OTLP", "http://collector:4318")],
+            &[
+                "--name (QUETZAL_NAME): `E` may not stand in a name: only a-z, 0-9, `-` and `_` may, and a letter or digit first",
+                "--listen (QUETZAL_LISTEN): `localhost:80` is no ip:port, such as 127.0.0.1:7000",
+                "--peer-address (QUETZAL_PEER_ADDRESS): `0.0.0.0:7000` is no address that others can connect to",
+                "--platform (QUETZAL_PLATFORM): `127.0.0.1:9000` doesn't start with http://",
+                "--controls (QUETZAL_CONTROLS): `c1` is named twice; `c3` is no name=ip:port",
+                "--drain-grace (QUETZAL_DRAIN_GRACE): `1s` is no whole number from 0 to 600000",
+                "--seed (QUETZAL_SEED): `-1` is not a number of a seed: invalid digit found in string",
+                "--log-level (QUETZAL_LOG_LEVEL): `loud` is no level: error, warn, info, debug or trace",
+                "--otlp (QUETZAL_OTLP): `collector:4318` is no ip:port, such as 127.0.0.1:7000",
+                "--trace-one-in (QUETZAL_TRACE_ONE_IN): `0` is no whole number from 1 to 1000000",
+            ],
+        ),
+        one_port_twice: (
+            &["--peer-listen=127.0.0.1:8080"],
+            &[],
+            &["--peer-listen (QUETZAL_PEER_LISTEN): is the same as --listen"],
+        ),
+        anywhere_needs_an_address: (
+            &["--peer-listen=0.0.0.0:7000"],
+            &[],
+            &["--peer-address (QUETZAL_PEER_ADDRESS): must be set where --peer-listen has no fixed ip and port"],
+        ),
+    }
+
+    /// The first replicas must name this one as it names itself.
+    control_is_checked: check_control => {
+        usual: (&[], &[], &[]),
+        join: (&["--voters", "--join=c2=127.0.0.1:7200"], &[], &[]),
+        neither: (&["--voters"], &[], &["--voters (QUETZAL_VOTERS): must be set, or --join"]),
+        both: (
+            &["--join=c2=127.0.0.1:7200"],
+            &[],
+            &["--join (QUETZAL_JOIN): and --voters exclude each other"],
+        ),
+        not_itself: (
+            &["--voters=c2=127.0.0.1:7200"],
+            &[],
+            &["--voters (QUETZAL_VOTERS): doesn't name this instance, `c1`"],
+        ),
+        elsewhere: (
+            &["--voters=c1=127.0.0.1:7101"],
+            &[],
+            &["--voters (QUETZAL_VOTERS): has this instance at 127.0.0.1:7101, but its peer address is 127.0.0.1:7100"],
+        ),
+        too_many: (
+            &["--voters=c1=127.0.0.1:7100,b=127.0.0.1:1,c=127.0.0.1:2,d=127.0.0.1:3,e=127.0.0.1:4,f=127.0.0.1:5,g=127.0.0.1:6,h=127.0.0.1:7"],
+            &[],
+            &["--voters (QUETZAL_VOTERS): names 8 instances, at most 7 may vote"],
+        ),
+    }
+}
+
+type Row<'a> = (&'a [&'a str], &'a [(&'a str, &'a str)], &'a [&'a str]);
+
+fn check_entry((flags, vars, errors): Row<'_>) {
+    let found = settings::entry(args(ENTRY, flags), env(vars)).map(drop);
+    assert_that!(
+        found.as_ref().map_or_else(lines, |()| Vec::new()),
+        container_eq(errors.to_vec())
+    );
+}
+
+fn check_control((flags, vars, errors): Row<'_>) {
+    let found = settings::control(args(CONTROL, flags), env(vars)).map(drop);
+    assert_that!(
+        found.as_ref().map_or_else(lines, |()| Vec::new()),
+        container_eq(errors.to_vec())
+    );
+}
+
+#[test]
+fn a_flag_goes_before_its_variable() {
+    let vars = env(&[
+        ("QUETZAL_LOG_LEVEL", "error"),
+        ("QUETZAL_DRAIN_GRACE", "50"),
+    ]);
+    let entry = settings::entry(args(ENTRY, &["--log-level=debug"]), vars).unwrap();
+    assert_that!(entry.telemetry.level, eq(LogLevel::Debug));
+    assert_that!(entry.drain_grace, eq(Duration::from_millis(50)));
+    assert_that!(entry.identity.peer_address, eq(entry.identity.peer_listen));
+    assert_that!(entry.controls.len(), eq(2));
+    let control = settings::control(args(CONTROL, &[]), []).unwrap();
+    assert_that!(control.begin, matches_pattern!(Begin::Voters(len(eq(2)))));
+}
+
+#[test]
+fn unknown_flags_and_help_are_told_apart() {
+    let unknown = settings::entry(args(ENTRY, &["--nmae=x"]), []).unwrap_err();
+    assert_that!(unknown.to_string(), contains_substring("--nmae"));
+    assert_that!(unknown.exit_code(), eq(2));
+    let help = settings::entry(args(ENTRY, &["--help"]), []).unwrap_err();
+    assert_that!(help.to_string(), contains_substring("QUETZAL_PEER_LISTEN"));
+    assert_that!(help.exit_code(), eq(0));
+    assert_that!(env_name("peer-listen"), eq("QUETZAL_PEER_LISTEN"));
+}
