Write sample texts of both deployments; check the catalogue of events

The 3,000 adapters of each sample come from one chore, so that a change of the text's form is one change; the result is committed and tested. The catalogue's rows on the page are generated and compared by a chore and a test; the chore also names events that nothing logs yet.

--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,6 +5,8 @@
 //! set. Keys and prompts never go into any of them: wrap what is secret in a
 //! [`Secret`], which writes itself as stars.
 
+pub mod catalogue;
+
 mod events;
 mod export;
 mod fields;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,12 @@
 //! Chores of the repository, started as `cargo xtask CHORE`.
 
-use std::process::{Command, ExitCode};
+mod events;
+mod samples;
+
+use std::{
+    path::Path,
+    process::{Command, ExitCode},
+};
 
 use anyhow::{Context, Result, bail};
 
@@ -18,13 +24,23 @@
     let cli = clap::Command::new("xtask")
         .about("Chores of the repository")
         .subcommand_required(true)
-        .subcommand(clap::Command::new("test").about("Builds the daemons, then runs all tests"));
-    match cli.get_matches().subcommand_name() {
-        Some("test") => test(),
+        .subcommand(clap::Command::new("test").about("Builds the daemons, then runs all tests"))
+        .subcommand(events::command())
+        .subcommand(samples::command());
+    let matches = cli.get_matches();
+    match matches.subcommand() {
+        Some(("test", _)) => test(),
+        Some(("events", args)) => events::run(root(), args.get_flag("write")),
+        Some(("samples", args)) => samples::run(root(), args),
         _ => bail!("no such chore"),
     }
 }
 
+/// Returns the repository's root.
+fn root() -> &'static Path {
+    Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/.."))
+}
+
 /// Builds every binary first, because process-level tests start them.
 fn test() -> Result<()> {
     cargo(&["build", "--workspace", "--bins", "--locked"])?;
--- /dev/null
+++ b/xtask/src/samples.rs
@@ -0,0 +1,336 @@
+//! Writes the sample texts of both deployments, and measures the check.
+
+use std::{fmt::Write, fs, path::Path, time::Instant};
+
+use anyhow::{Context, Result};
+use text::Model;
+
+/// Adapters of each brand in the samples: three brands make 3,000.
+const ADAPTERS: usize = 1_000;
+/// One adapter in this many has a second version that is not served yet.
+const TWO_VERSIONS_ONE_IN: usize = 50;
+/// Runs of a measurement; the median counts.
+const RUNS: usize = 7;
+
+/// What the two deployments differ in.
+struct Sample {
+    file: &'static str,
+    head: &'static str,
+    base: &'static str,
+    engines: &'static str,
+    brands: [Brand; 3],
+    services: &'static str,
+}
+
+/// One brand of a sample.
+struct Brand {
+    name: &'static str,
+    title: &'static str,
+    /// What its numbered adapters are for.
+    unit: &'static str,
+}
+
+/// Describes the chore for the command line.
+pub(crate) fn command() -> clap::Command {
+    clap::Command::new("samples")
+        .about("Writes the sample texts, or measures parse and check with --measure")
+        .arg(
+            clap::Arg::new("measure")
+                .long("measure")
+                .value_name("ADAPTERS")
+                .value_parser(clap::value_parser!(usize))
+                .help("Times the check of the agency's text with this many adapters"),
+        )
+}
+
+/// Writes the samples, or measures.
+///
+/// # Errors
+///
+/// Fails when a sample can't be written or doesn't pass the check.
+pub(crate) fn run(root: &Path, args: &clap::ArgMatches) -> Result<()> {
+    if let Some(adapters) = args.get_one::<usize>("measure") {
+        return measure(*adapters);
+    }
+    let folder = root.join("samples");
+    fs::create_dir_all(&folder)?;
+    for sample in [&AGENCY, &CONSORTIUM] {
+        let source = render(sample, ADAPTERS);
+        Model::try_from(source.as_str()).with_context(|| format!("{} is wrong", sample.file))?;
+        fs::write(folder.join(sample.file), source)?;
+    }
+    Ok(())
+}
+
+fn measure(adapters: usize) -> Result<()> {
+    let source = render(&AGENCY, adapters.div_ceil(AGENCY.brands.len()));
+    let mut took = Vec::new();
+    for _ in 0..RUNS {
+        let start = Instant::now();
+        let model = Model::try_from(source.as_str())?;
+        took.push(start.elapsed());
+        drop(model);
+    }
+    took.sort();
+    let (least, median, most) = (took[0], took[RUNS / 2], took[RUNS - 1]);
+    let kib = source.len() / 1024;
+    println!("{adapters} adapters, {kib} KiB: median {median:?} of {RUNS} ({least:?} to {most:?})");
+    Ok(())
+}
+
+fn render(sample: &Sample, adapters: usize) -> String {
+    let mut text = format!("{}\n{}", sample.head, sample.engines);
+    for brand in &sample.brands {
+        // Writing to a text can't fail.
+        let _ = write_brand(&mut text, sample, brand, adapters);
+    }
+    text
+}
+
+fn write_brand(
+    text: &mut String,
+    sample: &Sample,
+    brand: &Brand,
+    adapters: usize,
+) -> std::fmt::Result {
+    let Brand { name, title, unit } = brand;
+    let key = format!("sample-key-{name}");
+    let hash: String = text::key_hash(&key)
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
+    writeln!(
+        text,
+        "\n# {title}. The key behind the hash is `{key}`: change it."
+    )?;
+    writeln!(text, "[brands.{name}]\nweight = 1\nkeys = [\"{hash}\"]")?;
+    writeln!(text, "base = \"{}\"", sample.base)?;
+    writeln!(text, "weights = \"{name}/{{adapter}}/{{version}}\"\n")?;
+    writeln!(text, "{}", sample.services.replace("BRAND", name))?;
+    writeln!(text, "[brands.{name}.adapters]")?;
+    let work = ["live", "batch"].map(|work| format!("{name}-{work}"));
+    for adapter in &work {
+        writeln!(text, "{adapter} = {{ versions = [1] }}")?;
+    }
+    for i in 1..=adapters.saturating_sub(work.len()) {
+        let versions = match i % TWO_VERSIONS_ONE_IN {
+            0 => "versions = [1, 2], serve = 1",
+            _ => "versions = [1]",
+        };
+        writeln!(text, "{name}-{unit}-{i:04} = {{ {versions} }}")?;
+    }
+    Ok(())
+}
+
+const AGENCY: Sample = Sample {
+    file: "agency.toml",
+    head: r#"# Agencija za kulturnu zaposljivost Hrvatske: casting calls for theatre, film
+# and folk ensembles. Written by `cargo xtask samples`.
+#
+# Instances, targets and their zones (dubrava, jankomir, zitnjak, blato) are not
+# named here: they come from the platform's list, 12 drafting and 4 portal
+# replicas of today.
+
+[limits]
+max-body-bytes = 1048576
+critical-deadline-ms = 10000
+live-deadline-ms = 30000
+# Screening may queue, but it ends before the morning's auditions.
+batch-deadline-ms = 28800000
+attempts = 3
+
+[store]
+rate = 5
+at-once = 2
+"#,
+    base: "gemma-hr",
+    engines: r#"# Answers callers who wait, and screens submissions overnight. `fencing = true`
+# is for engines that refuse orders under an old fencing number; where that is
+# not certain, `false` is the safe side.
+[pools.drafting]
+kind = "engine"
+base = "gemma-hr"
+slots = 8
+batch = 32
+fencing = true
+
+# Listing pages, submissions and their receipts.
+[pools.portal]
+kind = "plain"
+at-once = 64
+"#,
+    brands: [
+        Brand {
+            name: "kazaliste",
+            title: "Theatre",
+            unit: "kuca",
+        },
+        Brand {
+            name: "film",
+            title: "Film",
+            unit: "produkcija",
+        },
+        Brand {
+            name: "folklor",
+            title: "Folk ensembles",
+            unit: "ansambl",
+        },
+    ],
+    services: r#"# Every ensemble's own assistant, under the name of its adapter.
+[brands.BRAND.each-adapter]
+pool = "drafting"
+class = "live"
+needs = ["listing"]
+
+# Helps performers with applications while they wait.
+[brands.BRAND.services.drafting]
+kind = "assistant"
+adapter = "BRAND-live"
+pool = "drafting"
+class = "live"
+needs = ["listing"]
+
+# Screens submissions overnight.
+[brands.BRAND.services.screening]
+kind = "assistant"
+adapter = "BRAND-batch"
+pool = "drafting"
+class = "batch"
+needs = ["submissions"]
+
+[brands.BRAND.services.listing]
+kind = "plain"
+pool = "portal"
+class = "critical"
+mark = "repeatable"
+
+[brands.BRAND.services.receipts]
+kind = "plain"
+pool = "portal"
+class = "critical"
+mark = "repeatable"
+
+# Applications: one that runs twice makes the applicant look careless.
+[brands.BRAND.services.submissions]
+kind = "plain"
+pool = "portal"
+class = "live"
+mark = "once"
+needs = ["receipts"]
+
+# Casting offices post calls.
+[brands.BRAND.services.posting]
+kind = "plain"
+pool = "portal"
+class = "live"
+mark = "once"
+needs = ["listing"]
+"#,
+};
+
+const CONSORTIUM: Sample = Sample {
+    file: "consortium.toml",
+    head: r#"# Pamoja Nafasi Consortium: three rival placement agencies that share one
+# matching platform. Written by `cargo xtask samples`.
+#
+# Instances, targets and their zones (kurasini-hall, mikocheni-hall,
+# ubungo-hall) are not named here: they come from the platform's list, 18
+# assistant and 3 matching-service replicas of today.
+#
+# The partners' weights are equal, so that none is favoured under load.
+
+[limits]
+max-body-bytes = 2097152
+critical-deadline-ms = 10000
+live-deadline-ms = 30000
+# CVs are scored overnight.
+batch-deadline-ms = 28800000
+attempts = 3
+
+[store]
+rate = 6
+at-once = 2
+"#,
+    base: "llama-sw",
+    engines: r#"# Drafts letters for students who watch, and scores CVs overnight. `fencing =
+# false` is for engines that ignore fencing numbers, or may do so.
+[pools.assistant]
+kind = "engine"
+base = "llama-sw"
+slots = 6
+batch = 48
+fencing = false
+
+# The matching service of all three partners.
+[pools.matching]
+kind = "plain"
+at-once = 64
+"#,
+    brands: [
+        Brand {
+            name: "ajira",
+            title: "First partner",
+            unit: "chuo",
+        },
+        Brand {
+            name: "fursa",
+            title: "Second partner",
+            unit: "chuo",
+        },
+        Brand {
+            name: "kazi",
+            title: "Third partner",
+            unit: "chuo",
+        },
+    ],
+    services: r#"# Every college's own assistant, under the name of its adapter.
+[brands.BRAND.each-adapter]
+pool = "assistant"
+class = "live"
+needs = ["listing"]
+
+# Drafts cover letters while students watch.
+[brands.BRAND.services.letters]
+kind = "assistant"
+adapter = "BRAND-live"
+pool = "assistant"
+class = "live"
+needs = ["listing"]
+
+# Scores CVs against posted roles overnight.
+[brands.BRAND.services.scoring]
+kind = "assistant"
+adapter = "BRAND-batch"
+pool = "assistant"
+class = "batch"
+needs = ["applications"]
+
+[brands.BRAND.services.listing]
+kind = "plain"
+pool = "matching"
+class = "critical"
+mark = "repeatable"
+
+[brands.BRAND.services.receipts]
+kind = "plain"
+pool = "matching"
+class = "critical"
+mark = "repeatable"
+
+# A doubled application feeds suspicion between the partners.
+[brands.BRAND.services.applications]
+kind = "plain"
+pool = "matching"
+class = "live"
+mark = "once"
+needs = ["receipts"]
+
+# A lost or doubled acceptance gives the seat away.
+[brands.BRAND.services.acceptances]
+kind = "plain"
+pool = "matching"
+class = "critical"
+mark = "once"
+needs = ["receipts"]
+"#,
+};
