Call peers by tarpc over an upgraded HTTP connection

One port takes bulk requests, each on its own connection, and calls on an upgraded one, so that a stalled body can't hold up a heartbeat.

--- /dev/null
+++ b/crates/peer/src/answer.rs
@@ -0,0 +1,87 @@
+//! The answering end: upgrades a connection and serves its calls.
+
+use std::{future::Future, sync::Arc};
+
+use base::InstanceName;
+use bytes::Bytes;
+use futures::StreamExt;
+use http_body_util::Empty;
+use hyper::{Request, Response, StatusCode, body::Incoming, header};
+use tarpc::server::{BaseChannel, Channel};
+use wire::call::{Call, Reply};
+
+use crate::rpc::{Caller, PATH, PROTOCOL, transport};
+
+/// Calls of one connection that run at once; a caller beyond it waits, and
+/// only on its own connection.
+const CALLS_AT_ONCE: usize = 256;
+
+/// Tells whether `req` asks for the upgrade that [`accept`] gives.
+#[must_use]
+pub fn wants_upgrade<B>(req: &Request<B>) -> bool {
+    let asked = req.headers().get(header::UPGRADE);
+    req.uri().path() == PATH && asked.is_some_and(|value| value == PROTOCOL)
+}
+
+/// Answers `req` with the upgrade and serves the connection's calls in the
+/// background until the other end leaves.
+pub fn accept<F, Fut>(req: Request<Incoming>, handler: F) -> Response<Empty<Bytes>>
+where
+    F: Fn(InstanceName, Call) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Reply> + Send + 'static,
+{
+    tokio::spawn(async move {
+        match hyper::upgrade::on(req).await {
+            Ok(io) => serve(io, handler).await,
+            Err(err) => tracing::debug!("upgrade of a peer's connection failed: {err}"),
+        }
+    });
+    let mut answer = Response::new(Empty::new());
+    *answer.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
+    let headers = answer.headers_mut();
+    headers.insert(
+        header::CONNECTION,
+        header::HeaderValue::from_static("upgrade"),
+    );
+    headers.insert(header::UPGRADE, header::HeaderValue::from_static(PROTOCOL));
+    answer
+}
+
+async fn serve<F, Fut>(io: hyper::upgrade::Upgraded, handler: F)
+where
+    F: Fn(InstanceName, Call) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Reply> + Send + 'static,
+{
+    let server = Server {
+        handler: Arc::new(handler),
+    };
+    let channel = BaseChannel::with_defaults(transport(io));
+    channel
+        .execute(server.serve())
+        .for_each_concurrent(CALLS_AT_ONCE, |call| async move {
+            tokio::spawn(call).await.ok();
+        })
+        .await;
+}
+
+struct Server<F> {
+    handler: Arc<F>,
+}
+
+impl<F> Clone for Server<F> {
+    fn clone(&self) -> Self {
+        Server {
+            handler: Arc::clone(&self.handler),
+        }
+    }
+}
+
+impl<F, Fut> Caller for Server<F>
+where
+    F: Fn(InstanceName, Call) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Reply> + Send + 'static,
+{
+    async fn call(self, _: tarpc::context::Context, from: InstanceName, call: Call) -> Reply {
+        (self.handler)(from, call).await
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,17 @@
-//! Peer.
+//! Calls between our own processes: tarpc with rmp-serde over an upgraded
+//! HTTP connection.
+//!
+//! One port of a process takes both: bulk requests as plain HTTP, each on a
+//! connection of its own, and calls on a connection that was upgraded to
+//! [`PROTOCOL`]. So a stalled body never delays a heartbeat or a claim, and no
+//! second port has to be opened between availability zones.
+
+mod answer;
+mod link;
+mod rpc;
+
+pub use crate::{
+    answer::{accept, wants_upgrade},
+    link::{CallError, Link},
+    rpc::{CALL_MAX, PATH, PROTOCOL},
+};
