--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,23 @@
-//! Routing.
+//! Which engine runs a request, and who waits.
+//!
+//! [`Router`] is the entry instance's side: it knows which targets exist, what
+//! they hold and how busy they are, and chooses one for each request.
+//! [`Desk`] is the owner's side: it queues requests before the engines that
+//! this instance owns, shares them between classes and brands, and orders
+//! loads. Both take time as an argument and draw from a seed.
+
+mod ask;
+mod desk;
+mod desk_io;
+mod news;
+mod retry;
+mod router;
+
+pub use crate::{
+    ask::{Ask, Choice, PoolNo, ZoneNo},
+    desk::Desk,
+    desk_io::{BrandShare, Engine, Input, LoadEnd, Ordering, Output},
+    news::{News, Report, Residents, Target},
+    retry::{Attempts, RetryBudget},
+    router::Router,
+};
