replog: lay down the interface of a replica and the record codec

Others build on the replica's inputs and outputs before the algorithm is in, so the types come first: identities with a life of the data folder, positions, members with learners, messages as MessagePack, checked settings, and proposals that end as accepted, not accepted or unknown.

The record codec writes one frame a sync, so a crash can tear the last frame only, and a readable frame of another number behind an unreadable one is damage. Length and sequence have a checksum of their own; without it a damaged length in the middle would look like a short file.

--- /dev/null
+++ b/crates/replog/src/journal.rs
@@ -0,0 +1,1 @@
+//! The part of the log that is in memory.
--- a/crates/replog/src/lib.rs
+++ b/crates/replog/src/lib.rs
@@ -1,1 +1,33 @@
-//! Replicated log.
+//! Replicated log of the control instances, without clock, socket or disk.
+//!
+//! One [`Replica`] is a plain value. Whoever embeds it hands in what arrived
+//! and what time it is, and carries out what comes back: messages to send,
+//! records to write, commands to apply. A test can therefore hold back any
+//! message, timer or disk write for as long as it likes.
+//!
+//! The algorithm is Raft with pre-vote, check-quorum, leases, learners and
+//! single-replica membership changes; `docs/design/log.md` gives the reasons.
+
+mod blob;
+mod entry;
+mod id;
+mod io;
+mod journal;
+mod message;
+mod record;
+mod replica;
+mod settings;
+
+pub use crate::{
+    blob::Blob,
+    entry::{Entry, Members, Payload, Position, Snapshot},
+    id::{Index, ReplicaId, Term, WriteNo},
+    io::{HaltReason, Input, Output, Outputs, Rejected, WhyNot},
+    message::{BadMessage, Message, Outcome, VoteKind},
+    record::{
+        BadSnapshot, FORMAT, Header, Record, Recovered, Tail, encode_frame, encode_header,
+        encode_snapshot, recover, recover_snapshot,
+    },
+    replica::{Replica, Restored},
+    settings::{BadSettings, RawSettings, Settings},
+};
--- /dev/null
+++ b/crates/replog/src/record.rs
@@ -0,0 +1,211 @@
+//! The form of the log and of a snapshot on disk.
+//!
+//! A file is a row of frames. Each frame is what one sync made durable:
+//!
+//! ```text
+//! magic u32 | length u32 | sequence u64 | crc of payload u32 | crc of header u32 | payload
+//! ```
+//!
+//! Numbers are little-endian, payloads MessagePack. The first frame of a log
+//! file names format, owner and the snapshot that it continues. The header has
+//! a checksum of its own, so a damaged length is told apart from a short file.
+
+use serde::{Serialize, de::DeserializeOwned};
+use thiserror::Error;
+
+use crate::{Entry, Members, Position, ReplicaId, Snapshot, Term};
+
+/// The format written by this release; another one is not read.
+pub const FORMAT: u32 = 1;
+
+const MAGIC: u32 = u32::from_le_bytes(*b"qzlg");
+const HEADER_LEN: usize = 24;
+
+base::record! {
+    /// The first frame of a log file.
+    pub struct Header {
+        /// The format of what follows.
+        pub format: u32,
+        /// Whose log it is.
+        pub id: ReplicaId,
+        /// The snapshot that the log continues, if any.
+        pub base: Option<Position>,
+    }
+
+    /// One fact that a replica has to remember.
+    pub enum Record {
+        /// The founding members.
+        Found(Members),
+        /// The term, and who got the vote in it.
+        Vote {
+            /// The term.
+            term: Term,
+            /// The candidate voted for.
+            voted: Option<ReplicaId>,
+        },
+        /// An entry. It replaces any entry at or after its index.
+        Entry(Entry),
+    }
+}
+
+/// How the bytes after the last whole frame look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tail {
+    /// There are none.
+    Whole,
+    /// A write that a crash interrupted. It was never acknowledged, so it may
+    /// be cut off.
+    Torn,
+    /// Something that was durable once is unreadable: the file has lost votes
+    /// or entries that others count on.
+    Damaged,
+}
+
+/// What a log file holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Recovered {
+    /// The first frame, if it is readable.
+    pub header: Option<Header>,
+    /// All records, in order of writing.
+    pub records: Vec<Record>,
+    /// The length of the readable part in bytes.
+    pub len: u64,
+    /// The sequence number of the next frame.
+    pub next: u64,
+    /// What follows the readable part.
+    pub tail: Tail,
+}
+
+/// Says that bytes are no snapshot file.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("the snapshot is damaged")]
+pub struct BadSnapshot;
+
+/// Encodes the first frame of a log file.
+#[must_use]
+pub fn encode_header(header: &Header) -> Vec<u8> {
+    frame(0, header)
+}
+
+/// Encodes what one sync makes durable as the frame number `seq`.
+#[must_use]
+pub fn encode_frame(seq: u64, records: &[Record]) -> Vec<u8> {
+    frame(seq, &records)
+}
+
+/// Encodes a snapshot file.
+#[must_use]
+pub fn encode_snapshot(snapshot: &Snapshot) -> Vec<u8> {
+    frame(0, snapshot)
+}
+
+/// Decodes a snapshot file.
+///
+/// # Errors
+///
+/// Fails when a byte is missing, added or changed.
+pub fn recover_snapshot(raw: &[u8]) -> Result<Snapshot, BadSnapshot> {
+    match read_frame(raw, 0) {
+        Some((payload, len)) if len == raw.len() => decode(payload).ok_or(BadSnapshot),
+        _ => Err(BadSnapshot),
+    }
+}
+
+/// Reads a log file as far as it goes.
+#[must_use]
+pub fn recover(raw: &[u8]) -> Recovered {
+    let mut found = Recovered {
+        header: None,
+        records: Vec::new(),
+        len: 0,
+        next: 0,
+        tail: Tail::Damaged,
+    };
+    let Some((payload, len)) = read_frame(raw, 0) else {
+        return found;
+    };
+    found.header = decode::<Header>(payload).filter(|header| header.format == FORMAT);
+    if found.header.is_none() {
+        return found;
+    }
+    let mut at = len;
+    found.next = 1;
+    while let Some((payload, len)) = read_frame(&raw[at..], found.next) {
+        let Some(mut records) = decode::<Vec<Record>>(payload) else {
+            found.len = at as u64;
+            return found;
+        };
+        found.records.append(&mut records);
+        found.next += 1;
+        at += len;
+    }
+    found.len = at as u64;
+    found.tail = judge_tail(&raw[at..], found.next);
+    found
+}
+
+/// Tells an interrupted write from damage.
+///
+/// A frame is written only after the one before it was synced, so a crash
+/// tears the last frame only. A readable frame of a later number behind an
+/// unreadable one shows that the unreadable one had been durable: cutting it
+/// off would take back a vote or an acknowledgement, and two leaders could be
+/// elected in one term.
+fn judge_tail(rest: &[u8], next: u64) -> Tail {
+    if rest.is_empty() {
+        return Tail::Whole;
+    }
+    let later =
+        (1..rest.len()).any(|at| matches!(read_header(&rest[at..]), Some(h) if h.seq > next));
+    if later {
+        base::hit!(damaged_middle);
+        return Tail::Damaged;
+    }
+    base::hit!(torn_tail);
+    Tail::Torn
+}
+
+struct FrameHeader {
+    len: usize,
+    seq: u64,
+    crc: u32,
+}
+
+fn frame<T: Serialize>(seq: u64, value: &T) -> Vec<u8> {
+    let payload = rmp_serde::to_vec(value).expect("records have only encodable fields");
+    let len = u32::try_from(payload.len()).expect("a frame is shorter than 4 GiB");
+    let mut raw = Vec::with_capacity(HEADER_LEN + payload.len());
+    raw.extend(MAGIC.to_le_bytes());
+    raw.extend(len.to_le_bytes());
+    raw.extend(seq.to_le_bytes());
+    raw.extend(crc32fast::hash(&payload).to_le_bytes());
+    raw.extend(crc32fast::hash(&raw).to_le_bytes());
+    raw.extend(payload);
+    raw
+}
+
+fn read_header(raw: &[u8]) -> Option<FrameHeader> {
+    let raw = raw.get(..HEADER_LEN)?;
+    let word = |at: usize| Some(u32::from_le_bytes(raw.get(at..at + 4)?.try_into().ok()?));
+    if word(0)? != MAGIC || word(20)? != crc32fast::hash(&raw[..20]) {
+        return None;
+    }
+    Some(FrameHeader {
+        len: word(4)? as usize,
+        seq: u64::from_le_bytes(raw[8..16].try_into().ok()?),
+        crc: word(16)?,
+    })
+}
+
+/// Returns the payload of the frame number `seq` and the frame's length.
+fn read_frame(raw: &[u8], seq: u64) -> Option<(&[u8], usize)> {
+    let header = read_header(raw)?;
+    let len = HEADER_LEN.checked_add(header.len)?;
+    let payload = raw.get(HEADER_LEN..len)?;
+    let good = header.seq == seq && header.crc == crc32fast::hash(payload);
+    good.then_some((payload, len))
+}
+
+fn decode<T: DeserializeOwned>(payload: &[u8]) -> Option<T> {
+    rmp_serde::from_slice(payload).ok()
+}
