Let a beat acknowledge what it heard and carry only what changed

A newcomer may own an engine only once every owner of its zone knows it, so a beat says how much of the roster its sender has. Whole lists of peers and engines in each beat would grow with the system: at 380 instances a list alone is beyond 2 KB a second; changes since a log index don't grow. A lease names the earlier owners that may still use the engine, because one flag can't tell which of several has finished.

--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -85,8 +85,16 @@
         pub leaving: bool,
         /// Counts the beats of one life; the reply repeats it.
         pub serial: u64,
-        /// Engines it can reach, from the platform's list, of its own zone.
-        pub engines: Vec<TargetName>,
+        /// The greatest serial among the replies taken in so far.
+        pub heard: u64,
+        /// How much of the roster it has; see [`BeatReply::roster`].
+        pub roster: u64,
+        /// Engines of its own zone that it can reach, from the platform's
+        /// list; sent when they change or the leader asks, else absent.
+        pub engines: Option<Vec<TargetName>>,
+        /// Engines that it lost and has no request left on, with the fencing
+        /// number that it had.
+        pub done: Vec<(TargetName, Fence)>,
         /// Loads it waits to make, for its part of the store's budget.
         pub loads: u32,
     }
@@ -102,8 +110,17 @@
         /// Loads from the store that the asker may start each second, in
         /// thousandths.
         pub loads: u32,
-        /// Other entry instances.
+        /// Index of the last log entry that changed instances or owners.
+        pub roster: u64,
+        /// Whether `peers` is everybody rather than what changed since the
+        /// asker's roster.
+        pub whole: bool,
+        /// Entry instances that are new or changed.
         pub peers: Vec<Peer>,
+        /// Entry instances that were taken off since the asker's roster.
+        pub gone: Vec<InstanceName>,
+        /// Whether the next beat should name the engines in reach.
+        pub tell: bool,
     }
 
     /// A lease on one engine.
@@ -114,8 +131,9 @@
         pub fence: Fence,
         /// How long it holds, from when the beat was sent.
         pub lasts: Duration,
-        /// Whether the owner before may still have requests running there.
-        pub inherited: bool,
+        /// Fencing numbers of earlier owners that may still have requests
+        /// running there.
+        pub former: Vec<Fence>,
     }
 
     /// Another entry instance, as the leader knows it.
