Lay out ownership and membership

An owner without leader goes on only while every zone-mate that it knows confirms. A newcomer it doesn't know would break that, so an instance may own engines only after every present and earlier owner of the zone has acknowledged it. The roster's index in the beat carries the acknowledgement, so a new leader needs no memory of what the old one sent.

--- /dev/null
+++ b/crates/member/src/instances.rs
@@ -0,0 +1,121 @@
+//! Entry instances, by list and heartbeat.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::{InstanceName, Time, ZoneName};
+use wire::platform::{List, State};
+
+/// How an instance stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Heard of lately, and staying.
+    Live,
+    /// To stop soon: no new work.
+    Leaving,
+    /// Listed but not heard of: may be gone, cut off, or not started yet.
+    Suspect,
+}
+
+#[derive(Clone, Debug)]
+struct Instance {
+    zone: ZoneName,
+    peer: String,
+    listed: Option<State>,
+    heard: Option<Time>,
+    leaving: bool,
+}
+
+/// The entry instances as one process sees them.
+#[derive(Debug)]
+pub struct Instances {
+    silence: Duration,
+    serial: u64,
+    all: BTreeMap<InstanceName, Instance>,
+}
+
+impl Instances {
+    /// Makes an empty view; whoever is silent for `silence` is suspect.
+    #[must_use]
+    pub fn new(silence: Duration) -> Self {
+        Instances {
+            silence,
+            serial: 0,
+            all: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the platform's list; one older than the last is ignored.
+    pub fn list(&mut self, now: Time, list: &List) {
+        if list.serial < self.serial {
+            return;
+        }
+        self.serial = list.serial;
+        for instance in self.all.values_mut() {
+            instance.listed = None;
+        }
+        for entry in &list.instances {
+            self.note(&entry.name, &entry.zone, &entry.peer).listed = Some(entry.state);
+        }
+        let silence = self.silence;
+        self.all
+            .retain(|_, i| i.listed.is_some() || i.fresh(now, silence));
+    }
+
+    /// Takes a sign of life: a beat, a call, or the leader's word.
+    pub fn heard(
+        &mut self,
+        now: Time,
+        name: &InstanceName,
+        zone: &ZoneName,
+        peer: &str,
+        leaving: bool,
+    ) {
+        let instance = self.note(name, zone, peer);
+        instance.heard = Some(now);
+        instance.leaving = leaving;
+    }
+
+    /// Returns how `name` stands; nothing when neither source names it.
+    #[must_use]
+    pub fn standing(&self, now: Time, name: &InstanceName) -> Option<Standing> {
+        let instance = self.all.get(name)?;
+        let leaving = instance.leaving || instance.listed == Some(State::Leaving);
+        let fresh = instance.fresh(now, self.silence);
+        match (leaving, fresh) {
+            (true, _) => Some(Standing::Leaving),
+            (false, true) => Some(Standing::Live),
+            (false, false) if instance.listed.is_some() => Some(Standing::Suspect),
+            (false, false) => None,
+        }
+    }
+
+    /// Returns every instance with its zone and the address of its peer
+    /// listener.
+    pub fn iter(&self) -> impl Iterator<Item = (&InstanceName, &ZoneName, &str)> {
+        let all = self.all.iter();
+        all.map(|(name, i)| (name, &i.zone, i.peer.as_str()))
+    }
+
+    fn note(&mut self, name: &InstanceName, zone: &ZoneName, peer: &str) -> &mut Instance {
+        let fresh = || Instance {
+            zone: zone.clone(),
+            peer: peer.to_owned(),
+            listed: None,
+            heard: None,
+            leaving: false,
+        };
+        let instance = self.all.entry(name.clone()).or_insert_with(fresh);
+        if instance.peer != peer {
+            peer.clone_into(&mut instance.peer);
+            instance.leaving = false;
+        }
+        instance
+    }
+}
+
+impl Instance {
+    fn fresh(&self, now: Time, silence: Duration) -> bool {
+        self.heard.is_some_and(|at| now.since(at) < silence)
+    }
+}
--- /dev/null
+++ b/crates/owner/src/grantor/plan.rs
@@ -0,0 +1,360 @@
+//! What the leader proposes: newcomers, owners, and the end of both.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::{Fence, InstanceName, TargetName, Time, ZoneName, stable_hash};
+
+use super::{Change, DISMISS_AFTER, Grantor, Life, Moving, Seen, Table};
+use crate::table::{Engine, Former, Member};
+
+/// Engines that each candidate owns or is to own, by name of the candidate.
+type Counts = BTreeMap<InstanceName, usize>;
+
+impl Grantor {
+    /// Proposes all that is due. Without leadership it proposes nothing.
+    pub(super) fn plan(&mut self, now: Time, table: &Table, out: &mut Vec<Change>) {
+        let Some(since) = self.since else {
+            return;
+        };
+        let mut due = Vec::new();
+        self.admit(now, since, table, &mut due);
+        self.account(now, since, table, &mut due);
+        self.dismiss(now, since, table, &mut due);
+        for zone in zones_of(table) {
+            self.assign(now, since, table, &zone, &mut due);
+        }
+        for change in due {
+            self.propose(now, change, out);
+        }
+    }
+
+    fn admit(&self, now: Time, since: Time, table: &Table, due: &mut Vec<Change>) {
+        for (name, member) in table.members() {
+            let fresh = !member.admitted && self.present(now, name, member).is_some();
+            if fresh && self.known_to_all(now, since, table, name, member) {
+                let life = life_of(name, member);
+                due.push(Change::Admit { life });
+            }
+        }
+    }
+
+    /// Tells whether every instance that may hold an engine of the zone knows
+    /// the newcomer.
+    ///
+    /// Guard: an owner without leader goes on by the word of the zone-mates
+    /// that it knows. A newcomer that it doesn't know was never asked; if it
+    /// got the engine, two would be in charge. So it gets none until each
+    /// owner has acknowledged it, or has certainly stopped.
+    fn known_to_all(
+        &self,
+        now: Time,
+        since: Time,
+        table: &Table,
+        name: &InstanceName,
+        member: &Member,
+    ) -> bool {
+        let engines = table.engines().values();
+        let engines = engines.filter(|engine| engine.zone == member.zone);
+        let holders = engines.flat_map(|engine| {
+            let former = engine.former.iter().map(|f| (&f.life, f.peer.as_str()));
+            former.chain([(&engine.owner, engine.peer.as_str())])
+        });
+        let mut others = holders
+            .filter(|(life, _)| life.instance != *name || life.incarnation != member.incarnation);
+        let known = others.all(|(life, peer)| {
+            self.acknowledged(life, member.joined)
+                || replaced(table, life, peer)
+                || self.stopped(now, since, life)
+        });
+        if !known {
+            base::hit!(unknown_newcomer);
+        }
+        known
+    }
+
+    fn acknowledged(&self, life: &Life, roster: u64) -> bool {
+        let seen = self.seen.get(&life.instance);
+        seen.is_some_and(|seen| seen.life == *life && seen.roster >= roster)
+    }
+
+    /// Tells whether `life` has been silent for longer than it may go on
+    /// without leader.
+    fn stopped(&self, now: Time, since: Time, life: &Life) -> bool {
+        let last = self.answered.get(life).copied().unwrap_or(since).max(since);
+        now.since(last) > self.config.margin.stretch(self.config.alone)
+    }
+
+    fn account(&self, now: Time, since: Time, table: &Table, due: &mut Vec<Change>) {
+        for (target, engine) in table.engines() {
+            for former in &engine.former {
+                if self.accounted(now, since, table, target, engine, former) {
+                    due.push(Change::Account {
+                        target: target.clone(),
+                        fence: former.fence,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Tells whether an earlier owner certainly has no request left: it says
+    /// so itself and knows that it was replaced, or its process is gone.
+    fn accounted(
+        &self,
+        now: Time,
+        since: Time,
+        table: &Table,
+        target: &TargetName,
+        engine: &Engine,
+        former: &Former,
+    ) -> bool {
+        let life = &former.life;
+        let seen = self.seen.get(&life.instance).filter(|s| s.life == *life);
+        if let Some(seen) = seen {
+            let knows = seen.roster >= engine.fence.get();
+            return knows && !seen.busy.contains(target);
+        }
+        let listed = self.listed.as_ref();
+        let unlisted = listed.is_some_and(|all| !all.contains(&life.instance));
+        replaced(table, life, &former.peer) || (unlisted && self.stopped(now, since, life))
+    }
+
+    fn dismiss(&self, now: Time, since: Time, table: &Table, due: &mut Vec<Change>) {
+        for (name, member) in table.members() {
+            let life = life_of(name, member);
+            let seen = self.seen.get(name).filter(|seen| seen.life == life);
+            let last = seen.map_or(since, |seen| seen.last.max(since));
+            if now.since(last) > DISMISS_AFTER && table.owned(&life).next().is_none() {
+                due.push(Change::Dismiss { life });
+            }
+        }
+    }
+
+    fn assign(
+        &mut self,
+        now: Time,
+        since: Time,
+        table: &Table,
+        zone: &ZoneName,
+        due: &mut Vec<Change>,
+    ) {
+        let able = self.candidates(now, table, zone);
+        let mut counts: Counts = able.keys().map(|name| (name.clone(), 0)).collect();
+        for engine in table.engines().values() {
+            if let Some(count) = counts.get_mut(&engine.owner.instance)
+                && able[&engine.owner.instance] == engine.owner
+            {
+                *count += 1;
+            }
+        }
+        self.settle_moves(now, table, zone);
+        let open = self.open_engines(now, since, table, zone);
+        let calm = open.is_empty();
+        for (target, expect) in open {
+            let Some(name) = self.choose(&able, &counts, &target) else {
+                continue;
+            };
+            *counts.entry(name.clone()).or_default() += 1;
+            let life = able[&name].clone();
+            due.push(Change::Assign {
+                target,
+                life,
+                expect,
+            });
+        }
+        self.forget(now, table, zone, due);
+        if calm {
+            self.even_out(table, zone, &counts);
+        }
+    }
+
+    /// Returns the instances of `zone` that may get engines.
+    fn candidates(
+        &self,
+        now: Time,
+        table: &Table,
+        zone: &ZoneName,
+    ) -> BTreeMap<InstanceName, Life> {
+        let members = table.members().iter();
+        let able = members.filter(|(_, m)| m.zone == *zone && m.admitted);
+        able.filter(|(name, m)| self.present(now, name, m).is_some_and(|s| !s.leaving))
+            .map(|(name, m)| (name.clone(), life_of(name, m)))
+            .collect()
+    }
+
+    fn present(&self, now: Time, name: &InstanceName, member: &Member) -> Option<&Seen> {
+        let seen = self.seen.get(name)?;
+        let same = seen.life.incarnation == member.incarnation;
+        (same && self.live(now, seen)).then_some(seen)
+    }
+
+    /// Returns the engines of `zone` that need an owner, with the fencing
+    /// number in force.
+    fn open_engines(
+        &self,
+        now: Time,
+        since: Time,
+        table: &Table,
+        zone: &ZoneName,
+    ) -> Vec<(TargetName, Fence)> {
+        let mates = self.seen.values();
+        let mates = mates.filter(|seen| seen.zone == *zone && self.live(now, seen));
+        let reach: BTreeSet<_> = mates.filter_map(|s| s.engines.as_ref()).flatten().collect();
+        let mut open = Vec::new();
+        for target in reach {
+            match table.engines().get(target) {
+                None => open.push((target.clone(), Fence(0))),
+                Some(engine) if self.may_move(now, since, target, engine) => {
+                    open.push((target.clone(), engine.fence));
+                }
+                Some(_) => {}
+            }
+        }
+        open
+    }
+
+    /// Tells whether the owner's lease has certainly ended.
+    fn may_move(&self, now: Time, since: Time, target: &TargetName, engine: &Engine) -> bool {
+        let seen = self.seen.get(&engine.owner.instance);
+        let seen = seen.filter(|seen| seen.life == engine.owner);
+        if seen.is_some_and(|seen| seen.leaving) {
+            return true;
+        }
+        if let Some(moving) = self.moving.get(target)
+            && !moving.forget
+            && let Some(seen) = seen
+            && moving.without.is_some_and(|serial| seen.heard >= serial)
+        {
+            return true;
+        }
+        if seen.is_some_and(|seen| self.live(now, seen)) {
+            return false;
+        }
+        // Guard: an owner that is cut off or frozen believes in its lease
+        // until it ends, and an older leader may have renewed it just before
+        // this one began. The engine waits for the later of both, stretched
+        // by the drift of clocks.
+        let granted = self.granted.get(target);
+        let granted = granted.filter(|(fence, _)| *fence == engine.fence);
+        let last = granted.map_or(since, |(_, at)| (*at).max(since));
+        let over = now.since(last) > self.config.margin.stretch(self.config.lease);
+        if !over {
+            base::hit!(lease_waited_out);
+        }
+        over
+    }
+
+    /// Picks the candidate with the fewest engines that can reach `target`;
+    /// among equals by rendezvous hash, so that most stay when one leaves.
+    fn choose(
+        &self,
+        able: &BTreeMap<InstanceName, Life>,
+        counts: &Counts,
+        target: &TargetName,
+    ) -> Option<InstanceName> {
+        let near = able.keys().filter(|name| self.reaches(name, target));
+        let best = near.min_by_key(|name| {
+            let count = counts.get(*name).copied().unwrap_or(0);
+            (count, std::cmp::Reverse(score(name, target)))
+        });
+        best.cloned()
+    }
+
+    fn reaches(&self, name: &InstanceName, target: &TargetName) -> bool {
+        let engines = self.seen.get(name).and_then(|seen| seen.engines.as_ref());
+        engines.is_some_and(|all| all.contains(target))
+    }
+
+    /// Ends moves whose engine has a new owner or whose owner fell silent.
+    fn settle_moves(&mut self, now: Time, table: &Table, zone: &ZoneName) {
+        let seen = &self.seen;
+        let lease = self.config.lease;
+        self.moving.retain(|target, moving| {
+            let Some(engine) = table.engines().get(target) else {
+                return false;
+            };
+            let owner = seen.get(&engine.owner.instance);
+            let live = owner.is_some_and(|s| s.life == engine.owner && now.since(s.last) < lease);
+            engine.zone != *zone || (engine.fence == moving.fence && live)
+        });
+    }
+
+    /// Gives up engines that their owner no longer sees in the platform's
+    /// list, once the owner has acknowledged a reply without the lease.
+    fn forget(&mut self, now: Time, table: &Table, zone: &ZoneName, due: &mut Vec<Change>) {
+        let here = table.engines().iter().filter(|(_, e)| e.zone == *zone);
+        for (target, engine) in here {
+            let Some(seen) = self.seen.get(&engine.owner.instance) else {
+                continue;
+            };
+            let told = seen.engines.as_ref();
+            let wanted = told.is_none_or(|all| all.contains(target));
+            if seen.life != engine.owner || wanted || !self.live(now, seen) {
+                continue;
+            }
+            let moving = self.moving.entry(target.clone()).or_insert(Moving {
+                fence: engine.fence,
+                without: None,
+                forget: true,
+            });
+            let heard = moving.without.is_some_and(|serial| seen.heard >= serial);
+            if heard && engine.former.is_empty() && !seen.busy.contains(target) {
+                due.push(Change::Forget {
+                    target: target.clone(),
+                    expect: engine.fence,
+                });
+            }
+        }
+    }
+
+    /// Starts to move one engine from the instance with the most to the one
+    /// with the fewest, where they differ by two or more.
+    fn even_out(&mut self, table: &Table, zone: &ZoneName, counts: &Counts) {
+        let under_way = self.moving.keys().filter_map(|t| table.engines().get(t));
+        if under_way.filter(|e| e.zone == *zone).count() > 0 {
+            return;
+        }
+        let most = counts.iter().max_by_key(|(_, count)| **count);
+        let least = counts.iter().min_by_key(|(_, count)| **count);
+        let (Some((from, high)), Some((to, low))) = (most, least) else {
+            return;
+        };
+        if *high < low + 2 {
+            return;
+        }
+        let owned = table.engines().iter();
+        let owned = owned.filter(|(_, e)| e.owner.instance == *from && e.zone == *zone);
+        let near = owned.filter(|(target, _)| self.reaches(to, target));
+        let Some((target, engine)) = near.max_by_key(|(target, _)| score(to, target)) else {
+            return;
+        };
+        let moving = Moving {
+            fence: engine.fence,
+            without: None,
+            forget: false,
+        };
+        self.moving.insert(target.clone(), moving);
+    }
+}
+
+/// Tells whether a younger life of the same instance listens at the very
+/// address of `life`: then that process is gone.
+fn replaced(table: &Table, life: &Life, peer: &str) -> bool {
+    let member = table.members().get(&life.instance);
+    member.is_some_and(|m| m.incarnation > life.incarnation && m.peer == peer)
+}
+
+fn life_of(name: &InstanceName, member: &Member) -> Life {
+    Life {
+        instance: name.clone(),
+        incarnation: member.incarnation,
+    }
+}
+
+fn zones_of(table: &Table) -> BTreeSet<ZoneName> {
+    table.members().values().map(|m| m.zone.clone()).collect()
+}
+
+fn score(name: &InstanceName, target: &TargetName) -> u64 {
+    stable_hash(&[name.as_str().as_bytes(), target.as_str().as_bytes()])
+}
--- /dev/null
+++ b/crates/owner/src/holder/own.rs
@@ -0,0 +1,391 @@
+//! One engine held, and what each input does to what is held.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::{
+    BEATS_MAX, BeatReply, Confirm, EARLY_MAX, Fence, Handover, Holder, InstanceName, Lease, Lost,
+    Output, Own, Resident, TargetName, Time, confirm_time, fence_in,
+};
+
+/// An engine that this instance was given.
+#[derive(Clone, Debug)]
+pub(super) struct Held {
+    pub(super) fence: Fence,
+    /// When the beat was sent that the lease counts from.
+    base: Time,
+    until: Time,
+    former: BTreeSet<Fence>,
+    handed: BTreeMap<Fence, BTreeSet<Resident>>,
+    loaded: BTreeSet<Resident>,
+    touched: bool,
+    /// What was last said by [`Output::Changed`].
+    told: Own,
+    asked: BTreeMap<u64, (Time, Duration)>,
+    confirmed: BTreeMap<InstanceName, Time>,
+    ask_at: Time,
+}
+
+impl Held {
+    /// Tells whether the lease, or the word of every zone-mate, still holds.
+    pub(super) fn in_charge<'a>(
+        &self,
+        now: Time,
+        mut mates: impl Iterator<Item = &'a InstanceName>,
+        alone: Duration,
+    ) -> bool {
+        if now < self.until {
+            return true;
+        }
+        // Guard: the leader lets a newcomer that this instance has never
+        // heard of take the engine after `alone`; this instance has to have
+        // stopped before.
+        if now >= self.base + alone {
+            base::hit!(alone_too_long);
+            return false;
+        }
+        mates.all(|mate| self.confirmed.get(mate).is_some_and(|until| now < *until))
+    }
+
+    /// Tells whether an earlier owner may still give orders.
+    pub(super) fn untouched(&self) -> bool {
+        let silent = |fence: &Fence| !self.handed.contains_key(fence);
+        !self.touched && self.former.iter().any(silent)
+    }
+
+    /// Tells whether an earlier owner may use `resident`: what it said that it
+    /// uses, or, as long as it said nothing, all that it may have loaded.
+    pub(super) fn pinned(&self, resident: &Resident) -> bool {
+        self.former
+            .iter()
+            .any(|fence| match self.handed.get(fence) {
+                Some(using) => using.contains(resident),
+                None => !self.loaded.contains(resident),
+            })
+    }
+
+    /// Returns the next moment after `now` at which something changes.
+    fn next_change(&self, now: Time, alone: Duration) -> Option<Time> {
+        let fixed = [self.until, self.base + alone, self.ask_at];
+        let all = fixed.into_iter().chain(self.confirmed.values().copied());
+        all.filter(|at| now < *at).min()
+    }
+}
+
+impl Holder {
+    pub(super) fn note_sent(&mut self, now: Time, serial: u64) {
+        // A handover may have been lost on its way: with each beat it is said
+        // again, as long as something is in use.
+        let busy = self.lost.values_mut().filter(|lost| lost.busy());
+        busy.for_each(|lost| lost.told = None);
+        self.sent.insert(serial, now);
+        while self.sent.len() > BEATS_MAX {
+            self.sent.pop_first();
+        }
+    }
+
+    pub(super) fn on_reply(&mut self, now: Time, reply: BeatReply) {
+        // Guard: a reply that overtook another one, or of a leader that was
+        // replaced since, must not bring an engine back. Only newer serials
+        // count, and a lease counts from when its beat was sent.
+        let Some(sent) = self.sent.get(&reply.serial).copied() else {
+            base::hit!(unknown_reply);
+            return;
+        };
+        if reply.serial <= self.heard {
+            base::hit!(stale_reply);
+            return;
+        }
+        self.heard = reply.serial;
+        self.sent = self.sent.split_off(&reply.serial);
+        self.take_roster(&reply);
+        let named: BTreeSet<_> = reply.leases.iter().map(|l| l.target.clone()).collect();
+        self.offered.retain(|target, _| named.contains(target));
+        let gone: Vec<_> = self
+            .held
+            .keys()
+            .filter(|t| !named.contains(*t))
+            .cloned()
+            .collect();
+        for target in gone {
+            self.lose(&target);
+        }
+        if self.renounced {
+            return;
+        }
+        for lease in reply.leases {
+            self.offer(now, sent, lease);
+        }
+    }
+
+    fn take_roster(&mut self, reply: &BeatReply) {
+        if reply.roster < self.roster && !reply.whole {
+            return;
+        }
+        if reply.whole {
+            self.peers.clear();
+        }
+        for name in &reply.gone {
+            self.peers.remove(name);
+        }
+        for peer in &reply.peers {
+            self.peers.insert(peer.instance.clone(), peer.clone());
+        }
+        self.roster = reply.roster;
+    }
+
+    fn offer(&mut self, now: Time, sent: Time, lease: Lease) {
+        self.offered.insert(lease.target.clone(), lease.fence);
+        let held = self.held.get(&lease.target).map(|h| h.fence);
+        if held.is_none() && !self.free_to_take(now, &lease.target) {
+            return;
+        }
+        if held.is_some_and(|fence| fence > lease.fence) {
+            return;
+        }
+        if held.is_some_and(|fence| fence < lease.fence) {
+            self.held.remove(&lease.target);
+        }
+        self.lost.remove(&lease.target);
+        let early = self.early.remove(&lease.target).unwrap_or_default();
+        let held = self.held.entry(lease.target).or_insert_with(|| Held {
+            fence: lease.fence,
+            base: sent,
+            until: sent,
+            former: BTreeSet::new(),
+            handed: BTreeMap::new(),
+            loaded: BTreeSet::new(),
+            touched: false,
+            told: Own::None,
+            asked: BTreeMap::new(),
+            confirmed: BTreeMap::new(),
+            ask_at: sent,
+        });
+        held.base = sent;
+        held.until = sent + lease.lasts;
+        held.ask_at = sent + self.config.beat * 3 / 2;
+        held.former = lease.former.into_iter().collect();
+        held.handed.extend(early);
+        held.handed.retain(|fence, _| held.former.contains(fence));
+    }
+
+    /// Tells whether an engine that the leader offers may be taken.
+    fn free_to_take(&self, now: Time, target: &TargetName) -> bool {
+        // Guard: the life before this one may have promised an engine to a
+        // zone-mate and forgotten it by the restart. The promise has run out
+        // before this life takes its first engine.
+        let longest = self.longest_promise();
+        if now < self.born + self.config.margin.stretch(longest) {
+            base::hit!(young_holder);
+            return false;
+        }
+        // Guard: this instance gave its word that the owner may go on; the
+        // leader can't know that. It takes the engine once the word is over.
+        let promise = self.promises.get(target);
+        if promise.is_some_and(|p| now < p.until) {
+            base::hit!(kept_promise);
+            return false;
+        }
+        true
+    }
+
+    /// Twice the time asked for at this zone's size: the asker may have known
+    /// more mates.
+    fn longest_promise(&self) -> Duration {
+        confirm_time(&self.config, 2 * self.mates().count())
+    }
+
+    pub(super) fn grants(&self, ask: &Confirm) -> bool {
+        // Guard: a promise longer than a restart waits would outlive this
+        // process's memory of it.
+        if ask.lasts > self.longest_promise() {
+            base::hit!(long_promise);
+            return false;
+        }
+        let held = self.held.get(&ask.target).map(|h| h.fence);
+        let offered = self.offered.get(&ask.target).copied();
+        let known = self.owner_of(&ask.target).map(|(_, fence)| fence);
+        let promised = self.promises.get(&ask.target).map(|p| p.fence);
+        let newest = held.max(offered).max(known).max(promised);
+        // Guard: whoever has seen a newer owner denies the older one, or two
+        // would be in charge after the cut heals.
+        if newest.is_some_and(|fence| fence > ask.fence) {
+            base::hit!(newer_owner);
+            return false;
+        }
+        true
+    }
+
+    /// Gives up an engine that the asker got after this instance had it.
+    pub(super) fn drop_older(&mut self, ask: &Confirm) {
+        let held = self.held.get(&ask.target).map(|h| h.fence);
+        if held.is_some_and(|fence| fence < ask.fence) {
+            self.lose(&ask.target);
+        }
+    }
+
+    pub(super) fn on_confirmed(
+        &mut self,
+        from: InstanceName,
+        target: &TargetName,
+        round: u64,
+        granted: bool,
+    ) {
+        let Some(held) = self.held.get_mut(target) else {
+            return;
+        };
+        let Some((asked, lasts)) = held.asked.get(&round).copied() else {
+            return;
+        };
+        if !granted {
+            held.confirmed.remove(&from);
+            return;
+        }
+        let until = held.confirmed.entry(from).or_insert(asked);
+        *until = (*until).max(asked + lasts);
+    }
+
+    pub(super) fn on_handover(&mut self, handover: Handover) {
+        let using = handover.in_use.into_iter();
+        let using = using.map(|(adapter, version)| Resident { adapter, version });
+        let using: BTreeSet<_> = using.collect();
+        if let Some(held) = self.held.get_mut(&handover.target)
+            && held.former.contains(&handover.fence)
+        {
+            held.handed.insert(handover.fence, using);
+            return;
+        }
+        let early = self.early.entry(handover.target).or_default();
+        early.insert(handover.fence, using);
+        while early.len() > EARLY_MAX {
+            early.pop_first();
+        }
+    }
+
+    pub(super) fn on_loaded(&mut self, target: &TargetName, fence: Fence, resident: Resident) {
+        let Some(held) = self.held.get_mut(target) else {
+            return;
+        };
+        if held.fence == fence {
+            held.loaded.insert(resident);
+            held.touched = true;
+        }
+    }
+
+    fn lose(&mut self, target: &TargetName) {
+        let Some(held) = self.held.remove(target) else {
+            return;
+        };
+        let lost = Lost {
+            fence: held.fence,
+            using: None,
+            told: None,
+        };
+        self.lost.insert(target.clone(), lost);
+        self.news.insert(target.clone());
+    }
+
+    /// Says what has changed since the last input, asks zone-mates where the
+    /// leader is silent, and sets the next wake-up.
+    pub(super) fn settle(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.promises.retain(|_, promise| now < promise.until);
+        if self.renounced {
+            let all: Vec<_> = self.held.keys().cloned().collect();
+            all.iter().for_each(|target| self.lose(target));
+        }
+        self.tell_gone(out);
+        self.tell_lost(out);
+        self.ask_mates(now, out);
+        self.tell_held(now, out);
+        let alone = self.config.alone;
+        let times = self.held.values().filter_map(|h| h.next_change(now, alone));
+        if let Some(next) = times.min() {
+            out.push(Output::Wake(next));
+        }
+    }
+
+    fn tell_gone(&mut self, out: &mut Vec<Output>) {
+        for target in std::mem::take(&mut self.news) {
+            if !self.held.contains_key(&target) {
+                let own = Own::None;
+                out.push(Output::Changed { target, own });
+            }
+        }
+    }
+
+    fn tell_held(&mut self, now: Time, out: &mut Vec<Output>) {
+        let owns: Vec<_> = self
+            .held
+            .keys()
+            .map(|t| (t.clone(), self.own(now, t)))
+            .collect();
+        for (target, own) in owns {
+            let Some(held) = self.held.get_mut(&target) else {
+                continue;
+            };
+            if held.told != own {
+                held.told = own;
+                out.push(Output::Changed { target, own });
+            }
+        }
+    }
+
+    fn ask_mates(&mut self, now: Time, out: &mut Vec<Output>) {
+        let mates: Vec<_> = self.mates().cloned().collect();
+        let lasts = confirm_time(&self.config, mates.len());
+        for (target, held) in &mut self.held {
+            if now < held.ask_at || now >= held.base + self.config.alone {
+                continue;
+            }
+            self.round += 1;
+            held.ask_at = now + lasts / 2;
+            held.asked.insert(self.round, (now, lasts));
+            while held.asked.len() > 4 {
+                held.asked.pop_first();
+            }
+            for to in &mates {
+                let confirm = Confirm {
+                    instance: self.name.clone(),
+                    target: target.clone(),
+                    fence: held.fence,
+                    lasts,
+                };
+                let (to, round) = (to.clone(), self.round);
+                out.push(Output::Ask { to, round, confirm });
+            }
+        }
+    }
+
+    /// Tells new owners what this instance still uses, whenever that or the
+    /// owner changes.
+    fn tell_lost(&mut self, out: &mut Vec<Output>) {
+        let peers = &self.peers;
+        for (target, lost) in &mut self.lost {
+            let Some(using) = &lost.using else {
+                continue;
+            };
+            let owners = peers
+                .values()
+                .filter_map(|p| Some((fence_in(p, target)?, p)));
+            let owner = owners.max_by_key(|(fence, _)| *fence);
+            let Some((fence, peer)) = owner else {
+                continue;
+            };
+            let news = Some((peer.instance.clone(), using.clone()));
+            if fence <= lost.fence || peer.instance == self.name || lost.told == news {
+                continue;
+            }
+            lost.told = news;
+            let in_use = using.iter().map(|r| (r.adapter.clone(), r.version));
+            let handover = Handover {
+                target: target.clone(),
+                fence: lost.fence,
+                in_use: in_use.collect(),
+            };
+            let to = peer.instance.clone();
+            out.push(Output::Handover { to, handover });
+        }
+        self.lost
+            .retain(|_, lost| lost.busy() || lost.told.is_none());
+    }
+}
--- /dev/null
+++ b/crates/owner/src/store.rs
@@ -0,0 +1,74 @@
+//! The weight store's budget, divided among the instances.
+//!
+//! Rates are in thousandths of a load a second.
+
+use std::collections::BTreeMap;
+
+use base::{InstanceName, PerSecond, ZoneName};
+
+/// What one instance asks of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Ask {
+    pub(crate) zone: ZoneName,
+    pub(crate) loads: u32,
+}
+
+/// Returns what an instance may start when its zone is cut off: its zone's
+/// equal part, divided among the zone's instances.
+#[must_use]
+pub fn fixed_share(rate: PerSecond, zones: usize, mates: usize) -> u32 {
+    let parts = zones.max(1) * mates.max(1);
+    thousandths(rate) / u32::try_from(parts).unwrap_or(u32::MAX)
+}
+
+/// Divides the store's rate among the instances heard of.
+///
+/// Zones in `silent` may be cut off and use their fixed parts, so these are
+/// set aside first. Half of the rest is divided equally, so that an instance
+/// which begins to load needn't wait for its next beat; the other half goes by
+/// the loads waiting.
+#[must_use]
+pub(crate) fn divide(
+    rate: PerSecond,
+    zones: usize,
+    silent: usize,
+    asks: &BTreeMap<InstanceName, Ask>,
+) -> BTreeMap<InstanceName, u32> {
+    let zones = u64::try_from(zones.max(1)).unwrap_or(u64::MAX);
+    let silent = u64::try_from(silent).unwrap_or(u64::MAX).min(zones);
+    let open = u64::from(thousandths(rate)) * (zones - silent) / zones;
+    let waiting: u64 = asks.values().map(|ask| u64::from(ask.loads)).sum();
+    let count = u64::try_from(asks.len().max(1)).unwrap_or(u64::MAX);
+    let equal = if waiting == 0 { open } else { open / 2 };
+    let part = |ask: &Ask| {
+        let busy = ((open - equal) * u64::from(ask.loads)).checked_div(waiting);
+        u32::try_from(equal / count + busy.unwrap_or(0)).unwrap_or(u32::MAX)
+    };
+    let parts = asks.iter().map(|(name, ask)| (name.clone(), part(ask)));
+    parts.collect()
+}
+
+/// Divides `rate` among instances that wait for so many loads each, with
+/// `silent` of `zones` zones not heard of.
+#[must_use]
+pub fn shares(
+    rate: PerSecond,
+    zones: usize,
+    silent: usize,
+    asks: &[(InstanceName, ZoneName, u32)],
+) -> Vec<(InstanceName, u32)> {
+    let asks = asks.iter().map(|(name, zone, loads)| {
+        let ask = Ask {
+            zone: zone.clone(),
+            loads: *loads,
+        };
+        (name.clone(), ask)
+    });
+    divide(rate, zones, silent, &asks.collect())
+        .into_iter()
+        .collect()
+}
+
+fn thousandths(rate: PerSecond) -> u32 {
+    rate.get().saturating_mul(1_000)
+}
--- /dev/null
+++ b/crates/owner/src/table.rs
@@ -0,0 +1,332 @@
+//! The table of instances and owners: part of the replicated state.
+//!
+//! Every change names what it expects to find, so a proposal that comes
+//! through twice, or late under another leader, changes nothing.
+
+use std::collections::BTreeMap;
+
+use base::{Fence, Incarnation, InstanceName, TargetName, ZoneName, record};
+use wire::call::Peer;
+
+/// Removed instances that are remembered, so that a beat with an old roster
+/// still gets a list of changes; beyond that it gets everything.
+const GONE_MAX: usize = 256;
+
+record! {
+    /// One life of an entry instance.
+    #[derive(PartialOrd, Ord)]
+    pub struct Life {
+        /// Its name.
+        pub instance: InstanceName,
+        /// Which life.
+        pub incarnation: Incarnation,
+    }
+
+    /// A change of the table, as it travels in the log.
+    #[derive(PartialOrd, Ord)]
+    pub enum Change {
+        /// An instance came, or came back; it may not own engines yet.
+        Join {
+            /// Who.
+            life: Life,
+            /// Where.
+            zone: ZoneName,
+            /// IP and port of its peer listener.
+            peer: String,
+        },
+        /// Every owner of the zone knows the instance: it may own engines.
+        Admit {
+            /// Who.
+            life: Life,
+        },
+        /// The instance owns nothing and is gone.
+        Dismiss {
+            /// Who.
+            life: Life,
+        },
+        /// An engine gets an owner; the entry's index is the fencing number.
+        Assign {
+            /// Which engine.
+            target: TargetName,
+            /// The new owner.
+            life: Life,
+            /// The fencing number that must still be in force; 0 for none.
+            expect: Fence,
+        },
+        /// An earlier owner has certainly no request left on the engine.
+        Account {
+            /// Which engine.
+            target: TargetName,
+            /// The fencing number that the earlier owner had.
+            fence: Fence,
+        },
+        /// Nobody needs the engine any more.
+        Forget {
+            /// Which engine.
+            target: TargetName,
+            /// The fencing number that must still be in force.
+            expect: Fence,
+        },
+    }
+
+    /// An instance in the table.
+    pub struct Member {
+        /// Which life of it.
+        pub incarnation: Incarnation,
+        /// Where.
+        pub zone: ZoneName,
+        /// IP and port of its peer listener.
+        pub peer: String,
+        /// Index of the entry by which it joined.
+        pub joined: u64,
+        /// Whether it may own engines.
+        pub admitted: bool,
+        /// Index of the last entry that changed it or what it owns.
+        pub changed: u64,
+    }
+
+    /// An earlier owner that may still have requests running.
+    pub struct Former {
+        /// Which life it was.
+        pub life: Life,
+        /// The fencing number that it had.
+        pub fence: Fence,
+        /// IP and port of its peer listener.
+        pub peer: String,
+    }
+
+    /// An engine in the table.
+    pub struct Engine {
+        /// Its owner.
+        pub owner: Life,
+        /// IP and port of the owner's peer listener.
+        pub peer: String,
+        /// The owner's fencing number.
+        pub fence: Fence,
+        /// The owner's zone, which is the engine's.
+        pub zone: ZoneName,
+        /// Earlier owners not yet accounted for.
+        pub former: Vec<Former>,
+    }
+
+    /// Instances and owners, equal on every replica at one index.
+    #[derive(Default)]
+    pub struct Table {
+        members: BTreeMap<InstanceName, Member>,
+        engines: BTreeMap<TargetName, Engine>,
+        gone: BTreeMap<u64, InstanceName>,
+        changed: u64,
+        floor: u64,
+    }
+}
+
+impl Table {
+    /// Applies the entry at `index`; returns whether it changed anything.
+    pub fn apply(&mut self, index: u64, change: &Change) -> bool {
+        let done = match change {
+            Change::Join { life, zone, peer } => self.join(index, life, zone, peer),
+            Change::Admit { life } => self.admit(index, life),
+            Change::Dismiss { life } => self.dismiss(index, life),
+            Change::Assign {
+                target,
+                life,
+                expect,
+            } => self.assign(index, target, life, *expect),
+            Change::Account { target, fence } => self.account(target, *fence),
+            Change::Forget { target, expect } => self.forget(index, target, *expect),
+        };
+        if done && !matches!(change, Change::Account { .. }) {
+            self.changed = index;
+        }
+        done
+    }
+
+    /// Returns the instances by name.
+    #[must_use]
+    pub fn members(&self) -> &BTreeMap<InstanceName, Member> {
+        &self.members
+    }
+
+    /// Returns the engines by name.
+    #[must_use]
+    pub fn engines(&self) -> &BTreeMap<TargetName, Engine> {
+        &self.engines
+    }
+
+    /// Returns the index of the last change of instances or owners.
+    #[must_use]
+    pub fn roster(&self) -> u64 {
+        self.changed
+    }
+
+    /// Returns whether `life` is in the table, in this very life.
+    #[must_use]
+    pub fn knows(&self, life: &Life) -> bool {
+        let member = self.members.get(&life.instance);
+        member.is_some_and(|m| m.incarnation == life.incarnation)
+    }
+
+    /// Returns the engines that `life` owns.
+    pub fn owned<'a>(
+        &'a self,
+        life: &'a Life,
+    ) -> impl Iterator<Item = (&'a TargetName, &'a Engine)> {
+        self.engines.iter().filter(|(_, e)| e.owner == *life)
+    }
+
+    /// Returns what changed after the roster `have`: whether it is everything,
+    /// the instances new or changed, and those gone.
+    #[must_use]
+    pub fn since(&self, have: u64) -> (bool, Vec<Peer>, Vec<InstanceName>) {
+        let whole = have < self.floor || have > self.changed;
+        let from = if whole { 0 } else { have };
+        let fresh = self.members.iter().filter(|(_, m)| m.changed > from);
+        let peers = fresh.map(|(name, m)| self.peer(name, m)).collect();
+        let gone = if whole {
+            Vec::new()
+        } else {
+            let gone = self.gone.range(have + 1..).map(|(_, name)| name);
+            gone.filter(|name| !self.members.contains_key(*name))
+                .cloned()
+                .collect()
+        };
+        (whole, peers, gone)
+    }
+
+    fn peer(&self, name: &InstanceName, member: &Member) -> Peer {
+        let life = Life {
+            instance: name.clone(),
+            incarnation: member.incarnation,
+        };
+        Peer {
+            instance: name.clone(),
+            zone: member.zone.clone(),
+            address: member.peer.clone(),
+            owns: self
+                .owned(&life)
+                .map(|(t, e)| (t.clone(), e.fence))
+                .collect(),
+        }
+    }
+
+    fn join(&mut self, index: u64, life: &Life, zone: &ZoneName, peer: &str) -> bool {
+        if self.knows(life) {
+            return false;
+        }
+        let member = Member {
+            incarnation: life.incarnation,
+            zone: zone.clone(),
+            peer: peer.to_owned(),
+            joined: index,
+            admitted: false,
+            changed: index,
+        };
+        self.members.insert(life.instance.clone(), member);
+        true
+    }
+
+    fn admit(&mut self, index: u64, life: &Life) -> bool {
+        let Some(member) = self.member_mut(life) else {
+            return false;
+        };
+        if member.admitted {
+            return false;
+        }
+        member.admitted = true;
+        member.changed = index;
+        true
+    }
+
+    fn dismiss(&mut self, index: u64, life: &Life) -> bool {
+        if !self.knows(life) || self.owned(life).next().is_some() {
+            return false;
+        }
+        self.members.remove(&life.instance);
+        self.gone.insert(index, life.instance.clone());
+        if self.gone.len() > GONE_MAX
+            && let Some((dropped, _)) = self.gone.pop_first()
+        {
+            self.floor = dropped;
+        }
+        true
+    }
+
+    fn assign(&mut self, index: u64, target: &TargetName, life: &Life, expect: Fence) -> bool {
+        let current = self.engines.get(target);
+        // Guard: two proposals for one engine, or one proposed before a leader
+        // change, must not both take effect: each names the fencing number it
+        // found. Without it the second moves an engine whose lease still runs.
+        if current.map_or(Fence(0), |e| e.fence) != expect {
+            base::hit!(stale_assign);
+            return false;
+        }
+        let Some(member) = self.members.get(&life.instance) else {
+            return false;
+        };
+        if member.incarnation != life.incarnation || !member.admitted {
+            return false;
+        }
+        let (zone, peer) = (member.zone.clone(), member.peer.clone());
+        let old = self.engines.remove(target);
+        let former = old.as_ref().map(|e| former_of(e, life)).unwrap_or_default();
+        let engine = Engine {
+            owner: life.clone(),
+            peer,
+            fence: Fence(index),
+            zone,
+            former,
+        };
+        self.engines.insert(target.clone(), engine);
+        self.touch(index, &life.instance);
+        if let Some(old) = old {
+            self.touch(index, &old.owner.instance);
+        }
+        true
+    }
+
+    fn account(&mut self, target: &TargetName, fence: Fence) -> bool {
+        let Some(engine) = self.engines.get_mut(target) else {
+            return false;
+        };
+        let before = engine.former.len();
+        engine.former.retain(|f| f.fence != fence);
+        engine.former.len() < before
+    }
+
+    fn forget(&mut self, index: u64, target: &TargetName, expect: Fence) -> bool {
+        let fence = self.engines.get(target).map(|e| e.fence);
+        if fence != Some(expect) {
+            return false;
+        }
+        if let Some(engine) = self.engines.remove(target) {
+            self.touch(index, &engine.owner.instance);
+        }
+        true
+    }
+
+    fn touch(&mut self, index: u64, instance: &InstanceName) {
+        if let Some(member) = self.members.get_mut(instance) {
+            member.changed = index;
+        }
+    }
+
+    fn member_mut(&mut self, life: &Life) -> Option<&mut Member> {
+        let member = self.members.get_mut(&life.instance)?;
+        (member.incarnation == life.incarnation).then_some(member)
+    }
+}
+
+/// Returns the earlier owners of `engine` once `next` owns it; one entry a
+/// life, so that their number is bounded by the instances of a zone.
+fn former_of(engine: &Engine, next: &Life) -> Vec<Former> {
+    let last = Former {
+        life: engine.owner.clone(),
+        fence: engine.fence,
+        peer: engine.peer.clone(),
+    };
+    let mut all = engine.former.clone();
+    all.retain(|f| f.life != last.life);
+    all.push(last);
+    all.retain(|f| f.life != *next);
+    all
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -92,9 +92,9 @@
         /// Engines of its own zone that it can reach, from the platform's
         /// list; sent when they change or the leader asks, else absent.
         pub engines: Option<Vec<TargetName>>,
-        /// Engines that it lost and has no request left on, with the fencing
+        /// Engines that it lost and still has requests on, with the fencing
         /// number that it had.
-        pub done: Vec<(TargetName, Fence)>,
+        pub busy: Vec<(TargetName, Fence)>,
         /// Loads it waits to make, for its part of the store's budget.
         pub loads: u32,
     }
