Decide placement, routing, queues and loads

The router keeps a directory of residents and chooses the first home with a place; the desk queues by class and brand, refuses what is late, loads by class and waiting time within its part of the store's budget, and never evicts what is in use. News::Began and RetryBudget's cap Attempts::another are new in the API; a preempted request that ended before its cancel is told by Input::Cancel.

--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -1,39 +1,313 @@
 //! The owner's side: queues before engines, loads and shares.
 
-use base::{Failure, Refusal, Time};
+mod admit;
+mod bay;
+mod engines;
+mod loads;
+mod queue;
+mod send;
 
-use crate::{BrandShare, Input, Output};
+use std::collections::BTreeMap;
+
+use base::{BrandNo, Class, Failure, Refusal, TargetNo, Ticket, Time};
+use place::{Backoff, Budget, Demand};
+
+use crate::{
+    Ask, BrandShare, Input, Output,
+    desk::{bay::Bay, queue::Item},
+    draw::Draw,
+};
 
 /// All engines that this instance owns, and the requests for them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Desk {
-    seed: u64,
+    bays: BTreeMap<TargetNo, Bay>,
+    requests: BTreeMap<Ticket, Request>,
+    demand: Demand,
+    budget: Budget,
+    backoff: Backoff,
+    brands: BTreeMap<BrandNo, Brand>,
+    draw: Draw,
+    /// Seconds that a load takes, measured.
+    load_secs: f64,
+    /// When each load under way began.
+    loading: BTreeMap<(TargetNo, base::AdapterKey), Time>,
+    /// What the last look at the wanted loads found.
+    wanted: loads::Wanted,
+    /// The wake asked for last.
+    wake: Option<Time>,
+}
+
+/// A request known to the desk.
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    target: TargetNo,
+    ask: Ask,
+    since: Time,
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Queued,
+    /// Sent to that life of the engine.
+    Sent(base::Incarnation),
+}
+
+/// A brand's weight and figures.
+#[derive(Clone, Debug)]
+struct Brand {
+    weight: u32,
+    share: BrandShare,
 }
 
 impl Desk {
     /// Makes a desk without engines; `seed` spreads `Retry-After`.
     #[must_use]
     pub fn new(seed: u64) -> Self {
-        Desk { seed }
+        Desk {
+            bays: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            demand: Demand::new(),
+            budget: Budget::new(Time::ZERO, 0),
+            backoff: Backoff::default(),
+            brands: BTreeMap::new(),
+            draw: Draw::new(seed),
+            load_secs: loads::LOAD_SECS,
+            loading: BTreeMap::new(),
+            wanted: loads::Wanted::default(),
+            wake: None,
+        }
     }
 
     /// Takes in one event.
-    pub fn handle(&mut self, _now: Time, input: Input, out: &mut Vec<Output>) {
-        if let Input::Arrive { ticket, .. } = input {
-            let failure = Failure::not_run(Refusal::Unavailable);
-            out.push(Output::Refuse { ticket, failure });
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        if self.wake.is_some_and(|at| at <= now) {
+            self.wake = None;
+        }
+        match input {
+            Input::Brand { brand, weight } => self.brand(brand).weight = weight.max(1),
+            Input::Adapter { adapter, .. } => self.demand.reserve(adapter),
+            Input::Owned {
+                engine,
+                held,
+                inherited,
+            } => self.owned(now, engine, held, inherited, out),
+            Input::Lost(target) => self.lost(target, out),
+            Input::Arrive {
+                ticket,
+                target,
+                ask,
+            } => self.arrive(now, ticket, target, ask, out),
+            Input::Cancel(ticket) => self.cancel(ticket),
+            Input::Began(_) => {}
+            Input::Finished { ticket, ok } => self.finished(now, ticket, ok),
+            Input::Report {
+                target,
+                incarnation,
+                taken,
+                held,
+            } => self.report(now, target, incarnation, taken, &held, out),
+            Input::Loaded { target, key, end } => self.loaded(now, target, key, end, out),
+            Input::Unloaded { target, key, ok } => self.unloaded(now, target, key, ok, out),
+            Input::Budget(rate) => self.budget.set_rate(now, rate),
+            Input::Rolled { old, new } => self.rolled(old, new),
+            Input::Wake => {}
         }
+        self.settle(now, out);
     }
 
     /// Returns the loads that wait, for this instance's part of the budget.
     #[must_use]
     pub fn loads_wanted(&self) -> u32 {
-        0
+        self.count_wants()
     }
 
     /// Returns each brand's share and waits, for `status`.
     #[must_use]
     pub fn shares(&self) -> Vec<BrandShare> {
-        Vec::new()
+        self.brands.values().map(|b| b.share.clone()).collect()
+    }
+
+    /// Does what has become possible: refuses what is late, sends, loads.
+    fn settle(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.expire(now, out);
+        self.send_all(now, out);
+        self.load(now, out);
+        for bay in self.bays.values_mut() {
+            bay.tell_load(now, out);
+        }
+        self.ask_wake(now, out);
+    }
+
+    fn arrive(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        target: TargetNo,
+        ask: Ask,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(key) = ask.key {
+            self.demand.note(now, key.adapter, use_weight(ask.class));
+        }
+        if let Err(failure) = self.admit(now, target, &ask) {
+            self.brand(ask.brand).share.refused += 1;
+            out.push(Output::Refuse { ticket, failure });
+            return;
+        }
+        let request = Request {
+            target,
+            ask,
+            since: now,
+            state: State::Queued,
+        };
+        self.requests.insert(ticket, request);
+        self.enqueue(ticket, &request, false);
+    }
+
+    fn enqueue(&mut self, ticket: Ticket, request: &Request, first: bool) {
+        let Some(bay) = self.bays.get_mut(&request.target) else {
+            return;
+        };
+        let item = request.item(ticket);
+        match first {
+            true => bay.queue.push_front(item),
+            false => bay.queue.push(item),
+        }
+        bay.due[item.class as usize].insert((request.ask.deadline, ticket));
+        self.brand(item.brand).share.queued += 1;
+    }
+
+    fn dequeue(&mut self, ticket: Ticket, request: &Request) {
+        if let Some(bay) = self.bays.get_mut(&request.target) {
+            let item = request.item(ticket);
+            bay.queue.remove(&item);
+            bay.due[item.class as usize].remove(&(request.ask.deadline, ticket));
+        }
+        self.brand(request.ask.brand).share.queued -= 1;
+    }
+
+    fn cancel(&mut self, ticket: Ticket) {
+        let Some(request) = self.requests.get(&ticket).copied() else {
+            return;
+        };
+        if request.state == State::Queued {
+            self.dequeue(ticket, &request);
+            self.requests.remove(&ticket);
+            return;
+        }
+        let bay = self.bays.get_mut(&request.target);
+        if let Some(sent) = bay.and_then(|b| b.sent.get_mut(&ticket)) {
+            sent.gone = true;
+        }
+    }
+
+    fn finished(&mut self, now: Time, ticket: Ticket, ok: bool) {
+        let Some(mut request) = self.requests.remove(&ticket) else {
+            return;
+        };
+        let State::Sent(life) = request.state else {
+            self.dequeue(ticket, &request);
+            return;
+        };
+        self.brand(request.ask.brand).share.running -= 1;
+        let Some(bay) = self.bays.get_mut(&request.target) else {
+            return;
+        };
+        let Some(sent) = bay.sent.remove(&ticket) else {
+            return;
+        };
+        bay.running[sent.item.class as usize] -= 1;
+        bay.yielding -= u32::from(sent.yields);
+        // A pin of an earlier life must not be taken off the same adapter
+        // loaded again since: it would look unused under a running request.
+        let slot = request.ask.key.and_then(|key| bay.slots.get_mut(key));
+        if let Some(slot) = slot.filter(|_| life == bay.engine.incarnation) {
+            slot.pins = slot.pins.saturating_sub(1);
+            slot.last = now;
+        }
+        if ok && !sent.yields {
+            bay.measured(sent.item.tokens, now.since(sent.at));
+        }
+        if sent.yields && !sent.gone {
+            request.state = State::Queued;
+            self.requests.insert(ticket, request);
+            self.enqueue(ticket, &request, true);
+        }
+    }
+
+    fn brand(&mut self, brand: BrandNo) -> &mut Brand {
+        self.brands.entry(brand).or_insert_with(|| Brand {
+            weight: 1,
+            share: BrandShare {
+                brand,
+                ..BrandShare::default()
+            },
+        })
+    }
+
+    fn weight(&self, brand: BrandNo) -> u32 {
+        self.brands.get(&brand).map_or(1, |b| b.weight)
+    }
+
+    fn refuse(&mut self, ticket: Ticket, failure: Failure, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.remove(&ticket) else {
+            return;
+        };
+        self.dequeue(ticket, &request);
+        self.brand(request.ask.brand).share.refused += 1;
+        out.push(Output::Refuse { ticket, failure });
+    }
+
+    /// Refuses what can no longer be met, instead of holding it.
+    fn expire(&mut self, now: Time, out: &mut Vec<Output>) {
+        let mut late = Vec::new();
+        for bay in self.bays.values() {
+            for due in &bay.due {
+                late.extend(due.range(..=(now, Ticket(u64::MAX))).map(|(_, t)| *t));
+            }
+        }
+        for ticket in late {
+            base::hit!(late_refused);
+            let wait = self.retry_after(loads::LOAD_SECS);
+            let failure = Failure::not_run(Refusal::Deadline).retry_after(wait);
+            self.refuse(ticket, failure, out);
+        }
+    }
+
+    fn ask_wake(&mut self, now: Time, out: &mut Vec<Output>) {
+        let due = self.bays.values().flat_map(|b| b.due.iter());
+        let due = due.filter_map(|d| d.first().map(|(at, _)| *at)).min();
+        let load = self.wanted.next(now, &self.budget);
+        let Some(at) = due.into_iter().chain(load).min() else {
+            return;
+        };
+        if self.wake.is_none_or(|before| at < before) {
+            self.wake = Some(at);
+            out.push(Output::Wake(at));
+        }
+    }
+}
+
+impl Request {
+    fn item(&self, ticket: Ticket) -> Item {
+        Item {
+            ticket,
+            brand: self.ask.brand,
+            key: self.ask.key,
+            class: self.ask.class,
+            tokens: self.ask.tokens.get(),
+            since: self.since,
+        }
+    }
+}
+
+/// How much one use counts for keeping an adapter: batch work can wait for a
+/// load, somebody who watches can't.
+fn use_weight(class: Class) -> f32 {
+    match class {
+        Class::Critical | Class::Live => 1.0,
+        Class::Batch => 0.02,
     }
 }
--- /dev/null
+++ b/crates/route/src/desk/loads.rs
@@ -0,0 +1,420 @@
+//! Loads: which adapter is loaded next, and what makes room for it.
+
+use std::time::Duration;
+
+use base::{AdapterKey, Class, Failure, Refusal, TargetNo, Time};
+use place::{Budget, Slot, SlotState};
+
+use crate::{
+    LoadEnd, Ordering, Output,
+    desk::{Desk, State, bay::Bay, queue::Want, send::yield_newest},
+};
+
+/// Seconds that a load takes, before any was measured.
+pub(super) const LOAD_SECS: f64 = 0.5;
+
+/// Weight of the newest measurement of the seconds a load takes.
+const LOAD_GAIN: f64 = 0.1;
+
+/// Live uses a second from which an adapter is kept from batch work that is
+/// not urgent: one in a minute.
+const KEPT_RATE: f32 = 1.0 / 60.0;
+
+/// How long live work waits for a slot before one in live use is emptied.
+const CLEAR_AFTER: Duration = Duration::from_millis(500);
+
+/// What the last look for loads found.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Wanted {
+    /// Whether something waits for the budget alone.
+    budget: bool,
+    /// Whether something waits for spare budget alone.
+    spare: bool,
+    /// When the first load backed off may be tried again.
+    backoff: Option<Time>,
+}
+
+impl Wanted {
+    /// Returns when to look again.
+    pub(super) fn next(&self, now: Time, budget: &Budget) -> Option<Time> {
+        let need = self.budget.then(|| budget.next_at(now, false)).flatten();
+        let spare = self.spare.then(|| budget.next_at(now, true)).flatten();
+        [need, spare, self.backoff].into_iter().flatten().min()
+    }
+}
+
+/// A load that may start.
+#[derive(Clone, Copy, Debug)]
+struct Pick {
+    target: TargetNo,
+    key: AdapterKey,
+    room: Room,
+    /// Whether requests wait for it, so that others may join them.
+    awaited: bool,
+}
+
+/// Where a load finds a slot.
+#[derive(Clone, Copy, Debug)]
+enum Room {
+    Free,
+    Evict(AdapterKey),
+}
+
+impl Desk {
+    /// Starts the loads that budget and slots allow, most urgent first.
+    pub(super) fn load(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.wanted = Wanted::default();
+        while self.budget.allows(now, false) {
+            let Some(pick) = self.pick_urgent(now) else {
+                break;
+            };
+            self.start(now, pick, out);
+        }
+        if !self.budget.allows(now, false) {
+            self.wanted.budget = self.any_want();
+        } else {
+            self.clear_slots(now, out);
+        }
+        while self.budget.allows(now, true) {
+            let Some(pick) = self.pick_spare(now) else {
+                return;
+            };
+            self.start(now, pick, out);
+        }
+        self.wanted.spare = self.any_want() || self.bays.values().any(|b| !b.ahead.is_empty());
+    }
+
+    /// Returns the adapters that wait to be loaded.
+    pub(super) fn count_wants(&self) -> u32 {
+        let wants = self.bays.values().flat_map(|bay| {
+            let wants = Class::ALL.into_iter().flat_map(|c| bay.queue.wants(c));
+            wants.filter(|w| !bay.slots.has_or_gets(w.key))
+        });
+        u32::try_from(wants.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Estimates how long a request of `class` waits for a load that is not
+    /// under way yet.
+    pub(super) fn load_wait(&self, class: Class) -> f64 {
+        let rate = f64::from(self.budget.rate()) / 1_000.0;
+        let wants = self.bays.values().flat_map(|bay| {
+            let classes = Class::ALL.into_iter().filter(move |c| *c >= class);
+            let wants = classes.flat_map(|c| bay.queue.wants(c));
+            wants.filter(|w| !bay.slots.has_or_gets(w.key))
+        });
+        let before = wants.count() as f64;
+        if rate <= 0.0 {
+            return self.load_secs;
+        }
+        self.load_secs + before / rate
+    }
+
+    pub(super) fn loaded(
+        &mut self,
+        now: Time,
+        target: TargetNo,
+        key: AdapterKey,
+        end: LoadEnd,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(began) = self.loading.remove(&(target, key)) else {
+            return;
+        };
+        self.budget.ended();
+        let demand = self.demand.get(key.adapter);
+        let Some(bay) = self.bays.get_mut(&target) else {
+            return;
+        };
+        if end == LoadEnd::Failed {
+            bay.slots.remove(key);
+            bay.tell(now, Vec::new(), vec![key], out);
+            self.load_failed(now, target, key, out);
+            return;
+        }
+        self.load_secs += LOAD_GAIN * (now.since(began).as_secs_f64() - self.load_secs);
+        self.backoff.succeeded(target, key);
+        let Some(slot) = bay.slots.get_mut(key) else {
+            return;
+        };
+        slot.state = SlotState::Ready;
+        slot.used = demand;
+        for (old, _) in bay.rolls.extract_if(.., |(_, new)| *new == key) {
+            if let Some(slot) = bay.slots.get_mut(old) {
+                slot.retired = true;
+            }
+        }
+        bay.tell(now, vec![key], Vec::new(), out);
+    }
+
+    pub(super) fn unloaded(
+        &mut self,
+        now: Time,
+        target: TargetNo,
+        key: AdapterKey,
+        ok: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(bay) = self.bays.get_mut(&target) else {
+            return;
+        };
+        let Some(slot) = bay.slots.get_mut(key) else {
+            return;
+        };
+        let SlotState::Unloading { next } = slot.state else {
+            return;
+        };
+        if !ok {
+            slot.state = SlotState::Ready;
+            self.backoff.failed(now, target, key);
+            self.budget.give_back();
+            bay.tell(now, vec![key], Vec::new(), out);
+            return;
+        }
+        bay.slots.remove(key);
+        let Some(next) = next else {
+            return;
+        };
+        self.order(now, target, next, out);
+    }
+
+    /// Backs the load off, and hands live requests back so that they try
+    /// another engine.
+    fn load_failed(&mut self, now: Time, target: TargetNo, key: AdapterKey, out: &mut Vec<Output>) {
+        base::hit!(load_backed_off);
+        let until = self.backoff.failed(now, target, key);
+        let waits = self.requests.iter().filter(|(_, r)| {
+            r.target == target
+                && r.ask.key == Some(key)
+                && r.state == State::Queued
+                && r.ask.class != Class::Batch
+        });
+        let waits: Vec<_> = waits.map(|(ticket, _)| *ticket).collect();
+        for ticket in waits {
+            let wait = self.retry_after(until.since(now).as_secs_f64());
+            let failure = Failure::not_run(Refusal::Unavailable).retry_after(wait);
+            self.refuse(ticket, failure, out);
+        }
+    }
+
+    fn start(&mut self, now: Time, pick: Pick, out: &mut Vec<Output>) {
+        self.budget.take();
+        let Some(bay) = self.bays.get_mut(&pick.target) else {
+            return;
+        };
+        bay.ahead.retain(|key| *key != pick.key);
+        bay.clearing = None;
+        let added = if pick.awaited {
+            vec![pick.key]
+        } else {
+            Vec::new()
+        };
+        let Room::Evict(victim) = pick.room else {
+            bay.tell(now, added, Vec::new(), out);
+            self.order(now, pick.target, pick.key, out);
+            return;
+        };
+        if let Some(slot) = bay.slots.get_mut(victim) {
+            slot.state = SlotState::Unloading {
+                next: Some(pick.key),
+            };
+        }
+        bay.tell(now, added, vec![victim], out);
+        out.push(Output::Unload {
+            target: pick.target,
+            key: victim,
+        });
+    }
+
+    fn order(&mut self, now: Time, target: TargetNo, key: AdapterKey, out: &mut Vec<Output>) {
+        let demand = self.demand.get(key.adapter);
+        if let Some(bay) = self.bays.get_mut(&target) {
+            bay.slots.put(now, key, SlotState::Loading, demand);
+        }
+        self.loading.insert((target, key), now);
+        out.push(Output::Load { target, key });
+    }
+
+    fn any_want(&self) -> bool {
+        self.bays.values().any(|bay| {
+            let mut wants = Class::ALL.into_iter().flat_map(|c| bay.queue.wants(c));
+            bay.engine.ordering != Ordering::None && wants.any(|w| !bay.slots.has_or_gets(w.key))
+        })
+    }
+
+    /// Picks what critical and live requests wait for, then newer versions.
+    fn pick_urgent(&mut self, now: Time) -> Option<Pick> {
+        for class in [Class::Critical, Class::Live] {
+            if let Some(pick) = self.pick_class(now, class) {
+                return Some(pick);
+            }
+        }
+        let mut best = None;
+        for (target, bay) in &self.bays {
+            let roll = bay.rolls.iter().find(|(old, new)| {
+                bay.slots.has_or_gets(*old)
+                    && !bay.slots.has_or_gets(*new)
+                    && self.backoff.until(now, *target, *new).is_none()
+            });
+            if let Some((_, new)) = roll
+                && let Some(room) = self.room(now, bay, Class::Live)
+            {
+                best = best.or(Some(Pick {
+                    target: *target,
+                    key: *new,
+                    room,
+                    awaited: false,
+                }));
+            }
+        }
+        best
+    }
+
+    /// Picks what batch requests wait for, then what may be needed.
+    fn pick_spare(&mut self, now: Time) -> Option<Pick> {
+        if let Some(pick) = self.pick_class(now, Class::Batch) {
+            return Some(pick);
+        }
+        for (target, bay) in &mut self.bays {
+            let (slots, backoff) = (&bay.slots, &self.backoff);
+            bay.ahead.retain(|key| {
+                !slots.has_or_gets(*key) && backoff.until(now, *target, *key).is_none()
+            });
+        }
+        self.bays.iter().find_map(|(target, bay)| {
+            let free = bay.engine.ordering != Ordering::None && bay.slots.has_free();
+            Some(Pick {
+                target: *target,
+                key: *bay.ahead.front().filter(|_| free)?,
+                room: Room::Free,
+                awaited: false,
+            })
+        })
+    }
+
+    /// Picks the adapter that most wait for, weighed by how long they wait.
+    /// One load serves all that wait for it.
+    fn pick_class(&mut self, now: Time, class: Class) -> Option<Pick> {
+        let mut best: Option<(f32, Pick)> = None;
+        let mut backoff = self.wanted.backoff;
+        for (target, bay) in &self.bays {
+            if bay.queue.queued(class) == 0 {
+                continue;
+            }
+            let Some(room) = self.room(now, bay, class) else {
+                continue;
+            };
+            for want in bay.queue.wants(class) {
+                if bay.slots.has_or_gets(want.key) {
+                    continue;
+                }
+                if let Some(until) = self.backoff.until(now, *target, want.key) {
+                    backoff = Some(backoff.map_or(until, |at| at.min(until)));
+                    continue;
+                }
+                let score = score(now, &want);
+                if best.is_none_or(|(most, _)| score > most) {
+                    let pick = Pick {
+                        target: *target,
+                        key: want.key,
+                        room,
+                        awaited: true,
+                    };
+                    best = Some((score, pick));
+                }
+            }
+        }
+        self.wanted.backoff = backoff;
+        best.map(|(_, pick)| pick)
+    }
+
+    /// Returns where a load for `class` finds a slot at the engine.
+    fn room(&self, now: Time, bay: &Bay, class: Class) -> Option<Room> {
+        if bay.engine.ordering == Ordering::None {
+            return None;
+        }
+        if bay.slots.has_free() {
+            return Some(Room::Free);
+        }
+        if bay.engine.ordering == Ordering::FreeSlotsOnly {
+            base::hit!(restricted_keeps_slots);
+            return None;
+        }
+        let urgent = class != Class::Batch || bay.guaranteed(now) > 0;
+        let victim = bay.slots.victim(|slot| {
+            let keeps = self.keeps(now, bay, slot, class);
+            let worth = worth(now, slot);
+            (!keeps && (urgent || worth < KEPT_RATE)).then_some(worth)
+        });
+        victim.map(|(key, _)| Room::Evict(key))
+    }
+
+    /// Returns whether a slot is spoken for although nothing runs on it.
+    fn keeps(&self, now: Time, bay: &Bay, slot: &Slot, class: Class) -> bool {
+        let rolling = bay.rolls.iter().any(|(old, _)| *old == slot.key);
+        let awaited = bay.clearing != Some(slot.key) && bay.queue.waits_for(slot.key, class);
+        rolling
+            || awaited
+            || self
+                .backoff
+                .until(now, bay.engine.target, slot.key)
+                .is_some()
+    }
+
+    /// Where live work waits and every slot is in use, empties one: batch
+    /// work on it gives way, and after a while a live adapter's slot takes
+    /// nothing new.
+    ///
+    /// Guards against live work that waits for a load slot behind batch
+    /// answers: all slots pinned by a night's screening, and a performer's
+    /// adapter not loaded for minutes.
+    fn clear_slots(&mut self, now: Time, out: &mut Vec<Output>) {
+        for bay in self.bays.values_mut() {
+            let wants = [Class::Critical, Class::Live].into_iter();
+            let wants = wants.flat_map(|c| bay.queue.wants(c));
+            let wants = wants.filter(|w| !bay.slots.has_or_gets(w.key));
+            let Some(oldest) = wants.map(|w| w.since).min() else {
+                bay.clearing = None;
+                continue;
+            };
+            if bay.engine.ordering != Ordering::Full || bay.clearing.is_some() {
+                continue;
+            }
+            let patient = now.since(oldest) < CLEAR_AFTER;
+            let Some((key, live)) = least_used(now, bay) else {
+                continue;
+            };
+            if live && patient {
+                continue;
+            }
+            base::hit!(slot_cleared);
+            bay.clearing = Some(key);
+            yield_newest(bay, u32::MAX, |s| s.item.key == Some(key), out);
+        }
+    }
+}
+
+/// Returns the pinned slot to empty, and whether live work runs on it.
+fn least_used(now: Time, bay: &Bay) -> Option<(AdapterKey, bool)> {
+    let live = |slot: &Slot| {
+        let mut sent = bay.sent.values();
+        sent.any(|s| s.item.key == Some(slot.key) && s.item.class != Class::Batch)
+    };
+    let slots = bay.slots.iter();
+    let slots = slots.filter(|s| s.state == SlotState::Ready && !s.inherited);
+    let slots = slots.map(|s| (live(s), worth(now, s), s.key));
+    let least = slots.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    least.map(|(live, _, key)| (key, live))
+}
+
+/// What keeping the slot is worth: live uses a second.
+fn worth(now: Time, slot: &Slot) -> f32 {
+    if slot.retired {
+        return -1.0;
+    }
+    slot.used.slow(now).max(slot.used.quick(now))
+}
+
+/// How much a load matters: all the time that requests wait for it.
+fn score(now: Time, want: &Want) -> f32 {
+    want.count as f32 * (now.since(want.since).as_secs_f32() + 0.1)
+}
--- a/crates/route/src/desk_io.rs
+++ b/crates/route/src/desk_io.rs
@@ -158,7 +158,9 @@
         failure: Failure,
     },
     /// Cancel the running batch request at the engine, keeping what it has
-    /// generated, then tell [`Input::Finished`].
+    /// generated, then tell [`Input::Finished`]: it is queued again. If it
+    /// had ended before the cancel reached the engine, tell
+    /// [`Input::Cancel`] first.
     Preempt(Ticket),
     /// Order a load.
     Load {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,7 @@
 mod ask;
 mod desk;
 mod desk_io;
+mod draw;
 mod news;
 mod retry;
 mod router;
--- a/crates/route/src/news.rs
+++ b/crates/route/src/news.rs
@@ -1,5 +1,7 @@
 //! What keeps an entry instance's directory up to date.
 
+use std::time::Duration;
+
 use base::{AdapterKey, AdapterNo, Fence, Incarnation, StableHash, TargetNo, Time};
 
 use crate::{PoolNo, ZoneNo};
@@ -29,6 +31,9 @@
     Report(Report),
     /// An attempt was sent to the target.
     Started(TargetNo),
+    /// The first token or the head of the answer came, so long after the
+    /// attempt was sent.
+    Began(TargetNo, Duration),
     /// An attempt ended; `ok` is false when the target failed, true when it
     /// answered or the caller left.
     Ended {
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -66,7 +66,7 @@
 
 impl Attempts {
     /// Counts one more attempt, or returns false when none is left.
-    pub fn next(&mut self) -> bool {
+    pub fn another(&mut self) -> bool {
         if self.0 >= ATTEMPTS_MAX {
             base::hit!(attempts_capped);
             return false;
