Name the headers by which engines refuse and resume

An engine that refuses before it starts says so by a header, and a broken stream is continued by naming the tokens already delivered. Both sides of the wire need the same spelling; a literal in each crate was ruled out.

--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -28,3 +28,7 @@
 pub const FENCE: &str = "x-quetzal-fence";
 /// Between instances and to engines: how urgent, smaller is sooner.
 pub const PRIORITY: &str = "x-quetzal-priority";
+/// On an engine's refusal: `false` says that the request was not started.
+pub const STARTED: &str = "x-engine-started";
+/// To an engine: the tokens of a broken stream that the caller already has.
+pub const RESUME_FROM: &str = "x-engine-resume-from";
