Add the HTTP client and server of the request path

The client counts the bytes that a socket took, under the lock that seals it, so that 'not run' is said only when nothing left. Ruled out: judging by hyper's error kind, which doesn't tell a written request from a queued one.

--- /dev/null
+++ b/crates/web/src/client/link.rs
@@ -0,0 +1,195 @@
+//! One connection to a target, which counts what was handed to its socket.
+
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex, PoisonError},
+    task::{Context, Poll},
+};
+
+use base::Verdict;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    task::AbortHandle,
+    time::{Instant, timeout_at},
+};
+
+use super::broken::{Broken, Cause};
+
+/// An open connection; dropping it closes the socket at once.
+#[derive(Debug)]
+pub(crate) struct Link {
+    sender: http1::SendRequest<Full<Bytes>>,
+    meter: Arc<Meter>,
+    /// Bytes handed over before the request under way.
+    before: u64,
+    task: AbortHandle,
+}
+
+impl Link {
+    pub(crate) async fn connect(addr: SocketAddr, until: Instant) -> Result<Link, Broken> {
+        let stream = match timeout_at(until, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(err)) => return Err(not_run(Cause::Connect(err.to_string()))),
+            Err(_) => return Err(not_run(Cause::ConnectTimeout)),
+        };
+        // Small writes must not wait for the other end's delayed ACK.
+        let nodelay = stream.set_nodelay(true);
+        nodelay.map_err(|err| not_run(Cause::Connect(err.to_string())))?;
+        let meter = Arc::new(Meter::default());
+        let io = TokioIo::new(Metered {
+            stream,
+            meter: Arc::clone(&meter),
+        });
+        let shaken = http1::handshake(io).await;
+        let (sender, conn) = shaken.map_err(|err| not_run(Cause::Connect(err.to_string())))?;
+        let task = tokio::spawn(async move {
+            // The sender learns of the error as well.
+            let _ = conn.await;
+        });
+        Ok(Link {
+            sender,
+            meter,
+            before: 0,
+            task: task.abort_handle(),
+        })
+    }
+
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        self.before = self.meter.written();
+        self.sender.send_request(req).await
+    }
+
+    /// Waits until the next request may be sent; false when the connection is
+    /// closed.
+    pub(crate) async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Ends the connection and judges the request that was under way.
+    ///
+    /// Failure: a timer says that nothing was written while the connection's
+    /// own task is just about to write. It would show as `not run` said of a
+    /// request that ran. Sealing refuses every later write under the same
+    /// lock that counts them, so the count can't grow after it was read.
+    pub(crate) fn broken(self, cause: Cause) -> Broken {
+        let verdict = if self.meter.seal() == self.before {
+            base::hit!(nothing_was_written);
+            Verdict::NotRun
+        } else {
+            Verdict::MayHaveRun
+        };
+        Broken { verdict, cause }
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn not_run(cause: Cause) -> Broken {
+    Broken {
+        verdict: Verdict::NotRun,
+        cause,
+    }
+}
+
+/// Counts the bytes that a socket took.
+#[derive(Debug, Default)]
+struct Meter(Mutex<Flow>);
+
+#[derive(Debug, Default)]
+struct Flow {
+    written: u64,
+    sealed: bool,
+}
+
+impl Meter {
+    fn written(&self) -> u64 {
+        let flow = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        flow.written
+    }
+
+    /// Refuses all later writes and returns the final count.
+    fn seal(&self) -> u64 {
+        let mut flow = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        flow.sealed = true;
+        flow.written
+    }
+
+    fn write(&self, write: impl FnOnce() -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let mut flow = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if flow.sealed {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        }
+        let res = write();
+        if let Poll::Ready(Ok(n)) = &res {
+            flow.written += *n as u64;
+        }
+        res
+    }
+}
+
+/// A socket whose writes are counted.
+#[derive(Debug)]
+struct Metered {
+    stream: TcpStream,
+    meter: Arc<Meter>,
+}
+
+impl AsyncRead for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Metered {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let Metered { stream, meter } = self.get_mut();
+        meter.write(|| Pin::new(stream).poll_write(cx, buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let Metered { stream, meter } = self.get_mut();
+        meter.write(|| Pin::new(stream).poll_write_vectored(cx, bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -1,1 +1,13 @@
-//! HTTP.
+//! HTTP on both sides, by hyper, with what the request path adds to it.
+//!
+//! [`client`] knows for each failure whether a byte of the request left for the
+//! target; [`server`] bounds what a careless or hostile caller can cost;
+//! [`body`], [`reply`] and [`sse`] make and read what travels.
+
+pub mod body;
+pub mod client;
+pub mod reply;
+pub mod server;
+pub mod sse;
+
+pub use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming};
--- /dev/null
+++ b/crates/web/src/sse.rs
@@ -0,0 +1,177 @@
+//! Server-sent events of streamed chat completions.
+//!
+//! A stream is whole only when its last event is `data: [DONE]`; a body whose
+//! framing ends before that was cut by whoever wrote it.
+
+use base::Failure;
+use bytes::Bytes;
+use serde::Deserialize;
+
+use crate::reply::ErrorBody;
+
+/// The last event's data.
+pub const DONE: &str = "[DONE]";
+
+/// The last event as written.
+pub const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+
+/// A comment: a sign of life that readers skip.
+pub const PING: &[u8] = b": ping\n\n";
+
+/// Largest event taken, in bytes; an engine's events are a few hundred.
+pub const EVENT_MAX: usize = 1 << 20;
+
+/// One event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Its data lines, joined by line feeds.
+    pub data: String,
+}
+
+/// Says that a stream is not made of events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadStream;
+
+/// Reads events from pieces cut anywhere.
+#[derive(Clone, Debug, Default)]
+pub struct Parser {
+    rest: Vec<u8>,
+    data: Vec<u8>,
+    some: bool,
+    tokens: u32,
+    done: bool,
+}
+
+impl Parser {
+    /// Reads `piece` and appends the events that it completes to `out`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an event is larger than [`EVENT_MAX`], or when something
+    /// follows `[DONE]`.
+    pub fn push(&mut self, piece: &[u8], out: &mut Vec<Event>) -> Result<(), BadStream> {
+        let mut piece = piece;
+        while let Some(at) = piece.iter().position(|&b| b == b'\n') {
+            self.rest.extend_from_slice(&piece[..at]);
+            piece = &piece[at + 1..];
+            let mut line = std::mem::take(&mut self.rest);
+            if line.last() == Some(&b'\r') {
+                line.pop();
+            }
+            self.line(&line, out)?;
+        }
+        self.rest.extend_from_slice(piece);
+        if self.rest.len() + self.data.len() > EVENT_MAX {
+            return Err(BadStream);
+        }
+        Ok(())
+    }
+
+    /// Returns how many events carried a token.
+    #[must_use]
+    pub fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// Returns whether `[DONE]` was read.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    fn line(&mut self, line: &[u8], out: &mut Vec<Event>) -> Result<(), BadStream> {
+        if line.is_empty() {
+            return self.dispatch(out);
+        }
+        let Some(data) = line.strip_prefix(b"data:") else {
+            return Ok(());
+        };
+        let data = data.strip_prefix(b" ").unwrap_or(data);
+        if self.some {
+            self.data.push(b'\n');
+        }
+        self.some = true;
+        self.data.extend_from_slice(data);
+        if self.data.len() > EVENT_MAX {
+            return Err(BadStream);
+        }
+        Ok(())
+    }
+
+    fn dispatch(&mut self, out: &mut Vec<Event>) -> Result<(), BadStream> {
+        if !std::mem::take(&mut self.some) {
+            return Ok(());
+        }
+        if self.done {
+            return Err(BadStream);
+        }
+        let data = String::from_utf8(std::mem::take(&mut self.data)).map_err(|_| BadStream)?;
+        let event = Event { data };
+        self.done = event.is_done();
+        if event.token().is_some() {
+            self.tokens += 1;
+        }
+        out.push(event);
+        Ok(())
+    }
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    delta: Delta,
+}
+
+#[derive(Default, Deserialize)]
+struct Delta {
+    content: Option<String>,
+}
+
+impl Event {
+    /// Returns whether this is the last event.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.data == DONE
+    }
+
+    /// Returns the token's text, where the event carries one.
+    #[must_use]
+    pub fn token(&self) -> Option<String> {
+        let chunk: Chunk = serde_json::from_str(&self.data).ok()?;
+        let text = chunk.choices.into_iter().next()?.delta.content?;
+        (!text.is_empty()).then_some(text)
+    }
+
+    /// Writes the event.
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
+        data(&self.data)
+    }
+}
+
+/// Writes one event.
+#[must_use]
+pub fn data(text: &str) -> Bytes {
+    let mut event = String::with_capacity(text.len() + 8);
+    for line in text.split('\n') {
+        event.push_str("data: ");
+        event.push_str(line);
+        event.push('\n');
+    }
+    event.push('\n');
+    Bytes::from(event)
+}
+
+/// Writes the event by which a stream ends when it can't be continued: no
+/// `[DONE]` follows, so no reader takes it for whole.
+#[must_use]
+pub fn error(failure: &Failure) -> Bytes {
+    let body = serde_json::to_string(&ErrorBody::from(failure));
+    data(&body.unwrap_or_else(|_| String::from(r#"{"error":{}}"#)))
+}
