Add stand-ins of engine, service, store, platform and gate

Each is a process by the binary and a function for tests. The engine's tokens are a function of adapter, version, prompt and place, so that a repeated or missing token shows.

--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,117 @@
+//! A model engine: few adapter slots, a bounded batch with priorities, tokens
+//! one by one, orders to load and unload, and a report that lags.
+//!
+//! Token `i` of an answer is a function of adapter, version, prompt and `i`,
+//! so a test can tell a wrong, repeated or missing token.
+
+mod admin;
+mod batch;
+mod chat;
+mod orders;
+mod report;
+mod state;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::Result;
+use tokio::net::TcpListener;
+use web::{Incoming, Method, Request, Response, StatusCode, body::Body, reply};
+
+use self::state::Engine;
+pub use self::{
+    admin::{Count, Cut, Millis},
+    chat::{prompt_of, token, tokens},
+    state::{Order, Stats},
+};
+use crate::{
+    gate,
+    site::{self, Running},
+};
+
+/// How an engine behaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// Adapters that fit.
+    pub slots: usize,
+    /// Requests that run at once.
+    pub batch: usize,
+    /// Requests that may wait inside the engine.
+    pub waiting: usize,
+    /// Time for one token.
+    pub token_time: Duration,
+    /// Time before the first token; a cached prompt head needs none.
+    pub prefill: Duration,
+    /// Time of a load when there is no store.
+    pub load_time: Duration,
+    /// The weight store, where there is one.
+    pub store: Option<SocketAddr>,
+    /// Whether orders with an old fencing number are refused.
+    pub check_fence: bool,
+    /// How old the report's figures are.
+    pub report_lag: Duration,
+    /// Every how many reports one is lost; zero for none.
+    pub report_drop: u64,
+    /// Prompt heads that the prefix cache holds.
+    pub cache: usize,
+    /// Whether `POST /admin/freeze-connections` works; costs one more hop.
+    pub freezable: bool,
+    /// `adapter@version` loaded at the start.
+    pub resident: Vec<String>,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Config {
+            slots: 4,
+            batch: 8,
+            waiting: 256,
+            token_time: Duration::from_millis(5),
+            prefill: Duration::ZERO,
+            load_time: Duration::from_millis(50),
+            store: None,
+            check_fence: true,
+            report_lag: Duration::ZERO,
+            report_drop: 0,
+            cache: 64,
+            freezable: false,
+            resident: Vec::new(),
+        }
+    }
+}
+
+/// Starts an engine.
+///
+/// # Errors
+///
+/// Fails when `config` names no adapter properly, or without a listener.
+pub async fn start(listener: TcpListener, config: Config) -> Result<Running> {
+    let freezable = config.freezable;
+    let engine = Arc::new(Engine::new(config)?);
+    report::keep(&engine);
+    let handler = {
+        let engine = Arc::clone(&engine);
+        move |req| handle(Arc::clone(&engine), req)
+    };
+    if !freezable {
+        return site::run(listener, handler);
+    }
+    let inner = site::listen(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+    let inner = site::run(inner, handler)?;
+    let gate = gate::open(listener, inner.addr)?;
+    Ok(engine.guard(gate, inner))
+}
+
+async fn handle(engine: Arc<Engine>, req: Request<Incoming>) -> Response<Body> {
+    let path = req.uri().path().to_owned();
+    let get = req.method() == Method::GET;
+    match (get, path.as_str()) {
+        (true, "/health") => reply::plain(StatusCode::OK, ""),
+        (true, "/v1/report") => report::answer(&engine),
+        (true, "/admin/stats") => site::show(&engine.stats()),
+        (false, "/v1/chat/completions") => chat::answer(engine, req).await,
+        (false, "/v1/load_lora_adapter") => orders::load(engine, req).await,
+        (false, "/v1/unload_lora_adapter") => orders::unload(engine, req).await,
+        (false, path) if path.starts_with("/admin/") => admin::answer(engine, req).await,
+        _ => site::refuse(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/admin.rs
@@ -0,0 +1,82 @@
+//! Faults on demand.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+use web::{Incoming, Request, Response, StatusCode, body::Body};
+
+use super::state::Engine;
+use crate::site::{self, Refused};
+
+/// How many times a fault happens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    /// Times; one when left out.
+    #[serde(default = "once")]
+    pub count: u32,
+}
+
+/// For how long a fault lasts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Millis {
+    /// Milliseconds.
+    pub ms: u64,
+}
+
+/// Which streams are cut, and where.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cut {
+    /// Streams; one when left out.
+    #[serde(default = "once")]
+    pub count: u32,
+    /// Before which token; the one before it may be lost with the connection.
+    pub after: usize,
+}
+
+fn once() -> u32 {
+    1
+}
+
+pub(crate) async fn answer(engine: Arc<Engine>, req: Request<Incoming>) -> Response<Body> {
+    let path = req.uri().path().to_owned();
+    match set(&engine, &path, req).await {
+        Ok(()) => site::done(),
+        Err(refused) => refused.answer(),
+    }
+}
+
+async fn set(engine: &Engine, path: &str, req: Request<Incoming>) -> Result<(), Refused> {
+    match path {
+        "/admin/restart-empty" => engine.restart_empty(),
+        "/admin/fail-loads" => {
+            let Count { count } = site::body(req).await?;
+            engine.state().faults.fail_loads = count;
+        }
+        "/admin/stall" => {
+            let Millis { ms } = site::body(req).await?;
+            engine.state().faults.stall = Some(Instant::now() + Duration::from_millis(ms));
+        }
+        "/admin/late" => {
+            let Millis { ms } = site::body(req).await?;
+            engine.state().faults.late = Duration::from_millis(ms);
+        }
+        "/admin/cut-stream" => {
+            let Cut { count, after } = site::body(req).await?;
+            let mut state = engine.state();
+            (state.faults.cuts, state.faults.cut_after) = (count, after);
+        }
+        "/admin/wrong-adapter" => {
+            let Count { count } = site::body(req).await?;
+            engine.state().faults.wrong = count;
+        }
+        "/admin/freeze-connections" => {
+            if !engine.freeze() {
+                let why = "the engine was not started freezable";
+                return Err(Refused::new(StatusCode::CONFLICT, why));
+            }
+        }
+        _ => return Err(Refused::new(StatusCode::NOT_FOUND, "no such fault")),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/engine/batch.rs
@@ -0,0 +1,97 @@
+//! The batch: a bounded number of requests run, the most urgent first.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use tokio::sync::watch;
+
+/// Urgency first (smaller is sooner), then arrival.
+type Rank = (i64, u64);
+
+#[derive(Debug)]
+pub(crate) struct Batch {
+    size: usize,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    arrivals: u64,
+    preempted: u64,
+    entries: BTreeMap<Rank, watch::Sender<bool>>,
+}
+
+impl Batch {
+    pub(crate) fn new(size: usize) -> Self {
+        Batch {
+            size,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Joins; the place runs whenever it is among the most urgent.
+    pub(crate) fn join(self: &Arc<Self>, priority: i64) -> Place {
+        let (tx, turn) = watch::channel(false);
+        let mut state = self.lock();
+        state.arrivals += 1;
+        let rank = (priority, state.arrivals);
+        state.entries.insert(rank, tx);
+        state.share(self.size);
+        drop(state);
+        Place {
+            batch: Arc::clone(self),
+            rank,
+            turn,
+        }
+    }
+
+    /// Returns how many are present, and how many of them run.
+    pub(crate) fn counts(&self) -> (u64, u64) {
+        let present = self.lock().entries.len();
+        (present as u64, present.min(self.size) as u64)
+    }
+
+    pub(crate) fn preempted(&self) -> u64 {
+        self.lock().preempted
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn share(&mut self, size: usize) {
+        for (i, turn) in self.entries.values().enumerate() {
+            let runs = i < size;
+            let ran = turn.send_replace(runs);
+            self.preempted += u64::from(ran && !runs);
+        }
+    }
+}
+
+/// A place in the batch; dropping it frees it.
+#[derive(Debug)]
+pub(crate) struct Place {
+    batch: Arc<Batch>,
+    rank: Rank,
+    turn: watch::Receiver<bool>,
+}
+
+impl Place {
+    /// Waits until the place runs.
+    pub(crate) async fn turn(&mut self) {
+        // The sender lives as long as the place.
+        let _ = self.turn.wait_for(|runs| *runs).await;
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.batch.lock();
+        state.entries.remove(&self.rank);
+        state.share(self.batch.size);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/chat.rs
@@ -0,0 +1,296 @@
+//! `POST /v1/chat/completions`, streamed and whole.
+
+use std::{str::FromStr, sync::Arc, time::Duration};
+
+use base::stable_hash;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep, sleep_until};
+use tokio_util::sync::CancellationToken;
+use web::{
+    HeaderMap, Incoming, Request, Response, StatusCode,
+    body::{Body, Writer, channel},
+    header_value, reply, sse,
+};
+use wire::{engine::Resident, header};
+
+use super::{batch::Place, state::Engine};
+use crate::site::{self, Refused};
+
+/// Pieces that wait for a slow reader before the engine waits.
+const DEPTH: usize = 4;
+
+/// Tokens of an answer when the request names no number.
+const TOKENS: usize = 16;
+
+/// Bytes of a prompt that count as its head.
+const HEAD: usize = 256;
+
+#[derive(Deserialize)]
+struct Chat {
+    model: String,
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(alias = "max_completion_tokens")]
+    max_tokens: Option<usize>,
+    priority: Option<i64>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: String,
+}
+
+/// Returns the prompt that an engine sees in `messages`, given by content.
+#[must_use]
+pub fn prompt_of(contents: &[&str]) -> String {
+    contents.join("\n")
+}
+
+/// Returns token `i` of the answer to `prompt` by `model`.
+#[must_use]
+pub fn token(model: &str, prompt: &str, i: usize) -> String {
+    let at = (i as u64).to_le_bytes();
+    let hash = stable_hash(&[model.as_bytes(), prompt.as_bytes(), &at]);
+    format!("{:04x} ", hash & 0xffff)
+}
+
+/// Returns the whole answer of `n` tokens to `prompt` by `model`.
+#[must_use]
+pub fn tokens(model: &str, prompt: &str, n: usize) -> String {
+    (0..n).map(|i| token(model, prompt, i)).collect()
+}
+
+/// One completion under way; dropping it unfinished counts it as cancelled.
+struct Run {
+    engine: Arc<Engine>,
+    resident: Resident,
+    place: Place,
+    model: String,
+    prompt: String,
+    tokens: std::ops::Range<usize>,
+    cut: Option<usize>,
+    prefill: Duration,
+    ends: [CancellationToken; 2],
+    finished: bool,
+}
+
+pub(crate) async fn answer(engine: Arc<Engine>, req: Request<Incoming>) -> Response<Body> {
+    let headers = req.headers().clone();
+    let chat: Chat = match site::body(req).await {
+        Ok(chat) => chat,
+        Err(refused) => return refused.answer(),
+    };
+    let late = engine.state().faults.late;
+    if !late.is_zero() {
+        sleep(late).await;
+    }
+    let run = match start(&engine, &chat, &headers) {
+        Ok(run) => run,
+        Err(refused) => {
+            engine.state().stats.refused += 1;
+            return refused.answer();
+        }
+    };
+    let named = engine.named(&run.resident);
+    let mut resp = match chat.stream {
+        true => stream(run),
+        false => whole(run).await,
+    };
+    let out = resp.headers_mut();
+    out.insert(header::ADAPTER, header_value(named.adapter.as_str()));
+    out.insert(header::VERSION, header_value(&named.version.to_string()));
+    resp
+}
+
+fn start(engine: &Arc<Engine>, chat: &Chat, headers: &HeaderMap) -> Result<Run, Refused> {
+    let refuse = |status, why: &str| Err(Refused::new(status, why));
+    let text = |name| headers.get(name).and_then(|v| v.to_str().ok());
+    let Ok(resident) = Resident::from_str(&chat.model) else {
+        return refuse(StatusCode::BAD_REQUEST, "the model is no adapter@version");
+    };
+    let contents: Vec<&str> = chat.messages.iter().map(|m| m.content.as_str()).collect();
+    let prompt = prompt_of(&contents);
+    let (present, _) = engine.batch.counts();
+    let mut state = engine.state();
+    let Some(held) = state.resident.get_mut(&resident) else {
+        return refuse(StatusCode::NOT_FOUND, "the adapter is not loaded");
+    };
+    if present as usize >= engine.config.batch + engine.config.waiting {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "too many are waiting");
+    }
+    held.running += 1;
+    let gone = held.gone.clone();
+    state.stats.started += 1;
+    if let Some(key) = text(header::IDEMPOTENCY_KEY) {
+        *state.stats.executions.entry(key.to_owned()).or_default() += 1;
+    }
+    let cut = (chat.stream && state.faults.cuts > 0).then_some(state.faults.cut_after);
+    state.faults.cuts -= u32::from(cut.is_some());
+    let head = text(header::PREFIX).and_then(|raw| u64::from_str_radix(raw, 16).ok());
+    let head = head.unwrap_or_else(|| hash_head(&prompt));
+    let cached = state.cached.contains(&head);
+    if !cached {
+        state.cached.push_back(head);
+    }
+    if state.cached.len() > engine.config.cache {
+        state.cached.pop_front();
+    }
+    let life = state.life.clone();
+    drop(state);
+    let urgent = text(header::PRIORITY).and_then(|raw| raw.parse().ok());
+    let from = text(header::RESUME_FROM).and_then(|raw| raw.parse().ok());
+    let n = chat.max_tokens.unwrap_or(TOKENS);
+    Ok(Run {
+        engine: Arc::clone(engine),
+        place: engine
+            .batch
+            .join(chat.priority.or(urgent).unwrap_or_default()),
+        resident,
+        model: chat.model.clone(),
+        prompt,
+        tokens: from.unwrap_or(0)..n,
+        cut,
+        prefill: if cached {
+            Duration::ZERO
+        } else {
+            engine.config.prefill
+        },
+        ends: [gone, life],
+        finished: false,
+    })
+}
+
+fn hash_head(prompt: &str) -> u64 {
+    let bytes = prompt.as_bytes();
+    stable_hash(&[&bytes[..bytes.len().min(HEAD)]])
+}
+
+fn stream(run: Run) -> Response<Body> {
+    let (writer, body) = channel(DEPTH);
+    tokio::spawn(async move {
+        let ends = run.ends.clone();
+        tokio::select! {
+            whole = write(run, &writer) => if !whole { return },
+            () = writer.gone() => return,
+            () = ends[0].cancelled() => return,
+            () = ends[1].cancelled() => return,
+        }
+        // The caller may have left with the last piece on its way.
+        let _ = writer.end().await;
+    });
+    let mut resp = Response::new(body);
+    let kind = header_value("text/event-stream");
+    resp.headers_mut().insert("content-type", kind);
+    resp
+}
+
+/// Writes the stream and returns whether it is whole.
+async fn write(mut run: Run, writer: &Writer) -> bool {
+    let first = json!({"role": "assistant", "content": ""});
+    if writer.piece(run.chunk(&first, None)).await.is_err() {
+        return false;
+    }
+    run.prefill().await;
+    for i in run.tokens.clone() {
+        if run.cut == Some(i) {
+            return false;
+        }
+        run.wait_token().await;
+        let delta = json!({"content": token(&run.model, &run.prompt, i)});
+        if writer.piece(run.chunk(&delta, None)).await.is_err() {
+            return false;
+        }
+    }
+    let last = run.chunk(&json!({}), Some("stop"));
+    let done = bytes::Bytes::from_static(sse::DONE_EVENT);
+    let whole = writer.piece(last).await.is_ok() && writer.piece(done).await.is_ok();
+    run.finished = whole;
+    whole
+}
+
+async fn whole(mut run: Run) -> Response<Body> {
+    let ends = run.ends.clone();
+    let generated = async {
+        run.prefill().await;
+        for _ in run.tokens.clone() {
+            run.wait_token().await;
+        }
+        run.finished = true;
+        let text: String = run
+            .tokens
+            .clone()
+            .map(|i| token(&run.model, &run.prompt, i))
+            .collect();
+        let message = json!({"role": "assistant", "content": text});
+        let choice = json!({"index": 0, "message": message, "finish_reason": "stop"});
+        json!({"object": "chat.completion", "model": run.model, "choices": [choice],
+            "usage": {"completion_tokens": run.tokens.len()}})
+    };
+    let body: Value = tokio::select! {
+        body = generated => body,
+        () = ends[0].cancelled() => return broken(),
+        () = ends[1].cancelled() => return broken(),
+    };
+    reply::json(StatusCode::OK, &body)
+}
+
+fn broken() -> Response<Body> {
+    let body = json!({"error": {"message": "the engine broke off", "type": "broken"}});
+    reply::json(StatusCode::INTERNAL_SERVER_ERROR, &body)
+}
+
+impl Engine {
+    /// Returns what the answer says it ran on: the truth, unless told to lie.
+    fn named(&self, truth: &Resident) -> Resident {
+        let mut named = truth.clone();
+        let mut state = self.state();
+        if state.faults.wrong > 0 {
+            state.faults.wrong -= 1;
+            named.version = named.version.next();
+        }
+        named
+    }
+}
+
+impl Run {
+    fn chunk(&self, delta: &Value, finish: Option<&str>) -> bytes::Bytes {
+        let choice = json!({"index": 0, "delta": delta, "finish_reason": finish});
+        let chunk = json!({"object": "chat.completion.chunk", "model": self.model,
+            "choices": [choice]});
+        sse::data(&chunk.to_string())
+    }
+
+    async fn prefill(&mut self) {
+        self.place.turn().await;
+        if !self.prefill.is_zero() {
+            sleep(self.prefill).await;
+        }
+    }
+
+    async fn wait_token(&mut self) {
+        self.place.turn().await;
+        let stall = self.engine.state().faults.stall;
+        if let Some(until) = stall.filter(|&until| until > Instant::now()) {
+            sleep_until(until).await;
+        }
+        sleep(self.engine.config.token_time).await;
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let mut state = self.engine.state();
+        if let Some(held) = state.resident.get_mut(&self.resident) {
+            held.running = held.running.saturating_sub(1);
+        }
+        if self.finished {
+            state.stats.finished += 1;
+        } else {
+            state.stats.cancelled += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/state.rs
@@ -0,0 +1,156 @@
+//! What an engine holds, and what it counts.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    str::FromStr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use anyhow::Result;
+use base::{Fence, Incarnation};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use wire::engine::Resident;
+
+use super::{Config, batch::Batch, report::Reports};
+use crate::{gate::Gate, site::Running};
+
+pub(crate) struct Engine {
+    pub(crate) config: Config,
+    pub(crate) batch: Arc<Batch>,
+    pub(crate) client: web::client::Client,
+    state: Mutex<State>,
+    pub(crate) reports: Mutex<Reports>,
+    gate: Mutex<Option<(Gate, Running)>>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    pub(crate) incarnation: Incarnation,
+    /// Cancelled when this life of the engine ends.
+    pub(crate) life: CancellationToken,
+    /// Loaded adapters and how many requests use each.
+    pub(crate) resident: BTreeMap<Resident, Use>,
+    pub(crate) loading: usize,
+    pub(crate) fence: Option<Fence>,
+    pub(crate) cached: VecDeque<u64>,
+    pub(crate) faults: Faults,
+    pub(crate) stats: Stats,
+}
+
+/// A loaded adapter's use.
+#[derive(Debug, Default)]
+pub(crate) struct Use {
+    pub(crate) running: u32,
+    /// Cancelled when the adapter is unloaded.
+    pub(crate) gone: CancellationToken,
+}
+
+/// What the engine was told to do wrong.
+#[derive(Debug, Default)]
+pub(crate) struct Faults {
+    pub(crate) fail_loads: u32,
+    pub(crate) stall: Option<Instant>,
+    pub(crate) late: Duration,
+    pub(crate) cuts: u32,
+    pub(crate) cut_after: usize,
+    pub(crate) wrong: u32,
+}
+
+/// What an engine counted. `GET /admin/stats`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stats {
+    /// Completions started.
+    pub started: u64,
+    /// Completions that ran to their end.
+    pub finished: u64,
+    /// Completions whose caller left.
+    pub cancelled: u64,
+    /// Completions refused before they started.
+    pub refused: u64,
+    /// Completions that hold or await a place now.
+    pub present: u64,
+    /// Completions that run now.
+    pub running: u64,
+    /// Times a running completion gave its place to a more urgent one.
+    pub preempted: u64,
+    /// Unloads of an adapter that a request was using; must stay 0.
+    pub unloads_in_use: u64,
+    /// Executions by idempotency key.
+    pub executions: BTreeMap<String, u64>,
+    /// Orders as they came.
+    pub orders: Vec<Order>,
+}
+
+/// One order to load or unload.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// `load` or `unload`.
+    pub kind: String,
+    /// `adapter@version`.
+    pub adapter: String,
+    /// The fencing number, where it had one.
+    pub fence: Option<u64>,
+    /// The HTTP status that it got.
+    pub status: u16,
+}
+
+impl Engine {
+    pub(crate) fn new(config: Config) -> Result<Self> {
+        let mut state = State::default();
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let micros = since.unwrap_or_default().as_micros();
+        state.incarnation = Incarnation(u64::try_from(micros).unwrap_or_default());
+        for name in &config.resident {
+            state
+                .resident
+                .insert(Resident::from_str(name)?, Use::default());
+        }
+        Ok(Engine {
+            batch: Arc::new(Batch::new(config.batch)),
+            client: web::client::Client::default(),
+            state: Mutex::new(state),
+            reports: Mutex::default(),
+            gate: Mutex::default(),
+            config,
+        })
+    }
+
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn stats(&self) -> Stats {
+        let mut stats = self.state().stats.clone();
+        (stats.present, stats.running) = self.batch.counts();
+        stats.preempted = self.batch.preempted();
+        stats
+    }
+
+    /// Keeps the gate before the engine, and stands in for both.
+    pub(crate) fn guard(&self, gate: Gate, inner: Running) -> Running {
+        let addr = gate.addr;
+        let stop = gate.stop_token();
+        *self.gate.lock().unwrap_or_else(PoisonError::into_inner) = Some((gate, inner));
+        Running::new(addr, stop)
+    }
+
+    /// Makes the connections of now silent soon; false when there is no gate.
+    pub(crate) fn freeze(&self) -> bool {
+        let gate = self.gate.lock().unwrap_or_else(PoisonError::into_inner);
+        gate.as_ref().map(|(gate, _)| gate.silence_soon()).is_some()
+    }
+
+    /// Starts a new, empty life.
+    pub(crate) fn restart_empty(&self) {
+        let mut state = self.state();
+        state.life.cancel();
+        state.life = CancellationToken::new();
+        state.incarnation = state.incarnation.next();
+        state.resident.clear();
+        state.cached.clear();
+        state.fence = None;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/gate.rs
@@ -0,0 +1,213 @@
+//! A gate between two ends that forgets connections: those of now go silent
+//! without being closed, while new ones pass.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use anyhow::Result;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+};
+use tokio_util::sync::CancellationToken;
+use web::{Incoming, Method, Request, Response, StatusCode, body::Body};
+
+use crate::site::{self, Running};
+
+/// Bytes read at once.
+const CHUNK: usize = 16 << 10;
+
+/// Time for the answer to an order that came through the gate itself.
+const ANSWER_TIME: Duration = Duration::from_millis(50);
+
+/// What a gate counted. `GET /admin/stats`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stats {
+    /// Connections that came.
+    pub connections: u64,
+    /// Connections that are open now, silent ones included.
+    pub open: u64,
+}
+
+/// An open gate; dropping it cuts all its connections.
+#[derive(Debug)]
+pub struct Gate {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    core: Arc<Core>,
+}
+
+#[derive(Debug)]
+struct Core {
+    target: SocketAddr,
+    /// Connections up to this number are silent.
+    silent: watch::Sender<u64>,
+    /// Replaced when all are cut.
+    cut: watch::Sender<u64>,
+    connections: AtomicU64,
+    open: AtomicU64,
+    stop: CancellationToken,
+}
+
+/// Opens a gate from `listener` to `target`.
+///
+/// # Errors
+///
+/// Fails when the listener has no address.
+pub fn open(listener: TcpListener, target: SocketAddr) -> Result<Gate> {
+    let addr = listener.local_addr()?;
+    let core = Arc::new(Core {
+        target,
+        silent: watch::Sender::new(0),
+        cut: watch::Sender::new(0),
+        connections: AtomicU64::new(0),
+        open: AtomicU64::new(0),
+        stop: CancellationToken::new(),
+    });
+    let task = Arc::clone(&core);
+    tokio::spawn(async move {
+        let stop = task.stop.clone();
+        stop.run_until_cancelled(task.accept(listener)).await;
+    });
+    Ok(Gate { addr, core })
+}
+
+/// Starts a listener by which a gate is told what to do.
+///
+/// # Errors
+///
+/// Fails when the listener has no address.
+pub fn control(listener: TcpListener, gate: &Gate) -> Result<Running> {
+    let core = Arc::clone(&gate.core);
+    site::run(listener, move |req| order(Arc::clone(&core), req))
+}
+
+async fn order(core: Arc<Core>, req: Request<Incoming>) -> Response<Body> {
+    match (req.method() == Method::GET, req.uri().path()) {
+        (true, "/admin/stats") => return site::show(&core.stats()),
+        (false, "/admin/silence") => core.silence(),
+        (false, "/admin/cut") => core.cut(),
+        _ => return site::refuse(StatusCode::NOT_FOUND, "no such path"),
+    }
+    site::done()
+}
+
+impl Gate {
+    /// Makes the connections of now silent for good; new ones pass.
+    pub fn silence(&self) {
+        self.core.silence();
+    }
+
+    /// Makes the connections of now silent a moment later, so that an order to
+    /// do so can be answered on one of them.
+    pub(crate) fn silence_soon(&self) {
+        let core = Arc::clone(&self.core);
+        let all = core.connections.load(Ordering::SeqCst);
+        tokio::spawn(async move {
+            tokio::time::sleep(ANSWER_TIME).await;
+            core.silent.send_replace(all);
+        });
+    }
+
+    /// Closes the connections of now, silent ones included.
+    pub fn cut(&self) {
+        self.core.cut();
+    }
+
+    /// Returns what it counted.
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        self.core.stats()
+    }
+
+    pub(crate) fn stop_token(&self) -> CancellationToken {
+        self.core.stop.clone()
+    }
+}
+
+impl Drop for Gate {
+    fn drop(&mut self) {
+        self.core.stop.cancel();
+    }
+}
+
+impl Core {
+    fn silence(&self) {
+        let all = self.connections.load(Ordering::SeqCst);
+        self.silent.send_replace(all);
+    }
+
+    fn cut(&self) {
+        let all = self.connections.load(Ordering::SeqCst);
+        self.cut.send_replace(all);
+    }
+
+    fn stats(&self) -> Stats {
+        Stats {
+            connections: self.connections.load(Ordering::SeqCst),
+            open: self.open.load(Ordering::SeqCst),
+        }
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        while let Ok((near, _)) = listener.accept().await {
+            let id = self.connections.fetch_add(1, Ordering::SeqCst) + 1;
+            let core = Arc::clone(&self);
+            tokio::spawn(async move {
+                core.open.fetch_add(1, Ordering::SeqCst);
+                let mut cut = core.cut.subscribe();
+                tokio::select! {
+                    _ = core.pass(near, id) => {}
+                    _ = cut.wait_for(|&cut| cut >= id) => {}
+                    () = core.stop.cancelled() => {}
+                }
+                core.open.fetch_sub(1, Ordering::SeqCst);
+            });
+        }
+    }
+
+    async fn pass(&self, near: TcpStream, id: u64) -> Result<()> {
+        let far = TcpStream::connect(self.target).await?;
+        near.set_nodelay(true)?;
+        far.set_nodelay(true)?;
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        tokio::try_join!(
+            self.pump(near_read, far_write, id),
+            self.pump(far_read, near_write, id),
+        )?;
+        Ok(())
+    }
+
+    async fn pump(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, id: u64) -> Result<()> {
+        let mut silent = self.silent.subscribe();
+        let mut chunk = vec![0; CHUNK];
+        loop {
+            let n = tokio::select! {
+                biased;
+                _ = silent.wait_for(|&silent| silent >= id) => None,
+                n = from.read(&mut chunk) => Some(n?),
+            };
+            let Some(n) = n else {
+                // Both sockets stay open, and nothing passes any more.
+                return std::future::pending().await;
+            };
+            if n == 0 {
+                to.shutdown().await?;
+                return Ok(());
+            }
+            to.write_all(&chunk[..n]).await?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,116 @@
+//! The platform's list of instances and targets, which lags.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use anyhow::Result;
+use serde::{Deserialize, Serialize};
+use tokio::{net::TcpListener, time::Instant};
+use web::{Incoming, Request, Response, StatusCode, body::Body};
+use wire::platform::{Instance, List, Target};
+
+use crate::site::{self, Running};
+
+/// A change of the list. `POST /admin` takes it as JSON.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Change {
+    /// Replaces all but the serial.
+    List(List),
+    /// Adds or replaces an instance by name.
+    Instance(Instance),
+    /// Adds or replaces a target by name.
+    Target(Target),
+    /// Removes the instance or target of this name.
+    Remove(String),
+}
+
+#[derive(Debug)]
+struct Platform {
+    lag: Duration,
+    /// The list of now, and those not yet old enough to be shown.
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    newest: List,
+    coming: VecDeque<(Instant, List)>,
+    shown: List,
+}
+
+/// Starts the platform. `GET /v1/list` shows changes after `lag`.
+///
+/// # Errors
+///
+/// Fails when the listener has no address.
+pub fn start(listener: TcpListener, list: List, lag: Duration) -> Result<Running> {
+    let state = State {
+        newest: list.clone(),
+        coming: VecDeque::new(),
+        shown: list,
+    };
+    let platform = Arc::new(Platform {
+        lag,
+        state: Mutex::new(state),
+    });
+    site::run(listener, move |req| handle(Arc::clone(&platform), req))
+}
+
+async fn handle(platform: Arc<Platform>, req: Request<Incoming>) -> Response<Body> {
+    match req.uri().path() {
+        "/v1/list" => site::show(&platform.shown()),
+        "/admin" => match site::body(req).await {
+            Ok(change) => {
+                platform.change(change);
+                site::done()
+            }
+            Err(refused) => refused.answer(),
+        },
+        _ => site::refuse(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+impl Platform {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn shown(&self) -> List {
+        let mut state = self.lock();
+        let ripe = |at: &Instant| at.elapsed() >= self.lag;
+        while state.coming.front().is_some_and(|(at, _)| ripe(at)) {
+            if let Some((_, list)) = state.coming.pop_front() {
+                state.shown = list;
+            }
+        }
+        state.shown.clone()
+    }
+
+    fn change(&self, change: Change) {
+        let mut state = self.lock();
+        let serial = state.newest.serial + 1;
+        let list = &mut state.newest;
+        match change {
+            Change::List(whole) => *list = whole,
+            Change::Instance(new) => {
+                list.instances.retain(|old| old.name != new.name);
+                list.instances.push(new);
+            }
+            Change::Target(new) => {
+                list.targets.retain(|old| old.name != new.name);
+                list.targets.push(new);
+            }
+            Change::Remove(name) => {
+                list.instances.retain(|old| old.name.as_str() != name);
+                list.targets.retain(|old| old.name.as_str() != name);
+            }
+        }
+        list.serial = serial;
+        let entry = (Instant::now(), list.clone());
+        state.coming.push_back(entry);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,138 @@
+//! A plain service by path, which counts what it executes.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use anyhow::Result;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::{net::TcpListener, time::sleep};
+use web::{Incoming, Request, Response, StatusCode, body::Body, header_value};
+use wire::header;
+
+use crate::site::{self, Running};
+
+/// What a service counted. `GET /admin/stats`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stats {
+    /// Requests executed.
+    pub executed: u64,
+    /// Requests refused before they started.
+    pub refused: u64,
+    /// Executions by idempotency key.
+    pub executions: BTreeMap<String, u64>,
+    /// Executions by path.
+    pub paths: BTreeMap<String, u64>,
+}
+
+/// What a service does wrong. `POST /admin/faults` replaces them all.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Faults {
+    /// Milliseconds before each execution.
+    pub slow_ms: u64,
+    /// Requests to refuse before they start.
+    pub refuse: u32,
+    /// Requests to execute and then cut amid the answer.
+    pub cut: u32,
+    /// Requests to execute and never answer.
+    pub mute: u32,
+}
+
+#[derive(Debug, Default)]
+struct Service {
+    state: Mutex<(Faults, Stats)>,
+}
+
+/// Starts a plain service.
+///
+/// # Errors
+///
+/// Fails when the listener has no address.
+pub fn start(listener: TcpListener) -> Result<Running> {
+    let service = Arc::new(Service::default());
+    site::run(listener, move |req| handle(Arc::clone(&service), req))
+}
+
+async fn handle(service: Arc<Service>, req: Request<Incoming>) -> Response<Body> {
+    match req.uri().path() {
+        "/health" => site::done(),
+        "/admin/stats" => site::show(&service.lock().1),
+        "/admin/faults" => match site::body(req).await {
+            Ok(faults) => {
+                service.lock().0 = faults;
+                site::done()
+            }
+            Err(refused) => refused.answer(),
+        },
+        _ => execute(&service, req).await,
+    }
+}
+
+async fn execute(service: &Service, req: Request<Incoming>) -> Response<Body> {
+    let path = req.uri().path().to_owned();
+    let key = req.headers().get(header::IDEMPOTENCY_KEY).cloned();
+    let limits = web::body::ReadLimits::default();
+    let Ok(body) = web::body::read(req.into_body(), limits).await else {
+        return site::refuse(StatusCode::BAD_REQUEST, "the body is not whole");
+    };
+    if take(&mut service.lock().0.refuse) {
+        service.lock().1.refused += 1;
+        return site::refuse(StatusCode::SERVICE_UNAVAILABLE, "not now");
+    }
+    let slow = service.lock().0.slow_ms;
+    if slow > 0 {
+        sleep(Duration::from_millis(slow)).await;
+    }
+    let nth = service.count(&path, key.as_ref().and_then(|k| k.to_str().ok()));
+    let answer = json!({"path": path, "bytes": body.len(), "execution": nth}).to_string();
+    if take(&mut service.lock().0.mute) {
+        return std::future::pending().await;
+    }
+    if take(&mut service.lock().0.cut) {
+        return cut(&answer).await;
+    }
+    let mut resp = Response::new(web::body::full(answer));
+    let kind = header_value("application/json");
+    resp.headers_mut().insert("content-type", kind);
+    resp
+}
+
+/// Announces the whole answer and breaks off after half of it.
+async fn cut(answer: &str) -> Response<Body> {
+    let (writer, body) = web::body::channel(1);
+    let half = Bytes::copy_from_slice(&answer.as_bytes()[..answer.len() / 2]);
+    // The reader may leave first.
+    let _ = writer.piece(half).await;
+    let mut resp = Response::new(body);
+    let len = header_value(&answer.len().to_string());
+    resp.headers_mut().insert("content-length", len);
+    resp
+}
+
+fn take(left: &mut u32) -> bool {
+    let some = *left > 0;
+    *left -= u32::from(some);
+    some
+}
+
+impl Service {
+    fn lock(&self) -> MutexGuard<'_, (Faults, Stats)> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts one execution and returns its number among those of its key.
+    fn count(&self, path: &str, key: Option<&str>) -> u64 {
+        let stats = &mut self.lock().1;
+        stats.executed += 1;
+        *stats.paths.entry(path.to_owned()).or_default() += 1;
+        let Some(key) = key else { return 0 };
+        let nth = stats.executions.entry(key.to_owned()).or_default();
+        *nth += 1;
+        *nth
+    }
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -11,3 +11,11 @@
 pub mod sse;
 
 pub use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming};
+
+use hyper::header::HeaderValue;
+
+/// Makes a header's value; what can't stand in a header becomes empty.
+#[must_use]
+pub fn header_value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
