--- /dev/null
+++ b/crates/control/src/claims.rs
@@ -0,0 +1,299 @@
+//! Claims of marked requests: each runs at most once.
+//!
+//! A key is remembered in full for a while, with its answer where that is
+//! small; then as a fingerprint of 8 bytes. A key that carries its own date is
+//! forgotten in the end, and from then on refused by its date; one without
+//! date keeps its fingerprint, and when there is no room for more, new ones
+//! are refused. In no case does a key run a second time.
+
+mod prints;
+mod record;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use base::{BrandName, InstanceName, record, stable_hash};
+use wire::call::{Answer, Claim, ClaimReply, Fate, Settle};
+
+use self::{
+    prints::Prints,
+    record::{Key, Kept, Phase},
+};
+
+record! {
+    /// How much of claims is remembered; equal on all replicas, since it is
+    /// part of the state.
+    pub struct Limits {
+        /// How long a settled key is remembered in full, in milliseconds.
+        pub full_ms: u64,
+        /// How long a claim may be under way, in milliseconds; then it may
+        /// have run.
+        pub running_ms: u64,
+        /// Keys remembered in full; beyond, settled ones shrink early.
+        pub full: usize,
+        /// The largest answer that is kept, in bytes.
+        pub answer: usize,
+        /// All kept answers together, in bytes.
+        pub answers: usize,
+        /// Fingerprints of keys without date, of one brand.
+        pub undated: usize,
+        /// Fingerprints of keys with date, of one brand.
+        pub dated: usize,
+        /// How far in the future a key's own date may lie, in milliseconds;
+        /// beyond, the key counts as undated.
+        pub ahead_ms: u64,
+        /// When to come back after a refusal for lack of room.
+        pub retry_ms: u64,
+    }
+
+    /// All claims.
+    pub struct Claims {
+        limits: Limits,
+        keys: BTreeMap<Key, Kept>,
+        under_way: BTreeSet<(u64, Key)>,
+        settled: VecDeque<(u64, Key)>,
+        answers: VecDeque<Key>,
+        answer_bytes: usize,
+        prints: BTreeMap<BrandName, Prints>,
+    }
+}
+
+impl Default for Limits {
+    /// Ten minutes cover a caller's resends; 65,536 keys in full are below
+    /// 16 MB, as are the answers; fingerprints of one brand are below 16 MB.
+    fn default() -> Self {
+        Limits {
+            full_ms: 600_000,
+            running_ms: 3_600_000,
+            full: 65_536,
+            answer: 4_096,
+            answers: 16 << 20,
+            undated: 1_000_000,
+            dated: 1_000_000,
+            ahead_ms: 600_000,
+            retry_ms: 60_000,
+        }
+    }
+}
+
+impl Default for Claims {
+    fn default() -> Self {
+        Claims::new(Limits::default())
+    }
+}
+
+impl Claims {
+    /// Makes an empty set of claims.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Claims {
+            limits,
+            keys: BTreeMap::new(),
+            under_way: BTreeSet::new(),
+            settled: VecDeque::new(),
+            answers: VecDeque::new(),
+            answer_bytes: 0,
+            prints: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the answer to a claim that is settled already; nothing means
+    /// that the log has to decide.
+    #[must_use]
+    pub fn known(&self, claim: &Claim) -> Option<ClaimReply> {
+        let kept = self.keys.get(&Key::of(claim))?;
+        let reply = kept.reply(claim);
+        (!matches!(reply, ClaimReply::Yours | ClaimReply::Running)).then_some(reply)
+    }
+
+    /// Returns how many keys are remembered in full, and as fingerprints.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        let prints = self.prints.values().map(Prints::len).sum();
+        (self.keys.len(), prints)
+    }
+
+    /// Applies a claim at `at` on the state's clock and `wall` on the
+    /// leader's wall clock.
+    pub(crate) fn claim(&mut self, at: u64, wall: u64, claim: &Claim) -> ClaimReply {
+        let key = Key::of(claim);
+        if let Some(kept) = self.keys.get(&key) {
+            return kept.reply(claim);
+        }
+        let dated = self.date(wall, claim);
+        let print = print_of(&key);
+        if let Some(prints) = self.prints.get(&claim.brand) {
+            // Guard: the key shrank to a fingerprint, so a resend long after
+            // finds no record. It must not look like a new key, also not when
+            // its date was believed only one of both times.
+            if let Some(ran) = prints.find(claim.dated, print) {
+                base::hit!(fingerprint_found);
+                return if ran { ClaimReply::Ran(None) } else { ClaimReply::MayHaveRun };
+            }
+            // Guard: keys of this date were forgotten for lack of room, and
+            // this may be one of them. Refusing it costs a resend under a new
+            // key at worst; letting it pass could run it twice.
+            if claim.dated.is_some_and(|date| prints.forgot(date)) {
+                base::hit!(key_too_old);
+                return ClaimReply::TooOld;
+            }
+        }
+        if !self.has_room(&claim.brand, dated) {
+            base::hit!(no_room_for_keys);
+            let retry = std::time::Duration::from_millis(self.limits.retry_ms);
+            return ClaimReply::NotNow { retry };
+        }
+        self.prints.entry(claim.brand.clone()).or_default().reserve(dated);
+        self.under_way.insert((at, key.clone()));
+        self.keys.insert(key, Kept::running(claim, dated, at));
+        ClaimReply::Yours
+    }
+
+    /// Applies an outcome at `at`; returns whether it was the claimer's.
+    pub(crate) fn settle(&mut self, at: u64, settle: &Settle) -> bool {
+        let key = Key::of_settle(settle);
+        let Some(kept) = self.keys.get_mut(&key) else {
+            return false;
+        };
+        // Guard: a late outcome of an attempt that was given up must not free
+        // a key that somebody else has claimed since, or the request would run
+        // a second time beside it.
+        if kept.instance != settle.instance || kept.attempt != settle.attempt {
+            base::hit!(foreign_settle);
+            return false;
+        }
+        if matches!(kept.phase, Phase::Ran(_)) {
+            return true;
+        }
+        match &settle.fate {
+            Fate::NotRun => self.free(&key),
+            Fate::Ran(answer) => self.finish(at, &key, Phase::Ran(None), answer.clone()),
+            Fate::MayHaveRun => self.finish(at, &key, Phase::MayHaveRun, None),
+        }
+        true
+    }
+
+    /// Ends all claims that `instance` has under way: they may have run.
+    pub(crate) fn lapse(&mut self, at: u64, instance: &InstanceName) {
+        let claimer = |key: &Key| self.keys.get(key).map(|kept| &kept.instance);
+        let under_way = self.under_way.iter().map(|(_, key)| key);
+        let keys = under_way.filter(|key| claimer(key) == Some(instance));
+        let keys: Vec<_> = keys.cloned().collect();
+        for key in keys {
+            // Guard: a claimer that died may have sent the request or not.
+            // Freeing its claim would run the request again.
+            base::hit!(claimer_died);
+            self.finish(at, &key, Phase::MayHaveRun, None);
+        }
+    }
+
+    /// Returns the instances with claims under way.
+    #[must_use]
+    pub fn claimers(&self) -> BTreeSet<&InstanceName> {
+        let keys = self.under_way.iter().map(|(_, key)| key);
+        keys.filter_map(|key| Some(&self.keys.get(key)?.instance)).collect()
+    }
+
+    /// Shrinks settled keys whose time in full is over at `at`.
+    pub(crate) fn expire(&mut self, at: u64) {
+        while let Some((since, key)) = self.under_way.first().cloned() {
+            if at.saturating_sub(since) <= self.limits.running_ms {
+                break;
+            }
+            self.finish(at, &key, Phase::MayHaveRun, None);
+        }
+        while let Some((since, _)) = self.settled.front() {
+            let over = at.saturating_sub(*since) > self.limits.full_ms;
+            if !over && self.keys.len() <= self.limits.full {
+                return;
+            }
+            let Some((since, key)) = self.settled.pop_front() else {
+                return;
+            };
+            let settled = self.keys.get(&key).and_then(|kept| kept.settled);
+            if settled == Some(since) {
+                self.shrink(&key);
+            }
+        }
+    }
+
+    /// Returns the key's own date where it can be believed.
+    fn date(&self, wall: u64, claim: &Claim) -> Option<u64> {
+        let limit = wall.saturating_add(self.limits.ahead_ms);
+        claim.dated.filter(|date| *date <= limit)
+    }
+
+    fn has_room(&self, brand: &BrandName, dated: Option<u64>) -> bool {
+        if self.under_way.len() >= self.limits.full {
+            return false;
+        }
+        let Some(prints) = self.prints.get(brand) else {
+            return true;
+        };
+        dated.is_some() || prints.undated() < self.limits.undated
+    }
+
+    fn free(&mut self, key: &Key) {
+        if let Some(kept) = self.keys.remove(key) {
+            self.under_way.remove(&(kept.since, key.clone()));
+            let prints = self.prints.entry(key.brand.clone()).or_default();
+            prints.release(kept.dated);
+        }
+    }
+
+    fn finish(&mut self, at: u64, key: &Key, phase: Phase, answer: Option<Answer>) {
+        let Some(kept) = self.keys.get_mut(key) else {
+            return;
+        };
+        kept.phase = phase;
+        kept.settled = Some(at);
+        self.under_way.remove(&(kept.since, key.clone()));
+        self.settled.push_back((at, key.clone()));
+        let small = answer.filter(|a| size_of(a) <= self.limits.answer);
+        if let Some(answer) = small {
+            self.answer_bytes += size_of(&answer);
+            kept.phase = Phase::Ran(Some(answer));
+            self.answers.push_back(key.clone());
+        }
+        while self.answer_bytes > self.limits.answers {
+            let Some(oldest) = self.answers.pop_front() else {
+                return;
+            };
+            self.drop_answer(&oldest);
+        }
+    }
+
+    fn drop_answer(&mut self, key: &Key) {
+        let Some(kept) = self.keys.get_mut(key) else {
+            return;
+        };
+        if let Phase::Ran(answer) = &mut kept.phase
+            && let Some(answer) = answer.take()
+        {
+            self.answer_bytes -= size_of(&answer);
+        }
+    }
+
+    fn shrink(&mut self, key: &Key) {
+        self.drop_answer(key);
+        let Some(kept) = self.keys.remove(key) else {
+            return;
+        };
+        let ran = matches!(kept.phase, Phase::Ran(_));
+        let prints = self.prints.entry(key.brand.clone()).or_default();
+        prints.release(kept.dated);
+        prints.add(kept.dated, print_of(key), ran);
+        prints.trim(self.limits.dated);
+        while self.answers.front().is_some_and(|k| !self.keys.contains_key(k)) {
+            self.answers.pop_front();
+        }
+    }
+}
+
+/// Returns the fingerprint of a key; its lowest bit is free.
+fn print_of(key: &Key) -> u64 {
+    stable_hash(&[&key.hash]) & !1
+}
+
+fn size_of(answer: &Answer) -> usize {
+    answer.body.len() + answer.content.len()
+}
--- /dev/null
+++ b/crates/control/src/claims/record.rs
@@ -0,0 +1,119 @@
+//! A key remembered in full.
+
+use base::{BrandName, InstanceName, record};
+use wire::call::{Answer, Claim, ClaimReply, Settle};
+
+record! {
+    /// A brand's key.
+    #[derive(PartialOrd, Ord)]
+    pub(crate) struct Key {
+        /// Whose.
+        pub(crate) brand: BrandName,
+        /// Hash of what the caller named it.
+        #[serde(with = "sixteen")]
+        pub(crate) hash: [u8; 16],
+    }
+
+    /// What is known of a key.
+    pub(crate) struct Kept {
+        #[serde(with = "sixteen")]
+        body: [u8; 16],
+        pub(crate) instance: InstanceName,
+        pub(crate) attempt: u64,
+        /// The key's own date, where it has one that can be believed.
+        pub(crate) dated: Option<u64>,
+        pub(crate) phase: Phase,
+        /// When it was settled last, on the state's clock.
+        pub(crate) settled: Option<u64>,
+        /// When it was claimed, on the state's clock.
+        pub(crate) since: u64,
+    }
+
+    /// How far the request is.
+    pub(crate) enum Phase {
+        /// Its claimer may send it, or has.
+        Running,
+        /// It ran.
+        Ran(Option<Answer>),
+        /// Nobody can tell.
+        MayHaveRun,
+    }
+}
+
+impl Key {
+    pub(crate) fn of(claim: &Claim) -> Self {
+        Key {
+            brand: claim.brand.clone(),
+            hash: claim.key,
+        }
+    }
+
+    pub(crate) fn of_settle(settle: &Settle) -> Self {
+        Key {
+            brand: settle.brand.clone(),
+            hash: settle.key,
+        }
+    }
+}
+
+impl Kept {
+    pub(crate) fn running(claim: &Claim, dated: Option<u64>, at: u64) -> Self {
+        Kept {
+            body: claim.body,
+            instance: claim.instance.clone(),
+            attempt: claim.attempt,
+            dated,
+            phase: Phase::Running,
+            settled: None,
+            since: at,
+        }
+    }
+
+    /// Answers another claim of the same key.
+    pub(crate) fn reply(&self, claim: &Claim) -> ClaimReply {
+        if self.body != claim.body {
+            base::hit!(key_with_other_body);
+            return ClaimReply::OtherBody;
+        }
+        match &self.phase {
+            Phase::Ran(answer) => ClaimReply::Ran(answer.clone()),
+            Phase::MayHaveRun => ClaimReply::MayHaveRun,
+            // The claimer's answer was lost and it asks again: it hasn't sent
+            // the request before it has an answer.
+            Phase::Running if self.same_try(claim) => ClaimReply::Yours,
+            Phase::Running => {
+                base::hit!(claimed_by_other);
+                ClaimReply::Running
+            }
+        }
+    }
+
+    fn same_try(&self, claim: &Claim) -> bool {
+        self.instance == claim.instance && self.attempt == claim.attempt
+    }
+}
+
+/// Sixteen bytes as one byte string; serde would write an array of numbers.
+mod sixteen {
+    use serde::{Deserializer, Serializer, de};
+
+    pub(super) fn serialize<S: Serializer>(raw: &[u8; 16], to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_bytes(raw)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<[u8; 16], D::Error> {
+        struct Sixteen;
+        impl de::Visitor<'_> for Sixteen {
+            type Value = [u8; 16];
+
+            fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("16 bytes")
+            }
+
+            fn visit_bytes<E: de::Error>(self, raw: &[u8]) -> Result<[u8; 16], E> {
+                raw.try_into().map_err(|_| E::invalid_length(raw.len(), &self))
+            }
+        }
+        from.deserialize_bytes(Sixteen)
+    }
+}
--- /dev/null
+++ b/crates/control/src/command.rs
@@ -0,0 +1,79 @@
+//! Commands as they travel in the log.
+
+use base::{ChangeId, TextVersion, record};
+use owner::Life;
+use thiserror::Error;
+use wire::call::{Claim, Settle};
+
+use crate::Patch;
+
+/// Says that bytes are no command.
+#[derive(Debug, Error)]
+#[error("malformed command: {0}")]
+pub struct BadCommand(#[from] rmp_serde::decode::Error);
+
+record! {
+    /// One command of the state machine.
+    pub struct Command {
+        /// The leader's reading of the state's own clock, in milliseconds. It
+        /// goes on from where the last leader's stamps ended.
+        pub at: u64,
+        /// The leader's wall clock, in milliseconds since 1970; only compared
+        /// with dates that callers wrote into their keys.
+        pub wall: u64,
+        /// What to do.
+        pub what: What,
+    }
+
+    /// What a command does.
+    pub enum What {
+        /// An operator's change of the text.
+        Text {
+            /// Recognises a resend.
+            change: ChangeId,
+            /// The version that it was made from.
+            base: TextVersion,
+            /// Who made it.
+            by: String,
+            /// The difference to that version.
+            patch: Patch,
+            /// Hash of the whole new text.
+            digest: [u8; 16],
+        },
+        /// Claims of marked requests and their outcomes, in order.
+        Claims(Vec<Item>),
+        /// A change of instances or owners.
+        Owner(owner::Change),
+        /// A claimer has fallen silent: what it had under way may have run.
+        Lapse(Life),
+    }
+
+    /// One claim, or the outcome of one.
+    pub enum Item {
+        /// A claim.
+        Claim(Claim),
+        /// An outcome.
+        Settle(Settle),
+    }
+}
+
+impl Command {
+    /// Encodes the command.
+    ///
+    /// # Panics
+    ///
+    /// Never: every field of a command can be encoded.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec(self).expect("a command has only encodable fields")
+    }
+
+    /// Decodes a command.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are no command.
+    pub fn decode(raw: &[u8]) -> Result<Self, BadCommand> {
+        Ok(rmp_serde::from_slice(raw)?)
+    }
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,157 @@
+//! The state machine over the log: the same commands give the same state.
+
+mod saved;
+
+use base::record;
+use owner::{Change, Table};
+use wire::{call::ClaimReply, operator::Applied};
+
+pub use self::saved::BadState;
+use self::saved::Saved;
+use crate::{Claims, Command, Given, Item, Limits, Texts, What};
+
+/// Time that a claimer unknown to the table should wait: its first beat has
+/// not been through the log yet.
+const UNKNOWN_RETRY: std::time::Duration = std::time::Duration::from_secs(1);
+
+record! {
+    /// What came of one command.
+    pub enum Outcome {
+        /// Of a change of the text.
+        Text(Applied),
+        /// Of claims and their outcomes, one answer each; none for outcomes.
+        Claims(Vec<Option<ClaimReply>>),
+        /// Of a change of instances or owners: whether it had an effect.
+        Owner(bool),
+        /// Of a command that has nothing to say.
+        Done,
+    }
+
+    /// The replicated state.
+    #[derive(Default)]
+    pub struct State {
+        at: u64,
+        texts: Texts,
+        table: Table,
+        claims: Claims,
+    }
+}
+
+impl State {
+    /// Makes an empty state with other limits of claims than the usual.
+    #[must_use]
+    pub fn with_limits(limits: Limits) -> Self {
+        State {
+            claims: Claims::new(limits),
+            ..State::default()
+        }
+    }
+
+    /// Applies the command at `index` of the log.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
+        // Guard: a new leader's clock started elsewhere. Time here never goes
+        // back, or keys would be forgotten early or never.
+        self.at = self.at.max(command.at);
+        let outcome = match &command.what {
+            What::Text {
+                change,
+                base,
+                by,
+                patch,
+                digest,
+            } => {
+                let given = Given {
+                    change,
+                    base: *base,
+                    by,
+                    digest: *digest,
+                };
+                Outcome::Text(self.texts.apply(given, patch))
+            }
+            What::Claims(items) => {
+                let answers = items.iter().map(|item| self.claim(command.wall, item));
+                Outcome::Claims(answers.collect())
+            }
+            What::Owner(change) => Outcome::Owner(self.own(index, change)),
+            What::Lapse(life) => {
+                if self.table.knows(life) {
+                    self.claims.lapse(self.at, &life.instance);
+                }
+                Outcome::Done
+            }
+        };
+        self.claims.expire(self.at);
+        outcome
+    }
+
+    /// Returns the state's own clock, in milliseconds.
+    #[must_use]
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+
+    /// Returns the text and its history.
+    #[must_use]
+    pub fn texts(&self) -> &Texts {
+        &self.texts
+    }
+
+    /// Returns instances and owners.
+    #[must_use]
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Returns the claims.
+    #[must_use]
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
+    /// Returns the state as bytes, for a snapshot.
+    ///
+    /// # Panics
+    ///
+    /// Never: every field of the state can be encoded.
+    #[must_use]
+    pub fn save(&self) -> Vec<u8> {
+        rmp_serde::to_vec(&Saved::from(self)).expect("a state has only encodable fields")
+    }
+
+    /// Returns the state that [`State::save`] made these bytes of.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are no state, or one of an unknown format.
+    pub fn restore(raw: &[u8]) -> Result<Self, BadState> {
+        let saved: Saved<'_> = rmp_serde::from_slice(raw)?;
+        State::try_from(saved)
+    }
+
+    fn claim(&mut self, wall: u64, item: &Item) -> Option<ClaimReply> {
+        let claim = match item {
+            Item::Claim(claim) => claim,
+            Item::Settle(settle) => {
+                self.claims.settle(self.at, settle);
+                return None;
+            }
+        };
+        // Guard: a claim of an instance that the table doesn't name would
+        // stay under way for ever when its claimer dies, because nobody would
+        // notice.
+        if !self.table.members().contains_key(&claim.instance) {
+            base::hit!(unknown_claimer);
+            let retry = UNKNOWN_RETRY;
+            return Some(ClaimReply::NotNow { retry });
+        }
+        Some(self.claims.claim(self.at, wall, claim))
+    }
+
+    fn own(&mut self, index: u64, change: &Change) -> bool {
+        let done = self.table.apply(index, change);
+        if let (true, Change::Join { life, .. } | Change::Dismiss { life }) = (done, change) {
+            self.claims.lapse(self.at, &life.instance);
+        }
+        done
+    }
+}
