replog: elect, replicate, compact and change members

A log is founded by the first instance by name once all configured ones have said that they are unstarted; replicas without entries elect nobody else. A flag for the first start was ruled out: it stays in a unit file, and an emptied folder would then found a second log.

--- a/crates/replog/src/journal.rs
+++ b/crates/replog/src/journal.rs
@@ -1,1 +1,173 @@
-//! The part of the log that is in memory.
+//! The part of the log that is in memory: a snapshot and entries.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::{Entry, Index, Members, Payload, Position, Record, Snapshot, Term};
+
+/// What an entry takes beside its command, in memory and on the wire; a
+/// generous estimate that bounds messages of many small entries.
+const ENTRY_OVERHEAD: u64 = 48;
+
+/// The log from `floor` on. Entries at or before the snapshot's index are
+/// kept for followers that lag a little.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Journal {
+    base: Option<Snapshot>,
+    floor: Position,
+    entries: VecDeque<Entry>,
+    configs: BTreeMap<Index, Members>,
+}
+
+impl Journal {
+    pub(crate) fn new(base: Option<Snapshot>, entries: Vec<Entry>) -> Self {
+        let mut journal = Journal::default();
+        if let Some(base) = base {
+            journal.install(base);
+        }
+        entries.into_iter().for_each(|entry| journal.append(entry));
+        journal
+    }
+
+    pub(crate) fn base(&self) -> Option<&Snapshot> {
+        self.base.as_ref()
+    }
+
+    /// The index that the snapshot covers.
+    pub(crate) fn base_index(&self) -> Index {
+        self.base.as_ref().map_or(Index(0), |base| base.at.index)
+    }
+
+    pub(crate) fn last(&self) -> Position {
+        self.entries.back().map_or(self.floor, |entry| entry.at)
+    }
+
+    /// The replicas by the end of the log, committed or not; none before the
+    /// log is founded or received.
+    pub(crate) fn members(&self) -> Option<&Members> {
+        self.configs.last_key_value().map(|(_, members)| members)
+    }
+
+    /// Where the newest change of members stands.
+    pub(crate) fn members_index(&self) -> Index {
+        let last = self.configs.last_key_value();
+        last.map_or(Index(0), |(index, _)| *index)
+    }
+
+    pub(crate) fn term_at(&self, index: Index) -> Option<Term> {
+        if index == self.floor.index {
+            return Some(self.floor.term);
+        }
+        self.get(index).map(|entry| entry.at.term)
+    }
+
+    pub(crate) fn get(&self, index: Index) -> Option<&Entry> {
+        let offset = index.get().checked_sub(self.floor.index.get() + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Returns the first index of the term that the entry at `index` is of.
+    pub(crate) fn term_start(&self, index: Index) -> Index {
+        let term = self.term_at(index);
+        let mut first = index;
+        while first > self.floor.index && self.term_at(first.prev()) == term {
+            first = first.prev();
+        }
+        first
+    }
+
+    /// Returns entries after `prev` up to `last`: at least one if there is
+    /// any, and then as many as fit `limit` bytes.
+    pub(crate) fn slice(&self, prev: Index, last: Index, limit: u64) -> Vec<Entry> {
+        let mut taken = Vec::new();
+        let mut size = 0;
+        let mut index = prev.next();
+        while index <= last {
+            let Some(entry) = self.get(index) else { break };
+            size += entry_size(entry);
+            if size > limit && !taken.is_empty() {
+                break;
+            }
+            taken.push(entry.clone());
+            index = index.next();
+        }
+        taken
+    }
+
+    /// # Panics
+    ///
+    /// Panics when the entry doesn't follow the last one.
+    pub(crate) fn append(&mut self, entry: Entry) {
+        assert_eq!(entry.at.index, self.last().index.next(), "a gap in the log");
+        if let Payload::Members(members) = &entry.payload {
+            self.configs.insert(entry.at.index, members.clone());
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entry at `index` and all after it.
+    pub(crate) fn truncate(&mut self, index: Index) {
+        let keep = index.get().saturating_sub(self.floor.index.get() + 1);
+        self.entries
+            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        self.configs.split_off(&index);
+    }
+
+    /// Replaces the whole log by a snapshot; entries after it stay if the log
+    /// holds the entry that it ends with. Returns whether they did.
+    pub(crate) fn install(&mut self, snapshot: Snapshot) -> bool {
+        if self.term_at(snapshot.at.index) == Some(snapshot.at.term) && self.base.is_some() {
+            self.compact(snapshot, 0);
+            return true;
+        }
+        self.floor = snapshot.at;
+        self.entries.clear();
+        self.configs.clear();
+        self.configs
+            .insert(snapshot.at.index, snapshot.members.clone());
+        self.base = Some(snapshot);
+        false
+    }
+
+    /// Makes the snapshot for the state `data` after the entry at `index`.
+    pub(crate) fn snapshot(&self, index: Index, data: crate::Blob) -> Option<Snapshot> {
+        let term = self.term_at(index)?;
+        let (_, members) = self.configs.range(..=index).next_back()?;
+        Some(Snapshot {
+            at: Position { term, index },
+            members: members.clone(),
+            data,
+        })
+    }
+
+    /// Replaces what the snapshot covers, but for the last `keep` entries.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot, keep: u64) {
+        let at = snapshot.at.index;
+        self.configs = self.configs.split_off(&at.next());
+        self.configs.insert(at, snapshot.members.clone());
+        let floor = at.get().saturating_sub(keep);
+        while let Some(entry) = self.entries.front()
+            && entry.at.index.get() <= floor
+        {
+            self.floor = entry.at;
+            self.entries.pop_front();
+        }
+        self.base = Some(snapshot);
+    }
+
+    /// Returns what a log file that continues the snapshot has to hold.
+    pub(crate) fn records(&self) -> Vec<Record> {
+        let after = self.entries.iter();
+        let after = after.filter(|entry| entry.at.index > self.base_index());
+        after.cloned().map(Record::Entry).collect()
+    }
+}
+
+/// Returns what an entry counts against limits, in bytes.
+pub(crate) fn entry_size(entry: &Entry) -> u64 {
+    let inner = match &entry.payload {
+        Payload::Noop => 0,
+        Payload::Command(command) => command.len() as u64,
+        Payload::Members(members) => members.all().count() as u64 * ENTRY_OVERHEAD,
+    };
+    inner + ENTRY_OVERHEAD
+}
--- a/crates/replog/src/record.rs
+++ b/crates/replog/src/record.rs
@@ -156,7 +156,7 @@
         return Tail::Whole;
     }
     let later =
-        (1..rest.len()).any(|at| matches!(read_header(&rest[at..]), Some(h) if h.seq > next));
+        (0..rest.len()).any(|at| read_header(&rest[at..]).is_some_and(|found| found.seq != next));
     if later {
         base::hit!(damaged_middle);
         return Tail::Damaged;
--- a/crates/replog/src/replica.rs
+++ b/crates/replog/src/replica.rs
@@ -1,40 +1,66 @@
 //! One replica of the log.
 
-use base::Time;
-
-use crate::{Entry, Index, Input, Outputs, Record, ReplicaId, Settings, Snapshot, Term};
-
-/// What a replica finds on its disk; empty for a new one.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Restored {
-    /// The newest term that it has taken part in.
-    pub term: Term,
-    /// Who got its vote in that term.
-    pub voted: Option<ReplicaId>,
-    /// The newest snapshot, or the founding members at index 0.
-    pub base: Option<Snapshot>,
-    /// The entries after it.
-    pub entries: Vec<Entry>,
-}
+mod election;
+mod follow;
+mod found;
+mod lead;
+mod members;
+mod progress;
+mod restored;
+mod writes;
+
+use base::{StableHash, Time, stable_hash};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub use self::restored::Restored;
+use self::{election::Votes, follow::Follow, found::Founding, lead::Leader, writes::Writes};
+use crate::{
+    HaltReason, Index, Input, Message, Output, Outputs, Payload, Record, Rejected, ReplicaId,
+    Settings, Term, WhyNot, journal::Journal,
+};
 
 /// One replica of the log: a plain value, driven by [`Replica::handle`].
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Replica {
     settings: Settings,
-    restored: Restored,
+    rng: ChaCha8Rng,
+    term: Term,
+    voted: Option<ReplicaId>,
+    journal: Journal,
+    writes: Writes,
+    commit: Index,
+    applied: Index,
+    role: Role,
+    leader: Option<ReplicaId>,
+    /// When a leader was last heard; until an election timeout later, no vote
+    /// is given.
+    heard: Option<Time>,
+    /// When to stand for election.
+    deadline: Time,
+    follow: Follow,
+    founding: Founding,
+    /// The snapshot that the state machine was asked for.
+    asked: Option<Index>,
+    full: bool,
+    halted: Option<HaltReason>,
+    started: bool,
+    told: Told,
 }
 
-impl Restored {
-    /// Replays the records of a log file on top of a snapshot; returns
-    /// nothing when they contradict each other.
-    #[must_use]
-    pub fn replay(base: Option<Snapshot>, records: Vec<Record>) -> Option<Self> {
-        let _ = records;
-        Some(Restored {
-            base,
-            ..Restored::default()
-        })
-    }
+#[derive(Clone, Debug)]
+enum Role {
+    Follower,
+    Candidate(Votes),
+    Leader(Box<Leader>),
+}
+
+/// What was last reported, so that only changes are.
+#[derive(Clone, Debug, Default)]
+struct Told {
+    wake: Option<Time>,
+    leader: Option<ReplicaId>,
+    leading: bool,
 }
 
 impl Replica {
@@ -42,12 +68,49 @@
     /// [`Input::Wake`].
     #[must_use]
     pub fn new(settings: Settings, restored: Restored) -> Self {
-        Replica { settings, restored }
+        let seed = seed_of(&settings);
+        let journal = Journal::new(restored.base, restored.entries);
+        let applied = journal.base_index();
+        Replica {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            term: restored.term,
+            voted: restored.voted,
+            writes: Writes::new(journal.last().index),
+            commit: applied,
+            applied,
+            role: Role::Follower,
+            leader: None,
+            heard: None,
+            deadline: Time::ZERO,
+            follow: Follow::default(),
+            founding: Founding::default(),
+            asked: None,
+            full: false,
+            halted: None,
+            started: false,
+            told: Told::default(),
+            journal,
+            settings,
+        }
     }
 
-    /// Takes one input and appends what has to be done about it.
+    /// Takes one input and appends what has to be done about it, in order.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Outputs) {
-        let _ = (now, input, out);
+        if self.halted.is_some() {
+            refuse(input, out);
+            return;
+        }
+        if !self.started {
+            self.start(now, out);
+        }
+        self.check_quorum(now, out);
+        self.dispatch(now, input, out);
+        if self.halted.is_some() {
+            return;
+        }
+        self.tick(now, out);
+        self.settle(now, out);
+        self.report(out);
     }
 
     /// Tells whether this replica may act as the leader at `now`: it has won
@@ -55,14 +118,26 @@
     /// has promised not to elect another yet.
     #[must_use]
     pub fn leads(&self, now: Time) -> bool {
-        let _ = now;
-        false
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        // A leader that was cut off, or frozen and thawed, still believes in
+        // its term while another has been elected. Followers refuse votes for
+        // an election timeout after they answered a round; the lease is
+        // shorter by the drift margin and counts from the round's beginning,
+        // so it has ended before any of them may elect another.
+        let leased = |contact| now < contact + self.settings.lease;
+        let held = self.contact(leader, now).is_some_and(leased);
+        if !held {
+            base::hit!(lease_lapsed);
+        }
+        held && self.halted.is_none() && self.applied >= leader.noop
     }
 
     /// Returns the leader as far as known.
     #[must_use]
     pub fn leader(&self) -> Option<&ReplicaId> {
-        None
+        self.leader.as_ref()
     }
 
     /// Returns this replica's identity.
@@ -74,12 +149,337 @@
     /// Returns the newest term seen.
     #[must_use]
     pub fn term(&self) -> Term {
-        self.restored.term
+        self.term
     }
 
     /// Returns the last index known to be committed.
     #[must_use]
     pub fn commit(&self) -> Index {
-        Index(0)
+        self.commit
+    }
+
+    /// Returns the replicas by the end of the log; none before it is founded.
+    #[must_use]
+    pub fn members(&self) -> Option<&crate::Members> {
+        self.journal.members()
+    }
+
+    /// Returns why the replica has stopped, if it has.
+    #[must_use]
+    pub fn halted(&self) -> Option<HaltReason> {
+        self.halted
+    }
+
+    fn start(&mut self, now: Time, out: &mut Outputs) {
+        self.started = true;
+        self.rearm(now);
+        if let Some(base) = self.journal.base()
+            && base.at.index > Index(0)
+        {
+            out.push(Output::Restore {
+                index: base.at.index,
+                data: base.data.clone(),
+            });
+        }
+        if self.unstarted() {
+            self.deadline = now;
+            return;
+        }
+        // Before a restart this replica may have answered a leader's round and
+        // thereby promised not to vote for a while. The promise was only in
+        // memory; were it forgotten, a new leader could be elected while the
+        // old one's lease still runs. Waiting once more keeps it.
+        base::hit!(restart_grace);
+        self.heard = Some(now);
+    }
+
+    fn dispatch(&mut self, now: Time, input: Input, out: &mut Outputs) {
+        match input {
+            Input::Received { from, message } => self.receive(now, &from, message, out),
+            Input::Propose { ticket, command } => {
+                self.propose(ticket, Payload::Command(command), out);
+            }
+            Input::Synced { upto } => self.synced(now, upto, out),
+            Input::WriteFailed { .. } => {
+                // After a failed sync the kernel may have dropped the pages
+                // and reports success for the next one; a retry would
+                // acknowledge what is not on disk. So nothing is answered any
+                // more, and the majority goes on without this replica.
+                base::hit!(halted_by_write);
+                self.halt(HaltReason::WriteFailed, out);
+            }
+            Input::Space { full } => self.full = full,
+            Input::Wake => {}
+            Input::Snapshot { index, data } => self.snapshot_taken(index, data, out),
+            Input::AddReplica { ticket, id } => self.add_replica(now, Some(ticket), id, out),
+            Input::RemoveReplica { ticket, id } => self.remove_replica(now, ticket, &id, out),
+            Input::HandOver => self.hand_over(now),
+        }
+    }
+
+    fn receive(&mut self, now: Time, from: &ReplicaId, message: Message, out: &mut Outputs) {
+        if from == self.id() {
+            return;
+        }
+        match message {
+            Message::Join => self.join(now, from, out),
+            Message::Found { members } => self.found(from, members, out),
+            Message::Founded { members } => self.founded(now, from, &members),
+            Message::Vote { term, kind, last } => self.vote(now, from, (term, kind), last, out),
+            Message::VoteReply {
+                term,
+                kind,
+                granted,
+            } => self.vote_reply(now, from, (term, kind), granted, out),
+            Message::Append { term, .. } | Message::Chunk { term, .. } => {
+                if self.obey(now, from, term, out) {
+                    self.follow(from, message, out);
+                }
+            }
+            Message::AppendReply { term, .. } | Message::ChunkReply { term, .. } => {
+                if term > self.term {
+                    self.step_down(now, term, out);
+                } else if term == self.term {
+                    self.follower_replied(now, from, message, out);
+                }
+            }
+            Message::TimeoutNow { term } => self.timeout_now(now, from, term, out),
+            Message::Removed { term, id } => {
+                if id == *self.id() && term >= self.term {
+                    self.halt(HaltReason::Removed, out);
+                }
+            }
+        }
+    }
+
+    fn synced(&mut self, now: Time, upto: crate::WriteNo, out: &mut Outputs) {
+        self.writes.synced(upto, out);
+        match &self.role {
+            Role::Follower => self.report_durable(out),
+            Role::Candidate(_) => self.count_own_vote(now, upto, out),
+            Role::Leader(_) => self.advance_commit(out),
+        }
+    }
+
+    /// Ends what one input began: writes, sends and commits.
+    fn settle(&mut self, now: Time, out: &mut Outputs) {
+        // A leader's proposals share the next write: with a slow disk, one
+        // sync then makes many of them durable.
+        let wait = matches!(self.role, Role::Leader(_)) && self.writes.busy();
+        if !wait {
+            self.writes.flush(self.journal.last().index, out);
+        }
+        self.replicate(out);
+        self.finish_handover(now, out);
+    }
+
+    fn report(&mut self, out: &mut Outputs) {
+        let leading = matches!(self.role, Role::Leader(_));
+        if (&self.told.leader, self.told.leading) != (&self.leader, leading) {
+            self.told.leader.clone_from(&self.leader);
+            self.told.leading = leading;
+            out.push(Output::Role {
+                leader: self.leader.clone(),
+                leading,
+            });
+        }
+        let at = self.next_wake();
+        if self.told.wake != Some(at) {
+            self.told.wake = Some(at);
+            out.push(Output::Wake { at });
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Outputs) {
+        if matches!(self.role, Role::Leader(_)) {
+            self.beat(now, out);
+            return;
+        }
+        if now < self.deadline {
+            return;
+        }
+        if self.unstarted() {
+            self.call_out(now, out);
+        } else {
+            self.campaign(now, crate::VoteKind::Pre, out);
+        }
+    }
+
+    fn next_wake(&self) -> Time {
+        match &self.role {
+            Role::Leader(leader) => leader.next_wake(),
+            _ => self.deadline,
+        }
     }
+
+    /// Follows the term `term`, with no leader known yet.
+    fn step_down(&mut self, now: Time, term: Term, out: &mut Outputs) {
+        self.become_follower(now, term, None, out);
+    }
+
+    fn become_follower(
+        &mut self,
+        now: Time,
+        term: Term,
+        leader: Option<ReplicaId>,
+        out: &mut Outputs,
+    ) {
+        if term > self.term {
+            self.set_term(term, None);
+        }
+        if self.leader != leader {
+            self.leader = leader;
+            self.follow = Follow::default();
+        }
+        if !matches!(self.role, Role::Follower) {
+            let role = std::mem::replace(&mut self.role, Role::Follower);
+            self.rearm(now);
+            self.abandon(role, out);
+        }
+    }
+
+    /// Answers what a leader leaves behind when it loses its term.
+    ///
+    /// Its entries may be on a majority, and the next leader may commit them;
+    /// "not accepted" could turn out false, and an operator who repeats the
+    /// change would make it twice.
+    fn abandon(&self, role: Role, out: &mut Outputs) {
+        let Role::Leader(leader) = role else { return };
+        for ticket in leader.tickets() {
+            base::hit!(unknown_on_lost_term);
+            out.push(Output::Proposed {
+                ticket,
+                result: Err(Rejected::Unknown {
+                    leader: self.leader.clone(),
+                }),
+            });
+        }
+    }
+
+    fn set_term(&mut self, term: Term, voted: Option<ReplicaId>) {
+        if term > self.term {
+            self.follow = Follow::default();
+        }
+        self.term = term;
+        self.voted.clone_from(&voted);
+        self.writes.push(Record::Vote { term, voted });
+    }
+
+    fn halt(&mut self, reason: HaltReason, out: &mut Outputs) {
+        let role = std::mem::replace(&mut self.role, Role::Follower);
+        self.leader = None;
+        self.abandon(role, out);
+        self.halted = Some(reason);
+        self.report(out);
+        out.push(Output::Halted { reason });
+    }
+
+    /// Sets the time to stand for election anew, with jitter so that two
+    /// followers seldom stand at once.
+    fn rearm(&mut self, now: Time) {
+        let election = self.settings.raw.election;
+        let jitter = self.rng.random_range(0..election.as_micros() as u64);
+        self.deadline = now + election + std::time::Duration::from_micros(jitter);
+    }
+
+    /// Applies what is committed.
+    fn apply(&mut self, out: &mut Outputs) {
+        while self.applied < self.commit && self.halted.is_none() {
+            let Some(entry) = self.journal.get(self.applied.next()).cloned() else {
+                return;
+            };
+            self.applied = entry.at.index;
+            match entry.payload {
+                Payload::Noop => {}
+                Payload::Command(command) => out.push(Output::Apply {
+                    index: entry.at.index,
+                    term: entry.at.term,
+                    command,
+                }),
+                Payload::Members(ref members) => self.members_committed(members, out),
+            }
+            self.answer(out);
+            self.ask_snapshot(out);
+        }
+    }
+
+    /// Answers the proposal of the entry applied last.
+    fn answer(&mut self, out: &mut Outputs) {
+        let index = self.applied;
+        if let Role::Leader(leader) = &mut self.role
+            && let Some(ticket) = leader.take_ticket(index)
+        {
+            out.push(Output::Proposed {
+                ticket,
+                result: Ok(index),
+            });
+        }
+    }
+
+    fn ask_snapshot(&mut self, out: &mut Outputs) {
+        let grown = self.applied.get() - self.journal.base_index().get();
+        if grown >= self.settings.raw.compact && self.asked.is_none() {
+            self.asked = Some(self.applied);
+            out.push(Output::TakeSnapshot { upto: self.applied });
+        }
+    }
+
+    fn snapshot_taken(&mut self, index: Index, data: crate::Blob, out: &mut Outputs) {
+        if self.asked != Some(index) {
+            return;
+        }
+        self.asked = None;
+        if index <= self.journal.base_index() {
+            return;
+        }
+        let Some(snapshot) = self.journal.snapshot(index, data) else {
+            return;
+        };
+        self.journal.compact(snapshot, self.settings.raw.keep);
+        self.rewrite(out);
+    }
+
+    /// Replaces the files by what is in memory.
+    fn rewrite(&mut self, out: &mut Outputs) {
+        let Some(snapshot) = self.journal.base().cloned() else {
+            return;
+        };
+        let mut records = self.journal.records();
+        let voted = self.voted.clone();
+        records.insert(
+            0,
+            Record::Vote {
+                term: self.term,
+                voted,
+            },
+        );
+        let last = self.journal.last().index;
+        self.writes.rewrite(last, snapshot, records, out);
+    }
+}
+
+/// Answers the proposals made to a halted replica.
+fn refuse(input: Input, out: &mut Outputs) {
+    let (Input::Propose { ticket, .. }
+    | Input::AddReplica { ticket, .. }
+    | Input::RemoveReplica { ticket, .. }) = input
+    else {
+        return;
+    };
+    out.push(not_accepted(ticket, WhyNot::NotLeader, None));
+}
+
+fn not_accepted(ticket: u64, why: WhyNot, leader: Option<ReplicaId>) -> Output {
+    Output::Proposed {
+        ticket,
+        result: Err(Rejected::NotAccepted { why, leader }),
+    }
+}
+
+/// Mixes the identity into the seed, so that replicas that were given the
+/// same one still stand for election at different times.
+fn seed_of(settings: &Settings) -> StableHash {
+    let seed = settings.raw.seed.get().to_le_bytes();
+    let life = settings.id().life.get().to_le_bytes();
+    stable_hash(&[&seed, settings.id().instance.as_str().as_bytes(), &life])
 }
