--- /dev/null
+++ b/crates/entryd/src/state.rs
@@ -0,0 +1,127 @@
+//! What all tasks of the daemon share.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+use base::{InstanceName, TextVersion, Ticket};
+use node::Input;
+use peer::Link;
+use text::{Keys, Model};
+use tokio::sync::{mpsc, oneshot, watch};
+use web::client::Client;
+use wire::call::Reply;
+
+use crate::exchange::Exchange;
+
+/// The text in force, with the keys ready for lookup.
+#[derive(Debug, Default)]
+pub(crate) struct InForce {
+    pub(crate) version: TextVersion,
+    pub(crate) model: Arc<Model>,
+    pub(crate) keys: Keys,
+}
+
+/// Handles that every task of the daemon may use.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) name: InstanceName,
+    /// Inputs on their way to the node.
+    pub(crate) inputs: mpsc::UnboundedSender<Input>,
+    pub(crate) client: Client,
+    pub(crate) text: watch::Receiver<Arc<InForce>>,
+    pub(crate) ready: AtomicBool,
+    tickets: AtomicU64,
+    calls: AtomicU64,
+    exchanges: Mutex<HashMap<Ticket, Arc<Exchange>>>,
+    answers: Mutex<HashMap<u64, oneshot::Sender<Reply>>>,
+    links: Mutex<HashMap<SocketAddr, Link>>,
+}
+
+impl State {
+    pub(crate) fn new(
+        name: InstanceName,
+        inputs: mpsc::UnboundedSender<Input>,
+        text: watch::Receiver<Arc<InForce>>,
+    ) -> Self {
+        State {
+            name,
+            inputs,
+            client: Client::default(),
+            text,
+            ready: AtomicBool::new(false),
+            tickets: AtomicU64::new(0),
+            calls: AtomicU64::new(0),
+            exchanges: Mutex::default(),
+            answers: Mutex::default(),
+            links: Mutex::default(),
+        }
+    }
+
+    /// Hands an input to the node; after the node has ended there is nobody
+    /// left to tell.
+    pub(crate) fn tell(&self, input: Input) {
+        self.inputs.send(input).ok();
+    }
+
+    pub(crate) fn next_ticket(&self) -> Ticket {
+        Ticket(self.tickets.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+
+    /// Returns the text in force.
+    pub(crate) fn in_force(&self) -> Arc<InForce> {
+        Arc::clone(&self.text.borrow())
+    }
+
+    pub(crate) fn put(&self, ticket: Ticket, exchange: Arc<Exchange>) {
+        lock(&self.exchanges).insert(ticket, exchange);
+    }
+
+    pub(crate) fn exchange(&self, ticket: Ticket) -> Option<Arc<Exchange>> {
+        lock(&self.exchanges).get(&ticket).cloned()
+    }
+
+    pub(crate) fn remove(&self, ticket: Ticket) -> Option<Arc<Exchange>> {
+        lock(&self.exchanges).remove(&ticket)
+    }
+
+    /// Returns how many requests are under way.
+    pub(crate) fn running(&self) -> usize {
+        lock(&self.exchanges).len()
+    }
+
+    /// Numbers a call from another process and returns where its answer comes.
+    pub(crate) fn expect(&self) -> (u64, oneshot::Receiver<Reply>) {
+        let call = self.calls.fetch_add(1, Ordering::Relaxed) + 1;
+        let (tx, rx) = oneshot::channel();
+        lock(&self.answers).insert(call, tx);
+        (call, rx)
+    }
+
+    /// Answers a call from another process.
+    pub(crate) fn answer(&self, call: u64, reply: Reply) {
+        if let Some(tx) = lock(&self.answers).remove(&call) {
+            // The caller may have left.
+            tx.send(reply).ok();
+        }
+    }
+
+    /// Returns the link to a peer.
+    pub(crate) fn link(&self, address: SocketAddr) -> Link {
+        let mut links = lock(&self.links);
+        let link = links.entry(address);
+        let make = || Link::new(self.name.clone(), address.to_string());
+        link.or_insert_with(make).clone()
+    }
+}
+
+/// Locks a map that is whole after every step, so a panic elsewhere does it no
+/// harm.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/node/src/engines.rs
@@ -0,0 +1,554 @@
+//! The engines that this instance owns: leases, queues, orders, reports.
+//!
+//! The holder says what this instance may do to an engine at this very
+//! moment, the desk what it should do; nothing reaches an engine unless both
+//! agree.
+
+mod confirm;
+mod own;
+mod residents;
+
+use std::{collections::{BTreeMap, BTreeSet}, sync::Arc, time::Duration};
+
+use base::{
+    AdapterKey, AdapterNo, Failure, Fence, Incarnation, Refusal, TargetName, TargetNo, Ticket,
+    Time, Version,
+};
+use member::{Look, Watch};
+use owner::{Holder, Order as Ask};
+use route::{Desk, Input as DeskInput, LoadEnd, News, Output as DeskOutput, Report};
+use wire::engine;
+
+use crate::{
+    io::{Event, Input, Order, OrderEnd, Output},
+    msg::{ENGINES, ENTRY, Msg},
+    shared::{Out, Shared},
+};
+
+/// How often an owned engine is asked for its report.
+const POLL_EVERY: Duration = Duration::from_millis(500);
+
+/// Silence of the leader after which only this zone's fixed part of the
+/// store's budget is used.
+const SILENT: Duration = Duration::from_millis(3_000);
+
+/// What an order was, until it ends.
+#[derive(Clone, Copy, Debug)]
+enum Sent {
+    Load(TargetNo, AdapterKey, Fence),
+    Unload(TargetNo, AdapterKey),
+    /// A load of something resident, which only makes the engine refuse
+    /// earlier owners.
+    Touch(TargetNo, AdapterKey, Fence),
+}
+
+/// One engine of this zone.
+#[derive(Debug, Default)]
+struct Engine {
+    life: Option<Incarnation>,
+    held: Vec<AdapterKey>,
+    polled: Time,
+    /// Requests running there through this instance, by what they use.
+    using: BTreeMap<Ticket, AdapterKey>,
+    owned: Option<owner::Own>,
+    /// What the other entry instances were told that it holds.
+    listed: BTreeSet<AdapterKey>,
+    running: u32,
+    queued: u32,
+}
+
+/// The engines and what is known of them.
+#[derive(Debug)]
+pub(crate) struct Engines {
+    holder: Holder,
+    desk: Desk,
+    engines: BTreeMap<TargetNo, Engine>,
+    orders: BTreeMap<u64, Sent>,
+    next_order: u64,
+    polls: BTreeMap<u64, Poll>,
+    next_poll: u64,
+    serials: BTreeMap<TargetNo, u64>,
+    /// What was heard of engines that others own.
+    others: BTreeMap<TargetNo, residents::Heard>,
+    /// Engines of this zone as last told to the leader.
+    told: Option<Vec<TargetName>>,
+    /// The version of each adapter that the text in force serves.
+    serving: BTreeMap<AdapterNo, Version>,
+    heard: Time,
+}
+
+/// A question for a report, until it is answered.
+#[derive(Clone, Copy, Debug)]
+struct Poll {
+    target: TargetNo,
+    watch: Watch,
+    begun: Time,
+}
+
+impl Engines {
+    pub(crate) fn new(shared: &Shared, now: Time) -> Self {
+        let settings = &shared.settings;
+        let (name, zone) = (settings.name.clone(), settings.zone.clone());
+        Engines {
+            holder: Holder::new(owner::Config::default(), name, zone, now),
+            desk: Desk::new(settings.seed.get()),
+            engines: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            next_order: 0,
+            polls: BTreeMap::new(),
+            next_poll: 0,
+            serials: BTreeMap::new(),
+            others: BTreeMap::new(),
+            told: None,
+            serving: BTreeMap::new(),
+            heard: now,
+        }
+    }
+
+    pub(crate) fn handle(&mut self, shared: &mut Shared, now: Time, msg: Msg, out: &mut Out) {
+        match msg {
+            Msg::Input(Input::Report { poll, report }) => {
+                self.on_report(shared, now, poll, report, out);
+            }
+            Msg::Input(Input::Ordered { order, end }) => {
+                self.on_ordered(shared, now, order, end, out);
+            }
+            Msg::SendBeat {
+                serial,
+                control,
+                address,
+            } => self.send_beat(shared, now, (serial, control), address, out),
+            Msg::Beat(reply) => self.on_beat(shared, now, *reply, out),
+            Msg::Replied { purpose, reply } => self.on_reply(shared, now, purpose, reply, out),
+            Msg::Called { call, body, .. } => self.on_called(shared, now, call, body, out),
+            Msg::Queue {
+                ticket,
+                target,
+                ask,
+            } => self.on_queue(shared, now, ticket, target, ask, out),
+            Msg::Dequeue(ticket) => self.desk(shared, now, DeskInput::Cancel(ticket), out),
+            Msg::Using {
+                ticket,
+                target,
+                key,
+            } => {
+                let engine = self.engines.entry(target).or_default();
+                engine.using.insert(ticket, key);
+            }
+            Msg::Began(ticket) => self.desk(shared, now, DeskInput::Began(ticket), out),
+            Msg::Ended { ticket, ok } => self.on_ended(shared, now, ticket, ok, out),
+            Msg::TextChanged => self.on_text(shared, now, out),
+            Msg::Drain => self.hold(shared, now, owner::Input::Renounce, out),
+            Msg::Wake => self.on_wake(shared, now, out),
+            _ => {}
+        }
+        self.poll(shared, now, out);
+    }
+
+    fn on_wake(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
+        if now.since(self.heard) >= SILENT {
+            self.budget_alone(shared, now, out);
+        }
+        self.hold(shared, now, owner::Input::Wake, out);
+        self.desk(shared, now, DeskInput::Wake, out);
+    }
+
+    /// Takes a request into the queue of an engine that is owned here.
+    fn on_queue(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        ticket: Ticket,
+        target: TargetNo,
+        ask: route::Ask,
+        out: &mut Out,
+    ) {
+        let known = self.engines.get(&target);
+        let ready = known.is_some_and(|engine| engine.owned.is_some());
+        if !ready {
+            let failure = Failure::not_run(Refusal::Unavailable);
+            out.tell(ENTRY, Msg::Refused { ticket, failure });
+            return;
+        }
+        let input = DeskInput::Arrive {
+            ticket,
+            target,
+            ask,
+        };
+        self.desk(shared, now, input, out);
+    }
+
+    fn on_ended(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        ticket: Ticket,
+        ok: bool,
+        out: &mut Out,
+    ) {
+        let used = self
+            .engines
+            .iter_mut()
+            .find_map(|(target, engine)| engine.using.remove(&ticket).map(|_| *target));
+        self.desk(shared, now, DeskInput::Finished { ticket, ok }, out);
+        if let Some(target) = used {
+            self.tell_using(shared, now, target, out);
+        }
+    }
+
+    /// Hands one input to the desk and carries out what it wants.
+    fn desk(&mut self, shared: &mut Shared, now: Time, input: DeskInput, out: &mut Out) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            let mut wants = Vec::new();
+            self.desk.handle(now, input, &mut wants);
+            for want in wants {
+                inputs.extend(self.carry_out(shared, now, want, out));
+            }
+        }
+    }
+
+    /// Carries out one wish of the desk; returns what it has to hear at once.
+    fn carry_out(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        want: DeskOutput,
+        out: &mut Out,
+    ) -> Option<DeskInput> {
+        match want {
+            DeskOutput::Send {
+                ticket,
+                target,
+                priority,
+            } => return self.send(shared, now, ticket, target, priority, out),
+            DeskOutput::Refuse { ticket, failure } => {
+                out.tell(ENTRY, Msg::Refused { ticket, failure });
+            }
+            DeskOutput::Preempt(ticket) => out.tell(ENTRY, Msg::GiveWay(ticket)),
+            DeskOutput::Load { target, key } => return self.load(shared, now, target, key, out),
+            DeskOutput::Unload { target, key } => {
+                return self.unload(shared, now, target, key, out);
+            }
+            DeskOutput::Residents {
+                target,
+                whole,
+                added,
+                removed,
+                running,
+                queued,
+            } => {
+                let change = residents::Change {
+                    whole,
+                    added,
+                    removed,
+                    running,
+                    queued,
+                };
+                self.tell_residents(shared, now, target, change, out);
+            }
+            DeskOutput::Wake(at) => shared.wake(ENGINES, at),
+        }
+        None
+    }
+
+    /// Lets a request go to its engine, if this instance may still send there.
+    fn send(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        ticket: Ticket,
+        target: TargetNo,
+        priority: i32,
+        out: &mut Out,
+    ) -> Option<DeskInput> {
+        let name = shared.names.target_name(target).clone();
+        let fencing = fencing(shared, target);
+        // Guard: a request sent after the lease lapsed could meet an engine
+        // whose new owner is unloading the adapter. The holder compares the
+        // lease with the clock now, not with a timer that may be late.
+        if self.holder.may_send(now, &name, fencing).is_none() {
+            base::hit!(send_without_lease);
+            let failure = Failure::not_run(Refusal::Unavailable);
+            out.tell(ENTRY, Msg::Refused { ticket, failure });
+            return Some(DeskInput::Finished { ticket, ok: true });
+        }
+        out.tell(ENTRY, Msg::Turn { ticket, priority });
+        None
+    }
+
+    fn load(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        target: TargetNo,
+        key: AdapterKey,
+        out: &mut Out,
+    ) -> Option<DeskInput> {
+        let end = LoadEnd::Failed;
+        let failed = DeskInput::Loaded { target, key, end };
+        let resident = shared.names.resident(key);
+        let Some(weights) = weights(shared, &resident) else {
+            return Some(failed);
+        };
+        let name = shared.names.target_name(target).clone();
+        let may = self
+            .holder
+            .may_order(now, &name, Ask::Load, fencing(shared, target));
+        let Some(fence) = may else {
+            return Some(failed);
+        };
+        let body = Order::Load(resident, weights);
+        self.order(
+            shared,
+            target,
+            body,
+            fence,
+            Sent::Load(target, key, fence),
+            out,
+        );
+        None
+    }
+
+    fn unload(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        target: TargetNo,
+        key: AdapterKey,
+        out: &mut Out,
+    ) -> Option<DeskInput> {
+        let resident = shared.names.resident(key);
+        let name = shared.names.target_name(target).clone();
+        let fencing = fencing(shared, target);
+        let ask = Ask::Unload(&resident);
+        let Some(fence) = self.holder.may_order(now, &name, ask, fencing) else {
+            return Some(DeskInput::Unloaded {
+                target,
+                key,
+                ok: false,
+            });
+        };
+        let body = Order::Unload(resident);
+        self.order(shared, target, body, fence, Sent::Unload(target, key), out);
+        None
+    }
+
+    fn order(
+        &mut self,
+        shared: &Shared,
+        target: TargetNo,
+        body: Order,
+        fence: Fence,
+        sent: Sent,
+        out: &mut Out,
+    ) {
+        let Some(info) = shared.targets.get(&target) else {
+            return;
+        };
+        self.next_order += 1;
+        self.orders.insert(self.next_order, sent);
+        out.emit(Output::Order {
+            order: self.next_order,
+            target: info.listed.name.clone(),
+            address: info.address,
+            body,
+            fence,
+        });
+    }
+
+    fn on_ordered(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        order: u64,
+        end: OrderEnd,
+        out: &mut Out,
+    ) {
+        let Some(sent) = self.orders.remove(&order) else {
+            return;
+        };
+        let done = end == OrderEnd::Done;
+        match sent {
+            Sent::Load(target, key, fence) => {
+                if done {
+                    self.note_loaded(shared, now, target, key, fence, out);
+                } else {
+                    let name = shared.names.target_name(target).clone();
+                    let resident = shared.names.resident(key);
+                    out.emit(Output::Event(Event::LoadFailed(name, resident)));
+                }
+                let end = if done { LoadEnd::Done } else { LoadEnd::Failed };
+                self.desk(shared, now, DeskInput::Loaded { target, key, end }, out);
+            }
+            Sent::Unload(target, key) => {
+                let ok = done;
+                self.desk(shared, now, DeskInput::Unloaded { target, key, ok }, out);
+            }
+            Sent::Touch(target, key, fence) if done => {
+                self.note_loaded(shared, now, target, key, fence, out);
+            }
+            Sent::Touch(..) => {}
+        }
+    }
+
+    fn on_report(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        poll: u64,
+        report: Option<engine::Report>,
+        out: &mut Out,
+    ) {
+        let Some(poll) = self.polls.remove(&poll) else {
+            return;
+        };
+        let target = poll.target;
+        let name = shared.names.target_name(target).clone();
+        let Some(report) = report else {
+            if shared.watched.failed(&name, poll.watch).is_ok() {
+                out.tell(ENTRY, Msg::News(News::Reachable(target, false)));
+            }
+            return;
+        };
+        let life = report.incarnation;
+        let look = shared
+            .watched
+            .finish(&name, poll.watch, poll.begun, Some(life));
+        let Ok(look) = look else {
+            return;
+        };
+        out.tell(ENTRY, Msg::News(News::Reachable(target, true)));
+        if look == Look::Restarted {
+            out.emit(Output::Event(Event::EngineRestarted(name)));
+        }
+        self.take_report(shared, now, &poll, report, out);
+    }
+
+    fn take_report(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        poll: &Poll,
+        report: engine::Report,
+        out: &mut Out,
+    ) {
+        let target = poll.target;
+        let taken = poll.begun - Duration::from_millis(report.age_ms);
+        let mut held = Vec::new();
+        for one in &report.resident {
+            if let Ok(resident) = one.lora_name.parse() {
+                held.push((shared.names.key(&resident), one.in_use));
+            }
+        }
+        let engine = self.engines.entry(target).or_default();
+        let new = engine.life != Some(report.incarnation);
+        engine.life = Some(report.incarnation);
+        engine.held = held.iter().map(|(key, _)| *key).collect();
+        self.teach(shared, now, out);
+        if new {
+            out.tell(ENTRY, Msg::Life(target, report.incarnation));
+            self.own(shared, now, target, out);
+        }
+        let load = Report {
+            target,
+            incarnation: report.incarnation,
+            taken,
+            running: report.running,
+            waiting: report.waiting,
+            cached: report.cached,
+        };
+        out.tell(ENTRY, Msg::News(News::Report(load)));
+        let input = DeskInput::Report {
+            target,
+            incarnation: report.incarnation,
+            taken,
+            held,
+        };
+        self.desk(shared, now, input, out);
+    }
+
+    /// Asks each engine that is due for its report.
+    fn poll(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
+        for (target, engine) in &mut self.engines {
+            let Some(info) = shared.targets.get(target) else {
+                continue;
+            };
+            if engine.owned.is_none() || now < engine.polled + POLL_EVERY {
+                continue;
+            }
+            let name = info.listed.name.clone();
+            let Some(watch) = shared.watched.begin(&name) else {
+                continue;
+            };
+            engine.polled = now;
+            self.next_poll += 1;
+            let poll = Poll {
+                target: *target,
+                watch,
+                begun: now,
+            };
+            self.polls.insert(self.next_poll, poll);
+            out.emit(Output::Poll {
+                poll: self.next_poll,
+                target: name,
+                address: info.address,
+            });
+        }
+        shared.wake(ENGINES, now + POLL_EVERY);
+    }
+
+    /// Tells the desk of adapters that were numbered since the last time.
+    fn teach(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
+        for (adapter, hash) in shared.names.take_fresh() {
+            self.desk(shared, now, DeskInput::Adapter { adapter, hash }, out);
+            out.tell(ENTRY, Msg::News(News::Adapter { adapter, hash }));
+        }
+    }
+
+    fn on_text(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
+        let model = Arc::clone(&shared.model);
+        for (name, brand) in &model.brands {
+            let input = DeskInput::Brand {
+                brand: shared.names.brand(name),
+                weight: brand.weight,
+            };
+            self.desk(shared, now, input, out);
+        }
+        let mut rolled = Vec::new();
+        for (name, adapter) in &model.adapters {
+            let no = shared.names.adapter(name);
+            let new = AdapterKey {
+                adapter: no,
+                version: adapter.serve,
+            };
+            match self.serving.insert(no, adapter.serve) {
+                Some(version) if version != adapter.serve => {
+                    rolled.push((AdapterKey { adapter: no, version }, new));
+                }
+                _ => {}
+            }
+        }
+        self.teach(shared, now, out);
+        for (old, new) in rolled {
+            self.desk(shared, now, DeskInput::Rolled { old, new }, out);
+            out.tell(ENTRY, Msg::News(News::Rolled { old, new }));
+        }
+    }
+}
+
+fn fencing(shared: &Shared, target: TargetNo) -> bool {
+    let info = shared.targets.get(&target).and_then(|info| info.engine());
+    info.is_some_and(|engine| engine.fencing)
+}
+
+/// Returns where the weights of `resident` lie, by the text in force.
+fn weights(shared: &Shared, resident: &engine::Resident) -> Option<String> {
+    let adapter = shared.model.adapters.get(&resident.adapter)?;
+    let known = adapter.versions.contains(&resident.version);
+    known.then(|| {
+        adapter
+            .weights
+            .replace("{version}", &resident.version.to_string())
+    })
+}
--- /dev/null
+++ b/crates/node/src/entry/live.rs
@@ -0,0 +1,156 @@
+//! One request of this instance's own callers, beside its decisions.
+
+use std::time::Duration;
+
+use base::{BrandName, Class, Failure, Mark, Refusal, TargetNo, Ticket, Time};
+use request::{AttemptNo, Request, Start};
+use route::{Ask, Router};
+use text::model::{Limits, ServiceKind};
+use wire::{call::Answer, engine::Resident};
+
+use crate::{
+    io::{Arrival, Ending, Event, IdempotencyKey, Output},
+    shared::{Out, Shared},
+};
+
+/// A request under way.
+#[derive(Debug)]
+pub(super) struct Live {
+    pub(super) request: Request,
+    pub(super) start: Start,
+    pub(super) ask: Ask,
+    pub(super) brand: BrandName,
+    pub(super) resident: Option<Resident>,
+    pub(super) key: Option<IdempotencyKey>,
+    pub(super) body: [u8; 16],
+    pub(super) began: Time,
+    /// The engine in whose queue it waits here.
+    pub(super) queued: Option<TargetNo>,
+    /// Whether the target that it was placed on is owned here.
+    pub(super) local: bool,
+    pub(super) priority: i32,
+    /// Targets whose owner turned it away since the last attempt.
+    pub(super) turned_away: Vec<TargetNo>,
+    pub(super) sent: Option<Sent>,
+    /// Its answer, where that may have to be kept.
+    pub(super) kept: Option<Answer>,
+    /// The first run's answer.
+    pub(super) replay: Option<Answer>,
+}
+
+/// The attempt under way.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sent {
+    pub(super) attempt: AttemptNo,
+    pub(super) target: TargetNo,
+    pub(super) at: Time,
+    pub(super) local: bool,
+    pub(super) began: bool,
+}
+
+impl Live {
+    /// Looks up what the request needs.
+    ///
+    /// # Errors
+    ///
+    /// Fails as `not run` when the brand has no such service or version.
+    pub(super) fn new(
+        shared: &mut Shared,
+        router: &Router,
+        now: Time,
+        arrival: Arrival,
+    ) -> Result<Live, Failure> {
+        let not_found = Failure::not_run(Refusal::NotFound);
+        let model = shared.model.clone();
+        let service = model.service(&arrival.brand, &arrival.service);
+        let service = service.ok_or_else(|| not_found.clone())?;
+        let resident = match &service.kind {
+            ServiceKind::Plain => None,
+            ServiceKind::Assistant { adapter } => {
+                let known = model.adapters.get(adapter);
+                let known = known.ok_or_else(|| not_found.clone())?;
+                let no = shared.names.adapter(adapter);
+                let pinned = router.pin(now, no, known.serve);
+                let version = arrival.version.unwrap_or(pinned);
+                if !known.versions.contains(&version) {
+                    return Err(not_found);
+                }
+                Some(Resident {
+                    adapter: adapter.clone(),
+                    version,
+                })
+            }
+        };
+        let class = arrival.class.map_or(service.class, |c| c.min(service.class));
+        let patience = arrival.patience.unwrap_or(deadline(&model.limits, class));
+        let key = resident.as_ref().map(|r| shared.names.key(r));
+        let mark = if arrival.key.is_some() {
+            Mark::Once
+        } else {
+            service.mark
+        };
+        if mark == Mark::Once && arrival.key.is_none() {
+            return Err(Failure::not_run(Refusal::BadRequest));
+        }
+        let start = Start {
+            class,
+            mark,
+            deadline: now + patience,
+            stream: arrival.stream,
+            resumable: key.is_some() && mark == Mark::Repeatable,
+            outlives: key.is_none(),
+            adapter: key,
+            attempts: model.limits.attempts,
+        };
+        let ask = Ask {
+            pool: shared.names.pool(&service.pool),
+            key,
+            brand: shared.names.brand(&arrival.brand),
+            class,
+            prefix: arrival.prefix,
+            tokens: arrival.tokens,
+            deadline: now + patience,
+        };
+        Ok(Live {
+            request: Request::default(),
+            start,
+            ask,
+            brand: arrival.brand,
+            resident,
+            key: arrival.key,
+            body: arrival.body,
+            began: now,
+            queued: None,
+            local: false,
+            priority: 0,
+            turned_away: Vec::new(),
+            sent: None,
+            kept: None,
+            replay: None,
+        })
+    }
+
+    /// Reports how it ended.
+    pub(super) fn ended(&self, now: Time, failure: Option<Failure>, out: &mut Out) {
+        out.emit(Output::Event(Event::Ended {
+            brand: self.brand.clone(),
+            class: self.start.class,
+            failure,
+            took: now.since(self.began),
+        }));
+    }
+}
+
+/// Turns a request away before anything was decided about it.
+pub(super) fn refuse(ticket: Ticket, failure: Failure, out: &mut Out) {
+    let end = Ending::Failed(failure);
+    out.emit(Output::Finish { ticket, end });
+}
+
+fn deadline(limits: &Limits, class: Class) -> Duration {
+    match class {
+        Class::Critical => limits.critical_deadline,
+        Class::Live => limits.live_deadline,
+        Class::Batch => limits.batch_deadline,
+    }
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,126 @@
+//! One node of the system as one plain value.
+
+use base::Time;
+use kernel::{Kernel, Name};
+
+use crate::{
+    beat::Beat,
+    config::Config,
+    engines::Engines,
+    entry::Entry,
+    fleet::Fleet,
+    io::{Input, Output},
+    msg::{ALL, BEAT, CONFIG, ENGINES, ENTRY, FLEET, Msg},
+    shared::{Settings, Shared},
+};
+
+/// One entry instance's decisions: give it what happens and the time, and do
+/// what comes out.
+///
+/// It has no clock, socket or thread, and draws only from the seed in its
+/// [`Settings`]: the same inputs at the same times give the same outputs.
+#[derive(Debug)]
+pub struct Node {
+    kernel: Kernel<Shared, Msg, Output>,
+    shared: Shared,
+    wake: Option<Time>,
+}
+
+impl Node {
+    /// Makes a node that starts at `now`; its first input should be
+    /// [`Input::Wake`].
+    #[must_use]
+    pub fn new(settings: Settings, now: Time) -> Self {
+        let mut shared = Shared::new(settings);
+        let mut kernel = Kernel::default();
+        let mut config = Config::default();
+        kernel.register(CONFIG, move |shared, now, msg, out| {
+            config.handle(shared, now, msg, out);
+        });
+        let mut fleet = Fleet::default();
+        kernel.register(FLEET, move |shared, now, msg, out| {
+            fleet.handle(shared, now, msg, out);
+        });
+        let mut beat = Beat::default();
+        kernel.register(BEAT, move |shared, now, msg, out| {
+            beat.handle(shared, now, msg, out);
+        });
+        let mut engines = Engines::new(&shared, now);
+        kernel.register(ENGINES, move |shared, now, msg, out| {
+            engines.handle(shared, now, msg, out);
+        });
+        let mut entry = Entry::new(&mut shared);
+        kernel.register(ENTRY, move |shared, now, msg, out| {
+            entry.handle(shared, now, msg, out);
+        });
+        for name in ALL {
+            shared.wake(name, now);
+        }
+        Node {
+            kernel,
+            shared,
+            wake: None,
+        }
+    }
+
+    /// Takes one input and appends what has to be done about it.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Replied { call, reply } => {
+                let Some((name, purpose)) = self.shared.ended(call) else {
+                    return;
+                };
+                self.run(now, name, Msg::Replied { purpose, reply }, out);
+            }
+            Input::Called { call, from, body } => {
+                let name = service_for(&body);
+                self.run(now, name, Msg::Called { call, from, body }, out);
+            }
+            Input::Drain => {
+                self.shared.draining = true;
+                for name in ALL {
+                    self.run(now, name, Msg::Drain, out);
+                }
+            }
+            Input::Wake => {}
+            input @ Input::List(_) => self.run(now, FLEET, Msg::Input(input), out),
+            input @ (Input::Report { .. } | Input::Ordered { .. }) => {
+                self.run(now, ENGINES, Msg::Input(input), out);
+            }
+            input => self.run(now, ENTRY, Msg::Input(input), out),
+        }
+        for name in self.shared.due(now) {
+            self.run(now, name, Msg::Wake, out);
+        }
+        self.ask_wake(out);
+    }
+
+    /// Returns the version of the text in force here.
+    #[must_use]
+    pub fn version(&self) -> base::TextVersion {
+        self.shared.version
+    }
+
+    fn run(&mut self, now: Time, to: Name, msg: Msg, out: &mut Vec<Output>) {
+        self.kernel.run(&mut self.shared, now, to, msg, out);
+    }
+
+    fn ask_wake(&mut self, out: &mut Vec<Output>) {
+        let next = self.shared.next_wake();
+        if next != self.wake
+            && let Some(at) = next
+        {
+            out.push(Output::Wake(at));
+        }
+        self.wake = next;
+    }
+}
+
+/// Returns the service that answers a call.
+fn service_for(call: &wire::call::Call) -> Name {
+    use wire::call::Call;
+    match call {
+        Call::Version | Call::Text { .. } => CONFIG,
+        _ => ENGINES,
+    }
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -17,6 +17,8 @@
     pub enum Call {
         /// Entry to control: alive, and asks for leases.
         Beat(Beat),
+        /// Anyone to anyone: asks which version of the text is in force there.
+        Version,
         /// Anyone to anyone: asks for the newest text.
         Text {
             /// The version that the asker has.
@@ -46,6 +48,8 @@
         Done,
         /// Answers [`Call::Beat`].
         Beat(BeatReply),
+        /// Answers [`Call::Version`].
+        Version(TextVersion),
         /// Answers [`Call::Text`] with a newer text.
         Text {
             /// Its version.
