Give the resend of a marked request a reason of its own

A resend finds the first under way, done without a kept answer, or in doubt. None of the reasons said so: 'unavailable' would invite another try of what may have run. 409 with the verdict tells them apart.

--- a/crates/base/src/verdict.rs
+++ b/crates/base/src/verdict.rs
@@ -71,6 +71,9 @@
         TooLarge,
         /// The same idempotency key came with another body.
         KeyReused,
+        /// The same marked request is under way, or was answered before; the
+        /// verdict says which.
+        Duplicate,
         /// The brand or class is over its share.
         Overloaded,
         /// The deadline can't be met, or has passed.
@@ -96,6 +99,7 @@
             Refusal::NotFound => "not-found",
             Refusal::TooLarge => "too-large",
             Refusal::KeyReused => "key-reused",
+            Refusal::Duplicate => "duplicate",
             Refusal::Overloaded => "overloaded",
             Refusal::Deadline => "deadline",
             Refusal::Unavailable => "unavailable",
@@ -113,6 +117,7 @@
             Refusal::BadKey => 401,
             Refusal::NotFound => 404,
             Refusal::TooLarge => 413,
+            Refusal::Duplicate => 409,
             Refusal::KeyReused => 422,
             Refusal::Overloaded => 429,
             Refusal::TargetFailed => 502,
--- a/crates/web/src/reply.rs
+++ b/crates/web/src/reply.rs
@@ -95,6 +95,7 @@
         Refusal::NotFound => "there is no such assistant or service",
         Refusal::TooLarge => "the body is larger than the limit",
         Refusal::KeyReused => "the idempotency key was used with another body",
+        Refusal::Duplicate => "the same request was sent before",
         Refusal::Overloaded => "too much work is waiting",
         Refusal::Deadline => "the deadline can't be met",
         Refusal::Unavailable => "no target can take the request now",
