Drive a control instance as one plain value

Control joins a replica of the log, the replicated state and the leader's grantor. Claims that arrive while a write of claims is under way share the next one. Only an instance whose leadership lease holds at this moment answers beats and claims; any other names the leader.

--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -16,7 +16,7 @@
 
 use self::{
     prints::Prints,
-    record::{Key, Kept, Phase},
+    record::{Kept, Key, Phase},
 };
 
 record! {
@@ -127,7 +127,11 @@
             // its date was believed only one of both times.
             if let Some(ran) = prints.find(claim.dated, print) {
                 base::hit!(fingerprint_found);
-                return if ran { ClaimReply::Ran(None) } else { ClaimReply::MayHaveRun };
+                return if ran {
+                    ClaimReply::Ran(None)
+                } else {
+                    ClaimReply::MayHaveRun
+                };
             }
             // Guard: keys of this date were forgotten for lack of room, and
             // this may be one of them. Refusing it costs a resend under a new
@@ -142,7 +146,10 @@
             let retry = std::time::Duration::from_millis(self.limits.retry_ms);
             return ClaimReply::NotNow { retry };
         }
-        self.prints.entry(claim.brand.clone()).or_default().reserve(dated);
+        self.prints
+            .entry(claim.brand.clone())
+            .or_default()
+            .reserve(dated);
         self.under_way.insert((at, key.clone()));
         self.keys.insert(key, Kept::running(claim, dated, at));
         ClaimReply::Yours
@@ -190,7 +197,8 @@
     #[must_use]
     pub fn claimers(&self) -> BTreeSet<&InstanceName> {
         let keys = self.under_way.iter().map(|(_, key)| key);
-        keys.filter_map(|key| Some(&self.keys.get(key)?.instance)).collect()
+        keys.filter_map(|key| Some(&self.keys.get(key)?.instance))
+            .collect()
     }
 
     /// Shrinks settled keys whose time in full is over at `at`.
@@ -283,7 +291,11 @@
         prints.release(kept.dated);
         prints.add(kept.dated, print_of(key), ran);
         prints.trim(self.limits.dated);
-        while self.answers.front().is_some_and(|k| !self.keys.contains_key(k)) {
+        while self
+            .answers
+            .front()
+            .is_some_and(|k| !self.keys.contains_key(k))
+        {
             self.answers.pop_front();
         }
     }
--- a/crates/control/src/claims/prints.rs
+++ b/crates/control/src/claims/prints.rs
@@ -96,7 +96,10 @@
         let at = self.sorted.partition_point(|p| *p < print);
         let sorted = self.sorted.get(at).copied();
         let fresh = self.fresh.range(print..).next().copied();
-        let hit = [sorted, fresh].into_iter().flatten().find(|p| p & !1 == print)?;
+        let hit = [sorted, fresh]
+            .into_iter()
+            .flatten()
+            .find(|p| p & !1 == print)?;
         Some(hit & 1 == 1)
     }
 
--- a/crates/control/src/claims/record.rs
+++ b/crates/control/src/claims/record.rs
@@ -111,7 +111,8 @@
             }
 
             fn visit_bytes<E: de::Error>(self, raw: &[u8]) -> Result<[u8; 16], E> {
-                raw.try_into().map_err(|_| E::invalid_length(raw.len(), &self))
+                raw.try_into()
+                    .map_err(|_| E::invalid_length(raw.len(), &self))
             }
         }
         from.deserialize_bytes(Sixteen)
--- /dev/null
+++ b/crates/control/src/control/calls.rs
@@ -0,0 +1,168 @@
+//! Calls of other processes, and changes by operators.
+
+use std::time::Duration;
+
+use base::{InstanceName, Ticket, Time};
+use replog::{Message, ReplicaId};
+use wire::{
+    call::{Beat, BeatReply, Call, ClaimReply, Reply},
+    operator::{Applied, Apply, Why},
+};
+
+use super::{Control, Item, Output, QUEUE_MAX, RETRY_MS, What, answer::Waiting, io::Asker};
+use crate::{Given, Patch, Texts};
+
+impl Control {
+    pub(super) fn on_call(&mut self, now: Time, ticket: Ticket, call: Call, out: &mut Vec<Output>) {
+        let reply = match call {
+            Call::Log(raw) => self.on_log(now, &raw, out),
+            Call::Text { have } => self.newer_text(have),
+            Call::Apply(apply) => {
+                self.on_apply(now, Asker::Control(ticket), apply, out);
+                return;
+            }
+            // Guard: a leader that was cut off or frozen would renew leases
+            // and grant claims that a newer one has given to others. Whoever
+            // can't act as the leader at this very moment answers nothing.
+            Call::Beat(_) | Call::Claim(_) | Call::Settle(_) if !self.replica.leads(now) => {
+                base::hit!(not_leading);
+                let leader = self.other_leader();
+                Reply::Elsewhere { leader }
+            }
+            Call::Beat(beat) => Reply::Beat(self.on_beat(now, &beat, out)),
+            Call::Claim(claim) => match self.state.claims().known(&claim) {
+                Some(known) => Reply::Claim(known),
+                None => return self.on_item(ticket, Item::Claim(claim), out),
+            },
+            Call::Settle(settle) => return self.on_item(ticket, Item::Settle(settle), out),
+            Call::Confirm(_) | Call::Residents(_) | Call::Handover(_) | Call::Drain => Reply::Done,
+        };
+        out.push(Output::Reply { ticket, reply });
+    }
+
+    pub(super) fn on_apply(
+        &mut self,
+        now: Time,
+        asker: Asker,
+        apply: Apply,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.replica.leads(now) {
+            out.push(self.pass(asker, apply));
+            return;
+        }
+        let given = Given {
+            change: &apply.change,
+            base: apply.base,
+            by: &apply.by,
+            digest: Texts::digest(&apply.text),
+        };
+        if let Some(known) = self.state.texts().known(given) {
+            out.push(asker.answer(known));
+            return;
+        }
+        if let Err(errors) = (self.check)(&apply.text) {
+            let why = Why::BadText { errors };
+            out.push(asker.answer(Applied::Refused { why }));
+            return;
+        }
+        let digest = given.digest;
+        let patch = Patch::between(self.state.texts().text(), &apply.text);
+        let what = What::Text {
+            change: apply.change,
+            base: apply.base,
+            by: apply.by,
+            patch,
+            digest,
+        };
+        self.propose(now, what, Waiting::Text(asker), out);
+    }
+
+    /// Takes the leader's answer to a change that was passed on.
+    pub(super) fn on_passed(
+        &mut self,
+        ticket: Ticket,
+        reply: Option<Reply>,
+        out: &mut Vec<Output>,
+    ) {
+        let retry_ms = RETRY_MS;
+        let applied = match reply {
+            Some(Reply::Applied(applied)) => applied,
+            // The callee didn't lead, so it has proposed nothing.
+            Some(Reply::Elsewhere { .. }) => Applied::Refused {
+                why: Why::NoQuorum { retry_ms },
+            },
+            _ => Applied::Unknown { retry_ms },
+        };
+        out.push(Output::Applied { ticket, applied });
+    }
+
+    /// Returns the leader if it is another instance.
+    pub(super) fn other_leader(&self) -> Option<InstanceName> {
+        let leader = self.replica.leader()?;
+        (leader != self.replica.id()).then(|| leader.instance.clone())
+    }
+
+    fn pass(&self, asker: Asker, apply: Apply) -> Output {
+        match (asker, self.other_leader()) {
+            (Asker::Operator(ticket), Some(to)) => Output::Pass { ticket, to, apply },
+            (Asker::Operator(_), None) => {
+                let retry_ms = RETRY_MS;
+                let why = Why::NoQuorum { retry_ms };
+                asker.answer(Applied::Refused { why })
+            }
+            (Asker::Control(ticket), leader) => {
+                let reply = Reply::Elsewhere { leader };
+                Output::Reply { ticket, reply }
+            }
+        }
+    }
+
+    fn on_log(&mut self, now: Time, raw: &[u8], out: &mut Vec<Output>) -> Reply {
+        let envelope: Result<(ReplicaId, Message), _> = rmp_serde::from_slice(raw);
+        if let Ok((from, message)) = envelope {
+            self.drive(now, replog::Input::Received { from, message }, out);
+        }
+        Reply::Done
+    }
+
+    fn newer_text(&self, have: base::TextVersion) -> Reply {
+        let texts = self.state.texts();
+        if texts.version() <= have {
+            return Reply::Done;
+        }
+        Reply::Text {
+            version: texts.version(),
+            text: texts.text().to_owned(),
+        }
+    }
+
+    fn on_beat(&mut self, now: Time, beat: &Beat, out: &mut Vec<Output>) -> BeatReply {
+        let mut changes = Vec::new();
+        let part = self
+            .grantor
+            .beat(now, beat, self.state.table(), &mut changes);
+        self.propose_changes(now, changes, out);
+        BeatReply {
+            serial: beat.serial,
+            text: self.state.texts().version(),
+            leases: part.leases,
+            loads: part.loads,
+            roster: part.roster,
+            whole: part.whole,
+            peers: part.peers,
+            gone: part.gone,
+            tell: part.tell,
+        }
+    }
+
+    fn on_item(&mut self, ticket: Ticket, item: Item, out: &mut Vec<Output>) {
+        if self.queue.len() < QUEUE_MAX {
+            self.enqueue(ticket, item);
+            return;
+        }
+        let retry = Duration::from_millis(RETRY_MS);
+        let reply = Reply::Claim(ClaimReply::NotNow { retry });
+        out.push(Output::Reply { ticket, reply });
+    }
+}
--- /dev/null
+++ b/crates/control/src/control/drive.rs
@@ -0,0 +1,126 @@
+//! The replica of the log: inputs to it, and what its outputs mean here.
+
+use std::collections::VecDeque;
+
+use base::Time;
+use owner::Change;
+use replog::{Blob, Index};
+use wire::call::Call;
+
+use super::{Control, Event, Output};
+use crate::{Command, Outcome, State, What};
+
+impl Control {
+    /// Hands one input to the replica, and carries out what follows from it.
+    pub(super) fn drive(&mut self, now: Time, input: replog::Input, out: &mut Vec<Output>) {
+        let mut inputs = VecDeque::from([input]);
+        while let Some(input) = inputs.pop_front() {
+            let mut outputs = Vec::new();
+            self.replica.handle(now, input, &mut outputs);
+            for output in outputs {
+                inputs.extend(self.carry_out(output, out));
+            }
+        }
+    }
+
+    /// Carries out one output; returns what the replica has to be told.
+    fn carry_out(
+        &mut self,
+        output: replog::Output,
+        out: &mut Vec<Output>,
+    ) -> Option<replog::Input> {
+        match output {
+            replog::Output::Send { to, message } => {
+                let envelope = (self.replica.id(), message);
+                let raw = rmp_serde::to_vec(&envelope);
+                let raw = raw.expect("a message has only encodable fields");
+                let call = Call::Log(raw);
+                out.push(Output::Send { to, call });
+            }
+            replog::Output::Write { no, records } => out.push(Output::Write { no, records }),
+            replog::Output::Rewrite {
+                no,
+                snapshot,
+                records,
+            } => out.push(Output::Rewrite {
+                no,
+                snapshot,
+                records,
+            }),
+            replog::Output::Apply { index, command, .. } => self.apply(index, &command, out),
+            replog::Output::Restore { index, data } => self.restore(index, &data, out),
+            replog::Output::Proposed { ticket, result } => self.on_proposed(ticket, result, out),
+            replog::Output::TakeSnapshot { upto } => {
+                let data = self.state.save().into();
+                return Some(replog::Input::Snapshot { index: upto, data });
+            }
+            replog::Output::Wake { at } => self.replica_wake = Some(at),
+            replog::Output::Role { .. } => {}
+            replog::Output::Halted { reason } => out.push(Output::Event(Event::Halted { reason })),
+        }
+        None
+    }
+
+    fn apply(&mut self, index: Index, raw: &Blob, out: &mut Vec<Output>) {
+        let Ok(command) = Command::decode(raw) else {
+            out.push(Output::Event(Event::Unreadable { index }));
+            return;
+        };
+        let outcome = self.state.apply(index.get(), &command);
+        self.tell(index, &command, &outcome, out);
+        self.on_outcome(index, outcome, out);
+    }
+
+    fn restore(&mut self, index: Index, raw: &Blob, out: &mut Vec<Output>) {
+        match State::restore(raw) {
+            Ok(state) => self.state = state,
+            Err(_) => out.push(Output::Event(Event::Unreadable { index })),
+        }
+        self.give_up_before(index, out);
+        self.text_changed(out);
+    }
+
+    fn tell(&mut self, index: Index, command: &Command, outcome: &Outcome, out: &mut Vec<Output>) {
+        match (&command.what, outcome) {
+            (What::Text { .. }, Outcome::Text(wire::operator::Applied::Accepted { version }))
+                if *version == self.state.texts().version() =>
+            {
+                self.text_changed(out);
+            }
+            (What::Owner(change), Outcome::Owner(true)) => {
+                let event = event_of(index, change);
+                out.extend(event.map(Output::Event));
+            }
+            _ => {}
+        }
+    }
+
+    fn text_changed(&mut self, out: &mut Vec<Output>) {
+        let version = self.state.texts().version();
+        if let Ok(checked) = (self.check)(self.state.texts().text()) {
+            self.grantor.set_rate(checked.rate);
+        }
+        out.push(Output::Event(Event::Text { version }));
+    }
+}
+
+fn event_of(index: Index, change: &Change) -> Option<Event> {
+    let event = match change {
+        Change::Join { life, .. } => Event::Joined {
+            instance: life.instance.clone(),
+        },
+        Change::Admit { life } => Event::Admitted {
+            instance: life.instance.clone(),
+        },
+        Change::Dismiss { life } => Event::Dismissed {
+            instance: life.instance.clone(),
+        },
+        Change::Assign { target, life, .. } => Event::Owner {
+            target: target.clone(),
+            instance: life.instance.clone(),
+            fence: base::Fence(index.get()),
+        },
+        Change::Account { .. } | Change::Forget { .. } => return None,
+    };
+    Some(event)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,7 +17,7 @@
 pub use crate::{
     claims::{Claims, Limits},
     command::{BadCommand, Command, Item, What},
-    control::{Checked, Config, Control, Event, Input, Output, Verdict},
+    control::{Check, Checked, Config, Control, Event, Input, Output},
     patch::{BadPatch, Patch},
     state::{BadState, Outcome, State},
     texts::{Given, Texts},
--- a/crates/control/src/patch.rs
+++ b/crates/control/src/patch.rs
@@ -128,10 +128,7 @@
     out.extend((0..tail).map(|k| (at.0 + a_end + k, at.1 + b_end + k)));
 }
 
-fn common<'a>(
-    a: impl Iterator<Item = &'a &'a str>,
-    b: impl Iterator<Item = &'a &'a str>,
-) -> usize {
+fn common<'a>(a: impl Iterator<Item = &'a &'a str>, b: impl Iterator<Item = &'a &'a str>) -> usize {
     a.zip(b).take_while(|(a, b)| a == b).count()
 }
 
--- a/crates/control/src/texts.rs
+++ b/crates/control/src/texts.rs
@@ -101,7 +101,10 @@
         base::hit!(lost_race);
         let next = given.base.next();
         let winner = self.won(next).or_else(|| self.history.back());
-        let forgotten = self.history.front().is_some_and(|won| won.entry.version > next);
+        let forgotten = self
+            .history
+            .front()
+            .is_some_and(|won| won.entry.version > next);
         Some(match winner {
             Some(won) if !forgotten => Applied::Refused {
                 why: Why::Conflict {
--- a/crates/owner/src/grantor.rs
+++ b/crates/owner/src/grantor.rs
@@ -166,6 +166,15 @@
         all.map(|(name, s)| (name, &s.zone, s.text, s.last, s.leaving))
     }
 
+    /// Returns how long nothing was heard of `name`, as far as this leader can
+    /// tell; nothing at all since it began to lead counts from then.
+    #[must_use]
+    pub fn silence(&self, now: Time, name: &InstanceName) -> Duration {
+        let since = self.since.unwrap_or(now);
+        let last = self.seen.get(name).map_or(since, |seen| seen.last);
+        now.since(last)
+    }
+
     fn note(&mut self, now: Time, beat: &Beat) -> Life {
         let life = Life {
             instance: beat.instance.clone(),
--- a/crates/owner/src/holder.rs
+++ b/crates/owner/src/holder.rs
@@ -249,7 +249,7 @@
         if held.in_charge(now, self.mates(), self.config.alone) {
             Own::Full { fence }
         } else {
-            base::hit!(lease_lapsed);
+            base::hit!(engine_lease_lapsed);
             Own::Restricted { fence }
         }
     }
