Give operators the command line quetzalarch

A change carries an id made of base, author and text unless one is given, so that the same command run again after a lost answer is the same change.

--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,167 @@
+//! The command line.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use base::{AdapterName, BrandName, ChangeId, InstanceName, ServiceName, TextVersion};
+use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
+
+pub(crate) const JSON: &str = "json";
+pub(crate) const CONTROL: &str = "control";
+pub(crate) const ENTRY: &str = "entry";
+pub(crate) const WAIT: &str = "wait";
+
+/// Seconds for which `apply` resends a change whose outcome is unknown.
+const WAIT_DEFAULT: &str = "15";
+
+/// Builds the command line.
+pub(crate) fn command() -> Command {
+    Command::new("quetzalarch")
+        .about("Checks and applies the operators' text, and shows what the system does")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help(
+            "Exit codes: 0 done, 1 refused, 2 wrong usage, 3 nobody reached, 4 unknown outcome",
+        )
+        .subcommand_required(true)
+        .arg(json())
+        .arg(urls(
+            CONTROL,
+            "QUETZAL_CONTROL",
+            "Control instances' operators' addresses",
+        ))
+        .subcommands([
+            Command::new("check")
+                .about("Checks a text without sending it")
+                .arg(file("file")),
+            diff(),
+            apply(),
+            Command::new("status").about("Shows instances, engines and the text in force"),
+            Command::new("history").about("Lists the accepted changes"),
+            Command::new("text").about("Prints the text in force"),
+            explain(),
+            drain(),
+            Command::new("key")
+                .about("Reads a caller's key from standard input and prints its hash for the text"),
+        ])
+}
+
+fn json() -> Arg {
+    Arg::new(JSON)
+        .long(JSON)
+        .global(true)
+        .action(ArgAction::SetTrue)
+        .help("Prints JSON")
+}
+
+fn urls(name: &'static str, env: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .env(env)
+        .global(true)
+        .value_name("URL,...")
+        .value_delimiter(',')
+        .action(ArgAction::Append)
+        .value_parser(address)
+        .help(format!(
+            "{help}, as http://ip:port; the next is tried where one doesn't answer"
+        ))
+}
+
+fn file(name: &'static str) -> Arg {
+    Arg::new(name)
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("A text; - is standard input")
+}
+
+fn diff() -> Command {
+    Command::new("diff")
+        .about("Shows what changes from OLD to NEW, or from the text in force to the one file")
+        .arg(file("old").value_name("OLD"))
+        .arg(file("new").value_name("NEW").required(false))
+}
+
+fn apply() -> Command {
+    Command::new("apply")
+        .about("Brings a text into force; run it again after an unknown outcome, it applies once")
+        .arg(file("file"))
+        .arg(
+            Arg::new("base")
+                .long("base")
+                .value_name("VERSION")
+                .value_parser(value_parser!(TextVersion))
+                .help("The version that was edited; the one in force if not given"),
+        )
+        .arg(
+            Arg::new("change")
+                .long("change")
+                .value_name("ID")
+                .value_parser(value_parser!(ChangeId))
+                .help("Id by which a resend is recognised; made of base, author and text if not given"),
+        )
+        .arg(
+            Arg::new("by")
+                .long("by")
+                .env("USER")
+                .value_name("WHO")
+                .default_value("unknown")
+                .help("Who makes the change"),
+        )
+        .arg(
+            Arg::new(WAIT)
+                .long(WAIT)
+                .value_name("SECONDS")
+                .default_value(WAIT_DEFAULT)
+                .value_parser(value_parser!(u64).range(0..=3_600))
+                .help("How long a change with unknown outcome is sent again"),
+        )
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Says why requests of a brand's service, or of an adapter, go where they do")
+        .arg(urls(ENTRY, "QUETZAL_ENTRY", "Entry instances' addresses"))
+        .arg(
+            Arg::new("brand")
+                .long("brand")
+                .required(true)
+                .value_name("NAME")
+                .value_parser(value_parser!(BrandName)),
+        )
+        .arg(
+            Arg::new("service")
+                .long("service")
+                .value_name("NAME")
+                .value_parser(value_parser!(ServiceName)),
+        )
+        .arg(
+            Arg::new("adapter")
+                .long("adapter")
+                .value_name("NAME")
+                .value_parser(value_parser!(AdapterName)),
+        )
+        .group(
+            ArgGroup::new("what")
+                .args(["service", "adapter"])
+                .required(true),
+        )
+}
+
+fn drain() -> Command {
+    Command::new("drain")
+        .about("Asks an instance to stop in order")
+        .arg(
+            Arg::new("instance")
+                .value_name("INSTANCE")
+                .required(true)
+                .value_parser(value_parser!(InstanceName)),
+        )
+}
+
+fn address(raw: &str) -> Result<SocketAddr, String> {
+    let rest = raw
+        .strip_prefix("http://")
+        .map(|rest| rest.trim_end_matches('/'));
+    let addr = rest.and_then(|rest| rest.parse().ok());
+    addr.ok_or_else(|| format!("`{raw}` is no http://ip:port"))
+}
--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,48 @@
+//! One module for each command.
+
+mod apply;
+mod local;
+mod show;
+
+use std::{
+    io::Read,
+    path::{Path, PathBuf},
+};
+
+use anyhow::{Context, Result, bail};
+use clap::ArgMatches;
+
+use crate::done::Done;
+
+/// Runs the command that was given.
+///
+/// # Errors
+///
+/// Fails on wrong usage, and when no instance answers.
+pub(crate) async fn run(matches: &ArgMatches) -> Result<Done> {
+    match matches.subcommand() {
+        Some(("check", args)) => local::check(args),
+        Some(("diff", args)) => local::diff(args).await,
+        Some(("key", _)) => local::key(),
+        Some(("apply", args)) => apply::run(args).await,
+        Some(("status", args)) => show::status(args).await,
+        Some(("history", args)) => show::history(args).await,
+        Some(("text", args)) => show::text(args).await,
+        Some(("explain", args)) => show::explain(args).await,
+        Some(("drain", args)) => show::drain(args).await,
+        _ => bail!("no such command"),
+    }
+}
+
+/// Reads the text that an argument names.
+fn read(args: &ArgMatches, name: &str) -> Result<String> {
+    let path = args.get_one::<PathBuf>(name).context("no file given")?;
+    if path == Path::new("-") {
+        let mut text = String::new();
+        std::io::stdin()
+            .read_to_string(&mut text)
+            .context("can't read standard input")?;
+        return Ok(text);
+    }
+    std::fs::read_to_string(path).with_context(|| format!("can't read {}", path.display()))
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,23 @@
-//! Thin daemon.
+//! The operators' command line `quetzalarch`.
+//!
+//! Each command ends in a [`done::Done`]: what to print, as text and as JSON,
+//! and the exit code that scripts go by.
 
-fn main() {}
+mod args;
+mod command;
+mod done;
+mod remote;
+mod table;
+
+use std::process::ExitCode;
+
+use done::Done;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let matches = args::command().get_matches();
+    let done = command::run(&matches)
+        .await
+        .unwrap_or_else(|err| Done::failed(&err));
+    done.print(matches.get_flag(args::JSON))
+}
