--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -9,9 +9,13 @@
 pub(crate) const CONTROL: &str = "control";
 pub(crate) const ENTRY: &str = "entry";
 pub(crate) const WAIT: &str = "wait";
+pub(crate) const TIMEOUT: &str = "timeout";
 
 /// Seconds for which `apply` resends a change whose outcome is unknown.
 const WAIT_DEFAULT: &str = "15";
+/// Seconds that a silent instance costs before the next is asked; a change
+/// takes three at most.
+const TIMEOUT_DEFAULT: &str = "8";
 
 /// Builds the command line.
 pub(crate) fn command() -> Command {
@@ -23,6 +27,7 @@
         )
         .subcommand_required(true)
         .arg(json())
+        .arg(timeout())
         .arg(urls(
             CONTROL,
             "QUETZAL_CONTROL",
@@ -52,6 +57,16 @@
         .help("Prints JSON")
 }
 
+fn timeout() -> Arg {
+    Arg::new(TIMEOUT)
+        .long(TIMEOUT)
+        .global(true)
+        .value_name("SECONDS")
+        .default_value(TIMEOUT_DEFAULT)
+        .value_parser(value_parser!(u64).range(1..=600))
+        .help("How long an instance may stay silent")
+}
+
 fn urls(name: &'static str, env: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
--- a/crates/cli/src/remote.rs
+++ b/crates/cli/src/remote.rs
@@ -13,25 +13,22 @@
     header_value,
 };
 
-use crate::done::{Exit, Stop};
+use crate::{
+    args::TIMEOUT,
+    done::{Exit, Stop},
+};
 
 /// Largest answer that is read: a text of 48,000 adapters has 2 MB.
 const ANSWER_MOST: usize = 64 << 20;
 
-/// A silent instance costs an operator this long before the next is asked.
-const LIMITS: Limits = Limits {
-    connect: Duration::from_millis(1_500),
-    first: Duration::from_secs(8),
-    idle: Duration::from_secs(5),
-    whole: Duration::from_secs(30),
-    reuse: Duration::ZERO,
-    hedge: Duration::ZERO,
-};
+/// Longest time for a connection to stand.
+const CONNECT: Duration = Duration::from_millis(1_500);
 
 /// Instances that may be asked.
 pub(crate) struct Remote {
     client: Client,
     addrs: Vec<SocketAddr>,
+    limits: Limits,
 }
 
 /// An answer, whatever its status.
@@ -70,6 +67,7 @@
         Ok(Remote {
             client: Client::default(),
             addrs,
+            limits: limits(matches),
         })
     }
 
@@ -146,7 +144,7 @@
         let send = Send {
             headers,
             body,
-            limits: LIMITS,
+            limits: self.limits,
             ..Send::new(addr, method, path)
         };
         let answer = self.client.send(send).await?;
@@ -183,6 +181,21 @@
     }
 }
 
+/// Returns how long one instance may take: an instance that took a question
+/// and went silent must not keep an operator from the next one.
+fn limits(matches: &ArgMatches) -> Limits {
+    let seconds = matches.get_one::<u64>(TIMEOUT).copied().unwrap_or_default();
+    let silent = Duration::from_secs(seconds);
+    Limits {
+        connect: CONNECT.min(silent),
+        first: silent,
+        idle: silent,
+        whole: silent * 4,
+        reuse: Duration::ZERO,
+        hedge: Duration::ZERO,
+    }
+}
+
 /// Says that nobody answered, and for each why.
 pub(crate) fn unreachable(lost: &[String]) -> Stop {
     let what = format!("no instance answers: {}", lost.join("; "));
--- a/crates/cli/tests/commands/fake.rs
+++ b/crates/cli/tests/commands/fake.rs
@@ -27,6 +27,8 @@
     NotRun,
     /// Reads the request and closes the connection.
     Cut,
+    /// Takes the request and stays silent.
+    Silent,
 }
 
 /// Answers left by path, and bodies taken.
@@ -36,6 +38,20 @@
     bodies: Vec<Value>,
 }
 
+impl Script {
+    fn take(&mut self, path: String, body: &[u8]) -> Option<Say> {
+        if let Ok(body) = serde_json::from_slice(body) {
+            self.bodies.push(body);
+        }
+        let left = self.says.entry(path).or_default();
+        if left.len() > 1 {
+            left.pop()
+        } else {
+            left.last().copied()
+        }
+    }
+}
+
 /// A running fake.
 pub(crate) struct Fake {
     addr: SocketAddr,
@@ -103,21 +119,13 @@
 ) -> Result<Response<Full<Bytes>>, Cut> {
     let path = req.uri().path_and_query().unwrap().to_string();
     let body = req.into_body().collect().await.unwrap().to_bytes();
-    let mut script = script.lock().unwrap();
-    if let Ok(body) = serde_json::from_slice(&body) {
-        script.bodies.push(body);
-    }
-    let left = script.says.entry(path).or_default();
-    let say = if left.len() > 1 {
-        left.pop()
-    } else {
-        left.last().copied()
-    };
+    let say = script.lock().unwrap().take(path, &body);
     let (status, verdict, body) = match say {
         Some(Say::Ok(body)) => (200, None, body),
         Some(Say::Status(status, body)) => (status, None, body),
         Some(Say::NotRun) => (503, Some("not-run"), "busy"),
         Some(Say::Cut) => return Err(Cut),
+        Some(Say::Silent) => std::future::pending().await,
         None => (404, None, "no such path"),
     };
     let mut reply = Response::new(Full::new(Bytes::from(body)));
