--- a/crates/base/src/verdict.rs
+++ b/crates/base/src/verdict.rs
@@ -82,6 +82,8 @@
         Unavailable,
         /// What is needed to claim a marked request can't be reached.
         NoQuorum,
+        /// It gave way to more urgent work and is to be sent again.
+        Preempted,
         /// The target broke off or answered wrongly.
         TargetFailed,
         /// The caller left.
@@ -104,6 +106,7 @@
             Refusal::Deadline => "deadline",
             Refusal::Unavailable => "unavailable",
             Refusal::NoQuorum => "no-quorum",
+            Refusal::Preempted => "preempted",
             Refusal::TargetFailed => "target-failed",
             Refusal::CallerGone => "caller-gone",
         }
@@ -121,7 +124,7 @@
             Refusal::KeyReused => 422,
             Refusal::Overloaded => 429,
             Refusal::TargetFailed => 502,
-            Refusal::Unavailable | Refusal::NoQuorum => 503,
+            Refusal::Unavailable | Refusal::NoQuorum | Refusal::Preempted => 503,
             Refusal::Deadline => 504,
             Refusal::CallerGone => 499,
         }
--- a/crates/web/src/reply.rs
+++ b/crates/web/src/reply.rs
@@ -100,6 +100,7 @@
         Refusal::Deadline => "the deadline can't be met",
         Refusal::Unavailable => "no target can take the request now",
         Refusal::NoQuorum => "the request can't be claimed now",
+        Refusal::Preempted => "the request gave way to more urgent work",
         Refusal::TargetFailed => "the target failed",
         Refusal::CallerGone => "the caller left",
     };
