--- /dev/null
+++ b/crates/request/tests/paths.rs
@@ -0,0 +1,282 @@
+//! Single paths through a request's life, told as a user sees them.
+
+use std::time::Duration;
+
+use base::{
+    AdapterKey, AdapterNo, Failure, Mark, Refusal, TargetNo, Time, Verdict, Version, covers,
+};
+use googletest::prelude::*;
+use request::{
+    AttemptNo, ClaimReply, Fate, Fault, Final, Input, Output, Part, RanOn, Request, Start,
+};
+
+const DEADLINE: Time = Time(1_000_000);
+const KEY: AdapterKey = AdapterKey {
+    adapter: AdapterNo(7),
+    version: Version(3),
+};
+const OTHER: AdapterKey = AdapterKey {
+    adapter: AdapterNo(7),
+    version: Version(4),
+};
+const RETRY: Option<Duration> = Some(Duration::from_secs(1));
+
+struct Run {
+    request: Request,
+    out: Vec<Output>,
+}
+
+impl Run {
+    fn new(start: Start) -> Self {
+        let mut run = Run {
+            request: Request::default(),
+            out: Vec::new(),
+        };
+        run.give(Input::Start(start));
+        run
+    }
+
+    /// Takes `input` just after the start and returns what it led to.
+    fn give(&mut self, input: Input) -> Vec<Output> {
+        self.at(Time(1), input)
+    }
+
+    fn at(&mut self, now: Time, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.request.handle(now, input, &mut out);
+        self.out.extend(out.clone());
+        out
+    }
+
+    /// Goes to the point where attempt `no` is under way.
+    fn sent(&mut self, no: u32) -> Vec<Output> {
+        let target = TargetNo(no);
+        self.give(Input::Placed { target })
+    }
+}
+
+fn live() -> Start {
+    Start {
+        resumable: true,
+        ..Start::live(Some(KEY), DEADLINE)
+    }
+}
+
+fn marked() -> Start {
+    Start {
+        mark: Mark::Once,
+        stream: false,
+        ..Start::live(None, DEADLINE)
+    }
+}
+
+fn head(no: u32, ran_on: RanOn, resumed: Option<u32>) -> Input {
+    let attempt = AttemptNo(no);
+    Input::Head {
+        attempt,
+        status: 200,
+        ran_on,
+        resumed,
+    }
+}
+
+fn piece(no: u32, part: Part) -> Input {
+    let attempt = AttemptNo(no);
+    Input::Piece { attempt, part }
+}
+
+fn end(no: u32, whole: bool) -> Input {
+    let attempt = AttemptNo(no);
+    Input::End { attempt, whole }
+}
+
+fn failed(no: u32, verdict: Verdict) -> Input {
+    Input::AttemptFailed {
+        attempt: AttemptNo(no),
+        verdict,
+        reason: Refusal::TargetFailed,
+        retry: None,
+    }
+}
+
+fn send(no: u32, resume_from: u32) -> Output {
+    Output::Send {
+        attempt: AttemptNo(no),
+        target: TargetNo(no),
+        resume_from,
+    }
+}
+
+fn failure(reason: Refusal, verdict: Verdict, retry: Option<Duration>) -> Failure {
+    Failure {
+        reason,
+        verdict,
+        retry,
+    }
+}
+
+/// A performer reads a draft as it is written. The engine breaks off after
+/// two tokens, another continues; the text shows no gap and no repetition.
+#[gtest]
+fn a_broken_stream_is_continued() {
+    covers!(second_frame_dropped);
+    let mut run = Run::new(live());
+    expect_that!(run.sent(1), elements_are![eq(&send(1, 0))]);
+    expect_that!(
+        run.give(head(1, RanOn::Named(KEY), None)),
+        eq(&vec![Output::PassHead])
+    );
+    run.give(piece(1, Part::Preamble));
+    run.give(piece(1, Part::Tokens(2)));
+    run.give(end(1, false));
+    expect_that!(run.sent(2), elements_are![eq(&send(2, 2))]);
+    expect_that!(run.give(head(2, RanOn::Named(KEY), Some(2))), is_empty());
+    expect_that!(run.give(piece(2, Part::Preamble)), is_empty());
+    expect_that!(run.give(piece(2, Part::Tokens(1))), eq(&vec![Output::Pass]));
+    let done = run.give(end(2, true));
+    expect_that!(done, eq(&vec![Output::Finish(Final::Whole)]));
+}
+
+/// The same, but the engines can't continue. The caller must see an error at
+/// the end of what it has, never an end that looks proper.
+#[gtest]
+fn a_stream_that_cannot_be_continued_ends_with_an_error() {
+    covers!(stream_not_resumable);
+    covers!(stream_broken_off);
+    let mut run = Run::new(Start {
+        resumable: false,
+        ..live()
+    });
+    run.sent(1);
+    run.give(head(1, RanOn::Named(KEY), None));
+    run.give(piece(1, Part::Tokens(1)));
+    let out = run.give(end(1, false));
+    let failure = failure(Refusal::TargetFailed, Verdict::MayHaveRun, RETRY);
+    assert_that!(out, contains(eq(&Output::Finish(Final::Broken(failure)))));
+}
+
+/// An engine was reloaded behind the system's back and answers as another
+/// version. Nothing of that answer may reach the caller.
+#[gtest]
+fn an_answer_of_another_version_is_stopped() {
+    covers!(wrong_adapter_stopped);
+    for ran_on in [RanOn::Named(OTHER), RanOn::Unknown, RanOn::Unnamed] {
+        let mut run = Run::new(live());
+        run.sent(1);
+        let out = run.give(head(1, ran_on, None));
+        let (target, fault) = (TargetNo(1), Fault::WrongAdapter);
+        expect_that!(
+            out,
+            contains(eq(&Output::Cancel {
+                attempt: AttemptNo(1)
+            }))
+        );
+        expect_that!(out, contains(eq(&Output::Blame { target, fault })));
+        expect_that!(out, not(contains(eq(&Output::PassHead))));
+        let avoid = vec![target];
+        expect_that!(out, contains(eq(&Output::Place { avoid, retry: true })));
+    }
+}
+
+/// An engine ignores the order to continue and starts from the beginning.
+#[gtest]
+fn a_stream_that_starts_anew_is_not_passed_on() {
+    covers!(wrong_resume_stopped);
+    for resumed in [None, Some(0), Some(2)] {
+        let mut run = Run::new(live());
+        run.sent(1);
+        run.give(head(1, RanOn::Named(KEY), None));
+        run.give(piece(1, Part::Tokens(1)));
+        run.give(end(1, false));
+        run.sent(2);
+        let out = run.give(head(2, RanOn::Named(KEY), resumed));
+        expect_that!(
+            out,
+            contains(eq(&Output::Cancel {
+                attempt: AttemptNo(2)
+            }))
+        );
+        expect_that!(run.give(piece(2, Part::Tokens(1))), is_empty());
+    }
+}
+
+/// The first engine answers after it was given up. Its pieces must not be
+/// mixed into the second one's answer.
+#[gtest]
+fn a_late_answer_meets_nobody() {
+    covers!(late_attempt_ignored);
+    let mut run = Run::new(live());
+    run.sent(1);
+    run.give(failed(1, Verdict::MayHaveRun));
+    run.sent(2);
+    expect_that!(run.give(head(1, RanOn::Named(KEY), None)), is_empty());
+    expect_that!(run.give(piece(1, Part::Tokens(5))), is_empty());
+    expect_that!(run.give(end(1, true)), is_empty());
+    expect_that!(run.request.tokens(), eq(0));
+}
+
+/// An application is sent and its connection breaks. Sending it again could
+/// hand it in twice.
+#[gtest]
+fn a_marked_request_in_doubt_is_not_sent_again() {
+    covers!(marked_not_repeated);
+    let mut run = Run::new(marked());
+    run.give(Input::Claimed(ClaimReply::Yours));
+    run.sent(1);
+    let out = run.give(failed(1, Verdict::MayHaveRun));
+    let failure = failure(Refusal::TargetFailed, Verdict::MayHaveRun, RETRY);
+    expect_that!(out, contains(eq(&Output::Settle(Fate::MayHaveRun))));
+    assert_that!(out, contains(eq(&Output::Finish(Final::Failed(failure)))));
+}
+
+/// An application's caller loses its link amid the answer. The application
+/// runs out and is settled, so that a resend finds its answer.
+#[gtest]
+fn a_marked_request_outlives_its_caller() {
+    covers!(marked_outlives_caller);
+    let mut run = Run::new(Start {
+        outlives: true,
+        ..marked()
+    });
+    run.give(Input::Claimed(ClaimReply::Yours));
+    run.sent(1);
+    expect_that!(run.give(Input::CallerGone), is_empty());
+    run.give(head(1, RanOn::Unnamed, None));
+    let out = run.give(end(1, true));
+    let failure = failure(Refusal::CallerGone, Verdict::Ran, None);
+    let end = Output::Finish(Final::Failed(failure));
+    assert_that!(out, eq(&vec![Output::Settle(Fate::Ran), end]));
+}
+
+/// A claim is granted after its caller was told that the request did not run.
+#[gtest]
+fn a_late_claim_is_given_back() {
+    covers!(late_claim_given_back);
+    let mut run = Run::new(marked());
+    run.at(DEADLINE, Input::Wake);
+    expect_that!(run.request.is_over(), eq(false));
+    let out = run.at(DEADLINE, Input::Claimed(ClaimReply::Yours));
+    assert_that!(out, eq(&vec![Output::Settle(Fate::NotRun)]));
+    assert_that!(run.request.is_over(), eq(true));
+}
+
+fn claim_reply((reply, reason, verdict, retry): (ClaimReply, Refusal, Verdict, Option<Duration>)) {
+    let mut run = Run::new(marked());
+    let out = run.give(Input::Claimed(reply));
+    let end = Final::Failed(failure(reason, verdict, retry));
+    assert_eq!(out, vec![Output::Finish(end)]);
+}
+
+const HALF: Duration = Duration::from_millis(500);
+
+base::cases! {
+    /// A claim that is not granted is answered at once, honestly.
+    claims_refused: claim_reply => {
+        running: (ClaimReply::Running, Refusal::Duplicate, Verdict::MayHaveRun, RETRY),
+        ran: (ClaimReply::Ran { kept: false }, Refusal::Duplicate, Verdict::Ran, None),
+        in_doubt: (ClaimReply::MayHaveRun, Refusal::Duplicate, Verdict::MayHaveRun, None),
+        too_old: (ClaimReply::TooOld, Refusal::Duplicate, Verdict::MayHaveRun, None),
+        other_body: (ClaimReply::OtherBody, Refusal::KeyReused, Verdict::NotRun, None),
+        no_quorum: (ClaimReply::NotNow { retry: HALF }, Refusal::NoQuorum, Verdict::NotRun, Some(HALF)),
+    }
+}
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -96,12 +96,14 @@
         }
     };
     let named = engine.named(&run.resident);
+    let from = run.tokens.start.to_string();
     let mut resp = match chat.stream {
         true => stream(run),
         false => whole(run).await,
     };
     let out = resp.headers_mut();
     out.insert(header::ADAPTER, header_value(named.adapter.as_str()));
+    out.insert(header::RESUME_FROM, header_value(&from));
     out.insert(header::VERSION, header_value(&named.version.to_string()));
     resp
 }
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -30,5 +30,6 @@
 pub const PRIORITY: &str = "x-quetzal-priority";
 /// On an engine's refusal: `false` says that the request was not started.
 pub const STARTED: &str = "x-engine-started";
-/// To an engine: the tokens of a broken stream that the caller already has.
+/// To an engine: the tokens of a broken stream that the caller already has;
+/// on its answer: after which token it begins.
 pub const RESUME_FROM: &str = "x-engine-resume-from";
