Serve callers by a thin entry daemon around the node

One task owns the node; every byte's fate follows an output of it. Steps of an attempt carry a number, and what no output names is dropped, so a late answer reaches nobody. Streams are passed on in whole events, so that a resumed one can go on at the beginning of the one that was cut. A request that gives way to more urgent work counts neither against its attempts nor against its target.

--- /dev/null
+++ b/crates/entryd/src/callers.rs
@@ -0,0 +1,331 @@
+//! The callers' listener: OpenAI-style chat completions, the list of a brand's
+//! assistants, plain services by path, and the balancer's checks.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use base::{BrandName, Class, Failure, Refusal, ServiceName, Ticket, Tokens, Verdict, Version};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header as http};
+use node::{Arrival, IdempotencyKey, Input};
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use telemetry::span;
+use text::model::ServiceKind;
+use tokio::sync::oneshot;
+use web::{
+    body::{self, Body, ReadLimits},
+    reply,
+};
+use wire::header;
+
+use crate::{
+    exchange::{Ask, Exchange},
+    hops::text,
+    prompt::Chat,
+    state::{InForce, State},
+};
+
+/// Longest accepted idempotency key, in bytes.
+const KEY_MAX: usize = 256;
+
+/// Answers one request on the callers' listener.
+pub(crate) async fn answer(state: Arc<State>, req: Request<Incoming>) -> Response<Body> {
+    match req.uri().path() {
+        "/healthz" => return reply::plain(StatusCode::OK, "ok\n"),
+        "/readyz" => return ready(&state),
+        _ => {}
+    }
+    match route(state, req).await {
+        Ok(resp) => resp,
+        Err(failure) => reply::failure(&failure),
+    }
+}
+
+fn ready(state: &State) -> Response<Body> {
+    if state.ready.load(Ordering::Relaxed) {
+        let version = state.in_force().version;
+        reply::plain(StatusCode::OK, format!("ready, text {version}\n"))
+    } else {
+        reply::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+}
+
+async fn route(state: Arc<State>, req: Request<Incoming>) -> Result<Response<Body>, Failure> {
+    let force = state.in_force();
+    let brand = brand_of(&force, req.headers())?;
+    let path = req.uri().path().to_owned();
+    match (req.method(), path.as_str()) {
+        (&Method::GET, "/v1/models") => Ok(models(&force, &brand)),
+        (&Method::POST, "/v1/chat/completions") => chat(state, &force, brand, req).await,
+        (_, "/v1/models" | "/v1/chat/completions") => {
+            let mut resp = reply::failure(&Failure::not_run(Refusal::BadRequest));
+            *resp.status_mut() = StatusCode::METHOD_NOT_ALLOWED;
+            Ok(resp)
+        }
+        _ => plain(state, &force, brand, &path, req).await,
+    }
+}
+
+/// Returns the brand that the caller's key names.
+fn brand_of(force: &InForce, headers: &HeaderMap) -> Result<BrandName, Failure> {
+    let bad = || Failure::not_run(Refusal::BadKey);
+    let auth = text(headers, http::AUTHORIZATION.as_str()).ok_or_else(bad)?;
+    let key = auth.strip_prefix("Bearer ").ok_or_else(bad)?;
+    let hash = text::key_hash(key.trim());
+    force.keys.brand(&hash).cloned().ok_or_else(bad)
+}
+
+/// Lists the brand's own assistants; others' aren't told to exist.
+fn models(force: &InForce, brand: &BrandName) -> Response<Body> {
+    let services = force.model.services.get(brand);
+    let assistants = services.into_iter().flatten();
+    let assistants =
+        assistants.filter(|(_, service)| matches!(service.kind, ServiceKind::Assistant { .. }));
+    let data: Vec<_> = assistants
+        .map(|(name, _)| json!({"id": name, "object": "model", "owned_by": brand}))
+        .collect();
+    reply::json(StatusCode::OK, &json!({"object": "list", "data": data}))
+}
+
+async fn chat(
+    state: Arc<State>,
+    force: &InForce,
+    brand: BrandName,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    let (parts, body) = req.into_parts();
+    let raw = body::read(body, limits(force)).await?;
+    let bad = || Failure::not_run(Refusal::BadRequest);
+    let chat = Chat::try_from(&raw[..]).map_err(|_| bad())?;
+    let (service, version) = model_name(&chat.model).ok_or_else(bad)?;
+    let found = force.model.service(&brand, &service);
+    let found = found.filter(|s| matches!(s.kind, ServiceKind::Assistant { .. }));
+    if found.is_none() {
+        return Err(Failure::not_run(Refusal::NotFound));
+    }
+    let mut call = Call::read(&parts.headers, brand, service)?;
+    call.version = version;
+    call.prefix = chat.prefix;
+    call.tokens = chat.tokens;
+    call.stream = chat.stream;
+    call.body = body_hash("POST", "/v1/chat/completions", &raw);
+    let ask = Ask::Chat {
+        body: chat.body,
+        stream: chat.stream,
+        prefix: chat.prefix,
+    };
+    call.run(state, ask, &parts.headers).await
+}
+
+async fn plain(
+    state: Arc<State>,
+    force: &InForce,
+    brand: BrandName,
+    path: &str,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    let not_found = || Failure::not_run(Refusal::NotFound);
+    let mut names = path.trim_start_matches('/').splitn(3, '/');
+    let named = names.next().filter(|name| *name == brand.as_str());
+    named.ok_or_else(not_found)?;
+    let service = names.next().and_then(|name| name.parse().ok());
+    let service: ServiceName = service.ok_or_else(not_found)?;
+    let rest = names.next().unwrap_or_default();
+    let found = force.model.service(&brand, &service);
+    let found = found.filter(|s| s.kind == ServiceKind::Plain);
+    found.ok_or_else(not_found)?;
+    let (parts, body) = req.into_parts();
+    let raw = body::read(body, limits(force)).await?;
+    let query = parts.uri.query().map(|query| format!("?{query}"));
+    let inner = format!("/{service}/{rest}{}", query.unwrap_or_default());
+    let mut call = Call::read(&parts.headers, brand, service)?;
+    call.stream = true;
+    call.body = body_hash(parts.method.as_str(), &inner, &raw);
+    let ask = Ask::Plain {
+        method: parts.method.clone(),
+        path: inner,
+        headers: for_target(&parts.headers),
+        body: raw,
+    };
+    call.run(state, ask, &parts.headers).await
+}
+
+/// What a request asks of the system, from its headers and body.
+struct Call {
+    brand: BrandName,
+    service: ServiceName,
+    version: Option<Version>,
+    class: Option<Class>,
+    patience: Option<Duration>,
+    key: Option<String>,
+    body: [u8; 16],
+    prefix: u64,
+    tokens: Tokens,
+    stream: bool,
+}
+
+impl Call {
+    fn read(headers: &HeaderMap, brand: BrandName, service: ServiceName) -> Result<Call, Failure> {
+        let bad = || Failure::not_run(Refusal::BadRequest);
+        let class = text(headers, header::CLASS).map(str::parse);
+        let patience = text(headers, header::DEADLINE).map(str::parse);
+        let key = text(headers, header::IDEMPOTENCY_KEY).map(str::to_owned);
+        let usable = |key: &String| !key.is_empty() && key.len() <= KEY_MAX;
+        if headers.contains_key(header::IDEMPOTENCY_KEY) && !key.as_ref().is_some_and(usable) {
+            return Err(bad());
+        }
+        Ok(Call {
+            brand,
+            service,
+            version: None,
+            class: class.transpose().map_err(|_| bad())?,
+            patience: patience
+                .transpose()
+                .map_err(|_| bad())?
+                .map(Duration::from_millis),
+            key,
+            body: [0; 16],
+            prefix: 0,
+            tokens: Tokens(0),
+            stream: false,
+        })
+    }
+
+    /// Hands the request to the node and waits for the head of its answer.
+    async fn run(
+        self,
+        state: Arc<State>,
+        ask: Ask,
+        headers: &HeaderMap,
+    ) -> Result<Response<Body>, Failure> {
+        let span = span!("entry", brand = %self.brand, service = %self.service);
+        telemetry::set_parent(&span, text(headers, header::TRACEPARENT));
+        let ticket = state.next_ticket();
+        let key = self.key.as_deref().map(idempotency_key);
+        let (exchange, answer) = Exchange::new(ticket, ask, self.key, span);
+        state.put(ticket, exchange);
+        let waiting = Waiting::new(Arc::clone(&state), ticket);
+        state.tell(Input::Arrive(Arrival {
+            ticket,
+            brand: self.brand,
+            service: self.service,
+            version: self.version,
+            class: self.class,
+            patience: self.patience,
+            key,
+            body: self.body,
+            prefix: self.prefix,
+            tokens: self.tokens,
+            stream: self.stream,
+        }));
+        waiting.answer(answer).await
+    }
+}
+
+/// Tells the node that a caller left, if it leaves before the answer's head.
+pub(crate) struct Waiting {
+    state: Arc<State>,
+    ticket: Ticket,
+    done: bool,
+}
+
+impl Waiting {
+    pub(crate) fn new(state: Arc<State>, ticket: Ticket) -> Self {
+        Waiting {
+            state,
+            ticket,
+            done: false,
+        }
+    }
+
+    /// Waits for the answer's head.
+    pub(crate) async fn answer(
+        mut self,
+        answer: oneshot::Receiver<Response<Body>>,
+    ) -> Result<Response<Body>, Failure> {
+        let answer = answer.await;
+        self.done = true;
+        answer.map_err(|_| Failure {
+            reason: Refusal::Unavailable,
+            verdict: Verdict::MayHaveRun,
+            retry: None,
+        })
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.done {
+            self.state.tell(Input::Left(self.ticket));
+        }
+    }
+}
+
+fn limits(force: &InForce) -> ReadLimits {
+    let most = force.model.limits.max_body.get();
+    ReadLimits {
+        bytes: usize::try_from(most).unwrap_or(usize::MAX),
+        ..ReadLimits::default()
+    }
+}
+
+/// Splits `assistant@version`.
+fn model_name(model: &str) -> Option<(ServiceName, Option<Version>)> {
+    match model.split_once('@') {
+        None => Some((model.parse().ok()?, None)),
+        Some((name, version)) => Some((name.parse().ok()?, Some(version.parse().ok()?))),
+    }
+}
+
+fn idempotency_key(raw: &str) -> IdempotencyKey {
+    IdempotencyKey {
+        hash: short_hash(&[raw.as_bytes()]),
+        dated: date_of(raw),
+    }
+}
+
+/// Returns the time inside a UUID of version 7, in milliseconds since 1970,
+/// unless it lies in the future.
+fn date_of(raw: &str) -> Option<u64> {
+    let hex: String = raw.chars().filter(|c| *c != '-').collect();
+    let whole = hex.len() == 32 && raw.len() == 36 && hex.as_bytes()[12] == b'7';
+    let ms = u64::from_str_radix(hex.get(..12).filter(|_| whole)?, 16).ok()?;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).ok()?;
+    (u128::from(ms) <= now.as_millis()).then_some(ms)
+}
+
+fn body_hash(method: &str, path: &str, body: &[u8]) -> [u8; 16] {
+    short_hash(&[method.as_bytes(), path.as_bytes(), body])
+}
+
+fn short_hash(parts: &[&[u8]]) -> [u8; 16] {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let whole = hasher.finalize();
+    let mut short = [0; 16];
+    short.copy_from_slice(&whole[..16]);
+    short
+}
+
+/// Returns the headers that go on to a plain service: neither the caller's
+/// key nor what concerns this connection alone.
+fn for_target(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = headers.clone();
+    for name in [
+        http::AUTHORIZATION,
+        http::CONNECTION,
+        http::CONTENT_LENGTH,
+        http::EXPECT,
+        http::HOST,
+        http::TRANSFER_ENCODING,
+        http::UPGRADE,
+    ] {
+        headers.remove(name);
+    }
+    headers
+}
--- a/crates/entryd/src/outside.rs
+++ b/crates/entryd/src/outside.rs
@@ -88,7 +88,8 @@
         ..Limits::default()
     };
     send.headers = json_headers();
-    send.headers.insert(header::FENCE, HeaderValue::from(fence.get()));
+    send.headers
+        .insert(header::FENCE, HeaderValue::from(fence.get()));
     match state.client.send(send).await {
         Ok(answer) => match answer.status.as_u16() {
             200 => OrderEnd::Done,
--- /dev/null
+++ b/crates/entryd/src/shell.rs
@@ -0,0 +1,237 @@
+//! The one task that owns the node: inputs in, outputs carried out.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use anyhow::{Context, Result};
+use base::{Incarnation, Seed, Time};
+use node::{Input, Node, Output, Settings};
+use settings::EntrySettings;
+use telemetry::{Event, event};
+use text::Keys;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::{mpsc, watch},
+    time::sleep_until,
+};
+use tokio_util::sync::CancellationToken;
+use web::server::{self, Limits};
+
+use crate::{
+    attempts, callers, calls,
+    clock::Clock,
+    events, hops, outside,
+    state::{InForce, State},
+};
+
+/// Inputs taken in one go before timers are looked at again.
+const BURST: usize = 256;
+
+/// Most connections of callers and of peers; an idle one beyond them is
+/// closed.
+const CONNECTIONS: usize = 4_096;
+
+/// How long requests under way may still run in a planned stop: overnight
+/// work runs for hours, but is resumed elsewhere.
+const DRAIN: Duration = Duration::from_secs(600);
+
+/// Serves until a planned stop has ended.
+///
+/// # Errors
+///
+/// Fails when a signal can't be listened for.
+pub(crate) async fn serve(
+    settings: EntrySettings,
+    callers: TcpListener,
+    peers: TcpListener,
+) -> Result<()> {
+    let clock = Clock::start();
+    let (inputs, queue) = mpsc::unbounded_channel();
+    let (texts, text) = watch::channel(Arc::new(InForce::default()));
+    let identity = &settings.identity;
+    let state = Arc::new(State::new(identity.name.clone(), inputs, text));
+    let stop = CancellationToken::new();
+    let grace = settings.drain_grace;
+    tokio::spawn(outside::watch_list(Arc::clone(&state), identity.platform));
+    tokio::spawn(listen_signals(Arc::clone(&state))?);
+    let limits = Limits {
+        connections: CONNECTIONS,
+        linger: grace,
+        drain: DRAIN,
+        body_bytes: 64 << 20,
+        ..Limits::default()
+    };
+    let peer_stop = CancellationToken::new();
+    let at_callers = Arc::clone(&state);
+    let handler = move |req| callers::answer(Arc::clone(&at_callers), req);
+    let callers = tokio::spawn(server::serve(callers, limits, handler, stop.clone()));
+    let at_peers = Arc::clone(&state);
+    let handler = move |req| hops::answer(Arc::clone(&at_peers), req);
+    tokio::spawn(server::serve(peers, limits, handler, peer_stop.clone()));
+    event!(Event::Started, listen = identity.listen.to_string());
+    let node = Node::new(node_settings(&settings)?, clock.now());
+    let shell = Shell {
+        state: Arc::clone(&state),
+        node,
+        clock,
+        texts,
+        stop,
+        wake: Time::ZERO,
+    };
+    shell.run(queue).await;
+    callers.await.context("the callers' listener failed")??;
+    event!(Event::Stopped, running = state.running());
+    Ok(())
+}
+
+/// Turns the daemon's settings into the node's.
+fn node_settings(settings: &EntrySettings) -> Result<Settings> {
+    let identity = &settings.identity;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let life = now.context("the clock stands before 1970")?.as_micros();
+    Ok(Settings {
+        name: identity.name.clone(),
+        zone: identity.zone.clone(),
+        // A later life has a greater number, also after a restart.
+        life: Incarnation(u64::try_from(life)?),
+        peer: identity.peer_address,
+        controls: settings.controls.clone(),
+        seed: settings.seed.unwrap_or_else(|| Seed(rand::random())),
+        grace: settings.drain_grace,
+    })
+}
+
+fn listen_signals(state: Arc<State>) -> Result<impl Future<Output = ()>> {
+    let mut term = signal(SignalKind::terminate()).context("can't listen for SIGTERM")?;
+    let mut int = signal(SignalKind::interrupt()).context("can't listen for SIGINT")?;
+    Ok(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        state.tell(Input::Drain);
+    })
+}
+
+struct Shell {
+    state: Arc<State>,
+    node: Node,
+    clock: Clock,
+    texts: watch::Sender<Arc<InForce>>,
+    stop: CancellationToken,
+    wake: Time,
+}
+
+impl Shell {
+    async fn run(mut self, mut queue: mpsc::UnboundedReceiver<Input>) {
+        let mut outputs = Vec::new();
+        let mut burst = Vec::with_capacity(BURST);
+        self.node
+            .handle(self.clock.now(), Input::Wake, &mut outputs);
+        loop {
+            if self.carry_out(&mut outputs, None) {
+                return;
+            }
+            let timer = sleep_until(self.clock.instant(self.wake));
+            tokio::select! {
+                count = queue.recv_many(&mut burst, BURST) => {
+                    if count == 0 {
+                        return;
+                    }
+                }
+                () = timer => burst.push(Input::Wake),
+            }
+            for input in burst.drain(..) {
+                if self.take(input, &mut outputs) {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Hands one input to the node; true when the daemon may end.
+    fn take(&mut self, input: Input, outputs: &mut Vec<Output>) -> bool {
+        if input == Input::Drain {
+            event!(Event::DrainBegun);
+            self.stop.cancel();
+        }
+        let step = match &input {
+            Input::Progress { ticket, step, .. } => Some((*ticket, *step)),
+            _ => None,
+        };
+        self.node.handle(self.clock.now(), input, outputs);
+        self.carry_out(outputs, step)
+    }
+
+    /// Carries out what the node wants; true when the daemon may end.
+    fn carry_out(&mut self, outputs: &mut Vec<Output>, step: Option<(base::Ticket, u64)>) -> bool {
+        let exchange = step.and_then(|(ticket, _)| self.state.exchange(ticket));
+        let mut ended = false;
+        for output in outputs.drain(..) {
+            ended |= matches!(output, Output::Drained);
+            self.one(output);
+        }
+        // What no output has named is not for the caller.
+        if let (Some(exchange), Some((_, step))) = (exchange, step) {
+            exchange.forget(step);
+        }
+        ended
+    }
+
+    fn one(&mut self, output: Output) {
+        let state = &self.state;
+        match output {
+            Output::Send(attempt) => {
+                if let Some(exchange) = state.exchange(attempt.ticket) {
+                    attempts::start(state, exchange, attempt);
+                }
+            }
+            Output::Abandon { ticket, attempt } => {
+                if let Some(exchange) = state.exchange(ticket) {
+                    exchange.abandon(attempt);
+                }
+            }
+            Output::Flow { ticket, step, flow } => {
+                if let Some(exchange) = state.exchange(ticket) {
+                    exchange.flow(state, step, flow);
+                }
+            }
+            Output::Finish { ticket, end } => {
+                if let Some(exchange) = state.remove(ticket) {
+                    exchange.finish(end);
+                }
+            }
+            Output::Order {
+                order,
+                address,
+                body,
+                fence,
+                ..
+            } => outside::order(state, order, address, body, fence),
+            Output::Poll { poll, address, .. } => outside::poll(state, poll, address),
+            Output::Call {
+                call,
+                address,
+                body,
+                limit,
+            } => calls::make(state, call, address, body, limit),
+            Output::Reply { call, body } => state.answer(call, body),
+            Output::Text { version, model } => {
+                let keys = Keys::from(&*model);
+                let force = InForce {
+                    version,
+                    model,
+                    keys,
+                };
+                self.texts.send_replace(Arc::new(force));
+            }
+            Output::Ready(ready) => state.ready.store(ready, Ordering::Relaxed),
+            Output::Drained => {}
+            Output::Event(report) => events::write(report),
+            Output::Wake(at) => self.wake = at,
+        }
+    }
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -56,7 +56,11 @@
                 self.learn(reply.text, None);
             }
             Msg::Replied { purpose, reply } => self.on_reply(shared, purpose, reply, out),
-            Msg::Called { call, body, .. } => answer(shared, call, &body, out),
+            Msg::Drain => {
+                self.ready = false;
+                out.emit(Output::Ready(false));
+            }
+            Msg::Called { call, body } => answer(shared, call, &body, out),
             _ => {}
         }
         self.fetch(shared, out);
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -8,7 +8,11 @@
 mod own;
 mod residents;
 
-use std::{collections::{BTreeMap, BTreeSet}, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use base::{
     AdapterKey, AdapterNo, Failure, Fence, Incarnation, Refusal, TargetName, TargetNo, Ticket,
@@ -120,7 +124,7 @@
             } => self.send_beat(shared, now, (serial, control), address, out),
             Msg::Beat(reply) => self.on_beat(shared, now, *reply, out),
             Msg::Replied { purpose, reply } => self.on_reply(shared, now, purpose, reply, out),
-            Msg::Called { call, body, .. } => self.on_called(shared, now, call, body, out),
+            Msg::Called { call, body } => self.on_called(shared, now, call, body, out),
             Msg::Queue {
                 ticket,
                 target,
@@ -524,7 +528,13 @@
             };
             match self.serving.insert(no, adapter.serve) {
                 Some(version) if version != adapter.serve => {
-                    rolled.push((AdapterKey { adapter: no, version }, new));
+                    rolled.push((
+                        AdapterKey {
+                            adapter: no,
+                            version,
+                        },
+                        new,
+                    ));
                 }
                 _ => {}
             }
--- a/crates/node/src/engines/own.rs
+++ b/crates/node/src/engines/own.rs
@@ -130,7 +130,14 @@
             return;
         };
         let body = Order::Load(resident, weights);
-        self.order(shared, target, body, fence, Sent::Touch(target, key, fence), out);
+        self.order(
+            shared,
+            target,
+            body,
+            fence,
+            Sent::Touch(target, key, fence),
+            out,
+        );
     }
 
     /// Notes a load that the engine confirmed.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use base::{Failure, Fence, InstanceName, Refusal, TargetNo, Ticket, Time, Verdict};
+use base::{Failure, Fence, InstanceName, Mark, Refusal, TargetNo, Ticket, Time, Verdict};
 use request::{AttemptNo, Input as Step, RanOn};
 use route::{News, RetryBudget, Router};
 use wire::{
@@ -309,6 +309,11 @@
         let Some(sent) = &live.sent else {
             return;
         };
+        if live.start.mark == Mark::Once {
+            // A marked request can't be sent again: it runs out.
+            out.tell(ENGINES, Msg::Dequeue(ticket));
+            return;
+        }
         let attempt = sent.attempt;
         let input = Step::AttemptFailed {
             attempt,
@@ -405,7 +410,8 @@
 /// Returns whether a failed attempt speaks against its target: what the owner
 /// refused for load or for a missing lease does not.
 fn blames(reason: Refusal, verdict: Verdict) -> bool {
-    reason == Refusal::TargetFailed || (reason == Refusal::Unavailable && verdict != Verdict::NotRun)
+    reason == Refusal::TargetFailed
+        || (reason == Refusal::Unavailable && verdict != Verdict::NotRun)
 }
 
 fn ran_on(shared: &mut Shared, ran: Option<Result<Resident, BadResident>>) -> RanOn {
--- a/crates/node/src/entry/hop.rs
+++ b/crates/node/src/entry/hop.rs
@@ -127,7 +127,7 @@
             }),
             brand: hop.brand.clone(),
             class: hop.class,
-            mark: Mark::Once,
+            mark: hop.mark,
             resume: hop.resume,
             limit: passed.ask.deadline.since(now),
         }));
@@ -194,8 +194,13 @@
     /// Breaks a request off in favour of more urgent work; the sender sends it
     /// again and it goes on where it stopped.
     pub(super) fn give_way(&mut self, ticket: Ticket, out: &mut Out) -> bool {
-        if !self.has(ticket) {
+        let Some(passed) = self.passed.get(&ticket) else {
             return false;
+        };
+        if passed.hop.mark == Mark::Once {
+            // A marked request can't be sent again: it runs out.
+            out.tell(ENGINES, Msg::Dequeue(ticket));
+            return true;
         }
         let failure = Failure {
             reason: Refusal::Preempted,
--- a/crates/node/src/entry/live.rs
+++ b/crates/node/src/entry/live.rs
@@ -81,7 +81,9 @@
                 })
             }
         };
-        let class = arrival.class.map_or(service.class, |c| c.min(service.class));
+        let class = arrival
+            .class
+            .map_or(service.class, |c| c.min(service.class));
         let patience = arrival.patience.unwrap_or(deadline(&model.limits, class));
         let key = resident.as_ref().map(|r| shared.names.key(r));
         let mark = if arrival.key.is_some() {
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use base::{Failure, Refusal, TargetNo, Ticket, Time, Verdict};
-use request::{AttemptNo, ClaimReply as Claimed, Fate, Fault, Final, Input as Step, Output as Want};
+use request::{
+    AttemptNo, ClaimReply as Claimed, Fate, Fault, Final, Input as Step, Output as Want,
+};
 use route::News;
 use wire::call::{self, Call, Claim, ClaimReply, Reply, Settle};
 
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -7,8 +7,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{
-    AdapterName, BrandName, Class, Failure, Fence, InstanceName, Mark, Refusal, ServiceName, TargetName,
-    TextVersion, Ticket, Time, Tokens, Verdict, Version,
+    AdapterName, BrandName, Class, Failure, Fence, InstanceName, Mark, Refusal, ServiceName,
+    TargetName, TextVersion, Ticket, Time, Tokens, Verdict, Version,
 };
 use wire::{
     call::{Answer, Call, Reply},
@@ -75,6 +75,8 @@
     pub tokens: Tokens,
     /// Tokens that the caller has already.
     pub resume: u32,
+    /// Whether it may be repeated.
+    pub mark: Mark,
 }
 
 /// What became of one attempt, step by step.
--- a/crates/node/src/msg.rs
+++ b/crates/node/src/msg.rs
@@ -34,11 +34,7 @@
         reply: Result<Reply, Verdict>,
     },
     /// Another process calls.
-    Called {
-        call: u64,
-        from: InstanceName,
-        body: Call,
-    },
+    Called { call: u64, body: Call },
     /// The time asked for has come.
     Wake,
     /// Another text is in force.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -72,15 +72,17 @@
                 };
                 self.run(now, name, Msg::Replied { purpose, reply }, out);
             }
-            Input::Called { call, from, body } => {
+            Input::Called { call, body, .. } => {
                 let name = service_for(&body);
-                self.run(now, name, Msg::Called { call, from, body }, out);
+                self.run(now, name, Msg::Called { call, body }, out);
             }
             Input::Drain => {
                 self.shared.draining = true;
                 for name in ALL {
                     self.run(now, name, Msg::Drain, out);
                 }
+                // The leader gives this instance's engines to others at once.
+                self.run(now, BEAT, Msg::BeatNow, out);
             }
             Input::Wake => {}
             input @ Input::List(_) => self.run(now, FLEET, Msg::Input(input), out),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,12 +1,7 @@
 //! What all services of a node may read, and the few things they write
 //! together: outstanding calls and timers.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{InstanceName, Seed, TargetName, TargetNo, TextVersion, Time, ZoneName};
 use kernel::{Name, Outbox};
@@ -61,7 +56,10 @@
         round: u64,
     },
     /// News of residents.
-    Residents { to: InstanceName, target: TargetName },
+    Residents {
+        to: InstanceName,
+        target: TargetName,
+    },
     /// A handover; nothing depends on the reply.
     Handover,
 }
--- a/crates/request/src/life.rs
+++ b/crates/request/src/life.rs
@@ -389,6 +389,9 @@
         if attempt.reply == Reply::Holding {
             out.push(Output::DropHeld);
         }
+        if failed.reason == Refusal::Preempted && start.mark == Mark::Repeatable {
+            return self.on_preempted(now, start, out);
+        }
         let target = attempt.target;
         if failed.verdict != Verdict::NotRun {
             let fault = failed.fault;
@@ -413,6 +416,26 @@
         self.give_up(&start, Failure::not_run(failed.reason), out);
     }
 
+    /// Goes on after giving way to more urgent work.
+    ///
+    /// Nothing failed, so the attempt counts neither against the cap nor
+    /// against the target: batch work that gives way all evening would else
+    /// be given up before the morning.
+    fn on_preempted(&mut self, now: Time, mut start: Start, out: &mut Vec<Output>) {
+        base::hit!(preempted_goes_on);
+        self.verdict = self.verdict.max(Verdict::MayHaveRun);
+        self.reason = None;
+        start.attempts += 1;
+        if !self.may_repeat(now, &start, Verdict::MayHaveRun) {
+            return self.give_up(&start, Failure::not_run(Refusal::Preempted), out);
+        }
+        out.push(Output::Place {
+            avoid: self.avoid.clone(),
+            retry: false,
+        });
+        self.stage = Stage::Placing(start);
+    }
+
     fn on_caller_gone(&mut self, start: Start, attempt: Attempt, out: &mut Vec<Output>) {
         if start.outlives && start.mark == Mark::Once {
             base::hit!(marked_outlives_caller);
--- a/crates/telemetry/src/trace.rs
+++ b/crates/telemetry/src/trace.rs
@@ -17,9 +17,15 @@
 
 const HEADER: &str = "traceparent";
 
-/// Makes a span of one hop: `span!("entry", brand = %brand)`.
+/// Makes a span of one hop: `span!("entry", brand = %brand)`, or below another
+/// span: `span!(parent: &entry, "attempt")`.
 #[macro_export]
 macro_rules! span {
+    (parent: $parent:expr, $name:expr $(, $($fields:tt)*)?) => {
+        $crate::tracing::info_span!(
+            target: $crate::TARGET, parent: $parent, $name $(, $($fields)*)?
+        )
+    };
     ($name:expr $(, $($fields:tt)*)?) => {
         $crate::tracing::info_span!(target: $crate::TARGET, $name $(, $($fields)*)?)
     };
--- a/crates/web/src/sse.rs
+++ b/crates/web/src/sse.rs
@@ -3,11 +3,11 @@
 //! A stream is whole only when its last event is `data: [DONE]`; a body whose
 //! framing ends before that was cut by whoever wrote it.
 
-use base::Failure;
+use base::{Failure, Refusal, Verdict};
 use bytes::Bytes;
 use serde::Deserialize;
 
-use crate::reply::ErrorBody;
+use crate::reply::{ErrorBody, ErrorInfo};
 
 /// The last event's data.
 pub const DONE: &str = "[DONE]";
@@ -130,6 +130,7 @@
 
 #[derive(Default, Deserialize)]
 struct Delta {
+    role: Option<String>,
     content: Option<String>,
 }
 
@@ -148,6 +149,30 @@
         (!text.is_empty()).then_some(text)
     }
 
+    /// Returns whether this only opens the answer, before its first token.
+    #[must_use]
+    pub fn is_preamble(&self) -> bool {
+        let chunk = serde_json::from_str::<Chunk>(&self.data).ok();
+        let choice = chunk.and_then(|chunk| chunk.choices.into_iter().next());
+        let opens = |delta: &Delta| delta.content.as_deref().unwrap_or_default().is_empty();
+        choice.is_some_and(|choice| choice.delta.role.is_some() && opens(&choice.delta))
+    }
+
+    /// Returns the error that the stream ends with, where the event carries
+    /// one: our own shape as it is, an engine's as its failure.
+    #[must_use]
+    pub fn error(&self) -> Option<ErrorInfo> {
+        let value: serde_json::Value = serde_json::from_str(&self.data).ok()?;
+        let error = value.get("error")?;
+        let own = serde_json::from_value(error.clone()).ok();
+        Some(own.unwrap_or_else(|| ErrorInfo {
+            message: error.to_string(),
+            kind: Refusal::TargetFailed,
+            verdict: Verdict::MayHaveRun,
+            retry_after_ms: None,
+        }))
+    }
+
     /// Writes the event.
     #[must_use]
     pub fn to_bytes(&self) -> Bytes {
