Measure the decisions in virtual time against five baselines

cargo xtask measure feeds the same arrivals and faults of 14 workloads to our routers and desks and to the baselines, over the same fakes of engine and store, and ends with ours against the best baseline of each figure. The workloads' rates are not settled yet.

--- /dev/null
+++ b/crates/measure/src/baseline.rs
@@ -0,0 +1,241 @@
+//! The baselines: one choice of engine, loads on demand, one way to evict.
+//!
+//! They know every engine's exact load at no delay, which no real system
+//! does; the comparison is meant to err on their side.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use base::{AdapterKey, Class, TargetNo, Time, stable_hash};
+
+use crate::{
+    policy::{Action, Event, Evict, Spread, portal_no, target_no, zone_of},
+    workload::{Arrival, Sizes},
+};
+
+/// One target as a baseline sees it.
+#[derive(Clone, Debug, Default)]
+struct Side {
+    zone: usize,
+    up: bool,
+    slots: BTreeMap<AdapterKey, Slot>,
+    /// Requests that wait for any slot, in order.
+    queue: VecDeque<usize>,
+    /// Requests placed and not ended.
+    load: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Slot {
+    ready: bool,
+    loaded: Time,
+    used: Time,
+    users: u32,
+    /// Requests that wait for the load.
+    waiting: Vec<usize>,
+}
+
+/// A baseline at work.
+#[derive(Clone, Debug)]
+pub(crate) struct Baseline {
+    sizes: Sizes,
+    spread: Spread,
+    evict: Evict,
+    sides: Vec<Side>,
+    requests: BTreeMap<usize, (Arrival, TargetNo)>,
+    cut: Option<usize>,
+}
+
+impl Baseline {
+    pub(crate) fn new(sizes: &Sizes, spread: Spread, evict: Evict) -> Self {
+        let side = |i| Side {
+            zone: zone_of(i, sizes.zones),
+            up: true,
+            ..Side::default()
+        };
+        let engines = (0..sizes.engines).map(side);
+        Baseline {
+            sizes: sizes.clone(),
+            spread,
+            evict,
+            sides: engines.chain((0..sizes.portals).map(side)).collect(),
+            requests: BTreeMap::new(),
+            cut: None,
+        }
+    }
+
+    pub(crate) fn on(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Arrive(id, arrival) => self.arrive(now, id, arrival, out),
+            Event::Left(id) | Event::Ended(id, _) => self.ended(now, id, out),
+            Event::Loaded(target, key, ok) => self.loaded(now, target, key, ok, out),
+            Event::Down(target) => {
+                let side = &mut self.sides[target.0 as usize];
+                side.up = false;
+                side.slots.clear();
+                side.queue.clear();
+            }
+            Event::Up(target) => self.sides[target.0 as usize].up = true,
+            Event::Cut(zone) => self.cut = Some(zone),
+            Event::Joined => self.cut = None,
+            Event::Began(_) | Event::Paused(_) | Event::Unloaded(..) | Event::Timer => {}
+        }
+    }
+
+    fn arrive(&mut self, now: Time, id: usize, arrival: Arrival, out: &mut Vec<Action>) {
+        let Some(target) = self.choose(&arrival) else {
+            out.push(Action::Refuse(id));
+            return;
+        };
+        self.requests.insert(id, (arrival, target));
+        self.sides[target.0 as usize].load += 1;
+        out.push(Action::Place(id, target));
+        match arrival.key {
+            Some(key) => self.use_slot(now, id, target, key, out),
+            None => out.push(Action::Send(id, target, 0)),
+        }
+    }
+
+    fn choose(&self, arrival: &Arrival) -> Option<TargetNo> {
+        let from = zone_of(arrival.entry, self.sizes.zones);
+        let reach = |t: &TargetNo| {
+            let side = &self.sides[t.0 as usize];
+            let cut = self.cut.is_some_and(|z| (z == from) != (z == side.zone));
+            side.up && !cut
+        };
+        let least = |t: &TargetNo| (self.sides[t.0 as usize].load, *t);
+        let Some(key) = arrival.key else {
+            let portals = (0..self.sizes.portals).map(|i| portal_no(&self.sizes, i));
+            return portals.filter(reach).min_by_key(least);
+        };
+        let engines = || (0..self.sizes.engines).map(target_no).filter(reach);
+        let home = |t: &TargetNo| stable_hash(&[&key.adapter.0.to_le_bytes(), &t.0.to_le_bytes()]);
+        match self.spread {
+            Spread::LeastLoaded => engines().min_by_key(least),
+            Spread::Hash => engines().max_by_key(home),
+            Spread::Holder => {
+                let holds = |t: &TargetNo| self.sides[t.0 as usize].slots.contains_key(&key);
+                let holder = engines().filter(holds).min_by_key(least);
+                holder.or_else(|| engines().max_by_key(home))
+            }
+        }
+    }
+
+    fn use_slot(
+        &mut self,
+        now: Time,
+        id: usize,
+        target: TargetNo,
+        key: AdapterKey,
+        out: &mut Vec<Action>,
+    ) {
+        let class = self.requests[&id].0.class;
+        let full = self.sides[target.0 as usize].slots.len() >= self.sizes.slots as usize;
+        let side = &mut self.sides[target.0 as usize];
+        if let Some(slot) = side.slots.get_mut(&key) {
+            slot.users += 1;
+            slot.used = now;
+            match slot.ready {
+                true => out.push(Action::Send(id, target, priority(class))),
+                false => slot.waiting.push(id),
+            }
+            return;
+        }
+        if full {
+            let unused = side.slots.iter().filter(|(_, s)| s.users == 0 && s.ready);
+            let victim = unused.min_by_key(|(key, s)| match self.evict {
+                Evict::Oldest => (s.loaded, **key),
+                Evict::LeastRecent => (s.used, **key),
+            });
+            let Some(victim) = victim.map(|(key, _)| *key) else {
+                side.queue.push_back(id);
+                return;
+            };
+            side.slots.remove(&victim);
+            out.push(Action::Unload(target, victim));
+        }
+        let slot = Slot {
+            ready: false,
+            loaded: now,
+            used: now,
+            users: 1,
+            waiting: vec![id],
+        };
+        side.slots.insert(key, slot);
+        out.push(Action::Load(target, key));
+    }
+
+    fn loaded(
+        &mut self,
+        now: Time,
+        target: TargetNo,
+        key: AdapterKey,
+        ok: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let side = &mut self.sides[target.0 as usize];
+        let Some(slot) = side.slots.get_mut(&key) else {
+            return;
+        };
+        let waiting = std::mem::take(&mut slot.waiting);
+        slot.ready = true;
+        slot.loaded = now;
+        if !ok {
+            side.slots.remove(&key);
+        }
+        for id in waiting {
+            let Some((arrival, _)) = self.requests.get(&id) else {
+                continue;
+            };
+            match ok {
+                true => out.push(Action::Send(id, target, priority(arrival.class))),
+                false => {
+                    self.forget(id);
+                    out.push(Action::Refuse(id));
+                }
+            }
+        }
+        self.fill(now, target, out);
+    }
+
+    fn ended(&mut self, now: Time, id: usize, out: &mut Vec<Action>) {
+        let Some((arrival, target)) = self.forget(id) else {
+            return;
+        };
+        let side = &mut self.sides[target.0 as usize];
+        if let Some(at) = side.queue.iter().position(|q| *q == id) {
+            side.queue.remove(at);
+            return;
+        }
+        if let Some(slot) = arrival.key.and_then(|key| side.slots.get_mut(&key)) {
+            slot.users = slot.users.saturating_sub(1);
+            slot.waiting.retain(|w| *w != id);
+        }
+        self.fill(now, target, out);
+    }
+
+    /// Gives free slots to those that wait, in order.
+    fn fill(&mut self, now: Time, target: TargetNo, out: &mut Vec<Action>) {
+        let queue = std::mem::take(&mut self.sides[target.0 as usize].queue);
+        for id in queue {
+            if let Some(key) = self.requests.get(&id).and_then(|(a, _)| a.key) {
+                self.use_slot(now, id, target, key, out);
+            }
+        }
+    }
+
+    fn forget(&mut self, id: usize) -> Option<(Arrival, TargetNo)> {
+        let found = self.requests.remove(&id)?;
+        let side = &mut self.sides[found.1.0 as usize];
+        side.load = side.load.saturating_sub(1);
+        Some(found)
+    }
+}
+
+/// Engines honour priorities; the baselines use that.
+fn priority(class: Class) -> i32 {
+    match class {
+        Class::Critical => 0,
+        Class::Live => 1,
+        Class::Batch => 2,
+    }
+}
--- /dev/null
+++ b/crates/measure/src/engine.rs
@@ -0,0 +1,164 @@
+//! A fake of a model engine: slots, a bounded continuous batch, a step time
+//! that grows with the batch and with its distinct adapters.
+
+use std::collections::BTreeSet;
+
+use base::AdapterKey;
+
+/// Milliseconds of a step apart from what the batch adds.
+const STEP_MS: f64 = 10.0;
+
+/// Milliseconds that each request in the batch adds to a step.
+const REQUEST_MS: f64 = 0.25;
+
+/// Milliseconds that each distinct adapter in the batch adds to a step.
+const ADAPTER_MS: f64 = 0.5;
+
+/// Milliseconds that reading one prompt token takes.
+const PROMPT_MS: f64 = 0.02;
+
+/// Part of a prompt still to be read when its head is cached.
+const CACHED_PART: f64 = 0.3;
+
+/// Prompt heads that the cache holds.
+const CACHE: usize = 200;
+
+/// A request as the engine sees it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Job {
+    pub(crate) id: usize,
+    pub(crate) key: AdapterKey,
+    pub(crate) prompt: u32,
+    pub(crate) prefix: u64,
+    /// Tokens still to generate.
+    pub(crate) left: u32,
+}
+
+/// What a step brought.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Step {
+    /// Requests that generated a token.
+    pub(crate) tokens: Vec<usize>,
+    /// Requests that ended.
+    pub(crate) ended: Vec<usize>,
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Engine {
+    pub(crate) resident: BTreeSet<AdapterKey>,
+    pub(crate) up: bool,
+    /// Counts lives; also names the step under way.
+    pub(crate) life: u64,
+    pub(crate) busy_secs: f64,
+    batch: usize,
+    running: Vec<Job>,
+    waiting: Vec<(i32, u64, Job)>,
+    arrivals: u64,
+    cache: Vec<u64>,
+    stepping: bool,
+    unread_ms: f64,
+}
+
+impl Engine {
+    pub(crate) fn new(batch: usize) -> Self {
+        Engine {
+            resident: BTreeSet::new(),
+            up: true,
+            life: 0,
+            busy_secs: 0.0,
+            batch,
+            running: Vec::new(),
+            waiting: Vec::new(),
+            arrivals: 0,
+            cache: Vec::new(),
+            stepping: false,
+            unread_ms: 0.0,
+        }
+    }
+
+    /// Queues a request; a lower `priority` goes first.
+    pub(crate) fn submit(&mut self, priority: i32, job: Job) {
+        self.arrivals += 1;
+        self.waiting.push((priority, self.arrivals, job));
+        self.waiting.sort_by_key(|(p, n, _)| (*p, *n));
+    }
+
+    /// Takes a request out; returns it with what is left to generate.
+    pub(crate) fn cancel(&mut self, id: usize) -> Option<Job> {
+        if let Some(at) = self.waiting.iter().position(|(_, _, job)| job.id == id) {
+            return Some(self.waiting.remove(at).2);
+        }
+        let at = self.running.iter().position(|job| job.id == id)?;
+        Some(self.running.remove(at))
+    }
+
+    /// Counts the requests in the batch or queue that use an adapter.
+    pub(crate) fn users(&self, key: AdapterKey) -> usize {
+        let waiting = self.waiting.iter().map(|(_, _, job)| job);
+        self.running
+            .iter()
+            .chain(waiting)
+            .filter(|job| job.key == key)
+            .count()
+    }
+
+    /// Goes down and loses everything; returns what was there.
+    pub(crate) fn crash(&mut self) -> Vec<Job> {
+        self.up = false;
+        self.life += 1;
+        self.stepping = false;
+        self.resident.clear();
+        self.cache.clear();
+        let waiting = self.waiting.drain(..).map(|(_, _, job)| job);
+        self.running.drain(..).chain(waiting).collect()
+    }
+
+    /// Starts a step if none is under way and there is work; returns its
+    /// length in microseconds.
+    pub(crate) fn begin(&mut self) -> Option<u64> {
+        if self.stepping || !self.up {
+            return None;
+        }
+        while self.running.len() < self.batch && !self.waiting.is_empty() {
+            let (_, _, job) = self.waiting.remove(0);
+            self.read(&job);
+            self.running.push(job);
+        }
+        if self.running.is_empty() {
+            return None;
+        }
+        let adapters: BTreeSet<_> = self.running.iter().map(|job| job.key).collect();
+        let ms = STEP_MS
+            + REQUEST_MS * self.running.len() as f64
+            + ADAPTER_MS * adapters.len() as f64
+            + std::mem::take(&mut self.unread_ms);
+        self.stepping = true;
+        self.busy_secs += ms / 1e3;
+        Some((ms * 1e3) as u64)
+    }
+
+    /// Ends the step under way: each request in the batch has one more token.
+    pub(crate) fn end(&mut self) -> Step {
+        self.stepping = false;
+        let mut step = Step::default();
+        for job in &mut self.running {
+            job.left -= 1;
+            step.tokens.push(job.id);
+        }
+        let ended = self.running.extract_if(.., |job| job.left == 0);
+        step.ended = ended.map(|job| job.id).collect();
+        step
+    }
+
+    fn read(&mut self, job: &Job) {
+        let cached = self.cache.contains(&job.prefix);
+        let part = if cached { CACHED_PART } else { 1.0 };
+        self.unread_ms += PROMPT_MS * f64::from(job.prompt) * part;
+        self.cache.retain(|p| *p != job.prefix);
+        self.cache.push(job.prefix);
+        if self.cache.len() > CACHE {
+            self.cache.remove(0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,22 @@
+//! Measures the load and routing decisions in virtual time, from a seed,
+//! against baselines.
+//!
+//! The [`workload`]s follow the sizes of the two deployments. [`world`] feeds
+//! the same arrivals and faults to every [`Policy`], with the same fakes of
+//! engine and weight store; [`figures`] says what came of it.
+
+mod baseline;
+mod engine;
+mod ours;
+mod policy;
+mod store;
+mod verdict;
+
+pub mod figures;
+pub mod workload;
+pub mod world;
+
+pub use crate::{
+    policy::{Evict, Policy, Spread},
+    verdict::{Comparison, compare},
+};
--- /dev/null
+++ b/crates/measure/src/ours.rs
@@ -0,0 +1,477 @@
+//! The project's own decisions at work: a router and a desk on each entry
+//! instance, messages that take a millisecond, and a leader that divides the
+//! store's budget twice a second.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{
+    AdapterNo, Class, Fence, Incarnation, Refusal, StableHash, TargetNo, Ticket, Time, Tokens,
+    stable_hash,
+};
+use route::{
+    Ask, Attempts, Desk, Engine, Input, LoadEnd, News, Ordering, Output, PoolNo, Residents,
+    RetryBudget, Router, Target, ZoneNo,
+};
+
+use crate::{
+    policy::{Action, Event, portal_no, target_no, zone_of},
+    workload::{Arrival, Sizes},
+};
+
+/// Between two instances, one way.
+const LAG: Duration = Duration::from_millis(1);
+
+/// Between two divisions of the store's budget.
+const BEAT: Duration = Duration::from_millis(500);
+
+/// Part of the budget that is dealt out evenly, so that a zone cut off still
+/// has some; the rest goes where loads wait.
+const FIXED_PART: f64 = 0.5;
+
+/// Pool of the engines.
+const ENGINES: PoolNo = PoolNo(0);
+
+/// Pool of the plain service.
+const PORTALS: PoolNo = PoolNo(1);
+
+/// Requests that a plain service replica runs at once.
+const PORTAL_PLACES: u32 = 32;
+
+/// A message under way.
+#[derive(Clone, Debug)]
+enum Mail {
+    ToDesk(usize, Input),
+    ToRouter(usize, News),
+    Beat,
+}
+
+/// What is known of a request at its entry instance.
+#[derive(Clone, Debug)]
+struct Track {
+    arrival: Arrival,
+    target: TargetNo,
+    placed: Time,
+    tried: Vec<TargetNo>,
+    attempts: Attempts,
+}
+
+/// All entry instances.
+pub(crate) struct Ours {
+    sizes: Sizes,
+    routers: Vec<Router>,
+    desks: Vec<Desk>,
+    retries: Vec<RetryBudget>,
+    tracks: BTreeMap<usize, Track>,
+    mail: BTreeMap<(Time, u64), Mail>,
+    posted: u64,
+    lives: Vec<u64>,
+    cut: Option<usize>,
+}
+
+impl Ours {
+    pub(crate) fn new(sizes: &Sizes, seed: u64) -> Self {
+        let router = |i: usize| Router::new(zone_no(zone_of(i, sizes.zones)), seed + i as u64);
+        let mut ours = Ours {
+            sizes: sizes.clone(),
+            routers: (0..sizes.entries).map(router).collect(),
+            desks: (0..sizes.entries)
+                .map(|i| Desk::new(seed + 100 + i as u64))
+                .collect(),
+            retries: vec![RetryBudget::new(); sizes.entries],
+            tracks: BTreeMap::new(),
+            mail: BTreeMap::new(),
+            posted: 0,
+            lives: vec![1; sizes.engines],
+            cut: None,
+        };
+        ours.begin();
+        ours
+    }
+
+    /// Tells all instances of adapters and targets.
+    fn begin(&mut self) {
+        let mut out = Vec::new();
+        for adapter in (0..self.sizes.adapters).map(AdapterNo) {
+            let hash = stable_hash(&[&adapter.0.to_le_bytes()]);
+            for i in 0..self.sizes.entries {
+                self.routers[i].note(Time::ZERO, News::Adapter { adapter, hash });
+                self.desk(Time::ZERO, i, Input::Adapter { adapter, hash }, &mut out);
+            }
+        }
+        for i in 0..self.sizes.portals {
+            let target = self.target(portal_no(&self.sizes, i), i, PORTALS);
+            self.tell_all(Time::ZERO, &News::Target(target));
+        }
+        for i in 0..self.sizes.engines {
+            let target = self.target(target_no(i), i, ENGINES);
+            self.tell_all(Time::ZERO, &News::Target(target));
+            self.own(Time::ZERO, i, Ordering::Full, &mut out);
+        }
+        self.beat(Time::ZERO, &mut out);
+    }
+
+    fn target(&self, target: TargetNo, i: usize, pool: PoolNo) -> Target {
+        let engine = pool == ENGINES;
+        Target {
+            target,
+            pool,
+            zone: zone_no(zone_of(i, self.sizes.zones)),
+            hash: hash_of(target),
+            incarnation: Incarnation(if engine { self.lives[i] } else { 1 }),
+            batch: if engine {
+                self.sizes.batch
+            } else {
+                PORTAL_PLACES
+            },
+            slots: if engine { self.sizes.slots } else { 0 },
+        }
+    }
+
+    fn own(&mut self, now: Time, i: usize, ordering: Ordering, out: &mut Vec<Action>) {
+        let engine = Engine {
+            target: target_no(i),
+            incarnation: Incarnation(self.lives[i]),
+            slots: self.sizes.slots,
+            batch: self.sizes.batch,
+            ordering,
+        };
+        let input = Input::Owned {
+            engine,
+            held: Vec::new(),
+            inherited: false,
+        };
+        self.desk(now, self.owner(target_no(i)), input, out);
+    }
+
+    /// Returns the instance that owns an engine: one of its zone.
+    fn owner(&self, target: TargetNo) -> usize {
+        let (i, zones) = (target.0 as usize, self.sizes.zones);
+        let zone = zone_of(i, zones);
+        let mates: Vec<_> = (0..self.sizes.entries)
+            .filter(|e| zone_of(*e, zones) == zone)
+            .collect();
+        mates[(i / zones) % mates.len()]
+    }
+
+    pub(crate) fn next_at(&self) -> Option<Time> {
+        self.mail.first_key_value().map(|((at, _), _)| *at)
+    }
+
+    pub(crate) fn on(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Arrive(id, arrival) => self.arrive(now, id, arrival, out),
+            Event::Left(id) => self.left(now, id, out),
+            Event::Began(id) => self.began(now, id, out),
+            Event::Ended(id, ok) => self.ended(now, id, ok, out),
+            Event::Paused(id) => self.finish(now, id, true, out),
+            Event::Loaded(target, key, ok) => {
+                let end = if ok { LoadEnd::Done } else { LoadEnd::Failed };
+                let input = Input::Loaded { target, key, end };
+                self.desk(now, self.owner(target), input, out);
+            }
+            Event::Unloaded(target, key) => {
+                let ok = true;
+                self.desk(
+                    now,
+                    self.owner(target),
+                    Input::Unloaded { target, key, ok },
+                    out,
+                );
+            }
+            Event::Down(target) => {
+                self.tell_all(now, &News::Reachable(target, false));
+                self.own(now, target.0 as usize, Ordering::None, out);
+            }
+            Event::Up(target) => {
+                let i = target.0 as usize;
+                self.lives[i] += 1;
+                let known = self.target(target, i, ENGINES);
+                self.tell_all(now, &News::Target(known));
+                self.tell_all(now, &News::Reachable(target, true));
+                self.own(now, i, Ordering::Full, out);
+            }
+            Event::Cut(zone) => self.reach(now, Some(zone), out),
+            Event::Joined => self.reach(now, None, out),
+            Event::Timer => self.deliver(now, out),
+        }
+    }
+
+    fn arrive(&mut self, now: Time, id: usize, arrival: Arrival, out: &mut Vec<Action>) {
+        let mut track = Track {
+            arrival,
+            target: TargetNo(0),
+            placed: now,
+            tried: Vec::new(),
+            attempts: Attempts::default(),
+        };
+        track.attempts.another();
+        self.place(now, id, track, out);
+    }
+
+    fn place(&mut self, now: Time, id: usize, mut track: Track, out: &mut Vec<Action>) {
+        let ask = ask_of(&track.arrival);
+        let entry = track.arrival.entry;
+        let Ok(choice) = self.routers[entry].choose(now, &ask, &track.tried) else {
+            out.push(Action::Refuse(id));
+            return;
+        };
+        let target = choice.target;
+        self.routers[entry].note(now, News::Started(target));
+        if track.tried.is_empty() {
+            self.retries[entry].earn(target);
+        }
+        (track.target, track.placed) = (target, now);
+        self.tracks.insert(id, track);
+        out.push(Action::Place(id, target));
+        if ask.key.is_none() {
+            out.push(Action::Send(id, target, 0));
+            return;
+        }
+        let ticket = Ticket(id as u64);
+        let input = Input::Arrive {
+            ticket,
+            target,
+            ask,
+        };
+        self.to_desk(now, entry, target, input, out);
+    }
+
+    fn left(&mut self, now: Time, id: usize, out: &mut Vec<Action>) {
+        let Some(track) = self.tracks.get(&id) else {
+            return;
+        };
+        if track.arrival.key.is_some() {
+            let owner = self.owner(track.target);
+            self.desk(now, owner, Input::Cancel(Ticket(id as u64)), out);
+        }
+        self.ended(now, id, true, out);
+    }
+
+    fn began(&mut self, now: Time, id: usize, out: &mut Vec<Action>) {
+        let Some(track) = self.tracks.get(&id) else {
+            return;
+        };
+        let after = now.since(track.placed);
+        let (entry, target) = (track.arrival.entry, track.target);
+        self.routers[entry].note(now, News::Began(target, after));
+        if track.arrival.key.is_some() {
+            let owner = self.owner(target);
+            self.desk(now, owner, Input::Began(Ticket(id as u64)), out);
+        }
+    }
+
+    fn ended(&mut self, now: Time, id: usize, ok: bool, out: &mut Vec<Action>) {
+        self.finish(now, id, ok, out);
+        let Some(track) = self.tracks.remove(&id) else {
+            return;
+        };
+        let target = track.target;
+        self.routers[track.arrival.entry].note(now, News::Ended { target, ok });
+    }
+
+    fn finish(&mut self, now: Time, id: usize, ok: bool, out: &mut Vec<Action>) {
+        let Some(track) = self.tracks.get(&id).filter(|t| t.arrival.key.is_some()) else {
+            return;
+        };
+        let ticket = Ticket(id as u64);
+        let owner = self.owner(track.target);
+        self.desk(now, owner, Input::Finished { ticket, ok }, out);
+    }
+
+    /// A request that one engine can't take is tried at another, as far as
+    /// the budget of repeats goes.
+    fn refused(&mut self, now: Time, id: usize, reason: Refusal, out: &mut Vec<Action>) {
+        let Some(mut track) = self.tracks.remove(&id) else {
+            return;
+        };
+        let (entry, target) = (track.arrival.entry, track.target);
+        self.routers[entry].note(now, News::Ended { target, ok: true });
+        let again = reason == Refusal::Unavailable
+            && track.attempts.another()
+            && self.retries[entry].spend(target);
+        if !again {
+            out.push(Action::Refuse(id));
+            return;
+        }
+        track.tried.push(target);
+        self.place(now, id, track, out);
+    }
+
+    fn desk(&mut self, now: Time, i: usize, input: Input, out: &mut Vec<Action>) {
+        let mut outputs = Vec::new();
+        self.desks[i].handle(now, input, &mut outputs);
+        for output in outputs {
+            self.obey(now, i, output, out);
+        }
+    }
+
+    fn obey(&mut self, now: Time, i: usize, output: Output, out: &mut Vec<Action>) {
+        match output {
+            Output::Send {
+                ticket,
+                target,
+                priority,
+            } => out.push(Action::Send(id_of(ticket), target, priority)),
+            Output::Refuse { ticket, failure } => {
+                self.refused(now, id_of(ticket), failure.reason, out);
+            }
+            Output::Preempt(ticket) => out.push(Action::Preempt(id_of(ticket))),
+            Output::Load { target, key } => out.push(Action::Load(target, key)),
+            Output::Unload { target, key } => out.push(Action::Unload(target, key)),
+            Output::Residents {
+                target,
+                whole,
+                added,
+                removed,
+                running,
+                queued,
+            } => {
+                let news = News::Residents(Residents {
+                    target,
+                    fence: Fence(1),
+                    whole,
+                    added,
+                    removed,
+                    running,
+                    queued,
+                });
+                for to in 0..self.sizes.entries {
+                    if !self.joined(i, to) {
+                        continue;
+                    }
+                    let lag = if to == i { Duration::ZERO } else { LAG };
+                    self.post(now + lag, Mail::ToRouter(to, news.clone()));
+                }
+            }
+            Output::Wake(at) => self.post(at, Mail::ToDesk(i, Input::Wake)),
+        }
+    }
+
+    /// Whether two instances reach each other.
+    fn joined(&self, a: usize, b: usize) -> bool {
+        let zone = |i| Some(zone_of(i, self.sizes.zones));
+        self.cut.is_none() || (zone(a) == self.cut) == (zone(b) == self.cut)
+    }
+
+    fn to_desk(
+        &mut self,
+        now: Time,
+        from: usize,
+        target: TargetNo,
+        input: Input,
+        out: &mut Vec<Action>,
+    ) {
+        let owner = self.owner(target);
+        match owner == from {
+            true => self.desk(now, owner, input, out),
+            false => self.post(now + LAG, Mail::ToDesk(owner, input)),
+        }
+    }
+
+    fn post(&mut self, at: Time, mail: Mail) {
+        self.posted += 1;
+        self.mail.insert((at, self.posted), mail);
+    }
+
+    fn deliver(&mut self, now: Time, out: &mut Vec<Action>) {
+        while let Some(entry) = self.mail.first_entry().filter(|e| e.key().0 <= now) {
+            match entry.remove() {
+                // The caller may have left while its request was under way.
+                Mail::ToDesk(_, Input::Arrive { ticket, .. })
+                    if !self.tracks.contains_key(&id_of(ticket)) => {}
+                Mail::ToDesk(i, input) => self.desk(now, i, input, out),
+                Mail::ToRouter(i, news) => self.routers[i].note(now, news),
+                Mail::Beat => self.beat(now, out),
+            }
+        }
+    }
+
+    /// Divides the store's budget, as the leader does.
+    fn beat(&mut self, now: Time, out: &mut Vec<Action>) {
+        let all = self.sizes.loads * 1_000.0;
+        let count = self.sizes.entries;
+        let leader = (0..count).find(|i| Some(zone_of(*i, self.sizes.zones)) != self.cut);
+        let heard = |i: usize| leader.is_some_and(|l| self.joined(i, l));
+        let heard: Vec<bool> = (0..count).map(heard).collect();
+        let wants: Vec<f64> = (0..count)
+            .map(|i| {
+                if heard[i] {
+                    f64::from(self.desks[i].loads_wanted())
+                } else {
+                    0.0
+                }
+            })
+            .collect();
+        let sum: f64 = wants.iter().sum();
+        let listeners = heard.iter().filter(|yes| **yes).count() as f64;
+        for i in 0..count {
+            let fixed = all * FIXED_PART / count as f64;
+            let part = match (heard[i], sum > 0.0) {
+                (false, _) => 0.0,
+                (true, true) => wants[i] / sum,
+                (true, false) => 1.0 / listeners,
+            };
+            let rate = fixed + all * (1.0 - FIXED_PART) * part;
+            self.desk(now, i, Input::Budget(rate as u32), out);
+        }
+        self.post(now + BEAT, Mail::Beat);
+    }
+
+    /// A zone is cut off or joined again.
+    fn reach(&mut self, now: Time, cut: Option<usize>, out: &mut Vec<Action>) {
+        self.cut = cut;
+        let zones = self.sizes.zones;
+        let engines = (0..self.sizes.engines).map(|i| (target_no(i), i));
+        let portals = (0..self.sizes.portals).map(|i| (portal_no(&self.sizes, i), i));
+        for (target, i) in engines.chain(portals) {
+            for entry in 0..self.sizes.entries {
+                let apart =
+                    cut.is_some_and(|z| (zone_of(entry, zones) == z) != (zone_of(i, zones) == z));
+                self.routers[entry].note(now, News::Reachable(target, !apart));
+            }
+        }
+        for i in 0..self.sizes.engines {
+            self.desk(
+                now,
+                self.owner(target_no(i)),
+                Input::Asked(target_no(i)),
+                out,
+            );
+        }
+    }
+
+    fn tell_all(&mut self, now: Time, news: &News) {
+        for router in &mut self.routers {
+            router.note(now, news.clone());
+        }
+    }
+}
+
+fn ask_of(arrival: &Arrival) -> Ask {
+    let plain = arrival.key.is_none();
+    Ask {
+        pool: if plain { PORTALS } else { ENGINES },
+        key: arrival.key,
+        brand: arrival.brand,
+        class: arrival.class,
+        prefix: if arrival.class == Class::Batch {
+            0
+        } else {
+            arrival.prefix
+        },
+        tokens: Tokens(arrival.tokens),
+        deadline: arrival.deadline,
+    }
+}
+
+fn id_of(ticket: Ticket) -> usize {
+    usize::try_from(ticket.0).unwrap_or(usize::MAX)
+}
+
+fn zone_no(zone: usize) -> ZoneNo {
+    ZoneNo(u32::try_from(zone).unwrap_or(u32::MAX))
+}
+
+fn hash_of(target: TargetNo) -> StableHash {
+    stable_hash(&[b"target", &target.0.to_le_bytes()])
+}
--- /dev/null
+++ b/crates/measure/src/store.rs
@@ -0,0 +1,84 @@
+//! A fake of the weight store: two loads at full speed, more share it.
+
+use base::{AdapterKey, TargetNo, Time};
+
+/// Loads served at full speed at once.
+const AT_ONCE: f64 = 2.0;
+
+/// One load under way.
+#[derive(Clone, Copy, Debug)]
+struct Job {
+    target: TargetNo,
+    key: AdapterKey,
+    /// Seconds at full speed still to go.
+    left: f64,
+}
+
+/// The weight store.
+#[derive(Clone, Debug)]
+pub(crate) struct Store {
+    jobs: Vec<Job>,
+    /// Seconds that one load takes at full speed.
+    full: f64,
+    at: Time,
+    /// Loads started.
+    pub(crate) started: u64,
+}
+
+impl Store {
+    /// Makes a store that serves `rate` loads a second.
+    pub(crate) fn new(rate: f64) -> Self {
+        Store {
+            jobs: Vec::new(),
+            full: AT_ONCE / rate,
+            at: Time::ZERO,
+            started: 0,
+        }
+    }
+
+    pub(crate) fn start(&mut self, now: Time, target: TargetNo, key: AdapterKey) {
+        self.advance(now);
+        self.started += 1;
+        self.jobs.push(Job {
+            target,
+            key,
+            left: self.full,
+        });
+    }
+
+    /// Drops the loads of an engine that went down.
+    pub(crate) fn drop_target(&mut self, now: Time, target: TargetNo) {
+        self.advance(now);
+        self.jobs.retain(|job| job.target != target);
+    }
+
+    /// Returns when the next load ends.
+    pub(crate) fn next_at(&self) -> Option<Time> {
+        let left = self
+            .jobs
+            .iter()
+            .map(|job| job.left)
+            .min_by(f64::total_cmp)?;
+        let micros = (left.max(0.0) / self.speed() * 1e6).ceil() as u64;
+        Some(Time(self.at.0 + micros))
+    }
+
+    /// Takes out the loads that have ended.
+    pub(crate) fn take_done(&mut self, now: Time) -> Vec<(TargetNo, AdapterKey)> {
+        self.advance(now);
+        let done = self.jobs.extract_if(.., |job| job.left <= 1e-6);
+        done.map(|job| (job.target, job.key)).collect()
+    }
+
+    fn speed(&self) -> f64 {
+        (AT_ONCE / self.jobs.len() as f64).min(1.0)
+    }
+
+    fn advance(&mut self, now: Time) {
+        let done = now.since(self.at).as_secs_f64() * self.speed();
+        for job in &mut self.jobs {
+            job.left -= done;
+        }
+        self.at = now;
+    }
+}
--- /dev/null
+++ b/crates/measure/src/world.rs
@@ -0,0 +1,395 @@
+//! Feeds one workload to one policy in virtual time.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use base::{AdapterKey, Class, TargetNo, Time};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    engine::{Engine, Job},
+    figures::{Figures, Told},
+    policy::{Action, Decider, Event, Policy, target_no},
+    store::Store,
+    workload::{Arrival, COUNTED, Fault, WARM_UP, Workload},
+};
+
+/// Time that an unload takes.
+const UNLOAD: Duration = Duration::from_millis(2);
+
+/// Requests that a plain service replica runs at once.
+const PORTAL_PLACES: usize = 32;
+
+/// Time that a plain service takes for one request.
+const PORTAL_TIME: Duration = Duration::from_millis(20);
+
+/// Something that is due.
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    Arrive(usize),
+    Step(usize, u64),
+    Portal(usize, usize),
+    Patience(usize),
+    Unloaded(TargetNo, AdapterKey),
+    Fault(Fault),
+}
+
+/// Where a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Away,
+    Placed(TargetNo),
+    Sent(TargetNo),
+    Over,
+}
+
+/// A request and what became of it.
+#[derive(Clone, Debug)]
+struct Request {
+    arrival: Arrival,
+    state: State,
+    left: u32,
+    told: Told,
+    /// Since when it has waited for a load.
+    stalled: Option<Time>,
+}
+
+/// One run.
+struct World<'a> {
+    work: &'a Workload,
+    now: Time,
+    due: BTreeMap<(Time, u64), Due>,
+    posted: u64,
+    decider: Decider,
+    engines: Vec<Engine>,
+    portals: Vec<(usize, VecDeque<usize>)>,
+    store: Store,
+    requests: Vec<Request>,
+    waiting: BTreeMap<(TargetNo, AdapterKey), Vec<usize>>,
+    rng: ChaCha8Rng,
+    figures: Figures,
+}
+
+/// Runs a workload under a policy.
+#[must_use]
+pub fn run(work: &Workload, policy: Policy, seed: u64) -> Figures {
+    let sizes = &work.sizes;
+    let mut world = World {
+        work,
+        now: Time::ZERO,
+        due: BTreeMap::new(),
+        posted: 0,
+        decider: Decider::new(policy, sizes, seed),
+        engines: vec![Engine::new(sizes.batch as usize); sizes.engines],
+        portals: vec![(0, VecDeque::new()); sizes.portals],
+        store: Store::new(sizes.loads),
+        requests: work.arrivals.iter().map(Request::new).collect(),
+        waiting: BTreeMap::new(),
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        figures: Figures::default(),
+    };
+    for (i, arrival) in work.arrivals.iter().enumerate() {
+        world.post(arrival.at, Due::Arrive(i));
+        if arrival.class != Class::Batch {
+            world.post(arrival.deadline, Due::Patience(i));
+        }
+    }
+    for (at, fault) in &work.faults {
+        world.post(*at, Due::Fault(*fault));
+    }
+    world.run_to(Time::ZERO + WARM_UP);
+    world.begin_count();
+    world.run_to(Time::ZERO + WARM_UP + COUNTED);
+    world.finish()
+}
+
+impl Request {
+    fn new(arrival: &Arrival) -> Self {
+        Request {
+            arrival: *arrival,
+            state: State::Away,
+            left: arrival.tokens,
+            told: Told::default(),
+            stalled: None,
+        }
+    }
+}
+
+impl World<'_> {
+    fn run_to(&mut self, end: Time) {
+        loop {
+            let due = self.due.first_key_value().map(|((at, _), _)| *at);
+            let next = [due, self.decider.next_at(), self.store.next_at()];
+            let Some(at) = next.into_iter().flatten().min().filter(|at| *at <= end) else {
+                self.now = end;
+                return;
+            };
+            self.now = self.now.max(at);
+            for (target, key) in self.store.take_done(self.now) {
+                self.loaded(target, key);
+            }
+            if self.decider.next_at().is_some_and(|t| t <= self.now) {
+                self.tell(Event::Timer);
+            }
+            while let Some(entry) = self.due.first_entry().filter(|e| e.key().0 <= at) {
+                let due = entry.remove();
+                self.happen(due);
+            }
+        }
+    }
+
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::Arrive(id) => self.tell(Event::Arrive(id, self.requests[id].arrival)),
+            Due::Step(i, life) if self.engines[i].life == life => self.step(i),
+            Due::Step(..) => {}
+            Due::Portal(i, id) => self.portal_done(i, id),
+            Due::Patience(id) => self.patience(id),
+            Due::Unloaded(target, key) => self.tell(Event::Unloaded(target, key)),
+            Due::Fault(Fault::Down(i)) => self.down(i),
+            Due::Fault(Fault::Up(i)) => {
+                self.engines[i].up = true;
+                self.tell(Event::Up(target_no(i)));
+            }
+            Due::Fault(Fault::Cut(zone)) => self.tell(Event::Cut(zone)),
+            Due::Fault(Fault::Joined) => self.tell(Event::Joined),
+        }
+    }
+
+    fn tell(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.decider.on(self.now, event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Place(id, target) => self.place(id, target),
+            Action::Send(id, target, priority) => self.send(id, target, priority),
+            Action::Refuse(id) => {
+                self.unplace(id);
+                self.requests[id].state = State::Over;
+                self.requests[id].told.refused = true;
+            }
+            Action::Preempt(id) => self.preempt(id),
+            Action::Load(target, key) => {
+                let engine = &self.engines[target.0 as usize];
+                let room = engine.resident.len() < self.work.sizes.slots as usize;
+                self.figures.broken += u64::from(!room);
+                if engine.up {
+                    self.store.start(self.now, target, key);
+                }
+            }
+            Action::Unload(target, key) => {
+                let users = self.engines[target.0 as usize].users(key);
+                self.figures.broken += u64::from(users > 0);
+                self.engines[target.0 as usize].resident.remove(&key);
+                for id in self
+                    .waiting
+                    .get(&(target, key))
+                    .cloned()
+                    .unwrap_or_default()
+                {
+                    self.requests[id].stalled.get_or_insert(self.now);
+                }
+                self.post(self.now + UNLOAD, Due::Unloaded(target, key));
+            }
+        }
+    }
+
+    fn place(&mut self, id: usize, target: TargetNo) {
+        self.unplace(id);
+        let request = &mut self.requests[id];
+        request.state = State::Placed(target);
+        let Some(key) = request.arrival.key else {
+            return;
+        };
+        if !self.engines[target.0 as usize].resident.contains(&key) {
+            request.stalled = Some(self.now);
+        }
+        self.waiting.entry((target, key)).or_default().push(id);
+    }
+
+    /// Takes a request out of the line before its engine, and ends its stall.
+    fn unplace(&mut self, id: usize) {
+        let request = &mut self.requests[id];
+        if let Some(since) = request.stalled.take() {
+            request.told.stall += self.now.since(since);
+        }
+        if let (State::Placed(target), Some(key)) = (request.state, request.arrival.key)
+            && let Some(line) = self.waiting.get_mut(&(target, key))
+        {
+            line.retain(|other| *other != id);
+        }
+    }
+
+    fn send(&mut self, id: usize, target: TargetNo, priority: i32) {
+        if self.requests[id].state == State::Over {
+            return;
+        }
+        self.unplace(id);
+        self.requests[id].state = State::Sent(target);
+        let arrival = self.requests[id].arrival;
+        let Some(key) = arrival.key else {
+            return self.to_portal(id, target.0 as usize - self.engines.len());
+        };
+        let engine = &mut self.engines[target.0 as usize];
+        if !engine.resident.contains(&key) || !engine.up {
+            self.figures.broken += 1;
+            return;
+        }
+        engine.submit(
+            priority,
+            Job {
+                id,
+                key,
+                prompt: arrival.prompt,
+                prefix: arrival.prefix,
+                left: self.requests[id].left,
+            },
+        );
+        self.begin_step(target.0 as usize);
+    }
+
+    fn begin_step(&mut self, i: usize) {
+        if let Some(micros) = self.engines[i].begin() {
+            let life = self.engines[i].life;
+            self.post(Time(self.now.0 + micros), Due::Step(i, life));
+        }
+    }
+
+    fn step(&mut self, i: usize) {
+        let step = self.engines[i].end();
+        self.figures.tokens += step.tokens.len() as u64;
+        for id in step.tokens {
+            self.requests[id].left -= 1;
+            if self.requests[id].told.first.is_none() {
+                self.requests[id].told.first = Some(self.now);
+                self.tell(Event::Began(id));
+            }
+        }
+        for id in step.ended {
+            self.requests[id].state = State::Over;
+            self.requests[id].told.done = Some(self.now);
+            self.tell(Event::Ended(id, true));
+        }
+        self.begin_step(i);
+    }
+
+    fn preempt(&mut self, id: usize) {
+        let State::Sent(target) = self.requests[id].state else {
+            return;
+        };
+        self.engines[target.0 as usize].cancel(id);
+        self.place(id, target);
+        self.tell(Event::Paused(id));
+    }
+
+    fn patience(&mut self, id: usize) {
+        let request = &self.requests[id];
+        if request.told.first.is_some() || request.state == State::Over {
+            return;
+        }
+        if let (State::Sent(target), Some(_)) = (request.state, request.arrival.key) {
+            self.engines[target.0 as usize].cancel(id);
+        }
+        self.unplace(id);
+        self.requests[id].state = State::Over;
+        self.tell(Event::Left(id));
+    }
+
+    fn loaded(&mut self, target: TargetNo, key: AdapterKey) {
+        let broken = self.work.broken.contains(&key.adapter);
+        let ok = !broken && !self.rng.random_bool(self.work.failing);
+        if ok {
+            self.engines[target.0 as usize].resident.insert(key);
+            for id in self
+                .waiting
+                .get(&(target, key))
+                .cloned()
+                .unwrap_or_default()
+            {
+                let request = &mut self.requests[id];
+                if let Some(since) = request.stalled.take() {
+                    request.told.stall += self.now.since(since);
+                }
+            }
+        }
+        self.tell(Event::Loaded(target, key, ok));
+    }
+
+    /// An engine goes down: what was there comes back as new attempts, with
+    /// what is left to generate.
+    fn down(&mut self, i: usize) {
+        let target = target_no(i);
+        self.engines[i].crash();
+        self.store.drop_target(self.now, target);
+        self.tell(Event::Down(target));
+        let here = |state| state == State::Sent(target) || state == State::Placed(target);
+        let ids = (0..self.requests.len()).filter(|id| here(self.requests[*id].state));
+        for id in ids.collect::<Vec<_>>() {
+            self.unplace(id);
+            self.requests[id].state = State::Away;
+            self.tell(Event::Ended(id, false));
+            self.tell(Event::Arrive(id, self.requests[id].arrival));
+        }
+    }
+
+    fn to_portal(&mut self, id: usize, i: usize) {
+        if self.portals[i].0 >= PORTAL_PLACES {
+            self.portals[i].1.push_back(id);
+            return;
+        }
+        self.portals[i].0 += 1;
+        self.post(self.now + PORTAL_TIME, Due::Portal(i, id));
+    }
+
+    fn portal_done(&mut self, i: usize, id: usize) {
+        self.portals[i].0 -= 1;
+        if let Some(next) = self.portals[i].1.pop_front() {
+            self.to_portal(next, i);
+        }
+        if self.requests[id].state == State::Over {
+            return;
+        }
+        self.requests[id].state = State::Over;
+        self.requests[id].told.first = Some(self.now);
+        self.requests[id].told.done = Some(self.now);
+        self.tell(Event::Began(id));
+        self.tell(Event::Ended(id, true));
+    }
+
+    fn post(&mut self, at: Time, due: Due) {
+        self.posted += 1;
+        self.due.insert((at, self.posted), due);
+    }
+
+    /// Forgets what was counted while the caches were cold.
+    fn begin_count(&mut self) {
+        self.figures.tokens = 0;
+        self.store.started = 0;
+        for engine in &mut self.engines {
+            engine.busy_secs = 0.0;
+        }
+    }
+
+    fn finish(mut self) -> Figures {
+        for id in 0..self.requests.len() {
+            self.unplace(id);
+        }
+        let mut figures = self.figures;
+        figures.loads = self.store.started;
+        figures.busy_secs = self.engines.iter().map(|e| e.busy_secs).sum();
+        for request in &self.requests {
+            if request.arrival.at >= Time::ZERO + WARM_UP {
+                figures.add(&request.arrival, &request.told);
+            }
+        }
+        figures
+    }
+}
--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -112,6 +112,11 @@
             Input::Unloaded { target, key, ok } => self.unloaded(now, target, key, ok, out),
             Input::Budget(rate) => self.budget.set_rate(now, rate),
             Input::Rolled { old, new } => self.rolled(old, new),
+            Input::Asked(target) => {
+                if let Some(bay) = self.bays.get_mut(&target) {
+                    bay.tell_whole(out);
+                }
+            }
             Input::Wake => {}
         }
         self.settle(now, out);
--- a/crates/route/src/desk_io.rs
+++ b/crates/route/src/desk_io.rs
@@ -134,6 +134,8 @@
         /// The version to load.
         new: AdapterKey,
     },
+    /// An entry instance missed news of the engine: all is told again.
+    Asked(TargetNo),
     /// The time asked for by [`Output::Wake`] has come.
     Wake,
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,12 +1,14 @@
 //! Chores of the repository, started as `cargo xtask CHORE`.
 
+mod measure;
+
 use std::process::{Command, ExitCode};
 
 use anyhow::{Context, Result, bail};
 
 fn main() -> ExitCode {
     match run() {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(err) => {
             eprintln!("xtask: {err:#}");
             ExitCode::FAILURE
@@ -14,13 +16,15 @@
     }
 }
 
-fn run() -> Result<()> {
+fn run() -> Result<ExitCode> {
     let cli = clap::Command::new("xtask")
         .about("Chores of the repository")
         .subcommand_required(true)
-        .subcommand(clap::Command::new("test").about("Builds the daemons, then runs all tests"));
-    match cli.get_matches().subcommand_name() {
-        Some("test") => test(),
+        .subcommand(clap::Command::new("test").about("Builds the daemons, then runs all tests"))
+        .subcommand(measure::command());
+    match cli.get_matches().subcommand() {
+        Some(("test", _)) => test().map(|()| ExitCode::SUCCESS),
+        Some(("measure", args)) => measure::run(args),
         _ => bail!("no such chore"),
     }
 }
