--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,10 +1,39 @@
 //! Chores of the repository, started as `cargo xtask CHORE`.
 
+mod events;
 mod measure;
+mod samples;
+mod test;
 
-use std::process::{Command, ExitCode};
+use std::{path::Path, process::ExitCode};
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Result, bail};
+use clap::{ArgMatches, Command};
+
+/// One chore: its command line, and what it does.
+struct Chore {
+    command: fn() -> Command,
+    run: fn(&ArgMatches) -> Result<ExitCode>,
+}
+
+const CHORES: &[Chore] = &[
+    Chore {
+        command: test::command,
+        run: test::run,
+    },
+    Chore {
+        command: measure::command,
+        run: measure::run,
+    },
+    Chore {
+        command: events::command,
+        run: |args| done(events::run(root(), args.get_flag("write"))),
+    },
+    Chore {
+        command: samples::command,
+        run: |args| done(samples::run(root(), args)),
+    },
+];
 
 fn main() -> ExitCode {
     match run() {
@@ -17,31 +46,28 @@
 }
 
 fn run() -> Result<ExitCode> {
-    let cli = clap::Command::new("xtask")
+    let mut cli = Command::new("xtask")
         .about("Chores of the repository")
-        .subcommand_required(true)
-        .subcommand(clap::Command::new("test").about("Builds the daemons, then runs all tests"))
-        .subcommand(measure::command());
-    match cli.get_matches().subcommand() {
-        Some(("test", _)) => test().map(|()| ExitCode::SUCCESS),
-        Some(("measure", args)) => measure::run(args),
-        _ => bail!("no such chore"),
+        .subcommand_required(true);
+    for chore in CHORES {
+        cli = cli.subcommand((chore.command)());
+    }
+    let matches = cli.get_matches();
+    let Some((name, args)) = matches.subcommand() else {
+        bail!("no chore named");
+    };
+    let chore = CHORES.iter().find(|c| (c.command)().get_name() == name);
+    match chore {
+        Some(chore) => (chore.run)(args),
+        None => bail!("no such chore"),
     }
 }
 
-/// Builds every binary first, because process-level tests start them.
-fn test() -> Result<()> {
-    cargo(&["build", "--workspace", "--bins", "--locked"])?;
-    cargo(&["test", "--workspace", "--locked"])
+/// Returns the repository's root.
+fn root() -> &'static Path {
+    Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/.."))
 }
 
-fn cargo(args: &[&str]) -> Result<()> {
-    let status = Command::new("cargo")
-        .args(args)
-        .status()
-        .context("can't start cargo")?;
-    if !status.success() {
-        bail!("cargo {} failed", args.join(" "));
-    }
-    Ok(())
+fn done(result: Result<()>) -> Result<ExitCode> {
+    result.map(|()| ExitCode::SUCCESS)
 }
