Let the walk over every step offer wrong resumes and late refusals

With the guards against a stream that can't be continued, a caller outlived and a refusal after the head taken out, only single-path tests or none failed; the walk now fails for each of them too.

--- a/crates/request/tests/every_step.rs
+++ b/crates/request/tests/every_step.rs
@@ -108,12 +108,17 @@
             head(200, RanOn::Named(KEY), from),
             head(200, RanOn::Named(OTHER), from),
             head(500, RanOn::Unnamed, None),
+            // An engine that starts anew though it was asked to continue.
+            head(200, RanOn::Named(KEY), None),
         ];
         return all.into_iter().map(|input| (input, vec![])).collect();
     }
     let piece = |part| Input::Piece { attempt, part };
     let end = |whole| Input::End { attempt, whole };
-    let mut all = vec![(failed(Verdict::MayHaveRun), vec![]), (end(false), vec![])];
+    // A target that says `not run` after it began to answer is wrong.
+    let wrong = failed(Verdict::NotRun);
+    let in_doubt = failed(Verdict::MayHaveRun);
+    let mut all = vec![(wrong, vec![]), (in_doubt, vec![]), (end(false), vec![])];
     if sent.next < TOKENS {
         all.push((piece(Part::Tokens(1)), vec![sent.next]));
     } else {
@@ -151,13 +156,17 @@
             } => {
                 let sent = self.attempt(*attempt);
                 sent.over = true;
-                sent.ran = *verdict != Verdict::NotRun;
+                sent.ran = sent.headed || *verdict != Verdict::NotRun;
             }
             Input::Head {
-                attempt, ran_on, ..
+                attempt,
+                ran_on,
+                resumed,
+                ..
             } => {
                 let sent = self.attempt(*attempt);
                 sent.headed = true;
+                sent.next = resumed.unwrap_or_default();
                 sent.wrong = *ran_on != RanOn::Named(KEY);
             }
             Input::Piece { attempt, .. } => self.attempt(*attempt).next += 1,
@@ -187,6 +196,7 @@
                     start.mark == Mark::Repeatable || self.granted,
                     "sent unclaimed"
                 );
+                assert!(*resume_from == 0 || start.resumable, "can't continue");
                 self.sent.push(Sent {
                     no: *attempt,
                     from: *resume_from,
@@ -198,7 +208,12 @@
                     cancelled: false,
                 });
             }
-            Output::Cancel { attempt } => self.attempt(*attempt).cancelled = true,
+            Output::Cancel { attempt } => {
+                let outlives = start.outlives && self.gone && !self.late;
+                let bad = self.attempt(*attempt).headed && self.attempt(*attempt).wrong;
+                assert!(bad || !outlives, "cancelled though it outlives its caller");
+                self.attempt(*attempt).cancelled = true;
+            }
             Output::Pass | Output::PassHead => {
                 assert!(!over && !self.gone, "passed to nobody");
                 self.check_source(input);
