Test HTTP on both sides over real sockets

Seventeen ways in which an answer may end, pooled connections that went silent or were closed, and callers that are slow, huge, idle by the thousand, stalled or gone.

--- a/crates/web/src/client/link.rs
+++ b/crates/web/src/client/link.rs
@@ -1,5 +1,8 @@
 //! One connection to a target, which counts what was handed to its socket.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     io,
     net::SocketAddr,
--- /dev/null
+++ b/crates/web/src/client/link/tests.rs
@@ -0,0 +1,71 @@
+//! The verdict of a connection, at the moment of the write.
+
+use base::covers;
+use googletest::prelude::*;
+use tokio::{net::TcpListener, time::Duration};
+
+use super::*;
+
+fn request() -> Request<Full<Bytes>> {
+    Request::new(Full::new(Bytes::from_static(b"an application")))
+}
+
+/// The time runs out just before the connection's own task writes. A caller
+/// who is told `not run` sends its application again, and it would be handed
+/// in twice if the first one still left.
+#[gtest]
+#[tokio::test]
+async fn nothing_leaves_after_not_run_was_said() {
+    covers!(nothing_was_written);
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let until = Instant::now() + Duration::from_secs(20);
+    let addr = listener.local_addr().unwrap();
+    let mut link = Link::connect(addr, until).await.unwrap();
+    {
+        let sent = std::pin::pin!(link.send(request()));
+        assert!(futures::poll!(sent).is_pending());
+    }
+    let broken = link.broken(Cause::FirstByte);
+    expect_that!(broken.verdict, eq(Verdict::NotRun));
+    let (mut near, _) = listener.accept().await.unwrap();
+    let mut got = Vec::new();
+    // The connection ends, and nothing was on it.
+    let _ = tokio::io::AsyncReadExt::read_to_end(&mut near, &mut got).await;
+    assert_that!(got, is_empty());
+}
+
+/// The same with the write on another thread, which the end of the
+/// connection's task comes too late to stop.
+#[gtest]
+fn a_sealed_meter_lets_no_write_through() {
+    let meter = Meter::default();
+    let write = |n| meter.write(|| Poll::Ready(Ok(n)));
+    expect_that!(write(5).is_ready(), eq(true));
+    expect_that!(meter.seal(), eq(5));
+    let late = meter.write(|| panic!("written after the seal"));
+    expect_that!(matches!(late, Poll::Ready(Err(_))), eq(true));
+    expect_that!(meter.seal(), eq(5));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_written_request_is_in_doubt() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let until = Instant::now() + Duration::from_secs(20);
+    let addr = listener.local_addr().unwrap();
+    let mut link = Link::connect(addr, until).await.unwrap();
+    {
+        let mut sent = std::pin::pin!(link.send(request()));
+        let (mut near, _) = listener.accept().await.unwrap();
+        let mut byte = [0];
+        let read = tokio::io::AsyncReadExt::read_exact(&mut near, &mut byte);
+        tokio::select! {
+            _ = &mut sent => panic!("nobody answered"),
+            _ = read => {}
+        }
+    }
+    assert_that!(
+        link.broken(Cause::FirstByte).verdict,
+        eq(Verdict::MayHaveRun)
+    );
+}
--- /dev/null
+++ b/crates/web/tests/web/client.rs
@@ -0,0 +1,202 @@
+//! The client against targets that fail at each point of an exchange.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::{Mark, Verdict, covers};
+use googletest::prelude::*;
+use tokio::net::TcpListener;
+use web::{
+    Method,
+    client::{Broken, Client, Limits, Send},
+};
+
+use super::peer::{Step, Target, sized};
+
+const BODY_MAX: usize = 1 << 16;
+const SHORT: Duration = Duration::from_millis(100);
+const SSE: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
+const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
+
+fn get(addr: SocketAddr) -> Send {
+    let mut send = Send::new(addr, Method::GET, "/");
+    send.limits = Limits {
+        hedge: SHORT,
+        ..Limits::default()
+    };
+    send
+}
+
+async fn fetch(client: &Client, send: Send) -> Result<String, Broken> {
+    let body = client.send(send).await?.whole(BODY_MAX).await?;
+    Ok(String::from_utf8(body.to_vec()).unwrap())
+}
+
+/// Each way in which an answer may end: what the target does, and what of it
+/// counts as whole. A part must never be taken for the whole.
+#[gtest]
+#[tokio::test]
+async fn only_a_proper_end_is_whole() {
+    covers!(unframed_body);
+    covers!(stream_without_done);
+    let silent = |text: &str| Step::Silent(text.to_owned());
+    let close = |text: &str| Step::Close(text.to_owned());
+    let sse = |rest: &str| Step::Close(format!("{SSE}{rest}"));
+    let head = "HTTP/1.1 200 OK\r\n";
+    let done = "data: [DONE]\n\n";
+    let rows = [
+        ("sized", Step::Answer(sized("hello")), true),
+        (
+            "chunked",
+            close(&format!("{head}{CHUNKED}2\r\nhe\r\n0\r\n\r\n")),
+            true,
+        ),
+        (
+            "events",
+            sse(&format!("{CHUNKED}e\r\n{done}\r\n0\r\n\r\n")),
+            true,
+        ),
+        ("events till the close", sse(&format!("\r\n{done}")), true),
+        ("no content", close("HTTP/1.1 204 No Content\r\n\r\n"), true),
+        (
+            "length cut",
+            close(&format!("{head}content-length: 9\r\n\r\nhello")),
+            false,
+        ),
+        (
+            "chunk cut",
+            close(&format!("{head}{CHUNKED}5\r\nhel")),
+            false,
+        ),
+        (
+            "no last chunk",
+            close(&format!("{head}{CHUNKED}2\r\nhe\r\n")),
+            false,
+        ),
+        (
+            "no chunk size",
+            close(&format!("{head}{CHUNKED}zz\r\nhe\r\n0\r\n\r\n")),
+            false,
+        ),
+        ("till the close", close(&format!("{head}\r\nhello")), false),
+        (
+            "events without done",
+            sse(&format!("{CHUNKED}9\r\ndata: x\n\n\r\n0\r\n\r\n")),
+            false,
+        ),
+        ("events cut amid done", sse("\r\ndata: [DONE]\n"), false),
+        ("more after done", sse(&format!("\r\n{done}{done}")), false),
+        (
+            "silent amid the body",
+            silent(&format!("{head}content-length: 9\r\n\r\nhel")),
+            false,
+        ),
+        ("silent", silent(""), false),
+        ("closed unanswered", close(""), false),
+        ("no HTTP", close("SSH-2.0-x\r\n\r\n"), false),
+    ];
+    for (name, step, whole) in rows {
+        let target = Target::start([step]).await;
+        let mut send = get(target.addr);
+        (send.limits.idle, send.limits.first) = (SHORT, SHORT);
+        match fetch(&Client::default(), send).await {
+            Ok(_) => expect_that!(whole, eq(true), "{name} counts as whole"),
+            Err(broken) => {
+                expect_that!(whole, eq(false), "{name}: {broken}");
+                expect_that!(broken.verdict, eq(Verdict::MayHaveRun), "{name}");
+            }
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn without_a_connection_nothing_ran() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    drop(listener);
+    let broken = fetch(&Client::default(), get(addr)).await.unwrap_err();
+    assert_that!(broken.verdict, eq(Verdict::NotRun));
+}
+
+/// A caller leaves amid an answer. The next request must not meet the rest of
+/// it, so its connection is closed, while a used-up one is kept.
+#[gtest]
+#[tokio::test]
+async fn an_abandoned_connection_is_never_reused() {
+    let half = Step::Silent(String::from(
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhel",
+    ));
+    let next = || Step::Answer(sized("next"));
+    let target = Target::start([half, next(), next()]).await;
+    let client = Client::default();
+    let mut answer = client.send(get(target.addr)).await.unwrap();
+    expect_that!(answer.next().await.unwrap().unwrap().as_ref(), eq(b"hel"));
+    drop(answer);
+    expect_that!(fetch(&client, get(target.addr)).await, ok(eq("next")));
+    expect_that!(target.connections(), eq(2));
+    expect_that!(fetch(&client, get(target.addr)).await, ok(eq("next")));
+    assert_that!(target.connections(), eq(2));
+}
+
+/// Something between the two ends forgot an idle connection: it is open at
+/// both ends and carries nothing. The request goes on on a new one.
+#[gtest]
+#[tokio::test]
+async fn a_silent_pooled_connection_costs_little() {
+    covers!(silent_pooled_connection);
+    let steps = [
+        Step::Answer(sized("one")),
+        Step::Silent(String::new()),
+        Step::Answer(sized("two")),
+    ];
+    let target = Target::start(steps).await;
+    let client = Client::default();
+    expect_that!(fetch(&client, get(target.addr)).await, ok(eq("one")));
+    expect_that!(fetch(&client, get(target.addr)).await, ok(eq("two")));
+    expect_that!(target.requests(), eq(3));
+    assert_that!(target.connections(), eq(2));
+}
+
+/// The same with a connection that the target closes when the request comes.
+#[gtest]
+#[tokio::test]
+async fn a_closed_pooled_connection_costs_nothing() {
+    covers!(closed_pooled_connection);
+    let steps = [
+        Step::Answer(sized("one")),
+        Step::Close(String::new()),
+        Step::Answer(sized("two")),
+    ];
+    let target = Target::start(steps).await;
+    let client = Client::default();
+    expect_that!(fetch(&client, get(target.addr)).await, ok(eq("one")));
+    assert_that!(fetch(&client, get(target.addr)).await, ok(eq("two")));
+}
+
+/// The same with an application: it could not be sent a second time, so it
+/// never travels on a connection that may be dead.
+#[gtest]
+#[tokio::test]
+async fn a_marked_request_gets_a_new_connection() {
+    covers!(marked_gets_new_connection);
+    let target = Target::start([Step::Answer(sized("one")), Step::Answer(sized("two"))]).await;
+    let client = Client::default();
+    expect_that!(fetch(&client, get(target.addr)).await, ok(eq("one")));
+    let mut marked = get(target.addr);
+    marked.mark = Mark::Once;
+    expect_that!(fetch(&client, marked).await, ok(eq("two")));
+    assert_that!(target.connections(), eq(2));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_connection_past_its_age_is_not_reused() {
+    covers!(stale_pooled_connection);
+    let target = Target::start([Step::Answer(sized("one")), Step::Answer(sized("two"))]).await;
+    let client = Client::default();
+    expect_that!(fetch(&client, get(target.addr)).await, ok(eq("one")));
+    let mut send = get(target.addr);
+    send.limits.reuse = Duration::ZERO;
+    expect_that!(fetch(&client, send).await, ok(eq("two")));
+    assert_that!(target.connections(), eq(2));
+}
--- /dev/null
+++ b/crates/web/tests/web/main.rs
@@ -0,0 +1,6 @@
+//! Both sides of HTTP over real sockets on the loopback interface.
+
+mod client;
+mod peer;
+mod server;
+mod sse;
--- /dev/null
+++ b/crates/web/tests/web/server.rs
@@ -0,0 +1,379 @@
+//! The server against callers that are careless, hostile or gone.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use base::{Failure, Refusal, Verdict, covers};
+use bytes::Bytes;
+use googletest::prelude::*;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+    task::JoinHandle,
+    time::timeout,
+};
+use tokio_util::sync::CancellationToken;
+use web::{
+    Incoming, Method, Request, Response, StatusCode,
+    body::{Body, ReadLimits, Writer, channel, read},
+    client::{Client, Send},
+    reply,
+    server::{Limits, Served, serve},
+};
+
+use super::peer::{CEILING, hear, say};
+
+const SHORT: Duration = Duration::from_millis(150);
+const BODY: usize = 1 << 10;
+
+/// What the handler of this test shares with it.
+#[derive(Default)]
+struct Shared {
+    /// Lets `/wait` answer.
+    go: Notify,
+    /// Notified when `/wait` began.
+    began: Notify,
+    /// Notified when the handler of `/wait` was dropped.
+    dropped: Notify,
+    /// What `/stream` writes to.
+    writer: Mutex<Option<Writer>>,
+}
+
+struct Dropped(Arc<Shared>);
+
+impl Drop for Dropped {
+    fn drop(&mut self) {
+        self.0.dropped.notify_one();
+    }
+}
+
+async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+    match req.uri().path() {
+        "/panic" => panic!("the handler fails"),
+        "/wait" => {
+            let _dropped = Dropped(shared.clone());
+            shared.began.notify_one();
+            shared.go.notified().await;
+            reply::plain(StatusCode::OK, "waited")
+        }
+        "/stream" => {
+            let (writer, body) = channel(1);
+            *shared.writer.lock().unwrap() = Some(writer);
+            Response::new(body)
+        }
+        "/upgrade" => upgrade(req),
+        _ => echo(req).await,
+    }
+}
+
+async fn echo(req: Request<Incoming>) -> Response<Body> {
+    let limits = ReadLimits {
+        bytes: BODY,
+        rate: 100,
+        grace: SHORT,
+    };
+    match read(req.into_body(), limits).await {
+        Ok(bytes) => Response::new(web::body::full(bytes)),
+        Err(failure) => reply::failure(&failure),
+    }
+}
+
+fn upgrade(req: Request<Incoming>) -> Response<Body> {
+    tokio::spawn(async move {
+        let upgraded = hyper::upgrade::on(req).await.unwrap();
+        let mut io = hyper_util::rt::TokioIo::new(upgraded);
+        let byte = io.read_u8().await.unwrap();
+        io.write_u8(byte + 1).await.unwrap();
+    });
+    let mut resp = Response::new(web::body::full(""));
+    *resp.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
+    let headers = resp.headers_mut();
+    headers.insert("connection", web::header_value("upgrade"));
+    headers.insert("upgrade", web::header_value("test"));
+    resp
+}
+
+struct Site {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+    task: JoinHandle<Served>,
+}
+
+impl Site {
+    async fn start(limits: Limits) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (shared, stop) = (Arc::<Shared>::default(), CancellationToken::new());
+        let handler = {
+            let shared = shared.clone();
+            move |req| handle(shared.clone(), req)
+        };
+        let serving = serve(listener, limits, handler, stop.clone());
+        let task = tokio::spawn(async move { serving.await.unwrap() });
+        Site {
+            addr,
+            shared,
+            stop,
+            task,
+        }
+    }
+
+    /// Says `text` and returns all that is answered until the close.
+    async fn ask(&self, text: &str) -> String {
+        hear(&mut say(self.addr, text).await).await
+    }
+
+    /// Another caller still gets its answer.
+    async fn serves_others(&self) {
+        let mut send = Send::new(self.addr, Method::POST, "/");
+        send.body = Bytes::from_static(b"hello");
+        let answer = Client::default().send(send).await.unwrap();
+        assert_eq!(
+            answer.whole(BODY).await.unwrap(),
+            Bytes::from_static(b"hello")
+        );
+    }
+}
+
+fn limits() -> Limits {
+    Limits {
+        header_time: SHORT,
+        header_bytes: 8 << 10,
+        body_bytes: BODY as u64,
+        connections: 64,
+        write_stall: SHORT,
+        linger: SHORT,
+        drain: CEILING,
+    }
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+}
+
+/// Each careless or hostile request gets a clear end, and nobody else is hurt.
+#[gtest]
+#[tokio::test]
+async fn bad_requests_are_bounded() {
+    covers!(announced_too_large);
+    covers!(body_too_large);
+    covers!(silent_sender);
+    covers!(slow_sender);
+    covers!(handler_panic);
+    let site = Site::start(limits()).await;
+    let post = "POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n";
+    let chunked = "transfer-encoding: chunked\r\n\r\n";
+    let (long, big) = ("h".repeat(20 << 10), "b".repeat(BODY + 1));
+    let rows = [
+        (
+            "huge head",
+            format!("GET / HTTP/1.1\r\nx: {long}\r\n\r\n"),
+            "431",
+        ),
+        ("no HTTP", String::from("\u{1}\u{2}\r\n\r\n"), "400"),
+        (
+            "announced",
+            format!("{post}content-length: 999999\r\n\r\n"),
+            "413",
+        ),
+        (
+            "streamed",
+            format!("{post}{chunked}{:x}\r\n{big}\r\n0\r\n\r\n", big.len()),
+            "413",
+        ),
+        (
+            "chunk size",
+            format!("{post}{chunked}zz\r\nhello\r\n"),
+            "400",
+        ),
+        (
+            "silent body",
+            format!("{post}content-length: 5\r\n\r\nhe"),
+            "400",
+        ),
+        ("silent head", String::from("GET / HTTP/1.1\r\nhost:"), ""),
+        ("panic", get("/panic"), "500"),
+    ];
+    for (name, text, status) in rows {
+        let answer = site.ask(&text).await;
+        let got = answer.split(' ').nth(1).unwrap_or_default();
+        // A head that never comes may be answered 408 or not at all.
+        expect_that!(
+            status.is_empty() || got == status,
+            eq(true),
+            "{name}: {answer}"
+        );
+        site.serves_others().await;
+    }
+    let mut slow = say(site.addr, &format!("{post}{chunked}")).await;
+    let trickle = async {
+        while slow.write_all(b"1\r\nx\r\n").await.is_ok() {
+            tokio::time::sleep(SHORT / 5).await;
+        }
+    };
+    timeout(CEILING, trickle)
+        .await
+        .expect("a slow sender is never cut");
+}
+
+/// Thousands of connections are opened and say nothing. A caller with a
+/// request must still be served at once, and their number stays bounded.
+#[gtest]
+#[tokio::test]
+async fn idle_connections_make_room() {
+    covers!(idle_connection_closed);
+    let patient = Limits {
+        header_time: CEILING * 10,
+        ..limits()
+    };
+    let site = Site::start(patient).await;
+    let mut idle = Vec::new();
+    for _ in 0..2_000 {
+        idle.push(TcpStream::connect(site.addr).await.unwrap());
+    }
+    site.serves_others().await;
+    // All but the newest were closed, the longest idle first.
+    let bound = idle.len() - patient.connections;
+    for stream in &mut idle[..bound] {
+        hear(stream).await;
+    }
+}
+
+/// Every connection is busy. One more is refused, those under way go on.
+#[gtest]
+#[tokio::test]
+async fn busy_connections_are_never_closed() {
+    covers!(all_connections_busy);
+    let site = Site::start(Limits {
+        connections: 1,
+        ..limits()
+    })
+    .await;
+    let mut busy = say(site.addr, &get("/wait")).await;
+    site.shared.began.notified().await;
+    expect_that!(site.ask(&get("/")).await, eq(""));
+    site.shared.go.notify_one();
+    assert_that!(hear(&mut busy).await, contains_substring("waited"));
+}
+
+/// A caller opens a stream and never reads it, so its place and buffers would
+/// be held until the kernel gives up.
+#[gtest]
+#[tokio::test]
+async fn a_reader_that_stalls_is_cut() {
+    covers!(stalled_reader);
+    let site = Site::start(limits()).await;
+    let _stalled = say(site.addr, &get("/stream")).await;
+    let writer = loop {
+        tokio::task::yield_now().await;
+        if let Some(writer) = site.shared.writer.lock().unwrap().take() {
+            break writer;
+        }
+    };
+    let endless = async { while writer.piece(Bytes::from(vec![b'x'; 1 << 16])).await.is_ok() {} };
+    timeout(CEILING, endless)
+        .await
+        .expect("a stalled reader is never cut");
+}
+
+/// A handler dies amid its answer. The caller must not take the part for the
+/// whole.
+#[gtest]
+#[tokio::test]
+async fn a_writer_that_dies_cuts_the_answer() {
+    let site = Site::start(limits()).await;
+    let client = Client::default();
+    let mut answer = client
+        .send(Send::new(site.addr, Method::GET, "/stream"))
+        .await
+        .unwrap();
+    let writer = site.shared.writer.lock().unwrap().take().unwrap();
+    writer.piece(Bytes::from_static(b"half")).await.unwrap();
+    expect_that!(answer.next().await.unwrap().is_ok(), eq(true));
+    drop(writer);
+    assert_that!(answer.next().await.unwrap().is_err(), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_caller_who_leaves_cancels_the_handler() {
+    let site = Site::start(limits()).await;
+    let leaving = say(site.addr, &get("/wait")).await;
+    site.shared.began.notified().await;
+    drop(leaving);
+    let dropped = timeout(CEILING, site.shared.dropped.notified()).await;
+    assert_that!(dropped.is_ok(), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_connection_can_be_upgraded() {
+    let site = Site::start(limits()).await;
+    let text = "GET /upgrade HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\nupgrade: test\r\n\r\n";
+    let mut stream = say(site.addr, text).await;
+    stream.write_u8(41).await.unwrap();
+    assert_that!(hear(&mut stream).await, ends_with("\r\n\r\n*"));
+}
+
+/// The process is told to stop while a request runs and the balancer still
+/// sends new ones. All of them are answered, none is cut.
+#[gtest]
+#[tokio::test]
+async fn stopping_cuts_nobody_off() {
+    let site = Site::start(limits()).await;
+    let mut under_way = say(
+        site.addr,
+        &get("/wait").replace("connection: close\r\n", ""),
+    )
+    .await;
+    site.shared.began.notified().await;
+    site.stop.cancel();
+    let late = site
+        .ask(&get("/").replace("connection: close\r\n", ""))
+        .await;
+    expect_that!(late, contains_substring("connection: close"));
+    // The listener is gone once the lingering is over.
+    while TcpStream::connect(site.addr).await.is_ok() {
+        tokio::time::sleep(SHORT / 10).await;
+    }
+    site.shared.go.notify_one();
+    expect_that!(hear(&mut under_way).await, contains_substring("waited"));
+    assert_that!(site.task.await.unwrap(), eq(Served { cut: 0 }));
+}
+
+#[gtest]
+#[tokio::test]
+async fn stopping_ends_at_last() {
+    let site = Site::start(Limits {
+        drain: SHORT,
+        ..limits()
+    })
+    .await;
+    let mut endless = say(site.addr, &get("/wait")).await;
+    site.shared.began.notified().await;
+    site.stop.cancel();
+    expect_that!(hear(&mut endless).await, eq(""));
+    assert_that!(site.task.await.unwrap(), eq(Served { cut: 1 }));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_failure_says_all_it_knows() {
+    let failure = Failure::not_run(Refusal::NoQuorum).retry_after(Duration::from_millis(1_200));
+    let resp = reply::failure(&failure);
+    let header = |name: &str| resp.headers()[name].to_str().unwrap().to_owned();
+    expect_that!(resp.status().as_u16(), eq(503));
+    expect_that!(header("retry-after"), eq("2"));
+    expect_that!(header(wire::header::VERDICT), eq("not-run"));
+    expect_that!(header(wire::header::REASON), eq("no-quorum"));
+    let body = reply::ErrorBody::from(&failure).error;
+    expect_that!(
+        (body.verdict, body.retry_after_ms),
+        eq((Verdict::NotRun, Some(1_200)))
+    );
+}
