--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -16,6 +16,7 @@
     pub(super) fn on_call(&mut self, now: Time, ticket: Ticket, call: Call, out: &mut Vec<Output>) {
         let reply = match call {
             Call::Log(raw) => self.on_log(now, &raw, out),
+            Call::Version => Reply::Version(self.state.texts().version()),
             Call::Text { have } => self.newer_text(have),
             Call::Apply(apply) => {
                 self.on_apply(now, Asker::Control(ticket), apply, out);
