--- a/xtask/src/events.rs
+++ b/xtask/src/events.rs
@@ -2,6 +2,7 @@
 //! and names events that nothing logs.
 
 use std::{
+    collections::BTreeSet,
     fs,
     path::{Path, PathBuf},
 };
@@ -55,16 +56,22 @@
     Ok(())
 }
 
-/// Returns the events that no source file outside `telemetry` names.
+/// Returns the events that no `event!` outside `telemetry` names, whatever the
+/// type is imported as.
 fn unused(root: &Path) -> Result<Vec<String>> {
-    let mut source = String::new();
+    let mut named = BTreeSet::new();
     for file in sources(&root.join("crates"))? {
-        if !file.starts_with(root.join("crates/telemetry")) {
-            source += &fs::read_to_string(file)?;
+        if file.starts_with(root.join("crates/telemetry")) {
+            continue;
         }
+        let source: String = fs::read_to_string(file)?.split_whitespace().collect();
+        let calls = source.split("event!(").skip(1);
+        let paths = calls.filter_map(|call| call.split([',', ')']).next());
+        named.extend(paths.filter_map(|path| Some(path.rsplit_once("::")?.1.to_owned())));
     }
-    let named = |event: &&Event| source.contains(&format!("Event::{event:?}"));
-    let unused = Event::ALL.iter().filter(|event| !named(event));
+    let unused = Event::ALL
+        .iter()
+        .filter(|event| !named.contains(&format!("{event:?}")));
     Ok(unused.map(|event| format!("{event} {event:?}")).collect())
 }
 
