Run the whole path in separate processes: cargo xtask demo

controld wraps the control instance and its data folder, the lab starts stand-ins and daemons on loopback, the demo applies the agency's sample text and sends a stream and a plain request for two brands. Cause of a stream that lost its [DONE] in the first run: the request took a second piece after the last token for one of a resumed stream. The mark of the end and raw bytes are parts of their own now, and what follows the last token is dropped only when another attempt has passed it already.

--- /dev/null
+++ b/crates/controld/src/shell.rs
@@ -0,0 +1,297 @@
+//! The one task that owns the control instance: inputs in, outputs carried
+//! out.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use anyhow::{Context, Result};
+use base::{InstanceName, Seed, Time};
+use control::{Checked, Control, Event, Input, Output};
+use replog::{RawSettings, Replica};
+use settings::{Begin, ControlSettings};
+use telemetry::event;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::mpsc,
+    time::{interval, sleep_until},
+};
+use tokio_util::sync::CancellationToken;
+use web::{
+    client::{Client, Limits, Send},
+    server,
+};
+use wire::platform::List;
+
+use crate::{
+    clock::Clock,
+    operators, peers,
+    state::{Job, Read, State},
+    store::{Store, Write},
+};
+
+/// Jobs taken in one go before timers are looked at again.
+const BURST: usize = 256;
+
+/// How often the platform's list and the wall clock are read.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
+/// Largest list, in bytes.
+const LIST_MAX: usize = 1 << 20;
+
+/// How long leadership may take to be handed over in a planned stop.
+const HANDOVER: Duration = Duration::from_millis(1_500);
+
+/// Serves until a planned stop has ended.
+///
+/// # Errors
+///
+/// Fails when the data folder can't be used or a signal not listened for.
+pub(crate) async fn serve(
+    settings: ControlSettings,
+    operators: TcpListener,
+    peers: TcpListener,
+) -> Result<()> {
+    let clock = Clock::start();
+    let (jobs, queue) = mpsc::unbounded_channel();
+    let identity = &settings.identity;
+    let controls = controls(&settings);
+    let state = State::new(identity.name.clone(), controls.clone(), jobs.clone());
+    let state = Arc::new(state);
+    let seed = settings.seed.unwrap_or_else(|| Seed(rand::random()));
+    let opened = disk::open(&settings.data, &identity.name)?;
+    let names = controls.keys().cloned().collect();
+    let raw = RawSettings::usual(opened.id, names, seed);
+    let replica = Replica::new(raw.try_into()?, opened.restored);
+    let control = Control::new(control::Config::default(), replica, Box::new(check));
+    let store = Store::start(opened.folder, jobs.clone())?;
+    let stop = CancellationToken::new();
+    tokio::spawn(listen_signals(jobs)?);
+    tokio::spawn(look(Arc::clone(&state), identity.platform));
+    let at_operators = Arc::clone(&state);
+    let handler = move |req| operators::answer(Arc::clone(&at_operators), req);
+    let limits = server::Limits {
+        body_bytes: 64 << 20,
+        linger: Duration::from_millis(200),
+        drain: Duration::from_secs(10),
+        ..server::Limits::default()
+    };
+    let operators = tokio::spawn(server::serve(operators, limits, handler, stop.clone()));
+    let at_peers = Arc::clone(&state);
+    let handler = move |req| peers::answer(Arc::clone(&at_peers), req);
+    tokio::spawn(server::serve(
+        peers,
+        limits,
+        handler,
+        CancellationToken::new(),
+    ));
+    event!(
+        telemetry::Event::Started,
+        listen = identity.listen.to_string()
+    );
+    let shell = Shell {
+        state,
+        control,
+        store,
+        clock,
+        wake: Time::ZERO,
+    };
+    shell.run(queue).await;
+    stop.cancel();
+    operators
+        .await
+        .context("the operators' listener failed")??;
+    event!(telemetry::Event::Stopped, running = 0);
+    Ok(())
+}
+
+fn controls(settings: &ControlSettings) -> BTreeMap<InstanceName, SocketAddr> {
+    match &settings.begin {
+        Begin::Voters(voters) => voters.clone(),
+        Begin::Join(contacts) => contacts.clone(),
+    }
+}
+
+/// Checks a text for operators.
+fn check(raw: &str) -> Result<Checked, Vec<String>> {
+    match text::Model::try_from(raw) {
+        Ok(model) => Ok(Checked {
+            rate: model.store.rate,
+        }),
+        Err(errors) => Err(errors.messages()),
+    }
+}
+
+fn listen_signals(jobs: mpsc::UnboundedSender<Job>) -> Result<impl Future<Output = ()>> {
+    let mut term = signal(SignalKind::terminate()).context("can't listen for SIGTERM")?;
+    let mut int = signal(SignalKind::interrupt()).context("can't listen for SIGINT")?;
+    Ok(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        jobs.send(Job::Stop).ok();
+    })
+}
+
+/// Reads the platform's list and the wall clock over and over.
+async fn look(state: Arc<State>, platform: SocketAddr) {
+    let client = Client::default();
+    let mut tick = interval(LOOK_EVERY);
+    loop {
+        tick.tick().await;
+        if let Ok(since) = SystemTime::now().duration_since(UNIX_EPOCH) {
+            let ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+            state.tell(Input::Wall { ms });
+        }
+        if let Some(list) = list(&client, platform).await {
+            let instances = list.instances.into_iter().map(|i| i.name).collect();
+            state.tell(Input::List { instances });
+        }
+    }
+}
+
+async fn list(client: &Client, platform: SocketAddr) -> Option<List> {
+    let mut send = Send::new(platform, hyper::Method::GET, "/v1/list");
+    send.limits = Limits {
+        connect: LOOK_EVERY,
+        first: LOOK_EVERY,
+        idle: LOOK_EVERY,
+        whole: LOOK_EVERY,
+        ..Limits::default()
+    };
+    let answer = client.send(send).await.ok()?;
+    let body = answer.whole(LIST_MAX).await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
+struct Shell {
+    state: Arc<State>,
+    control: Control,
+    store: Store,
+    clock: Clock,
+    wake: Time,
+}
+
+impl Shell {
+    async fn run(mut self, mut queue: mpsc::UnboundedReceiver<Job>) {
+        self.handle(Input::Wake);
+        let mut burst = Vec::with_capacity(BURST);
+        let mut stop_at = None;
+        loop {
+            let now = self.clock.now();
+            let led = self.control.leads(now);
+            if stop_at.is_some_and(|at| now >= at || !led) {
+                return;
+            }
+            let wake = stop_at.map_or(self.wake, |at| self.wake.min(at));
+            tokio::select! {
+                count = queue.recv_many(&mut burst, BURST) => {
+                    if count == 0 {
+                        return;
+                    }
+                }
+                () = sleep_until(self.clock.instant(wake)) => {
+                    burst.push(Job::Input(Input::Wake));
+                }
+            }
+            for job in burst.drain(..) {
+                match job {
+                    Job::Input(input) => self.handle(input),
+                    Job::Read(read) => self.read(read),
+                    Job::Stop => {
+                        event!(telemetry::Event::DrainBegun);
+                        self.handle(Input::HandOver);
+                        stop_at = Some(self.clock.now() + HANDOVER);
+                    }
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, input: Input) {
+        let mut outputs = Vec::new();
+        self.control.handle(self.clock.now(), input, &mut outputs);
+        for output in outputs {
+            self.one(output);
+        }
+    }
+
+    fn one(&mut self, output: Output) {
+        let state = &self.state;
+        match output {
+            Output::Reply { ticket, reply } => state.reply(ticket, reply),
+            Output::Applied { ticket, applied } => state.answer(ticket, applied),
+            Output::Pass { ticket, to, apply } => peers::pass(state, ticket, &to, apply),
+            Output::Send { to, call } => peers::send(state, &to, call),
+            Output::Write { no, records } => self.store.write(Write::Append(no, records)),
+            Output::Rewrite {
+                no,
+                snapshot,
+                records,
+            } => {
+                let snapshot = Box::new(snapshot);
+                self.store.write(Write::Rewrite(no, snapshot, records));
+            }
+            Output::Members { .. } => {}
+            Output::Wake(at) => self.wake = at,
+            Output::Event(report) => write_event(report),
+        }
+    }
+
+    fn read(&self, read: Read) {
+        // Whoever asked may have left.
+        match read {
+            Read::Status(to) => to
+                .send(self.control.status(self.clock.now()))
+                .ok()
+                .unwrap_or(()),
+            Read::History(to) => {
+                let all = self.control.history(base::TextVersion(0));
+                to.send(all).ok().unwrap_or(());
+            }
+            Read::Text(to) => to.send(self.control.text()).ok().unwrap_or(()),
+            Read::Peers(to) => to.send(self.peers()).ok().unwrap_or(()),
+        }
+    }
+
+    fn peers(&self) -> BTreeMap<InstanceName, SocketAddr> {
+        let members = self.control.state().table().members().iter();
+        let addressed = members.filter_map(|(name, member)| {
+            let address = member.peer.parse().ok()?;
+            Some((name.clone(), address))
+        });
+        addressed.collect()
+    }
+}
+
+fn write_event(report: Event) {
+    use telemetry::Event as Line;
+    match report {
+        Event::Leads { term } => event!(Line::LeaderElected, term = term),
+        Event::Follows => event!(Line::LeaderLost),
+        Event::Text { version } => event!(Line::TextAccepted, version = version),
+        Event::Owner {
+            target,
+            instance,
+            fence,
+        } => event!(
+            Line::EngineTaken,
+            engine = target,
+            owner = instance,
+            fence = fence
+        ),
+        Event::Joined { instance } => event!(Line::PeerBack, instance = instance),
+        Event::Admitted { instance } => event!(Line::PeerBack, instance = instance),
+        Event::Dismissed { instance } => event!(Line::PeerSilent, instance = instance),
+        Event::Unreadable { index } => event!(Line::PeerRefused, index = index),
+        Event::Halted { reason } => {
+            let why = reason.to_string();
+            event!(Line::DiskFailed, why = why);
+        }
+    }
+}
--- /dev/null
+++ b/crates/controld/src/state.rs
@@ -0,0 +1,128 @@
+//! What all tasks of the daemon share.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use base::{InstanceName, Ticket};
+use control::Input;
+use peer::Link;
+use tokio::sync::{mpsc, oneshot};
+use wire::{
+    call::Reply,
+    operator::{Applied, Current, Entry, Status},
+};
+
+/// What the shell takes in: an input of the control instance, or a question.
+#[derive(Debug)]
+pub(crate) enum Job {
+    /// Something happened.
+    Input(Input),
+    /// An operator reads something.
+    Read(Read),
+    /// This process is to stop.
+    Stop,
+}
+
+/// What an operator may read.
+#[derive(Debug)]
+pub(crate) enum Read {
+    /// The state of the system.
+    Status(oneshot::Sender<Status>),
+    /// Accepted changes.
+    History(oneshot::Sender<Vec<Entry>>),
+    /// The text in force.
+    Text(oneshot::Sender<Current>),
+    /// The entry instances' peer listeners.
+    Peers(oneshot::Sender<BTreeMap<InstanceName, SocketAddr>>),
+}
+
+/// Handles that every task of the daemon may use.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) name: InstanceName,
+    pub(crate) jobs: mpsc::UnboundedSender<Job>,
+    /// The other control instances' peer listeners.
+    pub(crate) controls: BTreeMap<InstanceName, SocketAddr>,
+    tickets: AtomicU64,
+    replies: Mutex<HashMap<Ticket, oneshot::Sender<Reply>>>,
+    applied: Mutex<HashMap<Ticket, oneshot::Sender<Applied>>>,
+    links: Mutex<HashMap<SocketAddr, Link>>,
+}
+
+impl State {
+    pub(crate) fn new(
+        name: InstanceName,
+        controls: BTreeMap<InstanceName, SocketAddr>,
+        jobs: mpsc::UnboundedSender<Job>,
+    ) -> Self {
+        State {
+            name,
+            jobs,
+            controls,
+            tickets: AtomicU64::new(0),
+            replies: Mutex::default(),
+            applied: Mutex::default(),
+            links: Mutex::default(),
+        }
+    }
+
+    /// Hands an input to the control instance; after it has ended there is
+    /// nobody left to tell.
+    pub(crate) fn tell(&self, input: Input) {
+        self.jobs.send(Job::Input(input)).ok();
+    }
+
+    /// Numbers a call and returns where its reply comes.
+    pub(crate) fn expect_reply(&self) -> (Ticket, oneshot::Receiver<Reply>) {
+        let ticket = self.next_ticket();
+        let (tx, rx) = oneshot::channel();
+        lock(&self.replies).insert(ticket, tx);
+        (ticket, rx)
+    }
+
+    /// Numbers a change and returns where its outcome comes.
+    pub(crate) fn expect_applied(&self) -> (Ticket, oneshot::Receiver<Applied>) {
+        let ticket = self.next_ticket();
+        let (tx, rx) = oneshot::channel();
+        lock(&self.applied).insert(ticket, tx);
+        (ticket, rx)
+    }
+
+    pub(crate) fn reply(&self, ticket: Ticket, reply: Reply) {
+        if let Some(tx) = lock(&self.replies).remove(&ticket) {
+            // The caller may have left.
+            tx.send(reply).ok();
+        }
+    }
+
+    pub(crate) fn answer(&self, ticket: Ticket, applied: Applied) {
+        if let Some(tx) = lock(&self.applied).remove(&ticket) {
+            // The operator may have left.
+            tx.send(applied).ok();
+        }
+    }
+
+    /// Returns the link to another process.
+    pub(crate) fn link(&self, address: SocketAddr) -> Link {
+        let mut links = lock(&self.links);
+        let link = links.entry(address);
+        let make = || Link::new(self.name.clone(), address.to_string());
+        link.or_insert_with(make).clone()
+    }
+
+    pub(crate) fn next_ticket(&self) -> Ticket {
+        Ticket(self.tickets.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+}
+
+/// Locks a map that is whole after every step, so a panic elsewhere does it no
+/// harm.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/entryd/src/attempts.rs
+++ b/crates/entryd/src/attempts.rs
@@ -182,7 +182,7 @@
             }
             let passed = match &mut events {
                 Some(parser) => self.events(parser, &piece).await,
-                None => self.piece(Part::Tail, piece).await,
+                None => self.piece(Part::Raw, piece).await,
             };
             if passed.is_none() {
                 return;
@@ -221,7 +221,9 @@
     }
 
     fn part(&self, event: &sse::Event) -> Part {
-        if event.token().is_some() {
+        if event.is_done() {
+            Part::Last
+        } else if event.token().is_some() {
             Part::Tokens(1)
         } else if event.is_preamble() {
             Part::Preamble
--- /dev/null
+++ b/crates/lab/src/deployment.rs
@@ -0,0 +1,458 @@
+//! A small deployment: stand-ins, control and entry daemons, and the text.
+
+use std::{collections::BTreeMap, fs, net::SocketAddr, path::PathBuf, time::Duration};
+
+use anyhow::{Context, Result, bail};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::{Caller, Process, binary, free_port};
+
+/// Longest wait for a state of the deployment; only a failure waits so long.
+const CEILING: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at a state that is waited for.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Zones, by name.
+    pub zones: Vec<String>,
+    /// Entry instances in each zone.
+    pub entries: usize,
+    /// Control instances, spread over the zones.
+    pub controls: usize,
+    /// Engines in each zone, by pool.
+    pub engines: BTreeMap<String, usize>,
+    /// Plain services' replicas in each zone, by pool.
+    pub plain: BTreeMap<String, usize>,
+    /// Further flags for every engine's stand-in.
+    pub engine_flags: Vec<String>,
+    /// Loads a second that the weight store allows.
+    pub store_rate: u32,
+    /// Further flags for every daemon.
+    pub daemon_flags: Vec<String>,
+}
+
+impl Plan {
+    /// Makes a plan of one zone with one entry instance, three control
+    /// instances, two engines and one portal replica.
+    #[must_use]
+    pub fn small() -> Self {
+        Plan {
+            zones: vec!["dubrava".to_owned()],
+            entries: 1,
+            controls: 3,
+            engines: BTreeMap::from([("drafting".to_owned(), 2)]),
+            plain: BTreeMap::from([("portal".to_owned(), 1)]),
+            engine_flags: Vec::new(),
+            store_rate: 20,
+            daemon_flags: Vec::new(),
+        }
+    }
+}
+
+/// A daemon with its addresses.
+#[derive(Debug)]
+pub struct Instance {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where callers or operators connect.
+    pub listen: SocketAddr,
+    /// Where other instances connect.
+    pub peer: SocketAddr,
+    /// The process; none while it is down.
+    pub process: Option<Process>,
+    args: Vec<String>,
+}
+
+/// A target's stand-in.
+#[derive(Debug)]
+pub struct Engine {
+    /// Its name in the platform's list.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its pool.
+    pub pool: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The process.
+    pub process: Process,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Lab {
+    /// Folder of logs and data; removed at the end unless something failed.
+    pub folder: PathBuf,
+    /// Control instances.
+    pub controls: Vec<Instance>,
+    /// Entry instances.
+    pub entries: Vec<Instance>,
+    /// Engines.
+    pub engines: Vec<Engine>,
+    /// Plain services' replicas.
+    pub services: Vec<Engine>,
+    /// The platform's list.
+    pub platform: SocketAddr,
+    /// The weight store.
+    pub store: SocketAddr,
+    serial: u64,
+    _outside: Vec<Process>,
+}
+
+impl Lab {
+    /// Starts everything and waits until a control instance leads.
+    ///
+    /// # Errors
+    ///
+    /// Fails when something doesn't start.
+    pub async fn start(name: &str, plan: &Plan) -> Result<Lab> {
+        let unique = format!("quetzal-{name}-{}", std::process::id());
+        let folder = std::env::temp_dir().join(unique);
+        fs::create_dir_all(&folder)?;
+        let mut outside = Vec::new();
+        let rate = plan.store_rate.to_string();
+        let flags = ["store", "--rate", &rate, "--load-ms", "50"];
+        let (store, process) = standin(&folder, "store", &flags).await?;
+        outside.push(process);
+        let (platform, process) = standin(&folder, "platform", &["platform"]).await?;
+        outside.push(process);
+        let mut lab = Lab {
+            folder,
+            controls: Vec::new(),
+            entries: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            platform,
+            store,
+            serial: 0,
+            _outside: outside,
+        };
+        lab.start_targets(plan).await?;
+        lab.plan_daemons(plan)?;
+        lab.publish().await?;
+        for i in 0..lab.controls.len() {
+            lab.start_control(i)?;
+        }
+        for i in 0..lab.entries.len() {
+            lab.start_entry(i)?;
+        }
+        lab.wait_leader().await?;
+        Ok(lab)
+    }
+
+    async fn start_targets(&mut self, plan: &Plan) -> Result<()> {
+        for zone in &plan.zones {
+            for (pool, count) in &plan.engines {
+                for i in 1..=*count {
+                    let name = format!("{pool}-{zone}-{i}");
+                    let store = self.store.to_string();
+                    let mut flags = vec!["engine", "--store", &store];
+                    flags.extend(plan.engine_flags.iter().map(String::as_str));
+                    let engine = self.target(&name, zone, pool, &flags).await?;
+                    self.engines.push(engine);
+                }
+            }
+            for (pool, count) in &plan.plain {
+                for i in 1..=*count {
+                    let name = format!("{pool}-{zone}-{i}");
+                    let service = self.target(&name, zone, pool, &["service"]).await?;
+                    self.services.push(service);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn target(&self, name: &str, zone: &str, pool: &str, flags: &[&str]) -> Result<Engine> {
+        let (address, process) = standin(&self.folder, name, flags).await?;
+        Ok(Engine {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            pool: pool.to_owned(),
+            address,
+            process,
+        })
+    }
+
+    fn plan_daemons(&mut self, plan: &Plan) -> Result<()> {
+        for i in 0..plan.controls {
+            let zone = &plan.zones[i % plan.zones.len()];
+            let control = self.instance(&format!("control-{}", i + 1), zone)?;
+            self.controls.push(control);
+        }
+        let voters = self.peers_of_controls();
+        for control in &mut self.controls {
+            let data = self.folder.join(&control.name);
+            control.args.extend(flag("data", &data.to_string_lossy()));
+            control.args.extend(flag("voters", &voters));
+            control.args.extend(plan.daemon_flags.iter().cloned());
+        }
+        for zone in &plan.zones {
+            for i in 1..=plan.entries {
+                let mut entry = self.instance(&format!("{zone}-{i}"), zone)?;
+                entry.args.extend(flag("controls", &voters));
+                entry.args.extend(flag("drain-grace", "1000"));
+                entry.args.extend(plan.daemon_flags.iter().cloned());
+                self.entries.push(entry);
+            }
+        }
+        Ok(())
+    }
+
+    fn instance(&self, name: &str, zone: &str) -> Result<Instance> {
+        let (listen, peer) = (free_port()?, free_port()?);
+        let mut args = Vec::new();
+        args.extend(flag("name", name));
+        args.extend(flag("zone", zone));
+        args.extend(flag("listen", &listen.to_string()));
+        args.extend(flag("peer-listen", &peer.to_string()));
+        args.extend(flag("platform", &format!("http://{}", self.platform)));
+        Ok(Instance {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            listen,
+            peer,
+            process: None,
+            args,
+        })
+    }
+
+    fn peers_of_controls(&self) -> String {
+        let all = self.controls.iter();
+        let all: Vec<_> = all.map(|c| format!("{}={}", c.name, c.peer)).collect();
+        all.join(",")
+    }
+
+    /// Starts control instance `i`, also again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon isn't built.
+    pub fn start_control(&mut self, i: usize) -> Result<()> {
+        start("controld", &self.folder, &mut self.controls[i])
+    }
+
+    /// Starts entry instance `i`, also again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon isn't built.
+    pub fn start_entry(&mut self, i: usize) -> Result<()> {
+        start("entryd", &self.folder, &mut self.entries[i])
+    }
+
+    /// Publishes the platform's list of all entry instances and targets.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform's stand-in doesn't answer.
+    pub async fn publish(&mut self) -> Result<()> {
+        self.publish_without(&[]).await
+    }
+
+    /// Publishes the list with the targets named in `leaving` marked so.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform's stand-in doesn't answer.
+    pub async fn publish_without(&mut self, leaving: &[&str]) -> Result<()> {
+        self.serial += 1;
+        let state = |name: &str| {
+            if leaving.contains(&name) {
+                "leaving"
+            } else {
+                "live"
+            }
+        };
+        let instances: Vec<Value> = self
+            .entries
+            .iter()
+            .map(|e| {
+                json!({"name": e.name, "zone": e.zone, "peer": e.peer.to_string(),
+                    "state": state(&e.name)})
+            })
+            .collect();
+        let targets = self.engines.iter().chain(&self.services);
+        let targets: Vec<Value> = targets
+            .map(|t| {
+                json!({"name": t.name, "pool": t.pool, "zone": t.zone,
+                    "address": t.address.to_string(), "state": state(&t.name)})
+            })
+            .collect();
+        let list = json!({"serial": self.serial, "instances": instances, "targets": targets});
+        let platform = Caller::new(self.platform, "");
+        let body = json!({ "list": list }).to_string().into();
+        let reply = platform
+            .send(web::Method::POST, "/admin", body, &[])
+            .await?;
+        anyhow::ensure!(reply.status < 300, "the platform answered {}", reply.status);
+        Ok(())
+    }
+
+    /// Returns a caller of control instance `i`.
+    #[must_use]
+    pub fn operator(&self, i: usize) -> Caller {
+        Caller::new(self.controls[i].listen, "")
+    }
+
+    /// Returns a caller of entry instance `i` with a brand's key.
+    #[must_use]
+    pub fn caller(&self, i: usize, key: &str) -> Caller {
+        Caller::new(self.entries[i].listen, key)
+    }
+
+    /// Waits until some control instance knows a leader; returns its place.
+    ///
+    /// # Errors
+    ///
+    /// Fails when none is elected in time.
+    pub async fn wait_leader(&self) -> Result<usize> {
+        let end = Instant::now() + CEILING;
+        while Instant::now() < end {
+            for i in 0..self.controls.len() {
+                let Ok(status) = self.operator(i).get("/v1/status").await else {
+                    continue;
+                };
+                let leader = status["leader"].as_str().unwrap_or_default();
+                if let Some(at) = self.controls.iter().position(|c| c.name == leader) {
+                    return Ok(at);
+                }
+            }
+            sleep(LOOK).await;
+        }
+        bail!("no control instance leads")
+    }
+
+    /// Applies a text on top of the one in force, and returns its version.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it isn't accepted in time.
+    pub async fn apply(&self, change: &str, text: &str) -> Result<u64> {
+        let end = Instant::now() + CEILING;
+        let mut last = Value::Null;
+        while Instant::now() < end {
+            let leader = self.wait_leader().await?;
+            let operator = self.operator(leader);
+            let base = operator.get("/v1/status").await?["version"].clone();
+            let body = json!({"change": change, "base": base, "by": "lab", "text": text});
+            last = operator.post("/v1/apply", &body).await?;
+            if last["outcome"] == "accepted" {
+                return last["version"].as_u64().context("no version");
+            }
+            if last["why"]["why"] == "bad-text" {
+                break;
+            }
+            sleep(LOOK).await;
+        }
+        bail!("the text was not accepted: {last}")
+    }
+
+    /// Waits until every running entry instance is ready under a text of at
+    /// least this version.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one isn't in time.
+    pub async fn wait_ready(&self, version: u64) -> Result<()> {
+        for entry in self.entries.iter().filter(|e| e.process.is_some()) {
+            let caller = Caller::new(entry.listen, "");
+            let ready = async || {
+                let reply = caller
+                    .send(web::Method::GET, "/readyz", bytes::Bytes::new(), &[])
+                    .await
+                    .ok()?;
+                let text = String::from_utf8_lossy(&reply.body).into_owned();
+                let at: u64 = text.trim().rsplit(' ').next()?.parse().ok()?;
+                (reply.status == 200 && at >= version).then_some(())
+            };
+            until(&format!("{} ready", entry.name), ready).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every engine has an owner.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one has none in time.
+    pub async fn wait_owned(&self) -> Result<()> {
+        let count = self.engines.len();
+        let owned = async || {
+            let leader = self.wait_leader().await.ok()?;
+            let status = self.operator(leader).get("/v1/status").await.ok()?;
+            (status["engines"].as_array()?.len() >= count).then_some(())
+        };
+        until("every engine owned", owned).await
+    }
+
+    /// Stops all daemons in order; true if each ended by itself and well.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one doesn't end.
+    pub async fn stop(&mut self) -> Result<bool> {
+        let mut well = true;
+        for instance in self.entries.iter_mut().chain(&mut self.controls) {
+            if let Some(mut process) = instance.process.take() {
+                process.signal("TERM").await?;
+                well &= process.ended().await?;
+            }
+        }
+        Ok(well)
+    }
+
+    /// Removes logs and data; kept when not called, to look at.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder can't be removed.
+    pub fn clean(&self) -> Result<()> {
+        Ok(fs::remove_dir_all(&self.folder)?)
+    }
+}
+
+/// Waits until `look` finds something.
+///
+/// # Errors
+///
+/// Fails when it doesn't in time; the message names `what`.
+pub async fn until<T>(what: &str, look: impl AsyncFn() -> Option<T>) -> Result<T> {
+    let end = Instant::now() + CEILING;
+    while Instant::now() < end {
+        if let Some(found) = look().await {
+            return Ok(found);
+        }
+        sleep(LOOK).await;
+    }
+    bail!("waited in vain: {what}")
+}
+
+async fn standin(
+    folder: &std::path::Path,
+    name: &str,
+    flags: &[&str],
+) -> Result<(SocketAddr, Process)> {
+    let args: Vec<String> = flags.iter().map(|f| (*f).to_owned()).collect();
+    let log = folder.join(format!("{name}.log"));
+    let mut process = Process::start(name, &binary("standin")?, &args, &log)?;
+    let address = process.address().await?;
+    Ok((address, process))
+}
+
+fn start(program: &str, folder: &std::path::Path, instance: &mut Instance) -> Result<()> {
+    let log = folder.join(format!("{}.log", instance.name));
+    let process = Process::start(&instance.name, &binary(program)?, &instance.args, &log)?;
+    instance.process = Some(process);
+    Ok(())
+}
+
+fn flag(name: &str, value: &str) -> [String; 2] {
+    [format!("--{name}"), value.to_owned()]
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,15 @@
+//! Starts the daemons and the stand-ins as processes on the loopback
+//! interface: for the demo, the load tool and process-level tests.
+//!
+//! Not part of the product. [`Lab`] holds a whole small deployment; dropping
+//! it ends every process that it started.
+
+mod deployment;
+mod http;
+mod process;
+
+pub use crate::{
+    deployment::{Engine, Instance, Lab, Plan, until},
+    http::{Caller, Chat, Reply},
+    process::{Process, binary, free_port},
+};
--- a/crates/request/src/life.rs
+++ b/crates/request/src/life.rs
@@ -33,8 +33,8 @@
     begun: bool,
     /// Tokens that the caller has.
     tokens: u32,
-    /// Whether the caller has what comes after the last token.
-    tailed: bool,
+    /// The attempt from which the caller has what comes after the last token.
+    tailed: Option<AttemptNo>,
     /// Whether the caller left while the request goes on without it.
     alone: bool,
 }
@@ -51,7 +51,7 @@
             headed: false,
             begun: false,
             tokens: 0,
-            tailed: false,
+            tailed: None,
             alone: false,
         }
     }
@@ -333,15 +333,15 @@
             Reply::Awaited => {}
             Reply::Holding => out.push(Output::Hold),
             Reply::Passing if self.alone => {}
-            Reply::Passing => self.pass(part, out),
+            Reply::Passing => self.pass(attempt.no, part, out),
         }
     }
 
-    fn pass(&mut self, part: Part, out: &mut Vec<Output>) {
+    fn pass(&mut self, no: AttemptNo, part: Part, out: &mut Vec<Output>) {
         let again = match part {
             Part::Preamble => self.begun,
-            Part::Tokens(_) => false,
-            Part::Tail => self.tailed,
+            Part::Tail => self.tailed.is_some_and(|by| by != no),
+            Part::Tokens(_) | Part::Last | Part::Raw => false,
         };
         if again {
             // A continued stream begins and ends anew only for the engine.
@@ -349,7 +349,9 @@
             return;
         }
         self.begun = true;
-        self.tailed |= part == Part::Tail;
+        if part == Part::Tail {
+            self.tailed = Some(no);
+        }
         if let Part::Tokens(n) = part {
             self.tokens += n;
         }
--- a/crates/request/src/message.rs
+++ b/crates/request/src/message.rs
@@ -27,9 +27,12 @@
         Preamble,
         /// So many tokens.
         Tokens(u32),
-        /// What comes after the last token. A driver of server-sent events
-        /// keeps `[DONE]` out of it and writes that on [`Final::Whole`].
+        /// What comes after the last token, such as why the answer ended.
         Tail,
+        /// The mark that the stream is whole.
+        Last,
+        /// Bytes of an answer that can't be continued.
+        Raw,
     }
 
     /// The answer to a claim.
--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,116 @@
+//! `cargo xtask demo`: the whole path, in separate processes on loopback.
+//!
+//! Starts stand-ins and daemons of a small agency, applies its sample text,
+//! sends a streaming and a plain request for two brands, says which adapter
+//! and version each ran on, and stops everything in order.
+
+use std::{collections::BTreeMap, fs, process::ExitCode};
+
+use anyhow::{Context, Result, ensure};
+use base::Verdict;
+use bytes::Bytes;
+use clap::{ArgMatches, Command};
+use lab::{Chat, Lab, Plan, Reply};
+use web::Method;
+use wire::header;
+
+use crate::{root, test::cargo};
+
+/// Two brands of the sample, each with its key and the prompt of its caller.
+const BRANDS: [(&str, &str, &str); 2] = [
+    (
+        "kazaliste",
+        "sample-key-kazaliste",
+        "A cover note for the role of Dora, please.",
+    ),
+    (
+        "film",
+        "sample-key-film",
+        "Shorten my letter for the casting in Split.",
+    ),
+];
+
+/// Returns the command line.
+pub(crate) fn command() -> Command {
+    Command::new("demo").about("Runs the whole path in separate processes on loopback")
+}
+
+/// Runs the demo.
+///
+/// # Errors
+///
+/// Fails when a process doesn't start, a request isn't answered rightly, or a
+/// process doesn't stop in order.
+pub(crate) fn run(_: &ArgMatches) -> Result<ExitCode> {
+    cargo(&["build", "--workspace", "--bins", "--locked"])?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(demo())?;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn demo() -> Result<()> {
+    let zones = ["dubrava", "jankomir", "zitnjak", "blato"];
+    let plan = Plan {
+        zones: zones.map(str::to_owned).to_vec(),
+        engines: BTreeMap::from([("drafting".to_owned(), 3)]),
+        ..Plan::small()
+    };
+    println!("starting 12 engines, 4 portal replicas, 3 control and 4 entry instances");
+    let mut lab = Lab::start("demo", &plan).await?;
+    let text = fs::read_to_string(root().join("samples/agency.toml"))?;
+    let version = lab.apply("demo-1", &text).await?;
+    println!("text {version} accepted");
+    lab.wait_ready(version).await?;
+    lab.wait_owned().await?;
+    println!("text {version} in force everywhere, every engine owned");
+    for (i, (brand, key, prompt)) in BRANDS.into_iter().enumerate() {
+        let caller = lab.caller(i, key);
+        let chat = Chat::stream("drafting", prompt);
+        // Until the owners have taken their engines, callers are told to come
+        // back.
+        let answered = async || {
+            let reply = caller.chat(&chat).await.ok()?;
+            (reply.verdict() != Some(Verdict::NotRun)).then_some(reply)
+        };
+        let streamed = lab::until("an engine that answers", answered).await?;
+        show(brand, "streaming", &streamed)?;
+        let path = format!("/{brand}/listing/calls");
+        let listed = caller.send(Method::GET, &path, Bytes::new(), &[]).await?;
+        show(brand, "plain", &listed)?;
+    }
+    let stopped = lab.stop().await?;
+    ensure!(
+        stopped,
+        "a daemon did not stop in order; see {}",
+        lab.folder.display()
+    );
+    lab.clean()?;
+    println!("all daemons stopped in order");
+    Ok(())
+}
+
+fn show(brand: &str, kind: &str, reply: &Reply) -> Result<()> {
+    let body = String::from_utf8_lossy(&reply.body);
+    ensure!(
+        reply.status == 200,
+        "{brand}, {kind}: {} {body}",
+        reply.status
+    );
+    ensure!(
+        reply.whole,
+        "{brand}, {kind}: the answer was cut after {body}"
+    );
+    let adapter = reply.header(header::ADAPTER);
+    match (kind, adapter) {
+        ("streaming", adapter) => {
+            let adapter = adapter.context("the answer names no adapter")?;
+            let version = reply.header(header::VERSION).unwrap_or_default();
+            println!(
+                "{brand}, {kind}: ran on {adapter}@{version}: {}",
+                reply.text().trim()
+            );
+        }
+        _ => println!("{brand}, {kind}: {}", body.trim()),
+    }
+    Ok(())
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Chores of the repository, started as `cargo xtask CHORE`.
 
+mod demo;
 mod events;
 mod measure;
 mod samples;
@@ -21,6 +22,10 @@
         command: test::command,
         run: test::run,
     },
+    Chore {
+        command: demo::command,
+        run: demo::run,
+    },
     Chore {
         command: measure::command,
         run: measure::run,
