faults: run the log against random faults, checked by its history

A cluster in virtual time over fakes of network, disk and clock; the disk keeps real frames of the record codec. The history panics at the first output that breaks a promise: a second leader in a term or at a moment, an index given twice, a skipped command, state that goes back, a refused proposal that is applied. cargo xtask soak runs it from many seeds.

Two faults of the log came out by it and are mended here: a new life that received messages meant for the old one stopped asking to be taken in, and a removed replica that restarted was never told that it is none.

--- /dev/null
+++ b/crates/faults/src/disk.rs
@@ -0,0 +1,130 @@
+//! A disk that keeps what was synced and loses the rest in a crash.
+
+use std::collections::VecDeque;
+
+use replog::{
+    FORMAT, Header, Record, ReplicaId, Restored, Snapshot, Tail, WriteNo, encode_frame,
+    encode_header, encode_snapshot, recover, recover_snapshot,
+};
+
+#[derive(Clone, Debug)]
+enum Op {
+    Append(Vec<u8>),
+    Replace { snapshot: Vec<u8>, log: Vec<u8> },
+}
+
+/// The files of one replica, written by the real codec.
+#[derive(Clone, Debug)]
+pub struct FakeDisk {
+    id: ReplicaId,
+    snapshot: Option<Vec<u8>>,
+    log: Vec<u8>,
+    /// Where the last synced frame begins.
+    last_frame: usize,
+    seq: u64,
+    unsynced: VecDeque<(WriteNo, Op)>,
+    /// Whether the next sync fails.
+    pub failing: bool,
+}
+
+impl FakeDisk {
+    /// Makes an empty folder for `id`.
+    #[must_use]
+    pub fn new(id: ReplicaId) -> Self {
+        let header = Header {
+            format: FORMAT,
+            id: id.clone(),
+            base: None,
+            sealed: 0,
+        };
+        FakeDisk {
+            id,
+            snapshot: None,
+            log: encode_header(&header),
+            last_frame: 0,
+            seq: 1,
+            unsynced: VecDeque::new(),
+            failing: false,
+        }
+    }
+
+    /// Takes a write without syncing it.
+    pub fn write(&mut self, no: WriteNo, records: &[Record]) {
+        let frame = encode_frame(self.seq, records);
+        self.seq += 1;
+        self.unsynced.push_back((no, Op::Append(frame)));
+    }
+
+    /// Takes new files without syncing them.
+    pub fn rewrite(&mut self, no: WriteNo, snapshot: &Snapshot, records: &[Record]) {
+        let header = Header {
+            format: FORMAT,
+            id: self.id.clone(),
+            base: Some(snapshot.at),
+            sealed: 1,
+        };
+        let mut log = encode_header(&header);
+        log.extend(encode_frame(1, records));
+        self.seq = 2;
+        let snapshot = encode_snapshot(snapshot);
+        self.unsynced.push_back((no, Op::Replace { snapshot, log }));
+    }
+
+    /// Makes all writes up to `upto` durable.
+    pub fn sync(&mut self, upto: WriteNo) {
+        while let Some((no, _)) = self.unsynced.front()
+            && *no <= upto
+        {
+            let (_, op) = self.unsynced.pop_front().expect("looked at just now");
+            match op {
+                Op::Append(frame) => {
+                    self.last_frame = self.log.len();
+                    self.log.extend(frame);
+                }
+                Op::Replace { snapshot, log } => {
+                    self.snapshot = Some(snapshot);
+                    self.last_frame = 0;
+                    self.log = log;
+                }
+            }
+        }
+    }
+
+    /// Loses what was not synced, but for the first `torn` bytes of the oldest
+    /// write.
+    pub fn crash(&mut self, torn: usize) {
+        if let Some((_, Op::Append(frame))) = self.unsynced.front() {
+            self.log.extend(&frame[..torn.min(frame.len())]);
+        }
+        self.unsynced.clear();
+        self.failing = false;
+    }
+
+    /// Changes one byte of the log before its last frame; `at` is taken
+    /// modulo the length of that part.
+    pub fn flip_middle(&mut self, at: usize) {
+        let at = at % self.last_frame.max(1);
+        self.log[at] ^= 0x40;
+    }
+
+    /// Reads the files after a crash, as a control instance does at its start;
+    /// nothing if something that was durable is lost.
+    pub fn open(&mut self) -> Option<Restored> {
+        let found = recover(&self.log);
+        if found.tail == Tail::Damaged {
+            return None;
+        }
+        let header = found.header.filter(|header| header.id == self.id)?;
+        self.log.truncate(usize::try_from(found.len).ok()?);
+        self.seq = found.next;
+        let base = match header.base {
+            Some(at) => {
+                let snapshot = recover_snapshot(self.snapshot.as_ref()?).ok()?;
+                (snapshot.at == at).then_some(())?;
+                Some(snapshot)
+            }
+            None => None,
+        };
+        Restored::replay(base, found.records)
+    }
+}
--- /dev/null
+++ b/crates/faults/src/history.rs
@@ -0,0 +1,148 @@
+//! Checks the whole history of a run against what the log promises.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::stable_hash;
+use replog::{Blob, Index, ReplicaId, Term};
+
+/// The state machine of the tests: a digest over all commands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Digest(pub u64);
+
+impl Digest {
+    /// Returns the digest after one more command.
+    #[must_use]
+    pub fn after(self, command: &[u8]) -> Digest {
+        Digest(stable_hash(&[&self.0.to_le_bytes(), command]))
+    }
+}
+
+/// What has come out of all replicas so far.
+///
+/// Every method panics at the first output that breaks a promise.
+#[derive(Debug, Default)]
+pub struct History {
+    leaders: BTreeMap<Term, ReplicaId>,
+    applied: BTreeMap<Index, (Term, Blob)>,
+    digests: BTreeMap<Index, Digest>,
+    accepted: BTreeMap<u64, Index>,
+    refused: BTreeSet<u64>,
+    unknown: BTreeSet<u64>,
+}
+
+impl History {
+    /// A replica says that it leads `term`: nobody else has.
+    pub fn leads(&mut self, term: Term, id: &ReplicaId) {
+        let first = self.leaders.entry(term).or_insert_with(|| id.clone());
+        assert_eq!(first, id, "two leaders in term {term}");
+    }
+
+    /// A replica applies a command after the one at `last`: all replicas apply
+    /// the same ones in the same order, and an index never comes back.
+    pub fn applies(&mut self, last: Index, index: Index, term: Term, command: &Blob) {
+        assert!(last < index, "index {index} applied after {last}");
+        let skipped = self.applied.range(last.next()..index).next();
+        assert_eq!(skipped, None, "a command before {index} was skipped");
+        if let Some(known) = self.applied.get(&index) {
+            assert_eq!(
+                known,
+                &(term, command.clone()),
+                "index {index} was given to another command"
+            );
+            return;
+        }
+        let newest = self.digests.last_key_value();
+        let newest = newest.map_or((Index(0), Digest::default()), |(i, d)| (*i, *d));
+        assert!(
+            newest.0 < index,
+            "index {index} appeared after {}",
+            newest.0
+        );
+        let ticket = ticket_of(command);
+        assert!(
+            !self.refused.contains(&ticket),
+            "{ticket} was refused and then applied"
+        );
+        self.applied.insert(index, (term, command.clone()));
+        self.digests.insert(index, newest.1.after(command));
+    }
+
+    /// A replica that has applied all up to `last` takes a snapshot instead.
+    pub fn restores(&self, last: Index, index: Index, digest: Digest) {
+        assert!(last <= index, "state went back from {last} to {index}");
+        assert_eq!(
+            digest,
+            self.digest(index),
+            "a snapshot holds another state than was applied"
+        );
+    }
+
+    /// A proposal was accepted at `index`: what is applied there is it.
+    pub fn accepts(&mut self, ticket: u64, index: Index) {
+        if let Some((_, command)) = self.applied.get(&index) {
+            assert_eq!(
+                ticket_of(command),
+                ticket,
+                "accepted, but another command is there"
+            );
+            self.accepted.insert(ticket, index);
+        }
+    }
+
+    /// A proposal was refused: it must never be applied.
+    pub fn refuses(&mut self, ticket: u64) {
+        let applied = self
+            .applied
+            .values()
+            .any(|(_, command)| ticket_of(command) == ticket);
+        assert!(!applied, "{ticket} was applied and then refused");
+        self.refused.insert(ticket);
+    }
+
+    /// A proposal ended as unknown.
+    pub fn leaves_open(&mut self, ticket: u64) {
+        self.unknown.insert(ticket);
+    }
+
+    /// Returns the digest after all commands up to `index`.
+    #[must_use]
+    pub fn digest(&self, index: Index) -> Digest {
+        let last = self.digests.range(..=index).next_back();
+        last.map_or(Digest::default(), |(_, digest)| *digest)
+    }
+
+    /// Returns the index of the newest command.
+    #[must_use]
+    pub fn newest(&self) -> Index {
+        let last = self.digests.last_key_value();
+        last.map_or(Index(0), |(index, _)| *index)
+    }
+
+    /// Returns how many proposals were accepted.
+    #[must_use]
+    pub fn accepted(&self) -> usize {
+        self.accepted.len()
+    }
+
+    /// Returns how many proposals were refused.
+    #[must_use]
+    pub fn refused(&self) -> usize {
+        self.refused.len()
+    }
+
+    /// Returns how many proposals ended as unknown.
+    #[must_use]
+    pub fn unknown(&self) -> usize {
+        self.unknown.len()
+    }
+}
+
+/// Makes a command that holds its ticket.
+pub(crate) fn command(ticket: u64) -> Blob {
+    Blob::from(ticket.to_le_bytes().as_slice())
+}
+
+fn ticket_of(command: &Blob) -> u64 {
+    let raw: [u8; 8] = command[..8].try_into().expect("commands hold a ticket");
+    u64::from_le_bytes(raw)
+}
--- /dev/null
+++ b/crates/faults/src/script.rs
@@ -0,0 +1,1 @@
+//! The language of the scenarios: Rhai with a few functions.
--- a/crates/replog/src/record.rs
+++ b/crates/replog/src/record.rs
@@ -30,6 +30,9 @@
         pub id: ReplicaId,
         /// The snapshot that the log continues, if any.
         pub base: Option<Position>,
+        /// Frames that were synced before the file was put in place; none of
+        /// them can be torn.
+        pub sealed: u64,
     }
 
     /// One fact that a replica has to remember.
@@ -140,6 +143,11 @@
         at += len;
     }
     found.len = at as u64;
+    let sealed = found.header.as_ref().map_or(0, |header| header.sealed);
+    if found.next <= sealed {
+        base::hit!(damaged_sealed);
+        return found;
+    }
     found.tail = judge_tail(&raw[at..], found.next);
     found
 }
--- a/crates/replog/src/replica/election.rs
+++ b/crates/replog/src/replica/election.rs
@@ -5,7 +5,7 @@
 use base::Time;
 
 use super::{Replica, Role};
-use crate::{Message, Output, Outputs, Position, ReplicaId, Term, VoteKind, WriteNo};
+use crate::{Index, Message, Output, Outputs, Position, ReplicaId, Term, VoteKind, WriteNo};
 
 /// The votes that a candidate has.
 #[derive(Clone, Debug)]
@@ -20,10 +20,11 @@
     /// Stands for election, or asks whether that has a chance.
     pub(super) fn campaign(&mut self, now: Time, kind: VoteKind, out: &mut Outputs) {
         self.rearm(now);
+        self.leader = None;
         if !self.may_vote() {
+            self.ask_removed(out);
             return;
         }
-        self.leader = None;
         let me = self.id().clone();
         let mut votes = Votes {
             kind,
@@ -63,14 +64,15 @@
             base::hit!(empty_never_votes);
             return;
         }
-        if self.unstarted() && !self.is_founder(from) {
-            base::hit!(fresh_elects_founder);
-            return;
-        }
         if kind != VoteKind::Transfer && self.promised(now) {
             self.tell_removed(now, from, out);
             return;
         }
+        let empty = last.index == Index(0);
+        if empty && !self.is_founder(from) {
+            base::hit!(fresh_elects_founder);
+            return;
+        }
         if kind == VoteKind::Pre {
             self.pre_vote(from, term, last, out);
             return;
@@ -195,6 +197,21 @@
         members.is_some_and(|members| members.voters.contains(self.id()))
     }
 
+    /// Asks whether its removal is for good.
+    ///
+    /// A replica that restarts finds its removal in the log, but not whether
+    /// that was committed, and nobody sends to it any more. The request asks
+    /// for a vote that can't be given; the leader answers it by the removal.
+    fn ask_removed(&self, out: &mut Outputs) {
+        let members = self.journal.members();
+        if members.is_some_and(|members| members.removed(self.id())) {
+            base::hit!(asks_whether_removed);
+            let (kind, last) = (VoteKind::Pre, Position::default());
+            let term = self.term;
+            self.send_voters(&Message::Vote { term, kind, last }, out);
+        }
+    }
+
     fn send_voters(&self, message: &Message, out: &mut Outputs) {
         let Some(members) = self.journal.members() else {
             return;
--- a/crates/replog/src/replica/found.rs
+++ b/crates/replog/src/replica/found.rs
@@ -28,11 +28,11 @@
         self.journal.last().index == Index(0)
     }
 
-    /// Tells whether `id` may be elected by a replica without entries.
+    /// Tells whether `id` may be elected without an entry in its log.
     ///
-    /// Replicas without entries can't judge a candidate's log. Were they free
-    /// to elect each other, emptied folders could make a majority and found a
-    /// second log beside one that holds accepted changes.
+    /// Were replicas without entries free to elect each other, emptied folders
+    /// could make a majority and found a second log beside one that holds
+    /// accepted changes.
     pub(super) fn is_founder(&self, id: &ReplicaId) -> bool {
         let members = self.journal.members();
         members.is_some_and(|members| members.voters.first() == Some(id))
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,7 @@
 //! Chores of the repository, started as `cargo xtask CHORE`.
 
+mod soak;
+
 use std::process::{Command, ExitCode};
 
 use anyhow::{Context, Result, bail};
@@ -18,9 +20,11 @@
     let cli = clap::Command::new("xtask")
         .about("Chores of the repository")
         .subcommand_required(true)
-        .subcommand(clap::Command::new("test").about("Builds the daemons, then runs all tests"));
-    match cli.get_matches().subcommand_name() {
-        Some("test") => test(),
+        .subcommand(clap::Command::new("test").about("Builds the daemons, then runs all tests"))
+        .subcommand(soak::command());
+    match cli.get_matches().subcommand() {
+        Some(("test", _)) => test(),
+        Some(("soak", args)) => soak::run(args),
         _ => bail!("no such chore"),
     }
 }
