--- a/crates/faults/src/cluster.rs
+++ b/crates/faults/src/cluster.rs
@@ -333,7 +333,8 @@
             let replica = self.replica(&id.instance);
             replica.is_some_and(|r| r.id() == id && r.halted().is_none())
         };
-        members.voters.len() == self.plan.instances && members.voters.iter().all(alive)
+        let settled = replica.members_settled();
+        settled && members.voters.len() == self.plan.instances && members.voters.iter().all(alive)
     }
 
     /// Ends all faults, waits for `ms` milliseconds at most, and checks that
--- a/crates/replog/src/message.rs
+++ b/crates/replog/src/message.rs
@@ -115,8 +115,6 @@
         },
         /// The receiver is no member any more.
         Removed {
-            /// The leader's term.
-            term: Term,
             /// The replica that was removed.
             id: ReplicaId,
         },
--- a/crates/replog/src/replica.rs
+++ b/crates/replog/src/replica.rs
@@ -164,6 +164,12 @@
         self.journal.members()
     }
 
+    /// Tells whether the newest change of members is known to be committed.
+    #[must_use]
+    pub fn members_settled(&self) -> bool {
+        self.journal.members_index() <= self.commit
+    }
+
     /// Returns why the replica has stopped, if it has.
     #[must_use]
     pub fn halted(&self) -> Option<HaltReason> {
@@ -244,8 +250,8 @@
                 }
             }
             Message::TimeoutNow { term } => self.timeout_now(now, from, term, out),
-            Message::Removed { term, id } => {
-                if id == *self.id() && term >= self.term {
+            Message::Removed { id } => {
+                if id == *self.id() {
                     self.halt(HaltReason::Removed, out);
                 }
             }
--- a/crates/replog/src/replica/election.rs
+++ b/crates/replog/src/replica/election.rs
@@ -64,8 +64,10 @@
             base::hit!(empty_never_votes);
             return;
         }
+        if self.tell_removed(from, out) {
+            return;
+        }
         if kind != VoteKind::Transfer && self.promised(now) {
-            self.tell_removed(now, from, out);
             return;
         }
         let empty = last.index == Index(0);
@@ -201,7 +203,7 @@
     ///
     /// A replica that restarts finds its removal in the log, but not whether
     /// that was committed, and nobody sends to it any more. The request asks
-    /// for a vote that can't be given; the leader answers it by the removal.
+    /// for a vote that can't be given; any member answers it by the removal.
     fn ask_removed(&self, out: &mut Outputs) {
         let members = self.journal.members();
         if members.is_some_and(|members| members.removed(self.id())) {
--- a/crates/replog/src/replica/members.rs
+++ b/crates/replog/src/replica/members.rs
@@ -87,7 +87,6 @@
             self.halt(HaltReason::Removed, out);
             return;
         }
-        let term = self.term;
         let newest = self.journal.members_index() == self.applied;
         let Role::Leader(leader) = &mut self.role else {
             return;
@@ -100,18 +99,23 @@
                 continue;
             }
             leader.forget(&id);
-            out.push(removal(term, id));
+            out.push(removal(id));
         }
     }
 
-    /// Tells a removed replica that stands for election that it is none.
-    pub(super) fn tell_removed(&self, now: Time, id: &ReplicaId, out: &mut Outputs) {
-        let settled = self.journal.members_index() <= self.commit;
+    /// Tells a removed replica that stands for election that it is none;
+    /// returns whether it was one.
+    ///
+    /// A committed removal is final, so any member may say so. The removed
+    /// one may know no member that leads by now.
+    pub(super) fn tell_removed(&self, id: &ReplicaId, out: &mut Outputs) -> bool {
         let members = self.journal.members();
-        let gone = members.is_some_and(|members| members.removed(id));
-        if settled && gone && self.leads(now) {
-            out.push(removal(self.term, id.clone()));
+        let gone = self.members_settled() && members.is_some_and(|members| members.removed(id));
+        if gone {
+            base::hit!(removed_never_elected);
+            out.push(removal(id.clone()));
         }
+        gone
     }
 
     /// Returns the members if a change may begin now.
@@ -124,7 +128,7 @@
         if !self.leads(now) || self.commit < leader.noop {
             return Err(WhyNot::NotLeader);
         }
-        if self.journal.members_index() > self.commit {
+        if !self.members_settled() {
             base::hit!(one_change_at_a_time);
             return Err(WhyNot::Changing);
         }
@@ -147,9 +151,9 @@
     }
 }
 
-fn removal(term: crate::Term, id: ReplicaId) -> Output {
+fn removal(id: ReplicaId) -> Output {
     Output::Send {
         to: id.instance.clone(),
-        message: Message::Removed { term, id },
+        message: Message::Removed { id },
     }
 }
