--- a/crates/replog/src/replica/found.rs
+++ b/crates/replog/src/replica/found.rs
@@ -52,6 +52,9 @@
 
     /// Another replica is unstarted.
     pub(super) fn join(&mut self, now: Time, from: &ReplicaId, out: &mut Outputs) {
+        if self.tell_removed(from, out) {
+            return;
+        }
         if matches!(self.role, Role::Leader(_)) {
             self.take_in(now, from, out);
             return;
