--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod events;
 mod measure;
 mod samples;
+mod soak;
 mod test;
 
 use std::{path::Path, process::ExitCode};
@@ -38,6 +39,10 @@
         command: samples::command,
         run: |args| done(samples::run(root(), args)),
     },
+    Chore {
+        command: soak::command,
+        run: |args| done(soak::run(args)),
+    },
 ];
 
 fn main() -> ExitCode {
