Count batch work apart in an engine's load

Cause: the owner's account summed live and batch requests, so a night's queue made every engine look full to live requests, and they were sent where their adapter was not loaded. Ruled out: batch pins (no slot was cleared for longer than a batch answer). Residents.running now counts critical and live requests, .queued the batch ones.

--- a/crates/route/src/desk/bay.rs
+++ b/crates/route/src/desk/bay.rs
@@ -96,8 +96,10 @@
         self.running.iter().sum()
     }
 
-    pub(crate) fn queued(&self) -> u32 {
-        Class::ALL.into_iter().map(|c| self.queue.queued(c)).sum()
+    /// Requests admitted and not ended: critical and live ones, batch ones.
+    fn admitted(&self) -> (u32, u32) {
+        let of = |class: Class| self.queue.queued(class) + self.running[class as usize];
+        (of(Class::Critical) + of(Class::Live), of(Class::Batch))
     }
 
     /// Adapters that requests of `class` may be sent for now; those in use
@@ -164,7 +166,7 @@
         removed: Vec<AdapterKey>,
         out: &mut Vec<Output>,
     ) {
-        self.told = (self.in_batch(), self.queued());
+        self.told = self.admitted();
         self.told_at = now;
         out.push(Output::Residents {
             target: self.engine.target,
@@ -179,19 +181,20 @@
     /// Tells entry instances all that is held.
     pub(crate) fn tell_whole(&mut self, out: &mut Vec<Output>) {
         let ready = self.slots.iter().filter(|s| s.state == SlotState::Ready);
+        let (running, queued) = self.admitted();
         out.push(Output::Residents {
             target: self.engine.target,
             whole: true,
             added: ready.map(|s| s.key).collect(),
             removed: Vec::new(),
-            running: self.in_batch(),
-            queued: self.queued(),
+            running,
+            queued,
         });
     }
 
     /// Tells entry instances the load, if it changed by a good part since.
     pub(crate) fn tell_load(&mut self, now: Time, out: &mut Vec<Output>) {
-        let load = (self.in_batch(), self.queued());
+        let load = self.admitted();
         let moved = load.0.abs_diff(self.told.0) + load.1.abs_diff(self.told.1);
         let step = (self.engine.batch / 16).max(1);
         if moved >= step && now.since(self.told_at) >= TELL_EVERY {
--- a/crates/route/src/desk_io.rs
+++ b/crates/route/src/desk_io.rs
@@ -188,9 +188,9 @@
         added: Vec<AdapterKey>,
         /// No longer resident.
         removed: Vec<AdapterKey>,
-        /// Requests sent and not ended.
+        /// Critical and live requests admitted and not ended.
         running: u32,
-        /// Requests queued.
+        /// Batch requests admitted and not ended; they wait or give way.
         queued: u32,
     },
     /// Call again at this time, unless something comes before.
--- a/crates/route/src/news.rs
+++ b/crates/route/src/news.rs
@@ -85,9 +85,9 @@
     pub added: Vec<AdapterKey>,
     /// No longer resident.
     pub removed: Vec<AdapterKey>,
-    /// Requests admitted and not finished.
+    /// Critical and live requests admitted and not ended.
     pub running: u32,
-    /// Requests queued before the engine.
+    /// Batch requests admitted and not ended; they wait or give way.
     pub queued: u32,
 }
 
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -102,7 +102,7 @@
             News::Leaving(target) => self.with(target, |known| known.leaving = true),
             News::Reachable(target, yes) => self.with(target, |known| known.reachable = yes),
             News::Removed(target) => self.removed(target),
-            News::Residents(news) => self.residents(now, &news),
+            News::Residents(news) => self.residents(&news),
             News::Report(report) => self.report(&report),
             News::Started(target) => self.with(target, |known| known.own += 1),
             News::Began(target, after) => self.began(target, after),
@@ -143,6 +143,7 @@
             },
         };
         self.prefixes.note(now, ask.prefix, target);
+        self.with(target, |known| known.chosen(ask.class));
         let resident = self
             .known(target)
             .is_some_and(|k| k.residents.contains(&key));
@@ -184,7 +185,7 @@
             let Some(known) = self.known(*target).filter(|k| k.usable() && !k.is_out(now)) else {
                 continue;
             };
-            let load = known.load(now, self.begin);
+            let load = known.load(now, ask.class, self.begin);
             if load < PACK && cached == Some(*target) {
                 return Some((*target, load));
             }
@@ -231,7 +232,7 @@
             let Some(known) = self.known(member.target).filter(|k| k.usable()) else {
                 continue;
             };
-            if known.is_out(now) || known.load(now, self.begin) >= 1.0 {
+            if known.is_out(now) || known.load(now, ask.class, self.begin) >= 1.0 {
                 spare = spare.max(Some((rank, member.target)));
                 continue;
             }
@@ -241,7 +242,7 @@
         let homes = homes.iter().filter_map(|(_, target)| *target);
         let costs = homes.filter_map(|target| {
             let known = self.known(target)?;
-            let load = known.load(now, self.begin);
+            let load = known.load(now, ask.class, self.begin);
             Some((self.evict_cost(now, known) + load * 0.01, target, load))
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
@@ -250,7 +251,7 @@
         best.map(|(_, target, load)| (target, load)).or_else(|| {
             let (_, target) = spare?;
             base::hit!(never_all_out);
-            Some((target, self.known(target)?.load(now, self.begin)))
+            Some((target, self.known(target)?.load(now, ask.class, self.begin)))
         })
     }
 
@@ -290,7 +291,8 @@
                 continue;
             }
             let far = known.target.zone != self.zone;
-            let load = known.load(now, self.begin) + if far { ZONE_WORTH } else { 0.0 };
+            let load =
+                known.load(now, Class::Critical, self.begin) + if far { ZONE_WORTH } else { 0.0 };
             let cost = (known.is_out(now), load, target);
             if best.is_none_or(|b| (cost.0, cost.1) < (b.0, b.1)) {
                 best = Some(cost);
@@ -368,7 +370,7 @@
         self.prefixes.forget(target);
     }
 
-    fn residents(&mut self, now: Time, news: &Residents) {
+    fn residents(&mut self, news: &Residents) {
         let Some(known) = self.known_mut(news.target) else {
             return;
         };
@@ -377,7 +379,7 @@
             return;
         }
         known.fence = news.fence;
-        known.told_by_owner(now, news.running + news.queued);
+        known.told_by_owner(news.running, news.queued);
         if news.whole {
             for key in std::mem::take(&mut known.residents) {
                 self.drop_holder(key, news.target);
--- a/crates/route/src/router/known.rs
+++ b/crates/route/src/router/known.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{AdapterKey, Fence, Time};
+use base::{AdapterKey, Class, Fence, Time};
 
 use crate::Target;
 
@@ -32,6 +32,15 @@
 /// Weight of the newest time to the first token.
 const BEGIN_GAIN: f32 = 0.1;
 
+/// Requests admitted by an engine's owner and not ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    /// Critical and live ones.
+    urgent: u32,
+    /// Batch ones, which wait or give way.
+    batch: u32,
+}
+
 /// A target, its load as known here, and its health.
 #[derive(Clone, Debug)]
 pub(super) struct Known {
@@ -42,12 +51,12 @@
     pub(super) residents: Vec<AdapterKey>,
     /// Attempts sent from here and not ended.
     pub(super) own: u32,
-    /// Others' requests there, as told last.
+    /// Others' requests there, as reported last.
     others: f32,
     /// When `others` was true.
     told: Time,
-    /// Whether the owner told it, which does not lag.
-    exact: bool,
+    /// What the owner told last and what was chosen here since.
+    owner: Option<Load>,
     fails: f32,
     goods: f32,
     faded: Time,
@@ -69,7 +78,7 @@
             own: 0,
             others: 0.0,
             told: now,
-            exact: false,
+            owner: None,
             fails: 0.0,
             goods: 0.0,
             faded: now,
@@ -97,34 +106,53 @@
         now < self.out_until
     }
 
-    /// Takes in the owner's count of running and queued requests.
-    pub(super) fn told_by_owner(&mut self, now: Time, load: u32) {
-        self.others = load.saturating_sub(self.own) as f32;
-        self.told = now;
-        self.exact = true;
+    /// Takes in the owner's counts.
+    pub(super) fn told_by_owner(&mut self, urgent: u32, batch: u32) {
+        self.owner = Some(Load { urgent, batch });
     }
 
-    /// Takes in the engine's own report, unless the owner told later.
-    pub(super) fn reported(&mut self, taken: Time, load: u32) {
-        if self.exact || taken <= self.told {
-            return;
+    /// Counts a request chosen for it here, until the owner tells again.
+    pub(super) fn chosen(&mut self, class: Class) {
+        if let Some(load) = &mut self.owner {
+            match class {
+                Class::Batch => load.batch += 1,
+                _ => load.urgent += 1,
+            }
         }
-        self.others = load.saturating_sub(self.own) as f32;
-        self.told = taken;
     }
 
-    /// Estimates the part of its places in use; above one, requests queue.
-    pub(super) fn load(&self, now: Time, usual_begin: f32) -> f32 {
-        let mut others = self.others;
-        if !self.exact {
-            others *= (-now.since(self.told).as_secs_f32() / REPORT_HALF_SECS).exp2();
+    /// Takes in the target's own report.
+    pub(super) fn reported(&mut self, taken: Time, load: u32) {
+        if taken > self.told {
+            self.others = load.saturating_sub(self.own) as f32;
+            self.told = taken;
         }
+    }
+
+    /// Estimates the part of its places in use, as far as they count for a
+    /// request of `class`; above one, requests queue.
+    ///
+    /// Batch work does not count for the others, to which it gives way: with
+    /// a night's queue in the sum, every engine would look full to live
+    /// requests, and they would be sent where their adapter is not loaded.
+    pub(super) fn load(&self, now: Time, class: Class, usual_begin: f32) -> f32 {
         let places = self.target.batch.max(1) as f32 * self.eased(now);
         let slow = match usual_begin > 0.0 {
             true => (self.begin / usual_begin / 2.0).clamp(1.0, 4.0),
             false => 1.0,
         };
-        (self.own as f32 + others) * slow / places
+        let busy = match (self.owner, class) {
+            (Some(load), Class::Batch) => (load.urgent + load.batch) as f32,
+            (Some(load), _) => load.urgent as f32,
+            (None, _) => self.own as f32 + self.others_now(now),
+        };
+        busy * slow / places
+    }
+
+    /// Others' requests by the last report, trusted less the older it is.
+    fn others_now(&self, now: Time) -> f32 {
+        let age = now.since(self.told).as_secs_f32();
+        self.others * (-age / REPORT_HALF_SECS).exp2()
     }
 
     pub(super) fn began(&mut self, after: Duration) {
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -229,9 +229,9 @@
         pub added: Vec<(AdapterName, Version)>,
         /// No longer resident.
         pub removed: Vec<(AdapterName, Version)>,
-        /// Requests admitted and not finished.
+        /// Critical and live requests admitted and not ended.
         pub in_flight: u32,
-        /// Requests queued before the engine.
+        /// Batch requests admitted and not ended; they wait or give way.
         pub queued: u32,
     }
 
