Let critical loads overdraw the budget, and wait for one backed off

A critical load now may overdraw by two, and a critical request stays where its load failed if the next try comes in time.

--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -4,24 +4,28 @@
 
 /// Most loads saved up, in thousandths. Two, as the store serves two at once
 /// at full speed: more would only share its bandwidth.
-const SAVED_MAX: u64 = 2_000;
+const SAVED_MAX: i64 = 2_000;
 
 /// One load, in thousandths.
-const LOAD: u64 = 1_000;
+const LOAD: i64 = 1_000;
 
 /// Loads of one instance under way at once at most; the store serves no more
 /// at full speed.
 const AT_ONCE: u32 = 2;
 
+/// How far a critical load may overdraw, in thousandths: it always starts, and
+/// later loads wait for it instead.
+const OVERDRAWN_MAX: i64 = 2_000;
+
 /// Left untouched by loads ahead of need, in thousandths: the next request's
 /// own load must not wait for one that was a guess.
-const SPARE: u64 = 1_000;
+const SPARE: i64 = 1_000;
 
 /// A token bucket filled at the rate that the leader gave.
 #[derive(Clone, Debug)]
 pub struct Budget {
     rate: u32,
-    saved: u64,
+    saved: i64,
     filled: Time,
     under_way: u32,
 }
@@ -60,9 +64,16 @@
         self.saved >= LOAD && self.under_way < AT_ONCE
     }
 
+    /// Returns whether a load for a critical request may start; it may
+    /// overdraw the rate, which keeps the budget over any longer time.
+    pub fn allows_critical(&mut self, now: Time) -> bool {
+        self.fill(now);
+        self.saved > LOAD - OVERDRAWN_MAX && self.under_way <= AT_ONCE
+    }
+
     /// Takes one load out of the budget.
     pub fn take(&mut self) {
-        self.saved = self.saved.saturating_sub(LOAD);
+        self.saved -= LOAD;
         self.under_way += 1;
     }
 
@@ -86,7 +97,7 @@
         if self.under_way >= most || self.rate == 0 {
             return None;
         }
-        let missing = need.saturating_sub(self.saved);
+        let missing = u64::try_from(need - self.saved).unwrap_or(0);
         let micros = (missing * 1_000_000).div_ceil(u64::from(self.rate));
         Some(Time(self.filled.0 + micros).max(now))
     }
@@ -97,7 +108,7 @@
         if earned == 0 {
             return;
         }
-        self.saved += earned;
+        self.saved += i64::try_from(earned).unwrap_or(SAVED_MAX);
         // Only the time that made whole thousandths is used up.
         self.filled = Time(self.filled.0 + earned * 1_000_000 / u64::from(self.rate));
         if self.saved >= SAVED_MAX {
--- a/crates/route/src/desk/admit.rs
+++ b/crates/route/src/desk/admit.rs
@@ -30,7 +30,7 @@
             return Err(Failure::not_run(Refusal::Unavailable));
         };
         let backed_off = ask.key.and_then(|key| self.backoff.until(now, target, key));
-        if let Some(until) = backed_off.filter(|_| ask.class != Class::Batch) {
+        if let Some(until) = backed_off.filter(|until| !self.can_wait(ask, *until)) {
             let wait = self.retry_after(until.since(now).as_secs_f64());
             return Err(Failure::not_run(Refusal::Unavailable).retry_after(wait));
         }
--- a/crates/route/src/desk/loads.rs
+++ b/crates/route/src/desk/loads.rs
@@ -6,7 +6,7 @@
 use place::{Budget, Slot, SlotState};
 
 use crate::{
-    LoadEnd, Ordering, Output,
+    Ask, LoadEnd, Ordering, Output,
     desk::{Desk, State, bay::Bay, queue::Want, send::yield_newest},
 };
 
@@ -64,17 +64,21 @@
     /// Starts the loads that budget and slots allow, most urgent first.
     pub(super) fn load(&mut self, now: Time, out: &mut Vec<Output>) {
         self.wanted = Wanted::default();
+        while self.budget.allows_critical(now) {
+            let Some(pick) = self.pick_class(now, Class::Critical) else {
+                break;
+            };
+            self.start(now, pick, out);
+        }
         while self.budget.allows(now, false) {
             let Some(pick) = self.pick_urgent(now) else {
                 break;
             };
             self.start(now, pick, out);
         }
-        if !self.budget.allows(now, false) {
-            self.wanted.budget = self.any_want();
-        } else {
-            self.clear_slots(now, out);
-        }
+        let allowed = self.budget.allows(now, false);
+        self.wanted.budget = !allowed && self.any_want();
+        self.clear_slots(now, allowed, out);
         while self.budget.allows(now, true) {
             let Some(pick) = self.pick_spare(now) else {
                 return;
@@ -178,7 +182,8 @@
     }
 
     /// Backs the load off, and hands live requests back so that they try
-    /// another engine.
+    /// another engine. A critical one stays if the next try here comes in
+    /// time: its attempts elsewhere are few, and it must be answered.
     fn load_failed(&mut self, now: Time, target: TargetNo, key: AdapterKey, out: &mut Vec<Output>) {
         base::hit!(load_backed_off);
         let until = self.backoff.failed(now, target, key);
@@ -186,7 +191,7 @@
             r.target == target
                 && r.ask.key == Some(key)
                 && r.state == State::Queued
-                && r.ask.class != Class::Batch
+                && !self.can_wait(&r.ask, until)
         });
         let waits: Vec<_> = waits.map(|(ticket, _)| *ticket).collect();
         for ticket in waits {
@@ -196,6 +201,15 @@
         }
     }
 
+    /// Whether a request may wait for a load that is backed off.
+    pub(super) fn can_wait(&self, ask: &Ask, until: Time) -> bool {
+        match ask.class {
+            Class::Batch => true,
+            Class::Live => false,
+            Class::Critical => until + Duration::from_secs_f64(self.load_secs) < ask.deadline,
+        }
+    }
+
     fn start(&mut self, now: Time, pick: Pick, out: &mut Vec<Output>) {
         self.budget.take();
         let Some(bay) = self.bays.get_mut(&pick.target) else {
@@ -243,10 +257,8 @@
 
     /// Picks what critical and live requests wait for, then newer versions.
     fn pick_urgent(&mut self, now: Time) -> Option<Pick> {
-        for class in [Class::Critical, Class::Live] {
-            if let Some(pick) = self.pick_class(now, class) {
-                return Some(pick);
-            }
+        if let Some(pick) = self.pick_class(now, Class::Live) {
+            return Some(pick);
         }
         let mut best = None;
         for (target, bay) in &self.bays {
@@ -360,16 +372,17 @@
                 .is_some()
     }
 
-    /// Where live work waits and every slot is in use, empties one: batch
+    /// Where live work waits, the budget is `allowed` and every slot is in use, empties one: batch
     /// work on it gives way, and after a while a live adapter's slot takes
     /// nothing new.
     ///
     /// Guards against live work that waits for a load slot behind batch
     /// answers: all slots pinned by a night's screening, and a performer's
     /// adapter not loaded for minutes.
-    fn clear_slots(&mut self, now: Time, out: &mut Vec<Output>) {
+    fn clear_slots(&mut self, now: Time, allowed: bool, out: &mut Vec<Output>) {
         for bay in self.bays.values_mut() {
             let wants = [Class::Critical, Class::Live].into_iter();
+            let wants = wants.filter(|c| allowed || *c == Class::Critical);
             let wants = wants.flat_map(|c| bay.queue.wants(c));
             let wants = wants.filter(|w| !bay.slots.has_or_gets(w.key));
             let Some(oldest) = wants.map(|w| w.since).min() else {
