--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,8 +1,10 @@
 //! Chores of the repository, started as `cargo xtask CHORE`.
 
+mod demo;
 mod events;
 mod measure;
 mod samples;
+mod soak;
 mod test;
 
 use std::{path::Path, process::ExitCode};
@@ -21,6 +23,10 @@
         command: test::command,
         run: test::run,
     },
+    Chore {
+        command: demo::command,
+        run: demo::run,
+    },
     Chore {
         command: measure::command,
         run: measure::run,
@@ -33,6 +39,10 @@
         command: samples::command,
         run: |args| done(samples::run(root(), args)),
     },
+    Chore {
+        command: soak::command,
+        run: |args| done(soak::run(args)),
+    },
 ];
 
 fn main() -> ExitCode {
