Write the operators' pages, and hold them against the code

operations.md: running, settings, the text's reference, commands, exit codes, and a section for each failure.

--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings by flag and environment: what is accepted, and every error at once.
 
-use std::{ffi::OsString, time::Duration};
+use std::{collections::BTreeSet, ffi::OsString, time::Duration};
 
 use googletest::prelude::*;
 use settings::{Begin, Errors, LogLevel, env_name};
@@ -178,3 +178,37 @@
     assert_that!(help.exit_code(), eq(0));
     assert_that!(env_name("peer-listen"), eq("QUETZAL_PEER_LISTEN"));
 }
+
+/// A flag that the page doesn't list is one that nobody sets, and the other way
+/// round.
+#[test]
+fn flags_and_page_agree() {
+    let page = include_str!("../../../docs/operations.md");
+    let table = page
+        .split("## Settings")
+        .nth(1)
+        .unwrap()
+        .split("## The text")
+        .next()
+        .unwrap();
+    let listed = flags(table.lines().filter_map(|line| line.strip_prefix("| `--")));
+    let entry = settings::entry(args(ENTRY, &["--help"]), [])
+        .unwrap_err()
+        .to_string();
+    let control = settings::control(args(CONTROL, &["--help"]), [])
+        .unwrap_err()
+        .to_string();
+    let help = entry
+        .lines()
+        .chain(control.lines())
+        .filter_map(|line| line.trim().strip_prefix("--"));
+    assert_that!(flags(help), eq(&listed));
+}
+
+fn flags<'a>(lines: impl Iterator<Item = &'a str>) -> BTreeSet<String> {
+    let word = |line: &str| {
+        let end = line.find(|c: char| !c.is_ascii_lowercase() && c != '-');
+        line[..end.unwrap_or(line.len())].to_owned()
+    };
+    lines.map(word).collect()
+}
--- a/xtask/src/events.rs
+++ b/xtask/src/events.rs
@@ -1,5 +1,6 @@
-//! Checks that the catalogue of events in `docs/logs.md` and the code agree,
-//! and names events that nothing logs.
+//! Checks that the pages that name events and the code agree: the catalogue in
+//! `docs/logs.md`, and the marks of events that nothing logs yet in
+//! `docs/operations.md`.
 
 use std::{
     collections::BTreeSet,
@@ -10,7 +11,12 @@
 use anyhow::{Context, Result, bail};
 use telemetry::{Event, catalogue};
 
-const PAGE: &str = "docs/logs.md";
+/// The catalogue.
+const LOGS: &str = "docs/logs.md";
+/// The page for whoever is on call.
+const GUIDE: &str = "docs/operations.md";
+/// Marks an event that nothing logs yet.
+const DAGGER: char = '\u{2020}';
 
 /// Describes the chore for the command line.
 pub(crate) fn command() -> clap::Command {
@@ -30,35 +36,67 @@
 ///
 /// Fails with every difference between page and code.
 pub(crate) fn run(root: &Path, write: bool) -> Result<()> {
-    let path = root.join(PAGE);
-    let page = fs::read_to_string(&path).with_context(|| format!("can't read {PAGE}"))?;
+    let unused = unused(root)?;
+    let logs = Page::read(root, LOGS)?;
+    let guide = Page::read(root, GUIDE)?;
+    let marked = marked(&guide.text, &unused);
     if write {
-        let new = catalogue::update(&page).with_context(|| format!("{PAGE} lacks its marks"))?;
-        fs::write(&path, new)?;
+        let new = catalogue::update(&logs.text).context("the page lacks its marks")?;
+        fs::write(&logs.path, new)?;
+        fs::write(&guide.path, marked)?;
         return Ok(());
     }
-    let differences = catalogue::differences(&page);
+    let differences = catalogue::differences(&logs.text);
     if !differences.is_empty() {
         bail!(
-            "{PAGE} and the code differ (see --write):\n{}",
+            "{LOGS} and the code differ (see --write):\n{}",
             differences.join("\n")
         );
     }
-    let unused = unused(root)?;
-    println!("{} events, page and code agree", Event::ALL.len());
+    if marked != guide.text {
+        bail!("{GUIDE} marks the wrong events as not logged yet (see --write)");
+    }
+    println!("{} events, pages and code agree", Event::ALL.len());
     if !unused.is_empty() {
+        let names: Vec<String> = unused
+            .iter()
+            .map(|event| format!("{event} {event:?}"))
+            .collect();
         println!(
             "{} of them logged nowhere: {}",
-            unused.len(),
-            unused.join(", ")
+            names.len(),
+            names.join(", ")
         );
     }
     Ok(())
 }
 
+/// A page of the docs.
+struct Page {
+    path: PathBuf,
+    text: String,
+}
+
+impl Page {
+    fn read(root: &Path, name: &str) -> Result<Self> {
+        let path = root.join(name);
+        let text = fs::read_to_string(&path).with_context(|| format!("can't read {name}"))?;
+        Ok(Page { path, text })
+    }
+}
+
+/// Returns `page` with a dagger after each unused event, and after no other.
+fn marked(page: &str, unused: &BTreeSet<Event>) -> String {
+    let mut page = page.replace(DAGGER, "");
+    for event in unused {
+        page = page.replace(&event.to_string(), &format!("{event}{DAGGER}"));
+    }
+    page
+}
+
 /// Returns the events that no `event!` outside `telemetry` names, whatever the
 /// type is imported as.
-fn unused(root: &Path) -> Result<Vec<String>> {
+fn unused(root: &Path) -> Result<BTreeSet<Event>> {
     let mut named = BTreeSet::new();
     for file in sources(&root.join("crates"))? {
         if file.starts_with(root.join("crates/telemetry")) {
@@ -72,7 +110,7 @@
     let unused = Event::ALL
         .iter()
         .filter(|event| !named.contains(&format!("{event:?}")));
-    Ok(unused.map(|event| format!("{event} {event:?}")).collect())
+    Ok(unused.copied().collect())
 }
 
 fn sources(folder: &Path) -> Result<Vec<PathBuf>> {
