--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -76,6 +76,7 @@
         format: FORMAT,
         id: id.clone(),
         base: None,
+        sealed: 0,
     };
     fs::remove_file(path.join("snapshot")).ok();
     let log = start_log(path, &encode_header(&header))?;
@@ -116,6 +117,7 @@
             format: FORMAT,
             id: self.id.clone(),
             base: Some(snapshot.at),
+            sealed: 2,
         };
         let mut raw = encode_header(&header);
         raw.extend(encode_frame(1, records));
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -22,7 +22,7 @@
 
 static METRICS: OnceLock<Metrics> = OnceLock::new();
 
-/// Returns the process's metrics. Called before [`start`](crate::start), it
+/// Returns the process's metrics. Called before [`start`](crate::start()), it
 /// binds them to nowhere for good: start telemetry first.
 #[must_use]
 pub fn metrics() -> &'static Metrics {
