Give batch work its guaranteed share in an overload

Causes, each found by printing what the desk saw: no slot was ever emptied for batch work, live loads took the whole budget, and live work took every place that came free although 16 were guaranteed. Ruled out: refusals at admission (none). Now every fourth load and one slot go to batch work that is short of time, and the guaranteed places come before live work. A share computed from queued work alone told each request to give way once sent, without end; running work counts too.

--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -5,6 +5,7 @@
 mod engines;
 mod loads;
 mod queue;
+mod room;
 mod send;
 
 use std::collections::BTreeMap;
@@ -34,6 +35,8 @@
     loading: BTreeMap<(TargetNo, base::AdapterKey), Time>,
     /// What the last look at the wanted loads found.
     wanted: loads::Wanted,
+    /// Loads since the last one for batch work.
+    since_batch: u32,
     /// The wake asked for last.
     wake: Option<Time>,
 }
@@ -76,6 +79,7 @@
             load_secs: loads::LOAD_SECS,
             loading: BTreeMap::new(),
             wanted: loads::Wanted::default(),
+            since_batch: 0,
             wake: None,
         }
     }
@@ -181,6 +185,7 @@
             false => bay.queue.push(item),
         }
         bay.due[item.class as usize].insert((request.ask.deadline, ticket));
+        bay.count_batch(&item, request.ask.deadline, true);
         self.brand(item.brand).share.queued += 1;
     }
 
@@ -189,6 +194,7 @@
             let item = request.item(ticket);
             bay.queue.remove(&item);
             bay.due[item.class as usize].remove(&(request.ask.deadline, ticket));
+            bay.count_batch(&item, request.ask.deadline, false);
         }
         self.brand(request.ask.brand).share.queued -= 1;
     }
@@ -235,6 +241,7 @@
         if ok && !sent.yields {
             bay.measured(sent.item.tokens, now.since(sent.at));
         }
+        bay.count_batch(&sent.item, request.ask.deadline, false);
         if sent.yields && !sent.gone {
             request.state = State::Queued;
             self.requests.insert(ticket, request);
--- a/crates/route/src/desk/bay.rs
+++ b/crates/route/src/desk/bay.rs
@@ -26,10 +26,6 @@
 /// starts without waiting for a running one to give way.
 const LIVE_PART: u32 = 8;
 
-/// One place in this many is the least need that gives batch work a
-/// guaranteed share: below it there is still time.
-const URGENT_PART: f64 = 4.0;
-
 /// Batch work gets this much more than it needs by its measured speed.
 const URGENT_MARGIN: f64 = 1.25;
 
@@ -57,6 +53,9 @@
     pub(crate) sent: BTreeMap<Ticket, Sent>,
     /// Queued requests by deadline, a set for each class.
     pub(crate) due: [BTreeSet<(Time, Ticket)>; 3],
+    /// Batch requests admitted and not ended, by deadline, and their tokens.
+    pub(crate) batch_due: BTreeSet<(Time, Ticket)>,
+    pub(crate) batch_tokens: u64,
     /// Adapters to load from spare budget, best first.
     pub(crate) ahead: VecDeque<AdapterKey>,
     /// Newer versions to load, with the versions they replace.
@@ -80,6 +79,8 @@
             queue: Queue::default(),
             sent: BTreeMap::new(),
             due: Default::default(),
+            batch_due: BTreeSet::new(),
+            batch_tokens: 0,
             ahead: VecDeque::new(),
             rolls: Vec::new(),
             clearing: None,
@@ -92,6 +93,21 @@
         }
     }
 
+    /// Counts a batch request in or out of what has to end by its time.
+    pub(crate) fn count_batch(&mut self, item: &Item, deadline: Time, admitted: bool) {
+        if item.class != Class::Batch {
+            return;
+        }
+        let due = (deadline, item.ticket);
+        let tokens = u64::from(item.tokens);
+        if admitted && self.batch_due.insert(due) {
+            self.batch_tokens += tokens;
+        }
+        if !admitted && self.batch_due.remove(&due) {
+            self.batch_tokens -= tokens;
+        }
+    }
+
     pub(crate) fn in_batch(&self) -> u32 {
         self.running.iter().sum()
     }
@@ -114,22 +130,31 @@
     }
 
     /// Places that batch work keeps even while live work waits: as many as it
-    /// needs to end by its earliest deadline, once that is a good part.
+    /// needs to end by its earliest deadline, up to half of all.
+    ///
+    /// Running work counts as well: else sending a request would lower the
+    /// share, and the same request would at once be told to give way.
     pub(crate) fn guaranteed(&self, now: Time) -> u32 {
-        let Some((due, _)) = self.due[Class::Batch as usize].first() else {
+        let Some((due, _)) = self.batch_due.first() else {
             return 0;
         };
         let places = f64::from(self.engine.batch);
-        let work = self.queue.tokens(Class::Batch) as f64 * self.token_secs;
+        let work = self.batch_tokens as f64 * self.token_secs;
         let slack = due.since(now).as_secs_f64().max(1.0);
         let need = work * URGENT_MARGIN / slack;
-        if need < places / URGENT_PART {
+        if need < 1.0 {
             return 0;
         }
         base::hit!(batch_share_guaranteed);
         need.min(places / 2.0).ceil() as u32
     }
 
+    /// Whether batch work waits, but has no slot to run on.
+    pub(crate) fn batch_without_slot(&self) -> bool {
+        let class = Class::Batch;
+        self.running[class as usize] == 0 && self.queue.ready(class, &self.ready(class)) == 0
+    }
+
     /// Places that live work may fill.
     pub(crate) fn live_places(&self) -> u32 {
         self.engine.batch - (self.engine.batch / CRITICAL_PART).min(self.engine.batch - 1)
--- a/crates/route/src/desk/loads.rs
+++ b/crates/route/src/desk/loads.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use base::{AdapterKey, Class, Failure, Refusal, TargetNo, Time};
-use place::{Budget, Slot, SlotState};
+use place::{Budget, SlotState};
 
 use crate::{
     Ask, LoadEnd, Ordering, Output,
-    desk::{Desk, State, bay::Bay, queue::Want, send::yield_newest},
+    desk::{Desk, State, queue::Want, room::Room},
 };
 
 /// Seconds that a load takes, before any was measured.
@@ -16,12 +16,8 @@
 /// Weight of the newest measurement of the seconds a load takes.
 const LOAD_GAIN: f64 = 0.1;
 
-/// Live uses a second from which an adapter is kept from batch work that is
-/// not urgent: one in a minute.
-const KEPT_RATE: f32 = 1.0 / 60.0;
-
-/// How long live work waits for a slot before one in live use is emptied.
-const CLEAR_AFTER: Duration = Duration::from_millis(500);
+/// Of this many loads one is for batch work that is short of time, if any is.
+const BATCH_TURN: u32 = 4;
 
 /// What the last look for loads found.
 #[derive(Clone, Copy, Debug, Default)]
@@ -49,17 +45,11 @@
     target: TargetNo,
     key: AdapterKey,
     room: Room,
+    class: Class,
     /// Whether requests wait for it, so that others may join them.
     awaited: bool,
 }
 
-/// Where a load finds a slot.
-#[derive(Clone, Copy, Debug)]
-enum Room {
-    Free,
-    Evict(AdapterKey),
-}
-
 impl Desk {
     /// Starts the loads that budget and slots allow, most urgent first.
     pub(super) fn load(&mut self, now: Time, out: &mut Vec<Output>) {
@@ -71,7 +61,7 @@
             self.start(now, pick, out);
         }
         while self.budget.allows(now, false) {
-            let Some(pick) = self.pick_urgent(now) else {
+            let Some(pick) = self.pick_due(now).or_else(|| self.pick_urgent(now)) else {
                 break;
             };
             self.start(now, pick, out);
@@ -215,6 +205,10 @@
         let Some(bay) = self.bays.get_mut(&pick.target) else {
             return;
         };
+        self.since_batch = match pick.class {
+            Class::Batch => 0,
+            _ => self.since_batch + 1,
+        };
         bay.ahead.retain(|key| *key != pick.key);
         bay.clearing = None;
         let added = if pick.awaited {
@@ -255,7 +249,20 @@
         })
     }
 
-    /// Picks what critical and live requests wait for, then newer versions.
+    /// Picks a load for batch work that needs its guaranteed share, when it is
+    /// its turn.
+    ///
+    /// Guards against a live overload that takes every load: batch work would
+    /// keep its places, but nothing to run in them, and miss its time.
+    fn pick_due(&mut self, now: Time) -> Option<Pick> {
+        let due = self.since_batch >= BATCH_TURN - 1
+            && self.bays.values().any(|bay| bay.guaranteed(now) > 0);
+        let pick = due.then(|| self.pick_class(now, Class::Batch)).flatten()?;
+        base::hit!(batch_load_due);
+        Some(pick)
+    }
+
+    /// Picks what live requests wait for, then newer versions.
     fn pick_urgent(&mut self, now: Time) -> Option<Pick> {
         if let Some(pick) = self.pick_class(now, Class::Live) {
             return Some(pick);
@@ -274,6 +281,7 @@
                     target: *target,
                     key: *new,
                     room,
+                    class: Class::Live,
                     awaited: false,
                 }));
             }
@@ -298,6 +306,7 @@
                 target: *target,
                 key: *bay.ahead.front().filter(|_| free)?,
                 room: Room::Free,
+                class: Class::Batch,
                 awaited: false,
             })
         })
@@ -329,6 +338,7 @@
                         target: *target,
                         key: want.key,
                         room,
+                        class,
                         awaited: true,
                     };
                     best = Some((score, pick));
@@ -338,93 +348,6 @@
         self.wanted.backoff = backoff;
         best.map(|(_, pick)| pick)
     }
-
-    /// Returns where a load for `class` finds a slot at the engine.
-    fn room(&self, now: Time, bay: &Bay, class: Class) -> Option<Room> {
-        if bay.engine.ordering == Ordering::None {
-            return None;
-        }
-        if bay.slots.has_free() {
-            return Some(Room::Free);
-        }
-        if bay.engine.ordering == Ordering::FreeSlotsOnly {
-            base::hit!(restricted_keeps_slots);
-            return None;
-        }
-        let urgent = class != Class::Batch || bay.guaranteed(now) > 0;
-        let victim = bay.slots.victim(|slot| {
-            let keeps = self.keeps(now, bay, slot, class);
-            let worth = worth(now, slot);
-            (!keeps && (urgent || worth < KEPT_RATE)).then_some(worth)
-        });
-        victim.map(|(key, _)| Room::Evict(key))
-    }
-
-    /// Returns whether a slot is spoken for although nothing runs on it.
-    fn keeps(&self, now: Time, bay: &Bay, slot: &Slot, class: Class) -> bool {
-        let rolling = bay.rolls.iter().any(|(old, _)| *old == slot.key);
-        let awaited = bay.clearing != Some(slot.key) && bay.queue.waits_for(slot.key, class);
-        rolling
-            || awaited
-            || self
-                .backoff
-                .until(now, bay.engine.target, slot.key)
-                .is_some()
-    }
-
-    /// Where live work waits, the budget is `allowed` and every slot is in use, empties one: batch
-    /// work on it gives way, and after a while a live adapter's slot takes
-    /// nothing new.
-    ///
-    /// Guards against live work that waits for a load slot behind batch
-    /// answers: all slots pinned by a night's screening, and a performer's
-    /// adapter not loaded for minutes.
-    fn clear_slots(&mut self, now: Time, allowed: bool, out: &mut Vec<Output>) {
-        for bay in self.bays.values_mut() {
-            let wants = [Class::Critical, Class::Live].into_iter();
-            let wants = wants.filter(|c| allowed || *c == Class::Critical);
-            let wants = wants.flat_map(|c| bay.queue.wants(c));
-            let wants = wants.filter(|w| !bay.slots.has_or_gets(w.key));
-            let Some(oldest) = wants.map(|w| w.since).min() else {
-                bay.clearing = None;
-                continue;
-            };
-            if bay.engine.ordering != Ordering::Full || bay.clearing.is_some() {
-                continue;
-            }
-            let patient = now.since(oldest) < CLEAR_AFTER;
-            let Some((key, live)) = least_used(now, bay) else {
-                continue;
-            };
-            if live && patient {
-                continue;
-            }
-            base::hit!(slot_cleared);
-            bay.clearing = Some(key);
-            yield_newest(bay, u32::MAX, |s| s.item.key == Some(key), out);
-        }
-    }
-}
-
-/// Returns the pinned slot to empty, and whether live work runs on it.
-fn least_used(now: Time, bay: &Bay) -> Option<(AdapterKey, bool)> {
-    let live = |slot: &Slot| {
-        let mut sent = bay.sent.values();
-        sent.any(|s| s.item.key == Some(slot.key) && s.item.class != Class::Batch)
-    };
-    let slots = bay.slots.iter();
-    let slots = slots.filter(|s| s.state == SlotState::Ready && !s.inherited);
-    let slots = slots.map(|s| (live(s), worth(now, s), s.key));
-    let least = slots.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-    least.map(|(live, _, key)| (key, live))
-}
-
-/// What keeping the slot is worth: live uses a second.
-fn worth(now: Time, slot: &Slot) -> f32 {
-    if slot.retired {
-        return -1.0;
-    }
-    slot.used.slow(now).max(slot.used.quick(now))
 }
 
 /// How much a load matters: all the time that requests wait for it.
--- /dev/null
+++ b/crates/route/src/desk/room.rs
@@ -0,0 +1,125 @@
+//! Slots: where a load finds room, and which slot is emptied for it.
+
+use std::time::Duration;
+
+use base::{AdapterKey, Class, Time};
+use place::{Slot, SlotState};
+
+use crate::{
+    Ordering, Output,
+    desk::{Desk, bay::Bay, send::yield_newest},
+};
+
+/// Live uses a second from which an adapter is kept from batch work that is
+/// not urgent: one in a minute.
+const KEPT_RATE: f32 = 1.0 / 60.0;
+
+/// How long live work waits for a slot before one in live use is emptied.
+const CLEAR_AFTER: Duration = Duration::from_millis(500);
+
+/// Where a load finds a slot.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Room {
+    Free,
+    Evict(AdapterKey),
+}
+
+impl Desk {
+    /// Returns where a load for `class` finds a slot at the engine.
+    pub(super) fn room(&self, now: Time, bay: &Bay, class: Class) -> Option<Room> {
+        if bay.engine.ordering == Ordering::None {
+            return None;
+        }
+        if bay.slots.has_free() {
+            return Some(Room::Free);
+        }
+        if bay.engine.ordering == Ordering::FreeSlotsOnly {
+            base::hit!(restricted_keeps_slots);
+            return None;
+        }
+        let urgent = class != Class::Batch || bay.guaranteed(now) > 0;
+        let victim = bay.slots.victim(|slot| {
+            let keeps = self.keeps(now, bay, slot, class);
+            let worth = worth(now, slot);
+            (!keeps && (urgent || worth < KEPT_RATE)).then_some(worth)
+        });
+        victim.map(|(key, _)| Room::Evict(key))
+    }
+
+    /// Returns whether a slot is spoken for although nothing runs on it.
+    fn keeps(&self, now: Time, bay: &Bay, slot: &Slot, class: Class) -> bool {
+        let rolling = bay.rolls.iter().any(|(old, _)| *old == slot.key);
+        let awaited = bay.clearing != Some(slot.key) && bay.queue.waits_for(slot.key, class);
+        rolling
+            || awaited
+            || self
+                .backoff
+                .until(now, bay.engine.target, slot.key)
+                .is_some()
+    }
+
+    /// Where urgent work waits, the budget is `allowed` and every slot is in
+    /// use, empties one: batch work on it gives way, and after a while a live
+    /// adapter's slot takes nothing new.
+    ///
+    /// Guards against live work that waits for a load slot behind batch
+    /// answers: all slots pinned by a night's screening, and a performer's
+    /// adapter not loaded for minutes. Batch work that is short of time gets
+    /// one slot the same way, or its guaranteed places would stay empty.
+    pub(super) fn clear_slots(&mut self, now: Time, allowed: bool, out: &mut Vec<Output>) {
+        for bay in self.bays.values_mut() {
+            let Some(oldest) = waits_for_slot(now, bay, allowed) else {
+                bay.clearing = None;
+                continue;
+            };
+            if bay.engine.ordering != Ordering::Full || bay.clearing.is_some() {
+                continue;
+            }
+            let patient = now.since(oldest) < CLEAR_AFTER;
+            let Some((key, live)) = least_used(now, bay) else {
+                continue;
+            };
+            if live && patient {
+                continue;
+            }
+            base::hit!(slot_cleared);
+            bay.clearing = Some(key);
+            yield_newest(bay, u32::MAX, |s| s.item.key == Some(key), out);
+        }
+    }
+}
+
+/// Returns since when the oldest request has waited that a slot is to be
+/// emptied for.
+fn waits_for_slot(now: Time, bay: &Bay, allowed: bool) -> Option<Time> {
+    let entitled = |class: &Class| match class {
+        Class::Critical => true,
+        Class::Live => allowed,
+        Class::Batch => allowed && bay.batch_without_slot() && bay.guaranteed(now) > 0,
+    };
+    let classes = Class::ALL.into_iter().filter(entitled);
+    let wants = classes.flat_map(|c| bay.queue.wants(c));
+    let wants = wants.filter(|w| !bay.slots.has_or_gets(w.key));
+    wants.map(|w| w.since).min()
+}
+
+/// Returns the pinned slot to empty, and whether live work runs on it.
+fn least_used(now: Time, bay: &Bay) -> Option<(AdapterKey, bool)> {
+    let live = |slot: &Slot| {
+        let mut sent = bay.sent.values();
+        sent.any(|s| s.item.key == Some(slot.key) && s.item.class != Class::Batch)
+    };
+    let slots = bay.slots.iter();
+    let slots = slots.filter(|s| s.state == SlotState::Ready && !s.inherited);
+    let slots = slots.map(|s| (live(s), worth(now, s), s.key));
+    let least = slots.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    least.map(|(live, _, key)| (key, live))
+}
+
+/// What keeping the slot is worth: live uses a second.
+fn worth(now: Time, slot: &Slot) -> f32 {
+    if slot.retired {
+        return -1.0;
+    }
+    slot.used.slow(now).max(slot.used.quick(now))
+}
--- a/crates/route/src/desk/send.rs
+++ b/crates/route/src/desk/send.rs
@@ -37,16 +37,19 @@
             return Some(Class::Critical);
         }
         let live = waits(Class::Live);
-        if live && used < bay.live_places() {
-            return Some(Class::Live);
+        let batch = waits(Class::Batch);
+        let own = bay.running[Class::Batch as usize] - bay.yielding;
+        let shared = used < bay.live_places();
+        // The guaranteed share comes before live work: it is only as large as
+        // batch work needs, and live work would never leave it a place.
+        if batch && shared && own < bay.guaranteed(now) {
+            return Some(Class::Batch);
         }
-        if !waits(Class::Batch) {
-            return None;
+        if live && shared {
+            return Some(Class::Live);
         }
-        let own = bay.running[Class::Batch as usize] - bay.yielding;
-        let guaranteed = own < bay.guaranteed(now) && used < bay.live_places();
-        let spare = !live && used < bay.batch_places();
-        (guaranteed || spare).then_some(Class::Batch)
+        let spare = batch && !live && used < bay.batch_places();
+        spare.then_some(Class::Batch)
     }
 
     fn send_one(
