Keep live adapters from batch work that already has a slot

Cause: at night the share is above zero nearly always, and any batch load might then evict an adapter in live use. Only batch work without any slot may do so now.

--- a/crates/route/src/desk/room.rs
+++ b/crates/route/src/desk/room.rs
@@ -37,7 +37,8 @@
             base::hit!(restricted_keeps_slots);
             return None;
         }
-        let urgent = class != Class::Batch || bay.guaranteed(now) > 0;
+        let starved = || bay.batch_without_slot() && bay.guaranteed(now) > 0;
+        let urgent = class != Class::Batch || starved();
         let victim = bay.slots.victim(|slot| {
             let keeps = self.keeps(now, bay, slot, class);
             let worth = worth(now, slot);
