--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -9,12 +9,11 @@
 /// `fields!(engine = target, fence = 7)`.
 #[macro_export]
 macro_rules! fields {
-    ($($key:ident = $value:expr),* $(,)?) => {{
-        #[allow(unused_mut, reason = "an event without fields")]
-        let mut fields = $crate::Fields::new();
-        $(fields.insert(stringify!($key).to_owned(), $crate::serde_json::json!($value));)*
-        fields
-    }};
+    ($($key:ident = $value:expr),* $(,)?) => {
+        $crate::Fields::from_iter([
+            $((stringify!($key).to_owned(), $crate::serde_json::json!($value))),*
+        ])
+    };
 }
 
 /// Logs an event with its fields, and builds them only if the event's level is
