--- /dev/null
+++ b/crates/disk/src/folder.rs
@@ -0,0 +1,212 @@
+//! An open data folder: appends to the log and replaces it with a snapshot.
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{self, Seek, SeekFrom},
+    path::{Path, PathBuf},
+};
+
+use replog::{
+    FORMAT, Header, Position, Record, ReplicaId, Snapshot, encode_frame, encode_header,
+    encode_snapshot,
+};
+use thiserror::Error;
+
+use crate::Calls;
+
+/// Space kept for the time when the disk is full: room for thousands of votes
+/// and the entries that begin a term.
+const RESERVE_BYTES: usize = 256 << 10;
+
+/// Why a write didn't become durable.
+#[derive(Debug, Error)]
+pub(crate) enum WriteError {
+    /// No space; nothing was written, and it may be tried again.
+    #[error("the disk is full")]
+    Full,
+    /// Nobody knows what is on disk now.
+    #[error("{0}")]
+    Failed(#[from] io::Error),
+}
+
+/// An open data folder.
+#[derive(Debug)]
+pub struct Folder {
+    pub(crate) dir: PathBuf,
+    /// Held open and not used: the lock ends with it.
+    pub(crate) _lock: File,
+    pub(crate) id: ReplicaId,
+    pub(crate) log: File,
+    pub(crate) generation: u64,
+    /// The length of the durable part of the log in bytes.
+    pub(crate) len: u64,
+    /// The number of the next frame.
+    pub(crate) next: u64,
+    pub(crate) calls: Calls,
+}
+
+impl Folder {
+    /// Returns whose folder it is.
+    #[must_use]
+    pub fn id(&self) -> &ReplicaId {
+        &self.id
+    }
+
+    /// Replaces the calls of the system, for tests.
+    #[must_use]
+    pub fn with_calls(self, calls: Calls) -> Self {
+        Folder { calls, ..self }
+    }
+
+    /// Appends a frame and makes it durable.
+    pub(crate) fn append(&mut self, records: &[Record]) -> Result<(), WriteError> {
+        let frame = encode_frame(self.next, records);
+        if let Err(err) = (self.calls.write)(&mut self.log, &frame) {
+            self.undo(&err)?;
+            return Err(WriteError::Full);
+        }
+        (self.calls.sync)(&self.log)?;
+        self.len += frame.len() as u64;
+        self.next += 1;
+        Ok(())
+    }
+
+    /// Replaces log and snapshot. A crash at any moment leaves either the old
+    /// pair or the new one: the new log counts from its rename on.
+    pub(crate) fn replace(
+        &mut self,
+        snapshot: &Snapshot,
+        records: &[Record],
+    ) -> Result<(), WriteError> {
+        let generation = self.generation + 1;
+        let header = Header {
+            format: FORMAT,
+            id: self.id.clone(),
+            base: Some(snapshot.at),
+            sealed: 1,
+        };
+        let mut raw = encode_header(&header);
+        raw.extend(encode_frame(1, records));
+        self.put(
+            &snapshot_path(&self.dir, generation),
+            &encode_snapshot(snapshot),
+        )?;
+        let log = self.put(&log_path(&self.dir, generation), &raw)?;
+        let old = std::mem::replace(&mut self.generation, generation);
+        self.log = log;
+        self.len = raw.len() as u64;
+        self.next = 2;
+        // A leftover only takes space; the next start ignores it.
+        let _ = fs::remove_file(log_path(&self.dir, old));
+        let _ = fs::remove_file(snapshot_path(&self.dir, old));
+        Ok(())
+    }
+
+    /// Gives the reserve back to the disk.
+    pub(crate) fn use_reserve(&self) {
+        let _ = fs::remove_file(reserve_path(&self.dir));
+    }
+
+    /// Takes the reserve again if there is space for it.
+    pub(crate) fn keep_reserve(&self) -> bool {
+        keep_reserve(&self.dir).is_ok()
+    }
+
+    /// Writes a file under a temporary name, syncs it, renames it and syncs
+    /// the folder, so that it is there as a whole or not at all.
+    fn put(&mut self, path: &Path, raw: &[u8]) -> Result<File, WriteError> {
+        let temp = path.with_added_extension("tmp");
+        let mut file = create(&temp).map_err(full_or)?;
+        if let Err(err) = (self.calls.write)(&mut file, raw) {
+            let _ = fs::remove_file(&temp);
+            return Err(full_or(err));
+        }
+        (self.calls.sync)(&file)?;
+        fs::rename(&temp, path)?;
+        sync_dir(&self.dir)?;
+        Ok(file)
+    }
+
+    /// Takes back a write that found no space, so that it may be tried again.
+    ///
+    /// That is safe because nothing was synced: unlike after a failed sync,
+    /// the kernel has reported the failure for exactly these bytes.
+    fn undo(&mut self, err: &io::Error) -> Result<(), WriteError> {
+        if !is_full(err) {
+            return Err(io::Error::new(err.kind(), err.to_string()).into());
+        }
+        self.log.set_len(self.len)?;
+        self.log.seek(SeekFrom::Start(self.len))?;
+        Ok(())
+    }
+}
+
+pub(crate) fn log_path(dir: &Path, generation: u64) -> PathBuf {
+    dir.join(format!("log.{generation}"))
+}
+
+pub(crate) fn snapshot_path(dir: &Path, generation: u64) -> PathBuf {
+    dir.join(format!("snapshot.{generation}"))
+}
+
+pub(crate) fn reserve_path(dir: &Path) -> PathBuf {
+    dir.join("reserve")
+}
+
+/// Makes a new log with no snapshot and no records.
+pub(crate) fn new_log(dir: &Path, id: &ReplicaId) -> io::Result<(File, u64)> {
+    let header = Header {
+        format: FORMAT,
+        id: id.clone(),
+        base: None::<Position>,
+        sealed: 0,
+    };
+    let raw = encode_header(&header);
+    let path = log_path(dir, 1);
+    let temp = path.with_added_extension("tmp");
+    let mut file = create(&temp)?;
+    io::Write::write_all(&mut file, &raw)?;
+    file.sync_all()?;
+    fs::rename(&temp, &path)?;
+    sync_dir(dir)?;
+    Ok((file, raw.len() as u64))
+}
+
+pub(crate) fn sync_dir(dir: &Path) -> io::Result<()> {
+    File::open(dir)?.sync_all()
+}
+
+/// Fills the reserve with real bytes; a sparse file would reserve nothing.
+pub(crate) fn keep_reserve(dir: &Path) -> io::Result<()> {
+    let path = reserve_path(dir);
+    if path.exists() {
+        return Ok(());
+    }
+    let temp = path.with_added_extension("tmp");
+    let written = fs::write(&temp, vec![0x5a; RESERVE_BYTES]);
+    if written.is_err() {
+        let _ = fs::remove_file(&temp);
+        return written;
+    }
+    fs::rename(&temp, &path)
+}
+
+fn create(path: &Path) -> io::Result<File> {
+    let mut options = OpenOptions::new();
+    options.read(true).write(true).create(true).truncate(true);
+    options.open(path)
+}
+
+fn is_full(err: &io::Error) -> bool {
+    matches!(
+        err.kind(),
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+    )
+}
+
+fn full_or(err: io::Error) -> WriteError {
+    if is_full(&err) {
+        return WriteError::Full;
+    }
+    WriteError::Failed(err)
+}
--- /dev/null
+++ b/crates/disk/src/open.rs
@@ -0,0 +1,232 @@
+//! Opening a data folder: what is there, and whether it may be trusted.
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{Seek, SeekFrom},
+    path::{Path, PathBuf},
+};
+
+use anyhow::{Context, Result, bail};
+use base::{Incarnation, InstanceName};
+use replog::{Header, Recovered, ReplicaId, Restored, Snapshot, Tail, recover, recover_snapshot};
+
+use crate::{
+    Calls, Folder,
+    folder::{keep_reserve, log_path, new_log, snapshot_path, sync_dir},
+};
+
+/// What became of a folder's content.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// There was none; the replica is new.
+    New,
+    /// It is whole.
+    Whole,
+    /// A write that a crash interrupted was cut off.
+    CutOff {
+        /// The length of what was cut off, in bytes.
+        bytes: u64,
+    },
+    /// It was damaged or another instance's, and moved aside; the replica is
+    /// new.
+    Replaced {
+        /// What is wrong with it.
+        reason: String,
+        /// Where it is now.
+        kept: PathBuf,
+    },
+}
+
+/// An opened folder and what it holds.
+#[derive(Debug)]
+pub struct Opened {
+    /// The folder, ready for writing.
+    pub folder: Folder,
+    /// What the replica starts from.
+    pub restored: Restored,
+    /// What became of the content.
+    pub fate: Fate,
+}
+
+/// Opens the data folder of `instance`, or makes one. A new replica lives as
+/// `life`, which has to be greater than any earlier one; microseconds of the
+/// wall clock will do.
+///
+/// # Errors
+///
+/// Fails when another process uses the folder, when it was written by another
+/// release, or when the disk refuses.
+pub fn open(dir: &Path, instance: &InstanceName, life: Incarnation) -> Result<Opened> {
+    fs::create_dir_all(dir).with_context(|| format!("can't make {}", dir.display()))?;
+    let lock = take_lock(dir)?;
+    let generations = generations(dir)?;
+    let Some(&generation) = generations.last() else {
+        return start_new(dir, lock, instance, life, Fate::New);
+    };
+    let raw = fs::read(log_path(dir, generation)).context("can't read the log")?;
+    let found = recover(&raw);
+    if found.tail == Tail::OtherFormat {
+        bail!("the data folder was written by another release");
+    }
+    match trust(dir, generation, instance, &found) {
+        Ok((header, restored)) => {
+            let cut = raw.len() as u64 - found.len;
+            let log = reopen(&log_path(dir, generation), found.len)?;
+            let folder = Folder {
+                dir: dir.to_owned(),
+                _lock: lock,
+                id: header.id,
+                log,
+                generation,
+                len: found.len,
+                next: found.next,
+                calls: Calls::default(),
+            };
+            let fate = if cut == 0 {
+                Fate::Whole
+            } else {
+                Fate::CutOff { bytes: cut }
+            };
+            finish(folder, restored, fate)
+        }
+        Err(reason) => {
+            // Votes and acknowledgements are lost with the records. A replica
+            // that went on under its old identity could vote twice in a term,
+            // or make a majority with an instance that lacks what it had
+            // acknowledged.
+            base::hit!(never_trust_damage);
+            let kept = move_aside(dir, life)?;
+            let old = found.header.map_or(Incarnation(0), |header| header.id.life);
+            let life = life.max(old.next());
+            let fate = Fate::Replaced { reason, kept };
+            start_new(dir, lock, instance, life, fate)
+        }
+    }
+}
+
+/// Locks the folder for as long as the file is open.
+///
+/// Two processes on one folder would vote under one identity.
+fn take_lock(dir: &Path) -> Result<File> {
+    let path = dir.join("lock");
+    let mut options = OpenOptions::new();
+    let file = options.create(true).truncate(false).write(true).open(path);
+    let file = file.context("can't open the lock file")?;
+    if file.try_lock().is_err() {
+        base::hit!(folder_locked);
+        bail!("another process uses {}", dir.display());
+    }
+    Ok(file)
+}
+
+/// Returns the numbers of the log files, in order.
+fn generations(dir: &Path) -> Result<Vec<u64>> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(dir).context("can't list the data folder")? {
+        let name = entry?.file_name();
+        let name = name.to_string_lossy();
+        let number = name.strip_prefix("log.").map(str::parse);
+        if let Some(Ok(number)) = number {
+            found.push(number);
+        }
+    }
+    found.sort_unstable();
+    Ok(found)
+}
+
+/// Returns what the replica may start from, or why it may not.
+fn trust(
+    dir: &Path,
+    generation: u64,
+    instance: &InstanceName,
+    found: &Recovered,
+) -> Result<(Header, Restored), String> {
+    let header = found.header.clone().ok_or("the log's head is damaged")?;
+    if found.tail == Tail::Damaged {
+        return Err("the log is damaged before its end".to_owned());
+    }
+    if header.id.instance != *instance {
+        return Err(format!("the folder belongs to {}", header.id.instance));
+    }
+    let base = match header.base {
+        Some(at) => {
+            let snapshot = read_snapshot(dir, generation)?;
+            if snapshot.at != at {
+                return Err("log and snapshot don't fit".to_owned());
+            }
+            Some(snapshot)
+        }
+        None => None,
+    };
+    let restored = Restored::replay(base, found.records.clone());
+    let restored = restored.ok_or("records of the log contradict each other")?;
+    Ok((header, restored))
+}
+
+fn read_snapshot(dir: &Path, generation: u64) -> Result<Snapshot, String> {
+    let raw = fs::read(snapshot_path(dir, generation));
+    let raw = raw.map_err(|err| format!("can't read the snapshot: {err}"))?;
+    recover_snapshot(&raw).map_err(|err| err.to_string())
+}
+
+/// Opens the log for appending after its readable part; what follows that is
+/// cut off for good before anything new is written.
+fn reopen(path: &Path, len: u64) -> Result<File> {
+    let mut log = OpenOptions::new().read(true).write(true).open(path)?;
+    log.set_len(len)?;
+    log.sync_all()?;
+    log.seek(SeekFrom::Start(len))?;
+    Ok(log)
+}
+
+fn start_new(
+    dir: &Path,
+    lock: File,
+    instance: &InstanceName,
+    life: Incarnation,
+    fate: Fate,
+) -> Result<Opened> {
+    let id = ReplicaId {
+        instance: instance.clone(),
+        life,
+    };
+    let (log, len) = new_log(dir, &id).context("can't make the log")?;
+    let folder = Folder {
+        dir: dir.to_owned(),
+        _lock: lock,
+        id,
+        log,
+        generation: 1,
+        len,
+        next: 1,
+        calls: Calls::default(),
+    };
+    finish(folder, Restored::default(), fate)
+}
+
+fn finish(folder: Folder, restored: Restored, fate: Fate) -> Result<Opened> {
+    // Without a reserve the replica still works; it only can't vote once the
+    // disk is full.
+    let _ = keep_reserve(&folder.dir);
+    Ok(Opened {
+        folder,
+        restored,
+        fate,
+    })
+}
+
+/// Moves all files but the lock into a folder of their own.
+fn move_aside(dir: &Path, life: Incarnation) -> Result<PathBuf> {
+    let aside = dir.join(format!("damaged.{life}"));
+    fs::create_dir_all(&aside)?;
+    for entry in fs::read_dir(dir)? {
+        let entry = entry?;
+        let name = entry.file_name();
+        let moved = entry.file_type()?.is_file() && name != "lock" && name != "reserve";
+        if moved {
+            fs::rename(entry.path(), aside.join(name))?;
+        }
+    }
+    sync_dir(dir)?;
+    Ok(aside)
+}
--- /dev/null
+++ b/crates/disk/src/writer.rs
@@ -0,0 +1,201 @@
+//! The thread that writes to a data folder.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc::{Receiver, RecvTimeoutError, Sender, channel},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use anyhow::{Context, Result};
+use replog::{Output, Record, Snapshot, WriteNo};
+
+use crate::{Folder, folder::WriteError};
+
+/// How long a write waits for space before it is tried again.
+const FULL_PAUSE: Duration = Duration::from_millis(500);
+
+/// How long the thread sleeps without work; it only has to be finite.
+const IDLE_PAUSE: Duration = Duration::from_secs(3_600);
+
+/// What a write came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Done {
+    /// All writes up to this one are durable.
+    Synced {
+        /// The last of them.
+        upto: WriteNo,
+    },
+    /// A write failed; the thread has ended.
+    Failed {
+        /// The write.
+        no: WriteNo,
+    },
+    /// The disk is full, or has space again.
+    Space {
+        /// Whether it is full.
+        full: bool,
+    },
+}
+
+enum Job {
+    Append(Vec<Record>),
+    Replace(Snapshot, Vec<Record>),
+}
+
+/// Hands writes to the thread; the thread ends when it is dropped.
+#[derive(Debug)]
+pub struct Writer {
+    jobs: Option<Sender<(WriteNo, Job)>>,
+    thread: Option<JoinHandle<()>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Writer {
+    /// Starts the thread; `report` is called on it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no thread can be started.
+    pub fn start(folder: Folder, report: impl FnMut(Done) + Send + 'static) -> Result<Self> {
+        let (jobs, queue) = channel();
+        let thread = thread::Builder::new().name("disk".to_owned());
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut worker = Worker {
+            folder,
+            report,
+            full: false,
+            stop: Arc::clone(&stop),
+        };
+        let thread = thread.spawn(move || worker.work(&queue));
+        Ok(Writer {
+            stop,
+            jobs: Some(jobs),
+            thread: Some(thread.context("can't start the disk's thread")?),
+        })
+    }
+
+    /// Takes an output of a replica if it is a write; gives it back otherwise.
+    #[must_use]
+    pub fn take(&self, output: Output) -> Option<Output> {
+        let (no, job) = match output {
+            Output::Write { no, records } => (no, Job::Append(records)),
+            Output::Rewrite {
+                no,
+                snapshot,
+                records,
+            } => (no, Job::Replace(snapshot, records)),
+            other => return Some(other),
+        };
+        if let Some(jobs) = &self.jobs {
+            // After a failed write nobody listens any more, as it should be.
+            let _ = jobs.send((no, job));
+        }
+        None
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        self.jobs = None;
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct Worker<R> {
+    folder: Folder,
+    report: R,
+    /// Whether the disk was full at the last try.
+    full: bool,
+    stop: Arc<AtomicBool>,
+}
+
+impl<R: FnMut(Done)> Worker<R> {
+    fn work(&mut self, queue: &Receiver<(WriteNo, Job)>) {
+        loop {
+            let first = match queue.recv_timeout(self.pause()) {
+                Ok(first) => first,
+                Err(RecvTimeoutError::Timeout) => {
+                    self.look_for_space();
+                    continue;
+                }
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let mut batch = vec![first];
+            batch.extend(queue.try_iter());
+            for (no, job) in merge(batch) {
+                if !self.carry_out(no, &job) {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// How long to wait for work before looking for space again.
+    fn pause(&self) -> Duration {
+        if self.full { FULL_PAUSE } else { IDLE_PAUSE }
+    }
+
+    /// Carries out a write, waiting for space if there is none; returns
+    /// whether the thread may go on.
+    fn carry_out(&mut self, no: WriteNo, job: &Job) -> bool {
+        loop {
+            let result = match job {
+                Job::Append(records) => self.folder.append(records),
+                Job::Replace(snapshot, records) => self.folder.replace(snapshot, records),
+            };
+            match result {
+                Ok(()) => {
+                    (self.report)(Done::Synced { upto: no });
+                    self.look_for_space();
+                    return true;
+                }
+                Err(WriteError::Failed(_)) => {
+                    // Whether anything of it is on disk is unknown, and a
+                    // second sync could succeed without it. So this is the
+                    // last word.
+                    base::hit!(failed_sync_is_final);
+                    (self.report)(Done::Failed { no });
+                    return false;
+                }
+                Err(WriteError::Full) if self.stop.load(Ordering::Relaxed) => return false,
+                Err(WriteError::Full) if self.full => thread::sleep(FULL_PAUSE),
+                Err(WriteError::Full) => {
+                    self.full = true;
+                    base::hit!(full_disk_waits);
+                    (self.report)(Done::Space { full: true });
+                    self.folder.use_reserve();
+                }
+            }
+        }
+    }
+
+    /// Reports that the disk has space again once the reserve fits.
+    fn look_for_space(&mut self) {
+        if self.full && self.folder.keep_reserve() {
+            self.full = false;
+            (self.report)(Done::Space { full: false });
+        }
+    }
+}
+
+/// Joins appends that wait together, so that they share one sync.
+fn merge(batch: Vec<(WriteNo, Job)>) -> Vec<(WriteNo, Job)> {
+    let mut merged: Vec<(WriteNo, Job)> = Vec::new();
+    for (no, job) in batch {
+        match (merged.last_mut(), job) {
+            (Some((last, Job::Append(records))), Job::Append(more)) => {
+                *last = no;
+                records.extend(more);
+            }
+            (_, job) => merged.push((no, job)),
+        }
+    }
+    merged
+}
--- a/crates/faults/src/disk.rs
+++ b/crates/faults/src/disk.rs
@@ -111,7 +111,7 @@
     /// nothing if something that was durable is lost.
     pub fn open(&mut self) -> Option<Restored> {
         let found = recover(&self.log);
-        if found.tail == Tail::Damaged {
+        if matches!(found.tail, Tail::Damaged | Tail::OtherFormat) {
             return None;
         }
         let header = found.header.filter(|header| header.id == self.id)?;
--- a/crates/replog/src/message.rs
+++ b/crates/replog/src/message.rs
@@ -1,5 +1,6 @@
 //! What replicas say to each other.
 
+use base::Incarnation;
 use thiserror::Error;
 
 use crate::{Blob, Entry, Index, Members, Position, ReplicaId, Term};
@@ -58,6 +59,8 @@
         Append {
             /// The leader's term.
             term: Term,
+            /// The receiver's life; another one ignores the message.
+            life: Incarnation,
             /// The heartbeat round, echoed in the reply.
             round: u64,
             /// The entry before the first one.
@@ -82,6 +85,8 @@
         Chunk {
             /// The leader's term.
             term: Term,
+            /// The receiver's life; another one ignores the message.
+            life: Incarnation,
             /// The heartbeat round, echoed in the reply.
             round: u64,
             /// The last entry covered.
--- a/crates/replog/src/record.rs
+++ b/crates/replog/src/record.rs
@@ -62,6 +62,9 @@
     /// Something that was durable once is unreadable: the file has lost votes
     /// or entries that others count on.
     Damaged,
+    /// The file is whole but was written by another release, in a format that
+    /// this one doesn't read.
+    OtherFormat,
 }
 
 /// What a log file holds.
@@ -129,6 +132,7 @@
     };
     found.header = decode::<Header>(payload).filter(|header| header.format == FORMAT);
     if found.header.is_none() {
+        found.tail = Tail::OtherFormat;
         return found;
     }
     let mut at = len;
--- a/crates/replog/src/replica.rs
+++ b/crates/replog/src/replica.rs
@@ -237,8 +237,10 @@
                 kind,
                 granted,
             } => self.vote_reply(now, from, (term, kind), granted, out),
-            Message::Append { term, .. } | Message::Chunk { term, .. } => {
-                if self.obey(now, from, term, out) {
+            Message::Append { term, life, .. } | Message::Chunk { term, life, .. } => {
+                // What is meant for another life of this folder shows that the
+                // leader doesn't know this one yet.
+                if life == self.id().life && self.obey(now, from, term, out) {
                     self.follow(from, message, out);
                 }
             }
@@ -304,10 +306,10 @@
         if now < self.deadline {
             return;
         }
-        if self.unstarted() {
-            self.call_out(now, out);
-        } else {
+        if self.may_vote() && !self.unstarted() {
             self.campaign(now, crate::VoteKind::Pre, out);
+        } else {
+            self.call_out(now, out);
         }
     }
 
--- a/crates/replog/src/replica/election.rs
+++ b/crates/replog/src/replica/election.rs
@@ -21,10 +21,6 @@
     pub(super) fn campaign(&mut self, now: Time, kind: VoteKind, out: &mut Outputs) {
         self.rearm(now);
         self.leader = None;
-        if !self.may_vote() {
-            self.ask_removed(out);
-            return;
-        }
         let me = self.id().clone();
         let mut votes = Votes {
             kind,
@@ -68,6 +64,7 @@
             return;
         }
         if kind != VoteKind::Transfer && self.promised(now) {
+            self.take_in(now, from, out);
             return;
         }
         let empty = last.index == Index(0);
@@ -158,7 +155,7 @@
         out: &mut Outputs,
     ) {
         let follows = matches!(self.role, Role::Follower) && self.leader.as_ref() == Some(from);
-        if term == self.term && follows {
+        if term == self.term && follows && self.may_vote() {
             self.campaign(now, VoteKind::Transfer, out);
         }
     }
@@ -199,21 +196,6 @@
         members.is_some_and(|members| members.voters.contains(self.id()))
     }
 
-    /// Asks whether its removal is for good.
-    ///
-    /// A replica that restarts finds its removal in the log, but not whether
-    /// that was committed, and nobody sends to it any more. The request asks
-    /// for a vote that can't be given; any member answers it by the removal.
-    fn ask_removed(&self, out: &mut Outputs) {
-        let members = self.journal.members();
-        if members.is_some_and(|members| members.removed(self.id())) {
-            base::hit!(asks_whether_removed);
-            let (kind, last) = (VoteKind::Pre, Position::default());
-            let term = self.term;
-            self.send_voters(&Message::Vote { term, kind, last }, out);
-        }
-    }
-
     fn send_voters(&self, message: &Message, out: &mut Outputs) {
         let Some(members) = self.journal.members() else {
             return;
--- a/crates/replog/src/replica/follow.rs
+++ b/crates/replog/src/replica/follow.rs
@@ -60,11 +60,7 @@
         }
         self.become_follower(now, term, Some(from.clone()), out);
         self.heard = Some(now);
-        // What reaches a new life may be meant for the old one; only when
-        // entries arrive has the new one been taken in and may stop asking.
-        if !self.unstarted() {
-            self.rearm(now);
-        }
+        self.rearm(now);
         true
     }
 
--- a/crates/replog/src/replica/found.rs
+++ b/crates/replog/src/replica/found.rs
@@ -38,7 +38,11 @@
         members.is_some_and(|members| members.voters.first() == Some(id))
     }
 
-    /// Calls out to all other instances, again and again.
+    /// Asks all other instances to be taken in, again and again.
+    ///
+    /// A replica that no leader sends to may have been removed, or the entry
+    /// that took it in was lost with its leader's term. Either way a member
+    /// answers: by its removal, or by taking it in.
     pub(super) fn call_out(&mut self, now: Time, out: &mut Outputs) {
         self.deadline = now + self.settings.raw.election;
         for to in self.others() {
@@ -47,7 +51,9 @@
                 message: Message::Join,
             });
         }
-        self.try_found(now, out);
+        if self.unstarted() {
+            self.try_found(now, out);
+        }
     }
 
     /// Another replica is unstarted.
--- a/crates/replog/src/replica/lead.rs
+++ b/crates/replog/src/replica/lead.rs
@@ -387,6 +387,7 @@
         progress.sent(&entries);
         Some(Message::Append {
             term,
+            life: id.life,
             round,
             prev: Position {
                 term: prev_term,
@@ -430,6 +431,7 @@
             };
             let message = Message::Append {
                 term,
+                life: id.life,
                 round,
                 prev,
                 entries: Vec::new(),
@@ -464,6 +466,7 @@
         let part = &snapshot.data[*offset as usize..end as usize];
         let message = Message::Chunk {
             term: self.term,
+            life: id.life,
             round: leader.round,
             at: snapshot.at,
             members: snapshot.members.clone(),
