--- a/crates/controld/src/main.rs
+++ b/crates/controld/src/main.rs
@@ -8,7 +8,6 @@
 mod peers;
 mod shell;
 mod state;
-mod store;
 
 use std::{env, process::ExitCode};
 
--- a/crates/controld/src/shell.rs
+++ b/crates/controld/src/shell.rs
@@ -9,8 +9,9 @@
 };
 
 use anyhow::{Context, Result};
-use base::{InstanceName, Seed, Time};
+use base::{Incarnation, InstanceName, Seed, Time};
 use control::{Checked, Control, Event, Input, Output};
+use disk::{Done, Fate, Writer};
 use replog::{RawSettings, Replica};
 use settings::{Begin, ControlSettings};
 use telemetry::event;
@@ -31,7 +32,6 @@
     clock::Clock,
     operators, peers,
     state::{Job, Read, State},
-    store::{Store, Write},
 };
 
 /// Jobs taken in one go before timers are looked at again.
@@ -63,12 +63,14 @@
     let state = State::new(identity.name.clone(), controls.clone(), jobs.clone());
     let state = Arc::new(state);
     let seed = settings.seed.unwrap_or_else(|| Seed(rand::random()));
-    let opened = disk::open(&settings.data, &identity.name)?;
+    let life = Incarnation(u64::try_from(since_epoch()?.as_micros())?);
+    let opened = disk::open(&settings.data, &identity.name, life)?;
+    report_fate(&opened.fate);
     let names = controls.keys().cloned().collect();
-    let raw = RawSettings::usual(opened.id, names, seed);
+    let raw = RawSettings::usual(opened.folder.id().clone(), names, seed);
     let replica = Replica::new(raw.try_into()?, opened.restored);
     let control = Control::new(control::Config::default(), replica, Box::new(check));
-    let store = Store::start(opened.folder, jobs.clone())?;
+    let writer = start_writer(opened.folder, jobs.clone())?;
     let stop = CancellationToken::new();
     tokio::spawn(listen_signals(jobs)?);
     tokio::spawn(look(Arc::clone(&state), identity.platform));
@@ -96,7 +98,7 @@
     let shell = Shell {
         state,
         control,
-        store,
+        writer,
         clock,
         wake: Time::ZERO,
     };
@@ -109,6 +111,38 @@
     Ok(())
 }
 
+fn since_epoch() -> Result<Duration> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.context("the clock stands before 1970")
+}
+
+/// Starts the thread that writes; each end of a write becomes a job.
+fn start_writer(folder: disk::Folder, jobs: mpsc::UnboundedSender<Job>) -> Result<Writer> {
+    Writer::start(folder, move |done| {
+        let input = match done {
+            Done::Synced { upto } => Input::Synced { upto },
+            Done::Failed { no } => {
+                event!(telemetry::Event::DiskFailed, write = no);
+                Input::WriteFailed { no }
+            }
+            Done::Space { full } => Input::Space { full },
+        };
+        // After the shell has ended nobody waits for it.
+        jobs.send(Job::Input(input)).ok();
+    })
+}
+
+fn report_fate(fate: &Fate) {
+    match fate {
+        Fate::New | Fate::Whole => {}
+        Fate::CutOff { bytes } => event!(telemetry::Event::DiskTorn, bytes = bytes),
+        Fate::Replaced { reason, kept } => {
+            let kept = kept.display().to_string();
+            event!(telemetry::Event::DiskCorrupt, why = reason, kept = kept);
+        }
+    }
+}
+
 fn controls(settings: &ControlSettings) -> BTreeMap<InstanceName, SocketAddr> {
     match &settings.begin {
         Begin::Voters(voters) => voters.clone(),
@@ -144,7 +178,7 @@
     let mut tick = interval(LOOK_EVERY);
     loop {
         tick.tick().await;
-        if let Ok(since) = SystemTime::now().duration_since(UNIX_EPOCH) {
+        if let Ok(since) = since_epoch() {
             let ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
             state.tell(Input::Wall { ms });
         }
@@ -172,7 +206,7 @@
 struct Shell {
     state: Arc<State>,
     control: Control,
-    store: Store,
+    writer: Writer,
     clock: Clock,
     wake: Time,
 }
@@ -228,21 +262,29 @@
             Output::Applied { ticket, applied } => state.answer(ticket, applied),
             Output::Pass { ticket, to, apply } => peers::pass(state, ticket, &to, apply),
             Output::Send { to, call } => peers::send(state, &to, call),
-            Output::Write { no, records } => self.store.write(Write::Append(no, records)),
+            Output::Write { no, records } => {
+                self.write(replog::Output::Write { no, records });
+            }
             Output::Rewrite {
                 no,
                 snapshot,
                 records,
-            } => {
-                let snapshot = Box::new(snapshot);
-                self.store.write(Write::Rewrite(no, snapshot, records));
-            }
+            } => self.write(replog::Output::Rewrite {
+                no,
+                snapshot,
+                records,
+            }),
             Output::Members { .. } => {}
             Output::Wake(at) => self.wake = at,
             Output::Event(report) => write_event(report),
         }
     }
 
+    fn write(&self, output: replog::Output) {
+        let left = self.writer.take(output);
+        debug_assert_eq!(left, None, "every write is for the writer");
+    }
+
     fn read(&self, read: Read) {
         // Whoever asked may have left.
         match read {
