Add the question why requests go where they do

An operator's question travels as a call like any other, so that it needs no new way into the node. Control instances, which route nothing, say that they know no such service.

--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -36,6 +36,7 @@
                 None => return self.on_item(ticket, Item::Claim(claim), out),
             },
             Call::Settle(settle) => return self.on_item(ticket, Item::Settle(settle), out),
+            Call::Explain(_) => Reply::Explained(None),
             Call::Confirm(_) | Call::Residents(_) | Call::Handover(_) | Call::Drain => Reply::Done,
         };
         out.push(Output::Reply { ticket, reply });
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -10,7 +10,7 @@
     ZoneName, record,
 };
 
-use crate::operator::{Applied, Apply};
+use crate::operator::{Applied, Apply, Explain, Explained};
 
 record! {
     /// A call from one process to another.
@@ -40,6 +40,8 @@
         Handover(Handover),
         /// Control or operator to entry: stop in order.
         Drain,
+        /// Operator to entry: why requests go where they do.
+        Explain(Explain),
     }
 
     /// The answer to a call.
@@ -66,6 +68,8 @@
             /// Whether the asker may go on for the time it asked for.
             granted: bool,
         },
+        /// Answers [`Call::Explain`]; none if the text has no such service.
+        Explained(Option<Explained>),
         /// The callee can't answer; the leader may.
         Elsewhere {
             /// The leader as far as the callee knows.
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -4,7 +4,10 @@
 //! `GET /v1/history`, `GET /v1/text` and `POST /v1/drain` go with it. Any
 //! control instance takes them and passes them on to the leader.
 
-use base::{ChangeId, InstanceName, TargetName, TextVersion, record};
+use base::{
+    AdapterName, BrandName, ChangeId, Class, InstanceName, PoolName, ServiceName, TargetName,
+    TextVersion, Version, ZoneName, record,
+};
 
 record! {
     /// A change of the text.
@@ -132,4 +135,93 @@
         /// Which one.
         pub instance: InstanceName,
     }
+
+    /// Asks an entry instance why requests go where they do. `GET
+    /// /v1/explain` on its peer listener, with `brand` and either `service`
+    /// or `adapter` in the query.
+    pub struct Explain {
+        /// Whose service.
+        pub brand: BrandName,
+        /// Which one.
+        pub what: Asked,
+    }
+
+    /// What is asked about.
+    pub enum Asked {
+        /// A service.
+        Service(ServiceName),
+        /// The first service by name that runs on this adapter.
+        Adapter(AdapterName),
+    }
+
+    /// Why a service's requests go where they do, as one instance sees it.
+    pub struct Explained {
+        /// The instance.
+        pub instance: InstanceName,
+        /// The version of the text that it decides by.
+        pub text: TextVersion,
+        /// The service.
+        pub service: ServiceName,
+        /// Its class.
+        pub class: Class,
+        /// Its pool.
+        pub pool: PoolName,
+        /// The `adapter@version` that a request without a version gets.
+        pub resident: Option<String>,
+        /// The version that the text serves; another one is given to requests
+        /// while it is loaded for the first time.
+        pub serves: Option<Version>,
+        /// Where the next request would go.
+        pub next: Option<TargetName>,
+        /// Why there.
+        pub why: Reason,
+        /// All targets of the pool; engines by their rank as the adapter's
+        /// home.
+        pub targets: Vec<Candidate>,
+    }
+
+    /// Why a target is chosen.
+    #[derive(Copy)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum Reason {
+        /// It holds the adapter and has room.
+        Holds,
+        /// No holder has room, or there is none: it is a home of the adapter
+        /// and would load it.
+        Home,
+        /// It is the least loaded target of a plain service.
+        LeastLoaded,
+        /// No target can take a request.
+        Nobody,
+    }
+
+    /// One target of a pool, as the instance sees it.
+    pub struct Candidate {
+        /// Its name.
+        pub target: TargetName,
+        /// Its zone.
+        pub zone: ZoneName,
+        /// The instance that owns it, for an engine.
+        pub owner: Option<InstanceName>,
+        /// Whether it holds the adapter.
+        pub holds: bool,
+        /// Part of its places in use for this class, in hundredths.
+        pub load: u32,
+        /// Whether it may be chosen.
+        pub standing: Standing,
+    }
+
+    /// Whether a target may be chosen.
+    #[derive(Copy)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum Standing {
+        /// It may.
+        Usable,
+        /// It failed too often, and is left out for a while.
+        LeftOut,
+        /// The platform says that it is to stop.
+        Leaving,
+        /// It can't be reached from here.
+        Unreachable,
+    }
 }
