Explain the router's choice by the functions that choose

A question counts no demand and draws nothing: with demand counted, a_question_changes_no_choice fails, as a cold adapter becomes hot by being looked at.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -20,5 +20,5 @@
     desk_io::{BrandShare, Engine, Input, LoadEnd, Ordering, Output},
     news::{News, Report, Residents, Target},
     retry::{Attempts, RetryBudget},
-    router::Router,
+    router::{Candidate, Explanation, Router, Standing},
 };
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,5 +1,6 @@
 //! The entry's choice of a target.
 
+mod explain;
 mod known;
 mod prefixes;
 
@@ -14,6 +15,8 @@
     router::{known::Known, prefixes::Prefixes},
 };
 
+pub use self::explain::{Candidate, Explanation, Standing};
+
 /// Load up to which requests are gathered on the adapter's first engine: a
 /// fuller batch generates more tokens a second.
 const PACK: f32 = 0.75;
@@ -127,20 +130,8 @@
             return self.choose_plain(now, ask.pool, avoid);
         };
         self.demand.note(now, key.adapter, 1.0);
-        let holder = self.best_holder(now, ask, key, avoid);
-        let limit = self.spread_limit(now, ask.class, key);
-        let target = match holder {
-            Some((target, load)) if load < limit => target,
-            _ => match (self.best_home(now, ask, key, avoid), holder) {
-                (Some((home, at)), Some((target, load)))
-                    if at + ZONE_WORTH > load || home == target =>
-                {
-                    target
-                }
-                (Some((home, _)), _) => home,
-                (None, Some((target, _))) => target,
-                (None, None) => return Err(self.unavailable()),
-            },
+        let Some(target) = self.pick(now, ask, key, avoid) else {
+            return Err(self.unavailable());
         };
         self.prefixes.note(now, ask.prefix, target);
         self.with(target, |known| known.chosen(ask.class));
@@ -169,6 +160,25 @@
         roll.old
     }
 
+    /// Returns the engine for a request that is meant for `key`.
+    fn pick(&self, now: Time, ask: &Ask, key: AdapterKey, avoid: &[TargetNo]) -> Option<TargetNo> {
+        let holder = self.best_holder(now, ask, key, avoid);
+        let limit = self.spread_limit(now, ask.class, key);
+        match holder {
+            Some((target, load)) if load < limit => Some(target),
+            _ => match (self.best_home(now, ask, key, avoid), holder) {
+                (Some((home, at)), Some((target, load)))
+                    if at + ZONE_WORTH > load || home == target =>
+                {
+                    Some(target)
+                }
+                (Some((home, _)), _) => Some(home),
+                (None, Some((target, _))) => Some(target),
+                (None, None) => None,
+            },
+        }
+    }
+
     /// Returns the holder to send to and its load.
     fn best_holder(
         &self,
@@ -267,8 +277,6 @@
         worth.min_by(f32::total_cmp).unwrap_or(f32::MAX)
     }
 
-    /// Chooses the least loaded target, one of the own zone unless another is
-    /// clearly better.
     fn choose_plain(
         &mut self,
         now: Time,
@@ -276,6 +284,24 @@
         avoid: &[TargetNo],
     ) -> Result<Choice, Failure> {
         let first = self.draw.part();
+        match self.least_loaded(now, pool, avoid, first) {
+            Some(target) => Ok(Choice {
+                target,
+                resident: true,
+            }),
+            None => Err(self.unavailable()),
+        }
+    }
+
+    /// Returns the least loaded target, one of the own zone unless another is
+    /// clearly better; `first`, below one, says where the search begins.
+    fn least_loaded(
+        &self,
+        now: Time,
+        pool: PoolNo,
+        avoid: &[TargetNo],
+        first: f64,
+    ) -> Option<TargetNo> {
         let members = self
             .pools
             .get(pool.0 as usize)
@@ -298,13 +324,7 @@
                 best = Some(cost);
             }
         }
-        match best {
-            Some((_, _, target)) => Ok(Choice {
-                target,
-                resident: true,
-            }),
-            None => Err(self.unavailable()),
-        }
+        best.map(|(_, _, target)| target)
     }
 
     fn unavailable(&mut self) -> Failure {
--- /dev/null
+++ b/crates/route/tests/explain.rs
@@ -0,0 +1,127 @@
+//! What is said of the choice is what the choice does.
+
+use base::{
+    AdapterKey, AdapterNo, BrandNo, Class, Fence, Incarnation, TargetNo, Time, Tokens, Version,
+    stable_hash,
+};
+use googletest::prelude::*;
+use route::{Ask, News, PoolNo, Residents, Router, Standing, Target, ZoneNo};
+
+const ENGINES: u32 = 4;
+const NOW: Time = Time(1_000_000);
+
+fn key(adapter: u32) -> AdapterKey {
+    AdapterKey {
+        adapter: AdapterNo(adapter),
+        version: Version(1),
+    }
+}
+
+fn ask(adapter: Option<u32>) -> Ask {
+    Ask {
+        pool: PoolNo(u32::from(adapter.is_none())),
+        key: adapter.map(key),
+        brand: BrandNo(0),
+        class: Class::Live,
+        prefix: 0,
+        tokens: Tokens(16),
+        deadline: Time(9_000_000),
+    }
+}
+
+fn target(i: u32) -> Target {
+    let plain = i >= ENGINES;
+    Target {
+        target: TargetNo(i),
+        pool: PoolNo(u32::from(plain)),
+        zone: ZoneNo(i % 2),
+        hash: stable_hash(&[b"target", &[i as u8]]),
+        incarnation: Incarnation(1),
+        batch: 8,
+        slots: if plain { 0 } else { 4 },
+    }
+}
+
+/// A router with a pool of engines and one of plain targets; engine 2 holds
+/// adapter 0.
+fn router() -> Router {
+    let mut router = Router::new(ZoneNo(0), 7);
+    for adapter in 0..2 {
+        let hash = stable_hash(&[&[adapter as u8]]);
+        let adapter = AdapterNo(adapter);
+        router.note(NOW, News::Adapter { adapter, hash });
+    }
+    for i in 0..2 * ENGINES {
+        router.note(NOW, News::Target(target(i)));
+    }
+    let residents = Residents {
+        target: TargetNo(2),
+        fence: Fence(1),
+        whole: true,
+        added: vec![key(0)],
+        removed: Vec::new(),
+        running: 0,
+        queued: 0,
+    };
+    router.note(NOW, News::Residents(residents));
+    router
+}
+
+#[test]
+fn the_named_target_is_the_chosen_one() {
+    for (asked, holds) in [(ask(Some(0)), true), (ask(Some(1)), false)] {
+        let mut router = router();
+        let seen = router.explain(NOW, &asked);
+        let chosen = router.choose(NOW, &asked, &[]).unwrap();
+        assert_that!(seen.next, some(eq(chosen.target)));
+        assert_that!(chosen.resident, eq(holds));
+        let mut candidates = seen.candidates.iter();
+        let next = candidates.find(|c| c.target == chosen.target).unwrap();
+        assert_that!(next.holds, eq(holds));
+        assert_that!(seen.candidates.len(), eq(ENGINES as usize));
+    }
+}
+
+/// An operator looks at a cold adapter again and again. If the question counted
+/// as demand, the adapter would become hot without anybody using it, and push
+/// others out.
+#[test]
+fn a_question_changes_no_choice() {
+    let (mut asked, mut quiet) = (router(), router());
+    for i in 0..200 {
+        let ask = ask([None, Some(0), Some(1)][i % 3]);
+        let at = Time(NOW.0 + i as u64 * 10_000);
+        for _ in 0..5 {
+            let _ = asked.explain(at, &ask);
+        }
+        let both = [&mut asked, &mut quiet].map(|r| r.choose(at, &ask, &[]).unwrap());
+        assert_that!(both[0], eq(both[1]));
+    }
+}
+
+#[test]
+fn what_may_not_be_chosen_says_why() {
+    let mut router = router();
+    router.note(NOW, News::Leaving(TargetNo(2)));
+    router.note(NOW, News::Reachable(TargetNo(1), false));
+    let ended = News::Ended {
+        target: TargetNo(0),
+        ok: false,
+    };
+    for _ in 0..4 {
+        router.note(NOW, News::Started(TargetNo(0)));
+        router.note(NOW, ended.clone());
+    }
+    let seen = router.explain(NOW, &ask(Some(0)));
+    let standing = |no| {
+        let mut candidates = seen.candidates.iter();
+        candidates
+            .find(|c| c.target == TargetNo(no))
+            .unwrap()
+            .standing
+    };
+    assert_that!(standing(0), eq(Standing::LeftOut));
+    assert_that!(standing(1), eq(Standing::Unreachable));
+    assert_that!(standing(2), eq(Standing::Leaving));
+    assert_that!(seen.next, some(eq(TargetNo(3))));
+}
