--- a/crates/entryd/src/hops.rs
+++ b/crates/entryd/src/hops.rs
@@ -18,6 +18,7 @@
     callers::Waiting,
     calls,
     exchange::{Ask, Exchange},
+    explain,
     prompt::Chat,
     state::State,
 };
@@ -35,6 +36,9 @@
         let upgrade = peer::accept(req, handler);
         return upgrade.map(|empty| empty.map_err(|never| match never {}).boxed_unsync());
     }
+    if req.uri().path() == explain::PATH {
+        return explain::answer(state, req).await;
+    }
     if req.uri().path() != PATH {
         return reply::failure(&Failure::not_run(Refusal::NotFound));
     }
--- a/crates/entryd/src/main.rs
+++ b/crates/entryd/src/main.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod events;
 mod exchange;
+mod explain;
 mod hops;
 mod outside;
 mod prompt;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -4,6 +4,7 @@
 //! this service finds it a target, gets it claimed, and puts it into the
 //! queue of its engine or passes it on to the engine's owner.
 
+mod explain;
 mod hop;
 mod live;
 mod place;
@@ -17,7 +18,7 @@
 use request::{AttemptNo, Input as Step, RanOn};
 use route::{News, RetryBudget, Router};
 use wire::{
-    call::{ClaimReply, Reply, Settle},
+    call::{Call, ClaimReply, Reply, Settle},
     engine::{BadResident, Resident},
 };
 
@@ -87,6 +88,10 @@
             Msg::Refused { ticket, failure } => self.refused(shared, now, ticket, failure, out),
             Msg::GiveWay(ticket) => self.give_way(shared, now, ticket, out),
             Msg::Replied { purpose, reply } => self.on_reply(shared, now, purpose, reply, out),
+            Msg::Called {
+                call,
+                body: Call::Explain(asked),
+            } => self.explain(shared, now, (call, asked), out),
             Msg::Wake => self.on_wake(shared, now, out),
             Msg::Drain => {
                 let stop = now + shared.settings.grace;
--- /dev/null
+++ b/crates/node/src/entry/explain.rs
@@ -0,0 +1,126 @@
+//! Says why requests go where they do, for operators.
+
+use base::{BrandName, ServiceName, Time, Tokens, Version};
+use route::{Ask, Candidate as Known, Explanation, Standing as Seen};
+use text::model::{Model, Service, ServiceKind};
+use wire::{
+    call::Reply,
+    engine::Resident,
+    operator::{Asked, Candidate, Explain, Explained, Reason, Standing},
+};
+
+use super::{Entry, live};
+use crate::{
+    io::Output,
+    shared::{Out, Shared},
+};
+
+impl Entry {
+    /// Answers an operator's question; it changes nothing.
+    pub(super) fn explain(
+        &self,
+        shared: &mut Shared,
+        now: Time,
+        (call, asked): (u64, Explain),
+        out: &mut Out,
+    ) {
+        let body = Reply::Explained(self.explained(shared, now, &asked));
+        out.emit(Output::Reply { call, body });
+    }
+
+    fn explained(&self, shared: &mut Shared, now: Time, asked: &Explain) -> Option<Explained> {
+        let model = shared.model.clone();
+        let (name, service) = find(&model, &asked.brand, &asked.what)?;
+        let (resident, serves) = match &service.kind {
+            ServiceKind::Plain => (None, None),
+            ServiceKind::Assistant { adapter } => {
+                let serves = model.adapters.get(adapter)?.serve;
+                let no = shared.names.adapter(adapter);
+                let version = self.router.pin(now, no, serves);
+                let adapter = adapter.clone();
+                (Some(Resident { adapter, version }), Some(serves))
+            }
+        };
+        let ask = Ask {
+            pool: shared.names.pool(&service.pool),
+            key: resident.as_ref().map(|r| shared.names.key(r)),
+            brand: shared.names.brand(&asked.brand),
+            class: service.class,
+            prefix: 0,
+            tokens: Tokens(0),
+            deadline: now + live::deadline(&model.limits, service.class),
+        };
+        let seen = self.router.explain(now, &ask);
+        Some(self.told(shared, (name, service), (resident, serves), &seen))
+    }
+
+    fn told(
+        &self,
+        shared: &Shared,
+        (name, service): (&ServiceName, &Service),
+        (resident, serves): (Option<Resident>, Option<Version>),
+        seen: &Explanation,
+    ) -> Explained {
+        let next = seen.next.map(|no| shared.names.target_name(no).clone());
+        let candidates = seen.candidates.iter();
+        Explained {
+            instance: shared.settings.name.clone(),
+            text: shared.version,
+            service: name.clone(),
+            class: service.class,
+            pool: service.pool.clone(),
+            resident: resident.map(|r| r.to_string()),
+            serves,
+            next,
+            why: reason(seen, serves.is_some()),
+            targets: candidates
+                .filter_map(|c| self.candidate(shared, c))
+                .collect(),
+        }
+    }
+
+    fn candidate(&self, shared: &Shared, known: &Known) -> Option<Candidate> {
+        let listed = &shared.targets.get(&known.target)?.listed;
+        let owner = self.owners.get(&known.target);
+        Some(Candidate {
+            target: listed.name.clone(),
+            zone: listed.zone.clone(),
+            owner: owner.map(|(owner, _)| owner.clone()),
+            holds: known.holds,
+            // Loads are small and never negative.
+            load: (known.load * 100.0) as u32,
+            standing: match known.standing {
+                Seen::Usable => Standing::Usable,
+                Seen::LeftOut => Standing::LeftOut,
+                Seen::Leaving => Standing::Leaving,
+                Seen::Unreachable => Standing::Unreachable,
+            },
+        })
+    }
+}
+
+fn find<'m>(
+    model: &'m Model,
+    brand: &BrandName,
+    what: &Asked,
+) -> Option<(&'m ServiceName, &'m Service)> {
+    let mut services = model.services.get(brand)?.iter();
+    match what {
+        Asked::Service(name) => services.find(|(service, _)| *service == name),
+        Asked::Adapter(name) => services.find(|(_, service)| match &service.kind {
+            ServiceKind::Assistant { adapter } => adapter == name,
+            ServiceKind::Plain => false,
+        }),
+    }
+}
+
+fn reason(seen: &Explanation, assistant: bool) -> Reason {
+    let Some(next) = seen.next else {
+        return Reason::Nobody;
+    };
+    if !assistant {
+        return Reason::LeastLoaded;
+    }
+    let holds = seen.candidates.iter().any(|c| c.target == next && c.holds);
+    if holds { Reason::Holds } else { Reason::Home }
+}
--- a/crates/node/src/entry/live.rs
+++ b/crates/node/src/entry/live.rs
@@ -149,7 +149,8 @@
     out.emit(Output::Finish { ticket, end });
 }
 
-fn deadline(limits: &Limits, class: Class) -> Duration {
+/// Returns how long a request of `class` may take when it doesn't say.
+pub(super) fn deadline(limits: &Limits, class: Class) -> Duration {
     match class {
         Class::Critical => limits.critical_deadline,
         Class::Live => limits.live_deadline,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -123,6 +123,7 @@
     use wire::call::Call;
     match call {
         Call::Version | Call::Text { .. } => CONFIG,
+        Call::Explain(_) => ENTRY,
         _ => ENGINES,
     }
 }
