--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -135,7 +135,11 @@
 fn explain() -> Command {
     Command::new("explain")
         .about("Says why requests of a brand's service, or of an adapter, go where they do")
-        .arg(urls(ENTRY, "QUETZAL_ENTRY", "Entry instances' addresses"))
+        .arg(urls(
+            ENTRY,
+            "QUETZAL_ENTRY",
+            "Entry instances' peer addresses",
+        ))
         .arg(
             Arg::new("brand")
                 .long("brand")
--- a/crates/cli/src/remote.rs
+++ b/crates/cli/src/remote.rs
@@ -11,6 +11,7 @@
     HeaderMap, Method, StatusCode,
     client::{Client, Limits, Send},
     header_value,
+    reply::ErrorBody,
 };
 
 use crate::{
@@ -161,8 +162,11 @@
 impl Reply {
     /// Returns what an instance said that didn't answer well.
     pub(crate) fn said(&self) -> String {
-        let body = String::from_utf8_lossy(&self.body);
-        format!("{} {}", self.status.as_u16(), body.trim())
+        let status = self.status.as_u16();
+        match serde_json::from_slice::<ErrorBody>(&self.body) {
+            Ok(body) => format!("{status} {}", body.error.message),
+            Err(_) => format!("{status} {}", String::from_utf8_lossy(&self.body).trim()),
+        }
     }
 }
 
--- a/crates/cli/tests/deployment.rs
+++ b/crates/cli/tests/deployment.rs
@@ -7,7 +7,8 @@
 };
 
 use googletest::prelude::*;
-use lab::{Lab, Plan, until};
+use lab::{Chat, Lab, Plan, until};
+use serde_json::Value;
 use tokio::process::Command;
 
 struct Operator {
@@ -118,6 +119,70 @@
     lab.clean().unwrap();
 }
 
+/// An operator asks why a brand's requests go where they do, and gets the
+/// engine that the next request runs on; of another brand's adapter nothing is
+/// told under this brand.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_explanation_names_the_engine_that_answers() {
+    let mut lab = Lab::start("explain", &Plan::small()).await.unwrap();
+    let operator = Operator::new(&lab);
+    let version = lab.apply("explain-1", &agency()).await.unwrap();
+    lab.wait_ready(version).await.unwrap();
+    lab.wait_owned().await.unwrap();
+    let caller = lab.caller(0, "sample-key-film");
+    let chat = Chat::stream("drafting", "A note, please.");
+    let answered = async || {
+        caller
+            .chat(&chat)
+            .await
+            .ok()
+            .filter(|reply| reply.status == 200)
+    };
+    until("an engine that answers", answered).await.unwrap();
+    let explain = format!(
+        "explain --entry http://{} --json --brand",
+        lab.entries[0].peer
+    );
+    let held = async || {
+        let (_, shown) = operator
+            .run(&format!("{explain} film --service drafting"))
+            .await;
+        let told: Value = serde_json::from_str(&shown).ok()?;
+        (told["why"] == "holds").then_some(told)
+    };
+    let told = until("a holder", held).await.unwrap();
+    assert_that!(told["resident"], eq("film-live@1"));
+    assert_that!(told["targets"].as_array().unwrap().len(), eq(2));
+    let next = told["targets"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .find(|t| t["target"] == told["next"]);
+    assert_that!(next.unwrap()["holds"], eq(true));
+    operator
+        .expect(
+            &format!("{explain} film --adapter film-live"),
+            0,
+            "film-live@1",
+        )
+        .await;
+    operator
+        .expect(
+            &format!("{explain} film --service listing"),
+            0,
+            "least-loaded",
+        )
+        .await;
+    operator
+        .expect(&format!("{explain} film --adapter folklor-live"), 1, "404")
+        .await;
+    operator
+        .expect(&format!("{explain} nobody --service drafting"), 1, "404")
+        .await;
+    assert!(lab.stop().await.unwrap());
+    lab.clean().unwrap();
+}
+
 /// A planned stop: the instance is asked to drain, is shown as leaving or gone,
 /// and its process ends by itself and well.
 #[tokio::test(flavor = "multi_thread")]
