--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -25,6 +25,8 @@
     pub controls: usize,
     /// Engines in each zone, by pool.
     pub engines: BTreeMap<String, usize>,
+    /// Zones that have engines; all when empty.
+    pub engine_zones: Vec<String>,
     /// Plain services' replicas in each zone, by pool.
     pub plain: BTreeMap<String, usize>,
     /// Further flags for every engine's stand-in.
@@ -45,6 +47,7 @@
             entries: 1,
             controls: 3,
             engines: BTreeMap::from([("drafting".to_owned(), 2)]),
+            engine_zones: Vec::new(),
             plain: BTreeMap::from([("portal".to_owned(), 1)]),
             engine_flags: Vec::new(),
             store_rate: 20,
@@ -148,7 +151,8 @@
 
     async fn start_targets(&mut self, plan: &Plan) -> Result<()> {
         for zone in &plan.zones {
-            for (pool, count) in &plan.engines {
+            let some = plan.engine_zones.is_empty() || plan.engine_zones.contains(zone);
+            for (pool, count) in plan.engines.iter().filter(|_| some) {
                 for i in 1..=*count {
                     let name = format!("{pool}-{zone}-{i}");
                     let store = self.store.to_string();
--- /dev/null
+++ b/crates/lab/tests/processes/common.rs
@@ -0,0 +1,40 @@
+//! The deployment that process-level tests run against.
+
+use anyhow::Result;
+use lab::{Caller, Chat, Lab, Plan, Reply};
+
+/// The text of all process-level tests.
+pub(crate) const TEXT: &str = include_str!("text.toml");
+
+/// Key of the brand `kazaliste`, whose assistant is `drafting`.
+pub(crate) const KAZALISTE: &str = "sample-key-kazaliste";
+
+/// Key of the brand `film`, whose assistant is `letters`.
+pub(crate) const FILM: &str = "sample-key-film";
+
+/// Starts a deployment and waits until it answers for both brands everywhere.
+pub(crate) async fn start(name: &str, plan: &Plan) -> Result<Lab> {
+    let lab = Lab::start(name, plan).await?;
+    let version = lab.apply("first", TEXT).await?;
+    lab.wait_ready(version).await?;
+    for i in 0..lab.entries.len() {
+        answered(&lab.caller(i, KAZALISTE), "drafting").await?;
+        answered(&lab.caller(i, FILM), "letters").await?;
+    }
+    Ok(lab)
+}
+
+/// Asks until an engine answers.
+pub(crate) async fn answered(caller: &Caller, model: &str) -> Result<Reply> {
+    let ask = async || {
+        let reply = caller.chat(&Chat::stream(model, "hello")).await.ok()?;
+        (reply.status == 200 && reply.whole).then_some(reply)
+    };
+    lab::until("an engine that answers", ask).await
+}
+
+/// Returns the tokens that only the right adapter and version generate.
+pub(crate) fn expected(resident: &str, prompt: &str, tokens: usize) -> String {
+    let prompt = standin::engine::prompt_of(&[prompt]);
+    standin::engine::tokens(resident, &prompt, tokens)
+}
--- /dev/null
+++ b/crates/lab/tests/processes/main.rs
@@ -0,0 +1,5 @@
+//! Process-level tests: real daemons and stand-ins on the loopback interface.
+
+mod common;
+mod path;
+mod trace;
--- /dev/null
+++ b/crates/lab/tests/processes/trace.rs
@@ -0,0 +1,121 @@
+//! One request is one trace, span by span through every process to the engine.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+
+use anyhow::{Context, Result};
+use googletest::prelude::*;
+use lab::{Caller, Chat, Plan, until};
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use web::{StatusCode, body, reply, server};
+use wire::header;
+
+use crate::common::{KAZALISTE, expected, start};
+
+/// Trace and span of the caller in the test.
+const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
+const SPAN: &str = "b7ad6b7169203331";
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Span {
+    name: String,
+    id: String,
+    parent: String,
+}
+
+type Spans = Arc<Mutex<BTreeMap<String, Span>>>;
+
+/// Collects the spans of the test's trace.
+async fn collector() -> Result<(SocketAddr, Spans)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let spans = Spans::default();
+    let kept = Arc::clone(&spans);
+    let handler = move |req: web::Request<web::Incoming>| {
+        let kept = Arc::clone(&kept);
+        async move {
+            let raw = body::read(req.into_body(), body::ReadLimits::default()).await;
+            let raw = raw.unwrap_or_default();
+            if let Ok(value) = serde_json::from_slice::<Value>(&raw) {
+                take(&value, &mut kept.lock().unwrap());
+            }
+            reply::plain(StatusCode::OK, "{}")
+        }
+    };
+    let limits = server::Limits::default();
+    tokio::spawn(server::serve(
+        listener,
+        limits,
+        handler,
+        CancellationToken::new(),
+    ));
+    Ok((address, spans))
+}
+
+fn take(value: &Value, spans: &mut BTreeMap<String, Span>) {
+    match value {
+        Value::Array(items) => items.iter().for_each(|item| take(item, spans)),
+        Value::Object(map) if value["traceId"] == TRACE => {
+            let text = |key: &str| map.get(key).and_then(Value::as_str).unwrap_or_default();
+            let span = Span {
+                name: text("name").to_owned(),
+                id: text("spanId").to_owned(),
+                parent: text("parentSpanId").to_owned(),
+            };
+            spans.insert(span.id.clone(), span);
+        }
+        Value::Object(map) => map.values().for_each(|item| take(item, spans)),
+        _ => {}
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn spans_join_hop_by_hop() -> Result<()> {
+    let (collector, spans) = collector().await?;
+    let plan = Plan {
+        zones: vec!["dubrava".to_owned(), "blato".to_owned()],
+        // The entry instance in dubrava has to pass its requests on.
+        engine_zones: vec!["blato".to_owned()],
+        engines: [("drafting".to_owned(), 1)].into(),
+        daemon_flags: vec!["--otlp".to_owned(), format!("http://{collector}")],
+        ..Plan::small()
+    };
+    let mut lab = start("trace", &plan).await?;
+    let mut chat = Chat::stream("drafting", "whose voice is this");
+    let parent = format!("00-{TRACE}-{SPAN}-01");
+    chat.headers.push((header::TRACEPARENT, parent));
+    let reply = lab.caller(0, KAZALISTE).chat(&chat).await?;
+    let want = expected("kazaliste-live@1", &chat.prompt, 16);
+    assert_that!(reply.text(), eq(&want));
+    let chain = async || chain(&spans.lock().unwrap());
+    let chain = until("the whole chain of spans", chain).await?;
+    let names: Vec<_> = chain.iter().map(|span| span.name.as_str()).collect();
+    assert_that!(
+        names,
+        elements_are![eq(&"entry"), eq(&"attempt"), eq(&"hop"), eq(&"attempt")]
+    );
+    let engine = Caller::new(lab.engines[0].address, "");
+    let stats = engine.get("/admin/stats").await?;
+    let last = chain.last().context("no last span")?;
+    let seen = stats["traces"].as_array().context("no traces")?;
+    let want = format!("00-{TRACE}-{}-01", last.id);
+    assert_that!(seen.iter().any(|trace| *trace == *want), eq(true));
+    assert_that!(lab.stop().await?, eq(true));
+    lab.clean()
+}
+
+/// Returns the spans from the caller's on, each below the one before.
+fn chain(spans: &BTreeMap<String, Span>) -> Option<Vec<Span>> {
+    let mut chain: Vec<Span> = Vec::new();
+    let mut parent = SPAN.to_owned();
+    while let Some(span) = spans.values().find(|span| span.parent == parent) {
+        parent = span.id.clone();
+        chain.push(span.clone());
+    }
+    (chain.len() >= 4).then_some(chain)
+}
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -130,6 +130,9 @@
     if let Some(key) = text(header::IDEMPOTENCY_KEY) {
         *state.stats.executions.entry(key.to_owned()).or_default() += 1;
     }
+    if let Some(trace) = text(header::TRACEPARENT) {
+        state.stats.traces.push(trace.to_owned());
+    }
     let cut = (chat.stream && state.faults.cuts > 0).then_some(state.faults.cut_after);
     state.faults.cuts -= u32::from(cut.is_some());
     let head = text(header::PREFIX).and_then(|raw| u64::from_str_radix(raw, 16).ok());
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -82,6 +82,8 @@
     pub executions: BTreeMap<String, u64>,
     /// Orders as they came.
     pub orders: Vec<Order>,
+    /// The `traceparent` of completions as they came.
+    pub traces: Vec<String>,
 }
 
 /// One order to load or unload.
