Let requests wait for an engine's next owner in a rolling restart

Found by rolling_restart: with SIGTERM to an entry instance under load, each request in the second before the next owner's lease got 503 unavailable. Cause: an engine without owner was taken for no engine at all, and an owner's 'not mine any more' counted as an attempt. Ruled out: the engines (all well), the leader (it had assigned within a heartbeat). Requests now wait, six seconds at most, for an engine of their pool to get an owner; a moved engine counts neither as attempt nor against the target; the leaving instance beats faster and the next owner asks for its lease as soon as it is handed the engine.

--- a/crates/base/src/verdict.rs
+++ b/crates/base/src/verdict.rs
@@ -84,6 +84,8 @@
         NoQuorum,
         /// It gave way to more urgent work and is to be sent again.
         Preempted,
+        /// The engine's owner has just changed; it is to be sent to the new one.
+        Moved,
         /// The target broke off or answered wrongly.
         TargetFailed,
         /// The caller left.
@@ -107,6 +109,7 @@
             Refusal::Unavailable => "unavailable",
             Refusal::NoQuorum => "no-quorum",
             Refusal::Preempted => "preempted",
+            Refusal::Moved => "moved",
             Refusal::TargetFailed => "target-failed",
             Refusal::CallerGone => "caller-gone",
         }
@@ -124,7 +127,7 @@
             Refusal::KeyReused => 422,
             Refusal::Overloaded => 429,
             Refusal::TargetFailed => 502,
-            Refusal::Unavailable | Refusal::NoQuorum | Refusal::Preempted => 503,
+            Refusal::Unavailable | Refusal::NoQuorum | Refusal::Preempted | Refusal::Moved => 503,
             Refusal::Deadline => 504,
             Refusal::CallerGone => 499,
         }
--- a/crates/lab/tests/processes/main.rs
+++ b/crates/lab/tests/processes/main.rs
@@ -2,4 +2,5 @@
 
 mod common;
 mod path;
+mod rolling;
 mod trace;
--- a/crates/node/src/beat.rs
+++ b/crates/node/src/beat.rs
@@ -17,6 +17,10 @@
 /// Time between two beats; the lease lasts three of them.
 const EVERY: Duration = Duration::from_millis(1_000);
 
+/// The same in a planned stop: it learns who owns its engines now, and tells
+/// them what it still uses there.
+const EVERY_DRAINING: Duration = Duration::from_millis(200);
+
 /// Time before the next control instance is tried after one that does not
 /// lead or does not answer.
 const RETRY: Duration = Duration::from_millis(100);
@@ -56,7 +60,12 @@
     /// Hands the turn to [`ENGINES`], which knows the leases, to fill in and
     /// send the beat.
     fn send(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
-        self.next = now + EVERY;
+        self.next = now
+            + if shared.draining {
+                EVERY_DRAINING
+            } else {
+                EVERY
+            };
         let Some((control, address)) = shared.control(self.turn) else {
             return;
         };
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -170,7 +170,7 @@
         let known = self.engines.get(&target);
         let ready = known.is_some_and(|engine| engine.owned.is_some());
         if !ready {
-            let failure = Failure::not_run(Refusal::Unavailable);
+            let failure = Failure::not_run(Refusal::Moved);
             out.tell(ENTRY, Msg::Refused { ticket, failure });
             return;
         }
@@ -273,7 +273,7 @@
         // lease with the clock now, not with a timer that may be late.
         if self.holder.may_send(now, &name, fencing).is_none() {
             base::hit!(send_without_lease);
-            let failure = Failure::not_run(Refusal::Unavailable);
+            let failure = Failure::not_run(Refusal::Moved);
             out.tell(ENTRY, Msg::Refused { ticket, failure });
             return Some(DeskInput::Finished { ticket, ok: true });
         }
--- a/crates/node/src/engines/confirm.rs
+++ b/crates/node/src/engines/confirm.rs
@@ -105,6 +105,9 @@
             }
             Call::Handover(handover) => {
                 self.hold(shared, now, HolderInput::Handover(handover), out);
+                // Whoever hands over waits for this instance to take the
+                // lease: it asks now rather than with its next beat.
+                out.tell(BEAT, Msg::BeatNow);
                 Reply::Done
             }
             Call::Residents(news) => {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -42,6 +42,8 @@
     turn: u64,
     /// Moments at which requests have to hear that time has passed.
     deadlines: BTreeSet<(Time, Ticket)>,
+    /// Requests that wait for an engine to get an owner.
+    parked: BTreeSet<(Time, Ticket)>,
     /// What the leader has not heard yet of claimed requests.
     unsettled: Vec<Settle>,
     /// Calls under way that tell it.
@@ -63,6 +65,7 @@
             owners: BTreeMap::new(),
             turn: 0,
             deadlines: BTreeSet::new(),
+            parked: BTreeSet::new(),
             unsettled: Vec::new(),
             settling: 0,
             stop: None,
@@ -190,6 +193,7 @@
                 reason,
                 retry,
             } => {
+                let reason = self.moved(ticket, verdict, reason);
                 self.end_attempt(now, ticket, attempt, !blames(reason, verdict), out);
                 Step::AttemptFailed {
                     attempt,
@@ -202,6 +206,23 @@
         self.step(shared, now, ticket, step, input, out);
     }
 
+    /// Tells an owner that could not take the request, without fault of the
+    /// engine, from a target that failed.
+    fn moved(&mut self, ticket: Ticket, verdict: Verdict, reason: Refusal) -> Refusal {
+        let Some(live) = self.requests.get_mut(&ticket) else {
+            return reason;
+        };
+        let Some(sent) = live.sent.filter(|sent| sent.passed) else {
+            return reason;
+        };
+        let turned_away = matches!(reason, Refusal::Unavailable | Refusal::Moved);
+        if verdict != Verdict::NotRun || !turned_away {
+            return reason;
+        }
+        live.turned_away.push(sent.target);
+        Refusal::Moved
+    }
+
     fn note_piece(&mut self, now: Time, ticket: Ticket, attempt: AttemptNo, out: &mut Out) {
         let Some(live) = self.requests.get_mut(&ticket) else {
             return;
@@ -286,7 +307,7 @@
             return;
         };
         live.turned_away.push(target);
-        let again = failure.reason == Refusal::Unavailable;
+        let again = matches!(failure.reason, Refusal::Unavailable | Refusal::Moved);
         let input = if again {
             self.find_place(shared, now, ticket, &[], out)
         } else {
@@ -380,6 +401,7 @@
         for settle in std::mem::take(&mut self.unsettled) {
             self.report(shared, settle, out);
         }
+        self.look_again(shared, now, out);
         while let Some((at, ticket)) = self.deadlines.first().copied() {
             if at > now {
                 shared.wake(ENTRY, at);
--- a/crates/node/src/entry/live.rs
+++ b/crates/node/src/entry/live.rs
@@ -29,9 +29,11 @@
     /// Whether the target that it was placed on is owned here.
     pub(super) local: bool,
     pub(super) priority: i32,
-    /// Targets whose owner turned it away since the last attempt.
+    /// Targets whose owner turned it away since it last waited.
     pub(super) turned_away: Vec<TargetNo>,
     pub(super) sent: Option<Sent>,
+    /// Since when it waits for an engine to get an owner.
+    pub(super) parked: Option<Time>,
     /// Its answer, where that may have to be kept.
     pub(super) kept: Option<Answer>,
     /// The first run's answer.
@@ -45,6 +47,8 @@
     pub(super) target: TargetNo,
     pub(super) at: Time,
     pub(super) local: bool,
+    /// Whether another instance owns the target.
+    pub(super) passed: bool,
     pub(super) began: bool,
 }
 
@@ -127,6 +131,7 @@
             priority: 0,
             turned_away: Vec::new(),
             sent: None,
+            parked: None,
             kept: None,
             replay: None,
         })
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -20,6 +20,13 @@
 /// leader change.
 const CLAIM_LIMIT: Duration = Duration::from_millis(2_000);
 
+/// Longest wait for an engine to get an owner: a lease that has to be waited
+/// out takes three seconds, and the next owner's first heartbeat one more.
+const PARK_MAX: Duration = Duration::from_secs(6);
+
+/// Pause between two looks for a place.
+const PARK_LOOK: Duration = Duration::from_millis(100);
+
 /// When a caller whose claim can't be made may come back: an election takes
 /// about as long.
 const CLAIM_RETRY: Duration = Duration::from_millis(1_500);
@@ -137,38 +144,78 @@
         avoid: &[TargetNo],
         out: &mut Out,
     ) -> Option<Step> {
-        let live = self.requests.get_mut(&ticket)?;
-        let avoid: Vec<TargetNo> = avoid.iter().chain(&live.turned_away).copied().collect();
-        let choice = match self.router.choose(now, &live.ask, &avoid) {
-            Ok(choice) => choice,
-            Err(failure) => return Some(Step::NoPlace(failure)),
-        };
-        let target = choice.target;
-        if live.start.adapter.is_none() {
+        loop {
+            let live = self.requests.get_mut(&ticket)?;
+            let avoid: Vec<TargetNo> = avoid.iter().chain(&live.turned_away).copied().collect();
+            let target = match self.router.choose(now, &live.ask, &avoid) {
+                Ok(choice) => choice.target,
+                Err(failure) if live.turned_away.is_empty() => return Some(Step::NoPlace(failure)),
+                Err(failure) => return self.park(shared, now, ticket, failure),
+            };
             live.local = false;
-            return Some(Step::Placed { target });
+            if live.start.adapter.is_none() {
+                return Some(Step::Placed { target });
+            }
+            let owner = self.owners.get(&target).map(|(owner, _)| owner);
+            if owner == Some(&shared.settings.name) {
+                live.queued = Some(target);
+                let ask = live.ask;
+                out.tell(
+                    ENGINES,
+                    Msg::Queue {
+                        ticket,
+                        target,
+                        ask,
+                    },
+                );
+                return None;
+            }
+            if owner.is_some_and(|owner| shared.peers.contains_key(owner)) {
+                return Some(Step::Placed { target });
+            }
+            live.turned_away.push(target);
         }
-        let owner = self.owners.get(&target).map(|(owner, _)| owner);
-        if owner == Some(&shared.settings.name) {
-            live.queued = Some(target);
-            let ask = live.ask;
-            out.tell(
-                ENGINES,
-                Msg::Queue {
-                    ticket,
-                    target,
-                    ask,
-                },
-            );
-            return None;
+    }
+
+    /// Lets a request wait for an engine of its pool to get an owner.
+    ///
+    /// Guard: in a planned stop and after a failure an engine has no owner for
+    /// a moment. Refusing at once would show as a burst of failures in every
+    /// rolling restart, though nothing is wrong with any engine. It is bounded
+    /// by [`PARK_MAX`] and by the deadline; after that the caller is told to
+    /// come back.
+    fn park(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        ticket: Ticket,
+        failure: Failure,
+    ) -> Option<Step> {
+        let live = self.requests.get_mut(&ticket)?;
+        let since = *live.parked.get_or_insert(now);
+        if now.since(since) >= PARK_MAX {
+            return Some(Step::NoPlace(failure));
         }
-        let reachable = owner.is_some_and(|owner| shared.peers.contains_key(owner));
-        if !reachable {
-            live.turned_away.push(target);
-            return self.find_place(shared, now, ticket, &avoid, out);
+        base::hit!(parked_without_owner);
+        live.turned_away.clear();
+        let at = now + PARK_LOOK;
+        self.parked.insert((at, ticket));
+        shared.wake(ENTRY, at);
+        None
+    }
+
+    /// Looks again for a place for the requests that wait for one.
+    pub(super) fn look_again(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
+        while let Some((at, ticket)) = self.parked.first().copied() {
+            if at > now {
+                shared.wake(ENTRY, at);
+                break;
+            }
+            self.parked.pop_first();
+            if let Some(input) = self.find_place(shared, now, ticket, &[], out) {
+                self.step(shared, now, ticket, 0, input, out);
+            }
         }
-        live.local = false;
-        Some(Step::Placed { target })
     }
 
     fn send(
@@ -199,12 +246,14 @@
                 priority: live.priority,
             },
         };
-        live.turned_away.clear();
+        live.parked = None;
+        let passed = matches!(route, Route::Owner { .. });
         live.sent = Some(Sent {
             attempt,
             target,
             at: now,
             local: live.local,
+            passed,
             began: false,
         });
         if let Some(key) = live.start.adapter.filter(|_| live.local) {
--- a/crates/request/src/life.rs
+++ b/crates/request/src/life.rs
@@ -394,6 +394,9 @@
         if failed.reason == Refusal::Preempted && start.mark == Mark::Repeatable {
             return self.on_preempted(now, start, out);
         }
+        if failed.reason == Refusal::Moved && failed.verdict == Verdict::NotRun {
+            return self.on_moved(start, out);
+        }
         let target = attempt.target;
         if failed.verdict != Verdict::NotRun {
             let fault = failed.fault;
@@ -431,6 +434,22 @@
         if !self.may_repeat(now, &start, Verdict::MayHaveRun) {
             return self.give_up(&start, Failure::not_run(Refusal::Preempted), out);
         }
+        self.again(start, out);
+    }
+
+    /// Finds another place after the owner of an engine turned it away because
+    /// the engine is no longer its own.
+    ///
+    /// Nothing was sent to the engine and nothing failed: in a rolling restart
+    /// all engines change owners within seconds, and counted attempts would be
+    /// used up by that alone.
+    fn on_moved(&mut self, mut start: Start, out: &mut Vec<Output>) {
+        base::hit!(moved_goes_on);
+        start.attempts += 1;
+        self.again(start, out);
+    }
+
+    fn again(&mut self, start: Start, out: &mut Vec<Output>) {
         out.push(Output::Place {
             avoid: self.avoid.clone(),
             retry: false,
--- a/crates/web/src/reply.rs
+++ b/crates/web/src/reply.rs
@@ -101,6 +101,7 @@
         Refusal::Unavailable => "no target can take the request now",
         Refusal::NoQuorum => "the request can't be claimed now",
         Refusal::Preempted => "the request gave way to more urgent work",
+        Refusal::Moved => "the engine's owner has changed",
         Refusal::TargetFailed => "the target failed",
         Refusal::CallerGone => "the caller left",
     };
