Measure stalls, waits, batches, loads and tokens in the node

Load stalls and batch efficiency are what the users measure. A stall counts from arrival in the engine's queue to the end of the load, zero where the adapter was held, and also for requests that are given up; the rest of the wait is the queue's. An answer's tokens are reported once, at its end, not one by one.

--- a/crates/entryd/src/events.rs
+++ b/crates/entryd/src/events.rs
@@ -1,7 +1,11 @@
 //! Turns what the node reports into log lines and metrics.
 
-use node::Event;
-use telemetry::{Event as Line, event, metrics};
+use std::time::Duration;
+
+use base::{PoolName, TargetName};
+use node::{Event, OrderEnd};
+use telemetry::{Event as Line, Load, event, metrics};
+use wire::engine::Resident;
 
 /// Writes one report.
 pub(crate) fn write(report: Event) {
@@ -23,6 +27,36 @@
         }
         Event::WrongAdapter(target) => event!(Line::WrongAdapter, target = target),
         Event::Stalled(class, wait) => metrics().load_stall(class, wait),
+        Event::Queued(class, wait) => metrics().queue_wait(class, wait),
+        Event::Batch {
+            pool,
+            running,
+            places,
+        } => metrics().batch_efficiency(&pool, running, places),
+        Event::Loaded {
+            target,
+            pool,
+            resident,
+            end,
+            took,
+        } => loaded(&target, &pool, &resident, end, took),
+        Event::Unloaded(engine, resident) => {
+            let adapter = resident.to_string();
+            event!(Line::AdapterUnloaded, engine = engine, adapter = adapter);
+        }
+        Event::Streamed {
+            brand,
+            class,
+            tokens,
+            first,
+            rest,
+        } => {
+            metrics().tokens(&brand, u64::from(tokens));
+            metrics().first_token(class, first);
+            if tokens > 1 {
+                metrics().token_gap(class, rest / (tokens - 1));
+            }
+        }
         Event::Ended {
             brand,
             class,
@@ -34,13 +68,41 @@
     }
 }
 
+fn loaded(
+    engine: &TargetName,
+    pool: &PoolName,
+    resident: &Resident,
+    end: OrderEnd,
+    took: Duration,
+) {
+    let how = match end {
+        OrderEnd::Done => Load::Done,
+        OrderEnd::Fenced => Load::Fenced,
+        OrderEnd::Failed | OrderEnd::Unknown => Load::Failed,
+    };
+    metrics().load(pool, how, took);
+    if end == OrderEnd::Done {
+        let (adapter, ms) = (resident.to_string(), millis(took));
+        event!(
+            Line::AdapterLoaded,
+            engine = engine,
+            adapter = adapter,
+            ms = ms
+        );
+    }
+}
+
+fn millis(took: Duration) -> u64 {
+    u64::try_from(took.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn ended(
     brand: &base::BrandName,
     class: base::Class,
     failure: Option<base::Failure>,
-    took: std::time::Duration,
+    took: Duration,
 ) {
-    let ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+    let ms = millis(took);
     let Some(failure) = failure else {
         metrics().answered(brand, class);
         event!(Line::RequestDone, brand = brand, class = class, ms = ms);
--- a/crates/lab/tests/processes/common.rs
+++ b/crates/lab/tests/processes/common.rs
@@ -1,7 +1,13 @@
 //! The deployment that process-level tests run against.
 
+use std::{net::SocketAddr, sync::Arc};
+
 use anyhow::Result;
 use lab::{Caller, Chat, Lab, Plan, Reply};
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use web::{StatusCode, body, reply, server};
 
 /// The text of all process-level tests.
 pub(crate) const TEXT: &str = include_str!("text.toml");
@@ -38,3 +44,23 @@
     let prompt = standin::engine::prompt_of(&[prompt]);
     standin::engine::tokens(resident, &prompt, tokens)
 }
+
+/// Starts a fake of an OTLP collector, which hands each body to `keep`.
+pub(crate) async fn collector(keep: impl Fn(&Value) + Send + Sync + 'static) -> Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let keep = Arc::new(keep);
+    let handler = move |req: web::Request<web::Incoming>| {
+        let keep = Arc::clone(&keep);
+        async move {
+            let raw = body::read(req.into_body(), body::ReadLimits::default()).await;
+            if let Ok(value) = serde_json::from_slice::<Value>(&raw.unwrap_or_default()) {
+                keep(&value);
+            }
+            reply::plain(StatusCode::OK, "{}")
+        }
+    };
+    let (limits, stop) = (server::Limits::default(), CancellationToken::new());
+    tokio::spawn(server::serve(listener, limits, handler, stop));
+    Ok(address)
+}
--- a/crates/lab/tests/processes/trace.rs
+++ b/crates/lab/tests/processes/trace.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
     sync::{Arc, Mutex},
 };
 
@@ -10,12 +9,9 @@
 use googletest::prelude::*;
 use lab::{Caller, Chat, Plan, until};
 use serde_json::Value;
-use tokio::net::TcpListener;
-use tokio_util::sync::CancellationToken;
-use web::{StatusCode, body, reply, server};
 use wire::header;
 
-use crate::common::{KAZALISTE, expected, start};
+use crate::common::{KAZALISTE, collector, expected, start};
 
 /// Trace and span of the caller in the test.
 const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
@@ -30,33 +26,6 @@
 
 type Spans = Arc<Mutex<BTreeMap<String, Span>>>;
 
-/// Collects the spans of the test's trace.
-async fn collector() -> Result<(SocketAddr, Spans)> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let address = listener.local_addr()?;
-    let spans = Spans::default();
-    let kept = Arc::clone(&spans);
-    let handler = move |req: web::Request<web::Incoming>| {
-        let kept = Arc::clone(&kept);
-        async move {
-            let raw = body::read(req.into_body(), body::ReadLimits::default()).await;
-            let raw = raw.unwrap_or_default();
-            if let Ok(value) = serde_json::from_slice::<Value>(&raw) {
-                take(&value, &mut kept.lock().unwrap());
-            }
-            reply::plain(StatusCode::OK, "{}")
-        }
-    };
-    let limits = server::Limits::default();
-    tokio::spawn(server::serve(
-        listener,
-        limits,
-        handler,
-        CancellationToken::new(),
-    ));
-    Ok((address, spans))
-}
-
 fn take(value: &Value, spans: &mut BTreeMap<String, Span>) {
     match value {
         Value::Array(items) => items.iter().for_each(|item| take(item, spans)),
@@ -76,7 +45,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn spans_join_hop_by_hop() -> Result<()> {
-    let (collector, spans) = collector().await?;
+    let spans = Spans::default();
+    let kept = Arc::clone(&spans);
+    let collector = collector(move |value| take(value, &mut kept.lock().unwrap())).await?;
     let plan = Plan {
         zones: vec!["dubrava".to_owned(), "blato".to_owned()],
         // The entry instance in dubrava has to pass its requests on.
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -5,6 +5,7 @@
 //! agree.
 
 mod confirm;
+mod measure;
 mod own;
 mod residents;
 
@@ -39,7 +40,7 @@
 /// What an order was, until it ends.
 #[derive(Clone, Copy, Debug)]
 enum Sent {
-    Load(TargetNo, AdapterKey, Fence),
+    Load(TargetNo, AdapterKey, Fence, Time),
     Unload(TargetNo, AdapterKey),
     /// A load of something resident, which only makes the engine refuse
     /// earlier owners.
@@ -79,6 +80,7 @@
     /// The version of each adapter that the text in force serves.
     serving: BTreeMap<AdapterNo, Version>,
     heard: Time,
+    waits: measure::Waits,
 }
 
 /// A question for a report, until it is answered.
@@ -106,6 +108,7 @@
             told: None,
             serving: BTreeMap::new(),
             heard: now,
+            waits: measure::Waits::default(),
         }
     }
 
@@ -130,7 +133,10 @@
                 target,
                 ask,
             } => self.on_queue(shared, now, ticket, target, ask, out),
-            Msg::Dequeue(ticket) => self.desk(shared, now, DeskInput::Cancel(ticket), out),
+            Msg::Dequeue(ticket) => {
+                self.waits.left(ticket);
+                self.desk(shared, now, DeskInput::Cancel(ticket), out);
+            }
             Msg::Using {
                 ticket,
                 target,
@@ -174,6 +180,11 @@
             out.tell(ENTRY, Msg::Refused { ticket, failure });
             return;
         }
+        if let (Some(key), Some(engine)) = (ask.key, known) {
+            let listed = engine.listed.contains(&key);
+            self.waits
+                .arrived(now, ticket, (target, key), ask.class, listed);
+        }
         let input = DeskInput::Arrive {
             ticket,
             target,
@@ -227,6 +238,7 @@
                 priority,
             } => return self.send(shared, now, ticket, target, priority, out),
             DeskOutput::Refuse { ticket, failure } => {
+                self.waits.refused(now, ticket, out);
                 out.tell(ENTRY, Msg::Refused { ticket, failure });
             }
             DeskOutput::Preempt(ticket) => out.tell(ENTRY, Msg::GiveWay(ticket)),
@@ -274,9 +286,11 @@
         if self.holder.may_send(now, &name, fencing).is_none() {
             base::hit!(send_without_lease);
             let failure = Failure::not_run(Refusal::Moved);
+            self.waits.left(ticket);
             out.tell(ENTRY, Msg::Refused { ticket, failure });
             return Some(DeskInput::Finished { ticket, ok: true });
         }
+        self.waits.sent(now, ticket, out);
         out.tell(ENTRY, Msg::Turn { ticket, priority });
         None
     }
@@ -302,13 +316,14 @@
         let Some(fence) = may else {
             return Some(failed);
         };
+        self.waits.load_begun((target, key));
         let body = Order::Load(resident, weights);
         self.order(
             shared,
             target,
             body,
             fence,
-            Sent::Load(target, key, fence),
+            Sent::Load(target, key, fence, now),
             out,
         );
         None
@@ -374,7 +389,9 @@
         };
         let done = end == OrderEnd::Done;
         match sent {
-            Sent::Load(target, key, fence) => {
+            Sent::Load(target, key, fence, begun) => {
+                self.waits.load_ended(now, (target, key), done);
+                measure::load_ended(shared, (target, key), end, now.since(begun), out);
                 if done {
                     self.note_loaded(shared, now, target, key, fence, out);
                 } else {
@@ -387,6 +404,9 @@
             }
             Sent::Unload(target, key) => {
                 let ok = done;
+                if ok {
+                    measure::unloaded(shared, target, key, out);
+                }
                 self.desk(shared, now, DeskInput::Unloaded { target, key, ok }, out);
             }
             Sent::Touch(target, key, fence) if done => {
@@ -454,6 +474,7 @@
             out.tell(ENTRY, Msg::Life(target, report.incarnation));
             self.own(shared, now, target, out);
         }
+        measure::batch(shared, target, report.running, out);
         let load = Report {
             target,
             incarnation: report.incarnation,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -15,7 +15,7 @@
 };
 
 use base::{Failure, Fence, InstanceName, Mark, Refusal, TargetNo, Ticket, Time, Verdict};
-use request::{AttemptNo, Input as Step, RanOn};
+use request::{AttemptNo, Input as Step, Part, RanOn};
 use route::{News, RetryBudget, Router};
 use wire::{
     call::{Call, ClaimReply, Reply, Settle},
@@ -183,7 +183,7 @@
                 resumed,
             },
             Progress::Piece(part) => {
-                self.note_piece(now, ticket, attempt, out);
+                self.note_piece(now, ticket, attempt, part, out);
                 Step::Piece { attempt, part }
             }
             Progress::End { whole, kept } => {
@@ -228,13 +228,23 @@
         Refusal::Moved
     }
 
-    fn note_piece(&mut self, now: Time, ticket: Ticket, attempt: AttemptNo, out: &mut Out) {
+    fn note_piece(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        attempt: AttemptNo,
+        part: Part,
+        out: &mut Out,
+    ) {
         let Some(live) = self.requests.get_mut(&ticket) else {
             return;
         };
         let Some(sent) = live.sent.as_mut().filter(|sent| sent.attempt == attempt) else {
             return;
         };
+        if let Part::Tokens(count) = part {
+            live.tokens.came(now, count);
+        }
         if !std::mem::replace(&mut sent.began, true) {
             let took = now.since(sent.at);
             self.router.note(now, News::Began(sent.target, took));
--- a/crates/node/src/entry/live.rs
+++ b/crates/node/src/entry/live.rs
@@ -38,6 +38,23 @@
     pub(super) kept: Option<Answer>,
     /// The first run's answer.
     pub(super) replay: Option<Answer>,
+    pub(super) tokens: Tokens,
+}
+
+/// Tokens of the answer so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Tokens {
+    count: u32,
+    /// When the first and the last one came.
+    span: Option<(Time, Time)>,
+}
+
+impl Tokens {
+    pub(super) fn came(&mut self, now: Time, count: u32) {
+        self.count += count;
+        let first = self.span.map_or(now, |(first, _)| first);
+        self.span = Some((first, now));
+    }
 }
 
 /// The attempt under way.
@@ -134,11 +151,21 @@
             parked: None,
             kept: None,
             replay: None,
+            tokens: Tokens::default(),
         })
     }
 
     /// Reports how it ended.
     pub(super) fn ended(&self, now: Time, failure: Option<Failure>, out: &mut Out) {
+        if let Some((first, last)) = self.tokens.span {
+            out.emit(Output::Event(Event::Streamed {
+                brand: self.brand.clone(),
+                class: self.start.class,
+                tokens: self.tokens.count,
+                first: first.since(self.began),
+                rest: last.since(first),
+            }));
+        }
         out.emit(Output::Event(Event::Ended {
             brand: self.brand.clone(),
             class: self.start.class,
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -7,8 +7,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{
-    AdapterName, BrandName, Class, Failure, Fence, InstanceName, Mark, Refusal, ServiceName,
-    TargetName, TextVersion, Ticket, Time, Tokens, Verdict, Version,
+    AdapterName, BrandName, Class, Failure, Fence, InstanceName, Mark, PoolName, Refusal,
+    ServiceName, TargetName, TextVersion, Ticket, Time, Tokens, Verdict, Version,
 };
 use wire::{
     call::{Answer, Call, Reply},
@@ -367,8 +367,48 @@
     LoadFailed(TargetName, engine::Resident),
     /// An answer named another adapter or version and was stopped.
     WrongAdapter(TargetName),
-    /// A request waited for its adapter to be loaded, for so long.
+    /// A request waited for its adapter to be loaded, for so long; zero where
+    /// the engine held it.
     Stalled(Class, Duration),
+    /// A request waited for a place at an engine, for so long beside that.
+    Queued(Class, Duration),
+    /// An engine said how much of its batch is in use.
+    Batch {
+        /// Its pool.
+        pool: PoolName,
+        /// Requests in the batch.
+        running: u32,
+        /// Requests that fit.
+        places: u32,
+    },
+    /// An order to load ended.
+    Loaded {
+        /// The engine.
+        target: TargetName,
+        /// Its pool.
+        pool: PoolName,
+        /// What was to be loaded.
+        resident: engine::Resident,
+        /// How it ended.
+        end: OrderEnd,
+        /// How long it took.
+        took: Duration,
+    },
+    /// An adapter that nobody uses was unloaded.
+    Unloaded(TargetName, engine::Resident),
+    /// The tokens of an answer came.
+    Streamed {
+        /// Whose.
+        brand: BrandName,
+        /// How urgent.
+        class: Class,
+        /// Tokens.
+        tokens: u32,
+        /// From the request's arrival to the first of them.
+        first: Duration,
+        /// From the first to the last.
+        rest: Duration,
+    },
     /// A request ended.
     Ended {
         /// Whose.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -130,7 +130,7 @@
             .record(wait.as_secs_f64(), &[class_label(class)]);
     }
 
-    /// Records the time between two tokens of a stream.
+    /// Records the mean time between the tokens of one answer.
     pub fn token_gap(&self, class: Class, gap: Duration) {
         self.token_gap
             .record(gap.as_secs_f64(), &[class_label(class)]);
