Test engines, owners, leaders and marked requests failing as processes

Found and mended by these tests: - After a frozen owner was replaced, requests for its engines got 503 for ever: the new owner has to order a fenced engine once before any request, did so by loading something resident, and took the engine's 'already loaded' for a failure. It now counts as done, and is tried again with each report. - A stream cut at both of two engines ended in an error: targets that failed a request were passed over even when no other was left. - The lab gave daemons ports that outgoing connections had taken meanwhile.

--- a/crates/entryd/src/outside.rs
+++ b/crates/entryd/src/outside.rs
@@ -7,7 +7,7 @@
 use hyper::{HeaderMap, Method, header::HeaderValue};
 use node::{Input, Order, OrderEnd};
 use serde::{Serialize, de::DeserializeOwned};
-use web::client::{Limits, Send};
+use web::client::{Answer, Limits, Send};
 use wire::{
     engine::{Load, Report, Unload},
     header, platform,
@@ -25,6 +25,9 @@
 /// How long an order may take: a load waits for the weight store.
 const ORDER_LIMIT: Duration = Duration::from_secs(60);
 
+/// What an engine says to a load of something resident.
+const ALREADY: &str = "already been loaded";
+
 /// Largest list or report, in bytes: 980 targets and instances of 200 bytes.
 const READ_MAX: usize = 1 << 20;
 
@@ -93,7 +96,8 @@
     match state.client.send(send).await {
         Ok(answer) => match answer.status.as_u16() {
             200 => OrderEnd::Done,
-            409 | 412 => OrderEnd::Fenced,
+            400 if already_loaded(answer).await => OrderEnd::Done,
+            412 => OrderEnd::Fenced,
             _ => OrderEnd::Failed,
         },
         Err(broken) if broken.verdict == base::Verdict::NotRun => OrderEnd::Failed,
@@ -101,6 +105,13 @@
     }
 }
 
+/// Tells a load of something resident, which engines answer as an error, from
+/// one that failed: what was ordered is so.
+async fn already_loaded(answer: Answer) -> bool {
+    let body = answer.whole(READ_MAX).await.unwrap_or_default();
+    String::from_utf8_lossy(&body).contains(ALREADY)
+}
+
 async fn get<T: DeserializeOwned>(state: &State, address: SocketAddr, path: &str) -> Option<T> {
     let mut send = Send::new(address, Method::GET, path);
     send.limits = Limits {
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -5,6 +5,7 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::Stdio,
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -15,6 +16,11 @@
     time::timeout,
 };
 
+/// First port that daemons are given, and how many there are; above them the
+/// system's own range begins.
+const FIRST_PORT: u32 = 10_000;
+const PORTS: u32 = 22_000;
+
 /// Longest wait for a process to say its address or to end.
 const CEILING: Duration = Duration::from_secs(60);
 
@@ -122,9 +128,23 @@
 
 /// Returns a loopback address that nobody listens on now.
 ///
+/// Ports below the range that the system gives to outgoing connections are
+/// tried one after the other: a port from that range may be taken by some
+/// connection before the daemon that it is meant for listens on it.
+///
 /// # Errors
 ///
 /// Fails when no port is left.
 pub fn free_port() -> Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    for _ in 0..PORTS {
+        let start = std::process::id() * 97;
+        let nth = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let port = u16::try_from(FIRST_PORT + nth)?;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    bail!("no port is left")
 }
--- a/crates/lab/tests/processes/main.rs
+++ b/crates/lab/tests/processes/main.rs
@@ -1,6 +1,8 @@
 //! Process-level tests: real daemons and stand-ins on the loopback interface.
 
 mod common;
+mod faults;
+mod once;
 mod path;
 mod rolling;
 mod trace;
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -453,6 +453,8 @@
         if new {
             out.tell(ENTRY, Msg::Life(target, report.incarnation));
             self.own(shared, now, target, out);
+        } else {
+            self.touch(shared, now, target, out);
         }
         let load = Report {
             target,
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -146,8 +146,11 @@
     ) -> Option<Step> {
         loop {
             let live = self.requests.get_mut(&ticket)?;
-            let avoid: Vec<TargetNo> = avoid.iter().chain(&live.turned_away).copied().collect();
-            let target = match self.router.choose(now, &live.ask, &avoid) {
+            let all: Vec<TargetNo> = avoid.iter().chain(&live.turned_away).copied().collect();
+            let choice = self.router.choose(now, &live.ask, &all);
+            // A target that failed this request once is better than none.
+            let choice = choice.or_else(|_| self.router.choose(now, &live.ask, &live.turned_away));
+            let target = match choice {
                 Ok(choice) => choice.target,
                 Err(failure) if live.turned_away.is_empty() => return Some(Step::NoPlace(failure)),
                 Err(failure) => return self.park(shared, now, ticket, failure),
