replog: script the failures that an operator would see

Fifteen scenarios in Rhai over the fakes, each with its story and the coverage marks of the guards that it is meant for. A line-based fixture was weighed: it needs loops for flapping links and conditions for whoever leads at the moment, so it would grow into a language of its own.

--- a/crates/faults/src/cluster.rs
+++ b/crates/faults/src/cluster.rs
@@ -139,6 +139,14 @@
         names.map(|raw| raw.parse().expect("a name")).collect()
     }
 
+    /// Cuts all links of an instance.
+    pub fn isolate(&mut self, name: &InstanceName) {
+        for other in self.peers() {
+            self.net.cut(name, &other);
+            self.net.cut(&other, name);
+        }
+    }
+
     /// Lets `ms` milliseconds pass.
     pub fn run(&mut self, ms: u64) {
         let end = self.now + ms * 1_000;
--- a/crates/faults/src/random.rs
+++ b/crates/faults/src/random.rs
@@ -93,7 +93,7 @@
         10 | 11 if running => cluster.kill(&name, rng.random_range(0..200)),
         12..=15 if !running => cluster.start(&name),
         16 => cluster.net.cut(&name, &other),
-        17 => isolate(cluster, &name),
+        17 => cluster.isolate(&name),
         18 | 19 => cluster.net.heal(),
         20 => {
             cluster.net.loss = rng.random_range(0..300);
@@ -125,13 +125,6 @@
     }
 }
 
-fn isolate(cluster: &mut Cluster, name: &InstanceName) {
-    for other in cluster.peers() {
-        cluster.net.cut(name, &other);
-        cluster.net.cut(&other, name);
-    }
-}
-
 /// Loses a folder, wholly or by damage; the cluster is whole before, so the
 /// promise is that nothing accepted is lost.
 fn lose(cluster: &mut Cluster, rng: &mut ChaCha8Rng, name: &InstanceName) {
--- a/crates/faults/src/script.rs
+++ b/crates/faults/src/script.rs
@@ -1,1 +1,202 @@
 //! The language of the scenarios: Rhai with a few functions.
+//!
+//! | function | what it does |
+//! | --- | --- |
+//! | `cluster(n, seed)` | starts `n` instances called `a`, `b`, ... |
+//! | `run(ms)`, `settle()` | lets time pass; ends all faults and checks agreement |
+//! | `leader()`, `follower()`, `leads(x)`, `role(x)` | asks who leads |
+//! | `propose(x)`, `propose(x, n)` | proposes commands at an instance |
+//! | `accepted()`, `refused()`, `unknown()` | counts the answers |
+//! | `applied(x)`, `term(x)`, `halted(x)`, `voters(x)` | asks an instance |
+//! | `kill(x)`, `tear(x, bytes)`, `start(x)`, `freeze(x)`, `thaw(x)` | its process |
+//! | `empty(x)`, `damage(x, at)`, `fail_sync(x)`, `fill(x, full)` | its disk |
+//! | `cut(x, y)`, `mend(x, y)`, `isolate(x)`, `heal()`, `loss(permille)` | the links |
+//! | `hand_over(x)`, `remove(leader, x)` | what operators ask for |
+//! | `expect(condition, text)`, `covers(mark)` | checks |
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use base::{ExpectedMark, InstanceName};
+use replog::{Input, Replica};
+use rhai::{Engine, EvalAltResult};
+
+use crate::{Cluster, Plan};
+
+/// How long a cluster may take to agree after the faults, in milliseconds.
+const SETTLE_MS: u64 = 60_000;
+
+/// Operations that a script may take; it ends an endless loop.
+const OPERATIONS_MAX: u64 = 10_000_000;
+
+type Shared = Arc<Mutex<Stage>>;
+
+#[derive(Default)]
+struct Stage {
+    cluster: Option<Cluster>,
+    marks: Vec<ExpectedMark>,
+}
+
+/// Runs a scenario.
+///
+/// # Errors
+///
+/// Returns what the scenario didn't find as expected.
+///
+/// # Panics
+///
+/// Panics when the log breaks a promise, or a guard named by `covers` was not
+/// reached.
+pub fn play(text: &str) -> Result<(), String> {
+    let stage = Shared::default();
+    let mut engine = Engine::new();
+    engine.set_max_operations(OPERATIONS_MAX);
+    register_run(&mut engine, &stage);
+    register_questions(&mut engine, &stage);
+    register_faults(&mut engine, &stage);
+    register_checks(&mut engine, &stage);
+    let result = engine.run(text);
+    let mut stage = lock(&stage);
+    let trace = stage.cluster.as_ref().map_or(String::new(), Cluster::trace);
+    let marks = std::mem::take(&mut stage.marks);
+    drop(stage);
+    drop(marks);
+    result.map_err(|err| format!("{trace}\n{err}"))
+}
+
+fn lock(stage: &Shared) -> MutexGuard<'_, Stage> {
+    stage.lock().expect("no other thread")
+}
+
+/// Calls `act` on the cluster that the script has made.
+fn with<T>(stage: &Shared, act: impl FnOnce(&mut Cluster) -> T) -> T {
+    let mut stage = lock(stage);
+    act(stage.cluster.as_mut().expect("`cluster` comes first"))
+}
+
+fn name(raw: &str) -> InstanceName {
+    raw.parse().expect("an instance's name")
+}
+
+fn register_run(engine: &mut Engine, stage: &Shared) {
+    let shared = Arc::clone(stage);
+    engine.register_fn("cluster", move |n: i64, seed: i64| {
+        let plan = Plan {
+            instances: n as usize,
+            ..Plan::default()
+        };
+        lock(&shared).cluster = Some(Cluster::new(plan, seed as u64));
+    });
+    let shared = Arc::clone(stage);
+    engine.register_fn("run", move |ms: i64| with(&shared, |c| c.run(ms as u64)));
+    let shared = Arc::clone(stage);
+    engine.register_fn("settle", move || with(&shared, |c| c.settle(SETTLE_MS)));
+    let shared = Arc::clone(stage);
+    engine.register_fn("propose", move |x: &str| {
+        with(&shared, |c| c.propose(&name(x)));
+    });
+    let shared = Arc::clone(stage);
+    engine.register_fn("propose", move |x: &str, n: i64| {
+        with(&shared, |c| (0..n).for_each(|_| _ = c.propose(&name(x))));
+    });
+}
+
+fn register_questions(engine: &mut Engine, stage: &Shared) {
+    let shared = Arc::clone(stage);
+    engine.register_fn("leader", move || {
+        let leader = with(&shared, |c| c.leader());
+        leader.map_or(String::new(), |name| name.to_string())
+    });
+    let shared = Arc::clone(stage);
+    engine.register_fn("follower", move || {
+        let peers = with(&shared, |c| (c.leader(), c.peers()));
+        let other = peers.1.into_iter().find(|x| Some(x) != peers.0.as_ref());
+        other.expect("more than one instance").to_string()
+    });
+    let shared = Arc::clone(stage);
+    engine.register_fn("leads", move |x: &str| with(&shared, |c| c.leads(&name(x))));
+    let mut count = |function: &str, ask: fn(&Cluster) -> usize| {
+        let shared = Arc::clone(stage);
+        engine.register_fn(function, move || with(&shared, |c| ask(c) as i64));
+    };
+    count("accepted", |c| c.history.accepted());
+    count("refused", |c| c.history.refused());
+    count("unknown", |c| c.history.unknown());
+    let shared = Arc::clone(stage);
+    engine.register_fn("applied", move |x: &str| {
+        with(&shared, |c| c.applied(&name(x)).get() as i64)
+    });
+    let mut ask = |function: &str, ask: fn(&Replica) -> i64| {
+        let shared = Arc::clone(stage);
+        engine.register_fn(function, move |x: &str| {
+            with(&shared, |c| c.replica(&name(x)).map_or(-1, ask))
+        });
+    };
+    ask("term", |replica| replica.term().get() as i64);
+    ask("halted", |replica| i64::from(replica.halted().is_some()));
+    ask("voters", |replica| {
+        replica.members().map_or(0, |m| m.voters.len() as i64)
+    });
+}
+
+fn register_faults(engine: &mut Engine, stage: &Shared) {
+    let mut one = |function: &str, act: fn(&mut Cluster, &InstanceName)| {
+        let shared = Arc::clone(stage);
+        engine.register_fn(function, move |x: &str| {
+            with(&shared, |c| act(c, &name(x)));
+        });
+    };
+    one("kill", |c, x| c.kill(x, 0));
+    one("start", |c, x| c.start(x));
+    one("freeze", |c, x| c.freeze(x));
+    one("thaw", |c, x| c.thaw(x));
+    one("empty", |c, x| c.empty(x));
+    one("fail_sync", |c, x| c.fail_sync(x));
+    one("isolate", |c, x| c.isolate(x));
+    one("hand_over", |c, x| c.input(x, Input::HandOver));
+    let mut two = |function: &str, act: fn(&mut Cluster, &InstanceName, &InstanceName)| {
+        let shared = Arc::clone(stage);
+        engine.register_fn(function, move |x: &str, y: &str| {
+            with(&shared, |c| act(c, &name(x), &name(y)));
+        });
+    };
+    two("cut", |c, x, y| c.net.cut(x, y));
+    two("mend", |c, x, y| c.net.mend(x, y));
+    two("remove", |c, leader, x| c.remove(leader, x));
+    let shared = Arc::clone(stage);
+    engine.register_fn("tear", move |x: &str, bytes: i64| {
+        with(&shared, |c| c.kill(&name(x), bytes as usize));
+    });
+    let shared = Arc::clone(stage);
+    engine.register_fn("damage", move |x: &str, at: i64| {
+        with(&shared, |c| c.damage_middle(&name(x), at as usize));
+    });
+    let shared = Arc::clone(stage);
+    engine.register_fn("fill", move |x: &str, full: bool| {
+        with(&shared, |c| c.fill(&name(x), full));
+    });
+    let shared = Arc::clone(stage);
+    engine.register_fn("heal", move || with(&shared, |c| c.net.heal()));
+    let shared = Arc::clone(stage);
+    engine.register_fn("loss", move |permille: i64| {
+        with(&shared, |c| c.net.loss = permille as u32);
+    });
+}
+
+fn register_checks(engine: &mut Engine, stage: &Shared) {
+    engine.register_fn(
+        "expect",
+        |holds: bool, text: &str| -> Result<(), Box<EvalAltResult>> {
+            if holds {
+                return Ok(());
+            }
+            Err(text.into())
+        },
+    );
+    let shared = Arc::clone(stage);
+    engine.register_fn("covers", move |mark: &str| {
+        // Marks are named by the code; a scenario's text lives as long as the
+        // test, so the leak is bounded by the scenarios' marks.
+        let mark: &'static str = String::leak(mark.to_owned());
+        lock(&shared).marks.push(ExpectedMark::new(mark));
+    });
+}
--- a/crates/replog/src/replica.rs
+++ b/crates/replog/src/replica.rs
@@ -254,6 +254,7 @@
             Message::TimeoutNow { term } => self.timeout_now(now, from, term, out),
             Message::Removed { id } => {
                 if id == *self.id() {
+                    base::hit!(removed_halts);
                     self.halt(HaltReason::Removed, out);
                 }
             }
--- a/crates/replog/src/replica/members.rs
+++ b/crates/replog/src/replica/members.rs
@@ -83,7 +83,6 @@
     /// A change of members is committed: takes leave of those removed.
     pub(super) fn members_committed(&mut self, members: &Members, out: &mut Outputs) {
         if members.removed(self.id()) {
-            base::hit!(removed_halts);
             self.halt(HaltReason::Removed, out);
             return;
         }
--- /dev/null
+++ b/crates/replog/tests/scenarios.rs
@@ -0,0 +1,30 @@
+//! The scripted scenarios; each file under `scenarios` opens with its story.
+
+use faults::script;
+
+fn check(text: &str) {
+    if let Err(reason) = script::play(text) {
+        panic!("{reason}");
+    }
+}
+
+base::cases! {
+    /// One case a file.
+    scenario: check => {
+        change_under_cut: include_str!("scenarios/change_under_cut.rhai"),
+        cut_leader: include_str!("scenarios/cut_leader.rhai"),
+        damaged_middle: include_str!("scenarios/damaged_middle.rhai"),
+        failed_sync: include_str!("scenarios/failed_sync.rhai"),
+        fault_in_repair: include_str!("scenarios/fault_in_repair.rhai"),
+        flapping: include_str!("scenarios/flapping.rhai"),
+        founding: include_str!("scenarios/founding.rhai"),
+        frozen_leader: include_str!("scenarios/frozen_leader.rhai"),
+        full_disk: include_str!("scenarios/full_disk.rhai"),
+        hand_over: include_str!("scenarios/hand_over.rhai"),
+        lonely_follower: include_str!("scenarios/lonely_follower.rhai"),
+        lost_twice: include_str!("scenarios/lost_twice.rhai"),
+        one_way: include_str!("scenarios/one_way.rhai"),
+        removed_behind_cut: include_str!("scenarios/removed_behind_cut.rhai"),
+        torn_tail: include_str!("scenarios/torn_tail.rhai"),
+    }
+}
--- /dev/null
+++ b/crates/replog/tests/scenarios/damaged_middle.rhai
@@ -0,0 +1,10 @@
+// A disk returns a wrong byte in an old record of a stopped instance. It must
+// not vote with what is left, since it has forgotten votes and entries that
+// others count on; it comes back as a new replica and is repaired.
+covers("damaged_middle"); covers("learner_caught_up");
+cluster(3, 9); run(3000);
+for n in 0..5 { propose(leader(), 2); run(200); }
+let x = follower();
+kill(x); damage(x, 300); start(x);
+settle();
+expect(accepted() >= 10, "an accepted change is gone");
--- /dev/null
+++ b/crates/replog/tests/scenarios/failed_sync.rhai
@@ -0,0 +1,11 @@
+// The leader's disk fails a sync. The leader stops for good instead of trying
+// again, what it had open ends as unknown, and the others go on. With the disk
+// replaced it starts from what is really there.
+covers("halted_by_write"); covers("unknown_on_lost_term");
+cluster(3, 10); run(3000);
+let x = leader();
+fail_sync(x); propose(x); run(3000);
+expect(halted(x) == 1, "the replica goes on after a failed sync");
+expect(unknown() == 1, "the open proposal has another answer");
+expect(leader() != "" && leader() != x, "nobody took over");
+settle();
--- /dev/null
+++ b/crates/replog/tests/scenarios/full_disk.rhai
@@ -0,0 +1,15 @@
+// The leader's disk fills up. It refuses changes, hands leadership to an
+// instance with space, and goes on following. With all disks full, changes are
+// refused everywhere and the leader stays; with space, they are taken again.
+covers("refused_when_full"); covers("handed_over");
+cluster(3, 11); run(3000);
+let x = leader();
+fill(x, true); propose(x); run(2000);
+expect(refused() == 1, "a full disk took a proposal");
+expect(leader() != "" && leader() != x, "leadership stayed with a full disk");
+for y in ["a", "b", "c"] { fill(y, true); }
+run(5000);
+expect(leader() != "", "no leader while the disks are full");
+propose(leader()); run(500);
+expect(accepted() == 0 && refused() == 2, "a full disk took a proposal");
+settle();
--- /dev/null
+++ b/crates/replog/tests/scenarios/hand_over.rhai
@@ -0,0 +1,15 @@
+// An instance is stopped as planned while changes keep coming. Every change
+// that it has taken is answered before it hands over; no answer is left open,
+// and the next leader acts at once.
+covers("handed_over");
+cluster(3, 12); run(3000);
+for round in 0..10 {
+    let x = leader();
+    propose(x, 20); hand_over(x); propose(x);
+    run(400);
+    expect(leader() != "" && leader() != x, "no handover in time");
+}
+expect(unknown() == 0, "a planned stop left a change open");
+expect(accepted() == 200, "a change that was taken got lost");
+expect(refused() == 10, "a leader that hands over took a change");
+settle();
--- /dev/null
+++ b/crates/replog/tests/scenarios/one_way.rhai
@@ -0,0 +1,17 @@
+// A link carries one direction only. A leader that still sends but hears
+// nobody steps down within an election timeout instead of holding the others
+// back; a follower that hears nobody but can send deposes nobody.
+covers("quorum_lost"); covers("pre_vote");
+cluster(3, 4); run(3000);
+let old = leader();
+let rest = ["a", "b", "c"]; rest.retain(|x| x != old);
+for x in rest { cut(x, old); }
+run(5000);
+expect(!leads(old), "a leader that hears nobody still leads");
+expect(leader() != "", "its heartbeats kept the others from electing");
+heal(); run(3000);
+let next = leader(); let term = term(next);
+let deaf = follower();
+cut(next, deaf); run(10000);
+expect(leader() == next && term(next) == term, "a deaf follower deposed the leader");
+settle();
--- /dev/null
+++ b/crates/replog/tests/scenarios/removed_behind_cut.rhai
@@ -0,0 +1,18 @@
+// An operator removes an instance while it is cut off. It doesn't know, and
+// stands for election when the cut heals: nobody is disturbed, it is told, and
+// it stops. Its next life joins as a new replica.
+covers("removed_never_elected"); covers("removed_halts");
+cluster(5, 13); run(3000);
+let x = follower(); isolate(x); run(1000);
+let old = leader(); remove(old, x); run(1000);
+expect(voters(old) == 4, "the removal is not in force");
+let term = term(old);
+heal(); run(5000);
+expect(halted(x) == 1, "the removed replica goes on");
+expect(leader() == old && term(old) == term, "the removed replica disturbed");
+let y = follower();
+if y == x { y = "e"; }
+remove(old, y); run(1000);
+expect(halted(y) == 1, "a removed follower goes on");
+settle();
+expect(voters(leader()) == 5, "the new lives never voted");
--- /dev/null
+++ b/crates/replog/tests/scenarios/torn_tail.rhai
@@ -0,0 +1,10 @@
+// The power fails at the leader while a record is half written. It starts with
+// all that it had acknowledged, drops the half record and goes on.
+covers("torn_tail");
+cluster(3, 8); run(3000);
+propose(leader(), 10); run(300);
+let x = leader();
+propose(x, 3);
+tear(x, 40); start(x);
+settle();
+expect(accepted() >= 10, "an accepted change is gone");
