--- a/crates/replog/src/replica.rs
+++ b/crates/replog/src/replica.rs
@@ -7,6 +7,7 @@
 mod members;
 mod progress;
 mod restored;
+mod send;
 mod writes;
 
 use base::{StableHash, Time, stable_hash};
--- a/crates/replog/src/replica/lead.rs
+++ b/crates/replog/src/replica/lead.rs
@@ -1,16 +1,13 @@
-//! A leader: takes proposals, sends entries, counts acknowledgements.
+//! A leader: takes proposals, counts acknowledgements, hands over.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use base::Time;
 
-use super::{
-    Replica, Role, not_accepted,
-    progress::{Mode, Progress},
-};
+use super::{Replica, Role, not_accepted, progress::Progress};
 use crate::{
     Entry, Index, Message, Output, Outputs, Payload, Position, Record, ReplicaId, WhyNot,
-    journal::entry_size, message::Outcome,
+    journal::entry_size,
 };
 
 /// Election timeouts that a write of the leader may take before it hands over
@@ -23,9 +20,9 @@
 /// What a leader knows in its term.
 #[derive(Clone, Debug)]
 pub(crate) struct Leader {
-    progress: BTreeMap<ReplicaId, Progress>,
+    pub(super) progress: BTreeMap<ReplicaId, Progress>,
     /// The number of the newest heartbeat round.
-    round: u64,
+    pub(super) round: u64,
     /// When the latest rounds began.
     rounds: VecDeque<(u64, Time)>,
     next_beat: Time,
@@ -73,7 +70,8 @@
         self.waiting.values().map(|(_, size)| size).sum()
     }
 
-    fn round_start(&self, round: u64) -> Option<Time> {
+    /// Returns when a round began, if that is not long ago.
+    pub(super) fn round_start(&self, round: u64) -> Option<Time> {
         let found = self.rounds.iter().find(|(no, _)| *no == round);
         found.map(|(_, start)| *start)
     }
@@ -286,41 +284,6 @@
         Some(best.0.clone())
     }
 
-    /// Takes a follower's answer.
-    pub(super) fn follower_replied(
-        &mut self,
-        now: Time,
-        from: &ReplicaId,
-        message: Message,
-        out: &mut Outputs,
-    ) {
-        let Role::Leader(leader) = &mut self.role else {
-            return;
-        };
-        let (Message::AppendReply { round, .. } | Message::ChunkReply { round, .. }) = message
-        else {
-            return;
-        };
-        let start = leader.round_start(round);
-        let Some(progress) = leader.progress.get_mut(from) else {
-            return;
-        };
-        progress.acked = progress.acked.max(start);
-        let more = match message {
-            Message::AppendReply { outcome, full, .. } => {
-                progress.full = full;
-                take_outcome(progress, outcome, self.journal.base())
-            }
-            Message::ChunkReply { at, received, .. } => progress.received(at, received),
-            _ => false,
-        };
-        if more {
-            self.push_chunk(from, out);
-        }
-        self.advance_commit(out);
-        self.promote(now);
-    }
-
     /// Commits what a majority has on disk.
     pub(super) fn advance_commit(&mut self, out: &mut Outputs) {
         let (Role::Leader(leader), Some(members)) = (&self.role, self.journal.members()) else {
@@ -349,151 +312,4 @@
         self.commit = upto;
         self.apply(out);
     }
-
-    /// Sends each follower what it lacks, within its window.
-    pub(super) fn replicate(&mut self, out: &mut Outputs) {
-        let Role::Leader(leader) = &self.role else {
-            return;
-        };
-        for id in leader.followers() {
-            while let Some(message) = self.next_append(&id) {
-                send(&id, message, out);
-            }
-        }
-    }
-
-    /// Returns the next message with entries for a follower, if it lacks any
-    /// that are written here and its window has room.
-    fn next_append(&mut self, id: &ReplicaId) -> Option<Message> {
-        let (term, commit) = (self.term, self.commit);
-        let last = self.writes.issued_index();
-        let limit = self.settings.raw.message.get();
-        let Role::Leader(leader) = &mut self.role else {
-            return None;
-        };
-        let round = leader.round;
-        let progress = leader.progress.get_mut(id)?;
-        let prev = progress.next.prev();
-        let Some(prev_term) = self.journal.term_at(prev) else {
-            self.give_snapshot(id);
-            return None;
-        };
-        let room = progress.flying() < self.settings.raw.window.get();
-        let entries = match &progress.mode {
-            Mode::Probe { sent: false } => Vec::new(),
-            Mode::Stream { .. } if room && prev < last => self.journal.slice(prev, last, limit),
-            _ => return None,
-        };
-        progress.sent(&entries);
-        Some(Message::Append {
-            term,
-            life: id.life,
-            round,
-            prev: Position {
-                term: prev_term,
-                index: prev,
-            },
-            entries,
-            commit,
-        })
-    }
-
-    fn give_snapshot(&mut self, id: &ReplicaId) {
-        let Role::Leader(leader) = &mut self.role else {
-            return;
-        };
-        let progress = leader.progress.get_mut(id);
-        if let (Some(progress), Some(base)) = (progress, self.journal.base()) {
-            progress.give(base.clone());
-        }
-    }
-
-    /// Sends a heartbeat, which also finds out about lost messages.
-    fn beat_one(&mut self, id: &ReplicaId, out: &mut Outputs) {
-        let (term, commit) = (self.term, self.commit);
-        let Role::Leader(leader) = &mut self.role else {
-            return;
-        };
-        let round = leader.round;
-        let Some(progress) = leader.progress.get_mut(id) else {
-            return;
-        };
-        if let Mode::Probe { sent } = &mut progress.mode {
-            *sent = true;
-        }
-        let prev = progress.next.prev();
-        if let Some(prev_term) = self.journal.term_at(prev)
-            && !matches!(progress.mode, Mode::Snapshot { .. })
-        {
-            let prev = Position {
-                term: prev_term,
-                index: prev,
-            };
-            let message = Message::Append {
-                term,
-                life: id.life,
-                round,
-                prev,
-                entries: Vec::new(),
-                commit,
-            };
-            send(id, message, out);
-            return;
-        }
-        self.give_snapshot(id);
-        self.push_chunk(id, out);
-    }
-
-    /// Sends the next part of a snapshot to a follower that needs one.
-    fn push_chunk(&self, id: &ReplicaId, out: &mut Outputs) {
-        let Role::Leader(leader) = &self.role else {
-            return;
-        };
-        let Some(Progress {
-            mode:
-                Mode::Snapshot {
-                    snapshot,
-                    crc,
-                    offset,
-                },
-            ..
-        }) = leader.progress.get(id)
-        else {
-            return;
-        };
-        let total = snapshot.data.len() as u64;
-        let end = total.min(offset + self.settings.raw.message.get());
-        let part = &snapshot.data[*offset as usize..end as usize];
-        let message = Message::Chunk {
-            term: self.term,
-            life: id.life,
-            round: leader.round,
-            at: snapshot.at,
-            members: snapshot.members.clone(),
-            total,
-            crc: *crc,
-            offset: *offset,
-            data: part.into(),
-        };
-        send(id, message, out);
-    }
-}
-
-/// Takes a follower's answer to entries; returns whether it now needs the
-/// first part of a snapshot.
-fn take_outcome(progress: &mut Progress, outcome: Outcome, base: Option<&crate::Snapshot>) -> bool {
-    match (outcome, base) {
-        (Outcome::Matched { upto }, _) => progress.agree(upto),
-        (Outcome::Conflict { prev, hint }, _) => progress.conflict(prev, hint),
-        (Outcome::Empty, Some(base)) => return progress.give(base.clone()),
-        (Outcome::Empty, None) => {}
-    }
-    false
-}
-
-fn send(to: &ReplicaId, message: Message, out: &mut Outputs) {
-    out.push(Output::Send {
-        to: to.instance.clone(),
-        message,
-    });
 }
