Gather an adapter's requests on its fullest engine with room

Cause: the copies of a hot adapter shared its requests evenly, at half-full batches. Of the holders below three quarters of their places the fullest is chosen now, the own zone making up for a twentieth.

--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -18,6 +18,9 @@
 /// fuller batch generates more tokens a second.
 const PACK: f32 = 0.75;
 
+/// Load that being in the same zone makes up for among holders with room.
+const NEAR_WORTH: f32 = 0.05;
+
 /// Load of all holders from which a request goes to an engine that has to
 /// load the adapter first; above one, because a load costs more than a short
 /// queue.
@@ -179,7 +182,7 @@
     ) -> Option<(TargetNo, f32)> {
         let holders = self.holders.get(&key)?;
         let cached = self.prefixes.get(now, ask.prefix);
-        let mut packed: Option<(bool, TargetNo, f32)> = None;
+        let mut packed: Option<(f32, TargetNo, f32)> = None;
         let mut least: Option<(TargetNo, f32)> = None;
         for target in holders.iter().filter(|t| !avoid.contains(t)) {
             let Some(known) = self.known(*target).filter(|k| k.usable() && !k.is_out(now)) else {
@@ -190,8 +193,9 @@
                 return Some((*target, load));
             }
             let near = known.target.zone == self.zone;
-            if load < PACK && packed.is_none_or(|(best, _, _)| near && !best) {
-                packed = Some((near, *target, load));
+            let fullness = load + if near { NEAR_WORTH } else { 0.0 };
+            if load < PACK && packed.is_none_or(|(best, _, _)| fullness > best) {
+                packed = Some((fullness, *target, load));
             }
             if least.is_none_or(|(_, best)| load < best) {
                 least = Some((*target, load));
