Keep what live work used in the last minutes from batch loads

Cause: batch work could evict what live work had not used for 18 seconds, the middle of a conversation. The least rate kept is one use in 200 s now (60 s before).

--- a/crates/route/src/desk/room.rs
+++ b/crates/route/src/desk/room.rs
@@ -16,7 +16,7 @@
 
 /// Live uses a second from which an adapter is kept from batch work that is
 /// not urgent: one in a minute.
-const KEPT_RATE: f32 = 1.0 / 60.0;
+const KEPT_RATE: f32 = 1.0 / 200.0;
 
 /// How long live work waits for a slot before one in live use is emptied.
 const CLEAR_AFTER: Duration = Duration::from_millis(500);
