--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -16,7 +16,14 @@
 
 /// Load up to which requests are gathered on the adapter's first engine: a
 /// fuller batch generates more tokens a second.
-const PACK: f32 = 0.75;
+const PACK: f32 = 0.9;
+
+/// Thousandths of a use a second that a full engine makes up for among homes:
+/// a request adds less to a step that has others in it.
+const FULL_WORTH: f32 = 20.0;
+
+/// Load that being in the same zone makes up for among holders with room.
+const NEAR_WORTH: f32 = 0.05;
 
 /// Load of all holders from which a request goes to an engine that has to
 /// load the adapter first; above one, because a load costs more than a short
@@ -39,7 +46,7 @@
 const ROLL_GRACE: Duration = Duration::from_secs(2);
 
 /// First homes that are weighed against each other for a load.
-const HOMES: usize = 3;
+const HOMES: usize = 4;
 
 /// Longest wait hinted at when no target can be used.
 const RETRY_SECS: f64 = 2.0;
@@ -179,7 +186,7 @@
     ) -> Option<(TargetNo, f32)> {
         let holders = self.holders.get(&key)?;
         let cached = self.prefixes.get(now, ask.prefix);
-        let mut packed: Option<(bool, TargetNo, f32)> = None;
+        let mut packed: Option<(f32, TargetNo, f32)> = None;
         let mut least: Option<(TargetNo, f32)> = None;
         for target in holders.iter().filter(|t| !avoid.contains(t)) {
             let Some(known) = self.known(*target).filter(|k| k.usable() && !k.is_out(now)) else {
@@ -190,8 +197,9 @@
                 return Some((*target, load));
             }
             let near = known.target.zone == self.zone;
-            if load < PACK && packed.is_none_or(|(best, _, _)| near && !best) {
-                packed = Some((near, *target, load));
+            let fullness = load + if near { NEAR_WORTH } else { 0.0 };
+            if load < PACK && packed.is_none_or(|(best, _, _)| fullness > best) {
+                packed = Some((fullness, *target, load));
             }
             if least.is_none_or(|(_, best)| load < best) {
                 least = Some((*target, load));
@@ -243,7 +251,7 @@
         let costs = homes.filter_map(|target| {
             let known = self.known(target)?;
             let load = known.load(now, ask.class, self.begin);
-            Some((self.evict_cost(now, known) + load * 0.01, target, load))
+            Some((known.worth as f32 - FULL_WORTH * load, target, load))
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         // Where every home is full or left out, the first one that can be
@@ -255,18 +263,6 @@
         })
     }
 
-    /// Demand, as seen here, of what a load at the engine would evict.
-    fn evict_cost(&self, now: Time, known: &Known) -> f32 {
-        if known.residents.len() < known.target.slots as usize {
-            return -1.0;
-        }
-        let worth = known.residents.iter().map(|key| {
-            let demand = self.demand.get(key.adapter);
-            demand.slow(now).max(demand.quick(now))
-        });
-        worth.min_by(f32::total_cmp).unwrap_or(f32::MAX)
-    }
-
     /// Chooses the least loaded target, one of the own zone unless another is
     /// clearly better.
     fn choose_plain(
@@ -379,7 +375,7 @@
             return;
         }
         known.fence = news.fence;
-        known.told_by_owner(news.running, news.queued);
+        known.told_by_owner(news.running, news.queued, news.worth);
         if news.whole {
             for key in std::mem::take(&mut known.residents) {
                 self.drop_holder(key, news.target);
