--- a/crates/entryd/src/outside.rs
+++ b/crates/entryd/src/outside.rs
@@ -96,7 +96,7 @@
     match state.client.send(send).await {
         Ok(answer) => match answer.status.as_u16() {
             200 => OrderEnd::Done,
-            400 if already_loaded(answer).await => OrderEnd::Done,
+            400 if already_loaded(answer).await => OrderEnd::Already,
             412 => OrderEnd::Fenced,
             _ => OrderEnd::Failed,
         },
