--- a/crates/web/src/client/link.rs
+++ b/crates/web/src/client/link.rs
@@ -26,6 +26,10 @@
 use super::broken::{Broken, Cause};
 
 /// An open connection; dropping it closes the socket at once.
+///
+/// Failure: a caller leaves while a large request is half written to a target
+/// that reads slowly. hyper would go on writing it, so the target would get
+/// and run a whole request for nobody. Ending the task ends the writing.
 #[derive(Debug)]
 pub(crate) struct Link {
     sender: http1::SendRequest<Full<Bytes>>,
--- a/crates/web/tests/web/client.rs
+++ b/crates/web/tests/web/client.rs
@@ -4,13 +4,16 @@
 
 use base::{Mark, Verdict, covers};
 use googletest::prelude::*;
-use tokio::net::TcpListener;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 use web::{
     Method,
     client::{Broken, Client, Limits, Send},
 };
 
-use super::peer::{Step, Target, sized};
+use super::peer::{Step, Target, hear, sized};
 
 const BODY_MAX: usize = 1 << 16;
 const SHORT: Duration = Duration::from_millis(100);
@@ -138,6 +141,43 @@
     assert_that!(target.connections(), eq(2));
 }
 
+/// A caller leaves before the head, or amid the answer. The target must see
+/// it by a close, or an engine goes on generating for nobody.
+#[gtest]
+#[tokio::test]
+async fn leaving_closes_the_connection() {
+    for head in ["", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhel"] {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let send = get(listener.local_addr().unwrap());
+        let caller = tokio::spawn(async move {
+            let answer = Client::default().send(send).await;
+            std::future::pending::<()>().await;
+            drop(answer);
+        });
+        let (mut near, _) = listener.accept().await.unwrap();
+        near.read_u8().await.unwrap();
+        near.write_all(head.as_bytes()).await.unwrap();
+        tokio::time::sleep(SHORT).await;
+        caller.abort();
+        hear(&mut near).await;
+    }
+}
+
+/// A target stops reading amid a large request, and the caller leaves. The
+/// rest of it must not arrive when the target reads on.
+#[gtest]
+#[tokio::test]
+async fn a_request_given_up_does_not_arrive_later() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let mut send = get(listener.local_addr().unwrap());
+    send.body = vec![b'x'; 32 << 20].into();
+    let all = send.body.len();
+    let left = tokio::time::timeout(SHORT, fetch(&Client::default(), send)).await;
+    expect_that!(left.is_err(), eq(true));
+    let (mut near, _) = listener.accept().await.unwrap();
+    assert_that!(hear(&mut near).await.len(), lt(all));
+}
+
 /// Something between the two ends forgot an idle connection: it is open at
 /// both ends and carries nothing. The request goes on on a new one.
 #[gtest]
