--- /dev/null
+++ b/crates/lab/tests/processes/main.rs
@@ -0,0 +1,6 @@
+//! Process-level tests: real daemons and stand-ins on the loopback interface.
+
+mod common;
+mod path;
+mod rolling;
+mod trace;
--- a/crates/request/src/life.rs
+++ b/crates/request/src/life.rs
@@ -33,8 +33,8 @@
     begun: bool,
     /// Tokens that the caller has.
     tokens: u32,
-    /// Whether the caller has what comes after the last token.
-    tailed: bool,
+    /// The attempt from which the caller has what comes after the last token.
+    tailed: Option<AttemptNo>,
     /// Whether the caller left while the request goes on without it.
     alone: bool,
 }
@@ -51,7 +51,7 @@
             headed: false,
             begun: false,
             tokens: 0,
-            tailed: false,
+            tailed: None,
             alone: false,
         }
     }
@@ -333,15 +333,15 @@
             Reply::Awaited => {}
             Reply::Holding => out.push(Output::Hold),
             Reply::Passing if self.alone => {}
-            Reply::Passing => self.pass(part, out),
+            Reply::Passing => self.pass(attempt.no, part, out),
         }
     }
 
-    fn pass(&mut self, part: Part, out: &mut Vec<Output>) {
+    fn pass(&mut self, no: AttemptNo, part: Part, out: &mut Vec<Output>) {
         let again = match part {
             Part::Preamble => self.begun,
-            Part::Tokens(_) => false,
-            Part::Tail => self.tailed,
+            Part::Tail => self.tailed.is_some_and(|by| by != no),
+            Part::Tokens(_) | Part::Last | Part::Raw => false,
         };
         if again {
             // A continued stream begins and ends anew only for the engine.
@@ -349,7 +349,9 @@
             return;
         }
         self.begun = true;
-        self.tailed |= part == Part::Tail;
+        if part == Part::Tail {
+            self.tailed = Some(no);
+        }
         if let Part::Tokens(n) = part {
             self.tokens += n;
         }
@@ -389,6 +391,12 @@
         if attempt.reply == Reply::Holding {
             out.push(Output::DropHeld);
         }
+        if failed.reason == Refusal::Preempted && start.mark == Mark::Repeatable {
+            return self.on_preempted(now, start, out);
+        }
+        if failed.reason == Refusal::Moved && failed.verdict == Verdict::NotRun {
+            return self.on_moved(start, out);
+        }
         let target = attempt.target;
         if failed.verdict != Verdict::NotRun {
             let fault = failed.fault;
@@ -413,6 +421,42 @@
         self.give_up(&start, Failure::not_run(failed.reason), out);
     }
 
+    /// Goes on after giving way to more urgent work.
+    ///
+    /// Nothing failed, so the attempt counts neither against the cap nor
+    /// against the target: batch work that gives way all evening would else
+    /// be given up before the morning.
+    fn on_preempted(&mut self, now: Time, mut start: Start, out: &mut Vec<Output>) {
+        base::hit!(preempted_goes_on);
+        self.verdict = self.verdict.max(Verdict::MayHaveRun);
+        self.reason = None;
+        start.attempts += 1;
+        if !self.may_repeat(now, &start, Verdict::MayHaveRun) {
+            return self.give_up(&start, Failure::not_run(Refusal::Preempted), out);
+        }
+        self.again(start, out);
+    }
+
+    /// Finds another place after the owner of an engine turned it away because
+    /// the engine is no longer its own.
+    ///
+    /// Nothing was sent to the engine and nothing failed: in a rolling restart
+    /// all engines change owners within seconds, and counted attempts would be
+    /// used up by that alone.
+    fn on_moved(&mut self, mut start: Start, out: &mut Vec<Output>) {
+        base::hit!(moved_goes_on);
+        start.attempts += 1;
+        self.again(start, out);
+    }
+
+    fn again(&mut self, start: Start, out: &mut Vec<Output>) {
+        out.push(Output::Place {
+            avoid: self.avoid.clone(),
+            retry: false,
+        });
+        self.stage = Stage::Placing(start);
+    }
+
     fn on_caller_gone(&mut self, start: Start, attempt: Attempt, out: &mut Vec<Output>) {
         if start.outlives && start.mark == Mark::Once {
             base::hit!(marked_outlives_caller);
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -17,6 +17,8 @@
     pub enum Call {
         /// Entry to control: alive, and asks for leases.
         Beat(Beat),
+        /// Anyone to anyone: asks which version of the text is in force there.
+        Version,
         /// Anyone to anyone: asks for the newest text.
         Text {
             /// The version that the asker has.
@@ -46,6 +48,8 @@
         Done,
         /// Answers [`Call::Beat`].
         Beat(BeatReply),
+        /// Answers [`Call::Version`].
+        Version(TextVersion),
         /// Answers [`Call::Text`] with a newer text.
         Text {
             /// Its version.
@@ -85,8 +89,16 @@
         pub leaving: bool,
         /// Counts the beats of one life; the reply repeats it.
         pub serial: u64,
-        /// Engines it can reach, from the platform's list, of its own zone.
-        pub engines: Vec<TargetName>,
+        /// The greatest serial among the replies taken in so far.
+        pub heard: u64,
+        /// How much of the roster it has; see [`BeatReply::roster`].
+        pub roster: u64,
+        /// Engines of its own zone that it can reach, from the platform's
+        /// list; sent when they change or the leader asks, else absent.
+        pub engines: Option<Vec<TargetName>>,
+        /// Engines that it lost and still has requests on, with the fencing
+        /// number that it had.
+        pub busy: Vec<(TargetName, Fence)>,
         /// Loads it waits to make, for its part of the store's budget.
         pub loads: u32,
     }
@@ -102,8 +114,17 @@
         /// Loads from the store that the asker may start each second, in
         /// thousandths.
         pub loads: u32,
-        /// Other entry instances.
+        /// Index of the last log entry that changed instances or owners.
+        pub roster: u64,
+        /// Whether `peers` is everybody rather than what changed since the
+        /// asker's roster.
+        pub whole: bool,
+        /// Entry instances that are new or changed.
         pub peers: Vec<Peer>,
+        /// Entry instances that were taken off since the asker's roster.
+        pub gone: Vec<InstanceName>,
+        /// Whether the next beat should name the engines in reach.
+        pub tell: bool,
     }
 
     /// A lease on one engine.
@@ -114,8 +135,9 @@
         pub fence: Fence,
         /// How long it holds, from when the beat was sent.
         pub lasts: Duration,
-        /// Whether the owner before may still have requests running there.
-        pub inherited: bool,
+        /// Fencing numbers of earlier owners that may still have requests
+        /// running there.
+        pub former: Vec<Fence>,
     }
 
     /// Another entry instance, as the leader knows it.
@@ -229,9 +251,9 @@
         pub added: Vec<(AdapterName, Version)>,
         /// No longer resident.
         pub removed: Vec<(AdapterName, Version)>,
-        /// Requests admitted and not finished.
+        /// Critical and live requests admitted and not ended.
         pub in_flight: u32,
-        /// Requests queued before the engine.
+        /// Batch requests admitted and not ended; they wait or give way.
         pub queued: u32,
     }
 
--- /dev/null
+++ b/xtask/src/events.rs
@@ -0,0 +1,127 @@
+//! Checks that the pages that name events and the code agree: the catalogue in
+//! `docs/logs.md`, and the marks of events that nothing logs yet in
+//! `docs/operations.md`.
+
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+};
+
+use anyhow::{Context, Result, bail};
+use telemetry::{Event, catalogue};
+
+/// The catalogue.
+const LOGS: &str = "docs/logs.md";
+/// The page for whoever is on call.
+const GUIDE: &str = "docs/operations.md";
+/// Marks an event that nothing logs yet.
+const DAGGER: char = '\u{2020}';
+
+/// Describes the chore for the command line.
+pub(crate) fn command() -> clap::Command {
+    clap::Command::new("events")
+        .about("Checks docs/logs.md against the events in the code")
+        .arg(
+            clap::Arg::new("write")
+                .long("write")
+                .action(clap::ArgAction::SetTrue)
+                .help("Writes the page's tables anew"),
+        )
+}
+
+/// Checks the page, or writes it with `write`.
+///
+/// # Errors
+///
+/// Fails with every difference between page and code.
+pub(crate) fn run(root: &Path, write: bool) -> Result<()> {
+    let unused = unused(root)?;
+    let logs = Page::read(root, LOGS)?;
+    let guide = Page::read(root, GUIDE)?;
+    let marked = marked(&guide.text, &unused);
+    if write {
+        let new = catalogue::update(&logs.text).context("the page lacks its marks")?;
+        fs::write(&logs.path, new)?;
+        fs::write(&guide.path, marked)?;
+        return Ok(());
+    }
+    let differences = catalogue::differences(&logs.text);
+    if !differences.is_empty() {
+        bail!(
+            "{LOGS} and the code differ (see --write):\n{}",
+            differences.join("\n")
+        );
+    }
+    if marked != guide.text {
+        bail!("{GUIDE} marks the wrong events as not logged yet (see --write)");
+    }
+    println!("{} events, pages and code agree", Event::ALL.len());
+    if !unused.is_empty() {
+        let names: Vec<String> = unused
+            .iter()
+            .map(|event| format!("{event} {event:?}"))
+            .collect();
+        println!(
+            "{} of them logged nowhere: {}",
+            names.len(),
+            names.join(", ")
+        );
+    }
+    Ok(())
+}
+
+/// A page of the docs.
+struct Page {
+    path: PathBuf,
+    text: String,
+}
+
+impl Page {
+    fn read(root: &Path, name: &str) -> Result<Self> {
+        let path = root.join(name);
+        let text = fs::read_to_string(&path).with_context(|| format!("can't read {name}"))?;
+        Ok(Page { path, text })
+    }
+}
+
+/// Returns `page` with a dagger after each unused event, and after no other.
+fn marked(page: &str, unused: &BTreeSet<Event>) -> String {
+    let mut page = page.replace(DAGGER, "");
+    for event in unused {
+        page = page.replace(&event.to_string(), &format!("{event}{DAGGER}"));
+    }
+    page
+}
+
+/// Returns the events that no `event!` outside `telemetry` names, whatever the
+/// type is imported as.
+fn unused(root: &Path) -> Result<BTreeSet<Event>> {
+    let mut named = BTreeSet::new();
+    for file in sources(&root.join("crates"))? {
+        if file.starts_with(root.join("crates/telemetry")) {
+            continue;
+        }
+        let source: String = fs::read_to_string(file)?.split_whitespace().collect();
+        let calls = source.split("event!(").skip(1);
+        let paths = calls.filter_map(|call| call.split([',', ')']).next());
+        named.extend(paths.filter_map(|path| Some(path.rsplit_once("::")?.1.to_owned())));
+    }
+    let unused = Event::ALL
+        .iter()
+        .filter(|event| !named.contains(&format!("{event:?}")));
+    Ok(unused.copied().collect())
+}
+
+fn sources(folder: &Path) -> Result<Vec<PathBuf>> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.is_dir() {
+            found.extend(sources(&path)?);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            found.push(path);
+        }
+    }
+    Ok(found)
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,12 +1,53 @@
 //! Chores of the repository, started as `cargo xtask CHORE`.
 
-use std::process::{Command, ExitCode};
+mod demo;
+mod events;
+mod measure;
+mod samples;
+mod soak;
+mod test;
 
-use anyhow::{Context, Result, bail};
+use std::{path::Path, process::ExitCode};
+
+use anyhow::{Result, bail};
+use clap::{ArgMatches, Command};
+
+/// One chore: its command line, and what it does.
+struct Chore {
+    command: fn() -> Command,
+    run: fn(&ArgMatches) -> Result<ExitCode>,
+}
+
+const CHORES: &[Chore] = &[
+    Chore {
+        command: test::command,
+        run: test::run,
+    },
+    Chore {
+        command: demo::command,
+        run: demo::run,
+    },
+    Chore {
+        command: measure::command,
+        run: measure::run,
+    },
+    Chore {
+        command: events::command,
+        run: |args| done(events::run(root(), args.get_flag("write"))),
+    },
+    Chore {
+        command: samples::command,
+        run: |args| done(samples::run(root(), args)),
+    },
+    Chore {
+        command: soak::command,
+        run: |args| done(soak::run(args)),
+    },
+];
 
 fn main() -> ExitCode {
     match run() {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(err) => {
             eprintln!("xtask: {err:#}");
             ExitCode::FAILURE
@@ -14,30 +55,29 @@
     }
 }
 
-fn run() -> Result<()> {
-    let cli = clap::Command::new("xtask")
+fn run() -> Result<ExitCode> {
+    let mut cli = Command::new("xtask")
         .about("Chores of the repository")
-        .subcommand_required(true)
-        .subcommand(clap::Command::new("test").about("Builds the daemons, then runs all tests"));
-    match cli.get_matches().subcommand_name() {
-        Some("test") => test(),
-        _ => bail!("no such chore"),
+        .subcommand_required(true);
+    for chore in CHORES {
+        cli = cli.subcommand((chore.command)());
+    }
+    let matches = cli.get_matches();
+    let Some((name, args)) = matches.subcommand() else {
+        bail!("no chore named");
+    };
+    let chore = CHORES.iter().find(|c| (c.command)().get_name() == name);
+    match chore {
+        Some(chore) => (chore.run)(args),
+        None => bail!("no such chore"),
     }
 }
 
-/// Builds every binary first, because process-level tests start them.
-fn test() -> Result<()> {
-    cargo(&["build", "--workspace", "--bins", "--locked"])?;
-    cargo(&["test", "--workspace", "--locked"])
+/// Returns the repository's root.
+fn root() -> &'static Path {
+    Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/.."))
 }
 
-fn cargo(args: &[&str]) -> Result<()> {
-    let status = Command::new("cargo")
-        .args(args)
-        .status()
-        .context("can't start cargo")?;
-    if !status.success() {
-        bail!("cargo {} failed", args.join(" "));
-    }
-    Ok(())
+fn done(result: Result<()>) -> Result<ExitCode> {
+    result.map(|()| ExitCode::SUCCESS)
 }
