--- a/crates/request/src/life.rs
+++ b/crates/request/src/life.rs
@@ -1,5 +1,7 @@
 //! The life of one request as a state machine.
 
+mod answer;
+mod failed;
 mod rules;
 
 use std::time::Duration;
@@ -8,7 +10,7 @@
 
 use crate::{
     Start,
-    message::{AttemptNo, ClaimReply, Fate, Fault, Final, Input, Output, Part, RanOn},
+    message::{AttemptNo, ClaimReply, Fate, Fault, Final, Input, Output},
 };
 
 /// When a caller may come back if nobody knows better: long enough for a
@@ -35,6 +37,10 @@
     tokens: u32,
     /// The attempt from which the caller has what comes after the last token.
     tailed: Option<AttemptNo>,
+    /// Whether the caller has bytes that can't be continued.
+    raw: bool,
+    /// Whether the caller has the mark that the stream is whole.
+    marked: bool,
     /// Whether the caller left while the request goes on without it.
     alone: bool,
 }
@@ -52,6 +58,8 @@
             begun: false,
             tokens: 0,
             tailed: None,
+            raw: false,
+            marked: false,
             alone: false,
         }
     }
@@ -283,182 +291,8 @@
         }
     }
 
-    fn on_head(
-        &mut self,
-        now: Time,
-        start: Start,
-        mut attempt: Attempt,
-        (status, ran_on, resumed): (u16, RanOn, Option<u32>),
-        out: &mut Vec<Output>,
-    ) {
-        if attempt.reply != Reply::Awaited {
-            self.stage = Stage::Sent(start, attempt);
-            return;
-        }
-        let good = (200..300).contains(&status);
-        if let Some(fault) = self.fault_of(&start, good, ran_on, resumed) {
-            out.push(Output::Cancel {
-                attempt: attempt.no,
-            });
-            self.on_failed(now, start, attempt, Failed::broken(fault), out);
-            return;
-        }
-        if status >= 500 && self.may_repeat(now, &start, Verdict::MayHaveRun) {
-            out.push(Output::Cancel {
-                attempt: attempt.no,
-            });
-            self.on_failed(now, start, attempt, Failed::broken(Fault::Failed), out);
-            return;
-        }
-        attempt.reply = self.pass_head(&start, good, out);
-        self.stage = Stage::Sent(start, attempt);
-    }
-
-    fn pass_head(&mut self, start: &Start, good: bool, out: &mut Vec<Output>) -> Reply {
-        if self.headed {
-            return Reply::Passing;
-        }
-        if !start.stream || !good || self.alone {
-            out.push(Output::Hold);
-            return Reply::Holding;
-        }
-        self.headed = true;
-        out.push(Output::PassHead);
-        Reply::Passing
-    }
-
-    fn on_piece(&mut self, start: Start, attempt: Attempt, part: Part, out: &mut Vec<Output>) {
-        self.stage = Stage::Sent(start, attempt);
-        match attempt.reply {
-            Reply::Awaited => {}
-            Reply::Holding => out.push(Output::Hold),
-            Reply::Passing if self.alone => {}
-            Reply::Passing => self.pass(attempt.no, part, out),
-        }
-    }
-
-    fn pass(&mut self, no: AttemptNo, part: Part, out: &mut Vec<Output>) {
-        let again = match part {
-            Part::Preamble => self.begun,
-            Part::Tail => self.tailed.is_some_and(|by| by != no),
-            Part::Tokens(_) | Part::Last | Part::Raw => false,
-        };
-        if again {
-            // A continued stream begins and ends anew only for the engine.
-            base::hit!(second_frame_dropped);
-            return;
-        }
-        self.begun = true;
-        if part == Part::Tail {
-            self.tailed = Some(no);
-        }
-        if let Part::Tokens(n) = part {
-            self.tokens += n;
-        }
-        out.push(Output::Pass);
-    }
-
-    fn on_whole(&mut self, now: Time, start: Start, attempt: Attempt, out: &mut Vec<Output>) {
-        if attempt.reply == Reply::Awaited {
-            let failed = Failed::broken(Fault::Failed);
-            return self.on_failed(now, start, attempt, failed, out);
-        }
-        if start.mark == Mark::Once {
-            out.push(Output::Settle(Fate::Ran));
-        }
-        if self.alone {
-            let failure = Failure {
-                reason: Refusal::CallerGone,
-                verdict: Verdict::Ran,
-                retry: None,
-            };
-            return self.fail(failure, out);
-        }
-        if attempt.reply == Reply::Holding {
-            out.push(Output::Release);
-        }
-        self.finish(Final::Whole, out);
-    }
-
-    fn on_failed(
-        &mut self,
-        now: Time,
-        start: Start,
-        attempt: Attempt,
-        failed: Failed,
-        out: &mut Vec<Output>,
-    ) {
-        if attempt.reply == Reply::Holding {
-            out.push(Output::DropHeld);
-        }
-        if failed.reason == Refusal::Preempted && start.mark == Mark::Repeatable {
-            return self.on_preempted(now, start, out);
-        }
-        if failed.reason == Refusal::Moved && failed.verdict == Verdict::NotRun {
-            return self.on_moved(start, out);
-        }
-        let target = attempt.target;
-        if failed.verdict != Verdict::NotRun {
-            let fault = failed.fault;
-            out.push(Output::Blame { target, fault });
-        }
-        self.avoid.push(target);
-        // A head proves that the target began, whatever the failure says.
-        let answered = attempt.reply != Reply::Awaited || failed.fault != Fault::Failed;
-        let least = if answered {
-            Verdict::MayHaveRun
-        } else {
-            Verdict::NotRun
-        };
-        let verdict = failed.verdict.max(least);
-        let again = self.may_repeat(now, &start, verdict);
-        self.verdict = self.verdict.max(verdict);
-        self.reason = Some(failed.reason);
-        self.retry = failed.retry;
-        if again {
-            return self.place(start, out);
-        }
-        self.give_up(&start, Failure::not_run(failed.reason), out);
-    }
-
-    /// Goes on after giving way to more urgent work.
-    ///
-    /// Nothing failed, so the attempt counts neither against the cap nor
-    /// against the target: batch work that gives way all evening would else
-    /// be given up before the morning.
-    fn on_preempted(&mut self, now: Time, mut start: Start, out: &mut Vec<Output>) {
-        base::hit!(preempted_goes_on);
-        self.verdict = self.verdict.max(Verdict::MayHaveRun);
-        self.reason = None;
-        start.attempts += 1;
-        if !self.may_repeat(now, &start, Verdict::MayHaveRun) {
-            return self.give_up(&start, Failure::not_run(Refusal::Preempted), out);
-        }
-        self.again(start, out);
-    }
-
-    /// Finds another place after the owner of an engine turned it away because
-    /// the engine is no longer its own.
-    ///
-    /// Nothing was sent to the engine and nothing failed: in a rolling restart
-    /// all engines change owners within seconds, and counted attempts would be
-    /// used up by that alone.
-    fn on_moved(&mut self, mut start: Start, out: &mut Vec<Output>) {
-        base::hit!(moved_goes_on);
-        start.attempts += 1;
-        self.again(start, out);
-    }
-
-    fn again(&mut self, start: Start, out: &mut Vec<Output>) {
-        out.push(Output::Place {
-            avoid: self.avoid.clone(),
-            retry: false,
-        });
-        self.stage = Stage::Placing(start);
-    }
-
     fn on_caller_gone(&mut self, start: Start, attempt: Attempt, out: &mut Vec<Output>) {
-        if start.outlives && start.mark == Mark::Once {
+        if start.outlives && start.mark == Mark::Once && !self.marked {
             base::hit!(marked_outlives_caller);
             self.alone = true;
             self.stage = Stage::Sent(start, attempt);
@@ -475,6 +309,9 @@
         if attempt.reply == Reply::Holding {
             out.push(Output::DropHeld);
         }
+        if self.marked {
+            return self.end_whole(start, attempt, out);
+        }
         self.verdict = self.verdict.max(Verdict::MayHaveRun);
         self.reason = None;
         self.give_up(start, Failure::not_run(why), out);
--- /dev/null
+++ b/crates/request/src/life/answer.rs
@@ -0,0 +1,126 @@
+//! What of an attempt's answer is passed on.
+
+use base::{Failure, Mark, Refusal, Time, Verdict};
+
+use super::{Attempt, Failed, Reply, Request, Stage};
+use crate::{
+    Start,
+    message::{AttemptNo, Fate, Fault, Final, Output, Part, RanOn},
+};
+
+impl Request {
+    pub(super) fn on_head(
+        &mut self,
+        now: Time,
+        start: Start,
+        mut attempt: Attempt,
+        (status, ran_on, resumed): (u16, RanOn, Option<u32>),
+        out: &mut Vec<Output>,
+    ) {
+        if attempt.reply != Reply::Awaited {
+            self.stage = Stage::Sent(start, attempt);
+            return;
+        }
+        let good = (200..300).contains(&status);
+        if let Some(fault) = self.fault_of(&start, good, ran_on, resumed) {
+            out.push(Output::Cancel {
+                attempt: attempt.no,
+            });
+            self.on_failed(now, start, attempt, Failed::broken(fault), out);
+            return;
+        }
+        if status >= 500 && self.may_repeat(now, &start, Verdict::MayHaveRun) {
+            out.push(Output::Cancel {
+                attempt: attempt.no,
+            });
+            self.on_failed(now, start, attempt, Failed::broken(Fault::Failed), out);
+            return;
+        }
+        attempt.reply = self.pass_head(&start, good, out);
+        self.stage = Stage::Sent(start, attempt);
+    }
+
+    pub(super) fn pass_head(&mut self, start: &Start, good: bool, out: &mut Vec<Output>) -> Reply {
+        if self.headed {
+            return Reply::Passing;
+        }
+        if !start.stream || !good || self.alone {
+            out.push(Output::Hold);
+            return Reply::Holding;
+        }
+        self.headed = true;
+        out.push(Output::PassHead);
+        Reply::Passing
+    }
+
+    pub(super) fn on_piece(
+        &mut self,
+        start: Start,
+        attempt: Attempt,
+        part: Part,
+        out: &mut Vec<Output>,
+    ) {
+        self.stage = Stage::Sent(start, attempt);
+        match attempt.reply {
+            Reply::Awaited => {}
+            Reply::Holding => out.push(Output::Hold),
+            Reply::Passing if self.alone => {}
+            Reply::Passing => self.pass(attempt.no, part, out),
+        }
+    }
+
+    pub(super) fn pass(&mut self, no: AttemptNo, part: Part, out: &mut Vec<Output>) {
+        let again = match part {
+            Part::Preamble => self.begun,
+            Part::Tail => self.tailed.is_some_and(|by| by != no),
+            Part::Tokens(_) | Part::Last | Part::Raw => false,
+        };
+        if again {
+            // A continued stream begins and ends anew only for the engine.
+            base::hit!(second_frame_dropped);
+            return;
+        }
+        self.begun = true;
+        match part {
+            Part::Tokens(n) => self.tokens += n,
+            Part::Tail => self.tailed = Some(no),
+            Part::Last => self.marked = true,
+            Part::Raw => self.raw = true,
+            Part::Preamble => {}
+        }
+        out.push(Output::Pass);
+    }
+
+    pub(super) fn on_whole(
+        &mut self,
+        now: Time,
+        start: Start,
+        attempt: Attempt,
+        out: &mut Vec<Output>,
+    ) {
+        if attempt.reply == Reply::Awaited {
+            let failed = Failed::broken(Fault::Failed);
+            return self.on_failed(now, start, attempt, failed, out);
+        }
+        self.end_whole(&start, attempt, out);
+    }
+
+    /// Ends with the whole answer.
+    pub(super) fn end_whole(&mut self, start: &Start, attempt: Attempt, out: &mut Vec<Output>) {
+        if start.mark == Mark::Once {
+            out.push(Output::Settle(Fate::Ran));
+        }
+        if self.alone {
+            let failure = Failure {
+                reason: Refusal::CallerGone,
+                verdict: Verdict::Ran,
+                retry: None,
+            };
+            return self.fail(failure, out);
+        }
+        if attempt.reply == Reply::Holding {
+            out.push(Output::Release);
+        }
+        self.finish(Final::Whole, out);
+    }
+}
--- a/crates/request/src/life/rules.rs
+++ b/crates/request/src/life/rules.rs
@@ -50,6 +50,12 @@
             base::hit!(marked_not_repeated);
             return false;
         }
+        if self.raw {
+            // Failure: a plain service's answer is cut and fetched anew. Its
+            // beginning would stand twice in what the caller takes for whole.
+            base::hit!(bytes_not_repeated);
+            return false;
+        }
         if self.tokens > 0 && !start.resumable {
             base::hit!(stream_not_resumable);
             return false;
--- a/crates/request/tests/paths.rs
+++ b/crates/request/tests/paths.rs
@@ -260,6 +260,71 @@
     assert_that!(run.request.is_over(), eq(true));
 }
 
+/// A plain service's answer is passed on as it comes and then cut. Fetched
+/// anew, its beginning would stand twice in what the caller takes for whole.
+#[gtest]
+fn bytes_passed_on_are_not_fetched_anew() {
+    covers!(bytes_not_repeated);
+    let mut run = Run::new(Start {
+        adapter: None,
+        ..live()
+    });
+    run.sent(1);
+    run.give(head(1, RanOn::Unnamed, None));
+    run.give(piece(1, Part::Raw));
+    let out = run.give(end(1, false));
+    let failure = failure(Refusal::TargetFailed, Verdict::MayHaveRun, RETRY);
+    assert_that!(out, contains(eq(&Output::Finish(Final::Broken(failure)))));
+}
+
+/// The connection breaks just after `[DONE]`. The caller has it all; an error
+/// or a second answer after it would spoil what is whole.
+#[gtest]
+fn a_cut_after_the_end_spoils_nothing() {
+    covers!(cut_after_the_end);
+    let mut run = Run::new(live());
+    run.sent(1);
+    run.give(head(1, RanOn::Named(KEY), None));
+    run.give(piece(1, Part::Tokens(1)));
+    run.give(piece(1, Part::Last));
+    let out = run.give(end(1, false));
+    assert_that!(out, eq(&vec![Output::Finish(Final::Whole)]));
+}
+
+/// Overnight work gives way to urgent work all evening, and engines change
+/// owners in a rolling restart. Neither may use up its attempts.
+#[gtest]
+fn giving_way_and_moving_are_no_failures() {
+    covers!(preempted_goes_on);
+    covers!(moved_goes_on);
+    let mut run = Run::new(live());
+    for no in (1..40).step_by(2) {
+        let reasons = [
+            (Verdict::MayHaveRun, Refusal::Preempted),
+            (Verdict::NotRun, Refusal::Moved),
+        ];
+        for (i, (verdict, reason)) in (0..).zip(reasons) {
+            let attempt = AttemptNo(no + i);
+            run.sent(attempt.0);
+            let retry = None;
+            let out = run.give(Input::AttemptFailed {
+                attempt,
+                verdict,
+                reason,
+                retry,
+            });
+            let avoid = vec![];
+            expect_that!(
+                out,
+                eq(&vec![Output::Place {
+                    avoid,
+                    retry: false
+                }])
+            );
+        }
+    }
+}
+
 fn claim_reply((reply, reason, verdict, retry): (ClaimReply, Refusal, Verdict, Option<Duration>)) {
     let mut run = Run::new(marked());
     let out = run.give(Input::Claimed(reply));
