Tell callers without a connection left that nothing ran

While every connection was busy, one more was closed without a word: its caller had sent its request and had to take it for one that may have run. A bounded number of such callers now get 429 and 'not run'.

--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -5,6 +5,7 @@
 //! connections, and how long an answer may wait for a caller that doesn't
 //! read.
 
+mod refusal;
 mod slots;
 mod stall;
 
@@ -29,7 +30,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use self::{slots::Slots, stall::Stalling};
+use self::{refusal::Refusals, slots::Slots, stall::Stalling};
 use crate::{body::Body, reply};
 
 /// How long the accept loop rests after an error of the system, such as too
@@ -39,13 +40,14 @@
 /// What callers may cost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Until a head is read; also how long a connection may lie idle.
+    /// Until a head is read, counted from the end of the request before.
     pub header_time: Duration,
     /// Largest head, in bytes; at least 8,192.
     pub header_bytes: usize,
     /// Largest body that may be announced, in bytes.
     pub body_bytes: u64,
-    /// Most connections; beyond them the longest idle one is closed.
+    /// Most connections; beyond them the longest idle one is closed, and a
+    /// new one is refused where none is idle.
     pub connections: usize,
     /// How long a caller may refuse to read before it is cut off.
     pub write_stall: Duration,
@@ -134,16 +136,14 @@
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
+    let refusals = Refusals::default();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_REST).await;
             continue;
         };
         let Some(slot) = site.slots.open() else {
-            // All are busy: closing unread is a refusal that no caller can
-            // take for an answer.
-            base::hit!(all_connections_busy);
-            drop(stream);
+            refusals.refuse(stream);
             continue;
         };
         tasks.spawn(connection(stream, slot, Arc::clone(site)));
--- a/crates/web/tests/web/server.rs
+++ b/crates/web/tests/web/server.rs
@@ -256,11 +256,26 @@
     .await;
     let mut busy = say(site.addr, &get("/wait")).await;
     site.shared.began.notified().await;
-    expect_that!(site.ask(&get("/")).await, eq(""));
+    let answer = Client::default()
+        .send(Send::new(site.addr, Method::GET, "/"))
+        .await
+        .unwrap();
+    expect_that!(answer.status.as_u16(), eq(429));
+    expect_that!(answer.refused(), eq(true));
+    expect_that!(answer.whole(BODY).await.is_ok(), eq(true));
     site.shared.go.notify_one();
     assert_that!(hear(&mut busy).await, contains_substring("waited"));
 }
 
+/// A caller keeps its connection and sends nothing more.
+#[gtest]
+#[tokio::test]
+async fn a_kept_connection_is_closed_in_time() {
+    let site = Site::start(limits()).await;
+    let kept = get("/").replace("connection: close\r\n", "");
+    assert_that!(site.ask(&kept).await, contains_substring("200 OK"));
+}
+
 /// A caller opens a stream and never reads it, so its place and buffers would
 /// be held until the kernel gives up.
 #[gtest]
