Bring services up in the order of their dependencies; report load stalls

A service takes requests once its pool has a live target and all that it needs are up; once up it stays up, so that a dependency that fails later takes down nothing else in a zone that is cut off. Weighed against it: refusing a dependent whenever a dependency is away, which turns one failure into several. A load stall is counted from a request's arrival in the queue of an engine that lacks its adapter to the end of the load.

--- a/crates/entryd/src/events.rs
+++ b/crates/entryd/src/events.rs
@@ -11,6 +11,10 @@
             metrics().text_version(version);
             event!(Line::TextInForce, version = version);
         }
+        Event::Services { brand, up, waiting } if waiting > 0 => {
+            event!(Line::ServiceDown, brand = brand, up = up, waiting = waiting);
+        }
+        Event::Services { brand, up, .. } => event!(Line::ServiceUp, brand = brand, up = up),
         Event::Owns(engine, fence) => event!(Line::EngineTaken, engine = engine, fence = fence),
         Event::Lost(engine) => event!(Line::LeaseLost, engine = engine),
         Event::EngineRestarted(engine) => event!(Line::EngineRestarted, engine = engine),
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -15,8 +15,8 @@
 };
 
 use base::{
-    AdapterKey, AdapterNo, Failure, Fence, Incarnation, Refusal, TargetName, TargetNo, Ticket,
-    Time, Version,
+    AdapterKey, AdapterNo, Class, Failure, Fence, Incarnation, Refusal, TargetName, TargetNo,
+    Ticket, Time, Version,
 };
 use member::{Look, Watch};
 use owner::{Holder, Order as Ask};
@@ -46,6 +46,15 @@
     Touch(TargetNo, AdapterKey, Fence),
 }
 
+/// A request that waits for its adapter to be loaded.
+#[derive(Clone, Copy, Debug)]
+struct Stalled {
+    class: Class,
+    since: Time,
+    target: TargetNo,
+    key: Option<AdapterKey>,
+}
+
 /// One engine of this zone.
 #[derive(Debug, Default)]
 struct Engine {
@@ -75,6 +84,9 @@
     serials: BTreeMap<TargetNo, u64>,
     /// What was heard of engines that others own.
     others: BTreeMap<TargetNo, residents::Heard>,
+    /// Requests that came for an adapter that their engine did not hold, with
+    /// their class.
+    stalled: BTreeMap<Ticket, Stalled>,
     /// Engines of this zone as last told to the leader.
     told: Option<Vec<TargetName>>,
     /// The version of each adapter that the text in force serves.
@@ -104,6 +116,7 @@
             next_poll: 0,
             serials: BTreeMap::new(),
             others: BTreeMap::new(),
+            stalled: BTreeMap::new(),
             told: None,
             serving: BTreeMap::new(),
             heard: now,
@@ -131,7 +144,10 @@
                 target,
                 ask,
             } => self.on_queue(shared, now, ticket, target, ask, out),
-            Msg::Dequeue(ticket) => self.desk(shared, now, DeskInput::Cancel(ticket), out),
+            Msg::Dequeue(ticket) => {
+                self.stalled.remove(&ticket);
+                self.desk(shared, now, DeskInput::Cancel(ticket), out);
+            }
             Msg::Using {
                 ticket,
                 target,
@@ -175,6 +191,16 @@
             out.tell(ENTRY, Msg::Refused { ticket, failure });
             return;
         }
+        let held = known.is_some_and(|engine| ask.key.is_some_and(|k| engine.listed.contains(&k)));
+        if !held {
+            let stalled = Stalled {
+                class: ask.class,
+                since: now,
+                target,
+                key: ask.key,
+            };
+            self.stalled.insert(ticket, stalled);
+        }
         let input = DeskInput::Arrive {
             ticket,
             target,
@@ -228,6 +254,7 @@
                 priority,
             } => return self.send(shared, now, ticket, target, priority, out),
             DeskOutput::Refuse { ticket, failure } => {
+                self.stalled.remove(&ticket);
                 out.tell(ENTRY, Msg::Refused { ticket, failure });
             }
             DeskOutput::Preempt(ticket) => out.tell(ENTRY, Msg::GiveWay(ticket)),
@@ -385,6 +412,7 @@
         match sent {
             Sent::Load(target, key, fence) => {
                 if done {
+                    self.end_stalls(now, target, key, out);
                     self.note_loaded(shared, now, target, key, (fence, fresh), out);
                 } else {
                     let name = shared.names.target_name(target).clone();
@@ -405,6 +433,18 @@
         }
     }
 
+    /// Reports how long each request waited for the load that just ended.
+    fn end_stalls(&mut self, now: Time, target: TargetNo, key: AdapterKey, out: &mut Out) {
+        self.stalled.retain(|_, stalled| {
+            let over = stalled.target == target && stalled.key == Some(key);
+            if over {
+                let wait = now.since(stalled.since);
+                out.emit(Output::Event(Event::Stalled(stalled.class, wait)));
+            }
+            !over
+        });
+    }
+
     fn on_report(
         &mut self,
         shared: &mut Shared,
--- a/crates/node/src/entry/live.rs
+++ b/crates/node/src/entry/live.rs
@@ -13,6 +13,9 @@
     shared::{Out, Shared},
 };
 
+/// When a caller of a service that has not come up may come back.
+const UP_RETRY: Duration = Duration::from_secs(2);
+
 /// A request under way.
 #[derive(Debug)]
 pub(super) struct Live {
@@ -68,6 +71,10 @@
         let model = shared.model.clone();
         let service = model.service(&arrival.brand, &arrival.service);
         let service = service.ok_or_else(|| not_found.clone())?;
+        if !shared.up.has(&arrival.brand, &arrival.service) {
+            base::hit!(service_not_up);
+            return Err(Failure::not_run(Refusal::Unavailable).retry_after(UP_RETRY));
+        }
         let resident = match &service.kind {
             ServiceKind::Plain => None,
             ServiceKind::Assistant { adapter } => {
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -357,6 +357,16 @@
     BadText(TextVersion),
     /// A newer text is in force.
     TextInForce(TextVersion),
+    /// So many services of a brand came up, and so many wait for a target or
+    /// for a service that they need.
+    Services {
+        /// Whose.
+        brand: BrandName,
+        /// How many came up.
+        up: usize,
+        /// How many wait.
+        waiting: usize,
+    },
     /// This instance owns an engine.
     Owns(TargetName, Fence),
     /// This instance lost an engine, or its lease ran out.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod msg;
 mod names;
 mod node;
+mod services;
 mod shared;
 
 pub use crate::{
--- a/crates/node/src/msg.rs
+++ b/crates/node/src/msg.rs
@@ -13,6 +13,8 @@
 pub(crate) const CONFIG: Name = Name("config");
 /// Keeps the platform's list, targets and peers.
 pub(crate) const FLEET: Name = Name("fleet");
+/// Brings services up in the order of their dependencies.
+pub(crate) const SERVICES: Name = Name("services");
 /// Sends heartbeats and finds the leader.
 pub(crate) const BEAT: Name = Name("beat");
 /// Holds leases, queues before owned engines, orders them.
@@ -21,7 +23,7 @@
 pub(crate) const ENTRY: Name = Name("entry");
 
 /// All services, in the order in which each hears what all hear.
-pub(crate) const ALL: [Name; 5] = [CONFIG, FLEET, BEAT, ENGINES, ENTRY];
+pub(crate) const ALL: [Name; 6] = [CONFIG, FLEET, SERVICES, BEAT, ENGINES, ENTRY];
 
 /// A message to a service.
 #[derive(Debug)]
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,7 +10,8 @@
     entry::Entry,
     fleet::Fleet,
     io::{Input, Output},
-    msg::{ALL, BEAT, CONFIG, ENGINES, ENTRY, FLEET, Msg},
+    msg::{ALL, BEAT, CONFIG, ENGINES, ENTRY, FLEET, Msg, SERVICES},
+    services,
     shared::{Settings, Shared},
 };
 
@@ -41,6 +42,9 @@
         kernel.register(FLEET, move |shared, now, msg, out| {
             fleet.handle(shared, now, msg, out);
         });
+        kernel.register(SERVICES, |shared, _, msg, out| {
+            services::handle(shared, &msg, out)
+        });
         let mut beat = Beat::default();
         kernel.register(BEAT, move |shared, now, msg, out| {
             beat.handle(shared, now, msg, out);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,7 +8,7 @@
 use text::model::{Model, Pool, PoolKind};
 use wire::{call::Call, platform};
 
-use crate::{io::Output, msg::Msg, names::Names};
+use crate::{io::Output, msg::Msg, names::Names, services::Up};
 
 /// The outbox as the services of this node see it.
 pub(crate) type Out = Outbox<Msg, Output>;
@@ -115,6 +115,8 @@
     pub(crate) watched: member::Targets,
     /// Entry instances' peer listeners, from the list and the leader.
     pub(crate) peers: BTreeMap<InstanceName, SocketAddr>,
+    /// The services that have come up.
+    pub(crate) up: Up,
     /// The control instance believed to lead.
     pub(crate) leader: Option<InstanceName>,
     /// Whether this process is stopping.
@@ -135,6 +137,7 @@
             targets: BTreeMap::new(),
             watched: member::Targets::default(),
             peers: BTreeMap::new(),
+            up: Up::default(),
             leader: None,
             draining: false,
             calls: BTreeMap::new(),
