--- a/crates/lab/tests/processes/main.rs
+++ b/crates/lab/tests/processes/main.rs
@@ -1,7 +1,9 @@
 //! Process-level tests: real daemons and stand-ins on the loopback interface.
 
 mod common;
+mod faults;
 mod measures;
+mod once;
 mod path;
 mod rolling;
 mod trace;
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -60,6 +60,7 @@
     listed: BTreeSet<AdapterKey>,
     running: u32,
     queued: u32,
+    worth: u32,
 }
 
 /// The engines and what is known of them.
@@ -253,6 +254,7 @@
                 removed,
                 running,
                 queued,
+                worth,
             } => {
                 let change = residents::Change {
                     whole,
@@ -260,6 +262,7 @@
                     removed,
                     running,
                     queued,
+                    worth,
                 };
                 self.tell_residents(shared, now, target, change, out);
             }
@@ -348,6 +351,11 @@
                 ok: false,
             });
         };
+        let input = owner::Input::Unloading {
+            target: name,
+            resident: resident.clone(),
+        };
+        self.hold(shared, now, input, out);
         let body = Order::Unload(resident);
         self.order(shared, target, body, fence, Sent::Unload(target, key), out);
         None
@@ -387,13 +395,14 @@
         let Some(sent) = self.orders.remove(&order) else {
             return;
         };
-        let done = end == OrderEnd::Done;
+        let fresh = end == OrderEnd::Done;
+        let done = matches!(end, OrderEnd::Done | OrderEnd::Already);
         match sent {
             Sent::Load(target, key, fence, begun) => {
                 self.waits.load_ended(now, (target, key), done);
                 measure::load_ended(shared, (target, key), end, now.since(begun), out);
                 if done {
-                    self.note_loaded(shared, now, target, key, fence, out);
+                    self.note_loaded(shared, now, target, key, (fence, fresh), out);
                 } else {
                     let name = shared.names.target_name(target).clone();
                     let resident = shared.names.resident(key);
@@ -410,7 +419,7 @@
                 self.desk(shared, now, DeskInput::Unloaded { target, key, ok }, out);
             }
             Sent::Touch(target, key, fence) if done => {
-                self.note_loaded(shared, now, target, key, fence, out);
+                self.note_loaded(shared, now, target, key, (fence, fresh), out);
             }
             Sent::Touch(..) => {}
         }
@@ -444,6 +453,10 @@
         };
         out.tell(ENTRY, Msg::News(News::Reachable(target, true)));
         if look == Look::Restarted {
+            let input = owner::Input::Restarted {
+                target: name.clone(),
+            };
+            self.hold(shared, now, input, out);
             out.emit(Output::Event(Event::EngineRestarted(name)));
         }
         self.take_report(shared, now, &poll, report, out);
@@ -473,6 +486,8 @@
         if new {
             out.tell(ENTRY, Msg::Life(target, report.incarnation));
             self.own(shared, now, target, out);
+        } else {
+            self.touch(shared, now, target, out);
         }
         measure::batch(shared, target, report.running, out);
         let load = Report {
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -174,6 +174,8 @@
     pub enum OrderEnd {
         /// Carried out.
         Done,
+        /// The engine held it already; perhaps another owner has loaded it.
+        Already,
         /// The engine could not.
         Failed,
         /// The engine has seen a greater fencing number.
@@ -355,6 +357,16 @@
     BadText(TextVersion),
     /// A newer text is in force.
     TextInForce(TextVersion),
+    /// So many services of a brand came up, and so many wait for a target or
+    /// for a service that they need.
+    Services {
+        /// Whose.
+        brand: BrandName,
+        /// How many came up.
+        up: usize,
+        /// How many wait.
+        waiting: usize,
+    },
     /// This instance owns an engine.
     Owns(TargetName, Fence),
     /// This instance lost an engine, or its lease ran out.
--- a/crates/route/tests/explain.rs
+++ b/crates/route/tests/explain.rs
@@ -62,6 +62,7 @@
         removed: Vec::new(),
         running: 0,
         queued: 0,
+        worth: 0,
     };
     router.note(NOW, News::Residents(residents));
     router
