Drive one node by hand through its guards

Found and mended: a text that this release can't read was fetched again as fast as its source answered, and a fetch that failed likewise; the node did nothing else. Cause: the fetch followed every message while a newer version was known. Ruled out: the heartbeat, which waits its time. A fetch now follows another after 200 ms, and an unreadable version is not fetched twice.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -24,6 +24,9 @@
 /// fit into the three seconds in which a change has to be in force.
 const ASK_EVERY: Duration = Duration::from_millis(1_000);
 
+/// Pause between two fetches of a text.
+const FETCH_PAUSE: Duration = Duration::from_millis(200);
+
 /// A node that was not woken for this long was frozen: it may have slept
 /// through changes, and asks around before it takes new work.
 const FROZEN: Duration = Duration::from_millis(2_500);
@@ -42,6 +45,10 @@
     newest: TextVersion,
     holder: Option<SocketAddr>,
     fetching: bool,
+    /// Not before this the next fetch, after one that failed.
+    again: Time,
+    /// A version that can't be read here; only a newer one is fetched.
+    unreadable: TextVersion,
     turn: usize,
 }
 
@@ -55,7 +62,7 @@
                 self.heard = now;
                 self.learn(reply.text, None);
             }
-            Msg::Replied { purpose, reply } => self.on_reply(shared, purpose, reply, out),
+            Msg::Replied { purpose, reply } => self.on_reply(shared, now, purpose, reply, out),
             Msg::Drain => {
                 self.ready = false;
                 out.emit(Output::Ready(false));
@@ -63,7 +70,7 @@
             Msg::Called { call, body } => answer(shared, call, &body, out),
             _ => {}
         }
-        self.fetch(shared, out);
+        self.fetch(shared, now, out);
         self.settle(shared, now, out);
     }
 
@@ -112,6 +119,7 @@
     fn on_reply(
         &mut self,
         shared: &mut Shared,
+        now: Time,
         purpose: Purpose,
         reply: Result<Reply, Verdict>,
         out: &mut Out,
@@ -125,6 +133,7 @@
             }
             Purpose::Text { address } => {
                 self.fetching = false;
+                self.again = now + FETCH_PAUSE;
                 match reply {
                     Ok(Reply::Text { version, text }) => self.take(shared, version, &text, out),
                     _ if self.holder == Some(address) => self.holder = None,
@@ -143,8 +152,18 @@
     }
 
     /// Fetches a version that is known to exist.
-    fn fetch(&mut self, shared: &mut Shared, out: &mut Out) {
-        if self.fetching || self.newest <= shared.version {
+    ///
+    /// Guard: a source that refuses, or a text that this release can't read,
+    /// would be asked again as fast as it answers; it would show as an instance
+    /// that does nothing else. A fetch follows another after a pause, and an
+    /// unreadable version is not fetched twice.
+    fn fetch(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
+        if self.fetching || self.newest <= shared.version.max(self.unreadable) {
+            return;
+        }
+        if now < self.again {
+            base::hit!(fetch_waits);
+            shared.wake(CONFIG, self.again);
             return;
         }
         self.turn += 1;
@@ -169,6 +188,7 @@
             return;
         }
         let Ok(model) = Model::try_from(text) else {
+            self.unreadable = self.unreadable.max(version);
             out.emit(Output::Event(Event::BadText(version)));
             return;
         };
@@ -185,7 +205,8 @@
 
     fn settle(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
         let asked = self.waiting.is_empty() || now >= self.until;
-        let newest = self.newest <= shared.version || now >= self.until + FETCH_LIMIT;
+        let newest =
+            self.newest <= shared.version.max(self.unreadable) || now >= self.until + FETCH_LIMIT;
         let able = self.started && asked && newest && shared.version > TextVersion(0);
         if able && !self.ready && !shared.draining {
             self.ready = true;
--- /dev/null
+++ b/crates/node/tests/node/requests.rs
@@ -0,0 +1,191 @@
+//! A request's way through the node.
+
+use std::time::Duration;
+
+use base::{Failure, Fence, Refusal, TextVersion, Verdict};
+use googletest::prelude::*;
+use node::{Ending, Event, Input, Progress};
+use wire::{
+    call::{Call, ClaimReply, Fate, Reply},
+    engine::Resident,
+};
+
+use crate::world::{TEXT, World};
+
+fn resident(raw: &str) -> Resident {
+    raw.parse().unwrap()
+}
+
+/// Returns why a request failed, and when to come back.
+fn failure(world: &World, ticket: base::Ticket) -> Option<Failure> {
+    match world.ended.get(&ticket)? {
+        Ending::Failed(failure) | Ending::Broken(failure) => Some(failure.clone()),
+        _ => None,
+    }
+}
+
+#[test]
+fn an_adapter_is_loaded_then_the_request_sent() {
+    let mut world = World::serving();
+    world.arrive(1, "letters", None);
+    world.pass(Duration::from_secs(2));
+    assert_that!(world.held["e-1"], elements_are![eq("film-live@2")]);
+    assert_that!(world.sent.len(), eq(1));
+    assert_that!(world.sent[0].resident, some(eq(&resident("film-live@2"))));
+    assert_that!(
+        world.events.iter().any(|e| matches!(e, Event::Stalled(..))),
+        eq(true)
+    );
+}
+
+#[test]
+fn the_same_inputs_give_the_same_outputs() {
+    let run = || {
+        let mut world = World::serving();
+        for ticket in 1..9 {
+            world.arrive(ticket, "letters", None);
+            world.pass(Duration::from_millis(70));
+        }
+        world.trace
+    };
+    assert_that!(run(), eq(&run()));
+}
+
+/// A user sees: the first requests after a new text fail halfway, because
+/// what they depend on is not there yet. The text names a service whose
+/// dependency's pool has no live target; the cause would be services that
+/// come up in any order.
+#[test]
+fn dependencies_come_up_before_dependents() {
+    base::covers!(service_not_up);
+    let mut world = World::bare();
+    world.owned.insert("e-1".to_owned(), Fence(7));
+    world.list(1, &[("e-1", "drafting")]);
+    world.pass(Duration::from_secs(20));
+    let early = world.arrive(1, "letters", None);
+    assert_that!(failure(&world, early).unwrap().verdict, eq(Verdict::NotRun));
+    assert_that!(failure(&world, early).unwrap().retry, some(anything()));
+    world.list(2, &[("e-1", "drafting"), ("p-1", "portal")]);
+    let late = world.arrive(2, "letters", None);
+    world.pass(Duration::from_secs(2));
+    assert_that!(world.ended.contains_key(&late), eq(false));
+    assert_that!(world.sent.len(), eq(1));
+    world.list(3, &[("e-1", "drafting")]);
+    let after = world.arrive(3, "letters", None);
+    world.pass(Duration::from_secs(1));
+    assert_that!(world.ended.contains_key(&after), eq(false));
+}
+
+/// A user sees: "not run" for an application that then runs. The leader's
+/// reply to the claim is lost; the claim may stand or not. Nothing was sent,
+/// so the answer is right, but the claim has to be given back, or a resend
+/// would be told "running" for ever.
+#[test]
+fn a_claim_that_was_not_heard_is_given_back() {
+    base::covers!(unheard_claim_given_back);
+    let mut world = World::serving();
+    let ticket = world.arrive(1, "submissions", Some(9));
+    let (call, claim) = world.held_calls.remove(0);
+    let Call::Claim(claim) = claim else {
+        panic!("no claim but {claim:?}");
+    };
+    let reply = Err(Verdict::MayHaveRun);
+    world.input(Input::Replied { call, reply });
+    assert_that!(world.sent, is_empty());
+    let failure = failure(&world, ticket).unwrap();
+    assert_that!(failure.reason, eq(Refusal::NoQuorum));
+    assert_that!(failure.verdict, eq(Verdict::NotRun));
+    let (_, settle) = world.held_calls.remove(0);
+    let Call::Settle(settle) = settle else {
+        panic!("no settle but {settle:?}");
+    };
+    assert_that!(settle.fate, eq(&Fate::NotRun));
+    assert_that!((settle.key, settle.attempt), eq((claim.key, claim.attempt)));
+}
+
+/// What became of a claimed request is told to the leader until it is heard,
+/// also when leaders change in between.
+#[test]
+fn a_fate_is_told_until_it_is_heard() {
+    let mut world = World::serving();
+    world.arrive(1, "submissions", Some(9));
+    let (call, _) = world.held_calls.remove(0);
+    let reply = Ok(Reply::Claim(ClaimReply::Yours));
+    world.input(Input::Replied { call, reply });
+    let attempt = world.sent.remove(0);
+    world.input(Input::Progress {
+        ticket: attempt.ticket,
+        attempt: attempt.attempt,
+        step: 1,
+        progress: Progress::Failed {
+            verdict: Verdict::MayHaveRun,
+            reason: Refusal::TargetFailed,
+            retry: None,
+        },
+    });
+    for _ in 0..3 {
+        let (call, settle) = world.held_calls.remove(0);
+        assert_that!(
+            matches!(settle, Call::Settle(s) if s.fate == Fate::MayHaveRun),
+            eq(true)
+        );
+        let reply = Err(Verdict::MayHaveRun);
+        world.input(Input::Replied { call, reply });
+        world.pass(Duration::from_secs(1));
+    }
+    let (call, _) = world.held_calls.remove(0);
+    let reply = Ok(Reply::Done);
+    world.input(Input::Replied { call, reply });
+    world.pass(Duration::from_secs(2));
+    assert_that!(world.held_calls, is_empty());
+}
+
+/// A user sees: half of all requests fail in a rolling restart. The engine
+/// has no owner for a moment; requests wait for the next one instead.
+#[test]
+fn a_request_waits_for_an_engine_to_get_an_owner() {
+    base::covers!(parked_without_owner);
+    let mut world = World::serving();
+    world.owned.clear();
+    world.pass(Duration::from_secs(2));
+    world.arrive(1, "letters", None);
+    world.pass(Duration::from_secs(2));
+    assert_that!(world.sent, is_empty());
+    assert_that!(world.ended, is_empty());
+    world.owned.insert("e-1".to_owned(), Fence(8));
+    world.pass(Duration::from_secs(3));
+    assert_that!(world.sent.len(), eq(1));
+}
+
+#[test]
+fn a_request_that_waits_too_long_is_told_to_come_back() {
+    let mut world = World::serving();
+    world.owned.clear();
+    world.pass(Duration::from_secs(2));
+    let ticket = world.arrive(1, "letters", None);
+    world.pass(Duration::from_secs(7));
+    let failure = failure(&world, ticket).unwrap();
+    assert_that!(failure.verdict, eq(Verdict::NotRun));
+    assert_that!(failure.retry, some(anything()));
+}
+
+/// A user sees: a draft in the voice of last month's version. A new text
+/// serves version 1 instead of 2; requests that came before stay on theirs.
+#[test]
+fn requests_are_pinned_to_the_version_they_were_meant_for() {
+    let mut world = World::serving();
+    world.arrive(1, "letters", None);
+    world.pass(Duration::from_secs(2));
+    let older = TEXT.replace("[1, 2], serve = 2", "[1, 2, 3], serve = 3");
+    world.text = (TextVersion(2), older);
+    world.pass(Duration::from_secs(10));
+    world.arrive(2, "letters", None);
+    world.pass(Duration::from_secs(5));
+    let sent: Vec<_> = world
+        .sent
+        .iter()
+        .filter_map(|a| a.resident.clone())
+        .collect();
+    assert_that!(sent.first(), some(eq(&resident("film-live@2"))));
+    assert_that!(sent.last(), some(eq(&resident("film-live@3"))));
+}
--- /dev/null
+++ b/crates/node/tests/node/world.rs
@@ -0,0 +1,368 @@
+//! What stands around the node: a leader, engines and a list, in virtual time.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{Fence, Incarnation, InstanceName, Seed, TargetName, TextVersion, Ticket, Time, Tokens};
+use node::{Arrival, Attempt, Ending, Event, Input, Node, Order, OrderEnd, Output, Settings};
+use wire::{
+    call::{Beat, BeatReply, Call, Lease, Peer, Reply},
+    engine::{Held, Report},
+    platform,
+};
+
+/// Two brands' services on one engine pool and one plain pool.
+pub(crate) const TEXT: &str = r#"
+[store]
+rate = 5
+at-once = 2
+
+[pools.drafting]
+kind = "engine"
+base = "gemma-hr"
+slots = 2
+batch = 4
+fencing = true
+
+[pools.portal]
+kind = "plain"
+at-once = 8
+
+[brands.film]
+weight = 1
+keys = ["ec2e4f36aef3777915b08aa86b74cc25dec708201225a37165173af7379485a6"]
+base = "gemma-hr"
+weights = "film/{adapter}/{version}"
+
+[brands.film.services.letters]
+kind = "assistant"
+adapter = "film-live"
+pool = "drafting"
+class = "live"
+needs = ["listing"]
+
+[brands.film.services.listing]
+kind = "plain"
+pool = "portal"
+class = "critical"
+mark = "repeatable"
+
+[brands.film.services.submissions]
+kind = "plain"
+pool = "portal"
+class = "live"
+mark = "once"
+
+[brands.film.adapters]
+film-live = { versions = [1, 2], serve = 2 }
+"#;
+
+/// Most wakes in one stretch of time that passes.
+const WAKES_MAX: u32 = 20_000;
+
+/// The node's own name.
+pub(crate) const ME: &str = "dubrava-1";
+
+/// The world around one node.
+pub(crate) struct World {
+    pub(crate) node: Node,
+    pub(crate) now: Time,
+    /// Whether the leader answers.
+    pub(crate) leader: bool,
+    /// The newest accepted text, as the leader has it.
+    pub(crate) text: (TextVersion, String),
+    /// Engines that the leader gives to the node, by fencing number.
+    pub(crate) owned: BTreeMap<String, Fence>,
+    /// Earlier owners of the engines, as the leader names them.
+    pub(crate) former: Vec<Fence>,
+    /// Whether engines answer orders.
+    pub(crate) engines: bool,
+    /// What the engines hold.
+    pub(crate) held: BTreeMap<String, Vec<String>>,
+    /// Attempts sent and not yet answered by the test.
+    pub(crate) sent: Vec<Attempt>,
+    /// Final answers.
+    pub(crate) ended: BTreeMap<Ticket, Ending>,
+    /// What operators were told.
+    pub(crate) events: Vec<Event>,
+    /// Replies to other processes.
+    pub(crate) replies: BTreeMap<u64, Reply>,
+    /// Calls that the test answers itself.
+    pub(crate) held_calls: Vec<(u64, Call)>,
+    /// Whether the test answers calls for the text itself.
+    pub(crate) held_text: bool,
+    /// Orders that no engine has answered yet.
+    orders: Vec<(u64, TargetName, Order)>,
+    pub(crate) ready: bool,
+    wake: Time,
+    /// Every output, for comparing two runs.
+    pub(crate) trace: Vec<String>,
+}
+
+fn name<T: std::str::FromStr>(raw: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    raw.parse().unwrap()
+}
+
+impl World {
+    /// Makes a node that owns the engine `e-1` and has the text in force.
+    pub(crate) fn serving() -> World {
+        let mut world = World::bare();
+        world.owned.insert("e-1".to_owned(), Fence(7));
+        world.list(1, &[("e-1", "drafting"), ("p-1", "portal")]);
+        world.pass(Duration::from_secs(20));
+        world
+    }
+
+    /// Makes a node that has heard nothing yet.
+    pub(crate) fn bare() -> World {
+        let controls = [("control-1", 9001), ("control-2", 9002)];
+        let controls = controls.map(|(who, port)| (name(who), ([127, 0, 0, 1], port).into()));
+        let settings = Settings {
+            name: name(ME),
+            zone: name("dubrava"),
+            life: Incarnation(1),
+            peer: ([127, 0, 0, 1], 9100).into(),
+            controls: controls.into(),
+            seed: Seed(1),
+            grace: Duration::from_secs(2),
+        };
+        World {
+            node: Node::new(settings, Time::ZERO),
+            now: Time::ZERO,
+            leader: true,
+            text: (TextVersion(1), TEXT.to_owned()),
+            owned: BTreeMap::new(),
+            former: Vec::new(),
+            engines: true,
+            held: BTreeMap::new(),
+            sent: Vec::new(),
+            ended: BTreeMap::new(),
+            events: Vec::new(),
+            replies: BTreeMap::new(),
+            held_calls: Vec::new(),
+            held_text: false,
+            orders: Vec::new(),
+            ready: false,
+            wake: Time::ZERO,
+            trace: Vec::new(),
+        }
+    }
+
+    /// Hands in a platform's list of live targets.
+    pub(crate) fn list(&mut self, serial: u64, targets: &[(&str, &str)]) {
+        let targets = targets
+            .iter()
+            .enumerate()
+            .map(|(i, (target, pool))| platform::Target {
+                name: name(target),
+                pool: name(pool),
+                zone: name("dubrava"),
+                address: format!("127.0.0.1:{}", 9200 + i),
+                state: platform::State::Live,
+            });
+        let list = platform::List {
+            serial,
+            instances: Vec::new(),
+            targets: targets.collect(),
+        };
+        self.input(Input::List(Some(list)));
+    }
+
+    /// Lets time pass, waking the node whenever it asked for it.
+    pub(crate) fn pass(&mut self, d: Duration) {
+        let end = self.now + d;
+        let mut wakes = 0;
+        while self.wake <= end {
+            wakes += 1;
+            // A node that wakes itself without end would spin in a daemon.
+            let last = &self.trace[self.trace.len().saturating_sub(8)..];
+            assert!(wakes < WAKES_MAX, "no end of wakes: {last:#?}");
+            self.now = self.now.max(self.wake);
+            self.wake = Time(u64::MAX);
+            self.input(Input::Wake);
+        }
+        self.now = end;
+    }
+
+    /// Hands in one input and answers what the node asks of the world.
+    pub(crate) fn input(&mut self, input: Input) {
+        let mut inputs = vec![input];
+        while !inputs.is_empty() {
+            let mut out = Vec::new();
+            self.node.handle(self.now, inputs.remove(0), &mut out);
+            for output in out {
+                self.trace.push(format!("{} {output:?}", self.now));
+                inputs.extend(self.carry_out(output));
+            }
+        }
+    }
+
+    /// Sends one request of the brand `film`; returns its ticket.
+    pub(crate) fn arrive(&mut self, ticket: u64, service: &str, key: Option<u8>) -> Ticket {
+        let ticket = Ticket(ticket);
+        self.input(Input::Arrive(Arrival {
+            ticket,
+            brand: name("film"),
+            service: name(service),
+            version: None,
+            class: None,
+            patience: Some(Duration::from_secs(60)),
+            key: key.map(|key| node::IdempotencyKey {
+                hash: [key; 16],
+                dated: None,
+            }),
+            body: [0; 16],
+            prefix: 0,
+            tokens: Tokens(16),
+            stream: true,
+        }));
+        ticket
+    }
+
+    /// A call from another process; returns the reply.
+    pub(crate) fn called(&mut self, call: u64, body: Call) -> Option<Reply> {
+        let from: InstanceName = name("blato-1");
+        self.input(Input::Called { call, from, body });
+        self.replies.remove(&call)
+    }
+
+    /// Takes the call for a text that is held back.
+    pub(crate) fn take_text(&mut self) -> u64 {
+        let at = |(_, call): &(u64, Call)| matches!(call, Call::Text { .. });
+        let at = self.held_calls.iter().position(at).unwrap();
+        self.held_calls.remove(at).0
+    }
+
+    /// Lets a call end without reply.
+    pub(crate) fn lose(&mut self, call: u64) {
+        let reply = Err(base::Verdict::MayHaveRun);
+        self.input(Input::Replied { call, reply });
+    }
+
+    /// Lets the engines carry out what they were ordered.
+    pub(crate) fn finish_orders(&mut self) {
+        for (order, target, body) in std::mem::take(&mut self.orders) {
+            let end = self.order(&target, body);
+            self.input(Input::Ordered { order, end });
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) -> Option<Input> {
+        match output {
+            Output::Call { call, body, .. } => return self.call(call, body),
+            Output::Poll { poll, target, .. } => {
+                let report = Some(self.report(&target));
+                return Some(Input::Report { poll, report });
+            }
+            Output::Order {
+                order,
+                target,
+                body,
+                ..
+            } if self.engines => {
+                let end = self.order(&target, body);
+                return Some(Input::Ordered { order, end });
+            }
+            Output::Order {
+                order,
+                target,
+                body,
+                ..
+            } => self.orders.push((order, target, body)),
+            Output::Send(attempt) => self.sent.push(attempt),
+            Output::Finish { ticket, end } => {
+                self.ended.insert(ticket, end);
+            }
+            Output::Reply { call, body } => {
+                self.replies.insert(call, body);
+            }
+            Output::Ready(ready) => self.ready = ready,
+            Output::Event(event) => self.events.push(event),
+            Output::Wake(at) => self.wake = at,
+            _ => {}
+        }
+        None
+    }
+
+    fn call(&mut self, call: u64, body: Call) -> Option<Input> {
+        if !self.leader {
+            let reply = Err(base::Verdict::NotRun);
+            return Some(Input::Replied { call, reply });
+        }
+        let reply = match body {
+            Call::Beat(beat) => Reply::Beat(self.beat(&beat)),
+            Call::Version => Reply::Version(self.text.0),
+            Call::Text { .. } if !self.held_text => Reply::Text {
+                version: self.text.0,
+                text: self.text.1.clone(),
+            },
+            other => {
+                self.held_calls.push((call, other));
+                return None;
+            }
+        };
+        let reply = Ok(reply);
+        Some(Input::Replied { call, reply })
+    }
+
+    fn beat(&self, beat: &Beat) -> BeatReply {
+        let owns: Vec<(TargetName, Fence)> = self
+            .owned
+            .iter()
+            .map(|(target, fence)| (name(target), *fence))
+            .collect();
+        let leases = owns.iter().map(|(target, fence)| Lease {
+            target: target.clone(),
+            fence: *fence,
+            lasts: Duration::from_secs(3),
+            former: self.former.clone(),
+        });
+        let me = Peer {
+            instance: name(ME),
+            zone: name("dubrava"),
+            address: "127.0.0.1:9100".to_owned(),
+            owns: owns.clone(),
+        };
+        BeatReply {
+            serial: beat.serial,
+            text: self.text.0,
+            leases: leases.collect(),
+            loads: 5_000,
+            roster: 1,
+            whole: true,
+            peers: vec![me],
+            gone: Vec::new(),
+            tell: false,
+        }
+    }
+
+    fn report(&self, target: &TargetName) -> Report {
+        let held = self.held.get(target.as_str()).into_iter().flatten();
+        Report {
+            incarnation: Incarnation(1),
+            serial: 1,
+            age_ms: 0,
+            resident: held
+                .map(|lora| Held {
+                    lora_name: lora.clone(),
+                    in_use: 0,
+                })
+                .collect(),
+            running: 0,
+            waiting: 0,
+            fence: None,
+            cached: Vec::new(),
+        }
+    }
+
+    fn order(&mut self, target: &TargetName, body: Order) -> OrderEnd {
+        let held = self.held.entry(target.to_string()).or_default();
+        match body {
+            Order::Load(resident, _) => held.push(resident.to_string()),
+            Order::Unload(resident) => held.retain(|lora| *lora != resident.to_string()),
+        }
+        OrderEnd::Done
+    }
+}
