--- a/crates/faults/src/cluster.rs
+++ b/crates/faults/src/cluster.rs
@@ -25,6 +25,9 @@
 /// stay within the drift margin of 50.
 const SKEW: i64 = 20;
 
+/// How often a stalled sync is looked at again, in microseconds.
+const STALL: u64 = 50_000;
+
 /// Size and times of a cluster.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -75,6 +78,8 @@
     /// Events that wait while the process is frozen.
     held: Option<Vec<Event>>,
     full: bool,
+    /// Whether syncs take for ever.
+    stalled: bool,
     skew: i64,
     offset: u64,
 }
@@ -122,6 +127,7 @@
                 running: None,
                 held: None,
                 full: false,
+                stalled: false,
                 skew: cluster.rng.random_range(-SKEW..=SKEW),
                 offset: cluster.rng.random_range(0..1_000_000_000),
             };
@@ -237,6 +243,11 @@
         self.host(name).disk.failing = true;
     }
 
+    /// Makes syncs take for ever, or end again.
+    pub fn stall(&mut self, name: &InstanceName, stalled: bool) {
+        self.host(name).stalled = stalled;
+    }
+
     /// Fills the disk, or frees it.
     pub fn fill(&mut self, name: &InstanceName, full: bool) {
         self.host(name).full = full;
@@ -376,6 +387,7 @@
     /// Ends the faults of one instance and starts it if it stopped.
     pub fn recover(&mut self, name: &InstanceName) {
         self.host(name).disk.failing = false;
+        self.stall(name, false);
         if self.hosts[name].full {
             self.fill(name, false);
         }
@@ -429,6 +441,10 @@
         if event.boot.is_some_and(|boot| boot != running.boot) {
             return;
         }
+        if host.stalled && matches!(event.input, Input::Synced { .. }) {
+            self.push(STALL, event);
+            return;
+        }
         if let Input::Synced { upto } = event.input {
             if host.disk.failing {
                 host.disk.failing = false;
--- a/crates/faults/src/script.rs
+++ b/crates/faults/src/script.rs
@@ -9,7 +9,7 @@
 //! | `accepted()`, `refused()`, `unknown()` | counts the answers |
 //! | `applied(x)`, `term(x)`, `halted(x)`, `voters(x)` | asks an instance |
 //! | `kill(x)`, `tear(x, bytes)`, `start(x)`, `freeze(x)`, `thaw(x)` | its process |
-//! | `empty(x)`, `damage(x, at)`, `fail_sync(x)`, `fill(x, full)` | its disk |
+//! | `empty(x)`, `damage(x, at)`, `fail_sync(x)`, `fill(x, full)`, `stall(x)` | its disk |
 //! | `cut(x, y)`, `mend(x, y)`, `isolate(x)`, `heal()`, `loss(permille)` | the links |
 //! | `hand_over(x)`, `remove(leader, x)` | what operators ask for |
 //! | `expect(condition, text)`, `covers(mark)` | checks |
@@ -175,6 +175,10 @@
         with(&shared, |c| c.fill(&name(x), full));
     });
     let shared = Arc::clone(stage);
+    engine.register_fn("stall", move |x: &str| {
+        with(&shared, |c| c.stall(&name(x), true));
+    });
+    let shared = Arc::clone(stage);
     engine.register_fn("heal", move || with(&shared, |c| c.net.heal()));
     let shared = Arc::clone(stage);
     engine.register_fn("loss", move |permille: i64| {
--- a/crates/replog/src/replica/follow.rs
+++ b/crates/replog/src/replica/follow.rs
@@ -133,7 +133,7 @@
         if !known && self.journal.term_at(prev.index) != Some(prev.term) {
             return self.conflict(prev);
         }
-        let end = Index(prev.index.get() + entries.len() as u64);
+        let end = Index(prev.index.get().saturating_add(entries.len() as u64));
         for entry in entries {
             self.take_entry(entry);
         }
@@ -236,7 +236,8 @@
         if (incoming.at, incoming.crc) != (chunk.at, chunk.crc) {
             *incoming = fresh();
         }
-        if incoming.data.len() as u64 == chunk.offset {
+        let end = chunk.offset.saturating_add(chunk.data.len() as u64);
+        if incoming.data.len() as u64 == chunk.offset && end <= chunk.total {
             incoming.data.extend_from_slice(&chunk.data);
         }
         incoming.data.len() as u64
--- a/crates/replog/src/replica/lead.rs
+++ b/crates/replog/src/replica/lead.rs
@@ -231,6 +231,7 @@
         let better = |progress: &Progress| !progress.full && progress.matched >= self.commit;
         let other = leader.progress.values().any(better);
         if (stuck || self.full) && other {
+            base::hit!(trouble_passed_on);
             self.hand_over(now);
         }
     }
--- a/crates/replog/tests/codec.rs
+++ b/crates/replog/tests/codec.rs
@@ -3,9 +3,9 @@
 use base::{Incarnation, InstanceName};
 use proptest::{collection::vec, prelude::*};
 use replog::{
-    Blob, Entry, FORMAT, Header, Index, Members, Message, Payload, Position, Record, ReplicaId,
-    Restored, Snapshot, Tail, Term, encode_frame, encode_header, encode_snapshot, recover,
-    recover_snapshot,
+    Blob, Entry, FORMAT, Header, Index, Members, Message, Outcome, Payload, Position, Record,
+    ReplicaId, Restored, Snapshot, Tail, Term, encode_frame, encode_header, encode_snapshot,
+    recover, recover_snapshot,
 };
 
 fn replica() -> impl Strategy<Value = ReplicaId> {
@@ -134,3 +134,30 @@
         let _ = Restored::replay(None, records);
     }
 }
+
+/// A control instance may spend 2 KB a second on what it tells others. With
+/// seven replicas a leader sends thirty heartbeats a second, so each has to
+/// stay well below 60 bytes, also after years of entries.
+#[test]
+fn a_heartbeat_is_small() {
+    let at = Position {
+        term: Term(100_000),
+        index: Index(100_000_000),
+    };
+    let beat = Message::Append {
+        term: at.term,
+        life: Incarnation(u64::MAX),
+        round: 10_000_000,
+        prev: at,
+        entries: Vec::new(),
+        commit: at.index,
+    };
+    let reply = Message::AppendReply {
+        term: at.term,
+        round: 10_000_000,
+        outcome: Outcome::Matched { upto: at.index },
+        full: false,
+    };
+    let sizes = [beat.encode().len(), reply.encode().len()];
+    assert!(sizes.iter().all(|size| *size < 60), "{sizes:?}");
+}
--- a/crates/replog/tests/scenarios.rs
+++ b/crates/replog/tests/scenarios.rs
@@ -25,6 +25,7 @@
         lost_twice: include_str!("scenarios/lost_twice.rhai"),
         one_way: include_str!("scenarios/one_way.rhai"),
         removed_behind_cut: include_str!("scenarios/removed_behind_cut.rhai"),
+        stalled_disk: include_str!("scenarios/stalled_disk.rhai"),
         torn_tail: include_str!("scenarios/torn_tail.rhai"),
     }
 }
