--- a/crates/control/tests/scenarios/check.rs
+++ b/crates/control/tests/scenarios/check.rs
@@ -22,6 +22,8 @@
     refused: BTreeMap<(String, u64, String), Applied>,
     runs: BTreeMap<String, u32>,
     pub(crate) late: u32,
+    /// Requests of instances that the platform had dropped long before.
+    pub(crate) unlisted: u32,
     pub(crate) orders: u32,
     pub(crate) requests: u32,
     pub(crate) refusals: u32,
--- a/crates/control/tests/scenarios/script.rs
+++ b/crates/control/tests/scenarios/script.rs
@@ -120,6 +120,7 @@
             "orders" => w.check.orders,
             "requests" => w.check.requests,
             "late" => w.check.late,
+            "unlisted" => w.check.unlisted,
             _ => u32::try_from(w.check.runs()).unwrap(),
         };
         i64::from(count)
--- a/crates/owner/src/grantor.rs
+++ b/crates/owner/src/grantor.rs
@@ -40,6 +40,8 @@
     pub(crate) life: Life,
     pub(crate) zone: ZoneName,
     pub(crate) last: Time,
+    /// Since when its beats come without a gap.
+    pub(crate) steady: Time,
     pub(crate) heard: u64,
     pub(crate) roster: u64,
     pub(crate) leaving: bool,
@@ -182,6 +184,8 @@
         };
         let old = self.seen.remove(&beat.instance);
         let old = old.filter(|old| old.life == life);
+        let gapless = old.as_ref().filter(|old| self.live(now, old));
+        let steady = gapless.map_or(now, |old| old.steady);
         let told = beat
             .engines
             .as_ref()
@@ -190,6 +194,7 @@
             life: life.clone(),
             zone: beat.zone.clone(),
             last: now,
+            steady,
             heard: beat.heard,
             roster: beat.roster,
             leaving: beat.leaving,
--- a/crates/owner/src/grantor/plan.rs
+++ b/crates/owner/src/grantor/plan.rs
@@ -244,7 +244,25 @@
         if !over {
             base::hit!(lease_waited_out);
         }
-        over
+        over && self.zone_back(now, &engine.zone)
+    }
+
+    /// Tells whether a zone is heard of for long enough that its owners would
+    /// have been heard too.
+    ///
+    /// Guard: after a cut heals, the first beat may come from any instance of
+    /// the zone. An owner whose beat comes a moment later still is in charge,
+    /// and would lose its engines without need.
+    fn zone_back(&self, now: Time, zone: &ZoneName) -> bool {
+        let here = self.seen.values().filter(|seen| seen.zone == *zone);
+        let wait = self.config.beat * 2;
+        let back = here
+            .filter(|seen| self.live(now, seen))
+            .any(|seen| now.since(seen.steady) > wait);
+        if !back {
+            base::hit!(zone_just_back);
+        }
+        back
     }
 
     /// Picks the candidate with the fewest engines that can reach `target`;
