--- /dev/null
+++ b/crates/member/tests/member.rs
@@ -0,0 +1,123 @@
+//! Membership: what list, heartbeats and observations say together.
+
+use std::time::Duration;
+
+use base::{Incarnation, Time};
+use googletest::prelude::*;
+use member::{Instances, Look, Overtaken, Standing, Targets};
+use wire::platform::{Instance, List, State, Target};
+
+fn list(serial: u64, targets: &[(&str, State)]) -> List {
+    let targets = targets.iter().map(|(name, state)| Target {
+        name: name.parse().unwrap(),
+        pool: "pool".parse().unwrap(),
+        zone: "za".parse().unwrap(),
+        address: (*name).to_owned(),
+        state: *state,
+    });
+    List {
+        serial,
+        instances: Vec::new(),
+        targets: targets.collect(),
+    }
+}
+
+fn targets() -> Targets {
+    let mut targets = Targets::default();
+    targets.list(&list(1, &[("t", State::Live)]));
+    targets
+}
+
+const T: Time = Time(5);
+
+/// An engine restarts empty while a report of its former life is on its way.
+/// Taken in, the report would show adapters that are gone, and requests would
+/// go there in vain.
+#[test]
+fn a_report_of_a_former_life_is_dropped() {
+    base::covers!(overtaken_by_change);
+    let (mut targets, t) = (targets(), "t".parse().unwrap());
+    let first = targets.begin(&t).unwrap();
+    let slow = targets.begin(&t).unwrap();
+    let fresh = targets.begin(&t).unwrap();
+    assert_that!(
+        targets.finish(&t, first, T, Some(Incarnation(1))),
+        ok(eq(Look::Same))
+    );
+    assert_that!(
+        targets.finish(&t, fresh, T, Some(Incarnation(2))),
+        ok(eq(Look::Restarted))
+    );
+    let late = targets.finish(&t, slow, T, Some(Incarnation(1)));
+    assert_that!(late, err(eq(Overtaken::Changed)));
+    assert_that!(
+        targets.get(&t).unwrap().incarnation,
+        some(eq(Incarnation(2)))
+    );
+}
+
+/// A probe begun before a drain ends after it, and one begun before the target
+/// came back under the same name: neither good news nor bad counts.
+#[test]
+fn an_observation_that_crosses_a_drain_is_dropped() {
+    let (mut targets, t) = (targets(), "t".parse().unwrap());
+    let watch = targets.begin(&t).unwrap();
+    let changed = targets.list(&list(2, &[("t", State::Leaving)]));
+    assert_that!(changed, len(eq(1)));
+    assert_that!(targets.takes_work(&t), eq(false));
+    assert_that!(
+        targets.finish(&t, watch, T, None),
+        err(eq(Overtaken::Changed))
+    );
+    let watch = targets.begin(&t).unwrap();
+    targets.list(&list(3, &[]));
+    assert_that!(
+        targets.finish(&t, watch, T, None),
+        err(eq(Overtaken::Gone))
+    );
+    targets.list(&list(4, &[("t", State::Live)]));
+    assert_that!(targets.failed(&t, watch), err(eq(Overtaken::Changed)));
+    assert_that!(targets.list(&list(1, &[])), is_empty());
+    assert_that!(targets.takes_work(&t), eq(true));
+}
+
+/// Two observations end in reverse order: the one begun first says nothing.
+#[test]
+fn an_older_observation_never_wins() {
+    base::covers!(overtaken_by_newer);
+    let (mut targets, t) = (targets(), "t".parse().unwrap());
+    let old = targets.begin(&t).unwrap();
+    let new = targets.begin(&t).unwrap();
+    assert_that!(targets.failed(&t, new), ok(eq(())));
+    assert_that!(targets.finish(&t, old, T, None), err(eq(Overtaken::Newer)));
+}
+
+#[test]
+fn an_instance_stands_by_list_and_heartbeat() {
+    let mut instances = Instances::new(Duration::from_secs(3));
+    let (n, zone) = ("n".parse().unwrap(), "za".parse().unwrap());
+    assert_that!(instances.standing(T, &n), none());
+    let listed = |serial, states: &[State]| List {
+        serial,
+        instances: states
+            .iter()
+            .map(|state| Instance {
+                name: "n".parse().unwrap(),
+                zone: "za".parse().unwrap(),
+                peer: "1:1".to_owned(),
+                state: *state,
+            })
+            .collect(),
+        targets: Vec::new(),
+    };
+    instances.list(T, &listed(1, &[State::Live]));
+    assert_that!(instances.standing(T, &n), some(eq(Standing::Suspect)));
+    instances.heard(T, &n, &zone, "1:1", false);
+    assert_that!(instances.standing(T, &n), some(eq(Standing::Live)));
+    instances.list(T, &listed(2, &[]));
+    assert_that!(instances.standing(T, &n), some(eq(Standing::Live)));
+    instances.list(T, &listed(3, &[State::Leaving]));
+    assert_that!(instances.standing(T, &n), some(eq(Standing::Leaving)));
+    instances.list(T + Duration::from_secs(9), &listed(4, &[]));
+    assert_that!(instances.standing(T, &n), none());
+}
--- /dev/null
+++ b/crates/owner/tests/grantor.rs
@@ -0,0 +1,205 @@
+//! The leader's part: who gets which engine, and when.
+
+use std::collections::BTreeMap;
+
+use base::{Fence, Incarnation, PerSecond, TextVersion, Time};
+use googletest::prelude::*;
+use owner::{Change, Config, Grantor, Life, Part, Table, fixed_share, shares};
+use wire::call::Beat;
+
+/// A leader with its log: every proposal is applied at once.
+struct Leader {
+    grantor: Grantor,
+    table: Table,
+    index: u64,
+    rosters: BTreeMap<String, u64>,
+    serial: u64,
+}
+
+impl Leader {
+    fn new() -> Self {
+        let mut grantor = Grantor::new(Config::default());
+        grantor.lead(Time::ZERO);
+        Leader {
+            grantor,
+            table: Table::default(),
+            index: 0,
+            rosters: BTreeMap::new(),
+            serial: 0,
+        }
+    }
+
+    fn beat(&mut self, ms: u64, name: &str, engines: &[&str], leaving: bool) -> Part {
+        self.serial += 1;
+        let beat = Beat {
+            instance: name.parse().unwrap(),
+            zone: "za".parse().unwrap(),
+            incarnation: Incarnation(1),
+            peer: name.to_owned(),
+            text: TextVersion(0),
+            leaving,
+            serial: self.serial,
+            heard: self.serial - 1,
+            roster: self.rosters.get(name).copied().unwrap_or(0),
+            engines: Some(engines.iter().map(|e| e.parse().unwrap()).collect()),
+            busy: Vec::new(),
+            loads: 0,
+        };
+        let mut out = Vec::new();
+        let now = Time::from_millis(ms);
+        let part = self.grantor.beat(now, &beat, &self.table, &mut out);
+        self.rosters.insert(name.to_owned(), part.roster);
+        self.apply(out);
+        part
+    }
+
+    fn apply(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            self.index += 1;
+            self.table.apply(self.index, &change);
+        }
+    }
+
+    /// Lets the named instances beat each second for a while.
+    fn beats(&mut self, ms: std::ops::Range<u64>, names: &[&str], engines: &[&str]) {
+        for ms in ms.step_by(1_000) {
+            names
+                .iter()
+                .for_each(|name| drop(self.beat(ms, name, engines, false)));
+        }
+    }
+
+    fn owner(&self, target: &str) -> Option<String> {
+        let engine = self.table.engines().get(&target.parse().unwrap())?;
+        Some(engine.owner.instance.to_string())
+    }
+}
+
+/// An owner falls silent. Its lease counts from its last beat by its own
+/// clock; the leader waits that out, stretched, before the engine moves.
+#[test]
+fn an_engine_moves_after_the_lease_is_waited_out() {
+    base::covers!(lease_waited_out);
+    let mut leader = Leader::new();
+    leader.beats(0..10_000, &["a"], &["e"]);
+    leader.beats(10_000..30_000, &["a", "b"], &["e"]);
+    assert_that!(leader.owner("e"), some(eq("a")));
+    leader.beats(30_000..32_000, &["b"], &["e"]);
+    leader.beat(32_100, "b", &["e"], false);
+    assert_that!(leader.owner("e"), some(eq("a")));
+    leader.beat(32_200, "b", &["e"], false);
+    assert_that!(leader.owner("e"), some(eq("b")));
+}
+
+/// The zone's only owner is cut off. A newcomer that it never heard of starts;
+/// the owner goes on by itself, so the newcomer gets nothing for ten minutes.
+#[test]
+fn a_newcomer_waits_until_every_owner_knows_it() {
+    base::covers!(unknown_newcomer);
+    let mut leader = Leader::new();
+    leader.beats(0..10_000, &["a"], &["e"]);
+    leader.beats(10_000..638_000, &["b"], &["e"]);
+    assert_that!(leader.owner("e"), some(eq("a")));
+    leader.beats(638_000..660_000, &["b"], &["e"]);
+    assert_that!(leader.owner("e"), some(eq("b")));
+}
+
+/// A leaving owner has given up its engines by itself: no wait.
+#[test]
+fn a_leaving_owner_is_relieved_at_once() {
+    let mut leader = Leader::new();
+    leader.beats(0..10_000, &["a"], &["e"]);
+    leader.beats(10_000..20_000, &["a", "b"], &["e"]);
+    let part = leader.beat(20_000, "a", &["e"], true);
+    assert_that!(part.leases, is_empty());
+    assert_that!(leader.owner("e"), some(eq("b")));
+}
+
+/// Engines spread evenly, also onto an instance that came last, and few move
+/// when one leaves.
+#[test]
+fn engines_spread_evenly_and_few_move() {
+    let engines: Vec<_> = (0..12).map(|i| format!("e{i}")).collect();
+    let engines: Vec<_> = engines.iter().map(String::as_str).collect();
+    let mut leader = Leader::new();
+    leader.beats(0..10_000, &["a", "b"], &engines);
+    leader.beats(10_000..60_000, &["a", "b", "c"], &engines);
+    let count = |leader: &Leader, name: &str| {
+        engines
+            .iter()
+            .filter(|e| leader.owner(e).as_deref() == Some(name))
+            .count()
+    };
+    let before: Vec<_> = engines.iter().map(|e| leader.owner(e)).collect();
+    for name in ["a", "b", "c"] {
+        assert_that!(count(&leader, name), all![ge(3), le(5)], "{name}");
+    }
+    leader.beat(60_000, "c", &engines, true);
+    leader.beats(60_000..70_000, &["a", "b"], &engines);
+    let after: Vec<_> = engines.iter().map(|e| leader.owner(e)).collect();
+    let moved = before.iter().zip(&after).filter(|(a, b)| a != b).count();
+    assert_that!(moved, le(5));
+    assert_that!(count(&leader, "a") + count(&leader, "b"), eq(12));
+}
+
+/// Two proposals for one engine, made before either was applied: the second
+/// must not move an engine whose lease has just begun.
+#[test]
+fn a_stale_assignment_changes_nothing() {
+    base::covers!(stale_assign);
+    let mut table = Table::default();
+    let life = |name: &str| Life {
+        instance: name.parse().unwrap(),
+        incarnation: Incarnation(1),
+    };
+    for (i, name) in ["a", "b"].into_iter().enumerate() {
+        let (zone, peer) = ("za".parse().unwrap(), String::new());
+        let join = Change::Join {
+            life: life(name),
+            zone,
+            peer,
+        };
+        table.apply(1 + 2 * i as u64, &join);
+        table.apply(2 + 2 * i as u64, &Change::Admit { life: life(name) });
+    }
+    let assign = |name: &str, expect| Change::Assign {
+        target: "e".parse().unwrap(),
+        life: life(name),
+        expect: Fence(expect),
+    };
+    assert_that!(table.apply(5, &assign("a", 0)), eq(true));
+    assert_that!(table.apply(6, &assign("b", 0)), eq(false));
+    assert_that!(table.apply(7, &assign("b", 5)), eq(true));
+    let (whole, peers, gone) = table.since(6);
+    assert_that!((whole, peers.len(), gone.len()), eq((false, 2, 0)));
+    assert_that!(table.since(7).1, is_empty());
+}
+
+fn check_shares((silent, loads, want): (usize, [u32; 2], [u32; 2])) {
+    let asks = ["a", "b"].into_iter().zip(loads);
+    let asks: Vec<_> = asks
+        .map(|(name, loads)| (name.parse().unwrap(), "za".parse().unwrap(), loads))
+        .collect();
+    let parts: Vec<_> = shares(PerSecond(4), 4, silent, &asks)
+        .into_iter()
+        .map(|p| p.1)
+        .collect();
+    assert_that!(parts, eq(&want));
+}
+
+base::cases! {
+    /// The budget goes by what waits, half of it evenly; parts of silent
+    /// zones are set aside.
+    budget: check_shares => {
+        idle: (0, [0, 0], [2_000, 2_000]),
+        one_waits: (0, [0, 8], [1_000, 3_000]),
+        zones_silent: (2, [0, 8], [500, 1_500]),
+        all_silent: (4, [1, 1], [0, 0]),
+    }
+}
+
+#[test]
+fn a_cut_zone_uses_its_fixed_share() {
+    assert_that!(fixed_share(PerSecond(4), 4, 2), eq(500));
+    assert_that!(fixed_share(PerSecond(4), 0, 0), eq(4_000));
+}
--- /dev/null
+++ b/crates/owner/tests/holder.rs
@@ -0,0 +1,282 @@
+//! One instance's leases: what may be sent and ordered at which moment.
+
+use std::time::Duration;
+
+use base::{Fence, Time};
+use googletest::prelude::*;
+use owner::{Config, Holder, Input, Order, Output, Own};
+use wire::call::{BeatReply, Confirm, Handover, Lease, Peer};
+
+/// After the time in which a young holder takes nothing.
+const START: u64 = 10_000;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn peer(name: &str) -> Peer {
+    Peer {
+        instance: name.parse().unwrap(),
+        zone: "za".parse().unwrap(),
+        address: String::new(),
+        owns: Vec::new(),
+    }
+}
+
+fn reply(serial: u64, leases: &[(&str, u64, &[u64])]) -> BeatReply {
+    let leases = leases.iter().map(|(target, fence, former)| Lease {
+        target: target.parse().unwrap(),
+        fence: Fence(*fence),
+        lasts: Duration::from_secs(3),
+        former: former.iter().copied().map(Fence).collect(),
+    });
+    BeatReply {
+        serial,
+        text: base::TextVersion(0),
+        leases: leases.collect(),
+        loads: 0,
+        roster: serial,
+        whole: true,
+        peers: vec![peer("me"), peer("mate")],
+        gone: Vec::new(),
+        tell: false,
+    }
+}
+
+fn holder() -> Holder {
+    let (name, zone) = ("me".parse().unwrap(), "za".parse().unwrap());
+    Holder::new(Config::default(), name, zone, Time::ZERO)
+}
+
+fn step(holder: &mut Holder, ms: u64, input: Input) -> Vec<Output> {
+    let mut out = Vec::new();
+    holder.handle(at(ms), input, &mut out);
+    out
+}
+
+fn beat(holder: &mut Holder, ms: u64, reply: BeatReply) -> Vec<Output> {
+    let serial = reply.serial;
+    step(holder, ms, Input::Sent { serial });
+    step(holder, ms + 5, Input::Reply(reply))
+}
+
+fn own(holder: &Holder, ms: u64) -> Own {
+    holder.own(at(ms), &"e".parse().unwrap())
+}
+
+fn ask(fence: u64, lasts: u64) -> Confirm {
+    Confirm {
+        instance: "mate".parse().unwrap(),
+        target: "e".parse().unwrap(),
+        fence: Fence(fence),
+        lasts: Duration::from_secs(lasts),
+    }
+}
+
+fn unload(holder: &Holder, ms: u64, fencing: bool) -> bool {
+    let (target, resident) = ("e".parse().unwrap(), "a@1".parse().unwrap());
+    let order = Order::Unload(&resident);
+    holder.may_order(at(ms), &target, order, fencing).is_some()
+}
+
+/// An owner is frozen with SIGSTOP for longer than its lease. Thawed, it goes
+/// on with the unload that it was about to send, while another instance is in
+/// charge. Cause: no timer fires in a stopped process.
+#[test]
+fn a_thawed_owner_finds_its_lease_lapsed() {
+    base::covers!(engine_lease_lapsed);
+    base::covers!(restricted_unload);
+    let mut holder = holder();
+    beat(&mut holder, START, reply(1, &[("e", 7, &[])]));
+    let fence = Fence(7);
+    assert_that!(own(&holder, START + 2_999), eq(Own::Full { fence }));
+    assert_that!(unload(&holder, START + 100, false), eq(true));
+    assert_that!(unload(&holder, START + 2_600, false), eq(false));
+    assert_that!(own(&holder, START + 3_000), eq(Own::Restricted { fence }));
+    assert_that!(unload(&holder, START + 3_000, false), eq(false));
+    assert_that!(unload(&holder, START + 3_000, true), eq(true));
+}
+
+/// The leader is away. The owner asks its zone-mate and goes on as long as the
+/// word lasts, counted from the question, and never longer than the time after
+/// which the leader lets an unknown newcomer in.
+#[test]
+fn an_owner_goes_on_by_its_zones_word() {
+    base::covers!(alone_too_long);
+    let mut holder = holder();
+    beat(&mut holder, START, reply(1, &[("e", 7, &[])]));
+    let fence = Fence(7);
+    let mut ms = START + 1_500;
+    let end = START + 600_000;
+    while ms < end + 3_000 {
+        for output in step(&mut holder, ms, Input::Wake) {
+            if let Output::Ask { to, round, confirm } = output {
+                let (from, target) = (to, confirm.target);
+                let granted = true;
+                let input = Input::Confirmed {
+                    from,
+                    target,
+                    round,
+                    granted,
+                };
+                step(&mut holder, ms + 3, input);
+            }
+        }
+        if (START + 2_000..end - 100).contains(&ms) {
+            assert_that!(own(&holder, ms + 4), eq(Own::Full { fence }), "at {ms}");
+        }
+        ms += 500;
+    }
+    assert_that!(own(&holder, end), eq(Own::Restricted { fence }));
+}
+
+/// The zone-mate promised the owner not to take the engine. The leader, which
+/// can't know that, offers it. Taken at once, two would be in charge.
+#[test]
+fn a_promise_is_kept_against_the_leader() {
+    base::covers!(kept_promise);
+    base::covers!(newer_owner);
+    base::covers!(young_holder);
+    let mut holder = holder();
+    beat(&mut holder, 1_000, reply(1, &[("e", 9, &[])]));
+    assert_that!(own(&holder, 1_100), eq(Own::None));
+    beat(&mut holder, START, reply(2, &[]));
+    assert_that!(
+        holder.confirm(at(START), &ask(7, 3), &mut Vec::new()),
+        eq(true)
+    );
+    beat(&mut holder, START + 1_000, reply(3, &[("e", 9, &[7])]));
+    assert_that!(own(&holder, START + 1_100), eq(Own::None));
+    assert_that!(
+        holder.confirm(at(START + 1_200), &ask(7, 3), &mut Vec::new()),
+        eq(false)
+    );
+    beat(&mut holder, START + 3_200, reply(4, &[("e", 9, &[7])]));
+    assert_that!(
+        own(&holder, START + 3_300),
+        eq(Own::Full { fence: Fence(9) })
+    );
+}
+
+/// A zone-mate asks for a promise that would outlive this process's memory of
+/// it, were it restarted at once.
+#[test]
+fn an_endless_promise_is_refused() {
+    base::covers!(long_promise);
+    let mut holder = holder();
+    beat(&mut holder, START, reply(1, &[]));
+    assert_that!(
+        holder.confirm(at(START), &ask(7, 3_600), &mut Vec::new()),
+        eq(false)
+    );
+}
+
+/// Replies overtake each other: a lease that the leader has taken back must
+/// not return with an older reply, nor one whose beat is unknown here.
+#[test]
+fn an_older_reply_brings_nothing_back() {
+    base::covers!(stale_reply);
+    base::covers!(unknown_reply);
+    let mut holder = holder();
+    for serial in 1..=2 {
+        step(&mut holder, START, Input::Sent { serial });
+    }
+    step(&mut holder, START + 5, Input::Reply(reply(2, &[])));
+    step(
+        &mut holder,
+        START + 6,
+        Input::Reply(reply(1, &[("e", 7, &[])])),
+    );
+    assert_that!(own(&holder, START + 7), eq(Own::None));
+    step(&mut holder, START + 8, Input::Sent { serial: 3 });
+    step(&mut holder, START + 9, Input::Reply(reply(3, &[])));
+    step(
+        &mut holder,
+        START + 9,
+        Input::Reply(reply(3, &[("e", 7, &[])])),
+    );
+    assert_that!(own(&holder, START + 10), eq(Own::None));
+}
+
+/// The owner before was cut off and may still have requests running. What it
+/// may use stays until it says what that is, or is known to be gone; only what
+/// the new owner itself brought in may go.
+#[test]
+fn what_an_earlier_owner_may_use_stays() {
+    base::covers!(inherited_adapter);
+    base::covers!(loaded_by_other);
+    base::covers!(untouched_engine);
+    let mut holder = holder();
+    beat(&mut holder, START, reply(1, &[("e", 9, &[7])]));
+    let target: base::TargetName = "e".parse().unwrap();
+    assert_that!(unload(&holder, START + 10, false), eq(false));
+    assert_that!(holder.may_send(at(START + 10), &target, true), none());
+    assert_that!(
+        holder.may_send(at(START + 10), &target, false),
+        some(eq(Fence(9)))
+    );
+    let loaded = |fresh| Input::Loaded {
+        target: "e".parse().unwrap(),
+        fence: Fence(9),
+        resident: "a@1".parse().unwrap(),
+        fresh,
+    };
+    step(&mut holder, START + 20, loaded(false));
+    assert_that!(
+        holder.may_send(at(START + 20), &target, true),
+        some(anything())
+    );
+    assert_that!(unload(&holder, START + 20, false), eq(false));
+    step(&mut holder, START + 30, loaded(true));
+    assert_that!(unload(&holder, START + 30, false), eq(true));
+    let handover = |in_use: &[&str]| {
+        Input::Handover(Handover {
+            target: "e".parse().unwrap(),
+            fence: Fence(7),
+            in_use: in_use
+                .iter()
+                .map(|a| (a.parse().unwrap(), base::Version(1)))
+                .collect(),
+        })
+    };
+    step(&mut holder, START + 40, handover(&["a"]));
+    assert_that!(unload(&holder, START + 40, false), eq(false));
+    step(&mut holder, START + 50, handover(&[]));
+    assert_that!(unload(&holder, START + 50, false), eq(true));
+}
+
+/// A planned stop: nothing is ordered any more, the beat says so, and the new
+/// owner is told what is still in use until nothing is.
+#[test]
+fn a_leaving_owner_names_what_it_uses() {
+    let mut holder = holder();
+    beat(&mut holder, START, reply(1, &[("e", 7, &[])]));
+    let out = step(&mut holder, START + 10, Input::Renounce);
+    let target: base::TargetName = "e".parse().unwrap();
+    let gone = Output::Changed {
+        target: target.clone(),
+        own: Own::None,
+    };
+    assert_that!(out, contains(eq(&gone)));
+    assert_that!(holder.leaving(), eq(true));
+    assert_that!(holder.busy(), len(eq(1)));
+    let using = |adapters: &[&str]| Input::Using {
+        target: "e".parse().unwrap(),
+        adapters: adapters.iter().map(|a| a.parse().unwrap()).collect(),
+    };
+    step(&mut holder, START + 20, using(&["a@1"]));
+    let mut moved = reply(2, &[]);
+    moved.peers[1].owns.push((target, Fence(9)));
+    let out = beat(&mut holder, START + 1_000, moved);
+    let named = |out: &[Output]| {
+        let mut all = out.iter();
+        all.find_map(|output| match output {
+            Output::Handover { to, handover } => Some((to.to_string(), handover.in_use.len())),
+            _ => None,
+        })
+    };
+    assert_that!(named(&out), some(eq(&("mate".to_owned(), 1))));
+    let out = step(&mut holder, START + 1_100, using(&[]));
+    assert_that!(named(&out), some(eq(&("mate".to_owned(), 0))));
+    assert_that!(holder.busy(), is_empty());
+}
