--- /dev/null
+++ b/crates/control/tests/state.rs
@@ -0,0 +1,365 @@
+//! The state machine: texts, changes, claims, snapshots.
+
+use std::time::Duration;
+
+use base::{Incarnation, TextVersion};
+use control::{Command, Item, Limits, Outcome, Patch, State, Texts, What};
+use googletest::prelude::*;
+use owner::{Change, Life};
+use proptest::prelude::*;
+use wire::{
+    call::{Answer, Claim, ClaimReply, Fate, Settle},
+    operator::{Applied, Why},
+};
+
+/// A state with its log; a claimer `a` and a claimer `b` have joined.
+struct Log {
+    state: State,
+    index: u64,
+    at: u64,
+}
+
+impl Log {
+    fn new(limits: Limits) -> Self {
+        let state = State::with_limits(limits);
+        let mut log = Log {
+            state,
+            index: 0,
+            at: 0,
+        };
+        log.join("a", 1);
+        log.join("b", 1);
+        log
+    }
+
+    fn put(&mut self, what: What) -> Outcome {
+        self.index += 1;
+        let wall = 10_000_000_000 + self.at;
+        let command = Command {
+            at: self.at,
+            wall,
+            what,
+        };
+        let sent = Command::decode(&command.encode()).unwrap();
+        assert_that!(sent, eq(&command));
+        self.state.apply(self.index, &sent)
+    }
+
+    fn join(&mut self, name: &str, incarnation: u64) {
+        let life = life(name, incarnation);
+        let (zone, peer) = ("za".parse().unwrap(), String::new());
+        self.put(What::Owner(Change::Join { life, zone, peer }));
+    }
+
+    fn text(&mut self, change: &str, base: u64, new: &str) -> Applied {
+        let patch = Patch::between(self.state.texts().text(), new);
+        let what = What::Text {
+            change: change.parse().unwrap(),
+            base: TextVersion(base),
+            by: change.to_owned(),
+            patch,
+            digest: Texts::digest(new),
+        };
+        match self.put(what) {
+            Outcome::Text(applied) => applied,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn claim(&mut self, who: &str, key: u8, attempt: u64, dated: Option<u64>) -> ClaimReply {
+        let claim = claim(who, key, attempt, dated);
+        match self.put(What::Claims(vec![Item::Claim(claim)])) {
+            Outcome::Claims(answers) => answers[0].clone().unwrap(),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn settle(&mut self, who: &str, key: u8, attempt: u64, fate: Fate) {
+        let settle = Settle {
+            brand: "brand".parse().unwrap(),
+            key: [key; 16],
+            instance: who.parse().unwrap(),
+            attempt,
+            fate,
+        };
+        self.put(What::Claims(vec![Item::Settle(settle)]));
+    }
+
+    /// Saves and restores, as a snapshot or a restart does.
+    fn reload(&mut self) {
+        let restored = State::restore(&self.state.save()).unwrap();
+        assert_that!(restored, eq(&self.state));
+        self.state = restored;
+    }
+}
+
+fn life(name: &str, incarnation: u64) -> Life {
+    Life {
+        instance: name.parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn claim(who: &str, key: u8, attempt: u64, dated: Option<u64>) -> Claim {
+    Claim {
+        brand: "brand".parse().unwrap(),
+        key: [key; 16],
+        body: [1; 16],
+        instance: who.parse().unwrap(),
+        attempt,
+        dated,
+    }
+}
+
+fn small() -> Limits {
+    Limits {
+        full_ms: 1_000,
+        full: 8,
+        answers: 100,
+        undated: 3,
+        dated: 2,
+        ..Limits::default()
+    }
+}
+
+/// Two operators edit version 1 at once, one's answer is lost and it resends,
+/// through a snapshot. One wins, the other learns who did, the resend gets its
+/// first outcome, and the same id with another text is refused.
+#[test]
+fn of_two_operators_one_wins_and_a_resend_changes_nothing() {
+    base::covers!(lost_race);
+    base::covers!(resent_change);
+    let mut log = Log::new(Limits::default());
+    let accepted = |version| Applied::Accepted {
+        version: TextVersion(version),
+    };
+    assert_that!(log.text("one", 0, "a\n"), eq(&accepted(1)));
+    assert_that!(log.text("two", 1, "a\nb\n"), eq(&accepted(2)));
+    let conflict = |version| Applied::Refused {
+        why: Why::Conflict {
+            version: TextVersion(version),
+            winner: "two".parse().unwrap(),
+            by: "two".to_owned(),
+        },
+    };
+    assert_that!(log.text("three", 1, "a\nc\n"), eq(&conflict(2)));
+    log.reload();
+    assert_that!(log.text("two", 1, "a\nb\n"), eq(&accepted(2)));
+    assert_that!(log.text("three", 1, "a\nc\n"), eq(&conflict(2)));
+    let reused = Applied::Refused {
+        why: Why::ChangeReused,
+    };
+    assert_that!(log.text("two", 2, "other\n"), eq(&reused));
+    assert_that!(log.text("four", 2, "a\n"), eq(&accepted(3)));
+    assert_that!(log.state.texts().text(), eq("a\n"));
+    let entries: Vec<_> = log.state.texts().history(TextVersion(1)).collect();
+    assert_that!((entries[0].added, entries[0].removed), eq((1, 0)));
+    assert_that!((entries[1].added, entries[1].removed), eq((0, 1)));
+}
+
+/// A change older than what is remembered: it may have been accepted, and
+/// nobody can say so any more.
+#[test]
+fn a_forgotten_change_is_not_called_refused() {
+    let mut log = Log::new(Limits::default());
+    for version in 0..20_002 {
+        log.text(&format!("c{version}"), version, &format!("{version}\n"));
+    }
+    let old = log.text("c0", 0, "0\n");
+    assert_that!(matches!(old, Applied::Unknown { .. }), eq(true));
+    let known = log.text("c5", 5, "5\n");
+    assert_that!(
+        known,
+        eq(&Applied::Accepted {
+            version: TextVersion(6)
+        })
+    );
+}
+
+/// A resend meets the first through another instance: during it, after it, and
+/// when the key is no more than a fingerprint.
+#[test]
+fn a_key_runs_once_whoever_resends_it() {
+    base::covers!(claimed_by_other);
+    base::covers!(key_with_other_body);
+    base::covers!(fingerprint_found);
+    let mut log = Log::new(small());
+    assert_that!(log.claim("a", 1, 1, None), eq(&ClaimReply::Yours));
+    assert_that!(log.claim("a", 1, 1, None), eq(&ClaimReply::Yours));
+    assert_that!(log.claim("a", 1, 2, None), eq(&ClaimReply::Running));
+    assert_that!(log.claim("b", 1, 1, None), eq(&ClaimReply::Running));
+    let mut other = claim("b", 1, 1, None);
+    other.body = [2; 16];
+    let outcome = log.put(What::Claims(vec![Item::Claim(other)]));
+    assert_that!(
+        outcome,
+        eq(&Outcome::Claims(vec![Some(ClaimReply::OtherBody)]))
+    );
+    let answer = Some(Answer {
+        status: 201,
+        content: "text/plain".to_owned(),
+        body: b"done".to_vec(),
+    });
+    log.settle("a", 1, 1, Fate::Ran(answer.clone()));
+    log.reload();
+    assert_that!(log.claim("b", 1, 7, None), eq(&ClaimReply::Ran(answer)));
+    log.at = 5_000;
+    log.claim("a", 2, 1, None);
+    assert_that!(log.state.claims().counts(), eq((1, 1)));
+    log.reload();
+    assert_that!(log.claim("b", 1, 8, None), eq(&ClaimReply::Ran(None)));
+}
+
+/// The claimer dies between its claim and the outcome: nobody can tell whether
+/// the request ran, so the key is never free again, unless the very claimer
+/// says that it did not send it.
+#[test]
+fn a_dead_claimers_key_may_have_run() {
+    base::covers!(claimer_died);
+    base::covers!(foreign_settle);
+    base::covers!(unknown_claimer);
+    let mut log = Log::new(small());
+    log.claim("a", 1, 1, None);
+    log.claim("a", 2, 2, None);
+    log.settle("a", 1, 9, Fate::NotRun);
+    assert_that!(log.claim("b", 1, 1, None), eq(&ClaimReply::Running));
+    log.put(What::Lapse(life("a", 1)));
+    assert_that!(log.claim("b", 1, 1, None), eq(&ClaimReply::MayHaveRun));
+    log.settle("a", 1, 1, Fate::NotRun);
+    assert_that!(log.claim("b", 1, 1, None), eq(&ClaimReply::Yours));
+    log.settle("a", 2, 2, Fate::Ran(None));
+    assert_that!(log.claim("b", 2, 1, None), eq(&ClaimReply::Ran(None)));
+    log.join("b", 2);
+    assert_that!(log.claim("a", 1, 3, None), eq(&ClaimReply::MayHaveRun));
+    let unknown = log.claim("stranger", 9, 1, None);
+    assert_that!(matches!(unknown, ClaimReply::NotNow { .. }), eq(true));
+}
+
+/// Memory is bounded. Keys with a date are forgotten by date and refused from
+/// then on; for keys without one there is no room at some point. In no case
+/// does a key run twice.
+#[test]
+fn beyond_its_memory_nothing_runs_twice() {
+    base::covers!(key_too_old);
+    base::covers!(no_room_for_keys);
+    const HOUR: u64 = 3_600_000;
+    let mut log = Log::new(small());
+    for key in 0..6 {
+        log.at += 2_000;
+        let dated = Some(u64::from(key) * HOUR);
+        assert_that!(log.claim("a", key, 1, dated), eq(&ClaimReply::Yours));
+        log.settle("a", key, 1, Fate::Ran(None));
+    }
+    log.at += 2_000;
+    for key in 10..14 {
+        log.claim("a", key, 1, None);
+        log.settle("a", key, 1, Fate::Ran(None));
+    }
+    for key in 0..6 {
+        let want = if key < 4 {
+            ClaimReply::TooOld
+        } else {
+            ClaimReply::Ran(None)
+        };
+        assert_that!(
+            log.claim("b", key, 2, Some(u64::from(key) * HOUR)),
+            eq(&want),
+            "{key}"
+        );
+    }
+    for key in 10..13 {
+        assert_that!(
+            log.claim("b", key, 2, None),
+            eq(&ClaimReply::Ran(None)),
+            "{key}"
+        );
+    }
+    let late = log.claim("b", 13, 2, None);
+    assert_that!(matches!(late, ClaimReply::NotNow { .. }), eq(true));
+    assert_that!(
+        log.claim("b", 20, 1, Some(9 * HOUR)),
+        eq(&ClaimReply::Yours)
+    );
+}
+
+/// A key's date was believed at first and not later, because the leaders'
+/// wall clocks differ: it is found all the same.
+#[test]
+fn a_date_believed_once_only_is_no_second_run() {
+    let mut log = Log::new(small());
+    let future = Some(50_000_000_000);
+    log.claim("a", 1, 1, future);
+    log.settle("a", 1, 1, Fate::MayHaveRun);
+    log.at = 41_000_000_000;
+    log.claim("a", 2, 1, None);
+    assert_that!(log.claim("b", 1, 2, future), eq(&ClaimReply::MayHaveRun));
+}
+
+/// A claim under way for longer than any request may take ends as one that
+/// may have run; kept answers stay within their bytes.
+#[test]
+fn claims_end_and_answers_stay_bounded() {
+    let mut log = Log::new(small());
+    log.claim("a", 1, 1, None);
+    log.at = 3_600_001;
+    log.claim("a", 2, 1, None);
+    assert_that!(log.claim("b", 1, 1, None), eq(&ClaimReply::MayHaveRun));
+    let answer = Some(Answer {
+        status: 200,
+        content: String::new(),
+        body: vec![0; 60],
+    });
+    log.settle("a", 2, 1, Fate::Ran(answer.clone()));
+    log.claim("a", 3, 1, None);
+    log.settle("a", 3, 1, Fate::Ran(answer.clone()));
+    assert_that!(log.claim("b", 2, 1, None), eq(&ClaimReply::Ran(None)));
+    assert_that!(log.claim("b", 3, 1, None), eq(&ClaimReply::Ran(answer)));
+}
+
+/// A new leader's clock is behind the last one's: time in the state stands
+/// still until it has caught up.
+#[test]
+fn time_never_goes_back() {
+    let mut log = Log::new(Limits::default());
+    log.at = 9_000;
+    log.text("one", 0, "a\n");
+    log.at = 10;
+    log.text("two", 1, "b\n");
+    assert_that!(log.state.at(), eq(9_000));
+    assert_that!(
+        Duration::from_millis(log.state.at()),
+        eq(Duration::from_secs(9))
+    );
+}
+
+#[test]
+fn broken_bytes_are_no_state_and_no_command() {
+    assert_that!(State::restore(b"xyz"), err(anything()));
+    assert_that!(Command::decode(b""), err(anything()));
+    let mut saved = State::default().save();
+    saved[1] = 9;
+    let refused = State::restore(&saved).unwrap_err().to_string();
+    assert_that!(refused, contains_substring("format 9"));
+}
+
+proptest! {
+    /// A patch turns the old text into the new one, whatever they are.
+    #[test]
+    fn a_patch_makes_the_new_text(old in "([abc]\n?){0,24}", new in "([abc]\n?){0,24}") {
+        let patch = Patch::between(&old, &new);
+        prop_assert_eq!(patch.apply(&old).unwrap(), new);
+    }
+}
+
+/// A change of one line in a text of 48,000 adapters stays small, also when
+/// lines are changed far apart.
+#[test]
+fn a_small_change_of_a_large_text_is_a_small_patch() {
+    let line = |i: u32| format!("[adapters.a{i}]\nbrand = \"b{}\"\nserve = 1\n", i % 40);
+    let old: String = (0..48_000).map(line).collect();
+    let new = old.replace("[adapters.a7]\n", "[adapters.x]\n");
+    let new = new.replace("[adapters.a47000]\n", "[adapters.y]\nweights = \"w\"\n");
+    let patch = Patch::between(&old, &new);
+    assert_that!((patch.added(), patch.removed()), eq((3, 2)));
+    assert_that!(patch.apply(&old).unwrap() == new, eq(true));
+}
--- a/crates/member/tests/member.rs
+++ b/crates/member/tests/member.rs
@@ -71,10 +71,7 @@
     );
     let watch = targets.begin(&t).unwrap();
     targets.list(&list(3, &[]));
-    assert_that!(
-        targets.finish(&t, watch, T, None),
-        err(eq(Overtaken::Gone))
-    );
+    assert_that!(targets.finish(&t, watch, T, None), err(eq(Overtaken::Gone)));
     targets.list(&list(4, &[("t", State::Live)]));
     assert_that!(targets.failed(&t, watch), err(eq(Overtaken::Changed)));
     assert_that!(targets.list(&list(1, &[])), is_empty());
