Plan owners at wake-ups rather than at each beat

A beat still plans at once where it says something new: a new life, other engines, or a planned stop.

--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -58,8 +58,8 @@
 }
 
 impl Default for Limits {
-    /// Ten minutes cover a caller's resends; 65,536 keys in full are below
-    /// 16 MB, as are the answers; fingerprints of one brand are below 16 MB.
+    /// Ten minutes cover a caller's resends; 65,536 keys in full take some 22
+    /// MB, answers at most 16 MB, fingerprints of one brand at most 16 MB.
     fn default() -> Self {
         Limits {
             full_ms: 600_000,
--- a/crates/owner/src/grantor.rs
+++ b/crates/owner/src/grantor.rs
@@ -77,6 +77,8 @@
     proposed: BTreeMap<Change, Time>,
     listed: Option<BTreeSet<InstanceName>>,
     rate: PerSecond,
+    /// Each instance's part of that rate, in thousandths.
+    loads: BTreeMap<InstanceName, u32>,
 }
 
 impl Grantor {
@@ -93,6 +95,7 @@
             proposed: BTreeMap::new(),
             listed: None,
             rate: PerSecond(0),
+            loads: BTreeMap::new(),
         }
     }
 
@@ -128,7 +131,7 @@
     /// Takes a beat and returns its answer's part; changes to propose go to
     /// `out`. To be called only while the leader's own lease holds.
     pub fn beat(&mut self, now: Time, beat: &Beat, table: &Table, out: &mut Vec<Change>) -> Part {
-        let life = self.note(now, beat);
+        let (life, news) = self.note(now, beat);
         if !table.knows(&life) {
             let change = Change::Join {
                 life: life.clone(),
@@ -137,14 +140,18 @@
             };
             self.propose(now, change, out);
         }
-        self.plan(now, table, out);
+        // All else can wait for the next wake-up: planning at each beat would
+        // take half a core at 380 instances.
+        if news {
+            self.plan(now, table, out);
+        }
         let leases = self.leases(now, beat, &life, table);
         self.answered.insert(life, now);
         let (whole, peers, gone) = table.since(beat.roster);
         let seen = self.seen.get(&beat.instance);
         Part {
             leases,
-            loads: self.loads_of(now, &beat.instance),
+            loads: self.loads.get(&beat.instance).copied().unwrap_or(0),
             roster: table.roster(),
             whole,
             peers,
@@ -177,7 +184,9 @@
         now.since(last)
     }
 
-    fn note(&mut self, now: Time, beat: &Beat) -> Life {
+    /// Takes in a beat; returns whose it is, and whether it says something that
+    /// owners may have to change for.
+    fn note(&mut self, now: Time, beat: &Beat) -> (Life, bool) {
         let life = Life {
             instance: beat.instance.clone(),
             incarnation: beat.incarnation,
@@ -203,8 +212,9 @@
             text: beat.text,
             loads: beat.loads,
         };
+        let news = steady == now || beat.leaving || beat.engines.is_some();
         self.seen.insert(beat.instance.clone(), seen);
-        life
+        (life, news)
     }
 
     fn leases(&mut self, now: Time, beat: &Beat, life: &Life, table: &Table) -> Vec<Lease> {
@@ -230,7 +240,8 @@
         leases
     }
 
-    fn loads_of(&self, now: Time, name: &InstanceName) -> u32 {
+    /// Divides the store's rate anew.
+    fn share_loads(&mut self, now: Time) {
         let live = self.seen.iter().filter(|(_, s)| self.live(now, s));
         let ask = |s: &Seen| store::Ask {
             zone: s.zone.clone(),
@@ -240,8 +251,7 @@
         let zones: BTreeSet<_> = self.seen.values().map(|s| &s.zone).collect();
         let heard: BTreeSet<_> = asks.values().map(|ask| &ask.zone).collect();
         let silent = zones.len() - heard.len();
-        let parts = store::divide(self.rate, zones.len(), silent, &asks);
-        parts.get(name).copied().unwrap_or(0)
+        self.loads = store::divide(self.rate, zones.len(), silent, &asks);
     }
 
     pub(crate) fn live(&self, now: Time, seen: &Seen) -> bool {
--- a/crates/owner/src/grantor/plan.rs
+++ b/crates/owner/src/grantor/plan.rs
@@ -16,6 +16,7 @@
         let Some(since) = self.since else {
             return;
         };
+        self.share_loads(now);
         let mut due = Vec::new();
         self.admit(now, since, table, &mut due);
         self.account(now, since, table, &mut due);
