--- a/crates/replog/src/record.rs
+++ b/crates/replog/src/record.rs
@@ -30,6 +30,9 @@
         pub id: ReplicaId,
         /// The snapshot that the log continues, if any.
         pub base: Option<Position>,
+        /// Frames that were synced before the file was put in place; none of
+        /// them can be torn.
+        pub sealed: u64,
     }
 
     /// One fact that a replica has to remember.
@@ -59,6 +62,9 @@
     /// Something that was durable once is unreadable: the file has lost votes
     /// or entries that others count on.
     Damaged,
+    /// The file is whole but was written by another release, in a format that
+    /// this one doesn't read.
+    OtherFormat,
 }
 
 /// What a log file holds.
@@ -126,6 +132,7 @@
     };
     found.header = decode::<Header>(payload).filter(|header| header.format == FORMAT);
     if found.header.is_none() {
+        found.tail = Tail::OtherFormat;
         return found;
     }
     let mut at = len;
@@ -140,6 +147,11 @@
         at += len;
     }
     found.len = at as u64;
+    let sealed = found.header.as_ref().map_or(0, |header| header.sealed);
+    if found.next <= sealed {
+        base::hit!(damaged_sealed);
+        return found;
+    }
     found.tail = judge_tail(&raw[at..], found.next);
     found
 }
--- a/crates/replog/src/replica.rs
+++ b/crates/replog/src/replica.rs
@@ -7,6 +7,7 @@
 mod members;
 mod progress;
 mod restored;
+mod send;
 mod writes;
 
 use base::{StableHash, Time, stable_hash};
@@ -164,6 +165,12 @@
         self.journal.members()
     }
 
+    /// Tells whether the newest change of members is known to be committed.
+    #[must_use]
+    pub fn members_settled(&self) -> bool {
+        self.journal.members_index() <= self.commit
+    }
+
     /// Returns why the replica has stopped, if it has.
     #[must_use]
     pub fn halted(&self) -> Option<HaltReason> {
@@ -231,8 +238,10 @@
                 kind,
                 granted,
             } => self.vote_reply(now, from, (term, kind), granted, out),
-            Message::Append { term, .. } | Message::Chunk { term, .. } => {
-                if self.obey(now, from, term, out) {
+            Message::Append { term, life, .. } | Message::Chunk { term, life, .. } => {
+                // What is meant for another life of this folder shows that the
+                // leader doesn't know this one yet.
+                if life == self.id().life && self.obey(now, from, term, out) {
                     self.follow(from, message, out);
                 }
             }
@@ -244,8 +253,9 @@
                 }
             }
             Message::TimeoutNow { term } => self.timeout_now(now, from, term, out),
-            Message::Removed { term, id } => {
-                if id == *self.id() && term >= self.term {
+            Message::Removed { id } => {
+                if id == *self.id() {
+                    base::hit!(removed_halts);
                     self.halt(HaltReason::Removed, out);
                 }
             }
@@ -298,10 +308,10 @@
         if now < self.deadline {
             return;
         }
-        if self.unstarted() {
-            self.call_out(now, out);
-        } else {
+        if self.may_vote() && !self.unstarted() {
             self.campaign(now, crate::VoteKind::Pre, out);
+        } else {
+            self.call_out(now, out);
         }
     }
 
--- a/crates/replog/src/replica/election.rs
+++ b/crates/replog/src/replica/election.rs
@@ -5,7 +5,7 @@
 use base::Time;
 
 use super::{Replica, Role};
-use crate::{Message, Output, Outputs, Position, ReplicaId, Term, VoteKind, WriteNo};
+use crate::{Index, Message, Output, Outputs, Position, ReplicaId, Term, VoteKind, WriteNo};
 
 /// The votes that a candidate has.
 #[derive(Clone, Debug)]
@@ -20,9 +20,6 @@
     /// Stands for election, or asks whether that has a chance.
     pub(super) fn campaign(&mut self, now: Time, kind: VoteKind, out: &mut Outputs) {
         self.rearm(now);
-        if !self.may_vote() {
-            return;
-        }
         self.leader = None;
         let me = self.id().clone();
         let mut votes = Votes {
@@ -63,12 +60,16 @@
             base::hit!(empty_never_votes);
             return;
         }
-        if self.unstarted() && !self.is_founder(from) {
-            base::hit!(fresh_elects_founder);
+        if self.tell_removed(from, out) {
             return;
         }
         if kind != VoteKind::Transfer && self.promised(now) {
-            self.tell_removed(now, from, out);
+            self.take_in(now, from, out);
+            return;
+        }
+        let empty = last.index == Index(0);
+        if empty && !self.is_founder(from) {
+            base::hit!(fresh_elects_founder);
             return;
         }
         if kind == VoteKind::Pre {
@@ -154,7 +155,7 @@
         out: &mut Outputs,
     ) {
         let follows = matches!(self.role, Role::Follower) && self.leader.as_ref() == Some(from);
-        if term == self.term && follows {
+        if term == self.term && follows && self.may_vote() {
             self.campaign(now, VoteKind::Transfer, out);
         }
     }
--- a/crates/replog/src/replica/found.rs
+++ b/crates/replog/src/replica/found.rs
@@ -28,17 +28,21 @@
         self.journal.last().index == Index(0)
     }
 
-    /// Tells whether `id` may be elected by a replica without entries.
+    /// Tells whether `id` may be elected without an entry in its log.
     ///
-    /// Replicas without entries can't judge a candidate's log. Were they free
-    /// to elect each other, emptied folders could make a majority and found a
-    /// second log beside one that holds accepted changes.
+    /// Were replicas without entries free to elect each other, emptied folders
+    /// could make a majority and found a second log beside one that holds
+    /// accepted changes.
     pub(super) fn is_founder(&self, id: &ReplicaId) -> bool {
         let members = self.journal.members();
         members.is_some_and(|members| members.voters.first() == Some(id))
     }
 
-    /// Calls out to all other instances, again and again.
+    /// Asks all other instances to be taken in, again and again.
+    ///
+    /// A replica that no leader sends to may have been removed, or the entry
+    /// that took it in was lost with its leader's term. Either way a member
+    /// answers: by its removal, or by taking it in.
     pub(super) fn call_out(&mut self, now: Time, out: &mut Outputs) {
         self.deadline = now + self.settings.raw.election;
         for to in self.others() {
@@ -47,11 +51,16 @@
                 message: Message::Join,
             });
         }
-        self.try_found(now, out);
+        if self.unstarted() {
+            self.try_found(now, out);
+        }
     }
 
     /// Another replica is unstarted.
     pub(super) fn join(&mut self, now: Time, from: &ReplicaId, out: &mut Outputs) {
+        if self.tell_removed(from, out) {
+            return;
+        }
         if matches!(self.role, Role::Leader(_)) {
             self.take_in(now, from, out);
             return;
