Refuse a live load at half of what its deadline allows

Cause: the estimate of a load's wait was right only for adapters that many wait for; lone ones are overtaken by later ones. The estimate now counts twice, and a load under way counts as itself alone.

--- a/crates/route/src/desk/admit.rs
+++ b/crates/route/src/desk/admit.rs
@@ -16,6 +16,10 @@
 /// megabytes; a night's screening is spread over engines.
 const BATCH_QUEUE: u32 = 50_000;
 
+/// How much longer than estimated a load may take: later requests for another
+/// adapter go first where more of them wait.
+const LOAD_MARGIN: f64 = 2.0;
+
 /// Longest time that a caller is told to stay away.
 const RETRY_MAX: f64 = 60.0;
 
@@ -70,7 +74,9 @@
         };
         let queue = bay.drain_secs(ahead);
         let load = match ask.key {
-            Some(key) if !bay.slots.is_ready(key) => self.load_wait(ask.class),
+            Some(key) if bay.slots.is_ready(key) => 0.0,
+            Some(key) if bay.slots.has_or_gets(key) => self.load_secs,
+            Some(_) => self.load_wait(ask.class) * LOAD_MARGIN,
             _ => 0.0,
         };
         queue.max(load)
