Empty the slot that ends first for a critical request

Cause: the slot emptied for its load was the least used one, whose live answers could run for longer than the request's patience. It is the one whose last answer ends first now, at once.

--- a/crates/route/src/desk/room.rs
+++ b/crates/route/src/desk/room.rs
@@ -73,15 +73,19 @@
     /// one slot the same way, or its guaranteed places would stay empty.
     pub(super) fn clear_slots(&mut self, now: Time, allowed: bool, out: &mut Vec<Output>) {
         for bay in self.bays.values_mut() {
-            let Some(oldest) = waits_for_slot(now, bay, allowed) else {
+            let Some((class, oldest)) = waits_for_slot(now, bay, allowed) else {
                 bay.clearing = None;
                 continue;
             };
             if bay.engine.ordering != Ordering::Full || bay.clearing.is_some() {
                 continue;
             }
-            let patient = now.since(oldest) < CLEAR_AFTER;
-            let Some((key, live)) = least_used(now, bay) else {
+            let patient = class != Class::Critical && now.since(oldest) < CLEAR_AFTER;
+            let found = match class {
+                Class::Critical => first_free(now, bay).map(|key| (key, true)),
+                _ => least_used(now, bay),
+            };
+            let Some((key, live)) = found else {
                 continue;
             };
             if live && patient {
@@ -94,18 +98,34 @@
     }
 }
 
-/// Returns since when the oldest request has waited that a slot is to be
-/// emptied for.
-fn waits_for_slot(now: Time, bay: &Bay, allowed: bool) -> Option<Time> {
+/// Returns the most urgent class that a slot is to be emptied for, and since
+/// when its oldest request has waited.
+fn waits_for_slot(now: Time, bay: &Bay, allowed: bool) -> Option<(Class, Time)> {
     let entitled = |class: &Class| match class {
         Class::Critical => true,
         Class::Live => allowed,
         Class::Batch => allowed && bay.batch_without_slot() && bay.guaranteed(now) > 0,
     };
-    let classes = Class::ALL.into_iter().filter(entitled);
-    let wants = classes.flat_map(|c| bay.queue.wants(c));
-    let wants = wants.filter(|w| !bay.slots.has_or_gets(w.key));
-    wants.map(|w| w.since).min()
+    let mut classes = Class::ALL.into_iter().filter(entitled);
+    classes.find_map(|class| {
+        let wants = bay.queue.wants(class);
+        let wants = wants.filter(|w| !bay.slots.has_or_gets(w.key));
+        Some((class, wants.map(|w| w.since).min()?))
+    })
+}
+
+/// Returns the slot whose last request ends first, as far as can be told.
+fn first_free(now: Time, bay: &Bay) -> Option<AdapterKey> {
+    let ends = |slot: &Slot| {
+        let sent = bay.sent.values().filter(|s| s.item.key == Some(slot.key));
+        let sent = sent.filter(|s| s.item.class != Class::Batch);
+        sent.map(|s| s.at + Duration::from_secs_f64(bay.run_secs(s.item.tokens)))
+            .max()
+    };
+    let slots = bay.slots.iter();
+    let slots = slots.filter(|s| s.state == SlotState::Ready && !s.inherited);
+    let slots = slots.map(|s| (ends(s).unwrap_or(now), s.key));
+    slots.min().map(|(_, key)| key)
 }
 
 /// Returns the pinned slot to empty, and whether live work runs on it.
