--- a/crates/base/src/verdict.rs
+++ b/crates/base/src/verdict.rs
@@ -71,6 +71,9 @@
         TooLarge,
         /// The same idempotency key came with another body.
         KeyReused,
+        /// The same marked request is under way, or was answered before; the
+        /// verdict says which.
+        Duplicate,
         /// The brand or class is over its share.
         Overloaded,
         /// The deadline can't be met, or has passed.
@@ -79,6 +82,10 @@
         Unavailable,
         /// What is needed to claim a marked request can't be reached.
         NoQuorum,
+        /// It gave way to more urgent work and is to be sent again.
+        Preempted,
+        /// The engine's owner has just changed; it is to be sent to the new one.
+        Moved,
         /// The target broke off or answered wrongly.
         TargetFailed,
         /// The caller left.
@@ -96,10 +103,13 @@
             Refusal::NotFound => "not-found",
             Refusal::TooLarge => "too-large",
             Refusal::KeyReused => "key-reused",
+            Refusal::Duplicate => "duplicate",
             Refusal::Overloaded => "overloaded",
             Refusal::Deadline => "deadline",
             Refusal::Unavailable => "unavailable",
             Refusal::NoQuorum => "no-quorum",
+            Refusal::Preempted => "preempted",
+            Refusal::Moved => "moved",
             Refusal::TargetFailed => "target-failed",
             Refusal::CallerGone => "caller-gone",
         }
@@ -113,10 +123,11 @@
             Refusal::BadKey => 401,
             Refusal::NotFound => 404,
             Refusal::TooLarge => 413,
+            Refusal::Duplicate => 409,
             Refusal::KeyReused => 422,
             Refusal::Overloaded => 429,
             Refusal::TargetFailed => 502,
-            Refusal::Unavailable | Refusal::NoQuorum => 503,
+            Refusal::Unavailable | Refusal::NoQuorum | Refusal::Preempted | Refusal::Moved => 503,
             Refusal::Deadline => 504,
             Refusal::CallerGone => 499,
         }
