--- /dev/null
+++ b/crates/measure/tests/measure.rs
@@ -0,0 +1,111 @@
+//! The measurement itself: repeatable, and able to say that the aim is missed.
+
+use base::{AdapterKey, AdapterNo, BrandNo, Class, Time, Version};
+use googletest::prelude::*;
+use measure::{
+    Evict, Policy, Spread, compare,
+    figures::{Figures, Told},
+    workload::{self, Arrival},
+    world,
+};
+
+fn arrival(class: Class, brand: u32) -> Arrival {
+    Arrival {
+        at: Time::ZERO,
+        entry: 0,
+        key: Some(AdapterKey {
+            adapter: AdapterNo(1),
+            version: Version(1),
+        }),
+        brand: BrandNo(brand),
+        class,
+        prefix: 1,
+        prompt: 10,
+        tokens: 10,
+        deadline: Time::from_millis(5_000),
+    }
+}
+
+/// Figures of live requests that stalled so long each and were answered.
+fn stalled(millis: &[u64]) -> Figures {
+    let mut figures = Figures {
+        tokens: 100,
+        busy_secs: 1.0,
+        ..Figures::default()
+    };
+    for ms in millis {
+        let told = Told {
+            stall: Time::from_millis(*ms).since(Time::ZERO),
+            first: Some(Time::from_millis(*ms)),
+            ..Told::default()
+        };
+        figures.add(&arrival(Class::Live, 0), &told, true);
+    }
+    figures
+}
+
+#[test]
+fn a_seed_gives_the_same_figures_every_time() {
+    for policy in [
+        Policy::Ours,
+        Policy::Baseline(Spread::Holder, Evict::LeastRecent),
+    ] {
+        let row = |seed| world::run(&workload::one(0, seed), policy, seed).row("w", "p");
+        assert_that!(row(3), eq(&row(3)));
+        assert_that!(row(3), not(eq(&row(4))));
+    }
+}
+
+#[test]
+fn every_rule_is_kept_in_the_workload_with_all_faults() {
+    let i = workload::names()
+        .iter()
+        .position(|n| n == "agency failing")
+        .unwrap();
+    for policy in Policy::ALL {
+        assert_that!(
+            world::run(&workload::one(i, 2), policy, 2).broken,
+            eq(0),
+            "{policy:?}"
+        );
+    }
+}
+
+/// What ours stalled against a baseline's 4 s, and whether the aim is met.
+type Row = (&'static [u64], fn(&mut Figures), bool);
+
+base::cases! {
+    /// Each part of the aim can be missed alone.
+    aim: check_aim => {
+        met: (&[1_000], |_| {}, true),
+        stalls: (&[1_001], |_| {}, false),
+        efficiency: (&[1_000], |f| f.tokens = 99, false),
+        answered: (&[1_000], |f| f.answered = 0, false),
+        batch: (&[1_000], |f| f.batch = (10, 9), false),
+        critical: (&[1_000], |f| f.lost = 1, false),
+        rules: (&[1_000], |f| f.broken = 1, false),
+    }
+}
+
+fn check_aim((stalls, change, met): Row) {
+    let mut ours = stalled(stalls);
+    change(&mut ours);
+    let comparison = compare(&ours, &[stalled(&[9_000]), stalled(&[4_000])]);
+    assert_that!(comparison.is_met(), eq(met), "{comparison}");
+}
+
+#[test]
+fn fairness_is_the_least_part_of_what_a_brand_was_due() {
+    let mut figures = Figures::default();
+    let answered = |yes| Told {
+        first: Some(Time::ZERO).filter(|_| yes),
+        ..Told::default()
+    };
+    for (brand, given, asked) in [(0, 6, 20), (1, 2, 2), (2, 1, 4)] {
+        for n in 0..asked {
+            figures.add(&arrival(Class::Live, brand), &answered(n < given), true);
+        }
+    }
+    // Of nine answers each brand is due three; the third got one of them.
+    assert_that!(figures.fairness(), approx_eq(1.0 / 3.0));
+}
--- /dev/null
+++ b/crates/route/benches/decisions.rs
@@ -0,0 +1,146 @@
+//! Time of one decision over sizes up to the plan: 48,000 adapters, 600
+//! engines.
+
+use std::hint::black_box;
+
+use base::{
+    AdapterKey, AdapterNo, BrandNo, Class, Fence, Incarnation, TargetNo, Ticket, Time, Tokens,
+    Version, stable_hash,
+};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use route::{Ask, Desk, Engine, Input, News, Ordering, PoolNo, Residents, Router, Target, ZoneNo};
+
+/// Adapter slots of an engine.
+const SLOTS: u32 = 8;
+
+/// Adapters and engines: today's, and the plan's in steps.
+const SIZES: [(u32, u32); 4] = [(3_000, 12), (12_000, 150), (24_000, 300), (48_000, 600)];
+
+fn key(adapter: u32) -> AdapterKey {
+    AdapterKey {
+        adapter: AdapterNo(adapter),
+        version: Version(1),
+    }
+}
+
+fn ask(adapter: u32) -> Ask {
+    Ask {
+        pool: PoolNo(0),
+        key: Some(key(adapter)),
+        brand: BrandNo(adapter % 3),
+        class: Class::Live,
+        prefix: u64::from(adapter) + 1,
+        tokens: Tokens(100),
+        deadline: Time::from_millis(1_000_000_000),
+    }
+}
+
+/// A router that knows `adapters` and `engines`, each engine full; the first
+/// adapters are held.
+fn router(adapters: u32, engines: u32) -> Router {
+    let mut router = Router::new(ZoneNo(0), 1);
+    for adapter in (0..adapters).map(AdapterNo) {
+        let hash = stable_hash(&[&adapter.0.to_le_bytes()]);
+        router.note(Time::ZERO, News::Adapter { adapter, hash });
+    }
+    for no in 0..engines {
+        let target = Target {
+            target: TargetNo(no),
+            pool: PoolNo(0),
+            zone: ZoneNo(no % 4),
+            hash: stable_hash(&[&no.to_le_bytes()]),
+            incarnation: Incarnation(1),
+            batch: 256,
+            slots: SLOTS,
+        };
+        router.note(Time::ZERO, News::Target(target));
+        let held = (0..SLOTS).map(|slot| key(no * SLOTS + slot));
+        let residents = Residents {
+            target: TargetNo(no),
+            fence: Fence(1),
+            whole: true,
+            added: held.collect(),
+            removed: Vec::new(),
+            running: no % 100,
+            queued: 0,
+            worth: no % 50,
+        };
+        router.note(Time::ZERO, News::Residents(residents));
+    }
+    router
+}
+
+fn choices(c: &mut Criterion) {
+    let mut group = c.benchmark_group("choose");
+    for (adapters, engines) in SIZES {
+        let held = engines * SLOTS;
+        let cases = [("held", 0, held), ("cold", held, adapters)];
+        for (name, from, to) in cases {
+            let mut router = router(adapters, engines);
+            let mut adapter = from;
+            let id = BenchmarkId::new(name, format!("{adapters}x{engines}"));
+            group.bench_function(id, |b| {
+                b.iter(|| {
+                    adapter = if adapter + 1 >= to { from } else { adapter + 1 };
+                    black_box(router.choose(Time::from_millis(5), &ask(adapter), &[]))
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
+fn desks(c: &mut Criterion) {
+    let mut group = c.benchmark_group("desk");
+    for queued in [0u64, 1_000, 10_000] {
+        let mut desk = Desk::new(1);
+        let mut out = Vec::new();
+        let engine = Engine {
+            target: TargetNo(0),
+            incarnation: Incarnation(1),
+            slots: SLOTS,
+            batch: 256,
+            ordering: Ordering::Full,
+        };
+        let owned = Input::Owned {
+            engine,
+            held: (0..SLOTS).map(key).collect(),
+            inherited: false,
+        };
+        desk.handle(Time::ZERO, owned, &mut out);
+        for ticket in 0..queued {
+            let ask = Ask {
+                class: Class::Batch,
+                ..ask(SLOTS + (ticket % 1_000) as u32)
+            };
+            let arrive = Input::Arrive {
+                ticket: Ticket(ticket),
+                target: TargetNo(0),
+                ask,
+            };
+            desk.handle(Time::ZERO, arrive, &mut out);
+        }
+        let mut ticket = 1_000_000;
+        group.bench_function(BenchmarkId::new("arrive-and-end", queued), |b| {
+            b.iter(|| {
+                ticket += 1;
+                out.clear();
+                let (target, ask) = (TargetNo(0), ask((ticket % 8) as u32));
+                let ticket = Ticket(ticket);
+                let now = Time::from_millis(5);
+                let arrive = Input::Arrive {
+                    ticket,
+                    target,
+                    ask,
+                };
+                desk.handle(now, arrive, &mut out);
+                desk.handle(now, Input::Finished { ticket, ok: true }, &mut out);
+                black_box(out.len())
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, choices, desks);
+criterion_main!(benches);
