--- a/crates/lab/tests/processes/main.rs
+++ b/crates/lab/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod faults;
+mod measures;
 mod once;
 mod path;
 mod rolling;
