--- a/crates/web/tests/web/server.rs
+++ b/crates/web/tests/web/server.rs
@@ -263,6 +263,11 @@
     expect_that!(answer.status.as_u16(), eq(429));
     expect_that!(answer.refused(), eq(true));
     expect_that!(answer.whole(BODY).await.is_ok(), eq(true));
+    // A caller that is still writing finds the refusal as well.
+    let mut large = Send::new(site.addr, Method::POST, "/");
+    large.body = vec![b'x'; 16 << 20].into();
+    let answer = Client::default().send(large).await.unwrap();
+    expect_that!(answer.refused(), eq(true));
     site.shared.go.notify_one();
     assert_that!(hear(&mut busy).await, contains_substring("waited"));
 }
