--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -59,6 +59,7 @@
     listed: BTreeSet<AdapterKey>,
     running: u32,
     queued: u32,
+    worth: u32,
 }
 
 /// The engines and what is known of them.
@@ -241,6 +242,7 @@
                 removed,
                 running,
                 queued,
+                worth,
             } => {
                 let change = residents::Change {
                     whole,
@@ -248,6 +250,7 @@
                     removed,
                     running,
                     queued,
+                    worth,
                 };
                 self.tell_residents(shared, now, target, change, out);
             }
@@ -333,6 +336,11 @@
                 ok: false,
             });
         };
+        let input = owner::Input::Unloading {
+            target: name,
+            resident: resident.clone(),
+        };
+        self.hold(shared, now, input, out);
         let body = Order::Unload(resident);
         self.order(shared, target, body, fence, Sent::Unload(target, key), out);
         None
@@ -372,11 +380,12 @@
         let Some(sent) = self.orders.remove(&order) else {
             return;
         };
-        let done = end == OrderEnd::Done;
+        let fresh = end == OrderEnd::Done;
+        let done = matches!(end, OrderEnd::Done | OrderEnd::Already);
         match sent {
             Sent::Load(target, key, fence) => {
                 if done {
-                    self.note_loaded(shared, now, target, key, fence, out);
+                    self.note_loaded(shared, now, target, key, (fence, fresh), out);
                 } else {
                     let name = shared.names.target_name(target).clone();
                     let resident = shared.names.resident(key);
@@ -390,7 +399,7 @@
                 self.desk(shared, now, DeskInput::Unloaded { target, key, ok }, out);
             }
             Sent::Touch(target, key, fence) if done => {
-                self.note_loaded(shared, now, target, key, fence, out);
+                self.note_loaded(shared, now, target, key, (fence, fresh), out);
             }
             Sent::Touch(..) => {}
         }
@@ -424,6 +433,10 @@
         };
         out.tell(ENTRY, Msg::News(News::Reachable(target, true)));
         if look == Look::Restarted {
+            let input = owner::Input::Restarted {
+                target: name.clone(),
+            };
+            self.hold(shared, now, input, out);
             out.emit(Output::Event(Event::EngineRestarted(name)));
         }
         self.take_report(shared, now, &poll, report, out);
@@ -453,6 +466,8 @@
         if new {
             out.tell(ENTRY, Msg::Life(target, report.incarnation));
             self.own(shared, now, target, out);
+        } else {
+            self.touch(shared, now, target, out);
         }
         let load = Report {
             target,
--- a/crates/node/src/engines/own.rs
+++ b/crates/node/src/engines/own.rs
@@ -147,13 +147,14 @@
         now: Time,
         target: TargetNo,
         key: base::AdapterKey,
-        fence: Fence,
+        (fence, fresh): (Fence, bool),
         out: &mut Out,
     ) {
         let input = HolderInput::Loaded {
             target: shared.names.target_name(target).clone(),
             fence,
             resident: shared.names.resident(key),
+            fresh,
         };
         self.hold(shared, now, input, out);
     }
--- a/crates/node/src/engines/residents.rs
+++ b/crates/node/src/engines/residents.rs
@@ -24,6 +24,7 @@
     pub(super) removed: Vec<AdapterKey>,
     pub(super) running: u32,
     pub(super) queued: u32,
+    pub(super) worth: u32,
 }
 
 /// What this instance has heard of another owner's engine.
@@ -55,6 +56,7 @@
             removed: change.removed.clone(),
             running: change.running,
             queued: change.queued,
+            worth: change.worth,
         };
         out.tell(ENTRY, Msg::News(News::Residents(news)));
         self.remember(target, &change);
@@ -88,6 +90,7 @@
             removed: Vec::new(),
             running: engine.running,
             queued: engine.queued,
+            worth: engine.worth,
         };
         let Some(body) = self.residents(shared, now, target, no, &change) else {
             return;
@@ -138,6 +141,7 @@
             removed: keys(news.removed),
             running: news.in_flight,
             queued: news.queued,
+            worth: news.worth,
         };
         self.teach(shared, now, out);
         out.tell(ENTRY, Msg::News(News::Residents(residents)));
@@ -155,6 +159,7 @@
         engine.listed.extend(change.added.iter().copied());
         engine.running = change.running;
         engine.queued = change.queued;
+        engine.worth = change.worth;
     }
 
     fn residents(
@@ -180,6 +185,7 @@
             removed: named(&change.removed),
             in_flight: change.running,
             queued: change.queued,
+            worth: change.worth,
         })
     }
 }
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -174,6 +174,8 @@
     pub enum OrderEnd {
         /// Carried out.
         Done,
+        /// The engine held it already; perhaps another owner has loaded it.
+        Already,
         /// The engine could not.
         Failed,
         /// The engine has seen a greater fencing number.
--- a/crates/replog/src/replica.rs
+++ b/crates/replog/src/replica.rs
@@ -7,6 +7,7 @@
 mod members;
 mod progress;
 mod restored;
+mod send;
 mod writes;
 
 use base::{StableHash, Time, stable_hash};
@@ -254,6 +255,7 @@
             Message::TimeoutNow { term } => self.timeout_now(now, from, term, out),
             Message::Removed { id } => {
                 if id == *self.id() {
+                    base::hit!(removed_halts);
                     self.halt(HaltReason::Removed, out);
                 }
             }
