Add a load tool: a seeded mix of requests, and what came of each

cargo xtask load sends streams, whole answers, listings and marked requests, a third of these again through another entry instance, open loop and bounded in count, time and requests at once. It holds what callers were told against what the services executed.

--- /dev/null
+++ b/xtask/src/load.rs
@@ -0,0 +1,207 @@
+//! `cargo xtask load`: a seeded mix of requests at a given rate, and what
+//! came of each.
+//!
+//! Calls the entry instances named by `--entry`; without any it starts a small
+//! deployment of its own, checks what the services executed, and compares the
+//! way through an entry instance with a direct call. Bounded in count, time
+//! and requests at once.
+
+mod mix;
+mod send;
+mod tally;
+
+use std::{
+    collections::BTreeMap, fs, net::SocketAddr, process::ExitCode, sync::Arc, time::Duration,
+};
+
+use anyhow::{Context, Result, ensure};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use lab::{Lab, Plan};
+use tokio::{
+    sync::Semaphore,
+    task::JoinSet,
+    time::{Instant, sleep_until, timeout},
+};
+use web::client::Client;
+
+use self::{mix::Mix, send::Site, tally::Tally};
+use crate::{root, test::cargo};
+
+/// Longest wait for the last answers.
+const TAIL: Duration = Duration::from_secs(60);
+
+/// Calls each way when hops are compared.
+const COMPARED: usize = 1_000;
+
+/// Returns the command line.
+pub(crate) fn command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        let parser = value_parser!(u64).range(1..);
+        let arg = Arg::new(name).long(name).default_value(default);
+        arg.value_parser(parser).help(help)
+    };
+    let text = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name).long(name).default_value(default).help(help)
+    };
+    Command::new("load")
+        .about("Sends a seeded mix of requests and counts what came of them")
+        .arg(
+            Arg::new("entry")
+                .long("entry")
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(SocketAddr))
+                .help("An entry instance; without any, a small deployment is started"),
+        )
+        .arg(text(
+            "key",
+            "sample-key-kazaliste",
+            "The brand's bearer key",
+        ))
+        .arg(text("brand", "kazaliste", "The brand"))
+        .arg(text("assistant", "drafting", "The assistant"))
+        .arg(text(
+            "listing",
+            "listing/calls",
+            "A plain path that may be repeated",
+        ))
+        .arg(text(
+            "submit",
+            "submissions/apply",
+            "A plain path that may not",
+        ))
+        .arg(number("seed", "1", "Seed of the mix"))
+        .arg(number("rate", "50", "Requests a second"))
+        .arg(number("seconds", "10", "For how long"))
+        .arg(number("requests", "100000", "At most so many"))
+        .arg(number("at-once", "512", "At most so many at once"))
+}
+
+/// Runs the load.
+///
+/// # Errors
+///
+/// Fails when the deployment doesn't start, or a request not to be repeated
+/// ran twice.
+pub(crate) fn run(args: &ArgMatches) -> Result<ExitCode> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    let entries: Vec<SocketAddr> = args
+        .get_many("entry")
+        .unwrap_or_default()
+        .copied()
+        .collect();
+    if !entries.is_empty() {
+        runtime
+            .block_on(send_all(site(args, entries), args))?
+            .print();
+        return Ok(ExitCode::SUCCESS);
+    }
+    cargo(&["build", "--workspace", "--bins", "--locked"])?;
+    runtime.block_on(with_lab(args))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn site(args: &ArgMatches, entries: Vec<SocketAddr>) -> Site {
+    let text = |name| args.get_one::<String>(name).cloned().unwrap_or_default();
+    Site {
+        client: Client::default(),
+        entries,
+        key: text("key"),
+        assistant: text("assistant"),
+        listing: format!("/{}/{}", text("brand"), text("listing")),
+        submit: format!("/{}/{}", text("brand"), text("submit")),
+    }
+}
+
+async fn with_lab(args: &ArgMatches) -> Result<()> {
+    let plan = Plan {
+        zones: ["dubrava", "jankomir"].map(str::to_owned).to_vec(),
+        ..Plan::small()
+    };
+    let mut lab = Lab::start("load", &plan).await?;
+    let text = fs::read_to_string(root().join("samples/agency.toml"))?;
+    let version = lab.apply("load-1", &text).await?;
+    lab.wait_ready(version).await?;
+    lab.wait_owned().await?;
+    let entries = lab.entries.iter().map(|entry| entry.listen).collect();
+    let site = site(args, entries);
+    let tally = send_all(site.clone(), args).await?;
+    tally.print();
+    let ran = executions(&lab).await?;
+    tally.check(&ran)?;
+    compare(&site, &lab).await?;
+    ensure!(lab.stop().await?, "a daemon did not stop in order");
+    lab.clean()
+}
+
+/// Sends the mix, open loop: a slow answer delays no later request, until the
+/// bound on requests at once is met.
+async fn send_all(site: Site, args: &ArgMatches) -> Result<Tally> {
+    let number = |name: &str| args.get_one::<u64>(name).copied().unwrap_or(1);
+    let mut mix = Mix::new(number("seed"), number("rate"));
+    let start = Instant::now();
+    let end = start + Duration::from_secs(number("seconds"));
+    let places = usize::try_from(number("at-once"))?;
+    let places = Arc::new(Semaphore::new(places));
+    let (site, mut tasks, mut tally) = (Arc::new(site), JoinSet::new(), Tally::default());
+    let mut at = start;
+    for _ in 0..number("requests") {
+        let (gap, ask) = mix.draw();
+        at += gap;
+        if at >= end {
+            break;
+        }
+        sleep_until(at).await;
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            tally.skipped += 1;
+            continue;
+        };
+        let site = Arc::clone(&site);
+        tasks.spawn(async move {
+            let outcomes = site.send(&ask).await;
+            drop(place);
+            outcomes
+        });
+        while let Some(done) = tasks.try_join_next() {
+            tally.add(done?);
+        }
+    }
+    while let Some(done) = timeout(TAIL, tasks.join_next())
+        .await
+        .context("answers are missing")?
+    {
+        tally.add(done?);
+    }
+    tally.took = start.elapsed();
+    Ok(tally)
+}
+
+/// Asks each service how often it executed each key.
+async fn executions(lab: &Lab) -> Result<BTreeMap<String, u64>> {
+    let mut all = BTreeMap::new();
+    for service in &lab.services {
+        let stats = lab::Caller::new(service.address, "")
+            .get("/admin/stats")
+            .await?;
+        let ran = stats["executions"].as_object().context("no executions")?;
+        for (key, n) in ran {
+            *all.entry(key.clone()).or_default() += n.as_u64().unwrap_or_default();
+        }
+    }
+    Ok(all)
+}
+
+/// Compares the way through an entry instance with a direct call of a service,
+/// in turns, so that both meet the same machine.
+async fn compare(site: &Site, lab: &Lab) -> Result<()> {
+    let service = lab.services.first().context("no service")?;
+    let entry = *site.entries.first().context("no entry instance")?;
+    let (mut direct, mut through) = (tally::histogram(), tally::histogram());
+    for _ in 0..COMPARED {
+        direct.saturating_record(site.list(service.address).await?);
+        through.saturating_record(site.list(entry).await?);
+    }
+    println!("\n{COMPARED} listings each way, in turns, microseconds:");
+    println!("direct             {}", tally::quantiles(&direct));
+    println!("through an entry   {}", tally::quantiles(&through));
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/load/send.rs
@@ -0,0 +1,179 @@
+//! Sends one request and judges what came back.
+
+use std::{net::SocketAddr, time::Duration};
+
+use anyhow::{Result, ensure};
+use base::{Mark, Verdict};
+use bytes::Bytes;
+use serde_json::json;
+use tokio::time::{Instant, sleep};
+use web::{
+    Method,
+    client::{Answer, Client, Limits, Send},
+    header_value,
+    sse::Parser,
+};
+use wire::header;
+
+use super::mix::{Ask, Kind};
+
+/// Largest answer that is read, in bytes.
+const BODY_MAX: usize = 1 << 20;
+
+/// Who is called, and for what.
+#[derive(Clone, Debug)]
+pub(crate) struct Site {
+    pub(crate) client: Client,
+    pub(crate) entries: Vec<SocketAddr>,
+    pub(crate) key: String,
+    pub(crate) assistant: String,
+    pub(crate) listing: String,
+    pub(crate) submit: String,
+}
+
+/// What came of one request.
+#[derive(Clone, Debug)]
+pub(crate) struct Outcome {
+    pub(crate) kind: Kind,
+    /// The name of a marked request.
+    pub(crate) key: Option<String>,
+    pub(crate) end: End,
+    /// Until the first token, or the whole of another answer.
+    pub(crate) first: Option<Duration>,
+}
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum End {
+    /// Answered, whole.
+    Whole,
+    /// An answer that is whole in form and has too few tokens.
+    Short,
+    /// A part came, then an error or a cut.
+    Cut,
+    /// A failure with its verdict and reason.
+    Failed(Verdict, String),
+}
+
+impl Site {
+    /// Sends a request, and its resend where it has one.
+    pub(crate) async fn send(&self, ask: &Ask) -> Vec<Outcome> {
+        let first = self.once(ask, ask.entry);
+        let Some(wait) = ask.resend else {
+            return vec![first.await];
+        };
+        let second = async {
+            sleep(wait).await;
+            self.once(ask, ask.entry + 1).await
+        };
+        let (first, second) = tokio::join!(first, second);
+        vec![first, second]
+    }
+
+    /// Fetches the listing page from `addr` and returns the microseconds.
+    pub(crate) async fn list(&self, addr: SocketAddr) -> Result<u64> {
+        let start = Instant::now();
+        let send = self.plain(addr, Method::GET, &self.listing);
+        let answer = self.client.send(send).await?;
+        ensure!(
+            answer.status.is_success(),
+            "the listing answered {}",
+            answer.status
+        );
+        answer.whole(BODY_MAX).await?;
+        Ok(u64::try_from(start.elapsed().as_micros())?)
+    }
+
+    async fn once(&self, ask: &Ask, entry: usize) -> Outcome {
+        let addr = self.entries[entry % self.entries.len()];
+        let start = Instant::now();
+        let (end, first) = match self.client.send(self.request(ask, addr)).await {
+            Ok(answer) => self.read(answer, ask, start).await,
+            Err(broken) => {
+                let why = broken.reason().to_string();
+                (End::Failed(broken.verdict, why), None)
+            }
+        };
+        Outcome {
+            kind: ask.kind,
+            key: (ask.kind == Kind::Marked).then(|| ask.name.clone()),
+            end,
+            first,
+        }
+    }
+
+    fn request(&self, ask: &Ask, addr: SocketAddr) -> Send {
+        match ask.kind {
+            Kind::Stream => self.chat(ask, addr, true),
+            Kind::Whole => self.chat(ask, addr, false),
+            Kind::Listing => self.plain(addr, Method::GET, &self.listing),
+            Kind::Marked => {
+                let mut send = self.plain(addr, Method::POST, &self.submit);
+                send.body = Bytes::from(json!({"seat": ask.name}).to_string());
+                let key = header_value(&ask.name);
+                send.headers.insert(header::IDEMPOTENCY_KEY, key);
+                send
+            }
+        }
+    }
+
+    fn chat(&self, ask: &Ask, addr: SocketAddr, stream: bool) -> Send {
+        let mut send = self.plain(addr, Method::POST, "/v1/chat/completions");
+        let body = json!({"model": self.assistant, "stream": stream, "max_tokens": ask.tokens,
+            "messages": [{"role": "user", "content": ask.name}]});
+        send.body = Bytes::from(body.to_string());
+        send
+    }
+
+    fn plain(&self, addr: SocketAddr, method: Method, path: &str) -> Send {
+        let mut send = Send::new(addr, method, path);
+        let bearer = header_value(&format!("Bearer {}", self.key));
+        send.headers.insert("authorization", bearer);
+        let json = header_value("application/json");
+        send.headers.insert("content-type", json);
+        // The load itself never repeats: what it counts is what it sent.
+        send.mark = Mark::Once;
+        send.limits = Limits {
+            first: Duration::from_secs(40),
+            idle: Duration::from_secs(25),
+            whole: Duration::from_secs(55),
+            ..Limits::default()
+        };
+        send
+    }
+
+    async fn read(&self, mut answer: Answer, ask: &Ask, start: Instant) -> (End, Option<Duration>) {
+        if !answer.status.is_success() {
+            let verdict = answer
+                .header(header::VERDICT)
+                .and_then(|raw| raw.parse().ok());
+            let reason = answer.header(header::REASON).unwrap_or("no reason");
+            let verdict = verdict.unwrap_or(Verdict::MayHaveRun);
+            return (End::Failed(verdict, reason.to_owned()), None);
+        }
+        if ask.kind != Kind::Stream {
+            return match answer.whole(BODY_MAX).await {
+                Ok(_) => (End::Whole, Some(start.elapsed())),
+                Err(_) => (End::Cut, None),
+            };
+        }
+        let (mut parser, mut events, mut first) = (Parser::default(), Vec::new(), None);
+        while let Some(piece) = answer.next().await {
+            let Ok(piece) = piece else {
+                return (End::Cut, first);
+            };
+            if parser.push(&piece, &mut events).is_err() {
+                return (End::Cut, first);
+            }
+            if parser.tokens() > 0 {
+                first.get_or_insert(start.elapsed());
+            }
+        }
+        let end = if parser.tokens() == ask.tokens {
+            End::Whole
+        } else {
+            End::Short
+        };
+        (end, first)
+    }
+}
--- /dev/null
+++ b/xtask/src/load/tally.rs
@@ -0,0 +1,125 @@
+//! Counts what came of the requests.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use anyhow::{Result, ensure};
+use base::Verdict;
+use hdrhistogram::Histogram;
+
+use super::{
+    mix::Kind,
+    send::{End, Outcome},
+};
+
+/// Longest time that is told apart, in microseconds.
+const LONGEST: u64 = 120_000_000;
+
+/// What came of all requests.
+#[derive(Debug, Default)]
+pub(crate) struct Tally {
+    ends: BTreeMap<Kind, BTreeMap<End, u64>>,
+    first: BTreeMap<Kind, Histogram<u64>>,
+    /// Keys that were answered as run.
+    answered: BTreeSet<String>,
+    /// Keys of which each answer said `not run`.
+    denied: BTreeMap<String, bool>,
+    /// Requests not sent because too many were under way.
+    pub(crate) skipped: u64,
+    pub(crate) took: Duration,
+}
+
+/// Makes a histogram of microseconds with three digits.
+pub(crate) fn histogram() -> Histogram<u64> {
+    let histogram = Histogram::new_with_max(LONGEST, 3);
+    histogram.expect("the bounds are constants in range")
+}
+
+/// Writes a histogram's quantiles.
+pub(crate) fn quantiles(histogram: &Histogram<u64>) -> String {
+    let at = |q| histogram.value_at_quantile(q);
+    format!(
+        "p50 {:>8}  p95 {:>8}  p99 {:>8}  n {}",
+        at(0.50),
+        at(0.95),
+        at(0.99),
+        histogram.len()
+    )
+}
+
+impl Tally {
+    pub(crate) fn add(&mut self, outcomes: Vec<Outcome>) {
+        for outcome in outcomes {
+            self.add_one(outcome);
+        }
+    }
+
+    fn add_one(&mut self, outcome: Outcome) {
+        let ends = self.ends.entry(outcome.kind).or_default();
+        *ends.entry(outcome.end.clone()).or_default() += 1;
+        if let Some(key) = outcome.key {
+            let not_run = matches!(&outcome.end, End::Failed(Verdict::NotRun, _));
+            *self.denied.entry(key.clone()).or_insert(true) &= not_run;
+            if outcome.end == End::Whole {
+                self.answered.insert(key);
+            }
+        }
+        if let Some(first) = outcome.first {
+            let micros = u64::try_from(first.as_micros()).unwrap_or(LONGEST);
+            let histogram = self.first.entry(outcome.kind).or_insert_with(histogram);
+            histogram.saturating_record(micros);
+        }
+    }
+
+    pub(crate) fn print(&self) {
+        let all: u64 = self.ends.values().flat_map(BTreeMap::values).sum();
+        let seconds = self.took.as_secs_f64();
+        println!(
+            "{all} answers in {seconds:.1} s, {} requests left out",
+            self.skipped
+        );
+        for (kind, ends) in &self.ends {
+            for (end, n) in ends {
+                println!("{:<8} {:<40} {n:>8}", kind.as_str(), name(end));
+            }
+        }
+        println!("\nfirst token of streams, whole of the rest, microseconds:");
+        for (kind, histogram) in &self.first {
+            println!("{:<8} {}", kind.as_str(), quantiles(histogram));
+        }
+    }
+
+    /// Holds what callers were told against what truly ran.
+    pub(crate) fn check(&self, ran: &BTreeMap<String, u64>) -> Result<()> {
+        let twice = ran.values().filter(|n| **n > 1).count();
+        let lost = self.answered.iter().filter(|key| !ran.contains_key(*key));
+        let lost = lost.count();
+        let denied = self
+            .denied
+            .iter()
+            .filter(|(key, not)| **not && ran.contains_key(*key));
+        let denied = denied.count();
+        println!(
+            "\nmarked: {} keys sent, {} ran, {twice} ran twice, {lost} answered and never ran, \
+             {denied} `not run` and ran",
+            self.denied.len(),
+            ran.len(),
+        );
+        ensure!(
+            twice + lost + denied == 0,
+            "a caller was told what isn't so"
+        );
+        Ok(())
+    }
+}
+
+fn name(end: &End) -> String {
+    match end {
+        End::Whole => String::from("whole"),
+        End::Short => String::from("short"),
+        End::Cut => String::from("cut"),
+        End::Failed(verdict, reason) => format!("{verdict}, {reason}"),
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod events;
+mod load;
 mod measure;
 mod samples;
 mod soak;
@@ -31,6 +32,10 @@
         command: measure::command,
         run: measure::run,
     },
+    Chore {
+        command: load::command,
+        run: load::run,
+    },
     Chore {
         command: events::command,
         run: |args| done(events::run(root(), args.get_flag("write"))),
