--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -239,7 +239,7 @@
                 priority,
             } => return self.send(shared, now, ticket, target, priority, out),
             DeskOutput::Refuse { ticket, failure } => {
-                self.waits.refused(now, ticket, out);
+                measure::waited(self.waits.refused(now, ticket), out);
                 out.tell(ENTRY, Msg::Refused { ticket, failure });
             }
             DeskOutput::Preempt(ticket) => out.tell(ENTRY, Msg::GiveWay(ticket)),
@@ -293,7 +293,7 @@
             out.tell(ENTRY, Msg::Refused { ticket, failure });
             return Some(DeskInput::Finished { ticket, ok: true });
         }
-        self.waits.sent(now, ticket, out);
+        measure::waited(self.waits.sent(now, ticket), out);
         out.tell(ENTRY, Msg::Turn { ticket, priority });
         None
     }
@@ -592,9 +592,5 @@
 fn weights(shared: &Shared, resident: &engine::Resident) -> Option<String> {
     let adapter = shared.model.adapters.get(&resident.adapter)?;
     let known = adapter.versions.contains(&resident.version);
-    known.then(|| {
-        adapter
-            .weights
-            .replace("{version}", &resident.version.to_string())
-    })
+    known.then(|| adapter.weights_of(resident.version))
 }
--- a/crates/node/src/engines/measure.rs
+++ b/crates/node/src/engines/measure.rs
@@ -1,6 +1,9 @@
 //! What the users measure: load stalls and batch efficiency, and the loads
 //! behind them.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -32,6 +35,16 @@
     held: Option<Time>,
 }
 
+/// How long a request waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Waited {
+    class: Class,
+    /// For its adapter.
+    stall: Duration,
+    /// For a place beside that, if it got one.
+    queued: Option<Duration>,
+}
+
 impl Waits {
     /// Notes a request; `listed` says whether the engine is known to hold its
     /// adapter. Engines are listed as holders from the begin of an awaited
@@ -44,7 +57,11 @@
         class: Class,
         listed: bool,
     ) {
-        let held = listed && !self.loads.contains(&(target, key));
+        let loading = self.loads.contains(&(target, key));
+        if listed && loading {
+            base::hit!(joins_a_load);
+        }
+        let held = listed && !loading;
         let wait = Wait {
             target,
             key,
@@ -73,26 +90,25 @@
         }
     }
 
-    /// Reports the waits of a request that is sent for the first time.
-    pub(super) fn sent(&mut self, now: Time, ticket: Ticket, out: &mut Out) {
-        let Some(wait) = self.requests.remove(&ticket) else {
-            return;
-        };
+    /// Ends the wait of a request that is sent for the first time.
+    pub(super) fn sent(&mut self, now: Time, ticket: Ticket) -> Option<Waited> {
+        let wait = self.requests.remove(&ticket)?;
         let held = wait.held.unwrap_or(now);
-        let stall = Event::Stalled(wait.class, held.since(wait.since));
-        out.emit(Output::Event(stall));
-        out.emit(Output::Event(Event::Queued(wait.class, now.since(held))));
+        Some(Waited {
+            class: wait.class,
+            stall: held.since(wait.since),
+            queued: Some(now.since(held)),
+        })
     }
 
-    /// Reports the stall of a request that is given up: left out, the longest
-    /// stalls would be those that nobody sees.
-    pub(super) fn refused(&mut self, now: Time, ticket: Ticket, out: &mut Out) {
-        let Some(wait) = self.requests.remove(&ticket) else {
-            return;
-        };
-        let held = wait.held.unwrap_or(now);
-        let stall = Event::Stalled(wait.class, held.since(wait.since));
-        out.emit(Output::Event(stall));
+    /// Ends the wait of a request that is given up. It counts as a stall, too:
+    /// left out, the longest ones would be those that nobody sees.
+    pub(super) fn refused(&mut self, now: Time, ticket: Ticket) -> Option<Waited> {
+        let waited = self.sent(now, ticket)?;
+        Some(Waited {
+            queued: None,
+            ..waited
+        })
     }
 
     /// Forgets a request whose caller left, or that moves on.
@@ -101,6 +117,16 @@
     }
 }
 
+/// Reports how long a request waited.
+pub(super) fn waited(waited: Option<Waited>, out: &mut Out) {
+    let Some(waited) = waited else { return };
+    let class = waited.class;
+    out.emit(Output::Event(Event::Stalled(class, waited.stall)));
+    if let Some(queued) = waited.queued {
+        out.emit(Output::Event(Event::Queued(class, queued)));
+    }
+}
+
 /// Reports how much of an engine's batch is in use.
 pub(super) fn batch(shared: &Shared, target: TargetNo, running: u32, out: &mut Out) {
     let Some(info) = shared.targets.get(&target) else {
