--- a/xtask/src/test.rs
+++ b/xtask/src/test.rs
@@ -18,6 +18,14 @@
 pub(crate) fn run(_: &ArgMatches) -> Result<ExitCode> {
     cargo(&["build", "--workspace", "--bins", "--locked"])?;
     cargo(&["test", "--workspace", "--locked"])?;
+    cargo(&[
+        "run",
+        "--locked",
+        "--package",
+        "quetzalarch",
+        "--example",
+        "embed",
+    ])?;
     Ok(ExitCode::SUCCESS)
 }
 
