Log failed starts, unknown keys, a stale list and refused texts

Each is noticed at the boundary and needs no decision's word. A refused text's errors stay with the operator: the line names only the kind of the refusal. A stale list is logged once, when it begins.

--- a/crates/controld/src/main.rs
+++ b/crates/controld/src/main.rs
@@ -12,7 +12,8 @@
 use std::{env, process::ExitCode};
 
 use anyhow::{Context, Result};
-use settings::ControlSettings;
+use settings::{ControlSettings, Identity};
+use telemetry::{Event, event};
 use tokio::net::TcpListener;
 
 fn main() -> ExitCode {
@@ -41,14 +42,21 @@
         let identity = &settings.identity;
         let name = identity.name.to_string();
         let guard = telemetry::start("controld", &name, &settings.telemetry)?;
-        let operators = listen(identity.listen).await?;
-        let peers = listen(identity.peer_listen).await?;
+        let bound = bind(identity).await;
+        let (operators, peers) = bound.inspect_err(|err| {
+            event!(Event::StartFailed, why = format!("{err:#}"));
+        })?;
         let ended = shell::serve(settings, operators, peers).await;
         drop(guard);
         ended
     })
 }
 
+async fn bind(identity: &Identity) -> Result<(TcpListener, TcpListener)> {
+    let own = listen(identity.listen).await?;
+    Ok((own, listen(identity.peer_listen).await?))
+}
+
 async fn listen(address: std::net::SocketAddr) -> Result<TcpListener> {
     let bound = TcpListener::bind(address).await;
     bound.with_context(|| format!("can't listen on {address}"))
--- a/crates/controld/src/operators.rs
+++ b/crates/controld/src/operators.rs
@@ -5,6 +5,7 @@
 use base::{Failure, InstanceName, Refusal};
 use control::Input;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use telemetry::{Event, event};
 use tokio::sync::oneshot;
 use web::{
     body::{self, Body, ReadLimits},
@@ -12,7 +13,7 @@
 };
 use wire::{
     call::Call,
-    operator::{Applied, Apply, Drain},
+    operator::{Applied, Apply, Drain, Why},
 };
 
 use crate::state::{Job, Read, State};
@@ -78,6 +79,7 @@
 
 async fn apply(state: &State, req: Request<Incoming>) -> Result<Response<Body>, Failure> {
     let apply: Apply = body_of(req).await?;
+    let (change, by) = (apply.change.clone(), apply.by.clone());
     let (ticket, outcome) = state.expect_applied();
     state.tell(Input::Apply { ticket, apply });
     let unknown = Applied::Unknown { retry_ms: 1_000 };
@@ -85,6 +87,14 @@
         Ok(Ok(applied)) => applied,
         Ok(Err(_)) | Err(_) => unknown,
     };
+    if let Applied::Refused { why } = &applied {
+        event!(
+            Event::TextRefused,
+            change = change,
+            by = by,
+            why = short(why)
+        );
+    }
     let status = match applied {
         Applied::Accepted { .. } => StatusCode::OK,
         Applied::Refused { .. } => StatusCode::CONFLICT,
@@ -93,6 +103,17 @@
     Ok(reply::json(status, &applied))
 }
 
+/// Names a refusal; the errors of a text are for the operator, not the log.
+fn short(why: &Why) -> &'static str {
+    match why {
+        Why::Conflict { .. } => "conflict",
+        Why::ChangeReused => "change-reused",
+        Why::BadText { .. } => "bad-text",
+        Why::NoQuorum { .. } => "no-quorum",
+        Why::NoDisk => "no-disk",
+    }
+}
+
 async fn drain(state: &State, req: Request<Incoming>) -> Result<Response<Body>, Failure> {
     let drain: Drain = body_of(req).await?;
     let (tx, rx) = oneshot::channel();
--- a/crates/entryd/src/callers.rs
+++ b/crates/entryd/src/callers.rs
@@ -11,7 +11,7 @@
 use node::{Arrival, IdempotencyKey, Input};
 use serde_json::json;
 use sha2::{Digest, Sha256};
-use telemetry::span;
+use telemetry::{Event, event, span};
 use text::model::ServiceKind;
 use tokio::sync::oneshot;
 use web::{
@@ -74,7 +74,11 @@
     let auth = text(headers, http::AUTHORIZATION.as_str()).ok_or_else(bad)?;
     let key = auth.strip_prefix("Bearer ").ok_or_else(bad)?;
     let hash = text::key_hash(key.trim());
-    force.keys.brand(&hash).cloned().ok_or_else(bad)
+    let found = force.keys.brand(&hash).cloned();
+    if found.is_none() {
+        event!(Event::BadKey);
+    }
+    found.ok_or_else(bad)
 }
 
 /// Lists the brand's own assistants; others' aren't told to exist.
--- a/crates/entryd/src/main.rs
+++ b/crates/entryd/src/main.rs
@@ -20,7 +20,8 @@
 use std::{env, process::ExitCode};
 
 use anyhow::{Context, Result};
-use settings::EntrySettings;
+use settings::{EntrySettings, Identity};
+use telemetry::{Event, event};
 use tokio::net::TcpListener;
 
 fn main() -> ExitCode {
@@ -49,14 +50,21 @@
         let identity = &settings.identity;
         let name = identity.name.to_string();
         let guard = telemetry::start("entryd", &name, &settings.telemetry)?;
-        let callers = listen(identity.listen).await?;
-        let peers = listen(identity.peer_listen).await?;
+        let bound = bind(identity).await;
+        let (callers, peers) = bound.inspect_err(|err| {
+            event!(Event::StartFailed, why = format!("{err:#}"));
+        })?;
         let ended = shell::serve(settings, callers, peers).await;
         drop(guard);
         ended
     })
 }
 
+async fn bind(identity: &Identity) -> Result<(TcpListener, TcpListener)> {
+    let own = listen(identity.listen).await?;
+    Ok((own, listen(identity.peer_listen).await?))
+}
+
 async fn listen(address: std::net::SocketAddr) -> Result<TcpListener> {
     let bound = TcpListener::bind(address).await;
     bound.with_context(|| format!("can't listen on {address}"))
--- a/crates/entryd/src/outside.rs
+++ b/crates/entryd/src/outside.rs
@@ -7,6 +7,7 @@
 use hyper::{HeaderMap, Method, header::HeaderValue};
 use node::{Input, Order, OrderEnd};
 use serde::{Serialize, de::DeserializeOwned};
+use telemetry::{Event, event};
 use web::client::{Answer, Limits, Send};
 use wire::{
     engine::{Load, Report, Unload},
@@ -35,9 +36,14 @@
 pub(crate) async fn watch_list(state: Arc<State>, platform: SocketAddr) {
     let mut tick = tokio::time::interval(LIST_EVERY);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut stale = false;
     loop {
         tick.tick().await;
         let list = get::<platform::List>(&state, platform, "/v1/list").await;
+        if list.is_none() && !stale {
+            event!(Event::ListStale, platform = platform);
+        }
+        stale = list.is_none();
         state.tell(Input::List(list));
     }
 }
