--- a/crates/entryd/src/events.rs
+++ b/crates/entryd/src/events.rs
@@ -54,13 +54,7 @@
             tokens,
             first,
             rest,
-        } => {
-            metrics().tokens(&brand, u64::from(tokens));
-            metrics().first_token(class, first);
-            if tokens > 1 {
-                metrics().token_gap(class, rest / (tokens - 1));
-            }
-        }
+        } => streamed(&brand, class, tokens, (first, rest)),
         Event::Ended {
             brand,
             class,
@@ -72,6 +66,19 @@
     }
 }
 
+fn streamed(
+    brand: &base::BrandName,
+    class: base::Class,
+    tokens: u32,
+    (first, rest): (Duration, Duration),
+) {
+    metrics().tokens(brand, u64::from(tokens));
+    metrics().first_token(class, first);
+    if tokens > 1 {
+        metrics().token_gap(class, rest / (tokens - 1));
+    }
+}
+
 fn loaded(
     engine: &TargetName,
     pool: &PoolName,
