--- a/crates/control/tests/scenarios/main.rs
+++ b/crates/control/tests/scenarios/main.rs
@@ -1,7 +1,7 @@
 //! Scenarios of faults, written as rhai scripts over a small world of fakes.
 //!
-//! `QUETZALARCH_SEEDS=FROM..TO cargo test -p control --test scenarios -- --ignored soak`
-//! runs every script under many seeds and prints the first that fails.
+//! `cargo xtask soak-control --from SEED --seeds N` runs every script under many
+//! seeds and prints the first that fails with its trace.
 
 mod check;
 mod engine;
@@ -10,10 +10,16 @@
 mod script;
 mod world;
 
-use std::ops::Range;
+use std::{
+    ops::Range,
+    sync::atomic::{AtomicUsize, Ordering},
+};
 
 use googletest::prelude::*;
 
+/// Threads of a soak; it shares its machine with other work.
+const THREADS: usize = 4;
+
 macro_rules! scenarios {
     ($($name:ident: $seeds:expr,)+) => {
         const SCRIPTS: &[(&str, &str)] = &[
@@ -60,11 +66,17 @@
     let (from, to) = raw.split_once("..").expect("QUETZALARCH_SEEDS is FROM..TO");
     let seeds = from.parse().expect("a seed")..to.parse().expect("a seed");
     let only = std::env::var("QUETZALARCH_SCRIPT").ok();
-    for (name, _) in SCRIPTS {
-        if only.as_ref().is_some_and(|only| only != name) {
-            continue;
+    let wanted = |name: &str| only.as_ref().is_none_or(|only| only == name);
+    let scripts: Vec<_> = SCRIPTS.iter().filter(|(name, _)| wanted(name)).collect();
+    let next = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                while let Some((name, _)) = scripts.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    run(name, seeds.clone());
+                    println!("{name}: seeds {seeds:?} pass");
+                }
+            });
         }
-        run(name, seeds.clone());
-        println!("{name}: seeds {seeds:?} pass");
-    }
+    });
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Chores of the repository, started as `cargo xtask CHORE`.
 
 mod soak;
+mod soak_control;
 
 use std::process::{Command, ExitCode};
 
@@ -21,10 +22,12 @@
         .about("Chores of the repository")
         .subcommand_required(true)
         .subcommand(clap::Command::new("test").about("Builds the daemons, then runs all tests"))
-        .subcommand(soak::command());
+        .subcommand(soak::command())
+        .subcommand(soak_control::command());
     match cli.get_matches().subcommand() {
         Some(("test", _)) => test(),
         Some(("soak", args)) => soak::run(args),
+        Some(("soak-control", args)) => soak_control::run(args),
         _ => bail!("no such chore"),
     }
 }
