Discard reports that cross an order's answer

An observation carries the epoch and the place of its beginning; an order's answer overtakes all that began before it.

--- a/crates/control/tests/scenarios/world/deliver.rs
+++ b/crates/control/tests/scenarios/world/deliver.rs
@@ -235,6 +235,7 @@
         };
         match (pending, msg) {
             (Pending::Order(target, order, checked, watch), Msg::Ordered(_, answer)) => {
+                let fresh = watch.map(|w| entry.targets.ordered(&target, w));
                 let view = entry.view(&target);
                 view.orders.remove(&id);
                 let adapter = match &order {
@@ -244,7 +245,6 @@
                         return;
                     }
                 };
-                let fresh = watch.map(|w| entry.targets.finish(&target, w, now, None));
                 if answer == Answer::Refused || fresh.is_none_or(|fresh| fresh.is_err()) {
                     return;
                 }
--- a/crates/member/src/targets.rs
+++ b/crates/member/src/targets.rs
@@ -150,6 +150,28 @@
         Ok(Look::Restarted)
     }
 
+    /// Ends an order, a load or an unload, that began with `watch` and was
+    /// answered.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the target restarted, was drained or came back meanwhile:
+    /// what the order did is gone.
+    pub fn ordered(&mut self, name: &TargetName, watch: Watch) -> Result<(), Overtaken> {
+        let serial = self.serials;
+        let target = self.all.get_mut(name).ok_or(Overtaken::Gone)?;
+        if watch.epoch != target.epoch {
+            return Err(Overtaken::Changed);
+        }
+        // Guard: a report that began before the order's answer may have looked
+        // at the engine before the order, and arrive after. It would show an
+        // adapter that has just been unloaded, and requests would use it while
+        // another owner, who loaded it anew, may unload it.
+        target.accepted = serial + 1;
+        self.serials += 1;
+        Ok(())
+    }
+
     /// Ends an observation that failed: an error counts only under the same
     /// conditions as a success.
     ///
--- a/crates/member/tests/member.rs
+++ b/crates/member/tests/member.rs
@@ -89,6 +89,21 @@
     assert_that!(targets.finish(&t, old, T, None), err(eq(Overtaken::Newer)));
 }
 
+/// A report looks at the engine before an unload and arrives after its answer:
+/// it shows an adapter that is gone.
+#[test]
+fn a_report_that_crosses_an_order_is_dropped() {
+    base::covers!(overtaken_by_newer);
+    let (mut targets, t) = (targets(), "t".parse().unwrap());
+    let unload = targets.begin(&t).unwrap();
+    let report = targets.begin(&t).unwrap();
+    assert_that!(targets.ordered(&t, unload), ok(eq(())));
+    let late = targets.finish(&t, report, T, None);
+    assert_that!(late, err(eq(Overtaken::Newer)));
+    let fresh = targets.begin(&t).unwrap();
+    assert_that!(targets.finish(&t, fresh, T, None), ok(anything()));
+}
+
 #[test]
 fn an_instance_stands_by_list_and_heartbeat() {
     let mut instances = Instances::new(Duration::from_secs(3));
