--- a/crates/request/src/life.rs
+++ b/crates/request/src/life.rs
@@ -87,6 +87,8 @@
 struct Attempt {
     no: AttemptNo,
     target: TargetNo,
+    /// Tokens that the caller had when it was sent.
+    from: u32,
     reply: Reply,
 }
 
@@ -236,8 +238,13 @@
             target,
             resume_from: self.tokens,
         });
-        let reply = Reply::Awaited;
-        self.stage = Stage::Sent(start, Attempt { no, target, reply });
+        let attempt = Attempt {
+            no,
+            target,
+            from: self.tokens,
+            reply: Reply::Awaited,
+        };
+        self.stage = Stage::Sent(start, attempt);
     }
 
     fn on_sent(
--- a/crates/request/src/life/failed.rs
+++ b/crates/request/src/life/failed.rs
@@ -12,7 +12,7 @@
     pub(super) fn on_failed(
         &mut self,
         now: Time,
-        start: Start,
+        mut start: Start,
         attempt: Attempt,
         failed: Failed,
         out: &mut Vec<Output>,
@@ -33,6 +33,13 @@
         if failed.reason == Refusal::Moved && failed.verdict == Verdict::NotRun {
             return self.on_moved(start, out);
         }
+        if self.tokens > attempt.from {
+            // Failure: a long stream breaks now and then, each time further
+            // on, and is given up at the third break. Attempts that got on
+            // are bounded by the deadline and the retry budget, not the cap.
+            base::hit!(progress_uses_no_attempt);
+            start.attempts += 1;
+        }
         let target = attempt.target;
         if failed.verdict != Verdict::NotRun {
             let fault = failed.fault;
--- a/crates/request/tests/paths.rs
+++ b/crates/request/tests/paths.rs
@@ -325,6 +325,31 @@
     }
 }
 
+/// A long draft breaks again and again, each time further on. It goes on to
+/// its end; without progress, three attempts are all.
+#[gtest]
+fn a_stream_that_gets_on_is_not_given_up() {
+    covers!(progress_uses_no_attempt);
+    let mut run = Run::new(live());
+    let mut no = 0;
+    for got in 0..20 {
+        no += 1;
+        expect_that!(run.sent(no), elements_are![eq(&send(no, got))]);
+        run.give(head(no, RanOn::Named(KEY), (got > 0).then_some(got)));
+        run.give(piece(no, Part::Tokens(1)));
+        run.give(end(no, false));
+    }
+    for left in [true, true, false] {
+        no += 1;
+        run.sent(no);
+        let out = run.give(failed(no, Verdict::MayHaveRun));
+        let place = out
+            .iter()
+            .any(|output| matches!(output, Output::Place { .. }));
+        expect_that!(place, eq(left));
+    }
+}
+
 fn claim_reply((reply, reason, verdict, retry): (ClaimReply, Refusal, Verdict, Option<Duration>)) {
     let mut run = Run::new(marked());
     let out = run.give(Input::Claimed(reply));
