--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -6,6 +6,7 @@
 //! way through an entry instance with a direct call. Bounded in count, time
 //! and requests at once.
 
+mod faults;
 mod mix;
 mod send;
 mod tally;
@@ -24,7 +25,7 @@
 };
 use web::client::Client;
 
-use self::{mix::Mix, send::Site, tally::Tally};
+use self::{faults::Targets, mix::Mix, send::Site, tally::Tally};
 use crate::{root, test::cargo};
 
 /// Longest wait for the last answers.
@@ -73,6 +74,13 @@
         .arg(number("rate", "50", "Requests a second"))
         .arg(number("seconds", "10", "For how long"))
         .arg(number("requests", "100000", "At most so many"))
+        .arg(
+            Arg::new("faults")
+                .long("faults")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("entry")
+                .help("Brings about faults of engines and services in the run"),
+        )
         .arg(number("at-once", "512", "At most so many at once"))
 }
 
@@ -124,7 +132,16 @@
     lab.wait_owned().await?;
     let entries = lab.entries.iter().map(|entry| entry.listen).collect();
     let site = site(args, entries);
-    let tally = send_all(site.clone(), args).await?;
+    let seconds = args.get_one::<u64>("seconds").copied().unwrap_or(1);
+    let faults = async {
+        if !args.get_flag("faults") {
+            return Ok(());
+        }
+        Targets::of(&lab).run(Duration::from_secs(seconds)).await
+    };
+    let (tally, faulty) = tokio::join!(send_all(site.clone(), args), faults);
+    faulty?;
+    let tally = tally?;
     tally.print();
     let ran = executions(&lab).await?;
     tally.check(&ran)?;
--- /dev/null
+++ b/xtask/src/load/faults.rs
@@ -0,0 +1,80 @@
+//! Faults of the stand-ins while the load runs, one after the other.
+
+use std::{net::SocketAddr, time::Duration};
+
+use anyhow::Result;
+use lab::{Caller, Lab};
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+/// One fault: of which kind of target, and the order that brings it about.
+struct Fault {
+    engine: bool,
+    path: &'static str,
+    body: fn() -> Value,
+}
+
+/// Each comes once in a run, at even distances.
+const FAULTS: &[Fault] = &[
+    Fault {
+        engine: true,
+        path: "/admin/cut-stream",
+        body: || json!({"count": 3, "after": 5}),
+    },
+    Fault {
+        engine: true,
+        path: "/admin/wrong-adapter",
+        body: || json!({"count": 1}),
+    },
+    Fault {
+        engine: false,
+        path: "/admin/faults",
+        body: || json!({"cut": 3, "refuse": 3}),
+    },
+    Fault {
+        engine: true,
+        path: "/admin/stall",
+        body: || json!({"ms": 1_000}),
+    },
+    Fault {
+        engine: true,
+        path: "/admin/restart-empty",
+        body: || json!({}),
+    },
+];
+
+/// Where faults can be brought about.
+#[derive(Clone, Debug)]
+pub(crate) struct Targets {
+    engines: Vec<SocketAddr>,
+    services: Vec<SocketAddr>,
+}
+
+impl Targets {
+    pub(crate) fn of(lab: &Lab) -> Self {
+        let addresses = |all: &[lab::Engine]| all.iter().map(|target| target.address).collect();
+        Targets {
+            engines: addresses(&lab.engines),
+            services: addresses(&lab.services),
+        }
+    }
+
+    /// Brings about each fault at every target of its kind, spread over `time`.
+    pub(crate) async fn run(self, time: Duration) -> Result<()> {
+        let pause = time / (FAULTS.len() as u32 + 1);
+        for fault in FAULTS {
+            sleep(pause).await;
+            let targets = if fault.engine {
+                &self.engines
+            } else {
+                &self.services
+            };
+            for target in targets {
+                let caller = Caller::new(*target, "");
+                caller.post(fault.path, &(fault.body)()).await?;
+            }
+            println!("fault {} at {} targets", fault.path, targets.len());
+        }
+        Ok(())
+    }
+}
--- a/xtask/src/load/send.rs
+++ b/xtask/src/load/send.rs
@@ -11,7 +11,7 @@
     Method,
     client::{Answer, Client, Limits, Send},
     header_value,
-    sse::Parser,
+    sse::{Event, Parser},
 };
 use wire::header;
 
@@ -49,8 +49,10 @@
     Whole,
     /// An answer that is whole in form and has too few tokens.
     Short,
-    /// A part came, then an error or a cut.
+    /// A part came, then a cut.
     Cut,
+    /// A part came, then an event that names an error.
+    Broken(Verdict, String),
     /// A failure with its verdict and reason.
     Failed(Verdict, String),
 }
@@ -160,7 +162,9 @@
         let (mut parser, mut events, mut first) = (Parser::default(), Vec::new(), None);
         while let Some(piece) = answer.next().await {
             let Ok(piece) = piece else {
-                return (End::Cut, first);
+                let error = events.last().and_then(Event::error);
+                let named = error.map(|e| End::Broken(e.verdict, e.kind.to_string()));
+                return (named.unwrap_or(End::Cut), first);
             };
             if parser.push(&piece, &mut events).is_err() {
                 return (End::Cut, first);
--- a/xtask/src/load/tally.rs
+++ b/xtask/src/load/tally.rs
@@ -120,6 +120,7 @@
         End::Whole => String::from("whole"),
         End::Short => String::from("short"),
         End::Cut => String::from("cut"),
+        End::Broken(verdict, reason) => format!("broken: {verdict}, {reason}"),
         End::Failed(verdict, reason) => format!("{verdict}, {reason}"),
     }
 }
