--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -5,6 +5,7 @@
 //! agree.
 
 mod confirm;
+mod measure;
 mod own;
 mod residents;
 
@@ -39,7 +40,7 @@
 /// What an order was, until it ends.
 #[derive(Clone, Copy, Debug)]
 enum Sent {
-    Load(TargetNo, AdapterKey, Fence),
+    Load(TargetNo, AdapterKey, Fence, Time),
     Unload(TargetNo, AdapterKey),
     /// A load of something resident, which only makes the engine refuse
     /// earlier owners.
@@ -80,6 +81,7 @@
     /// The version of each adapter that the text in force serves.
     serving: BTreeMap<AdapterNo, Version>,
     heard: Time,
+    waits: measure::Waits,
 }
 
 /// A question for a report, until it is answered.
@@ -107,6 +109,7 @@
             told: None,
             serving: BTreeMap::new(),
             heard: now,
+            waits: measure::Waits::default(),
         }
     }
 
@@ -131,7 +134,10 @@
                 target,
                 ask,
             } => self.on_queue(shared, now, ticket, target, ask, out),
-            Msg::Dequeue(ticket) => self.desk(shared, now, DeskInput::Cancel(ticket), out),
+            Msg::Dequeue(ticket) => {
+                self.waits.left(ticket);
+                self.desk(shared, now, DeskInput::Cancel(ticket), out);
+            }
             Msg::Using {
                 ticket,
                 target,
@@ -175,6 +181,11 @@
             out.tell(ENTRY, Msg::Refused { ticket, failure });
             return;
         }
+        if let (Some(key), Some(engine)) = (ask.key, known) {
+            let listed = engine.listed.contains(&key);
+            self.waits
+                .arrived(now, ticket, (target, key), ask.class, listed);
+        }
         let input = DeskInput::Arrive {
             ticket,
             target,
@@ -228,6 +239,7 @@
                 priority,
             } => return self.send(shared, now, ticket, target, priority, out),
             DeskOutput::Refuse { ticket, failure } => {
+                self.waits.refused(now, ticket, out);
                 out.tell(ENTRY, Msg::Refused { ticket, failure });
             }
             DeskOutput::Preempt(ticket) => out.tell(ENTRY, Msg::GiveWay(ticket)),
@@ -277,9 +289,11 @@
         if self.holder.may_send(now, &name, fencing).is_none() {
             base::hit!(send_without_lease);
             let failure = Failure::not_run(Refusal::Moved);
+            self.waits.left(ticket);
             out.tell(ENTRY, Msg::Refused { ticket, failure });
             return Some(DeskInput::Finished { ticket, ok: true });
         }
+        self.waits.sent(now, ticket, out);
         out.tell(ENTRY, Msg::Turn { ticket, priority });
         None
     }
@@ -305,13 +319,14 @@
         let Some(fence) = may else {
             return Some(failed);
         };
+        self.waits.load_begun((target, key));
         let body = Order::Load(resident, weights);
         self.order(
             shared,
             target,
             body,
             fence,
-            Sent::Load(target, key, fence),
+            Sent::Load(target, key, fence, now),
             out,
         );
         None
@@ -383,7 +398,9 @@
         let fresh = end == OrderEnd::Done;
         let done = matches!(end, OrderEnd::Done | OrderEnd::Already);
         match sent {
-            Sent::Load(target, key, fence) => {
+            Sent::Load(target, key, fence, begun) => {
+                self.waits.load_ended(now, (target, key), done);
+                measure::load_ended(shared, (target, key), end, now.since(begun), out);
                 if done {
                     self.note_loaded(shared, now, target, key, (fence, fresh), out);
                 } else {
@@ -396,6 +413,9 @@
             }
             Sent::Unload(target, key) => {
                 let ok = done;
+                if ok {
+                    measure::unloaded(shared, target, key, out);
+                }
                 self.desk(shared, now, DeskInput::Unloaded { target, key, ok }, out);
             }
             Sent::Touch(target, key, fence) if done => {
@@ -469,6 +489,7 @@
         } else {
             self.touch(shared, now, target, out);
         }
+        measure::batch(shared, target, report.running, out);
         let load = Report {
             target,
             incarnation: report.incarnation,
