Send instances that are a little behind what changed in the text

The last 64 changes are kept as the patches that the log carries; the result is compared with the hash of the text that was meant, and where it differs the whole text is fetched. Weighed: patches against the asker's version computed on the spot, which needs every old text; a tree of instances that pass texts on, which spreads the same bytes.

--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -133,6 +133,14 @@
         if texts.version() <= have {
             return Reply::Done;
         }
+        if let Some(patches) = texts.since(have) {
+            base::hit!(text_as_patches);
+            return Reply::Patches {
+                version: texts.version(),
+                digest: wire::patch::digest(texts.text()),
+                patches,
+            };
+        }
         Reply::Text {
             version: texts.version(),
             text: texts.text().to_owned(),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,7 +10,6 @@
 mod claims;
 mod command;
 mod control;
-mod patch;
 mod state;
 mod texts;
 
@@ -18,7 +17,8 @@
     claims::{Claims, Limits},
     command::{BadCommand, Command, Item, What},
     control::{Check, Checked, Config, Control, Event, Input, Output},
-    patch::{BadPatch, Patch},
     state::{BadState, Outcome, State},
     texts::{Given, Texts},
 };
+
+pub use wire::patch::{BadPatch, Patch};
--- a/crates/control/src/texts.rs
+++ b/crates/control/src/texts.rs
@@ -12,6 +12,13 @@
 /// history: at 300 a day more than two months, in about 4 MB.
 const CHANGES_MAX: usize = 20_000;
 
+/// Changes kept as patches. An instance that misses more, in about five hours
+/// at 300 a day, gets the whole text.
+const RECENT_MAX: usize = 64;
+
+/// Lines in one patch beyond which it is not kept: the whole text is as cheap.
+const RECENT_LINES: u32 = 2_000;
+
 /// What is answered where the outcome of a change is no longer remembered.
 const NO_RETRY_MS: u64 = 0;
 
@@ -21,6 +28,8 @@
     pub struct Texts {
         version: TextVersion,
         text: String,
+        /// The last changes, for instances that are a little behind.
+        recent: VecDeque<Patch>,
         history: VecDeque<Won>,
         #[serde(skip)]
         by_id: BTreeMap<ChangeId, TextVersion>,
@@ -139,6 +148,7 @@
         };
         self.version = self.version.next();
         self.text = text;
+        self.keep(patch);
         let entry = Entry {
             version: self.version,
             change: given.change.clone(),
@@ -159,6 +169,27 @@
         }
     }
 
+    /// Returns the patches that lead from `have` to the text in force, where
+    /// they are still kept.
+    #[must_use]
+    pub fn since(&self, have: TextVersion) -> Option<Vec<Patch>> {
+        let missed = self.version.get().checked_sub(have.get())?;
+        let missed = usize::try_from(missed).ok()?;
+        let first = self.recent.len().checked_sub(missed)?;
+        (have > TextVersion(0)).then(|| self.recent.range(first..).cloned().collect())
+    }
+
+    fn keep(&mut self, patch: &Patch) {
+        if patch.added().max(patch.removed()) > RECENT_LINES {
+            self.recent.clear();
+            return;
+        }
+        self.recent.push_back(patch.clone());
+        if self.recent.len() > RECENT_MAX {
+            self.recent.pop_front();
+        }
+    }
+
     /// Rebuilds what is derived, after decoding.
     pub(crate) fn index(&mut self) {
         let all = self.history.iter().map(|won| &won.entry);
--- a/crates/control/tests/scenarios/world/deliver.rs
+++ b/crates/control/tests/scenarios/world/deliver.rs
@@ -137,7 +137,10 @@
                 };
                 self.hold(name, input);
             }
-            (Pending::Other, Msg::Reply(_, Reply::Text { version, .. })) => {
+            (
+                Pending::Other,
+                Msg::Reply(_, Reply::Text { version, .. } | Reply::Patches { version, .. }),
+            ) => {
                 let Some(entry) = self.entry(name) else {
                     return;
                 };
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -363,3 +363,22 @@
     assert_that!((patch.added(), patch.removed()), eq((3, 2)));
     assert_that!(patch.apply(&old).unwrap() == new, eq(true));
 }
+
+/// An instance that is a little behind gets what changed; one that is far
+/// behind, or has nothing, gets the whole text.
+#[test]
+fn recent_changes_travel_as_patches() {
+    let mut log = Log::new(Limits::default());
+    for i in 0..70 {
+        log.text(&format!("c-{i}"), i, &format!("line\nchange {i}\n"));
+    }
+    let texts = log.state.texts();
+    let now = texts.version();
+    assert_that!(texts.since(now), some(is_empty()));
+    assert_that!(
+        texts.since(TextVersion(now.get() - 3)).map(|p| p.len()),
+        some(eq(3))
+    );
+    assert_that!(texts.since(TextVersion(now.get() - 65)), none());
+    assert_that!(texts.since(TextVersion(0)), none());
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -9,7 +9,10 @@
 
 use base::{TextVersion, Time, Verdict};
 use text::model::Model;
-use wire::call::{Call, Reply};
+use wire::{
+    call::{Call, Reply},
+    patch::{self, Patch},
+};
 
 use crate::{
     io::{Event, Output},
@@ -49,6 +52,8 @@
     again: Time,
     /// A version that can't be read here; only a newer one is fetched.
     unreadable: TextVersion,
+    /// Whether the next fetch asks for the whole text.
+    whole: bool,
     turn: usize,
 }
 
@@ -136,6 +141,11 @@
                 self.again = now + FETCH_PAUSE;
                 match reply {
                     Ok(Reply::Text { version, text }) => self.take(shared, version, &text, out),
+                    Ok(Reply::Patches {
+                        version,
+                        digest,
+                        patches,
+                    }) => self.patch(shared, version, digest, &patches, out),
                     _ if self.holder == Some(address) => self.holder = None,
                     _ => {}
                 }
@@ -173,11 +183,41 @@
             return;
         };
         self.fetching = true;
-        let have = shared.version;
+        // What can't be patched is asked for as a whole.
+        let have = if self.whole {
+            TextVersion(0)
+        } else {
+            shared.version
+        };
         let (purpose, body) = (Purpose::Text { address }, Call::Text { have });
         shared.call(CONFIG, purpose, address, body, FETCH_LIMIT, out);
     }
 
+    /// Turns the text in force into the newer one, change by change.
+    ///
+    /// Guard: a patch made for another text would silently give an instance a
+    /// text of its own. The result is compared with the hash of the text that
+    /// was meant; where it differs, the whole text is fetched.
+    fn patch(
+        &mut self,
+        shared: &mut Shared,
+        version: TextVersion,
+        digest: u64,
+        patches: &[Patch],
+        out: &mut Out,
+    ) {
+        let mut text = shared.raw.to_string();
+        for patch in patches {
+            text = patch.apply(&text).unwrap_or_default();
+        }
+        if patch::digest(&text) != digest {
+            base::hit!(patch_does_not_fit);
+            self.whole = true;
+            return;
+        }
+        self.take(shared, version, &text, out);
+    }
+
     fn take(&mut self, shared: &mut Shared, version: TextVersion, text: &str, out: &mut Out) {
         self.newest = self.newest.max(version);
         // Guard: a reply that was on its way while a newer text arrived would
@@ -192,6 +232,7 @@
             out.emit(Output::Event(Event::BadText(version)));
             return;
         };
+        self.whole = false;
         let model = Arc::new(model);
         shared.version = version;
         shared.model = Arc::clone(&model);
--- a/crates/node/tests/node/guards.rs
+++ b/crates/node/tests/node/guards.rs
@@ -7,6 +7,7 @@
 use node::{Event, Input};
 use wire::{
     call::{Call, Reply, Residents},
+    patch::Patch,
     platform::List,
 };
 
@@ -164,3 +165,27 @@
     let reply = Err(Verdict::NotRun);
     world.input(Input::Replied { call: 999, reply });
 }
+
+/// A user sees: one instance answers by a text that nobody wrote. It was a
+/// little behind and patched a text that was not the one the patch was made
+/// for; the result is compared, and the whole text fetched instead.
+#[test]
+fn a_patch_that_does_not_fit_is_not_taken() {
+    base::covers!(patch_does_not_fit);
+    let mut world = World::serving();
+    let second = TEXT.replace("weight = 1", "weight = 2");
+    let third = TEXT.replace("weight = 1", "weight = 3");
+    world.held_text = true;
+    world.text = (TextVersion(2), second.clone());
+    world.pass(Duration::from_secs(2));
+    world.patched(&[Patch::between(TEXT, &second)], &second);
+    assert_that!(world.node.version(), eq(TextVersion(2)));
+    world.text = (TextVersion(3), third.clone());
+    world.pass(Duration::from_secs(2));
+    world.patched(&[Patch::between(TEXT, &third), Patch::default()], &second);
+    assert_that!(world.node.version(), eq(TextVersion(2)));
+    world.held_text = false;
+    world.pass(Duration::from_secs(2));
+    assert_that!(world.node.version(), eq(TextVersion(3)));
+    assert_that!(world.asked, some(eq(TextVersion(0))));
+}
--- a/crates/node/tests/node/world.rs
+++ b/crates/node/tests/node/world.rs
@@ -7,6 +7,7 @@
 use wire::{
     call::{Beat, BeatReply, Call, Lease, Peer, Reply},
     engine::{Held, Report},
+    patch::{self, Patch},
     platform,
 };
 
@@ -90,6 +91,8 @@
     pub(crate) held_calls: Vec<(u64, Call)>,
     /// Whether the test answers calls for the text itself.
     pub(crate) held_text: bool,
+    /// The version that the last call for a text said the node has.
+    pub(crate) asked: Option<TextVersion>,
     /// Orders that no engine has answered yet.
     orders: Vec<(u64, TargetName, Order)>,
     pub(crate) ready: bool,
@@ -143,6 +146,7 @@
             replies: BTreeMap::new(),
             held_calls: Vec::new(),
             held_text: false,
+            asked: None,
             orders: Vec::new(),
             ready: false,
             wake: Time::ZERO,
@@ -235,6 +239,18 @@
         self.held_calls.remove(at).0
     }
 
+    /// Answers the call for a text that is held back by patches that are meant
+    /// to lead to `meant`.
+    pub(crate) fn patched(&mut self, patches: &[Patch], meant: &str) {
+        let call = self.take_text();
+        let reply = Ok(Reply::Patches {
+            version: self.text.0,
+            digest: patch::digest(meant),
+            patches: patches.to_vec(),
+        });
+        self.input(Input::Replied { call, reply });
+    }
+
     /// Lets a call end without reply.
     pub(crate) fn lose(&mut self, call: u64) {
         let reply = Err(base::Verdict::MayHaveRun);
@@ -291,6 +307,9 @@
             let reply = Err(base::Verdict::NotRun);
             return Some(Input::Replied { call, reply });
         }
+        if let Call::Text { have } = &body {
+            self.asked = Some(*have);
+        }
         let reply = match body {
             Call::Beat(beat) => Reply::Beat(self.beat(&beat)),
             Call::Version => Reply::Version(self.text.0),
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -10,7 +10,10 @@
     ZoneName, record,
 };
 
-use crate::operator::{Applied, Apply, Explain, Explained};
+use crate::{
+    operator::{Applied, Apply, Explain, Explained},
+    patch::Patch,
+};
 
 record! {
     /// A call from one process to another.
@@ -59,6 +62,15 @@
             /// The whole text.
             text: String,
         },
+        /// Answers [`Call::Text`] with what changed since the asker's version.
+        Patches {
+            /// The version that comes out.
+            version: TextVersion,
+            /// Hash of the text that comes out; see [`crate::patch::digest`].
+            digest: u64,
+            /// One patch a version, oldest first.
+            patches: Vec<Patch>,
+        },
         /// Answers [`Call::Claim`] and [`Call::Settle`].
         Claim(ClaimReply),
         /// Answers [`Call::Apply`].
--- a/crates/control/src/patch.rs
+++ b/crates/wire/src/patch.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use base::record;
+use base::{record, stable_hash};
 use thiserror::Error;
 
 /// Says why a patch doesn't fit a text.
@@ -32,6 +32,13 @@
     }
 }
 
+/// Returns the hash by which a text that was patched is compared with the one
+/// that was meant.
+#[must_use]
+pub fn digest(text: &str) -> u64 {
+    stable_hash(&[text.as_bytes()])
+}
+
 /// A range of equal length in both texts: start in the old, start in the new.
 type Match = (usize, usize);
 
