--- a/crates/control/tests/scenarios/world/deliver.rs
+++ b/crates/control/tests/scenarios/world/deliver.rs
@@ -137,7 +137,10 @@
                 };
                 self.hold(name, input);
             }
-            (Pending::Other, Msg::Reply(_, Reply::Text { version, .. })) => {
+            (
+                Pending::Other,
+                Msg::Reply(_, Reply::Text { version, .. } | Reply::Patches { version, .. }),
+            ) => {
                 let Some(entry) = self.entry(name) else {
                     return;
                 };
@@ -235,6 +238,7 @@
         };
         match (pending, msg) {
             (Pending::Order(target, order, checked, watch), Msg::Ordered(_, answer)) => {
+                let fresh = watch.map(|w| entry.targets.ordered(&target, w));
                 let view = entry.view(&target);
                 view.orders.remove(&id);
                 let adapter = match &order {
@@ -244,7 +248,6 @@
                         return;
                     }
                 };
-                let fresh = watch.map(|w| entry.targets.finish(&target, w, now, None));
                 if answer == Answer::Refused || fresh.is_none_or(|fresh| fresh.is_err()) {
                     return;
                 }
