--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -8,7 +8,7 @@
 //! | `reserve` | space that lets a full disk still take votes |
 //! | `damaged.L` | files that were moved aside when life `L` began |
 //!
-//! A folder is opened once at the start ([`open`]); from then on a thread
+//! A folder is opened once at the start ([`open()`]); from then on a thread
 //! writes to it ([`Writer`]) and reports what is durable.
 
 mod calls;
