--- a/crates/owner/tests/grantor.rs
+++ b/crates/owner/tests/grantor.rs
@@ -91,6 +91,23 @@
     assert_that!(leader.owner("e"), some(eq("b")));
 }
 
+/// A cut zone comes back. Its first beat is not the owner's, who still is in
+/// charge by its zone-mates' word and is heard a moment later.
+#[test]
+fn an_owner_keeps_its_engine_when_its_zone_comes_back() {
+    base::covers!(zone_just_back);
+    let mut leader = Leader::new();
+    leader.beats(0..10_000, &["a"], &["e"]);
+    leader.beats(10_000..30_000, &["a", "b"], &["e"]);
+    for ms in [90_000, 91_000, 92_000] {
+        leader.beat(ms, "b", &["e"], false);
+    }
+    leader.beats(92_100..100_000, &["a", "b"], &["e"]);
+    let engine = &leader.table.engines()[&"e".parse().unwrap()];
+    assert_that!(engine.owner.instance.as_str(), eq("a"));
+    assert_that!(engine.former, is_empty());
+}
+
 /// The zone's only owner is cut off. A newcomer that it never heard of starts;
 /// the owner goes on by itself, so the newcomer gets nothing for ten minutes.
 #[test]
