--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -17,6 +17,7 @@
     state: State,
     index: u64,
     at: u64,
+    wall: u64,
 }
 
 impl Log {
@@ -26,6 +27,7 @@
             state,
             index: 0,
             at: 0,
+            wall: 10_000_000_000,
         };
         log.join("a", 1);
         log.join("b", 1);
@@ -34,7 +36,7 @@
 
     fn put(&mut self, what: What) -> Outcome {
         self.index += 1;
-        let wall = 10_000_000_000 + self.at;
+        let wall = self.wall + self.at;
         let command = Command {
             at: self.at,
             wall,
@@ -282,17 +284,26 @@
     );
 }
 
-/// A key's date was believed at first and not later, because the leaders'
-/// wall clocks differ: it is found all the same.
+/// A key's date was believed at first and not later, or the other way round,
+/// because the leaders' wall clocks differ: it is found all the same.
 #[test]
 fn a_date_believed_once_only_is_no_second_run() {
-    let mut log = Log::new(small());
-    let future = Some(50_000_000_000);
-    log.claim("a", 1, 1, future);
-    log.settle("a", 1, 1, Fate::MayHaveRun);
-    log.at = 41_000_000_000;
-    log.claim("a", 2, 1, None);
-    assert_that!(log.claim("b", 1, 2, future), eq(&ClaimReply::MayHaveRun));
+    for (first, then) in [(100_000_000_000, 1_000_000), (1_000_000, 100_000_000_000)] {
+        let mut log = Log::new(small());
+        let dated = Some(50_000_000_000);
+        log.wall = first;
+        log.claim("a", 1, 1, dated);
+        log.settle("a", 1, 1, Fate::MayHaveRun);
+        log.at = 5_000;
+        log.wall = then;
+        log.claim("a", 2, 1, None);
+        assert_that!(log.state.claims().counts(), eq((1, 1)));
+        assert_that!(
+            log.claim("b", 1, 2, dated),
+            eq(&ClaimReply::MayHaveRun),
+            "{first}"
+        );
+    }
 }
 
 /// A claim under way for longer than any request may take ends as one that
