--- a/xtask/src/soak_control.rs
+++ b/xtask/src/soak_control.rs
@@ -33,7 +33,7 @@
             "--quiet",
             "--locked",
             "--package",
-            "control",
+            "scenarios",
         ])
         .args([
             "--test",
