Let the stand-in cut a stream after tokens of its own

A resumed stream was cut at once, at the token where it had been cut before, so no attempt ever got on.

--- a/crates/standin/src/engine/admin.rs
+++ b/crates/standin/src/engine/admin.rs
@@ -30,7 +30,8 @@
     /// Streams; one when left out.
     #[serde(default = "once")]
     pub count: u32,
-    /// Before which token; the one before it may be lost with the connection.
+    /// After how many tokens of its own; the last may be lost with the
+    /// connection.
     pub after: usize,
 }
 
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -201,7 +201,7 @@
     }
     run.prefill().await;
     for i in run.tokens.clone() {
-        if run.cut == Some(i) {
+        if run.cut == Some(i - run.tokens.start) {
             return false;
         }
         run.wait_token().await;
--- a/xtask/src/load/faults.rs
+++ b/xtask/src/load/faults.rs
@@ -19,7 +19,7 @@
     Fault {
         engine: true,
         path: "/admin/cut-stream",
-        body: || json!({"count": 3, "after": 5}),
+        body: || json!({"count": 20, "after": 5}),
     },
     Fault {
         engine: true,
