--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod measure;
 mod samples;
 mod soak;
+mod soak_control;
 mod test;
 
 use std::{path::Path, process::ExitCode};
@@ -48,6 +49,10 @@
         command: soak::command,
         run: |args| done(soak::run(args)),
     },
+    Chore {
+        command: soak_control::command,
+        run: |args| done(soak_control::run(args)),
+    },
 ];
 
 fn main() -> ExitCode {
