Let a waiting stream give signs of life

A reader can't tell a stream that waits for its engine from a connection that went silent for good, so its limit had to be longer than any wait. A comment between two events, after a set silence of the writer, lets the limit be short. Ruled out: signs in bodies that are no events, where they would be taken for content.

--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -50,15 +50,45 @@
 #[must_use]
 pub fn channel(depth: usize) -> (Writer, Body) {
     let (tx, rx) = mpsc::channel(depth);
-    let steps = futures::stream::unfold(Some(rx), |rx| async move {
-        let mut rx: mpsc::Receiver<Step> = rx?;
-        match rx.recv().await {
-            Some(Step::Piece(bytes)) => Some((Ok(Frame::data(bytes)), Some(rx))),
+    (Writer(tx), body_of(rx, None))
+}
+
+/// Makes a streamed body that writes `sign` whenever its writer was silent for
+/// `every`; whole pieces must be written, so that the sign falls between them.
+///
+/// Failure: a stream waits for an engine, and its reader can't tell that from
+/// a connection that went silent for good. With signs of life it can give up
+/// long before an engine's silence would mean anything.
+///
+/// # Panics
+///
+/// Panics when `depth` is zero.
+#[must_use]
+pub fn lively(depth: usize, every: Duration, sign: Bytes) -> (Writer, Body) {
+    let (tx, rx) = mpsc::channel(depth);
+    (Writer(tx), body_of(rx, Some((every, sign))))
+}
+
+fn body_of(rx: mpsc::Receiver<Step>, life: Option<(Duration, Bytes)>) -> Body {
+    let steps = futures::stream::unfold(Some((rx, life)), |state| async move {
+        let (mut rx, life) = state?;
+        let step = match &life {
+            None => rx.recv().await,
+            Some((every, sign)) => match timeout(*every, rx.recv()).await {
+                Ok(step) => step,
+                Err(_) => {
+                    base::hit!(sign_of_life);
+                    Some(Step::Piece(sign.clone()))
+                }
+            },
+        };
+        match step {
+            Some(Step::Piece(bytes)) => Some((Ok(Frame::data(bytes)), Some((rx, life)))),
             Some(Step::End) => None,
             None => Some((Err(anyhow!("the writer left before the end")), None)),
         }
     });
-    (Writer(tx), StreamBody::new(steps.boxed()).boxed_unsync())
+    StreamBody::new(steps.boxed()).boxed_unsync()
 }
 
 impl Writer {
--- a/crates/web/tests/web/server.rs
+++ b/crates/web/tests/web/server.rs
@@ -19,10 +19,11 @@
 use tokio_util::sync::CancellationToken;
 use web::{
     Incoming, Method, Request, Response, StatusCode,
-    body::{Body, ReadLimits, Writer, channel, read},
+    body::{Body, ReadLimits, Writer, channel, lively, read},
     client::{Client, Send},
     reply,
     server::{Limits, Served, serve},
+    sse::PING,
 };
 
 use super::peer::{CEILING, hear, say};
@@ -65,6 +66,11 @@
             *shared.writer.lock().unwrap() = Some(writer);
             Response::new(body)
         }
+        "/lively" => {
+            let (writer, body) = lively(1, SHORT / 3, Bytes::from_static(PING));
+            *shared.writer.lock().unwrap() = Some(writer);
+            Response::new(body)
+        }
         "/upgrade" => upgrade(req),
         _ => echo(req).await,
     }
@@ -319,6 +325,27 @@
     assert_that!(answer.next().await.unwrap().is_err(), eq(true));
 }
 
+/// A stream waits for its engine far longer than its reader would wait on a
+/// connection that may be dead. Signs of life keep it, and only while it lives.
+#[gtest]
+#[tokio::test]
+async fn a_waiting_stream_gives_signs_of_life() {
+    covers!(sign_of_life);
+    let site = Site::start(limits()).await;
+    let mut send = Send::new(site.addr, Method::GET, "/lively");
+    send.limits.idle = SHORT * 4;
+    let mut answer = Client::default().send(send).await.unwrap();
+    let writer = site.shared.writer.lock().unwrap().take().unwrap();
+    for _ in 0..15 {
+        let sign = answer.next().await.unwrap().unwrap();
+        expect_that!(sign.as_ref(), eq(PING));
+    }
+    writer.end().await.unwrap();
+    while let Some(piece) = answer.next().await {
+        expect_that!(piece.unwrap().as_ref(), eq(PING));
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_caller_who_leaves_cancels_the_handler() {
