Find out a silent owner within 3.5 s

A stream passed on by an owner could be silent for 20 s before it was given up, because it may wait that long in an engine. Streams of events now give a sign of life each second, so the limit on that hop is 3.5 s. The hop to the engine keeps its 20 s: engines give no such sign.

--- a/crates/entryd/src/attempts.rs
+++ b/crates/entryd/src/attempts.rs
@@ -29,6 +29,10 @@
 /// but a request may wait inside the engine for a place in its batch.
 const IDLE: Duration = Duration::from_secs(20);
 
+/// The same for a stream that another instance passes on, which gives a sign
+/// of life each second while it waits: three are missing.
+const HOP_IDLE: Duration = Duration::from_millis(3_500);
+
 /// Largest answer that is held back until it is whole.
 const WHOLE_MAX: usize = 8 << 20;
 
@@ -342,7 +346,10 @@
     };
     Limits {
         first: attempt.limit,
-        idle: IDLE,
+        idle: match attempt.route {
+            Route::Owner { .. } => HOP_IDLE,
+            Route::Target { .. } => IDLE,
+        },
         whole: attempt.limit,
         reuse,
         ..Limits::default()
--- a/crates/entryd/src/exchange.rs
+++ b/crates/entryd/src/exchange.rs
@@ -4,6 +4,7 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use base::Ticket;
@@ -28,6 +29,10 @@
 /// connection isn't read any further.
 const DEPTH: usize = 64;
 
+/// Silence of a stream of events after which it gives a sign of life: a few of
+/// them fit into the shortest limit of whoever reads it.
+const SIGN_EVERY: Duration = Duration::from_secs(1);
+
 /// What the caller sent.
 #[derive(Debug)]
 pub(crate) enum Ask {
@@ -155,7 +160,7 @@
     fn pass(self: &Arc<Self>, inner: &mut Inner, state: &Arc<State>, item: Item) {
         match item {
             Item::Head(status, headers) => {
-                let (writer, body) = body::channel(1);
+                let (writer, body) = open_body(&headers);
                 let (tx, rx) = mpsc::unbounded_channel();
                 tokio::spawn(pump(Arc::clone(state), self.ticket, writer, rx));
                 inner.pump = Some(tx);
@@ -227,6 +232,16 @@
     }
 }
 
+/// Makes the body of an answer that is passed on; events between which signs
+/// of life may stand get them.
+fn open_body(headers: &HeaderMap) -> (Writer, Body) {
+    let kind = headers.get(hyper::header::CONTENT_TYPE);
+    if kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream")) {
+        return body::lively(1, SIGN_EVERY, Bytes::from_static(sse::PING));
+    }
+    body::channel(1)
+}
+
 /// Writes what was passed on, as fast as the caller reads it.
 async fn pump(
     state: Arc<State>,
