--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod events;
 mod load;
 mod measure;
+mod proofs;
 mod samples;
 mod soak;
 mod soak_control;
--- a/xtask/src/test.rs
+++ b/xtask/src/test.rs
@@ -1,23 +1,45 @@
-//! `cargo xtask test`: builds the daemons, then runs all tests.
+//! `cargo xtask test`: builds the daemons, runs all tests, and holds the
+//! proofs' page against what ran.
 
-use std::process::{self, ExitCode};
+use std::{
+    collections::BTreeSet,
+    fs,
+    io::{BufRead, BufReader},
+    process::{self, ExitCode, Stdio},
+};
 
 use anyhow::{Context, Result, bail};
 use clap::{ArgMatches, Command};
 
+use crate::{proofs, root};
+
+/// Tests that fail for a fault that is known and not mended yet.
+const KNOWN_RED: &str = "KNOWN-RED.txt";
+
 /// Returns the command line.
 pub(crate) fn command() -> Command {
-    Command::new("test").about("Builds the daemons, then runs all tests")
+    Command::new("test").about("Builds the daemons, runs all tests, checks docs/PROOFS.md")
+}
+
+/// What a run of the tests came to, by test name.
+#[derive(Debug, Default)]
+struct Ran {
+    passed: BTreeSet<String>,
+    failed: BTreeSet<String>,
+    well: bool,
 }
 
 /// Builds every binary first, because process-level tests start them.
 ///
 /// # Errors
 ///
-/// Fails when a build or a test fails.
+/// Fails when a build or a test fails that is not known to, or when the proofs
+/// name a test that did not run.
 pub(crate) fn run(_: &ArgMatches) -> Result<ExitCode> {
     cargo(&["build", "--workspace", "--bins", "--locked"])?;
-    cargo(&["test", "--workspace", "--locked"])?;
+    let ran = test_all()?;
+    judge(&ran)?;
+    proofs::check(root(), &ran.passed)?;
     cargo(&[
         "run",
         "--locked",
@@ -29,6 +51,61 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn test_all() -> Result<Ran> {
+    let mut child = process::Command::new("cargo")
+        .args(["test", "--workspace", "--locked", "--no-fail-fast"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .context("can't start cargo")?;
+    let out = child.stdout.take().context("no output")?;
+    let mut ran = Ran::default();
+    for line in BufReader::new(out).lines() {
+        let line = line?;
+        println!("{line}");
+        ran.note(&line);
+    }
+    ran.well = child.wait()?.success();
+    Ok(ran)
+}
+
+impl Ran {
+    /// Takes one line such as `test faults::a_stream ... ok`.
+    fn note(&mut self, line: &str) {
+        let Some((name, end)) = line
+            .strip_prefix("test ")
+            .and_then(|rest| rest.rsplit_once(" ... "))
+        else {
+            return;
+        };
+        let name = name.rsplit("::").next().unwrap_or(name).trim().to_owned();
+        match end {
+            "ok" => self.passed.insert(name),
+            "FAILED" => self.failed.insert(name),
+            _ => false,
+        };
+    }
+}
+
+/// Lets a run with failures pass only where each is known.
+fn judge(ran: &Ran) -> Result<()> {
+    let known = fs::read_to_string(root().join(KNOWN_RED)).unwrap_or_default();
+    let red: Vec<&str> = known.lines().filter(|l| !l.trim().is_empty()).collect();
+    for line in &red {
+        println!("known red: {line}");
+    }
+    let unknown = ran.failed.iter();
+    let unknown: Vec<&String> = unknown
+        .filter(|name| !red.iter().any(|line| line.contains(name.as_str())))
+        .collect();
+    if !unknown.is_empty() {
+        bail!("failed: {unknown:?}");
+    }
+    if !ran.well && ran.failed.is_empty() {
+        bail!("cargo test failed without naming a test");
+    }
+    Ok(())
+}
+
 /// Runs cargo and fails when it does.
 pub(crate) fn cargo(args: &[&str]) -> Result<()> {
     let status = process::Command::new("cargo").args(args).status();
