Empty the queue of an engine that is leaving

What waited in the queue of an engine was still sent there after the platform had called it leaving, and would be cut off when it stops. Cause: only the choice of a target knew of the list, not the queue. The queue's requests are refused as not run and go to another engine; running ones go on. The new test fails with the guard out (one attempt, at the leaving engine).

--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -22,7 +22,7 @@
 use member::{Look, Watch};
 use owner::{Holder, Order as Ask};
 use route::{Desk, Input as DeskInput, LoadEnd, News, Output as DeskOutput, Report};
-use wire::engine;
+use wire::{engine, platform::State};
 
 use crate::{
     io::{Event, Input, Order, OrderEnd, Output},
@@ -149,6 +149,7 @@
             Msg::Began(ticket) => self.desk(shared, now, DeskInput::Began(ticket), out),
             Msg::Ended { ticket, ok } => self.on_ended(shared, now, ticket, ok, out),
             Msg::TextChanged => self.on_text(shared, now, out),
+            Msg::FleetChanged => self.on_fleet(shared, now, out),
             Msg::Drain => self.hold(shared, now, owner::Input::Renounce, out),
             Msg::Wake => self.on_wake(shared, now, out),
             _ => {}
@@ -175,7 +176,8 @@
         out: &mut Out,
     ) {
         let known = self.engines.get(&target);
-        let ready = known.is_some_and(|engine| engine.owned.is_some());
+        let staying = stays(shared, target);
+        let ready = staying && known.is_some_and(|engine| engine.owned.is_some());
         if !ready {
             let failure = Failure::not_run(Refusal::Moved);
             out.tell(ENTRY, Msg::Refused { ticket, failure });
@@ -546,6 +548,25 @@
         }
     }
 
+    /// Takes the queues of engines that the platform calls leaving apart.
+    ///
+    /// Guard: what waits in the queue of such an engine would still be sent to
+    /// it, long after the list's word, and be cut off when it stops. Refused as
+    /// `not run`, each request goes to another engine; those running go on.
+    fn on_fleet(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
+        let owned = self.engines.iter();
+        let owned = owned.filter(|(_, engine)| engine.owned.is_some() && engine.life.is_some());
+        let leaving = owned.map(|(target, _)| *target);
+        let leaving: Vec<TargetNo> = leaving.filter(|target| !stays(shared, *target)).collect();
+        for target in leaving {
+            base::hit!(leaving_engine_emptied);
+            if let Some(engine) = self.engines.get_mut(&target) {
+                engine.life = None;
+            }
+            self.desk(shared, now, DeskInput::Lost(target), out);
+        }
+    }
+
     fn on_text(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
         let model = Arc::clone(&shared.model);
         for (name, brand) in &model.brands {
@@ -583,6 +604,12 @@
     }
 }
 
+/// Tells whether the platform lists a target as staying.
+fn stays(shared: &Shared, target: TargetNo) -> bool {
+    let info = shared.targets.get(&target);
+    info.is_some_and(|info| info.listed.state == State::Live)
+}
+
 fn fencing(shared: &Shared, target: TargetNo) -> bool {
     let info = shared.targets.get(&target).and_then(|info| info.engine());
     info.is_some_and(|engine| engine.fencing)
--- a/crates/node/src/engines/own.rs
+++ b/crates/node/src/engines/own.rs
@@ -93,6 +93,9 @@
         let (Some(own), Some(life)) = (engine.owned, engine.life) else {
             return;
         };
+        if !super::stays(shared, target) {
+            return;
+        }
         let held = engine.held.clone();
         let Some(owned) = owned(shared, target, own, life) else {
             return;
--- a/crates/node/tests/node/requests.rs
+++ b/crates/node/tests/node/requests.rs
@@ -189,3 +189,31 @@
     assert_that!(sent.first(), some(eq(&resident("film-live@2"))));
     assert_that!(sent.last(), some(eq(&resident("film-live@3"))));
 }
+
+/// A user sees: a letter that is cut off when a machine is replaced, although
+/// it was sent long after the replacement was announced. The request waited in
+/// the queue of an engine that the platform then called leaving.
+#[test]
+fn a_leaving_engine_gets_nothing_from_its_queue() {
+    base::covers!(leaving_engine_emptied);
+    let mut world = World::bare();
+    let targets = [("e-1", "drafting"), ("e-2", "drafting"), ("p-1", "portal")];
+    world.owned.insert("e-1".to_owned(), Fence(7));
+    world.owned.insert("e-2".to_owned(), Fence(8));
+    world.list(1, &targets);
+    world.pass(Duration::from_secs(20));
+    world.engines = false;
+    world.arrive(1, "letters", None);
+    world.pass(Duration::from_millis(500));
+    assert_that!(world.sent, is_empty());
+    let first = world.ordered();
+    let leaving = if first == ["e-1"] { "e-1" } else { "e-2" };
+    world.leaving = vec![leaving];
+    world.list(2, &targets);
+    world.engines = true;
+    world.finish_orders();
+    world.pass(Duration::from_secs(4));
+    let to: Vec<_> = world.sent.iter().map(|sent| sent.target.as_str()).collect();
+    assert_that!(to.len(), eq(1));
+    assert_that!(to[0], not(eq(leaving)));
+}
--- a/crates/node/tests/node/world.rs
+++ b/crates/node/tests/node/world.rs
@@ -73,6 +73,8 @@
     pub(crate) text: (TextVersion, String),
     /// Engines that the leader gives to the node, by fencing number.
     pub(crate) owned: BTreeMap<String, Fence>,
+    /// Targets that the platform calls leaving.
+    pub(crate) leaving: Vec<&'static str>,
     /// Earlier owners of the engines, as the leader names them.
     pub(crate) former: Vec<Fence>,
     /// Whether engines answer orders.
@@ -137,6 +139,7 @@
             leader: true,
             text: (TextVersion(1), TEXT.to_owned()),
             owned: BTreeMap::new(),
+            leaving: Vec::new(),
             former: Vec::new(),
             engines: true,
             held: BTreeMap::new(),
@@ -164,7 +167,11 @@
                 pool: name(pool),
                 zone: name("dubrava"),
                 address: format!("127.0.0.1:{}", 9200 + i),
-                state: platform::State::Live,
+                state: if self.leaving.contains(target) {
+                    platform::State::Leaving
+                } else {
+                    platform::State::Live
+                },
             });
         let list = platform::List {
             serial,
@@ -257,6 +264,14 @@
         self.input(Input::Replied { call, reply });
     }
 
+    /// Returns the engines that have orders they have not answered.
+    pub(crate) fn ordered(&self) -> Vec<String> {
+        self.orders
+            .iter()
+            .map(|(_, target, _)| target.to_string())
+            .collect()
+    }
+
     /// Lets the engines carry out what they were ordered.
     pub(crate) fn finish_orders(&mut self) {
         for (order, target, body) in std::mem::take(&mut self.orders) {
