--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -41,6 +41,9 @@
         /// How far in the future a key's own date may lie, in milliseconds;
         /// beyond, the key counts as undated.
         pub ahead_ms: u64,
+        /// How old a key's own date may be, in milliseconds; beyond, it is
+        /// refused, so that keys of all times can't fill the memory.
+        pub window_ms: u64,
         /// When to come back after a refusal for lack of room.
         pub retry_ms: u64,
     }
@@ -70,6 +73,7 @@
             undated: 1_000_000,
             dated: 1_000_000,
             ahead_ms: 600_000,
+            window_ms: 86_400_000,
             retry_ms: 60_000,
         }
     }
@@ -141,6 +145,10 @@
                 return ClaimReply::TooOld;
             }
         }
+        if claim.dated.is_some_and(|date| self.outside(wall, date)) {
+            base::hit!(key_outside_window);
+            return ClaimReply::TooOld;
+        }
         if !self.has_room(&claim.brand, dated) {
             base::hit!(no_room_for_keys);
             let retry = std::time::Duration::from_millis(self.limits.retry_ms);
@@ -230,6 +238,10 @@
         claim.dated.filter(|date| *date <= limit)
     }
 
+    fn outside(&self, wall: u64, date: u64) -> bool {
+        date.saturating_add(self.limits.window_ms) < wall
+    }
+
     fn has_room(&self, brand: &BrandName, dated: Option<u64>) -> bool {
         if self.under_way.len() >= self.limits.full {
             return false;
--- a/crates/control/src/claims/prints.rs
+++ b/crates/control/src/claims/prints.rs
@@ -4,8 +4,8 @@
 
 use base::record;
 
-/// Keys with a date are forgotten by the hour.
-const BUCKET_MS: u64 = 3_600_000;
+/// Keys with a date are forgotten by the minute.
+const BUCKET_MS: u64 = 60_000;
 /// New fingerprints are sorted into the large set in batches of this size.
 const FRESH_MAX: usize = 4_096;
 
@@ -18,6 +18,8 @@
         /// Undated keys that are remembered in full, and will need room here.
         reserved: usize,
         dated: BTreeMap<u64, Set>,
+        /// Keys in `dated`; counting the sets would take long at each key.
+        dated_len: usize,
         /// Keys with a date before this were forgotten, in milliseconds.
         floor: u64,
     }
@@ -32,7 +34,7 @@
 
 impl Prints {
     pub(crate) fn len(&self) -> usize {
-        self.undated.len() + self.dated_len()
+        self.undated.len() + self.dated_len
     }
 
     /// Returns how many undated keys there are, counting those that are still
@@ -43,8 +45,8 @@
 
     /// Returns whether a key ran for certain; nothing for an unknown key.
     pub(crate) fn find(&self, dated: Option<u64>, print: u64) -> Option<bool> {
-        let hour = dated.and_then(|date| self.dated.get(&(date / BUCKET_MS)));
-        let by_date = hour.and_then(|set| set.find(print));
+        let minute = dated.and_then(|date| self.dated.get(&(date / BUCKET_MS)));
+        let by_date = minute.and_then(|set| set.find(print));
         by_date.or_else(|| self.undated.find(print))
     }
 
@@ -62,29 +64,30 @@
     }
 
     pub(crate) fn add(&mut self, dated: Option<u64>, print: u64, ran: bool) {
-        let set = match dated {
+        let print = print | u64::from(ran);
+        let date = match dated {
+            None => return self.undated.add(print),
             // The bucket was given up while the key was remembered in full.
             Some(date) if self.forgot(date) => return,
-            Some(date) => self.dated.entry(date / BUCKET_MS).or_default(),
-            None => &mut self.undated,
+            Some(date) => date,
         };
-        set.add(print | u64::from(ran));
+        let set = self.dated.entry(date / BUCKET_MS).or_default();
+        let before = set.len();
+        set.add(print);
+        self.dated_len += set.len() - before;
     }
 
-    /// Forgets the oldest hours until at most `max` dated keys are left, and
+    /// Forgets the oldest minutes until at most `max` dated keys are left, and
     /// remembers up to which date.
     pub(crate) fn trim(&mut self, max: usize) {
-        while self.dated_len() > max {
-            let Some((hour, _)) = self.dated.pop_first() else {
+        while self.dated_len > max {
+            let Some((minute, set)) = self.dated.pop_first() else {
                 return;
             };
-            self.floor = self.floor.max((hour + 1) * BUCKET_MS);
+            self.dated_len -= set.len();
+            self.floor = self.floor.max((minute + 1) * BUCKET_MS);
         }
     }
-
-    fn dated_len(&self) -> usize {
-        self.dated.values().map(Set::len).sum()
-    }
 }
 
 impl Set {
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -245,7 +245,9 @@
     base::covers!(key_too_old);
     base::covers!(no_room_for_keys);
     const HOUR: u64 = 3_600_000;
+    base::covers!(key_outside_window);
     let mut log = Log::new(small());
+    log.wall = 6 * HOUR;
     for key in 0..6 {
         log.at += 2_000;
         let dated = Some(u64::from(key) * HOUR);
@@ -276,10 +278,16 @@
             "{key}"
         );
     }
+    log.wall = 40 * HOUR;
+    assert_that!(
+        log.claim("b", 30, 2, Some(8 * HOUR)),
+        eq(&ClaimReply::TooOld)
+    );
+    log.wall = 6 * HOUR;
     let late = log.claim("b", 13, 2, None);
     assert_that!(matches!(late, ClaimReply::NotNow { .. }), eq(true));
     assert_that!(
-        log.claim("b", 20, 1, Some(9 * HOUR)),
+        log.claim("b", 20, 1, Some(6 * HOUR)),
         eq(&ClaimReply::Yours)
     );
 }
@@ -288,7 +296,7 @@
 /// because the leaders' wall clocks differ: it is found all the same.
 #[test]
 fn a_date_believed_once_only_is_no_second_run() {
-    for (first, then) in [(100_000_000_000, 1_000_000), (1_000_000, 100_000_000_000)] {
+    for (first, then) in [(50_001_000_000, 1_000_000), (1_000_000, 50_001_000_000)] {
         let mut log = Log::new(small());
         let dated = Some(50_000_000_000);
         log.wall = first;
