--- a/crates/scenarios/scripts/zone_cut.rhai
+++ b/crates/scenarios/scripts/zone_cut.rhai
@@ -7,14 +7,17 @@
 entry("n2", "za");
 entry("m1", "zb");
 run(10000);
-let before = [owner("e1"), owner("e2"), owner("e3")];
 for i in 0..3 {
     let zone = if rand(2) == 0 { "za" } else { "zb" };
     cut_zone(zone);
     if rand(3) == 0 { cut_zone(if zone == "za" { "zb" } else { "za" }); }
     let old = [owner("e1"), owner("e2"), owner("e3")];
     run(20000 + rand(60000));
-    expect([owner("e1"), owner("e2"), owner("e3")] == old, "an owner gave up in a cut zone");
+    // An engine may have been between two owners when the cut came.
+    let now = [owner("e1"), owner("e2"), owner("e3")];
+    for e in 0..3 {
+        expect(old[e] == "" || now[e] == old[e], "an owner gave up in a cut zone");
+    }
     heal();
     run(3000 + rand(3000));
     expect(owner("e1") != "" && owner("e3") != "", "an engine lost its owner by the heal");
