--- a/crates/owner/src/holder.rs
+++ b/crates/owner/src/holder.rs
@@ -232,8 +232,7 @@
             }
             Input::Restarted { target } => {
                 if let Some(held) = self.held.get_mut(&target) {
-                    held.loaded.clear();
-                    held.touched = false;
+                    held.restarted();
                 }
             }
             Input::Renounce => self.renounced = true,
--- a/crates/owner/src/holder/own.rs
+++ b/crates/owner/src/holder/own.rs
@@ -18,7 +18,9 @@
     former: BTreeSet<Fence>,
     handed: BTreeMap<Fence, BTreeSet<Resident>>,
     pub(super) loaded: BTreeSet<Resident>,
-    pub(super) touched: bool,
+    touched: bool,
+    /// Whether the engine restarted while an earlier owner was open.
+    emptied: bool,
     /// What was last said by [`Output::Changed`].
     told: Own,
     asked: BTreeMap<u64, (Time, Duration)>,
@@ -47,6 +49,13 @@
         mates.all(|mate| self.confirmed.get(mate).is_some_and(|until| now < *until))
     }
 
+    /// Notes that the engine restarted, empty.
+    pub(super) fn restarted(&mut self) {
+        self.loaded.clear();
+        self.touched = false;
+        self.emptied |= !self.former.is_empty();
+    }
+
     /// Tells whether an earlier owner may still give orders.
     pub(super) fn untouched(&self) -> bool {
         let silent = |fence: &Fence| !self.handed.contains_key(fence);
@@ -156,6 +165,7 @@
             handed: BTreeMap::new(),
             loaded: BTreeSet::new(),
             touched: false,
+            emptied: false,
             told: Own::None,
             asked: BTreeMap::new(),
             confirmed: BTreeMap::new(),
@@ -279,11 +289,18 @@
         // Guard: an earlier owner that doesn't know that it was replaced may
         // have loaded the adapter a moment ago, and use it. Only what this
         // owner itself brought in is certainly its own to unload.
-        if fresh {
-            held.loaded.insert(resident);
-        } else {
+        if !fresh {
             base::hit!(loaded_by_other);
+            return;
+        }
+        // Guard: an earlier owner that is cut off doesn't see the engine
+        // restart. What it remembers as resident comes back by this load, and
+        // it uses it; so nothing loaded since is this owner's own.
+        if held.emptied {
+            base::hit!(restarted_under_former);
+            return;
         }
+        held.loaded.insert(resident);
     }
 
     fn lose(&mut self, target: &TargetName) {
--- a/crates/owner/tests/holder.rs
+++ b/crates/owner/tests/holder.rs
@@ -245,6 +245,28 @@
     assert_that!(unload(&holder, START + 50, false), eq(true));
 }
 
+/// The engine restarts while an earlier owner is cut off, and so still takes
+/// for resident what the new owner loads anew: that stays as well.
+#[test]
+fn a_restart_makes_nothing_ones_own() {
+    base::covers!(restarted_under_former);
+    let mut holder = holder();
+    beat(&mut holder, START, reply(1, &[("e", 9, &[7])]));
+    let target = || "e".parse().unwrap();
+    let restarted = Input::Restarted { target: target() };
+    step(&mut holder, START + 10, restarted);
+    let loaded = Input::Loaded {
+        target: target(),
+        fence: Fence(9),
+        resident: "a@1".parse().unwrap(),
+        fresh: true,
+    };
+    step(&mut holder, START + 20, loaded);
+    assert_that!(unload(&holder, START + 30, false), eq(false));
+    beat(&mut holder, START + 1_000, reply(2, &[("e", 9, &[])]));
+    assert_that!(unload(&holder, START + 1_100, false), eq(true));
+}
+
 /// A planned stop: nothing is ordered any more, the beat says so, and the new
 /// owner is told what is still in use until nothing is.
 #[test]
