--- a/crates/scenarios/src/entry.rs
+++ b/crates/scenarios/src/entry.rs
@@ -15,6 +15,8 @@
     pub(crate) running: BTreeMap<u64, (String, Time)>,
     /// Orders sent and not answered.
     pub(crate) orders: BTreeSet<u64>,
+    /// Loads sent and not answered: no unload of these.
+    pub(crate) loading: BTreeMap<String, Time>,
     /// Unloads sent and not answered: no new request on these.
     pub(crate) unloading: BTreeMap<String, Time>,
 }
@@ -96,6 +98,8 @@
     /// Drops requests that can no longer run: their connections are closed.
     pub(crate) fn expire(&mut self, now: Time, age_ms: u64) {
         for view in self.views.values_mut() {
+            view.loading
+                .retain(|_, since| now.since(*since).as_millis() < u128::from(age_ms));
             view.unloading
                 .retain(|_, since| now.since(*since).as_millis() < u128::from(age_ms));
             view.running
--- a/crates/scenarios/src/world/deliver.rs
+++ b/crates/scenarios/src/world/deliver.rs
@@ -239,7 +239,10 @@
                 let view = entry.view(&target);
                 view.orders.remove(&id);
                 let adapter = match &order {
-                    Order::Load(adapter) => adapter.clone(),
+                    Order::Load(adapter) => {
+                        view.loading.remove(adapter);
+                        adapter.clone()
+                    }
                     Order::Unload(adapter) => {
                         view.unloading.remove(adapter);
                         return;
