--- a/crates/route/src/desk/loads.rs
+++ b/crates/route/src/desk/loads.rs
@@ -17,7 +17,7 @@
 const LOAD_GAIN: f64 = 0.1;
 
 /// Of this many loads one is for batch work that is short of time, if any is.
-const BATCH_TURN: u32 = 4;
+const BATCH_TURN: u32 = 3;
 
 /// What the last look for loads found.
 #[derive(Clone, Copy, Debug, Default)]
