Measure what one instance costs at several sizes

cargo xtask capacity drives a node and a control instance by hand, in virtual time, over small fakes, and prints figures at three sizes each with a fitted line and its residual. Each size runs in a process of its own: within one, memory freed by a smaller size hides that of the next.

--- /dev/null
+++ b/xtask/src/capacity.rs
@@ -0,0 +1,168 @@
+//! Measures what one instance costs at several sizes, and fits a line.
+//!
+//! Each size runs in a process of its own, one after the other, so that the
+//! memory of one does not hide that of the next. Time is virtual for the
+//! decisions and real for what they cost.
+
+mod control;
+mod entry;
+mod fit;
+mod tool;
+mod world;
+
+use std::{fs, process::Command as Process, time::Instant};
+
+use anyhow::{Context, Result, bail, ensure};
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use self::fit::Line;
+
+/// One table: a function of a size that gives some figures.
+struct Case {
+    name: &'static str,
+    /// What is counted by the size.
+    size: &'static str,
+    sizes: &'static [usize],
+    columns: &'static [&'static str],
+    run: fn(usize) -> Result<Vec<f64>>,
+}
+
+const CASES: &[Case] = &[
+    entry::TEXT,
+    entry::TARGETS,
+    entry::PEERS,
+    entry::OWNED,
+    entry::PASSED,
+    entry::NEWS,
+    entry::HEARD,
+    control::BEATS,
+    control::CLAIMS,
+    control::CHANGES,
+    tool::OPERATOR,
+];
+
+/// Describes the chore's flags.
+pub(crate) fn command() -> Command {
+    Command::new("capacity")
+        .about("Measures what one instance costs at several sizes; build with --release")
+        .arg(Arg::new("case").long("case").help("Only this table"))
+        .arg(
+            Arg::new("size")
+                .long("size")
+                .requires("case")
+                .value_parser(value_parser!(usize))
+                .help("Only this size, in this process, as bare figures"),
+        )
+}
+
+/// Prints the tables.
+///
+/// # Errors
+///
+/// Fails when a case is unknown or can't be measured.
+pub(crate) fn run(args: &ArgMatches) -> Result<()> {
+    let only = args.get_one::<String>("case");
+    let chosen = CASES
+        .iter()
+        .filter(|case| only.is_none_or(|only| only == case.name));
+    let chosen: Vec<_> = chosen.collect();
+    ensure!(!chosen.is_empty(), "no such case");
+    if let Some(size) = args.get_one::<usize>("size") {
+        let figures = (chosen[0].run)(*size)?;
+        let figures = figures.iter().map(f64::to_string).collect::<Vec<_>>();
+        println!("{}", figures.join(" "));
+        return Ok(());
+    }
+    println!("load of the machine at the start: {}", load()?);
+    for case in chosen {
+        table(case)?;
+    }
+    println!("load of the machine at the end: {}", load()?);
+    Ok(())
+}
+
+/// Measures all sizes of one case and prints them with their lines.
+fn table(case: &Case) -> Result<()> {
+    let began = Instant::now();
+    let mut rows = Vec::new();
+    println!("\n## {}\n", case.name);
+    println!("| {} | {} |", case.size, case.columns.join(" | "));
+    println!("|{}", " --- |".repeat(case.columns.len() + 1));
+    for size in case.sizes {
+        let figures = apart(case, *size)?;
+        let cells = figures.iter().map(|figure| round(*figure));
+        println!("| {size} | {} |", cells.collect::<Vec<_>>().join(" | "));
+        rows.push((*size as f64, figures));
+    }
+    let lines = (0..case.columns.len()).map(|at| {
+        let points = rows.iter().map(|(size, figures)| (*size, figures[at]));
+        Line::through(&points.collect::<Vec<_>>())
+    });
+    let lines: Vec<Line> = lines.collect();
+    let part = |label: &str, value: fn(&Line) -> f64| {
+        let cells = lines.iter().map(|line| round(value(line)));
+        println!("| {label} | {} |", cells.collect::<Vec<_>>().join(" | "));
+    };
+    part("slope", |line| line.slope);
+    part("intercept", |line| line.intercept);
+    part("residual", |line| line.residual);
+    println!("\ntook {} s", began.elapsed().as_secs());
+    Ok(())
+}
+
+/// Measures one size in a process of its own.
+fn apart(case: &Case, size: usize) -> Result<Vec<f64>> {
+    let output = Process::new(std::env::current_exe()?)
+        .args(["capacity", "--case", case.name, "--size", &size.to_string()])
+        .output()?;
+    if !output.status.success() {
+        let why = String::from_utf8_lossy(&output.stderr);
+        bail!("{} at {size}: {why}", case.name);
+    }
+    let text = String::from_utf8(output.stdout)?;
+    let figures = text.split_whitespace().map(str::parse);
+    let figures = figures.collect::<Result<Vec<f64>, _>>()?;
+    ensure!(figures.len() == case.columns.len(), "a column is missing");
+    Ok(figures)
+}
+
+/// Writes a figure with four digits that count.
+fn round(figure: f64) -> String {
+    let whole = figure.abs().max(1e-9).log10().floor() as i32;
+    let digits = usize::try_from(3 - whole).unwrap_or(0).min(9);
+    format!("{figure:.digits$}")
+}
+
+fn load() -> Result<String> {
+    let load = fs::read_to_string("/proc/loadavg")?;
+    let three = load.split_whitespace().take(3).collect::<Vec<_>>();
+    Ok(three.join(" "))
+}
+
+/// Returns this process's resident memory in MiB.
+fn resident() -> Result<f64> {
+    /// Bytes in a page on the machines that this runs on.
+    const PAGE: f64 = 4_096.0;
+    let statm = fs::read_to_string("/proc/self/statm")?;
+    let pages = statm.split(' ').nth(1).context("no resident pages")?;
+    Ok(pages.parse::<f64>()? * PAGE / f64::from(1 << 20))
+}
+
+/// Returns the most memory that was resident so far, in MiB.
+fn peak() -> Result<f64> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kib = line.and_then(|line| line.split_whitespace().next());
+    Ok(kib.context("no VmHWM")?.parse::<f64>()? / 1_024.0)
+}
+
+/// Returns the bytes of a message between our processes.
+fn bytes<T: serde::Serialize>(value: &T) -> Result<f64> {
+    Ok(rmp_serde::to_vec(value)?.len() as f64)
+}
+
+/// Returns the text of so many adapters with one line changed: one more
+/// version of one adapter.
+fn changed(text: &str) -> String {
+    text.replacen("= [1]\n", "= { versions = [1, 2], serve = 1 }\n", 1)
+}
--- /dev/null
+++ b/xtask/src/capacity/control.rs
@@ -0,0 +1,337 @@
+//! A control instance alone in its log, its disk a list in memory.
+
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, ensure};
+use base::{Fence, Incarnation, PerSecond, Seed, TextVersion, Ticket, Time};
+use control::{Checked, Config, Control, Input, Output, Texts};
+use replog::{RawSettings, Record, Replica, ReplicaId, Restored, Settings, Snapshot};
+use wire::{
+    call::{Beat, Call, Claim, Fate, Reply, Settle},
+    operator::{Applied, Apply},
+};
+
+use super::{Case, bytes, changed, resident};
+use crate::samples;
+
+/// Beats of so many instances before 600 engines.
+pub(super) const BEATS: Case = Case {
+    name: "control-beats",
+    size: "instances",
+    sizes: &[7, 100, 380],
+    columns: &[
+        "us a beat",
+        "beat bytes",
+        "reply bytes",
+        "first reply bytes",
+        "resident MiB",
+    ],
+    run: beats,
+};
+
+/// Claims of so many keys, each claimed and settled.
+pub(super) const CLAIMS: Case = Case {
+    name: "control-claims",
+    size: "keys",
+    sizes: &[15_000, 30_000, 60_000],
+    columns: &[
+        "us a key",
+        "memory MiB",
+        "log MB",
+        "call and reply bytes a key",
+    ],
+    run: claims,
+};
+
+/// Changes of one line in a text of so many adapters.
+pub(super) const CHANGES: Case = Case {
+    name: "control-changes",
+    size: "adapters",
+    sizes: &[3_000, 12_000, 48_000],
+    columns: &[
+        "ms a change",
+        "log bytes a change",
+        "snapshot bytes",
+        "restart ms",
+        "replayed",
+        "resident MiB",
+    ],
+    run: changes,
+};
+
+/// Engines at the letter's size.
+const ENGINES: usize = 600;
+/// Changes before the restart: as many as leave the longest log behind the
+/// last snapshot, which is taken every 1,000 entries.
+const CHANGES_BEFORE: u64 = 1_990;
+/// Claims handed in before the disk answers: one write of the log.
+const AT_ONCE: u64 = 256;
+
+/// A control instance and what its disk holds.
+struct Alone {
+    control: Control,
+    now: Time,
+    snapshot: Option<Snapshot>,
+    disk: Vec<Record>,
+    written: u64,
+    hold: bool,
+    held: Vec<replog::WriteNo>,
+    tickets: u64,
+}
+
+impl Alone {
+    fn new(life: u64, snapshot: Option<Snapshot>, disk: Vec<Record>) -> Result<Self> {
+        let instance: base::InstanceName = "control-1".parse()?;
+        let id = ReplicaId {
+            instance: instance.clone(),
+            life: Incarnation(1),
+        };
+        let raw = RawSettings::usual(id, vec![instance], Seed(life));
+        let restored = Restored::replay(snapshot.clone(), disk.clone()).context("damaged log")?;
+        let replica = Replica::new(Settings::try_from(raw)?, restored);
+        let check = |_: &str| Ok(Checked { rate: PerSecond(5) });
+        Ok(Alone {
+            control: Control::new(Config::default(), replica, Box::new(check)),
+            now: Time::from_millis(5),
+            snapshot,
+            disk,
+            written: 0,
+            hold: false,
+            held: Vec::new(),
+            tickets: 0,
+        })
+    }
+
+    fn give(&mut self, input: Input) -> Vec<Output> {
+        let mut all = Vec::new();
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            let mut out = Vec::new();
+            self.control.handle(self.now, input, &mut out);
+            for output in out {
+                self.store(output, &mut all);
+            }
+            if !self.hold {
+                inputs.extend(self.held.drain(..).map(|upto| Input::Synced { upto }));
+            }
+        }
+        all
+    }
+
+    fn store(&mut self, output: Output, rest: &mut Vec<Output>) {
+        match output {
+            Output::Write { no, records } => {
+                self.written += replog::encode_frame(no.get(), &records).len() as u64;
+                self.disk.extend(records);
+                self.held.push(no);
+            }
+            Output::Rewrite {
+                no,
+                snapshot,
+                records,
+            } => {
+                self.snapshot = Some(snapshot);
+                self.disk = records;
+                self.held.push(no);
+            }
+            output => rest.push(output),
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(50) {
+            self.now = self.now + Duration::from_millis(50);
+            self.give(Input::Wake);
+        }
+    }
+
+    fn lead(&mut self) -> Result<()> {
+        self.pass(5_000);
+        ensure!(self.control.leads(self.now), "it does not lead");
+        Ok(())
+    }
+
+    fn call(&mut self, call: Call) -> Option<Reply> {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let out = self.give(Input::Call { ticket, call });
+        out.into_iter().find_map(|output| match output {
+            Output::Reply { reply, .. } => Some(reply),
+            _ => None,
+        })
+    }
+}
+
+fn beat(
+    i: usize,
+    serial: u64,
+    roster: u64,
+    engines: Option<Vec<base::TargetName>>,
+) -> Result<Beat> {
+    Ok(Beat {
+        instance: format!("instance-{i:04}").parse()?,
+        zone: format!("zone-{}", i % 8).parse()?,
+        incarnation: Incarnation(1_700_000_000_000 + i as u64),
+        peer: format!("10.0.{}.{}:7100", i / 250, i % 250),
+        text: TextVersion(1_000),
+        leaving: false,
+        serial,
+        heard: serial - 1,
+        roster,
+        engines,
+        busy: Vec::<(base::TargetName, Fence)>::new(),
+        loads: 3,
+    })
+}
+
+/// Returns the names of the engines in the zone of instance `i`.
+fn reach(i: usize) -> Result<Vec<base::TargetName>> {
+    let near = (0..ENGINES).filter(|e| e % 8 == i % 8);
+    let names = near.map(|e| Ok(format!("engine-{e:04}").parse()?));
+    names.collect()
+}
+
+fn beats(instances: usize) -> Result<Vec<f64>> {
+    let mut alone = Alone::new(1, None, Vec::new())?;
+    alone.lead()?;
+    let mut rosters = vec![0; instances];
+    let (mut first, mut last, mut sent) = (0.0, 0.0, 0.0);
+    let mut spent = Duration::ZERO;
+    let rounds = 60;
+    let measured = 20;
+    for round in 1..=rounds {
+        for (i, roster) in rosters.iter_mut().enumerate() {
+            let engines = if round < 10 { Some(reach(i)?) } else { None };
+            let call = Call::Beat(beat(i, round, *roster, engines)?);
+            sent = bytes(&call)?;
+            let began = Instant::now();
+            let reply = alone.call(call);
+            if round > rounds - measured {
+                spent += began.elapsed();
+            }
+            let Some(Reply::Beat(reply)) = reply else {
+                continue;
+            };
+            *roster = reply.roster;
+            last = bytes(&Reply::Beat(reply))?;
+        }
+        alone.pass(1_000);
+    }
+    if let Some(Reply::Beat(reply)) = alone.call(Call::Beat(beat(0, rounds + 1, 0, None)?)) {
+        first = bytes(&Reply::Beat(reply))?;
+    }
+    let each = spent.as_secs_f64() * 1e6 / (measured as f64 * instances as f64);
+    Ok(vec![each, sent, last, first, resident()?])
+}
+
+fn key(n: u64) -> [u8; 16] {
+    let mut key = [7; 16];
+    key[..8].copy_from_slice(&n.wrapping_mul(0x9e37_79b9_7f4a_7c15).to_le_bytes());
+    key
+}
+
+fn claims(keys: usize) -> Result<Vec<f64>> {
+    let mut alone = Alone::new(1, None, Vec::new())?;
+    alone.lead()?;
+    for round in 1..4 {
+        alone.call(Call::Beat(beat(0, round, 0, Some(reach(0)?))?));
+        alone.pass(1_000);
+    }
+    let instance: base::InstanceName = "instance-0000".parse()?;
+    let brand: base::BrandName = "brand".parse()?;
+    let (before, log) = (resident()?, alone.written);
+    let mut spent = Duration::ZERO;
+    let mut size = 0.0;
+    for batch in 0..(keys as u64).div_ceil(AT_ONCE) {
+        let all = batch * AT_ONCE..(batch + 1) * AT_ONCE;
+        let claim = |n| {
+            Call::Claim(Claim {
+                brand: brand.clone(),
+                key: key(n),
+                body: key(n),
+                instance: instance.clone(),
+                attempt: n,
+                dated: None,
+            })
+        };
+        let settle = |n| {
+            Call::Settle(Settle {
+                brand: brand.clone(),
+                key: key(n),
+                instance: instance.clone(),
+                attempt: n,
+                fate: Fate::Ran(None),
+            })
+        };
+        let replies = [Reply::Claim(wire::call::ClaimReply::Yours), Reply::Done];
+        size = bytes(&claim(0))? + bytes(&settle(0))? + bytes(&replies[0])? + bytes(&replies[1])?;
+        let calls = [
+            all.clone().map(claim).collect::<Vec<_>>(),
+            all.map(settle).collect(),
+        ];
+        let began = Instant::now();
+        for calls in calls {
+            alone.hold = true;
+            for call in calls {
+                alone.call(call);
+            }
+            alone.hold = false;
+            alone.give(Input::Wake);
+        }
+        spent += began.elapsed();
+        alone.now = alone.now + Duration::from_millis(10);
+        // The disk's records are not the instance's memory.
+        alone.disk = Vec::new();
+    }
+    Ok(vec![
+        spent.as_secs_f64() * 1e6 / keys as f64,
+        resident()? - before,
+        (alone.written - log) as f64 / 1e6,
+        size,
+    ])
+}
+
+/// Hands in a change; true if it was accepted.
+fn apply(alone: &mut Alone, n: u64, text: &str) -> bool {
+    let apply = Apply {
+        change: format!("change-{n}").parse().expect("a fit name"),
+        base: TextVersion(n),
+        by: "operator".to_owned(),
+        text: text.to_owned(),
+    };
+    let ticket = Ticket(1_000_000 + n);
+    let out = alone.give(Input::Apply { ticket, apply });
+    out.iter().any(|output| {
+        let Output::Applied { applied, .. } = output else {
+            return false;
+        };
+        matches!(applied, Applied::Accepted { .. })
+    })
+}
+
+fn changes(adapters: usize) -> Result<Vec<f64>> {
+    let one = samples::agency(adapters);
+    let two = changed(&one);
+    let mut alone = Alone::new(1, None, Vec::new())?;
+    alone.lead()?;
+    ensure!(apply(&mut alone, 0, &one), "the first text was refused");
+    let log = alone.written;
+    let began = Instant::now();
+    for n in 1..CHANGES_BEFORE {
+        let text = if n % 2 == 1 { &two } else { &one };
+        ensure!(apply(&mut alone, n, text), "change {n} was refused");
+    }
+    let each = began.elapsed().as_secs_f64() * 1e3 / CHANGES_BEFORE as f64;
+    let log = (alone.written - log) as f64 / CHANGES_BEFORE as f64;
+    let held = resident()?;
+    let snapshot = alone.snapshot.take().context("no snapshot yet")?;
+    let size = replog::encode_snapshot(&snapshot).len();
+    let replayed = alone.disk.len();
+    let began = Instant::now();
+    let mut again = Alone::new(2, Some(snapshot), alone.disk)?;
+    again.lead()?;
+    let restart = began.elapsed().as_secs_f64() * 1e3;
+    ensure!(again.control.state().texts().version() == TextVersion(CHANGES_BEFORE));
+    ensure!(Texts::digest(again.control.state().texts().text()) == Texts::digest(&two));
+    Ok(vec![each, log, size as f64, restart, replayed as f64, held])
+}
--- /dev/null
+++ b/xtask/src/capacity/entry.rs
@@ -0,0 +1,318 @@
+//! One entry instance: text, fleet, requests, news.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Result, ensure};
+use base::TextVersion;
+use wire::{call::Residents, patch::Patch};
+
+use super::{
+    Case, changed, peak, resident,
+    world::{Around, TOKENS, World},
+};
+
+const ADAPTERS: &[usize] = &[3_000, 12_000, 48_000];
+const BRAND: &str = "film";
+const HOT: &str = "film-live";
+
+/// A text of so many adapters taken in whole, then a change of one line.
+pub(super) const TEXT: Case = Case {
+    name: "entry-text",
+    size: "adapters",
+    sizes: ADAPTERS,
+    columns: &[
+        "whole ms",
+        "whole bytes",
+        "resident MiB",
+        "peak MiB",
+        "change ms",
+        "change bytes",
+        "resident after MiB",
+        "peak after MiB",
+    ],
+    run: text,
+};
+
+/// So many targets, with 48 peers and a share of the targets owned.
+pub(super) const TARGETS: Case = Case {
+    name: "entry-targets",
+    size: "targets",
+    sizes: &[60, 240, 600],
+    columns: QUIET,
+    run: |targets| {
+        quiet(Around {
+            adapters: 3_000,
+            targets,
+            peers: 48,
+            owned: 2,
+        })
+    },
+};
+
+/// So many peers, with 600 targets of which two are owned.
+pub(super) const PEERS: Case = Case {
+    name: "entry-peers",
+    size: "peers",
+    sizes: &[7, 48, 380],
+    columns: QUIET,
+    run: |peers| {
+        quiet(Around {
+            adapters: 3_000,
+            targets: 600,
+            peers,
+            owned: 2,
+        })
+    },
+};
+
+const QUIET: &[&str] = &[
+    "resident MiB",
+    "us a quiet second",
+    "beats a second",
+    "beat bytes",
+    "reply bytes",
+    "polls a second",
+    "report bytes",
+];
+
+/// Requests answered by an engine that the node owns.
+pub(super) const OWNED: Case = Case {
+    name: "entry-owned",
+    size: "adapters",
+    sizes: ADAPTERS,
+    columns: &["us a request"],
+    run: |adapters| {
+        requests(Around {
+            adapters,
+            targets: 1,
+            peers: 7,
+            owned: 1,
+        })
+    },
+};
+
+/// Requests passed on to the owner of the engine, among 600 engines.
+pub(super) const PASSED: Case = Case {
+    name: "entry-passed",
+    size: "adapters",
+    sizes: ADAPTERS,
+    columns: &["us a request"],
+    run: |adapters| {
+        requests(Around {
+            adapters,
+            targets: 600,
+            peers: 380,
+            owned: 0,
+        })
+    },
+};
+
+/// What the owner of two engines tells so many peers at the letter's rate.
+pub(super) const NEWS: Case = Case {
+    name: "entry-news",
+    size: "peers",
+    sizes: &[7, 48, 380],
+    columns: &[
+        "requests",
+        "news messages a second",
+        "news bytes a second",
+        "bytes a message",
+        "of them a peer a second",
+        "us of processor a second",
+    ],
+    run: news,
+};
+
+/// What one piece of a peer's news costs its hearer.
+pub(super) const HEARD: Case = Case {
+    name: "entry-heard",
+    size: "targets",
+    sizes: &[60, 240, 600],
+    columns: &["us a message", "bytes a message"],
+    run: heard,
+};
+
+fn text(adapters: usize) -> Result<Vec<f64>> {
+    let around = Around {
+        adapters: 3,
+        targets: 60,
+        peers: 7,
+        owned: 2,
+    };
+    let mut world = World::serving(around)?;
+    let full = World::sized_text(adapters);
+    world.text = (TextVersion(2), full.clone());
+    let whole = take_in(&mut world)?;
+    let (size, held, most) = (world.fetched, resident()?, peak()?);
+    let new = changed(&full);
+    world.patch = Some(Patch::between(&full, &new));
+    world.text = (TextVersion(3), new);
+    drop(full);
+    let change = take_in(&mut world)?;
+    Ok(vec![
+        whole,
+        size as f64,
+        held,
+        most,
+        change,
+        world.fetched as f64,
+        resident()?,
+        peak()?,
+    ])
+}
+
+/// Lets two beats pass, in which a newer text is learnt and taken in; returns
+/// the milliseconds of it.
+fn take_in(world: &mut World) -> Result<f64> {
+    let began = Instant::now();
+    world.pass(Duration::from_secs(2))?;
+    let took = began.elapsed().as_secs_f64() * 1e3;
+    ensure!(world.node.version() == world.text.0, "not taken in");
+    Ok(took)
+}
+
+fn quiet(around: Around) -> Result<Vec<f64>> {
+    const SECONDS: u64 = 60;
+    let mut world = World::serving(around)?;
+    world.beats = Default::default();
+    world.replies = Default::default();
+    world.polls = Default::default();
+    let began = Instant::now();
+    world.pass(Duration::from_secs(SECONDS))?;
+    let spent = began.elapsed().as_secs_f64() * 1e6 / SECONDS as f64;
+    let each = |sent: super::world::Sent| sent.bytes as f64 / sent.calls.max(1) as f64;
+    Ok(vec![
+        resident()?,
+        spent,
+        world.beats.calls as f64 / SECONDS as f64,
+        each(world.beats),
+        each(world.replies),
+        world.polls.calls as f64 / SECONDS as f64,
+        each(world.polls),
+    ])
+}
+
+fn requests(around: Around) -> Result<Vec<f64>> {
+    const REQUESTS: u64 = 20_000;
+    let mut world = World::serving(around)?;
+    for _ in 0..REQUESTS / 10 {
+        one(&mut world)?;
+    }
+    let (ended, began) = (world.ended, Instant::now());
+    for _ in 0..REQUESTS {
+        one(&mut world)?;
+    }
+    let spent = began.elapsed().as_secs_f64() * 1e6 / REQUESTS as f64;
+    ensure!(
+        world.ended - ended >= REQUESTS,
+        "requests were not answered"
+    );
+    Ok(vec![spent])
+}
+
+/// One request from arrival to end. No time passes in it once the adapter is
+/// held, so that what the node does by the clock is not counted here.
+fn one(world: &mut World) -> Result<()> {
+    world.arrive(BRAND, HOT, TOKENS)?;
+    let mut tries = 0;
+    while !world.answer(TOKENS)? {
+        tries += 1;
+        ensure!(tries < 100, "a request was not sent");
+        world.pass(Duration::from_millis(100))?;
+    }
+    Ok(())
+}
+
+/// Plays a minute at the letter's rate for two engines: 30 requests a second
+/// that run 11 s each, a hundredth of them for an adapter that is not held.
+fn news(peers: usize) -> Result<Vec<f64>> {
+    const SECONDS: u64 = 60;
+    const WARM: u64 = 20;
+    const RATE: u64 = 30;
+    const RUNS: u64 = 11;
+    let around = Around {
+        adapters: 3_000,
+        targets: 2,
+        peers,
+        owned: 2,
+    };
+    let mut world = World::serving(around)?;
+    let mut due: BTreeMap<u64, u64> = BTreeMap::new();
+    let (mut began, mut asked) = (Instant::now(), 0);
+    for step in 0..(WARM + SECONDS) * RATE {
+        if step == WARM * RATE {
+            world.news = Default::default();
+            began = Instant::now();
+            asked = 0;
+        }
+        let adapter = match step % 100 {
+            0 => format!("film-produkcija-{:04}", 1 + step / 100),
+            _ => HOT.to_owned(),
+        };
+        let waiting = world.sent.len();
+        world.arrive(BRAND, &adapter, 304)?;
+        asked += 1;
+        let sent = world.sent.len() - waiting;
+        *due.entry(step + RUNS * RATE).or_default() += sent as u64;
+        for _ in 0..due.remove(&step).unwrap_or(0) {
+            world.answer(1)?;
+        }
+        world.pass(Duration::from_nanos(1_000_000_000 / RATE))?;
+    }
+    let spent = began.elapsed().as_secs_f64() * 1e6 / SECONDS as f64;
+    let rate = world.news.calls as f64 / SECONDS as f64;
+    Ok(vec![
+        asked as f64,
+        rate,
+        world.news.bytes as f64 / SECONDS as f64,
+        world.news.bytes as f64 / world.news.calls.max(1) as f64,
+        rate / peers as f64,
+        spent,
+    ])
+}
+
+fn heard(targets: usize) -> Result<Vec<f64>> {
+    const ROUNDS: u64 = 50;
+    let around = Around {
+        adapters: 3_000,
+        targets,
+        peers: 48,
+        owned: 2,
+    };
+    let mut world = World::serving(around)?;
+    let others = world
+        .others()
+        .map(|(peer, owned)| (peer.instance.clone(), owned.clone()));
+    let others = others.collect::<Vec<_>>();
+    let (mut spent, mut count, mut size) = (Duration::ZERO, 0, 0.0);
+    for serial in 1..=ROUNDS {
+        for (at, (owner, (target, fence))) in others.iter().enumerate() {
+            let adapter = |n: u64| -> Result<_> {
+                let n = 1 + (at as u64 * 31 + n) % 900;
+                Ok((format!("film-produkcija-{n:04}").parse()?, base::Version(1)))
+            };
+            let news = Residents {
+                owner: owner.clone(),
+                target: target.clone(),
+                fence: *fence,
+                serial,
+                whole: serial == 1,
+                added: vec![adapter(serial)?],
+                removed: vec![adapter(serial - 1)?],
+                in_flight: 170,
+                queued: 3,
+                worth: 120,
+            };
+            size = super::bytes(&wire::call::Call::Residents(news.clone()))?;
+            let began = Instant::now();
+            world.hear(news)?;
+            spent += began.elapsed();
+            count += 1;
+        }
+        world.pass(Duration::from_secs(1))?;
+    }
+    Ok(vec![spent.as_secs_f64() * 1e6 / f64::from(count), size])
+}
--- /dev/null
+++ b/xtask/src/capacity/world.rs
@@ -0,0 +1,380 @@
+//! What stands around one node: a leader, peers, engines and a list.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use anyhow::Result;
+use base::{Fence, Incarnation, Seed, TargetName, TextVersion, Ticket, Time, Tokens};
+use node::{Arrival, Attempt, Input, Node, Order, OrderEnd, Output, Progress, Settings};
+use request::Part;
+use wire::{
+    call::{Beat, BeatReply, Call, Lease, Peer, Reply, Residents},
+    engine::{Held, Report, Resident},
+    patch::{self, Patch},
+    platform,
+};
+
+use crate::samples;
+
+/// Tokens of one answer.
+pub(super) const TOKENS: u32 = 16;
+/// Batch size and slots of an engine at the letter's size: 178 requests run at
+/// once at 15.3 a second of 11 s each.
+const ENGINE: [(&str, &str); 2] = [("batch = 32", "batch = 256"), ("slots = 8", "slots = 32")];
+
+/// How many of what stand around the node.
+#[derive(Clone, Copy)]
+pub(super) struct Around {
+    pub(super) adapters: usize,
+    pub(super) targets: usize,
+    /// Other entry instances.
+    pub(super) peers: usize,
+    /// Engines that the node owns.
+    pub(super) owned: usize,
+}
+
+/// Messages and bytes of one kind.
+#[derive(Clone, Copy, Default)]
+pub(super) struct Sent {
+    pub(super) calls: u64,
+    pub(super) bytes: u64,
+}
+
+/// One node and its surroundings.
+pub(super) struct World {
+    pub(super) node: Node,
+    pub(super) now: Time,
+    pub(super) text: (TextVersion, String),
+    /// Patches that lead to the text, for an asker who has the one before.
+    pub(super) patch: Option<Patch>,
+    pub(super) sent: VecDeque<Attempt>,
+    pub(super) ended: u64,
+    pub(super) beats: Sent,
+    pub(super) replies: Sent,
+    pub(super) news: Sent,
+    pub(super) polls: Sent,
+    /// Size of the last reply with a text or patches.
+    pub(super) fetched: u64,
+    peers: Vec<Peer>,
+    held: BTreeMap<TargetName, Vec<String>>,
+    steps: u64,
+    tickets: u64,
+    wake: Time,
+}
+
+/// Returns the name of engine `i`.
+pub(super) fn engine(i: usize) -> Result<TargetName> {
+    Ok(format!("engine-{i:04}").parse()?)
+}
+
+impl World {
+    /// Makes a node that serves.
+    pub(super) fn serving(around: Around) -> Result<World> {
+        let mut world = World::bare(around)?;
+        world.input(Input::List(Some(list(around.targets)?)))?;
+        world.pass(Duration::from_secs(30))?;
+        anyhow::ensure!(world.node.version() == world.text.0, "no text in force");
+        Ok(world)
+    }
+
+    /// Returns a text of so many adapters for engines of the letter's size.
+    pub(super) fn sized_text(adapters: usize) -> String {
+        let text = samples::agency(adapters);
+        let put = |text: String, (from, to): (&str, &str)| text.replace(from, to);
+        ENGINE.into_iter().fold(text, put)
+    }
+
+    fn bare(around: Around) -> Result<World> {
+        let address = |i: usize| std::net::SocketAddr::from(([127, 0, 0, 1], 9_000 + i as u16));
+        let control = |i: usize| Ok((format!("control-{i}").parse()?, address(i)));
+        let settings = Settings {
+            name: "instance-0000".parse()?,
+            zone: "zone-0".parse()?,
+            life: Incarnation(1),
+            peer: address(100),
+            controls: (0..7).map(control).collect::<Result<_>>()?,
+            seed: Seed(1),
+            grace: Duration::from_secs(2),
+        };
+        let text = World::sized_text(around.adapters);
+        Ok(World {
+            node: Node::new(settings, Time::ZERO),
+            now: Time::ZERO,
+            text: (TextVersion(1), text),
+            patch: None,
+            sent: VecDeque::new(),
+            ended: 0,
+            beats: Sent::default(),
+            replies: Sent::default(),
+            news: Sent::default(),
+            polls: Sent::default(),
+            fetched: 0,
+            peers: peers(around)?,
+            held: BTreeMap::new(),
+            steps: 0,
+            tickets: 0,
+            wake: Time::ZERO,
+        })
+    }
+
+    /// Lets time pass.
+    pub(super) fn pass(&mut self, d: Duration) -> Result<()> {
+        let end = self.now + d;
+        while self.wake <= end {
+            self.now = self.now.max(self.wake);
+            self.wake = Time(u64::MAX);
+            self.input(Input::Wake)?;
+        }
+        self.now = end;
+        Ok(())
+    }
+
+    /// Hands in one input and answers what the node asks of the world.
+    pub(super) fn input(&mut self, input: Input) -> Result<()> {
+        let mut inputs = VecDeque::from([input]);
+        while let Some(input) = inputs.pop_front() {
+            let mut out = Vec::new();
+            self.node.handle(self.now, input, &mut out);
+            for output in out {
+                inputs.extend(self.carry_out(output)?);
+            }
+        }
+        Ok(())
+    }
+
+    /// Sends one request for an adapter.
+    pub(super) fn arrive(&mut self, brand: &str, adapter: &str, tokens: u32) -> Result<()> {
+        self.tickets += 1;
+        self.input(Input::Arrive(Arrival {
+            ticket: Ticket(self.tickets),
+            brand: brand.parse()?,
+            service: adapter.parse()?,
+            version: None,
+            class: None,
+            patience: Some(Duration::from_secs(60)),
+            key: None,
+            body: [0; 16],
+            prefix: 0,
+            tokens: Tokens(tokens),
+            stream: true,
+        }))
+    }
+
+    /// Lets the oldest attempt answer in so many pieces.
+    pub(super) fn answer(&mut self, pieces: u32) -> Result<bool> {
+        let Some(attempt) = self.sent.pop_front() else {
+            return Ok(false);
+        };
+        let head = Progress::Head {
+            status: 200,
+            ran: attempt.resident.clone().map(Ok),
+            resumed: None,
+        };
+        self.progress(&attempt, head)?;
+        for _ in 0..pieces {
+            self.progress(&attempt, Progress::Piece(Part::Tokens(1)))?;
+        }
+        self.progress(&attempt, Progress::Piece(Part::Last))?;
+        let end = Progress::End {
+            whole: true,
+            kept: None,
+        };
+        self.progress(&attempt, end)?;
+        Ok(true)
+    }
+
+    /// Hands in news of a peer's engine.
+    pub(super) fn hear(&mut self, news: Residents) -> Result<()> {
+        let from = news.owner.clone();
+        let body = Call::Residents(news);
+        self.steps += 1;
+        let call = self.steps;
+        self.input(Input::Called { call, from, body })
+    }
+
+    /// Returns the engines of peers with their owners.
+    pub(super) fn others(&self) -> impl Iterator<Item = (&Peer, &(TargetName, Fence))> {
+        let others = self.peers.iter().skip(1);
+        others.flat_map(|peer| peer.owns.iter().map(move |owned| (peer, owned)))
+    }
+
+    fn progress(&mut self, attempt: &Attempt, progress: Progress) -> Result<()> {
+        self.steps += 1;
+        self.input(Input::Progress {
+            ticket: attempt.ticket,
+            attempt: attempt.attempt,
+            step: self.steps,
+            progress,
+        })
+    }
+
+    fn carry_out(&mut self, output: Output) -> Result<Option<Input>> {
+        match output {
+            Output::Call { call, body, .. } => {
+                let reply = Ok(self.call(body)?);
+                return Ok(Some(Input::Replied { call, reply }));
+            }
+            Output::Poll { poll, target, .. } => {
+                let report = self.report(&target);
+                self.polls.calls += 1;
+                self.polls.bytes += serde_json::to_vec(&report)?.len() as u64;
+                let report = Some(report);
+                return Ok(Some(Input::Report { poll, report }));
+            }
+            Output::Order {
+                order,
+                target,
+                body,
+                ..
+            } => {
+                self.order(target, body);
+                let end = OrderEnd::Done;
+                return Ok(Some(Input::Ordered { order, end }));
+            }
+            Output::Send(attempt) => self.sent.push_back(attempt),
+            Output::Finish { .. } => self.ended += 1,
+            Output::Wake(at) => self.wake = at,
+            _ => {}
+        }
+        Ok(None)
+    }
+
+    fn call(&mut self, body: Call) -> Result<Reply> {
+        let size = rmp_serde::to_vec(&body)?.len() as u64;
+        let reply = match body {
+            Call::Beat(beat) => {
+                let reply = Reply::Beat(self.beat(&beat));
+                count(&mut self.beats, size);
+                count(&mut self.replies, rmp_serde::to_vec(&reply)?.len() as u64);
+                reply
+            }
+            Call::Residents(_) => {
+                count(&mut self.news, size);
+                Reply::Done
+            }
+            Call::Version => Reply::Version(self.text.0),
+            Call::Text { .. } => self.fetch()?,
+            _ => Reply::Done,
+        };
+        Ok(reply)
+    }
+
+    fn fetch(&mut self) -> Result<Reply> {
+        let (version, text) = self.text.clone();
+        let reply = match self.patch.clone() {
+            Some(patch) => Reply::Patches {
+                version,
+                digest: patch::digest(&text),
+                patches: vec![patch],
+            },
+            None => Reply::Text { version, text },
+        };
+        self.fetched = rmp_serde::to_vec(&reply)?.len() as u64;
+        Ok(reply)
+    }
+
+    fn beat(&self, beat: &Beat) -> BeatReply {
+        let owns = &self.peers[0].owns;
+        let leases = owns.iter().map(|(target, fence)| Lease {
+            target: target.clone(),
+            fence: *fence,
+            lasts: Duration::from_secs(3),
+            former: Vec::new(),
+        });
+        let whole = beat.roster == 0;
+        BeatReply {
+            serial: beat.serial,
+            text: self.text.0,
+            leases: leases.collect(),
+            loads: 5_000,
+            roster: 1,
+            whole,
+            peers: if whole {
+                self.peers.clone()
+            } else {
+                Vec::new()
+            },
+            gone: Vec::new(),
+            tell: false,
+        }
+    }
+
+    fn report(&self, target: &TargetName) -> Report {
+        let held = self.held.get(target).into_iter().flatten();
+        let held = held.map(|lora| Held {
+            lora_name: lora.clone(),
+            in_use: 0,
+        });
+        Report {
+            incarnation: Incarnation(1),
+            serial: 1,
+            age_ms: 0,
+            resident: held.collect(),
+            running: 0,
+            waiting: 0,
+            fence: None,
+            cached: Vec::new(),
+        }
+    }
+
+    fn order(&mut self, target: TargetName, body: Order) {
+        let held = self.held.entry(target).or_default();
+        let name = |resident: &Resident| resident.to_string();
+        match body {
+            Order::Load(resident, _) => held.push(name(&resident)),
+            Order::Unload(resident) => held.retain(|lora| *lora != name(&resident)),
+        }
+    }
+}
+
+fn count(sent: &mut Sent, size: u64) {
+    sent.calls += 1;
+    sent.bytes += size;
+}
+
+/// Returns all entry instances, the node first; the engines that it does not
+/// own are dealt out to the others.
+fn peers(around: Around) -> Result<Vec<Peer>> {
+    let mut peers = Vec::new();
+    for i in 0..=around.peers {
+        let engines = match i {
+            0 => (0..around.owned).collect::<Vec<_>>(),
+            _ => (around.owned..around.targets)
+                .filter(|e| e % around.peers == i - 1)
+                .collect(),
+        };
+        let owns = engines
+            .into_iter()
+            .map(|e| Ok((engine(e)?, Fence(e as u64 + 1))));
+        peers.push(Peer {
+            instance: format!("instance-{i:04}").parse()?,
+            zone: format!("zone-{}", i % 8).parse()?,
+            address: format!("127.0.{}.{}:7100", i / 250, i % 250),
+            owns: owns.collect::<Result<_>>()?,
+        });
+    }
+    Ok(peers)
+}
+
+/// Returns the platform's list: engines over eight zones, and one portal.
+fn list(targets: usize) -> Result<platform::List> {
+    let target = |name: TargetName, pool: &str, i: usize| {
+        Ok(platform::Target {
+            name,
+            pool: pool.parse()?,
+            zone: format!("zone-{}", i % 8).parse()?,
+            address: format!("127.0.0.1:{}", 10_000 + i),
+            state: platform::State::Live,
+        })
+    };
+    let engines = (0..targets).map(|i| target(engine(i)?, "drafting", i));
+    let mut targets = engines.collect::<Result<Vec<_>>>()?;
+    targets.push(target("portal-0".parse()?, "portal", 0)?);
+    Ok(platform::List {
+        serial: 1,
+        instances: Vec::new(),
+        targets,
+    })
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Chores of the repository, started as `cargo xtask CHORE`.
 
+mod capacity;
 mod demo;
 mod events;
 mod load;
@@ -33,6 +34,10 @@
         command: measure::command,
         run: measure::run,
     },
+    Chore {
+        command: capacity::command,
+        run: |args| done(capacity::run(args)),
+    },
     Chore {
         command: load::command,
         run: load::run,
--- a/xtask/src/samples.rs
+++ b/xtask/src/samples.rs
@@ -62,9 +62,14 @@
     Ok(())
 }
 
+/// Returns the agency's text with this many adapters.
+pub(crate) fn agency(adapters: usize) -> String {
+    render(&AGENCY, adapters.div_ceil(AGENCY.brands.len()))
+}
+
 /// Times parse and check, and reads how much memory the model holds.
 fn measure(adapters: usize) -> Result<()> {
-    let source = render(&AGENCY, adapters.div_ceil(AGENCY.brands.len()));
+    let source = agency(adapters);
     let before = resident_kib()?;
     let model = Model::try_from(source.as_str())?;
     let held = resident_kib()?.saturating_sub(before);
