--- a/crates/lab/tests/processes/faults.rs
+++ b/crates/lab/tests/processes/faults.rs
@@ -92,6 +92,7 @@
         reply.text(),
         eq(&expected("kazaliste-live@1", "whose voice", 16))
     );
+    assert_that!(reply.header(header::VERSION), some(eq("1")));
     an_engine_is_killed(&mut lab, &caller).await?;
     lab.stop().await?;
     lab.clean()
--- a/xtask/src/proofs.rs
+++ b/xtask/src/proofs.rs
@@ -51,5 +51,6 @@
 }
 
 fn quoted(cell: &str) -> impl Iterator<Item = &str> {
-    cell.split('`').skip(1).step_by(2)
+    let names = cell.split('`').skip(1).step_by(2);
+    names.map(|name| name.rsplit("::").next().unwrap_or(name))
 }
