--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -6,7 +6,9 @@
 
 mod confirm;
 mod measure;
+mod orders;
 mod own;
+mod reports;
 mod residents;
 
 use std::{
@@ -16,37 +18,28 @@
 };
 
 use base::{
-    AdapterKey, AdapterNo, Failure, Fence, Incarnation, Refusal, TargetName, TargetNo, Ticket,
-    Time, Version,
+    AdapterKey, AdapterNo, Failure, Incarnation, Refusal, TargetName, TargetNo, Ticket, Time,
+    Version,
 };
-use member::{Look, Watch};
-use owner::{Holder, Order as Ask};
-use route::{Desk, Input as DeskInput, LoadEnd, News, Output as DeskOutput, Report};
-use wire::{engine, platform::State};
+use member::Watch;
+use owner::Holder;
+use route::{Desk, Input as DeskInput, News, Output as DeskOutput};
+use wire::platform::State;
 
+use self::{
+    orders::{Sent, fencing},
+    reports::Poll,
+};
 use crate::{
-    io::{Event, Input, Order, OrderEnd, Output},
+    io::Input,
     msg::{ENGINES, ENTRY, Msg},
     shared::{Out, Shared},
 };
 
-/// How often an owned engine is asked for its report.
-const POLL_EVERY: Duration = Duration::from_millis(500);
-
 /// Silence of the leader after which only this zone's fixed part of the
 /// store's budget is used.
 const SILENT: Duration = Duration::from_millis(3_000);
 
-/// What an order was, until it ends.
-#[derive(Clone, Copy, Debug)]
-enum Sent {
-    Load(TargetNo, AdapterKey, Fence, Time),
-    Unload(TargetNo, AdapterKey),
-    /// A load of something resident, which only makes the engine refuse
-    /// earlier owners.
-    Touch(TargetNo, AdapterKey, Fence),
-}
-
 /// One engine of this zone.
 #[derive(Debug, Default)]
 struct Engine {
@@ -69,7 +62,7 @@
     holder: Holder,
     desk: Desk,
     engines: BTreeMap<TargetNo, Engine>,
-    orders: BTreeMap<u64, Sent>,
+    orders: BTreeMap<u64, (Sent, Watch)>,
     next_order: u64,
     polls: BTreeMap<u64, Poll>,
     next_poll: u64,
@@ -84,14 +77,6 @@
     waits: measure::Waits,
 }
 
-/// A question for a report, until it is answered.
-#[derive(Clone, Copy, Debug)]
-struct Poll {
-    target: TargetNo,
-    watch: Watch,
-    begun: Time,
-}
-
 impl Engines {
     pub(crate) fn new(shared: &Shared, now: Time) -> Self {
         let settings = &shared.settings;
@@ -300,246 +285,6 @@
         None
     }
 
-    fn load(
-        &mut self,
-        shared: &mut Shared,
-        now: Time,
-        target: TargetNo,
-        key: AdapterKey,
-        out: &mut Out,
-    ) -> Option<DeskInput> {
-        let end = LoadEnd::Failed;
-        let failed = DeskInput::Loaded { target, key, end };
-        let resident = shared.names.resident(key);
-        let Some(weights) = weights(shared, &resident) else {
-            return Some(failed);
-        };
-        let name = shared.names.target_name(target).clone();
-        let may = self
-            .holder
-            .may_order(now, &name, Ask::Load, fencing(shared, target));
-        let Some(fence) = may else {
-            return Some(failed);
-        };
-        self.waits.load_begun((target, key));
-        let body = Order::Load(resident, weights);
-        self.order(
-            shared,
-            target,
-            body,
-            fence,
-            Sent::Load(target, key, fence, now),
-            out,
-        );
-        None
-    }
-
-    fn unload(
-        &mut self,
-        shared: &mut Shared,
-        now: Time,
-        target: TargetNo,
-        key: AdapterKey,
-        out: &mut Out,
-    ) -> Option<DeskInput> {
-        let resident = shared.names.resident(key);
-        let name = shared.names.target_name(target).clone();
-        let fencing = fencing(shared, target);
-        let ask = Ask::Unload(&resident);
-        let Some(fence) = self.holder.may_order(now, &name, ask, fencing) else {
-            return Some(DeskInput::Unloaded {
-                target,
-                key,
-                ok: false,
-            });
-        };
-        let input = owner::Input::Unloading {
-            target: name,
-            resident: resident.clone(),
-        };
-        self.hold(shared, now, input, out);
-        let body = Order::Unload(resident);
-        self.order(shared, target, body, fence, Sent::Unload(target, key), out);
-        None
-    }
-
-    fn order(
-        &mut self,
-        shared: &Shared,
-        target: TargetNo,
-        body: Order,
-        fence: Fence,
-        sent: Sent,
-        out: &mut Out,
-    ) {
-        let Some(info) = shared.targets.get(&target) else {
-            return;
-        };
-        self.next_order += 1;
-        self.orders.insert(self.next_order, sent);
-        out.emit(Output::Order {
-            order: self.next_order,
-            target: info.listed.name.clone(),
-            address: info.address,
-            body,
-            fence,
-        });
-    }
-
-    fn on_ordered(
-        &mut self,
-        shared: &mut Shared,
-        now: Time,
-        order: u64,
-        end: OrderEnd,
-        out: &mut Out,
-    ) {
-        let Some(sent) = self.orders.remove(&order) else {
-            return;
-        };
-        let fresh = end == OrderEnd::Done;
-        let done = matches!(end, OrderEnd::Done | OrderEnd::Already);
-        match sent {
-            Sent::Load(target, key, fence, begun) => {
-                self.waits.load_ended(now, (target, key), done);
-                measure::load_ended(shared, (target, key), end, now.since(begun), out);
-                if done {
-                    self.note_loaded(shared, now, target, key, (fence, fresh), out);
-                } else {
-                    let name = shared.names.target_name(target).clone();
-                    let resident = shared.names.resident(key);
-                    out.emit(Output::Event(Event::LoadFailed(name, resident)));
-                }
-                let end = if done { LoadEnd::Done } else { LoadEnd::Failed };
-                self.desk(shared, now, DeskInput::Loaded { target, key, end }, out);
-            }
-            Sent::Unload(target, key) => {
-                let ok = done;
-                if ok {
-                    measure::unloaded(shared, target, key, out);
-                }
-                self.desk(shared, now, DeskInput::Unloaded { target, key, ok }, out);
-            }
-            Sent::Touch(target, key, fence) if done => {
-                self.note_loaded(shared, now, target, key, (fence, fresh), out);
-            }
-            Sent::Touch(..) => {}
-        }
-    }
-
-    fn on_report(
-        &mut self,
-        shared: &mut Shared,
-        now: Time,
-        poll: u64,
-        report: Option<engine::Report>,
-        out: &mut Out,
-    ) {
-        let Some(poll) = self.polls.remove(&poll) else {
-            return;
-        };
-        let target = poll.target;
-        let name = shared.names.target_name(target).clone();
-        let Some(report) = report else {
-            if shared.watched.failed(&name, poll.watch).is_ok() {
-                out.tell(ENTRY, Msg::News(News::Reachable(target, false)));
-            }
-            return;
-        };
-        let life = report.incarnation;
-        let look = shared
-            .watched
-            .finish(&name, poll.watch, poll.begun, Some(life));
-        let Ok(look) = look else {
-            return;
-        };
-        out.tell(ENTRY, Msg::News(News::Reachable(target, true)));
-        if look == Look::Restarted {
-            let input = owner::Input::Restarted {
-                target: name.clone(),
-            };
-            self.hold(shared, now, input, out);
-            out.emit(Output::Event(Event::EngineRestarted(name)));
-        }
-        self.take_report(shared, now, &poll, report, out);
-    }
-
-    fn take_report(
-        &mut self,
-        shared: &mut Shared,
-        now: Time,
-        poll: &Poll,
-        report: engine::Report,
-        out: &mut Out,
-    ) {
-        let target = poll.target;
-        let taken = poll.begun - Duration::from_millis(report.age_ms);
-        let mut held = Vec::new();
-        for one in &report.resident {
-            if let Ok(resident) = one.lora_name.parse() {
-                held.push((shared.names.key(&resident), one.in_use));
-            }
-        }
-        let engine = self.engines.entry(target).or_default();
-        let new = engine.life != Some(report.incarnation);
-        engine.life = Some(report.incarnation);
-        engine.held = held.iter().map(|(key, _)| *key).collect();
-        self.teach(shared, now, out);
-        if new {
-            out.tell(ENTRY, Msg::Life(target, report.incarnation));
-            self.own(shared, now, target, out);
-        } else {
-            self.touch(shared, now, target, out);
-        }
-        measure::batch(shared, target, report.running, out);
-        let load = Report {
-            target,
-            incarnation: report.incarnation,
-            taken,
-            running: report.running,
-            waiting: report.waiting,
-            cached: report.cached,
-        };
-        out.tell(ENTRY, Msg::News(News::Report(load)));
-        let input = DeskInput::Report {
-            target,
-            incarnation: report.incarnation,
-            taken,
-            held,
-        };
-        self.desk(shared, now, input, out);
-    }
-
-    /// Asks each engine that is due for its report.
-    fn poll(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
-        for (target, engine) in &mut self.engines {
-            let Some(info) = shared.targets.get(target) else {
-                continue;
-            };
-            if engine.owned.is_none() || now < engine.polled + POLL_EVERY {
-                continue;
-            }
-            let name = info.listed.name.clone();
-            let Some(watch) = shared.watched.begin(&name) else {
-                continue;
-            };
-            engine.polled = now;
-            self.next_poll += 1;
-            let poll = Poll {
-                target: *target,
-                watch,
-                begun: now,
-            };
-            self.polls.insert(self.next_poll, poll);
-            out.emit(Output::Poll {
-                poll: self.next_poll,
-                target: name,
-                address: info.address,
-            });
-        }
-        shared.wake(ENGINES, now + POLL_EVERY);
-    }
-
     /// Tells the desk of adapters that were numbered since the last time.
     fn teach(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
         for (adapter, hash) in shared.names.take_fresh() {
@@ -609,15 +354,3 @@
     let info = shared.targets.get(&target);
     info.is_some_and(|info| info.listed.state == State::Live)
 }
-
-fn fencing(shared: &Shared, target: TargetNo) -> bool {
-    let info = shared.targets.get(&target).and_then(|info| info.engine());
-    info.is_some_and(|engine| engine.fencing)
-}
-
-/// Returns where the weights of `resident` lie, by the text in force.
-fn weights(shared: &Shared, resident: &engine::Resident) -> Option<String> {
-    let adapter = shared.model.adapters.get(&resident.adapter)?;
-    let known = adapter.versions.contains(&resident.version);
-    known.then(|| adapter.weights_of(resident.version))
-}
--- /dev/null
+++ b/crates/node/src/engines/orders.rs
@@ -0,0 +1,187 @@
+//! Orders to engines: each checked against the lease immediately before it
+//! goes out, and its answer against what the engine went through meanwhile.
+
+use base::{AdapterKey, Fence, TargetNo, Time};
+use owner::Order as Ask;
+use route::{Input as DeskInput, LoadEnd};
+use wire::engine::Resident;
+
+use super::{Engines, measure};
+use crate::{
+    io::{Event, Order, OrderEnd, Output},
+    shared::{Out, Shared},
+};
+
+/// What an order was, until it ends.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Sent {
+    Load(TargetNo, AdapterKey, Fence, Time),
+    Unload(TargetNo, AdapterKey),
+    /// A load of something resident, which only makes the engine refuse
+    /// earlier owners.
+    Touch(TargetNo, AdapterKey, Fence),
+}
+
+impl Sent {
+    fn target(self) -> TargetNo {
+        match self {
+            Sent::Load(target, ..) | Sent::Unload(target, _) | Sent::Touch(target, ..) => target,
+        }
+    }
+}
+
+impl Engines {
+    pub(super) fn load(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        target: TargetNo,
+        key: AdapterKey,
+        out: &mut Out,
+    ) -> Option<DeskInput> {
+        let end = LoadEnd::Failed;
+        let failed = DeskInput::Loaded { target, key, end };
+        let resident = shared.names.resident(key);
+        let Some(weights) = weights(shared, &resident) else {
+            return Some(failed);
+        };
+        let name = shared.names.target_name(target).clone();
+        let may = self
+            .holder
+            .may_order(now, &name, Ask::Load, fencing(shared, target));
+        let Some(fence) = may else {
+            return Some(failed);
+        };
+        self.waits.load_begun((target, key));
+        let body = Order::Load(resident, weights);
+        self.order(
+            shared,
+            target,
+            body,
+            fence,
+            Sent::Load(target, key, fence, now),
+            out,
+        );
+        None
+    }
+
+    pub(super) fn unload(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        target: TargetNo,
+        key: AdapterKey,
+        out: &mut Out,
+    ) -> Option<DeskInput> {
+        let resident = shared.names.resident(key);
+        let name = shared.names.target_name(target).clone();
+        let fencing = fencing(shared, target);
+        let ask = Ask::Unload(&resident);
+        let Some(fence) = self.holder.may_order(now, &name, ask, fencing) else {
+            return Some(DeskInput::Unloaded {
+                target,
+                key,
+                ok: false,
+            });
+        };
+        let input = owner::Input::Unloading {
+            target: name,
+            resident: resident.clone(),
+        };
+        self.hold(shared, now, input, out);
+        let body = Order::Unload(resident);
+        self.order(shared, target, body, fence, Sent::Unload(target, key), out);
+        None
+    }
+
+    pub(super) fn order(
+        &mut self,
+        shared: &mut Shared,
+        target: TargetNo,
+        body: Order,
+        fence: Fence,
+        sent: Sent,
+        out: &mut Out,
+    ) {
+        let Some(info) = shared.targets.get(&target) else {
+            return;
+        };
+        let (name, address) = (info.listed.name.clone(), info.address);
+        let Some(watch) = shared.watched.begin(&name) else {
+            return;
+        };
+        self.next_order += 1;
+        self.orders.insert(self.next_order, (sent, watch));
+        out.emit(Output::Order {
+            order: self.next_order,
+            target: name,
+            address,
+            body,
+            fence,
+        });
+    }
+
+    pub(super) fn on_ordered(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        order: u64,
+        end: OrderEnd,
+        out: &mut Out,
+    ) {
+        let Some((sent, watch)) = self.orders.remove(&order) else {
+            return;
+        };
+        let name = shared.names.target_name(sent.target()).clone();
+        // What an order did to an engine that has restarted since is gone.
+        let stands = shared.watched.ordered(&name, watch).is_ok();
+        let fresh = end == OrderEnd::Done;
+        let done = stands && (fresh || end == OrderEnd::Already);
+        match sent {
+            Sent::Load(target, key, fence, begun) => {
+                self.waits.load_ended(now, (target, key), done);
+                measure::load_ended(shared, (target, key), end, now.since(begun), out);
+                if done {
+                    self.note_loaded(shared, now, target, key, (fence, fresh), out);
+                } else {
+                    let resident = shared.names.resident(key);
+                    out.emit(Output::Event(Event::LoadFailed(name, resident)));
+                }
+                // Guard: without a lease another owner may exist; what it has
+                // loaded it may unload, under a request sent from here. Only
+                // an adapter that this order loaded afresh is used.
+                let usable = done && (fresh || !self.restricted(target));
+                let end = if usable {
+                    LoadEnd::Done
+                } else {
+                    LoadEnd::Failed
+                };
+                self.desk(shared, now, DeskInput::Loaded { target, key, end }, out);
+            }
+            Sent::Unload(target, key) => {
+                let ok = done;
+                if ok {
+                    measure::unloaded(shared, target, key, out);
+                }
+                self.desk(shared, now, DeskInput::Unloaded { target, key, ok }, out);
+            }
+            Sent::Touch(target, key, fence) if done => {
+                self.note_loaded(shared, now, target, key, (fence, fresh), out);
+            }
+            Sent::Touch(..) => {}
+        }
+    }
+}
+
+/// Returns where the weights of `resident` lie, by the text in force.
+pub(super) fn weights(shared: &Shared, resident: &Resident) -> Option<String> {
+    let adapter = shared.model.adapters.get(&resident.adapter)?;
+    let known = adapter.versions.contains(&resident.version);
+    known.then(|| adapter.weights_of(resident.version))
+}
+
+/// Tells whether an engine refuses orders under an old fencing number.
+pub(super) fn fencing(shared: &Shared, target: TargetNo) -> bool {
+    let info = shared.targets.get(&target).and_then(|info| info.engine());
+    info.is_some_and(|engine| engine.fencing)
+}
--- a/crates/node/src/engines/own.rs
+++ b/crates/node/src/engines/own.rs
@@ -5,7 +5,7 @@
 use route::{Engine as Owned, Input as DeskInput, Ordering};
 use wire::call::{BeatReply, Call};
 
-use super::{Engines, Sent};
+use super::{Engines, orders::Sent};
 use crate::{
     io::{Event, Order, Output},
     msg::ENGINES,
@@ -127,9 +127,10 @@
             return;
         };
         let resident = shared.names.resident(key);
-        let (Some(weights), Some(fence)) =
-            (super::weights(shared, &resident), self.fence(now, &name))
-        else {
+        let (Some(weights), Some(fence)) = (
+            super::orders::weights(shared, &resident),
+            self.fence(now, &name),
+        ) else {
             return;
         };
         let body = Order::Load(resident, weights);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -376,6 +376,9 @@
     ) {
         match purpose {
             Purpose::Claim { ticket } => {
+                if self.claim_again(shared, ticket, &reply, out) {
+                    return;
+                }
                 let claimed = self.claimed(shared, ticket, reply, out);
                 if let Some(live) = self.requests.get_mut(&ticket)
                     && let ClaimReply::Ran(Some(answer)) = &claimed
--- a/crates/node/src/entry/live.rs
+++ b/crates/node/src/entry/live.rs
@@ -35,6 +35,9 @@
     /// Targets whose owner turned it away since it last waited.
     pub(super) turned_away: Vec<TargetNo>,
     pub(super) sent: Option<Sent>,
+    /// How often its claim was sent to a control instance that could not take
+    /// it.
+    pub(super) claims: u32,
     /// Since when it waits for an engine to get an owner.
     pub(super) parked: Option<Time>,
     /// Its answer, where that may have to be kept.
@@ -155,6 +158,7 @@
             priority: 0,
             turned_away: Vec::new(),
             sent: None,
+            claims: 0,
             parked: None,
             kept: None,
             replay: None,
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -27,6 +27,9 @@
 /// Pause between two looks for a place.
 const PARK_LOOK: Duration = Duration::from_millis(100);
 
+/// Control instances that one claim is sent to after the first.
+const CLAIMS_MAX: u32 = 3;
+
 /// When a caller whose claim can't be made may come back: an election takes
 /// about as long.
 const CLAIM_RETRY: Duration = Duration::from_millis(1_500);
@@ -102,6 +105,35 @@
         None
     }
 
+    /// Sends a claim to another control instance, under the same attempt, where
+    /// the one asked certainly did not take it.
+    ///
+    /// Leaders change in every rolling restart; without this each change would
+    /// show as marked requests that are refused though a leader is there.
+    pub(super) fn claim_again(
+        &mut self,
+        shared: &mut Shared,
+        ticket: Ticket,
+        reply: &Result<Reply, Verdict>,
+        out: &mut Out,
+    ) -> bool {
+        match reply {
+            Ok(Reply::Elsewhere { leader }) => shared.leader.clone_from(leader),
+            Err(Verdict::NotRun) => shared.leader = None,
+            _ => return false,
+        }
+        self.turn += 1;
+        let Some(live) = self.requests.get_mut(&ticket) else {
+            return false;
+        };
+        live.claims += 1;
+        if live.claims > CLAIMS_MAX {
+            return false;
+        }
+        base::hit!(claim_sent_elsewhere);
+        self.claim(shared, ticket, out).is_none()
+    }
+
     /// Tells claims of two lives of this instance apart.
     fn attempt_id(&self, shared: &Shared, ticket: Ticket) -> u64 {
         let life = shared.settings.life.get().to_le_bytes();
--- a/crates/node/tests/node/guards.rs
+++ b/crates/node/tests/node/guards.rs
@@ -189,3 +189,24 @@
     assert_that!(world.node.version(), eq(TextVersion(3)));
     assert_that!(world.asked, some(eq(TextVersion(0))));
 }
+
+/// A user sees: a request that loses its adapter amid the answer. The node has
+/// lost leader and lease; its successor loads an adapter, the node sees it in a
+/// report and sends a request there that the successor knows nothing of.
+#[test]
+fn an_owner_without_lease_learns_no_residents() {
+    base::covers!(restricted_learns_nothing);
+    let mut world = World::serving();
+    world.mates = vec!["dubrava-2"];
+    world.pass(Duration::from_secs(3));
+    world.leader = false;
+    world.pass(Duration::from_secs(20));
+    world
+        .held
+        .insert("e-1".to_owned(), vec!["film-live@2".to_owned()]);
+    world.engines = false;
+    world.pass(Duration::from_secs(2));
+    world.arrive(1, "letters", None);
+    world.pass(Duration::from_secs(2));
+    assert_that!(world.sent, is_empty());
+}
--- a/crates/node/tests/node/requests.rs
+++ b/crates/node/tests/node/requests.rs
@@ -217,3 +217,30 @@
     assert_that!(to.len(), eq(1));
     assert_that!(to[0], not(eq(leaving)));
 }
+
+/// A user sees: applications refused in every rolling restart, though a leader
+/// is there. The control instance asked has just handed leadership over; it
+/// took nothing, so the claim goes to the next one under the same attempt.
+#[test]
+fn a_claim_follows_the_leader() {
+    base::covers!(claim_sent_elsewhere);
+    let mut world = World::serving();
+    let ticket = world.arrive(1, "submissions", Some(9));
+    let mut attempts = Vec::new();
+    for _ in 0..4 {
+        let (call, claim) = world.held_calls.remove(0);
+        let Call::Claim(claim) = claim else {
+            panic!("no claim but {claim:?}");
+        };
+        attempts.push(claim.attempt);
+        let leader = Some("control-2".parse().unwrap());
+        let reply = Ok(Reply::Elsewhere { leader });
+        world.input(Input::Replied { call, reply });
+    }
+    assert_that!(attempts, each(eq(&attempts[0])));
+    assert_that!(
+        failure(&world, ticket).unwrap().verdict,
+        eq(Verdict::NotRun)
+    );
+    assert_that!(world.held_calls, is_empty());
+}
--- a/crates/node/tests/node/world.rs
+++ b/crates/node/tests/node/world.rs
@@ -73,6 +73,8 @@
     pub(crate) text: (TextVersion, String),
     /// Engines that the leader gives to the node, by fencing number.
     pub(crate) owned: BTreeMap<String, Fence>,
+    /// Other instances of the zone, as the leader names them.
+    pub(crate) mates: Vec<&'static str>,
     /// Targets that the platform calls leaving.
     pub(crate) leaving: Vec<&'static str>,
     /// Earlier owners of the engines, as the leader names them.
@@ -139,6 +141,7 @@
             leader: true,
             text: (TextVersion(1), TEXT.to_owned()),
             owned: BTreeMap::new(),
+            mates: Vec::new(),
             leaving: Vec::new(),
             former: Vec::new(),
             engines: true,
@@ -359,6 +362,12 @@
             address: "127.0.0.1:9100".to_owned(),
             owns: owns.clone(),
         };
+        let mates = self.mates.iter().map(|mate| Peer {
+            instance: name(mate),
+            zone: name("dubrava"),
+            address: "127.0.0.1:9101".to_owned(),
+            owns: Vec::new(),
+        });
         BeatReply {
             serial: beat.serial,
             text: self.text.0,
@@ -366,7 +375,7 @@
             loads: 5_000,
             roster: 1,
             whole: true,
-            peers: vec![me],
+            peers: [me].into_iter().chain(mates).collect(),
             gone: Vec::new(),
             tell: false,
         }
