Unload what the text no longer names

An adapter or version that operators removed, or that was loaded by nobody here, stayed on its engine until the slot was needed. Each text, and each engine taken over, is now compared with what is held; what nothing uses or waits for is unloaded, and a refused unload waits like a failed load.

--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -293,6 +293,19 @@
         }
     }
 
+    /// Tells the desk what its engines hold beyond the text in force: adapters
+    /// that operators removed, and what nobody here has loaded.
+    fn retire(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
+        let held = self
+            .engines
+            .values()
+            .flat_map(|engine| engine.held.iter().chain(&engine.listed));
+        let gone =
+            held.filter(|key| orders::weights(shared, &shared.names.resident(**key)).is_none());
+        let gone: BTreeSet<AdapterKey> = gone.copied().collect();
+        self.desk(shared, now, DeskInput::Retired(gone), out);
+    }
+
     /// Takes the queues of engines that the platform calls leaving apart.
     ///
     /// Guard: what waits in the queue of such an engine would still be sent to
@@ -342,6 +355,7 @@
             }
         }
         self.teach(shared, now, out);
+        self.retire(shared, now, out);
         for (old, new) in rolled {
             self.desk(shared, now, DeskInput::Rolled { old, new }, out);
             out.tell(ENTRY, Msg::News(News::Rolled { old, new }));
--- a/crates/node/src/engines/own.rs
+++ b/crates/node/src/engines/own.rs
@@ -106,6 +106,7 @@
             inherited: true,
         };
         self.desk(shared, now, input, out);
+        self.retire(shared, now, out);
         self.touch(shared, now, target, out);
     }
 
--- a/crates/node/tests/node/requests.rs
+++ b/crates/node/tests/node/requests.rs
@@ -244,3 +244,32 @@
     );
     assert_that!(world.held_calls, is_empty());
 }
+
+/// A user sees: an adapter that was removed for a reason still answers days
+/// later. The text no longer names one version; it is unloaded as soon as no
+/// request uses it, and not before.
+#[test]
+fn what_the_text_no_longer_names_is_unloaded() {
+    base::covers!(retired_unloaded);
+    let mut world = World::serving();
+    world.arrive(1, "letters", None);
+    world.pass(Duration::from_secs(2));
+    let attempt = world.sent[0].clone();
+    let third = TEXT.replace("[1, 2], serve = 2", "[1, 3], serve = 3");
+    world.text = (TextVersion(2), third);
+    world.pass(Duration::from_secs(3));
+    assert_that!(world.held["e-1"], contains(eq("film-live@2")));
+    world.input(Input::Progress {
+        ticket: attempt.ticket,
+        attempt: attempt.attempt,
+        step: 1,
+        progress: Progress::Failed {
+            verdict: Verdict::MayHaveRun,
+            reason: Refusal::BadRequest,
+            retry: None,
+        },
+    });
+    world.input(Input::Left(attempt.ticket));
+    world.pass(Duration::from_secs(3));
+    assert_that!(world.held["e-1"], not(contains(eq("film-live@2"))));
+}
--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -5,10 +5,11 @@
 mod engines;
 mod loads;
 mod queue;
+mod retire;
 mod room;
 mod send;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::{BrandNo, Class, Failure, Refusal, TargetNo, Ticket, Time};
 use place::{Backoff, Budget, Demand};
@@ -37,6 +38,8 @@
     wanted: loads::Wanted,
     /// Loads since the last one for batch work.
     since_batch: u32,
+    /// What the text in force no longer names.
+    retired: BTreeSet<base::AdapterKey>,
     /// The wake asked for last.
     wake: Option<Time>,
 }
@@ -80,6 +83,7 @@
             loading: BTreeMap::new(),
             wanted: loads::Wanted::default(),
             since_batch: 0,
+            retired: BTreeSet::new(),
             wake: None,
         }
     }
@@ -116,6 +120,7 @@
             Input::Unloaded { target, key, ok } => self.unloaded(now, target, key, ok, out),
             Input::Budget(rate) => self.budget.set_rate(now, rate),
             Input::Rolled { old, new } => self.rolled(old, new),
+            Input::Retired(keys) => self.retired(keys),
             Input::Asked(target) => {
                 if let Some(bay) = self.bays.get_mut(&target) {
                     bay.tell_whole(now, out);
@@ -142,6 +147,7 @@
     fn settle(&mut self, now: Time, out: &mut Vec<Output>) {
         self.expire(now, out);
         self.send_all(now, out);
+        self.unload_retired(now, out);
         self.load(now, out);
         for bay in self.bays.values_mut() {
             bay.tell_load(now, out);
--- a/crates/route/src/desk/loads.rs
+++ b/crates/route/src/desk/loads.rs
@@ -160,7 +160,9 @@
         if !ok {
             slot.state = SlotState::Ready;
             self.backoff.failed(now, target, key);
-            self.budget.give_back();
+            if next.is_some() {
+                self.budget.give_back();
+            }
             bay.tell(now, vec![key], Vec::new(), out);
             return;
         }
--- /dev/null
+++ b/crates/route/src/desk/retire.rs
@@ -0,0 +1,48 @@
+//! Unloads what the text in force no longer names.
+
+use std::collections::BTreeSet;
+
+use base::{AdapterKey, Class, Time};
+use place::SlotState;
+
+use crate::{Ordering, Output, desk::Desk};
+
+impl Desk {
+    /// Takes what is held somewhere and no longer named.
+    pub(super) fn retired(&mut self, keys: BTreeSet<AdapterKey>) {
+        self.retired = keys;
+    }
+
+    /// Unloads each of it that nothing uses or waits for.
+    ///
+    /// Eviction alone would leave it until the slot is needed: an operator who
+    /// removes an adapter for a reason would find it loaded days later.
+    pub(super) fn unload_retired(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.retired.is_empty() {
+            return;
+        }
+        for bay in self.bays.values_mut() {
+            if bay.engine.ordering != Ordering::Full {
+                continue;
+            }
+            let target = bay.engine.target;
+            let idle = bay.slots.iter().filter(|slot| {
+                let unused = slot.state == SlotState::Ready && slot.pins == 0 && !slot.inherited;
+                let failed = self.backoff.until(now, target, slot.key).is_some();
+                unused && !failed && self.retired.contains(&slot.key)
+            });
+            let idle: Vec<AdapterKey> = idle.map(|slot| slot.key).collect();
+            for key in idle {
+                if bay.queue.waits_for(key, Class::Batch) {
+                    continue;
+                }
+                base::hit!(retired_unloaded);
+                if let Some(slot) = bay.slots.get_mut(key) {
+                    slot.state = SlotState::Unloading { next: None };
+                }
+                bay.tell(now, Vec::new(), vec![key], out);
+                out.push(Output::Unload { target, key });
+            }
+        }
+    }
+}
--- a/crates/route/src/desk_io.rs
+++ b/crates/route/src/desk_io.rs
@@ -1,5 +1,7 @@
 //! What goes into the owner's desk and what comes out.
 
+use std::collections::BTreeSet;
+
 use base::{
     AdapterKey, AdapterNo, BrandNo, Failure, Incarnation, StableHash, TargetNo, Ticket, Time,
 };
@@ -136,6 +138,9 @@
     },
     /// An entry instance missed news of the engine: all is told again.
     Asked(TargetNo),
+    /// What is held somewhere and no longer named by the text in force; it
+    /// replaces what was said before.
+    Retired(BTreeSet<AdapterKey>),
     /// The time asked for by [`Output::Wake`] has come.
     Wake,
 }
