Measure calls between processes, reports and the evening out of engines

A beat's decision alone hid what the leader does between beats, and the first seconds after a start hid the steady state: the chore now waits until no engine moves, and gives both. News of residents and of load are counted apart, requests come at random moments, and the cost of a call's envelope and sockets is measured over loopback.

--- a/xtask/src/capacity.rs
+++ b/xtask/src/capacity.rs
@@ -4,6 +4,7 @@
 //! memory of one does not hide that of the next. Time is virtual for the
 //! decisions and real for what they cost.
 
+mod calls;
 mod control;
 mod entry;
 mod fit;
@@ -35,10 +36,12 @@
     entry::PASSED,
     entry::NEWS,
     entry::HEARD,
+    entry::REPORT,
     control::BEATS,
     control::CLAIMS,
     control::CHANGES,
     tool::OPERATOR,
+    calls::CALLS,
 ];
 
 /// Describes the chore's flags.
--- a/xtask/src/capacity/control.rs
+++ b/xtask/src/capacity/control.rs
@@ -20,10 +20,13 @@
     size: "instances",
     sizes: &[7, 100, 380],
     columns: &[
-        "us a beat",
+        "ms a second",
         "beat bytes",
         "reply bytes",
         "first reply bytes",
+        "s until even",
+        "ms a second until then",
+        "most reply bytes until then",
         "resident MiB",
     ],
     run: beats,
@@ -191,37 +194,99 @@
     names.collect()
 }
 
-fn beats(instances: usize) -> Result<Vec<f64>> {
-    let mut alone = Alone::new(1, None, Vec::new())?;
-    alone.lead()?;
-    let mut rosters = vec![0; instances];
-    let (mut first, mut last, mut sent) = (0.0, 0.0, 0.0);
-    let mut spent = Duration::ZERO;
-    let rounds = 60;
-    let measured = 20;
-    for round in 1..=rounds {
-        for (i, roster) in rosters.iter_mut().enumerate() {
-            let engines = if round < 10 { Some(reach(i)?) } else { None };
-            let call = Call::Beat(beat(i, round, *roster, engines)?);
-            sent = bytes(&call)?;
+/// Instances that beat once a second, as the leader sees them.
+struct Fleet {
+    alone: Alone,
+    rosters: Vec<u64>,
+    tell: Vec<bool>,
+    serial: u64,
+    /// Bytes of the last beat and of all replies of the last round.
+    sizes: (f64, f64),
+    spent: Duration,
+}
+
+impl Fleet {
+    fn new(instances: usize) -> Result<Self> {
+        let mut alone = Alone::new(1, None, Vec::new())?;
+        alone.lead()?;
+        Ok(Fleet {
+            alone,
+            rosters: vec![0; instances],
+            tell: vec![true; instances],
+            serial: 0,
+            sizes: (0.0, 0.0),
+            spent: Duration::ZERO,
+        })
+    }
+
+    /// Lets every instance beat once within a second.
+    fn round(&mut self) -> Result<()> {
+        self.serial += 1;
+        self.sizes.1 = 0.0;
+        for i in 0..self.rosters.len() {
+            let engines = if self.tell[i] { Some(reach(i)?) } else { None };
+            let call = Call::Beat(beat(i, self.serial, self.rosters[i], engines)?);
+            self.sizes.0 = bytes(&call)?;
             let began = Instant::now();
-            let reply = alone.call(call);
-            if round > rounds - measured {
-                spent += began.elapsed();
-            }
+            let reply = self.alone.call(call);
+            self.spent += began.elapsed();
             let Some(Reply::Beat(reply)) = reply else {
                 continue;
             };
-            *roster = reply.roster;
-            last = bytes(&Reply::Beat(reply))?;
+            self.rosters[i] = reply.roster;
+            self.tell[i] = reply.tell;
+            self.sizes.1 += bytes(&Reply::Beat(reply))?;
         }
-        alone.pass(1_000);
+        let began = Instant::now();
+        self.alone.pass(1_000);
+        self.spent += began.elapsed();
+        Ok(())
     }
-    if let Some(Reply::Beat(reply)) = alone.call(Call::Beat(beat(0, rounds + 1, 0, None)?)) {
-        first = bytes(&Reply::Beat(reply))?;
+}
+
+fn beats(instances: usize) -> Result<Vec<f64>> {
+    /// Rounds without change after which nothing is moved any more.
+    const CALM: u64 = 10;
+    const ROUNDS_MAX: u64 = 600;
+    const MEASURED: u64 = 20;
+    let mut fleet = Fleet::new(instances)?;
+    let count = instances as f64;
+    let (mut calm, mut roster, mut most) = (0, 0, 0.0_f64);
+    while calm < CALM {
+        ensure!(fleet.serial < ROUNDS_MAX, "engines move without end");
+        fleet.round()?;
+        let last = fleet.rosters.iter().copied().max().unwrap_or(0);
+        calm = if last == roster && last > 0 {
+            calm + 1
+        } else {
+            0
+        };
+        roster = last;
+        if fleet.serial > CALM {
+            most = most.max(fleet.sizes.1 / count);
+        }
+    }
+    let settled = fleet.serial - CALM;
+    let busy = fleet.spent.as_secs_f64() * 1e3 / fleet.serial as f64;
+    fleet.spent = Duration::ZERO;
+    for _ in 0..MEASURED {
+        fleet.round()?;
     }
-    let each = spent.as_secs_f64() * 1e6 / (measured as f64 * instances as f64);
-    Ok(vec![each, sent, last, first, resident()?])
+    let steady = fleet.spent.as_secs_f64() * 1e3 / MEASURED as f64;
+    let reply = fleet.sizes.1 / count;
+    let serial = fleet.serial + 1;
+    let first = fleet.alone.call(Call::Beat(beat(0, serial, 0, None)?));
+    let first = bytes(&first.context("no reply to a first beat")?)?;
+    Ok(vec![
+        steady,
+        fleet.sizes.0,
+        reply,
+        first,
+        settled as f64,
+        busy,
+        most,
+        resident()?,
+    ])
 }
 
 fn key(n: u64) -> [u8; 16] {
--- a/xtask/src/capacity/entry.rs
+++ b/xtask/src/capacity/entry.rs
@@ -1,17 +1,23 @@
 //! One entry instance: text, fleet, requests, news.
 
 use std::{
-    collections::BTreeMap,
+    collections::VecDeque,
     time::{Duration, Instant},
 };
 
-use anyhow::{Result, ensure};
+use anyhow::{Context, Result, ensure};
 use base::TextVersion;
-use wire::{call::Residents, patch::Patch};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use wire::{
+    call::Residents,
+    engine::{Held, Report},
+    patch::Patch,
+};
 
 use super::{
     Case, changed, peak, resident,
-    world::{Around, TOKENS, World},
+    world::{Around, Sent, TOKENS, World},
 };
 
 const ADAPTERS: &[usize] = &[3_000, 12_000, 48_000];
@@ -117,10 +123,10 @@
     sizes: &[7, 48, 380],
     columns: &[
         "requests",
-        "news messages a second",
-        "news bytes a second",
-        "bytes a message",
-        "of them a peer a second",
+        "residents messages a second",
+        "bytes each",
+        "load messages a second",
+        "bytes each",
         "us of processor a second",
     ],
     run: news,
@@ -135,6 +141,33 @@
     run: heard,
 };
 
+/// The report of an engine that holds so many adapters.
+pub(super) const REPORT: Case = Case {
+    name: "engine-report",
+    size: "residents",
+    sizes: &[4, 8, 32],
+    columns: &["report bytes"],
+    run: report,
+};
+
+fn report(residents: usize) -> Result<Vec<f64>> {
+    let held = (0..residents).map(|i| Held {
+        lora_name: format!("film-produkcija-{i:04}@1"),
+        in_use: 5,
+    });
+    let report = Report {
+        incarnation: base::Incarnation(1_700_000_000_000),
+        serial: 100_000,
+        age_ms: 250,
+        resident: held.collect(),
+        running: 170,
+        waiting: 3,
+        fence: Some(base::Fence(100_000)),
+        cached: Vec::new(),
+    };
+    Ok(vec![serde_json::to_vec(&report)?.len() as f64])
+}
+
 fn text(adapters: usize) -> Result<Vec<f64>> {
     let around = Around {
         adapters: 3,
@@ -183,7 +216,7 @@
     let began = Instant::now();
     world.pass(Duration::from_secs(SECONDS))?;
     let spent = began.elapsed().as_secs_f64() * 1e6 / SECONDS as f64;
-    let each = |sent: super::world::Sent| sent.bytes as f64 / sent.calls.max(1) as f64;
+    let each = |sent: Sent| sent.bytes as f64 / sent.calls.max(1) as f64;
     Ok(vec![
         resident()?,
         spent,
@@ -227,12 +260,13 @@
 }
 
 /// Plays a minute at the letter's rate for two engines: 30 requests a second
-/// that run 11 s each, a hundredth of them for an adapter that is not held.
+/// at random moments that run 11 s each, one in 100 for an adapter that is not
+/// held.
 fn news(peers: usize) -> Result<Vec<f64>> {
-    const SECONDS: u64 = 60;
-    const WARM: u64 = 20;
-    const RATE: u64 = 30;
-    const RUNS: u64 = 11;
+    const SECONDS: f64 = 60.0;
+    const WARM: f64 = 20.0;
+    const RATE: f64 = 30.0;
+    const RUNS: f64 = 11.0;
     let around = Around {
         adapters: 3_000,
         targets: 2,
@@ -240,36 +274,42 @@
         owned: 2,
     };
     let mut world = World::serving(around)?;
-    let mut due: BTreeMap<u64, u64> = BTreeMap::new();
-    let (mut began, mut asked) = (Instant::now(), 0);
-    for step in 0..(WARM + SECONDS) * RATE {
-        if step == WARM * RATE {
-            world.news = Default::default();
-            began = Instant::now();
-            asked = 0;
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let (mut at, mut asked, mut ends) = (0.0, 0_u32, VecDeque::new());
+    let mut began = None;
+    while at < WARM + SECONDS {
+        if at >= WARM && began.is_none() {
+            (world.news, world.loads) = Default::default();
+            began = Some((Instant::now(), asked));
         }
-        let adapter = match step % 100 {
-            0 => format!("film-produkcija-{:04}", 1 + step / 100),
+        let next = at - (1.0 - random.random::<f64>()).ln() / RATE;
+        while ends.front().is_some_and(|end| *end <= next) {
+            let end = ends.pop_front().unwrap_or(next);
+            world.pass(Duration::from_secs_f64((end - at).max(0.0)))?;
+            at = at.max(end);
+            world.answer(1)?;
+        }
+        world.pass(Duration::from_secs_f64(next - at))?;
+        at = next;
+        asked += 1;
+        let adapter = match asked % 100 {
+            0 => format!("film-produkcija-{:04}", asked / 100),
             _ => HOT.to_owned(),
         };
-        let waiting = world.sent.len();
+        let before = world.sent.len();
         world.arrive(BRAND, &adapter, 304)?;
-        asked += 1;
-        let sent = world.sent.len() - waiting;
-        *due.entry(step + RUNS * RATE).or_default() += sent as u64;
-        for _ in 0..due.remove(&step).unwrap_or(0) {
-            world.answer(1)?;
-        }
-        world.pass(Duration::from_nanos(1_000_000_000 / RATE))?;
+        ends.extend((before..world.sent.len()).map(|_| at + RUNS));
     }
-    let spent = began.elapsed().as_secs_f64() * 1e6 / SECONDS as f64;
-    let rate = world.news.calls as f64 / SECONDS as f64;
+    let (began, before) = began.context("no minute was measured")?;
+    let spent = began.elapsed().as_secs_f64() * 1e6 / SECONDS;
+    let rate = |sent: Sent| sent.calls as f64 / SECONDS;
+    let each = |sent: Sent| sent.bytes as f64 / sent.calls.max(1) as f64;
     Ok(vec![
-        asked as f64,
-        rate,
-        world.news.bytes as f64 / SECONDS as f64,
-        world.news.bytes as f64 / world.news.calls.max(1) as f64,
-        rate / peers as f64,
+        f64::from(asked - before),
+        rate(world.news),
+        each(world.news),
+        rate(world.loads),
+        each(world.loads),
         spent,
     ])
 }
--- a/xtask/src/capacity/fit.rs
+++ b/xtask/src/capacity/fit.rs
@@ -1,5 +1,8 @@
 //! A line through measured points.
 
+#[cfg(test)]
+mod tests;
+
 /// A least-squares line.
 pub(super) struct Line {
     /// Growth for one more.
--- a/xtask/src/capacity/world.rs
+++ b/xtask/src/capacity/world.rs
@@ -53,7 +53,10 @@
     pub(super) ended: u64,
     pub(super) beats: Sent,
     pub(super) replies: Sent,
+    /// News of what an engine holds.
     pub(super) news: Sent,
+    /// News of an engine's load alone.
+    pub(super) loads: Sent,
     pub(super) polls: Sent,
     /// Size of the last reply with a text or patches.
     pub(super) fetched: u64,
@@ -109,6 +112,7 @@
             beats: Sent::default(),
             replies: Sent::default(),
             news: Sent::default(),
+            loads: Sent::default(),
             polls: Sent::default(),
             fetched: 0,
             peers: peers(around)?,
@@ -250,8 +254,14 @@
                 count(&mut self.replies, rmp_serde::to_vec(&reply)?.len() as u64);
                 reply
             }
-            Call::Residents(_) => {
-                count(&mut self.news, size);
+            Call::Residents(news) => {
+                let held = news.added.len() + news.removed.len() > 0;
+                let sent = if held {
+                    &mut self.news
+                } else {
+                    &mut self.loads
+                };
+                count(sent, size);
                 Reply::Done
             }
             Call::Version => Reply::Version(self.text.0),
