--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -17,6 +17,7 @@
     state: State,
     index: u64,
     at: u64,
+    wall: u64,
 }
 
 impl Log {
@@ -26,6 +27,7 @@
             state,
             index: 0,
             at: 0,
+            wall: 10_000_000_000,
         };
         log.join("a", 1);
         log.join("b", 1);
@@ -34,7 +36,7 @@
 
     fn put(&mut self, what: What) -> Outcome {
         self.index += 1;
-        let wall = 10_000_000_000 + self.at;
+        let wall = self.wall + self.at;
         let command = Command {
             at: self.at,
             wall,
@@ -243,7 +245,9 @@
     base::covers!(key_too_old);
     base::covers!(no_room_for_keys);
     const HOUR: u64 = 3_600_000;
+    base::covers!(key_outside_window);
     let mut log = Log::new(small());
+    log.wall = 6 * HOUR;
     for key in 0..6 {
         log.at += 2_000;
         let dated = Some(u64::from(key) * HOUR);
@@ -274,25 +278,40 @@
             "{key}"
         );
     }
+    log.wall = 40 * HOUR;
+    assert_that!(
+        log.claim("b", 30, 2, Some(8 * HOUR)),
+        eq(&ClaimReply::TooOld)
+    );
+    log.wall = 6 * HOUR;
     let late = log.claim("b", 13, 2, None);
     assert_that!(matches!(late, ClaimReply::NotNow { .. }), eq(true));
     assert_that!(
-        log.claim("b", 20, 1, Some(9 * HOUR)),
+        log.claim("b", 20, 1, Some(6 * HOUR)),
         eq(&ClaimReply::Yours)
     );
 }
 
-/// A key's date was believed at first and not later, because the leaders'
-/// wall clocks differ: it is found all the same.
+/// A key's date was believed at first and not later, or the other way round,
+/// because the leaders' wall clocks differ: it is found all the same.
 #[test]
 fn a_date_believed_once_only_is_no_second_run() {
-    let mut log = Log::new(small());
-    let future = Some(50_000_000_000);
-    log.claim("a", 1, 1, future);
-    log.settle("a", 1, 1, Fate::MayHaveRun);
-    log.at = 41_000_000_000;
-    log.claim("a", 2, 1, None);
-    assert_that!(log.claim("b", 1, 2, future), eq(&ClaimReply::MayHaveRun));
+    for (first, then) in [(50_001_000_000, 1_000_000), (1_000_000, 50_001_000_000)] {
+        let mut log = Log::new(small());
+        let dated = Some(50_000_000_000);
+        log.wall = first;
+        log.claim("a", 1, 1, dated);
+        log.settle("a", 1, 1, Fate::MayHaveRun);
+        log.at = 5_000;
+        log.wall = then;
+        log.claim("a", 2, 1, None);
+        assert_that!(log.state.claims().counts(), eq((1, 1)));
+        assert_that!(
+            log.claim("b", 1, 2, dated),
+            eq(&ClaimReply::MayHaveRun),
+            "{first}"
+        );
+    }
 }
 
 /// A claim under way for longer than any request may take ends as one that
