Start from the saved text in a zone that is cut off; report what engines do

An entry instance that restarted while it could reach nobody had no text and served nothing until the cut healed. Without the guard the new test's instance is never ready. Restricted leases, silent and leaving engines and orders refused as stale are logged events now.

--- a/crates/entryd/src/events.rs
+++ b/crates/entryd/src/events.rs
@@ -20,6 +20,12 @@
         }
         Event::Services { brand, up, .. } => event!(Line::ServiceUp, brand = brand, up = up),
         Event::Owns(engine, fence) => event!(Line::EngineTaken, engine = engine, fence = fence),
+        Event::Restricted(engine, fence) => {
+            event!(Line::LeaseRestricted, engine = engine, fence = fence);
+        }
+        Event::EngineSilent(engine, true) => event!(Line::EngineSilent, engine = engine),
+        Event::EngineSilent(engine, false) => event!(Line::EngineBack, engine = engine),
+        Event::EngineLeaving(engine) => event!(Line::TargetLeaving, engine = engine),
         Event::Lost(engine) => event!(Line::LeaseLost, engine = engine),
         Event::EngineRestarted(engine) => event!(Line::EngineRestarted, engine = engine),
         Event::Fenced(engine, fence) => {
--- a/crates/entryd/src/main.rs
+++ b/crates/entryd/src/main.rs
@@ -14,6 +14,7 @@
 mod hops;
 mod outside;
 mod prompt;
+mod saved;
 mod shell;
 mod state;
 
--- a/crates/entryd/src/shell.rs
+++ b/crates/entryd/src/shell.rs
@@ -1,6 +1,7 @@
 //! The one task that owns the node: inputs in, outputs carried out.
 
 use std::{
+    path::PathBuf,
     sync::{Arc, atomic::Ordering},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -23,7 +24,7 @@
 use crate::{
     attempts, callers, calls,
     clock::Clock,
-    events, hops, outside,
+    events, hops, outside, saved,
     state::{InForce, State},
 };
 
@@ -80,6 +81,7 @@
         texts,
         stop,
         wake: Time::ZERO,
+        data: settings.data.clone(),
     };
     shell.run(queue).await;
     callers.await.context("the callers' listener failed")??;
@@ -123,12 +125,17 @@
     texts: watch::Sender<Arc<InForce>>,
     stop: CancellationToken,
     wake: Time,
+    /// Folder for the last text in force.
+    data: Option<PathBuf>,
 }
 
 impl Shell {
     async fn run(mut self, mut queue: mpsc::UnboundedReceiver<Input>) {
         let mut outputs = Vec::new();
         let mut burst = Vec::with_capacity(BURST);
+        if let Some(saved) = self.data.as_deref().and_then(saved::read) {
+            self.node.handle(self.clock.now(), saved, &mut outputs);
+        }
         self.node
             .handle(self.clock.now(), Input::Wake, &mut outputs);
         loop {
@@ -219,7 +226,14 @@
                 limit,
             } => calls::make(state, call, address, body, limit),
             Output::Reply { call, body } => state.answer(call, body),
-            Output::Text { version, model } => {
+            Output::Text {
+                version,
+                model,
+                raw,
+            } => {
+                if let Some(data) = &self.data {
+                    saved::write(data.clone(), version, raw);
+                }
                 let keys = Keys::from(&*model);
                 let force = InForce {
                     version,
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    io::{Event, Output},
+    io::{Event, Input, Output},
     msg::{ALL, CONFIG, Msg},
     shared::{CALL_LIMIT, Out, Purpose, Shared},
 };
@@ -62,6 +62,14 @@
         self.notice_thaw(shared, now, out);
         match msg {
             Msg::Wake => self.ask_one(shared, now, out),
+            // Guard: an instance that restarts in a zone that is cut off finds
+            // nobody to ask, and would serve nothing until the cut heals. What
+            // it had is taken, and counts only as long as nobody in reach has
+            // a newer one: readiness waits until they have been asked.
+            Msg::Input(Input::Saved { version, text }) if shared.version == TextVersion(0) => {
+                base::hit!(saved_text_taken);
+                self.take(shared, version, &text, out);
+            }
             Msg::FleetChanged if !self.started => self.start(shared, now, out),
             Msg::Beat(reply) => {
                 self.heard = now;
@@ -237,7 +245,12 @@
         shared.version = version;
         shared.model = Arc::clone(&model);
         shared.raw = Arc::from(text);
-        out.emit(Output::Text { version, model });
+        let raw = Arc::clone(&shared.raw);
+        out.emit(Output::Text {
+            version,
+            model,
+            raw,
+        });
         out.emit(Output::Event(Event::TextInForce(version)));
         for name in ALL {
             out.tell(name, Msg::TextChanged);
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -31,7 +31,7 @@
     reports::Poll,
 };
 use crate::{
-    io::Input,
+    io::{Event, Input, Output},
     msg::{ENGINES, ENTRY, Msg},
     shared::{Out, Shared},
 };
@@ -49,6 +49,7 @@
     /// Requests running there through this instance, by what they use.
     using: BTreeMap<Ticket, AdapterKey>,
     owned: Option<owner::Own>,
+    silent: bool,
     /// What the other entry instances were told that it holds.
     listed: BTreeSet<AdapterKey>,
     running: u32,
@@ -318,6 +319,8 @@
         let leaving: Vec<TargetNo> = leaving.filter(|target| !stays(shared, *target)).collect();
         for target in leaving {
             base::hit!(leaving_engine_emptied);
+            let name = shared.names.target_name(target).clone();
+            out.emit(Output::Event(Event::EngineLeaving(name)));
             if let Some(engine) = self.engines.get_mut(&target) {
                 engine.life = None;
             }
--- a/crates/node/src/engines/orders.rs
+++ b/crates/node/src/engines/orders.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Sent {
     Load(TargetNo, AdapterKey, Fence, Time),
-    Unload(TargetNo, AdapterKey),
+    Unload(TargetNo, AdapterKey, Fence),
     /// A load of something resident, which only makes the engine refuse
     /// earlier owners.
     Touch(TargetNo, AdapterKey, Fence),
@@ -25,7 +25,15 @@
 impl Sent {
     fn target(self) -> TargetNo {
         match self {
-            Sent::Load(target, ..) | Sent::Unload(target, _) | Sent::Touch(target, ..) => target,
+            Sent::Load(target, ..) | Sent::Unload(target, ..) | Sent::Touch(target, ..) => target,
+        }
+    }
+
+    fn fence(self) -> Fence {
+        match self {
+            Sent::Load(_, _, fence, _) | Sent::Unload(_, _, fence) | Sent::Touch(_, _, fence) => {
+                fence
+            }
         }
     }
 }
@@ -90,7 +98,8 @@
         };
         self.hold(shared, now, input, out);
         let body = Order::Unload(resident);
-        self.order(shared, target, body, fence, Sent::Unload(target, key), out);
+        let sent = Sent::Unload(target, key, fence);
+        self.order(shared, target, body, fence, sent, out);
         None
     }
 
@@ -135,6 +144,10 @@
         let name = shared.names.target_name(sent.target()).clone();
         // What an order did to an engine that has restarted since is gone.
         let stands = shared.watched.ordered(&name, watch).is_ok();
+        if end == OrderEnd::Fenced {
+            let fence = sent.fence();
+            out.emit(Output::Event(Event::Fenced(name.clone(), fence)));
+        }
         let fresh = end == OrderEnd::Done;
         let done = stands && (fresh || end == OrderEnd::Already);
         match sent {
@@ -158,7 +171,7 @@
                 };
                 self.desk(shared, now, DeskInput::Loaded { target, key, end }, out);
             }
-            Sent::Unload(target, key) => {
+            Sent::Unload(target, key, _) => {
                 let ok = done;
                 if ok {
                     measure::unloaded(shared, target, key, out);
--- a/crates/node/src/engines/own.rs
+++ b/crates/node/src/engines/own.rs
@@ -79,8 +79,13 @@
         }
         // What the engine holds now is for its next report to say.
         engine.polled = Time::ZERO;
-        if let Own::Full { fence } = own {
-            out.emit(Output::Event(Event::Owns(name.clone(), fence)));
+        let event = match own {
+            Own::Full { fence } => Some(Event::Owns(name.clone(), fence)),
+            Own::Restricted { fence } => Some(Event::Restricted(name.clone(), fence)),
+            Own::None => None,
+        };
+        if let Some(event) = event {
+            out.emit(Output::Event(event));
         }
         self.own(shared, now, target, out);
     }
--- a/crates/node/src/engines/reports.rs
+++ b/crates/node/src/engines/reports.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use base::{AdapterKey, TargetNo, Time};
+use base::{AdapterKey, TargetName, TargetNo, Time};
 use member::{Look, Watch};
 use owner::Own;
 use route::{Input as DeskInput, News, Report};
@@ -43,6 +43,7 @@
         let name = shared.names.target_name(target).clone();
         let Some(report) = report else {
             if shared.watched.failed(&name, poll.watch).is_ok() {
+                self.note_silent(target, &name, true, out);
                 out.tell(ENTRY, Msg::News(News::Reachable(target, false)));
             }
             return;
@@ -54,6 +55,7 @@
         let Ok(look) = look else {
             return;
         };
+        self.note_silent(target, &name, false, out);
         out.tell(ENTRY, Msg::News(News::Reachable(target, true)));
         if look == Look::Restarted {
             let input = owner::Input::Restarted {
@@ -68,6 +70,15 @@
         self.take_report(shared, now, &poll, report, out);
     }
 
+    /// Tells operators when an engine falls silent and when it is back.
+    fn note_silent(&mut self, target: TargetNo, name: &TargetName, silent: bool, out: &mut Out) {
+        let engine = self.engines.entry(target).or_default();
+        if std::mem::replace(&mut engine.silent, silent) != silent {
+            let event = Event::EngineSilent(name.clone(), silent);
+            out.emit(Output::Event(event));
+        }
+    }
+
     fn take_report(
         &mut self,
         shared: &mut Shared,
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -131,6 +131,14 @@
         /// What.
         progress: Progress,
     },
+    /// The text that was in force when this instance last ran; handed in before
+    /// anything else.
+    Saved {
+        /// Its version.
+        version: TextVersion,
+        /// What it says.
+        text: String,
+    },
     /// The platform's list, or that it can't be had.
     List(Option<platform::List>),
     /// An engine's report, or that it can't be had.
@@ -312,6 +320,8 @@
         version: TextVersion,
         /// What it says.
         model: Arc<text::model::Model>,
+        /// As it was written, for the next start.
+        raw: Arc<str>,
     },
     /// Whether the balancer should send requests here.
     Ready(bool),
@@ -371,6 +381,12 @@
     Owns(TargetName, Fence),
     /// This instance lost an engine, or its lease ran out.
     Lost(TargetName),
+    /// The lease on an engine ran out, and nobody could confirm it.
+    Restricted(TargetName, Fence),
+    /// An engine does not answer (`true`), or does again (`false`).
+    EngineSilent(TargetName, bool),
+    /// The platform calls an engine owned here leaving.
+    EngineLeaving(TargetName),
     /// An engine came back empty.
     EngineRestarted(TargetName),
     /// An engine refused an order under an old fencing number.
--- a/crates/node/tests/node/guards.rs
+++ b/crates/node/tests/node/guards.rs
@@ -212,3 +212,26 @@
     world.pass(Duration::from_secs(2));
     assert_that!(world.sent, is_empty());
 }
+
+/// A user sees: nothing answers in a zone that is cut off, because its only
+/// instance was restarted. It has the text that was in force, serves it, and
+/// takes a newer one as soon as somebody in reach has it.
+#[test]
+fn a_saved_text_is_served_until_a_newer_one_is_heard_of() {
+    base::covers!(saved_text_taken);
+    let mut world = World::bare();
+    world.leader = false;
+    let version = TextVersion(3);
+    let text = TEXT.to_owned();
+    world.input(Input::Saved { version, text });
+    world.list(1, &[("e-1", "drafting"), ("p-1", "portal")]);
+    world.pass(Duration::from_secs(5));
+    assert_that!(world.ready, eq(true));
+    assert_that!(world.node.version(), eq(version));
+    world.arrive(1, "listing", None);
+    assert_that!(world.sent.len(), eq(1));
+    world.leader = true;
+    world.text = (TextVersion(4), TEXT.replace("weight = 1", "weight = 2"));
+    world.pass(Duration::from_secs(3));
+    assert_that!(world.node.version(), eq(TextVersion(4)));
+}
