Let both daemons share start, signals, clock and links; split long functions

The two shells told the same story twice. The lookup of a request's service and the sending of an attempt were too long to read in one go. No change of behaviour; the node's tests stay as they were.

--- a/crates/controld/src/operators.rs
+++ b/crates/controld/src/operators.rs
@@ -124,7 +124,7 @@
     let Some(address) = peers.get(&drain.instance) else {
         return Err(Failure::not_run(Refusal::NotFound));
     };
-    let link = state.link(*address);
+    let link = state.links.to(*address);
     match link.call(Call::Drain, DRAIN_LIMIT).await {
         Ok(_) => Ok(reply::json(StatusCode::OK, &drain)),
         Err(err) => Err(Failure {
--- a/crates/controld/src/peers.rs
+++ b/crates/controld/src/peers.rs
@@ -45,7 +45,7 @@
     let state = Arc::clone(state);
     tokio::spawn(async move {
         // A lost message is the log's own affair.
-        state.link(address).call(call, MESSAGE_LIMIT).await.ok();
+        state.links.to(address).call(call, MESSAGE_LIMIT).await.ok();
     });
 }
 
@@ -64,7 +64,7 @@
 
 /// Returns the leader's reply, or none when it may have taken the change.
 async fn passed(state: &State, address: SocketAddr, apply: Apply) -> Option<Reply> {
-    let link = state.link(address);
+    let link = state.links.to(address);
     match link.call(Call::Apply(apply), PASS_LIMIT).await {
         Ok(reply) => Some(reply),
         Err(err) if err.verdict() == base::Verdict::NotRun => {
--- a/crates/controld/src/shell.rs
+++ b/crates/controld/src/shell.rs
@@ -11,13 +11,12 @@
 use anyhow::{Context, Result};
 use base::{Incarnation, InstanceName, Seed, Time};
 use control::{Checked, Control, Event, Input, Output};
+use daemon::{Clock, Listeners};
 use disk::{Done, Fate, Writer};
 use replog::{RawSettings, Replica};
 use settings::{Begin, ControlSettings};
 use telemetry::event;
 use tokio::{
-    net::TcpListener,
-    signal::unix::{SignalKind, signal},
     sync::mpsc,
     time::{interval, sleep_until},
 };
@@ -29,7 +28,6 @@
 use wire::platform::List;
 
 use crate::{
-    clock::Clock,
     operators, peers,
     state::{Job, Read, State},
 };
@@ -51,11 +49,7 @@
 /// # Errors
 ///
 /// Fails when the data folder can't be used or a signal not listened for.
-pub(crate) async fn serve(
-    settings: ControlSettings,
-    operators: TcpListener,
-    peers: TcpListener,
-) -> Result<()> {
+pub(crate) async fn serve(settings: ControlSettings, listeners: Listeners) -> Result<()> {
     let clock = Clock::start();
     let (jobs, queue) = mpsc::unbounded_channel();
     let identity = &settings.identity;
@@ -72,7 +66,11 @@
     let control = Control::new(control::Config::default(), replica, Box::new(check));
     let writer = start_writer(opened.folder, jobs.clone())?;
     let stop = CancellationToken::new();
-    tokio::spawn(listen_signals(jobs)?);
+    let stopping = daemon::stop_signal()?;
+    tokio::spawn(async move {
+        stopping.await;
+        jobs.send(Job::Stop).ok();
+    });
     tokio::spawn(look(Arc::clone(&state), identity.platform));
     let at_operators = Arc::clone(&state);
     let handler = move |req| operators::answer(Arc::clone(&at_operators), req);
@@ -82,11 +80,11 @@
         drain: Duration::from_secs(10),
         ..server::Limits::default()
     };
-    let operators = tokio::spawn(server::serve(operators, limits, handler, stop.clone()));
+    let operators = tokio::spawn(server::serve(listeners.own, limits, handler, stop.clone()));
     let at_peers = Arc::clone(&state);
     let handler = move |req| peers::answer(Arc::clone(&at_peers), req);
     tokio::spawn(server::serve(
-        peers,
+        listeners.peers,
         limits,
         handler,
         CancellationToken::new(),
@@ -160,18 +158,6 @@
     }
 }
 
-fn listen_signals(jobs: mpsc::UnboundedSender<Job>) -> Result<impl Future<Output = ()>> {
-    let mut term = signal(SignalKind::terminate()).context("can't listen for SIGTERM")?;
-    let mut int = signal(SignalKind::interrupt()).context("can't listen for SIGINT")?;
-    Ok(async move {
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
-        }
-        jobs.send(Job::Stop).ok();
-    })
-}
-
 /// Reads the platform's list and the wall clock over and over.
 async fn look(state: Arc<State>, platform: SocketAddr) {
     let client = Client::default();
--- a/crates/controld/src/state.rs
+++ b/crates/controld/src/state.rs
@@ -4,14 +4,14 @@
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Mutex,
         atomic::{AtomicU64, Ordering},
     },
 };
 
 use base::{InstanceName, Ticket};
 use control::Input;
-use peer::Link;
+use daemon::{Links, lock};
 use tokio::sync::{mpsc, oneshot};
 use wire::{
     call::Reply,
@@ -45,14 +45,13 @@
 /// Handles that every task of the daemon may use.
 #[derive(Debug)]
 pub(crate) struct State {
-    pub(crate) name: InstanceName,
     pub(crate) jobs: mpsc::UnboundedSender<Job>,
     /// The other control instances' peer listeners.
     pub(crate) controls: BTreeMap<InstanceName, SocketAddr>,
     tickets: AtomicU64,
     replies: Mutex<HashMap<Ticket, oneshot::Sender<Reply>>>,
     applied: Mutex<HashMap<Ticket, oneshot::Sender<Applied>>>,
-    links: Mutex<HashMap<SocketAddr, Link>>,
+    pub(crate) links: Links,
 }
 
 impl State {
@@ -61,14 +60,14 @@
         controls: BTreeMap<InstanceName, SocketAddr>,
         jobs: mpsc::UnboundedSender<Job>,
     ) -> Self {
+        let links = Links::new(name);
         State {
-            name,
             jobs,
             controls,
             tickets: AtomicU64::new(0),
             replies: Mutex::default(),
             applied: Mutex::default(),
-            links: Mutex::default(),
+            links,
         }
     }
 
@@ -108,21 +107,7 @@
         }
     }
 
-    /// Returns the link to another process.
-    pub(crate) fn link(&self, address: SocketAddr) -> Link {
-        let mut links = lock(&self.links);
-        let link = links.entry(address);
-        let make = || Link::new(self.name.clone(), address.to_string());
-        link.or_insert_with(make).clone()
-    }
-
     pub(crate) fn next_ticket(&self) -> Ticket {
         Ticket(self.tickets.fetch_add(1, Ordering::Relaxed) + 1)
     }
 }
-
-/// Locks a map that is whole after every step, so a panic elsewhere does it no
-/// harm.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/controld/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -7,24 +7,28 @@
 
 /// A monotonic clock that starts when it is made.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
+pub struct Clock {
     start: Instant,
 }
 
 impl Clock {
-    pub(crate) fn start() -> Self {
+    /// Starts the clock.
+    #[must_use]
+    pub fn start() -> Self {
         Clock {
             start: Instant::now(),
         }
     }
 
     /// Returns the time now.
-    pub(crate) fn now(self) -> Time {
+    #[must_use]
+    pub fn now(self) -> Time {
         Time::ZERO + self.start.elapsed()
     }
 
     /// Returns the moment to sleep until for `at`.
-    pub(crate) fn instant(self, at: Time) -> Instant {
+    #[must_use]
+    pub fn instant(self, at: Time) -> Instant {
         self.start + Duration::from_micros(at.0)
     }
 }
--- /dev/null
+++ b/crates/daemon/src/start.rs
@@ -0,0 +1,100 @@
+//! Start and end of a daemon.
+
+use std::{net::SocketAddr, process::ExitCode};
+
+use anyhow::{Context, Result};
+use settings::{Identity, Telemetry};
+use telemetry::{Event, event};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
+
+/// The two listeners of a daemon.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers or operators.
+    pub own: TcpListener,
+    /// For other instances.
+    pub peers: TcpListener,
+}
+
+/// Runs a daemon from its checked settings to its end: runtime, telemetry and
+/// listeners, then `serve`.
+pub fn main<S, F>(
+    program: &str,
+    settings: Result<S, settings::Errors>,
+    of: impl FnOnce(&S) -> (&Identity, &Telemetry),
+    serve: impl FnOnce(S, Listeners) -> F,
+) -> ExitCode
+where
+    F: Future<Output = Result<()>>,
+{
+    let settings = match settings {
+        Ok(settings) => settings,
+        Err(errors) => {
+            eprintln!("{errors}");
+            return ExitCode::from(errors.exit_code());
+        }
+    };
+    match run(program, settings, of, serve) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("{program}: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run<S, F>(
+    program: &str,
+    settings: S,
+    of: impl FnOnce(&S) -> (&Identity, &Telemetry),
+    serve: impl FnOnce(S, Listeners) -> F,
+) -> Result<()>
+where
+    F: Future<Output = Result<()>>,
+{
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context("can't start the runtime")?;
+    runtime.block_on(async {
+        let (identity, telemetry) = of(&settings);
+        let guard = telemetry::start(program, identity.name.as_str(), telemetry)?;
+        let bound = bind(identity).await;
+        let listeners = bound.inspect_err(|err| {
+            event!(Event::StartFailed, why = format!("{err:#}"));
+        })?;
+        let ended = serve(settings, listeners).await;
+        drop(guard);
+        ended
+    })
+}
+
+async fn bind(identity: &Identity) -> Result<Listeners> {
+    let own = listen(identity.listen).await?;
+    let peers = listen(identity.peer_listen).await?;
+    Ok(Listeners { own, peers })
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.with_context(|| format!("can't listen on {address}"))
+}
+
+/// Returns what ends when the process is asked to stop.
+///
+/// # Errors
+///
+/// Fails when the system refuses to tell of signals.
+pub fn stop_signal() -> Result<impl Future<Output = ()>> {
+    let mut term = signal(SignalKind::terminate()).context("can't listen for SIGTERM")?;
+    let mut int = signal(SignalKind::interrupt()).context("can't listen for SIGINT")?;
+    Ok(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    })
+}
--- a/crates/entryd/src/calls.rs
+++ b/crates/entryd/src/calls.rs
@@ -18,7 +18,7 @@
 ) {
     let state = Arc::clone(state);
     tokio::spawn(async move {
-        let reply = state.link(address).call(body, limit).await;
+        let reply = state.links.to(address).call(body, limit).await;
         let reply = reply.map_err(|err| err.verdict());
         state.tell(Input::Replied { call, reply });
     });
--- a/crates/entryd/src/shell.rs
+++ b/crates/entryd/src/shell.rs
@@ -8,13 +8,12 @@
 
 use anyhow::{Context, Result};
 use base::{Incarnation, Seed, Time};
+use daemon::{Clock, Listeners};
 use node::{Input, Node, Output, Settings};
 use settings::EntrySettings;
 use telemetry::{Event, event};
 use text::Keys;
 use tokio::{
-    net::TcpListener,
-    signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
     time::sleep_until,
 };
@@ -22,9 +21,7 @@
 use web::server::{self, Limits};
 
 use crate::{
-    attempts, callers, calls,
-    clock::Clock,
-    events, hops, outside, saved,
+    attempts, callers, calls, events, hops, outside, saved,
     state::{InForce, State},
 };
 
@@ -44,11 +41,7 @@
 /// # Errors
 ///
 /// Fails when a signal can't be listened for.
-pub(crate) async fn serve(
-    settings: EntrySettings,
-    callers: TcpListener,
-    peers: TcpListener,
-) -> Result<()> {
+pub(crate) async fn serve(settings: EntrySettings, listeners: Listeners) -> Result<()> {
     let clock = Clock::start();
     let (inputs, queue) = mpsc::unbounded_channel();
     let (texts, text) = watch::channel(Arc::new(InForce::default()));
@@ -57,7 +50,12 @@
     let stop = CancellationToken::new();
     let grace = settings.drain_grace;
     tokio::spawn(outside::watch_list(Arc::clone(&state), identity.platform));
-    tokio::spawn(listen_signals(Arc::clone(&state))?);
+    let stopping = daemon::stop_signal()?;
+    let stopped = Arc::clone(&state);
+    tokio::spawn(async move {
+        stopping.await;
+        stopped.tell(Input::Drain);
+    });
     let limits = Limits {
         connections: CONNECTIONS,
         linger: grace,
@@ -68,10 +66,15 @@
     let peer_stop = CancellationToken::new();
     let at_callers = Arc::clone(&state);
     let handler = move |req| callers::answer(Arc::clone(&at_callers), req);
-    let callers = tokio::spawn(server::serve(callers, limits, handler, stop.clone()));
+    let callers = tokio::spawn(server::serve(listeners.own, limits, handler, stop.clone()));
     let at_peers = Arc::clone(&state);
     let handler = move |req| hops::answer(Arc::clone(&at_peers), req);
-    tokio::spawn(server::serve(peers, limits, handler, peer_stop.clone()));
+    tokio::spawn(server::serve(
+        listeners.peers,
+        limits,
+        handler,
+        peer_stop.clone(),
+    ));
     event!(Event::Started, listen = identity.listen.to_string());
     let node = Node::new(node_settings(&settings)?, clock.now());
     let shell = Shell {
@@ -106,18 +109,6 @@
     })
 }
 
-fn listen_signals(state: Arc<State>) -> Result<impl Future<Output = ()>> {
-    let mut term = signal(SignalKind::terminate()).context("can't listen for SIGTERM")?;
-    let mut int = signal(SignalKind::interrupt()).context("can't listen for SIGINT")?;
-    Ok(async move {
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
-        }
-        state.tell(Input::Drain);
-    })
-}
-
 struct Shell {
     state: Arc<State>,
     node: Node,
--- a/crates/entryd/src/state.rs
+++ b/crates/entryd/src/state.rs
@@ -2,16 +2,15 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
 use base::{InstanceName, TextVersion, Ticket};
+use daemon::{Links, lock};
 use node::Input;
-use peer::Link;
 use text::{Keys, Model};
 use tokio::sync::{mpsc, oneshot, watch};
 use web::client::Client;
@@ -40,7 +39,7 @@
     calls: AtomicU64,
     exchanges: Mutex<HashMap<Ticket, Arc<Exchange>>>,
     answers: Mutex<HashMap<u64, oneshot::Sender<Reply>>>,
-    links: Mutex<HashMap<SocketAddr, Link>>,
+    pub(crate) links: Links,
 }
 
 impl State {
@@ -49,6 +48,7 @@
         inputs: mpsc::UnboundedSender<Input>,
         text: watch::Receiver<Arc<InForce>>,
     ) -> Self {
+        let links = Links::new(name.clone());
         State {
             name,
             inputs,
@@ -59,7 +59,7 @@
             calls: AtomicU64::new(0),
             exchanges: Mutex::default(),
             answers: Mutex::default(),
-            links: Mutex::default(),
+            links,
         }
     }
 
@@ -110,18 +110,4 @@
             tx.send(reply).ok();
         }
     }
-
-    /// Returns the link to a peer.
-    pub(crate) fn link(&self, address: SocketAddr) -> Link {
-        let mut links = lock(&self.links);
-        let link = links.entry(address);
-        let make = || Link::new(self.name.clone(), address.to_string());
-        link.or_insert_with(make).clone()
-    }
-}
-
-/// Locks a map that is whole after every step, so a panic elsewhere does it no
-/// harm.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/node/src/entry/live.rs
+++ b/crates/node/src/entry/live.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use base::{BrandName, Class, Failure, Mark, Refusal, TargetNo, Ticket, Time};
+use base::{BrandName, Class, Failure, Mark, Refusal, TargetNo, Ticket, Time, Version};
 use request::{AttemptNo, Request, Start};
 use route::{Ask, Router};
-use text::model::{Limits, ServiceKind};
+use text::model::{Limits, Service, ServiceKind};
 use wire::{call::Answer, engine::Resident};
 
 use crate::{
@@ -87,44 +87,20 @@
         now: Time,
         arrival: Arrival,
     ) -> Result<Live, Failure> {
-        let not_found = Failure::not_run(Refusal::NotFound);
         let model = shared.model.clone();
         let service = model.service(&arrival.brand, &arrival.service);
-        let service = service.ok_or_else(|| not_found.clone())?;
+        let service = service.ok_or_else(|| Failure::not_run(Refusal::NotFound))?;
         if !shared.up.has(&arrival.brand, &arrival.service) {
             base::hit!(service_not_up);
             return Err(Failure::not_run(Refusal::Unavailable).retry_after(UP_RETRY));
         }
-        let resident = match &service.kind {
-            ServiceKind::Plain => None,
-            ServiceKind::Assistant { adapter } => {
-                let known = model.adapters.get(adapter);
-                let known = known.ok_or_else(|| not_found.clone())?;
-                let no = shared.names.adapter(adapter);
-                let pinned = router.pin(now, no, known.serve);
-                let version = arrival.version.unwrap_or(pinned);
-                if !known.versions.contains(&version) {
-                    return Err(not_found);
-                }
-                Some(Resident {
-                    adapter: adapter.clone(),
-                    version,
-                })
-            }
-        };
+        let resident = resident(shared, router, now, service, arrival.version)?;
+        let mark = mark(service, arrival.key.is_some())?;
         let class = arrival
             .class
             .map_or(service.class, |c| c.min(service.class));
         let patience = arrival.patience.unwrap_or(deadline(&model.limits, class));
         let key = resident.as_ref().map(|r| shared.names.key(r));
-        let mark = if arrival.key.is_some() {
-            Mark::Once
-        } else {
-            service.mark
-        };
-        if mark == Mark::Once && arrival.key.is_none() {
-            return Err(Failure::not_run(Refusal::BadRequest));
-        }
         let start = Start {
             class,
             mark,
@@ -166,6 +142,25 @@
         })
     }
 
+    /// Notes the attempt that is under way from now on.
+    pub(super) fn note_sent(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        target: TargetNo,
+        passed: bool,
+    ) {
+        self.parked = None;
+        self.sent = Some(Sent {
+            attempt,
+            target,
+            at: now,
+            local: self.local,
+            passed,
+            began: false,
+        });
+    }
+
     /// Reports how it ended.
     pub(super) fn ended(&self, now: Time, failure: Option<Failure>, out: &mut Out) {
         if let Some((first, last)) = self.tokens.span {
@@ -186,6 +181,41 @@
     }
 }
 
+/// Returns the adapter's version that the request is for.
+fn resident(
+    shared: &mut Shared,
+    router: &Router,
+    now: Time,
+    service: &Service,
+    asked: Option<Version>,
+) -> Result<Option<Resident>, Failure> {
+    let ServiceKind::Assistant { adapter } = &service.kind else {
+        return Ok(None);
+    };
+    let not_found = || Failure::not_run(Refusal::NotFound);
+    let model = shared.model.clone();
+    let known = model.adapters.get(adapter).ok_or_else(not_found)?;
+    let no = shared.names.adapter(adapter);
+    let version = asked.unwrap_or_else(|| router.pin(now, no, known.serve));
+    if !known.versions.contains(&version) {
+        return Err(not_found());
+    }
+    Ok(Some(Resident {
+        adapter: adapter.clone(),
+        version,
+    }))
+}
+
+/// Returns whether the request may be repeated; one that may not has to name
+/// itself by a key.
+fn mark(service: &Service, keyed: bool) -> Result<Mark, Failure> {
+    match (service.mark, keyed) {
+        (_, true) => Ok(Mark::Once),
+        (Mark::Repeatable, false) => Ok(Mark::Repeatable),
+        (Mark::Once, false) => Err(Failure::not_run(Refusal::BadRequest)),
+    }
+}
+
 /// Turns a request away before anything was decided about it.
 pub(super) fn refuse(ticket: Ticket, failure: Failure, out: &mut Out) {
     let end = Ending::Failed(failure);
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -9,7 +9,7 @@
 use route::News;
 use wire::call::{self, Call, Claim, ClaimReply, Reply, Settle};
 
-use super::{Entry, live::Sent};
+use super::Entry;
 use crate::{
     io::{Attempt, Ending, Event, Flow, Output, Route},
     msg::{ENGINES, ENTRY, Msg},
@@ -269,37 +269,27 @@
         };
         let limit = live.start.deadline.since(now);
         let direct = live.local || live.start.adapter.is_none();
-        let owner = self.owners.get(&target).map(|(owner, _)| owner);
-        let passed = owner.and_then(|owner| shared.peers.get(owner)).copied();
-        let route = match passed {
-            Some(address) if !direct => Route::Owner {
+        let passed = self.owners.get(&target).filter(|_| !direct);
+        let passed = passed.and_then(|(owner, _)| shared.peers.get(owner));
+        let route = match passed.copied() {
+            Some(address) => Route::Owner {
                 address,
                 patience: limit,
             },
-            _ => Route::Target {
+            None => Route::Target {
                 address: info.address,
                 priority: live.priority,
             },
         };
-        live.parked = None;
-        let passed = matches!(route, Route::Owner { .. });
-        live.sent = Some(Sent {
-            attempt,
-            target,
-            at: now,
-            local: live.local,
-            passed,
-            began: false,
-        });
+        let passed = passed.is_some();
+        live.note_sent(now, attempt, target, passed);
         if let Some(key) = live.start.adapter.filter(|_| live.local) {
-            out.tell(
-                ENGINES,
-                Msg::Using {
-                    ticket,
-                    target,
-                    key,
-                },
-            );
+            let using = Msg::Using {
+                ticket,
+                target,
+                key,
+            };
+            out.tell(ENGINES, using);
         }
         out.emit(Output::Send(Attempt {
             ticket,
