--- a/crates/lab/tests/processes/main.rs
+++ b/crates/lab/tests/processes/main.rs
@@ -6,4 +6,5 @@
 mod once;
 mod path;
 mod rolling;
+mod targets;
 mod trace;
