--- a/crates/measure/src/ours.rs
+++ b/crates/measure/src/ours.rs
@@ -1,4 +1,4 @@
-//! The project's own decisions at work: a router and a desk on each entry
+//! The project's own decisions at work: a router and a scheduler on each entry
 //! instance, messages that take a millisecond, and a leader that divides the
 //! store's budget twice a second.
 
@@ -9,8 +9,8 @@
     stable_hash,
 };
 use route::{
-    Ask, Attempts, Desk, Engine, Input, LoadEnd, News, Ordering, Output, PoolNo, Residents,
-    RetryBudget, Router, Target, ZoneNo,
+    Ask, Attempts, Engine, Input, LoadEnd, News, Ordering, Output, PoolNo, Residents, RetryBudget,
+    Router, Scheduler, Target, ZoneNo,
 };
 
 use crate::{
@@ -40,7 +40,7 @@
 /// A message under way.
 #[derive(Clone, Debug)]
 enum Mail {
-    ToDesk(usize, Input),
+    ToOwner(usize, Input),
     ToRouter(usize, News),
     Beat,
 }
@@ -59,7 +59,7 @@
 pub(crate) struct Ours {
     sizes: Sizes,
     routers: Vec<Router>,
-    desks: Vec<Desk>,
+    schedulers: Vec<Scheduler>,
     retries: Vec<RetryBudget>,
     tracks: BTreeMap<usize, Track>,
     mail: BTreeMap<(Time, u64), Mail>,
@@ -74,8 +74,8 @@
         let mut ours = Ours {
             sizes: sizes.clone(),
             routers: (0..sizes.entries).map(router).collect(),
-            desks: (0..sizes.entries)
-                .map(|i| Desk::new(seed + 100 + i as u64))
+            schedulers: (0..sizes.entries)
+                .map(|i| Scheduler::new(seed + 100 + i as u64))
                 .collect(),
             retries: vec![RetryBudget::new(); sizes.entries],
             tracks: BTreeMap::new(),
@@ -95,7 +95,7 @@
             let hash = stable_hash(&[&adapter.0.to_le_bytes()]);
             for i in 0..self.sizes.entries {
                 self.routers[i].note(Time::ZERO, News::Adapter { adapter, hash });
-                self.desk(Time::ZERO, i, Input::Adapter { adapter, hash }, &mut out);
+                self.scheduler(Time::ZERO, i, Input::Adapter { adapter, hash }, &mut out);
             }
         }
         for i in 0..self.sizes.portals {
@@ -140,7 +140,7 @@
             held: Vec::new(),
             inherited: false,
         };
-        self.desk(now, self.owner(target_no(i)), input, out);
+        self.scheduler(now, self.owner(target_no(i)), input, out);
     }
 
     /// Returns the instance that owns an engine: one of its zone.
@@ -167,11 +167,11 @@
             Event::Loaded(target, key, ok) => {
                 let end = if ok { LoadEnd::Done } else { LoadEnd::Failed };
                 let input = Input::Loaded { target, key, end };
-                self.desk(now, self.owner(target), input, out);
+                self.scheduler(now, self.owner(target), input, out);
             }
             Event::Unloaded(target, key) => {
                 let ok = true;
-                self.desk(
+                self.scheduler(
                     now,
                     self.owner(target),
                     Input::Unloaded { target, key, ok },
@@ -233,7 +233,7 @@
             target,
             ask,
         };
-        self.ask_desk(now, entry, target, input, out);
+        self.ask_owner(now, entry, target, input, out);
     }
 
     fn left(&mut self, now: Time, id: usize, out: &mut Vec<Action>) {
@@ -242,7 +242,7 @@
         };
         if track.arrival.key.is_some() {
             let owner = self.owner(track.target);
-            self.desk(now, owner, Input::Cancel(Ticket(id as u64)), out);
+            self.scheduler(now, owner, Input::Cancel(Ticket(id as u64)), out);
         }
         self.ended(now, id, true, out);
     }
@@ -256,7 +256,7 @@
         self.routers[entry].note(now, News::Began(target, after));
         if track.arrival.key.is_some() {
             let owner = self.owner(target);
-            self.desk(now, owner, Input::Began(Ticket(id as u64)), out);
+            self.scheduler(now, owner, Input::Began(Ticket(id as u64)), out);
         }
     }
 
@@ -275,7 +275,7 @@
         };
         let ticket = Ticket(id as u64);
         let owner = self.owner(track.target);
-        self.desk(now, owner, Input::Finished { ticket, ok }, out);
+        self.scheduler(now, owner, Input::Finished { ticket, ok }, out);
     }
 
     /// A request that one engine can't take is tried at another, as far as
@@ -297,9 +297,9 @@
         self.place(now, id, track, out);
     }
 
-    fn desk(&mut self, now: Time, i: usize, input: Input, out: &mut Vec<Action>) {
+    fn scheduler(&mut self, now: Time, i: usize, input: Input, out: &mut Vec<Action>) {
         let mut outputs = Vec::new();
-        self.desks[i].handle(now, input, &mut outputs);
+        self.schedulers[i].handle(now, input, &mut outputs);
         for output in outputs {
             self.obey(now, i, output, out);
         }
@@ -345,7 +345,7 @@
                     self.post(now + lag, Mail::ToRouter(to, news.clone()));
                 }
             }
-            Output::Wake(at) => self.post(at, Mail::ToDesk(i, Input::Wake)),
+            Output::Wake(at) => self.post(at, Mail::ToOwner(i, Input::Wake)),
         }
     }
 
@@ -355,7 +355,7 @@
         self.cut.is_none() || (zone(a) == self.cut) == (zone(b) == self.cut)
     }
 
-    fn ask_desk(
+    fn ask_owner(
         &mut self,
         now: Time,
         from: usize,
@@ -365,8 +365,8 @@
     ) {
         let owner = self.owner(target);
         match owner == from {
-            true => self.desk(now, owner, input, out),
-            false => self.post(now + LAG, Mail::ToDesk(owner, input)),
+            true => self.scheduler(now, owner, input, out),
+            false => self.post(now + LAG, Mail::ToOwner(owner, input)),
         }
     }
 
@@ -379,9 +379,9 @@
         while let Some(entry) = self.mail.first_entry().filter(|e| e.key().0 <= now) {
             match entry.remove() {
                 // The caller may have left while its request was under way.
-                Mail::ToDesk(_, Input::Arrive { ticket, .. })
+                Mail::ToOwner(_, Input::Arrive { ticket, .. })
                     if !self.tracks.contains_key(&id_of(ticket)) => {}
-                Mail::ToDesk(i, input) => self.desk(now, i, input, out),
+                Mail::ToOwner(i, input) => self.scheduler(now, i, input, out),
                 Mail::ToRouter(i, news) => self.routers[i].note(now, news),
                 Mail::Beat => self.beat(now, out),
             }
@@ -398,7 +398,7 @@
         let wants: Vec<f64> = (0..count)
             .map(|i| {
                 if heard[i] {
-                    f64::from(self.desks[i].loads_wanted())
+                    f64::from(self.schedulers[i].loads_wanted())
                 } else {
                     0.0
                 }
@@ -414,7 +414,7 @@
                 (true, false) => 1.0 / listeners,
             };
             let rate = fixed + all * (1.0 - FIXED_PART) * part;
-            self.desk(now, i, Input::Budget(rate as u32), out);
+            self.scheduler(now, i, Input::Budget(rate as u32), out);
         }
         self.post(now + BEAT, Mail::Beat);
     }
@@ -433,7 +433,7 @@
             }
         }
         for i in 0..self.sizes.engines {
-            self.desk(
+            self.scheduler(
                 now,
                 self.owner(target_no(i)),
                 Input::Asked(target_no(i)),
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -1,7 +1,7 @@
 //! The engines that this instance owns: leases, queues, orders, reports.
 //!
 //! The holder says what this instance may do to an engine at this very
-//! moment, the desk what it should do; nothing reaches an engine unless both
+//! moment, the scheduler what it should do; nothing reaches an engine unless both
 //! agree.
 
 mod confirm;
@@ -23,7 +23,7 @@
 };
 use member::Watch;
 use owner::Holder;
-use route::{Desk, Input as DeskInput, News, Output as DeskOutput};
+use route::{Input as SchedulerInput, News, Output as SchedulerOutput, Scheduler};
 use wire::platform::State;
 
 use self::{
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 pub(crate) struct Engines {
     holder: Holder,
-    desk: Desk,
+    scheduler: Scheduler,
     engines: BTreeMap<TargetNo, Engine>,
     orders: BTreeMap<u64, (Sent, Watch)>,
     next_order: u64,
@@ -84,7 +84,7 @@
         let (name, zone) = (settings.name.clone(), settings.zone.clone());
         Engines {
             holder: Holder::new(owner::Config::default(), name, zone, now),
-            desk: Desk::new(settings.seed.get()),
+            scheduler: Scheduler::new(settings.seed.get()),
             engines: BTreeMap::new(),
             orders: BTreeMap::new(),
             next_order: 0,
@@ -122,7 +122,7 @@
             } => self.on_queue(shared, now, ticket, target, ask, out),
             Msg::Dequeue(ticket) => {
                 self.waits.left(ticket);
-                self.desk(shared, now, DeskInput::Cancel(ticket), out);
+                self.scheduler(shared, now, SchedulerInput::Cancel(ticket), out);
             }
             Msg::Using {
                 ticket,
@@ -132,7 +132,7 @@
                 let engine = self.engines.entry(target).or_default();
                 engine.using.insert(ticket, key);
             }
-            Msg::Began(ticket) => self.desk(shared, now, DeskInput::Began(ticket), out),
+            Msg::Began(ticket) => self.scheduler(shared, now, SchedulerInput::Began(ticket), out),
             Msg::Ended { ticket, ok } => self.on_ended(shared, now, ticket, ok, out),
             Msg::TextChanged => self.on_text(shared, now, out),
             Msg::FleetChanged => self.on_fleet(shared, now, out),
@@ -148,7 +148,7 @@
             self.budget_alone(shared, now, out);
         }
         self.hold(shared, now, owner::Input::Wake, out);
-        self.desk(shared, now, DeskInput::Wake, out);
+        self.scheduler(shared, now, SchedulerInput::Wake, out);
     }
 
     /// Takes a request into the queue of an engine that is owned here.
@@ -174,12 +174,12 @@
             self.waits
                 .arrived(now, ticket, (target, key), ask.class, listed);
         }
-        let input = DeskInput::Arrive {
+        let input = SchedulerInput::Arrive {
             ticket,
             target,
             ask,
         };
-        self.desk(shared, now, input, out);
+        self.scheduler(shared, now, input, out);
     }
 
     fn on_ended(
@@ -194,48 +194,50 @@
             .engines
             .iter_mut()
             .find_map(|(target, engine)| engine.using.remove(&ticket).map(|_| *target));
-        self.desk(shared, now, DeskInput::Finished { ticket, ok }, out);
+        self.scheduler(shared, now, SchedulerInput::Finished { ticket, ok }, out);
         if let Some(target) = used {
             self.tell_using(shared, now, target, out);
         }
     }
 
-    /// Hands one input to the desk and carries out what it wants.
-    fn desk(&mut self, shared: &mut Shared, now: Time, input: DeskInput, out: &mut Out) {
+    /// Hands one input to the scheduler and carries out what it wants.
+    fn scheduler(&mut self, shared: &mut Shared, now: Time, input: SchedulerInput, out: &mut Out) {
         let mut inputs = vec![input];
         while let Some(input) = inputs.pop() {
             let mut wants = Vec::new();
-            self.desk.handle(now, input, &mut wants);
+            self.scheduler.handle(now, input, &mut wants);
             for want in wants {
                 inputs.extend(self.carry_out(shared, now, want, out));
             }
         }
     }
 
-    /// Carries out one wish of the desk; returns what it has to hear at once.
+    /// Carries out one wish of the scheduler; returns what it has to hear at once.
     fn carry_out(
         &mut self,
         shared: &mut Shared,
         now: Time,
-        want: DeskOutput,
+        want: SchedulerOutput,
         out: &mut Out,
-    ) -> Option<DeskInput> {
+    ) -> Option<SchedulerInput> {
         match want {
-            DeskOutput::Send {
+            SchedulerOutput::Send {
                 ticket,
                 target,
                 priority,
             } => return self.send(shared, now, ticket, target, priority, out),
-            DeskOutput::Refuse { ticket, failure } => {
+            SchedulerOutput::Refuse { ticket, failure } => {
                 measure::waited(self.waits.refused(now, ticket), out);
                 out.tell(ENTRY, Msg::Refused { ticket, failure });
             }
-            DeskOutput::Preempt(ticket) => out.tell(ENTRY, Msg::GiveWay(ticket)),
-            DeskOutput::Load { target, key } => return self.load(shared, now, target, key, out),
-            DeskOutput::Unload { target, key } => {
+            SchedulerOutput::Preempt(ticket) => out.tell(ENTRY, Msg::GiveWay(ticket)),
+            SchedulerOutput::Load { target, key } => {
+                return self.load(shared, now, target, key, out);
+            }
+            SchedulerOutput::Unload { target, key } => {
                 return self.unload(shared, now, target, key, out);
             }
-            DeskOutput::Residents {
+            SchedulerOutput::Residents {
                 target,
                 whole,
                 added,
@@ -254,7 +256,7 @@
                 };
                 self.tell_residents(shared, now, target, change, out);
             }
-            DeskOutput::Wake(at) => shared.wake(ENGINES, at),
+            SchedulerOutput::Wake(at) => shared.wake(ENGINES, at),
         }
         None
     }
@@ -268,7 +270,7 @@
         target: TargetNo,
         priority: i32,
         out: &mut Out,
-    ) -> Option<DeskInput> {
+    ) -> Option<SchedulerInput> {
         let name = shared.names.target_name(target).clone();
         let fencing = fencing(shared, target);
         // Guard: a request sent after the lease lapsed could meet an engine
@@ -279,22 +281,22 @@
             let failure = Failure::not_run(Refusal::Moved);
             self.waits.left(ticket);
             out.tell(ENTRY, Msg::Refused { ticket, failure });
-            return Some(DeskInput::Finished { ticket, ok: true });
+            return Some(SchedulerInput::Finished { ticket, ok: true });
         }
         measure::waited(self.waits.sent(now, ticket), out);
         out.tell(ENTRY, Msg::Turn { ticket, priority });
         None
     }
 
-    /// Tells the desk of adapters that were numbered since the last time.
+    /// Tells the scheduler of adapters that were numbered since the last time.
     fn teach(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
         for (adapter, hash) in shared.names.take_fresh() {
-            self.desk(shared, now, DeskInput::Adapter { adapter, hash }, out);
+            self.scheduler(shared, now, SchedulerInput::Adapter { adapter, hash }, out);
             out.tell(ENTRY, Msg::News(News::Adapter { adapter, hash }));
         }
     }
 
-    /// Tells the desk what its engines hold beyond the text in force: adapters
+    /// Tells the scheduler what its engines hold beyond the text in force: adapters
     /// that operators removed, and what nobody here has loaded.
     fn retire(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
         let held = self
@@ -304,7 +306,7 @@
         let gone =
             held.filter(|key| orders::weights(shared, &shared.names.resident(**key)).is_none());
         let gone: BTreeSet<AdapterKey> = gone.copied().collect();
-        self.desk(shared, now, DeskInput::Retired(gone), out);
+        self.scheduler(shared, now, SchedulerInput::Retired(gone), out);
     }
 
     /// Takes the queues of engines that the platform calls leaving apart.
@@ -324,18 +326,18 @@
             if let Some(engine) = self.engines.get_mut(&target) {
                 engine.life = None;
             }
-            self.desk(shared, now, DeskInput::Lost(target), out);
+            self.scheduler(shared, now, SchedulerInput::Lost(target), out);
         }
     }
 
     fn on_text(&mut self, shared: &mut Shared, now: Time, out: &mut Out) {
         let model = Arc::clone(&shared.model);
         for (name, brand) in &model.brands {
-            let input = DeskInput::Brand {
+            let input = SchedulerInput::Brand {
                 brand: shared.names.brand(name),
                 weight: brand.weight,
             };
-            self.desk(shared, now, input, out);
+            self.scheduler(shared, now, input, out);
         }
         let mut rolled = Vec::new();
         for (name, adapter) in &model.adapters {
@@ -360,7 +362,7 @@
         self.teach(shared, now, out);
         self.retire(shared, now, out);
         for (old, new) in rolled {
-            self.desk(shared, now, DeskInput::Rolled { old, new }, out);
+            self.scheduler(shared, now, SchedulerInput::Rolled { old, new }, out);
             out.tell(ENTRY, Msg::News(News::Rolled { old, new }));
         }
     }
--- a/crates/node/src/engines/confirm.rs
+++ b/crates/node/src/engines/confirm.rs
@@ -5,7 +5,7 @@
 
 use base::{InstanceName, Time, Verdict};
 use owner::Input as HolderInput;
-use route::Input as DeskInput;
+use route::Input as SchedulerInput;
 use wire::call::{Beat, Call, Reply};
 
 use super::{Engines, residents};
@@ -42,7 +42,7 @@
             roster: self.holder.roster(),
             engines: news.then_some(reach),
             busy: self.holder.busy(),
-            loads: self.desk.loads_wanted(),
+            loads: self.scheduler.loads_wanted(),
         };
         // The lease counts from here: before the first byte leaves.
         self.hold(shared, now, HolderInput::Sent { serial }, out);
@@ -125,7 +125,7 @@
         let rate = shared.model.store.rate;
         let mates = self.holder.mates().count() + 1;
         let part = owner::fixed_share(rate, self.holder.zones(), mates);
-        self.desk(shared, now, DeskInput::Budget(part), out);
+        self.scheduler(shared, now, SchedulerInput::Budget(part), out);
     }
 
     /// Takes the roster's peers into the addresses that calls go to.
--- a/crates/node/src/engines/orders.rs
+++ b/crates/node/src/engines/orders.rs
@@ -3,7 +3,7 @@
 
 use base::{AdapterKey, Fence, TargetNo, Time};
 use owner::Order as Ask;
-use route::{Input as DeskInput, LoadEnd};
+use route::{Input as SchedulerInput, LoadEnd};
 use wire::engine::Resident;
 
 use super::{Engines, measure};
@@ -46,9 +46,9 @@
         target: TargetNo,
         key: AdapterKey,
         out: &mut Out,
-    ) -> Option<DeskInput> {
+    ) -> Option<SchedulerInput> {
         let end = LoadEnd::Failed;
-        let failed = DeskInput::Loaded { target, key, end };
+        let failed = SchedulerInput::Loaded { target, key, end };
         let resident = shared.names.resident(key);
         let Some(weights) = weights(shared, &resident) else {
             return Some(failed);
@@ -80,13 +80,13 @@
         target: TargetNo,
         key: AdapterKey,
         out: &mut Out,
-    ) -> Option<DeskInput> {
+    ) -> Option<SchedulerInput> {
         let resident = shared.names.resident(key);
         let name = shared.names.target_name(target).clone();
         let fencing = fencing(shared, target);
         let ask = Ask::Unload(&resident);
         let Some(fence) = self.holder.may_order(now, &name, ask, fencing) else {
-            return Some(DeskInput::Unloaded {
+            return Some(SchedulerInput::Unloaded {
                 target,
                 key,
                 ok: false,
@@ -169,14 +169,24 @@
                 } else {
                     LoadEnd::Failed
                 };
-                self.desk(shared, now, DeskInput::Loaded { target, key, end }, out);
+                self.scheduler(
+                    shared,
+                    now,
+                    SchedulerInput::Loaded { target, key, end },
+                    out,
+                );
             }
             Sent::Unload(target, key, _) => {
                 let ok = done;
                 if ok {
                     measure::unloaded(shared, target, key, out);
                 }
-                self.desk(shared, now, DeskInput::Unloaded { target, key, ok }, out);
+                self.scheduler(
+                    shared,
+                    now,
+                    SchedulerInput::Unloaded { target, key, ok },
+                    out,
+                );
             }
             Sent::Touch(target, key, fence) if done => {
                 self.note_loaded(shared, now, target, key, (fence, fresh), out);
--- a/crates/node/src/engines/own.rs
+++ b/crates/node/src/engines/own.rs
@@ -1,8 +1,8 @@
-//! What changes of ownership mean for the desk, and the holder's messages.
+//! What changes of ownership mean for the scheduler, and the holder's messages.
 
 use base::{Fence, Incarnation, TargetName, TargetNo, Time};
 use owner::{Input as HolderInput, Output as HolderOutput, Own};
-use route::{Engine as Owned, Input as DeskInput, Ordering};
+use route::{Engine as Owned, Input as SchedulerInput, Ordering};
 use wire::call::{BeatReply, Call};
 
 use super::{Engines, orders::Sent};
@@ -73,7 +73,7 @@
         if own == Own::None {
             engine.life = None;
             out.emit(Output::Event(Event::Lost(name.clone())));
-            self.desk(shared, now, DeskInput::Lost(target), out);
+            self.scheduler(shared, now, SchedulerInput::Lost(target), out);
             self.tell_using(shared, now, target, out);
             return;
         }
@@ -90,7 +90,7 @@
         self.own(shared, now, target, out);
     }
 
-    /// Tells the desk of an engine that is owned and has been seen.
+    /// Tells the scheduler of an engine that is owned and has been seen.
     pub(super) fn own(&mut self, shared: &mut Shared, now: Time, target: TargetNo, out: &mut Out) {
         let Some(engine) = self.engines.get(&target) else {
             return;
@@ -105,12 +105,12 @@
         let Some(owned) = owned(shared, target, own, life) else {
             return;
         };
-        let input = DeskInput::Owned {
+        let input = SchedulerInput::Owned {
             engine: owned,
             held,
             inherited: true,
         };
-        self.desk(shared, now, input, out);
+        self.scheduler(shared, now, input, out);
         self.retire(shared, now, out);
         self.touch(shared, now, target, out);
     }
@@ -201,7 +201,7 @@
         if reply.tell {
             self.told = None;
         }
-        self.desk(shared, now, DeskInput::Budget(reply.loads), out);
+        self.scheduler(shared, now, SchedulerInput::Budget(reply.loads), out);
         self.hold(shared, now, HolderInput::Reply(reply), out);
         self.learn_peers(shared, out);
     }
--- a/crates/node/src/engines/reports.rs
+++ b/crates/node/src/engines/reports.rs
@@ -6,7 +6,7 @@
 use base::{AdapterKey, TargetName, TargetNo, Time};
 use member::{Look, Watch};
 use owner::Own;
-use route::{Input as DeskInput, News, Report};
+use route::{Input as SchedulerInput, News, Report};
 use wire::engine;
 
 use super::{Engines, measure};
@@ -117,13 +117,13 @@
             cached: report.cached,
         };
         out.tell(ENTRY, Msg::News(News::Report(load)));
-        let input = DeskInput::Report {
+        let input = SchedulerInput::Report {
             target,
             incarnation: report.incarnation,
             taken,
             held,
         };
-        self.desk(shared, now, input, out);
+        self.scheduler(shared, now, input, out);
     }
 
     /// Asks each engine that is due for its report.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -2,7 +2,7 @@
 //! engine, the store's budget, and failed loads backed off.
 //!
 //! Everything here is a part of `route`: the router asks for demand and homes,
-//! the desk for slots, budget and backoff.
+//! the scheduler for slots, budget and backoff.
 
 mod backoff;
 mod budget;
--- a/crates/route/benches/decisions.rs
+++ b/crates/route/benches/decisions.rs
@@ -8,7 +8,9 @@
     Version, stable_hash,
 };
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use route::{Ask, Desk, Engine, Input, News, Ordering, PoolNo, Residents, Router, Target, ZoneNo};
+use route::{
+    Ask, Engine, Input, News, Ordering, PoolNo, Residents, Router, Scheduler, Target, ZoneNo,
+};
 
 /// Adapter slots of an engine.
 const SLOTS: u32 = 8;
@@ -93,10 +95,10 @@
     group.finish();
 }
 
-fn desks(c: &mut Criterion) {
-    let mut group = c.benchmark_group("desk");
+fn schedulers(c: &mut Criterion) {
+    let mut group = c.benchmark_group("scheduler");
     for queued in [0u64, 1_000, 10_000] {
-        let mut desk = Desk::new(1);
+        let mut scheduler = Scheduler::new(1);
         let mut out = Vec::new();
         let engine = Engine {
             target: TargetNo(0),
@@ -110,7 +112,7 @@
             held: (0..SLOTS).map(key).collect(),
             inherited: false,
         };
-        desk.handle(Time::ZERO, owned, &mut out);
+        scheduler.handle(Time::ZERO, owned, &mut out);
         for ticket in 0..queued {
             let ask = Ask {
                 class: Class::Batch,
@@ -121,7 +123,7 @@
                 target: TargetNo(0),
                 ask,
             };
-            desk.handle(Time::ZERO, arrive, &mut out);
+            scheduler.handle(Time::ZERO, arrive, &mut out);
         }
         let mut ticket = 1_000_000;
         group.bench_function(BenchmarkId::new("arrive-and-end", queued), |b| {
@@ -136,8 +138,8 @@
                     target,
                     ask,
                 };
-                desk.handle(now, arrive, &mut out);
-                desk.handle(now, Input::Finished { ticket, ok: true }, &mut out);
+                scheduler.handle(now, arrive, &mut out);
+                scheduler.handle(now, Input::Finished { ticket, ok: true }, &mut out);
                 black_box(out.len())
             });
         });
@@ -145,5 +147,5 @@
     group.finish();
 }
 
-criterion_group!(benches, choices, desks);
+criterion_group!(benches, choices, schedulers);
 criterion_main!(benches);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,23 +2,23 @@
 //!
 //! [`Router`] is the entry instance's side: it knows which targets exist, what
 //! they hold and how busy they are, and chooses one for each request.
-//! [`Desk`] is the owner's side: it queues requests before the engines that
+//! [`Scheduler`] is the owner's side: it queues requests before the engines that
 //! this instance owns, shares them between classes and brands, and orders
 //! loads. Both take time as an argument and draw from a seed.
 
 mod ask;
-mod desk;
-mod desk_io;
 mod draw;
 mod news;
 mod retry;
 mod router;
+mod scheduler;
+mod scheduler_io;
 
 pub use crate::{
     ask::{Ask, Choice, PoolNo, ZoneNo},
-    desk::Desk,
-    desk_io::{BrandShare, Engine, Input, LoadEnd, Ordering, Output},
     news::{News, Report, Residents, Target},
     retry::{Attempts, RetryBudget},
     router::{Candidate, Explanation, Router, Standing},
+    scheduler::Scheduler,
+    scheduler_io::{BrandShare, Engine, Input, LoadEnd, Ordering, Output},
 };
--- a/crates/route/src/desk.rs
+++ b/crates/route/src/scheduler.rs
@@ -1,9 +1,9 @@
 //! The owner's side: queues before engines, loads and shares.
 
 mod admit;
-mod bay;
 mod engines;
 mod loads;
+mod owned;
 mod queue;
 mod retire;
 mod room;
@@ -16,14 +16,14 @@
 
 use crate::{
     Ask, BrandShare, Input, Output,
-    desk::{bay::Bay, queue::Item},
     draw::Draw,
+    scheduler::{owned::OwnedEngine, queue::Item},
 };
 
 /// All engines that this instance owns, and the requests for them.
 #[derive(Clone, Debug)]
-pub struct Desk {
-    bays: BTreeMap<TargetNo, Bay>,
+pub struct Scheduler {
+    engines: BTreeMap<TargetNo, OwnedEngine>,
     requests: BTreeMap<Ticket, Request>,
     demand: Demand,
     budget: Budget,
@@ -44,7 +44,7 @@
     wake: Option<Time>,
 }
 
-/// A request known to the desk.
+/// A request known to the scheduler.
 #[derive(Clone, Copy, Debug)]
 struct Request {
     target: TargetNo,
@@ -67,12 +67,12 @@
     share: BrandShare,
 }
 
-impl Desk {
-    /// Makes a desk without engines; `seed` spreads `Retry-After`.
+impl Scheduler {
+    /// Makes a scheduler without engines; `seed` spreads `Retry-After`.
     #[must_use]
     pub fn new(seed: u64) -> Self {
-        Desk {
-            bays: BTreeMap::new(),
+        Scheduler {
+            engines: BTreeMap::new(),
             requests: BTreeMap::new(),
             demand: Demand::new(),
             budget: Budget::new(Time::ZERO, 0),
@@ -122,8 +122,8 @@
             Input::Rolled { old, new } => self.rolled(old, new),
             Input::Retired(keys) => self.retired(keys),
             Input::Asked(target) => {
-                if let Some(bay) = self.bays.get_mut(&target) {
-                    bay.tell_whole(now, out);
+                if let Some(owned) = self.engines.get_mut(&target) {
+                    owned.tell_whole(now, out);
                 }
             }
             Input::Wake => {}
@@ -149,8 +149,8 @@
         self.send_all(now, out);
         self.unload_retired(now, out);
         self.load(now, out);
-        for bay in self.bays.values_mut() {
-            bay.tell_load(now, out);
+        for owned in self.engines.values_mut() {
+            owned.tell_load(now, out);
         }
         self.ask_wake(now, out);
     }
@@ -182,25 +182,25 @@
     }
 
     fn enqueue(&mut self, ticket: Ticket, request: &Request, first: bool) {
-        let Some(bay) = self.bays.get_mut(&request.target) else {
+        let Some(owned) = self.engines.get_mut(&request.target) else {
             return;
         };
         let item = request.item(ticket);
         match first {
-            true => bay.queue.push_front(item),
-            false => bay.queue.push(item),
+            true => owned.queue.push_front(item),
+            false => owned.queue.push(item),
         }
-        bay.due[item.class as usize].insert((request.ask.deadline, ticket));
-        bay.count_batch(&item, request.ask.deadline, true);
+        owned.due[item.class as usize].insert((request.ask.deadline, ticket));
+        owned.count_batch(&item, request.ask.deadline, true);
         self.brand(item.brand).share.queued += 1;
     }
 
     fn dequeue(&mut self, ticket: Ticket, request: &Request) {
-        if let Some(bay) = self.bays.get_mut(&request.target) {
+        if let Some(owned) = self.engines.get_mut(&request.target) {
             let item = request.item(ticket);
-            bay.queue.remove(&item);
-            bay.due[item.class as usize].remove(&(request.ask.deadline, ticket));
-            bay.count_batch(&item, request.ask.deadline, false);
+            owned.queue.remove(&item);
+            owned.due[item.class as usize].remove(&(request.ask.deadline, ticket));
+            owned.count_batch(&item, request.ask.deadline, false);
         }
         self.brand(request.ask.brand).share.queued -= 1;
     }
@@ -214,8 +214,8 @@
             self.requests.remove(&ticket);
             return;
         }
-        let bay = self.bays.get_mut(&request.target);
-        if let Some(sent) = bay.and_then(|b| b.sent.get_mut(&ticket)) {
+        let owned = self.engines.get_mut(&request.target);
+        if let Some(sent) = owned.and_then(|b| b.sent.get_mut(&ticket)) {
             sent.gone = true;
         }
     }
@@ -229,25 +229,25 @@
             return;
         };
         self.brand(request.ask.brand).share.running -= 1;
-        let Some(bay) = self.bays.get_mut(&request.target) else {
+        let Some(owned) = self.engines.get_mut(&request.target) else {
             return;
         };
-        let Some(sent) = bay.sent.remove(&ticket) else {
+        let Some(sent) = owned.sent.remove(&ticket) else {
             return;
         };
-        bay.running[sent.item.class as usize] -= 1;
-        bay.yielding -= u32::from(sent.yields);
+        owned.running[sent.item.class as usize] -= 1;
+        owned.yielding -= u32::from(sent.yields);
         // A pin of an earlier life must not be taken off the same adapter
         // loaded again since: it would look unused under a running request.
-        let slot = request.ask.key.and_then(|key| bay.slots.get_mut(key));
-        if let Some(slot) = slot.filter(|_| life == bay.engine.incarnation) {
+        let slot = request.ask.key.and_then(|key| owned.slots.get_mut(key));
+        if let Some(slot) = slot.filter(|_| life == owned.engine.incarnation) {
             slot.pins = slot.pins.saturating_sub(1);
             slot.last = now;
         }
         if ok && !sent.yields {
-            bay.measured(sent.item.tokens, now.since(sent.at));
+            owned.measured(sent.item.tokens, now.since(sent.at));
         }
-        bay.count_batch(&sent.item, request.ask.deadline, false);
+        owned.count_batch(&sent.item, request.ask.deadline, false);
         if sent.yields && !sent.gone {
             request.state = State::Queued;
             self.requests.insert(ticket, request);
@@ -281,8 +281,8 @@
     /// Refuses what can no longer be met, instead of holding it.
     fn expire(&mut self, now: Time, out: &mut Vec<Output>) {
         let mut late = Vec::new();
-        for bay in self.bays.values() {
-            for due in &bay.due {
+        for owned in self.engines.values() {
+            for due in &owned.due {
                 late.extend(due.range(..=(now, Ticket(u64::MAX))).map(|(_, t)| *t));
             }
         }
@@ -295,7 +295,7 @@
     }
 
     fn ask_wake(&mut self, now: Time, out: &mut Vec<Output>) {
-        let due = self.bays.values().flat_map(|b| b.due.iter());
+        let due = self.engines.values().flat_map(|b| b.due.iter());
         let due = due.filter_map(|d| d.first().map(|(at, _)| *at)).min();
         let load = self.wanted.next(now, &self.budget);
         let Some(at) = due.into_iter().chain(load).min() else {
--- a/crates/route/src/desk/admit.rs
+++ b/crates/route/src/scheduler/admit.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Ask,
-    desk::{Desk, bay::Bay},
+    scheduler::{Scheduler, owned::OwnedEngine},
 };
 
 /// Live requests that may wait for one engine, as a multiple of its batch.
@@ -23,14 +23,14 @@
 /// Longest time that a caller is told to stay away.
 const RETRY_MAX: f64 = 60.0;
 
-impl Desk {
+impl Scheduler {
     /// Checks a new request against class, brand and deadline.
     ///
     /// Guards against an overload that is held instead of turned away: queues
     /// grow until every answer is late, and all work is done for callers that
     /// have left. A critical request always passes.
     pub(super) fn admit(&mut self, now: Time, target: TargetNo, ask: &Ask) -> Result<(), Failure> {
-        let Some(bay) = self.bays.get(&target) else {
+        let Some(owned) = self.engines.get(&target) else {
             return Err(Failure::not_run(Refusal::Unavailable));
         };
         let backed_off = ask.key.and_then(|key| self.backoff.until(now, target, key));
@@ -41,14 +41,14 @@
         if ask.class == Class::Critical {
             return Ok(());
         }
-        let secs = self.wait_secs(bay, ask);
-        if self.over_share(bay, ask) {
+        let secs = self.wait_secs(owned, ask);
+        if self.over_share(owned, ask) {
             base::hit!(brand_over_share);
             let wait = self.retry_after(secs);
             return Err(Failure::not_run(Refusal::Overloaded).retry_after(wait));
         }
         let tail = match ask.class {
-            Class::Batch => bay.run_secs(ask.tokens.get()),
+            Class::Batch => owned.run_secs(ask.tokens.get()),
             _ => 0.0,
         };
         if now + Duration::from_secs_f64(secs + tail) > ask.deadline {
@@ -67,15 +67,15 @@
     }
 
     /// Estimates how long a request would wait before being sent.
-    fn wait_secs(&self, bay: &Bay, ask: &Ask) -> f64 {
+    fn wait_secs(&self, owned: &OwnedEngine, ask: &Ask) -> f64 {
         let ahead: u64 = match ask.class {
-            Class::Batch => Class::ALL.into_iter().map(|c| bay.queue.tokens(c)).sum(),
-            _ => bay.queue.tokens(Class::Critical) + self.ahead_of_brand(bay, ask),
+            Class::Batch => Class::ALL.into_iter().map(|c| owned.queue.tokens(c)).sum(),
+            _ => owned.queue.tokens(Class::Critical) + self.ahead_of_brand(owned, ask),
         };
-        let queue = bay.drain_secs(ahead);
+        let queue = owned.drain_secs(ahead);
         let load = match ask.key {
-            Some(key) if bay.slots.is_ready(key) => 0.0,
-            Some(key) if bay.slots.has_or_gets(key) => self.load_secs,
+            Some(key) if owned.slots.is_ready(key) => 0.0,
+            Some(key) if owned.slots.has_or_gets(key) => self.load_secs,
             Some(_) => self.load_wait(ask.class) * LOAD_MARGIN,
             _ => 0.0,
         };
@@ -84,34 +84,34 @@
 
     /// Tokens that go before a live request of this brand: never more than
     /// its own queue stretched by the others' shares.
-    fn ahead_of_brand(&self, bay: &Bay, ask: &Ask) -> u64 {
-        let (_, own) = bay.queue.of_brand(ask.class, ask.brand);
+    fn ahead_of_brand(&self, owned: &OwnedEngine, ask: &Ask) -> u64 {
+        let (_, own) = owned.queue.of_brand(ask.class, ask.brand);
         let weight = u64::from(self.weight(ask.brand));
-        let others = self.others_weight(bay, ask.class, ask.brand);
+        let others = self.others_weight(owned, ask.class, ask.brand);
         let fair = (own + u64::from(ask.tokens.get())) * (weight + others) / weight;
-        fair.min(bay.queue.tokens(ask.class))
+        fair.min(owned.queue.tokens(ask.class))
     }
 
     /// Returns whether the queue is so long that shares count, and the brand
     /// has more than its own.
-    fn over_share(&self, bay: &Bay, ask: &Ask) -> bool {
+    fn over_share(&self, owned: &OwnedEngine, ask: &Ask) -> bool {
         let most = match ask.class {
             Class::Batch => BATCH_QUEUE,
-            _ => bay.engine.batch * LIVE_QUEUE,
+            _ => owned.engine.batch * LIVE_QUEUE,
         };
-        let queued = bay.queue.queued(ask.class);
+        let queued = owned.queue.queued(ask.class);
         if queued < most / 2 {
             return false;
         }
-        let (own, _) = bay.queue.of_brand(ask.class, ask.brand);
+        let (own, _) = owned.queue.of_brand(ask.class, ask.brand);
         let weight = self.weight(ask.brand);
-        let others = self.others_weight(bay, ask.class, ask.brand);
+        let others = self.others_weight(owned, ask.class, ask.brand);
         let part = u64::from(most) * u64::from(weight) / (u64::from(weight) + others);
         u64::from(own) >= part || queued >= most * 2
     }
 
-    fn others_weight(&self, bay: &Bay, class: Class, brand: BrandNo) -> u64 {
-        let others = bay.queue.brands(class).filter(|b| *b != brand);
+    fn others_weight(&self, owned: &OwnedEngine, class: Class, brand: BrandNo) -> u64 {
+        let others = owned.queue.brands(class).filter(|b| *b != brand);
         others.map(|b| u64::from(self.weight(b))).sum()
     }
 }
--- a/crates/route/src/desk/engines.rs
+++ b/crates/route/src/scheduler/engines.rs
@@ -5,10 +5,10 @@
 
 use crate::{
     Engine, Output,
-    desk::{Desk, bay::Bay},
+    scheduler::{Scheduler, owned::OwnedEngine},
 };
 
-impl Desk {
+impl Scheduler {
     pub(super) fn owned(
         &mut self,
         now: Time,
@@ -17,64 +17,64 @@
         inherited: bool,
         out: &mut Vec<Output>,
     ) {
-        let known = self.bays.get_mut(&engine.target);
-        if let Some(bay) = known {
-            if bay.engine.incarnation == engine.incarnation {
-                bay.engine = engine;
-                bay.slots.total = engine.slots;
+        let known = self.engines.get_mut(&engine.target);
+        if let Some(owned) = known {
+            if owned.engine.incarnation == engine.incarnation {
+                owned.engine = engine;
+                owned.slots.total = engine.slots;
                 return;
             }
             self.restarted(now, engine);
         }
-        let bay = self.bays.entry(engine.target);
-        let bay = bay.or_insert_with(|| Bay::new(now, engine));
-        bay.owned_at = now;
+        let owned = self.engines.entry(engine.target);
+        let owned = owned.or_insert_with(|| OwnedEngine::new(now, engine));
+        owned.owned_at = now;
         for key in held {
-            if bay.slots.get(key).is_some() {
+            if owned.slots.get(key).is_some() {
                 continue;
             }
             let used = self.demand.get(key.adapter);
-            bay.slots.put(now, key, SlotState::Ready, used);
-            if let Some(slot) = bay.slots.get_mut(key) {
+            owned.slots.put(now, key, SlotState::Ready, used);
+            if let Some(slot) = owned.slots.get_mut(key) {
                 slot.inherited = inherited;
             }
         }
-        bay.tell_whole(now, out);
+        owned.tell_whole(now, out);
     }
 
     /// An engine came back empty: what it held is loaded again from spare
     /// budget, most used first, before it is asked for.
     fn restarted(&mut self, now: Time, engine: Engine) {
         let target = engine.target;
-        let Some(bay) = self.bays.get_mut(&target) else {
+        let Some(owned) = self.engines.get_mut(&target) else {
             return;
         };
-        let held = bay.slots.iter().filter(|s| !s.retired);
+        let held = owned.slots.iter().filter(|s| !s.retired);
         let mut held: Vec<_> = held.map(|s| (s.used.slow(now), s.key)).collect();
         held.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let clearing = bay.slots.iter();
+        let clearing = owned.slots.iter();
         let clearing =
             clearing.filter(|s| matches!(s.state, SlotState::Unloading { next: Some(_) }));
         let clearing = clearing.count();
-        bay.ahead = held.into_iter().map(|(_, key)| key).collect();
-        bay.slots = place::Slots::new(engine.slots);
-        bay.engine = engine;
-        bay.clearing = None;
+        owned.ahead = held.into_iter().map(|(_, key)| key).collect();
+        owned.slots = place::Slots::new(engine.slots);
+        owned.engine = engine;
+        owned.clearing = None;
         self.drop_loads(target, clearing);
     }
 
     /// Gives an engine up. What is queued goes back to its entry instance;
     /// what runs goes on.
     pub(super) fn lost(&mut self, target: TargetNo, out: &mut Vec<Output>) {
-        let Some(bay) = self.bays.get_mut(&target) else {
+        let Some(owned) = self.engines.get_mut(&target) else {
             return;
         };
-        let items = bay.queue.drain();
-        let clearing = bay.slots.iter();
+        let items = owned.queue.drain();
+        let clearing = owned.slots.iter();
         let clearing =
             clearing.filter(|s| matches!(s.state, SlotState::Unloading { next: Some(_) }));
         let clearing = clearing.count();
-        self.bays.remove(&target);
+        self.engines.remove(&target);
         self.backoff.forget(target);
         self.drop_loads(target, clearing);
         for item in items {
@@ -102,42 +102,46 @@
         held: &[(AdapterKey, u32)],
         out: &mut Vec<Output>,
     ) {
-        let Some(bay) = self.bays.get_mut(&target) else {
+        let Some(owned) = self.engines.get_mut(&target) else {
             return;
         };
-        if incarnation != bay.engine.incarnation {
+        if incarnation != owned.engine.incarnation {
             base::hit!(report_of_other_life);
             return;
         }
-        if taken <= bay.owned_at {
+        if taken <= owned.owned_at {
             base::hit!(report_before_ownership);
             return;
         }
-        let slots: Vec<_> = bay.slots.iter().map(|s| (s.key, s.last, s.pins)).collect();
+        let slots: Vec<_> = owned
+            .slots
+            .iter()
+            .map(|s| (s.key, s.last, s.pins))
+            .collect();
         let mut gone = Vec::new();
         for (key, last, pins) in slots {
             let found = held.iter().find(|(k, _)| *k == key);
-            match (found, bay.slots.get_mut(key)) {
+            match (found, owned.slots.get_mut(key)) {
                 (Some((_, 0)), Some(slot)) => slot.inherited = false,
                 (None, Some(slot))
                     if slot.state == SlotState::Ready && pins == 0 && last < taken =>
                 {
-                    bay.slots.remove(key);
+                    owned.slots.remove(key);
                     gone.push(key);
                 }
                 _ => {}
             }
         }
         if !gone.is_empty() {
-            bay.tell(now, Vec::new(), gone, out);
+            owned.tell(now, Vec::new(), gone, out);
         }
     }
 
     pub(super) fn rolled(&mut self, old: AdapterKey, new: AdapterKey) {
-        for bay in self.bays.values_mut() {
-            let live = bay.slots.has_or_gets(old) || bay.queue.waits_for(old, Class::Batch);
-            if live && !bay.slots.has_or_gets(new) {
-                bay.rolls.push((old, new));
+        for owned in self.engines.values_mut() {
+            let live = owned.slots.has_or_gets(old) || owned.queue.waits_for(old, Class::Batch);
+            if live && !owned.slots.has_or_gets(new) {
+                owned.rolls.push((old, new));
             }
         }
     }
--- a/crates/route/src/desk/loads.rs
+++ b/crates/route/src/scheduler/loads.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Ask, LoadEnd, Ordering, Output,
-    desk::{Desk, State, queue::Want, room::Room},
+    scheduler::{Scheduler, State, queue::Want, room::Room},
 };
 
 /// Seconds that a load takes, before any was measured.
@@ -50,7 +50,7 @@
     awaited: bool,
 }
 
-impl Desk {
+impl Scheduler {
     /// Starts the loads that budget and slots allow, most urgent first.
     pub(super) fn load(&mut self, now: Time, out: &mut Vec<Output>) {
         self.wanted = Wanted::default();
@@ -75,14 +75,14 @@
             };
             self.start(now, pick, out);
         }
-        self.wanted.spare = self.any_want() || self.bays.values().any(|b| !b.ahead.is_empty());
+        self.wanted.spare = self.any_want() || self.engines.values().any(|b| !b.ahead.is_empty());
     }
 
     /// Returns the adapters that wait to be loaded.
     pub(super) fn count_wants(&self) -> u32 {
-        let wants = self.bays.values().flat_map(|bay| {
-            let wants = Class::ALL.into_iter().flat_map(|c| bay.queue.wants(c));
-            wants.filter(|w| !bay.slots.has_or_gets(w.key))
+        let wants = self.engines.values().flat_map(|owned| {
+            let wants = Class::ALL.into_iter().flat_map(|c| owned.queue.wants(c));
+            wants.filter(|w| !owned.slots.has_or_gets(w.key))
         });
         u32::try_from(wants.count()).unwrap_or(u32::MAX)
     }
@@ -91,10 +91,10 @@
     /// under way yet.
     pub(super) fn load_wait(&self, class: Class) -> f64 {
         let rate = f64::from(self.budget.rate()) / 1_000.0;
-        let wants = self.bays.values().flat_map(|bay| {
+        let wants = self.engines.values().flat_map(|owned| {
             let classes = Class::ALL.into_iter().filter(move |c| *c >= class);
-            let wants = classes.flat_map(|c| bay.queue.wants(c));
-            wants.filter(|w| !bay.slots.has_or_gets(w.key))
+            let wants = classes.flat_map(|c| owned.queue.wants(c));
+            wants.filter(|w| !owned.slots.has_or_gets(w.key))
         });
         let before = wants.count() as f64;
         if rate <= 0.0 {
@@ -116,28 +116,28 @@
         };
         self.budget.ended();
         let demand = self.demand.get(key.adapter);
-        let Some(bay) = self.bays.get_mut(&target) else {
+        let Some(owned) = self.engines.get_mut(&target) else {
             return;
         };
         if end == LoadEnd::Failed {
-            bay.slots.remove(key);
-            bay.tell(now, Vec::new(), vec![key], out);
+            owned.slots.remove(key);
+            owned.tell(now, Vec::new(), vec![key], out);
             self.load_failed(now, target, key, out);
             return;
         }
         self.load_secs += LOAD_GAIN * (now.since(began).as_secs_f64() - self.load_secs);
         self.backoff.succeeded(target, key);
-        let Some(slot) = bay.slots.get_mut(key) else {
+        let Some(slot) = owned.slots.get_mut(key) else {
             return;
         };
         slot.state = SlotState::Ready;
         slot.used = demand;
-        for (old, _) in bay.rolls.extract_if(.., |(_, new)| *new == key) {
-            if let Some(slot) = bay.slots.get_mut(old) {
+        for (old, _) in owned.rolls.extract_if(.., |(_, new)| *new == key) {
+            if let Some(slot) = owned.slots.get_mut(old) {
                 slot.retired = true;
             }
         }
-        bay.tell(now, vec![key], Vec::new(), out);
+        owned.tell(now, vec![key], Vec::new(), out);
     }
 
     pub(super) fn unloaded(
@@ -148,10 +148,10 @@
         ok: bool,
         out: &mut Vec<Output>,
     ) {
-        let Some(bay) = self.bays.get_mut(&target) else {
+        let Some(owned) = self.engines.get_mut(&target) else {
             return;
         };
-        let Some(slot) = bay.slots.get_mut(key) else {
+        let Some(slot) = owned.slots.get_mut(key) else {
             return;
         };
         let SlotState::Unloading { next } = slot.state else {
@@ -163,10 +163,10 @@
             if next.is_some() {
                 self.budget.give_back();
             }
-            bay.tell(now, vec![key], Vec::new(), out);
+            owned.tell(now, vec![key], Vec::new(), out);
             return;
         }
-        bay.slots.remove(key);
+        owned.slots.remove(key);
         let Some(next) = next else {
             return;
         };
@@ -204,31 +204,31 @@
 
     fn start(&mut self, now: Time, pick: Pick, out: &mut Vec<Output>) {
         self.budget.take();
-        let Some(bay) = self.bays.get_mut(&pick.target) else {
+        let Some(owned) = self.engines.get_mut(&pick.target) else {
             return;
         };
         self.since_batch = match pick.class {
             Class::Batch => 0,
             _ => self.since_batch + 1,
         };
-        bay.ahead.retain(|key| *key != pick.key);
-        bay.clearing = None;
+        owned.ahead.retain(|key| *key != pick.key);
+        owned.clearing = None;
         let added = if pick.awaited {
             vec![pick.key]
         } else {
             Vec::new()
         };
         let Room::Evict(victim) = pick.room else {
-            bay.tell(now, added, Vec::new(), out);
+            owned.tell(now, added, Vec::new(), out);
             self.order(now, pick.target, pick.key, out);
             return;
         };
-        if let Some(slot) = bay.slots.get_mut(victim) {
+        if let Some(slot) = owned.slots.get_mut(victim) {
             slot.state = SlotState::Unloading {
                 next: Some(pick.key),
             };
         }
-        bay.tell(now, added, vec![victim], out);
+        owned.tell(now, added, vec![victim], out);
         out.push(Output::Unload {
             target: pick.target,
             key: victim,
@@ -237,17 +237,18 @@
 
     fn order(&mut self, now: Time, target: TargetNo, key: AdapterKey, out: &mut Vec<Output>) {
         let demand = self.demand.get(key.adapter);
-        if let Some(bay) = self.bays.get_mut(&target) {
-            bay.slots.put(now, key, SlotState::Loading, demand);
+        if let Some(owned) = self.engines.get_mut(&target) {
+            owned.slots.put(now, key, SlotState::Loading, demand);
         }
         self.loading.insert((target, key), now);
         out.push(Output::Load { target, key });
     }
 
     fn any_want(&self) -> bool {
-        self.bays.values().any(|bay| {
-            let mut wants = Class::ALL.into_iter().flat_map(|c| bay.queue.wants(c));
-            bay.engine.ordering != Ordering::None && wants.any(|w| !bay.slots.has_or_gets(w.key))
+        self.engines.values().any(|owned| {
+            let mut wants = Class::ALL.into_iter().flat_map(|c| owned.queue.wants(c));
+            owned.engine.ordering != Ordering::None
+                && wants.any(|w| !owned.slots.has_or_gets(w.key))
         })
     }
 
@@ -258,7 +259,7 @@
     /// keep its places, but nothing to run in them, and miss its time.
     fn pick_due(&mut self, now: Time) -> Option<Pick> {
         let due = self.since_batch >= BATCH_TURN - 1
-            && self.bays.values().any(|bay| bay.guaranteed(now) > 0);
+            && self.engines.values().any(|owned| owned.guaranteed(now) > 0);
         let pick = due.then(|| self.pick_class(now, Class::Batch)).flatten()?;
         base::hit!(batch_load_due);
         Some(pick)
@@ -270,14 +271,14 @@
             return Some(pick);
         }
         let mut best = None;
-        for (target, bay) in &self.bays {
-            let roll = bay.rolls.iter().find(|(old, new)| {
-                bay.slots.has_or_gets(*old)
-                    && !bay.slots.has_or_gets(*new)
+        for (target, owned) in &self.engines {
+            let roll = owned.rolls.iter().find(|(old, new)| {
+                owned.slots.has_or_gets(*old)
+                    && !owned.slots.has_or_gets(*new)
                     && self.backoff.until(now, *target, *new).is_none()
             });
             if let Some((_, new)) = roll
-                && let Some(room) = self.room(now, bay, Class::Live)
+                && let Some(room) = self.room(now, owned, Class::Live)
             {
                 best = best.or(Some(Pick {
                     target: *target,
@@ -296,17 +297,17 @@
         if let Some(pick) = self.pick_class(now, Class::Batch) {
             return Some(pick);
         }
-        for (target, bay) in &mut self.bays {
-            let (slots, backoff) = (&bay.slots, &self.backoff);
-            bay.ahead.retain(|key| {
+        for (target, owned) in &mut self.engines {
+            let (slots, backoff) = (&owned.slots, &self.backoff);
+            owned.ahead.retain(|key| {
                 !slots.has_or_gets(*key) && backoff.until(now, *target, *key).is_none()
             });
         }
-        self.bays.iter().find_map(|(target, bay)| {
-            let free = bay.engine.ordering != Ordering::None && bay.slots.has_free();
+        self.engines.iter().find_map(|(target, owned)| {
+            let free = owned.engine.ordering != Ordering::None && owned.slots.has_free();
             Some(Pick {
                 target: *target,
-                key: *bay.ahead.front().filter(|_| free)?,
+                key: *owned.ahead.front().filter(|_| free)?,
                 room: Room::Free,
                 class: Class::Batch,
                 awaited: false,
@@ -319,15 +320,15 @@
     fn pick_class(&mut self, now: Time, class: Class) -> Option<Pick> {
         let mut best: Option<(f32, Pick)> = None;
         let mut backoff = self.wanted.backoff;
-        for (target, bay) in &self.bays {
-            if bay.queue.queued(class) == 0 {
+        for (target, owned) in &self.engines {
+            if owned.queue.queued(class) == 0 {
                 continue;
             }
-            let Some(room) = self.room(now, bay, class) else {
+            let Some(room) = self.room(now, owned, class) else {
                 continue;
             };
-            for want in bay.queue.wants(class) {
-                if bay.slots.has_or_gets(want.key) {
+            for want in owned.queue.wants(class) {
+                if owned.slots.has_or_gets(want.key) {
                     continue;
                 }
                 if let Some(until) = self.backoff.until(now, *target, want.key) {
--- a/crates/route/src/desk/bay.rs
+++ b/crates/route/src/scheduler/owned.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Engine, Output,
-    desk::queue::{Item, Queue},
+    scheduler::queue::{Item, Queue},
 };
 
 /// Seconds that one token of an answer takes, before anything was measured.
@@ -53,7 +53,7 @@
 
 /// One engine, its queue, and what runs there.
 #[derive(Clone, Debug)]
-pub(crate) struct Bay {
+pub(crate) struct OwnedEngine {
     pub(crate) engine: Engine,
     pub(crate) slots: Slots,
     pub(crate) queue: Queue,
@@ -79,9 +79,9 @@
     told_at: Time,
 }
 
-impl Bay {
+impl OwnedEngine {
     pub(crate) fn new(now: Time, engine: Engine) -> Self {
-        Bay {
+        OwnedEngine {
             engine,
             slots: Slots::new(engine.slots),
             queue: Queue::default(),
--- a/crates/route/src/desk/retire.rs
+++ b/crates/route/src/scheduler/retire.rs
@@ -5,9 +5,9 @@
 use base::{AdapterKey, Class, Time};
 use place::SlotState;
 
-use crate::{Ordering, Output, desk::Desk};
+use crate::{Ordering, Output, scheduler::Scheduler};
 
-impl Desk {
+impl Scheduler {
     /// Takes what is held somewhere and no longer named.
     pub(super) fn retired(&mut self, keys: BTreeSet<AdapterKey>) {
         self.retired = keys;
@@ -21,26 +21,26 @@
         if self.retired.is_empty() {
             return;
         }
-        for bay in self.bays.values_mut() {
-            if bay.engine.ordering != Ordering::Full {
+        for owned in self.engines.values_mut() {
+            if owned.engine.ordering != Ordering::Full {
                 continue;
             }
-            let target = bay.engine.target;
-            let idle = bay.slots.iter().filter(|slot| {
+            let target = owned.engine.target;
+            let idle = owned.slots.iter().filter(|slot| {
                 let unused = slot.state == SlotState::Ready && slot.pins == 0 && !slot.inherited;
                 let failed = self.backoff.until(now, target, slot.key).is_some();
                 unused && !failed && self.retired.contains(&slot.key)
             });
             let idle: Vec<AdapterKey> = idle.map(|slot| slot.key).collect();
             for key in idle {
-                if bay.queue.waits_for(key, Class::Batch) {
+                if owned.queue.waits_for(key, Class::Batch) {
                     continue;
                 }
                 base::hit!(retired_unloaded);
-                if let Some(slot) = bay.slots.get_mut(key) {
+                if let Some(slot) = owned.slots.get_mut(key) {
                     slot.state = SlotState::Unloading { next: None };
                 }
-                bay.tell(now, Vec::new(), vec![key], out);
+                owned.tell(now, Vec::new(), vec![key], out);
                 out.push(Output::Unload { target, key });
             }
         }
--- a/crates/route/src/desk/send.rs
+++ b/crates/route/src/scheduler/send.rs
@@ -4,17 +4,17 @@
 
 use crate::{
     Output,
-    desk::{
-        Desk, State,
-        bay::{Bay, Sent},
+    scheduler::{
+        Scheduler, State,
+        owned::{OwnedEngine, Sent},
         use_weight,
     },
 };
 
-impl Desk {
+impl Scheduler {
     /// Fills the free places of all engines.
     pub(super) fn send_all(&mut self, now: Time, out: &mut Vec<Output>) {
-        let targets: Vec<TargetNo> = self.bays.keys().copied().collect();
+        let targets: Vec<TargetNo> = self.engines.keys().copied().collect();
         for target in targets {
             while let Some(class) = self.next_class(now, target) {
                 if !self.send_one(now, target, class, out) {
@@ -28,9 +28,9 @@
     /// Returns the most urgent class that has both a request that could run
     /// and a place.
     fn next_class(&self, now: Time, target: TargetNo) -> Option<Class> {
-        let bay = self.bays.get(&target)?;
-        let waits = |class| bay.queue.ready(class, &bay.ready(class)) > 0;
-        let used = bay.in_batch();
+        let owned = self.engines.get(&target)?;
+        let waits = |class| owned.queue.ready(class, &owned.ready(class)) > 0;
+        let used = owned.in_batch();
         // A critical request is sent even into a full batch: the engine puts
         // it first in its own queue.
         if waits(Class::Critical) {
@@ -38,17 +38,17 @@
         }
         let live = waits(Class::Live);
         let batch = waits(Class::Batch);
-        let own = bay.running[Class::Batch as usize] - bay.yielding;
-        let shared = used < bay.live_places();
+        let own = owned.running[Class::Batch as usize] - owned.yielding;
+        let shared = used < owned.live_places();
         // The guaranteed share comes before live work: it is only as large as
         // batch work needs, and live work would never leave it a place.
-        if batch && shared && own < bay.guaranteed(now) {
+        if batch && shared && own < owned.guaranteed(now) {
             return Some(Class::Batch);
         }
         if live && shared {
             return Some(Class::Live);
         }
-        let spare = batch && !live && used < bay.batch_places();
+        let spare = batch && !live && used < owned.batch_places();
         spare.then_some(Class::Batch)
     }
 
@@ -61,20 +61,20 @@
     ) -> bool {
         let brands = &self.brands;
         let weight = |brand| brands.get(&brand).map_or(1, |b| b.weight);
-        let Some(bay) = self.bays.get_mut(&target) else {
+        let Some(owned) = self.engines.get_mut(&target) else {
             return false;
         };
-        let ready = bay.ready(class);
-        let Some(item) = bay.queue.pop(class, &ready, weight) else {
+        let ready = owned.ready(class);
+        let Some(item) = owned.queue.pop(class, &ready, weight) else {
             return false;
         };
         let Some(request) = self.requests.get_mut(&item.ticket) else {
             return false;
         };
-        bay.due[class as usize].remove(&(request.ask.deadline, item.ticket));
-        request.state = State::Sent(bay.engine.incarnation);
-        bay.running[class as usize] += 1;
-        let slot = item.key.and_then(|key| bay.slots.get_mut(key));
+        owned.due[class as usize].remove(&(request.ask.deadline, item.ticket));
+        request.state = State::Sent(owned.engine.incarnation);
+        owned.running[class as usize] += 1;
+        let slot = item.key.and_then(|key| owned.slots.get_mut(key));
         if let Some(slot) = slot {
             slot.pins += 1;
             slot.last = now;
@@ -86,7 +86,7 @@
             yields: false,
             gone: false,
         };
-        bay.sent.insert(item.ticket, sent);
+        owned.sent.insert(item.ticket, sent);
         let share = &mut self.brand(item.brand).share;
         share.queued -= 1;
         share.running += 1;
@@ -109,23 +109,23 @@
     /// work keeps its guaranteed share against live work, but nothing against
     /// critical work.
     fn make_way(&mut self, now: Time, target: TargetNo, out: &mut Vec<Output>) {
-        let Some(bay) = self.bays.get_mut(&target) else {
+        let Some(owned) = self.engines.get_mut(&target) else {
             return;
         };
-        let own = bay.running[Class::Batch as usize] - bay.yielding;
-        let over = bay.in_batch().saturating_sub(bay.engine.batch);
-        let live = bay.queue.ready(Class::Live, &bay.ready(Class::Live));
+        let own = owned.running[Class::Batch as usize] - owned.yielding;
+        let over = owned.in_batch().saturating_sub(owned.engine.batch);
+        let live = owned.queue.ready(Class::Live, &owned.ready(Class::Live));
         let live = u32::try_from(live).unwrap_or(u32::MAX);
-        let spare = own.saturating_sub(bay.guaranteed(now));
-        let need = over.max(live.min(spare)).saturating_sub(bay.yielding);
-        yield_newest(bay, need.min(own), |_| true, out);
+        let spare = own.saturating_sub(owned.guaranteed(now));
+        let need = over.max(live.min(spare)).saturating_sub(owned.yielding);
+        yield_newest(owned, need.min(own), |_| true, out);
     }
 }
 
 /// Tells up to `count` running batch requests that are `fit` to give way, the
 /// ones sent last first: they lose least.
 pub(super) fn yield_newest(
-    bay: &mut Bay,
+    owned: &mut OwnedEngine,
     count: u32,
     fit: impl Fn(&Sent) -> bool,
     out: &mut Vec<Output>,
@@ -133,14 +133,14 @@
     if count == 0 {
         return;
     }
-    let batch = bay.sent.values_mut();
+    let batch = owned.sent.values_mut();
     let batch = batch.filter(|s| s.item.class == Class::Batch && !s.yields && fit(s));
     let mut batch: Vec<_> = batch.collect();
     batch.sort_by_key(|s| std::cmp::Reverse((s.at, s.item.ticket)));
     for sent in batch.into_iter().take(count as usize) {
         base::hit!(batch_gives_way);
         sent.yields = true;
-        bay.yielding += 1;
+        owned.yielding += 1;
         out.push(Output::Preempt(sent.item.ticket));
     }
 }
--- a/crates/route/src/desk_io.rs
+++ b/crates/route/src/scheduler_io.rs
@@ -1,4 +1,4 @@
-//! What goes into the owner's desk and what comes out.
+//! What goes into the owner's scheduler and what comes out.
 
 use std::collections::BTreeSet;
 
@@ -43,7 +43,7 @@
     }
 }
 
-/// One event for the desk.
+/// One event for the scheduler.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Input {
     /// A brand's weight for its share; one when never told.
@@ -210,7 +210,7 @@
 pub struct BrandShare {
     /// Whose.
     pub brand: BrandNo,
-    /// Tokens given to it since the desk was made.
+    /// Tokens given to it since the scheduler was made.
     pub tokens: u64,
     /// Requests queued now.
     pub queued: u32,
--- a/crates/route/tests/desk.rs
+++ b/crates/route/tests/scheduler.rs
@@ -1,35 +1,35 @@
-//! The desk by text fixtures: lines `@MILLISECOND EVENT`, each followed by what
-//! the desk is to do, as lines `> ...`. A fixture opens with its story.
+//! The scheduler by text fixtures: lines `@MILLISECOND EVENT`, each followed by what
+//! the scheduler is to do, as lines `> ...`. A fixture opens with its story.
 
 use std::fmt::Write as _;
 
 use base::{AdapterKey, AdapterNo, BrandNo, Incarnation, TargetNo, Ticket, Time, Tokens, Version};
 use googletest::prelude::*;
-use route::{Ask, Desk, Engine, Input, LoadEnd, Ordering, Output, PoolNo};
+use route::{Ask, Engine, Input, LoadEnd, Ordering, Output, PoolNo, Scheduler};
 
 base::cases! {
-    /// Each guard of the desk, reached in the story it is meant for.
+    /// Each guard of the scheduler, reached in the story it is meant for.
     guards: check => {
-        used_slot_kept: ("used_slot_kept", include_str!("desk/used_slot_kept.txt")),
-        inherited_kept: ("report_before_ownership", include_str!("desk/inherited_kept.txt")),
-        other_life: ("report_of_other_life", include_str!("desk/other_life.txt")),
-        restricted: ("restricted_keeps_slots", include_str!("desk/restricted.txt")),
-        batch_gives_way: ("batch_gives_way", include_str!("desk/batch_gives_way.txt")),
-        batch_share: ("batch_share_guaranteed", include_str!("desk/batch_share.txt")),
-        batch_load: ("batch_load_due", include_str!("desk/batch_load.txt")),
-        slot_cleared: ("slot_cleared", include_str!("desk/slot_cleared.txt")),
-        broken_adapter: ("load_backed_off", include_str!("desk/broken_adapter.txt")),
-        late: ("late_refused", include_str!("desk/late.txt")),
-        out_of_reach: ("deadline_out_of_reach", include_str!("desk/out_of_reach.txt")),
-        brand_over_share: ("brand_over_share", include_str!("desk/brand_over_share.txt")),
+        used_slot_kept: ("used_slot_kept", include_str!("scheduler/used_slot_kept.txt")),
+        inherited_kept: ("report_before_ownership", include_str!("scheduler/inherited_kept.txt")),
+        other_life: ("report_of_other_life", include_str!("scheduler/other_life.txt")),
+        restricted: ("restricted_keeps_slots", include_str!("scheduler/restricted.txt")),
+        batch_gives_way: ("batch_gives_way", include_str!("scheduler/batch_gives_way.txt")),
+        batch_share: ("batch_share_guaranteed", include_str!("scheduler/batch_share.txt")),
+        batch_load: ("batch_load_due", include_str!("scheduler/batch_load.txt")),
+        slot_cleared: ("slot_cleared", include_str!("scheduler/slot_cleared.txt")),
+        broken_adapter: ("load_backed_off", include_str!("scheduler/broken_adapter.txt")),
+        late: ("late_refused", include_str!("scheduler/late.txt")),
+        out_of_reach: ("deadline_out_of_reach", include_str!("scheduler/out_of_reach.txt")),
+        brand_over_share: ("brand_over_share", include_str!("scheduler/brand_over_share.txt")),
     }
-    /// What the desk does without a fault.
+    /// What the scheduler does without a fault.
     order: check_order => {
-        one_load_for_many: include_str!("desk/one_load_for_many.txt"),
-        class_order: include_str!("desk/class_order.txt"),
-        fair_shares: include_str!("desk/fair_shares.txt"),
-        roll: include_str!("desk/roll.txt"),
-        restart: include_str!("desk/restart.txt"),
+        one_load_for_many: include_str!("scheduler/one_load_for_many.txt"),
+        class_order: include_str!("scheduler/class_order.txt"),
+        fair_shares: include_str!("scheduler/fair_shares.txt"),
+        roll: include_str!("scheduler/roll.txt"),
+        restart: include_str!("scheduler/restart.txt"),
     }
 }
 
@@ -42,9 +42,9 @@
     assert_that!(replay(text), eq(text));
 }
 
-/// Feeds a fixture's events to a desk; returns it with what the desk did.
+/// Feeds a fixture's events to a scheduler; returns it with what the scheduler did.
 fn replay(text: &str) -> String {
-    let mut desk = Desk::new(7);
+    let mut scheduler = Scheduler::new(7);
     let mut told = String::new();
     for line in text.lines().filter(|line| !line.starts_with('>')) {
         writeln!(told, "{line}").unwrap();
@@ -56,7 +56,7 @@
         let words: Vec<&str> = words.collect();
         for input in inputs(&words) {
             let mut out = Vec::new();
-            desk.handle(now, input, &mut out);
+            scheduler.handle(now, input, &mut out);
             for output in out.iter().filter_map(show) {
                 writeln!(told, "> {output}").unwrap();
             }
@@ -192,7 +192,7 @@
 /// or the overload would return as one wave.
 #[test]
 fn retry_after_spreads_callers() {
-    let mut desk = Desk::new(7);
+    let mut scheduler = Scheduler::new(7);
     let mut out = Vec::new();
     for line in [
         "own e0 slots=1 batch=1 held=a1",
@@ -200,7 +200,7 @@
     ] {
         let words: Vec<&str> = line.split(' ').collect();
         for input in inputs(&words) {
-            desk.handle(Time::ZERO, input, &mut out);
+            scheduler.handle(Time::ZERO, input, &mut out);
         }
     }
     let retries = out.iter().filter_map(|output| match output {
@@ -213,7 +213,7 @@
     retries.dedup();
     assert_that!(refused, gt(100));
     assert_that!(retries.len(), eq(refused));
-    let share = &desk.shares()[0];
+    let share = &scheduler.shares()[0];
     assert_that!(share.refused, eq(refused as u64));
     assert_that!(share.queued + share.running, eq(200 - refused as u32));
 }
