Leave an owner that gives no sign of life

Cause: a request passed on to the frozen owner kept until its deadline of 20 s, though another instance owned the engine after three; the time to a head can't be limited, since queueing is silent too. Owners are asked for signs of life while requests wait at them. With the guard out the new test fails.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod hop;
 mod live;
+mod ping;
 mod place;
 
 use std::{
@@ -43,6 +44,8 @@
     turn: u64,
     /// Moments at which requests have to hear that time has passed.
     deadlines: BTreeSet<(Time, Ticket)>,
+    /// Signs of life of the owners that requests wait at.
+    pulses: BTreeMap<InstanceName, ping::Pulse>,
     /// Requests that wait for an engine to get an owner.
     parked: BTreeSet<(Time, Ticket)>,
     /// What the leader has not heard yet of claimed requests.
@@ -66,6 +69,7 @@
             owners: BTreeMap::new(),
             turn: 0,
             deadlines: BTreeSet::new(),
+            pulses: BTreeMap::new(),
             parked: BTreeSet::new(),
             unsettled: Vec::new(),
             settling: 0,
@@ -217,7 +221,7 @@
         let Some(live) = self.requests.get_mut(&ticket) else {
             return reason;
         };
-        let Some(sent) = live.sent.filter(|sent| sent.passed) else {
+        let Some(sent) = live.sent.as_ref().filter(|sent| sent.passed.is_some()) else {
             return reason;
         };
         let turned_away = matches!(reason, Refusal::Unavailable | Refusal::Moved);
@@ -388,6 +392,7 @@
                 let input = Step::Claimed(place::claim_reply(&claimed));
                 self.step(shared, now, ticket, 0, input, out);
             }
+            Purpose::Ping { to } => self.on_pulse(shared, now, &to, &reply, out),
             Purpose::Settle(settle) => {
                 self.settling -= 1;
                 self.on_settled(shared, now, *settle, reply);
@@ -419,6 +424,7 @@
         for settle in std::mem::take(&mut self.unsettled) {
             self.report(shared, settle, out);
         }
+        self.ping_owners(shared, now, out);
         self.look_again(shared, now, out);
         while let Some((at, ticket)) = self.deadlines.first().copied() {
             if at > now {
--- a/crates/node/src/entry/live.rs
+++ b/crates/node/src/entry/live.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use base::{BrandName, Class, Failure, Mark, Refusal, TargetNo, Ticket, Time, Version};
+use base::{
+    BrandName, Class, Failure, InstanceName, Mark, Refusal, TargetNo, Ticket, Time, Version,
+};
 use request::{AttemptNo, Request, Start};
 use route::{Ask, Router};
 use text::model::{Limits, Service, ServiceKind};
@@ -64,14 +66,14 @@
 }
 
 /// The attempt under way.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Sent {
     pub(super) attempt: AttemptNo,
     pub(super) target: TargetNo,
     pub(super) at: Time,
     pub(super) local: bool,
-    /// Whether another instance owns the target.
-    pub(super) passed: bool,
+    /// The other instance that owns the target, where it was passed on.
+    pub(super) passed: Option<InstanceName>,
     pub(super) began: bool,
 }
 
@@ -148,7 +150,7 @@
         now: Time,
         attempt: AttemptNo,
         target: TargetNo,
-        passed: bool,
+        passed: Option<InstanceName>,
     ) {
         self.parked = None;
         self.sent = Some(Sent {
@@ -161,6 +163,12 @@
         });
     }
 
+    /// Returns the owner that has it and has not answered yet.
+    pub(super) fn waits_at(&self) -> Option<&InstanceName> {
+        let sent = self.sent.as_ref().filter(|sent| !sent.began)?;
+        sent.passed.as_ref()
+    }
+
     /// Reports how it ended.
     pub(super) fn ended(&self, now: Time, failure: Option<Failure>, out: &mut Out) {
         if let Some((first, last)) = self.tokens.span {
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -270,9 +270,10 @@
         let limit = live.start.deadline.since(now);
         let direct = live.local || live.start.adapter.is_none();
         let passed = self.owners.get(&target).filter(|_| !direct);
-        let passed = passed.and_then(|(owner, _)| shared.peers.get(owner));
-        let route = match passed.copied() {
-            Some(address) => Route::Owner {
+        let passed = passed.and_then(|(owner, _)| Some((owner, shared.peers.get(owner)?)));
+        let passed = passed.map(|(owner, address)| (owner.clone(), *address));
+        let route = match passed {
+            Some((_, address)) => Route::Owner {
                 address,
                 patience: limit,
             },
@@ -281,8 +282,8 @@
                 priority: live.priority,
             },
         };
-        let passed = passed.is_some();
-        live.note_sent(now, attempt, target, passed);
+        let owner = passed.map(|(owner, _)| owner);
+        live.note_sent(now, attempt, target, owner.clone());
         if let Some(key) = live.start.adapter.filter(|_| live.local) {
             let using = Msg::Using {
                 ticket,
@@ -303,6 +304,9 @@
             resume,
             limit,
         }));
+        if let Some(owner) = owner {
+            self.watch_owner(shared, now, owner);
+        }
         self.router.note(now, News::Started(target));
         if attempt.0 == 1 {
             self.budget.earn(target);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -45,6 +45,8 @@
     Version { address: SocketAddr },
     /// The newest text.
     Text { address: SocketAddr },
+    /// A sign of life of an owner that requests wait at.
+    Ping { to: InstanceName },
     /// A claim of a marked request.
     Claim { ticket: base::Ticket },
     /// What became of a claimed request, to be repeated until it is heard.
--- a/crates/node/tests/node/requests.rs
+++ b/crates/node/tests/node/requests.rs
@@ -273,3 +273,27 @@
     world.pass(Duration::from_secs(3));
     assert_that!(world.held["e-1"], not(contains(eq("film-live@2"))));
 }
+
+/// A user sees: a draft that takes until its deadline whenever one instance
+/// hangs. The request was passed on to the engine's owner, which then froze; it
+/// gives no sign of life, and the request goes to the next owner instead.
+#[test]
+fn a_request_does_not_wait_for_a_silent_owner() {
+    base::covers!(silent_owner_left);
+    let mut world = World::bare();
+    world.mates = vec!["dubrava-2"];
+    world.theirs = vec![("e-1", Fence(7))];
+    world.list(1, &[("e-1", "drafting"), ("p-1", "portal")]);
+    world.pass(Duration::from_secs(20));
+    world.arrive(1, "letters", None);
+    assert_that!(world.sent.len(), eq(1));
+    world.pass(Duration::from_secs(5));
+    assert_that!(world.sent.len(), eq(1));
+    world.mute_mates = true;
+    world.theirs.clear();
+    world.owned.insert("e-1".to_owned(), Fence(8));
+    world.pass(Duration::from_secs(8));
+    assert_that!(world.sent.len(), eq(2));
+    let to = &world.sent[1].route;
+    assert_that!(matches!(to, node::Route::Target { .. }), eq(true));
+}
--- a/crates/node/tests/node/world.rs
+++ b/crates/node/tests/node/world.rs
@@ -60,6 +60,9 @@
 /// Most wakes in one stretch of time that passes.
 const WAKES_MAX: u32 = 20_000;
 
+/// The mates' port.
+const MATE: u16 = 9101;
+
 /// The node's own name.
 pub(crate) const ME: &str = "dubrava-1";
 
@@ -77,6 +80,10 @@
     pub(crate) slow_check: bool,
     /// Which life the engines live.
     pub(crate) life: u64,
+    /// Engines that the first mate owns.
+    pub(crate) theirs: Vec<(&'static str, Fence)>,
+    /// Whether the mates answer calls.
+    pub(crate) mute_mates: bool,
     /// Other instances of the zone, as the leader names them.
     pub(crate) mates: Vec<&'static str>,
     /// Targets that the platform calls leaving.
@@ -147,6 +154,8 @@
             owned: BTreeMap::new(),
             slow_check: false,
             life: 1,
+            theirs: Vec::new(),
+            mute_mates: false,
             mates: Vec::new(),
             leaving: Vec::new(),
             former: Vec::new(),
@@ -291,6 +300,10 @@
 
     fn carry_out(&mut self, output: Output) -> Option<Input> {
         match output {
+            Output::Call { call, address, .. } if self.mute_mates && address.port() == MATE => {
+                let reply = Err(base::Verdict::MayHaveRun);
+                return Some(Input::Replied { call, reply });
+            }
             Output::Call { call, body, .. } => return self.call(call, body),
             Output::Poll { poll, target, .. } => {
                 let report = Some(self.report(&target));
@@ -375,8 +388,12 @@
         let mates = self.mates.iter().map(|mate| Peer {
             instance: name(mate),
             zone: name("dubrava"),
-            address: "127.0.0.1:9101".to_owned(),
-            owns: Vec::new(),
+            address: format!("127.0.0.1:{MATE}"),
+            owns: self
+                .theirs
+                .iter()
+                .map(|(target, fence)| (name(target), *fence))
+                .collect(),
         });
         BeatReply {
             serial: beat.serial,
