--- a/crates/node/src/engines/confirm.rs
+++ b/crates/node/src/engines/confirm.rs
@@ -131,6 +131,12 @@
     /// Takes the roster's peers into the addresses that calls go to.
     pub(super) fn learn_peers(&mut self, shared: &mut Shared, out: &mut Out) {
         let before = shared.peers.len();
+        // Guard: instances are replaced every day under new names; news for
+        // those long gone would be sent for ever, and each call waited for.
+        let (holder, listed) = (&self.holder, &shared.listed);
+        shared
+            .peers
+            .retain(|name, _| holder.peers().contains_key(name) || listed.contains(name));
         for (name, peer) in self.holder.peers() {
             if let Ok(address) = peer.address.parse() {
                 shared.peers.insert(name.clone(), address);
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -74,6 +74,8 @@
             shared.targets.insert(no, info);
             self.announce_one(shared, no, out);
         }
+        let names = list.instances.iter().map(|instance| instance.name.clone());
+        shared.listed = names.collect();
         for instance in list.instances {
             if let Ok(address) = instance.peer.parse::<SocketAddr>() {
                 shared.peers.insert(instance.name, address);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,7 +1,12 @@
 //! What all services of a node may read, and the few things they write
 //! together: outstanding calls and timers.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use base::{InstanceName, Seed, TargetName, TargetNo, TextVersion, Time, ZoneName};
 use kernel::{Name, Outbox};
@@ -115,6 +120,8 @@
     pub(crate) targets: BTreeMap<TargetNo, TargetInfo>,
     /// The same targets with the epochs of what is observed of them.
     pub(crate) watched: member::Targets,
+    /// Entry instances that the platform lists.
+    pub(crate) listed: BTreeSet<InstanceName>,
     /// Entry instances' peer listeners, from the list and the leader.
     pub(crate) peers: BTreeMap<InstanceName, SocketAddr>,
     /// The services that have come up.
@@ -138,6 +145,7 @@
             raw: Arc::from(""),
             targets: BTreeMap::new(),
             watched: member::Targets::default(),
+            listed: BTreeSet::new(),
             peers: BTreeMap::new(),
             up: Up::default(),
             leader: None,
--- a/crates/node/tests/node/guards.rs
+++ b/crates/node/tests/node/guards.rs
@@ -259,3 +259,26 @@
         elements_are![eq(&TextVersion(1)), eq(&TextVersion(3))]
     );
 }
+
+/// An instance that was replaced under another name gets no more news.
+#[test]
+fn nobody_calls_an_instance_that_is_gone() {
+    let mut world = World::serving();
+    world.mates = vec!["dubrava-2"];
+    world.pass(Duration::from_secs(3));
+    let called = |world: &World, from: usize| {
+        let told = world.trace[from..].iter();
+        told.filter(|line| line.contains("Residents(") && line.contains("9101"))
+            .count()
+    };
+    world.arrive(1, "letters", None);
+    world.pass(Duration::from_secs(2));
+    assert_that!(called(&world, 0), gt(0));
+    world.mates.clear();
+    world.pass(Duration::from_secs(3));
+    let from = world.trace.len();
+    world.input(Input::Left(base::Ticket(1)));
+    world.arrive(2, "letters", None);
+    world.pass(Duration::from_secs(5));
+    assert_that!(called(&world, from), eq(0));
+}
