Show each brand's share and waits in the status

Partners that share engines suspect each other, and nothing showed who got what. Each owner's account travels in every fifth heartbeat, 32 brands at most, and the leader adds up those of the instances that it hears. Weighed: a page at each instance, which nobody would add up; the log, for figures that may be lost.

--- a/crates/cli/src/command/show.rs
+++ b/crates/cli/src/command/show.rs
@@ -4,7 +4,7 @@
 use base::{AdapterName, BrandName, InstanceName, ServiceName};
 use clap::ArgMatches;
 use serde_json::{Value, json};
-use wire::operator::{Current, Drain, Entry, Status};
+use wire::operator::{BrandStatus, Current, Drain, Entry, Status};
 
 use crate::{
     args,
@@ -123,8 +123,13 @@
             vec![engine.target.to_string(), owner, engine.fence.to_string()]
         })
         .collect();
+    let brands: Vec<Vec<String>> = status.brands.iter().map(brand_row).collect();
+    let shares = match brands.is_empty() {
+        true => String::new(),
+        false => format!("\n\n{}", table(BRAND_HEAD, &brands)),
+    };
     format!(
-        "text {}, leader {}, as {} sees it\n\n{}\n\n{}",
+        "text {}, leader {}, as {} sees it\n\n{}\n\n{}{shares}",
         status.version,
         leader(status),
         status.instance,
@@ -133,6 +138,23 @@
     )
 }
 
+/// Heads of the table of brands' shares.
+const BRAND_HEAD: &[&str] = &[
+    "BRAND", "SHARE", "TOKENS", "RUNNING", "QUEUED", "REFUSED", "WAIT",
+];
+
+fn brand_row(brand: &BrandStatus) -> Vec<String> {
+    vec![
+        brand.brand.to_string(),
+        format!("{}.{} %", brand.part / 10, brand.part % 10),
+        brand.tokens.to_string(),
+        brand.running.to_string(),
+        brand.queued.to_string(),
+        brand.refused.to_string(),
+        format!("{} ms", brand.wait_ms),
+    ]
+}
+
 fn leader(status: &Status) -> String {
     status
         .leader
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -9,10 +9,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use base::{PerSecond, Ticket, Time};
+use base::{InstanceName, PerSecond, Ticket, Time};
 use owner::{Change, Grantor, Life};
 use replog::{Index, Replica, Term};
-use wire::call::Reply;
+use wire::call::{Reply, Share};
 
 pub use self::io::{Event, Input, Output};
 use self::{answer::Waiting, io::Asker};
@@ -68,6 +68,8 @@
     replica: Replica,
     state: State,
     grantor: Grantor,
+    /// What each instance last said of brands' shares.
+    shares: BTreeMap<InstanceName, Vec<Share>>,
     /// The term in which this instance leads and may act on it.
     leads: Option<Term>,
     /// When it began to, and the state's clock then.
@@ -105,6 +107,7 @@
         Control {
             state: State::with_limits(config.limits.clone()),
             grantor: Grantor::new(config.owner),
+            shares: BTreeMap::new(),
             config,
             check,
             replica,
--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -148,6 +148,10 @@
     }
 
     fn on_beat(&mut self, now: Time, beat: &Beat, out: &mut Vec<Output>) -> BeatReply {
+        if !beat.shares.is_empty() {
+            let shares = beat.shares.clone();
+            self.shares.insert(beat.instance.clone(), shares);
+        }
         let mut changes = Vec::new();
         let part = self
             .grantor
--- a/crates/control/src/control/query.rs
+++ b/crates/control/src/control/query.rs
@@ -1,7 +1,9 @@
 //! What operators may read, from any control instance.
 
-use base::{TextVersion, Time};
-use wire::operator::{Current, EngineStatus, Entry, InstanceStatus, Status};
+use std::collections::BTreeMap;
+
+use base::{BrandName, TextVersion, Time};
+use wire::operator::{BrandStatus, Current, EngineStatus, Entry, InstanceStatus, Status};
 
 use super::{Control, millis};
 
@@ -31,9 +33,34 @@
             version: self.state.texts().version(),
             instances: instances.collect(),
             engines: engines.collect(),
+            brands: self.brands(),
         }
     }
 
+    /// Adds up what the instances that are heard said of each brand.
+    fn brands(&self) -> Vec<BrandStatus> {
+        let heard = self.grantor.instances().map(|(name, ..)| name);
+        let said = heard.filter_map(|name| self.shares.get(name)).flatten();
+        let mut sums: BTreeMap<&BrandName, (BrandStatus, u64, u64)> = BTreeMap::new();
+        for share in said {
+            let fresh = || (BrandStatus::none(&share.brand), 0, 0);
+            let (sum, sent, waited) = sums.entry(&share.brand).or_insert_with(fresh);
+            sum.tokens += share.tokens;
+            sum.queued += share.queued;
+            sum.running += share.running;
+            sum.refused += share.refused;
+            *sent += share.sent;
+            *waited += share.waited_ms;
+        }
+        let all: u64 = sums.values().map(|(sum, ..)| sum.tokens).sum();
+        let brands = sums.into_values().map(|(sum, sent, waited)| BrandStatus {
+            part: u32::try_from(sum.tokens * 1_000 / all.max(1)).unwrap_or(u32::MAX),
+            wait_ms: waited / sent.max(1),
+            ..sum
+        });
+        brands.collect()
+    }
+
     /// Returns accepted changes after `from`, oldest first.
     #[must_use]
     pub fn history(&self, from: TextVersion) -> Vec<Entry> {
--- a/crates/control/tests/control.rs
+++ b/crates/control/tests/control.rs
@@ -114,6 +114,7 @@
         roster,
         engines: Some(vec!["e1".parse().unwrap()]),
         busy: Vec::new(),
+        shares: Vec::new(),
         loads: 1,
     })
 }
--- a/crates/control/tests/cost.rs
+++ b/crates/control/tests/cost.rs
@@ -33,6 +33,7 @@
         roster,
         engines: engines.map(|count| names(count).collect()),
         busy: Vec::new(),
+        shares: Vec::new(),
         loads: 3,
     }
 }
--- a/crates/lab/tests/processes/path.rs
+++ b/crates/lab/tests/processes/path.rs
@@ -4,7 +4,7 @@
 use anyhow::Result;
 use bytes::Bytes;
 use googletest::prelude::*;
-use lab::{Caller, Chat, Plan};
+use lab::{Caller, Chat, Lab, Plan, until};
 use web::Method;
 use wire::header;
 
@@ -42,12 +42,27 @@
             }
         }
     }
+    shares_are_shown(&lab).await?;
     brands_are_apart(&lab.caller(0, KAZALISTE), &lab.caller(1, FILM)).await?;
     bad_requests_get_clear_errors(&lab.caller(0, KAZALISTE)).await?;
     assert_that!(lab.stop().await?, eq(true));
     lab.clean()
 }
 
+/// `status` shows each brand's part of the tokens and how long it waited.
+async fn shares_are_shown(lab: &Lab) -> Result<()> {
+    let shown = async || {
+        let leader = lab.wait_leader().await.ok()?;
+        let status = lab.operator(leader).get("/v1/status").await.ok()?;
+        let brands = status["brands"].as_array()?.clone();
+        let some = brands
+            .iter()
+            .filter(|b| b["tokens"].as_u64() > Some(0) && b["part"].is_u64());
+        (some.count() == 2).then_some(())
+    };
+    until("both brands' shares in the status", shown).await
+}
+
 async fn brands_are_apart(kazaliste: &Caller, film: &Caller) -> Result<()> {
     let models = kazaliste.get("/v1/models").await?;
     let ids: Vec<_> = models["data"].as_array().into_iter().flatten().collect();
--- a/crates/node/src/engines/confirm.rs
+++ b/crates/node/src/engines/confirm.rs
@@ -6,7 +6,7 @@
 use base::{InstanceName, Time, Verdict};
 use owner::Input as HolderInput;
 use route::Input as SchedulerInput;
-use wire::call::{Beat, Call, Reply};
+use wire::call::{Beat, Call, Reply, Share};
 
 use super::{Engines, residents};
 use crate::{
@@ -16,6 +16,12 @@
     shared::{Out, Purpose, Shared},
 };
 
+/// Beats from one account of shares to the next.
+const SHARES_EVERY: u64 = 5;
+
+/// Brands in one account, those with most tokens: 50 bytes each.
+const SHARES_MAX: usize = 32;
+
 impl Engines {
     /// Fills in a heartbeat and sends it.
     pub(super) fn send_beat(
@@ -43,6 +49,7 @@
             engines: news.then_some(reach),
             busy: self.holder.busy(),
             loads: self.scheduler.loads_wanted(),
+            shares: self.shares(shared, serial),
         };
         // The lease counts from here: before the first byte leaves.
         self.hold(shared, now, HolderInput::Sent { serial }, out);
@@ -50,6 +57,27 @@
         shared.call(BEAT, purpose, address, Call::Beat(beat), BEAT_LIMIT, out);
     }
 
+    /// Returns what brands got here, in every [`SHARES_EVERY`]th beat: operators
+    /// look at it, no decision needs it.
+    fn shares(&self, shared: &Shared, serial: u64) -> Vec<Share> {
+        if !serial.is_multiple_of(SHARES_EVERY) {
+            return Vec::new();
+        }
+        let mut shares = self.scheduler.shares();
+        shares.sort_by_key(|share| std::cmp::Reverse(share.tokens));
+        shares.truncate(SHARES_MAX);
+        let named = shares.into_iter().map(|share| Share {
+            brand: shared.names.brand_name(share.brand).clone(),
+            tokens: share.tokens,
+            queued: share.queued,
+            running: share.running,
+            refused: share.refused,
+            sent: share.sent,
+            waited_ms: share.waited / 1_000,
+        });
+        named.collect()
+    }
+
     /// Returns the engines of this zone that the list names live, and those
     /// leaving that still have requests.
     fn reach(&self, shared: &Shared) -> Vec<base::TargetName> {
--- a/crates/owner/tests/grantor.rs
+++ b/crates/owner/tests/grantor.rs
@@ -43,6 +43,7 @@
             roster: self.rosters.get(name).copied().unwrap_or(0),
             engines: Some(engines.iter().map(|e| e.parse().unwrap()).collect()),
             busy: Vec::new(),
+            shares: Vec::new(),
             loads: 0,
         };
         let mut out = Vec::new();
--- a/crates/scenarios/src/entry.rs
+++ b/crates/scenarios/src/entry.rs
@@ -84,6 +84,7 @@
             roster: self.holder.roster(),
             engines: tell.then(|| self.engines.clone()),
             busy: self.holder.busy(),
+            shares: Vec::new(),
             loads: 1,
         }
     }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -117,6 +117,26 @@
         pub busy: Vec<(TargetName, Fence)>,
         /// Loads it waits to make, for its part of the store's budget.
         pub loads: u32,
+        /// What each brand got at its engines, now and then.
+        pub shares: Vec<Share>,
+    }
+
+    /// What one brand got at one instance's engines since the instance started.
+    pub struct Share {
+        /// Whose.
+        pub brand: BrandName,
+        /// Tokens of answers.
+        pub tokens: u64,
+        /// Requests queued now.
+        pub queued: u32,
+        /// Requests running now.
+        pub running: u32,
+        /// Requests refused for load.
+        pub refused: u64,
+        /// Requests sent to engines.
+        pub sent: u64,
+        /// What those waited before, together, in milliseconds.
+        pub waited_ms: u64,
     }
 
     /// The leader's answer to a beat.
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -104,6 +104,29 @@
         pub instances: Vec<InstanceStatus>,
         /// Engines and their owners.
         pub engines: Vec<EngineStatus>,
+        /// What each brand got at all engines; the leader knows it.
+        #[serde(default)]
+        pub brands: Vec<BrandStatus>,
+    }
+
+    /// What one brand got at the engines of all instances that are heard, since
+    /// each of them started.
+    pub struct BrandStatus {
+        /// Whose.
+        pub brand: BrandName,
+        /// Tokens of answers.
+        pub tokens: u64,
+        /// Its part of all tokens, in thousandths.
+        pub part: u32,
+        /// Requests queued now.
+        pub queued: u32,
+        /// Requests running now.
+        pub running: u32,
+        /// Requests refused for load.
+        pub refused: u64,
+        /// What a request waited before it was sent, on average, in
+        /// milliseconds.
+        pub wait_ms: u64,
     }
 
     /// One instance as the leader sees it.
@@ -225,3 +248,19 @@
         Unreachable,
     }
 }
+
+impl BrandStatus {
+    /// Makes the status of a brand that got nothing.
+    #[must_use]
+    pub fn none(brand: &BrandName) -> Self {
+        BrandStatus {
+            brand: brand.clone(),
+            tokens: 0,
+            part: 0,
+            queued: 0,
+            running: 0,
+            refused: 0,
+            wait_ms: 0,
+        }
+    }
+}
--- a/xtask/src/capacity/control.rs
+++ b/xtask/src/capacity/control.rs
@@ -184,6 +184,7 @@
         engines,
         busy: Vec::<(base::TargetName, Fence)>::new(),
         loads: 3,
+        shares: Vec::new(),
     })
 }
 
