Leave an engine that hangs while somebody waits

A live stream at an engine that fell silent was kept for 20 s, as long as its whole deadline. Live and critical streams that may be sent again are broken off after 5 s, twice the first token's time of 95 in 100 and more, and go on at another engine; with the old limit the new process test gets half an answer.

--- a/crates/entryd/src/attempts.rs
+++ b/crates/entryd/src/attempts.rs
@@ -29,6 +29,10 @@
 /// but a request may wait inside the engine for a place in its batch.
 const IDLE: Duration = Duration::from_secs(20);
 
+/// The same where somebody waits and the request may be sent again: longer
+/// than the first token of 95 in 100 takes, twice over.
+const LIVE_IDLE: Duration = Duration::from_secs(5);
+
 /// The same for a stream that another instance passes on, which gives a sign
 /// of life each second while it waits: three are missing.
 const HOP_IDLE: Duration = Duration::from_millis(3_500);
@@ -348,7 +352,7 @@
         first: attempt.limit,
         idle: match attempt.route {
             Route::Owner { .. } => HOP_IDLE,
-            Route::Target { .. } => IDLE,
+            Route::Target { .. } => idle(attempt),
         },
         whole: attempt.limit,
         reuse,
@@ -356,6 +360,18 @@
     }
 }
 
+/// Returns how long a target may be silent.
+///
+/// Guard: an engine that hangs, or whose connection is forgotten, would keep a
+/// stream until the caller's deadline. Broken off sooner, it goes on at another
+/// engine; one that can't be sent again is waited for longer.
+fn idle(attempt: &Attempt) -> Duration {
+    match (attempt.class, attempt.mark) {
+        (Class::Critical | Class::Live, Mark::Repeatable) => LIVE_IDLE,
+        _ => IDLE,
+    }
+}
+
 /// Tells whether another instance answers with a failure of its own making
 /// rather than with a target's answer.
 fn refused_by_peer(answer: &Answer) -> bool {
--- a/crates/lab/tests/processes/faults.rs
+++ b/crates/lab/tests/processes/faults.rs
@@ -103,6 +103,44 @@
     chat.tokens = 100;
     let asking = caller.clone();
     let ask = tokio::spawn(async move { asking.chat(&chat).await });
+    let at = running_engine(lab).await?;
+    lab.engines[at].process.kill().await?;
+    let reply = ask.await??;
+    assert_that!(reply.whole, eq(true), "{reply:?}");
+    assert_that!(
+        reply.text(),
+        eq(&expected("kazaliste-live@1", "killed amid", 100))
+    );
+    Ok(())
+}
+
+/// A user sees: a letter that stops amid a sentence and never goes on. The
+/// engine hangs without closing anything; its tokens stop, and the stream has to
+/// go on at the other engine long before the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_leaves_an_engine_that_hangs() -> Result<()> {
+    let plan = Plan {
+        engine_flags: vec!["--token-ms".to_owned(), "20".to_owned()],
+        ..Plan::small()
+    };
+    let mut lab = start("hangs", &plan).await?;
+    let caller = lab.caller(0, KAZALISTE);
+    let mut chat = Chat::stream("drafting", "hangs amid");
+    chat.tokens = 100;
+    let ask = tokio::spawn(async move { caller.chat(&chat).await });
+    let at = running_engine(&lab).await?;
+    let hang = json!({"ms": 600_000});
+    admin(lab.engines[at].address, "stall", hang).await?;
+    let reply = ask.await??;
+    assert_that!(reply.whole, eq(true), "{reply:?}");
+    let want = expected("kazaliste-live@1", "hangs amid", 100);
+    assert_that!(reply.text(), eq(&want));
+    lab.stop().await?;
+    lab.clean()
+}
+
+/// Waits until an engine runs a request; returns its place.
+async fn running_engine(lab: &Lab) -> Result<usize> {
     let busy = async || {
         for i in 0..lab.engines.len() {
             let running = stats(lab, i).await.ok()?["running"].as_u64()?;
@@ -112,15 +150,7 @@
         }
         None
     };
-    let at = until("an engine runs it", busy).await?;
-    lab.engines[at].process.kill().await?;
-    let reply = ask.await??;
-    assert_that!(reply.whole, eq(true), "{reply:?}");
-    assert_that!(
-        reply.text(),
-        eq(&expected("kazaliste-live@1", "killed amid", 100))
-    );
-    Ok(())
+    until("an engine runs it", busy).await
 }
 
 /// A user sees nothing but a pause. The instance that owns the engines is
