Send a whole completion in the demo, too

It sent streams and plain services' calls only, so nothing in it showed on which adapter a completion that is not streamed ran.

--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -1,8 +1,9 @@
 //! `cargo xtask demo`: the whole path, in separate processes on loopback.
 //!
 //! Starts stand-ins and daemons of a small agency, applies its sample text,
-//! sends a streaming and a plain request for two brands, says which adapter
-//! and version each ran on, and stops everything in order.
+//! sends a streamed and a whole completion and a call of a plain service for two
+//! brands, says which adapter and version each completion ran on, and stops
+//! everything in order.
 
 use std::{collections::BTreeMap, fs, process::ExitCode};
 
@@ -74,6 +75,11 @@
         };
         let streamed = lab::until("an engine that answers", answered).await?;
         show(brand, "streaming", &streamed)?;
+        let whole = Chat {
+            stream: false,
+            ..chat.clone()
+        };
+        show(brand, "whole", &caller.chat(&whole).await?)?;
         let path = format!("/{brand}/listing/calls");
         let listed = caller.send(Method::GET, &path, Bytes::new(), &[]).await?;
         show(brand, "plain", &listed)?;
@@ -102,7 +108,7 @@
     );
     let adapter = reply.header(header::ADAPTER);
     match (kind, adapter) {
-        ("streaming", adapter) => {
+        ("streaming" | "whole", adapter) => {
             let adapter = adapter.context("the answer names no adapter")?;
             let version = reply.header(header::VERSION).unwrap_or_default();
             println!(
