--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -47,7 +47,13 @@
     }
 
     /// Takes an edition or a version from the operator; only the leader may.
-    pub(super) fn on_named(&mut self, now: Time, ticket: Ticket, what: What, out: &mut Vec<Output>) {
+    pub(super) fn on_named(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        what: What,
+        out: &mut Vec<Output>,
+    ) {
         if !self.replica.leads(now) {
             let result = Err(Unnamed::Elsewhere {
                 leader: self.other_leader(),
--- a/crates/control/src/control/io.rs
+++ b/crates/control/src/control/io.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeSet;
 
+use crate::{Taken, What};
 use base::{Fence, InstanceName, TargetName, TextVersion, Ticket, Time};
 use replog::{HaltReason, Index, Record, Rejected, ReplicaId, Snapshot, Term, WriteNo};
-use crate::{Taken, What};
 
 use wire::{
     call::{Call, Reply},
--- a/crates/frontd/src/control.rs
+++ b/crates/frontd/src/control.rs
@@ -40,6 +40,15 @@
 /// Entries kept behind a snapshot for replicas that lag.
 const KEEP: u64 = 16;
 
+/// Time between two heartbeats of the leader: two milliseconds apart, instances
+/// hear each other within a tenth of this.
+const HEARTBEAT: Duration = Duration::from_millis(100);
+
+/// How long a leader may be silent before another is elected. Without a leader
+/// nothing is loaded and no change is taken, so half of the log's usual time;
+/// five heartbeats still have to be missed.
+const ELECTION: Duration = Duration::from_millis(500);
+
 /// How long a voter may be silent before it is removed; longer than the usual
 /// cut or freeze of some seconds.
 const RETIRE: Duration = Duration::from_secs(9);
@@ -147,6 +156,8 @@
         open: true,
         founds: setup.first,
         retire: Some(RETIRE),
+        heartbeat: HEARTBEAT,
+        election: ELECTION,
         compact: COMPACT,
         keep: KEEP,
         ..RawSettings::usual(opened.folder.id().clone(), peers, Seed(rand::random()))
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -156,7 +156,11 @@
                 return End::Stopped;
             }
             let wake = stop_at.map_or(self.wake, |at| self.wake.min(at));
-            let wake = if self.leading { wake.min(self.tick) } else { wake };
+            let wake = if self.leading {
+                wake.min(self.tick)
+            } else {
+                wake
+            };
             let wake = wake.min(self.next_seeds);
             tokio::select! {
                 count = queue.recv_many(&mut burst, BURST) => {
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -1,10 +1,6 @@
 //! One request, from its arrival to the head of its answer.
 
-use std::{
-    collections::BTreeSet,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use base::Mark;
 use bytes::Bytes;
@@ -85,6 +81,8 @@
     pub(super) ran: u32,
     refusals: u32,
     sends: u32,
+    /// Sends that may have reached a target: each further one is a repeat.
+    reached: u32,
 }
 
 /// A request under way at a target; counted until it is dropped.
@@ -141,7 +139,11 @@
         id: id.to_owned(),
         until: arrived + patience.min(route.limit),
         method: parts.method,
-        path: parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned(),
+        path: parts
+            .uri
+            .path_and_query()
+            .map_or("/", |p| p.as_str())
+            .to_owned(),
         headers: heads::onward(&headers, &dialect),
         state,
         route,
@@ -151,15 +153,20 @@
         ran: 0,
         refusals: 0,
         sends: 0,
+        reached: 0,
     };
     job.run(&headers).await
 }
 
 /// What came of one send.
 enum Sent {
-    Answer(Answer, Place),
+    Answer(Box<Answer>, Place),
+    /// Nothing of it reached the target.
+    Unreached,
     /// It certainly has not run there.
-    NotRun { lacks: bool },
+    NotRun {
+        lacks: bool,
+    },
     /// It may have run there.
     InDoubt,
 }
@@ -198,10 +205,11 @@
     ) -> Result<(Answer, Place), Ended> {
         loop {
             let target = self.target().await?;
-            if self.sends > 0 && !self.state.repeat(&self.service) {
+            if self.reached > 0 && !self.state.repeat(&self.service) {
                 return Err(self.given_up());
             }
             self.sends += 1;
+            self.reached += 1;
             match self.send(&target, last).await {
                 Sent::Answer(answer, place) => {
                     if self.worth_another(&answer) {
@@ -209,7 +217,16 @@
                         self.tried.insert(target);
                         continue;
                     }
-                    return Ok((answer, place));
+                    return Ok((*answer, place));
+                }
+                Sent::Unreached => {
+                    self.note_attempt(&target, "unreached");
+                    self.reached -= 1;
+                    self.refusals += 1;
+                    self.tried.insert(target);
+                    if self.refusals >= REFUSALS_MAX {
+                        return Err(self.given_up());
+                    }
                 }
                 Sent::NotRun { lacks } => {
                     self.note_attempt(&target, "not run");
@@ -318,7 +335,7 @@
         let state = &self.state;
         let dialect = &state.outside.dialect;
         let Some(send) = self.request(target, last) else {
-            return Sent::NotRun { lacks: false };
+            return Sent::Unreached;
         };
         state.view().begin(target, &self.adapter);
         let place = Place {
@@ -339,7 +356,7 @@
             Err(broken) => {
                 state.view().unreachable(state.now(), target);
                 return if broken.verdict == base::Verdict::NotRun {
-                    Sent::NotRun { lacks: false }
+                    Sent::Unreached
                 } else {
                     Sent::InDoubt
                 };
@@ -364,7 +381,7 @@
         }
         let good = !answer.status.is_server_error();
         state.view().outcome(state.now(), target, good);
-        Sent::Answer(answer, place)
+        Sent::Answer(Box::new(answer), place)
     }
 
     fn refused(&self, target: &str, answer: &Answer) -> Sent {
@@ -421,7 +438,11 @@
             Kind::Stream { resumable: true } if again => STREAM_SILENT,
             _ => left,
         };
-        let first = if again { left.mul_f64(SILENT_PART) } else { left };
+        let first = if again {
+            left.mul_f64(SILENT_PART)
+        } else {
+            left
+        };
         Limits {
             connect: CONNECT.min(left),
             first,
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -71,7 +71,9 @@
     }
 
     pub(super) fn table(&self) -> Option<Arc<Table>> {
-        lock(&self.table).as_ref().map(|(_, table)| Arc::clone(table))
+        lock(&self.table)
+            .as_ref()
+            .map(|(_, table)| Arc::clone(table))
     }
 
     pub(super) fn edition(&self) -> u64 {
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -123,7 +123,11 @@
             edition: self.state.edition(),
             news: self.news.load(Ordering::Relaxed),
             running: view.running(),
-            demand: if regular { view.take_demand() } else { Vec::new() },
+            demand: if regular {
+                view.take_demand()
+            } else {
+                Vec::new()
+            },
             wants: std::mem::take(&mut *lock(&self.state.wants)),
             failing: Vec::new(),
         }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -347,7 +347,12 @@
 
     fn reported(&mut self, now: Time, id: &str, report: Option<Report>) {
         if let Some(engine) = self.engines.get_mut(id) {
-            engine.reported(now, report, self.config.adapter_load, self.config.report_lag);
+            engine.reported(
+                now,
+                report,
+                self.config.adapter_load,
+                self.config.report_lag,
+            );
             self.dirty = true;
         }
     }
--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -131,7 +131,14 @@
         }
     }
 
-    fn accepted(&mut self, now: Time, act: Act, ended: Ended, load: Duration, model_load: Duration) {
+    fn accepted(
+        &mut self,
+        now: Time,
+        act: Act,
+        ended: Ended,
+        load: Duration,
+        model_load: Duration,
+    ) {
         match act {
             Act::LoadModel(model) => {
                 let wait = if ended == Ended::Done {
@@ -176,7 +183,10 @@
 
     fn undo(&mut self, act: &Act) {
         if let Act::Load { adapter, .. } = act
-            && self.adapters.get(adapter).is_some_and(|slot| slot.ordered.is_none())
+            && self
+                .adapters
+                .get(adapter)
+                .is_some_and(|slot| slot.ordered.is_none())
         {
             self.adapters.remove(adapter);
         }
@@ -240,7 +250,9 @@
             .adapters
             .iter()
             .filter(|(name, slot)| {
-                let ordered = slot.ordered.is_some_and(|at| now < at.max(slot.ready) + lag);
+                let ordered = slot
+                    .ordered
+                    .is_some_and(|at| now < at.max(slot.ready) + lag);
                 !held.adapters.contains_key(*name) && !ordered
             })
             .map(|(name, _)| name.clone())
@@ -266,7 +278,10 @@
 
     /// Returns adapters on their way.
     pub(super) fn transit(&self, now: Time) -> usize {
-        self.adapters.values().filter(|slot| slot.ready > now).count()
+        self.adapters
+            .values()
+            .filter(|slot| slot.ready > now)
+            .count()
     }
 
     pub(super) fn was_here(&self, adapter: &str) -> bool {
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -178,8 +178,13 @@
     }
 
     fn slots_of(&self, adapter: &str) -> f64 {
-        let engines = self.engines.keys().filter(|id| self.holds_model(id, adapter));
-        let slots = engines.filter_map(|id| self.targets.get(id)).map(|t| t.slots);
+        let engines = self
+            .engines
+            .keys()
+            .filter(|id| self.holds_model(id, adapter));
+        let slots = engines
+            .filter_map(|id| self.targets.get(id))
+            .map(|t| t.slots);
         f64::from(slots.max().unwrap_or(1).max(1))
     }
 
@@ -319,7 +324,10 @@
         let Some(addr) = self.targets.get(id).map(|t| t.addr.clone()) else {
             return;
         };
-        let engine = self.engines.get_mut(id).expect("orders go to known engines");
+        let engine = self
+            .engines
+            .get_mut(id)
+            .expect("orders go to known engines");
         let Some(expected) = engine.seq else {
             return;
         };
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -159,7 +159,13 @@
     /// Chooses a target of `service` for a request that uses `adapter` (empty
     /// for none) and has failed on `tried` already.
     #[must_use]
-    pub fn choose(&self, now: Time, service: &str, adapter: &str, tried: &BTreeSet<String>) -> Choice {
+    pub fn choose(
+        &self,
+        now: Time,
+        service: &str,
+        adapter: &str,
+        tried: &BTreeSet<String>,
+    ) -> Choice {
         let of_service = self.targets.values();
         let ready: Vec<_> = of_service
             .filter(|k| k.target.service == service && k.target.ready)
@@ -288,5 +294,9 @@
 }
 
 fn usable(known: &Known, now: Time, adapter: &str) -> bool {
-    adapter.is_empty() || known.residents.get(adapter).is_some_and(|(_, at)| *at <= now)
+    adapter.is_empty()
+        || known
+            .residents
+            .get(adapter)
+            .is_some_and(|(_, at)| *at <= now)
 }
--- a/crates/replog/src/replica/members.rs
+++ b/crates/replog/src/replica/members.rs
@@ -183,7 +183,13 @@
         self.journal.members().cloned().ok_or(WhyNot::NotLeader)
     }
 
-    fn change(&mut self, now: Time, ticket: Option<u64>, result: Result<Members, WhyNot>, out: &mut Outputs) {
+    fn change(
+        &mut self,
+        now: Time,
+        ticket: Option<u64>,
+        result: Result<Members, WhyNot>,
+        out: &mut Outputs,
+    ) {
         match (result, ticket) {
             (Ok(members), _) => self.push_members(now, ticket, members),
             (Err(why), Some(ticket)) => {
