Count targets out of reach as no holders; tell callers at once when loads are possible again

Cause: six refusals within 20 ms by the one dead holder of an adapter; requests waited 3.8 s for adapters while no leader gave orders.

--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -37,6 +37,16 @@
 /// is told to come back while it still can.
 const WAIT_PART: f64 = 0.35;
 
+/// Longest wait for an adapter. Callers leave a stream without any event after
+/// some two seconds.
+const WAIT_MAX: Duration = Duration::from_millis(1_600);
+
+/// A time without orders that is worth waiting for.
+const LONG: Duration = Duration::from_millis(900);
+
+/// Part of the time left after which a caller comes back at the latest.
+const RETURN_PART: f64 = 0.32;
+
 /// When a caller should come back that met no target or no adapter: an engine
 /// takes a quarter of a second to load, an election about a second.
 const AGAIN: Duration = Duration::from_millis(700);
@@ -279,6 +289,22 @@
         self.may_run_again() && Instant::now() < self.until
     }
 
+    /// Rejects a request whose adapter can't be loaded for a while.
+    ///
+    /// Failure: without a leader that gives orders, requests for adapters that
+    /// nobody holds would wait until their callers leave. They are told at
+    /// once when a load is possible again; callers come back within a third of
+    /// the time they have.
+    fn come_back(&self, wait: Duration) -> Ended {
+        if self.ran > 0 {
+            return Ended::Failed;
+        }
+        base::hit!(told_to_come_back);
+        let left = self.until.saturating_duration_since(Instant::now());
+        let again = wait.min(left.mul_f64(RETURN_PART)).max(AGAIN);
+        Ended::NotRun { again }
+    }
+
     fn given_up(&self) -> Ended {
         if self.ran > 0 {
             return Ended::Failed;
@@ -298,7 +324,7 @@
     /// Waits for a target that can take the request.
     async fn target(&self) -> Result<String, Ended> {
         let left = self.until.saturating_duration_since(self.arrived);
-        let give_up = self.arrived + left.mul_f64(WAIT_PART);
+        let give_up = self.arrived + left.mul_f64(WAIT_PART).min(WAIT_MAX);
         loop {
             let changed = self.state.changed.notified();
             let now = Instant::now();
@@ -320,6 +346,9 @@
                 Choice::Wait(wait) => sleep(wait.max(Duration::from_millis(1))).await,
                 Choice::Nobody => return Err(self.given_up()),
                 Choice::Missing if now >= give_up => return Err(self.given_up()),
+                Choice::Missing if self.state.no_orders_for() > LONG => {
+                    return Err(self.come_back(self.state.no_orders_for()));
+                }
                 Choice::Missing => {
                     self.state.want(&self.adapter);
                     tokio::select! {
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -6,6 +6,7 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
+    time::Duration,
 };
 
 use base::{InstanceName, Time};
@@ -34,9 +35,19 @@
     table: Mutex<Option<(u64, Arc<Table>)>>,
     view: Mutex<View>,
     budget: Mutex<Budget>,
+    /// When the leader was heard last, and from when it may give orders.
+    orders: Mutex<(Time, Time)>,
     pub(super) wants: Mutex<Vec<String>>,
 }
 
+/// Without an answer of the leader for so long, two exchanges in a row were
+/// lost, and another leader is probably due.
+const LEADER_SILENT: Duration = Duration::from_millis(900);
+
+/// Time until a new leader gives orders: an election of about a second, and
+/// the time that it leaves to orders of the one before.
+const NEXT_LEADER: Duration = Duration::from_millis(4_000);
+
 /// Entry instances taken for alive before the leader has said how many are: a
 /// greater number gives each a smaller share of what all share.
 const ENTRIES_AT_FIRST: u32 = 12;
@@ -58,6 +69,7 @@
             table: Mutex::default(),
             view: Mutex::new(View::new(setup.zone.clone())),
             budget: Mutex::new(Budget::new(setup.repeats)),
+            orders: Mutex::new((Time::ZERO, Time::ZERO)),
             wants: Mutex::default(),
         }
     }
@@ -109,6 +121,21 @@
         lock(&self.budget).repeat(self.now(), service, entries)
     }
 
+    pub(super) fn set_orders(&self, now: Time, hold: Duration) {
+        *lock(&self.orders) = (now, now + hold);
+    }
+
+    /// Returns how long it will take until an adapter that nobody holds can be
+    /// ordered: zero while a leader is heard that gives orders.
+    pub(super) fn no_orders_for(&self) -> Duration {
+        let now = self.now();
+        let (heard, from) = *lock(&self.orders);
+        if now.since(heard) > LEADER_SILENT {
+            return NEXT_LEADER;
+        }
+        from.since(now)
+    }
+
     /// Asks the leader for an adapter.
     pub(super) fn want(&self, adapter: &str) {
         let mut wants = lock(&self.wants);
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -129,7 +129,7 @@
                 Vec::new()
             },
             wants: std::mem::take(&mut *lock(&self.state.wants)),
-            failing: Vec::new(),
+            failing: view.failing(self.state.now()),
         }
     }
 
@@ -163,6 +163,7 @@
         view.set_others(synced.running);
         drop(view);
         state.set_entries(synced.entries);
+        state.set_orders(now, synced.hold);
         state.changed.notify_waiters();
     }
 
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -29,6 +29,11 @@
 /// order takes a few milliseconds; beyond this the asker asks again.
 const PARK: Duration = Duration::from_millis(150);
 
+/// How long a target that an entry instance couldn't reach gets no orders and
+/// counts for nothing. The platform's list needs seconds to drop a dead one;
+/// until then callers would be sent to it and no copy made elsewhere.
+const FAILING: Duration = Duration::from_secs(2);
+
 /// How long an adapter stays wanted after it was last asked for.
 const WANTED: Duration = Duration::from_millis(1_500);
 
@@ -232,6 +237,8 @@
     entries: BTreeMap<InstanceName, Entry>,
     demand: Demand,
     wants: BTreeMap<String, Time>,
+    /// Targets that couldn't be reached, and when that was said last.
+    failing: BTreeMap<String, Time>,
     versions: BTreeMap<String, u32>,
     /// Fencing number, and when the first order may be given.
     leads: Option<(u64, Time)>,
@@ -252,6 +259,7 @@
             entries: BTreeMap::new(),
             demand: Demand::default(),
             wants: BTreeMap::new(),
+            failing: BTreeMap::new(),
             versions: BTreeMap::new(),
             leads: None,
             news: 0,
@@ -321,6 +329,9 @@
         for adapter in &sync.wants {
             self.wants.insert(adapter.clone(), now);
         }
+        for target in &sync.failing {
+            self.failing.insert(target.clone(), now);
+        }
         if let Some(instance) = &sync.instance {
             let entry = Entry {
                 heard: now,
@@ -361,6 +372,7 @@
         self.entries
             .retain(|_, entry| now.since(entry.heard) < ENTRY_SILENT);
         self.wants.retain(|_, at| now.since(*at) < WANTED);
+        self.failing.retain(|_, at| now.since(*at) < FAILING);
         self.demand.forget(now);
     }
 
@@ -381,6 +393,9 @@
                 news: self.news,
                 targets: (asked.news != self.news).then(|| self.all(now)),
                 running: self.running_without(asked.asker.as_ref()),
+                hold: self
+                    .leads
+                    .map_or(Duration::ZERO, |(_, from)| from.since(now)),
                 entries: u32::try_from(self.entries.len()).unwrap_or(u32::MAX),
                 ..Synced::default()
             };
@@ -389,6 +404,11 @@
         }
     }
 
+    /// Tells whether a target takes requests and can be reached.
+    fn serves(&self, id: &str) -> bool {
+        !self.failing.contains_key(id) && self.targets.get(id).is_some_and(|t| t.ready)
+    }
+
     fn all(&self, now: Time) -> Vec<Target> {
         let each = self.targets.values().map(|listed| Target {
             id: listed.id.clone(),
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -40,16 +40,12 @@
     /// Tells whether an adapter is held somewhere, or its load is accepted.
     pub(super) fn placed(&self, adapter: &String) -> bool {
         let mut engines = self.engines.iter();
-        engines.any(|(id, engine)| {
-            let ready = self.targets.get(id).is_some_and(|t| t.ready);
-            ready && self.current(engine, adapter)
-        })
+        engines.any(|(id, engine)| self.serves(id) && self.current(engine, adapter))
     }
 
     fn copies(&self, adapter: &String) -> usize {
         let has = |id: &String, engine: &Engine| {
-            let ready = self.targets.get(id).is_some_and(|t| t.ready);
-            ready && (self.current(engine, adapter) || engine.heads_for(adapter))
+            self.serves(id) && (self.current(engine, adapter) || engine.heads_for(adapter))
         };
         let engines = self.engines.iter();
         engines.filter(|(id, engine)| has(id, engine)).count()
@@ -112,7 +108,7 @@
                 return;
             }
             let engine = &self.engines[&id];
-            if !engine.models.is_empty() || !engine.free(now) {
+            if !engine.models.is_empty() || !engine.free(now) || !self.serves(&id) {
                 continue;
             }
             let model = self.spec(&id).and_then(|spec| spec.models.first());
@@ -198,8 +194,7 @@
         out: &mut Vec<Output>,
     ) {
         let fit = self.engines.iter().filter(|(id, engine)| {
-            let ready = self.targets.get(*id).is_some_and(|t| t.ready);
-            ready
+            self.serves(id)
                 && engine.free(now)
                 && engine.goal.is_none()
                 && engine.transit(now) < TRANSIT_MAX
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -142,6 +142,13 @@
         std::mem::take(&mut self.demand).into_iter().collect()
     }
 
+    /// Returns targets that can't be reached from here.
+    #[must_use]
+    pub fn failing(&self, now: Time) -> Vec<String> {
+        let resting = self.targets.iter().filter(|(_, known)| known.rests(now));
+        resting.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns the requests under way here.
     #[must_use]
     pub fn running(&self) -> Vec<Running> {
@@ -173,7 +180,14 @@
         if ready.is_empty() {
             return Choice::Nobody;
         }
-        let holders: Vec<_> = ready.iter().filter(|k| self.holds(k, adapter)).collect();
+        let holders = ready.iter().filter(|k| self.holds(k, adapter));
+        // Failure: the only holder of an adapter has crashed, and is listed for
+        // seconds more. Requests would go to it again and again. Another copy
+        // can be loaded in a quarter of a second, so whoever is out of reach
+        // counts as no holder.
+        let holders: Vec<_> = holders
+            .filter(|k| adapter.is_empty() || !(k.rests(now) || tried.contains(&k.target.id)))
+            .collect();
         if holders.is_empty() {
             return Choice::Missing;
         }
@@ -276,7 +290,7 @@
             cost += FAR;
         }
         cost += FAILED * known.trouble.now(now);
-        if known.trouble.rest.is_some_and(|until| now < until) {
+        if known.rests(now) {
             cost += 10.0;
         }
         if tried.contains(&target.id) {
@@ -286,6 +300,13 @@
     }
 }
 
+impl Known {
+    /// Tells whether the target couldn't be reached a moment ago.
+    fn rests(&self, now: Time) -> bool {
+        self.trouble.rest.is_some_and(|until| now < until)
+    }
+}
+
 impl Trouble {
     fn now(&self, now: Time) -> f64 {
         let halves = now.since(self.at).as_secs_f64() / FORGIVE.as_secs_f64();
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -26,7 +26,7 @@
         pub demand: Vec<(String, u32)>,
         /// Adapters that callers wait for.
         pub wants: Vec<String>,
-        /// Replicas that broke or refused requests lately, by id.
+        /// Targets that couldn't be reached lately, by id.
         pub failing: Vec<String>,
     }
 
@@ -53,6 +53,8 @@
         pub targets: Option<Vec<Target>>,
         /// Requests under way at each target over all other instances.
         pub running: Vec<(String, u32)>,
+        /// Time until the leader may give orders; zero when it may.
+        pub hold: Duration,
         /// Entry instances that the leader hears.
         pub entries: u32,
         /// Control instances by the log.
