--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -1,6 +1,6 @@
 //! Commands as they travel in the log.
 
-use base::{ChangeId, TextVersion, record};
+use base::{ChangeId, InstanceName, TextVersion, record};
 use owner::Life;
 use thiserror::Error;
 use wire::{
@@ -56,6 +56,13 @@
             /// Its version.
             version: u32,
         },
+        /// An instance gives the orders to a zone's engines from now on.
+        OwnZone {
+            /// The zone.
+            zone: String,
+            /// The instance.
+            instance: InstanceName,
+        },
         /// A claimer has fallen silent: what it had under way may have run.
         Lapse(Life),
     }
--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -37,8 +37,8 @@
             },
             Call::Settle(settle) => return self.on_item(ticket, Item::Settle(settle), out),
             Call::Explain(_) => Reply::Explained(None),
-            // The daemon answers it from what the leader knows of targets.
-            Call::Sync(_) => Reply::Elsewhere {
+            // The daemon answers them from what it knows of targets and zones.
+            Call::Sync(_) | Call::Renew { .. } => Reply::Elsewhere {
                 leader: self.other_leader(),
             },
             Call::Confirm(_) | Call::Residents(_) | Call::Handover(_) | Call::Drain => Reply::Done,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 mod editions;
 mod state;
 mod texts;
+mod zones;
 
 pub use crate::{
     claims::{Claims, Limits},
@@ -21,6 +22,7 @@
     editions::{Editions, Taken},
     state::{BadState, Outcome, State},
     texts::{Given, Texts},
+    zones::{ZoneOwner, ZoneOwners},
 };
 
 pub use wire::patch::{BadPatch, Patch};
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -8,7 +8,7 @@
 
 pub use self::saved::BadState;
 use self::saved::Saved;
-use crate::{Claims, Command, Editions, Given, Item, Limits, Taken, Texts, What};
+use crate::{Claims, Command, Editions, Given, Item, Limits, Taken, Texts, What, ZoneOwners};
 
 /// Time that a claimer unknown to the table should wait: its first beat has
 /// not been through the log yet.
@@ -35,6 +35,7 @@
         at: u64,
         texts: Texts,
         editions: Editions,
+        zones: ZoneOwners,
         table: Table,
         claims: Claims,
     }
@@ -79,6 +80,10 @@
             What::Revise { adapter, version } => {
                 Outcome::Named(self.editions.revise(adapter, *version))
             }
+            What::OwnZone { zone, instance } => {
+                self.zones.own(index, zone, instance);
+                Outcome::Named(Taken::InForce)
+            }
             What::Owner(change) => Outcome::Owner(self.own(index, change)),
             What::Lapse(life) => {
                 if self.table.knows(life) {
@@ -109,6 +114,12 @@
         &self.editions
     }
 
+    /// Returns who gives the orders in each zone.
+    #[must_use]
+    pub fn zones(&self) -> &ZoneOwners {
+        &self.zones
+    }
+
     /// Returns instances and owners.
     #[must_use]
     pub fn table(&self) -> &Table {
--- a/crates/control/src/state/saved.rs
+++ b/crates/control/src/state/saved.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 use super::State;
-use crate::{Claims, Editions, Texts};
+use crate::{Claims, Editions, Texts, ZoneOwners};
 
 /// The format written here; others are refused, not guessed at.
 const FORMAT: u32 = 2;
@@ -30,6 +30,7 @@
     at: u64,
     texts: Cow<'a, Texts>,
     editions: Cow<'a, Editions>,
+    zones: Cow<'a, ZoneOwners>,
     table: Cow<'a, Table>,
     claims: Cow<'a, Claims>,
 }
@@ -41,6 +42,7 @@
             at: state.at,
             texts: Cow::Borrowed(&state.texts),
             editions: Cow::Borrowed(&state.editions),
+            zones: Cow::Borrowed(&state.zones),
             table: Cow::Borrowed(&state.table),
             claims: Cow::Borrowed(&state.claims),
         }
@@ -60,6 +62,7 @@
             at: saved.at,
             texts,
             editions: saved.editions.into_owned(),
+            zones: saved.zones.into_owned(),
             table: saved.table.into_owned(),
             claims: saved.claims.into_owned(),
         })
--- a/crates/frontd/src/control.rs
+++ b/crates/frontd/src/control.rs
@@ -5,18 +5,17 @@
 mod shell;
 
 use std::{
+    collections::BTreeSet,
     net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
-    sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use anyhow::{Context, Result};
 use base::{Incarnation, InstanceName, Seed};
 use control::{Checked, Control};
-use daemon::{Clock, Links};
+use daemon::Clock;
 use disk::{Done, Fate, Writer};
-use gateway::holder;
 use http_body_util::BodyExt;
 use hyper::{Request, Response, body::Incoming};
 use replog::{RawSettings, Replica};
@@ -69,8 +68,12 @@
     pub data: PathBuf,
     /// Whether the deployment starts for the first time.
     pub first: bool,
-    /// Times of the holder of orders.
-    pub holder: holder::Config,
+    /// Its availability zone.
+    pub zone: String,
+    /// All availability zones.
+    pub zones: BTreeSet<String>,
+    /// How long after the last order of one holder another may give its first.
+    pub turns: Duration,
 }
 
 /// Serves until a planned stop has ended. `answer` translates what operators
@@ -167,13 +170,11 @@
     let writer = start_writer(opened.folder, jobs.clone())?;
     Ok(Shell::new(
         control,
-        gateway::holder::Holder::new(setup.holder),
+        setup,
         writer,
         clock,
         outside.clone(),
         jobs.clone(),
-        Arc::new(Links::new(name)),
-        setup.peers,
     ))
 }
 
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -1,7 +1,8 @@
-//! The one task that owns the control instance and the holder.
+//! The one task that owns the control instance, the granting of zones and the
+//! holder of orders.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::IpAddr,
     sync::Arc,
     time::Duration,
@@ -11,7 +12,10 @@
 use control::{Control, Event, Input, Output, Unnamed, What};
 use daemon::{Clock, Links};
 use disk::Writer;
-use gateway::holder::{self, Holder};
+use gateway::{
+    holder::{self, Holder},
+    tenure::{Granter, Tenure},
+};
 use replog::HaltReason;
 use telemetry::event;
 use tokio::{
@@ -23,7 +27,7 @@
     fleet::{Edition, Synced},
 };
 
-use super::{HANDOVER, Named};
+use super::{HANDOVER, Named, Setup};
 use crate::{Outside, names};
 
 /// Jobs taken in one go before timers are looked at again.
@@ -32,9 +36,16 @@
 /// How often the holder looks for what is due without any news.
 const TICK: Duration = Duration::from_millis(100);
 
-/// How often the leader reads the platform's list. It lags by most of a second
-/// itself, and targets that leave have to be left within three.
-const LIST_EVERY: Duration = Duration::from_millis(500);
+/// How often the owner of a zone reads the platform's list of it. It lags by
+/// most of a second itself, and targets that leave have to be left within three.
+const LIST_EVERY: Duration = Duration::from_millis(600);
+
+/// How often the right to give orders is renewed; a tenure outlasts many lost
+/// renewals.
+const RENEW_EVERY: Duration = Duration::from_millis(400);
+
+/// How long a renewal may take.
+const RENEW_LIMIT: Duration = Duration::from_millis(300);
 
 /// How often the settings are looked at for other control instances.
 const SEEDS_EVERY: Duration = Duration::from_secs(1);
@@ -57,6 +68,13 @@
         /// Where the reply goes.
         to: oneshot::Sender<Reply>,
     },
+    /// The leader has renewed the right to give orders.
+    Renewed {
+        /// When it was asked to.
+        asked: Time,
+        /// Zones and fencing numbers.
+        zones: Vec<(String, u64)>,
+    },
     /// An operator names something.
     Name {
         /// What.
@@ -86,6 +104,8 @@
 enum Waiter {
     Call(oneshot::Sender<Reply>),
     Name(oneshot::Sender<Named>),
+    /// Nobody; the zone that is about to get an owner.
+    Zone(String),
     Sync {
         to: oneshot::Sender<Reply>,
         edition: u64,
@@ -105,38 +125,50 @@
     tick: Time,
     next_list: Time,
     next_seeds: Time,
-    leading: bool,
+    next_renew: Time,
+    granter: Granter,
+    tenure: Tenure,
+    /// Zones whose next owner is on its way through the log.
+    moving: BTreeSet<String>,
+    zone: String,
+    zones: BTreeSet<String>,
+    turns: Duration,
     tickets: u64,
     waiters: HashMap<Ticket, Waiter>,
     end: Option<End>,
 }
 
 impl Shell {
-    #[allow(clippy::too_many_arguments)]
     pub(super) fn new(
         control: Control,
-        holder: Holder,
+        setup: &Setup,
         writer: Writer,
         clock: Clock,
         outside: Outside,
         jobs: mpsc::UnboundedSender<Job>,
-        links: Arc<Links>,
-        port: u16,
     ) -> Self {
+        let name = control.replica().id().instance.clone();
+        let serial = u64::from(rand::random::<u32>());
         Shell {
             control,
-            holder,
+            holder: Holder::new(holder::Config::default(), serial),
             writer,
             clock,
             outside,
             jobs,
-            links,
-            port,
+            links: Arc::new(Links::new(name)),
+            port: setup.peers,
             wake: Time::ZERO,
             tick: Time::ZERO,
             next_list: Time::ZERO,
             next_seeds: Time::ZERO,
-            leading: false,
+            next_renew: Time::ZERO,
+            granter: Granter::default(),
+            tenure: Tenure::default(),
+            moving: BTreeSet::new(),
+            zone: setup.zone.clone(),
+            zones: setup.zones.clone(),
+            turns: setup.turns,
             tickets: 0,
             waiters: HashMap::new(),
             end: None,
@@ -156,12 +188,8 @@
                 return End::Stopped;
             }
             let wake = stop_at.map_or(self.wake, |at| self.wake.min(at));
-            let wake = if self.leading {
-                wake.min(self.tick)
-            } else {
-                wake
-            };
-            let wake = wake.min(self.next_seeds);
+            let wake = wake.min(self.next_seeds).min(self.next_renew);
+            let wake = wake.min(self.tick);
             tokio::select! {
                 count = queue.recv_many(&mut burst, BURST) => {
                     if count == 0 {
@@ -196,12 +224,15 @@
                 self.input(Input::Peers { peers });
             }
         }
-        if !self.leading {
-            return;
+        if now >= self.next_renew {
+            self.next_renew = now + RENEW_EVERY;
+            self.renew(now);
         }
         if now >= self.next_list {
             self.next_list = now + LIST_EVERY;
-            self.read_list();
+            for zone in self.tenure.zones(now) {
+                self.read_list(zone);
+            }
         }
         if now >= self.tick {
             self.tick = now + TICK;
@@ -209,12 +240,85 @@
         }
     }
 
-    fn read_list(&self) {
+    /// Renews the right to give orders; as the leader, grants it to itself and
+    /// gives zones without an owner to somebody.
+    fn renew(&mut self, now: Time) {
+        let name = self.control.replica().id().instance.clone();
+        if self.control.leads(now) {
+            let zone = self.zone.clone();
+            self.granter.renew(now, &name, &zone);
+            let zones = self.owned_by(&name);
+            self.renewed(now, zones);
+            self.give_zones(now);
+            return;
+        }
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let Some(address) = names::address(&leader, self.port) else {
+            return;
+        };
+        let call = Call::Renew {
+            instance: name,
+            zone: self.zone.clone(),
+        };
+        let (links, jobs) = (Arc::clone(&self.links), self.jobs.clone());
+        tokio::spawn(async move {
+            let reply = links.to(address).call(call, RENEW_LIMIT).await;
+            // What is lost is asked for again before the tenure ends.
+            if let Ok(Reply::Renewed(zones)) = reply {
+                jobs.send(Job::Renewed { asked: now, zones }).ok();
+            }
+        });
+    }
+
+    /// Returns the zones that `instance` owns and that are not about to get
+    /// another owner.
+    ///
+    /// Failure: an owner that was silent for long asks again just after its
+    /// zone was given to another, before that is through the log. Renewing its
+    /// right would make two owners.
+    fn owned_by(&self, instance: &InstanceName) -> Vec<(String, u64)> {
+        let own = self.control.state().zones().of(instance);
+        let own = own.filter(|(zone, _)| !self.moving.contains(*zone));
+        own.map(|(zone, fence)| (zone.to_owned(), fence)).collect()
+    }
+
+    fn renewed(&mut self, asked: Time, zones: Vec<(String, u64)>) {
+        let before = self.tenure.zones(self.clock.now());
+        self.tenure.granted(asked, zones);
+        let after = self.tenure.zones(self.clock.now());
+        if before != after {
+            event!(telemetry::Event::EngineTaken, zones = after.join(","));
+            self.next_list = Time::ZERO;
+        }
+        let tenure = self.tenure.clone();
+        self.hold(holder::Input::Tenure(tenure));
+    }
+
+    fn give_zones(&mut self, now: Time) {
+        let owners = self.control.state().zones().all().iter();
+        let owners = owners.map(|(zone, owner)| (zone.clone(), owner.instance.clone()));
+        let owners: BTreeMap<_, _> = owners.collect();
+        let due = self.granter.due(now, &self.zones, &owners, self.turns);
+        for (zone, instance) in due {
+            if !self.moving.insert(zone.clone()) {
+                continue;
+            }
+            let ticket = self.wait(Waiter::Zone(zone.clone()));
+            let what = What::OwnZone { zone, instance };
+            self.input(Input::Name { ticket, what });
+        }
+    }
+
+    fn read_list(&self, zone: String) {
         let (list, jobs) = (self.outside.list.clone(), self.jobs.clone());
         tokio::spawn(async move {
-            match list().await {
+            match list(Some(zone.clone())).await {
                 Some(list) => {
-                    jobs.send(Job::Holder(holder::Input::Listed(list))).ok();
+                    let zones = vec![zone];
+                    let listed = holder::Input::Listed { zones, list };
+                    jobs.send(Job::Holder(listed)).ok();
                 }
                 None => event!(telemetry::Event::ListStale),
             }
@@ -226,6 +330,7 @@
             Job::Input(input) => self.input(input),
             Job::Holder(input) => self.hold(input),
             Job::Call { call, to } => self.call(call, to),
+            Job::Renewed { asked, zones } => self.renewed(asked, zones),
             Job::Name { what, to } => {
                 let ticket = self.wait(Waiter::Name(to));
                 self.input(Input::Name { ticket, what });
@@ -238,19 +343,32 @@
     }
 
     fn call(&mut self, call: Call, to: oneshot::Sender<Reply>) {
-        let Call::Sync(sync) = call else {
-            let ticket = self.wait(Waiter::Call(to));
-            self.input(Input::Call { ticket, call });
-            return;
-        };
-        if !self.control.leads(self.clock.now()) {
+        match call {
+            Call::Sync(sync) => {
+                let edition = sync.edition;
+                let ticket = self.wait(Waiter::Sync { to, edition });
+                self.hold(holder::Input::Sync(ticket, sync));
+            }
+            Call::Renew { instance, zone } => {
+                to.send(self.grant(&instance, &zone)).ok();
+            }
+            call => {
+                let ticket = self.wait(Waiter::Call(to));
+                self.input(Input::Call { ticket, call });
+            }
+        }
+    }
+
+    fn grant(&mut self, instance: &InstanceName, zone: &str) -> Reply {
+        let now = self.clock.now();
+        // Failure: this instance was frozen while it led, and another has
+        // given the asker's zones away since.
+        if !self.control.leads(now) {
             let leader = self.leader();
-            to.send(Reply::Elsewhere { leader }).ok();
-            return;
+            return Reply::Elsewhere { leader };
         }
-        let edition = sync.edition;
-        let ticket = self.wait(Waiter::Sync { to, edition });
-        self.hold(holder::Input::Sync(ticket, sync));
+        self.granter.renew(now, instance, zone);
+        Reply::Renewed(self.owned_by(instance))
     }
 
     fn newest(&self) -> Result<Option<Edition>, Named> {
@@ -294,11 +412,16 @@
                     to.send(reply).ok();
                 }
             }
-            Output::Named { ticket, result } => {
-                if let Some(Waiter::Name(to)) = self.waiters.remove(&ticket) {
+            Output::Named { ticket, result } => match self.waiters.remove(&ticket) {
+                Some(Waiter::Name(to)) => {
                     to.send(self.named(result)).ok();
                 }
-            }
+                Some(Waiter::Zone(zone)) => {
+                    self.moving.remove(&zone);
+                    self.next_renew = Time::ZERO;
+                }
+                _ => {}
+            },
             Output::Send { to, call } => self.send(&to, call),
             Output::Write { no, records } => self.write(replog::Output::Write { no, records }),
             Output::Rewrite {
@@ -351,16 +474,12 @@
         match report {
             Event::Leads { term } => {
                 event!(Line::LeaderElected, term = term);
-                self.leading = true;
-                self.next_list = Time::ZERO;
-                self.hold(holder::Input::Lead { fence: term.get() });
-                self.named_changed();
+                self.granter.lead(self.clock.now());
+                self.next_renew = Time::ZERO;
             }
             Event::Follows => {
                 event!(Line::LeaderLost);
-                self.leading = false;
-                self.hold(holder::Input::Follow);
-                self.abandon_syncs();
+                self.granter.follow();
             }
             Event::Named => self.named_changed(),
             Event::Halted { reason } => {
@@ -379,23 +498,9 @@
         }
     }
 
-    fn abandon_syncs(&mut self) {
-        let leader = self.leader();
-        let waiters = std::mem::take(&mut self.waiters);
-        for (ticket, waiter) in waiters {
-            if let Waiter::Sync { to, .. } = waiter {
-                let leader = leader.clone();
-                to.send(Reply::Elsewhere { leader }).ok();
-            } else {
-                self.waiters.insert(ticket, waiter);
-            }
-        }
-    }
-
     fn named_changed(&mut self) {
         let editions = self.control.state().editions();
         if let Some(newest) = editions.newest() {
-            event!(telemetry::Event::TextInForce, version = newest.number);
             match (self.outside.decode)(&newest.body) {
                 Ok(decoded) => self.holder.set_specs(decoded.table.engines()),
                 Err(why) => event!(telemetry::Event::TextBroken, why = why),
@@ -407,11 +512,6 @@
 
     fn hold(&mut self, input: holder::Input) {
         let now = self.clock.now();
-        // Failure: this instance was frozen while it led. Another has become
-        // the holder since; an order given now would cross that one's.
-        if self.leading && !self.control.leads(now) {
-            self.input(Input::Wake);
-        }
         let mut outputs = Vec::new();
         self.holder.handle(now, input, &mut outputs);
         for output in outputs {
--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -45,6 +45,8 @@
     pub ip: IpAddr,
     /// Its availability zone.
     pub zone: String,
+    /// All availability zones.
+    pub zones: Vec<String>,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where the platform asks whether it is ready.
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -41,8 +41,9 @@
 /// some two seconds.
 const WAIT_MAX: Duration = Duration::from_millis(1_600);
 
-/// A time without orders that is worth waiting for.
-const LONG: Duration = Duration::from_millis(900);
+/// When a caller should come back while nobody in reach gives orders: control
+/// instances restart or elect a leader within about two seconds.
+const NO_ORDERS: Duration = Duration::from_millis(2_000);
 
 /// Part of the time left after which a caller comes back at the latest.
 const RETURN_PART: f64 = 0.32;
@@ -291,17 +292,17 @@
 
     /// Rejects a request whose adapter can't be loaded for a while.
     ///
-    /// Failure: without a leader that gives orders, requests for adapters that
+    /// Failure: while nobody gives orders, requests for adapters that
     /// nobody holds would wait until their callers leave. They are told at
     /// once when a load is possible again; callers come back within a third of
     /// the time they have.
-    fn come_back(&self, wait: Duration) -> Ended {
+    fn come_back(&self) -> Ended {
         if self.ran > 0 {
             return Ended::Failed;
         }
         base::hit!(told_to_come_back);
         let left = self.until.saturating_duration_since(Instant::now());
-        let again = wait.min(left.mul_f64(RETURN_PART)).max(AGAIN);
+        let again = NO_ORDERS.min(left.mul_f64(RETURN_PART)).max(AGAIN);
         Ended::NotRun { again }
     }
 
@@ -324,6 +325,8 @@
     /// Waits for a target that can take the request.
     async fn target(&self) -> Result<String, Ended> {
         let left = self.until.saturating_duration_since(self.arrived);
+        let mut round = 0;
+        let mut ask_at = self.arrived;
         let give_up = self.arrived + left.mul_f64(WAIT_PART).min(WAIT_MAX);
         loop {
             let changed = self.state.changed.notified();
@@ -346,14 +349,18 @@
                 Choice::Wait(wait) => sleep(wait.max(Duration::from_millis(1))).await,
                 Choice::Nobody => return Err(self.given_up()),
                 Choice::Missing if now >= give_up => return Err(self.given_up()),
-                Choice::Missing if self.state.no_orders_for() > LONG => {
-                    return Err(self.come_back(self.state.no_orders_for()));
+                Choice::Missing if !self.state.orderable(&self.service) => {
+                    return Err(self.come_back());
                 }
                 Choice::Missing => {
-                    self.state.want(&self.adapter);
+                    if now >= ask_at {
+                        self.state.want(&self.service, &self.adapter, round);
+                        round += 1;
+                        ask_at = now + ASK_AGAIN;
+                    }
                     tokio::select! {
                         () = changed => {}
-                        () = sleep_until((now + ASK_AGAIN).min(give_up)) => {}
+                        () = sleep_until(ask_at.min(give_up)) => {}
                     }
                 }
             }
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -6,16 +6,15 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
-    time::Duration,
 };
 
 use base::{InstanceName, Time};
 use daemon::{Clock, Links, lock};
-use gateway::{budget::Budget, table::Table, view::View};
+use gateway::{budget::Budget, home::home, table::Table, view::View};
 use tokio::sync::Notify;
 use web::client::Client;
 
-use super::Setup;
+use super::{Setup, sync::Sources};
 use crate::{Outside, names};
 
 /// Handles that every request uses.
@@ -27,27 +26,17 @@
     pub(super) links: Links,
     /// Rung when something about targets has changed.
     pub(super) changed: Notify,
-    /// Rung when a caller waits for an adapter that nobody holds.
-    pub(super) wanted: Notify,
     clock: Clock,
     stopping: AtomicBool,
     entries: AtomicU32,
     table: Mutex<Option<(u64, Arc<Table>)>>,
     view: Mutex<View>,
     budget: Mutex<Budget>,
-    /// When the leader was heard last, and from when it may give orders.
-    orders: Mutex<(Time, Time)>,
-    pub(super) wants: Mutex<Vec<String>>,
+    pub(super) sources: Sources,
+    /// All availability zones.
+    pub(super) zones: Vec<String>,
 }
 
-/// Without an answer of the leader for so long, two exchanges in a row were
-/// lost, and another leader is probably due.
-const LEADER_SILENT: Duration = Duration::from_millis(900);
-
-/// Time until a new leader gives orders: an election of about a second, and
-/// the time that it leaves to orders of the one before.
-const NEXT_LEADER: Duration = Duration::from_millis(4_000);
-
 /// Entry instances taken for alive before the leader has said how many are: a
 /// greater number gives each a smaller share of what all share.
 const ENTRIES_AT_FIRST: u32 = 12;
@@ -62,15 +51,14 @@
             outside,
             client: Client::default(),
             changed: Notify::new(),
-            wanted: Notify::new(),
             clock: Clock::start(),
             stopping: AtomicBool::new(false),
             entries: AtomicU32::new(ENTRIES_AT_FIRST),
             table: Mutex::default(),
             view: Mutex::new(View::new(setup.zone.clone())),
             budget: Mutex::new(Budget::new(setup.repeats)),
-            orders: Mutex::new((Time::ZERO, Time::ZERO)),
-            wants: Mutex::default(),
+            sources: Sources::default(),
+            zones: setup.zones.clone(),
         }
     }
 
@@ -121,29 +109,28 @@
         lock(&self.budget).repeat(self.now(), service, entries)
     }
 
-    pub(super) fn set_orders(&self, now: Time, hold: Duration) {
-        *lock(&self.orders) = (now, now + hold);
+    /// Tells whether an adapter of `service` that nobody holds can be ordered
+    /// anywhere now.
+    pub(super) fn orderable(&self, service: &str) -> bool {
+        !self.order_zones(service).is_empty()
     }
 
-    /// Returns how long it will take until an adapter that nobody holds can be
-    /// ordered: zero while a leader is heard that gives orders.
-    pub(super) fn no_orders_for(&self) -> Duration {
-        let now = self.now();
-        let (heard, from) = *lock(&self.orders);
-        if now.since(heard) > LEADER_SILENT {
-            return NEXT_LEADER;
+    /// Asks for an adapter in the zone where it belongs; a later `round` asks
+    /// in its next zone.
+    pub(super) fn want(&self, service: &str, adapter: &str, round: usize) {
+        let zones = self.order_zones(service);
+        if let Some(zone) = home(adapter, &zones, round) {
+            self.sources.want(zone, adapter);
         }
-        from.since(now)
     }
 
-    /// Asks the leader for an adapter.
-    pub(super) fn want(&self, adapter: &str) {
-        let mut wants = lock(&self.wants);
-        if !wants.iter().any(|want| want == adapter) {
-            wants.push(adapter.to_owned());
-        }
-        drop(wants);
-        self.wanted.notify_one();
+    /// Returns the zones that have targets of `service` and somebody who gives
+    /// orders to them.
+    fn order_zones(&self, service: &str) -> Vec<String> {
+        let with_targets = self.view().zones_of(service);
+        let mut zones = self.sources.zones(self.now());
+        zones.retain(|zone| with_targets.contains(zone));
+        zones
     }
 
     pub(super) fn ready(&self) -> bool {
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -1,22 +1,24 @@
-//! The exchange with the leader: load and demand go there, editions, targets
-//! and residents come back.
+//! The exchange with control instances: load and demand go there, editions,
+//! targets and residents come back.
+//!
+//! Each control instance speaks for the targets of the zones that it owns, so
+//! an entry instance exchanges with all of them, each at its own pace. One that
+//! is lost or cut off takes only its own zones' news with it.
 
 use std::{
-    collections::VecDeque,
+    collections::BTreeMap,
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
-use base::{InstanceName, Time};
+use base::Time;
 use daemon::lock;
+use gateway::holder::Listed;
 use telemetry::event;
 use tokio::{
-    sync::Semaphore,
-    time::{Instant, sleep_until},
+    sync::{Notify, Semaphore},
+    time::{Instant, interval, sleep_until},
 };
 use wire::{
     call::{Call, Reply},
@@ -26,69 +28,154 @@
 use super::state::State;
 use crate::names;
 
-/// Time between two exchanges. A change of the configuration has two seconds to
-/// be in force; this leaves room for several lost ones.
+/// Time between two exchanges with one control instance. A change of the
+/// configuration has two seconds to be in force; this leaves room for several
+/// lost ones.
 const EVERY: Duration = Duration::from_millis(250);
 
-/// How long one exchange may take. The leader answers within 150 ms at the
+/// The same while it doesn't answer.
+const EVERY_SILENT: Duration = Duration::from_millis(600);
+
+/// How long one exchange may take. The other end answers within 150 ms at the
 /// longest; a message between availability zones takes 2 ms.
 const LIMIT: Duration = Duration::from_millis(400);
 
-/// Without an answer of a leader for so long, the platform's list is read here.
+/// Without an answer for so long, a control instance gives no orders that an
+/// entry instance could count on.
+const SILENT: Duration = Duration::from_millis(900);
+
+/// A zone that no control instance has spoken for during this time is read from
+/// the platform's list here.
 const ALONE: Duration = Duration::from_millis(1_500);
 
 /// How often it is then read; all instances together stay far below what the
 /// platform allows.
 const LIST_EVERY: Duration = Duration::from_millis(1_000);
 
-/// Exchanges for wanted adapters under way at once.
+/// Exchanges for wanted adapters under way at once with one instance.
 const AT_ONCE: usize = 3;
 
-/// Knows where the leader is looked for.
-struct Search {
-    leader: Option<SocketAddr>,
-    /// Control instances to ask, the next one first.
-    others: VecDeque<SocketAddr>,
-    heard: Time,
-    listed: Time,
+/// All control instances that are known.
+#[derive(Default)]
+pub(super) struct Sources {
+    all: Mutex<BTreeMap<SocketAddr, Arc<Source>>>,
+}
+
+/// One control instance.
+struct Source {
+    address: SocketAddr,
+    /// Rung when an adapter is wanted from it.
+    wanted: Notify,
+    inner: Mutex<Inner>,
 }
 
-struct Exchange {
-    state: Arc<State>,
-    search: std::sync::Mutex<Search>,
-    /// The news of targets in force here.
-    news: AtomicU64,
+#[derive(Default)]
+struct Inner {
+    wants: Vec<String>,
+    /// The news of its targets in force here.
+    news: u64,
+    heard: Option<Time>,
+    /// Zones that it gives orders in.
+    zones: Vec<String>,
+    demand: BTreeMap<String, u32>,
 }
 
-/// Exchanges with the leader for as long as the process runs.
+impl Sources {
+    /// Returns the zones where orders can be given now.
+    pub(super) fn zones(&self, now: Time) -> Vec<String> {
+        let all = lock(&self.all);
+        let heard = all.values().filter(|source| source.heard(now));
+        let zones = heard.flat_map(|source| lock(&source.inner).zones.clone());
+        zones.collect()
+    }
+
+    /// Asks whoever gives orders in `zone` for an adapter.
+    pub(super) fn want(&self, zone: &str, adapter: &str) {
+        let all = lock(&self.all);
+        for source in all.values() {
+            let mut inner = lock(&source.inner);
+            if !inner.zones.iter().any(|own| own == zone) {
+                continue;
+            }
+            if !inner.wants.iter().any(|want| want == adapter) {
+                inner.wants.push(adapter.to_owned());
+            }
+            source.wanted.notify_one();
+        }
+    }
+
+    /// Notes requests for adapters, to be told to every source.
+    fn count(&self, demand: &[(String, u32)]) {
+        for source in lock(&self.all).values() {
+            let mut inner = lock(&source.inner);
+            for (adapter, count) in demand {
+                *inner.demand.entry(adapter.clone()).or_default() += count;
+            }
+        }
+    }
+}
+
+impl Source {
+    fn heard(&self, now: Time) -> bool {
+        let heard = lock(&self.inner).heard;
+        heard.is_some_and(|at| now.since(at) < SILENT)
+    }
+}
+
+/// Exchanges with control instances for as long as the process runs.
 pub(super) async fn run(state: Arc<State>) {
-    let exchange = Arc::new(Exchange {
-        search: std::sync::Mutex::new(Search {
-            leader: None,
-            others: VecDeque::new(),
-            heard: state.now(),
-            listed: Time::ZERO,
-        }),
-        news: AtomicU64::new(0),
-        state: Arc::clone(&state),
+    let mut tick = interval(EVERY);
+    let mut listed = state.now();
+    let mut spoken = BTreeMap::new();
+    loop {
+        tick.tick().await;
+        for ip in state.seeds() {
+            add(&state, SocketAddr::new(ip, state.port));
+        }
+        let demand = state.view().take_demand();
+        state.sources.count(&demand);
+        let now = state.now();
+        for zone in state.sources.zones(now) {
+            spoken.insert(zone, now);
+        }
+        if now.since(listed) >= LIST_EVERY {
+            listed = now;
+            alone(&state, now, &spoken).await;
+        }
+    }
+}
+
+/// Begins to exchange with a control instance unless that is done already.
+fn add(state: &Arc<State>, address: SocketAddr) {
+    let mut all = lock(&state.sources.all);
+    if all.contains_key(&address) {
+        return;
+    }
+    let source = Arc::new(Source {
+        address,
+        wanted: Notify::new(),
+        inner: Mutex::default(),
     });
-    exchange.look_at_seeds();
+    all.insert(address, Arc::clone(&source));
+    tokio::spawn(keep_up(Arc::clone(state), source));
+}
+
+async fn keep_up(state: Arc<State>, source: Arc<Source>) {
     let at_once = Arc::new(Semaphore::new(AT_ONCE));
     let mut next = Instant::now();
     loop {
         tokio::select! {
             () = sleep_until(next) => {
-                next = Instant::now() + EVERY;
-                exchange.go(true).await;
-                exchange.alone().await;
+                let heard = exchange(&state, &source, true).await;
+                next = Instant::now() + if heard { EVERY } else { EVERY_SILENT };
             }
-            () = state.wanted.notified() => {
+            () = source.wanted.notified() => {
                 let Ok(permit) = Arc::clone(&at_once).acquire_owned().await else {
                     return;
                 };
-                let exchange = Arc::clone(&exchange);
+                let (state, source) = (Arc::clone(&state), Arc::clone(&source));
                 tokio::spawn(async move {
-                    exchange.go(false).await;
+                    exchange(&state, &source, false).await;
                     drop(permit);
                 });
             }
@@ -96,148 +183,127 @@
     }
 }
 
-impl Exchange {
-    /// Makes one exchange; a regular one also carries demand.
-    async fn go(&self, regular: bool) {
-        let Some(address) = self.address() else {
-            self.look_at_seeds();
-            return;
-        };
-        let sync = self.sync(regular);
-        let answer = self.state.links.to(address);
-        let answer = answer.call(Call::Sync(sync), LIMIT).await;
-        match answer {
-            Ok(Reply::Sync(synced)) => self.take(address, *synced),
-            Ok(Reply::Elsewhere { leader }) => self.elsewhere(address, leader),
-            Ok(_) | Err(_) => self.failed(address),
-        }
-        if !regular {
-            self.state.changed.notify_waiters();
+/// Makes one exchange and returns whether it was answered; a regular one also
+/// carries demand.
+async fn exchange(state: &Arc<State>, source: &Source, regular: bool) -> bool {
+    let sync = sync(state, source, regular);
+    let link = state.links.to(source.address);
+    let answer = link.call(Call::Sync(sync), LIMIT).await;
+    let Ok(Reply::Sync(synced)) = answer else {
+        let mut inner = lock(&source.inner);
+        if inner.heard.take().is_some() {
+            event!(
+                telemetry::Event::PeerSilent,
+                control = source.address.to_string()
+            );
         }
-    }
+        drop(inner);
+        state.changed.notify_waiters();
+        return false;
+    };
+    take(state, source, *synced);
+    true
+}
 
-    fn sync(&self, regular: bool) -> Sync {
-        let mut view = self.state.view();
-        Sync {
-            instance: Some(self.state.name.clone()),
-            edition: self.state.edition(),
-            news: self.news.load(Ordering::Relaxed),
-            running: view.running(),
-            demand: if regular {
-                view.take_demand()
-            } else {
-                Vec::new()
-            },
-            wants: std::mem::take(&mut *lock(&self.state.wants)),
-            failing: view.failing(self.state.now()),
-        }
+fn sync(state: &State, source: &Source, regular: bool) -> Sync {
+    let view = state.view();
+    let mut inner = lock(&source.inner);
+    let demand = if regular {
+        std::mem::take(&mut inner.demand)
+    } else {
+        BTreeMap::new()
+    };
+    Sync {
+        instance: Some(state.name.clone()),
+        edition: state.edition(),
+        news: inner.news,
+        running: view.running(&inner.zones),
+        demand: demand.into_iter().collect(),
+        wants: std::mem::take(&mut inner.wants),
+        failing: view.failing(state.now()),
     }
+}
 
-    fn take(&self, address: SocketAddr, synced: Synced) {
-        let state = &self.state;
-        let now = state.now();
-        {
-            let mut search = lock(&self.search);
-            if search.leader != Some(address) {
-                event!(telemetry::Event::PeerBack, leader = address.to_string());
-            }
-            search.leader = Some(address);
-            search.heard = now;
-            let known = synced.controls.iter();
-            let known = known.filter_map(|name| names::address(name, state.port));
-            search.others = known.filter(|a| *a != address).collect();
-        }
-        if let Some(edition) = synced.edition {
-            self.put_in_force(edition.number, &edition.body);
-        }
-        let mut view = state.view();
-        if let Some(versions) = synced.versions {
-            view.set_versions(versions);
-        }
-        if let Some(targets) = synced.targets
-            && synced.news > self.news.load(Ordering::Relaxed)
-        {
-            self.news.store(synced.news, Ordering::Relaxed);
-            view.set_targets(now, targets);
-        }
-        view.set_others(synced.running);
-        drop(view);
-        state.set_entries(synced.entries);
-        state.set_orders(now, synced.hold);
-        state.changed.notify_waiters();
+fn take(state: &Arc<State>, source: &Source, synced: Synced) {
+    let now = state.now();
+    if let Some(edition) = &synced.edition {
+        put_in_force(state, edition.number, &edition.body);
     }
-
-    fn put_in_force(&self, number: u64, body: &str) {
-        match (self.state.outside.decode)(body) {
-            Ok(decoded) => {
-                if self.state.set_table(number, decoded.table) {
-                    event!(telemetry::Event::TextInForce, version = number);
-                }
-            }
-            Err(why) => event!(telemetry::Event::TextBroken, why = why),
+    for name in &synced.controls {
+        if let Some(address) = names::address(name, state.port) {
+            add(state, address);
         }
     }
-
-    fn address(&self) -> Option<SocketAddr> {
-        let mut search = lock(&self.search);
-        if let Some(leader) = search.leader {
-            return Some(leader);
-        }
-        let next = search.others.pop_front()?;
-        search.others.push_back(next);
-        Some(next)
+    let mut inner = lock(&source.inner);
+    if inner.heard.replace(now).is_none() {
+        event!(
+            telemetry::Event::PeerBack,
+            control = source.address.to_string()
+        );
     }
-
-    fn elsewhere(&self, asked: SocketAddr, leader: Option<InstanceName>) {
-        let leader = leader.and_then(|name| names::address(&name, self.state.port));
-        let mut search = lock(&self.search);
-        if search.leader.is_none() || search.leader == Some(asked) {
-            search.leader = leader;
-        }
+    inner.zones.clone_from(&synced.zones);
+    let newer = synced.news != inner.news;
+    let targets = synced.targets.filter(|_| newer);
+    if targets.is_some() {
+        inner.news = synced.news;
+    }
+    drop(inner);
+    let mut view = state.view();
+    if let Some(versions) = synced.versions {
+        view.set_versions(versions);
     }
+    if let Some(targets) = targets {
+        view.set_targets(now, &synced.zones, targets);
+    }
+    view.set_others(&synced.zones, synced.running);
+    drop(view);
+    state.set_entries(synced.entries);
+    state.changed.notify_waiters();
+}
 
-    fn failed(&self, asked: SocketAddr) {
-        let mut search = lock(&self.search);
-        if search.leader == Some(asked) {
-            event!(telemetry::Event::PeerSilent, leader = asked.to_string());
-            search.leader = None;
-        }
-        drop(search);
-        self.look_at_seeds();
-    }
-
-    /// Adds the control instances of the settings to those that are asked.
-    fn look_at_seeds(&self) {
-        let seeds = self.state.seeds();
-        let mut search = lock(&self.search);
-        for ip in seeds {
-            let address = SocketAddr::new(ip, self.state.port);
-            if !search.others.contains(&address) {
-                search.others.push_back(address);
+fn put_in_force(state: &State, number: u64, body: &str) {
+    match (state.outside.decode)(body) {
+        Ok(decoded) => {
+            if state.set_table(number, decoded.table) {
+                event!(telemetry::Event::TextInForce, version = number);
             }
         }
+        Err(why) => event!(telemetry::Event::TextBroken, why = why),
     }
+}
+
+/// Reads the platform's list for zones that nobody speaks for.
+async fn alone(state: &Arc<State>, now: Time, spoken: &BTreeMap<String, Time>) {
+    let silent = |zone: &&String| {
+        let last = spoken.get(*zone).copied().unwrap_or_default();
+        now.since(last) >= ALONE
+    };
+    let zones: Vec<_> = state.zones.iter().filter(silent).cloned().collect();
+    if zones.is_empty() || state.table().is_none() {
+        return;
+    }
+    let Some(list) = (state.outside.list)(None).await else {
+        event!(telemetry::Event::ListStale);
+        return;
+    };
+    let own = list.iter().filter(|listed| zones.contains(&listed.zone));
+    let targets = own.map(Listed::target).collect();
+    let mut view = state.view();
+    view.set_targets(now, &zones, targets);
+    view.set_others(&zones, []);
+    drop(view);
+    state.sources.forget_news(&zones);
+    state.changed.notify_waiters();
+}
 
-    /// Reads the platform's list here while no leader answers.
-    async fn alone(&self) {
-        let now = self.state.now();
-        {
-            let mut search = lock(&self.search);
-            if now.since(search.heard) < ALONE || now.since(search.listed) < LIST_EVERY {
-                return;
+impl Sources {
+    /// Makes whoever speaks for one of the zones tell all again.
+    fn forget_news(&self, zones: &[String]) {
+        for source in lock(&self.all).values() {
+            let mut inner = lock(&source.inner);
+            if inner.zones.iter().any(|zone| zones.contains(zone)) {
+                inner.news = 0;
             }
-            search.listed = now;
         }
-        let Some(list) = (self.state.outside.list)().await else {
-            event!(telemetry::Event::ListStale);
-            return;
-        };
-        let targets = list.iter().map(gateway::holder::Listed::target).collect();
-        self.news.store(0, Ordering::Relaxed);
-        let mut view = self.state.view();
-        view.set_targets(now, targets);
-        view.set_others([]);
-        drop(view);
-        self.state.changed.notify_waiters();
     }
 }
--- a/crates/frontd/src/outside.rs
+++ b/crates/frontd/src/outside.rs
@@ -43,8 +43,10 @@
 
 /// Decodes and checks a configuration; errors are for operators.
 pub type Decode = Arc<dyn Fn(&str) -> Result<Decoded, String> + Send + Sync>;
-/// Reads the list of targets; nothing if it can't be had.
-pub type List = Arc<dyn Fn() -> BoxFuture<'static, Option<Vec<Listed>>> + Send + Sync>;
+/// Reads the list of targets, of one zone or of all; nothing if it can't be
+/// had.
+pub type List =
+    Arc<dyn Fn(Option<String>) -> BoxFuture<'static, Option<Vec<Listed>>> + Send + Sync>;
 /// Gives an order to an engine.
 pub type Give = Arc<dyn Fn(Order) -> BoxFuture<'static, Ended> + Send + Sync>;
 /// Asks the engine with this id at this address for its report.
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -1,5 +1,4 @@
-//! The one instance that gives orders to engines: the leader of the control
-//! instances.
+//! The one instance that gives orders to the engines of its zones.
 //!
 //! Entry instances tell it what runs where, which adapters are asked for and
 //! which are missing; the platform's list and the engines' reports tell it what
@@ -19,7 +18,7 @@
 use wire::fleet::{Resident, Running, Sync, Synced, Target};
 
 use self::{demand::Demand, engine::Engine};
-use crate::table;
+use crate::{table, tenure::Tenure};
 
 /// An entry instance that was silent for so long no longer counts: its requests
 /// have ended or its connections are gone.
@@ -40,9 +39,6 @@
 /// Times that the holder goes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Config {
-    /// From the beginning of leadership to the first order. Engines that don't
-    /// check fencing numbers must not see two holders take turns within this.
-    pub hold_off: Duration,
     /// Time that an engine takes to load an adapter from the store.
     pub adapter_load: Duration,
     /// Time that an engine takes to load a base model.
@@ -55,7 +51,6 @@
 impl Default for Config {
     fn default() -> Self {
         Config {
-            hold_off: Duration::from_millis(3_300),
             // The users' sheets give a quarter of a second for an adapter.
             adapter_load: Duration::from_millis(250),
             model_load: Duration::from_secs(2),
@@ -159,15 +154,15 @@
 /// What happened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Input {
-    /// This instance leads under the fencing number.
-    Lead {
-        /// The number.
-        fence: u64,
+    /// Where this instance may give orders, and until when.
+    Tenure(Tenure),
+    /// The platform's list of the targets of some zones.
+    Listed {
+        /// The zones.
+        zones: Vec<String>,
+        /// All their targets.
+        list: Vec<Listed>,
     },
-    /// It leads no more.
-    Follow,
-    /// The platform's list.
-    Listed(Vec<Listed>),
     /// Versions that operators named.
     Versions(BTreeMap<String, u32>),
     /// An entry instance asks; answered by [`Output::Answer`].
@@ -240,17 +235,19 @@
     /// Targets that couldn't be reached, and when that was said last.
     failing: BTreeMap<String, Time>,
     versions: BTreeMap<String, u32>,
-    /// Fencing number, and when the first order may be given.
-    leads: Option<(u64, Time)>,
+    tenure: Tenure,
+    /// Zones that the last answer spoke for.
+    told: Vec<String>,
     news: u64,
     dirty: bool,
     parked: Vec<Parked>,
 }
 
 impl Holder {
-    /// Makes a holder that knows nothing.
+    /// Makes a holder that knows nothing; `serial` begins its count of news and
+    /// differs between lives, so that an asker's old count never matches.
     #[must_use]
-    pub fn new(config: Config) -> Self {
+    pub fn new(config: Config, serial: u64) -> Self {
         Holder {
             config,
             specs: BTreeMap::new(),
@@ -261,8 +258,9 @@
             wants: BTreeMap::new(),
             failing: BTreeMap::new(),
             versions: BTreeMap::new(),
-            leads: None,
-            news: 0,
+            tenure: Tenure::default(),
+            told: Vec::new(),
+            news: serial,
             dirty: true,
             parked: Vec::new(),
         }
@@ -276,9 +274,8 @@
     /// Takes one input and appends what has to be done about it.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         match input {
-            Input::Lead { fence } => self.lead(now, fence),
-            Input::Follow => self.follow(),
-            Input::Listed(list) => self.listed(now, list),
+            Input::Tenure(tenure) => self.take_tenure(now, tenure),
+            Input::Listed { zones, list } => self.listed(now, &zones, list),
             Input::Versions(versions) => self.versions = versions,
             Input::Sync(ticket, sync) => self.sync(now, ticket, sync),
             Input::Ended { id, ended } => self.ended(now, &id, ended),
@@ -290,26 +287,23 @@
         self.answer(now, out);
     }
 
-    fn lead(&mut self, now: Time, fence: u64) {
-        // Failure: the leader before gave an order just now; one of this
-        // instance would follow it within the time that engines without fencing
-        // take for a quarrel. Nothing is ordered until that time is over.
-        self.leads = Some((fence, now + self.config.hold_off));
-        // News of a later leader counts on from above any earlier one's, so an
-        // asker never takes an older leader's for newer.
-        self.news = self.news.max(fence << 32);
-        self.dirty = true;
-        self.engines.values_mut().for_each(Engine::distrust);
-    }
-
-    fn follow(&mut self) {
-        self.leads = None;
-        self.entries.clear();
-        self.parked.clear();
+    /// Takes the zones of this instance. What it knew of the engines of a zone
+    /// that another has owned in between counts for nothing.
+    fn take_tenure(&mut self, now: Time, tenure: Tenure) {
+        let same = |zone: &String| tenure.fence(now, zone) == self.tenure.fence(now, zone);
+        let zones = tenure.zones(now);
+        let gained: Vec<_> = zones.into_iter().filter(|zone| !same(zone)).collect();
+        let targets = &self.targets;
+        self.engines.retain(|id, _| {
+            let zone = targets.get(id).map(|t| &t.zone);
+            zone.is_none_or(|zone| !gained.contains(zone))
+        });
+        self.tenure = tenure;
     }
 
-    fn listed(&mut self, now: Time, list: Vec<Listed>) {
-        let mut targets = BTreeMap::new();
+    fn listed(&mut self, now: Time, zones: &[String], list: Vec<Listed>) {
+        let mut targets = std::mem::take(&mut self.targets);
+        targets.retain(|_, listed| !zones.contains(&listed.zone));
         for listed in list {
             if self.specs.contains_key(&listed.service) {
                 let engine = self.engines.entry(listed.id.clone()).or_default();
@@ -378,6 +372,11 @@
 
     /// Answers whoever waits for nothing any more, or has waited long enough.
     fn answer(&mut self, now: Time, out: &mut Vec<Output>) {
+        let zones = self.tenure.zones(now);
+        if zones != self.told {
+            self.told.clone_from(&zones);
+            self.dirty = true;
+        }
         if self.dirty && !self.parked.is_empty() {
             self.news += 1;
             self.dirty = false;
@@ -391,11 +390,9 @@
             }
             let synced = Synced {
                 news: self.news,
-                targets: (asked.news != self.news).then(|| self.all(now)),
+                targets: (asked.news != self.news).then(|| self.all(now, &zones)),
                 running: self.running_without(asked.asker.as_ref()),
-                hold: self
-                    .leads
-                    .map_or(Duration::ZERO, |(_, from)| from.since(now)),
+                zones: zones.clone(),
                 entries: u32::try_from(self.entries.len()).unwrap_or(u32::MAX),
                 ..Synced::default()
             };
@@ -409,8 +406,9 @@
         !self.failing.contains_key(id) && self.targets.get(id).is_some_and(|t| t.ready)
     }
 
-    fn all(&self, now: Time) -> Vec<Target> {
-        let each = self.targets.values().map(|listed| Target {
+    fn all(&self, now: Time, zones: &[String]) -> Vec<Target> {
+        let own = self.targets.values().filter(|t| zones.contains(&t.zone));
+        let each = own.map(|listed| Target {
             id: listed.id.clone(),
             service: listed.service.clone(),
             addr: listed.addr.clone(),
--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -59,14 +59,6 @@
 }
 
 impl Engine {
-    /// Forgets what only the last leader could know.
-    pub(super) fn distrust(&mut self) {
-        self.seq = None;
-        self.order = None;
-        self.asked = false;
-        self.goal = None;
-    }
-
     /// Takes the platform's word about the engine.
     pub(super) fn listed(&mut self, now: Time, listed: &Listed, lag: Duration) {
         if listed.born > self.born {
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -59,22 +59,16 @@
 
     /// Gives what orders are due.
     pub(super) fn plan(&mut self, now: Time, out: &mut Vec<Output>) {
-        let Some((fence, from)) = self.leads else {
-            return;
-        };
         self.ask_reports(now, out);
-        if now < from {
-            return;
-        }
-        self.load_models(now, fence, out);
+        self.load_models(now, out);
         let used = self.used();
-        self.reach_goals(now, fence, out);
+        self.reach_goals(now, out);
         for adapter in self.missing(now, &used) {
             let moving: usize = self.engines.values().map(|e| e.transit(now)).sum();
             if moving >= TRANSIT_ALL {
                 return;
             }
-            self.place(now, fence, &adapter, &used, out);
+            self.place(now, &adapter, &used, out);
         }
     }
 
@@ -84,6 +78,9 @@
             let Some(listed) = self.targets.get(id).filter(|t| t.ready) else {
                 continue;
             };
+            if self.tenure.fence(now, &listed.zone).is_none() {
+                continue;
+            }
             if engine.seq.is_none() && engine.order.is_none() && !engine.asked && now >= engine.rest
             {
                 engine.asked = true;
@@ -96,7 +93,7 @@
     }
 
     /// Loads base models where an engine has none.
-    fn load_models(&mut self, now: Time, fence: u64, out: &mut Vec<Output>) {
+    fn load_models(&mut self, now: Time, out: &mut Vec<Output>) {
         let loading = |engine: &Engine| {
             let on_its_way = engine.models.values().any(|ready| *ready > now);
             on_its_way || matches!(engine.order, Some(Act::LoadModel(_)))
@@ -116,12 +113,12 @@
                 continue;
             };
             busy += 1;
-            self.order(fence, &id, Act::LoadModel(model), out);
+            self.order(now, &id, Act::LoadModel(model), out);
         }
     }
 
     /// Loads what room has been made for.
-    fn reach_goals(&mut self, now: Time, fence: u64, out: &mut Vec<Output>) {
+    fn reach_goals(&mut self, now: Time, out: &mut Vec<Output>) {
         let due = |engine: &Engine| engine.free(now).then(|| engine.goal.clone()).flatten();
         let goals: Vec<_> = self
             .engines
@@ -135,7 +132,7 @@
                 engine.goal = None;
                 continue;
             }
-            self.load(fence, &id, adapter, out);
+            self.load(now, &id, adapter, out);
         }
     }
 
@@ -188,7 +185,6 @@
     fn place(
         &mut self,
         now: Time,
-        fence: u64,
         adapter: &str,
         used: &BTreeMap<(String, String), u32>,
         out: &mut Vec<Output>,
@@ -232,11 +228,11 @@
             return;
         };
         match victim {
-            None => self.load(fence, &id, adapter.to_owned(), out),
+            None => self.load(now, &id, adapter.to_owned(), out),
             Some(victim) => {
                 let engine = self.engines.get_mut(&id).expect("was just chosen");
                 engine.goal = Some(adapter.to_owned());
-                self.order(fence, &id, Act::Evict(victim), out);
+                self.order(now, &id, Act::Evict(victim), out);
             }
         }
     }
@@ -310,15 +306,19 @@
         most.saturating_sub(engine.adapters.len())
     }
 
-    fn load(&mut self, fence: u64, id: &str, adapter: String, out: &mut Vec<Output>) {
+    fn load(&mut self, now: Time, id: &str, adapter: String, out: &mut Vec<Output>) {
         let version = self.versions.get(&adapter).copied();
-        self.order(fence, id, Act::Load { adapter, version }, out);
+        self.order(now, id, Act::Load { adapter, version }, out);
     }
 
-    fn order(&mut self, fence: u64, id: &str, act: Act, out: &mut Vec<Output>) {
-        let Some(addr) = self.targets.get(id).map(|t| t.addr.clone()) else {
+    fn order(&mut self, now: Time, id: &str, act: Act, out: &mut Vec<Output>) {
+        let Some(listed) = self.targets.get(id) else {
+            return;
+        };
+        let Some(fence) = self.tenure.fence(now, &listed.zone) else {
             return;
         };
+        let addr = listed.addr.clone();
         let engine = self
             .engines
             .get_mut(id)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,12 +2,14 @@
 //! socket or thread.
 //!
 //! An entry instance finds the route ([`table`]), chooses a target ([`view`])
-//! and asks whether it may send once more ([`budget`]). The leader of the
-//! control instances is the one [`holder`] that gives orders to engines: it
-//! gathers what all entry instances run and miss, and decides which adapter
-//! goes where.
+//! and asks whether it may send once more ([`budget`]). In each availability
+//! zone one control instance is the [`holder`] that gives orders to engines, for
+//! as long as its [`tenure`] lasts: it gathers what all entry instances run and
+//! miss, and decides which adapter goes where.
 
 pub mod budget;
 pub mod holder;
+pub mod home;
 pub mod table;
+pub mod tenure;
 pub mod view;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -81,9 +81,14 @@
         }
     }
 
-    /// Takes the newest list of targets.
-    pub fn set_targets(&mut self, now: Time, targets: Vec<Target>) {
-        let mut old = std::mem::take(&mut self.targets);
+    /// Takes the newest list of the targets of `zones`.
+    pub fn set_targets(&mut self, now: Time, zones: &[String], targets: Vec<Target>) {
+        let all = std::mem::take(&mut self.targets);
+        let listed: BTreeSet<_> = targets.iter().map(|t| t.id.clone()).collect();
+        let in_zones =
+            |id: &String, known: &Known| zones.contains(&known.target.zone) || listed.contains(id);
+        let (mut old, rest) = all.into_iter().partition(|(id, known)| in_zones(id, known));
+        self.targets = rest;
         for target in targets {
             let before = old.remove(&target.id);
             let residents = target.residents.iter();
@@ -114,9 +119,26 @@
         }
     }
 
-    /// Takes how much others run at each target.
-    pub fn set_others(&mut self, others: impl IntoIterator<Item = (String, u32)>) {
-        self.others = others.into_iter().collect();
+    /// Takes how much others run at the targets of `zones`.
+    pub fn set_others(
+        &mut self,
+        zones: &[String],
+        others: impl IntoIterator<Item = (String, u32)>,
+    ) {
+        let targets = &self.targets;
+        self.others.retain(|id, _| {
+            let zone = targets.get(id).map(|known| &known.target.zone);
+            zone.is_some_and(|zone| !zones.contains(zone))
+        });
+        self.others.extend(others);
+    }
+
+    /// Returns the zones that have a target of `service` which takes requests.
+    #[must_use]
+    pub fn zones_of(&self, service: &str) -> BTreeSet<String> {
+        let ready = self.targets.values().map(|known| &known.target);
+        let ready = ready.filter(|t| t.ready && t.service == service);
+        ready.map(|t| t.zone.clone()).collect()
     }
 
     /// Returns the version that requests for `adapter` have to run on, where
@@ -149,10 +171,12 @@
         resting.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Returns the requests under way here.
+    /// Returns the requests under way here at the targets of `zones`.
     #[must_use]
-    pub fn running(&self) -> Vec<Running> {
-        let each = self.targets.iter().flat_map(|(id, known)| {
+    pub fn running(&self, zones: &[String]) -> Vec<Running> {
+        let there = self.targets.iter();
+        let there = there.filter(|(_, known)| zones.contains(&known.target.zone));
+        let each = there.flat_map(|(id, known)| {
             let own = known.own.iter().filter(|(_, count)| **count > 0);
             own.map(move |(adapter, count)| Running {
                 target: id.clone(),
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -46,8 +46,16 @@
         Drain,
         /// Operator to entry: why requests go where they do.
         Explain(Explain),
-        /// Entry to leader: what is under way here, and what is missing.
+        /// Entry to the holder of orders in a zone: what is under way here, and
+        /// what is missing.
         Sync(Sync),
+        /// Control to leader: renews the right to give orders in zones.
+        Renew {
+            /// Who asks.
+            instance: InstanceName,
+            /// Its own zone.
+            zone: String,
+        },
     }
 
     /// The answer to a call.
@@ -85,6 +93,8 @@
         },
         /// Answers [`Call::Sync`].
         Sync(Box<Synced>),
+        /// Answers [`Call::Renew`]: zones owned, with fencing numbers.
+        Renewed(Vec<(String, u64)>),
         /// Answers [`Call::Explain`]; none if the text has no such service.
         Explained(Option<Explained>),
         /// The callee can't answer; the leader may.
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -1,5 +1,5 @@
-//! What entry instances and the leader tell each other about targets: who
-//! holds which adapter, how much runs where, and what is missing.
+//! What entry and control instances tell each other about targets: who holds
+//! which adapter, how much runs where, and what is missing.
 //!
 //! One exchange serves as heartbeat, report of load and demand, and as the way
 //! by which editions, the list of targets and residents reach every entry
@@ -11,7 +11,7 @@
 use base::{InstanceName, record};
 
 record! {
-    /// What an entry instance tells the leader.
+    /// What an entry instance tells a control instance.
     #[derive(Default)]
     pub struct Sync {
         /// Who; absent names none, as in a first message.
@@ -40,7 +40,7 @@
         pub count: u32,
     }
 
-    /// What the leader answers.
+    /// What a control instance answers.
     #[derive(Default)]
     pub struct Synced {
         /// The newest edition, where the asker has an older one.
@@ -49,13 +49,13 @@
         pub versions: Option<Vec<(String, u32)>>,
         /// Counts the changes of [`Synced::targets`].
         pub news: u64,
-        /// All targets, where the asker doesn't have this news.
+        /// Zones whose engines this instance gives orders to.
+        pub zones: Vec<String>,
+        /// All targets of those zones, where the asker doesn't have this news.
         pub targets: Option<Vec<Target>>,
         /// Requests under way at each target over all other instances.
         pub running: Vec<(String, u32)>,
-        /// Time until the leader may give orders; zero when it may.
-        pub hold: Duration,
-        /// Entry instances that the leader hears.
+        /// Entry instances that the answering one hears.
         pub entries: u32,
         /// Control instances by the log.
         pub controls: Vec<InstanceName>,
