--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -74,6 +74,10 @@
 /// Youngest connections only are used again; see the pool.
 const REUSE: Duration = Duration::from_millis(1_000);
 
+/// An answer that begins later than this is worth a line: half of what callers
+/// of live streams are promised.
+const SLOW: Duration = Duration::from_millis(300);
+
 /// A request under way.
 pub(super) struct Job {
     pub(super) state: Arc<State>,
@@ -81,6 +85,8 @@
     pub(super) service: String,
     pub(super) adapter: String,
     pub(super) id: String,
+    /// Tokens of its prompt.
+    tokens: u64,
     method: Method,
     path: String,
     headers: HeaderMap,
@@ -92,6 +98,8 @@
     pub(super) ran: u32,
     refusals: u32,
     sends: u32,
+    /// How long it took to find the first target.
+    placed: Duration,
     /// Sends that may have reached a target: each further one is a repeat.
     reached: u32,
 }
@@ -101,11 +109,23 @@
     pub(super) state: Arc<State>,
     pub(super) id: String,
     adapter: String,
+    /// Prompt tokens that the target hasn't read yet.
+    unread: u64,
+}
+
+impl Place {
+    /// Notes that the answer has begun, so the prompt is read.
+    fn begun(&mut self) {
+        let tokens = std::mem::take(&mut self.unread);
+        self.state.view().read(&self.id, tokens);
+    }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.state.view().end(&self.id, &self.adapter);
+        let mut view = self.state.view();
+        view.read(&self.id, self.unread);
+        view.end(&self.id, &self.adapter);
     }
 }
 
@@ -140,6 +160,8 @@
     let patience = given.map_or(PATIENCE, Duration::from_millis);
     let adapter = heads::text(&headers, &dialect.model).unwrap_or_default();
     let id = heads::text(&headers, &dialect.request).unwrap_or_default();
+    let prompt = heads::text(&headers, &dialect.tokens)
+        .and_then(|raw| raw.split(',').next()?.trim().parse().ok());
     let job = Job {
         service: route.service(rand::random()).to_owned(),
         adapter: if table.engine(route.service(0)).is_some() {
@@ -148,6 +170,7 @@
             String::new()
         },
         id: id.to_owned(),
+        tokens: prompt.unwrap_or(0),
         until: arrived + patience.min(route.limit),
         method: parts.method,
         path: parts
@@ -164,11 +187,16 @@
         ran: 0,
         refusals: 0,
         sends: 0,
+        placed: Duration::ZERO,
         reached: 0,
     };
     job.run(&headers).await
 }
 
+fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// What came of one send.
 enum Sent {
     Answer(Box<Answer>, Place),
@@ -190,7 +218,10 @@
             self.state.view().count(&self.adapter);
         }
         match self.until_answered(None).await {
-            Ok((answer, place)) => self.pass_on(answer, place),
+            Ok((answer, place)) => {
+                self.note_slow(&place.id);
+                self.pass_on(answer, place)
+            }
             Err(ended) => {
                 event!(
                     telemetry::Event::RequestFailed,
@@ -201,7 +232,7 @@
                     how = format!("{ended:?}"),
                     sends = self.sends,
                     refusals = self.refusals,
-                    held_ms = self.arrived.elapsed().as_millis() as u64
+                    held_ms = millis(self.arrived.elapsed())
                 );
                 ended.response(headers, &dialect)
             }
@@ -219,6 +250,9 @@
             if self.reached > 0 && !self.state.repeat(&self.service) {
                 return Err(self.given_up());
             }
+            if self.sends == 0 {
+                self.placed = self.arrived.elapsed();
+            }
             self.sends += 1;
             self.reached += 1;
             match self.send(&target, last).await {
@@ -266,6 +300,25 @@
         }
     }
 
+    /// Logs a request whose answer began late.
+    fn note_slow(&self, target: &str) {
+        let head = self.arrived.elapsed();
+        if head < SLOW {
+            return;
+        }
+        event!(
+            telemetry::Event::RequestSlow,
+            request = self.id,
+            route = self.route.name,
+            adapter = self.adapter,
+            target = target,
+            head_ms = millis(head),
+            place_ms = millis(self.placed),
+            sends = self.sends,
+            refusals = self.refusals
+        );
+    }
+
     fn note_attempt(&self, target: &str, how: &str) {
         event!(
             telemetry::Event::AttemptFailed,
@@ -373,11 +426,12 @@
         let Some(send) = self.request(target, last) else {
             return Sent::Unreached;
         };
-        state.view().begin(target, &self.adapter);
-        let place = Place {
+        state.view().begin(target, &self.adapter, self.tokens);
+        let mut place = Place {
             state: Arc::clone(state),
             id: target.to_owned(),
             adapter: self.adapter.clone(),
+            unread: self.tokens,
         };
         let until = self.until;
         let sent = match timeout_at(until, state.client.send(send)).await {
@@ -415,6 +469,7 @@
         if refused(answer.status, &answer.headers, dialect) {
             return self.refused(target, &answer);
         }
+        place.begun();
         let good = !answer.status.is_server_error();
         state.view().outcome(state.now(), target, good);
         Sent::Answer(Box::new(answer), place)
@@ -442,8 +497,7 @@
         };
         let left = self.until.saturating_duration_since(Instant::now());
         let mut headers = self.headers.clone();
-        let ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        heads::set_number(&mut headers, &dialect.deadline, ms.max(1));
+        heads::set_number(&mut headers, &dialect.deadline, millis(left).max(1));
         headers.insert(dialect.target.clone(), web::header_value(target));
         if !self.adapter.is_empty() {
             let priority = u64::from(self.route.priority.min(9));
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -34,7 +34,7 @@
 const EVERY: Duration = Duration::from_millis(250);
 
 /// The same while it doesn't answer.
-const EVERY_SILENT: Duration = Duration::from_millis(600);
+const EVERY_SILENT: Duration = Duration::from_millis(300);
 
 /// How long one exchange may take. The other end answers within 150 ms at the
 /// longest; a message between availability zones takes 2 ms.
--- a/crates/frontd/src/outside.rs
+++ b/crates/frontd/src/outside.rs
@@ -26,6 +26,8 @@
     pub refused: HeaderName,
     /// The model, and the adapter after a slash.
     pub model: HeaderName,
+    /// Prompt tokens, and after a comma the most tokens of the answer.
+    pub tokens: HeaderName,
     /// The last event that a resumed stream goes on after.
     pub resume: HeaderName,
     /// Headers that only this system may set; a caller's are dropped.
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -20,9 +20,16 @@
 /// Base models on their way at once; the store is at full speed up to two.
 const MODELS_AT_ONCE: usize = 2;
 
-/// Part of an engine's slots that requests for one adapter may take before
-/// another copy is made: below it a step's time hardly grows.
-const COPY_AT: f64 = 0.3;
+/// Requests a second from which an adapter has a copy in every zone: it is then
+/// served where its callers are, also while zones are cut off. With the skew of
+/// the users' demand some nine adapters of 3,000 are so busy.
+const EVERYWHERE: f64 = 2.0;
+
+/// Requests a second for one adapter that one engine takes. The prompts of more
+/// are read in so many steps that the running streams of that engine pause for
+/// over 300 ms: an event takes six steps, and one of 2,048 prompt tokens takes
+/// 54 ms.
+const COPY_RATE: f64 = 3.0;
 
 /// Added to an engine's load in the choice where it would have to drop an
 /// adapter first, which costs one more round trip and perhaps a later load.
@@ -68,7 +75,7 @@
         let own = self.tenure.zones(now).len();
         let most = (TRANSIT_ALL * own).div_ceil(self.config.zones.max(1));
         self.reach_goals(now, out);
-        for adapter in self.missing(now, &used) {
+        for adapter in self.missing(now) {
             let moving: usize = self.engines.values().map(|e| e.transit(now)).sum();
             if moving >= most {
                 return;
@@ -154,36 +161,30 @@
 
     /// Returns what to load: first what callers wait for, then more copies of
     /// what is busy.
-    fn missing(&self, now: Time, used: &BTreeMap<(String, String), u32>) -> Vec<String> {
+    fn missing(&self, now: Time) -> Vec<String> {
         let wanted = self.wants.keys().filter(|a| !self.on_its_way(a));
         let mut missing: Vec<_> = wanted.cloned().collect();
         missing.sort_by(|a, b| {
             let (a, b) = (self.demand.of(now, a), self.demand.of(now, b));
             b.total_cmp(&a)
         });
-        let mut sums: BTreeMap<&String, u32> = BTreeMap::new();
-        for ((_, adapter), count) in used {
-            *sums.entry(adapter).or_default() += count;
-        }
-        for (adapter, count) in sums {
-            let slots = self.slots_of(adapter);
-            let copies = self.copies(adapter);
-            if copies > 0 && f64::from(count) > COPY_AT * slots * copies as f64 {
-                missing.push(adapter.clone());
+        for adapter in self.demand.busiest(now, EVERYWHERE) {
+            let rate = self.demand.rate(now, &adapter);
+            let share = rate / COPY_RATE / self.config.zones.max(1) as f64;
+            let copies = self.copies(&adapter);
+            if (copies as f64) < share.ceil() && self.room_for_copy(&adapter) {
+                missing.push(adapter);
             }
         }
         missing
     }
 
-    fn slots_of(&self, adapter: &str) -> f64 {
-        let engines = self
-            .engines
-            .keys()
-            .filter(|id| self.holds_model(id, adapter));
-        let slots = engines
-            .filter_map(|id| self.targets.get(id))
-            .map(|t| t.slots);
-        f64::from(slots.max().unwrap_or(1).max(1))
+    /// Tells whether an engine lacks an adapter that it could hold.
+    fn room_for_copy(&self, adapter: &String) -> bool {
+        let mut engines = self.engines.iter();
+        engines.any(|(id, engine)| {
+            self.serves(id) && self.holds_model(id, adapter) && !self.current(engine, adapter)
+        })
     }
 
     /// Places one more copy of an adapter.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -18,6 +18,10 @@
 /// than full.
 const FAILED: f64 = 2.0;
 
+/// Prompt tokens that weigh as much as a full engine: an engine reads them in
+/// some 270 ms, about the longest pause that its running streams may make.
+const UNREAD: f64 = 10_240.0;
+
 /// Weight of the newest outcome in a target's share of failures; about ten
 /// requests make up their mind about it.
 const NEWEST: f64 = 0.15;
@@ -61,6 +65,8 @@
     /// By adapter: version, and when it can be used.
     residents: BTreeMap<String, (u32, Time)>,
     own: BTreeMap<String, u32>,
+    /// Prompt tokens sent from here that are not read yet.
+    unread: u64,
     trouble: Trouble,
 }
 
@@ -96,6 +102,7 @@
             let known = Known {
                 residents: residents.collect(),
                 own: before.as_ref().map(|k| k.own.clone()).unwrap_or_default(),
+                unread: before.as_ref().map_or(0, |k| k.unread),
                 trouble: before.map(|k| k.trouble).unwrap_or_default(),
                 target,
             };
@@ -229,13 +236,21 @@
         Choice::Wait(soonest.unwrap_or_default())
     }
 
-    /// Notes that a request was sent to a target.
-    pub fn begin(&mut self, id: &str, adapter: &str) {
+    /// Notes that a request with so many prompt tokens was sent to a target.
+    pub fn begin(&mut self, id: &str, adapter: &str, tokens: u64) {
         if let Some(known) = self.targets.get_mut(id) {
+            known.unread += tokens;
             *known.own.entry(adapter.to_owned()).or_default() += 1;
         }
     }
 
+    /// Notes that a target has read so many prompt tokens, or never will.
+    pub fn read(&mut self, id: &str, tokens: u64) {
+        if let Some(known) = self.targets.get_mut(id) {
+            known.unread = known.unread.saturating_sub(tokens);
+        }
+    }
+
     /// Notes the end of a request at a target.
     pub fn end(&mut self, id: &str, adapter: &str) {
         let Some(known) = self.targets.get_mut(id) else {
@@ -313,6 +328,7 @@
         if target.zone != self.zone {
             cost += FAR;
         }
+        cost += known.unread as f64 / UNREAD;
         cost += FAILED * known.trouble.now(now);
         if known.rests(now) {
             cost += 10.0;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -109,6 +109,8 @@
     BadKey 5007 Info "unknown key" "A caller came with a key that names no brand."
     ShareExceeded 5008 Info "over its share" "A brand's batch work waits because others want their share."
 
+    RequestSlow 5009 Info "request slow" "The head of an answer took `head_ms`, of which `place_ms` passed before a target was found; `sends` and `refusals` say how often it was sent and refused."
+
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "peer silent" "An instance's heartbeats stopped; `silent_ms` says for how long."
     PeerBack 6002 Info "peer back" "An instance is heard again."
