--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -1,6 +1,6 @@
 //! One request, from its arrival to the head of its answer.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use base::Mark;
 use bytes::Bytes;
@@ -56,6 +56,10 @@
 /// that is on its way.
 const REFUSED_PAUSE: Duration = Duration::from_millis(30);
 
+/// Fewest tokens of an answer for which a copy of its run's memory is kept:
+/// about half a second of a stream.
+const BACKUP_LEAST: u64 = 100;
+
 /// Refusals that one request meets before it is given up.
 const REFUSALS_MAX: u32 = 6;
 
@@ -85,8 +89,11 @@
     pub(super) service: String,
     pub(super) adapter: String,
     pub(super) id: String,
-    /// Tokens of its prompt.
+    /// Tokens of its prompt, and of its answer at most.
     tokens: u64,
+    answer_tokens: u64,
+    /// The target that keeps the run's memory as well.
+    backup: Option<String>,
     method: Method,
     path: String,
     headers: HeaderMap,
@@ -160,8 +167,12 @@
     let patience = given.map_or(PATIENCE, Duration::from_millis);
     let adapter = heads::text(&headers, &dialect.model).unwrap_or_default();
     let id = heads::text(&headers, &dialect.request).unwrap_or_default();
-    let prompt = heads::text(&headers, &dialect.tokens)
-        .and_then(|raw| raw.split(',').next()?.trim().parse().ok());
+    let mut tokens = heads::text(&headers, &dialect.tokens)
+        .unwrap_or_default()
+        .split(',')
+        .map(|raw| raw.trim().parse().ok());
+    let prompt = tokens.next().flatten();
+    let most = tokens.next().flatten();
     let job = Job {
         service: route.service(rand::random()).to_owned(),
         adapter: if table.engine(route.service(0)).is_some() {
@@ -171,6 +182,8 @@
         },
         id: id.to_owned(),
         tokens: prompt.unwrap_or(0),
+        answer_tokens: most.unwrap_or(0),
+        backup: None,
         until: arrived + patience.min(route.limit),
         method: parts.method,
         path: parts
@@ -255,7 +268,8 @@
             }
             self.sends += 1;
             self.reached += 1;
-            match self.send(&target, last).await {
+            self.backup = self.choose_backup(&target);
+            match self.send(&target, last, false).await {
                 Sent::Answer(answer, place) => {
                     if self.worth_another(&answer) {
                         self.note_attempt(&target, answer.status.as_str());
@@ -338,9 +352,18 @@
         self.tried.insert(target.to_owned());
     }
 
-    /// Tells whether a broken stream may go on elsewhere.
-    pub(super) fn may_resume(&self) -> bool {
-        self.may_run_again() && Instant::now() < self.until
+    /// Goes on with a broken stream elsewhere, after its last whole event.
+    pub(super) async fn elsewhere(&mut self, last: Option<&str>) -> Option<(Answer, Place)> {
+        if let Some(last) = last
+            && self.backup.is_some()
+        {
+            return self.restore(last).await;
+        }
+        let may = self.may_run_again() && Instant::now() < self.until;
+        if !may {
+            return None;
+        }
+        self.until_answered(last).await.ok()
     }
 
     /// Rejects a request whose adapter can't be loaded for a while.
@@ -420,10 +443,38 @@
         }
     }
 
-    async fn send(&self, target: &str, last: Option<&str>) -> Sent {
+    /// Chooses where the memory of a run is kept as well.
+    ///
+    /// Failure: an engine crashes in the middle of a live draft that can't be
+    /// run again, and its caller sees it break off. With the run's memory at
+    /// another holder of the adapter it goes on there as the same run. Worth its
+    /// transfers only for long answers; those that can be resumed are simply
+    /// read anew.
+    fn choose_backup(&self, target: &str) -> Option<String> {
+        let fit = self.route.kind == Kind::Stream { resumable: false };
+        if !fit || self.adapter.is_empty() || self.answer_tokens < BACKUP_LEAST {
+            return None;
+        }
+        let view = self.state.view();
+        view.second(self.state.now(), &self.service, &self.adapter, target)
+    }
+
+    /// Goes on with a broken run from its memory at another target.
+    async fn restore(&mut self, last: &str) -> Option<(Answer, Place)> {
+        let backup = self.backup.take()?;
+        if Instant::now() >= self.until || !self.state.repeat(&self.service) {
+            return None;
+        }
+        match self.send(&backup, Some(last), true).await {
+            Sent::Answer(answer, place) => Some((*answer, place)),
+            Sent::Unreached | Sent::NotRun { .. } | Sent::InDoubt => None,
+        }
+    }
+
+    async fn send(&self, target: &str, last: Option<&str>, restored: bool) -> Sent {
         let state = &self.state;
         let dialect = &state.outside.dialect;
-        let Some(send) = self.request(target, last) else {
+        let Some(send) = self.request(target, last, restored) else {
             return Sent::Unreached;
         };
         state.view().begin(target, &self.adapter, self.tokens);
@@ -488,12 +539,14 @@
         Sent::NotRun { lacks: false }
     }
 
-    fn request(&self, target: &str, last: Option<&str>) -> Option<Send> {
+    fn request(&self, target: &str, last: Option<&str>, restored: bool) -> Option<Send> {
         let dialect = &self.state.outside.dialect;
-        let (addr, version) = {
+        let (addr, version, backup) = {
             let view = self.state.view();
-            let addr = view.addr(target)?.parse().ok()?;
-            (addr, view.version(&self.adapter))
+            let addr: SocketAddr = view.addr(target)?.parse().ok()?;
+            let backup = self.backup.as_ref().and_then(|id| view.addr(id));
+            let backup = backup.map(str::to_owned);
+            (addr, view.version(&self.adapter), backup)
         };
         let left = self.until.saturating_duration_since(Instant::now());
         let mut headers = self.headers.clone();
@@ -506,6 +559,12 @@
                 heads::set_number(&mut headers, &dialect.version, version.into());
             }
         }
+        if restored {
+            let from = format!("{addr}/{}", self.id);
+            headers.insert(dialect.restore.clone(), web::header_value(&from));
+        } else if let Some(backup) = &backup {
+            headers.insert(dialect.backup.clone(), web::header_value(backup));
+        }
         if let Some(last) = last {
             headers.insert(dialect.resume.clone(), web::header_value(last));
         }
@@ -556,7 +615,9 @@
         }
         let headers = heads::back(&answer.headers);
         let resume = match self.route.kind {
-            Kind::Stream { resumable: true } if status.is_success() => Some(Resume::default()),
+            Kind::Stream { resumable } if status.is_success() => {
+                (resumable || self.backup.is_some()).then(Resume::default)
+            }
             _ => None,
         };
         let relay = Relay::new(self, answer, place, resume);
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -145,12 +145,9 @@
         let state = std::sync::Arc::clone(&self.job.state);
         state.view().outcome(now, &self.place.id, false);
         self.job.leave(&self.place.id);
-        if !self.job.may_resume() {
-            return false;
-        }
         resume.rest.clear();
         let last = resume.last.clone();
-        let Ok((answer, place)) = self.job.until_answered(last.as_deref()).await else {
+        let Some((answer, place)) = self.job.elsewhere(last.as_deref()).await else {
             return false;
         };
         if !answer.status.is_success() {
--- a/crates/frontd/src/outside.rs
+++ b/crates/frontd/src/outside.rs
@@ -30,6 +30,10 @@
     pub tokens: HeaderName,
     /// The last event that a resumed stream goes on after.
     pub resume: HeaderName,
+    /// Where a run's memory is to be kept as well.
+    pub backup: HeaderName,
+    /// Where a run's memory is taken from.
+    pub restore: HeaderName,
     /// Headers that only this system may set; a caller's are dropped.
     pub own: Vec<HeaderName>,
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -236,6 +236,23 @@
         Choice::Wait(soonest.unwrap_or_default())
     }
 
+    /// Returns another target that can use the adapter now, where the memory of
+    /// a run at `id` can be kept for the case that its target dies.
+    #[must_use]
+    pub fn second(&self, now: Time, service: &str, adapter: &str, id: &str) -> Option<String> {
+        let others = self.targets.values().filter(|k| {
+            let of_service = k.target.service == service && k.target.ready;
+            of_service && k.target.id != id && !k.rests(now)
+        });
+        let holders = others.filter(|k| self.holds(k, adapter) && usable(k, now, adapter));
+        let none = BTreeSet::new();
+        let best = holders.min_by(|a, b| {
+            let (a, b) = (self.cost(now, a, &none), self.cost(now, b, &none));
+            a.total_cmp(&b)
+        });
+        best.map(|known| known.target.id.clone())
+    }
+
     /// Notes that a request with so many prompt tokens was sent to a target.
     pub fn begin(&mut self, id: &str, adapter: &str, tokens: u64) {
         if let Some(known) = self.targets.get_mut(id) {
