--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -33,6 +33,10 @@
 /// the leader is asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 
+/// After so long in vain an adapter is asked for in its next zone as well. While
+/// loads queue up everywhere, sooner only had every zone load a copy.
+const NEXT_ZONE: Duration = Duration::from_millis(900);
+
 /// Part of a request's time that it waits for an adapter; beyond it the caller
 /// is told to come back while it still can.
 const WAIT_PART: f64 = 0.35;
@@ -401,7 +405,6 @@
     /// Waits for a target that can take the request.
     async fn target(&self) -> Result<String, Ended> {
         let left = self.until.saturating_duration_since(self.arrived);
-        let mut round = 0;
         let mut ask_at = self.arrived;
         let give_up = self.arrived + left.mul_f64(WAIT_PART).min(WAIT_MAX);
         loop {
@@ -430,8 +433,10 @@
                 }
                 Choice::Missing => {
                     if now >= ask_at {
+                        let waited = self.arrived.elapsed().as_millis();
+                        let round = waited / NEXT_ZONE.as_millis();
+                        let round = usize::try_from(round).unwrap_or(usize::MAX);
                         self.state.want(&self.service, &self.adapter, round);
-                        round += 1;
                         ask_at = now + ASK_AGAIN;
                     }
                     tokio::select! {
