Point out the members to a replica whose peers don't lead; test the open log

Cause: a new instance whose settings name only members that don't lead was never taken in (test other_peers_are_called_once_they_are_set, failing first). Ruled out: passing the call on, its sender is part of the envelope.

--- a/crates/replog/src/message.rs
+++ b/crates/replog/src/message.rs
@@ -1,6 +1,6 @@
 //! What replicas say to each other.
 
-use base::Incarnation;
+use base::{Incarnation, InstanceName};
 use thiserror::Error;
 
 use crate::{Blob, Entry, Index, Members, Position, ReplicaId, Term};
@@ -27,6 +27,11 @@
     pub enum Message {
         /// An unstarted replica asks to be taken in.
         Join,
+        /// Answers [`Message::Join`] at a replica that doesn't lead: who may.
+        Ask {
+            /// The members' instances.
+            instances: Vec<InstanceName>,
+        },
         /// The founding members, from the founder to all others.
         Found {
             /// The replicas that all start together.
--- a/crates/replog/src/replica.rs
+++ b/crates/replog/src/replica.rs
@@ -231,6 +231,7 @@
         }
         match message {
             Message::Join => self.join(now, from, out),
+            Message::Ask { instances } => self.founding.called.extend(instances),
             Message::Found { members } => self.found(from, members, out),
             Message::Founded { members } => self.founded(now, from, &members),
             Message::Vote { term, kind, last } => self.vote(now, from, (term, kind), last, out),
--- a/crates/replog/src/replica/found.rs
+++ b/crates/replog/src/replica/found.rs
@@ -17,6 +17,8 @@
 pub(crate) struct Founding {
     /// The unstarted replicas that have called out.
     seen: BTreeMap<InstanceName, Incarnation>,
+    /// Instances that a member named as members.
+    pub(crate) called: BTreeSet<InstanceName>,
     /// Those that have the founding members on disk.
     ready: BTreeSet<ReplicaId>,
 }
@@ -45,7 +47,7 @@
     /// answers: by its removal, or by taking it in.
     pub(super) fn call_out(&mut self, now: Time, out: &mut Outputs) {
         self.deadline = now + self.settings.raw.election;
-        for to in self.others() {
+        for to in self.to_call() {
             out.push(Output::Send {
                 to,
                 message: Message::Join,
@@ -66,6 +68,7 @@
             return;
         }
         if !self.unstarted() {
+            self.point_out_members(from, out);
             return;
         }
         let seen = self.founding.seen.entry(from.instance.clone());
@@ -167,17 +170,41 @@
         self.writes.push(Record::Found(members.clone()));
     }
 
-    /// Returns the instances to call: the peers that are set, and the members
-    /// that the log names. Peers may have been replaced since they were set.
-    fn others(&self) -> Vec<InstanceName> {
-        let mut others: BTreeSet<_> = self.settings.raw.peers.iter().cloned().collect();
+    /// Names the members to a replica that asks to be taken in.
+    ///
+    /// Failure: the settings of a new instance name only members that don't
+    /// lead. They can't take it in, and it would call them for ever.
+    fn point_out_members(&self, from: &ReplicaId, out: &mut Outputs) {
+        let Some(members) = self.journal.members() else {
+            return;
+        };
+        let instances = members.all().map(|id| id.instance.clone());
+        let instances = instances.collect();
+        out.push(Output::Send {
+            to: from.instance.clone(),
+            message: Message::Ask { instances },
+        });
+    }
+
+    /// Returns the instances to ask to be taken in: the peers that are set, and
+    /// the members that the log or another member names. Peers may have been
+    /// replaced since they were set.
+    fn to_call(&self) -> BTreeSet<InstanceName> {
+        let mut all: BTreeSet<_> = self.others().into_iter().collect();
+        all.extend(self.founding.called.iter().cloned());
         if !self.unstarted()
             && let Some(members) = self.journal.members()
         {
-            others.extend(members.all().map(|id| id.instance.clone()));
+            all.extend(members.all().map(|id| id.instance.clone()));
         }
-        others.remove(&self.id().instance);
-        others.into_iter().collect()
+        all.remove(&self.id().instance);
+        all
+    }
+
+    fn others(&self) -> Vec<InstanceName> {
+        let peers = self.settings.raw.peers.iter();
+        let others = peers.filter(|peer| **peer != self.id().instance);
+        others.cloned().collect()
     }
 }
 
--- /dev/null
+++ b/crates/replog/tests/open.rs
@@ -0,0 +1,168 @@
+//! A log whose instances know each other by address only: who founds it, who is
+//! taken in, and when a silent voter goes.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{Incarnation, InstanceName, Seed, Time};
+use googletest::prelude::*;
+use replog::{Input, Message, Output, RawSettings, Replica, ReplicaId, Restored, Settings};
+
+const RETIRE: Duration = Duration::from_secs(8);
+
+/// Replicas whose messages arrive at once and whose disks never wait.
+struct Cluster {
+    now: Time,
+    replicas: BTreeMap<InstanceName, Replica>,
+}
+
+fn name(raw: &str) -> InstanceName {
+    raw.parse().unwrap()
+}
+
+impl Cluster {
+    fn new(names: &[&str]) -> Self {
+        let mut cluster = Cluster {
+            now: Time::from_millis(1),
+            replicas: BTreeMap::new(),
+        };
+        for name in names {
+            cluster.start(name, 1, names, true);
+        }
+        cluster
+    }
+
+    /// Starts an instance with an empty disk.
+    fn start(&mut self, raw: &str, life: u64, peers: &[&str], founds: bool) {
+        let instance = name(raw);
+        let life = Incarnation(life);
+        let id = ReplicaId { instance, life };
+        let peers = peers.iter().map(|peer| name(peer)).collect();
+        let raw = RawSettings {
+            open: true,
+            founds,
+            retire: Some(RETIRE),
+            ..RawSettings::usual(id.clone(), peers, Seed(id.life.get()))
+        };
+        let settings = Settings::try_from(raw).unwrap();
+        let replica = Replica::new(settings, Restored::default());
+        self.replicas.insert(id.instance, replica);
+    }
+
+    fn give(&mut self, to: &InstanceName, input: Input) {
+        let mut inputs = vec![(to.clone(), input)];
+        while let Some((to, input)) = inputs.pop() {
+            let Some(replica) = self.replicas.get_mut(&to) else {
+                continue;
+            };
+            let from = replica.id().clone();
+            let mut out = Vec::new();
+            replica.handle(self.now, input, &mut out);
+            for output in out {
+                match output {
+                    Output::Send { to, message } => {
+                        inputs.insert(0, (to, received(&from, message)));
+                    }
+                    Output::Write { no, .. } | Output::Rewrite { no, .. } => {
+                        inputs.insert(0, (to.clone(), Input::Synced { upto: no }));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 50 {
+            self.now = self.now + Duration::from_millis(50);
+            for name in self.replicas.keys().cloned().collect::<Vec<_>>() {
+                self.give(&name, Input::Wake);
+            }
+        }
+    }
+
+    /// Returns the voters by the leader, if one leads.
+    fn voters(&self) -> Option<Vec<String>> {
+        let mut all = self.replicas.values();
+        let leader = all.find(|replica| replica.leads(self.now))?;
+        let voters = leader.members()?.voters.iter();
+        Some(voters.map(|id| id.instance.to_string()).collect())
+    }
+}
+
+fn received(from: &ReplicaId, message: Message) -> Input {
+    let from = from.clone();
+    Input::Received { from, message }
+}
+
+fn names(raw: &[&str]) -> Option<Vec<String>> {
+    Some(raw.iter().map(|name| (*name).to_owned()).collect())
+}
+
+#[gtest]
+fn an_instance_that_no_peer_names_is_taken_in() {
+    let mut cluster = Cluster::new(&["k1", "k2", "k3"]);
+    cluster.pass(5_000);
+    assert_that!(cluster.voters(), eq(&names(&["k1", "k2", "k3"])));
+    cluster.start("k9", 9, &["k1", "k2", "k3"], true);
+    cluster.pass(3_000);
+    assert_that!(cluster.voters(), eq(&names(&["k1", "k2", "k3", "k9"])));
+}
+
+/// All instances lose their disks at once. The deployment has run before, so
+/// something that was acknowledged may still be somewhere. They must not found
+/// a second log, in which it never was.
+#[gtest]
+fn emptied_instances_found_nothing() {
+    let _mark = base::ExpectedMark::new("emptied_never_founds");
+    let mut cluster = Cluster::new(&[]);
+    for instance in ["k1", "k2", "k3"] {
+        cluster.start(instance, 2, &["k1", "k2", "k3"], false);
+    }
+    cluster.pass(20_000);
+    assert_that!(cluster.voters(), none());
+}
+
+/// An instance is gone for good and an empty one comes at another address. The
+/// dead voter makes a majority of four three, so the next loss would stop the
+/// log. It goes within seconds of its successor's coming, and the log survives
+/// that loss.
+#[gtest]
+fn a_replaced_voter_goes_before_the_next_loss() {
+    let _mark = base::ExpectedMark::new("silent_voter_removed");
+    let mut cluster = Cluster::new(&["k1", "k2", "k3"]);
+    cluster.pass(5_000);
+    cluster.replicas.remove(&name("k3"));
+    cluster.pass(1_000);
+    cluster.start("k4", 4, &["k1", "k2", "k3"], false);
+    cluster.pass(4_000);
+    assert_that!(cluster.voters(), eq(&names(&["k1", "k2", "k4"])));
+    cluster.replicas.remove(&name("k2"));
+    cluster.pass(5_000);
+    assert_that!(cluster.voters(), some(anything()));
+}
+
+/// One of three is silent for a minute. Two voters could not lose another and
+/// go on, so it stays one.
+#[gtest]
+fn three_voters_are_never_made_two() {
+    let mut cluster = Cluster::new(&["k1", "k2", "k3"]);
+    cluster.pass(5_000);
+    cluster.replicas.remove(&name("k3"));
+    cluster.pass(60_000);
+    assert_that!(cluster.voters(), eq(&names(&["k1", "k2", "k3"])));
+}
+
+/// The settings name other peers than at the start, and the old ones are gone.
+/// An instance that comes new is told of the members by those.
+#[gtest]
+fn other_peers_are_called_once_they_are_set() {
+    let mut cluster = Cluster::new(&["k1", "k2", "k3"]);
+    cluster.pass(5_000);
+    cluster.start("k9", 9, &["gone"], false);
+    cluster.pass(3_000);
+    assert_that!(cluster.voters().unwrap().len(), eq(3));
+    let peers = vec![name("k2")];
+    cluster.give(&name("k9"), Input::Peers { peers });
+    cluster.pass(8_000);
+    assert_that!(cluster.voters().unwrap().len(), eq(4));
+}
