Let the loads on their way grow with the engines

Cause: on 90 engines 16 loads at once were a quarter of what the store serves; requests waited or were refused. Today's sites have too few engines for it to matter.

--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -17,6 +17,10 @@
 /// zones, as nobody counts for all.
 const TRANSIT_ALL: usize = 16;
 
+/// The same for each engine, where there are many: the store of a deployment
+/// of 90 engines serves 64 at full speed, that of 60 serves 48.
+const TRANSIT_EACH: f64 = 0.7;
+
 /// Base models on their way at once; the store is at full speed up to two.
 const MODELS_AT_ONCE: usize = 2;
 
@@ -73,7 +77,8 @@
         self.load_models(now, out);
         let used = self.used();
         let own = self.tenure.zones(now).len();
-        let most = (TRANSIT_ALL * own).div_ceil(self.config.zones.max(1));
+        let part = (TRANSIT_ALL * own).div_ceil(self.config.zones.max(1));
+        let most = part.max((self.engines.len() as f64 * TRANSIT_EACH) as usize);
         self.reach_goals(now, out);
         for adapter in self.missing(now) {
             let moving: usize = self.engines.values().map(|e| e.loading(now)).sum();
