--- /dev/null
+++ b/crates/frontd/src/entry/forward/arrive.rs
@@ -0,0 +1,100 @@
+//! Reading a caller's request.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use gateway::table::{Route, Table};
+use hyper::{HeaderMap, Request, Response, body::Incoming, header::HOST};
+use tokio::time::Instant;
+use web::body::{Body, ReadLimits, read};
+
+use super::{AGAIN, Job};
+use crate::{
+    Dialect,
+    entry::{answer::Ended, heads, state::State},
+};
+
+/// Longest body taken where the operator sets none.
+const BODY_MAX: usize = 4 << 20;
+
+/// How long a caller waits where it doesn't say.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Answers one request of a caller.
+pub(in crate::entry) async fn answer(state: Arc<State>, req: Request<Incoming>) -> Response<Body> {
+    let headers = req.headers().clone();
+    let dialect = Arc::clone(&state.outside.dialect);
+    match arrive(state, req).await {
+        Ok(job) => job.run(&headers).await,
+        Err(ended) => ended.response(&headers, &dialect),
+    }
+}
+
+async fn arrive(state: Arc<State>, req: Request<Incoming>) -> Result<Job, Ended> {
+    let arrived = Instant::now();
+    let dialect = Arc::clone(&state.outside.dialect);
+    let (parts, body) = req.into_parts();
+    let headers = parts.headers;
+    // Without any table nobody knows what is allowed: the request hasn't run.
+    let table = state.table().ok_or(Ended::NotRun { again: AGAIN })?;
+    let route = route(&table, &headers, parts.uri.path()).ok_or(Ended::NoRoute)?;
+    let body = whole(&table, body).await?;
+    let service = route.service(rand::random()).to_owned();
+    let text = |name| heads::text(&headers, name).unwrap_or_default();
+    let adapter = match table.engine(&service) {
+        Some(_) => text(&dialect.model).to_owned(),
+        None => String::new(),
+    };
+    let patience = text(&dialect.deadline).parse().map(Duration::from_millis);
+    let (tokens, answer_tokens) = tokens(&headers, &dialect);
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    Ok(Job {
+        id: text(&dialect.request).to_owned(),
+        service,
+        adapter,
+        tokens,
+        answer_tokens,
+        backup: None,
+        method: parts.method,
+        path: path.to_owned(),
+        headers: heads::onward(&headers, &dialect),
+        body,
+        until: arrived + patience.unwrap_or(PATIENCE).min(route.limit),
+        arrived,
+        state,
+        route,
+        tried: BTreeSet::new(),
+        ran: 0,
+        refusals: 0,
+        sends: 0,
+        placed: Duration::ZERO,
+        reached: 0,
+    })
+}
+
+fn route(table: &Table, headers: &HeaderMap, path: &str) -> Option<Route> {
+    let host = heads::text(headers, &HOST).unwrap_or_default();
+    let host = host.to_ascii_lowercase();
+    let host = host.split(':').next().unwrap_or_default();
+    table.find(host, path).cloned()
+}
+
+async fn whole(table: &Table, body: Incoming) -> Result<bytes::Bytes, Ended> {
+    let limits = ReadLimits {
+        bytes: table.limits().map_or(BODY_MAX, |limits| limits.body_bytes),
+        ..ReadLimits::default()
+    };
+    read(body, limits).await.map_err(|failure| {
+        if failure.reason == base::Refusal::TooLarge {
+            Ended::TooLarge
+        } else {
+            Ended::BadRequest
+        }
+    })
+}
+
+/// Returns the tokens of the prompt, and the most tokens of the answer.
+fn tokens(headers: &HeaderMap, dialect: &Dialect) -> (u64, u64) {
+    let raw = heads::text(headers, &dialect.tokens).unwrap_or_default();
+    let mut parts = raw.split(',').map(|part| part.trim().parse().unwrap_or(0));
+    (parts.next().unwrap_or(0), parts.next().unwrap_or(0))
+}
--- /dev/null
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -0,0 +1,233 @@
+//! Sending a request to a target, and what came of it.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use base::Mark;
+use gateway::table::Kind;
+use hyper::StatusCode;
+use telemetry::event;
+use tokio::time::{Instant, timeout_at};
+use web::client::{Answer, Ending, Limits, Send};
+
+use super::{Job, REFUSED_PAUSE, millis};
+use crate::entry::{answer::refused, heads, state::State};
+
+/// Fewest tokens of an answer for which a copy of its run's memory is kept:
+/// about half a second of a stream.
+const BACKUP_LEAST: u64 = 100;
+
+/// How long a connection may take to stand: two zones are some milliseconds
+/// apart, and a lost packet is sent again after a second.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// Part of the time left after which a repeatable request without any answer
+/// is sent to another target.
+const SILENT_PART: f64 = 0.4;
+
+/// How long a stream that can be resumed may be silent. Its events come some
+/// tens of milliseconds apart.
+const STREAM_SILENT: Duration = Duration::from_millis(1_500);
+
+/// Youngest connections only are used again; see the pool.
+const REUSE: Duration = Duration::from_millis(1_000);
+
+/// A request under way at a target; counted until it is dropped.
+pub(in crate::entry) struct Place {
+    state: Arc<State>,
+    pub(in crate::entry) id: String,
+    adapter: String,
+    /// Prompt tokens that the target hasn't read yet.
+    unread: u64,
+}
+
+impl Place {
+    /// Notes that the answer has begun, so the prompt is read.
+    fn begun(&mut self) {
+        let tokens = std::mem::take(&mut self.unread);
+        self.state.view().read(&self.id, tokens);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut view = self.state.view();
+        view.read(&self.id, self.unread);
+        view.end(&self.id, &self.adapter);
+    }
+}
+
+/// What came of one send.
+pub(super) enum Sent {
+    /// It answered, and didn't refuse.
+    Answer(Box<Answer>, Place),
+    /// Nothing of it reached the target.
+    Unreached,
+    /// It certainly has not run there.
+    NotRun {
+        /// Whether it lacks the adapter.
+        lacks: bool,
+    },
+    /// It may have run there.
+    InDoubt,
+}
+
+impl Job {
+    /// Chooses where the memory of a run is kept as well.
+    ///
+    /// Failure: an engine crashes in the middle of a live draft that can't be
+    /// run again, and its caller sees it break off. With the run's memory at
+    /// another holder of the adapter it goes on there as the same run. Worth its
+    /// transfers only for long answers; those that can be resumed are simply
+    /// read anew.
+    pub(super) fn choose_backup(&self, target: &str) -> Option<String> {
+        let fit = self.route.kind == Kind::Stream { resumable: false };
+        if !fit || self.adapter.is_empty() || self.answer_tokens < BACKUP_LEAST {
+            return None;
+        }
+        let view = self.state.view();
+        view.second(self.state.now(), &self.service, &self.adapter, target)
+    }
+
+    /// Goes on with a broken run from its memory at another target.
+    pub(super) async fn restore(&mut self, last: &str) -> Option<(Answer, Place)> {
+        let backup = self.backup.take()?;
+        if Instant::now() >= self.until || !self.state.repeat(&self.service) {
+            return None;
+        }
+        match self.send(&backup, Some(last), true).await {
+            Sent::Answer(answer, place) => Some((*answer, place)),
+            Sent::Unreached | Sent::NotRun { .. } | Sent::InDoubt => None,
+        }
+    }
+
+    pub(super) async fn send(&self, target: &str, last: Option<&str>, restored: bool) -> Sent {
+        let state = &self.state;
+        let dialect = &state.outside.dialect;
+        let Some(send) = self.request(target, last, restored) else {
+            return Sent::Unreached;
+        };
+        state.view().begin(target, &self.adapter, self.tokens);
+        let mut place = Place {
+            state: Arc::clone(state),
+            id: target.to_owned(),
+            adapter: self.adapter.clone(),
+            unread: self.tokens,
+        };
+        let until = self.until;
+        let sent = match timeout_at(until, state.client.send(send)).await {
+            Ok(sent) => sent,
+            Err(_) => {
+                state.view().unreachable(state.now(), target);
+                return Sent::InDoubt;
+            }
+        };
+        let answer = match sent {
+            Ok(answer) => answer,
+            Err(broken) => {
+                state.view().unreachable(state.now(), target);
+                return if broken.verdict == base::Verdict::NotRun {
+                    Sent::Unreached
+                } else {
+                    Sent::InDoubt
+                };
+            }
+        };
+        // Failure: a target sends a second answer, or a late one, where the
+        // next one is due. It would reach another caller. Each answer repeats
+        // the id of its request.
+        let own = heads::text(&answer.headers, &dialect.request);
+        if own.is_some_and(|id| id != self.id) {
+            base::hit!(answer_of_another);
+            event!(
+                telemetry::Event::WrongAdapter,
+                request = self.id,
+                target = target
+            );
+            state.view().outcome(state.now(), target, false);
+            return Sent::InDoubt;
+        }
+        if refused(answer.status, &answer.headers, dialect) {
+            return self.refused(target, &answer);
+        }
+        place.begun();
+        let good = !answer.status.is_server_error();
+        state.view().outcome(state.now(), target, good);
+        Sent::Answer(Box::new(answer), place)
+    }
+
+    fn refused(&self, target: &str, answer: &Answer) -> Sent {
+        let mut view = self.state.view();
+        let now = self.state.now();
+        if answer.status == StatusCode::MISDIRECTED_REQUEST {
+            view.lacks(target, &self.adapter);
+            return Sent::NotRun {
+                lacks: !self.adapter.is_empty(),
+            };
+        }
+        view.not_yet(now, target, &self.adapter, REFUSED_PAUSE);
+        Sent::NotRun { lacks: false }
+    }
+
+    fn request(&self, target: &str, last: Option<&str>, restored: bool) -> Option<Send> {
+        let dialect = &self.state.outside.dialect;
+        let (addr, version, backup) = {
+            let view = self.state.view();
+            let addr: SocketAddr = view.addr(target)?.parse().ok()?;
+            let backup = self.backup.as_ref().and_then(|id| view.addr(id));
+            let backup = backup.map(str::to_owned);
+            (addr, view.version(&self.adapter), backup)
+        };
+        let left = self.until.saturating_duration_since(Instant::now());
+        let mut headers = self.headers.clone();
+        heads::set_number(&mut headers, &dialect.deadline, millis(left).max(1));
+        headers.insert(dialect.target.clone(), web::header_value(target));
+        if !self.adapter.is_empty() {
+            let priority = u64::from(self.route.priority.min(9));
+            heads::set_number(&mut headers, &dialect.priority, priority);
+            if let Some(version) = version {
+                heads::set_number(&mut headers, &dialect.version, version.into());
+            }
+        }
+        if restored {
+            let from = format!("{addr}/{}", self.id);
+            headers.insert(dialect.restore.clone(), web::header_value(&from));
+        } else if let Some(backup) = &backup {
+            headers.insert(dialect.backup.clone(), web::header_value(backup));
+        }
+        if let Some(last) = last {
+            headers.insert(dialect.resume.clone(), web::header_value(last));
+        }
+        let mut send = Send::new(addr, self.method.clone(), self.path.clone());
+        send.headers = headers;
+        send.body = self.body.clone();
+        send.ending = Ending::Framed;
+        send.mark = if self.route.kind == Kind::Safe {
+            Mark::Repeatable
+        } else {
+            Mark::Once
+        };
+        send.limits = self.limits(left);
+        Some(send)
+    }
+
+    fn limits(&self, left: Duration) -> Limits {
+        let again = self.may_run_again() && self.ran + 1 < self.route.attempts;
+        let silent = match self.route.kind {
+            Kind::Stream { resumable: true } if again => STREAM_SILENT,
+            _ => left,
+        };
+        let first = if again {
+            left.mul_f64(SILENT_PART)
+        } else {
+            left
+        };
+        Limits {
+            connect: CONNECT.min(left),
+            first,
+            idle: silent,
+            whole: left,
+            reuse: REUSE,
+            hedge: left,
+        }
+    }
+}
--- /dev/null
+++ b/crates/frontd/src/entry/forward/wait.rs
@@ -0,0 +1,96 @@
+//! Waiting for a target that can take a request.
+
+use std::time::Duration;
+
+use gateway::view::Choice;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::{AGAIN, Job};
+use crate::entry::answer::Ended;
+
+/// How long a request waits for news of an adapter that nobody holds before
+/// its zone's owner is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(300);
+
+/// After so long in vain an adapter is asked for in its next zone as well. While
+/// loads queue up everywhere, sooner only had every zone load a copy.
+const NEXT_ZONE: Duration = Duration::from_millis(900);
+
+/// Part of a request's time that it waits for an adapter; beyond it the caller
+/// is told to come back while it still can.
+const WAIT_PART: f64 = 0.35;
+
+/// Longest wait for an adapter. Callers leave a stream without any event after
+/// some two seconds.
+const WAIT_MAX: Duration = Duration::from_millis(1_600);
+
+/// When a caller should come back while nobody in reach gives orders: control
+/// instances restart or elect a leader within about two seconds.
+const NO_ORDERS: Duration = Duration::from_millis(2_000);
+
+/// Part of the time left after which a caller comes back at the latest.
+const RETURN_PART: f64 = 0.32;
+
+impl Job {
+    /// Waits for a target that can take the request.
+    pub(super) async fn target(&self) -> Result<String, Ended> {
+        let left = self.until.saturating_duration_since(self.arrived);
+        let mut ask_at = self.arrived;
+        let give_up = self.arrived + left.mul_f64(WAIT_PART).min(WAIT_MAX);
+        loop {
+            let changed = self.state.changed.notified();
+            let now = Instant::now();
+            if now >= self.until {
+                return Err(if self.ran > 0 {
+                    Ended::Late
+                } else {
+                    Ended::NotRun { again: AGAIN }
+                });
+            }
+            let choice = self.state.view().choose(
+                self.state.now(),
+                &self.service,
+                &self.adapter,
+                &self.tried,
+            );
+            match choice {
+                Choice::Send(target) => return Ok(target),
+                Choice::Wait(wait) => sleep(wait.max(Duration::from_millis(1))).await,
+                Choice::Nobody => return Err(self.given_up()),
+                Choice::Missing if now >= give_up => return Err(self.given_up()),
+                Choice::Missing if !self.state.orderable(&self.service) => {
+                    return Err(self.come_back());
+                }
+                Choice::Missing => {
+                    if now >= ask_at {
+                        let waited = self.arrived.elapsed().as_millis();
+                        let round = waited / NEXT_ZONE.as_millis();
+                        let round = usize::try_from(round).unwrap_or(usize::MAX);
+                        self.state.want(&self.service, &self.adapter, round);
+                        ask_at = now + ASK_AGAIN;
+                    }
+                    tokio::select! {
+                        () = changed => {}
+                        () = sleep_until(ask_at.min(give_up)) => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// Rejects a request whose adapter can't be loaded for a while.
+    ///
+    /// Failure: while nobody gives orders, requests for adapters that
+    /// nobody holds would wait until their callers leave. They are told at
+    /// once when a load is possible again; callers come back within a third of
+    /// the time they have.
+    fn come_back(&self) -> Ended {
+        if self.ran > 0 {
+            return Ended::Failed;
+        }
+        base::hit!(told_to_come_back);
+        let left = self.until.saturating_duration_since(Instant::now());
+        let again = NO_ORDERS.min(left.mul_f64(RETURN_PART)).max(AGAIN);
+        Ended::NotRun { again }
+    }
+}
