--- a/crates/settings/src/shared.rs
+++ b/crates/settings/src/shared.rs
@@ -179,8 +179,10 @@
     pub zone: ZoneName,
     /// Least urgent lines that are written.
     pub level: LogLevel,
-    /// File for the log; standard error if none.
+    /// File for the log; a standard stream if none.
     pub file: Option<PathBuf>,
+    /// Whether that is standard output; else standard error.
+    pub stdout: bool,
     /// OTLP collector; nothing is exported if none.
     pub otlp: Option<SocketAddr>,
     /// One in this many of the traces that begin here is kept.
@@ -197,6 +199,7 @@
             zone: zone?.clone(),
             level: level.unwrap_or_default(),
             file,
+            stdout: false,
             otlp,
             trace_one_in: one_in.unwrap_or(1),
         })
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -77,6 +77,7 @@
     let logger = Logger::with(spec).format(line);
     let logger = match &settings.file {
         Some(file) => logger.log_to_file(FileSpec::try_from(file)?).append(),
+        None if settings.stdout => logger.log_to_stdout(),
         None => logger.log_to_stderr(),
     };
     Ok(logger.start()?)
--- a/crates/telemetry/tests/logs.rs
+++ b/crates/telemetry/tests/logs.rs
@@ -15,6 +15,7 @@
         zone: "blato".parse().unwrap(),
         level: LogLevel::Info,
         file: Some(file.clone()),
+        stdout: false,
         otlp: None,
         trace_one_in: 1,
     };
--- a/crates/telemetry/tests/otlp.rs
+++ b/crates/telemetry/tests/otlp.rs
@@ -66,6 +66,7 @@
         zone: "blato".parse().unwrap(),
         level: LogLevel::Warn,
         file: None,
+        stdout: false,
         otlp: Some(addr),
         trace_one_in: 1,
     };
