--- a/crates/frontd/src/entry/forward/arrive.rs
+++ b/crates/frontd/src/entry/forward/arrive.rs
@@ -80,7 +80,7 @@
 
 async fn whole(table: &Table, body: Incoming) -> Result<bytes::Bytes, Ended> {
     let limits = ReadLimits {
-        bytes: table.limits().map_or(BODY_MAX, |limits| limits.body_bytes),
+        bytes: table.body_bytes().unwrap_or(BODY_MAX),
         ..ReadLimits::default()
     };
     read(body, limits).await.map_err(|failure| {
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -96,19 +96,6 @@
     pub engine: Option<Engine>,
 }
 
-/// What callers may cost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limits {
-    /// Largest head, in bytes.
-    pub header_bytes: usize,
-    /// Largest body, in bytes.
-    pub body_bytes: usize,
-    /// Time for a head to arrive.
-    pub header_time: Duration,
-    /// Time that a connection may lie idle.
-    pub idle_time: Duration,
-}
-
 /// A table as somebody wrote it.
 #[derive(Clone, Debug, Default)]
 pub struct RawTable {
@@ -116,8 +103,8 @@
     pub routes: Vec<Route>,
     /// Services by name.
     pub services: BTreeMap<String, Service>,
-    /// What callers may cost; usual limits if absent.
-    pub limits: Option<Limits>,
+    /// Largest body of a request, in bytes; a usual one if absent.
+    pub body_bytes: Option<usize>,
 }
 
 /// A checked table of routes.
@@ -126,7 +113,7 @@
     /// Routes of each host, the longest prefix first.
     hosts: BTreeMap<String, Vec<Route>>,
     services: BTreeMap<String, Service>,
-    limits: Option<Limits>,
+    body_bytes: Option<usize>,
 }
 
 /// Says why a table can't be used.
@@ -183,7 +170,7 @@
         Ok(Table {
             hosts,
             services: raw.services,
-            limits: raw.limits,
+            body_bytes: raw.body_bytes,
         })
     }
 }
@@ -239,9 +226,10 @@
         self.services.get(service)?.engine.as_ref()
     }
 
-    /// Returns what callers may cost, where the operator says so.
+    /// Returns the largest body of a request, in bytes, where the operator sets
+    /// one.
     #[must_use]
-    pub fn limits(&self) -> Option<Limits> {
-        self.limits
+    pub fn body_bytes(&self) -> Option<usize> {
+        self.body_bytes
     }
 }
--- a/crates/gateway/tests/table.rs
+++ b/crates/gateway/tests/table.rs
@@ -23,7 +23,7 @@
     Table::try_from(RawTable {
         routes,
         services: BTreeMap::from([("s".to_owned(), service)]),
-        limits: None,
+        body_bytes: None,
     })
 }
 
