Take an engine out of use only when its holder finds it silent

Cause: one entry instance whose request was cut off counted the engine as out of reach and told its holder, who took it out of use for everybody for two seconds. A report read within 1.8 s of a drop also let an older list bring the dropped adapter back. Now a cut answer is a failure but no silence, the holder asks an accused engine itself, and lists and reports keep their own ages. Both new tests of the holder fail without the change.

--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -7,7 +7,7 @@
 use hyper::StatusCode;
 use telemetry::event;
 use tokio::time::{Instant, timeout_at};
-use web::client::{Answer, Ending, Limits, Send};
+use web::client::{Answer, Cause, Ending, Limits, Send};
 
 use super::{Job, REFUSED_PAUSE, millis};
 use crate::entry::{answer::refused, heads, state::State};
@@ -124,7 +124,12 @@
         let answer = match sent {
             Ok(answer) => answer,
             Err(broken) => {
-                state.view().unreachable(state.now(), target);
+                let cut = matches!(broken.cause, Cause::Cut(_));
+                if cut && broken.verdict != base::Verdict::NotRun {
+                    state.view().broke_off(state.now(), target);
+                } else {
+                    state.view().unreachable(state.now(), target);
+                }
                 return if broken.verdict == base::Verdict::NotRun {
                     Sent::Unreached
                 } else {
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -28,8 +28,8 @@
 /// order takes a few milliseconds; beyond this the asker asks again.
 const PARK: Duration = Duration::from_millis(150);
 
-/// How long a target that an entry instance couldn't reach gets no orders and
-/// counts for nothing. The platform's list needs seconds to drop a dead one;
+/// How long an engine that doesn't answer its holder gets no orders and counts
+/// for nothing. The platform's list needs seconds to drop a dead one;
 /// until then callers would be sent to it and no copy made elsewhere.
 const FAILING: Duration = Duration::from_secs(2);
 
@@ -235,7 +235,7 @@
     entries: BTreeMap<InstanceName, Entry>,
     demand: Demand,
     wants: BTreeMap<String, Time>,
-    /// Targets that couldn't be reached, and when that was said last.
+    /// Engines that didn't answer, and when.
     failing: BTreeMap<String, Time>,
     versions: BTreeMap<String, u32>,
     tenure: Tenure,
@@ -327,7 +327,9 @@
             self.wants.insert(adapter.clone(), now);
         }
         for target in &sync.failing {
-            self.failing.insert(target.clone(), now);
+            if let Some(engine) = self.engines.get_mut(target) {
+                engine.accused(now);
+            }
         }
         if let Some(instance) = &sync.instance {
             let entry = Entry {
@@ -354,6 +356,9 @@
     }
 
     fn reported(&mut self, now: Time, id: &str, report: Option<Report>) {
+        if report.is_none() {
+            self.failing.insert(id.to_owned(), now);
+        }
         if let Some(engine) = self.engines.get_mut(id) {
             engine.reported(
                 now,
--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -24,6 +24,9 @@
 /// Pause after an order without an answer, for an engine that is out of reach.
 const DOUBT_REST: Duration = Duration::from_millis(50);
 
+/// An engine that answered so lately is alive, whatever others say.
+const HEARD_LATELY: Duration = Duration::from_millis(200);
+
 /// Added to the time of a load before it counts as done; too early a request
 /// is refused and sent again.
 const LOAD_SLACK: Duration = Duration::from_millis(8);
@@ -36,8 +39,13 @@
     pub(super) seq: Option<u64>,
     /// The order under way.
     pub(super) order: Option<Act>,
-    /// Whether a report was asked for.
-    pub(super) asked: bool,
+    /// Why a report was asked for that hasn't come yet.
+    pub(super) asked: Option<Asked>,
+    /// Whether somebody couldn't reach the engine, and it has to be asked
+    /// whether it lives.
+    pub(super) suspect: bool,
+    /// When it last answered an order or a question.
+    heard: Time,
     /// Until when nothing is asked or ordered.
     pub(super) rest: Time,
     /// Base models held, and when they can be used.
@@ -51,6 +59,15 @@
     dropped: BTreeMap<String, Time>,
 }
 
+/// Why an engine is asked for its report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Asked {
+    /// The count of its orders isn't known.
+    Count,
+    /// Somebody couldn't reach it.
+    Life,
+}
+
 /// A place taken by an adapter.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Slot {
@@ -85,6 +102,17 @@
         };
     }
 
+    /// Takes the word of an entry instance that couldn't reach the engine.
+    ///
+    /// Failure: one entry instance is cut off from an engine, or an engine
+    /// breaks off answers. When that alone took the engine out of use for
+    /// everybody, what it held was loaded again elsewhere and the last engine of
+    /// a zone was left with more adapters in use than it has room for. The
+    /// holder's own question decides.
+    pub(super) fn accused(&mut self, now: Time) {
+        self.suspect |= now.since(self.heard) >= HEARD_LATELY;
+    }
+
     pub(super) fn ended(
         &mut self,
         now: Time,
@@ -96,6 +124,11 @@
         let Some(act) = self.order.take() else {
             return;
         };
+        if ended == Ended::Unknown {
+            self.suspect = true;
+        } else {
+            self.heard = now;
+        }
         match ended {
             Ended::Accepted | Ended::Done => {
                 // A load of what is held already may or may not count as an
@@ -208,14 +241,22 @@
         load: Duration,
         lag: Duration,
     ) {
-        self.asked = false;
+        let asked = self.asked.take();
+        self.suspect = false;
         let Some(report) = report else {
             self.rest = now + lag;
             return;
         };
+        self.heard = now;
         if report.born > self.born {
             self.reborn(report.born);
         }
+        // A report is some hundred milliseconds old. Where the count is known, the
+        // holder knows more than the report, and a count that was lost since it
+        // was asked for may be newer than what it says.
+        if asked == Some(Asked::Life) {
+            return;
+        }
         if report.busy {
             self.rest = now + lag;
             return;
@@ -243,7 +284,12 @@
         for model in &held.models {
             self.models.entry(model.clone()).or_insert(now);
         }
-        self.dropped.retain(|_, at| recent(at));
+        // Failure: an engine's report comes a moment after a drop, and then a list
+        // from before it. Had the report made the drop forgotten, the list would
+        // bring the adapter back: requests are refused there, and the next order
+        // to drop it isn't counted by the engine. Both ages apply on their own.
+        self.dropped
+            .retain(|_, at| now.since(*at) < LIST_LAG.max(lag));
         let dropped = &self.dropped;
         let gone: Vec<_> = self
             .adapters
@@ -257,7 +303,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for (adapter, version) in &held.adapters {
-            if dropped.contains_key(adapter) {
+            if dropped.get(adapter).is_some_and(recent) {
                 continue;
             }
             let slot = Slot {
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -4,7 +4,10 @@
 
 use base::Time;
 
-use super::{Act, Holder, Order, Output, engine::Engine};
+use super::{
+    Act, Holder, Order, Output,
+    engine::{Asked, Engine},
+};
 use crate::table;
 
 /// Adapters on their way to one engine at once; engines take four.
@@ -89,7 +92,7 @@
         }
     }
 
-    /// Asks engines whose count of orders isn't known.
+    /// Asks engines whose count of orders isn't known, or that may be dead.
     fn ask_reports(&mut self, now: Time, out: &mut Vec<Output>) {
         for (id, engine) in &mut self.engines {
             let Some(listed) = self.targets.get(id).filter(|t| t.ready) else {
@@ -98,9 +101,15 @@
             if self.tenure.fence(now, &listed.zone).is_none() {
                 continue;
             }
-            if engine.seq.is_none() && engine.order.is_none() && !engine.asked && now >= engine.rest
-            {
-                engine.asked = true;
+            let why = if engine.seq.is_none() {
+                Asked::Count
+            } else if engine.suspect {
+                Asked::Life
+            } else {
+                continue;
+            };
+            if engine.order.is_none() && engine.asked.is_none() && now >= engine.rest {
+                engine.asked = Some(why);
                 out.push(Output::Report {
                     id: id.clone(),
                     addr: listed.addr.clone(),
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -303,6 +303,15 @@
         }
     }
 
+    /// Notes that a target took a request and broke off without an answer.
+    ///
+    /// Failure: a target loses its answers while it runs what it is sent. Had it
+    /// counted as out of reach, its adapters would be loaded again elsewhere,
+    /// and half of the engines of a zone stood idle for as long.
+    pub fn broke_off(&mut self, now: Time, id: &str) {
+        self.outcome(now, id, false);
+    }
+
     /// Notes that a target refused a request because it doesn't hold the
     /// adapter: what the list says of it is outdated.
     pub fn lacks(&mut self, id: &str, adapter: &str) {
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -112,6 +112,15 @@
         self.give(Input::Sync(Ticket(1), sync));
     }
 
+    /// An entry instance says that it can't reach an engine.
+    fn accuse(&mut self, id: &str) {
+        let sync = Sync {
+            failing: vec![id.to_owned()],
+            ..Sync::default()
+        };
+        self.give(Input::Sync(Ticket(3), sync));
+    }
+
     /// Carries out the oldest order.
     fn end(&mut self, ended: Ended) -> Order {
         let order = self.orders.remove(0);
@@ -262,3 +271,57 @@
     }
     assert_that!(loads, eq(4));
 }
+
+/// One entry instance is cut off from an engine and says so. The engine was out
+/// of use for everybody for two seconds, what it held was loaded again
+/// elsewhere, and the last engine of the zone had more adapters in use than
+/// room. Only an engine that doesn't answer its holder either is out of use.
+#[gtest]
+fn an_engine_that_answers_its_holder_stays_in_use() {
+    let mut world = World::new(2);
+    world.list(&["m/x"]);
+    world.pass(500);
+    world.accuse("e1");
+    assert_that!(world.reports, eq(&vec!["e1".to_owned()]));
+    world.report_all();
+    world.accuse("e2");
+    world.reports.clear();
+    world.give(Input::Reported {
+        id: "e2".to_owned(),
+        report: None,
+    });
+    world.want(&["m/x"]);
+    assert_that!(world.orders, is_empty());
+    world.want(&["m/y"]);
+    assert_that!(world.orders[0].id.as_str(), eq("e1"));
+}
+
+/// An adapter is dropped, its engine reports, and a list from before the drop
+/// comes last. It brought the adapter back: requests were refused there, and
+/// another order to drop it put the holder's count one too high.
+#[gtest]
+fn an_old_list_does_not_bring_back_what_was_dropped() {
+    let mut world = World::new(1);
+    world.list(&["m/a", "m/b", "m/c"]);
+    world.want(&["m/x"]);
+    let Act::Evict(gone) = world.end(Ended::Done).act else {
+        panic!("no room was made");
+    };
+    world.end(Ended::Conflict);
+    world.pass(400);
+    let kept = ["m/a", "m/b", "m/c"].into_iter().filter(|a| *a != gone);
+    let report = Some(Report {
+        born: 1,
+        seq: 1,
+        held: held(&kept.collect::<Vec<_>>()),
+        ..Report::default()
+    });
+    let id = "e1".to_owned();
+    world.give(Input::Reported { id, report });
+    assert_that!(world.end(Ended::Accepted).act, eq(&load("m/x")));
+    world.pass(200);
+    world.list(&["m/a", "m/b", "m/c"]);
+    world.want(&[&gone]);
+    // Room is made for it: it isn't taken for held.
+    assert_that!(world.orders.len(), eq(1));
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -88,6 +88,16 @@
     assert_that!(choice, eq(&send("a")));
 }
 
+/// A target runs what it is sent and loses every answer. It counted as out of
+/// reach, so that the adapters it holds were loaded again elsewhere.
+#[gtest]
+fn a_target_that_breaks_off_is_still_a_holder() {
+    let mut view = view(vec![target("a", "za", &[("m/x", 1, 0)])]);
+    view.broke_off(NOW, "a");
+    assert_that!(choose(&view, "m/x"), eq(&send("a")));
+    assert_that!(view.failing(NOW), is_empty());
+}
+
 /// A target fails half of its requests while its health is good. It keeps its
 /// place in the list, and requests go on failing there.
 #[gtest]
