--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -21,8 +21,9 @@
 /// An adapter that an engine held recently loads ten times as fast.
 const PAST_SPEED: u32 = 10;
 
-/// Pause after an order without an answer, for an engine that is out of reach.
-const DOUBT_REST: Duration = Duration::from_millis(50);
+/// Pause after an order without an answer, for an engine that is out of reach;
+/// the next order is safe at once, as it says the same count.
+const DOUBT_REST: Duration = Duration::from_millis(10);
 
 /// An engine that answered so lately is alive, whatever others say.
 const HEARD_LATELY: Duration = Duration::from_millis(200);
