Give up an attempt at a connection between instances after 250 ms

Cause: after a common loss of power the first process back sends its first packets to machines that swallow them. The system repeats those after a second; until then, or the half second of a message, all messages to that instance waited in line. So the voters couldn't tell each other that nobody leads, and waited 0.51 s after the last one was back. The new test fails without the change.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -17,6 +17,15 @@
 
 use crate::rpc::{CallerClient, PATH, PROTOCOL, transport};
 
+/// How long one attempt at a connection may take: two round trips between
+/// regions and the start of a busy process. Its calls wait for it in line.
+///
+/// Failure: a machine without power swallows the first packet of a connection,
+/// and the system sends it again only after a second. Whoever restarts first
+/// after a common loss of power then can't talk to the others when they are up:
+/// the log had no leader for another half second.
+const CONNECT: Duration = Duration::from_millis(250);
+
 /// Why a call brought no reply, and whether it may have been carried out.
 #[derive(Debug, Error)]
 pub enum CallError {
@@ -128,7 +137,8 @@
         if let Some(client) = &slot.client {
             return Ok((slot.serial, client.clone()));
         }
-        let connected = connect(&self.inner.address).await;
+        let connected = tokio::time::timeout(CONNECT, connect(&self.inner.address)).await;
+        let connected = connected.unwrap_or_else(|_| Err(anyhow::anyhow!("no answer in time")));
         let io = connected.map_err(|err| CallError::Connect(format!("{err:#}")))?;
         let client = CallerClient::new(tarpc::client::Config::default(), transport(io)).spawn();
         slot.serial += 1;
--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -150,3 +150,20 @@
     );
     assert_that!(made.load(Ordering::SeqCst), eq(2));
 }
+
+/// A common loss of power: one process is back before the others, whose
+/// machines swallow what it sends. When they were up it still waited for its
+/// first attempt, and every message waited behind that one.
+#[tokio::test]
+async fn an_attempt_that_hangs_holds_nobody_up_for_long() {
+    let silent = Arc::new(AtomicBool::new(true));
+    let made = Arc::new(AtomicUsize::new(0));
+    let gate = start_gate(start_peer().await, silent, made).await;
+    let link = Link::new(name(), gate);
+    let (first, second) = tokio::join!(
+        link.call(Call::Drain, CEILING),
+        link.call(Call::Drain, CEILING),
+    );
+    assert_that!(first.unwrap_err().verdict(), eq(Verdict::NotRun));
+    assert_that!(second.unwrap(), eq(&Reply::Done));
+}
