Let callers of a restarted entry instance wait until it knows its targets

Cause: after a restart of all, entry instances have a configuration 40 ms after the leader's election, but the owners of zones have not read their lists yet. 170 requests of a quarter of a second were sent away with 700 ms, as no target was known. Control instances without a zone asked for one every 400 ms only, and a candidacy that failed was repeated after a whole election timeout (0.9 s without a leader in one of six recoveries looked at). Now: zones are asked for every 80 ms while an instance has none, configurations and targets every 40 ms until all zones have been heard of, requests wait meanwhile, and a failed candidacy is repeated after 125 ms, then twice as long each time.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -44,6 +44,10 @@
 /// renewals.
 const RENEW_EVERY: Duration = Duration::from_millis(400);
 
+/// The same for an instance without any zone: after a restart of all, or with a
+/// new leader, callers wait for adapters until each zone has its owner again.
+const RENEW_SOON: Duration = Duration::from_millis(80);
+
 /// How long a renewal may take.
 const RENEW_LIMIT: Duration = Duration::from_millis(300);
 
@@ -229,7 +233,8 @@
             }
         }
         if now >= self.next_renew {
-            self.next_renew = now + RENEW_EVERY;
+            let idle = self.tenure.zones(now).is_empty();
+            self.next_renew = now + if idle { RENEW_SOON } else { RENEW_EVERY };
             self.renew(now);
         }
         if now >= self.next_list {
--- a/crates/frontd/src/entry/forward/arrive.rs
+++ b/crates/frontd/src/entry/forward/arrive.rs
@@ -4,7 +4,7 @@
 
 use gateway::table::{Route, Table};
 use hyper::{HeaderMap, Request, Response, body::Incoming, header::HOST};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 use web::body::{Body, ReadLimits, read};
 
 use super::{AGAIN, Job};
@@ -19,6 +19,11 @@
 /// How long a caller waits where it doesn't say.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// How long a caller waits for a restarted instance to learn its first
+/// configuration: longer than an election, and short enough that a caller who is
+/// then sent away can come back.
+const FIRST_TABLE: Duration = Duration::from_millis(1_000);
+
 /// Answers one request of a caller.
 pub(in crate::entry) async fn answer(state: Arc<State>, req: Request<Incoming>) -> Response<Body> {
     let headers = req.headers().clone();
@@ -34,17 +39,19 @@
     let dialect = Arc::clone(&state.outside.dialect);
     let (parts, body) = req.into_parts();
     let headers = parts.headers;
+    let text = |name| heads::text(&headers, name).unwrap_or_default();
+    let patience = text(&dialect.deadline).parse().map(Duration::from_millis);
+    let patience = patience.unwrap_or(PATIENCE);
     // Without any table nobody knows what is allowed: the request hasn't run.
-    let table = state.table().ok_or(Ended::NotRun { again: AGAIN })?;
+    let table = table(&state, arrived + FIRST_TABLE.min(patience / 3)).await;
+    let table = table.ok_or(Ended::NotRun { again: AGAIN })?;
     let route = route(&table, &headers, parts.uri.path()).ok_or(Ended::NoRoute)?;
     let body = whole(&table, body).await?;
     let service = route.service(rand::random()).to_owned();
-    let text = |name| heads::text(&headers, name).unwrap_or_default();
     let adapter = match table.engine(&service) {
         Some(_) => text(&dialect.model).to_owned(),
         None => String::new(),
     };
-    let patience = text(&dialect.deadline).parse().map(Duration::from_millis);
     let (tokens, answer_tokens) = tokens(&headers, &dialect);
     let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
     Ok(Job {
@@ -58,7 +65,7 @@
         path: path.to_owned(),
         headers: heads::onward(&headers, &dialect),
         body,
-        until: arrived + patience.unwrap_or(PATIENCE).min(route.limit),
+        until: arrived + patience.min(route.limit),
         arrived,
         state,
         route,
@@ -71,6 +78,18 @@
     })
 }
 
+/// Returns the table in force; a restarted instance waits for its first one.
+async fn table(state: &State, until: Instant) -> Option<Arc<Table>> {
+    loop {
+        let changed = state.changed.notified();
+        let table = state.table();
+        if table.is_some() || !state.settling() {
+            return table;
+        }
+        timeout_at(until, changed).await.ok()?;
+    }
+}
+
 fn route(table: &Table, headers: &HeaderMap, path: &str) -> Option<Route> {
     let host = heads::text(headers, &HOST).unwrap_or_default();
     let host = host.to_ascii_lowercase();
--- a/crates/frontd/src/entry/forward/wait.rs
+++ b/crates/frontd/src/entry/forward/wait.rs
@@ -56,6 +56,12 @@
             match choice {
                 Choice::Send(target) => return Ok(target),
                 Choice::Wait(wait) => sleep(wait.max(Duration::from_millis(1))).await,
+                Choice::Nobody | Choice::Missing if now < give_up && self.untold() => {
+                    tokio::select! {
+                        () = changed => {}
+                        () = sleep_until(give_up) => {}
+                    }
+                }
                 Choice::Nobody => return Err(self.given_up()),
                 Choice::Missing if now >= give_up => return Err(self.given_up()),
                 Choice::Missing if !self.state.orderable(&self.service) => {
@@ -78,6 +84,11 @@
         }
     }
 
+    /// Tells whether the targets of its service may still become known.
+    fn untold(&self) -> bool {
+        self.state.settling() && !self.state.orderable(&self.service)
+    }
+
     /// Rejects a request whose adapter can't be loaded for a while.
     ///
     /// Failure: while nobody gives orders, requests for adapters that
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -10,9 +10,10 @@
 
 use base::{InstanceName, Time};
 use daemon::{Clock, Links, lock};
-use gateway::{budget::Budget, home::home, table::Table, view::View};
+use gateway::{budget::Budget, home::home, settle::Settle, table::Table, view::View};
 use tokio::sync::Notify;
 use web::client::Client;
+use wire::fleet::Target;
 
 use super::{Setup, sync::Sources};
 use crate::{Outside, names};
@@ -31,6 +32,7 @@
     entries: AtomicU32,
     table: Mutex<Option<(u64, Arc<Table>)>>,
     view: Mutex<View>,
+    settle: Mutex<Settle>,
     budget: Mutex<Budget>,
     pub(super) sources: Sources,
     /// All availability zones.
@@ -44,6 +46,7 @@
 impl State {
     pub(super) fn new(setup: &Setup, outside: Outside) -> Self {
         let name = names::instance(setup.ip);
+        let clock = Clock::start();
         State {
             links: Links::new(name.clone()),
             name,
@@ -51,7 +54,8 @@
             outside,
             client: Client::default(),
             changed: Notify::new(),
-            clock: Clock::start(),
+            settle: Mutex::new(Settle::new(clock.now(), &setup.zones)),
+            clock,
             stopping: AtomicBool::new(false),
             entries: AtomicU32::new(ENTRIES_AT_FIRST),
             table: Mutex::default(),
@@ -76,6 +80,17 @@
             .map(|(_, table)| Arc::clone(table))
     }
 
+    /// Takes what the owner of some zones says of their targets.
+    pub(super) fn set_targets(&self, now: Time, zones: &[String], targets: Vec<Target>) {
+        lock(&self.settle).heard(&targets);
+        self.view().set_targets(now, zones, targets);
+    }
+
+    /// Tells whether this instance may still be told of what it doesn't know.
+    pub(super) fn settling(&self) -> bool {
+        lock(&self.settle).pending(self.now())
+    }
+
     pub(super) fn edition(&self) -> u64 {
         lock(&self.table).as_ref().map_or(0, |(number, _)| *number)
     }
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -33,6 +33,11 @@
 /// lost ones.
 const EVERY: Duration = Duration::from_millis(250);
 
+/// The same until a restarted instance has a configuration and knows the targets
+/// of all zones. Callers wait for that, and after a restart of all the log has
+/// a leader within a tenth of a second.
+const EVERY_EMPTY: Duration = Duration::from_millis(40);
+
 /// The same while it doesn't answer.
 const EVERY_SILENT: Duration = Duration::from_millis(300);
 
@@ -167,7 +172,7 @@
         tokio::select! {
             () = sleep_until(next) => {
                 let heard = exchange(&state, &source, true).await;
-                next = Instant::now() + if heard { EVERY } else { EVERY_SILENT };
+                next = Instant::now() + pause(&state, heard);
             }
             () = source.wanted.notified() => {
                 let Ok(permit) = Arc::clone(&at_once).acquire_owned().await else {
@@ -183,6 +188,17 @@
     }
 }
 
+/// Returns the time to the next regular exchange.
+fn pause(state: &State, heard: bool) -> Duration {
+    if !heard {
+        EVERY_SILENT
+    } else if state.table().is_none() || state.settling() {
+        EVERY_EMPTY
+    } else {
+        EVERY
+    }
+}
+
 /// Makes one exchange and returns whether it was answered; a regular one also
 /// carries demand.
 async fn exchange(state: &Arc<State>, source: &Source, regular: bool) -> bool {
@@ -248,15 +264,13 @@
         inner.news = synced.news;
     }
     drop(inner);
-    let mut view = state.view();
     if let Some(versions) = synced.versions {
-        view.set_versions(versions);
+        state.view().set_versions(versions);
     }
     if let Some(targets) = targets {
-        view.set_targets(now, &synced.zones, targets);
+        state.set_targets(now, &synced.zones, targets);
     }
-    view.set_others(&synced.zones, synced.running);
-    drop(view);
+    state.view().set_others(&synced.zones, synced.running);
     state.set_entries(synced.entries);
     state.changed.notify_waiters();
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod holder;
 pub mod home;
+pub mod settle;
 pub mod table;
 pub mod tenure;
 pub mod view;
--- /dev/null
+++ b/crates/gateway/tests/settle.rs
@@ -0,0 +1,47 @@
+//! Whether a restarted entry instance knows what it can serve.
+
+use std::time::Duration;
+
+use base::Time;
+use gateway::settle::Settle;
+use googletest::prelude::*;
+use wire::fleet::Target;
+
+const NOW: Time = Time(1_000_000);
+
+fn target(zone: &str) -> Target {
+    Target {
+        id: "a".to_owned(),
+        service: "s".to_owned(),
+        addr: "a:1".to_owned(),
+        zone: zone.to_owned(),
+        slots: 1,
+        ready: true,
+        residents: Vec::new(),
+    }
+}
+
+fn settle() -> Settle {
+    Settle::new(NOW, &["za".to_owned(), "zb".to_owned()])
+}
+
+/// All processes restart. The owner of a zone answers before it has read which
+/// targets it has; callers were told that there are none.
+#[gtest]
+fn an_owner_without_targets_leaves_it_open() {
+    let mut settle = settle();
+    settle.heard(&[]);
+    settle.heard(&[target("za")]);
+    assert_that!(settle.pending(NOW), eq(true));
+    settle.heard(&[target("zb")]);
+    assert_that!(settle.pending(NOW), eq(false));
+}
+
+/// A zone is cut off for long. Callers of what only it serves aren't kept
+/// waiting for that.
+#[gtest]
+fn a_silent_zone_is_given_up() {
+    let settle = settle();
+    assert_that!(settle.pending(NOW + Duration::from_secs(2)), eq(true));
+    assert_that!(settle.pending(NOW + Duration::from_secs(4)), eq(false));
+}
--- a/crates/replog/src/replica.rs
+++ b/crates/replog/src/replica.rs
@@ -42,6 +42,8 @@
     heard: Option<Time>,
     /// When to stand for election.
     deadline: Time,
+    /// Candidacies since a leader was last heard.
+    tries: u32,
     /// The wait after a restart, while it lasts.
     grace: Option<Grace>,
     follow: Follow,
@@ -88,6 +90,7 @@
             leader: None,
             heard: None,
             deadline: Time::ZERO,
+            tries: 0,
             grace: None,
             follow: Follow::default(),
             founding: Founding::default(),
@@ -348,6 +351,7 @@
         }
         if leader.is_some() {
             self.grace = None;
+            self.tries = 0;
         }
         if self.leader != leader {
             self.leader = leader;
--- a/crates/replog/src/replica/election.rs
+++ b/crates/replog/src/replica/election.rs
@@ -1,12 +1,18 @@
 //! Votes: asking for them, giving them, counting them.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use base::Time;
+use rand::RngExt;
 
 use super::{Replica, Role};
 use crate::{Index, Message, Output, Outputs, Position, ReplicaId, Term, VoteKind, WriteNo};
 
+/// Part of the election timeout after which a candidacy that failed is tried
+/// again for the first time. A vote takes two round trips and a sync: some 10 ms
+/// of the 125 that a timeout of 500 ms gives.
+const FIRST_RETRY: u32 = 4;
+
 /// The votes that a candidate has.
 #[derive(Clone, Debug)]
 pub(crate) struct Votes {
@@ -19,7 +25,7 @@
 impl Replica {
     /// Stands for election, or asks whether that has a chance.
     pub(super) fn campaign(&mut self, now: Time, kind: VoteKind, out: &mut Outputs) {
-        self.rearm(now);
+        self.retry_later(now);
         self.leader = None;
         let me = self.id().clone();
         let mut votes = Votes {
@@ -44,6 +50,22 @@
         self.count(now, out);
     }
 
+    /// Sets the time of the next candidacy, should this one fail.
+    ///
+    /// Failure: two replicas stand at nearly the same time, or one stands while
+    /// the others still keep their promise to a leader that is gone. Had they to
+    /// wait a whole election timeout again, nothing is served for up to another
+    /// second. The first tries follow soon; each further one waits twice as
+    /// long, so that votes that need a slow disk are counted in the end.
+    fn retry_later(&mut self, now: Time) {
+        let election = self.settings.raw.election;
+        let wait = (election / FIRST_RETRY) * 2_u32.saturating_pow(self.tries);
+        let wait = wait.min(election);
+        self.tries += 1;
+        let jitter = self.rng.random_range(0..wait.as_micros() as u64);
+        self.deadline = now + wait + Duration::from_micros(jitter);
+    }
+
     /// Handles a request for a vote.
     pub(super) fn vote(
         &mut self,
--- a/crates/replog/src/replica/lead.rs
+++ b/crates/replog/src/replica/lead.rs
@@ -105,6 +105,7 @@
         }));
         self.leader = Some(self.id().clone());
         self.heard = None;
+        self.tries = 0;
         self.track_members(now, last);
         // Entries of earlier terms are committed only together with one of
         // this term, so there has to be one.
