--- a/crates/frontd/src/entry/forward/wait.rs
+++ b/crates/frontd/src/entry/forward/wait.rs
@@ -16,6 +16,12 @@
 /// loads queue up everywhere, sooner only had every zone load a copy.
 const NEXT_ZONE: Duration = Duration::from_millis(900);
 
+/// How long a request waits for the targets of zones that a restarted instance
+/// hasn't heard of. They may hold its adapter: engines outlive our processes, and
+/// a second copy takes place and the store's time from others. All owners are
+/// known within 400 ms of a restart of all.
+const SETTLING: Duration = Duration::from_millis(700);
+
 /// Part of a request's time that it waits for an adapter; beyond it the caller
 /// is told to come back while it still can.
 const WAIT_PART: f64 = 0.35;
@@ -37,6 +43,7 @@
         let left = self.until.saturating_duration_since(self.arrived);
         let mut ask_at = self.arrived;
         let give_up = self.arrived + left.mul_f64(WAIT_PART).min(WAIT_MAX);
+        let told = give_up.min(self.arrived + SETTLING);
         loop {
             let changed = self.state.changed.notified();
             let now = Instant::now();
@@ -56,10 +63,10 @@
             match choice {
                 Choice::Send(target) => return Ok(target),
                 Choice::Wait(wait) => sleep(wait.max(Duration::from_millis(1))).await,
-                Choice::Nobody | Choice::Missing if now < give_up && self.untold() => {
+                Choice::Nobody | Choice::Missing if now < told && self.state.settling() => {
                     tokio::select! {
                         () = changed => {}
-                        () = sleep_until(give_up) => {}
+                        () = sleep_until(told) => {}
                     }
                 }
                 Choice::Nobody => return Err(self.given_up()),
@@ -84,11 +91,6 @@
         }
     }
 
-    /// Tells whether the targets of its service may still become known.
-    fn untold(&self) -> bool {
-        self.state.settling() && !self.state.orderable(&self.service)
-    }
-
     /// Rejects a request whose adapter can't be loaded for a while.
     ///
     /// Failure: while nobody gives orders, requests for adapters that
