Serve counters and histograms as text; queue lines before standard output

Cause: on the users' platform engineers have only logs and metrics, and there were none of the latter. A reader of standard output that stalls stopped the process, as lines were written to the pipe directly. Tests: a stalled reader (hangs without the queue), lines left out, the text.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -17,7 +17,7 @@
     tenure::{Granter, Tenure},
 };
 use replog::HaltReason;
-use telemetry::event;
+use telemetry::{event, exposed};
 use tokio::{
     sync::{mpsc, oneshot},
     time::sleep_until,
@@ -297,6 +297,7 @@
         let before = self.tenure.zones(self.clock.now());
         self.tenure.granted(asked, zones);
         let after = self.tenure.zones(self.clock.now());
+        exposed().zones(after.len());
         if before != after {
             event!(telemetry::Event::EngineTaken, zones = after.join(","));
             self.next_list = Time::ZERO;
@@ -547,6 +548,7 @@
                             how = format!("{ended:?}")
                         );
                     }
+                    exposed().order(ended.as_str());
                     jobs.send(Job::Holder(holder::Input::Ended { id, ended }))
                         .ok();
                 });
--- a/crates/frontd/src/entry/answer.rs
+++ b/crates/frontd/src/entry/answer.rs
@@ -43,6 +43,18 @@
         }
     }
 
+    /// Returns its name in metrics.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Ended::NoRoute => "no_route",
+            Ended::BadRequest => "bad_request",
+            Ended::TooLarge => "too_large",
+            Ended::NotRun { .. } => "not_run",
+            Ended::Failed => "failed",
+            Ended::Late => "late",
+        }
+    }
+
     fn text(self) -> &'static str {
         match self {
             Ended::NoRoute => "no route\n",
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use gateway::table::{Kind, Route};
 use hyper::{HeaderMap, Method, Response};
-use telemetry::event;
+use telemetry::{event, exposed};
 use tokio::time::{Instant, sleep};
 use web::{body::Body, client::Answer};
 
@@ -78,10 +78,14 @@
         }
         match self.until_answered(None).await {
             Ok((answer, place)) => {
+                let kind = self.route.kind.as_str();
+                exposed().answered(kind, self.placed, self.arrived.elapsed());
+                exposed().request("answered");
                 self.note_slow(&place.id);
                 self.pass_on(answer, place)
             }
             Err(ended) => {
+                exposed().request(ended.label());
                 event!(
                     telemetry::Event::RequestFailed,
                     request = self.id,
@@ -115,7 +119,9 @@
             self.sends += 1;
             self.reached += 1;
             self.backup = self.choose_backup(&target);
-            match self.send(&target, last, false).await {
+            let sent = self.send(&target, last, false).await;
+            exposed().send(sent.label());
+            match sent {
                 Sent::Answer(answer, place) => {
                     if self.worth_another(&answer) {
                         self.note_attempt(&target, answer.status.as_str());
--- a/crates/frontd/src/entry/forward/arrive.rs
+++ b/crates/frontd/src/entry/forward/arrive.rs
@@ -30,7 +30,10 @@
     let dialect = Arc::clone(&state.outside.dialect);
     match arrive(state, req).await {
         Ok(job) => job.run(&headers).await,
-        Err(ended) => ended.response(&headers, &dialect),
+        Err(ended) => {
+            telemetry::exposed().request(ended.label());
+            ended.response(&headers, &dialect)
+        }
     }
 }
 
--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -71,6 +71,19 @@
     InDoubt,
 }
 
+impl Sent {
+    /// Returns its name in metrics.
+    pub(super) fn label(&self) -> &'static str {
+        match self {
+            Sent::Answer(answer, _) if answer.status.is_server_error() => "failed",
+            Sent::Answer(..) => "answered",
+            Sent::Unreached => "unreached",
+            Sent::NotRun { .. } => "not_run",
+            Sent::InDoubt => "in_doubt",
+        }
+    }
+}
+
 impl Job {
     /// Chooses where the memory of a run is kept as well.
     ///
--- /dev/null
+++ b/crates/frontd/src/metrics.rs
@@ -0,0 +1,44 @@
+//! Serves the process's counters and histograms as text.
+
+use std::net::SocketAddr;
+
+use anyhow::{Context, Result};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use web::{
+    body::{Body, full},
+    server,
+};
+
+/// The usual exposition format.
+const TEXT: &str = "text/plain; version=0.0.4";
+
+/// Serves metrics at `address` under every path, for as long as the process
+/// runs.
+///
+/// # Errors
+///
+/// Fails when the address can't be listened on.
+pub async fn serve(address: SocketAddr) -> Result<()> {
+    let bound = TcpListener::bind(address).await;
+    let listener = bound.with_context(|| format!("can't listen on {address}"))?;
+    tokio::spawn(server::serve(
+        listener,
+        server::Limits::default(),
+        answer,
+        CancellationToken::new(),
+    ));
+    Ok(())
+}
+
+async fn answer(_: Request<Incoming>) -> Response<Body> {
+    let mut resp = Response::new(full(telemetry::exposed().text()));
+    let text = HeaderValue::from_static(TEXT);
+    resp.headers_mut().insert(CONTENT_TYPE, text);
+    resp
+}
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -154,6 +154,20 @@
     Unknown,
 }
 
+impl Ended {
+    /// Returns its name in metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Ended::Accepted => "accepted",
+            Ended::Done => "done",
+            Ended::Conflict => "conflict",
+            Ended::Refused => "refused",
+            Ended::Unknown => "unknown",
+        }
+    }
+}
+
 /// What happened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Input {
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -23,6 +23,17 @@
 }
 
 impl Kind {
+    /// Returns its name in metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Safe => "safe",
+            Kind::Unsafe => "unsafe",
+            Kind::Stream { resumable: false } => "stream",
+            Kind::Stream { resumable: true } => "resumable_stream",
+        }
+    }
+
     /// Tells whether a request that may have run may be sent again.
     #[must_use]
     pub fn repeatable(self) -> bool {
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -62,6 +62,8 @@
     StartFailed 1005 Error "start failed" "The process can't start; `why` says what is missing."
     Overrun 1006 Warn "timer ran late" "The process was not scheduled for `late_ms`: the machine is overloaded or was suspended."
 
+    LinesLeftOut 1007 Warn "lines left out" "The reader of standard output was too slow: `lines` of the log found no room and are lost."
+
     // 2xxx: the replicated log.
     LeaderElected 2001 Info "leader elected" "A replica leads the log in `term`."
     LeaderLost 2002 Warn "leader lost" "A replica stopped leading, or no longer hears a leader."
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -9,9 +9,11 @@
 
 mod events;
 mod export;
+mod exposed;
 mod fields;
 mod logs;
 mod metrics;
+mod queue;
 mod secret;
 mod start;
 mod trace;
@@ -25,6 +27,7 @@
 
 pub use crate::{
     events::Event,
+    exposed::{Exposed, exposed},
     fields::Fields,
     logs::{enabled, event},
     metrics::{Load, Metrics, metrics},
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -11,7 +11,7 @@
 use log::LevelFilter;
 use serde::Serialize;
 
-use crate::{Event, Fields, LogLevel, TelemetrySettings, trace};
+use crate::{Event, Fields, LogLevel, TelemetrySettings, exposed, queue::Queue, trace};
 
 /// Target of our own lines, which are JSON already.
 const OWN: &str = "quetzalarch";
@@ -44,8 +44,33 @@
     level(event.level()) <= log::max_level()
 }
 
+/// Returns the line that tells how many lines found no room.
+fn left_out(lines: u64) -> String {
+    let fields = crate::fields!(lines = lines);
+    let mut out = Vec::new();
+    let body = body(Event::LinesLeftOut, fields);
+    let args = format_args!("{body}");
+    let record = Record::builder()
+        .target(OWN)
+        .level(log::Level::Warn)
+        .args(args)
+        .build();
+    // Writing to memory doesn't fail.
+    line(&mut out, &mut DeferredNow::new(), &record).ok();
+    out.push(b'\n');
+    String::from_utf8(out).unwrap_or_default()
+}
+
 /// Writes one line for `event`; see [`event!`](crate::event!).
 pub fn event(event: Event, fields: Fields) {
+    exposed::count(event);
+    let body = body(event, fields);
+    if let Some(level) = level(event.level()).to_level() {
+        log::log!(target: OWN, level, "{body}");
+    }
+}
+
+fn body(event: Event, fields: Fields) -> String {
     let body = Body {
         event: event.to_string(),
         name: format!("{event:?}"),
@@ -53,10 +78,7 @@
         trace: trace::trace_id(&tracing::Span::current()),
         fields,
     };
-    let body = serde_json::to_string(&body).unwrap_or_default();
-    if let Some(level) = level(event.level()).to_level() {
-        log::log!(target: OWN, level, "{body}");
-    }
+    serde_json::to_string(&body).unwrap_or_default()
 }
 
 pub(crate) fn start(
@@ -77,7 +99,10 @@
     let logger = Logger::with(spec).format(line);
     let logger = match &settings.file {
         Some(file) => logger.log_to_file(FileSpec::try_from(file)?).append(),
-        None if settings.stdout => logger.log_to_stdout(),
+        None if settings.stdout => {
+            let queue = Queue::start(io::stdout(), line, left_out)?;
+            logger.log_to_writer(Box::new(queue))
+        }
         None => logger.log_to_stderr(),
     };
     Ok(logger.start()?)
