Load no base model like a busy adapter

Cause: requests that use the base model itself, two a second and more, made it a busy adapter without copies. Seen by counting loads by adapter.

--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -176,13 +176,15 @@
     /// Returns what to load: first what callers wait for, then more copies of
     /// what is busy.
     fn missing(&self, now: Time) -> Vec<String> {
-        let wanted = self.wants.keys().filter(|a| !self.on_its_way(a));
+        let wanted = self.wants.keys();
+        let wanted = wanted.filter(|a| !self.is_model(a) && !self.on_its_way(a));
         let mut missing: Vec<_> = wanted.cloned().collect();
         missing.sort_by(|a, b| {
             let (a, b) = (self.demand.of(now, a), self.demand.of(now, b));
             b.total_cmp(&a)
         });
-        for adapter in self.demand.busiest(now, EVERYWHERE) {
+        let busy = self.demand.busiest(now, EVERYWHERE).into_iter();
+        for adapter in busy.filter(|adapter| !self.is_model(adapter)) {
             let rate = self.demand.rate(now, &adapter);
             let share = rate / COPY_RATE / self.config.zones.max(1) as f64;
             let copies = self.copies(&adapter);
@@ -193,6 +195,17 @@
         missing
     }
 
+    /// Tells whether a name is that of a base model, which every engine holds.
+    ///
+    /// Failure: callers use the base model itself, two a second or more. Loaded
+    /// like a busy adapter, it was ordered again and again: the engine holds it
+    /// already and may not count the order, so its count had to be asked for,
+    /// which took some 400 ms in which it loaded nothing.
+    fn is_model(&self, name: &str) -> bool {
+        let mut models = self.specs.values().flat_map(|spec| &spec.models);
+        models.any(|model| model.name == name)
+    }
+
     /// Tells whether an engine lacks an adapter that it could hold.
     fn room_for_copy(&self, adapter: &String) -> bool {
         let mut engines = self.engines.iter();
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -325,3 +325,18 @@
     // Room is made for it: it isn't taken for held.
     assert_that!(world.orders.len(), eq(1));
 }
+
+/// Many callers use the base model without any adapter. It was ordered like a
+/// busy adapter, again and again, and its engine loaded nothing else meanwhile.
+#[gtest]
+fn a_base_model_in_use_is_not_loaded_again() {
+    let mut world = World::new(2);
+    let sync = Sync {
+        demand: vec![("m".to_owned(), 300)],
+        wants: vec!["m".to_owned()],
+        ..Sync::default()
+    };
+    world.give(Input::Sync(Ticket(5), sync));
+    world.pass(100);
+    assert_that!(world.orders, is_empty());
+}
