--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -237,6 +237,7 @@
         demand: demand.into_iter().collect(),
         wants: std::mem::take(&mut inner.wants),
         failing: view.failing(state.now()),
+        elsewhere: (!state.settling()).then(|| view.elsewhere(state.now(), &inner.zones)),
     }
 }
 
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -251,6 +251,8 @@
     wants: BTreeMap<String, Time>,
     /// Engines that didn't answer, and when.
     failing: BTreeMap<String, Time>,
+    /// Adapters on their way under other holders, and when that was said.
+    elsewhere: Option<(Time, u32)>,
     versions: BTreeMap<String, u32>,
     tenure: Tenure,
     /// Zones that the last answer spoke for.
@@ -274,6 +276,7 @@
             demand: Demand::default(),
             wants: BTreeMap::new(),
             failing: BTreeMap::new(),
+            elsewhere: None,
             versions: BTreeMap::new(),
             tenure: Tenure::default(),
             told: Vec::new(),
@@ -345,6 +348,9 @@
                 engine.accused(now);
             }
         }
+        if let Some(loads) = sync.elsewhere {
+            self.elsewhere = Some((now, loads));
+        }
         if let Some(instance) = &sync.instance {
             let entry = Entry {
                 heard: now,
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -1,6 +1,6 @@
 //! Which orders to give.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use base::Time;
 
@@ -24,6 +24,10 @@
 /// of 90 engines serves 64 at full speed, that of 60 serves 48.
 const TRANSIT_EACH: f64 = 0.7;
 
+/// How old the word of entry instances on the loads of other holders may be; a
+/// load takes a quarter of a second, and each tells it about as often.
+const ELSEWHERE_FRESH: Duration = Duration::from_millis(500);
+
 /// Base models on their way at once; the store is at full speed up to two.
 const MODELS_AT_ONCE: usize = 2;
 
@@ -79,9 +83,7 @@
         self.ask_reports(now, out);
         self.load_models(now, out);
         let used = self.used();
-        let own = self.tenure.zones(now).len();
-        let part = (TRANSIT_ALL * own).div_ceil(self.config.zones.max(1));
-        let most = part.max((self.engines.len() as f64 * TRANSIT_EACH) as usize);
+        let most = self.loads_at_once(now);
         self.reach_goals(now, out);
         for adapter in self.missing(now) {
             let moving: usize = self.engines.values().map(|e| e.loading(now)).sum();
@@ -92,6 +94,26 @@
         }
     }
 
+    /// Returns how many adapters may be on their way in the zones of this holder.
+    ///
+    /// Failure: two zones lose engines and have up to 40 adapters waiting for
+    /// their part of the store, while the others use none of theirs. What others
+    /// leave may be used, by half: all holders see it at the same time, and the
+    /// store is slower for all once they use more than there is.
+    fn loads_at_once(&self, now: Time) -> usize {
+        let zones = self.config.zones.max(1);
+        let own = self.tenure.zones(now).len().max(1);
+        let part = (TRANSIT_ALL * own).div_ceil(zones);
+        let part = part.max((self.engines.len() as f64 * TRANSIT_EACH) as usize);
+        let all = (part * zones).div_ceil(own).max(TRANSIT_ALL);
+        let told = self.elsewhere;
+        let told = told.filter(|(at, _)| now.since(*at) < ELSEWHERE_FRESH);
+        let Some((_, elsewhere)) = told else {
+            return part;
+        };
+        part + all.saturating_sub(part + elsewhere as usize) / 2
+    }
+
     /// Asks engines whose count of orders isn't known, or that may be dead.
     fn ask_reports(&mut self, now: Time, out: &mut Vec<Output>) {
         for (id, engine) in &mut self.engines {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -178,6 +178,16 @@
         resting.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns how many adapters are on their way to targets outside `zones`.
+    #[must_use]
+    pub fn elsewhere(&self, now: Time, zones: &[String]) -> u32 {
+        let others = self.targets.values();
+        let others = others.filter(|known| !zones.contains(&known.target.zone));
+        let coming = others.flat_map(|known| known.residents.values());
+        let coming = coming.filter(|(_, at)| *at > now).count();
+        u32::try_from(coming).unwrap_or(u32::MAX)
+    }
+
     /// Returns the requests under way here at the targets of `zones`.
     #[must_use]
     pub fn running(&self, zones: &[String]) -> Vec<Running> {
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -340,3 +340,28 @@
     world.pass(100);
     assert_that!(world.orders, is_empty());
 }
+
+/// Two zones lose engines and have many adapters waiting for their part of the
+/// store, while the other zones leave theirs unused.
+#[gtest]
+fn a_holder_uses_half_of_what_others_leave_of_the_store() {
+    for (elsewhere, most) in [(Some(0), 10), (Some(8), 6), (Some(14), 4), (None, 4)] {
+        let config = Config {
+            zones: 4,
+            ..Config::default()
+        };
+        let mut world = World::with(4, config);
+        let sync = Sync {
+            wants: (0..12).map(|n| format!("m/a{n}")).collect(),
+            elsewhere,
+            ..Sync::default()
+        };
+        world.give(Input::Sync(Ticket(6), sync));
+        let mut loads = 0;
+        while !world.orders.is_empty() {
+            world.end(Ended::Accepted);
+            loads += 1;
+        }
+        expect_that!(loads, eq(most), "with {elsewhere:?} elsewhere");
+    }
+}
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -28,6 +28,9 @@
         pub wants: Vec<String>,
         /// Targets that couldn't be reached lately, by id.
         pub failing: Vec<String>,
+        /// Adapters on their way to targets of other control instances, where
+        /// all of these are heard.
+        pub elsewhere: Option<u32>,
     }
 
     /// Requests of one instance under way at one target.
