--- a/crates/frontd/src/control.rs
+++ b/crates/frontd/src/control.rs
@@ -52,6 +52,10 @@
 /// cut or freeze of some seconds.
 const RETIRE: Duration = Duration::from_secs(9);
 
+/// What a life that was refused adds to the next one, in microseconds: clocks are
+/// stepped by seconds, and a refusal takes some ten milliseconds.
+const LIFE_STEP: u64 = 1_000_000;
+
 /// Rest before the folder is opened again after its disk failed.
 const REOPEN: Duration = Duration::from_millis(500);
 
@@ -132,8 +136,10 @@
     mut queue: mpsc::UnboundedReceiver<Job>,
 ) -> Result<()> {
     let clock = Clock::start();
+    let mut last = Incarnation(0);
     loop {
-        let mut shell = open(setup, outside, jobs, clock)?;
+        last = next_life(wall_clock()?, last);
+        let mut shell = open(setup, outside, jobs, clock, last)?;
         let end = shell.run(&mut queue).await;
         drop(shell);
         match end {
@@ -149,9 +155,10 @@
     outside: &Outside,
     jobs: &mpsc::UnboundedSender<Job>,
     clock: Clock,
+    life: Incarnation,
 ) -> Result<Shell> {
     let name = names::instance(setup.ip);
-    let opened = disk::open(&setup.data, &name, life()?)?;
+    let opened = disk::open(&setup.data, &name, life)?;
     report_fate(&opened.fate);
     let seeds = (outside.seeds)().unwrap_or_default();
     let peers = seeds.into_iter().map(names::instance).collect();
@@ -185,10 +192,19 @@
     )])
 }
 
-fn life() -> Result<Incarnation> {
+/// Returns the life that an empty folder gets next.
+///
+/// Failure: a disk is lost while the wall clock is stepped back by seconds. The
+/// members know a later life of this instance and refuse the new one until the
+/// clock has caught up. Each refusal therefore adds to the next life.
+fn next_life(clock: Duration, last: Incarnation) -> Incarnation {
+    let clock = u64::try_from(clock.as_micros()).unwrap_or(u64::MAX);
+    Incarnation(clock.max(last.get().saturating_add(LIFE_STEP)))
+}
+
+fn wall_clock() -> Result<Duration> {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let since = since.context("the clock stands before 1970")?;
-    Ok(Incarnation(u64::try_from(since.as_micros())?))
+    since.context("the clock stands before 1970")
 }
 
 fn empty(data: &Path) -> Result<()> {
@@ -257,3 +273,7 @@
     jobs.send(Job::Call { call, to }).ok();
     reply.await.unwrap_or(Reply::Elsewhere { leader: None })
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/control.rs"]
+mod tests;
--- a/crates/replog/tests/open.rs
+++ b/crates/replog/tests/open.rs
@@ -5,7 +5,9 @@
 
 use base::{Incarnation, InstanceName, Seed, Time};
 use googletest::prelude::*;
-use replog::{Input, Message, Output, RawSettings, Replica, ReplicaId, Restored, Settings};
+use replog::{
+    HaltReason, Input, Message, Output, RawSettings, Replica, ReplicaId, Restored, Settings,
+};
 
 const RETIRE: Duration = Duration::from_secs(8);
 
@@ -166,3 +168,25 @@
     cluster.pass(8_000);
     assert_that!(cluster.voters().unwrap().len(), eq(4));
 }
+
+/// An instance loses its disk while its wall clock is stepped back, so its new
+/// life is older than its last one. It called out for ever and nobody took it
+/// in. It is told that its life is over, and a later one is taken in.
+#[gtest]
+fn an_older_life_is_told_that_it_is_over() {
+    let mut cluster = Cluster::new(&["k1", "k2", "k3"]);
+    cluster.pass(5_000);
+    for life in [5, 3] {
+        cluster.start("k3", life, &["k1", "k2", "k3"], false);
+        cluster.pass(5_000);
+    }
+    let halted = cluster.replicas[&name("k3")].halted();
+    assert_that!(halted, eq(Some(HaltReason::Removed)));
+    cluster.start("k3", 6, &["k1", "k2", "k3"], false);
+    cluster.pass(5_000);
+    assert_that!(cluster.voters(), eq(&names(&["k1", "k2", "k3"])));
+    let leader = cluster.replicas.values().find(|r| r.leads(cluster.now));
+    let members = leader.and_then(|leader| leader.members()).unwrap();
+    let life = members.life_of(&name("k3")).map(|id| id.life);
+    assert_that!(life, eq(Some(Incarnation(6))));
+}
