--- a/crates/controld/src/shell.rs
+++ b/crates/controld/src/shell.rs
@@ -1,18 +1,13 @@
 //! The one task that owns the control instance: inputs in, outputs carried
 //! out.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::{Context, Result};
 use base::{Incarnation, InstanceName, Seed, Time};
 use control::{Checked, Control, Event, Input, Output};
 use daemon::{Clock, Listeners};
-use disk::{Done, Fate, Writer};
+use disk::Writer;
 use replog::{RawSettings, Replica};
 use settings::{Begin, ControlSettings};
 use telemetry::event;
@@ -57,14 +52,18 @@
     let state = State::new(identity.name.clone(), controls.clone(), jobs.clone());
     let state = Arc::new(state);
     let seed = settings.seed.unwrap_or_else(|| Seed(rand::random()));
-    let life = Incarnation(u64::try_from(since_epoch()?.as_micros())?);
+    let life = Incarnation(u64::try_from(daemon::wall_clock()?.as_micros())?);
     let opened = disk::open(&settings.data, &identity.name, life)?;
-    report_fate(&opened.fate);
+    daemon::report_fate(&opened.fate);
     let names = controls.keys().cloned().collect();
     let raw = RawSettings::usual(opened.folder.id().clone(), names, seed);
     let replica = Replica::new(raw.try_into()?, opened.restored);
     let control = Control::new(control::Config::default(), replica, Box::new(check));
-    let writer = start_writer(opened.folder, jobs.clone())?;
+    let at_disk = jobs.clone();
+    let writer = daemon::start_writer(opened.folder, move |input| {
+        // After the shell has ended nobody waits for it.
+        at_disk.send(Job::Input(input)).ok();
+    })?;
     let stop = CancellationToken::new();
     let stopping = daemon::stop_signal()?;
     tokio::spawn(async move {
@@ -109,38 +108,6 @@
     Ok(())
 }
 
-fn since_epoch() -> Result<Duration> {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.context("the clock stands before 1970")
-}
-
-/// Starts the thread that writes; each end of a write becomes a job.
-fn start_writer(folder: disk::Folder, jobs: mpsc::UnboundedSender<Job>) -> Result<Writer> {
-    Writer::start(folder, move |done| {
-        let input = match done {
-            Done::Synced { upto } => Input::Synced { upto },
-            Done::Failed { no } => {
-                event!(telemetry::Event::DiskFailed, write = no);
-                Input::WriteFailed { no }
-            }
-            Done::Space { full } => Input::Space { full },
-        };
-        // After the shell has ended nobody waits for it.
-        jobs.send(Job::Input(input)).ok();
-    })
-}
-
-fn report_fate(fate: &Fate) {
-    match fate {
-        Fate::New | Fate::Whole => {}
-        Fate::CutOff { bytes } => event!(telemetry::Event::DiskTorn, bytes = bytes),
-        Fate::Replaced { reason, kept } => {
-            let kept = kept.display().to_string();
-            event!(telemetry::Event::DiskCorrupt, why = reason, kept = kept);
-        }
-    }
-}
-
 fn controls(settings: &ControlSettings) -> BTreeMap<InstanceName, SocketAddr> {
     match &settings.begin {
         Begin::Voters(voters) => voters.clone(),
@@ -164,7 +131,7 @@
     let mut tick = interval(LOOK_EVERY);
     loop {
         tick.tick().await;
-        if let Ok(since) = since_epoch() {
+        if let Ok(since) = daemon::wall_clock() {
             let ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
             state.tell(Input::Wall { ms });
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,11 +5,13 @@
 //! story twice.
 
 mod clock;
+mod folder;
 mod links;
 mod start;
 
 pub use crate::{
     clock::Clock,
+    folder::{report_fate, start_writer, wall_clock},
     links::{Links, lock},
-    start::{Listeners, main, stop_signal},
+    start::{Listeners, listen, main, stop_signal},
 };
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -78,7 +78,12 @@
     Ok(Listeners { own, peers })
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
+/// Listens on an address.
+///
+/// # Errors
+///
+/// Fails when the system refuses it.
+pub async fn listen(address: SocketAddr) -> Result<TcpListener> {
     let bound = TcpListener::bind(address).await;
     bound.with_context(|| format!("can't listen on {address}"))
 }
--- a/crates/frontd/src/control.rs
+++ b/crates/frontd/src/control.rs
@@ -8,19 +8,18 @@
     collections::BTreeSet,
     net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use anyhow::{Context, Result};
 use base::{Incarnation, InstanceName, Seed};
 use control::{Checked, Control};
-use daemon::Clock;
-use disk::{Done, Fate, Writer};
+use daemon::{Clock, listen};
 use http_body_util::BodyExt;
 use hyper::{Request, Response, body::Incoming};
 use replog::{RawSettings, Replica};
 use telemetry::event;
-use tokio::{net::TcpListener, sync::mpsc, time::sleep};
+use tokio::{sync::mpsc, time::sleep};
 use tokio_util::sync::CancellationToken;
 use web::{body::Body, reply, server};
 use wire::call::{Call, Reply};
@@ -138,7 +137,7 @@
     let clock = Clock::start();
     let mut last = Incarnation(0);
     loop {
-        last = next_life(wall_clock()?, last);
+        last = next_life(daemon::wall_clock()?, last);
         let mut shell = open(setup, outside, jobs, clock, last)?;
         let end = shell.run(&mut queue).await;
         drop(shell);
@@ -159,7 +158,7 @@
 ) -> Result<Shell> {
     let name = names::instance(setup.ip);
     let opened = disk::open(&setup.data, &name, life)?;
-    report_fate(&opened.fate);
+    daemon::report_fate(&opened.fate);
     let seeds = (outside.seeds)().unwrap_or_default();
     let peers = seeds.into_iter().map(names::instance).collect();
     let raw = RawSettings {
@@ -174,7 +173,11 @@
     };
     let replica = Replica::new(raw.try_into()?, opened.restored);
     let control = Control::new(control::Config::default(), replica, Box::new(no_text));
-    let writer = start_writer(opened.folder, jobs.clone())?;
+    let at_disk = jobs.clone();
+    let writer = daemon::start_writer(opened.folder, move |input| {
+        // After the shell has ended nobody waits for it.
+        at_disk.send(Job::Input(input)).ok();
+    })?;
     Ok(Shell::new(
         control,
         setup,
@@ -202,11 +205,6 @@
     Incarnation(clock.max(last.get().saturating_add(LIFE_STEP)))
 }
 
-fn wall_clock() -> Result<Duration> {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.context("the clock stands before 1970")
-}
-
 fn empty(data: &Path) -> Result<()> {
     for entry in std::fs::read_dir(data)? {
         let path = entry?.path();
@@ -219,32 +217,6 @@
     Ok(())
 }
 
-fn start_writer(folder: disk::Folder, jobs: mpsc::UnboundedSender<Job>) -> Result<Writer> {
-    Writer::start(folder, move |done| {
-        let input = match done {
-            Done::Synced { upto } => control::Input::Synced { upto },
-            Done::Failed { no } => {
-                event!(telemetry::Event::DiskFailed, write = no);
-                control::Input::WriteFailed { no }
-            }
-            Done::Space { full } => control::Input::Space { full },
-        };
-        // After the shell has ended nobody waits for it.
-        jobs.send(Job::Input(input)).ok();
-    })
-}
-
-fn report_fate(fate: &Fate) {
-    match fate {
-        Fate::New | Fate::Whole => {}
-        Fate::CutOff { bytes } => event!(telemetry::Event::DiskTorn, bytes = bytes),
-        Fate::Replaced { reason, kept } => {
-            let kept = kept.display().to_string();
-            event!(telemetry::Event::DiskCorrupt, why = reason, kept = kept);
-        }
-    }
-}
-
 fn limits() -> server::Limits {
     server::Limits {
         body_bytes: 64 << 20,
@@ -254,11 +226,6 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    let bound = TcpListener::bind(address).await;
-    bound.with_context(|| format!("can't listen on {address}"))
-}
-
 async fn at_peer(jobs: mpsc::UnboundedSender<Job>, req: Request<Incoming>) -> Response<Body> {
     if !peer::wants_upgrade(&req) {
         return reply::failure(&base::Failure::not_run(base::Refusal::NotFound));
--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -13,11 +13,11 @@
     time::Duration,
 };
 
-use anyhow::{Context, Result};
+use anyhow::Result;
+use daemon::listen;
 use gateway::budget;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use telemetry::event;
-use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use web::{body::Body, server};
 
@@ -100,11 +100,6 @@
     Ok(())
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    let bound = TcpListener::bind(address).await;
-    bound.with_context(|| format!("can't listen on {address}"))
-}
-
 async fn readiness(state: Arc<State>, _: Request<Incoming>) -> Response<Body> {
     let mut resp = Response::new(web::body::full(""));
     if !state.ready() {
--- a/crates/frontd/src/metrics.rs
+++ b/crates/frontd/src/metrics.rs
@@ -2,13 +2,12 @@
 
 use std::net::SocketAddr;
 
-use anyhow::{Context, Result};
+use anyhow::Result;
 use hyper::{
     Request, Response,
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
-use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use web::{
     body::{Body, full},
@@ -25,8 +24,7 @@
 ///
 /// Fails when the address can't be listened on.
 pub async fn serve(address: SocketAddr) -> Result<()> {
-    let bound = TcpListener::bind(address).await;
-    let listener = bound.with_context(|| format!("can't listen on {address}"))?;
+    let listener = daemon::listen(address).await?;
     tokio::spawn(server::serve(
         listener,
         server::Limits::default(),
