--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -1,8 +1,11 @@
 //! The one task that owns the control instance, the granting of zones and the
 //! holder of orders.
 
+mod orders;
+mod zones;
+
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap},
     net::IpAddr,
     sync::Arc,
     time::Duration,
@@ -13,18 +16,18 @@
 use daemon::{Clock, Links};
 use disk::Writer;
 use gateway::{
-    holder::{self, Ended, Holder},
+    holder::{self, Holder},
     tenure::{Granter, Tenure},
 };
 use replog::HaltReason;
-use telemetry::{event, exposed};
+use telemetry::event;
 use tokio::{
     sync::{mpsc, oneshot},
     time::sleep_until,
 };
 use wire::{
     call::{Call, Reply},
-    fleet::{Edition, Synced},
+    fleet::Edition,
 };
 
 use super::{HANDOVER, Named, Setup};
@@ -249,92 +252,6 @@
         }
     }
 
-    /// Renews the right to give orders; as the leader, grants it to itself and
-    /// gives zones without an owner to somebody.
-    fn renew(&mut self, now: Time) {
-        let name = self.control.replica().id().instance.clone();
-        if self.control.leads(now) {
-            let zone = self.zone.clone();
-            self.granter.renew(now, &name, &zone);
-            let zones = self.owned_by(&name);
-            self.renewed(now, zones);
-            self.give_zones(now);
-            return;
-        }
-        let Some(leader) = self.leader() else {
-            return;
-        };
-        let Some(address) = names::address(&leader, self.port) else {
-            return;
-        };
-        let call = Call::Renew {
-            instance: name,
-            zone: self.zone.clone(),
-        };
-        let (links, jobs) = (Arc::clone(&self.links), self.jobs.clone());
-        tokio::spawn(async move {
-            let reply = links.to(address).call(call, RENEW_LIMIT).await;
-            // What is lost is asked for again before the tenure ends.
-            if let Ok(Reply::Renewed(zones)) = reply {
-                jobs.send(Job::Renewed { asked: now, zones }).ok();
-            }
-        });
-    }
-
-    /// Returns the zones that `instance` owns and that are not about to get
-    /// another owner.
-    ///
-    /// Failure: an owner that was silent for long asks again just after its
-    /// zone was given to another, before that is through the log. Renewing its
-    /// right would make two owners.
-    fn owned_by(&self, instance: &InstanceName) -> Vec<(String, u64)> {
-        let own = self.control.state().zones().of(instance);
-        let own = own.filter(|(zone, _)| !self.moving.contains(*zone));
-        own.map(|(zone, fence)| (zone.to_owned(), fence)).collect()
-    }
-
-    fn renewed(&mut self, asked: Time, zones: Vec<(String, u64)>) {
-        let before = self.tenure.zones(self.clock.now());
-        self.tenure.granted(asked, zones);
-        let after = self.tenure.zones(self.clock.now());
-        exposed().zones(after.len());
-        if before != after {
-            event!(telemetry::Event::EngineTaken, zones = after.join(","));
-            self.next_list = Time::ZERO;
-        }
-        let tenure = self.tenure.clone();
-        self.hold(holder::Input::Tenure(tenure));
-    }
-
-    fn give_zones(&mut self, now: Time) {
-        let owners = self.control.state().zones().all().iter();
-        let owners = owners.map(|(zone, owner)| (zone.clone(), owner.instance.clone()));
-        let owners: BTreeMap<_, _> = owners.collect();
-        let due = self.granter.due(now, &self.zones, &owners, self.turns);
-        for (zone, instance) in due {
-            if !self.moving.insert(zone.clone()) {
-                continue;
-            }
-            let ticket = self.wait(Waiter::Zone(zone.clone()));
-            let what = What::OwnZone { zone, instance };
-            self.input(Input::Name { ticket, what });
-        }
-    }
-
-    fn read_list(&self, zone: String) {
-        let (list, jobs) = (self.outside.list.clone(), self.jobs.clone());
-        tokio::spawn(async move {
-            match list(Some(zone.clone())).await {
-                Some(list) => {
-                    let zones = vec![zone];
-                    let listed = holder::Input::Listed { zones, list };
-                    jobs.send(Job::Holder(listed)).ok();
-                }
-                None => event!(telemetry::Event::ListStale),
-            }
-        });
-    }
-
     fn job(&mut self, job: Job) {
         match job {
             Job::Input(input) => self.input(input),
@@ -369,18 +286,6 @@
         }
     }
 
-    fn grant(&mut self, instance: &InstanceName, zone: &str) -> Reply {
-        let now = self.clock.now();
-        // Failure: this instance was frozen while it led, and another has
-        // given the asker's zones away since.
-        if !self.control.leads(now) {
-            let leader = self.leader();
-            return Reply::Elsewhere { leader };
-        }
-        self.granter.renew(now, instance, zone);
-        Reply::Renewed(self.owned_by(instance))
-    }
-
     fn newest(&self) -> Result<Option<Edition>, Named> {
         // Failure: this instance was cut off, and another leads and has taken
         // newer editions. Only a leader whose lease runs knows the newest.
@@ -507,76 +412,4 @@
             | Event::Dismissed { .. } => {}
         }
     }
-
-    fn named_changed(&mut self) {
-        let editions = self.control.state().editions();
-        if let Some(newest) = editions.newest() {
-            match (self.outside.decode)(&newest.body) {
-                Ok(decoded) => self.holder.set_specs(decoded.table.engines()),
-                Err(why) => event!(telemetry::Event::TextBroken, why = why),
-            }
-        }
-        let versions: BTreeMap<_, _> = editions.versions().clone();
-        self.hold(holder::Input::Versions(versions));
-    }
-
-    fn hold(&mut self, input: holder::Input) {
-        let now = self.clock.now();
-        let mut outputs = Vec::new();
-        self.holder.handle(now, input, &mut outputs);
-        for output in outputs {
-            self.carry_out(output);
-        }
-    }
-
-    fn carry_out(&mut self, output: holder::Output) {
-        let jobs = self.jobs.clone();
-        match output {
-            holder::Output::Order(order) => {
-                let id = order.id.clone();
-                let what = format!("{:?}", order.act);
-                let expected = order.expected;
-                let given = (self.outside.give)(order);
-                tokio::spawn(async move {
-                    let ended = given.await;
-                    if !matches!(ended, Ended::Accepted | Ended::Done) {
-                        event!(
-                            telemetry::Event::LoadFailed,
-                            engine = id,
-                            order = what,
-                            expected = expected,
-                            how = format!("{ended:?}")
-                        );
-                    }
-                    exposed().order(ended.as_str());
-                    jobs.send(Job::Holder(holder::Input::Ended { id, ended }))
-                        .ok();
-                });
-            }
-            holder::Output::Report { id, addr } => {
-                let asked = (self.outside.ask)(id.clone(), addr);
-                tokio::spawn(async move {
-                    let report = asked.await;
-                    jobs.send(Job::Holder(holder::Input::Reported { id, report }))
-                        .ok();
-                });
-            }
-            holder::Output::Answer { ticket, synced } => self.answer(ticket, synced),
-        }
-    }
-
-    fn answer(&mut self, ticket: Ticket, mut synced: Synced) {
-        let Some(Waiter::Sync { to, edition }) = self.waiters.remove(&ticket) else {
-            return;
-        };
-        let editions = self.control.state().editions();
-        let newer = editions.newest().filter(|newest| newest.number > edition);
-        synced.edition = newer.cloned();
-        let versions = editions.versions().iter();
-        synced.versions = Some(versions.map(|(a, v)| (a.clone(), *v)).collect());
-        if let Some(members) = self.control.replica().members() {
-            synced.controls = members.all().map(|id| id.instance.clone()).collect();
-        }
-        to.send(Reply::Sync(Box::new(synced))).ok();
-    }
 }
