Learn from first uses how long loads take and how many run at full speed

Each refusal used up a repeat of the shared budget; 1,751 callers of 6,600 were sent away after one send for that reason. Ruled out: drops under way (under 80), conflicts of the count (they follow from it: 680 to a third). Change: entry instances tell what came of the first request after each load; the holder follows the time by quantile and the number at once by steps up and parts down. An early refusal leaves the adapter on its way.

--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -168,6 +168,7 @@
             return self.refused(target, &answer);
         }
         place.begun();
+        state.view().used(target, &self.adapter);
         let good = !answer.status.is_server_error();
         state.view().outcome(state.now(), target, good);
         Sent::Answer(Box::new(answer), place)
@@ -177,7 +178,7 @@
         let mut view = self.state.view();
         let now = self.state.now();
         if answer.status == StatusCode::MISDIRECTED_REQUEST {
-            view.lacks(target, &self.adapter);
+            view.lacks(now, target, &self.adapter);
             return Sent::NotRun {
                 lacks: !self.adapter.is_empty(),
             };
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -222,7 +222,7 @@
 }
 
 fn sync(state: &State, source: &Source, regular: bool) -> Sync {
-    let view = state.view();
+    let mut view = state.view();
     let mut inner = lock(&source.inner);
     let demand = if regular {
         std::mem::take(&mut inner.demand)
@@ -237,6 +237,7 @@
         demand: demand.into_iter().collect(),
         wants: std::mem::take(&mut inner.wants),
         failing: view.failing(state.now()),
+        firsts: view.take_firsts(&inner.zones),
         elsewhere: (!state.settling()).then(|| view.elsewhere(state.now(), &inner.zones)),
     }
 }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -7,6 +7,7 @@
 
 mod demand;
 mod engine;
+mod pace;
 mod plan;
 
 use std::{
@@ -15,9 +16,13 @@
 };
 
 use base::{InstanceName, Ticket, Time};
-use wire::fleet::{Resident, Running, Sync, Synced, Target};
+use wire::fleet::{First, Resident, Running, Sync, Synced, Target};
 
-use self::{demand::Demand, engine::Engine};
+use self::{
+    demand::Demand,
+    engine::{Engine, Source},
+    pace::Pace,
+};
 use crate::{table, tenure::Tenure};
 
 /// An entry instance that was silent for so long no longer counts: its requests
@@ -255,6 +260,7 @@
     engines: BTreeMap<String, Engine>,
     entries: BTreeMap<InstanceName, Entry>,
     demand: Demand,
+    pace: Pace,
     wants: BTreeMap<String, Time>,
     /// Engines that didn't answer, and when.
     failing: BTreeMap<String, Time>,
@@ -281,6 +287,7 @@
             engines: BTreeMap::new(),
             entries: BTreeMap::new(),
             demand: Demand::default(),
+            pace: Pace::new(config.adapter_load, plan::TRANSIT_ALL, config.zones),
             wants: BTreeMap::new(),
             failing: BTreeMap::new(),
             elsewhere: None,
@@ -355,6 +362,9 @@
                 engine.accused(now);
             }
         }
+        for first in &sync.firsts {
+            self.first_use(now, first);
+        }
         if let Some(loads) = sync.elsewhere {
             self.elsewhere = Some((now, loads));
         }
@@ -374,7 +384,26 @@
         });
     }
 
+    /// Learns from the first request for an adapter that was just loaded.
+    fn first_use(&mut self, now: Time, first: &First) {
+        let Some(engine) = self.engines.get_mut(&first.target) else {
+            return;
+        };
+        let Some(load) = engine.first_use(now, first, self.pace.time()) else {
+            return;
+        };
+        if !first.held {
+            self.dirty = true;
+        }
+        match (load, first.held) {
+            (Source::Store, true) => self.pace.in_time(),
+            (Source::Store, false) => self.pace.late(now),
+            (Source::Memory, _) => {}
+        }
+    }
+
     fn ended(&mut self, now: Time, id: &str, ended: Ended) {
+        self.config.adapter_load = self.pace.time();
         if let Some(engine) = self.engines.get_mut(id) {
             engine.ended(now, ended, &self.config);
             self.dirty = true;
--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -6,7 +6,7 @@
 };
 
 use base::Time;
-use wire::fleet::Resident;
+use wire::fleet::{First, Resident};
 
 use super::{Act, Config, Ended, Held, Listed, Report};
 
@@ -24,6 +24,10 @@
 /// An engine that answered so lately is alive, whatever others say.
 const HEARD_LATELY: Duration = Duration::from_millis(200);
 
+/// Loads for which the word of a first use counts are at most so old, in
+/// expected times of a load; it may be an earlier one's that was dropped.
+const FIRST_USE: u32 = 6;
+
 /// Added to the time of a load before it counts as done; too early a request
 /// is refused and sent again.
 const LOAD_SLACK: Duration = Duration::from_millis(8);
@@ -76,8 +80,18 @@
     pub(super) ready: Time,
     /// When it was last ordered; zero if only reported.
     ordered: Option<Time>,
-    /// Whether the engine took this holder's order to load it.
-    loaded: bool,
+    /// Where the engine took it from by this holder's order; nothing if the
+    /// order was another's.
+    loaded: Option<Source>,
+}
+
+/// Where an engine takes an adapter from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Source {
+    /// The weight store, shared by all engines.
+    Store,
+    /// Its own memory, as it held the adapter lately.
+    Memory,
 }
 
 impl Engine {
@@ -172,7 +186,10 @@
         match act {
             _ if ended == Ended::Accepted => true,
             Act::Evict(adapter) => {
-                let loaded = self.adapters.get(adapter).is_some_and(|slot| slot.loaded);
+                let loaded = self
+                    .adapters
+                    .get(adapter)
+                    .is_some_and(|slot| slot.loaded.is_some());
                 loaded || self.doubt.is_none()
             }
             Act::Load { .. } => false,
@@ -194,10 +211,15 @@
             }
             Act::Load { adapter, version } => {
                 let was_here = self.past.contains(&adapter);
-                let wait = match ended {
-                    Ended::Done => Duration::ZERO,
-                    _ if was_here => load / PAST_SPEED + LOAD_SLACK,
-                    _ => load + LOAD_SLACK,
+                let source = if was_here {
+                    Source::Memory
+                } else {
+                    Source::Store
+                };
+                let wait = match (ended, source) {
+                    (Ended::Done, _) => Duration::ZERO,
+                    (_, Source::Memory) => load / PAST_SPEED + LOAD_SLACK,
+                    (_, Source::Store) => load + LOAD_SLACK,
                 };
                 self.past.retain(|past| *past != adapter);
                 self.dropped.remove(&adapter);
@@ -208,7 +230,7 @@
                     version: version.unwrap_or(0),
                     ready: now + wait,
                     ordered: Some(now),
-                    loaded: ended == Ended::Accepted,
+                    loaded: (ended == Ended::Accepted).then_some(source),
                 };
                 self.adapters.insert(adapter, slot);
             }
@@ -225,6 +247,29 @@
         }
     }
 
+    /// Takes what came of the first request after a load, and returns where the
+    /// load came from if it was this holder's and not long ago.
+    ///
+    /// Failure: a load takes longer than told. Every instance that waits for the
+    /// adapter sends its requests and is refused, each again and again. The first
+    /// refusal moves the time for all.
+    pub(super) fn first_use(&mut self, now: Time, first: &First, load: Duration) -> Option<Source> {
+        let slot = self.adapters.get_mut(&first.adapter)?;
+        let source = slot.loaded?;
+        let ordered = slot.ordered?;
+        if now.since(ordered) > load * FIRST_USE {
+            return None;
+        }
+        if !first.held {
+            let due = match source {
+                Source::Memory => ordered + load,
+                Source::Store => now + load / PAST_SPEED,
+            };
+            slot.ready = slot.ready.max(due);
+        }
+        Some(source)
+    }
+
     fn drop_adapter(&mut self, now: Time, adapter: String) {
         self.adapters.remove(&adapter);
         self.past.retain(|past| *past != adapter);
@@ -269,7 +314,7 @@
                 version,
                 ready: now + load,
                 ordered: Some(now),
-                loaded: false,
+                loaded: None,
             };
             self.adapters.entry(adapter).or_insert(slot);
         }
@@ -312,7 +357,7 @@
                 version: *version,
                 ready: now,
                 ordered: None,
-                loaded: false,
+                loaded: None,
             };
             let known = self.adapters.entry(adapter.clone()).or_insert(slot);
             if known.version <= *version {
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -13,15 +13,13 @@
 /// Adapters on their way to one engine at once; engines take four.
 const TRANSIT_MAX: usize = 4;
 
-/// Adapters on their way to all engines of all zones at once. Beyond sixteen
-/// the store makes each of them slower, so that more would only make all late:
-/// with 48 a load took three times as long as its holder told callers, and 2,000
-/// of 9,700 requests were sent too early. Each holder keeps to the part of its
-/// zones, as nobody counts for all.
-const TRANSIT_ALL: usize = 16;
-
-/// The same for each engine, where there are many: the store of a deployment
-/// of 90 engines serves 64 at full speed, that of 60 serves 48.
+/// Adapters on their way to all engines of all zones at once, until loads are
+/// seen to take longer. Each holder keeps to the part of its zones, as nobody
+/// counts for all.
+pub(super) const TRANSIT_ALL: usize = 16;
+
+/// The same for each engine, where there are many: a store is made for the
+/// engines that it serves.
 const TRANSIT_EACH: f64 = 0.7;
 
 /// How old the word of entry instances on the loads of other holders may be; a
@@ -83,6 +81,9 @@
         self.ask_reports(now, out);
         self.load_models(now, out);
         let used = self.used();
+        let own = self.tenure.zones(now).len().max(1);
+        let engines = self.engines.len() * self.config.zones.max(1) / own;
+        self.pace.at_least(engines as f64 * TRANSIT_EACH);
         let most = self.loads_at_once(now);
         self.reach_goals(now, out);
         for adapter in self.missing(now) {
@@ -102,11 +103,11 @@
     /// store is slower for all once they use more than there is. On the heaviest
     /// days 0.02 more of the worth was earned; all of the rest gained no more.
     fn loads_at_once(&self, now: Time) -> usize {
-        let zones = self.config.zones.max(1);
-        let own = self.tenure.zones(now).len().max(1);
-        let part = (TRANSIT_ALL * own).div_ceil(zones);
-        let part = part.max((self.engines.len() as f64 * TRANSIT_EACH) as usize);
-        let all = (part * zones).div_ceil(own).max(TRANSIT_ALL);
+        let zones = self.config.zones.max(1) as f64;
+        let own = self.tenure.zones(now).len().max(1) as f64;
+        let all = self.pace.window();
+        let part = (all * own / zones).ceil() as usize;
+        let all = all.ceil() as usize;
         let told = self.elsewhere;
         let told = told.filter(|(at, _)| now.since(*at) < ELSEWHERE_FRESH);
         let Some((_, elsewhere)) = told else {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -6,7 +6,7 @@
 };
 
 use base::Time;
-use wire::fleet::{Running, Target};
+use wire::fleet::{First, Resident, Running, Target};
 
 /// Added to the load of a target in another availability zone: a message
 /// there and back costs some 3 ms and traffic between zones, so the own zone is
@@ -33,6 +33,17 @@
 /// How long a target rests that couldn't be connected to or fell silent.
 const REST: Duration = Duration::from_millis(1_500);
 
+/// How long an adapter that was not there yet is left alone at first, twice as
+/// long after each further refusal: a tenth of a load.
+const EARLY_PAUSE: Duration = Duration::from_millis(30);
+
+/// Refusals after which an adapter on its way counts as lost.
+const EARLY_MAX: u32 = 4;
+
+/// Longest time for which a refusal goes before the owner's word, which is up
+/// to a quarter of a second old.
+const EARLY_LONGEST: Duration = Duration::from_millis(300);
+
 /// Where a request may go.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -57,19 +68,33 @@
     others: BTreeMap<String, u32>,
     /// Requests for each adapter since they were last taken.
     demand: BTreeMap<String, u32>,
+    /// What came of first requests since it was last taken, by zone.
+    firsts: BTreeMap<String, Vec<First>>,
 }
 
 #[derive(Clone, Debug)]
 struct Known {
     target: Target,
-    /// By adapter: version, and when it can be used.
-    residents: BTreeMap<String, (u32, Time)>,
+    residents: BTreeMap<String, Held>,
     own: BTreeMap<String, u32>,
     /// Prompt tokens sent from here that are not read yet.
     unread: u64,
     trouble: Trouble,
 }
 
+/// An adapter at a target.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    version: u32,
+    /// When it can be used.
+    ready: Time,
+    /// Whether it was on its way when it was last told of, and no request has
+    /// shown since that it is there.
+    unproven: bool,
+    /// Requests that were refused because it was not there yet.
+    early: u32,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Trouble {
     share: f64,
@@ -97,8 +122,11 @@
         self.targets = rest;
         for target in targets {
             let before = old.remove(&target.id);
-            let residents = target.residents.iter();
-            let residents = residents.map(|r| (r.adapter.clone(), (r.version, now + r.ready_in)));
+            let residents = target.residents.iter().map(|resident| {
+                let old = before.as_ref();
+                let old = old.and_then(|known| known.residents.get(&resident.adapter));
+                (resident.adapter.clone(), Held::told(now, resident, old))
+            });
             let known = Known {
                 residents: residents.collect(),
                 own: before.as_ref().map(|k| k.own.clone()).unwrap_or_default(),
@@ -184,7 +212,7 @@
         let others = self.targets.values();
         let others = others.filter(|known| !zones.contains(&known.target.zone));
         let coming = others.flat_map(|known| known.residents.values());
-        let coming = coming.filter(|(_, at)| *at > now).count();
+        let coming = coming.filter(|held| held.ready > now).count();
         u32::try_from(coming).unwrap_or(u32::MAX)
     }
 
@@ -242,7 +270,7 @@
             return Choice::Send(best.target.id.clone());
         }
         let at = holders.iter().filter_map(|k| k.residents.get(adapter));
-        let soonest = at.map(|(_, at)| at.since(now)).min();
+        let soonest = at.map(|held| held.ready.since(now)).min();
         Choice::Wait(soonest.unwrap_or_default())
     }
 
@@ -323,19 +351,69 @@
     }
 
     /// Notes that a target refused a request because it doesn't hold the
-    /// adapter: what the list says of it is outdated.
-    pub fn lacks(&mut self, id: &str, adapter: &str) {
-        if let Some(known) = self.targets.get_mut(id) {
+    /// adapter: its load takes longer than told, or what the list says of it is
+    /// outdated.
+    ///
+    /// Failure: a load takes longer than told. Taken for dropped, the adapter
+    /// was asked for again, and with the next list the request was sent again at
+    /// once; each time it was refused, until the budget of repeats was used up
+    /// and one caller in four was sent away.
+    pub fn lacks(&mut self, now: Time, id: &str, adapter: &str) {
+        let Some(known) = self.targets.get_mut(id) else {
+            return;
+        };
+        let Some(held) = known.residents.get_mut(adapter) else {
+            return;
+        };
+        if !held.unproven || held.early >= EARLY_MAX {
             known.residents.remove(adapter);
+            return;
+        }
+        base::hit!(sent_too_early);
+        held.ready = held.ready.max(now + EARLY_PAUSE * 2_u32.pow(held.early));
+        held.early += 1;
+        if held.early == 1 {
+            let zone = known.target.zone.clone();
+            self.first(zone, id, adapter, false);
         }
     }
 
+    /// Notes that a target has begun to answer a request that uses an adapter.
+    pub fn used(&mut self, id: &str, adapter: &str) {
+        let Some(known) = self.targets.get_mut(id) else {
+            return;
+        };
+        let Some(held) = known.residents.get_mut(adapter) else {
+            return;
+        };
+        let first = std::mem::take(&mut held.unproven) && held.early == 0;
+        if first {
+            let zone = known.target.zone.clone();
+            self.first(zone, id, adapter, true);
+        }
+    }
+
+    fn first(&mut self, zone: String, id: &str, adapter: &str, held: bool) {
+        let firsts = self.firsts.entry(zone).or_default();
+        firsts.push(First {
+            target: id.to_owned(),
+            adapter: adapter.to_owned(),
+            held,
+        });
+    }
+
+    /// Returns and forgets what came of first requests in `zones`.
+    pub fn take_firsts(&mut self, zones: &[String]) -> Vec<First> {
+        let lists = zones.iter().filter_map(|zone| self.firsts.remove(zone));
+        lists.flatten().collect()
+    }
+
     /// Notes that a target holds an adapter but can't use it for a while.
     pub fn not_yet(&mut self, now: Time, id: &str, adapter: &str, wait: Duration) {
         if let Some(known) = self.targets.get_mut(id)
-            && let Some((_, at)) = known.residents.get_mut(adapter)
+            && let Some(held) = known.residents.get_mut(adapter)
         {
-            *at = (*at).max(now + wait);
+            held.ready = held.ready.max(now + wait);
         }
     }
 
@@ -348,11 +426,11 @@
         if adapter.is_empty() {
             return true;
         }
-        let Some((version, _)) = known.residents.get(adapter) else {
+        let Some(held) = known.residents.get(adapter) else {
             return false;
         };
         let named = self.versions.get(adapter).copied().unwrap_or(0);
-        *version == 0 || *version >= named
+        held.version == 0 || held.version >= named
     }
 
     fn cost(&self, now: Time, known: &Known, tried: &BTreeSet<String>) -> f64 {
@@ -376,6 +454,21 @@
     }
 }
 
+impl Held {
+    /// Takes what the owner of the target says, beside what was known before.
+    fn told(now: Time, resident: &Resident, old: Option<&Held>) -> Self {
+        let ready = now + resident.ready_in;
+        let coming = resident.ready_in > Duration::ZERO;
+        let old = old.filter(|old| old.unproven || !coming);
+        Held {
+            version: resident.version,
+            ready: old.map_or(ready, |old| old.ready.max(ready).min(ready + EARLY_LONGEST)),
+            unproven: old.map_or(coming, |old| old.unproven),
+            early: old.map_or(0, |old| old.early),
+        }
+    }
+}
+
 impl Known {
     /// Tells whether the target couldn't be reached a moment ago.
     fn rests(&self, now: Time) -> bool {
@@ -395,5 +488,5 @@
         || known
             .residents
             .get(adapter)
-            .is_some_and(|(_, at)| *at <= now)
+            .is_some_and(|held| held.ready <= now)
 }
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -12,7 +12,7 @@
     tenure::Tenure,
 };
 use googletest::prelude::*;
-use wire::fleet::{Running, Sync, Synced};
+use wire::fleet::{First, Running, Sync, Synced};
 
 const SLOTS: usize = 3;
 
@@ -53,14 +53,19 @@
             answers: Vec::new(),
             reports: Vec::new(),
         };
-        let mut tenure = Tenure::default();
-        tenure.granted(world.now, [("za".to_owned(), 9)]);
-        world.give(Input::Tenure(tenure));
+        world.own_zone();
         world.list(&[]);
         world.report_all();
         world
     }
 
+    /// Renews the right to give orders to the zone.
+    fn own_zone(&mut self) {
+        let mut tenure = Tenure::default();
+        tenure.granted(self.now, [("za".to_owned(), 9)]);
+        self.give(Input::Tenure(tenure));
+    }
+
     fn give(&mut self, input: Input) {
         let mut out = Vec::new();
         self.holder.handle(self.now, input, &mut out);
@@ -421,3 +426,76 @@
     world.pass(400);
     assert_that!(world.reports, eq(&vec!["e1".to_owned()]));
 }
+
+/// Orders loads of `count` adapters and returns how many were given at once, with
+/// the time told for the last one.
+fn loads_at_once(world: &mut World, round: usize, count: usize) -> (usize, Duration) {
+    let wants: Vec<_> = (0..count).map(|n| format!("m/r{round}-{n}")).collect();
+    let wants: Vec<_> = wants.iter().map(String::as_str).collect();
+    world.answers.clear();
+    world.want(&wants);
+    let mut given = 0;
+    world.own_zone();
+    while let Some(order) = world.orders.first() {
+        let drops = matches!(order.act, Act::Evict(_));
+        world.end(if drops { Ended::Done } else { Ended::Accepted });
+        given += usize::from(!drops);
+    }
+    world.pass(200);
+    let targets = world.answers.last().and_then(|a| a.targets.clone());
+    let residents = targets.into_iter().flatten().flat_map(|t| t.residents);
+    let told = residents.map(|r| r.ready_in).max();
+    (given, told.unwrap_or_default() + Duration::from_millis(200))
+}
+
+/// Says that the first requests for what was just loaded found it, or didn't.
+fn say_firsts(world: &mut World, round: usize, count: usize, held: bool) {
+    let mut firsts = Vec::new();
+    for engine in 1..=world.engines {
+        firsts.extend((0..count).map(|n| First {
+            target: format!("e{engine}"),
+            adapter: format!("m/r{round}-{n}"),
+            held,
+        }));
+    }
+    let sync = Sync {
+        firsts,
+        ..Sync::default()
+    };
+    world.give(Input::Sync(Ticket(9), sync));
+}
+
+/// The store serves half as many loads at full speed as expected. Callers were
+/// told a quarter of a second, sent their requests too early, and nearly half of
+/// all arrivals at engines were refused.
+#[gtest]
+fn a_slower_store_is_learned_from_refused_first_requests() {
+    let _mark = base::ExpectedMark::new("store_slower");
+    let mut world = World::new(8);
+    let (at_first, told) = loads_at_once(&mut world, 0, 24);
+    assert_that!(at_first, eq(16));
+    assert_that!(told, le(Duration::from_millis(260)));
+    say_firsts(&mut world, 0, 24, false);
+    for round in 1..8 {
+        world.pass(2_000);
+        loads_at_once(&mut world, round, 4);
+        say_firsts(&mut world, round, 4, false);
+    }
+    world.pass(2_000);
+    let (later, told) = loads_at_once(&mut world, 8, 24);
+    expect_that!(later, all![ge(6), le(9)]);
+    expect_that!(told, ge(Duration::from_millis(400)));
+}
+
+/// A store that serves more than expected is used once loads stay in time.
+#[gtest]
+fn a_faster_store_is_learned_from_served_first_requests() {
+    let mut world = World::new(12);
+    for round in 0..30 {
+        loads_at_once(&mut world, round, 12);
+        say_firsts(&mut world, round, 12, true);
+        world.pass(2_000);
+    }
+    let (at_once, _) = loads_at_once(&mut world, 30, 40);
+    expect_that!(at_once, ge(20));
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -149,3 +149,40 @@
     assert_that!(view.second(NOW, "s", "m/x", "a"), some(eq("b")));
     assert_that!(view.second(NOW, "s", "m/y", "a"), none());
 }
+
+/// A load takes longer than told, and the engine refuses the first request. Taken
+/// for dropped, the adapter was asked for again and the request sent again at once,
+/// until the budget of repeats was used up. It is on its way, and waited for.
+#[gtest]
+fn an_adapter_that_is_late_is_still_on_its_way() {
+    let _mark = base::ExpectedMark::new("sent_too_early");
+    let mut view = view(vec![target("a", "za", &[("m/x", 1, 250)])]);
+    let due = NOW + Duration::from_millis(250);
+    view.lacks(due, "a", "m/x");
+    let choice = view.choose(due, "s", "m/x", &BTreeSet::new());
+    assert_that!(choice, matches_pattern!(Choice::Wait(gt(&Duration::ZERO))));
+    let firsts = view.take_firsts(&["za".to_owned()]);
+    assert_that!(firsts.len(), eq(1));
+    assert_that!(firsts[0].held, eq(false));
+    view.used("a", "m/x");
+    assert_that!(view.take_firsts(&["za".to_owned()]), is_empty());
+}
+
+/// An adapter that was there is dropped, and its engine refuses. Nothing is on its
+/// way; it has to be asked for at once.
+#[gtest]
+fn an_adapter_that_was_there_and_is_refused_is_missing() {
+    let mut view = view(vec![target("a", "za", &[("m/x", 1, 0)])]);
+    view.lacks(NOW, "a", "m/x");
+    assert_that!(choose(&view, "m/x"), eq(&Choice::Missing));
+}
+
+#[gtest]
+fn the_first_request_after_a_load_is_told_once() {
+    let mut view = view(vec![target("a", "za", &[("m/x", 1, 250)])]);
+    view.used("a", "m/x");
+    view.used("a", "m/x");
+    let firsts = view.take_firsts(&["za".to_owned()]);
+    assert_that!(firsts.len(), eq(1));
+    assert_that!(firsts[0].held, eq(true));
+}
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -31,6 +31,19 @@
         /// Adapters on their way to targets of other control instances, where
         /// all of these are heard.
         pub elsewhere: Option<u32>,
+        /// What came of the first requests that were sent for adapters just
+        /// loaded, since the last exchange.
+        pub firsts: Vec<First>,
+    }
+
+    /// The first request from one instance after an adapter was loaded.
+    pub struct First {
+        /// The target.
+        pub target: String,
+        /// The adapter.
+        pub adapter: String,
+        /// Whether the target had the adapter when it was said to.
+        pub held: bool,
     }
 
     /// Requests of one instance under way at one target.
