Copy busy adapters by the prompts that wait, not by rate and zone; let expected load times fall back

Cause of the first: two engines had three seconds of prompts before them while the others were idle (place_ms 0, head_ms 3,000 in the lines of slow answers). Copies were ordered by fixed rates (two requests a second in every zone, three for an engine) and only after all that anybody waited for. Now entry instances add up the prompt tokens that targets haven't read, over all instances, learn how fast they are read, choose by it, and ask for one more copy where all holders are behind by more than a load takes; loads go by the requests that each would serve.

--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -38,13 +38,18 @@
     adapter: String,
     /// Prompt tokens that the target hasn't read yet.
     unread: u64,
+    /// All that it had to read when the request was sent.
+    ahead: u64,
+    sent: Instant,
 }
 
 impl Place {
     /// Notes that the answer has begun, so the prompt is read.
     fn begun(&mut self) {
         let tokens = std::mem::take(&mut self.unread);
-        self.state.view().read(&self.id, tokens);
+        let mut view = self.state.view();
+        view.read(&self.id, tokens);
+        view.answered(self.ahead, self.sent.elapsed());
     }
 }
 
@@ -119,12 +124,14 @@
         let Some(send) = self.request(target, last, restored) else {
             return Sent::Unreached;
         };
-        state.view().begin(target, &self.adapter, self.tokens);
+        let ahead = state.view().begin(target, &self.adapter, self.tokens);
         let mut place = Place {
             state: Arc::clone(state),
             id: target.to_owned(),
             adapter: self.adapter.clone(),
             unread: self.tokens,
+            ahead,
+            sent: Instant::now(),
         };
         let until = self.until;
         let sent = match timeout_at(until, state.client.send(send)).await {
--- a/crates/frontd/src/entry/forward/wait.rs
+++ b/crates/frontd/src/entry/forward/wait.rs
@@ -61,7 +61,10 @@
                 &self.tried,
             );
             match choice {
-                Choice::Send(target) => return Ok(target),
+                Choice::Send(target) => {
+                    self.state.spread(&self.service, &self.adapter);
+                    return Ok(target);
+                }
                 Choice::Wait(wait) => sleep(wait.max(Duration::from_millis(1))).await,
                 Choice::Nobody | Choice::Missing if now < told && self.state.settling() => {
                     tokio::select! {
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -6,6 +6,7 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
+    time::Duration,
 };
 
 use base::{InstanceName, Time};
@@ -43,6 +44,10 @@
 /// greater number gives each a smaller share of what all share.
 const ENTRIES_AT_FIRST: u32 = 12;
 
+/// How far all holders of an adapter have to be behind before one more copy is
+/// asked for: what a load takes, by the users' sheets.
+const COPY_AFTER: Duration = Duration::from_millis(250);
+
 impl State {
     pub(super) fn new(setup: &Setup, outside: Outside) -> Self {
         let name = names::instance(setup.ip);
@@ -139,6 +144,18 @@
         }
     }
 
+    /// Asks for one more copy of an adapter whose holders are all behind.
+    pub(super) fn spread(&self, service: &str, adapter: &str) {
+        let now = self.now();
+        let view = self.view();
+        let zone = view.crowded(now, service, adapter, COPY_AFTER);
+        let zone = zone.map(str::to_owned);
+        drop(view);
+        if let Some(zone) = zone {
+            self.sources.copy(&zone, adapter);
+        }
+    }
+
     /// Returns the zones that have targets of `service` and somebody who gives
     /// orders to them.
     fn order_zones(&self, service: &str) -> Vec<String> {
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -6,7 +6,7 @@
 //! is lost or cut off takes only its own zones' news with it.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -77,6 +77,8 @@
 #[derive(Default)]
 struct Inner {
     wants: Vec<String>,
+    /// Adapters of which one more copy would serve sooner.
+    copies: BTreeSet<String>,
     /// The news of its targets in force here.
     news: u64,
     heard: Option<Time>,
@@ -109,6 +111,17 @@
         }
     }
 
+    /// Tells whoever gives orders in `zone` with the next exchange that one more
+    /// copy of an adapter would serve sooner.
+    pub(super) fn copy(&self, zone: &str, adapter: &str) {
+        for source in lock(&self.all).values() {
+            let mut inner = lock(&source.inner);
+            if inner.zones.iter().any(|own| own == zone) {
+                inner.copies.insert(adapter.to_owned());
+            }
+        }
+    }
+
     /// Notes requests for adapters, to be told to every source.
     fn count(&self, demand: &[(String, u32)]) {
         for source in lock(&self.all).values() {
@@ -234,6 +247,8 @@
         edition: state.edition(),
         news: inner.news,
         running: view.running(&inner.zones),
+        unread: view.unread(&inner.zones),
+        copies: std::mem::take(&mut inner.copies).into_iter().collect(),
         demand: demand.into_iter().collect(),
         wants: std::mem::take(&mut inner.wants),
         failing: view.failing(state.now()),
@@ -272,7 +287,10 @@
     if let Some(targets) = targets {
         state.set_targets(now, &synced.zones, targets);
     }
-    state.view().set_others(&synced.zones, synced.running);
+    let mut view = state.view();
+    view.set_others(&synced.zones, synced.running);
+    view.set_unread(&synced.zones, synced.unread);
+    drop(view);
     state.set_entries(synced.entries);
     state.changed.notify_waiters();
 }
@@ -307,6 +325,7 @@
     let mut view = state.view();
     view.set_targets(now, &zones, targets);
     view.set_others(&zones, []);
+    view.set_unread(&zones, []);
     drop(view);
     state.sources.forget_news(&zones);
     state.changed.notify_waiters();
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -41,6 +41,9 @@
 /// How long an adapter stays wanted after it was last asked for.
 const WANTED: Duration = Duration::from_millis(1_500);
 
+/// How long one more copy of an adapter stays wanted: two exchanges.
+const COPY_WANTED: Duration = Duration::from_millis(500);
+
 /// Times that the holder goes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Config {
@@ -239,6 +242,7 @@
 struct Entry {
     heard: Time,
     running: Vec<Running>,
+    unread: Vec<(String, u64)>,
 }
 
 #[derive(Debug)]
@@ -262,6 +266,8 @@
     demand: Demand,
     pace: Pace,
     wants: BTreeMap<String, Time>,
+    /// Adapters of which callers need one more copy, and when that was said.
+    copies: BTreeMap<String, Time>,
     /// Engines that didn't answer, and when.
     failing: BTreeMap<String, Time>,
     /// Adapters on their way under other holders, and when that was said.
@@ -289,6 +295,7 @@
             demand: Demand::default(),
             pace: Pace::new(config.adapter_load, plan::TRANSIT_ALL, config.zones),
             wants: BTreeMap::new(),
+            copies: BTreeMap::new(),
             failing: BTreeMap::new(),
             elsewhere: None,
             versions: BTreeMap::new(),
@@ -357,6 +364,9 @@
         for adapter in &sync.wants {
             self.wants.insert(adapter.clone(), now);
         }
+        for adapter in &sync.copies {
+            self.copies.insert(adapter.clone(), now);
+        }
         for target in &sync.failing {
             if let Some(engine) = self.engines.get_mut(target) {
                 engine.accused(now);
@@ -372,6 +382,7 @@
             let entry = Entry {
                 heard: now,
                 running: sync.running,
+                unread: sync.unread,
             };
             self.entries.insert(instance.clone(), entry);
         }
@@ -424,6 +435,7 @@
         self.entries
             .retain(|_, entry| now.since(entry.heard) < ENTRY_SILENT);
         self.wants.retain(|_, at| now.since(*at) < WANTED);
+        self.copies.retain(|_, at| now.since(*at) < COPY_WANTED);
         self.failing.retain(|_, at| now.since(*at) < FAILING);
         self.demand.forget(now);
     }
@@ -450,6 +462,7 @@
                 news: self.news,
                 targets: (asked.news != self.news).then(|| self.all(now, &zones)),
                 running: self.running_without(asked.asker.as_ref()),
+                unread: self.unread_without(asked.asker.as_ref()),
                 zones: zones.clone(),
                 entries: u32::try_from(self.entries.len()).unwrap_or(u32::MAX),
                 ..Synced::default()
@@ -482,6 +495,16 @@
         each.collect()
     }
 
+    fn unread_without(&self, asker: Option<&InstanceName>) -> Vec<(String, u64)> {
+        let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
+        let others = self.entries.iter().filter(|(name, _)| Some(*name) != asker);
+        for (target, tokens) in others.flat_map(|(_, entry)| &entry.unread) {
+            *sums.entry(target).or_default() += tokens;
+        }
+        let sums = sums.into_iter();
+        sums.map(|(id, tokens)| (id.to_owned(), tokens)).collect()
+    }
+
     fn running_without(&self, asker: Option<&InstanceName>) -> Vec<(String, u32)> {
         let mut sums: BTreeMap<&str, u32> = BTreeMap::new();
         for (name, entry) in &self.entries {
--- a/crates/gateway/src/holder/demand.rs
+++ b/crates/gateway/src/holder/demand.rs
@@ -36,18 +36,6 @@
         faded(*count, *at, now)
     }
 
-    /// Returns the requests a second for an adapter.
-    pub(super) fn rate(&self, now: Time, adapter: &str) -> f64 {
-        self.of(now, adapter) * std::f64::consts::LN_2 / HALF.as_secs_f64()
-    }
-
-    /// Returns adapters with at least `least` requests a second.
-    pub(super) fn busiest(&self, now: Time, least: f64) -> Vec<String> {
-        let all = self.counts.keys();
-        let busy = all.filter(|adapter| self.rate(now, adapter) >= least);
-        busy.cloned().collect()
-    }
-
     pub(super) fn forget(&mut self, now: Time) {
         if now.since(self.looked) < EVERY {
             return;
--- a/crates/gateway/src/holder/pace.rs
+++ b/crates/gateway/src/holder/pace.rs
@@ -5,27 +5,31 @@
 //! beyond it all become slower, and nothing more is loaded for it. Whoever is
 //! told too short a time sends its request too early and is refused, which
 //! costs a repeat from the budget of all. So the holder takes the word of those
-//! that were told: the time follows the quantile of loads that are done in time,
-//! and the number at once grows by steps and shrinks by a part, as congestion
-//! windows do.
+//! that were told: the number at once grows by steps and shrinks by a part, as
+//! congestion windows do, and the time follows the loads that were late.
 
 use std::time::Duration;
 
 use base::Time;
 
-/// Part of the loads that may take longer than told. Each costs a refused
-/// request; a smaller part makes all others wait for the slowest.
-const LATE_PART: f64 = 0.04;
+/// Added to the expected time when loads took longer, in seconds: a tenth of
+/// what a load takes.
+const STEP: f64 = 0.025;
 
-/// Added to the expected time for each load that took longer, in seconds. A
-/// store that is twice as slow as expected is known after some fifteen loads.
-const STEP: f64 = 0.016;
+/// Part by which an expected time above the first one falls with each load that
+/// was done in time. Most of what is added while too many run at once has to go
+/// with them, or places count as taken for long after they can be used.
+const EXCESS_FALL: f64 = 0.04;
+
+/// Taken off the expected time for each load that was done in time, in seconds.
+/// With [`STEP`] about one load in forty is late once nothing else changes.
+const FALL: f64 = 0.000_6;
 
 /// Bounds of the expected time, in parts of the time that was expected first.
 const TIMES: (f64, f64) = (0.1, 8.0);
 
 /// Part of the number at once that is kept when a load took longer.
-const SHRINK: f64 = 0.9;
+const SHRINK: f64 = 0.85;
 
 /// Added to the number at once for each load that was done in time; a window
 /// of eight loads of a quarter of a second grows by one in about two seconds.
@@ -77,21 +81,20 @@
 
     /// Notes a load that was done when it was said to be.
     pub(super) fn in_time(&mut self) {
-        self.time -= STEP * LATE_PART / (1.0 - LATE_PART);
-        self.time = self.time.max(self.first * TIMES.0);
+        let excess = (self.time - self.first).max(0.0);
+        self.time = (self.time - FALL - EXCESS_FALL * excess).max(self.first * TIMES.0);
         self.window = (self.window + GROW).min(self.zones * WINDOW_EACH.1);
     }
 
     /// Notes a load that took longer than was said. Loads that run at the same
-    /// time suffer from the same cause, so the number at once shrinks once for
-    /// all of them.
+    /// time suffer from the same cause and count once.
     pub(super) fn late(&mut self, now: Time) {
-        self.time = (self.time + STEP).min(self.first * TIMES.1);
         if now.since(self.shrunk) < self.time() {
             return;
         }
         base::hit!(store_slower);
         self.shrunk = now;
+        self.time = (self.time + STEP).min(self.first * TIMES.1);
         self.window = (self.window * SHRINK).max(self.zones * WINDOW_EACH.0);
     }
 }
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -29,16 +29,9 @@
 /// Base models on their way at once; the store is at full speed up to two.
 const MODELS_AT_ONCE: usize = 2;
 
-/// Requests a second from which an adapter has a copy in every zone: it is then
-/// served where its callers are, also while zones are cut off. With the skew of
-/// the users' demand some nine adapters of 3,000 are so busy.
-const EVERYWHERE: f64 = 2.0;
-
-/// Requests a second for one adapter that one engine takes. The prompts of more
-/// are read in so many steps that the running streams of that engine pause for
-/// over 300 ms: an event takes six steps, and one of 2,048 prompt tokens takes
-/// 54 ms.
-const COPY_RATE: f64 = 3.0;
+/// How long after a copy has come no further one is loaded: what was sent before
+/// it came has to be read first.
+const COPY_SETTLES: Duration = Duration::from_millis(400);
 
 /// Added to an engine's load in the choice where it would have to drop an
 /// adapter first, which costs one more round trip and perhaps a later load.
@@ -197,26 +190,34 @@
         used
     }
 
-    /// Returns what to load: first what callers wait for, then more copies of
-    /// what is busy.
+    /// Returns what to load, by the requests of the last seconds that each load
+    /// would serve: adapters that callers wait for, and one more copy of those
+    /// whose holders are behind, which gets its part of their requests.
     fn missing(&self, now: Time) -> Vec<String> {
         let wanted = self.wants.keys();
         let wanted = wanted.filter(|a| !self.is_model(a) && !self.on_its_way(a));
-        let mut missing: Vec<_> = wanted.cloned().collect();
-        missing.sort_by(|a, b| {
-            let (a, b) = (self.demand.of(now, a), self.demand.of(now, b));
-            b.total_cmp(&a)
+        let wanted = wanted.map(|adapter| (self.demand.of(now, adapter), adapter));
+        let copies = self.copies.keys();
+        let copies = copies.filter(|a| !self.is_model(a) && self.room_for_copy(a));
+        let copies = copies.filter(|a| !self.copy_coming(now, a));
+        let copies = copies.map(|adapter| {
+            let held = self.copies(adapter) as f64;
+            (self.demand.of(now, adapter) / (held + 1.0), adapter)
         });
-        let busy = self.demand.busiest(now, EVERYWHERE).into_iter();
-        for adapter in busy.filter(|adapter| !self.is_model(adapter)) {
-            let rate = self.demand.rate(now, &adapter);
-            let share = rate / COPY_RATE / self.config.zones.max(1) as f64;
-            let copies = self.copies(&adapter);
-            if (copies as f64) < share.ceil() && self.room_for_copy(&adapter) {
-                missing.push(adapter);
-            }
-        }
-        missing
+        let mut missing: Vec<_> = wanted.chain(copies).collect();
+        missing.sort_by(|a, b| b.0.total_cmp(&a.0));
+        missing.into_iter().map(|(_, a)| a.clone()).collect()
+    }
+
+    /// Tells whether a copy of an adapter is on its way or has only just come:
+    /// whoever asks for one more may not have used it yet.
+    fn copy_coming(&self, now: Time, adapter: &String) -> bool {
+        let mut engines = self.engines.values();
+        engines.any(|engine| {
+            let slot = engine.adapters.get(adapter);
+            let fresh = slot.is_some_and(|slot| now < slot.ready + COPY_SETTLES);
+            fresh || engine.heads_for(adapter)
+        })
     }
 
     /// Tells whether a name is that of a base model, which every engine holds.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -18,9 +18,21 @@
 /// than full.
 const FAILED: f64 = 2.0;
 
-/// Prompt tokens that weigh as much as a full engine: an engine reads them in
-/// some 270 ms, about the longest pause that its running streams may make.
-const UNREAD: f64 = 10_240.0;
+/// Time in which a target reads the prompts before it that weighs as much as
+/// all its slots: about the longest pause that its running streams may make.
+const FULL_WAIT: f64 = 0.27;
+
+/// Prompt tokens a second that a target is taken to read until requests have
+/// shown it.
+const SPEED: f64 = 30_000.0;
+
+/// Weight of the newest request in the speed at which targets read: a hundred
+/// requests, some seconds of an instance, make up their mind about it.
+const SPEED_NEWEST: f64 = 0.02;
+
+/// Fewest tokens at a target that say something of its speed: with fewer the
+/// steps of its running requests take most of the time.
+const SPEED_TOKENS: u64 = 1_000;
 
 /// Weight of the newest outcome in a target's share of failures; about ten
 /// requests make up their mind about it.
@@ -66,6 +78,10 @@
     versions: BTreeMap<String, u32>,
     /// Requests under way at each target over all other instances.
     others: BTreeMap<String, u32>,
+    /// Prompt tokens of theirs that it hasn't read yet.
+    unread_others: BTreeMap<String, u64>,
+    /// Prompt tokens that targets read a second, as requests have shown.
+    speed: Option<f64>,
     /// Requests for each adapter since they were last taken.
     demand: BTreeMap<String, u32>,
     /// What came of first requests since it was last taken, by zone.
@@ -161,13 +177,84 @@
         others: impl IntoIterator<Item = (String, u32)>,
     ) {
         let targets = &self.targets;
-        self.others.retain(|id, _| {
-            let zone = targets.get(id).map(|known| &known.target.zone);
-            zone.is_some_and(|zone| !zones.contains(zone))
-        });
+        self.others.retain(|id, _| outside(targets, zones, id));
         self.others.extend(others);
     }
 
+    /// Takes how many prompt tokens of others the targets of `zones` haven't
+    /// read yet.
+    pub fn set_unread(
+        &mut self,
+        zones: &[String],
+        unread: impl IntoIterator<Item = (String, u64)>,
+    ) {
+        let targets = &self.targets;
+        self.unread_others
+            .retain(|id, _| outside(targets, zones, id));
+        self.unread_others.extend(unread);
+    }
+
+    /// Returns the prompt tokens sent from here to targets of `zones` that they
+    /// haven't read yet.
+    #[must_use]
+    pub fn unread(&self, zones: &[String]) -> Vec<(String, u64)> {
+        let there = self.targets.iter();
+        let there = there.filter(|(_, known)| known.unread > 0);
+        let there = there.filter(|(_, known)| zones.contains(&known.target.zone));
+        there
+            .map(|(id, known)| (id.clone(), known.unread))
+            .collect()
+    }
+
+    /// Returns the prompt tokens before the next request at a target.
+    fn ahead(&self, known: &Known) -> u64 {
+        let others = self.unread_others.get(&known.target.id);
+        known.unread + others.copied().unwrap_or(0)
+    }
+
+    /// Returns the time until a target has read what it was sent, in seconds.
+    fn backlog(&self, known: &Known) -> f64 {
+        self.ahead(known) as f64 / self.speed.unwrap_or(SPEED)
+    }
+
+    /// Learns from a request with so many tokens before it, its own among them,
+    /// how fast targets read.
+    pub fn answered(&mut self, tokens: u64, after: Duration) {
+        if tokens < SPEED_TOKENS {
+            return;
+        }
+        let newest = tokens as f64 / after.as_secs_f64().max(0.001);
+        let speed = self.speed.unwrap_or(SPEED);
+        self.speed = Some(speed + (newest - speed) * SPEED_NEWEST);
+    }
+
+    /// Returns the zone where one more copy of `adapter` should be loaded, if all
+    /// that hold it need longer than `load` to read what they were sent.
+    ///
+    /// Pattern: a few adapters get a fifth of all requests and more. One engine
+    /// reads the prompts of some ten requests a second; the holders of such an
+    /// adapter had three seconds of prompts before them, while others were idle.
+    /// Whoever waits longer than a load takes would be served sooner by a new
+    /// copy, which goes where least is to be read.
+    #[must_use]
+    pub fn crowded(&self, now: Time, service: &str, adapter: &str, load: Duration) -> Option<&str> {
+        if adapter.is_empty() {
+            return None;
+        }
+        let of_service = self.targets.values();
+        let of_service = of_service.filter(|k| k.target.service == service && k.target.ready);
+        let (holders, rest): (Vec<_>, Vec<_>) =
+            of_service.partition(|known| self.holds(known, adapter));
+        let behind = |known: &&Known| self.backlog(known) > load.as_secs_f64();
+        if !holders.iter().all(behind) {
+            return None;
+        }
+        let rest = rest.into_iter().filter(|known| !known.rests(now));
+        let least = rest.min_by(|a, b| self.backlog(a).total_cmp(&self.backlog(b)))?;
+        let worth = self.backlog(least) < load.as_secs_f64() / 2.0;
+        worth.then_some(least.target.zone.as_str())
+    }
+
     /// Returns the zones that have a target of `service` which takes requests.
     #[must_use]
     pub fn zones_of(&self, service: &str) -> BTreeSet<String> {
@@ -291,12 +378,15 @@
         best.map(|known| known.target.id.clone())
     }
 
-    /// Notes that a request with so many prompt tokens was sent to a target.
-    pub fn begin(&mut self, id: &str, adapter: &str, tokens: u64) {
-        if let Some(known) = self.targets.get_mut(id) {
-            known.unread += tokens;
-            *known.own.entry(adapter.to_owned()).or_default() += 1;
-        }
+    /// Notes that a request with so many prompt tokens was sent to a target, and
+    /// returns what that has to read until it can answer.
+    pub fn begin(&mut self, id: &str, adapter: &str, tokens: u64) -> u64 {
+        let Some(known) = self.targets.get_mut(id) else {
+            return tokens;
+        };
+        known.unread += tokens;
+        *known.own.entry(adapter.to_owned()).or_default() += 1;
+        self.ahead(&self.targets[id])
     }
 
     /// Notes that a target has read so many prompt tokens, or never will.
@@ -442,7 +532,7 @@
         if target.zone != self.zone {
             cost += FAR;
         }
-        cost += known.unread as f64 / UNREAD;
+        cost += self.backlog(known) / FULL_WAIT;
         cost += FAILED * known.trouble.now(now);
         if known.rests(now) {
             cost += 10.0;
@@ -483,6 +573,12 @@
     }
 }
 
+/// Tells whether a target is known to be in none of `zones`.
+fn outside(targets: &BTreeMap<String, Known>, zones: &[String], id: &str) -> bool {
+    let zone = targets.get(id).map(|known| &known.target.zone);
+    zone.is_some_and(|zone| !zones.contains(zone))
+}
+
 fn usable(known: &Known, now: Time, adapter: &str) -> bool {
     adapter.is_empty()
         || known
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -186,3 +186,51 @@
     assert_that!(firsts.len(), eq(1));
     assert_that!(firsts[0].held, eq(true));
 }
+
+/// One adapter gets a fifth of all requests. Its only holder had three seconds of
+/// prompts to read while other engines were idle, and each caller came late.
+#[gtest]
+fn a_copy_is_asked_for_once_all_holders_are_behind() {
+    let load = Duration::from_millis(250);
+    let crowded = |view: &View| {
+        let zone = view.crowded(NOW, "s", "m/x", load);
+        zone.map(str::to_owned)
+    };
+    let mut view = view(vec![
+        target("a", "za", &[("m/x", 1, 0)]),
+        target("b", "za", &[("m/x", 1, 0)]),
+        target("c", "zb", &[]),
+    ]);
+    view.begin("a", "m/x", 20_000);
+    assert_that!(crowded(&view), none());
+    view.set_unread(&["za".to_owned()], [("b".to_owned(), 20_000)]);
+    assert_that!(crowded(&view), some(eq("zb")));
+    // Elsewhere is no place for it either.
+    view.set_unread(&["zb".to_owned()], [("c".to_owned(), 20_000)]);
+    assert_that!(crowded(&view), none());
+}
+
+/// What others have sent to a target counts in the choice of one.
+#[gtest]
+fn unread_prompts_of_others_are_avoided() {
+    let held = &[("m/x", 1, 0)];
+    let mut view = view(vec![target("a", "za", held), target("b", "za", held)]);
+    view.set_unread(&["za".to_owned()], [("a".to_owned(), 4_000)]);
+    assert_that!(choose(&view, "m/x"), eq(&send("b")));
+}
+
+/// Engines that read twice as fast are behind with twice as many tokens only.
+#[gtest]
+fn how_fast_targets_read_is_learned() {
+    let load = Duration::from_millis(250);
+    let mut view = view(vec![
+        target("a", "za", &[("m/x", 1, 0)]),
+        target("b", "za", &[]),
+    ]);
+    view.begin("a", "m/x", 12_000);
+    assert_that!(view.crowded(NOW, "s", "m/x", load), some(eq("za")));
+    for _ in 0..200 {
+        view.answered(6_000, Duration::from_millis(100));
+    }
+    assert_that!(view.crowded(NOW, "s", "m/x", load), none());
+}
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -22,10 +22,15 @@
         pub news: u64,
         /// Requests under way there.
         pub running: Vec<Running>,
+        /// Prompt tokens sent from there that targets haven't read yet, by target.
+        pub unread: Vec<(String, u64)>,
         /// Requests for each adapter since the last exchange that was answered.
         pub demand: Vec<(String, u32)>,
         /// Adapters that callers wait for.
         pub wants: Vec<String>,
+        /// Adapters whose holders are all behind with reading prompts: one more
+        /// copy would serve sooner.
+        pub copies: Vec<String>,
         /// Targets that couldn't be reached lately, by id.
         pub failing: Vec<String>,
         /// Adapters on their way to targets of other control instances, where
@@ -71,6 +76,9 @@
         pub targets: Option<Vec<Target>>,
         /// Requests under way at each target over all other instances.
         pub running: Vec<(String, u32)>,
+        /// Prompt tokens at each target that it hasn't read yet, over all other
+        /// instances.
+        pub unread: Vec<(String, u64)>,
         /// Entry instances that the answering one hears.
         pub entries: u32,
         /// Control instances by the log.
