Load from engines' own memory beside the store's queue, and learn how much they keep there

Cause: 40 adapters waited in each zone for its part of the store (32 loads a second at full speed for all); those that an engine could bring back in a tenth of the time from its memory waited among them, and of the 128 dropped adapters that an engine was taken to have in memory this one keeps some 30, so that callers were told too early. Now such loads don't wait for the store, and the size follows what first uses show.

--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -21,7 +21,7 @@
 use self::{
     demand::Demand,
     engine::{Engine, Source},
-    pace::Pace,
+    pace::{Memory, Pace},
 };
 use crate::{table, tenure::Tenure};
 
@@ -51,6 +51,8 @@
     pub zones: usize,
     /// Time that an engine takes to load an adapter from the store.
     pub adapter_load: Duration,
+    /// Dropped adapters that an engine still has in its memory.
+    pub memory: usize,
     /// Time that an engine takes to load a base model.
     pub model_load: Duration,
     /// How old a report may be when it arrives; what was ordered less long ago
@@ -66,6 +68,7 @@
             zones: 1,
             // The users' sheets give a quarter of a second for an adapter.
             adapter_load: Duration::from_millis(250),
+            memory: 0,
             model_load: Duration::from_secs(2),
             // Reports are some hundred milliseconds old.
             report_lag: Duration::from_millis(350),
@@ -265,6 +268,7 @@
     entries: BTreeMap<InstanceName, Entry>,
     demand: Demand,
     pace: Pace,
+    memory: Memory,
     wants: BTreeMap<String, Time>,
     /// Adapters of which callers need one more copy, and when that was said.
     copies: BTreeMap<String, Time>,
@@ -294,6 +298,7 @@
             entries: BTreeMap::new(),
             demand: Demand::default(),
             pace: Pace::new(config.adapter_load, plan::TRANSIT_ALL, config.zones),
+            memory: Memory::default(),
             wants: BTreeMap::new(),
             copies: BTreeMap::new(),
             failing: BTreeMap::new(),
@@ -409,12 +414,13 @@
         match (load, first.held) {
             (Source::Store, true) => self.pace.in_time(),
             (Source::Store, false) => self.pace.late(now),
-            (Source::Memory, _) => {}
+            (Source::Memory { depth }, there) => self.memory.seen(depth, there),
         }
     }
 
     fn ended(&mut self, now: Time, id: &str, ended: Ended) {
         self.config.adapter_load = self.pace.time();
+        self.config.memory = self.memory.size();
         if let Some(engine) = self.engines.get_mut(id) {
             engine.ended(now, ended, &self.config);
             self.dirty = true;
--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -10,9 +10,9 @@
 
 use super::{Act, Config, Ended, Held, Listed, Report};
 
-/// Adapters that an engine remembers having held, so that they load again in a
-/// tenth of the time; engines keep some hundred in memory.
-const PAST_MAX: usize = 128;
+/// Dropped adapters that are remembered of an engine; what its memory still has
+/// of them is learned, see [`Memory`](super::pace::Memory).
+const PAST_MAX: usize = 256;
 
 /// An adapter that an engine held recently loads ten times as fast.
 const PAST_SPEED: u32 = 10;
@@ -90,8 +90,12 @@
 pub(super) enum Source {
     /// The weight store, shared by all engines.
     Store,
-    /// Its own memory, as it held the adapter lately.
-    Memory,
+    /// Its own memory, as it held the adapter lately and has dropped so many
+    /// others since.
+    Memory {
+        /// How many.
+        depth: usize,
+    },
 }
 
 impl Engine {
@@ -210,15 +214,13 @@
                 self.rest = now + wait;
             }
             Act::Load { adapter, version } => {
-                let was_here = self.past.contains(&adapter);
-                let source = if was_here {
-                    Source::Memory
-                } else {
-                    Source::Store
+                let source = match self.depth(&adapter) {
+                    Some(depth) if depth < times.memory => Source::Memory { depth },
+                    _ => Source::Store,
                 };
                 let wait = match (ended, source) {
                     (Ended::Done, _) => Duration::ZERO,
-                    (_, Source::Memory) => load / PAST_SPEED + LOAD_SLACK,
+                    (_, Source::Memory { .. }) => load / PAST_SPEED + LOAD_SLACK,
                     (_, Source::Store) => load + LOAD_SLACK,
                 };
                 self.past.retain(|past| *past != adapter);
@@ -262,7 +264,7 @@
         }
         if !first.held {
             let due = match source {
-                Source::Memory => ordered + load,
+                Source::Memory { .. } => ordered + load,
                 Source::Store => now + load / PAST_SPEED,
             };
             slot.ready = slot.ready.max(due);
@@ -377,8 +379,10 @@
             .count()
     }
 
-    pub(super) fn was_here(&self, adapter: &str) -> bool {
-        self.past.iter().any(|past| past == adapter)
+    /// Returns how many adapters this engine has dropped since `adapter`, if it
+    /// has dropped that.
+    pub(super) fn depth(&self, adapter: &str) -> Option<usize> {
+        self.past.iter().rev().position(|past| past == adapter)
     }
 
     pub(super) fn residents(&self, now: Time) -> Vec<Resident> {
--- a/crates/gateway/src/holder/pace.rs
+++ b/crates/gateway/src/holder/pace.rs
@@ -98,3 +98,54 @@
         self.window = (self.window * SHRINK).max(self.zones * WINDOW_EACH.0);
     }
 }
+
+/// Adapters that an engine is taken to have in its memory at first, beside those
+/// it holds.
+const MEMORY: f64 = 128.0;
+
+/// Fewest adapters that an engine is taken to have in memory.
+const MEMORY_LEAST: f64 = 4.0;
+
+/// Part of the way to a disproof that is gone at once; two or three make up
+/// their mind.
+const DISPROOF: f64 = 0.5;
+
+/// Added for each proof in the deeper half of what is believed.
+const PROOF: f64 = 0.5;
+
+/// How many dropped adapters an engine still has in its memory, from where they
+/// load without the store in a tenth of the time.
+///
+/// Pattern: a cache of unknown size. A load that was expected from memory and
+/// took as long as one from the store tells that the size is smaller than the
+/// adapters dropped since; one that was quick tells that it is larger.
+#[derive(Clone, Debug)]
+pub(super) struct Memory {
+    size: f64,
+}
+
+impl Default for Memory {
+    fn default() -> Self {
+        Memory { size: MEMORY }
+    }
+}
+
+impl Memory {
+    /// Returns how many dropped adapters an engine is taken to have in memory.
+    pub(super) fn size(&self) -> usize {
+        self.size as usize
+    }
+
+    /// Notes that an adapter after which `depth` others were dropped was there,
+    /// or wasn't.
+    pub(super) fn seen(&mut self, depth: usize, there: bool) {
+        let depth = depth as f64;
+        if there && depth >= self.size / 2.0 {
+            self.size += PROOF;
+        }
+        if !there && depth < self.size {
+            base::hit!(memory_smaller);
+            self.size = (self.size - (self.size - depth) * DISPROOF).max(MEMORY_LEAST);
+        }
+    }
+}
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -81,10 +81,7 @@
         self.reach_goals(now, out);
         for adapter in self.missing(now) {
             let moving: usize = self.engines.values().map(|e| e.loading(now)).sum();
-            if moving >= most {
-                return;
-            }
-            self.place(now, &adapter, &used, out);
+            self.place(now, &adapter, moving < most, &used, out);
         }
     }
 
@@ -239,11 +236,17 @@
         })
     }
 
-    /// Places one more copy of an adapter.
+    /// Places one more copy of an adapter; without the `store` only where an
+    /// engine has it in memory.
+    ///
+    /// Failure: forty adapters wait for their part of the store, and those that
+    /// an engine could bring back from its own memory in a tenth of the time wait
+    /// among them.
     fn place(
         &mut self,
         now: Time,
         adapter: &str,
+        store: bool,
         used: &BTreeMap<(String, String), u32>,
         out: &mut Vec<Output>,
     ) {
@@ -254,6 +257,7 @@
                 && engine.transit(now) < TRANSIT_MAX
                 && self.holds_model(id, adapter)
                 && !self.current(engine, &adapter.to_owned())
+                && (store || self.in_memory(engine, adapter))
         });
         let mut best: Option<(f64, String, Option<String>)> = None;
         for (id, engine) in fit {
@@ -270,7 +274,7 @@
             if victim.is_some() {
                 cost += DROP_COST;
             }
-            if engine.was_here(adapter) {
+            if self.in_memory(engine, adapter) {
                 cost -= PAST_GAIN;
             }
             // A newer version replaces the one held only after its requests
@@ -295,6 +299,12 @@
         }
     }
 
+    /// Tells whether an engine can load an adapter from its own memory.
+    fn in_memory(&self, engine: &Engine, adapter: &str) -> bool {
+        let depth = engine.depth(adapter);
+        depth.is_some_and(|depth| depth < self.memory.size())
+    }
+
     /// Returns the adapter that is missed least among those nobody uses.
     fn victim(
         &self,
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -530,3 +530,84 @@
     world.give(Input::Sync(Ticket(8), again));
     assert_that!(world.orders, is_empty());
 }
+
+/// Gives every order its usual end until none is left.
+fn settle_orders(world: &mut World) {
+    while let Some(order) = world.orders.first() {
+        let drops = matches!(order.act, Act::Evict(_));
+        world.end(if drops { Ended::Done } else { Ended::Accepted });
+    }
+}
+
+/// Asks for an adapter and returns how long its callers are told to wait.
+fn told_for(world: &mut World, adapter: &str) -> Duration {
+    world.own_zone();
+    world.want(&[adapter]);
+    settle_orders(world);
+    world.give(Input::Sync(Ticket(11), Sync::default()));
+    let targets = world.answers.last().and_then(|a| a.targets.clone());
+    let mut residents = targets.into_iter().flatten().flat_map(|t| t.residents);
+    let told = residents.find(|r| r.adapter == adapter).map(|r| r.ready_in);
+    world.pass(1_300);
+    told.unwrap()
+}
+
+/// Many adapters wait for the store. One that an engine still has in its memory
+/// takes a tenth of the time and nothing of the store, yet waited among them.
+#[gtest]
+fn a_load_from_memory_passes_the_queue_of_the_store() {
+    let config = Config {
+        zones: 8,
+        ..Config::default()
+    };
+    let mut world = World::with(1, config);
+    for adapter in ["m/a", "m/b", "m/c", "m/d"] {
+        told_for(&mut world, adapter);
+    }
+    world.pass(300);
+    world.own_zone();
+    world.want(&["m/x", "m/y", "m/z"]);
+    settle_orders(&mut world);
+    world.want(&["m/a"]);
+    assert_that!(world.orders.len(), eq(1));
+    settle_orders(&mut world);
+    world.give(Input::Sync(Ticket(12), Sync::default()));
+    let targets = world.answers.last().and_then(|a| a.targets.clone());
+    let mut residents = targets.into_iter().flatten().flat_map(|t| t.residents);
+    assert_that!(residents.any(|r| r.adapter == "m/a"), eq(true));
+}
+
+/// Engines keep fewer dropped adapters in memory than expected. Callers were told
+/// a tenth of a load, and each was refused.
+#[gtest]
+fn the_size_of_an_engines_memory_is_learned() {
+    let _mark = base::ExpectedMark::new("memory_smaller");
+    let mut world = World::new(1);
+    let quick = Duration::from_millis(60);
+    let ask_all = |world: &mut World, there: usize| {
+        let mut wrong = 0;
+        for n in 0..40 {
+            let adapter = format!("m/{n}");
+            let told = told_for(world, &adapter);
+            let held = told > quick || 36 < there;
+            wrong += usize::from(!held);
+            let target = "e1".to_owned();
+            let first = First {
+                target,
+                adapter,
+                held,
+            };
+            let firsts = vec![first];
+            let sync = Sync {
+                firsts,
+                ..Sync::default()
+            };
+            world.give(Input::Sync(Ticket(13), sync));
+        }
+        wrong
+    };
+    // Each comes back after 36 others were dropped; the engine keeps 20.
+    ask_all(&mut world, 20);
+    expect_that!(ask_all(&mut world, 20), le(10));
+    expect_that!(ask_all(&mut world, 20), eq(0));
+}
