--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -96,8 +96,8 @@
         let zones = self.config.zones.max(1) as f64;
         let own = self.tenure.zones(now).len().max(1) as f64;
         let all = self.pace.window();
-        let part = (all * own / zones).ceil() as usize;
-        let all = all.ceil() as usize;
+        let part = ((all * own / zones) as usize).max(1);
+        let all = all as usize;
         let told = self.elsewhere;
         let told = told.filter(|(at, _)| now.since(*at) < ELSEWHERE_FRESH);
         let Some((_, elsewhere)) = told else {
