Tell of no adapter that goes once its requests have ended

Cause: in a trace 110 refused sends of 850 went to adapters that had been ordered away while in use; they were told as usable in 2.3 s. They now count as taken places and as nothing else; what was just loaded isn't dropped for 400 ms.

--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -80,6 +80,8 @@
     pub(super) ready: Time,
     /// When it was last ordered; zero if only reported.
     ordered: Option<Time>,
+    /// Whether it was ordered away and goes once its requests have ended.
+    pub(super) leaving: bool,
     /// Where the engine took it from by this holder's order; nothing if the
     /// order was another's.
     loaded: Option<Source>,
@@ -232,6 +234,7 @@
                     version: version.unwrap_or(0),
                     ready: now + wait,
                     ordered: Some(now),
+                    leaving: false,
                     loaded: (ended == Ended::Accepted).then_some(source),
                 };
                 self.adapters.insert(adapter, slot);
@@ -241,6 +244,7 @@
             // engine says otherwise.
             Act::Evict(adapter) => {
                 if let Some(slot) = self.adapters.get_mut(&adapter) {
+                    slot.leaving = true;
                     slot.ordered = Some(now);
                     slot.ready = now + times.list_lag;
                 }
@@ -316,6 +320,7 @@
                 version,
                 ready: now + load,
                 ordered: Some(now),
+                leaving: false,
                 loaded: None,
             };
             self.adapters.entry(adapter).or_insert(slot);
@@ -359,6 +364,7 @@
                 version: *version,
                 ready: now,
                 ordered: None,
+                leaving: false,
                 loaded: None,
             };
             let known = self.adapters.entry(adapter.clone()).or_insert(slot);
@@ -375,7 +381,7 @@
     pub(super) fn transit(&self, now: Time) -> usize {
         self.adapters
             .values()
-            .filter(|slot| slot.ready > now)
+            .filter(|slot| slot.ready > now && !slot.leaving)
             .count()
     }
 
@@ -396,7 +402,8 @@
             _ => BTreeSet::new(),
         };
         let adapters = self.adapters.iter();
-        let adapters = adapters.filter(|(adapter, _)| !leaving.contains(adapter));
+        let adapters =
+            adapters.filter(|(adapter, slot)| !slot.leaving && !leaving.contains(adapter));
         let adapters = adapters.map(|(adapter, slot)| Resident {
             adapter: adapter.clone(),
             version: slot.version,
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -29,6 +29,10 @@
 /// Base models on their way at once; the store is at full speed up to two.
 const MODELS_AT_ONCE: usize = 2;
 
+/// How long after its load an adapter isn't dropped: those that waited for it send
+/// their requests at once, and the next exchange tells of them.
+const LOAD_SETTLES: Duration = Duration::from_millis(400);
+
 /// How long after a copy has come no further one is loaded: what was sent before
 /// it came has to be read first.
 const COPY_SETTLES: Duration = Duration::from_millis(400);
@@ -66,7 +70,7 @@
     fn current(&self, engine: &Engine, adapter: &String) -> bool {
         let named = self.versions.get(adapter).copied().unwrap_or(0);
         let slot = engine.adapters.get(adapter);
-        slot.is_some_and(|slot| slot.version == 0 || slot.version >= named)
+        slot.is_some_and(|slot| !slot.leaving && (slot.version == 0 || slot.version >= named))
     }
 
     /// Gives what orders are due.
@@ -257,6 +261,7 @@
                 && engine.transit(now) < TRANSIT_MAX
                 && self.holds_model(id, adapter)
                 && !self.current(engine, &adapter.to_owned())
+                && !engine.leaves(adapter)
                 && (store || self.in_memory(engine, adapter))
         });
         let mut best: Option<(f64, String, Option<String>)> = None;
@@ -315,7 +320,8 @@
     ) -> Option<String> {
         let idle = engine.adapters.iter().filter(|(adapter, slot)| {
             let wanted = self.wants.contains_key(*adapter);
-            slot.ready <= now && !wanted && self.used_at(id, adapter, used) == 0
+            let settled = now >= slot.ready + LOAD_SETTLES && !slot.leaving;
+            settled && !wanted && self.used_at(id, adapter, used) == 0
         });
         let rated = idle.map(|(adapter, _)| {
             let outdated = !self.current(engine, adapter);
@@ -413,6 +419,12 @@
         self.transit(now) + usize::from(ordered || self.goal.is_some())
     }
 
+    /// Tells whether an adapter was ordered away and hasn't gone yet.
+    fn leaves(&self, adapter: &str) -> bool {
+        let slot = self.adapters.get(adapter);
+        slot.is_some_and(|slot| slot.leaving)
+    }
+
     /// Tells whether the engine is about to load an adapter.
     fn heads_for(&self, adapter: &str) -> bool {
         let ordered = matches!(&self.order, Some(Act::Load { adapter: a, .. }) if a == adapter);
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -611,3 +611,29 @@
     expect_that!(ask_all(&mut world, 20), le(10));
     expect_that!(ask_all(&mut world, 20), eq(0));
 }
+
+/// An adapter is ordered away while a request of another instance still uses it.
+/// It was told as coming in two seconds: callers waited for it and were refused.
+#[gtest]
+fn an_adapter_that_leaves_is_not_told() {
+    let mut world = World::new(1);
+    for adapter in ["m/a", "m/b", "m/c"] {
+        told_for(&mut world, adapter);
+    }
+    world.pass(500);
+    world.own_zone();
+    world.want(&["m/x"]);
+    let Act::Evict(gone) = world.end(Ended::Accepted).act else {
+        panic!("no room was made");
+    };
+    world.give(Input::Sync(Ticket(14), Sync::default()));
+    let targets = world.answers.last().and_then(|a| a.targets.clone());
+    let mut residents = targets.into_iter().flatten().flat_map(|t| t.residents);
+    assert_that!(residents.any(|r| r.adapter == gone), eq(false));
+    // Its place is still taken: nothing is loaded there.
+    world.want(&["m/x"]);
+    assert_that!(
+        world.orders.iter().all(|o| matches!(o.act, Act::Evict(_))),
+        eq(true)
+    );
+}
