Tell callers far back in the store's queue at once; load for nobody who has left

The holder now says when an adapter that isn't on its way can be used, and whoever would give up before is told so at once, with that time to come back. Wants end 450 ms after they were last said.

--- a/crates/frontd/src/entry/forward/wait.rs
+++ b/crates/frontd/src/entry/forward/wait.rs
@@ -75,9 +75,12 @@
                 Choice::Nobody => return Err(self.given_up()),
                 Choice::Missing if now >= give_up => return Err(self.given_up()),
                 Choice::Missing if !self.state.orderable(&self.service) => {
-                    return Err(self.come_back());
+                    return Err(self.come_back(NO_ORDERS));
                 }
                 Choice::Missing => {
+                    if let Some(wait) = self.expected(give_up) {
+                        return Err(self.come_back(wait));
+                    }
                     if now >= ask_at {
                         let waited = self.arrived.elapsed().as_millis();
                         let round = waited / NEXT_ZONE.as_millis();
@@ -94,19 +97,33 @@
         }
     }
 
+    /// Returns how long the adapter still takes, where that is more than the
+    /// request waits.
+    ///
+    /// Failure: more rare adapters are asked for than the store serves. Their
+    /// callers waited for 1.4 s of the 4 s that they had, were sent away, and
+    /// their second try met the same. Whoever is too far back in the queue is
+    /// told at once.
+    fn expected(&self, give_up: Instant) -> Option<Duration> {
+        let now = self.state.now();
+        let at = self.state.view().expected(now, &self.adapter)?;
+        let wait = at.since(now);
+        (Instant::now() + wait > give_up).then_some(wait)
+    }
+
     /// Rejects a request whose adapter can't be loaded for a while.
     ///
     /// Failure: while nobody gives orders, requests for adapters that
     /// nobody holds would wait until their callers leave. They are told at
     /// once when a load is possible again; callers come back within a third of
     /// the time they have.
-    fn come_back(&self) -> Ended {
+    fn come_back(&self, wait: Duration) -> Ended {
         if self.ran > 0 {
             return Ended::Failed;
         }
         base::hit!(told_to_come_back);
         let left = self.until.saturating_duration_since(Instant::now());
-        let again = NO_ORDERS.min(left.mul_f64(RETURN_PART)).max(AGAIN);
+        let again = wait.min(left.mul_f64(RETURN_PART)).max(AGAIN);
         Ended::NotRun { again }
     }
 }
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -290,6 +290,7 @@
     let mut view = state.view();
     view.set_others(&synced.zones, synced.running);
     view.set_unread(&synced.zones, synced.unread);
+    view.set_waits(now, synced.waits);
     drop(view);
     state.set_entries(synced.entries);
     state.changed.notify_waiters();
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -38,8 +38,10 @@
 /// until then callers would be sent to it and no copy made elsewhere.
 const FAILING: Duration = Duration::from_secs(2);
 
-/// How long an adapter stays wanted after it was last asked for.
-const WANTED: Duration = Duration::from_millis(1_500);
+/// How long an adapter stays wanted after it was last asked for: whoever waits
+/// asks again each 300 ms, and a load for callers that have left takes the place
+/// of others'.
+const WANTED: Duration = Duration::from_millis(450);
 
 /// How long one more copy of an adapter stays wanted: two exchanges.
 const COPY_WANTED: Duration = Duration::from_millis(500);
@@ -272,6 +274,9 @@
     wants: BTreeMap<String, Time>,
     /// Adapters of which callers need one more copy, and when that was said.
     copies: BTreeMap<String, Time>,
+    /// Wanted adapters that aren't on their way yet, and the time until they can
+    /// be used.
+    queue: BTreeMap<String, Duration>,
     /// Engines that didn't answer, and when.
     failing: BTreeMap<String, Time>,
     /// Adapters on their way under other holders, and when that was said.
@@ -301,6 +306,7 @@
             memory: Memory::default(),
             wants: BTreeMap::new(),
             copies: BTreeMap::new(),
+            queue: BTreeMap::new(),
             failing: BTreeMap::new(),
             elsewhere: None,
             versions: BTreeMap::new(),
@@ -459,7 +465,7 @@
         }
         let parked = std::mem::take(&mut self.parked);
         for asked in parked {
-            let known = |adapter: &String| self.placed(adapter);
+            let known = |adapter: &String| self.placed(adapter) || self.waits_long(adapter);
             if now < asked.until && !asked.wants.iter().all(known) {
                 self.parked.push(asked);
                 continue;
@@ -469,6 +475,7 @@
                 targets: (asked.news != self.news).then(|| self.all(now, &zones)),
                 running: self.running_without(asked.asker.as_ref()),
                 unread: self.unread_without(asked.asker.as_ref()),
+                waits: self.waits(&asked.wants),
                 zones: zones.clone(),
                 entries: u32::try_from(self.entries.len()).unwrap_or(u32::MAX),
                 ..Synced::default()
@@ -478,6 +485,19 @@
         }
     }
 
+    /// Tells whether an adapter is so far back in the queue for the store that
+    /// whoever asks had better be told at once.
+    fn waits_long(&self, adapter: &str) -> bool {
+        self.queue.get(adapter).is_some_and(|wait| *wait > PARK)
+    }
+
+    fn waits(&self, wants: &[String]) -> Vec<(String, Duration)> {
+        let waits = wants
+            .iter()
+            .filter_map(|a| Some((a.clone(), *self.queue.get(a)?)));
+        waits.collect()
+    }
+
     /// Tells whether a target takes requests and can be reached.
     fn serves(&self, id: &str) -> bool {
         !self.failing.contains_key(id) && self.targets.get(id).is_some_and(|t| t.ready)
--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -32,6 +32,10 @@
 /// is refused and sent again.
 const LOAD_SLACK: Duration = Duration::from_millis(8);
 
+/// How long after its load an adapter isn't dropped: those that waited for it send
+/// their requests at once, and the next exchange tells of them.
+const LOAD_SETTLES: Duration = Duration::from_millis(400);
+
 /// One engine.
 #[derive(Debug, Default)]
 pub(super) struct Engine {
@@ -87,6 +91,15 @@
     loaded: Option<Source>,
 }
 
+impl Slot {
+    /// Tells whether it can be used, and whoever waited for it has had time to
+    /// say so.
+    pub(super) fn settled(&self, now: Time) -> bool {
+        let rest = self.loaded.map_or(Duration::ZERO, |_| LOAD_SETTLES);
+        now >= self.ready + rest
+    }
+}
+
 /// Where an engine takes an adapter from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Source {
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -29,10 +29,6 @@
 /// Base models on their way at once; the store is at full speed up to two.
 const MODELS_AT_ONCE: usize = 2;
 
-/// How long after its load an adapter isn't dropped: those that waited for it send
-/// their requests at once, and the next exchange tells of them.
-const LOAD_SETTLES: Duration = Duration::from_millis(400);
-
 /// How long after a copy has come no further one is loaded: what was sent before
 /// it came has to be read first.
 const COPY_SETTLES: Duration = Duration::from_millis(400);
@@ -87,6 +83,20 @@
             let moving: usize = self.engines.values().map(|e| e.loading(now)).sum();
             self.place(now, &adapter, moving < most, &used, out);
         }
+        self.queue = self.expect(now, most);
+    }
+
+    /// Returns when each wanted adapter that isn't on its way can be used, by its
+    /// place in the queue for the store.
+    fn expect(&self, now: Time, most: usize) -> BTreeMap<String, Duration> {
+        let time = self.pace.time();
+        let missing = self.missing(now).into_iter().enumerate();
+        let wanted = missing.filter(|(_, adapter)| self.wants.contains_key(adapter));
+        let each = wanted.map(|(before, adapter)| {
+            let turns = 1.0 + before as f64 / most as f64;
+            (adapter, time.mul_f64(turns))
+        });
+        each.collect()
     }
 
     /// Returns how many adapters may be on their way in the zones of this holder.
@@ -320,8 +330,7 @@
     ) -> Option<String> {
         let idle = engine.adapters.iter().filter(|(adapter, slot)| {
             let wanted = self.wants.contains_key(*adapter);
-            let settled = now >= slot.ready + LOAD_SETTLES && !slot.leaving;
-            settled && !wanted && self.used_at(id, adapter, used) == 0
+            slot.settled(now) && !slot.leaving && !wanted && self.used_at(id, adapter, used) == 0
         });
         let rated = idle.map(|(adapter, _)| {
             let outdated = !self.current(engine, adapter);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -56,6 +56,10 @@
 /// to a quarter of a second old.
 const EARLY_LONGEST: Duration = Duration::from_millis(300);
 
+/// How long the word on an adapter that isn't on its way yet counts: whoever waits
+/// asks again each 300 ms.
+const EXPECTED_FRESH: Duration = Duration::from_millis(400);
+
 /// Where a request may go.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -84,6 +88,9 @@
     speed: Option<f64>,
     /// Requests for each adapter since they were last taken.
     demand: BTreeMap<String, u32>,
+    /// Adapters that are not on their way yet: when they can be used, and when
+    /// that was said.
+    expected: BTreeMap<String, (Time, Time)>,
     /// What came of first requests since it was last taken, by zone.
     firsts: BTreeMap<String, Vec<First>>,
 }
@@ -255,6 +262,23 @@
         worth.then_some(least.target.zone.as_str())
     }
 
+    /// Takes the time until adapters that were asked for can be used.
+    pub fn set_waits(&mut self, now: Time, waits: Vec<(String, Duration)>) {
+        self.expected
+            .retain(|_, (_, said)| now.since(*said) < EXPECTED_FRESH);
+        let waits = waits.into_iter();
+        self.expected
+            .extend(waits.map(|(adapter, wait)| (adapter, (now + wait, now))));
+    }
+
+    /// Returns when an adapter that isn't on its way yet can be used, by the word
+    /// of whoever orders it.
+    #[must_use]
+    pub fn expected(&self, now: Time, adapter: &str) -> Option<Time> {
+        let (at, said) = self.expected.get(adapter)?;
+        (now.since(*said) < EXPECTED_FRESH).then_some(*at)
+    }
+
     /// Returns the zones that have a target of `service` which takes requests.
     #[must_use]
     pub fn zones_of(&self, service: &str) -> BTreeSet<String> {
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -637,3 +637,32 @@
         eq(true)
     );
 }
+
+/// More rare adapters are wanted than the store serves. Their callers waited in
+/// vain for a third of their time; whoever is far back is told how long it takes.
+#[gtest]
+fn callers_far_back_in_the_queue_of_the_store_are_told() {
+    let config = Config {
+        zones: 4,
+        ..Config::default()
+    };
+    let mut world = World::with(2, config);
+    let wants: Vec<_> = (0..40).map(|n| format!("m/a{n}")).collect();
+    let wants: Vec<_> = wants.iter().map(String::as_str).collect();
+    world.want(&wants);
+    settle_orders(&mut world);
+    world.answers.clear();
+    let again = Sync {
+        wants: vec!["m/a39".to_owned(), "m/a38".to_owned()],
+        ..Sync::default()
+    };
+    world.give(Input::Sync(Ticket(15), again));
+    let waits = &world.answers[0].waits;
+    assert_that!(waits.len(), eq(2));
+    // Four loads of a quarter of a second at once: 36 wait for nine turns.
+    let longest = waits.iter().map(|(_, wait)| *wait).max().unwrap();
+    expect_that!(
+        longest,
+        all![ge(Duration::from_secs(1)), le(Duration::from_secs(3))]
+    );
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -234,3 +234,17 @@
     }
     assert_that!(view.crowded(NOW, "s", "m/x", load), none());
 }
+
+/// What the holder says of an adapter that isn't on its way counts until it would
+/// have been said anew.
+#[gtest]
+fn the_word_on_a_missing_adapter_ages() {
+    let mut view = view(vec![target("a", "za", &[])]);
+    let wait = Duration::from_secs(2);
+    view.set_waits(NOW, vec![("m/x".to_owned(), wait)]);
+    let later = NOW + Duration::from_millis(300);
+    assert_that!(view.expected(later, "m/x"), some(eq(NOW + wait)));
+    assert_that!(view.expected(later, "m/y"), none());
+    let late = NOW + Duration::from_millis(500);
+    assert_that!(view.expected(late, "m/x"), none());
+}
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -79,6 +79,9 @@
         /// Prompt tokens at each target that it hasn't read yet, over all other
         /// instances.
         pub unread: Vec<(String, u64)>,
+        /// Of the adapters asked for, those not on their way yet, and the time
+        /// until they can be used.
+        pub waits: Vec<(String, Duration)>,
         /// Entry instances that the answering one hears.
         pub entries: u32,
         /// Control instances by the log.
