Count the store as crowded once three in ten loads are late; halve a first guess

Cause: single late loads have many causes (orders in doubt, adapters in use), and each took 15% off the loads at once: five of eight were used.

--- a/crates/gateway/src/holder/pace.rs
+++ b/crates/gateway/src/holder/pace.rs
@@ -31,10 +31,21 @@
 /// Part of the number at once that is kept when a load took longer.
 const SHRINK: f64 = 0.85;
 
+/// The same for the first time, when the number is only what was expected.
+const SHRINK_FIRST: f64 = 0.5;
+
 /// Added to the number at once for each load that was done in time; a window
 /// of eight loads of a quarter of a second grows by one in about two seconds.
 const GROW: f64 = 0.03;
 
+/// Weight of the newest load in the part of late ones; some seven make up its mind.
+const NEWEST: f64 = 0.15;
+
+/// Part of late loads from which too many run at once. Beyond what the store
+/// serves at full speed all are late; single ones have other causes, and taken for
+/// a sign they left a third of the store unused.
+const CROWDED: f64 = 0.3;
+
 /// Fewest and most loads at once that are tried, for each zone.
 const WINDOW_EACH: (f64, f64) = (1.0, 64.0);
 
@@ -44,6 +55,9 @@
     first: f64,
     time: f64,
     window: f64,
+    /// Part of the loads that were late, fading.
+    late: f64,
+    noted: Time,
     shrunk: Time,
     zones: f64,
 }
@@ -56,6 +70,8 @@
             first: time.as_secs_f64(),
             time: time.as_secs_f64(),
             window: window as f64,
+            late: 0.0,
+            noted: Time::ZERO,
             shrunk: Time::ZERO,
             zones: zones.max(1) as f64,
         }
@@ -81,6 +97,7 @@
 
     /// Notes a load that was done when it was said to be.
     pub(super) fn in_time(&mut self) {
+        self.late -= self.late * NEWEST;
         let excess = (self.time - self.first).max(0.0);
         self.time = (self.time - FALL - EXCESS_FALL * excess).max(self.first * TIMES.0);
         self.window = (self.window + GROW).min(self.zones * WINDOW_EACH.1);
@@ -89,13 +106,22 @@
     /// Notes a load that took longer than was said. Loads that run at the same
     /// time suffer from the same cause and count once.
     pub(super) fn late(&mut self, now: Time) {
-        if now.since(self.shrunk) < self.time() {
+        self.late += (1.0 - self.late) * NEWEST;
+        if now.since(self.noted) >= self.time() {
+            self.noted = now;
+            self.time = (self.time + STEP).min(self.first * TIMES.1);
+        }
+        if self.late < CROWDED || now.since(self.shrunk) < self.time() {
             return;
         }
         base::hit!(store_slower);
+        let part = if self.shrunk == Time::ZERO {
+            SHRINK_FIRST
+        } else {
+            SHRINK
+        };
         self.shrunk = now;
-        self.time = (self.time + STEP).min(self.first * TIMES.1);
-        self.window = (self.window * SHRINK).max(self.zones * WINDOW_EACH.0);
+        self.window = (self.window * part).max(self.zones * WINDOW_EACH.0);
     }
 }
 
