--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -250,6 +250,15 @@
     unread: Vec<(String, u64)>,
 }
 
+/// An adapter that callers wait for.
+#[derive(Clone, Copy, Debug)]
+struct Want {
+    /// Since when.
+    first: Time,
+    /// When that was last said.
+    last: Time,
+}
+
 #[derive(Debug)]
 struct Parked {
     ticket: Ticket,
@@ -271,7 +280,7 @@
     demand: Demand,
     pace: Pace,
     memory: Memory,
-    wants: BTreeMap<String, Time>,
+    wants: BTreeMap<String, Want>,
     /// Adapters of which callers need one more copy, and when that was said.
     copies: BTreeMap<String, Time>,
     /// Wanted adapters that aren't on their way yet, and the time until they can
@@ -373,7 +382,12 @@
             self.demand.add(now, adapter, f64::from(*count));
         }
         for adapter in &sync.wants {
-            self.wants.insert(adapter.clone(), now);
+            let want = self.wants.entry(adapter.clone());
+            let want = want.or_insert(Want {
+                first: now,
+                last: now,
+            });
+            want.last = now;
         }
         for adapter in &sync.copies {
             self.copies.insert(adapter.clone(), now);
@@ -446,7 +460,7 @@
     fn forget(&mut self, now: Time) {
         self.entries
             .retain(|_, entry| now.since(entry.heard) < ENTRY_SILENT);
-        self.wants.retain(|_, at| now.since(*at) < WANTED);
+        self.wants.retain(|_, want| now.since(want.last) < WANTED);
         self.copies.retain(|_, at| now.since(*at) < COPY_WANTED);
         self.failing.retain(|_, at| now.since(*at) < FAILING);
         self.demand.forget(now);
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -29,6 +29,15 @@
 /// Base models on their way at once; the store is at full speed up to two.
 const MODELS_AT_ONCE: usize = 2;
 
+/// How long callers of a wanted adapter have waited when a load can't serve them
+/// in time any more: they want their first token within some 800 ms, of which a
+/// load takes 250 and reading the prompt 100.
+const WAITED_LONG: Duration = Duration::from_millis(450);
+
+/// What a load is worth for callers that it serves late, against those that it
+/// still serves in time.
+const LATE_GAIN: f64 = 0.3;
+
 /// How long after a copy has come no further one is loaded: what was sent before
 /// it came has to be read first.
 const COPY_SETTLES: Duration = Duration::from_millis(400);
@@ -205,9 +214,13 @@
     /// would serve: adapters that callers wait for, and one more copy of those
     /// whose holders are behind, which gets its part of their requests.
     fn missing(&self, now: Time) -> Vec<String> {
-        let wanted = self.wants.keys();
-        let wanted = wanted.filter(|a| !self.is_model(a) && !self.on_its_way(a));
-        let wanted = wanted.map(|adapter| (self.demand.of(now, adapter), adapter));
+        let wanted = self.wants.iter();
+        let wanted = wanted.filter(|(a, _)| !self.is_model(a) && !self.on_its_way(a));
+        let wanted = wanted.map(|(adapter, want)| {
+            let late = now.since(want.first) > WAITED_LONG;
+            let part = if late { LATE_GAIN } else { 1.0 };
+            (self.demand.of(now, adapter) * part, adapter)
+        });
         let copies = self.copies.keys();
         let copies = copies.filter(|a| !self.is_model(a) && self.room_for_copy(a));
         let copies = copies.filter(|a| !self.copy_coming(now, a));
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -666,3 +666,30 @@
         all![ge(Duration::from_secs(1)), le(Duration::from_secs(3))]
     );
 }
+
+/// The store has no room for all. Callers of one adapter have waited for half a
+/// second and will be late anyway; those of another have just come and can still be
+/// served in time. First come, first served made both late.
+#[gtest]
+fn callers_that_can_be_served_in_time_go_first() {
+    let config = Config {
+        zones: 16,
+        ..Config::default()
+    };
+    let mut world = World::with(2, config);
+    world.want(&["m/first"]);
+    for _ in 0..2 {
+        world.want(&["m/old"]);
+        world.pass(250);
+    }
+    world.end(Ended::Accepted);
+    world.pass(10);
+    while !world.orders.is_empty() {
+        world.end(Ended::Unknown);
+    }
+    world.want(&["m/old"]);
+    world.want(&["m/new"]);
+    world.pass(300);
+    let next = world.orders.iter().map(|o| o.act.clone()).next();
+    assert_that!(next, some(eq(&load("m/new"))));
+}
