--- a/crates/gateway/src/holder/demand.rs
+++ b/crates/gateway/src/holder/demand.rs
@@ -36,6 +36,13 @@
         faded(*count, *at, now)
     }
 
+    /// Returns adapters with at least `least` requests a second.
+    pub(super) fn busiest(&self, now: Time, least: f64) -> impl Iterator<Item = &String> {
+        let least = least * HALF.as_secs_f64() / std::f64::consts::LN_2;
+        let all = self.counts.keys();
+        all.filter(move |adapter| self.of(now, adapter) >= least)
+    }
+
     pub(super) fn forget(&mut self, now: Time) {
         if now.since(self.looked) < EVERY {
             return;
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -38,6 +38,11 @@
 /// still serves in time.
 const LATE_GAIN: f64 = 0.3;
 
+/// Requests a second from which an adapter has a copy in every zone: it is then
+/// served where its callers are, also while its engine is down or zones are cut
+/// off.
+const EVERYWHERE: f64 = 2.0;
+
 /// How long after a copy has come no further one is loaded: what was sent before
 /// it came has to be read first.
 const COPY_SETTLES: Duration = Duration::from_millis(400);
@@ -93,6 +98,29 @@
             self.place(now, &adapter, moving < most, &used, out);
         }
         self.queue = self.expect(now, most);
+        if self.queue.is_empty() {
+            self.spread(now, most, &used, out);
+        }
+    }
+
+    /// Loads busy adapters that no engine of these zones holds, while nobody waits
+    /// for the store.
+    fn spread(
+        &mut self,
+        now: Time,
+        most: usize,
+        used: &BTreeMap<(String, String), u32>,
+        out: &mut Vec<Output>,
+    ) {
+        let busy = self.demand.busiest(now, EVERYWHERE);
+        let busy = busy.filter(|a| !self.is_model(a) && !self.on_its_way(a));
+        let busy: Vec<_> = busy.cloned().collect();
+        for adapter in busy {
+            let moving: usize = self.engines.values().map(|e| e.loading(now)).sum();
+            if moving < most.div_ceil(2) {
+                self.place(now, &adapter, true, used, out);
+            }
+        }
     }
 
     /// Returns when each wanted adapter that isn't on its way can be used, by its
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -693,3 +693,28 @@
     let next = world.orders.iter().map(|o| o.act.clone()).next();
     assert_that!(next, some(eq(&load("m/new"))));
 }
+
+/// A busy adapter is held in another zone only. Its callers here would lose it
+/// with that zone or its engine; a copy costs nothing while nobody waits for the
+/// store, and has to wait while somebody does.
+#[gtest]
+fn a_busy_adapter_is_copied_while_nobody_waits_for_the_store() {
+    let busy = || Sync {
+        demand: vec![("m/busy".to_owned(), 60)],
+        ..Sync::default()
+    };
+    let mut world = World::new(1);
+    world.give(Input::Sync(Ticket(16), busy()));
+    assert_that!(world.orders[0].act, eq(&load("m/busy")));
+
+    let config = Config {
+        zones: 16,
+        ..Config::default()
+    };
+    let mut world = World::with(1, config);
+    world.want(&["m/a", "m/b", "m/c"]);
+    world.end(Ended::Accepted);
+    world.give(Input::Sync(Ticket(17), busy()));
+    let given: Vec<_> = world.orders.iter().map(|o| o.act.clone()).collect();
+    assert_that!(given, not(contains(eq(&load("m/busy")))));
+}
