Box the question of an entry instance: it has grown

The linter finds the variants of a call too different in size since questions carry first uses and backlogs.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -275,7 +275,7 @@
             Call::Sync(sync) => {
                 let edition = sync.edition;
                 let ticket = self.wait(Waiter::Sync { to, edition });
-                self.hold(holder::Input::Sync(ticket, sync));
+                self.hold(holder::Input::Sync(ticket, *sync));
             }
             Call::Renew { instance, zone } => {
                 to.send(self.grant(&instance, &zone)).ok();
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -217,7 +217,7 @@
 async fn exchange(state: &Arc<State>, source: &Source, regular: bool) -> bool {
     let sync = sync(state, source, regular);
     let link = state.links.to(source.address);
-    let answer = link.call(Call::Sync(sync), LIMIT).await;
+    let answer = link.call(Call::Sync(Box::new(sync)), LIMIT).await;
     let Ok(Reply::Sync(synced)) = answer else {
         let mut inner = lock(&source.inner);
         if inner.heard.take().is_some() {
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -48,7 +48,7 @@
         Explain(Explain),
         /// Entry to the holder of orders in a zone: what is under way here, and
         /// what is missing.
-        Sync(Sync),
+        Sync(Box<Sync>),
         /// Control to leader: renews the right to give orders in zones.
         Renew {
             /// Who asks.
