Log every order that an engine took, why a request was given up, and what was learned of the store

A refused caller's line said only "not run"; now it names one of eight reasons, the owner's lines tell what was loaded and dropped where, and once a second, while adapters wait, how many do and what the store is taken to serve.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -231,6 +231,7 @@
         }
         if now >= self.next_seeds {
             self.next_seeds = now + SEEDS_EVERY;
+            self.note_store();
             if let Some(seeds) = (self.outside.seeds)() {
                 let peers = seeds.into_iter().map(names::instance).collect();
                 self.input(Input::Peers { peers });
--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use base::Ticket;
-use gateway::holder::{self, Ended};
+use gateway::holder::{self, Act, Ended, Order};
 use telemetry::{event, exposed};
 use wire::{call::Reply, fleet::Synced};
 
@@ -34,26 +34,32 @@
         }
     }
 
+    /// Logs what was learned of the store, once a second at most and only while
+    /// adapters wait for it.
+    pub(super) fn note_store(&mut self) {
+        let learned = self.holder.learned();
+        if learned.waiting == 0 {
+            return;
+        }
+        event!(
+            telemetry::Event::StoreThrottled,
+            waiting = learned.waiting,
+            load_ms = learned.load.as_millis(),
+            loads = learned.loads,
+            memory = learned.memory
+        );
+    }
+
     fn carry_out(&mut self, output: holder::Output) {
         let jobs = self.jobs.clone();
         match output {
             holder::Output::Order(order) => {
-                let id = order.id.clone();
-                let what = format!("{:?}", order.act);
-                let expected = order.expected;
-                let given = (self.outside.give)(order);
+                let given = (self.outside.give)(order.clone());
                 tokio::spawn(async move {
                     let ended = given.await;
-                    if !matches!(ended, Ended::Accepted | Ended::Done) {
-                        event!(
-                            telemetry::Event::LoadFailed,
-                            engine = id,
-                            order = what,
-                            expected = expected,
-                            how = format!("{ended:?}")
-                        );
-                    }
+                    note_order(&order, ended);
                     exposed().order(ended.as_str());
+                    let id = order.id;
                     jobs.send(Job::Holder(holder::Input::Ended { id, ended }))
                         .ok();
                 });
@@ -97,3 +103,38 @@
         self.hold(holder::Input::Versions(versions));
     }
 }
+
+/// Logs what came of an order, so that a refused request's adapter can be followed.
+fn note_order(order: &Order, ended: Ended) {
+    use telemetry::Event as Line;
+    let (id, expected, how) = (&order.id, order.expected, ended.as_str());
+    let taken = matches!(ended, Ended::Accepted | Ended::Done);
+    match &order.act {
+        Act::Load { adapter, .. } if taken => {
+            event!(
+                Line::AdapterLoaded,
+                engine = id,
+                adapter = adapter,
+                expected = expected,
+                how = how
+            );
+        }
+        Act::Evict(adapter) if taken => {
+            event!(
+                Line::AdapterUnloaded,
+                engine = id,
+                adapter = adapter,
+                expected = expected,
+                how = how
+            );
+        }
+        Act::LoadModel(_) if taken => {}
+        act => event!(
+            Line::LoadFailed,
+            engine = id,
+            order = format!("{act:?}"),
+            expected = expected,
+            how = how
+        ),
+    }
+}
--- a/crates/frontd/src/entry/answer.rs
+++ b/crates/frontd/src/entry/answer.rs
@@ -24,6 +24,8 @@
     NotRun {
         /// When.
         again: Duration,
+        /// Why.
+        why: Why,
     },
     /// Its target failed, and it may have run.
     Failed,
@@ -31,6 +33,27 @@
     Late,
 }
 
+/// Why a request was given up before it ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Why {
+    /// This instance has no configuration yet.
+    NoTable,
+    /// The service has no target that takes requests.
+    NoTarget,
+    /// Nobody in reach can have its adapter loaded now.
+    NoOrders,
+    /// The store serves so many other adapters before its own.
+    Queue,
+    /// Its adapter didn't come in the time that it waits.
+    Waited,
+    /// The budget of repeats is used up.
+    Repeats,
+    /// Targets have refused it too often.
+    Refusals,
+    /// Its time was over.
+    Deadline,
+}
+
 impl Ended {
     fn status(self) -> StatusCode {
         match self {
@@ -55,6 +78,14 @@
         }
     }
 
+    /// Returns why a request that hasn't run was given up, for its line in the log.
+    pub(super) fn why(self) -> String {
+        match self {
+            Ended::NotRun { why, .. } => format!("{why:?}"),
+            ended => ended.label().to_owned(),
+        }
+    }
+
     fn text(self) -> &'static str {
         match self {
             Ended::NoRoute => "no route\n",
@@ -75,7 +106,7 @@
         if let Some(id) = headers.get(&dialect.request) {
             out.insert(dialect.request.clone(), id.clone());
         }
-        if let Ended::NotRun { again } = self {
+        if let Ended::NotRun { again, .. } = self {
             let seconds = format!("{:.2}", again.as_secs_f64());
             out.insert(RETRY_AFTER, web::header_value(&seconds));
         }
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -19,7 +19,7 @@
 use self::send::Sent;
 pub(super) use self::{arrive::answer, send::Place};
 use super::{
-    answer::{Ended, promises},
+    answer::{Ended, Why, promises},
     heads,
     relay::{Relay, Resume},
     state::State,
@@ -93,6 +93,7 @@
                     service = self.service,
                     adapter = self.adapter,
                     how = format!("{ended:?}"),
+                    why = ended.why(),
                     sends = self.sends,
                     refusals = self.refusals,
                     held_ms = millis(self.arrived.elapsed())
@@ -111,7 +112,7 @@
         loop {
             let target = self.target().await?;
             if self.reached > 0 && !self.state.repeat(&self.service) {
-                return Err(self.given_up());
+                return Err(self.given_up(Why::Repeats));
             }
             if self.sends == 0 {
                 self.placed = self.arrived.elapsed();
@@ -136,14 +137,14 @@
                     self.refusals += 1;
                     self.tried.insert(target);
                     if self.refusals >= REFUSALS_MAX {
-                        return Err(self.given_up());
+                        return Err(self.given_up(Why::Refusals));
                     }
                 }
                 Sent::NotRun { lacks } => {
                     self.note_attempt(&target, "not run");
                     self.refusals += 1;
                     if self.refusals >= REFUSALS_MAX {
-                        return Err(self.given_up());
+                        return Err(self.given_up(Why::Refusals));
                     }
                     if lacks {
                         sleep(REFUSED_PAUSE).await;
@@ -218,11 +219,11 @@
         self.until_answered(last).await.ok()
     }
 
-    fn given_up(&self) -> Ended {
+    fn given_up(&self, why: Why) -> Ended {
         if self.ran > 0 {
             return Ended::Failed;
         }
-        Ended::NotRun { again: AGAIN }
+        Ended::NotRun { again: AGAIN, why }
     }
 
     /// Tells whether a failure that a target answered may be tried elsewhere.
--- a/crates/frontd/src/entry/forward/arrive.rs
+++ b/crates/frontd/src/entry/forward/arrive.rs
@@ -10,7 +10,11 @@
 use super::{AGAIN, Job};
 use crate::{
     Dialect,
-    entry::{answer::Ended, heads, state::State},
+    entry::{
+        answer::{Ended, Why},
+        heads,
+        state::State,
+    },
 };
 
 /// Longest body taken where the operator sets none.
@@ -47,7 +51,10 @@
     let patience = patience.unwrap_or(PATIENCE);
     // Without any table nobody knows what is allowed: the request hasn't run.
     let table = table(&state, arrived + FIRST_TABLE.min(patience / 3)).await;
-    let table = table.ok_or(Ended::NotRun { again: AGAIN })?;
+    let table = table.ok_or(Ended::NotRun {
+        again: AGAIN,
+        why: Why::NoTable,
+    })?;
     let route = route(&table, &headers, parts.uri.path()).ok_or(Ended::NoRoute)?;
     let body = whole(&table, body).await?;
     let service = route.service(rand::random()).to_owned();
--- a/crates/frontd/src/entry/forward/wait.rs
+++ b/crates/frontd/src/entry/forward/wait.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::{AGAIN, Job};
-use crate::entry::answer::Ended;
+use crate::entry::answer::{Ended, Why};
 
 /// How long a request waits for news of an adapter that nobody holds before
 /// its zone's owner is asked again.
@@ -51,7 +51,10 @@
                 return Err(if self.ran > 0 {
                     Ended::Late
                 } else {
-                    Ended::NotRun { again: AGAIN }
+                    Ended::NotRun {
+                        again: AGAIN,
+                        why: Why::Deadline,
+                    }
                 });
             }
             let choice = self.state.view().choose(
@@ -72,14 +75,14 @@
                         () = sleep_until(told) => {}
                     }
                 }
-                Choice::Nobody => return Err(self.given_up()),
-                Choice::Missing if now >= give_up => return Err(self.given_up()),
+                Choice::Nobody => return Err(self.given_up(Why::NoTarget)),
+                Choice::Missing if now >= give_up => return Err(self.given_up(Why::Waited)),
                 Choice::Missing if !self.state.orderable(&self.service) => {
-                    return Err(self.come_back(NO_ORDERS));
+                    return Err(self.come_back(NO_ORDERS, Why::NoOrders));
                 }
                 Choice::Missing => {
                     if let Some(wait) = self.expected(give_up) {
-                        return Err(self.come_back(wait));
+                        return Err(self.come_back(wait, Why::Queue));
                     }
                     if now >= ask_at {
                         let waited = self.arrived.elapsed().as_millis();
@@ -117,13 +120,13 @@
     /// nobody holds would wait until their callers leave. They are told at
     /// once when a load is possible again; callers come back within a third of
     /// the time they have.
-    fn come_back(&self, wait: Duration) -> Ended {
+    fn come_back(&self, wait: Duration, why: Why) -> Ended {
         if self.ran > 0 {
             return Ended::Failed;
         }
         base::hit!(told_to_come_back);
         let left = self.until.saturating_duration_since(Instant::now());
         let again = wait.min(left.mul_f64(RETURN_PART)).max(AGAIN);
-        Ended::NotRun { again }
+        Ended::NotRun { again, why }
     }
 }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -268,6 +268,19 @@
     until: Time,
 }
 
+/// What a holder has learned of loads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Learned {
+    /// The time that a load from the store takes.
+    pub load: Duration,
+    /// Loads that run at full speed over all zones.
+    pub loads: usize,
+    /// Dropped adapters that an engine still has in memory.
+    pub memory: usize,
+    /// Adapters that callers wait for and that aren't on their way.
+    pub waiting: usize,
+}
+
 /// The holder of orders.
 #[derive(Debug)]
 pub struct Holder {
@@ -332,6 +345,17 @@
         self.specs = specs;
     }
 
+    /// Returns what was learned of the store and of engines' memory.
+    #[must_use]
+    pub fn learned(&self) -> Learned {
+        Learned {
+            load: self.pace.time(),
+            loads: self.pace.window() as usize,
+            memory: self.memory.size(),
+            waiting: self.queue.len(),
+        }
+    }
+
     /// Takes one input and appends what has to be done about it.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         match input {
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -87,8 +87,8 @@
     HandoverDone 3007 Info "engine handed over" "A planned handover named the adapters still in use."
 
     // 4xxx: engines, adapters and placement.
-    AdapterLoaded 4001 Info "adapter loaded" "`adapter` is resident on `engine` after `ms`."
-    AdapterUnloaded 4002 Info "adapter unloaded" "`adapter` was unloaded from `engine`; nobody used it."
+    AdapterLoaded 4001 Info "adapter loaded" "`engine` took the order to load `adapter` (`how` is `accepted`, or `done` if it held it), or holds it after `ms`."
+    AdapterUnloaded 4002 Info "adapter unloaded" "`engine` took the order to drop `adapter`; `accepted` if it still serves requests, or `done`."
     LoadFailed 4003 Warn "adapter load failed" "The engine or the store refused a load; it is tried again elsewhere or later."
     LoadGivenUp 4004 Error "adapter can't be loaded" "Every engine of the pool failed to load `adapter`: its weights are wrong or missing. Requests for it fail (not run)."
     EngineRestarted 4005 Warn "engine restarted empty" "An engine came back with another incarnation; its residents are forgotten and loaded again."
@@ -99,11 +99,11 @@
     TargetLeaving 4010 Info "target leaves" "The platform says that a target is to stop: no new work goes to it."
     ServiceDown 4011 Warn "service can't be brought up" "A service waits for one that it needs, named in `needs`."
     ServiceUp 4012 Info "service is up" "A service and all that it needs are up."
-    StoreThrottled 4013 Info "loads wait for the store" "Loads wait for the weight store's budget; `waiting` says how many."
+    StoreThrottled 4013 Info "loads wait for the store" "Loads wait for the weight store: `waiting` adapters that aren't on their way, at `loads` at once of `load_ms` each; `memory` adapters load from an engine's own memory."
 
     // 5xxx: requests.
     RequestDone 5001 Debug "request done" "A request ended; `adapter` and `version` say what it ran on."
-    RequestFailed 5002 Info "request failed" "A request was given up; `reason` and `verdict` are what the caller saw."
+    RequestFailed 5002 Info "request failed" "A request was given up; `why` names the reason and `how` what the caller saw."
     WrongAdapter 5003 Error "answer of another adapter" "A target answered from an adapter or version that the request wasn't for; the caller didn't get it."
     AttemptFailed 5004 Debug "attempt failed" "One attempt at a request failed; another one follows if it may."
     StreamResumed 5005 Info "stream resumed" "A broken stream went on from where it stopped."
