--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -7,7 +7,7 @@
 use hyper::StatusCode;
 use telemetry::event;
 use tokio::time::{Instant, timeout_at};
-use web::client::{Answer, Cause, Ending, Limits, Send};
+use web::client::{Answer, Broken, Cause, Ending, Limits, Send};
 
 use super::{Job, REFUSED_PAUSE, millis};
 use crate::entry::{answer::refused, heads, state::State};
@@ -143,19 +143,7 @@
         };
         let answer = match sent {
             Ok(answer) => answer,
-            Err(broken) => {
-                let cut = matches!(broken.cause, Cause::Cut(_));
-                if cut && broken.verdict != base::Verdict::NotRun {
-                    state.view().broke_off(state.now(), target);
-                } else {
-                    state.view().unreachable(state.now(), target);
-                }
-                return if broken.verdict == base::Verdict::NotRun {
-                    Sent::Unreached
-                } else {
-                    Sent::InDoubt
-                };
-            }
+            Err(broken) => return self.unanswered(target, &broken),
         };
         // Failure: a target sends a second answer, or a late one, where the
         // next one is due. It would reach another caller. Each answer repeats
@@ -181,6 +169,18 @@
         Sent::Answer(Box::new(answer), place)
     }
 
+    /// Notes a send that ended without an answer.
+    fn unanswered(&self, target: &str, broken: &Broken) -> Sent {
+        let ran = broken.verdict != base::Verdict::NotRun;
+        let now = self.state.now();
+        if ran && matches!(broken.cause, Cause::Cut(_)) {
+            self.state.view().broke_off(now, target);
+        } else {
+            self.state.view().unreachable(now, target);
+        }
+        if ran { Sent::InDoubt } else { Sent::Unreached }
+    }
+
     fn refused(&self, target: &str, answer: &Answer) -> Sent {
         let mut view = self.state.view();
         let now = self.state.now();
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -29,24 +29,6 @@
 /// Base models on their way at once; the store is at full speed up to two.
 const MODELS_AT_ONCE: usize = 2;
 
-/// How long callers of a wanted adapter have waited when a load can't serve them
-/// in time any more: they want their first token within some 800 ms, of which a
-/// load takes 250 and reading the prompt 100.
-const WAITED_LONG: Duration = Duration::from_millis(450);
-
-/// What a load is worth for callers that it serves late, against those that it
-/// still serves in time.
-const LATE_GAIN: f64 = 0.3;
-
-/// Requests a second from which an adapter has a copy in every zone: it is then
-/// served where its callers are, also while its engine is down or zones are cut
-/// off.
-const EVERYWHERE: f64 = 2.0;
-
-/// How long after a copy has come no further one is loaded: what was sent before
-/// it came has to be read first.
-const COPY_SETTLES: Duration = Duration::from_millis(400);
-
 /// Added to an engine's load in the choice where it would have to drop an
 /// adapter first, which costs one more round trip and perhaps a later load.
 const DROP_COST: f64 = 0.2;
@@ -69,7 +51,7 @@
         engines.any(|(id, engine)| self.serves(id) && self.current(engine, adapter))
     }
 
-    fn copies(&self, adapter: &String) -> usize {
+    pub(super) fn copies(&self, adapter: &String) -> usize {
         let has = |id: &String, engine: &Engine| {
             self.serves(id) && (self.current(engine, adapter) || engine.heads_for(adapter))
         };
@@ -77,7 +59,7 @@
         engines.filter(|(id, engine)| has(id, engine)).count()
     }
 
-    fn current(&self, engine: &Engine, adapter: &String) -> bool {
+    pub(super) fn current(&self, engine: &Engine, adapter: &String) -> bool {
         let named = self.versions.get(adapter).copied().unwrap_or(0);
         let slot = engine.adapters.get(adapter);
         slot.is_some_and(|slot| !slot.leaving && (slot.version == 0 || slot.version >= named))
@@ -103,39 +85,6 @@
         }
     }
 
-    /// Loads busy adapters that no engine of these zones holds, while nobody waits
-    /// for the store.
-    fn spread(
-        &mut self,
-        now: Time,
-        most: usize,
-        used: &BTreeMap<(String, String), u32>,
-        out: &mut Vec<Output>,
-    ) {
-        let busy = self.demand.busiest(now, EVERYWHERE);
-        let busy = busy.filter(|a| !self.is_model(a) && !self.on_its_way(a));
-        let busy: Vec<_> = busy.cloned().collect();
-        for adapter in busy {
-            let moving: usize = self.engines.values().map(|e| e.loading(now)).sum();
-            if moving < most.div_ceil(2) {
-                self.place(now, &adapter, true, used, out);
-            }
-        }
-    }
-
-    /// Returns when each wanted adapter that isn't on its way can be used, by its
-    /// place in the queue for the store.
-    fn expect(&self, now: Time, most: usize) -> BTreeMap<String, Duration> {
-        let time = self.pace.time();
-        let missing = self.missing(now).into_iter().enumerate();
-        let wanted = missing.filter(|(_, adapter)| self.wants.contains_key(adapter));
-        let each = wanted.map(|(before, adapter)| {
-            let turns = 1.0 + before as f64 / most as f64;
-            (adapter, time.mul_f64(turns))
-        });
-        each.collect()
-    }
-
     /// Returns how many adapters may be on their way in the zones of this holder.
     ///
     /// Failure: two zones lose engines and have up to 40 adapters waiting for
@@ -238,66 +187,24 @@
         used
     }
 
-    /// Returns what to load, by the requests of the last seconds that each load
-    /// would serve: adapters that callers wait for, and one more copy of those
-    /// whose holders are behind, which gets its part of their requests.
-    fn missing(&self, now: Time) -> Vec<String> {
-        let wanted = self.wants.iter();
-        let wanted = wanted.filter(|(a, _)| !self.is_model(a) && !self.on_its_way(a));
-        let wanted = wanted.map(|(adapter, want)| {
-            let late = now.since(want.first) > WAITED_LONG;
-            let part = if late { LATE_GAIN } else { 1.0 };
-            (self.demand.of(now, adapter) * part, adapter)
-        });
-        let copies = self.copies.keys();
-        let copies = copies.filter(|a| !self.is_model(a) && self.room_for_copy(a));
-        let copies = copies.filter(|a| !self.copy_coming(now, a));
-        let copies = copies.map(|adapter| {
-            let held = self.copies(adapter) as f64;
-            (self.demand.of(now, adapter) / (held + 1.0), adapter)
-        });
-        let mut missing: Vec<_> = wanted.chain(copies).collect();
-        missing.sort_by(|a, b| b.0.total_cmp(&a.0));
-        missing.into_iter().map(|(_, a)| a.clone()).collect()
-    }
-
-    /// Tells whether a copy of an adapter is on its way or has only just come:
-    /// whoever asks for one more may not have used it yet.
-    fn copy_coming(&self, now: Time, adapter: &String) -> bool {
-        let mut engines = self.engines.values();
-        engines.any(|engine| {
-            let slot = engine.adapters.get(adapter);
-            let fresh = slot.is_some_and(|slot| now < slot.ready + COPY_SETTLES);
-            fresh || engine.heads_for(adapter)
-        })
-    }
-
     /// Tells whether a name is that of a base model, which every engine holds.
     ///
     /// Failure: callers use the base model itself, two a second or more. Loaded
     /// like a busy adapter, it was ordered again and again: the engine holds it
     /// already and may not count the order, so its count had to be asked for,
     /// which took some 400 ms in which it loaded nothing.
-    fn is_model(&self, name: &str) -> bool {
+    pub(super) fn is_model(&self, name: &str) -> bool {
         let mut models = self.specs.values().flat_map(|spec| &spec.models);
         models.any(|model| model.name == name)
     }
 
-    /// Tells whether an engine lacks an adapter that it could hold.
-    fn room_for_copy(&self, adapter: &String) -> bool {
-        let mut engines = self.engines.iter();
-        engines.any(|(id, engine)| {
-            self.serves(id) && self.holds_model(id, adapter) && !self.current(engine, adapter)
-        })
-    }
-
     /// Places one more copy of an adapter; without the `store` only where an
     /// engine has it in memory.
     ///
     /// Failure: forty adapters wait for their part of the store, and those that
     /// an engine could bring back from its own memory in a tenth of the time wait
     /// among them.
-    fn place(
+    pub(super) fn place(
         &mut self,
         now: Time,
         adapter: &str,
@@ -403,7 +310,7 @@
         self.specs.get(&self.targets.get(id)?.service)
     }
 
-    fn holds_model(&self, id: &str, adapter: &str) -> bool {
+    pub(super) fn holds_model(&self, id: &str, adapter: &str) -> bool {
         let model = adapter.split_once('/').map_or(adapter, |(model, _)| model);
         self.engines[id].models.contains_key(model)
     }
@@ -464,7 +371,7 @@
 
 impl Engine {
     /// Returns adapters on their way, ordered or about to be.
-    fn loading(&self, now: Time) -> usize {
+    pub(super) fn loading(&self, now: Time) -> usize {
         let ordered = matches!(self.order, Some(Act::Load { .. }));
         self.transit(now) + usize::from(ordered || self.goal.is_some())
     }
@@ -476,7 +383,7 @@
     }
 
     /// Tells whether the engine is about to load an adapter.
-    fn heads_for(&self, adapter: &str) -> bool {
+    pub(super) fn heads_for(&self, adapter: &str) -> bool {
         let ordered = matches!(&self.order, Some(Act::Load { adapter: a, .. }) if a == adapter);
         ordered || self.goal.as_deref() == Some(adapter)
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,12 +1,20 @@
 //! What an entry instance knows of targets, and which one it chooses.
 
+mod backlog;
+mod held;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use base::Time;
-use wire::fleet::{First, Resident, Running, Target};
+use wire::fleet::{First, Running, Target};
+
+use self::{
+    backlog::{FULL_WAIT, outside},
+    held::Held,
+};
 
 /// Added to the load of a target in another availability zone: a message
 /// there and back costs some 3 ms and traffic between zones, so the own zone is
@@ -18,22 +26,6 @@
 /// than full.
 const FAILED: f64 = 2.0;
 
-/// Time in which a target reads the prompts before it that weighs as much as
-/// all its slots: about the longest pause that its running streams may make.
-const FULL_WAIT: f64 = 0.27;
-
-/// Prompt tokens a second that a target is taken to read until requests have
-/// shown it.
-const SPEED: f64 = 30_000.0;
-
-/// Weight of the newest request in the speed at which targets read: a hundred
-/// requests, some seconds of an instance, make up their mind about it.
-const SPEED_NEWEST: f64 = 0.02;
-
-/// Fewest tokens at a target that say something of its speed: with fewer the
-/// steps of its running requests take most of the time.
-const SPEED_TOKENS: u64 = 1_000;
-
 /// Weight of the newest outcome in a target's share of failures; about ten
 /// requests make up their mind about it.
 const NEWEST: f64 = 0.15;
@@ -45,17 +37,6 @@
 /// How long a target rests that couldn't be connected to or fell silent.
 const REST: Duration = Duration::from_millis(1_500);
 
-/// How long an adapter that was not there yet is left alone at first, twice as
-/// long after each further refusal: a tenth of a load.
-const EARLY_PAUSE: Duration = Duration::from_millis(30);
-
-/// Refusals after which an adapter on its way counts as lost.
-const EARLY_MAX: u32 = 4;
-
-/// Longest time for which a refusal goes before the owner's word, which is up
-/// to a quarter of a second old.
-const EARLY_LONGEST: Duration = Duration::from_millis(300);
-
 /// How long the word on an adapter that isn't on its way yet counts: whoever waits
 /// asks again each 300 ms.
 const EXPECTED_FRESH: Duration = Duration::from_millis(400);
@@ -105,19 +86,6 @@
     trouble: Trouble,
 }
 
-/// An adapter at a target.
-#[derive(Clone, Copy, Debug)]
-struct Held {
-    version: u32,
-    /// When it can be used.
-    ready: Time,
-    /// Whether it was on its way when it was last told of, and no request has
-    /// shown since that it is there.
-    unproven: bool,
-    /// Requests that were refused because it was not there yet.
-    early: u32,
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Trouble {
     share: f64,
@@ -188,80 +156,6 @@
         self.others.extend(others);
     }
 
-    /// Takes how many prompt tokens of others the targets of `zones` haven't
-    /// read yet.
-    pub fn set_unread(
-        &mut self,
-        zones: &[String],
-        unread: impl IntoIterator<Item = (String, u64)>,
-    ) {
-        let targets = &self.targets;
-        self.unread_others
-            .retain(|id, _| outside(targets, zones, id));
-        self.unread_others.extend(unread);
-    }
-
-    /// Returns the prompt tokens sent from here to targets of `zones` that they
-    /// haven't read yet.
-    #[must_use]
-    pub fn unread(&self, zones: &[String]) -> Vec<(String, u64)> {
-        let there = self.targets.iter();
-        let there = there.filter(|(_, known)| known.unread > 0);
-        let there = there.filter(|(_, known)| zones.contains(&known.target.zone));
-        there
-            .map(|(id, known)| (id.clone(), known.unread))
-            .collect()
-    }
-
-    /// Returns the prompt tokens before the next request at a target.
-    fn ahead(&self, known: &Known) -> u64 {
-        let others = self.unread_others.get(&known.target.id);
-        known.unread + others.copied().unwrap_or(0)
-    }
-
-    /// Returns the time until a target has read what it was sent, in seconds.
-    fn backlog(&self, known: &Known) -> f64 {
-        self.ahead(known) as f64 / self.speed.unwrap_or(SPEED)
-    }
-
-    /// Learns from a request with so many tokens before it, its own among them,
-    /// how fast targets read.
-    pub fn answered(&mut self, tokens: u64, after: Duration) {
-        if tokens < SPEED_TOKENS {
-            return;
-        }
-        let newest = tokens as f64 / after.as_secs_f64().max(0.001);
-        let speed = self.speed.unwrap_or(SPEED);
-        self.speed = Some(speed + (newest - speed) * SPEED_NEWEST);
-    }
-
-    /// Returns the zone where one more copy of `adapter` should be loaded, if all
-    /// that hold it need longer than `load` to read what they were sent.
-    ///
-    /// Pattern: a few adapters get a fifth of all requests and more. One engine
-    /// reads the prompts of some ten requests a second; the holders of such an
-    /// adapter had three seconds of prompts before them, while others were idle.
-    /// Whoever waits longer than a load takes would be served sooner by a new
-    /// copy, which goes where least is to be read.
-    #[must_use]
-    pub fn crowded(&self, now: Time, service: &str, adapter: &str, load: Duration) -> Option<&str> {
-        if adapter.is_empty() {
-            return None;
-        }
-        let of_service = self.targets.values();
-        let of_service = of_service.filter(|k| k.target.service == service && k.target.ready);
-        let (holders, rest): (Vec<_>, Vec<_>) =
-            of_service.partition(|known| self.holds(known, adapter));
-        let behind = |known: &&Known| self.backlog(known) > load.as_secs_f64();
-        if !holders.iter().all(behind) {
-            return None;
-        }
-        let rest = rest.into_iter().filter(|known| !known.rests(now));
-        let least = rest.min_by(|a, b| self.backlog(a).total_cmp(&self.backlog(b)))?;
-        let worth = self.backlog(least) < load.as_secs_f64() / 2.0;
-        worth.then_some(least.target.zone.as_str())
-    }
-
     /// Takes the time until adapters that were asked for can be used.
     pub fn set_waits(&mut self, now: Time, waits: Vec<(String, Duration)>) {
         self.expected
@@ -464,64 +358,6 @@
         self.outcome(now, id, false);
     }
 
-    /// Notes that a target refused a request because it doesn't hold the
-    /// adapter: its load takes longer than told, or what the list says of it is
-    /// outdated.
-    ///
-    /// Failure: a load takes longer than told. Taken for dropped, the adapter
-    /// was asked for again, and with the next list the request was sent again at
-    /// once; each time it was refused, until the budget of repeats was used up
-    /// and one caller in four was sent away.
-    pub fn lacks(&mut self, now: Time, id: &str, adapter: &str) {
-        let Some(known) = self.targets.get_mut(id) else {
-            return;
-        };
-        let Some(held) = known.residents.get_mut(adapter) else {
-            return;
-        };
-        if !held.unproven || held.early >= EARLY_MAX {
-            known.residents.remove(adapter);
-            return;
-        }
-        base::hit!(sent_too_early);
-        held.ready = held.ready.max(now + EARLY_PAUSE * 2_u32.pow(held.early));
-        held.early += 1;
-        if held.early == 1 {
-            let zone = known.target.zone.clone();
-            self.first(zone, id, adapter, false);
-        }
-    }
-
-    /// Notes that a target has begun to answer a request that uses an adapter.
-    pub fn used(&mut self, id: &str, adapter: &str) {
-        let Some(known) = self.targets.get_mut(id) else {
-            return;
-        };
-        let Some(held) = known.residents.get_mut(adapter) else {
-            return;
-        };
-        let first = std::mem::take(&mut held.unproven) && held.early == 0;
-        if first {
-            let zone = known.target.zone.clone();
-            self.first(zone, id, adapter, true);
-        }
-    }
-
-    fn first(&mut self, zone: String, id: &str, adapter: &str, held: bool) {
-        let firsts = self.firsts.entry(zone).or_default();
-        firsts.push(First {
-            target: id.to_owned(),
-            adapter: adapter.to_owned(),
-            held,
-        });
-    }
-
-    /// Returns and forgets what came of first requests in `zones`.
-    pub fn take_firsts(&mut self, zones: &[String]) -> Vec<First> {
-        let lists = zones.iter().filter_map(|zone| self.firsts.remove(zone));
-        lists.flatten().collect()
-    }
-
     /// Notes that a target holds an adapter but can't use it for a while.
     pub fn not_yet(&mut self, now: Time, id: &str, adapter: &str, wait: Duration) {
         if let Some(known) = self.targets.get_mut(id)
@@ -568,21 +404,6 @@
     }
 }
 
-impl Held {
-    /// Takes what the owner of the target says, beside what was known before.
-    fn told(now: Time, resident: &Resident, old: Option<&Held>) -> Self {
-        let ready = now + resident.ready_in;
-        let coming = resident.ready_in > Duration::ZERO;
-        let old = old.filter(|old| old.unproven || !coming);
-        Held {
-            version: resident.version,
-            ready: old.map_or(ready, |old| old.ready.max(ready).min(ready + EARLY_LONGEST)),
-            unproven: old.map_or(coming, |old| old.unproven),
-            early: old.map_or(0, |old| old.early),
-        }
-    }
-}
-
 impl Known {
     /// Tells whether the target couldn't be reached a moment ago.
     fn rests(&self, now: Time) -> bool {
@@ -597,12 +418,6 @@
     }
 }
 
-/// Tells whether a target is known to be in none of `zones`.
-fn outside(targets: &BTreeMap<String, Known>, zones: &[String], id: &str) -> bool {
-    let zone = targets.get(id).map(|known| &known.target.zone);
-    zone.is_some_and(|zone| !zones.contains(zone))
-}
-
 fn usable(known: &Known, now: Time, adapter: &str) -> bool {
     adapter.is_empty()
         || known
--- /dev/null
+++ b/crates/gateway/src/view/backlog.rs
@@ -0,0 +1,106 @@
+//! How much targets have to read before the next prompt, and when one more copy of
+//! an adapter would serve sooner.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::Time;
+
+use super::{Known, View};
+
+/// Time in which a target reads the prompts before it that weighs as much as
+/// all its slots: about the longest pause that its running streams may make.
+pub(super) const FULL_WAIT: f64 = 0.27;
+
+/// Prompt tokens a second that a target is taken to read until requests have
+/// shown it.
+const SPEED: f64 = 30_000.0;
+
+/// Weight of the newest request in the speed at which targets read: a hundred
+/// requests, some seconds of an instance, make up their mind about it.
+const SPEED_NEWEST: f64 = 0.02;
+
+/// Fewest tokens at a target that say something of its speed: with fewer the
+/// steps of its running requests take most of the time.
+const SPEED_TOKENS: u64 = 1_000;
+
+impl View {
+    /// Takes how many prompt tokens of others the targets of `zones` haven't
+    /// read yet.
+    pub fn set_unread(
+        &mut self,
+        zones: &[String],
+        unread: impl IntoIterator<Item = (String, u64)>,
+    ) {
+        let targets = &self.targets;
+        self.unread_others
+            .retain(|id, _| outside(targets, zones, id));
+        self.unread_others.extend(unread);
+    }
+
+    /// Returns the prompt tokens sent from here to targets of `zones` that they
+    /// haven't read yet.
+    #[must_use]
+    pub fn unread(&self, zones: &[String]) -> Vec<(String, u64)> {
+        let there = self.targets.iter();
+        let there = there.filter(|(_, known)| known.unread > 0);
+        let there = there.filter(|(_, known)| zones.contains(&known.target.zone));
+        there
+            .map(|(id, known)| (id.clone(), known.unread))
+            .collect()
+    }
+
+    /// Returns the prompt tokens before the next request at a target.
+    pub(super) fn ahead(&self, known: &Known) -> u64 {
+        let others = self.unread_others.get(&known.target.id);
+        known.unread + others.copied().unwrap_or(0)
+    }
+
+    /// Returns the time until a target has read what it was sent, in seconds.
+    pub(super) fn backlog(&self, known: &Known) -> f64 {
+        self.ahead(known) as f64 / self.speed.unwrap_or(SPEED)
+    }
+
+    /// Learns from a request with so many tokens before it, its own among them,
+    /// how fast targets read.
+    pub fn answered(&mut self, tokens: u64, after: Duration) {
+        if tokens < SPEED_TOKENS {
+            return;
+        }
+        let newest = tokens as f64 / after.as_secs_f64().max(0.001);
+        let speed = self.speed.unwrap_or(SPEED);
+        self.speed = Some(speed + (newest - speed) * SPEED_NEWEST);
+    }
+
+    /// Returns the zone where one more copy of `adapter` should be loaded, if all
+    /// that hold it need longer than `load` to read what they were sent.
+    ///
+    /// Pattern: a few adapters get a fifth of all requests and more. One engine
+    /// reads the prompts of some ten requests a second; the holders of such an
+    /// adapter had three seconds of prompts before them, while others were idle.
+    /// Whoever waits longer than a load takes would be served sooner by a new
+    /// copy, which goes where least is to be read.
+    #[must_use]
+    pub fn crowded(&self, now: Time, service: &str, adapter: &str, load: Duration) -> Option<&str> {
+        if adapter.is_empty() {
+            return None;
+        }
+        let of_service = self.targets.values();
+        let of_service = of_service.filter(|k| k.target.service == service && k.target.ready);
+        let (holders, rest): (Vec<_>, Vec<_>) =
+            of_service.partition(|known| self.holds(known, adapter));
+        let behind = |known: &&Known| self.backlog(known) > load.as_secs_f64();
+        if !holders.iter().all(behind) {
+            return None;
+        }
+        let rest = rest.into_iter().filter(|known| !known.rests(now));
+        let least = rest.min_by(|a, b| self.backlog(a).total_cmp(&self.backlog(b)))?;
+        let worth = self.backlog(least) < load.as_secs_f64() / 2.0;
+        worth.then_some(least.target.zone.as_str())
+    }
+}
+
+/// Tells whether a target is known to be in none of `zones`.
+pub(super) fn outside(targets: &BTreeMap<String, Known>, zones: &[String], id: &str) -> bool {
+    let zone = targets.get(id).map(|known| &known.target.zone);
+    zone.is_some_and(|zone| !zones.contains(zone))
+}
--- /dev/null
+++ b/crates/gateway/tests/holder/loads.rs
@@ -0,0 +1,255 @@
+//! What is loaded next, and what is learned of the store and of engines' memory.
+
+use std::time::Duration;
+
+use base::Ticket;
+use gateway::holder::{Act, Config, Ended, Input};
+use googletest::prelude::*;
+use wire::fleet::{First, Sync};
+
+use crate::world::{World, load, settle_orders, told_for};
+
+/// Orders loads of `count` adapters and returns how many were given at once, with
+/// the time told for the last one.
+fn loads_at_once(world: &mut World, round: usize, count: usize) -> (usize, Duration) {
+    let wants: Vec<_> = (0..count).map(|n| format!("m/r{round}-{n}")).collect();
+    let wants: Vec<_> = wants.iter().map(String::as_str).collect();
+    world.want(&wants);
+    let mut given = 0;
+    world.own_zone();
+    while let Some(order) = world.orders.first() {
+        let drops = matches!(order.act, Act::Evict(_));
+        world.end(if drops { Ended::Done } else { Ended::Accepted });
+        given += usize::from(!drops);
+    }
+    world.give(Input::Sync(Ticket(10), Sync::default()));
+    let targets = world.answers.last().and_then(|a| a.targets.clone());
+    let residents = targets.into_iter().flatten().flat_map(|t| t.residents);
+    let told = residents.map(|r| r.ready_in).max();
+    (given, told.unwrap_or_default())
+}
+
+/// Says that the first requests for what was just loaded found it, or didn't.
+fn say_firsts(world: &mut World, round: usize, count: usize, held: bool) {
+    let mut firsts = Vec::new();
+    for engine in 1..=world.engines {
+        firsts.extend((0..count).map(|n| First {
+            target: format!("e{engine}"),
+            adapter: format!("m/r{round}-{n}"),
+            held,
+        }));
+    }
+    let sync = Sync {
+        firsts,
+        ..Sync::default()
+    };
+    world.give(Input::Sync(Ticket(9), sync));
+}
+
+/// The store serves half as many loads at full speed as expected. Callers were
+/// told a quarter of a second, sent their requests too early, and nearly half of
+/// all arrivals at engines were refused.
+#[gtest]
+fn a_slower_store_is_learned_from_refused_first_requests() {
+    let _mark = base::ExpectedMark::new("store_slower");
+    let mut world = World::new(8);
+    let (at_first, told) = loads_at_once(&mut world, 0, 24);
+    assert_that!(at_first, eq(16));
+    assert_that!(told, le(Duration::from_millis(260)));
+    say_firsts(&mut world, 0, 24, false);
+    let mut last = Vec::new();
+    for round in 1..40 {
+        world.pass(2_000);
+        let (at_once, _) = loads_at_once(&mut world, round, 24);
+        say_firsts(&mut world, round, 24, at_once <= 8);
+        last.push(at_once);
+    }
+    let settled = &last[20..];
+    expect_that!(settled, each(all![ge(&6), le(&9)]));
+    // The time that was added while too many ran has gone again.
+    world.pass(2_000);
+    let (_, told) = loads_at_once(&mut world, 40, 4);
+    expect_that!(told, le(Duration::from_millis(300)));
+}
+
+/// A store that serves more than expected is used once loads stay in time.
+#[gtest]
+fn a_faster_store_is_learned_from_served_first_requests() {
+    let mut world = World::new(12);
+    for round in 0..30 {
+        loads_at_once(&mut world, round, 12);
+        say_firsts(&mut world, round, 12, true);
+        world.pass(2_000);
+    }
+    let (at_once, _) = loads_at_once(&mut world, 30, 40);
+    expect_that!(at_once, ge(20));
+}
+
+/// Callers ask for one more copy of a busy adapter while others wait for one that
+/// was asked for once. The copy goes first, and only one is loaded at a time.
+#[gtest]
+fn a_copy_of_a_busy_adapter_goes_before_a_rare_one() {
+    let mut world = World::new(2);
+    world.want(&["m/busy"]);
+    world.end(Ended::Accepted);
+    world.pass(2_000);
+    let sync = Sync {
+        demand: vec![("m/busy".to_owned(), 30), ("m/rare".to_owned(), 1)],
+        wants: vec!["m/rare".to_owned()],
+        copies: vec!["m/busy".to_owned()],
+        ..Sync::default()
+    };
+    world.give(Input::Sync(Ticket(7), sync));
+    let given: Vec<_> = world.orders.iter().map(|o| o.act.clone()).collect();
+    assert_that!(given.first(), some(eq(&load("m/busy"))));
+    while !world.orders.is_empty() {
+        world.end(Ended::Accepted);
+    }
+    let again = Sync {
+        copies: vec!["m/busy".to_owned()],
+        ..Sync::default()
+    };
+    world.give(Input::Sync(Ticket(8), again));
+    assert_that!(world.orders, is_empty());
+}
+
+/// Many adapters wait for the store. One that an engine still has in its memory
+/// takes a tenth of the time and nothing of the store, yet waited among them.
+#[gtest]
+fn a_load_from_memory_passes_the_queue_of_the_store() {
+    let config = Config {
+        zones: 8,
+        ..Config::default()
+    };
+    let mut world = World::with(1, config);
+    for adapter in ["m/a", "m/b", "m/c", "m/d"] {
+        told_for(&mut world, adapter);
+    }
+    world.pass(300);
+    world.own_zone();
+    world.want(&["m/x", "m/y", "m/z"]);
+    settle_orders(&mut world);
+    world.want(&["m/a"]);
+    assert_that!(world.orders.len(), eq(1));
+    settle_orders(&mut world);
+    world.give(Input::Sync(Ticket(12), Sync::default()));
+    let targets = world.answers.last().and_then(|a| a.targets.clone());
+    let mut residents = targets.into_iter().flatten().flat_map(|t| t.residents);
+    assert_that!(residents.any(|r| r.adapter == "m/a"), eq(true));
+}
+
+/// Engines keep fewer dropped adapters in memory than expected. Callers were told
+/// a tenth of a load, and each was refused.
+#[gtest]
+fn the_size_of_an_engines_memory_is_learned() {
+    let _mark = base::ExpectedMark::new("memory_smaller");
+    let mut world = World::new(1);
+    let quick = Duration::from_millis(60);
+    let ask_all = |world: &mut World, there: usize| {
+        let mut wrong = 0;
+        for n in 0..40 {
+            let adapter = format!("m/{n}");
+            let told = told_for(world, &adapter);
+            let held = told > quick || 36 < there;
+            wrong += usize::from(!held);
+            let target = "e1".to_owned();
+            let first = First {
+                target,
+                adapter,
+                held,
+            };
+            let firsts = vec![first];
+            let sync = Sync {
+                firsts,
+                ..Sync::default()
+            };
+            world.give(Input::Sync(Ticket(13), sync));
+        }
+        wrong
+    };
+    // Each comes back after 36 others were dropped; the engine keeps 20.
+    ask_all(&mut world, 20);
+    expect_that!(ask_all(&mut world, 20), le(10));
+    expect_that!(ask_all(&mut world, 20), eq(0));
+}
+
+/// More rare adapters are wanted than the store serves. Their callers waited in
+/// vain for a third of their time; whoever is far back is told how long it takes.
+#[gtest]
+fn callers_far_back_in_the_queue_of_the_store_are_told() {
+    let config = Config {
+        zones: 4,
+        ..Config::default()
+    };
+    let mut world = World::with(2, config);
+    let wants: Vec<_> = (0..40).map(|n| format!("m/a{n}")).collect();
+    let wants: Vec<_> = wants.iter().map(String::as_str).collect();
+    world.want(&wants);
+    settle_orders(&mut world);
+    world.answers.clear();
+    let again = Sync {
+        wants: vec!["m/a39".to_owned(), "m/a38".to_owned()],
+        ..Sync::default()
+    };
+    world.give(Input::Sync(Ticket(15), again));
+    let waits = &world.answers[0].waits;
+    assert_that!(waits.len(), eq(2));
+    // Four loads of a quarter of a second at once: 36 wait for nine turns.
+    let longest = waits.iter().map(|(_, wait)| *wait).max().unwrap();
+    expect_that!(
+        longest,
+        all![ge(Duration::from_secs(1)), le(Duration::from_secs(3))]
+    );
+}
+
+/// The store has no room for all. Callers of one adapter have waited for half a
+/// second and will be late anyway; those of another have just come and can still be
+/// served in time. First come, first served made both late.
+#[gtest]
+fn callers_that_can_be_served_in_time_go_first() {
+    let config = Config {
+        zones: 16,
+        ..Config::default()
+    };
+    let mut world = World::with(2, config);
+    world.want(&["m/first"]);
+    for _ in 0..2 {
+        world.want(&["m/old"]);
+        world.pass(250);
+    }
+    world.end(Ended::Accepted);
+    world.pass(10);
+    while !world.orders.is_empty() {
+        world.end(Ended::Unknown);
+    }
+    world.want(&["m/old"]);
+    world.want(&["m/new"]);
+    world.pass(300);
+    let next = world.orders.iter().map(|o| o.act.clone()).next();
+    assert_that!(next, some(eq(&load("m/new"))));
+}
+
+/// A busy adapter is held in another zone only. Its callers here would lose it
+/// with that zone or its engine; a copy costs nothing while nobody waits for the
+/// store, and has to wait while somebody does.
+#[gtest]
+fn a_busy_adapter_is_copied_while_nobody_waits_for_the_store() {
+    let busy = || Sync {
+        demand: vec![("m/busy".to_owned(), 60)],
+        ..Sync::default()
+    };
+    let mut world = World::new(1);
+    world.give(Input::Sync(Ticket(16), busy()));
+    assert_that!(world.orders[0].act, eq(&load("m/busy")));
+
+    let config = Config {
+        zones: 16,
+        ..Config::default()
+    };
+    let mut world = World::with(1, config);
+    world.want(&["m/a", "m/b", "m/c"]);
+    world.end(Ended::Accepted);
+    world.give(Input::Sync(Ticket(17), busy()));
+    let given: Vec<_> = world.orders.iter().map(|o| o.act.clone()).collect();
+    assert_that!(given, not(contains(eq(&load("m/busy")))));
+}
--- /dev/null
+++ b/crates/gateway/tests/holder/world.rs
@@ -0,0 +1,180 @@
+//! A holder of one zone, played by hand.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use base::{Ticket, Time};
+use gateway::{
+    holder::{Act, Config, Ended, Held, Holder, Input, Listed, Order, Output, Report},
+    table::{Engine, Model},
+    tenure::Tenure,
+};
+use wire::fleet::{Sync, Synced};
+
+const SLOTS: usize = 3;
+
+/// A holder of one zone with engines `e1`, `e2`, and so on.
+pub(crate) struct World {
+    pub(crate) holder: Holder,
+    pub(crate) now: Time,
+    pub(crate) engines: usize,
+    pub(crate) born: u64,
+    pub(crate) orders: Vec<Order>,
+    pub(crate) answers: Vec<Synced>,
+    pub(crate) reports: Vec<String>,
+}
+
+impl World {
+    pub(crate) fn new(engines: usize) -> Self {
+        World::with(engines, Config::default())
+    }
+
+    pub(crate) fn with(engines: usize, config: Config) -> Self {
+        let mut holder = Holder::new(config, 1);
+        let spec = Engine {
+            models: vec![Model {
+                name: "m".to_owned(),
+                weights_mb: 60.0,
+                adapter_mb: 1.0,
+            }],
+            adapter_slots: SLOTS,
+            memory_mb: 100.0,
+        };
+        holder.set_specs(BTreeMap::from([("s".to_owned(), spec)]));
+        let mut world = World {
+            holder,
+            now: Time::from_millis(1_000),
+            engines,
+            born: 1,
+            orders: Vec::new(),
+            answers: Vec::new(),
+            reports: Vec::new(),
+        };
+        world.own_zone();
+        world.list(&[]);
+        world.report_all();
+        world
+    }
+
+    /// Renews the right to give orders to the zone.
+    pub(crate) fn own_zone(&mut self) {
+        let mut tenure = Tenure::default();
+        tenure.granted(self.now, [("za".to_owned(), 9)]);
+        self.give(Input::Tenure(tenure));
+    }
+
+    pub(crate) fn give(&mut self, input: Input) {
+        let mut out = Vec::new();
+        self.holder.handle(self.now, input, &mut out);
+        for output in out {
+            match output {
+                Output::Order(order) => self.orders.push(order),
+                Output::Report { id, .. } => self.reports.push(id),
+                Output::Answer { synced, .. } => self.answers.push(synced),
+            }
+        }
+    }
+
+    pub(crate) fn list(&mut self, adapters: &[&str]) {
+        self.list_asked(self.now, adapters);
+    }
+
+    /// Gives a list that was asked for at some time before.
+    pub(crate) fn list_asked(&mut self, asked: Time, adapters: &[&str]) {
+        let ids = (1..=self.engines).map(|n| format!("e{n}"));
+        let listed = ids.map(|id| Listed {
+            addr: format!("{id}:1"),
+            id,
+            born: self.born,
+            service: "s".to_owned(),
+            zone: "za".to_owned(),
+            slots: 10,
+            ready: true,
+            held: Some(held(adapters)),
+        });
+        let list = listed.collect();
+        let zones = vec!["za".to_owned()];
+        self.give(Input::Listed { asked, zones, list });
+    }
+
+    /// Every engine that is asked answers that it holds nothing but its model.
+    pub(crate) fn report_all(&mut self) {
+        for id in std::mem::take(&mut self.reports) {
+            let report = Report {
+                born: self.born,
+                held: held(&[]),
+                ..Report::default()
+            };
+            let report = Some(report);
+            self.give(Input::Reported { id, report });
+        }
+    }
+
+    pub(crate) fn want(&mut self, adapters: &[&str]) {
+        let sync = Sync {
+            wants: adapters.iter().map(|a| (*a).to_owned()).collect(),
+            demand: adapters.iter().map(|a| ((*a).to_owned(), 1)).collect(),
+            ..Sync::default()
+        };
+        self.give(Input::Sync(Ticket(1), sync));
+    }
+
+    /// An entry instance says that it can't reach an engine.
+    pub(crate) fn accuse(&mut self, id: &str) {
+        let sync = Sync {
+            failing: vec![id.to_owned()],
+            ..Sync::default()
+        };
+        self.give(Input::Sync(Ticket(3), sync));
+    }
+
+    /// Carries out the oldest order.
+    pub(crate) fn end(&mut self, ended: Ended) -> Order {
+        let order = self.orders.remove(0);
+        let id = order.id.clone();
+        self.give(Input::Ended { id, ended });
+        order
+    }
+
+    pub(crate) fn pass(&mut self, ms: u64) {
+        self.now = self.now + Duration::from_millis(ms);
+        self.give(Input::Wake);
+    }
+}
+
+pub(crate) fn held(adapters: &[&str]) -> Held {
+    Held {
+        models: BTreeSet::from(["m".to_owned()]),
+        adapters: adapters.iter().map(|a| ((*a).to_owned(), 1)).collect(),
+    }
+}
+
+pub(crate) fn load(adapter: &str) -> Act {
+    Act::Load {
+        adapter: adapter.to_owned(),
+        version: None,
+    }
+}
+
+/// Gives every order its usual end until none is left.
+pub(crate) fn settle_orders(world: &mut World) {
+    while let Some(order) = world.orders.first() {
+        let drops = matches!(order.act, Act::Evict(_));
+        world.end(if drops { Ended::Done } else { Ended::Accepted });
+    }
+}
+
+/// Asks for an adapter and returns how long its callers are told to wait.
+pub(crate) fn told_for(world: &mut World, adapter: &str) -> Duration {
+    world.own_zone();
+    world.want(&[adapter]);
+    settle_orders(world);
+    world.give(Input::Sync(Ticket(11), Sync::default()));
+    let targets = world.answers.last().and_then(|a| a.targets.clone());
+    let mut residents = targets.into_iter().flatten().flat_map(|t| t.residents);
+    let told = residents.find(|r| r.adapter == adapter).map(|r| r.ready_in);
+    world.pass(1_300);
+    told.unwrap()
+}
