Find what an engine dropped by name, not by a walk over all that it dropped

For each wanted adapter that the store has no room for, each engine's dropped adapters, up to 256, were walked through, at every message. Now the number of drops since is kept by name. The mechanism's test is the same.

--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -1,7 +1,7 @@
 //! One engine as its holder knows it.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
@@ -61,8 +61,10 @@
     pub(super) adapters: BTreeMap<String, Slot>,
     /// The adapter that room is being made for.
     pub(super) goal: Option<String>,
-    /// Adapters held before, the latest last.
-    past: VecDeque<String>,
+    /// Adapters held before, and how many had been dropped when each was.
+    past: BTreeMap<String, usize>,
+    /// Adapters dropped so far.
+    drops: usize,
     /// Adapters dropped by own order, and when.
     dropped: BTreeMap<String, Time>,
 }
@@ -238,7 +240,7 @@
                     (_, Source::Memory { .. }) => load / PAST_SPEED + LOAD_SLACK,
                     (_, Source::Store) => load + LOAD_SLACK,
                 };
-                self.past.retain(|past| *past != adapter);
+                self.past.remove(&adapter);
                 self.dropped.remove(&adapter);
                 if self.goal.as_ref() == Some(&adapter) {
                     self.goal = None;
@@ -291,10 +293,11 @@
 
     fn drop_adapter(&mut self, now: Time, adapter: String) {
         self.adapters.remove(&adapter);
-        self.past.retain(|past| *past != adapter);
-        self.past.push_back(adapter.clone());
+        self.drops += 1;
+        self.past.insert(adapter.clone(), self.drops);
         if self.past.len() > PAST_MAX {
-            self.past.pop_front();
+            let oldest = self.drops.saturating_sub(PAST_MAX / 2);
+            self.past.retain(|_, at| *at > oldest);
         }
         self.dropped.insert(adapter, now);
     }
@@ -401,7 +404,8 @@
     /// Returns how many adapters this engine has dropped since `adapter`, if it
     /// has dropped that.
     pub(super) fn depth(&self, adapter: &str) -> Option<usize> {
-        self.past.iter().rev().position(|past| past == adapter)
+        let at = self.past.get(adapter)?;
+        Some(self.drops - at)
     }
 
     pub(super) fn residents(&self, now: Time) -> Vec<Resident> {
