Say why a control instance is lost, by which edition a caller was turned away, and how much was handed out

Cause: the lines of the incident couldn't tell whether exchanges with control instances ended by their time limit or by a broken connection, how much was on its way, and by which edition a caller got 404: requests that found no route wrote no line at all. Change: E6001 carries why and the edition in force, E5002 is written for requests that end on arrival, with the edition, and control instances count the bytes of editions that they hand out. Ruled out: a line for each answer of a control instance, which would be 2,000 a second there.

--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -83,6 +83,9 @@
         let editions = self.control.state().editions();
         let newer = editions.newest().filter(|newest| newest.number > edition);
         synced.edition = newer.cloned();
+        if let Some(newer) = newer {
+            exposed().edition_bytes(newer.body.len());
+        }
         let versions = editions.versions().iter();
         synced.versions = Some(versions.map(|(a, v)| (a.clone(), *v)).collect());
         if let Some(members) = self.control.replica().members() {
--- a/crates/frontd/src/entry/forward/arrive.rs
+++ b/crates/frontd/src/entry/forward/arrive.rs
@@ -4,6 +4,7 @@
 
 use gateway::table::{Route, Table};
 use hyper::{HeaderMap, Request, Response, body::Incoming, header::HOST};
+use telemetry::{event, exposed};
 use tokio::time::{Instant, timeout_at};
 use web::body::{Body, ReadLimits, read};
 
@@ -32,10 +33,18 @@
 pub(in crate::entry) async fn answer(state: Arc<State>, req: Request<Incoming>) -> Response<Body> {
     let headers = req.headers().clone();
     let dialect = Arc::clone(&state.outside.dialect);
+    let edition = state.edition();
     match arrive(state, req).await {
         Ok(job) => job.run(&headers).await,
         Err(ended) => {
-            telemetry::exposed().request(ended.label());
+            exposed().request(ended.label());
+            event!(
+                telemetry::Event::RequestFailed,
+                request = heads::text(&headers, &dialect.request).unwrap_or_default(),
+                how = format!("{ended:?}"),
+                why = ended.why(),
+                edition = edition
+            );
             ended.response(&headers, &dialect)
         }
     }
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -221,9 +221,12 @@
     let Ok(Reply::Sync(synced)) = answer else {
         let mut inner = lock(&source.inner);
         if inner.heard.take().is_some() {
+            let why = answer.map_or_else(|err| err.to_string(), |_| "another reply".to_owned());
             event!(
                 telemetry::Event::PeerSilent,
-                control = source.address.to_string()
+                control = source.address.to_string(),
+                edition = state.edition(),
+                why = why
             );
         }
         drop(inner);
--- a/crates/telemetry/src/exposed.rs
+++ b/crates/telemetry/src/exposed.rs
@@ -34,6 +34,7 @@
     sends: IntCounterVec,
     orders: IntCounterVec,
     zones: IntGauge,
+    edition_bytes: IntCounter,
 }
 
 /// Returns what the process serves.
@@ -85,6 +86,11 @@
             "Zones whose engines are ordered here",
         );
         let zones = added(&registry, zones.expect("a valid name"));
+        let edition_bytes = IntCounter::new(
+            "quetzal_edition_bytes_total",
+            "Bytes of editions handed out to entry instances",
+        );
+        let edition_bytes = added(&registry, edition_bytes.expect("a valid name"));
         Exposed {
             registry,
             events,
@@ -95,6 +101,7 @@
             sends,
             orders,
             zones,
+            edition_bytes,
         }
     }
 
@@ -126,6 +133,11 @@
         self.zones.set(i64::try_from(owned).unwrap_or(i64::MAX));
     }
 
+    /// Counts bytes of an edition that were handed out to an entry instance.
+    pub fn edition_bytes(&self, bytes: usize) {
+        self.edition_bytes.inc_by(bytes as u64);
+    }
+
     /// Returns all as text.
     #[must_use]
     pub fn text(&self) -> String {
