Test large editions behind a thin link; they fail

Cause: not named yet. Callers see 404 on added routes for as long as the processes run, late answers on all others, and entry instances that aren't ready after a restart. Ruled out: that the incident needs many entry instances, or processors with small shares: one entry and three control instances on an idle machine show it, with a debug build.

--- /dev/null
+++ b/crates/frontd/tests/editions.rs
@@ -0,0 +1,78 @@
+//! Large editions on the way to an entry instance whose link is thin: real
+//! shells over loopback, with a throttle between entry and control instances.
+
+#[path = "editions/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use world::World;
+
+/// A change has to be in force everywhere within this time.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+/// Routes of a large edition; written down they have some 600 KB.
+const ROUTES: usize = 2_000;
+
+/// An operator adds 2,000 routes. Callers of the new routes get 404 for as long as
+/// the entry instance runs, and all others wait for a link that is full without end.
+/// 1. Every control instance answers the next exchange with the whole edition.
+/// 2. The link can't carry that in the time of one exchange; what came is dropped.
+/// 3. The next exchange begins anew.
+#[tokio::test]
+async fn added_routes_reach_an_entry_instance_behind_a_thin_link() {
+    let world = World::start().await;
+    let entry = world.entry(1).await;
+    entry.until_ready(IN_FORCE).await;
+    let link = entry.link();
+    let body = world::body(ROUTES);
+    world.publish(2, &body).await;
+    assert_that!(
+        entry.until_served("/added/", IN_FORCE).await,
+        ok(anything())
+    );
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    // The edition came once, and no exchange was lost meanwhile.
+    let used = entry.link().since(link);
+    assert_that!(used.bytes, lt(2 * body.len()));
+    assert_that!(used.connections, eq(0));
+}
+
+/// All processes are killed, with the same edition in force. Entry instances stay
+/// unready for tens of seconds, for the same cause: without any configuration each
+/// asks all control instances, and none of the answers arrives whole.
+#[tokio::test]
+async fn a_restarted_entry_instance_gets_a_large_edition() {
+    let world = World::start().await;
+    world.publish(2, &world::body(ROUTES)).await;
+    let entry = world.entry(2).await;
+    entry.until_ready(IN_FORCE).await;
+    assert_that!(
+        entry.until_served("/added/", IN_FORCE).await,
+        ok(anything())
+    );
+}
+
+/// Editions follow each other faster than one can be carried. Each overtakes the
+/// one on its way; an entry instance that began anew with each would get none
+/// before the last.
+#[tokio::test]
+async fn editions_in_quick_succession_arrive_one_by_one() {
+    let world = World::start().await;
+    let entry = world.entry(4).await;
+    entry.until_ready(IN_FORCE).await;
+    for number in 2..12 {
+        let body = world::body(ROUTES) + &format!("a.example /v{number}/\n");
+        world.publish(number, &body).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        if number == 9 {
+            // One came before the last was sent.
+            let early = entry
+                .until_served("/added/", Duration::from_millis(300))
+                .await;
+            assert_that!(early, ok(anything()));
+        }
+    }
+    assert_that!(entry.until_served("/v11/", IN_FORCE).await, ok(anything()));
+}
--- /dev/null
+++ b/crates/frontd/tests/editions/world.rs
@@ -0,0 +1,363 @@
+//! Three control instances, entry instances, and the links between them.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU8, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use frontd::{ControlSetup, Decoded, Dialect, EntrySetup, Named, Operators, Outside};
+use futures::FutureExt;
+use gateway::{
+    budget,
+    table::{Kind, RawTable, Route, Service, Table},
+};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::HeaderName};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::{Instant, sleep, sleep_until, timeout},
+};
+use web::{
+    body::{Body, ReadLimits, full, read},
+    client::{Client, Send},
+    header_value,
+};
+use wire::fleet::Edition;
+
+/// What an entry instance's link carries, in bytes a second: 10 Mbit/s.
+const LINK_RATE: f64 = 1_250_000.0;
+
+/// Bytes that pass the link in one go.
+const SLICE: usize = 4 << 10;
+
+const CONTROLS: u8 = 3;
+/// Where control instances listen for each other.
+const PEERS: u16 = 17_480;
+const OPERATORS: u16 = 17_481;
+/// Where entry instances reach them; the port differs for each link.
+const LINKS: u16 = 17_490;
+const CALLERS: u16 = 17_482;
+const READY: u16 = 17_483;
+
+/// Tells the deployments of one test process apart.
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+/// A deployment in this process.
+pub(crate) struct World {
+    no: u8,
+    _data: Vec<tempfile::TempDir>,
+}
+
+/// An entry instance behind its own link.
+pub(crate) struct Entry {
+    ip: IpAddr,
+    link: Arc<Link>,
+}
+
+/// What a link has carried to its entry instance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Used {
+    pub(crate) bytes: usize,
+    pub(crate) connections: usize,
+}
+
+impl Used {
+    pub(crate) fn since(self, before: Used) -> Used {
+        Used {
+            bytes: self.bytes - before.bytes,
+            connections: self.connections - before.connections,
+        }
+    }
+}
+
+#[derive(Default)]
+struct Link {
+    /// When the next bytes may pass.
+    free: Mutex<Option<Instant>>,
+    bytes: AtomicUsize,
+    connections: AtomicUsize,
+}
+
+impl World {
+    /// Starts control instances and publishes a first edition, of one route.
+    pub(crate) async fn start() -> World {
+        let no = NEXT.fetch_add(1, Ordering::Relaxed);
+        let mut data = Vec::new();
+        for control in 1..=CONTROLS {
+            let folder = tempfile::tempdir().unwrap();
+            start_control(no, control, folder.path());
+            data.push(folder);
+        }
+        let world = World { no, _data: data };
+        world.publish(1, "a.example /first/\n").await;
+        world
+    }
+
+    /// Publishes an edition, asking until the leader has taken it.
+    pub(crate) async fn publish(&self, number: u64, body: &str) {
+        for control in (1..=CONTROLS).cycle().take(300) {
+            let addr = SocketAddr::new(control_ip(self.no, control), OPERATORS);
+            let mut send = Send::new(addr, Method::POST, &format!("/{number}"));
+            send.body = body.to_owned().into();
+            let answer = Client::default().send(send).await;
+            if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("nobody takes edition {number}");
+    }
+
+    /// Starts an entry instance behind a link of its own.
+    pub(crate) async fn entry(&self, no: u8) -> Entry {
+        let link = Arc::new(Link::default());
+        let port = LINKS + u16::from(no);
+        for control in 1..=CONTROLS {
+            let ip = control_ip(self.no, control);
+            let listener = TcpListener::bind((ip, port)).await.unwrap();
+            tokio::spawn(carry(
+                Arc::clone(&link),
+                listener,
+                SocketAddr::new(ip, PEERS),
+            ));
+        }
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 43, self.no, 100 + no));
+        let setup = EntrySetup {
+            ip,
+            zone: "za".to_owned(),
+            zones: vec!["za".to_owned()],
+            listen: SocketAddr::new(ip, CALLERS),
+            ready: SocketAddr::new(ip, READY),
+            peers: port,
+            grace: Duration::from_secs(8),
+            repeats: budget::Limits {
+                ratio: 0.2,
+                extra: 50.0,
+                window: Duration::from_secs(10),
+            },
+        };
+        tokio::spawn(frontd::serve_entry(setup, outside(self.no)));
+        Entry { ip, link }
+    }
+}
+
+impl Entry {
+    /// Waits until it says that it is ready.
+    pub(crate) async fn until_ready(&self, limit: Duration) {
+        let addr = SocketAddr::new(self.ip, READY);
+        let ready = async {
+            while status(addr, "/").await != Some(StatusCode::OK) {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(limit, ready).await.expect("it never gets ready");
+    }
+
+    /// Waits until a request finds a route, and returns how long that took.
+    pub(crate) async fn until_served(
+        &self,
+        path: &str,
+        limit: Duration,
+    ) -> Result<Duration, String> {
+        let addr = SocketAddr::new(self.ip, CALLERS);
+        let begun = Instant::now();
+        loop {
+            let found = status(addr, path).await;
+            if found.is_some_and(|status| status != StatusCode::NOT_FOUND) {
+                return Ok(begun.elapsed());
+            }
+            if begun.elapsed() >= limit {
+                return Err(format!("{path} isn't there after {limit:?}"));
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub(crate) fn link(&self) -> Used {
+        Used {
+            bytes: self.link.bytes.load(Ordering::Relaxed),
+            connections: self.link.connections.load(Ordering::Relaxed),
+        }
+    }
+}
+
+/// Returns an edition of so many routes, each as long as in practice, and of
+/// `/added/`.
+pub(crate) fn body(routes: usize) -> String {
+    let mut text = String::from("a.example /first/\na.example /added/\n");
+    for no in 0..routes {
+        let name = base::stable_hash(&[&no.to_le_bytes()]);
+        let fixed = r#""route_kind":"stream","timeout_ms":15000,"goal_ms":1000,"priority":1,"service":"huvo11a","attempts":2,"sticky":true,"resumable":true,"gap_goal_ms":300"#;
+        text += &format!(
+            "b.example /{name:016x}/ \"name\":\"r-{name:08x}\",\"host\":\"ficu95.example\",\"path_prefix\":\"/{name:012x}/\",{fixed}\n"
+        );
+    }
+    text
+}
+
+/// Returns an edition of `/added/` and so many bytes that can hardly be packed.
+pub(crate) fn noise(bytes: usize) -> String {
+    let mut text = String::from("a.example /first/\na.example /added/\n");
+    let mut no: u64 = 0;
+    while text.len() < bytes {
+        no += 1;
+        text += &format!("c.example /{no}/ ");
+        for part in 0..32 {
+            let hash = base::stable_hash(&[&no.to_le_bytes(), &[part]]);
+            let chars = hash.to_le_bytes().map(|byte| char::from(b'0' + byte % 64));
+            text.extend(chars);
+        }
+        text.push('\n');
+    }
+    text
+}
+
+fn control_ip(no: u8, control: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 43, no, control))
+}
+
+fn start_control(no: u8, control: u8, data: &std::path::Path) {
+    let ip = control_ip(no, control);
+    let setup = ControlSetup {
+        ip,
+        listen: SocketAddr::new(ip, OPERATORS),
+        peers: PEERS,
+        data: data.to_owned(),
+        first: true,
+        zone: "za".to_owned(),
+        zones: ["za".to_owned()].into(),
+        turns: Duration::from_secs(3),
+        list_lag: Duration::from_millis(2_300),
+    };
+    tokio::spawn(frontd::serve_control(setup, outside(no), take));
+}
+
+/// Answers an operator's call: the path is the number, the body the edition.
+async fn take(operators: Operators, req: Request<Incoming>) -> Response<Body> {
+    let number = req.uri().path().trim_start_matches('/').parse().unwrap();
+    let limits = ReadLimits {
+        bytes: 16 << 20,
+        ..ReadLimits::default()
+    };
+    let body = read(req.into_body(), limits).await.unwrap();
+    let body = String::from_utf8(body.to_vec()).unwrap();
+    let named = operators.publish(Edition { number, body }).await;
+    let mut resp = Response::new(full(""));
+    if named != Named::Done {
+        *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    resp
+}
+
+async fn status(addr: SocketAddr, path: &str) -> Option<StatusCode> {
+    let mut send = Send::new(addr, Method::GET, path);
+    send.headers.insert("host", header_value("a.example"));
+    let answer = Client::default().send(send).await;
+    answer.ok().map(|answer| answer.status)
+}
+
+/// Carries connections from an entry instance to one control instance.
+async fn carry(link: Arc<Link>, listener: TcpListener, to: SocketAddr) {
+    loop {
+        let Ok((near, _)) = listener.accept().await else {
+            return;
+        };
+        link.connections.fetch_add(1, Ordering::Relaxed);
+        let Ok(far) = TcpStream::connect(to).await else {
+            continue;
+        };
+        let (mut from_near, to_near) = near.into_split();
+        let (from_far, mut to_far) = far.into_split();
+        let link = Arc::clone(&link);
+        tokio::spawn(async move {
+            tokio::io::copy(&mut from_near, &mut to_far).await.ok();
+        });
+        tokio::spawn(async move {
+            link.pass(from_far, to_near).await.ok();
+        });
+    }
+}
+
+impl Link {
+    /// Passes bytes on at the link's rate, which all its connections share.
+    async fn pass(
+        &self,
+        mut from: tokio::net::tcp::OwnedReadHalf,
+        mut to: tokio::net::tcp::OwnedWriteHalf,
+    ) -> std::io::Result<()> {
+        let mut slice = vec![0; SLICE];
+        loop {
+            let count = from.read(&mut slice).await?;
+            if count == 0 {
+                return to.shutdown().await;
+            }
+            sleep_until(self.turn(count)).await;
+            to.write_all(&slice[..count]).await?;
+            self.bytes.fetch_add(count, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns when so many bytes have passed the link.
+    fn turn(&self, count: usize) -> Instant {
+        let mut free = self.free.lock().unwrap();
+        let now = Instant::now();
+        let begin = free.unwrap_or(now).max(now);
+        let end = begin + Duration::from_secs_f64(count as f64 / LINK_RATE);
+        *free = Some(end);
+        end
+    }
+}
+
+fn outside(no: u8) -> Outside {
+    let seeds: Vec<_> = (1..=CONTROLS).map(|c| control_ip(no, c)).collect();
+    let header = HeaderName::from_static;
+    Outside {
+        dialect: Arc::new(Dialect {
+            request: header("attempt"),
+            deadline: header("deadline"),
+            target: header("target"),
+            version: header("version"),
+            priority: header("priority"),
+            refused: header("refused"),
+            model: header("model"),
+            tokens: header("tokens"),
+            resume: header("resume"),
+            backup: header("backup"),
+            restore: header("restore"),
+            own: Vec::new(),
+        }),
+        decode: Arc::new(decode),
+        list: Arc::new(|_| async { Some(Vec::new()) }.boxed()),
+        give: Arc::new(|_| async { gateway::holder::Ended::Refused }.boxed()),
+        ask: Arc::new(|_, _| async { None }.boxed()),
+        seeds: Arc::new(move || Some(seeds.clone())),
+    }
+}
+
+/// Reads an edition: a route a line, host and prefix first.
+fn decode(body: &str) -> Result<Decoded, String> {
+    let mut table = RawTable::default();
+    table
+        .services
+        .insert("s".to_owned(), Service { engine: None });
+    for line in body.lines() {
+        let mut words = line.split(' ');
+        let (host, prefix) = (words.next(), words.next());
+        table.routes.push(Route {
+            name: line.to_owned(),
+            host: host.unwrap_or_default().to_owned(),
+            prefix: prefix.unwrap_or_default().to_owned(),
+            kind: Kind::Safe,
+            limit: Duration::from_secs(1),
+            priority: 1,
+            split: vec![("s".to_owned(), 1)],
+            attempts: 1,
+        });
+    }
+    let table = Table::try_from(table).map_err(|bad| bad.to_string())?;
+    Ok(Decoded { number: 0, table })
+}
