Borrow less in the tests of large editions

Cause: the linter. Change: no borrow where the value serves. Ruled out: a change of what is tested. Measured: the linter is clean on the crate's tests.

--- a/crates/frontd/tests/editions/world.rs
+++ b/crates/frontd/tests/editions/world.rs
@@ -101,7 +101,7 @@
     pub(crate) async fn publish(&self, number: u64, body: &str) {
         for control in (1..=CONTROLS).cycle().take(300) {
             let addr = SocketAddr::new(control_ip(self.no, control), OPERATORS);
-            let mut send = Send::new(addr, Method::POST, &format!("/{number}"));
+            let mut send = Send::new(addr, Method::POST, format!("/{number}"));
             send.body = body.to_owned().into();
             let answer = Client::default().send(send).await;
             if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
