--- a/crates/frontd/tests/editions/world.rs
+++ b/crates/frontd/tests/editions/world.rs
@@ -191,9 +191,9 @@
     let mut text = String::from("a.example /first/\na.example /added/\n");
     for no in 0..routes {
         let name = base::stable_hash(&[&no.to_le_bytes()]);
-        let fixed = r#""route_kind":"stream","timeout_ms":15000,"goal_ms":1000,"priority":1,"service":"huvo11a","attempts":2,"sticky":true,"resumable":true,"gap_goal_ms":300"#;
+        let fixed = r#""kind":"stream","limit":15000,"aim":1000,"priority":1,"service":"huvo11a","tries":2,"stays":true,"goes-on":true,"longest-pause":300,"weight":1"#;
         text += &format!(
-            "b.example /{name:016x}/ \"name\":\"r-{name:08x}\",\"host\":\"ficu95.example\",\"path_prefix\":\"/{name:012x}/\",{fixed}\n"
+            "b.example /{name:016x}/ \"name\":\"r-{name:08x}\",\"host\":\"ficu95.example\",\"prefix\":\"/{name:012x}/\",{fixed}\n"
         );
     }
     text
