Send messages of the log as bytes, not as a list of numbers

What operators see: a large configuration is never acknowledged; found in a debug build. Cause: the call that carries a message of the log held a vector of bytes, which the codec writes as one number after the other. The message inside was a byte string already. Writing and reading it took longer than the half second that a message may take; the leader sent it anew, without end. Change: the call holds bytes. In a release build the fault was not tried.

--- a/crates/control/src/control/drive.rs
+++ b/crates/control/src/control/drive.rs
@@ -34,7 +34,7 @@
                 let envelope = (self.replica.id(), message);
                 let raw = rmp_serde::to_vec(&envelope);
                 let raw = raw.expect("a message has only encodable fields");
-                let call = Call::Log(raw);
+                let call = Call::Log(raw.into());
                 out.push(Output::Send { to, call });
             }
             replog::Output::Write { no, records } => out.push(Output::Write { no, records }),
--- a/crates/frontd/tests/editions.rs
+++ b/crates/frontd/tests/editions.rs
@@ -83,6 +83,9 @@
 /// 1. The leader sends it to all others as one message of the log.
 /// 2. Writing and reading that takes longer than a message may take.
 /// 3. The leader sends it anew, without end; nothing else is replicated meanwhile.
+///
+/// Cause: the message was written as a list of numbers. As one string of bytes it is
+/// copied, and the same build on the same machine takes it in time.
 #[tokio::test]
 async fn the_largest_edition_is_taken() {
     let world = World::start().await;
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -9,6 +9,7 @@
     AdapterName, BrandName, Fence, Incarnation, InstanceName, TargetName, TextVersion, Version,
     ZoneName, record,
 };
+use bytes::Bytes;
 
 use crate::{
     fleet::{Part, Sync, Synced},
@@ -35,7 +36,12 @@
         /// Control to control: a change passed on to the leader.
         Apply(Apply),
         /// Control to control: a message of the replicated log.
-        Log(Vec<u8>),
+        ///
+        /// Failure: as a list of numbers, a message of a megabyte takes longer to
+        /// write and read than it may be on its way. It is lost and sent anew
+        /// without end, and no change is acknowledged. [`Bytes`] are copied as one
+        /// string.
+        Log(Bytes),
         /// Entry to entry of the same zone: asks it to confirm ownership.
         Confirm(Confirm),
         /// Owner to entry instances: what its engines hold.
