--- a/crates/frontd/tests/editions.rs
+++ b/crates/frontd/tests/editions.rs
@@ -94,6 +94,23 @@
     assert_that!(taken, ok(anything()));
 }
 
+/// Operators name versions of adapters one after the other while a large configuration
+/// is in force. Each took a hundred milliseconds, and with some ten a second the
+/// leader was lost: every control instance read the whole configuration anew for each.
+#[tokio::test]
+async fn a_named_version_reads_no_configuration_again() {
+    let world = World::start().await;
+    world.publish(2, &world::body(ROUTES)).await;
+    world.revise("m/a1", 1).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let read = world.read();
+    for version in 2..12 {
+        world.revise("m/a1", version).await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_that!(world.read(), eq(read));
+}
+
 /// Editions follow each other faster than one can be carried. Each overtakes the
 /// one on its way; an entry instance that began anew with each would get none
 /// before the last.
--- a/crates/frontd/tests/editions/world.rs
+++ b/crates/frontd/tests/editions/world.rs
@@ -49,6 +49,8 @@
 /// A deployment in this process.
 pub(crate) struct World {
     no: u8,
+    /// How often a control instance has read an edition.
+    read: Arc<AtomicUsize>,
     _data: Vec<tempfile::TempDir>,
 }
 
@@ -86,22 +88,41 @@
     /// Starts control instances and publishes a first edition, of one route.
     pub(crate) async fn start() -> World {
         let no = NEXT.fetch_add(1, Ordering::Relaxed);
+        let read = Arc::new(AtomicUsize::new(0));
         let mut data = Vec::new();
         for control in 1..=CONTROLS {
             let folder = tempfile::tempdir().unwrap();
-            start_control(no, control, folder.path());
+            start_control(no, control, folder.path(), &read);
             data.push(folder);
         }
-        let world = World { no, _data: data };
+        let world = World {
+            no,
+            read,
+            _data: data,
+        };
         world.publish(1, "a.example /first/\n").await;
         world
     }
 
     /// Publishes an edition, asking until the leader has taken it.
     pub(crate) async fn publish(&self, number: u64, body: &str) {
+        self.name(&format!("/{number}"), body).await;
+    }
+
+    /// Names a version of an adapter, asking until the leader has taken it.
+    pub(crate) async fn revise(&self, adapter: &str, version: u32) {
+        self.name(&format!("/{version}?adapter"), adapter).await;
+    }
+
+    /// Returns how often control instances have read an edition.
+    pub(crate) fn read(&self) -> usize {
+        self.read.load(Ordering::Relaxed)
+    }
+
+    async fn name(&self, path: &str, body: &str) {
         for control in (1..=CONTROLS).cycle().take(300) {
             let addr = SocketAddr::new(control_ip(self.no, control), OPERATORS);
-            let mut send = Send::new(addr, Method::POST, format!("/{number}"));
+            let mut send = Send::new(addr, Method::POST, path);
             send.body = body.to_owned().into();
             let answer = Client::default().send(send).await;
             if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
@@ -109,7 +130,7 @@
             }
             sleep(Duration::from_millis(20)).await;
         }
-        panic!("nobody takes edition {number}");
+        panic!("nobody takes {path}");
     }
 
     /// Starts an entry instance behind a link of its own.
@@ -220,7 +241,7 @@
     IpAddr::V4(Ipv4Addr::new(127, 43, no, control))
 }
 
-fn start_control(no: u8, control: u8, data: &std::path::Path) {
+fn start_control(no: u8, control: u8, data: &std::path::Path, read: &Arc<AtomicUsize>) {
     let ip = control_ip(no, control);
     let setup = ControlSetup {
         ip,
@@ -233,19 +254,31 @@
         turns: Duration::from_secs(3),
         list_lag: Duration::from_millis(2_300),
     };
-    tokio::spawn(frontd::serve_control(setup, outside(no), take));
+    let read = Arc::clone(read);
+    let mut outside = outside(no);
+    outside.decode = Arc::new(move |body| {
+        read.fetch_add(1, Ordering::Relaxed);
+        decode(body)
+    });
+    tokio::spawn(frontd::serve_control(setup, outside, take));
 }
 
-/// Answers an operator's call: the path is the number, the body the edition.
+/// Answers an operator's call: the path is the number, the body the edition, or the
+/// adapter whose version the number is.
 async fn take(operators: Operators, req: Request<Incoming>) -> Response<Body> {
-    let number = req.uri().path().trim_start_matches('/').parse().unwrap();
+    let number: u64 = req.uri().path()[1..].parse().unwrap();
+    let adapter = req.uri().query().is_some();
     let limits = ReadLimits {
         bytes: 16 << 20,
         ..ReadLimits::default()
     };
     let body = read(req.into_body(), limits).await.unwrap();
     let body = String::from_utf8(body.to_vec()).unwrap();
-    let named = operators.publish(Edition { number, body }).await;
+    let named = if adapter {
+        operators.revise(body, u32::try_from(number).unwrap()).await
+    } else {
+        operators.publish(Edition { number, body }).await
+    };
     let mut resp = Response::new(full(""));
     if named != Named::Done {
         *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
