Read a configuration once for each number, not for each named version

What operators see: versions of adapters named one after the other go unacknowledged while a large configuration is in force, and the leader is lost. Cause: every change of editions or versions had each control instance read the newest configuration anew, in the task that also sends heartbeats. Change: the shell remembers the number that it has read. Ruled out: the holder needs the reading; it only keeps what engines can hold, which hangs on the edition.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -122,6 +122,8 @@
     control: Control,
     holder: Holder,
     handout: Handout,
+    /// Number of the edition that was read last.
+    read: Option<u64>,
     writer: Writer,
     clock: Clock,
     outside: Outside,
@@ -165,6 +167,7 @@
             control,
             holder: Holder::new(config, serial),
             handout: Handout::default(),
+            read: None,
             writer,
             clock,
             outside,
--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -1,7 +1,5 @@
 //! What goes to the holder of orders, and what it wants done.
 
-use std::collections::BTreeMap;
-
 use base::Ticket;
 use gateway::holder::{self, Act, Ended, Order};
 use telemetry::{event, exposed};
@@ -91,16 +89,27 @@
     }
 
     pub(super) fn named_changed(&mut self) {
-        let editions = self.control.state().editions();
-        if let Some(newest) = editions.newest() {
-            match (self.outside.decode)(&newest.body) {
-                Ok(decoded) => self.holder.set_specs(decoded.table.engines()),
-                Err(why) => event!(telemetry::Event::TextBroken, why = why),
-            }
-        }
-        let versions: BTreeMap<_, _> = editions.versions().clone();
+        self.read_newest();
+        let versions = self.control.state().editions().versions().clone();
         self.hold(holder::Input::Versions(versions));
     }
+
+    /// Reads what engines can hold from the newest edition, once for each.
+    ///
+    /// Failure: a configuration of four megabytes takes a control instance a tenth of
+    /// a second to read, and versions of adapters are named ten times a second. Read
+    /// for each of them, it left no time for heartbeats, and the leader was lost.
+    fn read_newest(&mut self) {
+        let newest = self.control.state().editions().newest();
+        let Some(newest) = newest.filter(|newest| self.read != Some(newest.number)) else {
+            return;
+        };
+        self.read = Some(newest.number);
+        match (self.outside.decode)(&newest.body) {
+            Ok(decoded) => self.holder.set_specs(decoded.table.engines()),
+            Err(why) => event!(telemetry::Event::TextBroken, why = why),
+        }
+    }
 }
 
 /// Logs what came of an order, so that a refused request's adapter can be followed.
