Test what named versions cost a quiet link; they are told again and again

Cause: not mended yet. Found by the audit that looked for the incident's class elsewhere. Ruled out: nothing.

--- a/crates/frontd/tests/editions.rs
+++ b/crates/frontd/tests/editions.rs
@@ -111,6 +111,25 @@
     assert_that!(world.read(), eq(read));
 }
 
+/// Many versions of adapters have been named. Entry instances hear nothing of use any
+/// more, as their links carry the names again and again: every control instance told
+/// all of them in each exchange, whether or not the asker knew them.
+#[tokio::test]
+async fn versions_that_are_known_are_not_told_again() {
+    let world = World::start().await;
+    let entry = world.entry(5).await;
+    entry.until_ready(IN_FORCE).await;
+    // A new instance asks more often at first.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let before = entry.quiet(Duration::from_secs(1)).await;
+    for adapter in 0..100 {
+        world.revise(&format!("model/adapter-{adapter}"), 1).await;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let after = entry.quiet(Duration::from_secs(1)).await;
+    assert_that!(after, lt(before * 3 / 2));
+}
+
 /// Editions follow each other faster than one can be carried. Each overtakes the
 /// one on its way; an entry instance that began anew with each would get none
 /// before the last.
--- a/crates/frontd/tests/editions/world.rs
+++ b/crates/frontd/tests/editions/world.rs
@@ -198,6 +198,13 @@
         }
     }
 
+    /// Returns the bytes that its link carries to it during `time`.
+    pub(crate) async fn quiet(&self, time: Duration) -> usize {
+        let before = self.link();
+        sleep(time).await;
+        self.link().since(before).bytes
+    }
+
     pub(crate) fn link(&self) -> Used {
         Used {
             bytes: self.link.bytes.load(Ordering::Relaxed),
