Tell each asker of a named version once

Cause: every answer of every control instance carried all versions that were ever named. Change: gateway::revisions numbers the changes; an exchange names the number that the asker knows from that control instance and is answered with what came after it, a thousand at most.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -18,6 +18,7 @@
 use disk::Writer;
 use gateway::{
     holder::{self, Holder},
+    revisions::Revisions,
     tenure::{Granter, Tenure},
 };
 use replog::HaltReason;
@@ -115,13 +116,18 @@
     Name(oneshot::Sender<Named>),
     /// Nobody; the zone that is about to get an owner.
     Zone(String),
-    Sync(oneshot::Sender<Reply>),
+    Sync {
+        to: oneshot::Sender<Reply>,
+        /// Which named versions the asker has.
+        revision: u64,
+    },
 }
 
 pub(crate) struct Shell {
     control: Control,
     holder: Holder,
     handout: Handout,
+    revisions: Revisions,
     /// Number of the edition that was read last.
     read: Option<u64>,
     writer: Writer,
@@ -167,6 +173,7 @@
             control,
             holder: Holder::new(config, serial),
             handout: Handout::default(),
+            revisions: Revisions::new(rand::random::<u64>() >> 2),
             read: None,
             writer,
             clock,
@@ -278,7 +285,8 @@
     fn call(&mut self, call: Call, to: oneshot::Sender<Reply>) {
         match call {
             Call::Sync(sync) => {
-                let ticket = self.wait(Waiter::Sync(to));
+                let revision = sync.revision;
+                let ticket = self.wait(Waiter::Sync { to, revision });
                 self.hold(holder::Input::Sync(ticket, *sync));
             }
             Call::Edition { number, from } => {
--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -75,13 +75,13 @@
     }
 
     fn answer(&mut self, ticket: Ticket, mut synced: Synced) {
-        let Some(Waiter::Sync(to)) = self.waiters.remove(&ticket) else {
+        let Some(Waiter::Sync { to, revision }) = self.waiters.remove(&ticket) else {
             return;
         };
         let editions = self.control.state().editions();
         synced.edition = editions.newest().map_or(0, |newest| newest.number);
-        let versions = editions.versions().iter();
-        synced.versions = Some(versions.map(|(a, v)| (a.clone(), *v)).collect());
+        let told = self.revisions.since(revision);
+        (synced.versions, synced.revision) = (told.versions, told.known);
         if let Some(members) = self.control.replica().members() {
             synced.controls = members.all().map(|id| id.instance.clone()).collect();
         }
@@ -91,6 +91,7 @@
     pub(super) fn named_changed(&mut self) {
         self.read_newest();
         let versions = self.control.state().editions().versions().clone();
+        self.revisions.take(&versions);
         self.hold(holder::Input::Versions(versions));
     }
 
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -79,6 +79,8 @@
     wants: Vec<String>,
     /// Adapters of which one more copy would serve sooner.
     copies: BTreeSet<String>,
+    /// Which named versions it has told.
+    revision: u64,
     /// The news of its targets in force here.
     news: u64,
     heard: Option<Time>,
@@ -249,6 +251,7 @@
     Sync {
         instance: Some(state.name.clone()),
         edition: state.edition(),
+        revision: inner.revision,
         news: inner.news,
         running: view.running(&inner.zones),
         unread: view.unread(&inner.zones),
@@ -278,15 +281,14 @@
         );
     }
     inner.zones.clone_from(&synced.zones);
+    inner.revision = synced.revision;
     let newer = synced.news != inner.news;
     let targets = synced.targets.filter(|_| newer);
     if targets.is_some() {
         inner.news = synced.news;
     }
     drop(inner);
-    if let Some(versions) = synced.versions {
-        state.view().set_versions(versions);
-    }
+    state.view().set_versions(synced.versions);
     if let Some(targets) = targets {
         state.set_targets(now, &synced.zones, targets);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! An entry instance finds the route ([`table`]), chooses a target ([`view`])
 //! and asks whether it may send once more ([`budget`]). Newer routes come by
-//! [`download`]. In each availability
+//! [`download`], named versions by [`revisions`]. In each availability
 //! zone one control instance is the [`holder`] that gives orders to engines, for
 //! as long as its [`tenure`] lasts: it gathers what all entry instances run and
 //! miss, and decides which adapter goes where.
@@ -12,6 +12,7 @@
 pub mod download;
 pub mod holder;
 pub mod home;
+pub mod revisions;
 pub mod settle;
 pub mod table;
 pub mod tenure;
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -22,6 +22,8 @@
         pub instance: Option<InstanceName>,
         /// The edition in force there; 0 for none.
         pub edition: u64,
+        /// Which named versions it has from the one asked; see [`Synced::revision`].
+        pub revision: u64,
         /// Which news of targets it has; see [`Synced::news`].
         pub news: u64,
         /// Requests under way there.
@@ -70,8 +72,12 @@
     pub struct Synced {
         /// Number of the newest edition; 0 for none.
         pub edition: u64,
-        /// Newest named version of each adapter that has one.
-        pub versions: Option<Vec<(String, u32)>>,
+        /// Versions of adapters that were named since [`Sync::revision`], or the
+        /// oldest of them.
+        pub versions: Vec<(String, u32)>,
+        /// Counts the named versions that the asker has now, in the life of the one
+        /// that answers.
+        pub revision: u64,
         /// Counts the changes of [`Synced::targets`].
         pub news: u64,
         /// Zones whose engines this instance gives orders to.
