Ask no source again for an edition that it lacks until it tells anew

What callers would see: entry instances and control instances busy with each other just after a loss of disks, and an older configuration that could be had not got meanwhile. Cause: a source that answered that it lacks the edition it had told of was still believed; the same number was begun anew with nothing remembered. Change: such a source counts for nothing until its next exchange. Ruled out: a pause alone, which leaves the older edition unasked for.

--- a/crates/gateway/src/download.rs
+++ b/crates/gateway/src/download.rs
@@ -5,7 +5,7 @@
 //! exchange's time limit; what had come was dropped, the next exchange began anew,
 //! and the instance went by its old routes while its link was full. Here one source
 //! is asked at a time, for a part that a link carries in a moment, and what has come
-//! is kept whoever sent it.
+//! is kept for as long as any source has the rest.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -151,9 +151,7 @@
         match got {
             Got::Part(part) => self.add(now, ask, &part),
             Got::Without => {
-                if let Some(coming) = &mut self.coming {
-                    coming.without.insert(ask.source);
-                }
+                self.without(ask);
                 Ok(None)
             }
             Got::Nothing => {
@@ -163,6 +161,23 @@
         }
     }
 
+    /// Notes that a source doesn't have what it was asked for.
+    ///
+    /// Failure: control instances come back without the edition that they told of.
+    /// Their old word was believed, and they were asked for it again and again, as
+    /// fast as messages travel. Whoever lacks what it told as its newest counts for
+    /// nothing until it tells anew.
+    fn without(&mut self, ask: Ask<K>) {
+        if let Some(coming) = &mut self.coming {
+            coming.without.insert(ask.source);
+        }
+        if let Some(known) = self.sources.get_mut(&ask.source)
+            && known.newest == ask.number
+        {
+            known.newest = 0;
+        }
+    }
+
     /// Returns the newest edition of all sources, where it is newer than what is held.
     fn newest(&self) -> Option<u64> {
         let newest = self.sources.values().map(|source| source.newest).max();
--- a/crates/gateway/tests/download.rs
+++ b/crates/gateway/tests/download.rs
@@ -123,6 +123,42 @@
     assert_that!(get(&mut download, &[edition(9, 2)]), elements_are![eq(&9)]);
 }
 
+/// All control instances have come back without the edition that they told of, after
+/// their disks were lost. Asked for it again at once, as fast as messages travel, they
+/// had no time for what they were restoring; and what they do have was never got.
+#[gtest]
+fn a_source_without_what_it_told_is_not_asked_again_until_it_tells_anew() {
+    let mut download = Download::default();
+    download.told(1, 9, 0);
+    download.told(2, 9, 1);
+    download.told(3, 7, 2);
+    let mut asked = 0;
+    while let Some(ask) = download.ask(NOW).filter(|ask| ask.number == 9) {
+        asked += 1;
+        assert_that!(asked, le(2), "asked {:?}", ask.source);
+        assert_that!(download.answered(NOW, Got::Without), ok(none()));
+    }
+    let come = download.answered(NOW, Got::Part(part(&edition(7, 1), 0)));
+    assert_that!(come, ok(some(anything())));
+    download.told(1, 9, 0);
+    assert_that!(get(&mut download, &[edition(9, 1)]), elements_are![eq(&9)]);
+}
+
+/// All parts have come, and the text isn't what was meant: a part was changed on its
+/// way by somebody who wrote a sound one. Nothing of it is put into force.
+#[gtest]
+fn parts_that_make_another_text_are_dropped() {
+    let (one, other) = (edition(7, 1), edition(8, 1));
+    let mut forged = part(&other, 0);
+    forged.number = 7;
+    forged.digest = part(&one, 0).digest;
+    let mut download = Download::default();
+    download.told(1, 7, 0);
+    download.ask(NOW);
+    let come = download.answered(NOW, Got::Part(forged));
+    assert_that!(come, err(eq(&BadPart::NotWhole)));
+}
+
 /// Two control instances hold different texts under one number. Joined they would
 /// make routes that no operator wrote.
 #[gtest]
