Keep the newest editions at every control instance, whether or not they were asked for

What callers would see: an entry instance that begins an edition anew when its source dies just after a newer one was published. Cause: a control instance kept an edition for entry instances only once it had handed out a part of it. Only where a part begins may one be cut, so that no asker fills the memory with others, and the hash of a text is worked out once. Two comments say what is so: the owner of the own zone is asked first, and a line about a caller who was turned away names the configuration in force after that. Ruled out: keeping them in the core, as they are never part of what replicas agree on.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -128,8 +128,6 @@
     holder: Holder,
     handout: Handout,
     revisions: Revisions,
-    /// Number of the edition that was read last.
-    read: Option<u64>,
     writer: Writer,
     clock: Clock,
     outside: Outside,
@@ -174,7 +172,6 @@
             holder: Holder::new(config, serial),
             handout: Handout::default(),
             revisions: Revisions::new(rand::random::<u64>() >> 2),
-            read: None,
             writer,
             clock,
             outside,
@@ -290,8 +287,7 @@
                 self.hold(holder::Input::Sync(ticket, *sync));
             }
             Call::Edition { number, from } => {
-                let newest = self.control.state().editions().newest();
-                let part = self.handout.part(newest, number, from);
+                let part = self.handout.part(number, from);
                 to.send(Reply::Edition(part)).ok();
             }
             Call::Renew { instance, zone } => {
--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -89,23 +89,25 @@
     }
 
     pub(super) fn named_changed(&mut self) {
-        self.read_newest();
+        self.take_newest();
         let versions = self.control.state().editions().versions().clone();
         self.revisions.take(&versions);
         self.hold(holder::Input::Versions(versions));
     }
 
-    /// Reads what engines can hold from the newest edition, once for each.
+    /// Takes the newest edition once: keeps it for entry instances, and reads what
+    /// engines can hold.
     ///
     /// Failure: a configuration of four megabytes takes a control instance a tenth of
     /// a second to read, and versions of adapters are named ten times a second. Read
     /// for each of them, it left no time for heartbeats, and the leader was lost.
-    fn read_newest(&mut self) {
+    fn take_newest(&mut self) {
         let newest = self.control.state().editions().newest();
-        let Some(newest) = newest.filter(|newest| self.read != Some(newest.number)) else {
+        let taken = self.handout.newest();
+        let Some(newest) = newest.filter(|newest| taken != Some(newest.number)) else {
             return;
         };
-        self.read = Some(newest.number);
+        self.handout.keep(newest);
         match (self.outside.decode)(&newest.body) {
             Ok(decoded) => self.holder.set_specs(decoded.table.engines()),
             Err(why) => event!(telemetry::Event::TextBroken, why = why),
--- a/crates/frontd/src/entry/forward/arrive.rs
+++ b/crates/frontd/src/entry/forward/arrive.rs
@@ -33,8 +33,7 @@
 pub(in crate::entry) async fn answer(state: Arc<State>, req: Request<Incoming>) -> Response<Body> {
     let headers = req.headers().clone();
     let dialect = Arc::clone(&state.outside.dialect);
-    let edition = state.edition();
-    match arrive(state, req).await {
+    match arrive(Arc::clone(&state), req).await {
         Ok(job) => job.run(&headers).await,
         Err(ended) => {
             exposed().request(ended.label());
@@ -43,7 +42,7 @@
                 request = heads::text(&headers, &dialect.request).unwrap_or_default(),
                 how = format!("{ended:?}"),
                 why = ended.why(),
-                edition = edition
+                edition = state.edition()
             );
             ended.response(&headers, &dialect)
         }
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -121,8 +121,8 @@
     }
 
     /// Returns the rank of a control instance that owns `zones` as a source of editions.
-    /// One of the own zone comes first, as bytes between zones cost and a zone that
-    /// is cut off has no other; then instances differ in whom they ask.
+    /// The owner of the own zone comes first: it usually stands there, and bytes
+    /// between zones cost. Beyond that instances differ in whom they ask.
     pub(super) fn rank(&self, source: SocketAddr, zones: &[String]) -> u64 {
         let far = !zones.contains(&self.zone);
         let spread = stable_hash(&[self.name.as_str().as_bytes(), source.to_string().as_bytes()]);
--- a/crates/gateway/tests/download.rs
+++ b/crates/gateway/tests/download.rs
@@ -5,7 +5,10 @@
 use base::Time;
 use gateway::download::{BadPart, Download, Got};
 use googletest::prelude::*;
-use wire::fleet::{Edition, PART_SIZE, Part};
+use wire::{
+    fleet::{Edition, PART_SIZE, Part},
+    patch::digest,
+};
 
 const NOW: Time = Time(1_000_000);
 
@@ -19,7 +22,7 @@
 }
 
 fn part(edition: &Edition, from: u64) -> Part {
-    Part::of(edition, from).expect("a part of the text")
+    Part::of(edition, digest(&edition.body), from).expect("a part of the text")
 }
 
 /// Asks and answers until nothing more is asked for; returns what came whole.
--- a/crates/wire/src/fleet/part.rs
+++ b/crates/wire/src/fleet/part.rs
@@ -7,7 +7,6 @@
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 
 use super::Edition;
-use crate::patch::digest;
 
 /// Text in one part, in bytes. Packed it has 8 to 12 KB, which a link of 10 Mbit/s
 /// carries in 10 ms, and at most 64 KB, for which it needs 52 ms: whatever else
@@ -21,7 +20,7 @@
         pub number: u64,
         /// Length of the whole text, in bytes.
         pub size: u64,
-        /// Hash of the whole text; see [`digest`].
+        /// Hash of the whole text; see [`crate::patch::digest`].
         pub digest: u64,
         /// Where the part begins in the text, in bytes.
         pub from: u64,
@@ -31,12 +30,15 @@
 }
 
 impl Part {
-    /// Cuts the part of an edition that begins at `from`; nothing where the text
-    /// ends before.
+    /// Cuts the part that begins at `from` off an edition whose text has the hash
+    /// `digest`; nothing where no part begins.
     #[must_use]
-    pub fn of(edition: &Edition, from: u64) -> Option<Self> {
+    pub fn of(edition: &Edition, digest: u64, from: u64) -> Option<Self> {
         let text = edition.body.as_bytes();
         let begin = usize::try_from(from).ok()?;
+        if !begin.is_multiple_of(PART_SIZE) {
+            return None;
+        }
         let rest = text
             .get(begin..)
             .filter(|rest| !rest.is_empty() || begin == 0)?;
@@ -44,7 +46,7 @@
         Some(Part {
             number: edition.number,
             size: text.len() as u64,
-            digest: digest(&edition.body),
+            digest,
             from,
             packed: pack(piece).ok()?.into(),
         })
--- a/crates/wire/tests/part.rs
+++ b/crates/wire/tests/part.rs
@@ -6,6 +6,8 @@
 use googletest::prelude::*;
 use wire::fleet::{Edition, PART_SIZE, Part};
 
+const DIGEST: u64 = 5;
+
 fn edition(len: usize) -> Edition {
     let body = "host /prefix/ service\n".repeat(len / 22 + 1);
     Edition {
@@ -17,7 +19,7 @@
 fn check(len: usize) {
     let edition = edition(len);
     let mut text = Vec::new();
-    while let Some(part) = Part::of(&edition, text.len() as u64) {
+    while let Some(part) = Part::of(&edition, DIGEST, text.len() as u64) {
         assert_that!(part.size, eq(len as u64));
         text.extend(part.unpack().unwrap());
         if text.len() == len {
@@ -25,7 +27,7 @@
         }
     }
     assert_that!(String::from_utf8(text), ok(eq(&edition.body)));
-    assert_that!(Part::of(&edition, len as u64 + 1), none());
+    assert_that!(Part::of(&edition, DIGEST, len as u64 + 1), none());
 }
 
 base::cases! {
@@ -42,13 +44,18 @@
 /// Routes repeat most of their words; packed they need a small part of a thin link.
 #[gtest]
 fn routes_are_packed() {
-    let part = Part::of(&edition(PART_SIZE), 0).unwrap();
+    let part = Part::of(&edition(PART_SIZE), DIGEST, 0).unwrap();
     assert_that!(part.packed.len(), lt(PART_SIZE / 8));
 }
 
+#[gtest]
+fn no_part_begins_inside_another() {
+    assert_that!(Part::of(&edition(PART_SIZE), DIGEST, 1), none());
+}
+
 #[gtest]
 fn a_part_that_was_cut_is_refused() {
-    let mut part = Part::of(&edition(PART_SIZE), 0).unwrap();
+    let mut part = Part::of(&edition(PART_SIZE), DIGEST, 0).unwrap();
     part.packed = part.packed.slice(..part.packed.len() / 2);
     assert_that!(part.unpack(), err(anything()));
 }
@@ -56,7 +63,7 @@
 /// A damaged part may unpack to far more than it should; that is stopped in time.
 #[gtest]
 fn a_part_that_is_longer_than_any_is_refused() {
-    let mut part = Part::of(&edition(PART_SIZE), 0).unwrap();
+    let mut part = Part::of(&edition(PART_SIZE), DIGEST, 0).unwrap();
     let mut packed = DeflateEncoder::new(Vec::new(), Compression::fast());
     packed.write_all(&vec![b'x'; PART_SIZE + 1]).unwrap();
     part.packed = packed.finish().unwrap().into();
