Give each test process loopback addresses of its own

Cause: tests with real shells used fixed addresses. Two checkouts that tested at the same moment met each other's instances; tests of large editions failed with 'nobody takes' and the like. Ruled out: load.

--- a/crates/frontd/tests/editions/world.rs
+++ b/crates/frontd/tests/editions/world.rs
@@ -35,6 +35,8 @@
 const SLICE: usize = 4 << 10;
 
 const CONTROLS: u8 = 3;
+/// Instances of one deployment at most.
+const INSTANCES: u8 = 16;
 /// Where control instances listen for each other.
 const PEERS: u16 = 17_480;
 const OPERATORS: u16 = 17_481;
@@ -146,7 +148,7 @@
                 SocketAddr::new(ip, PEERS),
             ));
         }
-        let ip = IpAddr::V4(Ipv4Addr::new(127, 43, self.no, 100 + no));
+        let ip = own_ip(self.no, CONTROLS + no);
         let setup = EntrySetup {
             ip,
             zone: "za".to_owned(),
@@ -245,7 +247,21 @@
 }
 
 fn control_ip(no: u8, control: u8) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 43, no, control))
+    own_ip(no, control)
+}
+
+/// Returns an address of this process and deployment.
+///
+/// Failure: two checkouts test at the same time on one machine. With the same addresses
+/// the instances of one meet those of the other.
+fn own_ip(no: u8, instance: u8) -> IpAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        high | 128,
+        low,
+        no * INSTANCES + instance,
+    ))
 }
 
 fn start_control(no: u8, control: u8, data: &std::path::Path, read: &Arc<AtomicUsize>) {
