--- /dev/null
+++ b/crates/replog/tests/size.rs
@@ -0,0 +1,237 @@
+//! After some dozens of large configurations no change is acknowledged any
+//! more, and the disks of all control instances are full at once. Order: each
+//! change is an entry of megabytes, and the log is rewritten only after hundreds.
+//! Cause: entries are counted, not weighed; nothing bounds the bytes of a log
+//! between two snapshots, nor of the entries kept behind one.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{Bytes, Incarnation, InstanceName, Seed, Time};
+use googletest::prelude::*;
+use replog::{
+    Blob, Input, Message, Output, Payload, RawSettings, Record, Replica, ReplicaId, Restored,
+    Settings,
+};
+
+/// What the applied entries of a log may take beside the last one.
+const LOG: Bytes = Bytes(16 << 20);
+
+/// What entries behind a snapshot may take.
+const BEHIND: Bytes = Bytes(8 << 20);
+
+const CHANGES: u64 = 300;
+
+/// Three replicas whose messages arrive at once, whose disks never wait, and
+/// whose state is the command applied last.
+struct Cluster {
+    now: Time,
+    replicas: BTreeMap<InstanceName, Replica>,
+    state: BTreeMap<InstanceName, Blob>,
+    /// Bytes of commands in the log file of each.
+    files: BTreeMap<InstanceName, u64>,
+    /// The most that any file has held.
+    largest: u64,
+    /// Who hears nothing.
+    deaf: Option<InstanceName>,
+    accepted: u64,
+    /// Bytes of commands sent, and snapshots begun, by receiver.
+    sent: BTreeMap<InstanceName, (u64, u64)>,
+}
+
+fn name(raw: &str) -> InstanceName {
+    raw.parse().unwrap()
+}
+
+impl Cluster {
+    fn new() -> Self {
+        let names = ["k1", "k2", "k3"].map(name);
+        let make = |instance: &InstanceName| {
+            let life = Incarnation(1);
+            let id = ReplicaId {
+                instance: instance.clone(),
+                life,
+            };
+            let raw = RawSettings::usual(id, names.to_vec(), Seed(1));
+            let settings = Settings::try_from(raw).unwrap();
+            Replica::new(settings, Restored::default())
+        };
+        let replicas = names.iter().map(|name| (name.clone(), make(name)));
+        let mut cluster = Cluster {
+            now: Time::from_millis(1),
+            replicas: replicas.collect(),
+            state: BTreeMap::new(),
+            files: BTreeMap::new(),
+            largest: 0,
+            deaf: None,
+            accepted: 0,
+            sent: BTreeMap::new(),
+        };
+        cluster.pass(5_000);
+        cluster
+    }
+
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 50 {
+            self.now = self.now + Duration::from_millis(50);
+            for name in self.replicas.keys().cloned().collect::<Vec<_>>() {
+                self.give(&name, Input::Wake);
+            }
+        }
+    }
+
+    fn leader(&self) -> InstanceName {
+        let mut all = self.replicas.iter();
+        let leader = all.find(|(_, replica)| replica.leads(self.now));
+        leader.expect("somebody leads").0.clone()
+    }
+
+    /// Proposes a command, and lets everybody hear that it is committed.
+    fn change(&mut self, command: &Blob) {
+        let leader = self.leader();
+        let command = command.clone();
+        self.give(&leader, Input::Propose { ticket: 1, command });
+        self.pass(200);
+    }
+
+    fn give(&mut self, to: &InstanceName, input: Input) {
+        let mut inputs = vec![(to.clone(), input)];
+        while let Some((to, input)) = inputs.pop() {
+            if self.deaf.as_ref() == Some(&to) {
+                continue;
+            }
+            let mut out = Vec::new();
+            let replica = self.replicas.get_mut(&to).unwrap();
+            replica.handle(self.now, input, &mut out);
+            for output in out {
+                if let Some(next) = self.carry_out(&to, output) {
+                    inputs.insert(0, next);
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, at: &InstanceName, output: Output) -> Option<(InstanceName, Input)> {
+        let input = match output {
+            Output::Send { to, message } => {
+                self.count(&to, &message);
+                let from = self.replicas[at].id().clone();
+                return Some((to, Input::Received { from, message }));
+            }
+            Output::Write { no, records } => {
+                *self.files.entry(at.clone()).or_default() += bytes(&records);
+                self.largest = self.largest.max(self.files[at]);
+                Input::Synced { upto: no }
+            }
+            Output::Rewrite { no, records, .. } => {
+                self.files.insert(at.clone(), bytes(&records));
+                Input::Synced { upto: no }
+            }
+            Output::Apply { command, .. } => {
+                self.state.insert(at.clone(), command);
+                return None;
+            }
+            Output::Restore { data, .. } => {
+                self.state.insert(at.clone(), data);
+                return None;
+            }
+            Output::TakeSnapshot { upto: index } => {
+                let data = self.state[at].clone();
+                Input::Snapshot { index, data }
+            }
+            Output::Proposed { result, .. } => {
+                self.accepted += u64::from(result.is_ok());
+                return None;
+            }
+            _ => return None,
+        };
+        Some((at.clone(), input))
+    }
+
+    fn count(&mut self, to: &InstanceName, message: &Message) {
+        let (entries, snapshots) = self.sent.entry(to.clone()).or_default();
+        match message {
+            Message::Append { entries: sent, .. } => {
+                *entries += sent.iter().map(|e| size(&e.payload)).sum::<u64>();
+            }
+            Message::Chunk { offset: 0, .. } => *snapshots += 1,
+            _ => {}
+        }
+    }
+}
+
+fn size(payload: &Payload) -> u64 {
+    match payload {
+        Payload::Command(command) => command.len() as u64,
+        _ => 0,
+    }
+}
+
+fn bytes(records: &[Record]) -> u64 {
+    let sizes = records.iter().map(|record| match record {
+        Record::Entry(entry) => size(&entry.payload),
+        _ => 0,
+    });
+    sizes.sum()
+}
+
+#[gtest]
+fn a_log_of_large_entries_stays_within_its_bytes() {
+    for kib in [100, 1_000, 2_000, 4_000] {
+        let command = Blob::from(vec![7; kib << 10]);
+        let mut cluster = Cluster::new();
+        for _ in 0..CHANGES {
+            cluster.change(&command);
+        }
+        expect_that!(cluster.accepted, eq(CHANGES));
+        // The last applied entry, and one that a follower holds before it
+        // hears that it is committed.
+        let entry = command.len() as u64;
+        let most = LOG.get() + 2 * entry;
+        expect_that!(cluster.largest, le(most), "with entries of {kib} KiB");
+    }
+}
+
+#[gtest]
+fn a_replica_that_lags_by_many_bytes_gets_the_snapshot() {
+    let command = Blob::from(vec![7; 4_000 << 10]);
+    let mut cluster = Cluster::new();
+    let leader = cluster.leader();
+    let lags = ["k1", "k2", "k3"].map(name);
+    let lags = lags.into_iter().find(|name| *name != leader).unwrap();
+    cluster.deaf = Some(lags.clone());
+    for _ in 0..CHANGES {
+        cluster.change(&command);
+    }
+    cluster.deaf = None;
+    cluster.sent.clear();
+    cluster.pass(5_000);
+    expect_that!(cluster.leader(), eq(&leader));
+    expect_that!(cluster.accepted, eq(CHANGES));
+    expect_that!(cluster.state.get(&lags), some(eq(&command)));
+    let (entries, snapshots) = cluster.sent[&lags];
+    expect_that!(snapshots, ge(1));
+    // What lies behind the snapshot, and what came after it.
+    let most = BEHIND.get() + LOG.get() + command.len() as u64;
+    expect_that!(entries, le(most));
+}
+
+#[gtest]
+fn a_replica_that_lags_by_an_entry_gets_the_entry() {
+    let command = Blob::from(vec![7; 4_000 << 10]);
+    let mut cluster = Cluster::new();
+    let leader = cluster.leader();
+    let lags = ["k1", "k2", "k3"].map(name);
+    let lags = lags.into_iter().find(|name| *name != leader).unwrap();
+    for _ in 0..CHANGES {
+        cluster.change(&command);
+        cluster.deaf = Some(lags.clone());
+        cluster.change(&command);
+        cluster.deaf = None;
+        cluster.sent.clear();
+        cluster.pass(1_000);
+        let (_, snapshots) = cluster.sent[&lags];
+        expect_that!(snapshots, eq(0));
+        expect_that!(cluster.state.get(&lags), some(eq(&command)));
+    }
+    expect_that!(cluster.accepted, eq(2 * CHANGES));
+}
