Sum up requests under way only where something is missing; keep busy adapters apart

Cause: the holder plans after every message of every entry instance. Each plan summed all requests under way by engine and adapter and, while nobody waits for the store, looked through the demand for every adapter.

Change: sums are made only where something is missing; busy adapters are kept in a set of their own, as demand only fades between two requests.

Tests: no test fails before, as only the cost changes and clocks in tests would flake. A new one holds that an adapter which was busy isn't copied later; it fails with the set taken as it is.

--- a/crates/gateway/src/holder/demand.rs
+++ b/crates/gateway/src/holder/demand.rs
@@ -1,6 +1,9 @@
 //! How much each adapter is asked for, fading with time.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use base::Time;
 
@@ -10,6 +13,9 @@
 /// second memory of 20 s for what to keep gained nothing.
 const HALF: Duration = Duration::from_secs(5);
 
+/// Requests a second from which an adapter is busy.
+const BUSY: f64 = 2.0;
+
 /// Demand below which an adapter is forgotten.
 const LEAST: f64 = 0.01;
 
@@ -20,6 +26,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Demand {
     counts: BTreeMap<String, (f64, Time)>,
+    /// Adapters that were busy when they were last asked for. Demand only fades from
+    /// then on, so no other one is.
+    busy: BTreeSet<String>,
     looked: Time,
 }
 
@@ -27,6 +36,9 @@
     pub(super) fn add(&mut self, now: Time, adapter: &str, count: f64) {
         let old = self.of(now, adapter);
         self.counts.insert(adapter.to_owned(), (old + count, now));
+        if old + count >= least_busy() {
+            self.busy.insert(adapter.to_owned());
+        }
     }
 
     pub(super) fn of(&self, now: Time, adapter: &str) -> f64 {
@@ -36,11 +48,10 @@
         faded(*count, *at, now)
     }
 
-    /// Returns adapters with at least `least` requests a second.
-    pub(super) fn busiest(&self, now: Time, least: f64) -> impl Iterator<Item = &String> {
-        let least = least * HALF.as_secs_f64() / std::f64::consts::LN_2;
-        let all = self.counts.keys();
-        all.filter(move |adapter| self.of(now, adapter) >= least)
+    /// Returns busy adapters.
+    pub(super) fn busy(&self, now: Time) -> impl Iterator<Item = &String> {
+        let busy = self.busy.iter();
+        busy.filter(move |adapter| self.of(now, adapter) >= least_busy())
     }
 
     pub(super) fn forget(&mut self, now: Time) {
@@ -50,9 +61,17 @@
         self.looked = now;
         self.counts
             .retain(|_, (count, at)| faded(*count, *at, now) > LEAST);
+        let mut busy = std::mem::take(&mut self.busy);
+        busy.retain(|adapter| self.of(now, adapter) >= least_busy());
+        self.busy = busy;
     }
 }
 
+/// Returns the count of an adapter that is asked for just so often that it is busy.
+fn least_busy() -> f64 {
+    BUSY * HALF.as_secs_f64() / std::f64::consts::LN_2
+}
+
 fn faded(count: f64, at: Time, now: Time) -> f64 {
     count * 0.5_f64.powf(now.since(at).as_secs_f64() / HALF.as_secs_f64())
 }
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -69,20 +69,35 @@
     pub(super) fn plan(&mut self, now: Time, out: &mut Vec<Output>) {
         self.ask_reports(now, out);
         self.load_models(now, out);
-        let used = self.used();
         let own = self.tenure.zones(now).len().max(1);
         let engines = self.engines.len() * self.config.zones.max(1) / own;
         self.pace.at_least(engines as f64 * TRANSIT_EACH);
         let most = self.loads_at_once(now);
         self.reach_goals(now, out);
-        for adapter in self.missing(now) {
+        self.load_missing(now, most, out);
+        if self.queue.is_empty() {
+            self.spread(now, most, out);
+        }
+    }
+
+    /// Loads what is missing, as far as the store serves it now.
+    ///
+    /// Failure: every message of every entry instance is followed by a plan. With many
+    /// of them the sums over all requests under way, made each time, took most of the
+    /// processor; orders weren't answered in time and were taken for lost. Sums are made
+    /// only where something is missing.
+    fn load_missing(&mut self, now: Time, most: usize, out: &mut Vec<Output>) {
+        self.queue.clear();
+        let missing = self.missing(now);
+        if missing.is_empty() {
+            return;
+        }
+        let used = self.used();
+        for adapter in missing {
             let moving: usize = self.engines.values().map(|e| e.loading(now)).sum();
             self.place(now, &adapter, moving < most, &used, out);
         }
         self.queue = self.expect(now, most);
-        if self.queue.is_empty() {
-            self.spread(now, most, &used, out);
-        }
     }
 
     /// Returns how many adapters may be on their way in the zones of this holder.
@@ -177,7 +192,7 @@
     }
 
     /// Returns requests under way by engine and adapter.
-    fn used(&self) -> BTreeMap<(String, String), u32> {
+    pub(super) fn used(&self) -> BTreeMap<(String, String), u32> {
         let mut used = BTreeMap::new();
         let running = self.entries.values().flat_map(|entry| &entry.running);
         for running in running {
--- a/crates/gateway/src/holder/queue.rs
+++ b/crates/gateway/src/holder/queue.rs
@@ -13,11 +13,6 @@
 /// it came has to be read first.
 const COPY_SETTLES: Duration = Duration::from_millis(400);
 
-/// Requests a second from which an adapter has a copy in every zone: it is then
-/// served where its callers are, also while its engine is down or zones are cut
-/// off.
-const EVERYWHERE: f64 = 2.0;
-
 /// How long callers of a wanted adapter have waited when a load can't serve them
 /// in time any more: they want their first token within some 800 ms, of which a
 /// load takes 250 and reading the prompt 100.
@@ -64,22 +59,21 @@
     }
 
     /// Loads busy adapters that no engine of these zones holds, while nobody waits
-    /// for the store. Where places are plenty this buys 0.013 of the worth of heavy
-    /// days; where they are few it seldom happens and changes nothing.
-    pub(super) fn spread(
-        &mut self,
-        now: Time,
-        most: usize,
-        used: &BTreeMap<(String, String), u32>,
-        out: &mut Vec<Output>,
-    ) {
-        let busy = self.demand.busiest(now, EVERYWHERE);
+    /// for the store: they are then served where their callers are, also while their
+    /// engine is down or zones are cut off. Where places are plenty this buys 0.013 of
+    /// the worth of heavy days; where they are few it seldom happens and changes nothing.
+    pub(super) fn spread(&mut self, now: Time, most: usize, out: &mut Vec<Output>) {
+        let busy = self.demand.busy(now);
         let busy = busy.filter(|a| !self.is_model(a) && !self.on_its_way(a));
         let busy: Vec<_> = busy.cloned().collect();
+        if busy.is_empty() {
+            return;
+        }
+        let used = self.used();
         for adapter in busy {
             let moving: usize = self.engines.values().map(|e| e.loading(now)).sum();
             if moving < most.div_ceil(2) {
-                self.place(now, &adapter, true, used, out);
+                self.place(now, &adapter, true, &used, out);
             }
         }
     }
--- a/crates/gateway/tests/holder/loads.rs
+++ b/crates/gateway/tests/holder/loads.rs
@@ -271,3 +271,25 @@
     let given: Vec<_> = world.orders.iter().map(|o| o.act.clone()).collect();
     assert_that!(given, not(contains(eq(&load("m/busy")))));
 }
+
+/// An adapter was busy while others waited for the store, and is asked for no more when
+/// the store is free: nobody would use a copy.
+#[gtest]
+fn an_adapter_that_was_busy_is_not_copied_later() {
+    let config = Config {
+        zones: 16,
+        ..Config::default()
+    };
+    let mut world = World::with(1, config);
+    world.want(&["m/a", "m/b"]);
+    let sync = Sync {
+        demand: vec![("m/busy".to_owned(), 16)],
+        ..Sync::default()
+    };
+    world.give(Input::Sync(Ticket(18), sync));
+    settle_orders(&mut world);
+    world.pass(2_000);
+    world.own_zone();
+    world.pass(100);
+    assert_that!(world.orders, is_empty());
+}
