--- a/crates/replog/tests/size.rs
+++ b/crates/replog/tests/size.rs
@@ -31,6 +31,8 @@
     files: BTreeMap<InstanceName, u64>,
     /// The most that any file has held.
     largest: u64,
+    /// Bytes of commands in the largest message.
+    heaviest: u64,
     /// How often files were replaced.
     replaced: u64,
     /// Who hears nothing.
@@ -64,6 +66,7 @@
             state: BTreeMap::new(),
             files: BTreeMap::new(),
             largest: 0,
+            heaviest: 0,
             replaced: 0,
             deaf: None,
             accepted: 0,
@@ -155,7 +158,9 @@
         let (entries, snapshots) = self.sent.entry(to.clone()).or_default();
         match message {
             Message::Append { entries: sent, .. } => {
-                *entries += sent.iter().map(|e| size(&e.payload)).sum::<u64>();
+                let bytes = sent.iter().map(|e| size(&e.payload)).sum();
+                *entries += bytes;
+                self.heaviest = self.heaviest.max(bytes);
             }
             Message::Chunk { offset: 0, .. } => *snapshots += 1,
             _ => {}
@@ -200,6 +205,22 @@
     }
 }
 
+/// An operator sends a configuration of four megabytes to control instances whose links
+/// are slower than usual. Nobody acknowledges it, nor anything after it: the entry
+/// travels whole, takes longer than a message may be on its way, and is sent anew.
+#[gtest]
+fn a_large_entry_is_sent_in_parts() {
+    let mut cluster = Cluster::new();
+    cluster.change(&Blob::from(vec![7; 4_000 << 10]));
+    expect_that!(cluster.accepted, eq(1));
+    let id = ReplicaId {
+        instance: name("k1"),
+        life: Incarnation(1),
+    };
+    let usual = RawSettings::usual(id, vec![name("k1")], Seed(1));
+    expect_that!(cluster.heaviest, le(usual.message.get()));
+}
+
 #[gtest]
 fn a_replica_that_lags_by_many_bytes_gets_the_snapshot() {
     let command = Blob::from(vec![7; 4_000 << 10]);
