--- a/crates/scenarios/src/world/deliver.rs
+++ b/crates/scenarios/src/world/deliver.rs
@@ -1,7 +1,10 @@
 //! What nodes do with messages.
 
-use base::Ticket;
+use std::collections::BTreeSet;
+
+use base::{Fence, Incarnation, TargetName, Ticket, Time};
 use control::Input;
+use member::Watch;
 use owner::{Input as Holding, Own};
 use wire::{
     call::{BeatReply, Call, ClaimReply, Fate, Reply},
@@ -232,71 +235,107 @@
     }
 
     fn on_engine_answer(&mut self, name: &str, id: u64, pending: Pending, msg: Msg) {
-        let now = self.local(name);
-        let Some(entry) = self.entry(name) else {
-            return;
-        };
         match (pending, msg) {
             (Pending::Order(target, order, checked, watch), Msg::Ordered(_, answer)) => {
-                let fresh = watch.map(|w| entry.targets.ordered(&target, w));
-                let view = entry.view(&target);
-                view.orders.remove(&id);
-                let adapter = match &order {
-                    Order::Load(adapter) => {
-                        view.loading.remove(adapter);
-                        adapter.clone()
-                    }
-                    Order::Unload(adapter) => {
-                        view.unloading.remove(adapter);
-                        return;
-                    }
-                };
-                if answer == Answer::Refused || fresh.is_none_or(|fresh| fresh.is_err()) {
+                let Some(entry) = self.entry(name) else {
                     return;
-                }
-                // What somebody else loaded is used only by who is in charge.
-                let fresh = answer == Answer::Done;
-                let usable = match entry.holder.own(now, &target) {
-                    Own::Full { .. } => true,
-                    Own::Restricted { .. } => fresh,
-                    Own::None => false,
-                };
-                if usable {
-                    entry.view(&target).resident.insert(adapter.clone());
-                }
-                let input = Holding::Loaded {
-                    target,
-                    fence: checked.fence,
-                    resident: resident(&adapter),
-                    fresh,
                 };
-                self.hold(name, input);
+                let known = watch.map(|w| entry.targets.ordered(&target, w));
+                entry.view(&target).orders.remove(&id);
+                let known = known.is_some_and(|known| known.is_ok());
+                self.on_ordered(name, target, &order, checked.fence, answer, known);
             }
             (Pending::Request(target, request), Msg::Requested(_)) => {
+                let Some(entry) = self.entry(name) else {
+                    return;
+                };
                 entry.view(&target).running.remove(&request);
                 self.tell_using(name, &target);
             }
-            (Pending::Report(target, watch, began), Msg::Reported(_, incarnation, resident)) => {
-                let look = entry
-                    .targets
-                    .finish(&target, watch, began, Some(incarnation));
-                let full = matches!(entry.holder.own(now, &target), Own::Full { .. });
-                if look.is_err() || !full {
-                    return;
-                }
-                let restarted = look == Ok(member::Look::Restarted);
-                let view = entry.view(&target);
-                let leaving = &view.unloading;
-                let stay = resident.into_iter().filter(|a| !leaving.contains_key(a));
-                view.resident = stay.collect();
-                if restarted {
-                    self.hold(name, Holding::Restarted { target });
-                }
+            (Pending::Report(target, watch, began), Msg::Reported(_, life, resident)) => {
+                self.on_report(name, target, watch, began, life, resident);
             }
             _ => {}
         }
     }
 
+    /// Takes an engine's answer to an order; `known` says that it is still the engine
+    /// that the order was meant for.
+    fn on_ordered(
+        &mut self,
+        name: &str,
+        target: TargetName,
+        order: &Order,
+        fence: Fence,
+        answer: Answer,
+        known: bool,
+    ) {
+        let now = self.local(name);
+        let Some(entry) = self.entry(name) else {
+            return;
+        };
+        let view = entry.view(&target);
+        let adapter = match order {
+            Order::Load(adapter) => {
+                view.loading.remove(adapter);
+                adapter.clone()
+            }
+            Order::Unload(adapter) => {
+                view.unloading.remove(adapter);
+                return;
+            }
+        };
+        if answer == Answer::Refused || !known {
+            return;
+        }
+        // What somebody else loaded is used only by who is in charge.
+        let fresh = answer == Answer::Done;
+        let usable = match entry.holder.own(now, &target) {
+            Own::Full { .. } => true,
+            Own::Restricted { .. } => fresh,
+            Own::None => false,
+        };
+        if usable {
+            entry.view(&target).resident.insert(adapter.clone());
+        }
+        let input = Holding::Loaded {
+            target,
+            fence,
+            resident: resident(&adapter),
+            fresh,
+        };
+        self.hold(name, input);
+    }
+
+    /// Takes an engine's report of what it holds.
+    fn on_report(
+        &mut self,
+        name: &str,
+        target: TargetName,
+        watch: Watch,
+        began: Time,
+        life: Incarnation,
+        resident: BTreeSet<String>,
+    ) {
+        let now = self.local(name);
+        let Some(entry) = self.entry(name) else {
+            return;
+        };
+        let look = entry.targets.finish(&target, watch, began, Some(life));
+        let full = matches!(entry.holder.own(now, &target), Own::Full { .. });
+        if look.is_err() || !full {
+            return;
+        }
+        let restarted = look == Ok(member::Look::Restarted);
+        let view = entry.view(&target);
+        let leaving = &view.unloading;
+        let stay = resident.into_iter().filter(|a| !leaving.contains_key(a));
+        view.resident = stay.collect();
+        if restarted {
+            self.hold(name, Holding::Restarted { target });
+        }
+    }
+
     pub(crate) fn end_request(&mut self, engine: &str, id: u64) {
         let Some(fake) = self.engine(engine) else {
             return;
