Test that an edition in force never goes back, and whom an entry instance asks first

Change: two unit tests. The program is the same. Ruled out: showing the first over sockets, where the download hides it.

--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -192,3 +192,7 @@
         (self.outside.seeds)().unwrap_or_default()
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/state.rs"]
+mod tests;
--- /dev/null
+++ b/crates/frontd/tests/unit/state.rs
@@ -0,0 +1,92 @@
+//! What an entry instance goes by.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+use gateway::{holder::Ended, table::RawTable};
+use googletest::prelude::*;
+use hyper::header::HeaderName;
+
+use super::*;
+use crate::{Decoded, Dialect};
+
+fn outside() -> Outside {
+    let header = HeaderName::from_static("x");
+    Outside {
+        dialect: Arc::new(Dialect {
+            request: header.clone(),
+            deadline: header.clone(),
+            target: header.clone(),
+            version: header.clone(),
+            priority: header.clone(),
+            refused: header.clone(),
+            model: header.clone(),
+            tokens: header.clone(),
+            resume: header.clone(),
+            backup: header.clone(),
+            restore: header,
+            own: Vec::new(),
+        }),
+        decode: Arc::new(|_| {
+            let table = Table::default();
+            Ok(Decoded { number: 0, table })
+        }),
+        list: Arc::new(|_| async { None }.boxed()),
+        give: Arc::new(|_| async { Ended::Refused }.boxed()),
+        ask: Arc::new(|_, _| async { None }.boxed()),
+        seeds: Arc::new(|| None),
+    }
+}
+
+fn state() -> State {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let setup = Setup {
+        ip: "127.0.0.1".parse().unwrap(),
+        zone: "za".to_owned(),
+        zones: vec!["za".to_owned(), "zb".to_owned()],
+        listen: address,
+        ready: address,
+        peers: 1,
+        grace: Duration::from_secs(1),
+        repeats: gateway::budget::Limits {
+            ratio: 0.2,
+            extra: 1.0,
+            window: Duration::from_secs(10),
+        },
+    };
+    State::new(&setup, outside())
+}
+
+fn table(bytes: usize) -> Table {
+    let raw = RawTable {
+        body_bytes: Some(bytes),
+        ..RawTable::default()
+    };
+    Table::try_from(raw).unwrap()
+}
+
+/// Editions arrive out of order. Callers would see the new configuration, then the one
+/// before; the number in force only rises.
+#[gtest]
+fn an_older_edition_is_never_put_into_force() {
+    let state = state();
+    assert_that!(state.ready(), eq(false));
+    assert_that!(state.set_table(7, table(7)), eq(true));
+    assert_that!(state.set_table(6, table(6)), eq(false));
+    assert_that!(state.set_table(7, table(8)), eq(false));
+    let held = state.table().and_then(|table| table.body_bytes());
+    assert_that!((held, state.edition()), eq((Some(7), 7)));
+}
+
+/// Bytes between zones cost, and a zone that is cut off has no other source: the owner
+/// of the own zone is asked for editions before all others.
+#[gtest]
+fn the_owner_of_the_own_zone_is_asked_first() {
+    let state = state();
+    let zone = |name: &str| [name.to_owned()];
+    for port in 1..50 {
+        let near = state.rank(SocketAddr::from(([10, 0, 0, 9], 1)), &zone("za"));
+        let far = state.rank(SocketAddr::from(([10, 0, 0, 1], port)), &zone("zb"));
+        assert_that!(near, lt(far));
+    }
+}
