Send a large entry of the log in parts

Cause: an entry of the log went whole to each follower. One of megabytes took a slow link longer than a message may be on its way, was lost and sent anew without end; no change was acknowledged any more. Change: an entry larger than a message is cut by the leader and joined by the follower (replica::piece), one part after the other, with heartbeats between them. What has come is kept when a part is lost; an entry that the follower holds already isn't sent. Ruled out: a larger time limit for such messages, as nothing else passes meanwhile; a whole window of parts at once, as one part after the other carries 16 MB/s at 2 ms there and back.

--- a/crates/replog/src/message.rs
+++ b/crates/replog/src/message.rs
@@ -75,6 +75,38 @@
             /// Up to where the log is committed.
             commit: Index,
         },
+        /// A part of an entry that is too large for one message.
+        Piece {
+            /// The leader's term.
+            term: Term,
+            /// The receiver's life; another one ignores the message.
+            life: Incarnation,
+            /// The heartbeat round, echoed in the reply.
+            round: u64,
+            /// The entry before it.
+            prev: Position,
+            /// Where the entry stands.
+            at: Position,
+            /// The length of its command in bytes.
+            total: u64,
+            /// Where this part of the command begins.
+            offset: u64,
+            /// The part.
+            data: Blob,
+            /// Up to where the log is committed.
+            commit: Index,
+        },
+        /// How much of a large entry has arrived.
+        PieceReply {
+            /// The follower's term.
+            term: Term,
+            /// The round of the message answered.
+            round: u64,
+            /// The entry.
+            at: Position,
+            /// The bytes of its command that have arrived without a gap.
+            received: u64,
+        },
         /// A follower's answer.
         AppendReply {
             /// The follower's term.
--- a/crates/replog/src/replica.rs
+++ b/crates/replog/src/replica.rs
@@ -6,6 +6,7 @@
 mod grace;
 mod lead;
 mod members;
+mod piece;
 mod progress;
 mod restored;
 mod send;
@@ -248,14 +249,18 @@
                 kind,
                 granted,
             } => self.vote_reply(now, from, (term, kind), granted, out),
-            Message::Append { term, life, .. } | Message::Chunk { term, life, .. } => {
+            Message::Append { term, life, .. }
+            | Message::Piece { term, life, .. }
+            | Message::Chunk { term, life, .. } => {
                 // What is meant for another life of this folder shows that the
                 // leader doesn't know this one yet.
                 if life == self.id().life && self.obey(now, from, term, out) {
                     self.follow(from, message, out);
                 }
             }
-            Message::AppendReply { term, .. } | Message::ChunkReply { term, .. } => {
+            Message::AppendReply { term, .. }
+            | Message::PieceReply { term, .. }
+            | Message::ChunkReply { term, .. } => {
                 if term > self.term {
                     self.step_down(now, term, out);
                 } else if term == self.term {
--- a/crates/replog/src/replica/follow.rs
+++ b/crates/replog/src/replica/follow.rs
@@ -2,7 +2,10 @@
 
 use base::{Bytes, Time};
 
-use super::{Replica, Role};
+use super::{
+    Replica, Role,
+    piece::{Partial, Piece},
+};
 use crate::{
     Blob, Entry, Index, Members, Message, Output, Outputs, Position, Record, ReplicaId, Snapshot,
     Term, message::Outcome,
@@ -23,6 +26,8 @@
     based: bool,
     /// The snapshot that is arriving.
     incoming: Option<Incoming>,
+    /// The large entry that is arriving.
+    pub(super) partial: Option<Partial>,
 }
 
 #[derive(Clone, Debug)]
@@ -99,6 +104,27 @@
                 };
                 self.chunk(from, round, chunk, out);
             }
+            Message::Piece {
+                round,
+                prev,
+                at,
+                total,
+                offset,
+                data,
+                commit,
+                ..
+            } => {
+                self.follow.round = self.follow.round.max(round);
+                let piece = Piece {
+                    prev,
+                    at,
+                    total,
+                    offset,
+                    data,
+                    commit,
+                };
+                self.piece(from, round, piece, out);
+            }
             _ => {}
         }
     }
@@ -114,7 +140,7 @@
         }
     }
 
-    fn append(
+    pub(super) fn append(
         &mut self,
         prev: Position,
         entries: Vec<Entry>,
@@ -180,7 +206,13 @@
         }
     }
 
-    fn reply_append(&self, to: &ReplicaId, round: u64, outcome: Outcome, out: &mut Outputs) {
+    pub(super) fn reply_append(
+        &self,
+        to: &ReplicaId,
+        round: u64,
+        outcome: Outcome,
+        out: &mut Outputs,
+    ) {
         out.push(Output::Send {
             to: to.instance.clone(),
             message: Message::AppendReply {
--- a/crates/replog/src/replica/progress.rs
+++ b/crates/replog/src/replica/progress.rs
@@ -4,6 +4,7 @@
 
 use base::Time;
 
+use super::piece::Cut;
 use crate::{Entry, Index, Position, Snapshot, journal::entry_size};
 
 /// How a leader sends to one follower.
@@ -18,6 +19,8 @@
     Stream {
         /// The last entry of each message on its way, and its bytes.
         flying: VecDeque<(Index, u64)>,
+        /// The next entry, while it goes in parts.
+        cut: Option<Cut>,
     },
     /// It sends a snapshot, chunk by chunk.
     Snapshot {
@@ -62,7 +65,7 @@
     /// The bytes on their way.
     pub(crate) fn flying(&self) -> u64 {
         match &self.mode {
-            Mode::Stream { flying } => flying.iter().map(|(_, size)| size).sum(),
+            Mode::Stream { flying, .. } => flying.iter().map(|(_, size)| size).sum(),
             _ => 0,
         }
     }
@@ -71,7 +74,8 @@
     pub(crate) fn sent(&mut self, entries: &[Entry]) {
         match &mut self.mode {
             Mode::Probe { sent } => *sent = true,
-            Mode::Stream { flying } => {
+            Mode::Stream { flying, cut } => {
+                *cut = None;
                 let size = entries.iter().map(entry_size).sum();
                 self.next = Index(self.next.get() + entries.len() as u64);
                 flying.push_back((self.next.prev(), size));
@@ -86,7 +90,10 @@
         self.next = self.next.max(self.matched.next());
         let reached = |snapshot: &Snapshot| self.matched >= snapshot.at.index;
         match &mut self.mode {
-            Mode::Stream { flying } => flying.retain(|(last, _)| *last > upto),
+            Mode::Stream { flying, cut } => {
+                flying.retain(|(last, _)| *last > upto);
+                cut.take_if(|cut| cut.at.index <= upto);
+            }
             Mode::Probe { .. } => self.stream(),
             Mode::Snapshot { snapshot, .. } if reached(snapshot) => self.stream(),
             Mode::Snapshot { .. } => {}
@@ -142,6 +149,7 @@
         self.next = self.matched.next();
         self.mode = Mode::Stream {
             flying: VecDeque::new(),
+            cut: None,
         };
     }
 }
--- a/crates/replog/src/replica/send.rs
+++ b/crates/replog/src/replica/send.rs
@@ -4,6 +4,7 @@
 
 use super::{
     Replica, Role,
+    piece::{Cut, command},
     progress::{Mode, Progress},
 };
 use crate::{Message, Output, Outputs, Position, ReplicaId, Snapshot, message::Outcome};
@@ -20,7 +21,9 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        let (Message::AppendReply { round, .. } | Message::ChunkReply { round, .. }) = message
+        let (Message::AppendReply { round, .. }
+        | Message::PieceReply { round, .. }
+        | Message::ChunkReply { round, .. }) = message
         else {
             return;
         };
@@ -34,6 +37,10 @@
                 progress.full = full;
                 take_outcome(progress, outcome, self.journal.base())
             }
+            Message::PieceReply { at, received, .. } => {
+                progress.piece_received(at, received, &self.journal);
+                false
+            }
             Message::ChunkReply { at, received, .. } => progress.received(at, received),
             _ => false,
         };
@@ -72,10 +79,40 @@
             self.give_snapshot(id);
             return None;
         };
+        let prev = Position {
+            term: prev_term,
+            index: prev,
+        };
         let room = progress.flying() < self.settings.raw.window.get();
+        if let Mode::Stream { cut, .. } = &mut progress.mode
+            && room
+            && prev.index < last
+            && let Some(large) = self
+                .journal
+                .get(prev.index.next())
+                .and_then(|e| command(e, limit))
+        {
+            let (at, command) = large;
+            let part = cut
+                .get_or_insert_with(|| Cut::new(at))
+                .next_part(command, limit)?;
+            return Some(Message::Piece {
+                term,
+                life: id.life,
+                round,
+                prev,
+                at,
+                total: command.len() as u64,
+                offset: part.offset,
+                data: part.data,
+                commit,
+            });
+        }
         let entries = match &progress.mode {
             Mode::Probe { sent: false } => Vec::new(),
-            Mode::Stream { .. } if room && prev < last => self.journal.slice(prev, last, limit),
+            Mode::Stream { .. } if room && prev.index < last => {
+                self.journal.slice(prev.index, last, limit)
+            }
             _ => return None,
         };
         progress.sent(&entries);
@@ -83,10 +120,7 @@
             term,
             life: id.life,
             round,
-            prev: Position {
-                term: prev_term,
-                index: prev,
-            },
+            prev,
             entries,
             commit,
         })
@@ -112,8 +146,10 @@
         let Some(progress) = leader.progress.get_mut(id) else {
             return;
         };
-        if let Mode::Probe { sent } = &mut progress.mode {
-            *sent = true;
+        match &mut progress.mode {
+            Mode::Probe { sent } => *sent = true,
+            Mode::Stream { cut: Some(cut), .. } => cut.beat(),
+            Mode::Stream { .. } | Mode::Snapshot { .. } => {}
         }
         let prev = progress.next.prev();
         if let Some(prev_term) = self.journal.term_at(prev)
--- a/crates/replog/tests/explore.rs
+++ b/crates/replog/tests/explore.rs
@@ -238,6 +238,7 @@
             Message::Append { entries, .. } => {
                 entries.iter().any(|entry| entry.at.index == Index(index))
             }
+            Message::Piece { at, .. } => at.index == Index(index),
             _ => false,
         };
         self.messages
--- a/crates/replog/tests/size.rs
+++ b/crates/replog/tests/size.rs
@@ -40,6 +40,9 @@
     accepted: u64,
     /// Bytes of commands sent, and snapshots begun, by receiver.
     sent: BTreeMap<InstanceName, (u64, u64)>,
+    /// How many parts of entries were sent, and each how many of them is lost.
+    parts: u64,
+    lost: Option<u64>,
 }
 
 fn name(raw: &str) -> InstanceName {
@@ -71,6 +74,8 @@
             deaf: None,
             accepted: 0,
             sent: BTreeMap::new(),
+            parts: 0,
+            lost: None,
         };
         cluster.pass(5_000);
         cluster
@@ -120,6 +125,12 @@
         let input = match output {
             Output::Send { to, message } => {
                 self.count(&to, &message);
+                if matches!(message, Message::Piece { .. }) {
+                    self.parts += 1;
+                    if self.lost.is_some_and(|each| self.parts % each == 0) {
+                        return None;
+                    }
+                }
                 let from = self.replicas[at].id().clone();
                 return Some((to, Input::Received { from, message }));
             }
@@ -162,6 +173,11 @@
                 *entries += bytes;
                 self.heaviest = self.heaviest.max(bytes);
             }
+            Message::Piece { data, .. } => {
+                let bytes = data.len() as u64;
+                *entries += bytes;
+                self.heaviest = self.heaviest.max(bytes);
+            }
             Message::Chunk { offset: 0, .. } => *snapshots += 1,
             _ => {}
         }
@@ -221,6 +237,45 @@
     expect_that!(cluster.heaviest, le(usual.message.get()));
 }
 
+/// Parts of a large entry are lost on their way, as the connection breaks. The entry
+/// is acknowledged all the same, and what has come isn't sent from the beginning.
+#[gtest]
+fn lost_parts_of_an_entry_are_sent_again() {
+    base::covers!(piece_sent_again);
+    let size = 1_000 << 10;
+    let mut cluster = Cluster::new();
+    cluster.lost = Some(20);
+    cluster.change(&Blob::from(vec![7; size]));
+    cluster.pass(5_000);
+    expect_that!(cluster.accepted, eq(1));
+    let sent = cluster.sent.values().map(|(bytes, _)| *bytes).max();
+    expect_that!(sent, some(le(size as u64 * 2)));
+}
+
+/// The leader dies while a large entry is on its way. The next leader has none of it or
+/// all of it, and takes changes of its own.
+#[gtest]
+fn a_new_leader_sends_large_entries_of_its_own() {
+    let mut cluster = Cluster::new();
+    let first = cluster.leader();
+    cluster.lost = Some(2);
+    cluster.change(&Blob::from(vec![7; 1_000 << 10]));
+    cluster.deaf = Some(first.clone());
+    cluster.lost = None;
+    cluster.pass(5_000);
+    let before = cluster.accepted;
+    let own = Blob::from(vec![8; 1_000 << 10]);
+    let leader = cluster.leader();
+    expect_that!(leader, not(eq(&first)));
+    cluster.change(&own);
+    expect_that!(cluster.accepted, eq(before + 1));
+    cluster.deaf = None;
+    cluster.pass(5_000);
+    for (name, state) in &cluster.state {
+        expect_that!(state, eq(&own), "at {name}");
+    }
+}
+
 #[gtest]
 fn a_replica_that_lags_by_many_bytes_gets_the_snapshot() {
     let command = Blob::from(vec![7; 4_000 << 10]);
