Don't count the time in which a process couldn't look as an answer's silence

Cause: where a process is behind, answers that have come wait to be read, and the timer is looked at first. Orders that were carried out counted as lost, engines were asked for their reports, exchanges were repeated on new connections: more work for a process that was behind. Ruled out: longer limits for all, as an order without an answer blocks its engine.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,9 +1,6 @@
 //! The calling end: one link to one peer, made anew whenever it goes silent.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use base::{InstanceName, Verdict};
 use bytes::Bytes;
@@ -12,7 +9,8 @@
 use hyper_util::rt::TokioIo;
 use tarpc::client::RpcError;
 use thiserror::Error;
-use tokio::{net::TcpStream, sync::Mutex};
+use tokio::{net::TcpStream, sync::Mutex, time::Instant};
+use web::patience::{MOST, answer_by};
 use wire::call::{Call, Reply};
 
 use crate::rpc::{CallerClient, PATH, PROTOCOL, transport};
@@ -106,11 +104,12 @@
             Err(_) => return Err(CallError::Connect("no connection in time".to_owned())),
         };
         let mut context = tarpc::context::current();
-        context.deadline = until;
-        let reply = client.call(context, self.inner.from.clone(), call).await;
-        match reply {
-            Ok(reply) => Ok(reply),
-            Err(err) => Err(self.fail(serial, err).await),
+        context.deadline = (until + MOST).into_std();
+        let reply = client.call(context, self.inner.from.clone(), call);
+        match answer_by(until, reply).await {
+            Some(Ok(reply)) => Ok(reply),
+            Some(Err(err)) => Err(self.fail(serial, err).await),
+            None => Err(self.fail(serial, RpcError::DeadlineExceeded).await),
         }
     }
 
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod body;
 pub mod client;
+pub mod patience;
 pub mod reply;
 pub mod server;
 pub mod sse;
