Plan once for all that came together, at a cost of what can be ordered; tell changes, not lists

Cause: each message of each entry instance was followed by a plan, which looked at each engine and all requests under way for each adapter that was missing. The more waited, the dearer each plan, the later the answers of engines were read, the more orders counted as lost, the more was missing: the holder of orders collapsed and didn't come back. Each answer carried all targets with all residents whenever one of them had changed, and each question for a missing adapter carried all requests under way both ways. Change: inputs are taken, and followed by one plan for all that came together; answers of engines go before exchanges. Copies are counted once a plan, requests under way are summed as they change, what waits for the store costs its place in the queue, and what is asked for again calls for no plan. Changes of targets are numbered (holder::news); an entry instance gets those after the number that it names, and what it has dropped itself. Questions for adapters carry no load. Plans are also made when a load is due to be done. Ruled out: plans at fixed times only, which leave the store idle between them. Measured: holder/many.rs holds a plan to a budget of steps with 3 and 600 adapters missing and 35 and 140 engines.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -151,6 +151,24 @@
     end: Option<End>,
 }
 
+impl Job {
+    /// Returns its place among jobs that have come together, lower first.
+    ///
+    /// Failure: an instance is behind with its work, and exchanges of entry instances
+    /// stand before the answers of engines. Orders count as lost that aren't, heartbeats
+    /// are late, and it falls further behind.
+    fn rank(&self) -> u8 {
+        match self {
+            Job::Call {
+                call: Call::Sync(_) | Call::Edition { .. },
+                ..
+            } => 2,
+            Job::Holder(_) => 1,
+            _ => 0,
+        }
+    }
+}
+
 impl Shell {
     pub(super) fn new(
         control: Control,
@@ -210,6 +228,7 @@
             let wake = stop_at.map_or(self.wake, |at| self.wake.min(at));
             let wake = wake.min(self.next_seeds).min(self.next_renew);
             let wake = wake.min(self.tick);
+            let wake = self.holder.next().map_or(wake, |at| wake.min(at));
             tokio::select! {
                 count = queue.recv_many(&mut burst, BURST) => {
                     if count == 0 {
@@ -218,6 +237,7 @@
                 }
                 () = sleep_until(self.clock.instant(wake)) => {}
             }
+            burst.sort_by_key(Job::rank);
             for job in burst.drain(..) {
                 if matches!(job, Job::Stop) {
                     event!(telemetry::Event::DrainBegun);
@@ -228,6 +248,7 @@
                 }
             }
             self.timers();
+            self.order();
         }
     }
 
@@ -287,7 +308,7 @@
                 self.hold(holder::Input::Sync(ticket, *sync));
             }
             Call::Edition { number, from } => {
-                let part = self.handout.part(number, from);
+                let part = self.handout.part(self.clock.now(), number, from);
                 to.send(Reply::Edition(part)).ok();
             }
             Call::Renew { instance, zone } => {
--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -23,10 +23,19 @@
         });
     }
 
+    /// Hands one input to the holder; what follows from it is due with [`Self::order`].
     pub(super) fn hold(&mut self, input: holder::Input) {
-        let now = self.clock.now();
+        self.holder.take(self.clock.now(), input);
+    }
+
+    /// Gives the orders and answers that follow from all that came together.
+    ///
+    /// Failure: each message of each entry instance was followed by a plan. The more
+    /// adapters were missing the more messages came and the dearer each plan was, until
+    /// answers of engines were read too late.
+    pub(super) fn order(&mut self) {
         let mut outputs = Vec::new();
-        self.holder.handle(now, input, &mut outputs);
+        self.holder.act(self.clock.now(), &mut outputs);
         for output in outputs {
             self.carry_out(output);
         }
@@ -107,7 +116,7 @@
         let Some(newest) = newest.filter(|newest| taken != Some(newest.number)) else {
             return;
         };
-        self.handout.keep(newest);
+        self.handout.keep(self.clock.now(), newest);
         match (self.outside.decode)(&newest.body) {
             Ok(decoded) => self.holder.set_specs(decoded.table.engines()),
             Err(why) => event!(telemetry::Event::TextBroken, why = why),
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -97,6 +97,12 @@
         self.view().set_targets(now, zones, targets);
     }
 
+    /// Takes what has changed at targets, by the word of the owner of their zones.
+    pub(super) fn change_targets(&self, now: Time, targets: Vec<Target>, gone: &[String]) {
+        lock(&self.settle).heard(&targets);
+        self.view().change_targets(now, targets, gone);
+    }
+
     /// Tells whether this instance may still be told of what it doesn't know.
     pub(super) fn settling(&self) -> bool {
         lock(&self.settle).pending(self.now())
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -135,6 +135,20 @@
     }
 }
 
+impl Inner {
+    /// Tells whether an answer to whoever had the news `known` fits what is in force.
+    ///
+    /// Failure: answers to questions that were under way at once arrive in another
+    /// order. What has changed since an older number would undo a newer change, and
+    /// changes since a number that was forgotten leave out what is not known here.
+    fn takes(&self, known: u64, synced: &Synced) -> bool {
+        if synced.whole {
+            return known == self.news || synced.news > self.news;
+        }
+        known <= self.news && synced.news >= self.news
+    }
+}
+
 impl Source {
     fn heard(&self, now: Time) -> bool {
         let heard = lock(&self.inner).heard;
@@ -218,6 +232,7 @@
 /// carries demand.
 async fn exchange(state: &Arc<State>, source: &Source, regular: bool) -> bool {
     let sync = sync(state, source, regular);
+    let asked = (sync.news, sync.brief);
     let link = state.links.to(source.address);
     let answer = link.call(Call::Sync(Box::new(sync)), LIMIT).await;
     let Ok(Reply::Sync(synced)) = answer else {
@@ -231,12 +246,14 @@
                 why = why
             );
         }
+        // What was to be told again has to come with all the rest.
+        inner.news = 0;
         drop(inner);
         state.editions.lost(source.address);
         state.changed.notify_waiters();
         return false;
     };
-    take(state, source, *synced);
+    take(state, source, asked, *synced);
     true
 }
 
@@ -248,13 +265,20 @@
     } else {
         BTreeMap::new()
     };
+    let load = if regular {
+        (view.running(&inner.zones), view.unread(&inner.zones))
+    } else {
+        Default::default()
+    };
     Sync {
         instance: Some(state.name.clone()),
         edition: state.edition(),
         revision: inner.revision,
         news: inner.news,
-        running: view.running(&inner.zones),
-        unread: view.unread(&inner.zones),
+        again: view.take_doubted(&inner.zones),
+        brief: !regular,
+        running: load.0,
+        unread: load.1,
         copies: std::mem::take(&mut inner.copies).into_iter().collect(),
         demand: demand.into_iter().collect(),
         wants: std::mem::take(&mut inner.wants),
@@ -264,7 +288,9 @@
     }
 }
 
-fn take(state: &Arc<State>, source: &Source, synced: Synced) {
+/// Takes an answer to a question that said which news were `known`, and whether it was
+/// a brief one.
+fn take(state: &Arc<State>, source: &Source, (known, brief): (u64, bool), synced: Synced) {
     let now = state.now();
     let rank = state.rank(source.address, &synced.zones);
     state.editions.told(source.address, synced.edition, rank);
@@ -282,19 +308,26 @@
     }
     inner.zones.clone_from(&synced.zones);
     inner.revision = synced.revision;
-    let newer = synced.news != inner.news;
-    let targets = synced.targets.filter(|_| newer);
-    if targets.is_some() {
+    let fits = inner.takes(known, &synced);
+    if fits {
         inner.news = synced.news;
     }
     drop(inner);
     state.view().set_versions(synced.versions);
-    if let Some(targets) = targets {
-        state.set_targets(now, &synced.zones, targets);
+    match synced.targets {
+        Some(targets) if fits && synced.whole => {
+            state.set_targets(now, &synced.zones, targets);
+        }
+        targets if fits => {
+            state.change_targets(now, targets.unwrap_or_default(), &synced.gone);
+        }
+        _ => {}
     }
     let mut view = state.view();
-    view.set_others(&synced.zones, synced.running);
-    view.set_unread(&synced.zones, synced.unread);
+    if !brief {
+        view.set_others(&synced.zones, synced.running);
+        view.set_unread(&synced.zones, synced.unread);
+    }
     view.set_waits(now, synced.waits);
     drop(view);
     state.set_entries(synced.entries);
@@ -337,3 +370,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/sync.rs"]
+mod tests;
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -5,23 +5,32 @@
 //! is held. It loads what is missing, adds copies of what is busy, and makes
 //! room by what is asked for least.
 
+mod census;
 mod demand;
 mod engine;
 mod message;
+mod news;
 mod pace;
 mod plan;
 mod queue;
+mod traffic;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use base::{InstanceName, Ticket, Time};
-use wire::fleet::{First, Running, Sync, Synced, Target};
+use wire::fleet::{First, Resident, Sync, Synced, Target};
 
 pub use self::message::{Act, Ended, Held, Input, Listed, Order, Output, Report};
 use self::{
+    census::Census,
     demand::Demand,
     engine::{Engine, Source},
+    news::News,
     pace::{Memory, Pace},
+    traffic::Traffic,
 };
 use crate::{table, tenure::Tenure};
 
@@ -81,12 +90,8 @@
     }
 }
 
-#[derive(Debug)]
-struct Entry {
-    heard: Time,
-    running: Vec<Running>,
-    unread: Vec<(String, u64)>,
-}
+/// Least time between two plans that no message calls for.
+const PLAN_REST: Duration = Duration::from_millis(5);
 
 /// An adapter that callers wait for.
 #[derive(Clone, Copy, Debug)]
@@ -95,6 +100,8 @@
     first: Time,
     /// When that was last said.
     last: Time,
+    /// Whether an engine had it in memory when it was first wanted.
+    near: bool,
 }
 
 #[derive(Debug)]
@@ -102,6 +109,8 @@
     ticket: Ticket,
     asker: Option<InstanceName>,
     news: u64,
+    again: Vec<String>,
+    brief: bool,
     wants: Vec<String>,
     until: Time,
 }
@@ -127,7 +136,7 @@
     specs: BTreeMap<String, table::Engine>,
     targets: BTreeMap<String, Listed>,
     engines: BTreeMap<String, Engine>,
-    entries: BTreeMap<InstanceName, Entry>,
+    traffic: Traffic,
     demand: Demand,
     pace: Pace,
     memory: Memory,
@@ -145,8 +154,17 @@
     tenure: Tenure,
     /// Zones that the last answer spoke for.
     told: Vec<String>,
-    news: u64,
-    dirty: bool,
+    news: News,
+    /// Targets that may differ from what was told of them.
+    changed: BTreeSet<String>,
+    /// Copies at the engines, while nothing has changed there.
+    census: Option<Census>,
+    /// Whether something has come that a plan may act on.
+    due: bool,
+    /// When the next plan is made without any message.
+    next: Option<Time>,
+    /// Engines and adapters looked at so far.
+    steps: u64,
     parked: Vec<Parked>,
 }
 
@@ -160,7 +178,7 @@
             specs: BTreeMap::new(),
             targets: BTreeMap::new(),
             engines: BTreeMap::new(),
-            entries: BTreeMap::new(),
+            traffic: Traffic::default(),
             demand: Demand::default(),
             pace: Pace::new(config.adapter_load, plan::TRANSIT_ALL, config.zones),
             memory: Memory::default(),
@@ -172,8 +190,12 @@
             versions: BTreeMap::new(),
             tenure: Tenure::default(),
             told: Vec::new(),
-            news: serial,
-            dirty: true,
+            news: News::new(serial),
+            changed: BTreeSet::new(),
+            census: None,
+            due: true,
+            next: None,
+            steps: 0,
             parked: Vec::new(),
         }
     }
@@ -194,19 +216,50 @@
         }
     }
 
+    /// Returns how many engines and adapters were looked at so far: what plans cost,
+    /// whatever machine makes them.
+    #[must_use]
+    pub fn steps(&self) -> u64 {
+        self.steps
+    }
+
+    /// Returns when [`Self::act`] is due without any input, if it is.
+    #[must_use]
+    pub fn next(&self) -> Option<Time> {
+        self.next
+    }
+
     /// Takes one input and appends what has to be done about it.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.take(now, input);
+        self.act(now, out);
+    }
+
+    /// Takes one input. What follows from all that came together is asked for once,
+    /// by [`Self::act`].
+    pub fn take(&mut self, now: Time, input: Input) {
         match input {
             Input::Tenure(tenure) => self.take_tenure(now, tenure),
             Input::Listed { asked, zones, list } => self.listed(now, asked, &zones, list),
-            Input::Versions(versions) => self.versions = versions,
+            Input::Versions(versions) => {
+                self.versions = versions;
+                self.census = None;
+                self.due = true;
+            }
             Input::Sync(ticket, sync) => self.sync(now, ticket, sync),
             Input::Ended { id, ended } => self.ended(now, &id, ended),
             Input::Reported { id, report } => self.reported(now, &id, report),
-            Input::Wake => {}
+            Input::Wake => self.due = true,
         }
+    }
+
+    /// Appends the orders and answers that follow from what was taken.
+    pub fn act(&mut self, now: Time, out: &mut Vec<Output>) {
         self.forget(now);
-        self.plan(now, out);
+        if self.due || self.next.is_some_and(|at| now >= at) {
+            self.due = false;
+            self.plan(now, out);
+        }
         self.answer(now, out);
     }
 
@@ -222,6 +275,8 @@
             zone.is_none_or(|zone| !gained.contains(zone))
         });
         self.tenure = tenure;
+        self.census = None;
+        self.due = true;
     }
 
     fn listed(&mut self, now: Time, asked: Time, zones: &[String], list: Vec<Listed>) {
@@ -235,28 +290,27 @@
             targets.insert(listed.id.clone(), listed);
         }
         self.engines.retain(|id, _| targets.contains_key(id));
+        self.changed.extend(targets.keys().cloned());
+        self.changed.extend(self.news.ids());
         self.targets = targets;
-        self.dirty = true;
+        self.census = None;
+        self.due = true;
     }
 
     fn sync(&mut self, now: Time, ticket: Ticket, sync: Sync) {
         for (adapter, count) in &sync.demand {
-            self.demand.add(now, adapter, f64::from(*count));
+            self.due |= self.demand.add(now, adapter, f64::from(*count));
         }
         for adapter in &sync.wants {
-            let want = self.wants.entry(adapter.clone());
-            let want = want.or_insert(Want {
-                first: now,
-                last: now,
-            });
-            want.last = now;
+            self.want(now, adapter);
         }
-        for adapter in &sync.copies {
-            self.copies.insert(adapter.clone(), now);
+        for adapter in sync.copies {
+            self.due |= self.copies.insert(adapter, now).is_none();
         }
         for target in &sync.failing {
             if let Some(engine) = self.engines.get_mut(target) {
                 engine.accused(now);
+                self.due = true;
             }
         }
         for first in &sync.firsts {
@@ -266,22 +320,39 @@
             self.elsewhere = Some((now, loads));
         }
         if let Some(instance) = &sync.instance {
-            let entry = Entry {
-                heard: now,
-                running: sync.running,
-                unread: sync.unread,
-            };
-            self.entries.insert(instance.clone(), entry);
+            self.traffic.heard(now, instance);
+            if !sync.brief {
+                self.traffic.told(instance, sync.running, sync.unread);
+            }
         }
         self.parked.push(Parked {
             ticket,
             asker: sync.instance,
             news: sync.news,
+            again: sync.again,
+            brief: sync.brief,
             wants: sync.wants,
             until: now + PARK,
         });
     }
 
+    /// Notes that callers wait for an adapter. What is known to wait calls for no plan.
+    fn want(&mut self, now: Time, adapter: &str) {
+        if let Some(want) = self.wants.get_mut(adapter) {
+            want.last = now;
+            return;
+        }
+        let mut engines = self.engines.values();
+        let near = engines.any(|engine| self.in_memory(engine, adapter));
+        let want = Want {
+            first: now,
+            last: now,
+            near,
+        };
+        self.wants.insert(adapter.to_owned(), want);
+        self.due = true;
+    }
+
     /// Learns from the first request for an adapter that was just loaded.
     fn first_use(&mut self, now: Time, first: &First) {
         let Some(engine) = self.engines.get_mut(&first.target) else {
@@ -291,7 +362,7 @@
             return;
         };
         if !first.held {
-            self.dirty = true;
+            self.engine_changed(&first.target);
         }
         match (load, first.held) {
             (Source::Store, true) => self.pace.in_time(ordered),
@@ -305,26 +376,37 @@
         self.config.memory = self.memory.size();
         if let Some(engine) = self.engines.get_mut(id) {
             engine.ended(now, ended, &self.config);
-            self.dirty = true;
+            self.engine_changed(id);
         }
     }
 
+    /// Notes that something at an engine has changed.
+    fn engine_changed(&mut self, id: &str) {
+        self.changed.insert(id.to_owned());
+        self.census = None;
+        self.due = true;
+    }
+
     fn reported(&mut self, now: Time, id: &str, report: Option<Report>) {
         if report.is_none() {
             self.failing.insert(id.to_owned(), now);
         }
         if let Some(engine) = self.engines.get_mut(id) {
             engine.reported(now, report, &self.config);
-            self.dirty = true;
         }
+        self.engine_changed(id);
     }
 
     fn forget(&mut self, now: Time) {
-        self.entries
-            .retain(|_, entry| now.since(entry.heard) < ENTRY_SILENT);
+        self.traffic.forget(now);
         self.wants.retain(|_, want| now.since(want.last) < WANTED);
         self.copies.retain(|_, at| now.since(*at) < COPY_WANTED);
+        let failing = self.failing.len();
         self.failing.retain(|_, at| now.since(*at) < FAILING);
+        if failing != self.failing.len() {
+            self.census = None;
+            self.due = true;
+        }
         self.demand.forget(now);
     }
 
@@ -333,32 +415,77 @@
         let zones = self.tenure.zones(now);
         if zones != self.told {
             self.told.clone_from(&zones);
-            self.dirty = true;
+            self.news.restart();
+            self.changed = self.targets.keys().cloned().collect();
         }
-        if self.dirty && !self.parked.is_empty() {
-            self.news += 1;
-            self.dirty = false;
+        if self.parked.is_empty() {
+            return;
         }
+        self.show(&zones);
+        let census = self.census(now);
         let parked = std::mem::take(&mut self.parked);
         for asked in parked {
-            let known = |adapter: &String| self.placed(adapter) || self.waits_long(adapter);
+            let known = |adapter: &String| census.placed(adapter) || self.waits_long(adapter);
             if now < asked.until && !asked.wants.iter().all(known) {
                 self.parked.push(asked);
                 continue;
             }
-            let synced = Synced {
-                news: self.news,
-                targets: (asked.news != self.news).then(|| self.all(now, &zones)),
-                running: self.running_without(asked.asker.as_ref()),
-                unread: self.unread_without(asked.asker.as_ref()),
-                waits: self.waits(&asked.wants),
-                zones: zones.clone(),
-                entries: u32::try_from(self.entries.len()).unwrap_or(u32::MAX),
-                ..Synced::default()
-            };
             let ticket = asked.ticket;
+            let synced = self.answer_to(now, &zones, &asked);
             out.push(Output::Answer { ticket, synced });
         }
+        self.census = Some(census);
+    }
+
+    fn answer_to(&self, now: Time, zones: &[String], asked: &Parked) -> Synced {
+        let told = self.news.since(now, asked.news, &asked.again);
+        let asker = asked.asker.as_ref();
+        let mut synced = Synced {
+            news: self.news.last(),
+            targets: told.targets,
+            whole: told.whole,
+            gone: told.gone,
+            waits: self.waits(&asked.wants),
+            zones: zones.to_vec(),
+            entries: u32::try_from(self.traffic.entries()).unwrap_or(u32::MAX),
+            ..Synced::default()
+        };
+        if !asked.brief {
+            synced.running = self.traffic.running_without(asker);
+            synced.unread = self.traffic.unread_without(asker);
+        }
+        synced
+    }
+
+    /// Returns copies at the engines, counted anew only where something has changed.
+    fn census(&mut self, now: Time) -> Census {
+        let census = self.census.take();
+        let census = census.filter(|census| census.next.is_none_or(|at| now < at));
+        census.unwrap_or_else(|| self.count(now))
+    }
+
+    /// Numbers what has changed at the targets of `zones`.
+    fn show(&mut self, zones: &[String]) {
+        for id in std::mem::take(&mut self.changed) {
+            let listed = self.targets.get(&id);
+            let Some(listed) = listed.filter(|listed| zones.contains(&listed.zone)) else {
+                self.news.drop_target(&id);
+                continue;
+            };
+            let engine = self.engines.get(&id);
+            let held = engine.map(Engine::residents).unwrap_or_default();
+            let (residents, ready): (Vec<Resident>, Vec<Time>) = held.into_iter().unzip();
+            let target = Target {
+                id,
+                service: listed.service.clone(),
+                addr: listed.addr.clone(),
+                zone: listed.zone.clone(),
+                slots: listed.slots,
+                ready: listed.ready,
+                residents,
+            };
+            self.news.show(target, ready);
+        }
     }
 
     /// Tells whether an adapter is so far back in the queue for the store that
@@ -378,46 +505,4 @@
     fn serves(&self, id: &str) -> bool {
         !self.failing.contains_key(id) && self.targets.get(id).is_some_and(|t| t.ready)
     }
-
-    fn all(&self, now: Time, zones: &[String]) -> Vec<Target> {
-        let own = self.targets.values().filter(|t| zones.contains(&t.zone));
-        let each = own.map(|listed| Target {
-            id: listed.id.clone(),
-            service: listed.service.clone(),
-            addr: listed.addr.clone(),
-            zone: listed.zone.clone(),
-            slots: listed.slots,
-            ready: listed.ready,
-            residents: self
-                .engines
-                .get(&listed.id)
-                .map(|engine| engine.residents(now))
-                .unwrap_or_default(),
-        });
-        each.collect()
-    }
-
-    fn unread_without(&self, asker: Option<&InstanceName>) -> Vec<(String, u64)> {
-        let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
-        let others = self.entries.iter().filter(|(name, _)| Some(*name) != asker);
-        for (target, tokens) in others.flat_map(|(_, entry)| &entry.unread) {
-            *sums.entry(target).or_default() += tokens;
-        }
-        let sums = sums.into_iter();
-        sums.map(|(id, tokens)| (id.to_owned(), tokens)).collect()
-    }
-
-    fn running_without(&self, asker: Option<&InstanceName>) -> Vec<(String, u32)> {
-        let mut sums: BTreeMap<&str, u32> = BTreeMap::new();
-        for (name, entry) in &self.entries {
-            if Some(name) == asker {
-                continue;
-            }
-            for running in &entry.running {
-                *sums.entry(&running.target).or_default() += running.count;
-            }
-        }
-        let sums = sums.into_iter();
-        sums.map(|(id, count)| (id.to_owned(), count)).collect()
-    }
 }
--- a/crates/gateway/src/holder/demand.rs
+++ b/crates/gateway/src/holder/demand.rs
@@ -33,12 +33,11 @@
 }
 
 impl Demand {
-    pub(super) fn add(&mut self, now: Time, adapter: &str, count: f64) {
+    /// Counts requests for an adapter; returns whether it has become busy.
+    pub(super) fn add(&mut self, now: Time, adapter: &str, count: f64) -> bool {
         let old = self.of(now, adapter);
         self.counts.insert(adapter.to_owned(), (old + count, now));
-        if old + count >= least_busy() {
-            self.busy.insert(adapter.to_owned());
-        }
+        old + count >= least_busy() && self.busy.insert(adapter.to_owned())
     }
 
     pub(super) fn of(&self, now: Time, adapter: &str) -> f64 {
--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -414,12 +414,19 @@
         Some(self.drops - at)
     }
 
-    pub(super) fn residents(&self, now: Time) -> Vec<Resident> {
-        let models = self.models.iter().map(|(model, ready)| Resident {
-            adapter: model.clone(),
-            version: 0,
-            ready_in: ready.since(now),
-        });
+    /// Returns what requests may use, and from when; the residents themselves name no
+    /// time.
+    pub(super) fn residents(&self) -> Vec<(Resident, Time)> {
+        let resident = |adapter: &String, version, ready| {
+            let resident = Resident {
+                adapter: adapter.clone(),
+                version,
+                ready_in: Duration::ZERO,
+            };
+            (resident, ready)
+        };
+        let models = self.models.iter();
+        let models = models.map(|(model, ready)| resident(model, 0, *ready));
         let leaving: BTreeSet<_> = match &self.order {
             Some(Act::Evict(adapter)) => BTreeSet::from([adapter]),
             _ => BTreeSet::new(),
@@ -427,11 +434,7 @@
         let adapters = self.adapters.iter();
         let adapters =
             adapters.filter(|(adapter, slot)| !slot.leaving && !leaving.contains(adapter));
-        let adapters = adapters.map(|(adapter, slot)| Resident {
-            adapter: adapter.clone(),
-            version: slot.version,
-            ready_in: slot.ready.since(now),
-        });
+        let adapters = adapters.map(|(adapter, slot)| resident(adapter, slot.version, slot.ready));
         models.chain(adapters).collect()
     }
 }
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -1,11 +1,12 @@
 //! Which orders to give.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use base::Time;
 
 use super::{
-    Act, Holder, Order, Output,
+    Act, Holder, Order, Output, PLAN_REST,
+    census::Census,
     engine::{Asked, Engine},
 };
 use crate::table;
@@ -38,28 +39,19 @@
 /// for others.
 const PAST_GAIN: f64 = 0.8;
 
-impl Holder {
-    /// Tells whether an adapter is held, or is on its way, in the version that
-    /// counts.
-    pub(super) fn on_its_way(&self, adapter: &String) -> bool {
-        self.copies(adapter) > 0
-    }
-
-    /// Tells whether an adapter is held somewhere, or its load is accepted.
-    pub(super) fn placed(&self, adapter: &String) -> bool {
-        let mut engines = self.engines.iter();
-        engines.any(|(id, engine)| self.serves(id) && self.current(engine, adapter))
-    }
-
-    pub(super) fn copies(&self, adapter: &String) -> usize {
-        let has = |id: &String, engine: &Engine| {
-            self.serves(id) && (self.current(engine, adapter) || engine.heads_for(adapter))
-        };
-        let engines = self.engines.iter();
-        engines.filter(|(id, engine)| has(id, engine)).count()
-    }
+/// An engine that may be given an order now.
+pub(super) struct Site {
+    id: String,
+    /// Requests under way there, in parts of its slots.
+    load: f64,
+    /// Whether a place is free.
+    room: bool,
+    /// The adapter that would have to go, once that was looked for.
+    victim: Option<String>,
+}
 
-    pub(super) fn current(&self, engine: &Engine, adapter: &String) -> bool {
+impl Holder {
+    pub(super) fn current(&self, engine: &Engine, adapter: &str) -> bool {
         let named = self.versions.get(adapter).copied().unwrap_or(0);
         let slot = engine.adapters.get(adapter);
         slot.is_some_and(|slot| !slot.leaving && (slot.version == 0 || slot.version >= named))
@@ -74,30 +66,60 @@
         self.pace.at_least(engines as f64 * TRANSIT_EACH);
         let most = self.loads_at_once(now);
         self.reach_goals(now, out);
-        self.load_missing(now, most, out);
+        let mut census = self.census(now);
+        self.load_missing(now, most, &mut census, out);
         if self.queue.is_empty() {
-            self.spread(now, most, out);
+            self.spread(now, most, &mut census, out);
         }
+        let soon = now + PLAN_REST;
+        self.next = census.next.map(|at| at.max(soon));
+        // What was ordered counts from its answer on; then all is counted anew.
+        self.census = Some(census);
     }
 
     /// Loads what is missing, as far as the store serves it now.
     ///
-    /// Failure: every message of every entry instance is followed by a plan. With many
-    /// of them the sums over all requests under way, made each time, took most of the
-    /// processor; orders weren't answered in time and were taken for lost. Sums are made
-    /// only where something is missing.
-    fn load_missing(&mut self, now: Time, most: usize, out: &mut Vec<Output>) {
+    /// Failure: a plan looked at each engine and all requests under way for each adapter
+    /// that was missing, though few of them could be ordered. The more waited the later
+    /// answers of engines were read, until orders counted as lost and more was missing.
+    /// What waits for the store costs a plan no more than its place in the queue.
+    fn load_missing(&mut self, now: Time, most: usize, census: &mut Census, out: &mut Vec<Output>) {
         self.queue.clear();
-        let missing = self.missing(now);
-        if missing.is_empty() {
+        if self.wants.is_empty() && self.copies.is_empty() {
             return;
         }
-        let used = self.used();
+        let missing = self.missing(now, census);
+        let mut sites = self.sites(now);
+        let mut waiting = Vec::new();
         for adapter in missing {
-            let moving: usize = self.engines.values().map(|e| e.loading(now)).sum();
-            self.place(now, &adapter, moving < most, &used, out);
+            let store = census.loading < most;
+            let want = self.wants.get(&adapter);
+            let near = want.is_none_or(|want| want.near);
+            let tried = (store || near) && !sites.is_empty();
+            if !tried || !self.place(now, &adapter, store, &mut sites, census, out) {
+                waiting.push(adapter);
+            }
         }
-        self.queue = self.expect(now, most);
+        self.queue = self.expect(&waiting, most);
+    }
+
+    /// Returns the engines that may be given an order now.
+    pub(super) fn sites(&mut self, now: Time) -> Vec<Site> {
+        self.steps += self.engines.len() as u64;
+        let free = self.engines.iter().filter(|(id, engine)| {
+            engine.free(now)
+                && engine.goal.is_none()
+                && engine.transit(now) < TRANSIT_MAX
+                && self.serves(id)
+                && self.fence(now, id).is_some()
+        });
+        let each = free.map(|(id, _)| Site {
+            id: id.clone(),
+            load: self.load_of(id),
+            room: self.room(id) > 0,
+            victim: None,
+        });
+        each.collect()
     }
 
     /// Returns how many adapters may be on their way in the zones of this holder.
@@ -191,17 +213,6 @@
         }
     }
 
-    /// Returns requests under way by engine and adapter.
-    pub(super) fn used(&self) -> BTreeMap<(String, String), u32> {
-        let mut used = BTreeMap::new();
-        let running = self.entries.values().flat_map(|entry| &entry.running);
-        for running in running {
-            let key = (running.target.clone(), running.adapter.clone());
-            *used.entry(key).or_default() += running.count;
-        }
-        used
-    }
-
     /// Tells whether a name is that of a base model, which every engine holds.
     ///
     /// Failure: callers use the base model itself, two a second or more. Loaded
@@ -213,8 +224,8 @@
         models.any(|model| model.name == name)
     }
 
-    /// Places one more copy of an adapter; without the `store` only where an
-    /// engine has it in memory.
+    /// Places one more copy of an adapter at one of the `sites`, which it takes; without
+    /// the `store` only where an engine has it in memory. Returns whether it did.
     ///
     /// Failure: forty adapters wait for their part of the store, and those that
     /// an engine could bring back from its own memory in a tenth of the time wait
@@ -224,80 +235,88 @@
         now: Time,
         adapter: &str,
         store: bool,
-        used: &BTreeMap<(String, String), u32>,
+        sites: &mut Vec<Site>,
+        census: &mut Census,
         out: &mut Vec<Output>,
-    ) {
-        let fit = self.engines.iter().filter(|(id, engine)| {
-            self.serves(id)
-                && engine.free(now)
-                && engine.goal.is_none()
-                && engine.transit(now) < TRANSIT_MAX
-                && self.holds_model(id, adapter)
-                && !self.current(engine, &adapter.to_owned())
-                && !engine.leaves(adapter)
-                && (store || self.in_memory(engine, adapter))
-        });
-        let mut best: Option<(f64, String, Option<String>)> = None;
-        for (id, engine) in fit {
-            let held = engine.adapters.contains_key(adapter);
-            let victim = if self.room(id) > 0 || held {
-                None
-            } else {
-                let Some(victim) = self.victim(now, id, engine, used) else {
-                    continue;
-                };
-                Some(victim)
+    ) -> bool {
+        loop {
+            self.steps += sites.len() as u64;
+            let fit = sites.iter().enumerate().filter_map(|(at, site)| {
+                let cost = self.cost(site, adapter, store)?;
+                Some((cost, at))
+            });
+            let Some((_, at)) = fit.min_by(|a, b| a.0.total_cmp(&b.0)) else {
+                return false;
             };
-            let mut cost = self.load_of(id, used);
-            if victim.is_some() {
-                cost += DROP_COST;
-            }
-            if self.in_memory(engine, adapter) {
-                cost -= PAST_GAIN;
-            }
-            // A newer version replaces the one held only after its requests
-            // have ended; until then nobody is served there.
-            if held {
-                cost += f64::from(self.used_at(id, adapter, used));
-            }
-            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, id.clone(), victim));
+            let held = self.engines[&sites[at].id].adapters.contains_key(adapter);
+            if !sites[at].room && !held && sites[at].victim.is_none() {
+                sites[at].victim = self.victim(now, &sites[at].id, census);
+                if sites[at].victim.is_none() {
+                    // Nothing can go there now, whatever it is asked to load.
+                    sites.swap_remove(at);
+                    continue;
+                }
             }
+            let site = sites.swap_remove(at);
+            self.load_at(now, site, adapter, held, out);
+            census.ordered(adapter);
+            return true;
         }
-        let Some((_, id, victim)) = best else {
+    }
+
+    fn load_at(&mut self, now: Time, site: Site, adapter: &str, held: bool, out: &mut Vec<Output>) {
+        let victim = site.victim.filter(|_| !site.room && !held);
+        let Some(victim) = victim else {
+            self.load(now, &site.id, adapter.to_owned(), out);
             return;
         };
-        match victim {
-            None => self.load(now, &id, adapter.to_owned(), out),
-            Some(victim) => {
-                let engine = self.engines.get_mut(&id).expect("was just chosen");
-                engine.goal = Some(adapter.to_owned());
-                self.order(now, &id, Act::Evict(victim), out);
-            }
+        let engine = self.engines.get_mut(&site.id).expect("was just chosen");
+        engine.goal = Some(adapter.to_owned());
+        self.order(now, &site.id, Act::Evict(victim), out);
+    }
+
+    /// Returns what a load at an engine costs others; nothing where it can't be.
+    fn cost(&self, site: &Site, adapter: &str, store: bool) -> Option<f64> {
+        let engine = &self.engines[&site.id];
+        let near = self.in_memory(engine, adapter);
+        if !(store || near) || !self.holds_model(&site.id, adapter) || engine.leaves(adapter) {
+            return None;
         }
+        let held = engine.adapters.contains_key(adapter);
+        if held && self.current(engine, adapter) {
+            return None;
+        }
+        let mut cost = site.load;
+        if near {
+            cost -= PAST_GAIN;
+        }
+        // A newer version replaces the one held only after its requests
+        // have ended; until then nobody is served there.
+        if held {
+            cost += f64::from(self.traffic.of(&site.id, adapter));
+        } else if !site.room {
+            cost += DROP_COST;
+        }
+        Some(cost)
     }
 
     /// Tells whether an engine can load an adapter from its own memory.
-    fn in_memory(&self, engine: &Engine, adapter: &str) -> bool {
+    pub(super) fn in_memory(&self, engine: &Engine, adapter: &str) -> bool {
         let depth = engine.depth(adapter);
         depth.is_some_and(|depth| depth < self.memory.size())
     }
 
     /// Returns the adapter that is missed least among those nobody uses.
-    fn victim(
-        &self,
-        now: Time,
-        id: &str,
-        engine: &Engine,
-        used: &BTreeMap<(String, String), u32>,
-    ) -> Option<String> {
+    fn victim(&mut self, now: Time, id: &str, census: &Census) -> Option<String> {
+        let engine = &self.engines[id];
+        self.steps += engine.adapters.len() as u64;
         let idle = engine.adapters.iter().filter(|(adapter, slot)| {
             let wanted = self.wants.contains_key(*adapter);
-            slot.settled(now) && !slot.leaving && !wanted && self.used_at(id, adapter, used) == 0
+            slot.settled(now) && !slot.leaving && !wanted && self.traffic.of(id, adapter) == 0
         });
         let rated = idle.map(|(adapter, _)| {
             let outdated = !self.current(engine, adapter);
-            let copies = self.copies(adapter).max(1) as f64;
+            let copies = census.copies(adapter).max(1) as f64;
             let rate = if outdated {
                 0.0
             } else {
@@ -309,16 +328,9 @@
         Some(least.1.clone())
     }
 
-    fn used_at(&self, id: &str, adapter: &str, used: &BTreeMap<(String, String), u32>) -> u32 {
-        let key = (id.to_owned(), adapter.to_owned());
-        used.get(&key).copied().unwrap_or(0)
-    }
-
-    fn load_of(&self, id: &str, used: &BTreeMap<(String, String), u32>) -> f64 {
-        let here = used.iter().filter(|((target, _), _)| target == id);
-        let running: u32 = here.map(|(_, count)| *count).sum();
+    fn load_of(&self, id: &str) -> f64 {
         let slots = self.targets.get(id).map_or(1, |t| t.slots.max(1));
-        f64::from(running) / f64::from(slots)
+        f64::from(self.traffic.at(id)) / f64::from(slots)
     }
 
     fn spec(&self, id: &str) -> Option<&table::Engine> {
@@ -357,11 +369,15 @@
         self.order(now, id, Act::Load { adapter, version }, out);
     }
 
+    fn fence(&self, now: Time, id: &str) -> Option<u64> {
+        self.tenure.fence(now, &self.targets.get(id)?.zone)
+    }
+
     fn order(&mut self, now: Time, id: &str, act: Act, out: &mut Vec<Output>) {
         let Some(listed) = self.targets.get(id) else {
             return;
         };
-        let Some(fence) = self.tenure.fence(now, &listed.zone) else {
+        let Some(fence) = self.fence(now, id) else {
             return;
         };
         let addr = listed.addr.clone();
@@ -373,7 +389,7 @@
             return;
         };
         engine.order = Some(act.clone());
-        self.dirty = true;
+        self.changed.insert(id.to_owned());
         out.push(Output::Order(Order {
             id: id.to_owned(),
             addr,
@@ -397,10 +413,12 @@
         slot.is_some_and(|slot| slot.leaving)
     }
 
-    /// Tells whether the engine is about to load an adapter.
-    pub(super) fn heads_for(&self, adapter: &str) -> bool {
-        let ordered = matches!(&self.order, Some(Act::Load { adapter: a, .. }) if a == adapter);
-        ordered || self.goal.as_deref() == Some(adapter)
+    /// Returns the adapter that the engine is about to load.
+    pub(super) fn headed(&self) -> Option<&str> {
+        match &self.order {
+            Some(Act::Load { adapter, .. }) => Some(adapter),
+            _ => self.goal.as_deref(),
+        }
     }
 
     /// Tells whether an order may be given now.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -74,6 +74,8 @@
     expected: BTreeMap<String, (Time, Time)>,
     /// What came of first requests since it was last taken, by zone.
     firsts: BTreeMap<String, Vec<First>>,
+    /// Targets of which something told was dropped here, as they showed otherwise.
+    doubted: BTreeSet<String>,
 }
 
 #[derive(Clone, Debug)]
@@ -113,23 +115,43 @@
         self.targets = rest;
         for target in targets {
             let before = old.remove(&target.id);
-            let residents = target.residents.iter().map(|resident| {
-                let old = before.as_ref();
-                let old = old.and_then(|known| known.residents.get(&resident.adapter));
-                (resident.adapter.clone(), Held::told(now, resident, old))
-            });
-            let known = Known {
-                residents: residents.collect(),
-                own: before.as_ref().map(|k| k.own.clone()).unwrap_or_default(),
-                unread: before.as_ref().map_or(0, |k| k.unread),
-                trouble: before.map(|k| k.trouble).unwrap_or_default(),
-                target,
-            };
-            self.targets.insert(known.target.id.clone(), known);
+            self.add_target(now, target, before);
         }
-        // Requests still under way at a target that left the list keep their
-        // count, or their end would be taken off another's.
-        for (id, mut known) in old {
+        self.keep_busy(old);
+    }
+
+    /// Takes targets that have changed or were doubted, and the ids of those that are
+    /// gone; the others stay as they are.
+    pub fn change_targets(&mut self, now: Time, targets: Vec<Target>, gone: &[String]) {
+        for target in targets {
+            let before = self.targets.remove(&target.id);
+            self.add_target(now, target, before);
+        }
+        let gone = gone.iter().filter_map(|id| self.targets.remove_entry(id));
+        let gone: BTreeMap<_, _> = gone.collect();
+        self.keep_busy(gone);
+    }
+
+    fn add_target(&mut self, now: Time, target: Target, before: Option<Known>) {
+        let residents = target.residents.iter().map(|resident| {
+            let old = before.as_ref();
+            let old = old.and_then(|known| known.residents.get(&resident.adapter));
+            (resident.adapter.clone(), Held::told(now, resident, old))
+        });
+        let known = Known {
+            residents: residents.collect(),
+            own: before.as_ref().map(|k| k.own.clone()).unwrap_or_default(),
+            unread: before.as_ref().map_or(0, |k| k.unread),
+            trouble: before.map(|k| k.trouble).unwrap_or_default(),
+            target,
+        };
+        self.targets.insert(known.target.id.clone(), known);
+    }
+
+    /// Keeps targets that are gone while requests are under way there, or the end of
+    /// these would be taken off another's.
+    fn keep_busy(&mut self, gone: BTreeMap<String, Known>) {
+        for (id, mut known) in gone {
             if known.own.values().any(|n| *n > 0) {
                 known.target.ready = false;
                 self.targets.insert(id, known);
@@ -137,6 +159,23 @@
         }
     }
 
+    /// Returns and forgets the targets of `zones` that have to be told again, as what
+    /// was told of them was dropped here.
+    pub fn take_doubted(&mut self, zones: &[String]) -> Vec<String> {
+        let targets = &self.targets;
+        let there = |id: &String| {
+            targets
+                .get(id)
+                .is_some_and(|k| zones.contains(&k.target.zone))
+        };
+        let (due, rest) = std::mem::take(&mut self.doubted)
+            .into_iter()
+            .partition(there);
+        self.doubted = rest;
+        let due: BTreeSet<String> = due;
+        due.into_iter().collect()
+    }
+
     /// Takes the named versions of adapters.
     pub fn set_versions(&mut self, versions: impl IntoIterator<Item = (String, u32)>) {
         for (adapter, version) in versions {
--- a/crates/gateway/src/view/held.rs
+++ b/crates/gateway/src/view/held.rs
@@ -65,6 +65,7 @@
         };
         if !held.unproven || held.early >= EARLY_MAX {
             known.residents.remove(adapter);
+            self.doubted.insert(id.to_owned());
             return;
         }
         base::hit!(sent_too_early);
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -2,6 +2,10 @@
 
 #[path = "holder/loads.rs"]
 mod loads;
+#[path = "holder/many.rs"]
+mod many;
+#[path = "holder/news.rs"]
+mod news;
 #[path = "holder/world.rs"]
 mod world;
 
--- /dev/null
+++ b/crates/gateway/tests/holder/many.rs
@@ -0,0 +1,186 @@
+//! What a holder spends while far more adapters wait than the store brings.
+//!
+//! Pattern: a backlog whose length makes each step dearer. Work done for what can't be
+//! served yet takes the time of what can, so the backlog grows: the holder collapses,
+//! and doesn't come back when the cause is over. Here a plan costs what it orders.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{Ticket, Time};
+use gateway::{
+    holder::{Config, Ended, Holder, Input, Listed, Order, Output, Report},
+    table::{Engine, Model},
+    tenure::Tenure,
+};
+use googletest::prelude::*;
+use wire::fleet::{Running, Sync};
+
+use crate::world::held;
+
+const ENTRIES: usize = 60;
+const PLACES: usize = 5;
+
+/// A holder of one zone whose engines are full, with many entry instances.
+struct Crowd {
+    holder: Holder,
+    now: Time,
+    orders: Vec<Order>,
+    answers: usize,
+}
+
+impl Crowd {
+    /// Makes a holder whose engines hold so many adapters each.
+    fn new(engines: usize, full: usize) -> Self {
+        let mut holder = Holder::new(Config::default(), 1);
+        let spec = Engine {
+            models: vec![Model {
+                name: "m".to_owned(),
+                weights_mb: 60.0,
+                adapter_mb: 1.0,
+            }],
+            adapter_slots: PLACES,
+            memory_mb: 100.0,
+        };
+        holder.set_specs(BTreeMap::from([("s".to_owned(), spec)]));
+        let mut crowd = Crowd {
+            holder,
+            now: Time::from_millis(1_000),
+            orders: Vec::new(),
+            answers: 0,
+        };
+        let mut tenure = Tenure::default();
+        tenure.granted(crowd.now, [("za".to_owned(), 9)]);
+        crowd.give(Input::Tenure(tenure));
+        crowd.list(engines, full);
+        crowd
+    }
+
+    fn list(&mut self, engines: usize, full: usize) {
+        let holds = |n: usize| {
+            let names: Vec<_> = (0..full).map(|p| format!("m/held-{n}-{p}")).collect();
+            held(&names.iter().map(String::as_str).collect::<Vec<_>>())
+        };
+        let listed = (0..engines).map(|n| Listed {
+            id: format!("e{n}"),
+            addr: format!("e{n}:1"),
+            born: 1,
+            service: "s".to_owned(),
+            zone: "za".to_owned(),
+            slots: 64,
+            ready: true,
+            held: Some(holds(n)),
+        });
+        let (asked, list) = (self.now, listed.collect());
+        let zones = vec!["za".to_owned()];
+        self.give(Input::Listed { asked, zones, list });
+        for n in 0..engines {
+            let report = Report {
+                born: 1,
+                held: holds(n),
+                ..Report::default()
+            };
+            let (id, report) = (format!("e{n}"), Some(report));
+            self.give(Input::Reported { id, report });
+        }
+    }
+
+    fn give(&mut self, input: Input) {
+        let mut out = Vec::new();
+        self.holder.handle(self.now, input, &mut out);
+        for output in out {
+            match output {
+                Output::Order(order) => self.orders.push(order),
+                Output::Answer { .. } => self.answers += 1,
+                Output::Report { .. } => {}
+            }
+        }
+    }
+
+    /// One entry instance exchanges; it has requests under way at some engines, and its
+    /// callers wait for some adapters.
+    fn exchange(&mut self, entry: usize, engines: usize, waiting: usize) {
+        let running = (0..engines).step_by(3).map(|n| Running {
+            target: format!("e{n}"),
+            adapter: format!("m/held-{n}-0"),
+            count: 1,
+        });
+        let wants = (0..waiting).filter(|n| n % ENTRIES == entry);
+        let sync = Sync {
+            instance: Some(format!("n{entry}").parse().unwrap()),
+            running: running.collect(),
+            wants: wants.map(|n| format!("m/wanted-{n}")).collect(),
+            ..Sync::default()
+        };
+        self.give(Input::Sync(Ticket(entry as u64), sync));
+    }
+
+    /// Every entry instance exchanges once, and a tenth of a second passes.
+    fn round(&mut self, engines: usize, waiting: usize) -> u64 {
+        let before = self.holder.steps();
+        for entry in 0..ENTRIES {
+            self.exchange(entry, engines, waiting);
+        }
+        self.now = self.now + Duration::from_millis(100);
+        self.give(Input::Wake);
+        self.holder.steps() - before
+    }
+}
+
+/// Hundreds of adapters wait, and every message of every entry instance is followed by a
+/// look at each of them at each engine. Orders are answered, but nobody reads that in
+/// time: they count as lost, and more waits.
+#[gtest]
+fn what_waits_costs_nothing_until_it_can_be_ordered() {
+    for engines in [35, 140] {
+        let mut crowd = Crowd::new(engines, PLACES);
+        let few = (0..5).map(|_| crowd.round(engines, 3)).max().unwrap();
+        let mut crowd = Crowd::new(engines, PLACES);
+        let many = (0..5).map(|_| crowd.round(engines, 600)).max().unwrap();
+        // Each adapter is looked at once a plan; plans are made for the first word of it,
+        // and then ten times a second.
+        let plans = ENTRIES as u64 + 5;
+        let most = few + plans * 600 + 2 * plans * (engines * (PLACES + 2)) as u64;
+        expect_that!(many, lt(most), "{engines} engines, {few} with few waiting");
+    }
+}
+
+/// The same once all is known: callers ask again and again, and nothing can be ordered.
+#[gtest]
+fn what_is_asked_for_again_is_not_planned_again() {
+    let engines = 35;
+    let mut crowd = Crowd::new(engines, PLACES);
+    crowd.round(engines, 600);
+    let again = crowd.round(engines, 600);
+    // One plan for the time that has passed.
+    expect_that!(again, lt((600 + 4 * engines * (PLACES + 2)) as u64));
+}
+
+/// The holder has fallen behind: the answers of a hundred orders and the messages of all
+/// entry instances are read at once. They are followed by one plan, and what the answers
+/// allow is ordered with it.
+#[gtest]
+fn what_came_together_is_followed_by_one_plan() {
+    let engines = 35;
+    let mut crowd = Crowd::new(engines, 0);
+    crowd.round(engines, 600);
+    let given = std::mem::take(&mut crowd.orders);
+    expect_that!(given.len(), gt(5));
+    let before = crowd.holder.steps();
+    for order in &given {
+        let (id, ended) = (order.id.clone(), Ended::Accepted);
+        crowd.holder.take(crowd.now, Input::Ended { id, ended });
+    }
+    for entry in 0..ENTRIES {
+        let sync = Input::Sync(Ticket(entry as u64), Sync::default());
+        crowd.holder.take(crowd.now, sync);
+    }
+    let mut out = Vec::new();
+    crowd.holder.act(crowd.now, &mut out);
+    // The next ones are due once these have come.
+    crowd.now = crowd.now + Duration::from_millis(300);
+    crowd.holder.act(crowd.now, &mut out);
+    let orders = out.iter().filter(|o| matches!(o, Output::Order(_))).count();
+    expect_that!(orders, ge(given.len()));
+    let most = 2 * 600 + (orders + 6) * engines * (PLACES + 2);
+    expect_that!(crowd.holder.steps() - before, lt(most as u64));
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -248,3 +248,43 @@
     let late = NOW + Duration::from_millis(500);
     assert_that!(view.expected(late, "m/x"), none());
 }
+
+/// Only what has changed at targets is told. The others stay as they are, and so do the
+/// requests under way at those that changed or are gone.
+#[gtest]
+fn a_change_at_one_target_leaves_the_others() {
+    let mut view = view(vec![
+        target("a", "za", &[("m/x", 1, 0)]),
+        target("b", "za", &[("m/y", 1, 0)]),
+    ]);
+    view.begin("a", "m/x", 0);
+    view.change_targets(NOW, vec![target("a", "za", &[("m/z", 1, 0)])], &[]);
+    assert_that!(choose(&view, "m/x"), eq(&Choice::Missing));
+    assert_that!(choose(&view, "m/z"), eq(&send("a")));
+    assert_that!(choose(&view, "m/y"), eq(&send("b")));
+    assert_that!(view.running(&["za".to_owned()]).len(), eq(1));
+    view.change_targets(NOW, Vec::new(), &["a".to_owned(), "b".to_owned()]);
+    assert_that!(choose(&view, "m/z"), eq(&Choice::Nobody));
+    assert_that!(view.running(&["za".to_owned()]).len(), eq(1));
+    view.end("a", "m/x");
+    assert_that!(view.running(&["za".to_owned()]), is_empty());
+}
+
+/// An engine refuses a request for what it is said to hold. What is dropped here has to be
+/// told again, or the engine would hold it for nobody.
+#[gtest]
+fn a_target_that_showed_otherwise_is_doubted_once() {
+    let mut view = view(vec![
+        target("a", "za", &[("m/x", 1, 0)]),
+        target("b", "zb", &[("m/x", 1, 0)]),
+    ]);
+    view.lacks(NOW, "a", "m/x");
+    view.lacks(NOW, "b", "m/x");
+    let own = ["za".to_owned()];
+    assert_that!(view.take_doubted(&own), eq(&vec!["a".to_owned()]));
+    assert_that!(view.take_doubted(&own), is_empty());
+    assert_that!(
+        view.take_doubted(&["zb".to_owned()]),
+        eq(&vec!["b".to_owned()])
+    );
+}
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -26,6 +26,10 @@
         pub revision: u64,
         /// Which news of targets it has; see [`Synced::news`].
         pub news: u64,
+        /// Targets of which it has dropped what it was told, by id; they are told again.
+        pub again: Vec<String>,
+        /// Whether this only asks for adapters: load is neither told nor wanted.
+        pub brief: bool,
         /// Requests under way there.
         pub running: Vec<Running>,
         /// Prompt tokens sent from there that targets haven't read yet, by target.
@@ -82,9 +86,15 @@
         pub news: u64,
         /// Zones whose engines this instance gives orders to.
         pub zones: Vec<String>,
-        /// All targets of those zones, where the asker doesn't have this news.
+        /// Targets of those zones that have changed since [`Sync::news`]; nothing where
+        /// none has.
         pub targets: Option<Vec<Target>>,
-        /// Requests under way at each target over all other instances.
+        /// Whether [`Self::targets`] are all of those zones, whatever the asker has.
+        pub whole: bool,
+        /// Targets that are gone since [`Sync::news`], by id.
+        pub gone: Vec<String>,
+        /// Requests under way at each target over all other instances; none in the answer to
+        /// a brief question.
         pub running: Vec<(String, u32)>,
         /// Prompt tokens at each target that it hasn't read yet, over all other
         /// instances.
