Say in the line about waiting loads what is on its way and where nothing can be dropped

Cause: the line told how many adapters wait, not whether the store, engines or places bind. Change: E4013 says what is on its way, how many engines take orders, and at how many no adapter can be dropped. Ruled out: nothing.

--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -51,6 +51,9 @@
         event!(
             telemetry::Event::StoreThrottled,
             waiting = learned.waiting,
+            coming = learned.coming,
+            idle = learned.idle,
+            full = learned.full,
             load_ms = learned.load.as_millis(),
             loads = learned.loads,
             memory = learned.memory
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -126,6 +126,12 @@
     pub memory: usize,
     /// Adapters that callers wait for and that aren't on their way.
     pub waiting: usize,
+    /// Adapters on their way.
+    pub coming: usize,
+    /// Engines that took orders at the last plan.
+    pub idle: usize,
+    /// Those of them where no adapter could be dropped.
+    pub full: usize,
 }
 
 /// The holder of orders.
@@ -165,6 +171,9 @@
     next: Option<Time>,
     /// Engines and adapters looked at so far.
     steps: u64,
+    /// See [`Learned`].
+    idle: usize,
+    full: usize,
     parked: Vec<Parked>,
 }
 
@@ -196,6 +205,8 @@
             due: true,
             next: None,
             steps: 0,
+            idle: 0,
+            full: 0,
             parked: Vec::new(),
         }
     }
@@ -213,6 +224,9 @@
             loads: self.pace.window() as usize,
             memory: self.memory.size(),
             waiting: self.queue.len(),
+            coming: self.census.as_ref().map_or(0, |census| census.loading),
+            idle: self.idle,
+            full: self.full,
         }
     }
 
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -90,6 +90,7 @@
         }
         let missing = self.missing(now, census);
         let mut sites = self.sites(now);
+        (self.idle, self.full) = (sites.len(), 0);
         let mut waiting = Vec::new();
         for adapter in missing {
             let store = census.loading < most;
@@ -254,6 +255,7 @@
                 if sites[at].victim.is_none() {
                     // Nothing can go there now, whatever it is asked to load.
                     sites.swap_remove(at);
+                    self.full += 1;
                     continue;
                 }
             }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -99,7 +99,7 @@
     TargetLeaving 4010 Info "target leaves" "The platform says that a target is to stop: no new work goes to it."
     ServiceDown 4011 Warn "service can't be brought up" "A service waits for one that it needs, named in `needs`."
     ServiceUp 4012 Info "service is up" "A service and all that it needs are up."
-    StoreThrottled 4013 Info "loads wait for the store" "Loads wait for the weight store: `waiting` adapters that aren't on their way, at `loads` at once of `load_ms` each; `memory` adapters load from an engine's own memory."
+    StoreThrottled 4013 Info "loads wait for the store" "Loads wait for the weight store: `waiting` adapters that aren't on their way, while `coming` are, at `loads` at once of `load_ms` each; `memory` adapters load from an engine's own memory. `idle` engines take orders, and at `full` of these no adapter can be dropped."
 
     // 5xxx: requests.
     RequestDone 5001 Debug "request done" "A request ended; `adapter` and `version` say what it ran on."
