Draw two targets and take the less loaded one

Cause: instances hear each other's load a quarter of a second late, and each took the least loaded holder of an adapter. Of 194 instances with the same word all chose the same one, until its queue took seconds. Change: of the holders in the best one's zone two are drawn, by a hash that differs between instances, requests and targets, and the less loaded is taken (view::spread). Measured: spread.rs (tests): of eight holders none gets more than three times its part.

--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use base::{InstanceName, Time, stable_hash};
+use base::{InstanceName, Seed, Time, stable_hash};
 use daemon::{Clock, Links, lock};
 use gateway::{budget::Budget, home::home, settle::Settle, table::Table, view::View};
 use tokio::sync::Notify;
@@ -68,7 +68,7 @@
             stopping: AtomicBool::new(false),
             entries: AtomicU32::new(ENTRIES_AT_FIRST),
             table: Mutex::default(),
-            view: Mutex::new(View::new(setup.zone.clone())),
+            view: Mutex::new(View::new(setup.zone.clone(), Seed(rand::random()))),
             budget: Mutex::new(Budget::new(setup.repeats)),
             sources: Sources::default(),
             editions: Editions::default(),
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,13 +2,14 @@
 
 mod backlog;
 mod held;
+mod spread;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
-use base::Time;
+use base::{Seed, Time};
 use wire::fleet::{First, Running, Target};
 
 use self::{
@@ -76,6 +77,10 @@
     firsts: BTreeMap<String, Vec<First>>,
     /// Targets of which something told was dropped here, as they showed otherwise.
     doubted: BTreeSet<String>,
+    /// Sets this instance's choices among equals apart from those of others.
+    seed: u64,
+    /// Requests sent so far.
+    sent: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -96,11 +101,13 @@
 }
 
 impl View {
-    /// Makes the view of an instance in `zone` that knows nothing yet.
+    /// Makes the view of an instance in `zone` that knows nothing yet; `seed` differs
+    /// between instances.
     #[must_use]
-    pub fn new(zone: impl Into<String>) -> Self {
+    pub fn new(zone: impl Into<String>, seed: Seed) -> Self {
         View {
             zone: zone.into(),
+            seed: seed.0,
             ..View::default()
         }
     }
@@ -305,12 +312,8 @@
             return Choice::Missing;
         }
         let usable = holders.iter().filter(|k| usable(k, now, adapter));
-        let best = usable.min_by(|a, b| {
-            let a = self.cost(now, a, tried);
-            let b = self.cost(now, b, tried);
-            a.total_cmp(&b)
-        });
-        if let Some(best) = best {
+        let rated: Vec<_> = usable.map(|k| (self.cost(now, k, tried), **k)).collect();
+        if let Some(best) = self.pick(&rated) {
             return Choice::Send(best.target.id.clone());
         }
         let at = holders.iter().filter_map(|k| k.residents.get(adapter));
@@ -338,6 +341,7 @@
     /// Notes that a request with so many prompt tokens was sent to a target, and
     /// returns what that has to read until it can answer.
     pub fn begin(&mut self, id: &str, adapter: &str, tokens: u64) -> u64 {
+        self.sent += 1;
         let Some(known) = self.targets.get_mut(id) else {
             return tokens;
         };
--- /dev/null
+++ b/crates/gateway/tests/spread.rs
@@ -0,0 +1,108 @@
+//! Where the requests of many instances go that all heard the same loads.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::{Seed, Time};
+use gateway::view::{Choice, View};
+use googletest::prelude::*;
+use wire::fleet::{Resident, Target};
+
+const NOW: Time = Time(1_000_000);
+const INSTANCES: u64 = 194;
+const TARGETS: usize = 8;
+
+fn target(n: usize) -> Target {
+    Target {
+        id: format!("e{n}"),
+        service: "s".to_owned(),
+        addr: format!("e{n}:1"),
+        zone: "za".to_owned(),
+        slots: 12,
+        ready: true,
+        residents: vec![Resident {
+            adapter: "m/x".to_owned(),
+            version: 1,
+            ready_in: std::time::Duration::ZERO,
+        }],
+    }
+}
+
+/// Returns how many requests each target gets when each instance sends one, all by the
+/// same word of how much runs where.
+fn sent(running: &[(String, u32)]) -> BTreeMap<String, usize> {
+    let zones = ["za".to_owned()];
+    let mut sent = BTreeMap::new();
+    for seed in 0..INSTANCES {
+        let mut view = View::new("za", Seed(seed));
+        view.set_targets(NOW, &zones, (0..TARGETS).map(target).collect());
+        view.set_others(&zones, running.iter().cloned());
+        let choice = view.choose(NOW, "s", "m/x", &BTreeSet::new());
+        let Choice::Send(id) = choice else {
+            panic!("nothing chosen: {choice:?}");
+        };
+        *sent.entry(id).or_default() += 1;
+    }
+    sent
+}
+
+/// A busy adapter has eight holders, and one of them has a request less than the others.
+/// All instances send there until they hear of each other: its queue takes seconds, while
+/// the other seven are idle.
+#[gtest]
+fn instances_do_not_all_choose_the_same_target() {
+    let running: Vec<_> = (0..TARGETS)
+        .map(|n| (format!("e{n}"), if n == 5 { 5 } else { 6 }))
+        .collect();
+    let sent = sent(&running);
+    let mean = INSTANCES as usize / TARGETS;
+    expect_that!(sent.len(), eq(TARGETS));
+    expect_that!(sent.values().max(), some(le(&(mean * 3))));
+}
+
+/// One holder is behind by more than instances can add at once. Nobody is sent there.
+#[gtest]
+fn a_target_that_is_clearly_fuller_is_left_alone() {
+    let running: Vec<_> = (0..TARGETS)
+        .map(|n| (format!("e{n}"), if n == 5 { 9 } else { 6 }))
+        .collect();
+    expect_that!(sent(&running).get("e5"), none());
+}
+
+/// One instance sends many requests. It knows of its own, and fills all alike.
+#[gtest]
+fn one_instance_fills_targets_alike() {
+    let zones = ["za".to_owned()];
+    let mut view = View::new("za", Seed(3));
+    view.set_targets(NOW, &zones, (0..TARGETS).map(target).collect());
+    let mut counts = BTreeMap::new();
+    for _ in 0..TARGETS * 6 {
+        let Choice::Send(id) = view.choose(NOW, "s", "m/x", &BTreeSet::new()) else {
+            panic!("nothing chosen");
+        };
+        view.begin(&id, "m/x", 0);
+        *counts.entry(id).or_insert(0) += 1;
+    }
+    expect_that!(counts.values().max(), some(le(&8)));
+    expect_that!(counts.values().min(), some(ge(&4)));
+}
+
+/// All holders but one can't be reached, or have refused the request. Drawn by chance
+/// alone, they would be asked again.
+#[gtest]
+fn what_is_clearly_worse_is_not_drawn() {
+    let zones = ["za".to_owned()];
+    for seed in 0..INSTANCES {
+        let mut view = View::new("za", Seed(seed));
+        let mut targets: Vec<_> = (0..TARGETS).map(target).collect();
+        for target in &mut targets {
+            target.residents.clear();
+        }
+        view.set_targets(NOW, &zones, targets);
+        let tried: BTreeSet<_> = (0..4).map(|n| format!("e{n}")).collect();
+        for n in 4..TARGETS - 1 {
+            view.unreachable(NOW, &format!("e{n}"));
+        }
+        let choice = view.choose(NOW, "s", "", &tried);
+        expect_that!(choice, eq(&Choice::Send("e7".to_owned())));
+    }
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use base::Time;
+use base::{Seed, Time};
 use gateway::view::{Choice, View};
 use googletest::prelude::*;
 use wire::fleet::{Resident, Target};
@@ -27,7 +27,7 @@
 }
 
 fn view(targets: Vec<Target>) -> View {
-    let mut view = View::new("za");
+    let mut view = View::new("za", Seed(1));
     view.set_targets(NOW, &["za".to_owned(), "zb".to_owned()], targets);
     view
 }
