--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -46,7 +46,7 @@
     load: f64,
     /// Whether a place is free.
     room: bool,
-    /// The adapter that would have to go, once that was looked for.
+    /// Where none is, the adapter that would go.
     victim: Option<String>,
 }
 
@@ -89,8 +89,11 @@
             return;
         }
         let missing = self.missing(now, census);
-        let mut sites = self.sites(now);
-        (self.idle, self.full) = (sites.len(), 0);
+        let mut sites = self.sites(now, census);
+        let full = sites
+            .iter()
+            .filter(|site| !site.room && site.victim.is_none());
+        (self.idle, self.full) = (sites.len(), full.count());
         let mut waiting = Vec::new();
         for adapter in missing {
             let store = census.loading < most;
@@ -105,22 +108,27 @@
     }
 
     /// Returns the engines that may be given an order now.
-    pub(super) fn sites(&mut self, now: Time) -> Vec<Site> {
-        self.steps += self.engines.len() as u64;
-        let free = self.engines.iter().filter(|(id, engine)| {
-            engine.free(now)
-                && engine.goal.is_none()
-                && engine.transit(now) < TRANSIT_MAX
-                && self.serves(id)
-                && self.fence(now, id).is_some()
-        });
-        let each = free.map(|(id, _)| Site {
-            id: id.clone(),
-            load: self.load_of(id),
-            room: self.room(id) > 0,
-            victim: None,
-        });
-        each.collect()
+    pub(super) fn sites(&mut self, now: Time, census: &Census) -> Vec<Site> {
+        let mut sites = Vec::new();
+        let mut steps = self.engines.len();
+        for (id, engine) in &self.engines {
+            let free = engine.free(now) && engine.goal.is_none();
+            let fit = free && engine.transit(now) < TRANSIT_MAX && self.serves(id);
+            if !fit || self.fence(now, id).is_none() {
+                continue;
+            }
+            let room = self.room(id) > 0;
+            steps += engine.adapters.len();
+            let victim = (!room).then(|| self.victim(now, id, engine, census));
+            sites.push(Site {
+                id: id.clone(),
+                load: self.load_of(id),
+                room,
+                victim: victim.flatten(),
+            });
+        }
+        self.steps += steps as u64;
+        sites
     }
 
     /// Returns how many adapters may be on their way in the zones of this holder.
@@ -240,41 +248,24 @@
         census: &mut Census,
         out: &mut Vec<Output>,
     ) -> bool {
-        loop {
-            self.steps += sites.len() as u64;
-            let fit = sites.iter().enumerate().filter_map(|(at, site)| {
-                let cost = self.cost(site, adapter, store)?;
-                Some((cost, at))
-            });
-            let Some((_, at)) = fit.min_by(|a, b| a.0.total_cmp(&b.0)) else {
-                return false;
-            };
-            let held = self.engines[&sites[at].id].adapters.contains_key(adapter);
-            if !sites[at].room && !held && sites[at].victim.is_none() {
-                sites[at].victim = self.victim(now, &sites[at].id, census);
-                if sites[at].victim.is_none() {
-                    // Nothing can go there now, whatever it is asked to load.
-                    sites.swap_remove(at);
-                    self.full += 1;
-                    continue;
-                }
+        self.steps += sites.len() as u64;
+        let fit = sites.iter().enumerate();
+        let fit = fit.filter_map(|(at, site)| Some((self.cost(site, adapter, store)?, at)));
+        let Some((_, at)) = fit.min_by(|a, b| a.0.total_cmp(&b.0)) else {
+            return false;
+        };
+        let site = sites.swap_remove(at);
+        let held = self.engines[&site.id].adapters.contains_key(adapter);
+        match site.victim.filter(|_| !held) {
+            None => self.load(now, &site.id, adapter.to_owned(), out),
+            Some(victim) => {
+                let engine = self.engines.get_mut(&site.id).expect("was just chosen");
+                engine.goal = Some(adapter.to_owned());
+                self.order(now, &site.id, Act::Evict(victim), out);
             }
-            let site = sites.swap_remove(at);
-            self.load_at(now, site, adapter, held, out);
-            census.ordered(adapter);
-            return true;
         }
-    }
-
-    fn load_at(&mut self, now: Time, site: Site, adapter: &str, held: bool, out: &mut Vec<Output>) {
-        let victim = site.victim.filter(|_| !site.room && !held);
-        let Some(victim) = victim else {
-            self.load(now, &site.id, adapter.to_owned(), out);
-            return;
-        };
-        let engine = self.engines.get_mut(&site.id).expect("was just chosen");
-        engine.goal = Some(adapter.to_owned());
-        self.order(now, &site.id, Act::Evict(victim), out);
+        census.ordered(adapter);
+        true
     }
 
     /// Returns what a load at an engine costs others; nothing where it can't be.
@@ -297,6 +288,7 @@
         if held {
             cost += f64::from(self.traffic.of(&site.id, adapter));
         } else if !site.room {
+            site.victim.as_ref()?;
             cost += DROP_COST;
         }
         Some(cost)
@@ -309,9 +301,7 @@
     }
 
     /// Returns the adapter that is missed least among those nobody uses.
-    fn victim(&mut self, now: Time, id: &str, census: &Census) -> Option<String> {
-        let engine = &self.engines[id];
-        self.steps += engine.adapters.len() as u64;
+    fn victim(&self, now: Time, id: &str, engine: &Engine, census: &Census) -> Option<String> {
         let idle = engine.adapters.iter().filter(|(adapter, slot)| {
             let wanted = self.wants.contains_key(*adapter);
             slot.settled(now) && !slot.leaving && !wanted && self.traffic.of(id, adapter) == 0
--- a/crates/gateway/src/holder/queue.rs
+++ b/crates/gateway/src/holder/queue.rs
@@ -19,6 +19,10 @@
 /// is first come, first served, heavy days lose 0.004 of their worth.
 const LATE_GAIN: f64 = 0.3;
 
+/// What one more copy is worth for callers whose holders are behind, against a load for
+/// callers that nobody can serve: they are served in any case, only later.
+const COPY_GAIN: f64 = 0.3;
+
 impl Holder {
     /// Returns what to load, by the requests of the last seconds that each load
     /// would serve: adapters that callers wait for, and one more copy of those
@@ -37,7 +41,10 @@
         let copies = copies.filter(|a| !self.is_model(a) && self.room_for_copy(a));
         let copies = copies.map(|adapter| {
             let held = census.copies(adapter) as f64;
-            (self.demand.of(now, adapter) / (held + 1.0), adapter)
+            (
+                self.demand.of(now, adapter) / (held + 1.0) * COPY_GAIN,
+                adapter,
+            )
         });
         let mut missing: Vec<_> = wanted.chain(copies).collect();
         missing.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -61,7 +68,7 @@
         if busy.is_empty() {
             return;
         }
-        let mut sites: Vec<Site> = self.sites(now);
+        let mut sites: Vec<Site> = self.sites(now, census);
         for adapter in busy {
             if census.loading >= most.div_ceil(2) {
                 return;
