Remember who waits between callers, and give each fourth load to whom waited longest

Cause: adapters were ranked by demand alone, and forgotten 450 ms after their last caller. One that is asked for every few seconds came last in each plan, its callers were told to come back or left, and the next one began at the end: it was never served, however often it was asked for. Change: holder::turns keeps for ten seconds since when an adapter has waited; each fourth load goes to the one that has waited longest. Whoever asks again and again is served after four times the queue's length by the store's rate. Measured: who_asks_again_and_again_is_served: 3.45 s where the bound is 25 s; not at all in 60 s with the turns left out.

--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -14,6 +14,7 @@
 mod plan;
 mod queue;
 mod traffic;
+mod turns;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -31,6 +32,7 @@
     news::News,
     pace::{Memory, Pace},
     traffic::Traffic,
+    turns::Turns,
 };
 use crate::{table, tenure::Tenure};
 
@@ -147,6 +149,7 @@
     pace: Pace,
     memory: Memory,
     wants: BTreeMap<String, Want>,
+    turns: Turns,
     /// Adapters of which callers need one more copy, and when that was said.
     copies: BTreeMap<String, Time>,
     /// Wanted adapters that aren't on their way yet, and the time until they can
@@ -192,6 +195,7 @@
             pace: Pace::new(config.adapter_load, plan::TRANSIT_ALL, config.zones),
             memory: Memory::default(),
             wants: BTreeMap::new(),
+            turns: Turns::default(),
             copies: BTreeMap::new(),
             queue: BTreeMap::new(),
             failing: BTreeMap::new(),
@@ -415,6 +419,7 @@
         self.traffic.forget(now);
         self.wants.retain(|_, want| now.since(want.last) < WANTED);
         self.copies.retain(|_, at| now.since(*at) < COPY_WANTED);
+        self.turns.forget(now);
         let failing = self.failing.len();
         self.failing.retain(|_, at| now.since(*at) < FAILING);
         if failing != self.failing.len() {
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -265,6 +265,7 @@
             }
         }
         census.ordered(adapter);
+        self.turns.served(adapter);
         true
     }
 
--- a/crates/gateway/src/holder/queue.rs
+++ b/crates/gateway/src/holder/queue.rs
@@ -48,7 +48,12 @@
         });
         let mut missing: Vec<_> = wanted.chain(copies).collect();
         missing.sort_by(|a, b| b.0.total_cmp(&a.0));
-        missing.into_iter().map(|(_, a)| a.clone()).collect()
+        let missing: Vec<_> = missing.into_iter().map(|(_, a)| a.clone()).collect();
+        let wanted = missing.iter().filter(|a| self.wants.contains_key(*a));
+        for adapter in wanted {
+            self.turns.asked(now, adapter);
+        }
+        self.turns.order(missing)
     }
 
     /// Loads busy adapters that no engine of these zones holds, while nobody waits
