Tell engines that are slower than their neighbours, and send them what they can serve

Cause: an engine at a third of its speed answers and passes its health check. Each of many entry instances sees one of its requests now and then and can't tell; callers whose adapter only it held waited there. Change: entry instances tell the holder how long targets took for what they had to read; holder::slow compares engines by the median of their neighbours and tells a factor with the target, in steps of a half. The choice of a target and the wait before one more copy is asked for go by it. What isn't seen any more fades to as fast as others within seconds. Ruled out: each instance by itself, which sees too few requests at the size aimed for.

--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -49,7 +49,7 @@
         let tokens = std::mem::take(&mut self.unread);
         let mut view = self.state.view();
         view.read(&self.id, tokens);
-        view.answered(self.ahead, self.sent.elapsed());
+        view.answered(&self.id, self.ahead, self.sent.elapsed());
     }
 }
 
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -282,6 +282,11 @@
         wants: std::mem::take(&mut inner.wants),
         failing: view.failing(state.now()),
         firsts: view.take_firsts(&inner.zones),
+        paces: if regular {
+            view.take_paces(&inner.zones)
+        } else {
+            Vec::new()
+        },
         elsewhere: (!state.settling()).then(|| view.elsewhere(state.now(), &inner.zones)),
     }
 }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -13,6 +13,7 @@
 mod pace;
 mod plan;
 mod queue;
+mod slow;
 mod traffic;
 mod turns;
 
@@ -31,6 +32,7 @@
     engine::{Engine, Source},
     news::News,
     pace::{Memory, Pace},
+    slow::Slow,
     traffic::Traffic,
     turns::Turns,
 };
@@ -92,6 +94,9 @@
     }
 }
 
+/// How often engines are compared: as often as entry instances tell of them.
+const RATE_EVERY: Duration = Duration::from_millis(250);
+
 /// Least time between two plans that no message calls for.
 const PLAN_REST: Duration = Duration::from_millis(5);
 
@@ -150,6 +155,9 @@
     memory: Memory,
     wants: BTreeMap<String, Want>,
     turns: Turns,
+    slow: Slow,
+    /// When engines were last compared.
+    rated: Time,
     /// Adapters of which callers need one more copy, and when that was said.
     copies: BTreeMap<String, Time>,
     /// Wanted adapters that aren't on their way yet, and the time until they can
@@ -196,6 +204,8 @@
             memory: Memory::default(),
             wants: BTreeMap::new(),
             turns: Turns::default(),
+            slow: Slow::default(),
+            rated: Time::ZERO,
             copies: BTreeMap::new(),
             queue: BTreeMap::new(),
             failing: BTreeMap::new(),
@@ -274,6 +284,7 @@
     /// Appends the orders and answers that follow from what was taken.
     pub fn act(&mut self, now: Time, out: &mut Vec<Output>) {
         self.forget(now);
+        self.rate(now);
         if self.due || self.next.is_some_and(|at| now >= at) {
             self.due = false;
             self.plan(now, out);
@@ -331,6 +342,9 @@
                 self.due = true;
             }
         }
+        for pace in &sync.paces {
+            self.slow.seen(now, pace);
+        }
         for first in &sync.firsts {
             self.first_use(now, first);
         }
@@ -415,6 +429,15 @@
         self.engine_changed(id);
     }
 
+    /// Compares the engines a few times a second.
+    fn rate(&mut self, now: Time) {
+        if now.since(self.rated) < RATE_EVERY {
+            return;
+        }
+        self.rated = now;
+        self.changed.extend(self.slow.rate(now));
+    }
+
     fn forget(&mut self, now: Time) {
         self.traffic.forget(now);
         self.wants.retain(|_, want| now.since(want.last) < WANTED);
@@ -501,6 +524,7 @@
                 zone: listed.zone.clone(),
                 slots: listed.slots,
                 ready: listed.ready,
+                slowness: self.slow.of(&listed.id),
                 residents,
             };
             self.news.show(target, ready);
--- a/crates/gateway/src/holder/message.rs
+++ b/crates/gateway/src/holder/message.rs
@@ -192,6 +192,7 @@
             zone: self.zone.clone(),
             slots: self.slots,
             ready: self.ready,
+            slowness: 0,
             residents: residents.collect(),
         }
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -10,7 +10,7 @@
 };
 
 use base::{Seed, Time};
-use wire::fleet::{First, Running, Target};
+use wire::fleet::{First, Pace, Running, Target};
 
 use self::{
     backlog::{FULL_WAIT, outside},
@@ -75,6 +75,8 @@
     expected: BTreeMap<String, (Time, Time)>,
     /// What came of first requests since it was last taken, by zone.
     firsts: BTreeMap<String, Vec<First>>,
+    /// How long targets took for what they had to read, since it was last taken.
+    paces: BTreeMap<String, Pace>,
     /// Targets of which something told was dropped here, as they showed otherwise.
     doubted: BTreeSet<String>,
     /// Sets this instance's choices among equals apart from those of others.
@@ -431,7 +433,7 @@
         let own: u32 = known.own.values().sum();
         let others = self.others.get(&target.id).copied().unwrap_or(0);
         let slots = f64::from(target.slots.max(1));
-        let mut cost = f64::from(own + others) / slots;
+        let mut cost = f64::from(own + others) / slots * known.slow();
         if target.zone != self.zone {
             cost += FAR;
         }
@@ -448,6 +450,11 @@
 }
 
 impl Known {
+    /// Returns how many times as long as others the target takes.
+    fn slow(&self) -> f64 {
+        (f64::from(self.target.slowness) / 100.0).max(1.0)
+    }
+
     /// Tells whether the target couldn't be reached a moment ago.
     fn rests(&self, now: Time) -> bool {
         self.trouble.rest.is_some_and(|until| now < until)
--- a/crates/gateway/src/view/backlog.rs
+++ b/crates/gateway/src/view/backlog.rs
@@ -4,6 +4,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base::Time;
+use wire::fleet::Pace;
 
 use super::{Known, View};
 
@@ -58,20 +59,44 @@
 
     /// Returns the time until a target has read what it was sent, in seconds.
     pub(super) fn backlog(&self, known: &Known) -> f64 {
-        self.ahead(known) as f64 / self.speed.unwrap_or(SPEED)
+        self.ahead(known) as f64 / self.speed.unwrap_or(SPEED) * known.slow()
     }
 
-    /// Learns from a request with so many tokens before it, its own among them,
-    /// how fast targets read.
-    pub fn answered(&mut self, tokens: u64, after: Duration) {
+    /// Learns from a request to a target with so many tokens before it, its own among
+    /// them, how fast targets read.
+    pub fn answered(&mut self, id: &str, tokens: u64, after: Duration) {
         if tokens < SPEED_TOKENS {
             return;
         }
+        self.note_pace(id, tokens, after);
         let newest = tokens as f64 / after.as_secs_f64().max(0.001);
         let speed = self.speed.unwrap_or(SPEED);
         self.speed = Some(speed + (newest - speed) * SPEED_NEWEST);
     }
 
+    fn note_pace(&mut self, id: &str, tokens: u64, after: Duration) {
+        let new = || Pace {
+            target: id.to_owned(),
+            tokens: 0,
+            took: Duration::ZERO,
+        };
+        let pace = self.paces.entry(id.to_owned()).or_insert_with(new);
+        pace.tokens += tokens;
+        pace.took += after;
+    }
+
+    /// Returns and forgets how long the targets of `zones` took.
+    pub fn take_paces(&mut self, zones: &[String]) -> Vec<Pace> {
+        let targets = &self.targets;
+        let there = |id: &String| !outside(targets, zones, id);
+        let (due, rest) = std::mem::take(&mut self.paces)
+            .into_iter()
+            .partition(|(id, _)| there(id));
+        self.paces = rest;
+        let due: BTreeMap<_, _> = due;
+        due.into_values().collect()
+    }
+
     /// Returns the zone where one more copy of `adapter` should be loaded, if all
     /// that hold it need longer than `load` to read what they were sent.
     ///
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -6,6 +6,8 @@
 mod many;
 #[path = "holder/news.rs"]
 mod news;
+#[path = "holder/slow.rs"]
+mod slow;
 #[path = "holder/turns.rs"]
 mod turns;
 #[path = "holder/world.rs"]
--- a/crates/gateway/tests/settle.rs
+++ b/crates/gateway/tests/settle.rs
@@ -17,6 +17,7 @@
         zone: zone.to_owned(),
         slots: 1,
         ready: true,
+        slowness: 0,
         residents: Vec::new(),
     }
 }
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -19,6 +19,7 @@
         zone: "za".to_owned(),
         slots: 12,
         ready: true,
+        slowness: 0,
         residents: vec![Resident {
             adapter: "m/x".to_owned(),
             version: 1,
@@ -106,3 +107,41 @@
         expect_that!(choice, eq(&Choice::Send("e7".to_owned())));
     }
 }
+
+/// One engine takes three times as long as the others. It gets about a third of what they
+/// get, and not nothing: it can serve that much in time.
+#[gtest]
+fn a_slow_target_gets_what_it_can_serve() {
+    let zones = ["za".to_owned()];
+    let mut view = View::new("za", Seed(5));
+    let mut targets: Vec<_> = (0..TARGETS).map(target).collect();
+    targets[2].slowness = 300;
+    view.set_targets(NOW, &zones, targets);
+    let mut counts = BTreeMap::new();
+    for _ in 0..TARGETS * 9 {
+        let Choice::Send(id) = view.choose(NOW, "s", "m/x", &BTreeSet::new()) else {
+            panic!("nothing chosen");
+        };
+        view.begin(&id, "m/x", 0);
+        *counts.entry(id).or_insert(0) += 1;
+    }
+    expect_that!(counts.get("e2"), some(all!(ge(&1), le(&6))));
+}
+
+/// What a slow target has before it counts for as long as it takes there.
+#[gtest]
+fn a_copy_is_due_where_the_only_holder_is_slow() {
+    let zones = ["za".to_owned(), "zb".to_owned()];
+    let load = std::time::Duration::from_millis(250);
+    for (slowness, zone) in [(100, None), (300, Some("za"))] {
+        let mut slow = target(0);
+        slow.slowness = slowness;
+        let mut idle = target(1);
+        idle.residents.clear();
+        let mut view = View::new("za", Seed(1));
+        view.set_targets(NOW, &zones, vec![slow, idle]);
+        // 0.13 s of prompts for a target of the usual speed.
+        view.begin("e0", "m/x", 4_000);
+        expect_that!(view.crowded(NOW, "s", "m/x", load), eq(zone));
+    }
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -22,6 +22,7 @@
         zone: zone.to_owned(),
         slots: 10,
         ready: true,
+        slowness: 0,
         residents: residents.collect(),
     }
 }
@@ -230,7 +231,7 @@
     view.begin("a", "m/x", 12_000);
     assert_that!(view.crowded(NOW, "s", "m/x", load), some(eq("za")));
     for _ in 0..200 {
-        view.answered(6_000, Duration::from_millis(100));
+        view.answered("a", 6_000, Duration::from_millis(100));
     }
     assert_that!(view.crowded(NOW, "s", "m/x", load), none());
 }
--- a/crates/replog/tests/size.rs
+++ b/crates/replog/tests/size.rs
@@ -127,7 +127,10 @@
                 self.count(&to, &message);
                 if matches!(message, Message::Piece { .. }) {
                     self.parts += 1;
-                    if self.lost.is_some_and(|each| self.parts % each == 0) {
+                    if self
+                        .lost
+                        .is_some_and(|each| self.parts.is_multiple_of(each))
+                    {
                         return None;
                     }
                 }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -49,6 +49,18 @@
         /// What came of the first requests that were sent for adapters just
         /// loaded, since the last exchange.
         pub firsts: Vec<First>,
+        /// How long targets took to begin their answers, since the last exchange.
+        pub paces: Vec<Pace>,
+    }
+
+    /// How long a target took for what it had to read, over some requests.
+    pub struct Pace {
+        /// The target.
+        pub target: String,
+        /// Prompt tokens that it had before it.
+        pub tokens: u64,
+        /// Time until it answered.
+        pub took: Duration,
     }
 
     /// The first request from one instance after an adapter was loaded.
@@ -131,6 +143,9 @@
         pub slots: u32,
         /// Whether it takes new requests.
         pub ready: bool,
+        /// How long it takes for what others do in a hundred units of time; zero where
+        /// nobody knows.
+        pub slowness: u32,
         /// What it holds, or will hold soon.
         pub residents: Vec<Resident>,
     }
