Say what came of settings that have changed

Cause: a hangup was swallowed and the settings were read when needed; a file that couldn't be read changed nothing, and no line said so. No test changed settings while callers were served. Change: each hangup reads the settings; E1008 or E1009 says what came of it. Control instances that are named there are followed as before. Ruled out: other values in force without a restart: ports, zones and bounds belong to the life of a process.

--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -63,6 +63,8 @@
     Overrun 1006 Warn "timer ran late" "The process was not scheduled for `late_ms`: the machine is overloaded or was suspended."
 
     LinesLeftOut 1007 Warn "lines left out" "The reader of standard output was too slow: `lines` of the log found no room and are lost."
+    SettingsRead 1008 Info "settings read again" "The settings have changed and were read; `seeds` control instances are named there."
+    SettingsBroken 1009 Error "settings can't be read" "The changed settings can't be read; `why` says why. Those before stay in force."
 
     // 2xxx: the replicated log.
     LeaderElected 2001 Info "leader elected" "A replica leads the log in `term`."
