--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -48,8 +48,7 @@
 const ENTRIES_AT_FIRST: u32 = 12;
 
 /// How far all holders of an adapter have to be behind before one more copy is
-/// asked for: what a load takes, by the users' sheets. At half of it heavy days lose
-/// 0.02 of their worth where places are few and gain 0.01 where they are plenty.
+/// asked for: what a load takes, by the users' sheets.
 const COPY_AFTER: Duration = Duration::from_millis(250);
 
 impl State {
--- a/crates/gateway/src/holder/demand.rs
+++ b/crates/gateway/src/holder/demand.rs
@@ -9,8 +9,7 @@
 
 /// How long demand takes to fall to half. A busy adapter's rise has to show
 /// within seconds, or the few engines that hold it make their running streams
-/// wait: with 10 s the users' days lost 0.02 of their worth, with 25 s 0.05; a
-/// second memory of 20 s for what to keep gained nothing.
+/// wait.
 const HALF: Duration = Duration::from_secs(5);
 
 /// Requests a second from which an adapter is busy.
--- a/crates/gateway/src/holder/pace.rs
+++ b/crates/gateway/src/holder/pace.rs
@@ -9,10 +9,6 @@
 //! congestion windows do, and the time follows the loads that were late. How long
 //! a load takes while few run isn't known either: only what goes beyond that is a
 //! sign of too many.
-//!
-//! It buys 0.12 of the worth of heavy days, in virtual time on 18 engines of six
-//! places whose store serves half as many loads at full speed as was assumed:
-//! refused sends fell from 46% of all to 11%.
 
 use std::time::Duration;
 
@@ -37,9 +33,7 @@
 /// Part of the number at once that is kept when a load took longer.
 const SHRINK: f64 = 0.85;
 
-/// The same for the first time, when the number is only what was expected; with
-/// [`CROWDED`] it buys 0.01 of the worth of heavy days, most of it in their first
-/// two seconds.
+/// The same for the first time, when the number is only what was expected.
 const SHRINK_FIRST: f64 = 0.5;
 
 /// Added to the number at once for each load that was done in time; a window
@@ -50,8 +44,7 @@
 const NEWEST: f64 = 0.15;
 
 /// Part of late loads from which too many run at once. Beyond what the store
-/// serves at full speed all are late; single ones have other causes, and taken for
-/// a sign they left a third of the store unused.
+/// serves at full speed all are late; single ones have other causes.
 const CROWDED: f64 = 0.3;
 
 /// How far the expected time has to be above the usual one before late loads are
@@ -211,8 +204,7 @@
 ///
 /// Pattern: a cache of unknown size. A load that was expected from memory and
 /// took as long as one from the store tells that the size is smaller than the
-/// adapters dropped since; one that was quick tells that it is larger. Loads from
-/// there, beside the queue of the store, buy 0.03 of the worth of heavy days.
+/// adapters dropped since; one that was quick tells that it is larger.
 #[derive(Clone, Debug)]
 pub(super) struct Memory {
     size: f64,
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -136,8 +136,7 @@
     /// Failure: two zones lose engines and have up to 40 adapters waiting for
     /// their part of the store, while the others use none of theirs. What others
     /// leave may be used, by half: all holders see it at the same time, and the
-    /// store is slower for all once they use more than there is. On the heaviest
-    /// days 0.02 more of the worth was earned; all of the rest gained no more.
+    /// store is slower for all once they use more than there is.
     fn loads_at_once(&self, now: Time) -> usize {
         let zones = self.config.zones.max(1) as f64;
         let own = self.tenure.zones(now).len().max(1) as f64;
--- a/crates/gateway/src/holder/queue.rs
+++ b/crates/gateway/src/holder/queue.rs
@@ -15,8 +15,7 @@
 const WAITED_LONG: Duration = Duration::from_millis(450);
 
 /// What a load is worth for callers that it serves late, against those that it
-/// still serves in time: about what late answers are worth to the users. At 1, which
-/// is first come, first served, heavy days lose 0.004 of their worth.
+/// still serves in time: about what late answers are worth to the users.
 const LATE_GAIN: f64 = 0.3;
 
 /// What one more copy is worth for callers whose holders are behind, against a load for
@@ -58,8 +57,7 @@
 
     /// Loads busy adapters that no engine of these zones holds, while nobody waits
     /// for the store: they are then served where their callers are, also while their
-    /// engine is down or zones are cut off. Where places are plenty this buys 0.013 of
-    /// the worth of heavy days; where they are few it seldom happens and changes nothing.
+    /// engine is down or zones are cut off.
     pub(super) fn spread(
         &mut self,
         now: Time,
@@ -83,8 +81,7 @@
     }
 
     /// Returns when each adapter that still waits can be used, by its place in the
-    /// queue for the store. Whoever can't wait so long is told at once: together with
-    /// loads for nobody who has left this buys 0.04 of the worth of heavy days.
+    /// queue for the store. Whoever can't wait so long is told at once.
     pub(super) fn expect(&self, waiting: &[String], most: usize) -> BTreeMap<String, Duration> {
         let time = self.pace.time();
         let waiting = waiting.iter().enumerate();
--- a/crates/gateway/src/view/backlog.rs
+++ b/crates/gateway/src/view/backlog.rs
@@ -104,8 +104,7 @@
     /// reads the prompts of some ten requests a second; the holders of such an
     /// adapter had three seconds of prompts before them, while others were idle.
     /// Whoever waits longer than a load takes would be served sooner by a new
-    /// copy, which goes where least is to be read. Against copies by fixed rates
-    /// this buys 0.05 of the worth of heavy days.
+    /// copy, which goes where least is to be read.
     #[must_use]
     pub fn crowded(&self, now: Time, service: &str, adapter: &str, load: Duration) -> Option<&str> {
         if adapter.is_empty() {
