--- a/xtask/src/events.rs
+++ b/xtask/src/events.rs
@@ -98,7 +98,9 @@
 /// type is imported as.
 fn unused(root: &Path) -> Result<BTreeSet<Event>> {
     let mut named = BTreeSet::new();
-    for file in sources(&root.join("crates"))? {
+    let mut files = sources(&root.join("crates"))?;
+    files.extend(sources(&root.join("platform"))?);
+    for file in files {
         if file.starts_with(root.join("crates/telemetry")) {
             continue;
         }
