Say which weights engines hold, and which a stream goes on with

The platform's list does, and they travel now with the targets to entry instances; E5005 names them on both sides, as told and as the answers say, and E4014 tells operators when the engines of a zone hold several. No decision is changed.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -6,7 +6,7 @@
 mod zones;
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::IpAddr,
     sync::Arc,
     time::Duration,
@@ -29,7 +29,7 @@
 };
 use wire::{
     call::{Call, Reply},
-    fleet::Edition,
+    fleet::{Edition, Weights},
 };
 
 use self::handout::Handout;
@@ -148,6 +148,8 @@
     turns: Duration,
     tickets: u64,
     waiters: HashMap<Ticket, Waiter>,
+    /// How many engines held which weights when that was last logged.
+    weights: BTreeMap<Weights, usize>,
     end: Option<End>,
 }
 
@@ -209,6 +211,7 @@
             turns: setup.turns,
             tickets: 0,
             waiters: HashMap::new(),
+            weights: BTreeMap::new(),
             end: None,
         }
     }
@@ -261,6 +264,7 @@
         if now >= self.next_seeds {
             self.next_seeds = now + SEEDS_EVERY;
             self.note_store();
+            self.note_weights();
             if let Some(seeds) = (self.outside.seeds)() {
                 let peers = seeds.into_iter().map(names::instance).collect();
                 self.input(Input::Peers { peers });
--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -3,7 +3,10 @@
 use base::Ticket;
 use gateway::holder::{self, Act, Ended, Order};
 use telemetry::{event, exposed};
-use wire::{call::Reply, fleet::Synced};
+use wire::{
+    call::Reply,
+    fleet::{Synced, Weights},
+};
 
 use super::{Job, Shell, Waiter};
 
@@ -60,6 +63,26 @@
         );
     }
 
+    /// Logs which weights the engines hold, where these differ and that has changed.
+    pub(super) fn note_weights(&mut self) {
+        let held = self.holder.weights();
+        if held == self.weights {
+            return;
+        }
+        for (weights, engines) in &held {
+            let other = |w: &Weights| w.model == weights.model && w != weights;
+            if held.keys().any(other) {
+                event!(
+                    telemetry::Event::WeightsHeld,
+                    model = weights.model,
+                    version = weights.version,
+                    engines = *engines
+                );
+            }
+        }
+        self.weights = held;
+    }
+
     fn carry_out(&mut self, output: holder::Output) {
         let jobs = self.jobs.clone();
         match output {
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -11,7 +11,10 @@
 use telemetry::{event, exposed};
 use web::{body::Body, client::Answer};
 
-use super::forward::{Job, Place};
+use super::{
+    forward::{Job, Place},
+    heads,
+};
 
 /// Bytes of one event at most; beyond it a stream is passed on as it comes and
 /// can't be resumed any more.
@@ -154,14 +157,31 @@
         if !answer.status.is_success() {
             return false;
         }
+        self.note_resumed(&answer, &place);
+        self.answer = answer;
+        self.place = place;
+        true
+    }
+
+    /// Logs that a stream goes on, with the weights at both targets: what the answers
+    /// say, and what was told of the targets.
+    fn note_resumed(&self, answer: &Answer, place: &Place) {
+        let state = &self.job.state;
+        let said = |answer: &Answer| {
+            let said = heads::text(&answer.headers, &state.outside.dialect.weights);
+            said.unwrap_or_default().to_owned()
+        };
+        let told = |id| state.view().weights(id, &self.job.adapter).unwrap_or(0);
         event!(
             telemetry::Event::StreamResumed,
             request = self.job.id,
+            adapter = self.job.adapter,
             from = self.place.id,
-            target = place.id
+            from_said = said(&self.answer),
+            from_weights = told(&self.place.id),
+            target = place.id,
+            target_said = said(answer),
+            target_weights = told(&place.id)
         );
-        self.answer = answer;
-        self.place = place;
-        true
     }
 }
--- a/crates/frontd/src/outside.rs
+++ b/crates/frontd/src/outside.rs
@@ -20,6 +20,8 @@
     pub target: HeaderName,
     /// The version of the adapter that a request is meant for.
     pub version: HeaderName,
+    /// The version of the weights that an answer was made with.
+    pub weights: HeaderName,
     /// Urgency at an engine; 0 is first.
     pub priority: HeaderName,
     /// Says in an answer that the request has not run.
--- a/crates/frontd/tests/editions/world.rs
+++ b/crates/frontd/tests/editions/world.rs
@@ -384,6 +384,7 @@
             deadline: header("deadline"),
             target: header("target"),
             version: header("version"),
+            weights: header("weights"),
             priority: header("priority"),
             refused: header("refused"),
             model: header("model"),
--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -18,6 +18,7 @@
             deadline: header.clone(),
             target: header.clone(),
             version: header.clone(),
+            weights: header.clone(),
             priority: header.clone(),
             refused: header.clone(),
             model: header.clone(),
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -23,7 +23,7 @@
 };
 
 use base::{InstanceName, Ticket, Time};
-use wire::fleet::{First, Resident, Sync, Synced, Target};
+use wire::fleet::{First, Resident, Sync, Synced, Target, Weights};
 
 pub use self::message::{Act, Ended, Held, Input, Listed, Order, Output, Report};
 use self::{
@@ -251,6 +251,16 @@
         self.steps
     }
 
+    /// Returns how many engines hold which version of a base model's weights.
+    #[must_use]
+    pub fn weights(&self) -> BTreeMap<Weights, usize> {
+        let mut counts = BTreeMap::new();
+        for weights in self.engines.values().flat_map(Engine::weights) {
+            *counts.entry(weights).or_default() += 1;
+        }
+        counts
+    }
+
     /// Returns when [`Self::act`] is due without any input, if it is.
     #[must_use]
     pub fn next(&self) -> Option<Time> {
@@ -525,6 +535,7 @@
                 slots: listed.slots,
                 ready: listed.ready,
                 slowness: self.slow.of(&listed.id),
+                weights: engine.map(Engine::weights).unwrap_or_default(),
                 residents,
             };
             self.news.show(target, ready);
--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -6,7 +6,7 @@
 };
 
 use base::Time;
-use wire::fleet::{First, Resident};
+use wire::fleet::{First, Resident, Weights};
 
 use super::{Act, Config, Ended, Held, Listed, Report};
 
@@ -58,6 +58,8 @@
     pub(super) rest: Time,
     /// Base models held, and when they can be used.
     pub(super) models: BTreeMap<String, Time>,
+    /// Versions of their weights, as far as the engine has said.
+    weights: BTreeMap<String, u32>,
     pub(super) adapters: BTreeMap<String, Slot>,
     /// The adapter that room is being made for.
     pub(super) goal: Option<String>,
@@ -359,10 +361,13 @@
     fn believe(&mut self, now: Time, asked: Time, held: &Held, lag: Duration, keep: Duration) {
         let recent = |at: &Time| asked < *at + lag;
         self.models
-            .retain(|model, ready| held.models.contains(model) || asked < *ready + lag);
-        for model in &held.models {
+            .retain(|model, ready| held.models.contains_key(model) || asked < *ready + lag);
+        for model in held.models.keys() {
             self.models.entry(model.clone()).or_insert(now);
         }
+        let weights = held.models.iter();
+        let weights = weights.filter_map(|(model, version)| Some((model.clone(), (*version)?)));
+        self.weights = weights.collect();
         // Failure: an engine's report comes a moment after a drop, and then a list
         // from before it. Had the report made the drop forgotten, the list would
         // bring the adapter back: requests are refused there, and the next order
@@ -414,6 +419,16 @@
         Some(self.drops - at)
     }
 
+    /// Returns the versions of the weights of its base models.
+    pub(super) fn weights(&self) -> Vec<Weights> {
+        let weights = self.weights.iter();
+        let weights = weights.map(|(model, version)| Weights {
+            model: model.clone(),
+            version: *version,
+        });
+        weights.collect()
+    }
+
     /// Returns what requests may use, and from when; the residents themselves name no
     /// time.
     pub(super) fn residents(&self) -> Vec<(Resident, Time)> {
--- a/crates/gateway/src/holder/message.rs
+++ b/crates/gateway/src/holder/message.rs
@@ -1,12 +1,9 @@
 //! What goes into the holder of orders and what comes out.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use base::{Ticket, Time};
-use wire::fleet::{Resident, Sync, Synced, Target};
+use wire::fleet::{Resident, Sync, Synced, Target, Weights};
 
 use crate::tenure::Tenure;
 
@@ -34,8 +31,8 @@
 /// What an engine says that it holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Held {
-    /// Base models.
-    pub models: BTreeSet<String>,
+    /// Base models, with the version of their weights where the engine says it.
+    pub models: BTreeMap<String, Option<u32>>,
     /// Adapters that can be used, with their versions.
     pub adapters: BTreeMap<String, u32>,
 }
@@ -178,7 +175,11 @@
     pub fn target(&self) -> Target {
         let held = self.held.iter();
         let models = held.clone().flat_map(|held| held.models.iter());
-        let models = models.map(|model| (model, 0));
+        let weights = models.clone().filter_map(|(model, version)| {
+            let (model, version) = (model.clone(), (*version)?);
+            Some(Weights { model, version })
+        });
+        let models = models.map(|(model, _)| (model, 0));
         let adapters = held.flat_map(|held| held.adapters.iter().map(|(a, v)| (a, *v)));
         let residents = models.chain(adapters).map(|(adapter, version)| Resident {
             adapter: adapter.clone(),
@@ -193,6 +194,7 @@
             slots: self.slots,
             ready: self.ready,
             slowness: 0,
+            weights: weights.collect(),
             residents: residents.collect(),
         }
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -236,6 +236,16 @@
         self.versions.get(adapter).copied()
     }
 
+    /// Returns the version of the weights under which `adapter` runs at a target, where
+    /// that is known: those of its base model.
+    #[must_use]
+    pub fn weights(&self, id: &str, adapter: &str) -> Option<u32> {
+        let model = adapter.split_once('/').map_or(adapter, |(model, _)| model);
+        let mut weights = self.targets.get(id)?.target.weights.iter();
+        let found = weights.find(|weights| weights.model == model)?;
+        Some(found.version)
+    }
+
     /// Returns where a target is reached.
     #[must_use]
     pub fn addr(&self, id: &str) -> Option<&str> {
--- a/crates/gateway/tests/holder/world.rs
+++ b/crates/gateway/tests/holder/world.rs
@@ -1,9 +1,6 @@
 //! A holder of one zone, played by hand.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use base::{Ticket, Time};
 use gateway::{
@@ -146,7 +143,7 @@
 
 pub(crate) fn held(adapters: &[&str]) -> Held {
     Held {
-        models: BTreeSet::from(["m".to_owned()]),
+        models: BTreeMap::from([("m".to_owned(), Some(1))]),
         adapters: adapters.iter().map(|a| ((*a).to_owned(), 1)).collect(),
     }
 }
--- a/crates/gateway/tests/settle.rs
+++ b/crates/gateway/tests/settle.rs
@@ -18,6 +18,7 @@
         slots: 1,
         ready: true,
         slowness: 0,
+        weights: Vec::new(),
         residents: Vec::new(),
     }
 }
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -20,6 +20,7 @@
         slots: 12,
         ready: true,
         slowness: 0,
+        weights: Vec::new(),
         residents: vec![Resident {
             adapter: "m/x".to_owned(),
             version: 1,
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -23,6 +23,7 @@
         slots: 10,
         ready: true,
         slowness: 0,
+        weights: Vec::new(),
         residents: residents.collect(),
     }
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -102,13 +102,14 @@
     ServiceDown 4011 Warn "service can't be brought up" "A service waits for one that it needs, named in `needs`."
     ServiceUp 4012 Info "service is up" "A service and all that it needs are up."
     StoreThrottled 4013 Info "loads wait for the store" "Loads wait for the weight store: `waiting` adapters that aren't on their way, while `coming` are, at `loads` at once of `load_ms` each; `memory` adapters load from an engine's own memory. `idle` engines take orders, and at `full` of these no adapter can be dropped."
+    WeightsHeld 4014 Info "engines hold several weights" "`engines` hold `version` of the weights of `model`, while others in the zones of this instance hold another version: the same request is answered by either."
 
     // 5xxx: requests.
     RequestDone 5001 Debug "request done" "A request ended; `adapter` and `version` say what it ran on."
     RequestFailed 5002 Info "request failed" "A request was given up; `why` names the reason and `how` what the caller saw."
     WrongAdapter 5003 Error "answer of another adapter" "A target answered from an adapter or version that the request wasn't for; the caller didn't get it."
     AttemptFailed 5004 Debug "attempt failed" "One attempt at a request failed; another one follows if it may."
-    StreamResumed 5005 Info "stream resumed" "A broken stream went on from where it stopped."
+    StreamResumed 5005 Info "stream resumed" "A broken stream went on from where it stopped; the fields ending in `_weights` are the versions of weights that the targets are known to hold, those in `_said` what their answers say."
     ClaimRefused 5006 Info "marked request refused" "A marked request could not be claimed, or its key was used before."
     BadKey 5007 Info "unknown key" "A caller came with a key that names no brand."
     ShareExceeded 5008 Info "over its share" "A brand's batch work waits because others want their share."
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -146,10 +146,22 @@
         /// How long it takes for what others do in a hundred units of time; zero where
         /// nobody knows.
         pub slowness: u32,
+        /// Versions of the weights of its base models, as far as it has said.
+        pub weights: Vec<Weights>,
         /// What it holds, or will hold soon.
         pub residents: Vec<Resident>,
     }
 
+    /// The weights of a base model at a target. A load takes the newest there are, so
+    /// targets that started at different times may hold different ones.
+    #[derive(PartialOrd, Ord)]
+    pub struct Weights {
+        /// The base model.
+        pub model: String,
+        /// Their version.
+        pub version: u32,
+    }
+
     /// An adapter at a target.
     pub struct Resident {
         /// Its name; that of the base model for the model itself.
