--- /dev/null
+++ b/crates/frontd/tests/memory/world.rs
@@ -0,0 +1,395 @@
+//! One control and one entry instance over loopback, and engines that break off streams.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use frontd::{ControlSetup, Decoded, Dialect, EntrySetup, Named, Operators, Outside};
+use futures::FutureExt;
+use gateway::{
+    budget,
+    holder::{Ended, Held, Listed, Report},
+    table::{Engine as Spec, Kind, Model, RawTable, Route, Service, Table},
+};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header::HeaderName};
+use tokio::{net::TcpListener, sync::Notify, time::sleep};
+use tokio_util::sync::CancellationToken;
+use web::{
+    body::{self, Body, ReadLimits, full, read},
+    client::{Client, Send},
+    header_value, server,
+};
+use wire::fleet::Edition;
+
+/// The adapter that every engine holds.
+pub(crate) const ADAPTER: &str = "m/a";
+
+/// Instances of one deployment.
+const INSTANCES: u8 = 2;
+const PEERS: u16 = 17_580;
+const OPERATORS: u16 = 17_581;
+const CALLERS: u16 = 17_582;
+const READY: u16 = 17_583;
+
+/// Tells the deployments of one test process apart.
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+/// What an engine holds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Holds {
+    /// Version of the base model's weights.
+    pub(crate) weights: u32,
+    /// Version of the adapter.
+    pub(crate) adapter: u32,
+}
+
+/// A run at an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) request: String,
+    pub(crate) engine: usize,
+    pub(crate) holds: Holds,
+    /// Whether it goes on from the memory of a run at another engine.
+    pub(crate) restored: bool,
+}
+
+struct Engine {
+    addr: SocketAddr,
+    holds: Mutex<Holds>,
+}
+
+struct Fleet {
+    engines: Vec<Engine>,
+    runs: Mutex<Vec<Run>>,
+    /// Rung when streams are to break off.
+    crash: Notify,
+}
+
+/// A deployment in this process.
+pub(crate) struct World {
+    no: u8,
+    fleet: Arc<Fleet>,
+    _data: tempfile::TempDir,
+}
+
+impl World {
+    /// Starts everything and waits until a request finds its way.
+    pub(crate) async fn start(holds: &[Holds]) -> World {
+        let no = NEXT.fetch_add(1, Ordering::Relaxed);
+        let fleet = start_engines(holds).await;
+        let data = tempfile::tempdir().unwrap();
+        let outside = outside(no, &fleet);
+        tokio::spawn(frontd::serve_control(
+            ControlSetup {
+                ip: own_ip(no, 1),
+                listen: SocketAddr::new(own_ip(no, 1), OPERATORS),
+                peers: PEERS,
+                data: data.path().to_owned(),
+                first: true,
+                zone: "za".to_owned(),
+                zones: ["za".to_owned()].into(),
+                turns: Duration::from_secs(3),
+                list_lag: Duration::from_millis(2_300),
+            },
+            outside.clone(),
+            take,
+        ));
+        tokio::spawn(frontd::serve_entry(
+            EntrySetup {
+                ip: own_ip(no, 2),
+                zone: "za".to_owned(),
+                zones: vec!["za".to_owned()],
+                listen: SocketAddr::new(own_ip(no, 2), CALLERS),
+                ready: SocketAddr::new(own_ip(no, 2), READY),
+                peers: PEERS,
+                grace: Duration::from_secs(8),
+                repeats: budget::Limits {
+                    ratio: 0.2,
+                    extra: 50.0,
+                    window: Duration::from_secs(10),
+                },
+            },
+            outside,
+        ));
+        let world = World {
+            no,
+            fleet,
+            _data: data,
+        };
+        world.name("/1").await;
+        while world.whole("0", "m").await.is_none() {
+            sleep(Duration::from_millis(20)).await;
+        }
+        world.fleet.runs.lock().unwrap().clear();
+        world
+    }
+
+    /// Names a version of the adapter, and waits until it is known everywhere.
+    pub(crate) async fn revise(&self, version: u32) {
+        self.name(&format!("/{version}?{ADAPTER}")).await;
+        sleep(Duration::from_millis(1_500)).await;
+    }
+
+    /// Changes what an engine holds, and waits until it is known everywhere.
+    pub(crate) async fn change(&self, engine: usize, change: impl FnOnce(&mut Holds)) {
+        change(&mut self.fleet.engines[engine].holds.lock().unwrap());
+        sleep(Duration::from_millis(1_500)).await;
+    }
+
+    /// Breaks off all streams, once their first events are with their callers.
+    pub(crate) async fn crash_soon(&self) {
+        sleep(Duration::from_millis(50)).await;
+        self.fleet.crash.notify_waiters();
+    }
+
+    /// Waits until a request runs, and returns where.
+    pub(crate) async fn begun(&self, request: &str) -> Run {
+        loop {
+            if let Some(run) = self.runs().into_iter().find(|run| run.request == request) {
+                return run;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    pub(crate) fn runs(&self) -> Vec<Run> {
+        self.fleet.runs.lock().unwrap().clone()
+    }
+
+    /// Sends a request for `model` and returns its answer, if that comes whole.
+    pub(crate) async fn whole(&self, request: &str, model: &str) -> Option<String> {
+        let addr = SocketAddr::new(own_ip(self.no, 2), CALLERS);
+        let mut send = Send::new(addr, Method::POST, "/x");
+        let fields = [
+            ("host", "a.example"),
+            ("attempt", request),
+            ("model", model),
+            ("tokens", "100,400"),
+            ("deadline", "20000"),
+        ];
+        for (name, value) in fields {
+            send.headers.insert(name, header_value(value));
+        }
+        let answer = Client::default().send(send).await.ok()?;
+        if answer.status != StatusCode::OK {
+            return None;
+        }
+        let body = answer.whole(1 << 20).await.ok()?;
+        Some(String::from_utf8_lossy(&body).into_owned())
+    }
+
+    async fn name(&self, path: &str) {
+        let addr = SocketAddr::new(own_ip(self.no, 1), OPERATORS);
+        loop {
+            let send = Send::new(addr, Method::POST, path);
+            let answer = Client::default().send(send).await;
+            if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+async fn start_engines(holds: &[Holds]) -> Arc<Fleet> {
+    let mut listeners = Vec::new();
+    let mut engines = Vec::new();
+    for holds in holds {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        engines.push(Engine {
+            addr: listener.local_addr().unwrap(),
+            holds: Mutex::new(*holds),
+        });
+        listeners.push(listener);
+    }
+    let fleet = Arc::new(Fleet {
+        engines,
+        runs: Mutex::default(),
+        crash: Notify::new(),
+    });
+    for (no, listener) in listeners.into_iter().enumerate() {
+        let at = Arc::clone(&fleet);
+        tokio::spawn(server::serve(
+            listener,
+            server::Limits::default(),
+            move |req| run(Arc::clone(&at), no, req),
+            CancellationToken::new(),
+        ));
+    }
+    fleet
+}
+
+/// Runs a request: two events, then the engine waits for its crash; a run that goes on
+/// from memory ends with two more, and so does one without an adapter.
+async fn run(fleet: Arc<Fleet>, engine: usize, req: Request<Incoming>) -> Response<Body> {
+    let headers = req.headers().clone();
+    let text = |name: &str| headers.get(name)?.to_str().ok().map(str::to_owned);
+    let holds = *fleet.engines[engine].holds.lock().unwrap();
+    let other = text("version").is_some_and(|version| version != holds.adapter.to_string());
+    if other {
+        return head(&headers, holds, StatusCode::MISDIRECTED_REQUEST, full(""));
+    }
+    let restored = headers.contains_key("restore");
+    fleet.runs.lock().unwrap().push(Run {
+        request: text("attempt").unwrap_or_default(),
+        engine,
+        holds,
+        restored,
+    });
+    if restored || text("model").as_deref() != Some(ADAPTER) {
+        let rest = full("id: 3\n\nid: 4\n\n");
+        return head(&headers, holds, StatusCode::OK, rest);
+    }
+    let (writer, events) = body::channel(4);
+    tokio::spawn(async move {
+        let crash = fleet.crash.notified();
+        let begin = Bytes::from_static(b"id: 1\n\nid: 2\n\n");
+        writer.piece(begin).await.ok();
+        crash.await;
+    });
+    head(&headers, holds, StatusCode::OK, events)
+}
+
+fn head(headers: &HeaderMap, holds: Holds, status: StatusCode, body: Body) -> Response<Body> {
+    let mut resp = Response::new(body);
+    *resp.status_mut() = status;
+    if let Some(id) = headers.get("attempt") {
+        resp.headers_mut().insert("attempt", id.clone());
+    }
+    let weights = header_value(&holds.weights.to_string());
+    resp.headers_mut().insert("weights", weights);
+    resp
+}
+
+fn listed(fleet: &Fleet) -> Vec<Listed> {
+    let engines = fleet.engines.iter().enumerate();
+    let listed = engines.map(|(no, engine)| Listed {
+        id: format!("e{no}"),
+        born: 1,
+        service: "s".to_owned(),
+        addr: engine.addr.to_string(),
+        zone: "za".to_owned(),
+        slots: 10,
+        ready: true,
+        held: Some(held(*engine.holds.lock().unwrap())),
+    });
+    listed.collect()
+}
+
+fn held(holds: Holds) -> Held {
+    Held {
+        models: BTreeMap::from([("m".to_owned(), Some(holds.weights))]),
+        adapters: BTreeMap::from([(ADAPTER.to_owned(), holds.adapter)]),
+    }
+}
+
+/// Answers an operator's call: the path is a number, the query the adapter whose version
+/// it is; without any it is an edition's.
+async fn take(operators: Operators, req: Request<Incoming>) -> Response<Body> {
+    let number: u64 = req.uri().path()[1..].parse().unwrap();
+    let adapter = req.uri().query().map(str::to_owned);
+    read(req.into_body(), ReadLimits::default()).await.unwrap();
+    let named = match adapter {
+        Some(adapter) => {
+            operators
+                .revise(adapter, u32::try_from(number).unwrap())
+                .await
+        }
+        None => {
+            let body = String::new();
+            operators.publish(Edition { number, body }).await
+        }
+    };
+    let mut resp = Response::new(full(""));
+    if named != Named::Done {
+        *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    resp
+}
+
+/// Returns an address of this process and deployment, so that two checkouts may test at
+/// the same time on one machine.
+fn own_ip(no: u8, instance: u8) -> IpAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        high | 128,
+        low,
+        no * INSTANCES + instance,
+    ))
+}
+
+fn outside(no: u8, fleet: &Arc<Fleet>) -> Outside {
+    let header = HeaderName::from_static;
+    let (list, ask) = (Arc::clone(fleet), Arc::clone(fleet));
+    Outside {
+        dialect: Arc::new(Dialect {
+            request: header("attempt"),
+            deadline: header("deadline"),
+            target: header("target"),
+            version: header("version"),
+            weights: header("weights"),
+            priority: header("priority"),
+            refused: header("refused"),
+            model: header("model"),
+            tokens: header("tokens"),
+            resume: header("resume"),
+            backup: header("backup"),
+            restore: header("restore"),
+            own: Vec::new(),
+        }),
+        decode: Arc::new(|_| Ok(decoded())),
+        list: Arc::new(move |_| {
+            let list = listed(&list);
+            async { Some(list) }.boxed()
+        }),
+        give: Arc::new(|_| async { Ended::Refused }.boxed()),
+        ask: Arc::new(move |id, _| {
+            let listed = listed(&ask).into_iter().find(|listed| listed.id == id);
+            let report = listed.map(|listed| Report {
+                born: 1,
+                held: listed.held.unwrap_or_default(),
+                ..Report::default()
+            });
+            async { report }.boxed()
+        }),
+        seeds: Arc::new(move || Some(vec![own_ip(no, 1)])),
+    }
+}
+
+/// Returns the one configuration: a route whose streams can't be resumed.
+fn decoded() -> Decoded {
+    let spec = Spec {
+        models: vec![Model {
+            name: "m".to_owned(),
+            weights_mb: 60.0,
+            adapter_mb: 1.0,
+        }],
+        adapter_slots: 4,
+        memory_mb: 100.0,
+    };
+    let mut table = RawTable::default();
+    let service = Service { engine: Some(spec) };
+    table.services.insert("s".to_owned(), service);
+    table.routes.push(Route {
+        name: "r".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/".to_owned(),
+        kind: Kind::Stream { resumable: false },
+        limit: Duration::from_secs(20),
+        priority: 1,
+        split: vec![("s".to_owned(), 1)],
+        attempts: 1,
+    });
+    Decoded {
+        number: 0,
+        table: Table::try_from(table).expect("the table is valid"),
+    }
+}
