Go on from a run's memory only under the weights and the version that made it

Callers of long streams whose engine crashed got answers that looked whole, but went on from memory that means something else: made under version 4 of the weights, used under version 1 or 7.

Cause: a copy of a run's memory was kept at any other holder of the same adapter. Memory belongs to the weights of the base model and the version of the adapter; neither was kept with it. Engines take the newest weights when they start, so a fleet whose engines crash holds several. The send that goes on asked for the adapter's newest named version, not for the run's.

Change: a copy carries what it is made with (Origin). It is kept only at a target of which the same is known; the first answer has to confirm the weights, the run asks for the version it began on, and before it goes on the copy's target has to hold the same still, by the word of an owner that is heard. Otherwise the stream breaks off, which its caller sees, and E5010 says why. Why it holds: the engine checks the adapter's version itself; the weights change only when an engine starts anew, and its copies are gone then.

--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -10,7 +10,10 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use gateway::table::{Kind, Route};
+use gateway::{
+    table::{Kind, Route},
+    view::Backup,
+};
 use hyper::{HeaderMap, Method, Response};
 use telemetry::{event, exposed};
 use tokio::time::{Instant, sleep};
@@ -50,8 +53,8 @@
     /// Tokens of its prompt, and of its answer at most.
     tokens: u64,
     answer_tokens: u64,
-    /// The target that keeps the run's memory as well.
-    backup: Option<String>,
+    /// The copy of the run's memory, and what it is made with.
+    pub(super) backup: Option<Backup>,
     method: Method,
     path: String,
     headers: HeaderMap,
@@ -129,6 +132,7 @@
                         self.tried.insert(target);
                         continue;
                     }
+                    self.confirm_backup(&answer);
                     return Ok((*answer, place));
                 }
                 Sent::Unreached => {
--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::Mark;
-use gateway::table::Kind;
+use gateway::{table::Kind, view::Backup};
 use hyper::StatusCode;
 use telemetry::event;
 use tokio::time::{Instant, timeout_at};
@@ -76,6 +76,17 @@
     InDoubt,
 }
 
+/// Why a run doesn't go on from the copy of its memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unused {
+    /// It isn't certain that the copy's target holds what the memory was made with.
+    Origin,
+    /// The caller waits no longer.
+    Deadline,
+    /// The budget of repeats is used up.
+    Repeats,
+}
+
 impl Sent {
     /// Returns its name in metrics.
     pub(super) fn label(&self) -> &'static str {
@@ -97,25 +108,95 @@
     /// another holder of the adapter it goes on there as the same run. Worth its
     /// transfers only for long answers; those that can be resumed are simply
     /// read anew.
-    pub(super) fn choose_backup(&self, target: &str) -> Option<String> {
+    pub(super) fn choose_backup(&self, target: &str) -> Option<Backup> {
         let fit = self.route.kind == Kind::Stream { resumable: false };
         if !fit || self.adapter.is_empty() || self.answer_tokens < BACKUP_LEAST {
             return None;
         }
         let view = self.state.view();
-        view.second(self.state.now(), &self.service, &self.adapter, target)
+        view.backup(self.state.now(), &self.service, &self.adapter, target)
+    }
+
+    /// Forgets the copy unless the answer comes from the weights that it was chosen for.
+    pub(super) fn confirm_backup(&mut self, answer: &Answer) {
+        let Some(backup) = &self.backup else {
+            return;
+        };
+        if !self.made_with(backup, answer) {
+            self.note_unused(backup, Unused::Origin);
+            self.backup = None;
+        }
+    }
+
+    /// Tells whether an answer names the weights that a copy's memory was made with.
+    fn made_with(&self, backup: &Backup, answer: &Answer) -> bool {
+        let weights = &self.state.outside.dialect.weights;
+        let weights = heads::text(&answer.headers, weights);
+        weights.is_some_and(|weights| weights.parse() == Ok(backup.origin.weights))
     }
 
     /// Goes on with a broken run from its memory at another target.
     pub(super) async fn restore(&mut self, last: &str) -> Option<(Answer, Place)> {
-        let backup = self.backup.take()?;
-        if Instant::now() >= self.until || !self.state.repeat(&self.service) {
+        let backup = self.backup.clone()?;
+        if let Err(unused) = self.may_restore(&backup) {
+            self.note_unused(&backup, unused);
             return None;
         }
-        match self.send(&backup, Some(last), true).await {
-            Sent::Answer(answer, place) => Some((*answer, place)),
-            Sent::Unreached | Sent::NotRun { .. } | Sent::InDoubt => None,
+        let sent = self.send(&backup.target, Some(last), true).await;
+        self.backup = None;
+        match sent {
+            Sent::Answer(answer, place) if self.made_with(&backup, &answer) => {
+                Some((*answer, place))
+            }
+            Sent::Answer(..) => {
+                self.note_unused(&backup, Unused::Origin);
+                None
+            }
+            Sent::Unreached | Sent::NotRun { .. } | Sent::InDoubt => {
+                self.note_attempt(&backup.target, sent.label());
+                None
+            }
+        }
+    }
+
+    /// Tells whether the run may go on from its copy.
+    ///
+    /// Failure: engines that started at different times hold different weights, and an
+    /// adapter is replaced while a run goes on elsewhere. Memory read under other
+    /// versions than it was made with gives a wrong answer that looks whole. An engine
+    /// checks the version of the adapter alone; the weights have to be known here, by
+    /// the word of an owner that is heard.
+    fn may_restore(&self, backup: &Backup) -> Result<(), Unused> {
+        if Instant::now() >= self.until {
+            return Err(Unused::Deadline);
         }
+        let now = self.state.now();
+        let heard = self.state.sources.zones(now);
+        let alike = {
+            let view = self.state.view();
+            let zone = view.zone_of(&backup.target);
+            let fresh = zone.is_some_and(|zone| heard.iter().any(|own| own == zone));
+            fresh && view.restores(now, &self.adapter, backup)
+        };
+        if !alike {
+            return Err(Unused::Origin);
+        }
+        if !self.state.repeat(&self.service) {
+            return Err(Unused::Repeats);
+        }
+        Ok(())
+    }
+
+    fn note_unused(&self, backup: &Backup, unused: Unused) {
+        event!(
+            telemetry::Event::BackupUnused,
+            request = self.id,
+            adapter = self.adapter,
+            target = backup.target,
+            weights = backup.origin.weights,
+            version = backup.origin.version,
+            why = format!("{unused:?}")
+        );
     }
 
     pub(super) async fn send(&self, target: &str, last: Option<&str>, restored: bool) -> Sent {
@@ -199,9 +280,11 @@
         let (addr, version, backup) = {
             let view = self.state.view();
             let addr: SocketAddr = view.addr(target)?.parse().ok()?;
-            let backup = self.backup.as_ref().and_then(|id| view.addr(id));
-            let backup = backup.map(str::to_owned);
-            (addr, view.version(&self.adapter), backup)
+            let backup = self.backup.as_ref();
+            let kept = backup.and_then(|backup| view.addr(&backup.target));
+            let version = backup.map(|backup| backup.origin.version);
+            let version = version.or_else(|| view.version(&self.adapter));
+            (addr, version, kept.map(str::to_owned))
         };
         let left = self.until.saturating_duration_since(Instant::now());
         let mut headers = self.headers.clone();
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -157,31 +157,23 @@
         if !answer.status.is_success() {
             return false;
         }
-        self.note_resumed(&answer, &place);
-        self.answer = answer;
-        self.place = place;
-        true
-    }
-
-    /// Logs that a stream goes on, with the weights at both targets: what the answers
-    /// say, and what was told of the targets.
-    fn note_resumed(&self, answer: &Answer, place: &Place) {
-        let state = &self.job.state;
-        let said = |answer: &Answer| {
-            let said = heads::text(&answer.headers, &state.outside.dialect.weights);
-            said.unwrap_or_default().to_owned()
-        };
-        let told = |id| state.view().weights(id, &self.job.adapter).unwrap_or(0);
         event!(
             telemetry::Event::StreamResumed,
             request = self.job.id,
             adapter = self.job.adapter,
             from = self.place.id,
-            from_said = said(&self.answer),
-            from_weights = told(&self.place.id),
             target = place.id,
-            target_said = said(answer),
-            target_weights = told(&place.id)
+            from_weights = self.weights(&self.answer),
+            weights = self.weights(&answer)
         );
+        self.answer = answer;
+        self.place = place;
+        true
+    }
+
+    /// Returns the version of the weights that an answer names.
+    fn weights<'a>(&self, answer: &'a Answer) -> &'a str {
+        let weights = &self.job.state.outside.dialect.weights;
+        heads::text(&answer.headers, weights).unwrap_or_default()
     }
 }
--- a/crates/frontd/tests/memory.rs
+++ b/crates/frontd/tests/memory.rs
@@ -10,11 +10,13 @@
 const FOURTH: Holds = Holds {
     weights: 4,
     adapter: 2,
+    listed: 4,
 };
 
 const FIRST: Holds = Holds {
     weights: 1,
     adapter: 2,
+    listed: 1,
 };
 
 /// Guards against a stream that goes on at an engine with other weights than those its
@@ -57,6 +59,26 @@
     assert_that!(world.runs().iter().any(|run| run.restored), eq(false));
 }
 
+/// Guards against trust in a list that is behind: the engine that begins the run has other
+/// weights than it is listed with, and its answer says so.
+#[tokio::test]
+async fn what_an_answer_says_of_its_weights_goes_before_the_list() {
+    let late = Holds {
+        listed: 1,
+        ..FOURTH
+    };
+    let world = World::start(&[late, late]).await;
+    let crash = async {
+        world.begun("1").await;
+        world.change(0, |holds| *holds = FIRST).await;
+        world.change(1, |holds| *holds = FIRST).await;
+        world.crash_soon().await;
+    };
+    let (answer, ()) = tokio::join!(world.whole("1", ADAPTER), crash);
+    assert_that!(answer, none());
+    assert_that!(world.runs().iter().any(|run| run.restored), eq(false));
+}
+
 /// Guards against a stream that goes on under a version of its adapter that was named,
 /// and loaded at the second engine, after the stream had begun.
 #[tokio::test]
--- a/crates/frontd/tests/memory/world.rs
+++ b/crates/frontd/tests/memory/world.rs
@@ -48,6 +48,8 @@
     pub(crate) weights: u32,
     /// Version of the adapter.
     pub(crate) adapter: u32,
+    /// Version of the weights that the platform's list names.
+    pub(crate) listed: u32,
 }
 
 /// A run at an engine.
@@ -285,7 +287,7 @@
 
 fn held(holds: Holds) -> Held {
     Held {
-        models: BTreeMap::from([("m".to_owned(), Some(holds.weights))]),
+        models: BTreeMap::from([("m".to_owned(), Some(holds.listed))]),
         adapters: BTreeMap::from([(ADAPTER.to_owned(), holds.adapter)]),
     }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,6 +1,7 @@
 //! What an entry instance knows of targets, and which one it chooses.
 
 mod backlog;
+mod backup;
 mod held;
 mod spread;
 
@@ -12,6 +13,7 @@
 use base::{Seed, Time};
 use wire::fleet::{First, Pace, Running, Target};
 
+pub use self::backup::{Backup, Origin};
 use self::{
     backlog::{FULL_WAIT, outside},
     held::Held,
@@ -236,16 +238,6 @@
         self.versions.get(adapter).copied()
     }
 
-    /// Returns the version of the weights under which `adapter` runs at a target, where
-    /// that is known: those of its base model.
-    #[must_use]
-    pub fn weights(&self, id: &str, adapter: &str) -> Option<u32> {
-        let model = adapter.split_once('/').map_or(adapter, |(model, _)| model);
-        let mut weights = self.targets.get(id)?.target.weights.iter();
-        let found = weights.find(|weights| weights.model == model)?;
-        Some(found.version)
-    }
-
     /// Returns where a target is reached.
     #[must_use]
     pub fn addr(&self, id: &str) -> Option<&str> {
@@ -333,23 +325,6 @@
         Choice::Wait(soonest.unwrap_or_default())
     }
 
-    /// Returns another target that can use the adapter now, where the memory of
-    /// a run at `id` can be kept for the case that its target dies.
-    #[must_use]
-    pub fn second(&self, now: Time, service: &str, adapter: &str, id: &str) -> Option<String> {
-        let others = self.targets.values().filter(|k| {
-            let of_service = k.target.service == service && k.target.ready;
-            of_service && k.target.id != id && !k.rests(now)
-        });
-        let holders = others.filter(|k| self.holds(k, adapter) && usable(k, now, adapter));
-        let none = BTreeSet::new();
-        let best = holders.min_by(|a, b| {
-            let (a, b) = (self.cost(now, a, &none), self.cost(now, b, &none));
-            a.total_cmp(&b)
-        });
-        best.map(|known| known.target.id.clone())
-    }
-
     /// Notes that a request with so many prompt tokens was sent to a target, and
     /// returns what that has to read until it can answer.
     pub fn begin(&mut self, id: &str, adapter: &str, tokens: u64) -> u64 {
--- /dev/null
+++ b/crates/gateway/tests/backup.rs
@@ -0,0 +1,111 @@
+//! Where the memory of a run is kept as well, and when it may be used.
+
+use std::time::Duration;
+
+use base::{Seed, Time};
+use gateway::view::{Backup, Origin, View};
+use googletest::prelude::*;
+use wire::fleet::{Resident, Target, Weights};
+
+const NOW: Time = Time(1_000_000);
+
+/// What a target holds: weights of `m`, version of the adapter `m/x`; zero is not known.
+type Held = (u32, u32);
+
+const ORIGIN: Origin = Origin {
+    weights: 4,
+    version: 2,
+};
+
+fn target(id: &str, (weights, adapter): Held) -> Target {
+    let weights = (weights > 0).then(|| Weights {
+        model: "m".to_owned(),
+        version: weights,
+    });
+    let residents = [("m", 0), ("m/x", adapter)].map(|(adapter, version)| Resident {
+        adapter: adapter.to_owned(),
+        version,
+        ready_in: Duration::ZERO,
+    });
+    Target {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        addr: format!("{id}:1"),
+        zone: "za".to_owned(),
+        slots: 10,
+        ready: true,
+        slowness: 0,
+        weights: weights.into_iter().collect(),
+        residents: residents.into(),
+    }
+}
+
+fn view(held: &[(&str, Held)]) -> View {
+    let mut view = View::new("za", Seed(1));
+    let targets = held.iter().map(|(id, held)| target(id, *held));
+    view.set_targets(NOW, &["za".to_owned()], targets.collect());
+    view
+}
+
+fn kept(held: (Held, Held), expected: Option<u32>) {
+    let view = view(&[("a", held.0), ("b", held.1)]);
+    let found = view.backup(NOW, "s", "m/x", "a");
+    assert_that!(found.as_ref().map(|b| b.origin.weights), eq(expected));
+    assert_that!(found.is_none_or(|b| b.target == "b"), eq(true));
+}
+
+fn check_kept((held, expected): ((Held, Held), Option<u32>)) {
+    kept(held, expected);
+}
+
+base::cases! {
+    /// Guards against memory that is kept where it means something else.
+    memory_is_kept_where_the_same_would_be_made: check_kept => {
+        alike: (((4, 2), (4, 2)), Some(4)),
+        other_weights: (((4, 2), (1, 2)), None),
+        other_version: (((4, 2), (4, 7)), None),
+        weights_not_known_there: (((4, 2), (0, 2)), None),
+        weights_not_known_here: (((0, 2), (4, 2)), None),
+        neither_known: (((0, 2), (0, 2)), None),
+        version_not_known: (((4, 0), (4, 0)), None),
+    }
+}
+
+/// The least loaded engine has other weights, and isn't chosen.
+#[gtest]
+fn another_holder_of_the_same_is_found_among_many() {
+    let held = [("a", (4, 2)), ("b", (1, 2)), ("c", (4, 2)), ("d", (4, 3))];
+    let mut view = view(&held);
+    view.begin("c", "m/x", 100);
+    let backup = view.backup(NOW, "s", "m/x", "a");
+    assert_that!(backup.map(|b| b.target), some(eq("c")));
+    assert_that!(view.backup(NOW, "s", "m/y", "a"), none());
+}
+
+/// The base model itself is told apart by its weights alone.
+#[gtest]
+fn runs_of_the_base_model_have_its_weights_as_version() {
+    let view = view(&[("a", (4, 2)), ("b", (4, 9))]);
+    let backup = view.backup(NOW, "s", "m", "a").unwrap();
+    assert_that!((backup.origin.weights, backup.origin.version), eq((4, 4)));
+}
+
+fn check_restores((held, expected): (Option<Held>, bool)) {
+    let targets: Vec<_> = held.into_iter().map(|held| ("b", held)).collect();
+    let backup = Backup {
+        target: "b".to_owned(),
+        origin: ORIGIN,
+    };
+    assert_that!(view(&targets).restores(NOW, "m/x", &backup), eq(expected));
+}
+
+base::cases! {
+    /// Guards against a copy whose engine has changed since the run began.
+    a_copy_is_used_only_where_nothing_has_changed: check_restores => {
+        as_it_was: (Some((4, 2)), true),
+        restarted_with_other_weights: (Some((7, 2)), false),
+        restarted_and_not_told_yet: (Some((0, 2)), false),
+        adapter_replaced: (Some((4, 3)), false),
+        gone: (None, false),
+    }
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -140,18 +140,6 @@
     assert_that!(view.running(&["za".to_owned()]), is_empty());
 }
 
-#[gtest]
-fn a_second_holder_keeps_the_memory_of_a_run() {
-    let held = [("m/x", 1, 0)];
-    let view = view(vec![
-        target("a", "za", &held),
-        target("b", "zb", &held),
-        target("c", "za", &[]),
-    ]);
-    assert_that!(view.second(NOW, "s", "m/x", "a"), some(eq("b")));
-    assert_that!(view.second(NOW, "s", "m/y", "a"), none());
-}
-
 /// A load takes longer than told, and the engine refuses the first request. Taken
 /// for dropped, the adapter was asked for again and the request sent again at once,
 /// until the budget of repeats was used up. It is on its way, and waited for.
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -109,12 +109,13 @@
     RequestFailed 5002 Info "request failed" "A request was given up; `why` names the reason and `how` what the caller saw."
     WrongAdapter 5003 Error "answer of another adapter" "A target answered from an adapter or version that the request wasn't for; the caller didn't get it."
     AttemptFailed 5004 Debug "attempt failed" "One attempt at a request failed; another one follows if it may."
-    StreamResumed 5005 Info "stream resumed" "A broken stream went on from where it stopped; the fields ending in `_weights` are the versions of weights that the targets are known to hold, those in `_said` what their answers say."
+    StreamResumed 5005 Info "stream resumed" "A broken stream went on from where it stopped; `from_weights` and `weights` are the versions of weights that the two answers name."
     ClaimRefused 5006 Info "marked request refused" "A marked request could not be claimed, or its key was used before."
     BadKey 5007 Info "unknown key" "A caller came with a key that names no brand."
     ShareExceeded 5008 Info "over its share" "A brand's batch work waits because others want their share."
 
     RequestSlow 5009 Info "request slow" "The head of an answer took `head_ms`, of which `place_ms` passed before a target was found; `sends` and `refusals` say how often it was sent and refused."
+    BackupUnused 5010 Info "copy of a run's memory not used" "A copy of a run's memory, made with `weights` and `version` of the adapter, isn't used: `Origin` where its target may hold others, `Deadline` or `Repeats`."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "peer silent" "An instance's heartbeats stopped; `silent_ms` says for how long."
