Take only the version that an engine has dropped to be in its memory

Once a new version is named, the holder took a load of it for one from the engine's memory, told callers a tenth of the time and passed the queue of the store; they are refused, and what is learned of the size of that memory shrinks by a disproof that isn't one.

The test failed before (told 33 ms, where a load from the store takes 250); its opposite held before and holds.

--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -63,14 +63,23 @@
     pub(super) adapters: BTreeMap<String, Slot>,
     /// The adapter that room is being made for.
     pub(super) goal: Option<String>,
-    /// Adapters held before, and how many had been dropped when each was.
-    past: BTreeMap<String, usize>,
+    /// Adapters held before.
+    past: BTreeMap<String, Past>,
     /// Adapters dropped so far.
     drops: usize,
     /// Adapters dropped by own order, and when.
     dropped: BTreeMap<String, Time>,
 }
 
+/// An adapter that an engine has dropped.
+#[derive(Clone, Copy, Debug)]
+struct Past {
+    /// How many had been dropped when it was.
+    at: usize,
+    /// Its version; zero where none was named when it was loaded.
+    version: u32,
+}
+
 /// Why an engine is asked for its report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Asked {
@@ -233,7 +242,7 @@
                 self.rest = now + wait;
             }
             Act::Load { adapter, version } => {
-                let source = match self.depth(&adapter) {
+                let source = match self.depth(&adapter, version) {
                     Some(depth) if depth < times.memory => Source::Memory { depth },
                     _ => Source::Store,
                 };
@@ -300,12 +309,16 @@
     }
 
     fn drop_adapter(&mut self, now: Time, adapter: String) {
-        self.adapters.remove(&adapter);
+        let slot = self.adapters.remove(&adapter);
         self.drops += 1;
-        self.past.insert(adapter.clone(), self.drops);
+        let past = Past {
+            at: self.drops,
+            version: slot.map_or(0, |slot| slot.version),
+        };
+        self.past.insert(adapter.clone(), past);
         if self.past.len() > PAST_MAX {
             let oldest = self.drops.saturating_sub(PAST_MAX / 2);
-            self.past.retain(|_, at| *at > oldest);
+            self.past.retain(|_, past| past.at > oldest);
         }
         self.dropped.insert(adapter, now);
     }
@@ -413,10 +426,11 @@
     }
 
     /// Returns how many adapters this engine has dropped since `adapter`, if it
-    /// has dropped that.
-    pub(super) fn depth(&self, adapter: &str) -> Option<usize> {
-        let at = self.past.get(adapter)?;
-        Some(self.drops - at)
+    /// has dropped that in `version`, or in any where none is named.
+    pub(super) fn depth(&self, adapter: &str, version: Option<u32>) -> Option<usize> {
+        let past = self.past.get(adapter)?;
+        let alike = version.is_none_or(|version| past.version == version);
+        alike.then(|| self.drops - past.at)
     }
 
     /// Returns the versions of the weights of its base models.
--- a/crates/gateway/src/holder/plan.rs
+++ b/crates/gateway/src/holder/plan.rs
@@ -296,7 +296,8 @@
 
     /// Tells whether an engine can load an adapter from its own memory.
     pub(super) fn in_memory(&self, engine: &Engine, adapter: &str) -> bool {
-        let depth = engine.depth(adapter);
+        let version = self.versions.get(adapter).copied();
+        let depth = engine.depth(adapter, version);
         depth.is_some_and(|depth| depth < self.memory.size())
     }
 
--- a/crates/gateway/tests/holder/loads.rs
+++ b/crates/gateway/tests/holder/loads.rs
@@ -1,6 +1,6 @@
 //! What is loaded next, and what is learned of the store and of engines' memory.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use base::Ticket;
 use gateway::holder::{Act, Config, Ended, Input};
@@ -156,6 +156,33 @@
     assert_that!(residents.any(|r| r.adapter == "m/a"), eq(true));
 }
 
+/// Guards against callers who are sent a tenth of a load after a new version was ordered,
+/// as the engine has dropped the version before.
+#[gtest]
+fn a_new_version_is_not_taken_to_be_in_memory() {
+    let mut world = World::new(1);
+    for adapter in ["m/a", "m/b", "m/c", "m/d"] {
+        told_for(&mut world, adapter);
+    }
+    let versions = BTreeMap::from([("m/a".to_owned(), 7)]);
+    world.give(Input::Versions(versions));
+    let told = told_for(&mut world, "m/a");
+    assert_that!(told, gt(Duration::from_millis(200)));
+}
+
+/// Guards against the opposite: the version that is ordered is the one that was dropped.
+#[gtest]
+fn a_named_version_that_was_dropped_is_in_memory() {
+    let mut world = World::new(1);
+    let versions = BTreeMap::from([("m/a".to_owned(), 7)]);
+    world.give(Input::Versions(versions));
+    for adapter in ["m/a", "m/b", "m/c", "m/d"] {
+        told_for(&mut world, adapter);
+    }
+    let told = told_for(&mut world, "m/a");
+    assert_that!(told, lt(Duration::from_millis(60)));
+}
+
 /// Engines keep fewer dropped adapters in memory than expected. Callers were told
 /// a tenth of a load, and each was refused.
 #[gtest]
