--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::Mark;
-use gateway::{table::Kind, view::Backup};
+use gateway::{
+    table::Kind,
+    view::{Backup, Unused},
+};
 use hyper::StatusCode;
 use telemetry::event;
 use tokio::time::{Instant, timeout_at};
@@ -76,17 +79,6 @@
     InDoubt,
 }
 
-/// Why a run doesn't go on from the copy of its memory.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Unused {
-    /// It isn't certain that the copy's target holds what the memory was made with.
-    Origin,
-    /// The caller waits no longer.
-    Deadline,
-    /// The budget of repeats is used up.
-    Repeats,
-}
-
 impl Sent {
     /// Returns its name in metrics.
     pub(super) fn label(&self) -> &'static str {
@@ -123,7 +115,23 @@
             return;
         };
         if !self.made_with(backup, answer) {
-            self.note_unused(backup, Unused::Origin);
+            self.note_unused(backup, Unused::Weights);
+            self.backup = None;
+        }
+    }
+
+    /// Takes whole events of the answer. Memory that was made with several weights has no
+    /// use: an event at which they change says so in its first line.
+    pub(in crate::entry) fn note_events(&mut self, events: &[u8]) {
+        let Some(backup) = &self.backup else {
+            return;
+        };
+        let name = self.state.outside.dialect.weights.as_str().as_bytes();
+        let mut lines = events.split(|b| *b == b'\n');
+        let changes =
+            lines.any(|line| line.strip_prefix(name).is_some_and(|l| l.starts_with(b":")));
+        if changes {
+            self.note_unused(backup, Unused::Weights);
             self.backup = None;
         }
     }
@@ -149,7 +157,7 @@
                 Some((*answer, place))
             }
             Sent::Answer(..) => {
-                self.note_unused(&backup, Unused::Origin);
+                self.note_unused(&backup, Unused::Weights);
                 None
             }
             Sent::Unreached | Sent::NotRun { .. } | Sent::InDoubt => {
@@ -159,28 +167,26 @@
         }
     }
 
-    /// Tells whether the run may go on from its copy.
+    /// Checks that the run may go on from its copy.
     ///
     /// Failure: engines that started at different times hold different weights, and an
     /// adapter is replaced while a run goes on elsewhere. Memory read under other
     /// versions than it was made with gives a wrong answer that looks whole. An engine
-    /// checks the version of the adapter alone; the weights have to be known here, by
-    /// the word of an owner that is heard.
+    /// checks the version of the adapter alone. Weights change when it starts again,
+    /// possibly under its old id; it is of use only after a load of its model and one of
+    /// the adapter, and an owner that is heard has told of its new life before.
     fn may_restore(&self, backup: &Backup) -> Result<(), Unused> {
         if Instant::now() >= self.until {
             return Err(Unused::Deadline);
         }
-        let now = self.state.now();
-        let heard = self.state.sources.zones(now);
-        let alike = {
-            let view = self.state.view();
-            let zone = view.zone_of(&backup.target);
-            let fresh = zone.is_some_and(|zone| heard.iter().any(|own| own == zone));
-            fresh && view.restores(now, &self.adapter, backup)
-        };
-        if !alike {
-            return Err(Unused::Origin);
+        let heard = self.state.sources.zones(self.state.now());
+        let view = self.state.view();
+        view.restores(&self.adapter, backup)?;
+        let zone = view.zone_of(&backup.target).unwrap_or_default();
+        if !heard.iter().any(|own| own == zone) {
+            return Err(Unused::Silent);
         }
+        drop(view);
         if !self.state.repeat(&self.service) {
             return Err(Unused::Repeats);
         }
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -135,6 +135,7 @@
                 return Some(Err(anyhow!("an event is too long")));
             }
             if !whole.is_empty() {
+                self.job.note_events(&whole);
                 return Some(Ok(whole));
             }
         }
--- a/crates/frontd/tests/memory.rs
+++ b/crates/frontd/tests/memory.rs
@@ -11,12 +11,14 @@
     weights: 4,
     adapter: 2,
     listed: 4,
+    midway: 4,
 };
 
 const FIRST: Holds = Holds {
     weights: 1,
     adapter: 2,
     listed: 1,
+    midway: 1,
 };
 
 /// Guards against a stream that goes on at an engine with other weights than those its
@@ -65,6 +67,7 @@
 async fn what_an_answer_says_of_its_weights_goes_before_the_list() {
     let late = Holds {
         listed: 1,
+        midway: 1,
         ..FOURTH
     };
     let world = World::start(&[late, late]).await;
@@ -79,6 +82,54 @@
     assert_that!(world.runs().iter().any(|run| run.restored), eq(false));
 }
 
+/// Guards against a copy whose engine started again in place, with newer weights, while the
+/// run went on.
+#[tokio::test]
+async fn a_copy_at_an_engine_that_changed_is_not_used() {
+    let world = World::start(&[FOURTH, FOURTH]).await;
+    let restart = async {
+        let first = world.begun("1").await;
+        world.change(1 - first.engine, |holds| *holds = FIRST).await;
+        world.crash_soon().await;
+    };
+    let (answer, ()) = tokio::join!(world.whole("1", ADAPTER), restart);
+    assert_that!(answer, none());
+    assert_that!(world.runs().iter().any(|run| run.restored), eq(false));
+}
+
+/// Guards against an answer that is passed on as whole though its second engine says that
+/// it goes on with other weights than it was listed with.
+#[tokio::test]
+async fn a_rest_that_comes_from_other_weights_reaches_nobody() {
+    let stale = Holds { listed: 4, ..FIRST };
+    let world = World::start(&[FOURTH, stale]).await;
+    for id in ["1", "2", "3", "4"] {
+        let crash = async {
+            world.begun(id).await;
+            world.crash_soon().await;
+        };
+        let (answer, ()) = tokio::join!(world.whole(id, ADAPTER), crash);
+        assert_that!(answer, none());
+    }
+}
+
+/// Guards against memory that was made with two weights: they changed under the run.
+#[tokio::test]
+async fn a_run_whose_weights_changed_midway_does_not_go_on() {
+    let changing = Holds {
+        midway: 5,
+        ..FOURTH
+    };
+    let world = World::start(&[changing, changing]).await;
+    let crash = async {
+        world.begun("1").await;
+        world.crash_soon().await;
+    };
+    let (answer, ()) = tokio::join!(world.whole("1", ADAPTER), crash);
+    assert_that!(answer, none());
+    assert_that!(world.runs().iter().any(|run| run.restored), eq(false));
+}
+
 /// Guards against a stream that goes on under a version of its adapter that was named,
 /// and loaded at the second engine, after the stream had begun.
 #[tokio::test]
--- a/crates/frontd/tests/memory/world.rs
+++ b/crates/frontd/tests/memory/world.rs
@@ -1,7 +1,7 @@
 //! One control and one entry instance over loopback, and engines that break off streams.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{
         Arc, Mutex,
@@ -50,6 +50,8 @@
     pub(crate) adapter: u32,
     /// Version of the weights that the platform's list names.
     pub(crate) listed: u32,
+    /// Version of the weights from the second event of a run on.
+    pub(crate) midway: u32,
 }
 
 /// A run at an engine.
@@ -70,6 +72,8 @@
 struct Fleet {
     engines: Vec<Engine>,
     runs: Mutex<Vec<Run>>,
+    /// Copies of runs' memory: where each lies, and the request.
+    copies: Mutex<BTreeSet<String>>,
     /// Rung when streams are to break off.
     crash: Notify,
 }
@@ -214,6 +218,7 @@
     let fleet = Arc::new(Fleet {
         engines,
         runs: Mutex::default(),
+        copies: Mutex::default(),
         crash: Notify::new(),
     });
     for (no, listener) in listeners.into_iter().enumerate() {
@@ -234,31 +239,69 @@
     let headers = req.headers().clone();
     let text = |name: &str| headers.get(name)?.to_str().ok().map(str::to_owned);
     let holds = *fleet.engines[engine].holds.lock().unwrap();
-    let other = text("version").is_some_and(|version| version != holds.adapter.to_string());
-    if other {
+    let model = text("model").unwrap_or_default();
+    let own = if model == ADAPTER {
+        holds.adapter
+    } else {
+        holds.weights
+    };
+    let other = text("version").is_some_and(|version| version != own.to_string());
+    if other || text("target") != Some(format!("e{engine}")) {
         return head(&headers, holds, StatusCode::MISDIRECTED_REQUEST, full(""));
     }
-    let restored = headers.contains_key("restore");
+    let request = text("attempt").unwrap_or_default();
+    let restored = text("restore");
+    if restored
+        .as_ref()
+        .is_some_and(|copy| !fleet.keeps(engine, copy, &request))
+    {
+        return head(&headers, holds, StatusCode::SERVICE_UNAVAILABLE, full(""));
+    }
+    if let Some(place) = text("backup") {
+        fleet
+            .copies
+            .lock()
+            .unwrap()
+            .insert(format!("{place}/{request}"));
+    }
     fleet.runs.lock().unwrap().push(Run {
-        request: text("attempt").unwrap_or_default(),
+        request,
         engine,
         holds,
-        restored,
+        restored: restored.is_some(),
     });
-    if restored || text("model").as_deref() != Some(ADAPTER) {
+    if restored.is_some() || model != ADAPTER {
         let rest = full("id: 3\n\nid: 4\n\n");
         return head(&headers, holds, StatusCode::OK, rest);
     }
     let (writer, events) = body::channel(4);
     tokio::spawn(async move {
         let crash = fleet.crash.notified();
-        let begin = Bytes::from_static(b"id: 1\n\nid: 2\n\n");
-        writer.piece(begin).await.ok();
+        let begin = begin(holds);
+        writer.piece(Bytes::from(begin)).await.ok();
         crash.await;
     });
     head(&headers, holds, StatusCode::OK, events)
 }
 
+/// Returns the first two events of a run.
+fn begin(holds: Holds) -> String {
+    let change = if holds.midway == holds.weights {
+        String::new()
+    } else {
+        format!("weights: {}\n", holds.midway)
+    };
+    format!("id: 1\n\n{change}id: 2\n\n")
+}
+
+impl Fleet {
+    /// Tells whether an engine keeps the copy of a request that is named as `copy`.
+    fn keeps(&self, engine: usize, copy: &str, request: &str) -> bool {
+        let own = format!("{}/{request}", self.engines[engine].addr);
+        copy == own && self.copies.lock().unwrap().contains(copy)
+    }
+}
+
 fn head(headers: &HeaderMap, holds: Holds, status: StatusCode, body: Body) -> Response<Body> {
     let mut resp = Response::new(body);
     *resp.status_mut() = status;
--- a/crates/gateway/src/holder/engine.rs
+++ b/crates/gateway/src/holder/engine.rs
@@ -335,6 +335,11 @@
         if report.born > self.born {
             self.reborn(report.born);
         }
+        // A late report of the life before says nothing of this one; zero says no life.
+        if report.born > 0 && report.born < self.born {
+            self.rest = now + lag;
+            return;
+        }
         // A report is some hundred milliseconds old. Where the count is known, the
         // holder knows more than the report, and a count that was lost since it
         // was asked for may be newer than what it says.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -13,7 +13,7 @@
 use base::{Seed, Time};
 use wire::fleet::{First, Pace, Running, Target};
 
-pub use self::backup::{Backup, Origin};
+pub use self::backup::{Backup, Origin, Unused};
 use self::{
     backlog::{FULL_WAIT, outside},
     held::Held,
--- a/crates/gateway/src/view/backup.rs
+++ b/crates/gateway/src/view/backup.rs
@@ -18,6 +18,23 @@
     pub version: u32,
 }
 
+/// Why a run doesn't go on from the copy of its memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unused {
+    /// The target is gone.
+    Gone,
+    /// The weights may be others.
+    Weights,
+    /// The version of the adapter may be another.
+    Version,
+    /// Nobody was heard lately who knows what the target holds.
+    Silent,
+    /// The caller waits no longer.
+    Deadline,
+    /// The budget of repeats is used up.
+    Repeats,
+}
+
 /// A copy of a run's memory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Backup {
@@ -51,14 +68,23 @@
         })
     }
 
-    /// Tells whether a run may go on from a copy: its target still holds what the memory
-    /// was made with.
-    #[must_use]
-    pub fn restores(&self, now: Time, adapter: &str, backup: &Backup) -> bool {
-        let known = self.targets.get(&backup.target);
-        known.is_some_and(|known| {
-            known.origin(adapter) == Some(backup.origin) && usable(known, now, adapter)
-        })
+    /// Checks that a run may go on from a copy: its target still holds what the memory was
+    /// made with.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason where it doesn't, or where that isn't known.
+    pub fn restores(&self, adapter: &str, backup: &Backup) -> Result<(), Unused> {
+        let known = self.targets.get(&backup.target).ok_or(Unused::Gone)?;
+        let weights = known.weights(adapter);
+        let version = known.version(adapter);
+        if weights != Some(backup.origin.weights) {
+            return Err(Unused::Weights);
+        }
+        if version != Some(backup.origin.version) {
+            return Err(Unused::Version);
+        }
+        Ok(())
     }
 
     /// Returns the availability zone of a target.
@@ -72,15 +98,25 @@
     /// Returns what the memory of runs of `adapter` is made with here, where all of it
     /// is known.
     fn origin(&self, adapter: &str) -> Option<Origin> {
-        let held = self.residents.get(adapter)?;
-        let model = adapter.split_once('/').map(|(model, _)| model);
-        let mut weights = self.target.weights.iter();
-        let weights = weights.find(|weights| weights.model == model.unwrap_or(adapter))?;
-        let weights = weights.version;
-        let version = match model {
-            Some(_) => (held.version > 0).then_some(held.version)?,
-            None => weights,
-        };
+        let (weights, version) = (self.weights(adapter)?, self.version(adapter)?);
         Some(Origin { weights, version })
     }
+
+    /// Returns the version of the weights under which `adapter` runs here.
+    fn weights(&self, adapter: &str) -> Option<u32> {
+        let model = adapter.split_once('/').map_or(adapter, |(model, _)| model);
+        let mut weights = self.target.weights.iter();
+        let found = weights.find(|weights| weights.model == model)?;
+        Some(found.version)
+    }
+
+    /// Returns the version of `adapter` that is held here; that of its weights for a base
+    /// model.
+    fn version(&self, adapter: &str) -> Option<u32> {
+        let held = self.residents.get(adapter)?;
+        if !adapter.contains('/') {
+            return self.weights(adapter);
+        }
+        (held.version > 0).then_some(held.version)
+    }
 }
--- a/crates/gateway/tests/backup.rs
+++ b/crates/gateway/tests/backup.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{Seed, Time};
-use gateway::view::{Backup, Origin, View};
+use gateway::view::{Backup, Origin, Unused, View};
 use googletest::prelude::*;
 use wire::fleet::{Resident, Target, Weights};
 
@@ -71,6 +71,30 @@
     }
 }
 
+/// A copy is kept in another zone rather than nowhere, and not at a nearer engine without
+/// the adapter.
+#[gtest]
+fn a_second_holder_keeps_the_memory_of_a_run() {
+    let mut targets: Vec<_> = ["a", "b", "c"].map(|id| target(id, (4, 2))).into();
+    targets[1].zone = "zb".to_owned();
+    targets[2].residents.pop();
+    let mut view = View::new("za", Seed(1));
+    view.set_targets(NOW, &["za".to_owned(), "zb".to_owned()], targets);
+    let kept = |adapter| view.backup(NOW, "s", adapter, "a").map(|b| b.target);
+    assert_that!(kept("m/x"), some(eq("b")));
+    assert_that!(kept("m/y"), none());
+}
+
+/// Guards against a stream that breaks off as the target of its copy has just refused
+/// another request for a moment.
+#[gtest]
+fn a_target_that_is_busy_still_takes_what_goes_on() {
+    let mut view = view(&[("a", (4, 2)), ("b", (4, 2))]);
+    let backup = view.backup(NOW, "s", "m/x", "a").unwrap();
+    view.not_yet(NOW, "b", "m/x", Duration::from_millis(30));
+    assert_that!(view.restores("m/x", &backup), eq(Ok(())));
+}
+
 /// The least loaded engine has other weights, and isn't chosen.
 #[gtest]
 fn another_holder_of_the_same_is_found_among_many() {
@@ -90,22 +114,22 @@
     assert_that!((backup.origin.weights, backup.origin.version), eq((4, 4)));
 }
 
-fn check_restores((held, expected): (Option<Held>, bool)) {
+fn check_restores((held, expected): (Option<Held>, std::result::Result<(), Unused>)) {
     let targets: Vec<_> = held.into_iter().map(|held| ("b", held)).collect();
     let backup = Backup {
         target: "b".to_owned(),
         origin: ORIGIN,
     };
-    assert_that!(view(&targets).restores(NOW, "m/x", &backup), eq(expected));
+    assert_that!(view(&targets).restores("m/x", &backup), eq(expected));
 }
 
 base::cases! {
     /// Guards against a copy whose engine has changed since the run began.
     a_copy_is_used_only_where_nothing_has_changed: check_restores => {
-        as_it_was: (Some((4, 2)), true),
-        restarted_with_other_weights: (Some((7, 2)), false),
-        restarted_and_not_told_yet: (Some((0, 2)), false),
-        adapter_replaced: (Some((4, 3)), false),
-        gone: (None, false),
+        as_it_was: (Some((4, 2)), Ok(())),
+        restarted_with_other_weights: (Some((7, 2)), Err(Unused::Weights)),
+        restarted_and_not_told_yet: (Some((0, 2)), Err(Unused::Weights)),
+        adapter_replaced: (Some((4, 3)), Err(Unused::Version)),
+        gone: (None, Err(Unused::Gone)),
     }
 }
