Let the test of a list that is behind fail without its guard

The engine of this test also changed its weights midway, so another guard caught it. Without the check of the first answer it fails now, and so does its neighbour.

--- a/crates/frontd/tests/memory.rs
+++ b/crates/frontd/tests/memory.rs
@@ -67,7 +67,6 @@
 async fn what_an_answer_says_of_its_weights_goes_before_the_list() {
     let late = Holds {
         listed: 1,
-        midway: 1,
         ..FOURTH
     };
     let world = World::start(&[late, late]).await;
