--- a/crates/gateway/tests/holder/news.rs
+++ b/crates/gateway/tests/holder/news.rs
@@ -5,11 +5,11 @@
 //! sender's processor; so each listener names what it has.
 
 use base::Ticket;
-use gateway::holder::{Ended, Input};
+use gateway::holder::{Ended, Held, Input, Report};
 use googletest::prelude::*;
 use wire::fleet::{Sync, Synced};
 
-use crate::world::World;
+use crate::world::{World, held};
 
 fn ask(world: &mut World, news: u64) -> Synced {
     asked(
@@ -134,3 +134,27 @@
     let own = asked(&mut world, entry("n1", Vec::new(), false));
     assert_that!(own.unread, is_empty());
 }
+
+/// Guards against weights that are told of an engine which has started again since: its
+/// former life's, by a list or by a report that comes late.
+#[gtest]
+fn weights_of_a_former_life_are_not_told() {
+    let weights = |world: &mut World| {
+        let told = ask(world, 0).targets.unwrap().remove(0).weights;
+        told.first().map(|weights| weights.version)
+    };
+    let mut world = World::new(1);
+    assert_that!(weights(&mut world), some(eq(1)));
+    world.born = 2;
+    world.list_held(Held::default());
+    assert_that!(weights(&mut world), none());
+    let late = Report {
+        born: 1,
+        held: held(&[]),
+        ..Report::default()
+    };
+    let id = "e1".to_owned();
+    let report = Some(late);
+    world.give(Input::Reported { id, report });
+    assert_that!(weights(&mut world), none());
+}
--- a/crates/gateway/tests/holder/world.rs
+++ b/crates/gateway/tests/holder/world.rs
@@ -80,6 +80,15 @@
 
     /// Gives a list that was asked for at some time before.
     pub(crate) fn list_asked(&mut self, asked: Time, adapters: &[&str]) {
+        self.list_of(asked, &held(adapters));
+    }
+
+    /// Gives a list on which every engine holds this.
+    pub(crate) fn list_held(&mut self, held: Held) {
+        self.list_of(self.now, &held);
+    }
+
+    fn list_of(&mut self, asked: Time, held: &Held) {
         let ids = (1..=self.engines).map(|n| format!("e{n}"));
         let listed = ids.map(|id| Listed {
             addr: format!("{id}:1"),
@@ -89,7 +98,7 @@
             zone: "za".to_owned(),
             slots: 10,
             ready: true,
-            held: Some(held(adapters)),
+            held: Some(held.clone()),
         });
         let list = listed.collect();
         let zones = vec!["za".to_owned()];
