Add `quetzalarch trace`: the story of one request out of many instances' lines

An operator with a failed request's id searched the lines of some ten instances by hand, and by the page had to know which other lines explain it.

Change: a command that reads lines from files or standard input, in the product's form and behind a simulation's seconds and instance, and prints the request's own lines and their context by time, with a summary first. What belongs to a story is decided in story.rs without I/O: lines about the adapter and targets of its own lines within a window, and a table of rules (rules.rs) that follows the page: beliefs of the entry instance (newest E1001, E7003, E6001 and E6002 for each control instance), the adapter's newest orders, and what the page says for the `why`.

Beyond "around the own lines": the window begins at the request's arrival where a line tells how long it took (held_ms, head_ms), as most E5002 are written at the end of the wait. A failed order has no field `adapter`; it is found in `order`, in quotes.

Failures: a line that isn't the product's is counted, also whether it holds the id, as a line cut short may be the request's own; a file that can't be read ends the command, as a story told from the rest would look whole; no line with the id is exit code 1. Control characters in lines are printed escaped.

Ruled out: reading fields by searching the raw text (an id within another id, escapes in JSON); a second pass over files in place of keeping lines (standard input can't be read twice).

The lines in tests/trace were recorded from three control and two entry processes of the platform's program over loopback, beside a stand-in of the list and of engines written for it outside the tree: orders left unanswered, an engine and a control instance killed. Nothing in them was changed; the prefix of controls.log was put there by the recorder.

Changed test: the row `help` of the commands asks for `trace` as well.

chrono was in Cargo.lock already, by flexi_logger.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -5,17 +5,22 @@
 use base::{AdapterName, BrandName, ChangeId, InstanceName, ServiceName, TextVersion};
 use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
 
+use crate::story::RequestId;
+
 pub(crate) const JSON: &str = "json";
 pub(crate) const CONTROL: &str = "control";
 pub(crate) const ENTRY: &str = "entry";
 pub(crate) const WAIT: &str = "wait";
 pub(crate) const TIMEOUT: &str = "timeout";
+pub(crate) const AROUND: &str = "around";
 
 /// Seconds for which `apply` resends a change whose outcome is unknown.
 const WAIT_DEFAULT: &str = "15";
 /// Seconds that a silent instance costs before the next is asked; a change
 /// takes three at most.
 const TIMEOUT_DEFAULT: &str = "8";
+/// Seconds of context that `trace` shows before and after a request.
+const AROUND_DEFAULT: &str = "2";
 
 /// Builds the command line.
 pub(crate) fn command() -> Command {
@@ -44,6 +49,7 @@
             Command::new("text").about("Prints the text in force"),
             explain(),
             drain(),
+            trace(),
             Command::new("key")
                 .about("Reads a caller's key from standard input and prints its hash for the text"),
         ])
@@ -177,6 +183,34 @@
         )
 }
 
+fn trace() -> Command {
+    Command::new("trace")
+        .about("Tells the story of one request from log lines of any instances")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required(true)
+                .value_parser(value_parser!(RequestId))
+                .help("The request's id, as its lines name it"),
+        )
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .num_args(0..)
+                .default_value("-")
+                .value_parser(value_parser!(PathBuf))
+                .help("Log lines, in any order; - is standard input"),
+        )
+        .arg(
+            Arg::new(AROUND)
+                .long(AROUND)
+                .value_name("SECONDS")
+                .default_value(AROUND_DEFAULT)
+                .value_parser(value_parser!(u32).range(0..=3_600))
+                .help("How long before and after the request context is shown"),
+        )
+}
+
 fn address(raw: &str) -> Result<SocketAddr, String> {
     let rest = raw
         .strip_prefix("http://")
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod local;
 mod show;
+mod trace;
 
 use std::{
     io::Read,
@@ -30,6 +31,7 @@
         Some(("text", args)) => show::text(args).await,
         Some(("explain", args)) => show::explain(args).await,
         Some(("drain", args)) => show::drain(args).await,
+        Some(("trace", args)) => trace::run(args),
         _ => bail!("no such command"),
     }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod command;
 mod done;
 mod remote;
+mod story;
 mod table;
 
 use std::process::ExitCode;
--- a/crates/cli/tests/commands/main.rs
+++ b/crates/cli/tests/commands/main.rs
@@ -132,7 +132,11 @@
             ..USUAL
         },
         empty_key: Row { args: "key", stdin: "\n", exit: 2, shows: &["the key is empty"], ..USUAL },
-        help: Row { args: "--help", shows: &["Exit codes: 0 done, 1 refused", "explain"], ..USUAL },
+        help: Row {
+            args: "--help",
+            shows: &["Exit codes: 0 done, 1 refused", "explain", "trace"],
+            ..USUAL
+        },
     }
 
     /// What asks instances; the next is asked where one doesn't answer.
--- /dev/null
+++ b/crates/cli/tests/trace.rs
@@ -0,0 +1,200 @@
+//! `trace` as a process: the story of a request from files and standard input.
+//!
+//! The files in `trace/` are lines that three control and two entry instances of
+//! the platform's program wrote beside a stand-in of the platform and of engines:
+//! an engine dies under six streams, more adapters are asked for than engines can
+//! hold while some orders stay unanswered, a control instance is killed, and a
+//! route is asked for before it is added. `controls.log` has the form that
+//! simulations write, with seconds since the first configuration.
+
+use std::{
+    fs,
+    io::Write,
+    process::{Command, Output, Stdio},
+};
+
+use googletest::prelude::*;
+use serde_json::Value;
+
+const CONTROLS: &str = "tests/trace/controls.log";
+const ENTRIES: &str = "tests/trace/entries.log";
+
+fn trace(args: &[&str], stdin: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_quetzalarch"))
+        .arg("trace")
+        .args(args)
+        .env_clear()
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // A command that reads no input may have ended already.
+    let _ = child.stdin.take().unwrap().write_all(stdin);
+    child.wait_with_output().unwrap()
+}
+
+fn text(out: &[u8]) -> String {
+    String::from_utf8(out.to_vec()).unwrap()
+}
+
+/// Returns a line of `edge-9` about the request, at a second of the recording.
+fn late(second: u32) -> String {
+    format!(
+        r#"{{"time":"2026-12-03T10:57:{second}.000000+00:00","level":"info","service":"entry","instance":"edge-9","zone":"zb","event":"E5009","name":"RequestSlow","message":"request slow","fields":{{"request":"1318","head_ms":900,"place_ms":890}}}}"#
+    )
+}
+
+/// The lines of one request lie in two files and in what a pipe brings, in both
+/// forms, among lines of others.
+#[test]
+fn files_and_standard_input_make_one_story() {
+    let whole = late(44);
+    let mut stdin = format!("{whole}\n\n  21.3 platform alert for 1318\nanother\n").into_bytes();
+    stdin.extend(b"\xff\x00\xfe\n");
+    stdin.extend(&whole.as_bytes()[..whole.len() - 9]);
+    let out = trace(&["1318", CONTROLS, ENTRIES, "-"], &stdin);
+    let shown = text(&out.stdout);
+    assert_that!(out.status.code(), some(eq(0)), "{}", text(&out.stderr));
+    let lines: Vec<&str> = shown.lines().collect();
+    let summary = lines[0];
+    for part in [
+        "request 1318: 2 own lines of edge-1, edge-9, from 2026-12-03T10:57:43.",
+        " to 2026-12-03T10:57:44.000000Z (",
+        "; answered late (E5009 RequestSlow head_ms=900 place_ms=890); ",
+        " lines of context; 4 other lines skipped, 2 with the id in it",
+    ] {
+        assert_that!(summary, contains_substring(part));
+    }
+    assert_that!(lines[1], eq(""));
+    let head: Vec<&str> = lines[2].split_whitespace().collect();
+    assert_that!(
+        head,
+        eq(&["LINE", "TIME", "SECONDS", "INSTANCE", "EVENT", "FIELDS"])
+    );
+    let rows: Vec<Vec<&str>> = lines[3..]
+        .iter()
+        .map(|line| line.split_whitespace().collect())
+        .collect();
+    assert_that!(rows.is_sorted_by_key(|row| row[1]), eq(true));
+    let own = rows.iter().filter(|row| row[0] == "request");
+    let own: Vec<&[&str]> = own.map(|row| &row[2..4]).collect();
+    assert_that!(own, eq(&[["edge-1", "E5002"], ["edge-9", "E5009"]]));
+    let context = rows.iter().filter(|row| row[0] == "context").count();
+    assert_that!(own.len() + context, eq(rows.len()));
+    let simulated = rows.iter().find(|row| row[4] == "E4002").unwrap();
+    assert_that!(simulated[2..4], eq(&["20.0588", "control-1"]));
+}
+
+/// Standard input is read where no file is named, and JSON says the same.
+#[test]
+fn a_pipe_alone_is_enough() {
+    let lines = fs::read(ENTRIES).unwrap();
+    let named = trace(&["3001", "--json", "--around", "0", ENTRIES], b"");
+    let piped = trace(&["3001", "--json", "--around", "0"], &lines);
+    assert_that!(named.stdout, eq(&piped.stdout));
+    let story: Value = serde_json::from_slice(&piped.stdout).unwrap();
+    assert_that!(story["request"], eq(&Value::from("3001")));
+    assert_that!(story["own"], eq(&Value::from(1)));
+    assert_that!(story["ending"]["event"], eq(&Value::from("E5002")));
+    let own = story["lines"].as_array().unwrap().iter();
+    let own = own.filter(|line| line["own"] == true).count();
+    assert_that!(own, eq(1));
+}
+
+struct Failure {
+    args: &'static [&'static str],
+    stdin: &'static [u8],
+    exit: i32,
+    shows: &'static [&'static str],
+}
+
+base::cases! {
+    /// What can't be told is said, and why.
+    failures: check_failure => {
+        unknown: Failure {
+            args: &["9999", CONTROLS, ENTRIES],
+            stdin: b"",
+            exit: 1,
+            shows: &["no line of request `9999` among 119 lines"],
+        },
+        unknown_json: Failure {
+            args: &["9999", "--json", ENTRIES],
+            stdin: b"",
+            exit: 1,
+            shows: &[r#""outcome":"refused""#, "no line of request `9999` among 76 lines"],
+        },
+        only_cut_short: Failure {
+            args: &["77"],
+            stdin: b"{\"fields\":{\"request\":\"77\"\n\xff\n",
+            exit: 1,
+            shows: &["among 0 lines; 2 other lines skipped, 1 with the id in it"],
+        },
+        unreadable: Failure {
+            args: &["1318", ENTRIES, "gone.log", "tests"],
+            stdin: b"",
+            exit: 2,
+            shows: &["can't read gone.log: No such file", "can't read tests: Is a directory"],
+        },
+        empty_id: Failure {
+            args: &[""],
+            stdin: b"",
+            exit: 2,
+            shows: &["a request's id may not be empty"],
+        },
+        id_with_control_character: Failure {
+            args: &["a\u{7}b"],
+            stdin: b"",
+            exit: 2,
+            shows: &[r"`\u{7}` may not stand in a request's id"],
+        },
+        odd_id: Failure {
+            args: &["--", "-{\"%é"],
+            stdin: b"{}",
+            exit: 1,
+            shows: &["no line of request `-{\"%é` among 0 lines; 1 other line skipped"],
+        },
+        no_id: Failure { args: &[], stdin: b"", exit: 2, shows: &["Usage"] },
+        long_window: Failure {
+            args: &["1", "--around", "3601"],
+            stdin: b"",
+            exit: 2,
+            shows: &["3601 is not in 0..=3600"],
+        },
+    }
+}
+
+fn check_failure(row: Failure) {
+    let out = trace(row.args, row.stdin);
+    let shown = text(&out.stdout) + &text(&out.stderr);
+    assert_that!(out.status.code(), some(eq(row.exit)), "{shown}");
+    for part in row.shows {
+        assert_that!(shown, contains_substring(*part));
+    }
+}
+
+/// A caller chooses its id, and a broken line holds anything: an operator's
+/// terminal would obey what is printed raw.
+#[test]
+fn nothing_printed_moves_the_terminal() {
+    let line = late(44).replace("edge-9", r"\u001b[2Jedge").replace(
+        r#""head_ms":900"#,
+        r#""\u0007":["\u009b"],"how":"a\u001b]0;b\nc""#,
+    );
+    let out = trace(&["1318"], line.as_bytes());
+    let shown = text(&out.stdout);
+    assert_that!(out.status.code(), some(eq(0)), "{shown}");
+    assert_that!(shown.lines().count(), eq(4));
+    let odd = shown.chars().find(|c| c.is_control() && *c != '\n');
+    assert_that!(odd, none());
+}
+
+/// The page shows what the command prints, so that an operator can go by it.
+#[test]
+fn the_page_shows_what_is_printed() {
+    let page = fs::read_to_string("../../docs/operations.md").unwrap();
+    let shown = page.split("$ quetzalarch trace 3001 controls.log entries.log\n");
+    let shown = shown.last().unwrap().split("```").next().unwrap();
+    let out = trace(&["3001", CONTROLS, ENTRIES], b"");
+    assert_that!(text(&out.stdout), eq(shown));
+}
