Test that a trace holds each line that the page names

docs/operations.md leads from a request's id to its cause in three kinds of failed request. Whether the lines it names are really found was never tried.

Change: a table over the recorded lines, one row a kind, and one for a stream that went on: what its own line says, and the lines that the page names, by event, field and seconds around. The test reads the recording itself, so lines that `trace` can't read would be missed by the command only, and a row whose lines don't occur fails.

The recorded E5002 of a broken stream names its target but no adapter, so of the page's "had no second holder of its adapter" the lines tell nothing; that is the entry instance's line, not changed here.

--- a/crates/cli/tests/trace.rs
+++ b/crates/cli/tests/trace.rs
@@ -10,6 +10,7 @@
 use std::{
     fs,
     io::Write,
+    path::Path,
     process::{Command, Output, Stdio},
 };
 
@@ -198,3 +199,119 @@
     let out = trace(&["3001", CONTROLS, ENTRIES], b"");
     assert_that!(text(&out.stdout), eq(shown));
 }
+
+/// Lines that the page names for a failed request: those of `event` whose field
+/// begins so, from and to so many seconds off the request's line.
+type Named = (&'static str, &'static str, &'static str, f64, f64);
+
+/// A kind of failed request of the page: an id of the kind, what its own line
+/// says, and which lines the page names.
+struct Kind {
+    id: &'static str,
+    own: &'static [(&'static str, &'static str)],
+    named: &'static [Named],
+}
+
+/// Seconds that reach back before the first line of the recording.
+const EVER: f64 = -99.0;
+
+base::cases! {
+    /// Each line that `docs/operations.md` names under "From a request's id to its
+    /// cause" stands in the story.
+    causes: check_cause => {
+        refusal_in_a_burst: Kind {
+            id: "1318",
+            own: &[("event", "E5002"), ("why", "Queue"), ("sends", "0"), ("held_ms", "1204")],
+            named: &[
+                ("E4013", "waiting", "", -1.0, 1.0),
+                ("E4003", "how", "unknown", -2.0, 2.0),
+                ("E4003", "how", "conflict", -2.0, 2.0),
+                ("E4001", "adapter", "m/g05", EVER, 0.0),
+                ("E4002", "adapter", "m/g05", EVER, 0.0),
+                ("E3001", "zones", "za", EVER, 0.0),
+            ],
+        },
+        stream_of_a_target_that_died: Kind {
+            id: "2100",
+            own: &[("event", "E5002"), ("how", "the connection broke"), ("target", "i-0001")],
+            named: &[
+                ("E5002", "target", "i-0001", -1.0, 1.0),
+                ("E5005", "from", "i-0001", -1.0, 1.0),
+            ],
+        },
+        stream_that_went_on: Kind {
+            id: "2000",
+            own: &[("event", "E5005"), ("from", "i-0001"), ("target", "i-0002")],
+            named: &[
+                ("E5002", "target", "i-0001", -1.0, 1.0),
+                ("E5005", "from", "i-0001", -1.0, 1.0),
+            ],
+        },
+        request_on_an_old_route: Kind {
+            id: "3001",
+            own: &[("event", "E5002"), ("how", "NoRoute"), ("edition", "3")],
+            named: &[
+                ("E7003", "version", "3", EVER, 0.0),
+                ("E7003", "version", "4", 0.0, 2.0),
+                ("E6001", "control", "127.77.161.3:", EVER, 0.0),
+            ],
+        },
+    }
+}
+
+fn check_cause(kind: Kind) {
+    let out = trace(&[kind.id, "--json", CONTROLS, ENTRIES], b"");
+    let story: Value = serde_json::from_slice(&out.stdout).unwrap();
+    let told = story["lines"].as_array().unwrap();
+    let own = told.iter().find(|line| line["own"] == true).unwrap();
+    for (key, must) in kind.own {
+        assert_that!(field(own, key), starts_with(*must), "{key}");
+    }
+    let recorded = recorded();
+    for named in kind.named {
+        let lines = recorded.iter().filter(|line| is_named(line, named, own));
+        let lines: Vec<&Value> = lines.collect();
+        assert_that!(lines, not(is_empty()), "{named:?}");
+        for line in lines {
+            let found = told.iter().any(|told| {
+                let same = |key| told[key] == line[key];
+                second(told) == second(line) && same("instance") && same("fields")
+            });
+            assert_that!(found, eq(true), "{line}");
+        }
+    }
+}
+
+/// Reads the recording without the command's own reader.
+fn recorded() -> Vec<Value> {
+    let files = [CONTROLS, ENTRIES].map(|path| fs::read_to_string(Path::new(path)).unwrap());
+    let lines = files.iter().flat_map(|text| text.lines());
+    let lines = lines.map(|line| serde_json::from_str(&line[line.find('{').unwrap()..]).unwrap());
+    lines.collect()
+}
+
+/// Whether the page names a line; of the entry instances' beliefs only those of
+/// the one that wrote `own`.
+fn is_named(line: &Value, (event, key, value, from, to): &Named, own: &Value) -> bool {
+    let belief = matches!(*event, "E6001" | "E7003");
+    let off = second(line) - second(own);
+    line["event"] == *event
+        && line["fields"].get(key).is_some()
+        && field(line, key).starts_with(value)
+        && (*from..=*to).contains(&off)
+        && (!belief || line["instance"] == own["instance"])
+}
+
+fn field(line: &Value, key: &str) -> String {
+    let value = line["fields"].get(key).unwrap_or(&line[key]);
+    let text = value.as_str().map(ToOwned::to_owned);
+    text.unwrap_or_else(|| value.to_string())
+}
+
+/// Returns the seconds within a line's hour.
+fn second(line: &Value) -> f64 {
+    let time = line["time"].as_str().unwrap();
+    let minutes: f64 = time[14..16].parse().unwrap();
+    let seconds = time[17..].trim_end_matches('Z').split('+').next().unwrap();
+    minutes * 60.0 + seconds.parse::<f64>().unwrap()
+}
