Split the cluster of the log's failure tests by job

What stopped a reader: crates/faults/src/cluster.rs had 665 lines, and the path of one input, the faults, the checks and an instance's clock stood in it side by side.

Change: cluster.rs keeps what a test drives and asks; cluster/carry.rs hands inputs in and carries outputs out, cluster/fault.rs holds the faults and their end, cluster/check.rs what must hold, cluster/host.rs one instance.

--- /dev/null
+++ b/crates/faults/src/cluster/carry.rs
@@ -0,0 +1,184 @@
+//! Hands inputs to the replicas and carries out what they answer.
+
+use base::{InstanceName, Time};
+use rand::RngExt;
+use replog::{Blob, Index, Input, Message, Output, Rejected, WriteNo};
+
+use super::{Cluster, host::replica_id};
+use crate::history::Digest;
+
+/// How often a stalled sync is looked at again, in microseconds.
+const STALL: u64 = 50_000;
+
+#[derive(Clone, Debug)]
+pub(super) struct Event {
+    pub(super) to: InstanceName,
+    /// Only this run of the process takes the event; messages reach any.
+    pub(super) boot: Option<u64>,
+    pub(super) input: Input,
+}
+
+impl Cluster {
+    pub(super) fn deliver(&mut self, event: Event) {
+        let now = self.now;
+        let host = self.host(&event.to);
+        if let Some(held) = &mut host.held {
+            held.push(event);
+            return;
+        }
+        let Some(running) = &mut host.running else {
+            return;
+        };
+        if event.boot.is_some_and(|boot| boot != running.boot) {
+            return;
+        }
+        if host.stalled && matches!(event.input, Input::Synced { .. }) {
+            self.push(STALL, event);
+            return;
+        }
+        if let Input::Synced { upto } = event.input {
+            if host.disk.failing {
+                host.disk.failing = false;
+                let input = Input::WriteFailed { no: upto };
+                self.hand_in(&event.to, input);
+                return;
+            }
+            host.disk.sync(upto);
+        }
+        if event.input == Input::Wake && running.wake > now {
+            return;
+        }
+        self.hand_in(&event.to, event.input);
+    }
+
+    fn hand_in(&mut self, name: &InstanceName, input: Input) {
+        if input != Input::Wake {
+            self.note(name, &format!("<- {input:?}"));
+        }
+        let now = self.now;
+        let host = self.host(name);
+        let local = host.local(now);
+        let mut out = Vec::new();
+        if let Some(running) = &mut host.running {
+            running.replica.handle(local, input, &mut out);
+        }
+        for output in out {
+            self.carry_out(name, output);
+        }
+        self.check_commit(name);
+    }
+
+    fn carry_out(&mut self, name: &InstanceName, output: Output) {
+        if !matches!(output, Output::Wake { .. }) {
+            self.note(name, &format!("-> {output:?}"));
+        }
+        match output {
+            Output::Send { to, message } => self.send(name, &to, message),
+            Output::Write { no, records } => {
+                self.host(name).disk.write(no, &records);
+                self.sync_later(name, no);
+            }
+            Output::Rewrite {
+                no,
+                snapshot,
+                records,
+            } => {
+                self.host(name).disk.rewrite(no, &snapshot, &records);
+                self.sync_later(name, no);
+            }
+            Output::Apply {
+                index,
+                term,
+                command,
+            } => {
+                let last = self.running(name).last;
+                self.history.applies(last, index, term, &command);
+                let running = self.running(name);
+                running.last = index;
+                running.state = running.state.after(&command);
+            }
+            Output::Restore { index, data } => self.restore(name, index, &data),
+            Output::Proposed { ticket, result } => self.proposed(ticket, result),
+            Output::TakeSnapshot { upto } => {
+                let data = self.running(name).state.0.to_le_bytes().repeat(20);
+                let input = Input::Snapshot {
+                    index: upto,
+                    data: Blob::from(data),
+                };
+                self.later(name, 1_000, input);
+            }
+            Output::Wake { at } => self.wake_later(name, at),
+            Output::Role { leading, .. } => {
+                if leading && let Some(replica) = self.replica(name) {
+                    let (term, id) = (replica.term(), replica.id().clone());
+                    self.history.leads(term, &id);
+                }
+            }
+            Output::Halted { .. } => {}
+        }
+    }
+
+    fn restore(&mut self, name: &InstanceName, index: Index, data: &Blob) {
+        let raw = data[..8].try_into().expect("a snapshot holds a digest");
+        let digest = Digest(u64::from_le_bytes(raw));
+        let last = self.running(name).last;
+        self.history.restores(last, index, digest);
+        let running = self.running(name);
+        running.last = index;
+        running.state = digest;
+    }
+
+    fn proposed(&mut self, ticket: u64, result: Result<Index, Rejected>) {
+        match result {
+            _ if ticket == 0 => {}
+            Ok(index) => self.history.accepts(ticket, index),
+            Err(Rejected::NotAccepted { .. }) => self.history.refuses(ticket),
+            Err(Rejected::Unknown { .. }) => self.history.leaves_open(ticket),
+        }
+    }
+
+    fn send(&mut self, from: &InstanceName, to: &InstanceName, message: Message) {
+        let id = replica_id(from, self.hosts[from].life);
+        let raw = message.encode();
+        for delay in self.net.delays(from, to, &mut self.rng) {
+            let message = Message::decode(&raw).expect("messages survive the wire");
+            let input = Input::Received {
+                from: id.clone(),
+                message,
+            };
+            let event = Event {
+                to: to.clone(),
+                boot: None,
+                input,
+            };
+            self.push(delay, event);
+        }
+    }
+
+    fn sync_later(&mut self, name: &InstanceName, upto: WriteNo) {
+        let delay = self.rng.random_range(200..=self.plan.sync);
+        self.later(name, delay, Input::Synced { upto });
+    }
+
+    fn wake_later(&mut self, name: &InstanceName, at: Time) {
+        let now = self.now;
+        let at = self.hosts[name].global(at).max(now + 1);
+        self.running(name).wake = at;
+        self.later(name, at - now, Input::Wake);
+    }
+
+    fn later(&mut self, name: &InstanceName, delay: u64, input: Input) {
+        let boot = Some(self.running(name).boot);
+        let event = Event {
+            to: name.clone(),
+            boot,
+            input,
+        };
+        self.push(delay, event);
+    }
+
+    fn push(&mut self, delay: u64, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay, self.sequence), event);
+    }
+}
