Split the start of a control instance's shell

Change: `open` opens the data folder and starts its writer and the control instance on what it holds; `answer` starts both listeners. `serve` tells the order of start and stop. The order of what can fail is as before: folder, writer, signal.

--- a/crates/controld/src/shell.rs
+++ b/crates/controld/src/shell.rs
@@ -13,12 +13,13 @@
 use telemetry::event;
 use tokio::{
     sync::mpsc,
+    task::JoinHandle,
     time::{interval, sleep_until},
 };
 use tokio_util::sync::CancellationToken;
 use web::{
     client::{Client, Limits, Send},
-    server,
+    server::{self, Served},
 };
 use wire::platform::List;
 
@@ -49,45 +50,17 @@
     let (jobs, queue) = mpsc::unbounded_channel();
     let identity = &settings.identity;
     let controls = controls(&settings);
-    let state = State::new(identity.name.clone(), controls.clone(), jobs.clone());
-    let state = Arc::new(state);
-    let seed = settings.seed.unwrap_or_else(|| Seed(rand::random()));
-    let life = Incarnation(u64::try_from(daemon::wall_clock()?.as_micros())?);
-    let opened = disk::open(&settings.data, &identity.name, life)?;
-    daemon::report_fate(&opened.fate);
     let names = controls.keys().cloned().collect();
-    let raw = RawSettings::usual(opened.folder.id().clone(), names, seed);
-    let replica = Replica::new(raw.try_into()?, opened.restored);
-    let control = Control::new(control::Config::default(), replica, Box::new(check));
-    let at_disk = jobs.clone();
-    let writer = daemon::start_writer(opened.folder, move |input| {
-        // After the shell has ended nobody waits for it.
-        at_disk.send(Job::Input(input)).ok();
-    })?;
-    let stop = CancellationToken::new();
+    let state = Arc::new(State::new(identity.name.clone(), controls, jobs.clone()));
+    let (control, writer) = open(&settings, names, jobs.clone())?;
     let stopping = daemon::stop_signal()?;
     tokio::spawn(async move {
         stopping.await;
         jobs.send(Job::Stop).ok();
     });
     tokio::spawn(look(Arc::clone(&state), identity.platform));
-    let at_operators = Arc::clone(&state);
-    let handler = move |req| operators::answer(Arc::clone(&at_operators), req);
-    let limits = server::Limits {
-        body_bytes: 64 << 20,
-        linger: Duration::from_millis(200),
-        drain: Duration::from_secs(10),
-        ..server::Limits::default()
-    };
-    let operators = tokio::spawn(server::serve(listeners.own, limits, handler, stop.clone()));
-    let at_peers = Arc::clone(&state);
-    let handler = move |req| peers::answer(Arc::clone(&at_peers), req);
-    tokio::spawn(server::serve(
-        listeners.peers,
-        limits,
-        handler,
-        CancellationToken::new(),
-    ));
+    let stop = CancellationToken::new();
+    let operators = answer(&state, listeners, stop.clone());
     event!(
         telemetry::Event::Started,
         listen = identity.listen.to_string()
@@ -108,6 +81,54 @@
     Ok(())
 }
 
+/// Opens the data folder, and starts its writer and the control instance on
+/// what it holds.
+fn open(
+    settings: &ControlSettings,
+    names: Vec<InstanceName>,
+    jobs: mpsc::UnboundedSender<Job>,
+) -> Result<(Control, Writer)> {
+    let seed = settings.seed.unwrap_or_else(|| Seed(rand::random()));
+    let life = Incarnation(u64::try_from(daemon::wall_clock()?.as_micros())?);
+    let opened = disk::open(&settings.data, &settings.identity.name, life)?;
+    daemon::report_fate(&opened.fate);
+    let raw = RawSettings::usual(opened.folder.id().clone(), names, seed);
+    let replica = Replica::new(raw.try_into()?, opened.restored);
+    let control = Control::new(control::Config::default(), replica, Box::new(check));
+    let writer = daemon::start_writer(opened.folder, move |input| {
+        // After the shell has ended nobody waits for it.
+        jobs.send(Job::Input(input)).ok();
+    })?;
+    Ok((control, writer))
+}
+
+/// Answers operators until `stop`, and peers as long as the process runs;
+/// returns the task of the operators' listener.
+fn answer(
+    state: &Arc<State>,
+    listeners: Listeners,
+    stop: CancellationToken,
+) -> JoinHandle<Result<Served>> {
+    let limits = server::Limits {
+        body_bytes: 64 << 20,
+        linger: Duration::from_millis(200),
+        drain: Duration::from_secs(10),
+        ..server::Limits::default()
+    };
+    let at_operators = Arc::clone(state);
+    let handler = move |req| operators::answer(Arc::clone(&at_operators), req);
+    let operators = tokio::spawn(server::serve(listeners.own, limits, handler, stop));
+    let at_peers = Arc::clone(state);
+    let handler = move |req| peers::answer(Arc::clone(&at_peers), req);
+    tokio::spawn(server::serve(
+        listeners.peers,
+        limits,
+        handler,
+        CancellationToken::new(),
+    ));
+    operators
+}
+
 fn controls(settings: &ControlSettings) -> BTreeMap<InstanceName, SocketAddr> {
     match &settings.begin {
         Begin::Voters(voters) => voters.clone(),
