Give the longer reports of entryd a function each

What stopped a reader: `write` in crates/entryd/src/events.rs had 63 lines, and some reports were written in its arms, others beside it.

Change: what a report of services, of a failed load or of an unload writes stands in a function of its own, as for loads, streams and ends. `write` has 54 lines; what is written is as before.

--- a/crates/entryd/src/events.rs
+++ b/crates/entryd/src/events.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{PoolName, TargetName};
+use base::{BrandName, Class, Failure, PoolName, TargetName};
 use node::{Event, OrderEnd};
 use telemetry::{Event as Line, Load, event, metrics};
 use wire::engine::Resident;
@@ -15,10 +15,7 @@
             metrics().text_version(version);
             event!(Line::TextInForce, version = version);
         }
-        Event::Services { brand, up, waiting } if waiting > 0 => {
-            event!(Line::ServiceDown, brand = brand, up = up, waiting = waiting);
-        }
-        Event::Services { brand, up, .. } => event!(Line::ServiceUp, brand = brand, up = up),
+        Event::Services { brand, up, waiting } => services(&brand, up, waiting),
         Event::Owns(engine, fence) => event!(Line::EngineTaken, engine = engine, fence = fence),
         Event::Restricted(engine, fence) => {
             event!(Line::LeaseRestricted, engine = engine, fence = fence);
@@ -31,10 +28,7 @@
         Event::Fenced(engine, fence) => {
             event!(Line::OrderFenced, engine = engine, fence = fence);
         }
-        Event::LoadFailed(engine, resident) => {
-            let adapter = resident.to_string();
-            event!(Line::LoadFailed, engine = engine, adapter = adapter);
-        }
+        Event::LoadFailed(engine, resident) => load_failed(&engine, &resident),
         Event::WrongAdapter(target) => event!(Line::WrongAdapter, target = target),
         Event::Stalled(class, wait) => metrics().load_stall(class, wait),
         Event::Queued(class, wait) => metrics().queue_wait(class, wait),
@@ -50,10 +44,7 @@
             end,
             took,
         } => loaded(&target, &pool, &resident, end, took),
-        Event::Unloaded(engine, resident) => {
-            let adapter = resident.to_string();
-            event!(Line::AdapterUnloaded, engine = engine, adapter = adapter);
-        }
+        Event::Unloaded(engine, resident) => unloaded(&engine, &resident),
         Event::Streamed {
             brand,
             class,
@@ -72,12 +63,15 @@
     }
 }
 
-fn streamed(
-    brand: &base::BrandName,
-    class: base::Class,
-    tokens: u32,
-    (first, rest): (Duration, Duration),
-) {
+fn services(brand: &BrandName, up: usize, waiting: usize) {
+    if waiting > 0 {
+        event!(Line::ServiceDown, brand = brand, up = up, waiting = waiting);
+    } else {
+        event!(Line::ServiceUp, brand = brand, up = up);
+    }
+}
+
+fn streamed(brand: &BrandName, class: Class, tokens: u32, (first, rest): (Duration, Duration)) {
     metrics().tokens(brand, u64::from(tokens));
     metrics().first_token(class, first);
     if tokens > 1 {
@@ -109,16 +103,21 @@
     }
 }
 
+fn load_failed(engine: &TargetName, resident: &Resident) {
+    let adapter = resident.to_string();
+    event!(Line::LoadFailed, engine = engine, adapter = adapter);
+}
+
+fn unloaded(engine: &TargetName, resident: &Resident) {
+    let adapter = resident.to_string();
+    event!(Line::AdapterUnloaded, engine = engine, adapter = adapter);
+}
+
 fn millis(took: Duration) -> u64 {
     u64::try_from(took.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn ended(
-    brand: &base::BrandName,
-    class: base::Class,
-    failure: Option<base::Failure>,
-    took: Duration,
-) {
+fn ended(brand: &BrandName, class: Class, failure: Option<Failure>, took: Duration) {
     let ms = millis(took);
     let Some(failure) = failure else {
         metrics().answered(brand, class);
