Take the end of a load out of what follows an order

Change: `load_end` says how a load ends for the scheduler, and carries the guard. Order of calls and outputs as before.

--- a/crates/node/src/engines/orders.rs
+++ b/crates/node/src/engines/orders.rs
@@ -160,33 +160,17 @@
                     let resident = shared.names.resident(key);
                     out.emit(Output::Event(Event::LoadFailed(name, resident)));
                 }
-                // Guard: without a lease another owner may exist; what it has
-                // loaded it may unload, under a request sent from here. Only
-                // an adapter that this order loaded afresh is used.
-                let usable = done && (fresh || !self.restricted(target));
-                let end = if usable {
-                    LoadEnd::Done
-                } else {
-                    LoadEnd::Failed
-                };
-                self.scheduler(
-                    shared,
-                    now,
-                    SchedulerInput::Loaded { target, key, end },
-                    out,
-                );
+                let end = self.load_end(target, done, fresh);
+                let input = SchedulerInput::Loaded { target, key, end };
+                self.scheduler(shared, now, input, out);
             }
             Sent::Unload(target, key, _) => {
-                let ok = done;
-                if ok {
+                if done {
                     measure::unloaded(shared, target, key, out);
                 }
-                self.scheduler(
-                    shared,
-                    now,
-                    SchedulerInput::Unloaded { target, key, ok },
-                    out,
-                );
+                let ok = done;
+                let input = SchedulerInput::Unloaded { target, key, ok };
+                self.scheduler(shared, now, input, out);
             }
             Sent::Touch(target, key, fence) if done => {
                 self.note_loaded(shared, now, target, key, (fence, fresh), out);
@@ -194,6 +178,20 @@
             Sent::Touch(..) => {}
         }
     }
+
+    /// Returns how a load ends for the scheduler: only what is `Done` takes
+    /// requests.
+    ///
+    /// Guard: without a lease another owner may exist; what it has loaded it
+    /// may unload, under a request sent from here. Only an adapter that this
+    /// order loaded afresh is used.
+    fn load_end(&self, target: TargetNo, done: bool, fresh: bool) -> LoadEnd {
+        if done && (fresh || !self.restricted(target)) {
+            LoadEnd::Done
+        } else {
+            LoadEnd::Failed
+        }
+    }
 }
 
 /// Returns where the weights of `resident` lie, by the text in force.
