Time a leaving target: nothing more after three seconds

96 letters from two entry instances hold a queue of more than three seconds before one engine, and pages go to both replicas of a plain service. The platform calls that engine and one replica leaving; three seconds after that word both counts have to stand still while the others answer 24 more letters and pages. The limit is the promise; waits for states have a ceiling of a minute.

--- a/crates/lab/tests/processes/main.rs
+++ b/crates/lab/tests/processes/main.rs
@@ -7,4 +7,5 @@
 mod path;
 mod rolling;
 mod targets;
+mod timed;
 mod trace;
