Make the worlds of measure differ by data: span, store, engines' speed, skew

Cause: worlds that no site has differ from the two deployments in what was constant: loads at full speed at once, an engine's step time, the skew, when popularity is dealt anew, how long a run takes.

Change: all five are fields of sizes, shape and workload. A run of another length has its faults at the same part of it. A load counts against its engine's slots from its start on, where only loaded adapters counted before: a stricter check of a rule.

--- a/crates/measure/src/engine.rs
+++ b/crates/measure/src/engine.rs
@@ -52,6 +52,7 @@
     pub(crate) life: u64,
     pub(crate) busy_secs: f64,
     batch: usize,
+    pace: f64,
     running: Vec<Job>,
     waiting: Vec<(i32, u64, Job)>,
     arrivals: u64,
@@ -61,13 +62,15 @@
 }
 
 impl Engine {
-    pub(crate) fn new(batch: usize) -> Self {
+    /// Makes an engine that takes `pace` times as long as the plain one.
+    pub(crate) fn new(batch: usize, pace: f64) -> Self {
         Engine {
             resident: BTreeSet::new(),
             up: true,
             life: 0,
             busy_secs: 0.0,
             batch,
+            pace,
             running: Vec::new(),
             waiting: Vec::new(),
             arrivals: 0,
@@ -133,6 +136,7 @@
             + REQUEST_MS * self.running.len() as f64
             + ADAPTER_MS * adapters.len() as f64
             + std::mem::take(&mut self.unread_ms);
+        let ms = ms * self.pace;
         self.stepping = true;
         self.busy_secs += ms / 1e3;
         Some((ms * 1e3) as u64)
--- a/crates/measure/src/store.rs
+++ b/crates/measure/src/store.rs
@@ -1,10 +1,7 @@
-//! A fake of the weight store: two loads at full speed, more share it.
+//! A fake of the weight store: few loads go at full speed, more share it.
 
 use base::{AdapterKey, TargetNo, Time};
 
-/// Loads served at full speed at once.
-const AT_ONCE: f64 = 2.0;
-
 /// One load under way.
 #[derive(Clone, Copy, Debug)]
 struct Job {
@@ -18,6 +15,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Store {
     jobs: Vec<Job>,
+    /// Loads served at full speed at once.
+    parallel: f64,
     /// Seconds that one load takes at full speed.
     full: f64,
     at: Time,
@@ -26,11 +25,14 @@
 }
 
 impl Store {
-    /// Makes a store that serves `rate` loads a second.
-    pub(crate) fn new(rate: f64) -> Self {
+    /// Makes a store that serves `rate` loads a second, `parallel` of them at
+    /// full speed at once.
+    pub(crate) fn new(rate: f64, parallel: u32) -> Self {
+        let parallel = f64::from(parallel);
         Store {
             jobs: Vec::new(),
-            full: AT_ONCE / rate,
+            parallel,
+            full: parallel / rate,
             at: Time::ZERO,
             started: 0,
         }
@@ -52,6 +54,11 @@
         self.jobs.retain(|job| job.target != target);
     }
 
+    /// Counts the loads under way to an engine.
+    pub(crate) fn under_way(&self, target: TargetNo) -> usize {
+        self.jobs.iter().filter(|job| job.target == target).count()
+    }
+
     /// Returns when the next load ends.
     pub(crate) fn next_at(&self) -> Option<Time> {
         let left = self
@@ -71,7 +78,7 @@
     }
 
     fn speed(&self) -> f64 {
-        (AT_ONCE / self.jobs.len() as f64).min(1.0)
+        (self.parallel / self.jobs.len() as f64).min(1.0)
     }
 
     fn advance(&mut self, now: Time) {
--- a/crates/measure/src/workload.rs
+++ b/crates/measure/src/workload.rs
@@ -6,12 +6,46 @@
 use rand::{RngExt as _, SeedableRng as _, seq::SliceRandom as _};
 use rand_chacha::ChaCha8Rng;
 
-/// The first part of each run, in which all caches are still cold; it is not
-/// counted.
-pub const WARM_UP: Duration = Duration::from_secs(60);
+/// How long a run takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// The first part, in which all caches are still cold; it is not counted.
+    pub warm: Duration,
+    /// The counted part.
+    pub counted: Duration,
+}
+
+impl Span {
+    /// That of the report.
+    pub const FULL: Span = Span {
+        warm: Duration::from_secs(60),
+        counted: Duration::from_secs(240),
+    };
 
-/// The counted part of each run.
-pub const COUNTED: Duration = Duration::from_secs(240);
+    /// That of tests over all worlds.
+    pub const SHORT: Span = Span {
+        warm: Duration::from_secs(10),
+        counted: Duration::from_secs(20),
+    };
+
+    /// Returns when the count begins.
+    #[must_use]
+    pub fn start(&self) -> Time {
+        Time::ZERO + self.warm
+    }
+
+    /// Returns when the run ends.
+    #[must_use]
+    pub fn end(&self) -> Time {
+        Time::ZERO + self.warm + self.counted
+    }
+
+    /// Returns where a second of a full run stands in this one.
+    fn at(&self, secs: u64) -> Time {
+        let full = Span::FULL.end().0 / 1_000_000;
+        Time(self.end().0 * secs / full)
+    }
+}
 
 /// How long somebody who watches waits for the first token before leaving.
 const LIVE_PATIENCE: Duration = Duration::from_secs(5);
@@ -76,6 +110,10 @@
     pub batch: u32,
     /// Loads a second from the weight store.
     pub loads: f64,
+    /// Loads that the store serves at full speed at once.
+    pub parallel: u32,
+    /// Time that an engine takes for what the plain one does in a unit.
+    pub pace: f64,
     /// Brands; adapters are dealt over them.
     pub brands: u32,
 }
@@ -85,6 +123,8 @@
 pub struct Workload {
     /// Its name.
     pub name: String,
+    /// How long it takes.
+    pub span: Span,
     /// The deployment.
     pub sizes: Sizes,
     /// Requests in order of time.
@@ -97,30 +137,50 @@
     pub failing: f64,
 }
 
-/// How a workload differs from the plain day.
+impl Workload {
+    /// Returns whether a request counts: what comes so late that its time is
+    /// not over by the end is left out.
+    #[must_use]
+    pub fn counts(&self, arrival: &Arrival) -> bool {
+        arrival.at >= self.span.start() && arrival.deadline <= self.span.end()
+    }
+
+    /// Returns whether anybody can load what a request asks for.
+    #[must_use]
+    pub fn possible(&self, arrival: &Arrival) -> bool {
+        let key = arrival.key;
+        key.is_none_or(|key| !self.broken.contains(&key.adapter))
+    }
+}
+
+/// How a workload differs from the plain day. Times are those of a full run.
 #[derive(Clone, Copy, Debug)]
-struct Shape {
-    name: &'static str,
+pub(crate) struct Shape {
+    pub(crate) name: &'static str,
     /// Live requests a second, per engine.
-    live: f64,
+    pub(crate) live: f64,
     /// Batch requests a second, per engine.
-    batch: f64,
+    pub(crate) batch: f64,
+    /// Skew of popularity: the n-th most popular adapter is asked for by live
+    /// callers in proportion to n to the minus this.
+    pub(crate) skew: f64,
     /// When the popularity of adapters is dealt anew.
-    shift: bool,
+    pub(crate) shifts: &'static [u64],
     /// Part of live requests that the first brand makes; it is else dealt by
     /// popularity alone.
-    flood: f64,
-    faults: &'static [(u64, Fault)],
+    pub(crate) flood: f64,
+    pub(crate) faults: &'static [(u64, Fault)],
     /// Part of adapters that can't be loaded.
-    broken: f64,
-    failing: f64,
+    pub(crate) broken: f64,
+    pub(crate) failing: f64,
 }
 
-const DAY: Shape = Shape {
+pub(crate) const DAY: Shape = Shape {
     name: "day",
     live: 3.0,
     batch: 0.0,
-    shift: false,
+    skew: 1.3,
+    shifts: &[],
     flood: 0.0,
     faults: &[],
     broken: 0.0,
@@ -137,7 +197,7 @@
     },
     Shape {
         name: "shift",
-        shift: true,
+        shifts: &[140],
         ..DAY
     },
     Shape {
@@ -165,10 +225,6 @@
     },
 ];
 
-/// Skew of popularity: the n-th most popular adapter is asked for in
-/// proportion to n to the minus this.
-const SKEW: f64 = 1.3;
-
 /// Skew of batch work, which screens every call that has closed.
 const BATCH_SKEW: f64 = 0.8;
 
@@ -200,6 +256,8 @@
         slots: 8,
         batch: 32,
         loads: 5.0,
+        parallel: 2,
+        pace: 1.0,
         brands: 3,
     };
     let consortium = Sizes {
@@ -230,8 +288,19 @@
 /// Panics when there is no such workload.
 #[must_use]
 pub fn one(i: usize, seed: u64) -> Workload {
+    within(i, seed, Span::FULL)
+}
+
+/// Makes the `i`-th workload of [`names`] for a run of another length, with
+/// its faults at the same part of it.
+///
+/// # Panics
+///
+/// Panics when there is no such workload.
+#[must_use]
+pub fn within(i: usize, seed: u64, span: Span) -> Workload {
     let (sizes, shape) = &pairs()[i];
-    make(sizes, shape, seed.wrapping_mul(1_000) + i as u64)
+    make(sizes, shape, span, seed.wrapping_mul(1_000) + i as u64)
 }
 
 fn pairs() -> Vec<(Sizes, Shape)> {
@@ -245,12 +314,14 @@
     format!("{} {}", sizes.name, shape.name)
 }
 
-fn make(sizes: &Sizes, shape: &Shape, seed: u64) -> Workload {
+/// Makes a workload from its seed.
+pub(crate) fn make(sizes: &Sizes, shape: &Shape, span: Span, seed: u64) -> Workload {
     let mut maker = Maker {
         rng: ChaCha8Rng::seed_from_u64(seed),
         sizes,
+        span,
         arrivals: Vec::new(),
-        end: (WARM_UP + COUNTED).as_secs_f64(),
+        end: (span.warm + span.counted).as_secs_f64(),
     };
     let mut ranks: Vec<u32> = (0..sizes.adapters).collect();
     ranks.shuffle(&mut maker.rng);
@@ -259,9 +330,11 @@
     let broken: Vec<_> = (0..broken)
         .map(|i| AdapterNo(ranks[i * 97 % ranks.len()]))
         .collect();
-    let mut later = ranks.clone();
-    if shape.shift {
-        later.shuffle(&mut maker.rng);
+    let mut later = Vec::new();
+    for secs in shape.shifts {
+        let mut anew = ranks.clone();
+        anew.shuffle(&mut maker.rng);
+        later.push((span.at(*secs), anew));
     }
     maker.live(shape, &ranks, &later);
     maker.screening(shape, &ranks);
@@ -271,11 +344,10 @@
     let faults = shape.faults.iter();
     Workload {
         name: name(sizes, shape),
+        span,
         sizes: sizes.clone(),
         arrivals,
-        faults: faults
-            .map(|(secs, f)| (Time::from_millis(secs * 1_000), *f))
-            .collect(),
+        faults: faults.map(|(secs, f)| (span.at(*secs), *f)).collect(),
         broken,
         failing: shape.failing,
     }
@@ -285,23 +357,25 @@
 struct Maker<'a> {
     rng: ChaCha8Rng,
     sizes: &'a Sizes,
+    span: Span,
     arrivals: Vec<Arrival>,
     end: f64,
 }
 
 impl Maker<'_> {
     /// Conversations: each stays with one adapter for a few requests.
-    fn live(&mut self, shape: &Shape, ranks: &[u32], later: &[u32]) {
-        let popular = Zipf::new(self.sizes.adapters, SKEW);
+    fn live(&mut self, shape: &Shape, ranks: &[u32], later: &[(Time, Vec<u32>)]) {
+        let popular = Zipf::new(self.sizes.adapters, shape.skew);
         let rate = shape.live * self.sizes.engines as f64 / TURNS;
-        let half = WARM_UP.as_secs_f64() + COUNTED.as_secs_f64() / 3.0;
         let mut at = 0.0;
         loop {
             at += self.gap(1.0 / rate);
             if at > self.end {
                 return;
             }
-            let ranks = if at < half { ranks } else { later };
+            let dealt = later.iter().rev();
+            let mut dealt = dealt.filter(|(from, _)| at >= from.0 as f64 / 1e6);
+            let ranks = dealt.next().map_or(ranks, |(_, ranks)| ranks);
             let mut adapter = ranks[popular.draw(&mut self.rng)];
             if shape.flood > 0.0 && self.rng.random_bool(shape.flood) {
                 adapter -= adapter % self.sizes.brands;
@@ -343,7 +417,7 @@
         let popular = Zipf::new(self.sizes.adapters, BATCH_SKEW);
         let rate = shape.batch * self.sizes.engines as f64 / SCREENED;
         // Work stops coming early enough that all of it can be done.
-        let last = self.end - COUNTED.as_secs_f64() / 3.0;
+        let last = self.end - self.span.counted.as_secs_f64() / 3.0;
         let mut at = 0.0;
         loop {
             at += self.gap(1.0 / rate);
--- a/crates/measure/src/world.rs
+++ b/crates/measure/src/world.rs
@@ -14,7 +14,7 @@
     figures::{Figures, Told},
     policy::{Action, Decider, Event, Policy, target_no},
     store::Store,
-    workload::{Arrival, COUNTED, Fault, WARM_UP, Workload},
+    workload::{Arrival, Fault, Workload},
 };
 
 /// Time that an unload takes.
@@ -83,9 +83,9 @@
         due: BTreeMap::new(),
         posted: 0,
         decider: Decider::new(policy, sizes, seed),
-        engines: vec![Engine::new(sizes.batch as usize); sizes.engines],
+        engines: vec![Engine::new(sizes.batch as usize, sizes.pace); sizes.engines],
         portals: vec![(0, VecDeque::new()); sizes.portals],
-        store: Store::new(sizes.loads),
+        store: Store::new(sizes.loads, sizes.parallel),
         requests: work.arrivals.iter().map(Request::new).collect(),
         waiting: BTreeMap::new(),
         rng: ChaCha8Rng::seed_from_u64(seed),
@@ -100,9 +100,9 @@
     for (at, fault) in &work.faults {
         world.post(*at, Due::Fault(*fault));
     }
-    world.run_to(Time::ZERO + WARM_UP);
+    world.run_to(work.span.start());
     world.begin_count();
-    world.run_to(Time::ZERO + WARM_UP + COUNTED);
+    world.run_to(work.span.end());
     world.finish()
 }
 
@@ -179,7 +179,9 @@
             Action::Preempt(id) => self.preempt(id),
             Action::Load(target, key) => {
                 let engine = &self.engines[target.0 as usize];
-                let room = engine.resident.len() < self.work.sizes.slots as usize;
+                // A load holds its slot from its start on.
+                let held = engine.resident.len() + self.store.under_way(target);
+                let room = held < self.work.sizes.slots as usize;
                 self.figures.broken += u64::from(!room);
                 if engine.up {
                     self.store.start(self.now, target, key);
@@ -386,12 +388,9 @@
         figures.loads = self.store.started;
         figures.busy_secs = self.engines.iter().map(|e| e.busy_secs).sum();
         for request in &self.requests {
-            // What comes so late that its time is not over is left out.
             let arrival = &request.arrival;
-            if arrival.at >= Time::ZERO + WARM_UP && arrival.deadline <= self.now {
-                let key = request.arrival.key;
-                let possible = key.is_none_or(|key| !self.work.broken.contains(&key.adapter));
-                figures.add(&request.arrival, &request.told, possible);
+            if self.work.counts(arrival) {
+                figures.add(arrival, &request.told, self.work.possible(arrival));
             }
         }
         figures
