Add worlds that no site has to measure, as a table

Cause: the issue asks how our decisions do with places, stores, engines and demand far from those of the known sites: 3, 6, 12, 40 places an engine, 2, 8, 40 loads at once, engines three times faster and slower, skew 0.6 and 1.4 dealt anew every 40 s.

Change: one row a world, each different from a plain one in what its name says; three rows are corners. All have 12 engines, 72 live requests and 12 of batch work a second, and loads of 0.25 s. Places are adapter slots. No policy is run on them yet by a command.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! The [`workload`]s follow the sizes of the two deployments. [`world`] feeds
 //! the same arrivals and faults to every [`Policy`], with the same fakes of
-//! engine and weight store; [`figures`] says what came of it.
+//! engine and weight store; [`figures`] says what came of it. [`worlds`] are
+//! those that no deployment has.
 
 mod baseline;
 mod engine;
@@ -15,6 +16,7 @@
 pub mod figures;
 pub mod workload;
 pub mod world;
+pub mod worlds;
 
 pub use crate::{
     policy::{Evict, Policy, Spread},
--- /dev/null
+++ b/crates/measure/src/worlds.rs
@@ -0,0 +1,104 @@
+//! Worlds that no deployment has: places, stores, engines and demand far from
+//! those that the decisions were made for.
+
+use crate::workload::{DAY, Shape, Sizes, Span, Workload, make};
+
+/// What one world is.
+#[derive(Clone, Copy, Debug)]
+struct World {
+    name: &'static str,
+    /// Adapter slots of an engine.
+    places: u32,
+    /// Loads that the store serves at full speed at once.
+    loads: u32,
+    /// Time that engines take for what a plain one does in a unit.
+    pace: f64,
+    skew: f64,
+    /// When popularity is dealt anew.
+    shifts: &'static [u64],
+}
+
+const PLAIN: World = World {
+    name: "6 places, 8 loads",
+    places: 6,
+    loads: 8,
+    pace: 1.0,
+    skew: 1.0,
+    shifts: &[],
+};
+
+/// Popularity that is dealt anew every 40 seconds.
+const MOVING: &[u64] = &[60, 100, 140, 180, 220, 260];
+
+#[rustfmt::skip]
+const WORLDS: [World; 13] = [
+    PLAIN,
+    World { name: "3 places", places: 3, ..PLAIN },
+    World { name: "12 places", places: 12, ..PLAIN },
+    World { name: "40 places", places: 40, ..PLAIN },
+    World { name: "2 loads", loads: 2, ..PLAIN },
+    World { name: "40 loads", loads: 40, ..PLAIN },
+    World { name: "engines 3 times faster", pace: 1.0 / 3.0, ..PLAIN },
+    World { name: "engines 3 times slower", pace: 3.0, ..PLAIN },
+    World { name: "skew 0.6, moving", skew: 0.6, shifts: MOVING, ..PLAIN },
+    World { name: "skew 1.4, moving", skew: 1.4, shifts: MOVING, ..PLAIN },
+    World { name: "3 places, 2 loads", places: 3, loads: 2, ..PLAIN },
+    World { name: "3 places, 40 loads, skew 0.6, moving", places: 3, loads: 40, skew: 0.6, shifts: MOVING, ..PLAIN },
+    World { name: "40 places, 2 loads, skew 1.4, moving", places: 40, loads: 2, skew: 1.4, shifts: MOVING, ..PLAIN },
+];
+
+/// Seconds that a load takes at full speed.
+const LOAD_SECS: f64 = 0.25;
+
+/// What is asked of each engine of every world.
+const ASKED: Shape = Shape {
+    live: 6.0,
+    batch: 1.0,
+    ..DAY
+};
+
+/// Sets the seeds of these worlds apart from those of the deployments.
+const SEEDS: u64 = 500;
+
+/// Returns the names of all worlds.
+#[must_use]
+pub fn names() -> Vec<String> {
+    WORLDS.iter().map(|world| world.name.to_owned()).collect()
+}
+
+/// Makes the `i`-th world of [`names`].
+///
+/// # Panics
+///
+/// Panics when there is no such world.
+#[must_use]
+pub fn one(i: usize, seed: u64, span: Span) -> Workload {
+    let world = &WORLDS[i];
+    let shape = Shape {
+        skew: world.skew,
+        shifts: world.shifts,
+        ..ASKED
+    };
+    // All worlds of a seed differ in nothing but their row.
+    let seed = seed.wrapping_mul(1_000) + SEEDS;
+    let mut work = make(&sizes(world), &shape, span, seed);
+    work.name = world.name.to_owned();
+    work
+}
+
+fn sizes(world: &World) -> Sizes {
+    Sizes {
+        name: "world",
+        zones: 3,
+        engines: 12,
+        portals: 3,
+        entries: 6,
+        adapters: 3_000,
+        slots: world.places,
+        batch: 32,
+        loads: f64::from(world.loads) / LOAD_SECS,
+        parallel: world.loads,
+        pace: world.pace,
+        brands: 3,
+    }
+}
