--- a/crates/measure/src/engine.rs
+++ b/crates/measure/src/engine.rs
@@ -5,6 +5,8 @@
 
 use base::AdapterKey;
 
+use crate::workload::{Arrival, Sizes};
+
 /// Milliseconds of a step apart from what the batch adds.
 const STEP_MS: f64 = 10.0;
 
@@ -23,6 +25,24 @@
 /// Prompt heads that the cache holds.
 const CACHE: usize = 200;
 
+/// Milliseconds by which a step is shorter at most, its time being cut to whole
+/// microseconds.
+const CUT_MS: f64 = 1e-3;
+
+/// Returns the least milliseconds of an engine that a request takes which
+/// shares its adapter with so many at once, itself among them, counted in two
+/// ways: a step is divided among the places of the batch, or among the slots.
+/// Its prompt is read with the head cached.
+pub(crate) fn least_ms(sizes: &Sizes, arrival: &Arrival, sharers: u32) -> [f64; 2] {
+    let sharers = f64::from(sharers.clamp(1, sizes.batch));
+    let step = STEP_MS * sizes.pace - CUT_MS;
+    let own = (REQUEST_MS + ADAPTER_MS / sharers) * sizes.pace;
+    let read = PROMPT_MS * CACHED_PART * f64::from(arrival.prompt) * sizes.pace;
+    let by_place = step / f64::from(sizes.batch);
+    let by_slot = step / f64::from(sizes.slots) / sharers;
+    [by_place, by_slot].map(|part| f64::from(arrival.tokens) * (part + own) + read)
+}
+
 /// A request as the engine sees it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Job {
--- a/crates/measure/src/figures.rs
+++ b/crates/measure/src/figures.rs
@@ -14,6 +14,10 @@
 //! - **Fairness**: the least part of its due that a brand got, in tokens of
 //!   answers given in time; its due is what it asked for, or its part of all
 //!   that was given if that is less.
+//! - **Worth**, in tokens by weight: an answer of an engine counts with its
+//!   tokens times the weight of its class if it began by its deadline and was
+//!   whole by the time at which somebody has read it who began then; batch work
+//!   if it was whole by its deadline.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -51,6 +55,8 @@
     pub batch: (u64, u64),
     /// Tokens asked for and given in time, by brand.
     pub brands: BTreeMap<BrandNo, (u64, u64)>,
+    /// Worth that was asked for and that was given.
+    pub worth: (u64, u64),
     /// Tokens generated.
     pub tokens: u64,
     /// Seconds in which engines had work.
@@ -99,6 +105,15 @@
         brand.1 += u64::from(arrival.tokens) * u64::from(given);
     }
 
+    /// Adds the worth of one request.
+    pub fn add_worth(&mut self, arrival: &Arrival, told: &Told) {
+        let began = told.first.is_some_and(|at| at <= arrival.deadline);
+        let whole = told.done.is_some_and(|at| at <= arrival.whole_by());
+        let given = whole && (began || arrival.class == Class::Batch);
+        self.worth.0 += arrival.worth();
+        self.worth.1 += arrival.worth() * u64::from(given);
+    }
+
     /// Adds another run.
     pub fn merge(&mut self, other: Figures) {
         self.stalls.extend(other.stalls);
@@ -112,6 +127,8 @@
             let sum = self.brands.entry(brand).or_default();
             *sum = (sum.0 + asked, sum.1 + given);
         }
+        self.worth.0 += other.worth.0;
+        self.worth.1 += other.worth.1;
         self.tokens += other.tokens;
         self.busy_secs += other.busy_secs;
         self.loads += other.loads;
--- a/crates/measure/src/store.rs
+++ b/crates/measure/src/store.rs
@@ -2,6 +2,9 @@
 
 use base::{AdapterKey, TargetNo, Time};
 
+/// Seconds that may be missing when a load counts as done.
+const DONE: f64 = 1e-6;
+
 /// One load under way.
 #[derive(Clone, Copy, Debug)]
 struct Job {
@@ -73,10 +76,20 @@
     /// Takes out the loads that have ended.
     pub(crate) fn take_done(&mut self, now: Time) -> Vec<(TargetNo, AdapterKey)> {
         self.advance(now);
-        let done = self.jobs.extract_if(.., |job| job.left <= 1e-6);
+        let done = self.jobs.extract_if(.., |job| job.left <= DONE);
         done.map(|job| (job.target, job.key)).collect()
     }
 
+    /// Returns the most loads that it can do in a time.
+    pub(crate) fn most(&self, secs: f64) -> f64 {
+        secs * self.parallel / self.least_secs()
+    }
+
+    /// Returns the least seconds that a load takes.
+    pub(crate) fn least_secs(&self) -> f64 {
+        self.full - DONE
+    }
+
     fn speed(&self) -> f64 {
         (self.parallel / self.jobs.len() as f64).min(1.0)
     }
--- a/crates/measure/src/workload.rs
+++ b/crates/measure/src/workload.rs
@@ -50,6 +50,9 @@
 /// How long somebody who watches waits for the first token before leaving.
 const LIVE_PATIENCE: Duration = Duration::from_secs(5);
 
+/// How long somebody takes to read a token.
+const READING: Duration = Duration::from_millis(50);
+
 /// How long a listing page or receipt may take.
 const CRITICAL_PATIENCE: Duration = Duration::from_secs(5);
 
@@ -76,6 +79,29 @@
     pub deadline: Time,
 }
 
+impl Arrival {
+    /// Returns when the whole answer is due: as soon as somebody has read it who
+    /// began at the deadline; for batch work, the deadline.
+    #[must_use]
+    pub fn whole_by(&self) -> Time {
+        match self.class {
+            Class::Batch => self.deadline,
+            Class::Critical | Class::Live => self.deadline + READING * self.tokens,
+        }
+    }
+
+    /// Returns what its answer is worth: its tokens by the weight of its class.
+    #[must_use]
+    pub fn worth(&self) -> u64 {
+        let weight = match self.class {
+            Class::Critical => 8,
+            Class::Live => 4,
+            Class::Batch => 1,
+        };
+        weight * u64::from(self.tokens)
+    }
+}
+
 /// Something that goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -145,6 +171,14 @@
         arrival.at >= self.span.start() && arrival.deadline <= self.span.end()
     }
 
+    /// Returns whether a request's worth counts: one to an engine that can be
+    /// answered, and whose whole answer is due before the end.
+    #[must_use]
+    pub fn weighs(&self, arrival: &Arrival) -> bool {
+        let within = self.counts(arrival) && arrival.whole_by() <= self.span.end();
+        within && arrival.key.is_some() && self.possible(arrival)
+    }
+
     /// Returns whether anybody can load what a request asks for.
     #[must_use]
     pub fn possible(&self, arrival: &Arrival) -> bool {
--- a/crates/measure/src/world.rs
+++ b/crates/measure/src/world.rs
@@ -392,6 +392,9 @@
             if self.work.counts(arrival) {
                 figures.add(arrival, &request.told, self.work.possible(arrival));
             }
+            if self.work.weighs(arrival) {
+                figures.add_worth(arrival, &request.told);
+            }
         }
         figures
     }
