End a run's rest on an old version of its adapter three seconds after a newer one was named

Change: a copy isn't used once a newer version was heard of three seconds ago, within which a change has to be in force everywhere (the rule's five seconds run from the acknowledgement, which an instance in touch hears of within one). Before that the caller is better off with the rest than with a broken stream.

--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -179,9 +179,10 @@
         if Instant::now() >= self.until {
             return Err(Unused::Deadline);
         }
-        let heard = self.state.sources.zones(self.state.now());
+        let now = self.state.now();
+        let heard = self.state.sources.zones(now);
         let view = self.state.view();
-        view.restores(&self.adapter, backup)?;
+        view.restores(now, &self.adapter, backup)?;
         let zone = view.zone_of(&backup.target).unwrap_or_default();
         if !heard.iter().any(|own| own == zone) {
             return Err(Unused::Silent);
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -316,7 +316,7 @@
         inner.news = synced.news;
     }
     drop(inner);
-    state.view().set_versions(synced.versions);
+    state.view().set_versions(state.now(), synced.versions);
     match synced.targets {
         Some(targets) if fits && synced.whole => {
             state.set_targets(now, &synced.zones, targets);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -63,7 +63,7 @@
     zone: String,
     targets: BTreeMap<String, Known>,
     /// Versions that operators named.
-    versions: BTreeMap<String, u32>,
+    versions: BTreeMap<String, Named>,
     /// Requests under way at each target over all other instances.
     others: BTreeMap<String, u32>,
     /// Prompt tokens of theirs that it hasn't read yet.
@@ -87,6 +87,14 @@
     sent: u64,
 }
 
+/// A version that operators named.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    version: u32,
+    /// When it was first heard of here.
+    since: Time,
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     target: Target,
@@ -188,10 +196,16 @@
     }
 
     /// Takes the named versions of adapters.
-    pub fn set_versions(&mut self, versions: impl IntoIterator<Item = (String, u32)>) {
+    pub fn set_versions(&mut self, now: Time, versions: impl IntoIterator<Item = (String, u32)>) {
         for (adapter, version) in versions {
-            let held = self.versions.entry(adapter).or_default();
-            *held = (*held).max(version);
+            let held = self.versions.get(&adapter);
+            if held.is_none_or(|held| version > held.version) {
+                let named = Named {
+                    version,
+                    since: now,
+                };
+                self.versions.insert(adapter, named);
+            }
         }
     }
 
@@ -235,7 +249,7 @@
     /// one was named.
     #[must_use]
     pub fn version(&self, adapter: &str) -> Option<u32> {
-        self.versions.get(adapter).copied()
+        self.versions.get(adapter).map(|named| named.version)
     }
 
     /// Returns where a target is reached.
@@ -409,7 +423,7 @@
         let Some(held) = known.residents.get(adapter) else {
             return false;
         };
-        let named = self.versions.get(adapter).copied().unwrap_or(0);
+        let named = self.version(adapter).unwrap_or(0);
         held.version == 0 || held.version >= named
     }
 
--- a/crates/gateway/src/view/backup.rs
+++ b/crates/gateway/src/view/backup.rs
@@ -3,12 +3,16 @@
 //! Memory means something only to the weights and the version of the adapter that made
 //! it. Engines that hold the same adapter may differ in both.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use base::Time;
 
 use super::{Known, View, usable};
 
+/// How long after a newer version was heard of a run may still go on elsewhere under its
+/// own: a change has to be in force everywhere within this time.
+const OUTDATED: Duration = Duration::from_secs(3);
+
 /// What the memory of a run was made with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Origin {
@@ -27,6 +31,8 @@
     Weights,
     /// The version of the adapter may be another.
     Version,
+    /// A newer version of the adapter was named too long ago.
+    Outdated,
     /// Nobody was heard lately who knows what the target holds.
     Silent,
     /// The caller waits no longer.
@@ -74,7 +80,7 @@
     /// # Errors
     ///
     /// Fails with the reason where it doesn't, or where that isn't known.
-    pub fn restores(&self, adapter: &str, backup: &Backup) -> Result<(), Unused> {
+    pub fn restores(&self, now: Time, adapter: &str, backup: &Backup) -> Result<(), Unused> {
         let known = self.targets.get(&backup.target).ok_or(Unused::Gone)?;
         let weights = known.weights(adapter);
         let version = known.version(adapter);
@@ -84,9 +90,19 @@
         if version != Some(backup.origin.version) {
             return Err(Unused::Version);
         }
+        if self.outdated(now, adapter, backup.origin.version) {
+            return Err(Unused::Outdated);
+        }
         Ok(())
     }
 
+    /// Tells whether a newer version was named so long ago that nothing may begin on this
+    /// one any more, not even the rest of a run.
+    fn outdated(&self, now: Time, adapter: &str, version: u32) -> bool {
+        let named = self.versions.get(adapter);
+        named.is_some_and(|named| named.version > version && now.since(named.since) >= OUTDATED)
+    }
+
     /// Returns the availability zone of a target.
     #[must_use]
     pub fn zone_of(&self, id: &str) -> Option<&str> {
--- a/crates/gateway/tests/backup.rs
+++ b/crates/gateway/tests/backup.rs
@@ -92,7 +92,7 @@
     let mut view = view(&[("a", (4, 2)), ("b", (4, 2))]);
     let backup = view.backup(NOW, "s", "m/x", "a").unwrap();
     view.not_yet(NOW, "b", "m/x", Duration::from_millis(30));
-    assert_that!(view.restores("m/x", &backup), eq(Ok(())));
+    assert_that!(view.restores(NOW, "m/x", &backup), eq(Ok(())));
 }
 
 /// The least loaded engine has other weights, and isn't chosen.
@@ -120,7 +120,7 @@
         target: "b".to_owned(),
         origin: ORIGIN,
     };
-    assert_that!(view(&targets).restores("m/x", &backup), eq(expected));
+    assert_that!(view(&targets).restores(NOW, "m/x", &backup), eq(expected));
 }
 
 base::cases! {
@@ -133,3 +133,19 @@
         gone: (None, Err(Unused::Gone)),
     }
 }
+
+/// Guards against the rest of a run that begins on an old version of its adapter, seconds
+/// after a newer one was acknowledged.
+#[gtest]
+fn a_run_goes_on_under_an_old_version_for_three_seconds_only() {
+    let mut view = view(&[("a", (4, 2)), ("b", (4, 2))]);
+    let backup = view.backup(NOW, "s", "m/x", "a").unwrap();
+    let at = |ms| NOW + Duration::from_millis(ms);
+    view.set_versions(at(1_000), [("m/x".to_owned(), 2)]);
+    assert_that!(view.restores(at(9_000), "m/x", &backup), eq(Ok(())));
+    view.set_versions(at(10_000), [("m/x".to_owned(), 3)]);
+    assert_that!(view.restores(at(12_900), "m/x", &backup), eq(Ok(())));
+    view.set_versions(at(12_950), [("m/x".to_owned(), 3)]);
+    let later = view.restores(at(13_000), "m/x", &backup);
+    assert_that!(later, eq(Err(Unused::Outdated)));
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -62,9 +62,9 @@
         target("b", "zb", &[("m/x", 2, 0)]),
     ]);
     assert_that!(choose(&view, "m/x"), eq(&send("a")));
-    view.set_versions([("m/x".to_owned(), 2)]);
+    view.set_versions(NOW, [("m/x".to_owned(), 2)]);
     assert_that!(choose(&view, "m/x"), eq(&send("b")));
-    view.set_versions([("m/x".to_owned(), 1)]);
+    view.set_versions(NOW, [("m/x".to_owned(), 1)]);
     assert_that!(choose(&view, "m/x"), eq(&send("b")));
     assert_that!(choose(&view, "m/y"), eq(&Choice::Missing));
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -115,7 +115,7 @@
     ShareExceeded 5008 Info "over its share" "A brand's batch work waits because others want their share."
 
     RequestSlow 5009 Info "request slow" "The head of an answer took `head_ms`, of which `place_ms` passed before a target was found; `sends` and `refusals` say how often it was sent and refused."
-    BackupUnused 5010 Info "copy of a run's memory not used" "A copy of a run's memory, made with `weights` and `version` of the adapter, isn't used; `why` is `Weights` or `Version` where its target may hold others, `Gone`, `Silent` where nobody was heard who knows, `Deadline` or `Repeats`."
+    BackupUnused 5010 Info "copy of a run's memory not used" "A copy of a run's memory, made with `weights` and `version` of the adapter, isn't used; `why` is `Weights` or `Version` where its target may hold others, `Outdated` where a newer version was named too long ago, `Gone`, `Silent` where nobody was heard who knows, `Deadline` or `Repeats`."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "peer silent" "An instance's heartbeats stopped; `silent_ms` says for how long."
