Keep answers that tasks wait for in one type

What stopped a reader: the map from a number to whoever waits for its answer was written three times, twice in controld's state and once in entryd's, each with its own channel and lock.

Change: `Pending` of crate daemon holds it; the states keep their own names for what is asked. Nothing of who waits, or what happens to one who has left, differs.

--- a/crates/controld/src/state.rs
+++ b/crates/controld/src/state.rs
@@ -1,17 +1,14 @@
 //! What all tasks of the daemon share.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::BTreeMap,
     net::SocketAddr,
-    sync::{
-        Mutex,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::atomic::{AtomicU64, Ordering},
 };
 
 use base::{InstanceName, Ticket};
 use control::Input;
-use daemon::{Links, lock};
+use daemon::{Links, Pending};
 use tokio::sync::{mpsc, oneshot};
 use wire::{
     call::Reply,
@@ -49,8 +46,8 @@
     /// The other control instances' peer listeners.
     pub(crate) controls: BTreeMap<InstanceName, SocketAddr>,
     tickets: AtomicU64,
-    replies: Mutex<HashMap<Ticket, oneshot::Sender<Reply>>>,
-    applied: Mutex<HashMap<Ticket, oneshot::Sender<Applied>>>,
+    replies: Pending<Ticket, Reply>,
+    applied: Pending<Ticket, Applied>,
     pub(crate) links: Links,
 }
 
@@ -65,8 +62,8 @@
             jobs,
             controls,
             tickets: AtomicU64::new(0),
-            replies: Mutex::default(),
-            applied: Mutex::default(),
+            replies: Pending::default(),
+            applied: Pending::default(),
             links,
         }
     }
@@ -80,31 +77,21 @@
     /// Numbers a call and returns where its reply comes.
     pub(crate) fn expect_reply(&self) -> (Ticket, oneshot::Receiver<Reply>) {
         let ticket = self.next_ticket();
-        let (tx, rx) = oneshot::channel();
-        lock(&self.replies).insert(ticket, tx);
-        (ticket, rx)
+        (ticket, self.replies.expect(ticket))
     }
 
     /// Numbers a change and returns where its outcome comes.
     pub(crate) fn expect_applied(&self) -> (Ticket, oneshot::Receiver<Applied>) {
         let ticket = self.next_ticket();
-        let (tx, rx) = oneshot::channel();
-        lock(&self.applied).insert(ticket, tx);
-        (ticket, rx)
+        (ticket, self.applied.expect(ticket))
     }
 
     pub(crate) fn reply(&self, ticket: Ticket, reply: Reply) {
-        if let Some(tx) = lock(&self.replies).remove(&ticket) {
-            // The caller may have left.
-            tx.send(reply).ok();
-        }
+        self.replies.answer(&ticket, reply);
     }
 
     pub(crate) fn answer(&self, ticket: Ticket, applied: Applied) {
-        if let Some(tx) = lock(&self.applied).remove(&ticket) {
-            // The operator may have left.
-            tx.send(applied).ok();
-        }
+        self.applied.answer(&ticket, applied);
     }
 
     pub(crate) fn next_ticket(&self) -> Ticket {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,11 +7,13 @@
 mod clock;
 mod folder;
 mod links;
+mod pending;
 mod start;
 
 pub use crate::{
     clock::Clock,
     folder::{report_fate, start_writer, wall_clock},
     links::{Links, lock},
+    pending::Pending,
     start::{Listeners, listen, main, stop_signal},
 };
--- a/crates/entryd/src/state.rs
+++ b/crates/entryd/src/state.rs
@@ -9,7 +9,7 @@
 };
 
 use base::{InstanceName, TextVersion, Ticket};
-use daemon::{Links, lock};
+use daemon::{Links, Pending, lock};
 use node::Input;
 use text::{Keys, Model};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -38,7 +38,7 @@
     tickets: AtomicU64,
     calls: AtomicU64,
     exchanges: Mutex<HashMap<Ticket, Arc<Exchange>>>,
-    answers: Mutex<HashMap<u64, oneshot::Sender<Reply>>>,
+    answers: Pending<u64, Reply>,
     pub(crate) links: Links,
 }
 
@@ -58,7 +58,7 @@
             tickets: AtomicU64::new(0),
             calls: AtomicU64::new(0),
             exchanges: Mutex::default(),
-            answers: Mutex::default(),
+            answers: Pending::default(),
             links,
         }
     }
@@ -98,16 +98,11 @@
     /// Numbers a call from another process and returns where its answer comes.
     pub(crate) fn expect(&self) -> (u64, oneshot::Receiver<Reply>) {
         let call = self.calls.fetch_add(1, Ordering::Relaxed) + 1;
-        let (tx, rx) = oneshot::channel();
-        lock(&self.answers).insert(call, tx);
-        (call, rx)
+        (call, self.answers.expect(call))
     }
 
     /// Answers a call from another process.
     pub(crate) fn answer(&self, call: u64, reply: Reply) {
-        if let Some(tx) = lock(&self.answers).remove(&call) {
-            // The caller may have left.
-            tx.send(reply).ok();
-        }
+        self.answers.answer(&call, reply);
     }
 }
