Make the answer to a beat in one place

What stopped a reader: the nine fields of the leader's answer to a beat were copied from the grantor's part by the control instance and once more by the test of what beats cost, so the test could measure another answer than the one that is sent.

Change: `Part::reply` of crate owner makes the answer for both. No field and no value differs.

Change to an existing test: crates/control/tests/cost.rs measures the answer that `Part::reply` makes; its numbers asked for are untouched.

--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -180,17 +180,7 @@
             .grantor
             .beat(now, beat, self.state.table(), &mut changes);
         self.propose_changes(now, changes, out);
-        BeatReply {
-            serial: beat.serial,
-            text: self.state.texts().version(),
-            leases: part.leases,
-            loads: part.loads,
-            roster: part.roster,
-            whole: part.whole,
-            peers: part.peers,
-            gone: part.gone,
-            tell: part.tell,
-        }
+        part.reply(beat.serial, self.state.texts().version())
     }
 
     fn on_item(&mut self, ticket: Ticket, item: Item, out: &mut Vec<Output>) {
--- a/crates/control/tests/cost.rs
+++ b/crates/control/tests/cost.rs
@@ -9,7 +9,7 @@
 use control::{Command, Item, State, What};
 use googletest::prelude::*;
 use owner::{Change, Config, Grantor, Life, Table};
-use wire::call::{Beat, BeatReply, Call, Claim, Confirm, Fate, Reply, Settle};
+use wire::call::{Beat, Call, Claim, Confirm, Fate, Reply, Settle};
 
 fn life(i: usize) -> Life {
     Life {
@@ -80,17 +80,7 @@
         let beat = beat(0, serial, roster, engines);
         let now = Time::from_millis(serial * 1_000);
         let part = grantor.beat(now, &beat, &table, &mut Vec::new());
-        let reply = Reply::Beat(BeatReply {
-            serial,
-            text: beat.text,
-            leases: part.leases,
-            loads: part.loads,
-            roster: part.roster,
-            whole: part.whole,
-            peers: part.peers,
-            gone: part.gone,
-            tell: part.tell,
-        });
+        let reply = Reply::Beat(part.reply(serial, beat.text));
         (bytes(&Call::Beat(beat)), bytes(&reply))
     };
     let first = size(1, 0, Some(engines));
--- a/crates/owner/src/grantor.rs
+++ b/crates/owner/src/grantor.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use base::{Fence, InstanceName, PerSecond, TargetName, TextVersion, Time, ZoneName};
-use wire::call::{Beat, Lease, Peer};
+use wire::call::{Beat, BeatReply, Lease, Peer};
 
 use crate::{Change, Config, Life, Table, store};
 
@@ -34,6 +34,25 @@
     pub tell: bool,
 }
 
+impl Part {
+    /// Returns the whole answer to the beat `serial`, where `text` is the newest
+    /// accepted version.
+    #[must_use]
+    pub fn reply(self, serial: u64, text: TextVersion) -> BeatReply {
+        BeatReply {
+            serial,
+            text,
+            leases: self.leases,
+            loads: self.loads,
+            roster: self.roster,
+            whole: self.whole,
+            peers: self.peers,
+            gone: self.gone,
+            tell: self.tell,
+        }
+    }
+}
+
 /// An instance as its beats show it.
 #[derive(Clone, Debug)]
 pub(crate) struct Seen {
