Let replog write whole log files, for the disk and its fake alike

Change: `encode_first_log` and `encode_next_log` of replog write both, with format and sealed frames; both crates call them. The bytes are as before. The test of a sealed frame in crates/replog/tests/codec.rs goes on putting its file together by itself, as a check from outside.

--- a/crates/disk/src/folder.rs
+++ b/crates/disk/src/folder.rs
@@ -7,8 +7,7 @@
 };
 
 use replog::{
-    FORMAT, Header, Position, Record, ReplicaId, Snapshot, encode_frame, encode_header,
-    encode_snapshot,
+    Record, ReplicaId, Snapshot, encode_first_log, encode_frame, encode_next_log, encode_snapshot,
 };
 use thiserror::Error;
 
@@ -79,14 +78,7 @@
         records: &[Record],
     ) -> Result<(), WriteError> {
         let generation = self.generation + 1;
-        let header = Header {
-            format: FORMAT,
-            id: self.id.clone(),
-            base: Some(snapshot.at),
-            sealed: 1,
-        };
-        let mut raw = encode_header(&header);
-        raw.extend(encode_frame(1, records));
+        let raw = encode_next_log(&self.id, snapshot.at, records);
         self.put(
             &snapshot_path(&self.dir, generation),
             &encode_snapshot(snapshot),
@@ -155,13 +147,7 @@
 
 /// Makes a new log with no snapshot and no records.
 pub(crate) fn new_log(dir: &Path, id: &ReplicaId) -> io::Result<(File, u64)> {
-    let header = Header {
-        format: FORMAT,
-        id: id.clone(),
-        base: None::<Position>,
-        sealed: 0,
-    };
-    let raw = encode_header(&header);
+    let raw = encode_first_log(id);
     let path = log_path(dir, 1);
     let temp = path.with_added_extension("tmp");
     let mut file = create(&temp)?;
--- a/crates/faults/src/disk.rs
+++ b/crates/faults/src/disk.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 
 use replog::{
-    FORMAT, Header, Record, ReplicaId, Restored, Snapshot, Tail, WriteNo, encode_frame,
-    encode_header, encode_snapshot, recover, recover_snapshot,
+    Record, ReplicaId, Restored, Snapshot, Tail, WriteNo, encode_first_log, encode_frame,
+    encode_next_log, encode_snapshot, recover, recover_snapshot,
 };
 
 #[derive(Clone, Debug)]
@@ -31,16 +31,10 @@
     /// Makes an empty folder for `id`.
     #[must_use]
     pub fn new(id: ReplicaId) -> Self {
-        let header = Header {
-            format: FORMAT,
-            id: id.clone(),
-            base: None,
-            sealed: 0,
-        };
         FakeDisk {
-            id,
             snapshot: None,
-            log: encode_header(&header),
+            log: encode_first_log(&id),
+            id,
             last_frame: 0,
             seq: 1,
             unsynced: VecDeque::new(),
@@ -57,14 +51,7 @@
 
     /// Takes new files without syncing them.
     pub fn rewrite(&mut self, no: WriteNo, snapshot: &Snapshot, records: &[Record]) {
-        let header = Header {
-            format: FORMAT,
-            id: self.id.clone(),
-            base: Some(snapshot.at),
-            sealed: 1,
-        };
-        let mut log = encode_header(&header);
-        log.extend(encode_frame(1, records));
+        let log = encode_next_log(&self.id, snapshot.at, records);
         self.seq = 2;
         let snapshot = encode_snapshot(snapshot);
         self.unsynced.push_back((no, Op::Replace { snapshot, log }));
--- a/crates/replog/src/lib.rs
+++ b/crates/replog/src/lib.rs
@@ -25,8 +25,8 @@
     io::{HaltReason, Input, Output, Outputs, Rejected, WhyNot},
     message::{BadMessage, Message, Outcome, VoteKind},
     record::{
-        BadSnapshot, FORMAT, Header, Record, Recovered, Tail, encode_frame, encode_header,
-        encode_snapshot, recover, recover_snapshot,
+        BadSnapshot, FORMAT, Header, Record, Recovered, Tail, encode_first_log, encode_frame,
+        encode_header, encode_next_log, encode_snapshot, recover, recover_snapshot,
     },
     replica::{Replica, Restored},
     settings::{BadSettings, RawSettings, Settings},
--- a/crates/replog/src/record.rs
+++ b/crates/replog/src/record.rs
@@ -93,6 +93,31 @@
     frame(0, header)
 }
 
+/// Encodes the log file of a folder that has nothing yet.
+#[must_use]
+pub fn encode_first_log(id: &ReplicaId) -> Vec<u8> {
+    encode_header(&Header {
+        format: FORMAT,
+        id: id.clone(),
+        base: None,
+        sealed: 0,
+    })
+}
+
+/// Encodes the log file that continues the snapshot at `base`; `records` are
+/// its one sealed frame.
+#[must_use]
+pub fn encode_next_log(id: &ReplicaId, base: Position, records: &[Record]) -> Vec<u8> {
+    let mut raw = encode_header(&Header {
+        format: FORMAT,
+        id: id.clone(),
+        base: Some(base),
+        sealed: 1,
+    });
+    raw.extend(encode_frame(1, records));
+    raw
+}
+
 /// Encodes what one sync makes durable as the frame number `seq`.
 #[must_use]
 pub fn encode_frame(seq: u64, records: &[Record]) -> Vec<u8> {
