Say recurring steps of the tests once

What stopped a reader: steps that mean one thing were written out at each use: an attempt that fails (node, twice), a text with another weight (node, eight times), the follower of a cluster (replog, twice), a plan of slow engines (lab, three times).

Change: `World::fail` and `weighing` in the node's world, `Cluster::follower` in replog's tests of size, `slow_engines` in lab's common. What the tests do and ask for is as before; no assertion is touched.

--- a/crates/lab/tests/processes/common.rs
+++ b/crates/lab/tests/processes/common.rs
@@ -18,6 +18,14 @@
 /// Key of the brand `film`, whose assistant is `letters`.
 pub(crate) const FILM: &str = "sample-key-film";
 
+/// Returns a small plan whose engines take `token_ms` milliseconds a token.
+pub(crate) fn slow_engines(token_ms: u32) -> Plan {
+    Plan {
+        engine_flags: vec!["--token-ms".to_owned(), token_ms.to_string()],
+        ..Plan::small()
+    }
+}
+
 /// Starts a deployment and waits until it answers for both brands everywhere.
 pub(crate) async fn start(name: &str, plan: &Plan) -> Result<Lab> {
     let lab = Lab::start(name, plan).await?;
--- a/crates/lab/tests/processes/faults.rs
+++ b/crates/lab/tests/processes/faults.rs
@@ -11,7 +11,7 @@
 use web::Method;
 use wire::header;
 
-use crate::common::{FILM, KAZALISTE, TEXT, answered, expected, start};
+use crate::common::{FILM, KAZALISTE, TEXT, answered, expected, slow_engines, start};
 
 async fn admin(engine: std::net::SocketAddr, path: &str, body: Value) -> Result<()> {
     let engine = Caller::new(engine, "");
@@ -59,11 +59,7 @@
 /// stream; the caller must get every token exactly once, or a clear error.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_survives_its_engine() -> Result<()> {
-    let plan = Plan {
-        engine_flags: vec!["--token-ms".to_owned(), "20".to_owned()],
-        ..Plan::small()
-    };
-    let mut lab = start("stream", &plan).await?;
+    let mut lab = start("stream", &slow_engines(20)).await?;
     let caller = lab.caller(0, KAZALISTE);
     for engine in &lab.engines {
         admin(
@@ -119,11 +115,7 @@
 /// go on at the other engine long before the deadline.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_leaves_an_engine_that_hangs() -> Result<()> {
-    let plan = Plan {
-        engine_flags: vec!["--token-ms".to_owned(), "20".to_owned()],
-        ..Plan::small()
-    };
-    let mut lab = start("hangs", &plan).await?;
+    let mut lab = start("hangs", &slow_engines(20)).await?;
     let caller = lab.caller(0, KAZALISTE);
     let mut chat = Chat::stream("drafting", "hangs amid");
     chat.tokens = 100;
@@ -256,11 +248,7 @@
 /// long before the answer would have ended.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_who_leaves_frees_the_engine() -> Result<()> {
-    let plan = Plan {
-        engine_flags: vec!["--token-ms".to_owned(), "50".to_owned()],
-        ..Plan::small()
-    };
-    let mut lab = start("leaves", &plan).await?;
+    let mut lab = start("leaves", &slow_engines(50)).await?;
     let caller = lab.caller(0, KAZALISTE);
     let mut chat = Chat::stream("drafting", "long");
     // Twenty minutes of tokens, far beyond every ceiling here.
--- a/crates/node/tests/node/guards.rs
+++ b/crates/node/tests/node/guards.rs
@@ -11,7 +11,7 @@
     platform::List,
 };
 
-use crate::world::{TEXT, World};
+use crate::world::{TEXT, World, weighing};
 
 fn in_force(world: &World) -> Vec<TextVersion> {
     let texts = world.events.iter().filter_map(|event| match event {
@@ -28,12 +28,12 @@
     base::covers!(older_text_ignored);
     let mut world = World::serving();
     world.held_text = true;
-    world.text = (TextVersion(2), TEXT.replace("weight = 1", "weight = 2"));
+    world.text = (TextVersion(2), weighing(2));
     world.pass(Duration::from_secs(2));
     let late = world.take_text();
     // Nothing of it came in time; the next try brings a newer one.
     world.held_text = false;
-    world.text = (TextVersion(3), TEXT.replace("weight = 1", "weight = 3"));
+    world.text = (TextVersion(3), weighing(3));
     world.lose(late);
     world.pass(Duration::from_secs(2));
     assert_that!(world.node.version(), eq(TextVersion(3)));
@@ -60,7 +60,7 @@
     base::covers!(thawed_asks_around);
     let mut world = World::serving();
     assert_that!(world.ready, eq(true));
-    world.text = (TextVersion(2), TEXT.replace("weight = 1", "weight = 2"));
+    world.text = (TextVersion(2), weighing(2));
     world.now = world.now + Duration::from_secs(300);
     let from = world.trace.len();
     world.input(Input::Wake);
@@ -173,8 +173,8 @@
 fn a_patch_that_does_not_fit_is_not_taken() {
     base::covers!(patch_does_not_fit);
     let mut world = World::serving();
-    let second = TEXT.replace("weight = 1", "weight = 2");
-    let third = TEXT.replace("weight = 1", "weight = 3");
+    let second = weighing(2);
+    let third = weighing(3);
     world.held_text = true;
     world.text = (TextVersion(2), second.clone());
     world.pass(Duration::from_secs(2));
@@ -231,7 +231,7 @@
     world.arrive(1, "listing", None);
     assert_that!(world.sent.len(), eq(1));
     world.leader = true;
-    world.text = (TextVersion(4), TEXT.replace("weight = 1", "weight = 2"));
+    world.text = (TextVersion(4), weighing(2));
     world.pass(Duration::from_secs(3));
     assert_that!(world.node.version(), eq(TextVersion(4)));
 }
@@ -243,11 +243,11 @@
     base::covers!(late_check_ignored);
     let mut world = World::serving();
     world.slow_check = true;
-    world.text = (TextVersion(2), TEXT.replace("weight = 1", "weight = 2"));
+    world.text = (TextVersion(2), weighing(2));
     world.pass(Duration::from_secs(2));
     assert_that!(world.node.version(), eq(TextVersion(1)));
     world.slow_check = false;
-    world.text = (TextVersion(3), TEXT.replace("weight = 1", "weight = 3"));
+    world.text = (TextVersion(3), weighing(3));
     world.pass(Duration::from_secs(2));
     assert_that!(world.node.version(), eq(TextVersion(3)));
     let model = text::Model::try_from(TEXT).ok().map(std::sync::Arc::new);
--- a/crates/node/tests/node/requests.rs
+++ b/crates/node/tests/node/requests.rs
@@ -4,7 +4,7 @@
 
 use base::{Failure, Fence, Refusal, TextVersion, Verdict};
 use googletest::prelude::*;
-use node::{Ending, Event, Input, Progress};
+use node::{Ending, Event, Input};
 use wire::{
     call::{Call, ClaimReply, Fate, Reply},
     engine::Resident,
@@ -123,16 +123,7 @@
     let reply = Ok(Reply::Claim(ClaimReply::Yours));
     world.input(Input::Replied { call, reply });
     let attempt = world.sent.remove(0);
-    world.input(Input::Progress {
-        ticket: attempt.ticket,
-        attempt: attempt.attempt,
-        step: 1,
-        progress: Progress::Failed {
-            verdict: Verdict::MayHaveRun,
-            reason: Refusal::TargetFailed,
-            retry: None,
-        },
-    });
+    world.fail(&attempt, Refusal::TargetFailed);
     for _ in 0..3 {
         let (call, settle) = world.held_calls.remove(0);
         assert_that!(
@@ -269,16 +260,7 @@
     world.text = (TextVersion(2), third);
     world.pass(Duration::from_secs(3));
     assert_that!(world.held["e-1"], contains(eq("film-live@2")));
-    world.input(Input::Progress {
-        ticket: attempt.ticket,
-        attempt: attempt.attempt,
-        step: 1,
-        progress: Progress::Failed {
-            verdict: Verdict::MayHaveRun,
-            reason: Refusal::BadRequest,
-            retry: None,
-        },
-    });
+    world.fail(&attempt, Refusal::BadRequest);
     world.input(Input::Left(attempt.ticket));
     world.pass(Duration::from_secs(3));
     assert_that!(world.held["e-1"], not(contains(eq("film-live@2"))));
--- a/crates/node/tests/node/world.rs
+++ b/crates/node/tests/node/world.rs
@@ -2,8 +2,13 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use base::{Fence, Incarnation, InstanceName, Seed, TargetName, TextVersion, Ticket, Time, Tokens};
-use node::{Arrival, Attempt, Ending, Event, Input, Node, Order, OrderEnd, Output, Settings};
+use base::{
+    Fence, Incarnation, InstanceName, Refusal, Seed, TargetName, TextVersion, Ticket, Time, Tokens,
+    Verdict,
+};
+use node::{
+    Arrival, Attempt, Ending, Event, Input, Node, Order, OrderEnd, Output, Progress, Settings,
+};
 use wire::{
     call::{Beat, BeatReply, Call, Lease, Peer, Reply},
     engine::{Held, Report},
@@ -57,6 +62,11 @@
 film-live = { versions = [1, 2], serve = 2 }
 "#;
 
+/// Returns the text with another weight of the brand `film`.
+pub(crate) fn weighing(weight: u32) -> String {
+    TEXT.replace("weight = 1", &format!("weight = {weight}"))
+}
+
 /// Most wakes in one stretch of time that passes.
 const WAKES_MAX: u32 = 20_000;
 
@@ -250,6 +260,20 @@
         ticket
     }
 
+    /// Lets an attempt fail that may have run.
+    pub(crate) fn fail(&mut self, attempt: &Attempt, reason: Refusal) {
+        self.input(Input::Progress {
+            ticket: attempt.ticket,
+            attempt: attempt.attempt,
+            step: 1,
+            progress: Progress::Failed {
+                verdict: Verdict::MayHaveRun,
+                reason,
+                retry: None,
+            },
+        });
+    }
+
     /// A call from another process; returns the reply.
     pub(crate) fn called(&mut self, call: u64, body: Call) -> Option<Reply> {
         let from: InstanceName = name("blato-1");
@@ -278,7 +302,7 @@
 
     /// Lets a call end without reply.
     pub(crate) fn lose(&mut self, call: u64) {
-        let reply = Err(base::Verdict::MayHaveRun);
+        let reply = Err(Verdict::MayHaveRun);
         self.input(Input::Replied { call, reply });
     }
 
@@ -301,7 +325,7 @@
     fn carry_out(&mut self, output: Output) -> Option<Input> {
         match output {
             Output::Call { call, address, .. } if self.mute_mates && address.port() == MATE => {
-                let reply = Err(base::Verdict::MayHaveRun);
+                let reply = Err(Verdict::MayHaveRun);
                 return Some(Input::Replied { call, reply });
             }
             Output::Call { call, body, .. } => return self.call(call, body),
@@ -345,7 +369,7 @@
 
     fn call(&mut self, call: u64, body: Call) -> Option<Input> {
         if !self.leader {
-            let reply = Err(base::Verdict::NotRun);
+            let reply = Err(Verdict::NotRun);
             return Some(Input::Replied { call, reply });
         }
         if let Call::Text { have } = &body {
--- a/crates/replog/tests/size.rs
+++ b/crates/replog/tests/size.rs
@@ -96,6 +96,13 @@
         leader.expect("somebody leads").0.clone()
     }
 
+    /// Returns the first instance that doesn't lead.
+    fn follower(&self) -> InstanceName {
+        let leader = self.leader();
+        let mut others = self.replicas.keys().filter(|name| **name != leader);
+        others.next().expect("several instances").clone()
+    }
+
     /// Proposes a command, and lets everybody hear that it is committed.
     fn change(&mut self, command: &Blob) {
         let leader = self.leader();
@@ -284,8 +291,7 @@
     let command = Blob::from(vec![7; 4_000 << 10]);
     let mut cluster = Cluster::new();
     let leader = cluster.leader();
-    let lags = ["k1", "k2", "k3"].map(name);
-    let lags = lags.into_iter().find(|name| *name != leader).unwrap();
+    let lags = cluster.follower();
     cluster.deaf = Some(lags.clone());
     for _ in 0..CHANGES {
         cluster.change(&command);
@@ -307,9 +313,7 @@
 fn a_replica_that_lags_by_an_entry_gets_the_entry() {
     let command = Blob::from(vec![7; 4_000 << 10]);
     let mut cluster = Cluster::new();
-    let leader = cluster.leader();
-    let lags = ["k1", "k2", "k3"].map(name);
-    let lags = lags.into_iter().find(|name| *name != leader).unwrap();
+    let lags = cluster.follower();
     for _ in 0..CHANGES {
         cluster.change(&command);
         cluster.deaf = Some(lags.clone());
