Name the surroundings that the capacity cases share

Change: `PLANNED` and `Sent::mean_bytes` in world.rs; a case says only what it counts. The cases measure the same surroundings.

--- a/xtask/src/capacity/entry.rs
+++ b/xtask/src/capacity/entry.rs
@@ -17,7 +17,7 @@
 
 use super::{
     Case, changed, peak, resident,
-    world::{Around, Sent, TOKENS, World},
+    world::{Around, PLANNED, Sent, TOKENS, World},
 };
 
 const ADAPTERS: &[usize] = &[3_000, 12_000, 48_000];
@@ -49,14 +49,7 @@
     size: "targets",
     sizes: &[60, 240, 600],
     columns: QUIET,
-    run: |targets| {
-        quiet(Around {
-            adapters: 3_000,
-            targets,
-            peers: 48,
-            owned: 2,
-        })
-    },
+    run: |targets| quiet(Around { targets, ..PLANNED }),
 };
 
 /// So many peers, with 600 targets of which two are owned.
@@ -65,14 +58,7 @@
     size: "peers",
     sizes: &[7, 48, 380],
     columns: QUIET,
-    run: |peers| {
-        quiet(Around {
-            adapters: 3_000,
-            targets: 600,
-            peers,
-            owned: 2,
-        })
-    },
+    run: |peers| quiet(Around { peers, ..PLANNED }),
 };
 
 const QUIET: &[&str] = &[
@@ -110,9 +96,9 @@
     run: |adapters| {
         requests(Around {
             adapters,
-            targets: 600,
             peers: 380,
             owned: 0,
+            ..PLANNED
         })
     },
 };
@@ -220,15 +206,14 @@
     let began = Instant::now();
     world.pass(Duration::from_secs(SECONDS))?;
     let spent = began.elapsed().as_secs_f64() * 1e6 / SECONDS as f64;
-    let each = |sent: Sent| sent.bytes as f64 / sent.calls.max(1) as f64;
     Ok(vec![
         resident()?,
         spent,
         world.beats.calls as f64 / SECONDS as f64,
-        each(world.beats),
-        each(world.replies),
+        world.beats.mean_bytes(),
+        world.replies.mean_bytes(),
         world.polls.calls as f64 / SECONDS as f64,
-        each(world.polls),
+        world.polls.mean_bytes(),
     ])
 }
 
@@ -272,10 +257,9 @@
     const RATE: f64 = 30.0;
     const RUNS: f64 = 11.0;
     let around = Around {
-        adapters: 3_000,
         targets: 2,
         peers,
-        owned: 2,
+        ..PLANNED
     };
     let mut world = World::serving(around)?;
     let mut random = ChaCha8Rng::seed_from_u64(1);
@@ -307,25 +291,19 @@
     let (began, before) = began.context("no minute was measured")?;
     let spent = began.elapsed().as_secs_f64() * 1e6 / SECONDS;
     let rate = |sent: Sent| sent.calls as f64 / SECONDS;
-    let each = |sent: Sent| sent.bytes as f64 / sent.calls.max(1) as f64;
     Ok(vec![
         f64::from(asked - before),
         rate(world.news),
-        each(world.news),
+        world.news.mean_bytes(),
         rate(world.loads),
-        each(world.loads),
+        world.loads.mean_bytes(),
         spent,
     ])
 }
 
 fn heard(targets: usize) -> Result<Vec<f64>> {
     const ROUNDS: u64 = 50;
-    let around = Around {
-        adapters: 3_000,
-        targets,
-        peers: 48,
-        owned: 2,
-    };
+    let around = Around { targets, ..PLANNED };
     let mut world = World::serving(around)?;
     let others = world
         .others()
--- a/xtask/src/capacity/world.rs
+++ b/xtask/src/capacity/world.rs
@@ -36,6 +36,14 @@
     pub(super) owned: usize,
 }
 
+/// The surroundings that are planned for; a case changes what it counts.
+pub(super) const PLANNED: Around = Around {
+    adapters: 3_000,
+    targets: 600,
+    peers: 48,
+    owned: 2,
+};
+
 /// Messages and bytes of one kind.
 #[derive(Clone, Copy, Default)]
 pub(super) struct Sent {
@@ -43,6 +51,13 @@
     pub(super) bytes: u64,
 }
 
+impl Sent {
+    /// Returns the mean size of a message.
+    pub(super) fn mean_bytes(self) -> f64 {
+        self.bytes as f64 / self.calls.max(1) as f64
+    }
+}
+
 /// One node and its surroundings.
 pub(super) struct World {
     /// Time spent on checks of texts, which a daemon does beside the node.
