Leave reasons in comments and take their figures out

Change: comments only; no number in the code is touched. These are the comments' figures, not measured anew.

--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -61,8 +61,8 @@
 }
 
 impl Default for Limits {
-    /// Ten minutes cover a caller's resends; 65,536 keys in full take some 22
-    /// MB, answers at most 16 MB, fingerprints of one brand at most 16 MB.
+    /// The time in full covers a caller's resends; the counts bound what an
+    /// instance keeps in memory and in snapshots (docs/design/claims.md).
     fn default() -> Self {
         Limits {
             full_ms: 600_000,
--- a/crates/control/src/texts.rs
+++ b/crates/control/src/texts.rs
@@ -9,11 +9,10 @@
 use crate::Patch;
 
 /// Accepted changes that are remembered, each for a resend and for the
-/// history: at 300 a day more than two months, in about 4 MB.
+/// history.
 const CHANGES_MAX: usize = 20_000;
 
-/// Changes kept as patches. An instance that misses more, in about five hours
-/// at 300 a day, gets the whole text.
+/// Changes kept as patches. An instance that misses more gets the whole text.
 const RECENT_MAX: usize = 64;
 
 /// Lines in one patch beyond which it is not kept: the whole text is as cheap.
--- a/crates/controld/src/operators.rs
+++ b/crates/controld/src/operators.rs
@@ -18,8 +18,7 @@
 
 use crate::state::{Job, Read, State};
 
-/// Largest text taken, in bytes: 48,000 adapters of some 200 bytes, doubled by
-/// JSON's quoting.
+/// Largest text taken, in bytes as JSON quotes it.
 const TEXT_MAX: usize = 32 << 20;
 
 /// How long a drain order may take to reach its instance.
--- a/crates/entryd/src/attempts.rs
+++ b/crates/entryd/src/attempts.rs
@@ -25,12 +25,12 @@
     state::State,
 };
 
-/// Silence of an answer after which it is given up: tokens are 37 ms apart,
-/// but a request may wait inside the engine for a place in its batch.
+/// Silence of an answer after which it is given up: tokens follow each other
+/// fast, but a request may wait inside the engine for a place in its batch.
 const IDLE: Duration = Duration::from_secs(20);
 
 /// The same where somebody waits and the request may be sent again: longer
-/// than the first token of 95 in 100 takes, twice over.
+/// than nearly every first token takes.
 const LIVE_IDLE: Duration = Duration::from_secs(5);
 
 /// The same for a stream that another instance passes on, which gives a sign
--- a/crates/entryd/src/outside.rs
+++ b/crates/entryd/src/outside.rs
@@ -29,7 +29,7 @@
 /// What an engine says to a load of something resident.
 const ALREADY: &str = "already been loaded";
 
-/// Largest list or report, in bytes: 980 targets and instances of 200 bytes.
+/// Largest list or report, in bytes.
 const READ_MAX: usize = 1 << 20;
 
 /// Reads the platform's list over and over.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -237,9 +237,9 @@
 
     /// Has a newer text checked before it comes into force.
     ///
-    /// Guard: checking a text of 48,000 adapters takes a fifth of a second.
-    /// Done here it would show as a pause in every stream that passes this
-    /// instance, with each change of the text.
+    /// Guard: checking a large text takes longer than a token. Done here it
+    /// would show as a pause in every stream that passes this instance, with
+    /// each change of the text.
     fn take(&mut self, shared: &Shared, version: TextVersion, text: &str, out: &mut Out) {
         self.newest = self.newest.max(version);
         // Guard: a reply that was on its way while a newer text arrived would
--- a/crates/node/src/engines/confirm.rs
+++ b/crates/node/src/engines/confirm.rs
@@ -19,7 +19,7 @@
 /// Beats from one account of shares to the next.
 const SHARES_EVERY: u64 = 5;
 
-/// Brands in one account, those with most tokens: 50 bytes each.
+/// Brands in one account, those with most tokens.
 const SHARES_MAX: usize = 32;
 
 impl Engines {
--- a/crates/owner/src/grantor.rs
+++ b/crates/owner/src/grantor.rs
@@ -159,8 +159,8 @@
             };
             self.propose(now, change, out);
         }
-        // All else can wait for the next wake-up: planning at each beat would
-        // take half a core at 380 instances.
+        // All else can wait for the next wake-up: a plan looks at all engines
+        // and instances, and every instance beats.
         if news {
             self.plan(now, table, out);
         }
--- a/crates/owner/src/holder.rs
+++ b/crates/owner/src/holder.rs
@@ -14,8 +14,8 @@
 use self::own::Held;
 use crate::Config;
 
-/// Time of an asker per zone-mate and round: at 47 mates a round every five
-/// seconds stays below 2 KB a second.
+/// Time per zone-mate that a confirmation lasts at least: rounds are rarer in
+/// a large zone, so that they don't fill its links.
 const CONFIRM_EACH: Duration = Duration::from_millis(200);
 /// Beats whose sending time is remembered for a late reply.
 const BEATS_MAX: usize = 64;
--- a/crates/replog/src/replica/election.rs
+++ b/crates/replog/src/replica/election.rs
@@ -9,8 +9,8 @@
 use crate::{Index, Message, Output, Outputs, Position, ReplicaId, Term, VoteKind, WriteNo};
 
 /// Part of the election timeout after which a candidacy that failed is tried
-/// again for the first time. A vote takes two round trips and a sync: some 10 ms
-/// of the 125 that a timeout of 500 ms gives.
+/// again for the first time; that leaves room for a vote's two round trips and
+/// its sync.
 const FIRST_RETRY: u32 = 4;
 
 /// The votes that a candidate has.
--- a/crates/replog/src/replica/grace.rs
+++ b/crates/replog/src/replica/grace.rs
@@ -19,7 +19,8 @@
 const ASK_EVERY: Duration = Duration::from_millis(20);
 
 /// Time between the voters' candidacies once the wait has ended. A vote takes
-/// two messages and a sync, some 10 ms; two candidates at once would split it.
+/// two messages and a sync, which is less; two candidates at once would split
+/// it.
 const STAGGER: Duration = Duration::from_millis(25);
 
 /// The wait of a restarted replica.
--- a/xtask/src/capacity/control.rs
+++ b/xtask/src/capacity/control.rs
@@ -62,7 +62,7 @@
     run: changes,
 };
 
-/// Engines at the letter's size.
+/// Engines of the planned site.
 const ENGINES: usize = 600;
 /// Changes before the restart: as many as leave the longest log behind the
 /// last snapshot, which is taken every 1,000 entries.
--- a/xtask/src/capacity/entry.rs
+++ b/xtask/src/capacity/entry.rs
@@ -103,7 +103,7 @@
     },
 };
 
-/// What the owner of two engines tells so many peers at the letter's rate.
+/// What the owner of two engines tells so many peers at the planned rate.
 pub(super) const NEWS: Case = Case {
     name: "entry-news",
     size: "peers",
@@ -248,9 +248,8 @@
     Ok(())
 }
 
-/// Plays a minute at the letter's rate for two engines: 30 requests a second
-/// at random moments that run 11 s each, one in 100 for an adapter that is not
-/// held.
+/// Plays a minute at the planned rate for two engines: requests come at random
+/// moments and run equally long, one in 100 for an adapter that is not held.
 fn news(peers: usize) -> Result<Vec<f64>> {
     const SECONDS: f64 = 60.0;
     const WARM: f64 = 20.0;
--- a/xtask/src/capacity/world.rs
+++ b/xtask/src/capacity/world.rs
@@ -21,8 +21,8 @@
 
 /// Tokens of one answer.
 pub(super) const TOKENS: u32 = 16;
-/// Batch size and slots of an engine at the letter's size: 178 requests run at
-/// once at 15.3 a second of 11 s each.
+/// What the sample's text says of batch and slots, and what holds for engines
+/// of the planned site, which run more at once.
 const ENGINE: [(&str, &str); 2] = [("batch = 32", "batch = 256"), ("slots = 8", "slots = 32")];
 
 /// How many of what stand around the node.
@@ -100,7 +100,7 @@
         Ok(world)
     }
 
-    /// Returns a text of so many adapters for engines of the letter's size.
+    /// Returns a text of so many adapters for engines of the planned site.
     pub(super) fn sized_text(adapters: usize) -> String {
         let text = samples::agency(adapters);
         let put = |text: String, (from, to): (&str, &str)| text.replace(from, to);
