Name what carries out an output, and what one request is

What stopped a reader: `one` stood for two things: an output to carry out, in the shells of controld and entryd, and a request from arrival to end, in xtask's capacity cases. The answers to operators' questions in controld ended in `.ok().unwrap_or(())`.

Change: `carry_out` in controld, as in the other crates, `carry_out_one` in entryd, where `carry_out` takes them all, and `whole_request` in xtask; the answers end in a statement.

--- a/crates/controld/src/shell.rs
+++ b/crates/controld/src/shell.rs
@@ -225,11 +225,11 @@
         let mut outputs = Vec::new();
         self.control.handle(self.clock.now(), input, &mut outputs);
         for output in outputs {
-            self.one(output);
+            self.carry_out(output);
         }
     }
 
-    fn one(&mut self, output: Output) {
+    fn carry_out(&mut self, output: Output) {
         let state = &self.state;
         match output {
             Output::Reply { ticket, reply } => state.reply(ticket, reply),
@@ -263,16 +263,18 @@
     fn read(&self, read: Read) {
         // Whoever asked may have left.
         match read {
-            Read::Status(to) => to
-                .send(self.control.status(self.clock.now()))
-                .ok()
-                .unwrap_or(()),
+            Read::Status(to) => {
+                to.send(self.control.status(self.clock.now())).ok();
+            }
             Read::History(to) => {
-                let all = self.control.history(base::TextVersion(0));
-                to.send(all).ok().unwrap_or(());
+                to.send(self.control.history(base::TextVersion(0))).ok();
+            }
+            Read::Text(to) => {
+                to.send(self.control.text()).ok();
+            }
+            Read::Peers(to) => {
+                to.send(self.peers()).ok();
             }
-            Read::Text(to) => to.send(self.control.text()).ok().unwrap_or(()),
-            Read::Peers(to) => to.send(self.peers()).ok().unwrap_or(()),
         }
     }
 
--- a/crates/entryd/src/shell.rs
+++ b/crates/entryd/src/shell.rs
@@ -170,7 +170,7 @@
         let mut ended = false;
         for output in outputs.drain(..) {
             ended |= matches!(output, Output::Drained);
-            self.one(output);
+            self.carry_out_one(output);
         }
         // What no output has named is not for the caller.
         if let (Some(exchange), Some((_, step))) = (exchange, step) {
@@ -179,7 +179,7 @@
         ended
     }
 
-    fn one(&mut self, output: Output) {
+    fn carry_out_one(&mut self, output: Output) {
         let state = &self.state;
         match output {
             Output::Send(attempt) => {
--- a/xtask/src/capacity/entry.rs
+++ b/xtask/src/capacity/entry.rs
@@ -221,11 +221,11 @@
     const REQUESTS: u64 = 20_000;
     let mut world = World::serving(around)?;
     for _ in 0..REQUESTS / 10 {
-        one(&mut world)?;
+        whole_request(&mut world)?;
     }
     let (ended, began) = (world.ended, Instant::now());
     for _ in 0..REQUESTS {
-        one(&mut world)?;
+        whole_request(&mut world)?;
     }
     let spent = began.elapsed().as_secs_f64() * 1e6 / REQUESTS as f64;
     ensure!(
@@ -237,7 +237,7 @@
 
 /// One request from arrival to end. No time passes in it once the adapter is
 /// held, so that what the node does by the clock is not counted here.
-fn one(world: &mut World) -> Result<()> {
+fn whole_request(world: &mut World) -> Result<()> {
     world.arrive(BRAND, HOT, TOKENS)?;
     let mut tries = 0;
     while !world.answer(TOKENS)? {
