Make an idle engine's first report in one place

What stopped a reader: the eight fields of a report were written out by the node's world of tests, by the world of xtask's capacity cases and by the example of embedding, all of them for an idle engine that holds some adapters.

Change: `Report::idle` of crate wire; the three say which life and which adapters. The reports are as before.

Change to existing scaffolding: crates/node/tests/node/world.rs; no assertion is touched.

--- a/crates/node/tests/node/world.rs
+++ b/crates/node/tests/node/world.rs
@@ -11,7 +11,7 @@
 };
 use wire::{
     call::{Beat, BeatReply, Call, Lease, Peer, Reply},
-    engine::{Held, Report},
+    engine::Report,
     patch::{self, Patch},
     platform,
 };
@@ -434,21 +434,7 @@
 
     fn report(&self, target: &TargetName) -> Report {
         let held = self.held.get(target.as_str()).into_iter().flatten();
-        Report {
-            incarnation: Incarnation(self.life),
-            serial: 1,
-            age_ms: 0,
-            resident: held
-                .map(|lora| Held {
-                    lora_name: lora.clone(),
-                    in_use: 0,
-                })
-                .collect(),
-            running: 0,
-            waiting: 0,
-            fence: None,
-            cached: Vec::new(),
-        }
+        Report::idle(Incarnation(self.life), held.cloned())
     }
 
     fn order(&mut self, target: &TargetName, body: Order) -> OrderEnd {
--- a/crates/quetzalarch/examples/embed.rs
+++ b/crates/quetzalarch/examples/embed.rs
@@ -16,7 +16,7 @@
     request::Part,
     wire::{
         call::{Beat, BeatReply, Call, Lease, Peer, Reply},
-        engine::{Held, Report},
+        engine::Report,
         platform,
     },
 };
@@ -188,20 +188,7 @@
     }
 
     fn report(&self) -> Report {
-        let held = self.loaded.iter().map(|name| Held {
-            lora_name: name.clone(),
-            in_use: 0,
-        });
-        Report {
-            incarnation: Incarnation(1),
-            serial: 1,
-            age_ms: 0,
-            resident: held.collect(),
-            running: 0,
-            waiting: 0,
-            fence: None,
-            cached: Vec::new(),
-        }
+        Report::idle(Incarnation(1), self.loaded.iter().cloned())
     }
 }
 
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -90,3 +90,25 @@
         Ok(Resident { adapter, version })
     }
 }
+
+impl Report {
+    /// Makes the first report of an idle engine that holds `resident`, each
+    /// written `adapter@version`.
+    #[must_use]
+    pub fn idle(incarnation: Incarnation, resident: impl IntoIterator<Item = String>) -> Self {
+        let held = resident.into_iter().map(|lora_name| Held {
+            lora_name,
+            in_use: 0,
+        });
+        Report {
+            incarnation,
+            serial: 1,
+            age_ms: 0,
+            resident: held.collect(),
+            running: 0,
+            waiting: 0,
+            fence: None,
+            cached: Vec::new(),
+        }
+    }
+}
--- a/xtask/src/capacity/world.rs
+++ b/xtask/src/capacity/world.rs
@@ -12,7 +12,7 @@
 use request::Part;
 use wire::{
     call::{Beat, BeatReply, Call, Lease, Peer, Reply, Residents},
-    engine::{Held, Report, Resident},
+    engine::{Report, Resident},
     patch::{self, Patch},
     platform,
 };
@@ -338,20 +338,7 @@
 
     fn report(&self, target: &TargetName) -> Report {
         let held = self.held.get(target).into_iter().flatten();
-        let held = held.map(|lora| Held {
-            lora_name: lora.clone(),
-            in_use: 0,
-        });
-        Report {
-            incarnation: Incarnation(1),
-            serial: 1,
-            age_ms: 0,
-            resident: held.collect(),
-            running: 0,
-            waiting: 0,
-            fence: None,
-            cached: Vec::new(),
-        }
+        Report::idle(Incarnation(1), held.cloned())
     }
 
     fn order(&mut self, target: TargetName, body: Order) {
