Set one limit for all parts of a short read

What stopped a reader: controld's read of the platform's list and entryd's reads of lists and reports set connect, first, idle and whole to one constant, field by field.

Change: `Limits::within` of crate web does; both call it with the limits that they had. The two reads themselves stay apart: entryd's looks at the answer's status and controld's doesn't, so one copy would change what controld takes.

--- a/crates/controld/src/shell.rs
+++ b/crates/controld/src/shell.rs
@@ -165,13 +165,7 @@
 
 async fn list(client: &Client, platform: SocketAddr) -> Option<List> {
     let mut send = Send::new(platform, hyper::Method::GET, "/v1/list");
-    send.limits = Limits {
-        connect: LOOK_EVERY,
-        first: LOOK_EVERY,
-        idle: LOOK_EVERY,
-        whole: LOOK_EVERY,
-        ..Limits::default()
-    };
+    send.limits = Limits::within(LOOK_EVERY);
     let answer = client.send(send).await.ok()?;
     let body = answer.whole(LIST_MAX).await.ok()?;
     serde_json::from_slice(&body).ok()
--- a/crates/entryd/src/outside.rs
+++ b/crates/entryd/src/outside.rs
@@ -120,13 +120,7 @@
 
 async fn get<T: DeserializeOwned>(state: &State, address: SocketAddr, path: &str) -> Option<T> {
     let mut send = Send::new(address, Method::GET, path);
-    send.limits = Limits {
-        connect: READ_LIMIT,
-        first: READ_LIMIT,
-        idle: READ_LIMIT,
-        whole: READ_LIMIT,
-        ..Limits::default()
-    };
+    send.limits = Limits::within(READ_LIMIT);
     let answer = state.client.send(send).await.ok()?;
     if !answer.status.is_success() {
         return None;
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -57,6 +57,20 @@
     }
 }
 
+impl Limits {
+    /// Lets the whole exchange, and so each part of it, take `limit`.
+    #[must_use]
+    pub fn within(limit: Duration) -> Self {
+        Limits {
+            connect: limit,
+            first: limit,
+            idle: limit,
+            whole: limit,
+            ..Limits::default()
+        }
+    }
+}
+
 /// One request to send.
 #[derive(Clone, Debug)]
 pub struct Send {
