Name the adapter in the line about a stream that broke off

Whether it had a second holder couldn't be asked of the lines: E5002 of a broken stream named its target alone.

--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -120,6 +120,7 @@
                     event!(
                         telemetry::Event::RequestFailed,
                         request = self.job.id,
+                        adapter = self.job.adapter,
                         target = self.place.id,
                         how = broken.to_string()
                     );
