Cut a leading control instance off by its links, as processes

The row of docs/PROOFS.md said that isolation by cut links was not proved as processes: a frozen leader believes nothing until it thaws. A deployment of the lab can now reach its instances and targets through forwarders that know, by the system's table of connections, which process opened a connection; bytes between two that are cut off from each other stay on their way until the links are mended. Addresses told to others are the forwarders' (`--peer-address`), so no daemon is changed.

The test cuts the leader and the owner of an engine off from all others. At once, and again when the others have another leader, the old one may neither accept a change nor grant a claim, and it has to see that it doesn't lead; what the others accepted holds everywhere afterwards, each application has run once, and no engine lost an adapter that was in use.

Ruled out: one forwarder for each pair (the roster gives one address to all); looking up each connection by itself and before its first byte (20 to 200 ms each where many come at once, beyond the 250 ms of a new link: nine instances found no leader in a minute). Now a look is shared by all who wait, and taken only while some link is cut.

--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-use crate::{Caller, Process, binary, free_port};
+use crate::{Caller, Links, Process, binary, free_port};
 
 /// Longest wait for a state of the deployment; only a failure waits so long.
 const CEILING: Duration = Duration::from_secs(60);
@@ -35,6 +35,8 @@
     pub store_rate: u32,
     /// Further flags for every daemon.
     pub daemon_flags: Vec<String>,
+    /// Whether instances and targets are reached over links that can be cut.
+    pub links: bool,
 }
 
 impl Plan {
@@ -52,6 +54,7 @@
             engine_flags: Vec::new(),
             store_rate: 20,
             daemon_flags: Vec::new(),
+            links: false,
         }
     }
 }
@@ -83,6 +86,8 @@
     pub pool: String,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where instances reach it.
+    pub listed: SocketAddr,
     /// The process.
     pub process: Process,
 }
@@ -104,6 +109,8 @@
     pub platform: SocketAddr,
     /// The weight store.
     pub store: SocketAddr,
+    /// The links between instances, and to targets, if they can be cut.
+    pub links: Option<Links>,
     serial: u64,
     _outside: Vec<Process>,
 }
@@ -133,11 +140,12 @@
             services: Vec::new(),
             platform,
             store,
+            links: plan.links.then(Links::new),
             serial: 0,
             _outside: outside,
         };
         lab.start_targets(plan).await?;
-        lab.plan_daemons(plan)?;
+        lab.plan_daemons(plan).await?;
         lab.publish().await?;
         for i in 0..lab.controls.len() {
             lab.start_control(i)?;
@@ -175,19 +183,21 @@
 
     async fn target(&self, name: &str, zone: &str, pool: &str, flags: &[&str]) -> Result<Engine> {
         let (address, process) = standin(&self.folder, name, flags).await?;
+        let listed = self.reached(name, address).await?;
         Ok(Engine {
             name: name.to_owned(),
             zone: zone.to_owned(),
             pool: pool.to_owned(),
             address,
+            listed,
             process,
         })
     }
 
-    fn plan_daemons(&mut self, plan: &Plan) -> Result<()> {
+    async fn plan_daemons(&mut self, plan: &Plan) -> Result<()> {
         for i in 0..plan.controls {
             let zone = &plan.zones[i % plan.zones.len()];
-            let control = self.instance(&format!("control-{}", i + 1), zone)?;
+            let control = self.instance(&format!("control-{}", i + 1), zone).await?;
             self.controls.push(control);
         }
         let voters = self.peers_of_controls();
@@ -199,7 +209,7 @@
         }
         for zone in &plan.zones {
             for i in 1..=plan.entries {
-                let mut entry = self.instance(&format!("{zone}-{i}"), zone)?;
+                let mut entry = self.instance(&format!("{zone}-{i}"), zone).await?;
                 entry.args.extend(flag("controls", &voters));
                 entry.args.extend(flag("drain-grace", "2000"));
                 entry.args.extend(plan.daemon_flags.iter().cloned());
@@ -209,13 +219,23 @@
         Ok(())
     }
 
-    fn instance(&self, name: &str, zone: &str) -> Result<Instance> {
-        let (listen, peer) = (free_port()?, free_port()?);
+    /// Returns where instances reach what listens at `address`.
+    async fn reached(&self, name: &str, address: SocketAddr) -> Result<SocketAddr> {
+        match &self.links {
+            Some(links) => links.open(name, address).await,
+            None => Ok(address),
+        }
+    }
+
+    async fn instance(&self, name: &str, zone: &str) -> Result<Instance> {
+        let (listen, own) = (free_port()?, free_port()?);
+        let peer = self.reached(name, own).await?;
         let mut args = Vec::new();
         args.extend(flag("name", name));
         args.extend(flag("zone", zone));
         args.extend(flag("listen", &listen.to_string()));
-        args.extend(flag("peer-listen", &peer.to_string()));
+        args.extend(flag("peer-listen", &own.to_string()));
+        args.extend(flag("peer-address", &peer.to_string()));
         args.extend(flag("platform", &format!("http://{}", self.platform)));
         Ok(Instance {
             name: name.to_owned(),
@@ -239,7 +259,8 @@
     ///
     /// Fails when the daemon isn't built.
     pub fn start_control(&mut self, i: usize) -> Result<()> {
-        start("controld", &self.folder, &mut self.controls[i])
+        let links = self.links.as_ref();
+        start("controld", &self.folder, links, &mut self.controls[i])
     }
 
     /// Starts entry instance `i`, also again.
@@ -248,7 +269,8 @@
     ///
     /// Fails when the daemon isn't built.
     pub fn start_entry(&mut self, i: usize) -> Result<()> {
-        start("entryd", &self.folder, &mut self.entries[i])
+        let links = self.links.as_ref();
+        start("entryd", &self.folder, links, &mut self.entries[i])
     }
 
     /// Publishes the platform's list of all entry instances and targets.
@@ -286,7 +308,7 @@
         let targets: Vec<Value> = targets
             .map(|t| {
                 json!({"name": t.name, "pool": t.pool, "zone": t.zone,
-                    "address": t.address.to_string(), "state": state(&t.name)})
+                    "address": t.listed.to_string(), "state": state(&t.name)})
             })
             .collect();
         let list = json!({"serial": self.serial, "instances": instances, "targets": targets});
@@ -450,9 +472,17 @@
     Ok((address, process))
 }
 
-fn start(program: &str, folder: &std::path::Path, instance: &mut Instance) -> Result<()> {
+fn start(
+    program: &str,
+    folder: &std::path::Path,
+    links: Option<&Links>,
+    instance: &mut Instance,
+) -> Result<()> {
     let log = folder.join(format!("{}.log", instance.name));
     let process = Process::start(&instance.name, &binary(program)?, &instance.args, &log)?;
+    if let (Some(links), Some(id)) = (links, process.id()) {
+        links.note(id, &instance.name);
+    }
     instance.process = Some(process);
     Ok(())
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,10 +6,12 @@
 
 mod deployment;
 mod http;
+mod links;
 mod process;
 
 pub use crate::{
     deployment::{Engine, Instance, Lab, Plan, until},
     http::{Caller, Chat, Reply},
+    links::Links,
     process::{Process, binary, free_port},
 };
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -68,6 +68,11 @@
         Ok(line.trim().parse()?)
     }
 
+    /// Returns the system's number of the process; none once it has ended.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Sends a signal by name, such as `TERM`, `STOP` or `CONT`.
     ///
     /// # Errors
