--- a/crates/lab/tests/processes/common.rs
+++ b/crates/lab/tests/processes/common.rs
@@ -28,8 +28,13 @@
 
 /// Starts a deployment and waits until it answers for both brands everywhere.
 pub(crate) async fn start(name: &str, plan: &Plan) -> Result<Lab> {
+    start_with(name, plan, TEXT).await
+}
+
+/// Starts a deployment under another text of the same brands.
+pub(crate) async fn start_with(name: &str, plan: &Plan, text: &str) -> Result<Lab> {
     let lab = Lab::start(name, plan).await?;
-    let version = lab.apply("first", TEXT).await?;
+    let version = lab.apply("first", text).await?;
     lab.wait_ready(version).await?;
     for i in 0..lab.entries.len() {
         answered(&lab.caller(i, KAZALISTE), "drafting").await?;
