Log whose target crashed when a connection breaks, and what the request held

Cause of the change: a resend under another id was not recognisable in any log, and a broken connection didn't say whether its target had crashed, was cut off or went on. The hypotheses of the incident couldn't be told apart.

Change: E5011 names the fingerprint of a run's content (host, method, path, adapter, body) and what became of its target, by one connection to it 30 ms after the first run broke; counters by what became of it. No decision uses either.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod class;
 mod derives;
+mod fingerprint;
 mod marks;
 mod name;
 mod number;
@@ -20,6 +21,7 @@
 pub use crate::marks::{Expected as ExpectedMark, count as count_mark, hits as mark_hits};
 pub use crate::{
     class::{BadClass, Class, Mark},
+    fingerprint::{BadFingerprint, Fingerprint},
     name::{
         AdapterName, BadName, BaseName, BrandName, ChangeId, InstanceName, NAME_MAX, PoolName,
         ServiceName, StableHash, TargetName, ZoneName, stable_hash,
--- a/crates/base/tests/names.rs
+++ b/crates/base/tests/names.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{BrandName, Class, DriftMargin, Fence, Time, Verdict};
+use base::{BrandName, Class, DriftMargin, Fence, Fingerprint, Time, Verdict};
 use googletest::prelude::*;
 
 base::cases! {
@@ -56,3 +56,13 @@
         eq(Duration::ZERO)
     );
 }
+
+/// The same bytes divided differently are another content.
+#[test]
+fn fingerprints_depend_on_the_parts() {
+    let whole = Fingerprint::of(&[b"ab", b""]);
+    assert_that!(whole, eq(Fingerprint::of(&[b"ab", b""])));
+    assert_that!(whole, not(eq(Fingerprint::of(&[b"a", b"b"]))));
+    assert_that!(whole.to_string().parse::<Fingerprint>(), ok(eq(&whole)));
+    assert_that!("0123".parse::<Fingerprint>().is_err(), eq(true));
+}
--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry instance accepts requests of callers and forwards them to targets.
 
 mod answer;
+mod crash;
 mod editions;
 mod forward;
 mod headers;
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -8,22 +8,31 @@
 mod send;
 mod wait;
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
+use base::Fingerprint;
 use bytes::Bytes;
 use gateway::{
     table::{Kind, Route},
     view::Backup,
 };
-use hyper::{HeaderMap, Method, Response};
+use hyper::{HeaderMap, Method, Response, header::HOST};
 use telemetry::{event, prom_metrics};
 use tokio::time::{Instant, sleep};
-use web::{body::Body, client::Answer};
+use web::{
+    body::Body,
+    client::{Answer, Broken, Cause},
+};
 
 use self::send::SendOutcome;
 pub(super) use self::{receive::answer, send::InFlight};
 use super::{
     answer::{RequestError, Why, claims_not_run},
+    crash::{self, BrokenRun},
     headers,
     relay::{Relay, Resume},
     state::State,
@@ -64,6 +73,8 @@
     pub(super) deadline: Instant,
     arrived: Instant,
     tried: BTreeSet<String>,
+    /// Computed when it is first needed.
+    fingerprint: OnceLock<Fingerprint>,
     /// Number of targets on which the request may have run.
     pub(super) possible_runs: u32,
     refusals: u32,
@@ -202,6 +213,21 @@
         );
     }
 
+    /// Returns the fingerprint of what the request asks for: a request that is sent again
+    /// under another id has the same one.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let host = headers::text(&self.headers, &HOST).unwrap_or_default();
+            Fingerprint::of(&[
+                host.as_bytes(),
+                self.method.as_str().as_bytes(),
+                self.path.as_bytes(),
+                self.adapter.as_bytes(),
+                &self.body,
+            ])
+        })
+    }
+
     fn may_retry(&self) -> bool {
         self.route.kind.retryable() && self.possible_runs < self.route.attempts
     }
@@ -212,6 +238,18 @@
         self.tried.insert(target.to_owned());
     }
 
+    /// Has the target checked if the connection of a run there broke.
+    pub(super) fn note_broken(&self, in_flight: &InFlight, broken: &Broken) {
+        if matches!(broken.cause, Cause::Cut(_)) {
+            let run = BrokenRun {
+                request: self.id.clone(),
+                fingerprint: self.fingerprint(),
+                ran: in_flight.ran(),
+            };
+            crash::run_broke(&self.state, &in_flight.id, run);
+        }
+    }
+
     /// Continues a broken stream at another target, after its last complete event.
     pub(super) async fn continue_elsewhere(
         &mut self,
--- a/crates/frontd/src/entry/forward/receive.rs
+++ b/crates/frontd/src/entry/forward/receive.rs
@@ -1,6 +1,10 @@
 //! Receives a caller's request: reads its head and body and finds its route.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use gateway::table::{Route, Table};
 use hyper::{HeaderMap, Request, Response, body::Incoming, header::HOST};
@@ -89,6 +93,7 @@
         state,
         route,
         tried: BTreeSet::new(),
+        fingerprint: OnceLock::new(),
         possible_runs: 0,
         refusals: 0,
         sends: 0,
--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -50,6 +50,11 @@
 }
 
 impl InFlight {
+    /// Returns the time since the request was sent.
+    pub(in crate::entry) fn ran(&self) -> Duration {
+        self.sent.elapsed()
+    }
+
     /// Notes that the answer has begun, which means that the prompt has been read.
     fn answer_begun(&mut self) {
         let tokens = std::mem::take(&mut self.unread);
@@ -250,7 +255,7 @@
         };
         let answer = match sent {
             Ok(answer) => answer,
-            Err(broken) => return self.unanswered(target, &broken),
+            Err(broken) => return self.unanswered(&in_flight, &broken),
         };
         // Failure: a target sends a second or late answer where the answer to the next
         // request is due, and another caller would get it. Each answer repeats the id of
@@ -277,13 +282,14 @@
     }
 
     /// Notes a send that ended without an answer.
-    fn unanswered(&self, target: &str, broken: &Broken) -> SendOutcome {
+    fn unanswered(&self, in_flight: &InFlight, broken: &Broken) -> SendOutcome {
         let may_have_run = broken.verdict != base::Verdict::NotRun;
         let now = self.state.now();
         if may_have_run && matches!(broken.cause, Cause::Cut(_)) {
-            self.state.view().answer_lost(now, target);
+            self.state.view().answer_lost(now, &in_flight.id);
+            self.note_broken(in_flight, broken);
         } else {
-            self.state.view().unreachable(now, target);
+            self.state.view().unreachable(now, &in_flight.id);
         }
         if may_have_run {
             SendOutcome::Unknown
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -117,6 +117,7 @@
                 }
                 Some(Ok(chunk)) => chunk,
                 Some(Err(broken)) => {
+                    self.request.note_broken(&self.in_flight, &broken);
                     if self.resume_elsewhere().await {
                         continue;
                     }
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -16,7 +16,7 @@
 use web::client::Client;
 use wire::fleet::Target;
 
-use super::{Setup, editions::Editions, sync::ControlPeers};
+use super::{Setup, crash::BrokenRuns, editions::Editions, sync::ControlPeers};
 use crate::{Platform, names};
 
 /// Shared by all requests and by the exchange with control instances.
@@ -36,6 +36,7 @@
     view: Mutex<View>,
     settle: Mutex<Warmup>,
     budget: Mutex<Budget>,
+    broken_runs: Mutex<BrokenRuns>,
     pub(super) controls: ControlPeers,
     pub(super) editions: Editions,
     /// Availability zone of this instance.
@@ -71,6 +72,7 @@
             table: Mutex::default(),
             view: Mutex::new(View::new(setup.zone.clone(), Seed(rand::random()))),
             budget: Mutex::new(Budget::new(setup.retries)),
+            broken_runs: Mutex::default(),
             controls: ControlPeers::default(),
             editions: Editions::default(),
             zone: setup.zone.clone(),
@@ -86,6 +88,10 @@
         lock(&self.view)
     }
 
+    pub(super) fn broken_runs(&self) -> MutexGuard<'_, BrokenRuns> {
+        lock(&self.broken_runs)
+    }
+
     pub(super) fn table(&self) -> Option<Arc<Table>> {
         lock(&self.table)
             .as_ref()
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -33,6 +33,7 @@
     place: Histogram,
     sends: IntCounterVec,
     orders: IntCounterVec,
+    broken_runs: IntCounterVec,
     zones: IntGauge,
     edition_bytes: IntCounter,
 }
@@ -67,6 +68,11 @@
         );
         let sends = counters("quetzal_sends_total", "Requests sent to targets", "outcome");
         let orders = counters("quetzal_orders_total", "Orders to engines", "outcome");
+        let broken_runs = counters(
+            "quetzal_broken_runs_total",
+            "Runs whose connection to their target broke, by what became of the target",
+            "fate",
+        );
         let dropped = IntCounter::new(
             "quetzal_log_left_out_total",
             "Log lines dropped because the queue was full",
@@ -103,6 +109,7 @@
             place,
             sends,
             orders,
+            broken_runs,
             zones,
             edition_bytes,
         }
@@ -131,6 +138,12 @@
         self.orders.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts runs whose connection broke, by the `fate` of their target.
+    pub fn broken_runs(&self, fate: &str, runs: usize) {
+        let counter = self.broken_runs.with_label_values(&[fate]);
+        counter.inc_by(runs as u64);
+    }
+
     /// Sets of how many zones this instance is the zone owner.
     pub fn zones(&self, owned: usize) {
         self.zones.set(i64::try_from(owned).unwrap_or(i64::MAX));
