Test that a request that crashed three engines reaches no further ones

Failure: a caller sends a request again and again under new ids, at all entry instances in turn; each engine that begins to run it crashes and is back after 0.6 s.

--- /dev/null
+++ b/crates/frontd/tests/crashes/deployment.rs
@@ -0,0 +1,310 @@
+//! One control instance, some entry instances and some engines over loopback.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU8, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use frontd::{CallOutcome, ControlSetup, Decoded, EntrySetup, HeaderNames, Operators, Platform};
+use futures::FutureExt;
+use gateway::{
+    budget,
+    table::{Engine as Spec, Kind, Model, RawTable, Route, Service, Table},
+    zone_owner::{Held, ListedTarget, OrderOutcome, Report},
+};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::HeaderName};
+use tokio::time::sleep;
+use web::{
+    body::{Body, ReadLimits, full, read},
+    client::{Client, Send},
+    header_value,
+};
+use wire::fleet::Edition;
+
+use crate::engine::{Begun, Engine};
+
+/// The adapter that every engine holds.
+const ADAPTER: &str = "m/a";
+
+/// Addresses reserved for the instances of one deployment.
+const INSTANCES: u8 = 8;
+const PEERS: u16 = 17_680;
+const OPERATORS: u16 = 17_681;
+const CALLERS: u16 = 17_682;
+const READY: u16 = 17_683;
+
+/// Number of the next deployment in this test process.
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+/// What a caller was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Told {
+    pub(crate) status: u16,
+    /// The body, if it was complete.
+    pub(crate) body: Option<String>,
+    /// When to come back.
+    pub(crate) again: Option<Duration>,
+    /// Time until the end of the answer.
+    pub(crate) took: Duration,
+}
+
+/// A deployment in this process.
+pub(crate) struct Deployment {
+    no: u8,
+    engines: Arc<Vec<Arc<Engine>>>,
+    next_id: AtomicU64,
+    _data: tempfile::TempDir,
+}
+
+impl Deployment {
+    /// Starts all instances and waits until each entry instance answers a request.
+    pub(crate) async fn start(entries: u8, engines: usize) -> Deployment {
+        let no = NEXT.fetch_add(1, Ordering::Relaxed);
+        let engines = Arc::new((0..engines).map(Engine::start).collect::<Vec<_>>());
+        let data = tempfile::tempdir().unwrap();
+        tokio::spawn(frontd::serve_control(
+            ControlSetup {
+                ip: own_ip(no, 0),
+                listen: SocketAddr::new(own_ip(no, 0), OPERATORS),
+                peer_port: PEERS,
+                data_dir: data.path().to_owned(),
+                bootstrap: true,
+                zone: "za".to_owned(),
+                zones: ["za".to_owned()].into(),
+                takeover_delay: Duration::from_secs(3),
+                list_lag: Duration::from_millis(2_300),
+            },
+            platform(no, &engines),
+            take,
+        ));
+        let deployment = Deployment {
+            no,
+            engines,
+            next_id: AtomicU64::new(1),
+            _data: data,
+        };
+        for entry in 1..=entries {
+            deployment.start_entry(entry);
+        }
+        deployment.submit("/1").await;
+        for entry in 1..=entries {
+            deployment.wait_ready(entry).await;
+        }
+        deployment
+    }
+
+    /// Starts the entry instance with this number.
+    pub(crate) fn start_entry(&self, entry: u8) {
+        let ip = own_ip(self.no, entry);
+        tokio::spawn(frontd::serve_entry(
+            EntrySetup {
+                ip,
+                zone: "za".to_owned(),
+                zones: vec!["za".to_owned()],
+                listen: SocketAddr::new(ip, CALLERS),
+                ready: SocketAddr::new(ip, READY),
+                peer_port: PEERS,
+                grace: Duration::from_secs(8),
+                retries: budget::Limits {
+                    ratio: 0.2,
+                    extra: 50.0,
+                    window: Duration::from_secs(10),
+                },
+            },
+            platform(self.no, &self.engines),
+        ));
+    }
+
+    /// Waits until an entry instance answers a request.
+    pub(crate) async fn wait_ready(&self, entry: u8) {
+        while self.ask(entry, "are you ready").await.status != 200 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Sends a request under a new id, and returns what its caller was told.
+    pub(crate) async fn ask(&self, entry: u8, body: &str) -> Told {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed).to_string();
+        let addr = SocketAddr::new(own_ip(self.no, entry), CALLERS);
+        let mut send = Send::new(addr, Method::POST, "/x");
+        let fields = [
+            ("host", "a.example"),
+            ("attempt", &id),
+            ("model", ADAPTER),
+            ("tokens", "100,50"),
+            ("deadline", "10000"),
+        ];
+        for (name, value) in fields {
+            send.headers.insert(name, header_value(value));
+        }
+        send.body = body.to_owned().into();
+        let begun = Instant::now();
+        let Ok(answer) = Client::default().send(send).await else {
+            return Told::nothing(begun);
+        };
+        let status = answer.status.as_u16();
+        let again = answer.headers.get("retry-after");
+        let again = again.and_then(|raw| raw.to_str().ok()?.parse().ok());
+        let body = answer.read_all(1 << 20).await.ok();
+        Told {
+            status,
+            body: body.map(|body| String::from_utf8_lossy(&body).into_owned()),
+            again: again.map(Duration::from_secs_f64),
+            took: begun.elapsed(),
+        }
+    }
+
+    /// Returns the runs that were begun with `body` at any engine, the oldest first.
+    pub(crate) fn runs(&self, body: &str) -> Vec<Begun> {
+        let all = self.engines.iter().flat_map(|engine| engine.begun());
+        let mut runs: Vec<_> = all.filter(|run| run.body == body).collect();
+        runs.sort_by_key(|run| run.at);
+        runs
+    }
+
+    /// Returns when engines crashed, the oldest first.
+    pub(crate) fn crashes(&self) -> Vec<Instant> {
+        let mut all: Vec<_> = self.engines.iter().flat_map(|e| e.crashes()).collect();
+        all.sort();
+        all
+    }
+
+    async fn submit(&self, path: &str) {
+        let addr = SocketAddr::new(own_ip(self.no, 0), OPERATORS);
+        loop {
+            let send = Send::new(addr, Method::POST, path);
+            let answer = Client::default().send(send).await;
+            if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Told {
+    fn nothing(begun: Instant) -> Told {
+        Told {
+            status: 0,
+            body: None,
+            again: None,
+            took: begun.elapsed(),
+        }
+    }
+}
+
+fn listed(engines: &[Arc<Engine>]) -> Vec<ListedTarget> {
+    let listed = engines.iter().map(|engine| ListedTarget {
+        id: engine.id(),
+        born: 1,
+        service: "s".to_owned(),
+        addr: engine.addr().to_string(),
+        zone: "za".to_owned(),
+        slots: 64,
+        // An engine that crashed stays on the list for a while.
+        ready: true,
+        held: Some(held()),
+    });
+    listed.collect()
+}
+
+fn held() -> Held {
+    Held {
+        models: BTreeMap::from([("m".to_owned(), Some(1))]),
+        adapters: BTreeMap::from([(ADAPTER.to_owned(), 1)]),
+    }
+}
+
+/// Answers a request of an operator: the path is the number of an edition.
+async fn take(operators: Operators, req: Request<Incoming>) -> Response<Body> {
+    let number: u64 = req.uri().path()[1..].parse().unwrap();
+    read(req.into_body(), ReadLimits::default()).await.unwrap();
+    let body = String::new();
+    let outcome = operators.publish(Edition { number, body }).await;
+    let mut resp = Response::new(full(""));
+    if outcome != CallOutcome::Done {
+        *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    resp
+}
+
+/// Returns an address that is unique to this process and deployment, so that two
+/// checkouts can be tested at the same time on one machine.
+fn own_ip(no: u8, instance: u8) -> IpAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let last = no * INSTANCES + instance;
+    IpAddr::V4(Ipv4Addr::new(127, high | 128, low, last))
+}
+
+fn platform(no: u8, engines: &Arc<Vec<Arc<Engine>>>) -> Platform {
+    let header = HeaderName::from_static;
+    let (list, ask) = (Arc::clone(engines), Arc::clone(engines));
+    Platform {
+        header_names: Arc::new(HeaderNames {
+            request_id: header("attempt"),
+            deadline: header("deadline"),
+            target: header("target"),
+            adapter_version: header("version"),
+            weights_version: header("weights"),
+            priority: header("priority"),
+            not_run: header("refused"),
+            model: header("model"),
+            tokens: header("tokens"),
+            last_event: header("resume"),
+            cache_backup: header("backup"),
+            cache_source: header("restore"),
+            reserved: Vec::new(),
+        }),
+        decode: Arc::new(|_| Ok(decoded())),
+        list_targets: Arc::new(move |_| {
+            let list = listed(&list);
+            async { Some(list) }.boxed()
+        }),
+        send_order: Arc::new(|_| async { OrderOutcome::Refused }.boxed()),
+        read_report: Arc::new(move |id, _| {
+            let known = ask.iter().any(|engine| engine.id() == id && engine.up());
+            let report = known.then(|| Report {
+                born: 1,
+                held: held(),
+                ..Report::default()
+            });
+            async { report }.boxed()
+        }),
+        read_seeds: Arc::new(move || Some(vec![own_ip(no, 0)])),
+    }
+}
+
+/// Returns the only configuration: a route whose streams can't be resumed.
+fn decoded() -> Decoded {
+    let spec = Spec {
+        models: vec![Model {
+            name: "m".to_owned(),
+            weights_mb: 60.0,
+            adapter_mb: 1.0,
+        }],
+        adapter_slots: 4,
+        memory_mb: 100.0,
+    };
+    let mut table = RawTable::default();
+    let service = Service { engine: Some(spec) };
+    table.services.insert("s".to_owned(), service);
+    table.routes.push(Route {
+        name: "r".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/".to_owned(),
+        kind: Kind::Stream { resumable: false },
+        limit: Duration::from_secs(20),
+        priority: 1,
+        split: vec![("s".to_owned(), 1)],
+        attempts: 1,
+    });
+    Decoded {
+        number: 0,
+        table: Table::try_from(table).expect("the table is valid"),
+    }
+}
--- /dev/null
+++ b/crates/frontd/tests/crashes/engine.rs
@@ -0,0 +1,193 @@
+//! Engines that some requests crash. Each runs on a runtime of its own, so that a crash
+//! closes its listener and all its connections, as the end of a process does.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    sync::mpsc,
+    time::sleep,
+};
+use tokio_util::sync::CancellationToken;
+use web::{
+    body::{self, Body, ReadLimits, full, read},
+    server,
+};
+
+/// Part of a body that crashes the engine that begins to run it.
+pub(crate) const CRASHING: &str = "crash";
+
+/// Part of a body that makes an engine break off the run and go on.
+pub(crate) const BROKEN_OFF: &str = "break off";
+
+/// The complete answer to a run.
+pub(crate) const ANSWER: &str = "id: 1\n\nid: 2\n\n";
+
+/// Time from the beginning of a run to the crash that it causes.
+const FUSE: Duration = Duration::from_millis(30);
+
+/// Time from a crash until the engine is back.
+const RESTART: Duration = Duration::from_millis(600);
+
+/// Time that a run takes.
+const RUN: Duration = Duration::from_millis(400);
+
+/// A request that reached an engine and was begun.
+#[derive(Clone, Debug)]
+pub(crate) struct Begun {
+    pub(crate) body: String,
+    pub(crate) at: Instant,
+}
+
+/// What an engine does, over all its incarnations.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    no: usize,
+    addr: SocketAddr,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    incarnation: u64,
+    up: bool,
+    begun: Vec<Begun>,
+    crashes: Vec<Instant>,
+}
+
+impl Engine {
+    /// Starts an engine that restarts after each crash for as long as the test runs.
+    pub(crate) fn start(no: usize) -> Arc<Engine> {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let engine = Arc::new(Engine {
+            no,
+            addr: listener.local_addr().unwrap(),
+            state: Mutex::default(),
+        });
+        let run = Arc::clone(&engine);
+        std::thread::spawn(move || run.incarnations(listener));
+        engine
+    }
+
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns the id of the present incarnation, or of the last one while it is down.
+    pub(crate) fn id(&self) -> String {
+        format!("e{}-{}", self.no, self.state.lock().unwrap().incarnation)
+    }
+
+    pub(crate) fn up(&self) -> bool {
+        self.state.lock().unwrap().up
+    }
+
+    /// Returns the requests that were begun here.
+    pub(crate) fn begun(&self) -> Vec<Begun> {
+        self.state.lock().unwrap().begun.clone()
+    }
+
+    pub(crate) fn crashes(&self) -> Vec<Instant> {
+        self.state.lock().unwrap().crashes.clone()
+    }
+
+    fn incarnations(self: Arc<Self>, first: std::net::TcpListener) {
+        let mut listener = Some(first);
+        loop {
+            let socket = listener.take().unwrap_or_else(|| {
+                std::net::TcpListener::bind(self.addr).expect("the port is free again")
+            });
+            let runtime = Builder::new_multi_thread()
+                .worker_threads(1)
+                .enable_all()
+                .build()
+                .unwrap();
+            let (crash, crashed) = mpsc::channel(8);
+            self.serve(&runtime, socket, crash);
+            wait_for_crash(crashed);
+            {
+                let mut state = self.state.lock().unwrap();
+                state.up = false;
+                state.crashes.push(Instant::now());
+            }
+            runtime.shutdown_timeout(Duration::from_millis(200));
+            std::thread::sleep(RESTART);
+        }
+    }
+
+    fn serve(
+        self: &Arc<Self>,
+        runtime: &Runtime,
+        socket: std::net::TcpListener,
+        crash: mpsc::Sender<()>,
+    ) {
+        socket.set_nonblocking(true).unwrap();
+        let engine = Arc::clone(self);
+        {
+            let mut state = self.state.lock().unwrap();
+            state.incarnation += 1;
+            state.up = true;
+        }
+        runtime.spawn(async move {
+            let listener = TcpListener::from_std(socket).unwrap();
+            let handler = move |req| Arc::clone(&engine).answer(req, crash.clone());
+            let stop = CancellationToken::new();
+            server::serve(listener, server::Limits::default(), handler, stop).await
+        });
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+        crash: mpsc::Sender<()>,
+    ) -> Response<Body> {
+        let headers = req.headers().clone();
+        let text = |name: &str| headers.get(name)?.to_str().ok().map(str::to_owned);
+        let expected = text("target");
+        let body = read(req.into_body(), ReadLimits::default()).await.unwrap();
+        let body = String::from_utf8_lossy(&body).into_owned();
+        let mut resp = Response::new(full(""));
+        if let Some(id) = headers.get("attempt") {
+            resp.headers_mut().insert("attempt", id.clone());
+        }
+        if expected != Some(self.id()) {
+            *resp.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+            return resp;
+        }
+        let begun = Begun {
+            body: body.clone(),
+            at: Instant::now(),
+        };
+        self.state.lock().unwrap().begun.push(begun);
+        let (writer, events) = body::channel(4);
+        *resp.body_mut() = events;
+        tokio::spawn(async move {
+            let (first, rest) = ANSWER.split_at(ANSWER.len() / 2);
+            writer.piece(Bytes::from(first)).await.ok();
+            if body.contains(CRASHING) {
+                sleep(FUSE).await;
+                crash.send(()).await.ok();
+                sleep(RUN).await;
+                return;
+            }
+            sleep(RUN).await;
+            if body.contains(BROKEN_OFF) {
+                return;
+            }
+            writer.piece(Bytes::from(rest)).await.ok();
+            writer.end().await.ok();
+        });
+        resp
+    }
+}
+
+fn wait_for_crash(mut crashed: mpsc::Receiver<()>) {
+    crashed.blocking_recv();
+}
