Keep crashing requests away in the product's own daemons too

What callers saw: nothing yet; by reading, entryd has the same hole. A request that crashes engines is tried three times, by each resend again, and each engine that it ends is its own failure to breaker and budget.

Change: an attempt that breaks has its target checked (one connection, by the daemon); if the target no longer listens, what broke there is evidence. It goes to the leader with the next heartbeat, sent at once, and replies bring the verdicts. The register of evidence and verdicts moves from the shell of the platform's control instance into the control state machine, so that both deployments have one. Refusals say held, not run, and when to come back. Messages leave the new fields out where they are empty, so that instances of earlier builds read them.

Ruled out: counting at the engine's owner alone (plain services have none, and a forwarded request's content isn't known there); waiting for the report of another incarnation (an engine needs seconds to come back, in which the next one ends).

--- a/crates/base/src/verdict.rs
+++ b/crates/base/src/verdict.rs
@@ -93,6 +93,8 @@
         TargetFailed,
         /// The caller left.
         CallerGone,
+        /// Targets crashed each time they ran a request of this content.
+        Held,
     }
 }
 
@@ -115,6 +117,7 @@
             Refusal::Moved => "moved",
             Refusal::TargetFailed => "target-failed",
             Refusal::CallerGone => "caller-gone",
+            Refusal::Held => "held",
         }
     }
 
@@ -130,7 +133,11 @@
             Refusal::KeyReused => 422,
             Refusal::Overloaded => 429,
             Refusal::TargetFailed => 502,
-            Refusal::Unavailable | Refusal::NoQuorum | Refusal::Preempted | Refusal::Moved => 503,
+            Refusal::Unavailable
+            | Refusal::NoQuorum
+            | Refusal::Preempted
+            | Refusal::Moved
+            | Refusal::Held => 503,
             Refusal::Deadline => 504,
             Refusal::CallerGone => 499,
         }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod calls;
+mod crashes;
 mod drive;
 mod io;
 mod query;
@@ -11,6 +12,7 @@
 
 use base::{InstanceName, PerSecond, Ticket, Time};
 use owner::{Change, Grantor, InstanceId};
+use quarantine::Register;
 use replog::{Index, Replica, Term};
 use wire::call::{Reply, Share};
 
@@ -71,6 +73,10 @@
     replica: Replica,
     state: State,
     grantor: Grantor,
+    /// Requests that crash targets: the evidence, and the verdicts in the log.
+    crash_register: Register,
+    /// Whether verdicts in the log have changed since the register took them over.
+    verdicts_changed: bool,
     /// The shares of brands that each entry instance last reported.
     shares: BTreeMap<InstanceName, Vec<Share>>,
     /// The term in which this instance leads and may act as the leader.
@@ -118,6 +124,8 @@
         Control {
             state: State::with_limits(config.limits.clone()),
             grantor: Grantor::new(config.owner),
+            crash_register: Register::default(),
+            verdicts_changed: false,
             shares: BTreeMap::new(),
             config,
             check,
@@ -145,6 +153,9 @@
         self.update_role(now, out);
         self.propose_due(now, out);
         self.flush_claims(now, out);
+        if std::mem::take(&mut self.verdicts_changed) {
+            self.verdicts_logged(now, out);
+        }
         self.request_wake(out);
     }
 
@@ -160,6 +171,12 @@
         &self.replica
     }
 
+    /// Returns the evidence against requests that crash targets, and the verdicts.
+    #[must_use]
+    pub fn crash_register(&self) -> &Register {
+        &self.crash_register
+    }
+
     /// Returns whether this instance may act as the leader at `now`.
     #[must_use]
     pub fn leads(&self, now: Time) -> bool {
@@ -176,6 +193,7 @@
             Input::Synced { upto } => self.drive(now, replog::Input::Synced { upto }, out),
             Input::WriteFailed { no } => self.drive(now, replog::Input::WriteFailed { no }, out),
             Input::Space { full } => self.drive(now, replog::Input::Space { full }, out),
+            Input::Crashes(report) => self.add_evidence(now, &report, out),
             Input::Publish { ticket, what } => self.on_publish(now, ticket, what, out),
             Input::Peers { peers } => self.drive(now, replog::Input::Peers { peers }, out),
             Input::List { instances } => self.grantor.set_list(instances),
@@ -234,6 +252,7 @@
             let mut changes = Vec::new();
             self.grantor.wake(now, self.state.table(), &mut changes);
             self.propose_changes(now, changes, out);
+            self.judge(now, out);
         }
         if now.since(self.claimers_checked) < CLAIMER_CHECK_INTERVAL {
             return;
--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -183,7 +183,10 @@
             .grantor
             .heartbeat(now, beat, self.state.table(), &mut changes);
         self.propose_changes(now, changes, out);
-        part.reply(beat.serial, self.state.texts().version())
+        self.add_evidence(now, &beat.crashes, out);
+        let mut reply = part.reply(beat.serial, self.state.texts().version());
+        reply.quarantine = self.crash_register.since(now, beat.crashes.known);
+        reply
     }
 
     fn on_item(&mut self, ticket: Ticket, item: Item, out: &mut Vec<Output>) {
--- a/crates/control/src/control/drive.rs
+++ b/crates/control/src/control/drive.rs
@@ -67,6 +67,7 @@
             return;
         };
         let outcome = self.state.apply(index.get(), &command);
+        self.verdicts_changed |= matches!(command.what, What::Hold(..) | What::Lift(_));
         self.report(index, &command, &outcome, out);
         self.on_outcome(index, outcome, out);
     }
@@ -77,6 +78,7 @@
             Err(_) => out.push(Output::Event(Event::Unreadable { index })),
         }
         self.give_up_before(index, out);
+        self.verdicts_changed = true;
         self.text_changed(out);
         out.push(Output::Event(Event::Published));
     }
--- a/crates/control/src/control/io.rs
+++ b/crates/control/src/control/io.rs
@@ -9,6 +9,7 @@
 use wire::{
     call::{Call, Reply},
     operator::{Applied, Apply},
+    quarantine::CrashReport,
 };
 
 /// An input of [`Control::handle`](crate::Control::handle).
@@ -29,6 +30,8 @@
         /// The change.
         apply: Apply,
     },
+    /// An entry instance reports crashes of targets, outside of a heartbeat.
+    Crashes(CrashReport),
     /// An operator publishes an edition or an adapter's version; answered by
     /// [`Output::Published`].
     Publish {
@@ -227,6 +230,8 @@
         /// Its index in the log.
         index: Index,
     },
+    /// What has to be refused because it crashes targets has changed.
+    Quarantine(quarantine::Change),
     /// The replica has stopped permanently.
     Halted {
         /// Why it stopped.
--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -38,13 +38,6 @@
         &self.requests
     }
 
-    /// Returns whether a request is refused at `at` on the state clock.
-    #[must_use]
-    pub fn holds(&self, at: u64, fingerprint: &Fingerprint) -> bool {
-        let known = self.requests.get(fingerprint);
-        known.is_some_and(|known| !known.lifted && known.until > at)
-    }
-
     /// Refuses a request for `time` milliseconds from `at` on.
     pub(crate) fn hold(&mut self, index: u64, at: u64, fingerprint: Fingerprint, hold: Hold) {
         self.expire(at);
@@ -63,16 +56,14 @@
         }
     }
 
-    /// Ends the verdict on a request; returns whether there was one.
-    pub(crate) fn lift(&mut self, index: u64, at: u64, fingerprint: &Fingerprint) -> bool {
+    /// Ends the verdict on a request, if there is one.
+    pub(crate) fn lift(&mut self, index: u64, at: u64, fingerprint: &Fingerprint) {
         self.expire(at);
-        let Some(known) = self.requests.get_mut(fingerprint) else {
-            return false;
-        };
-        known.index = index;
-        known.until = at.saturating_add(LIFTED_MS);
-        known.lifted = true;
-        true
+        if let Some(known) = self.requests.get_mut(fingerprint) {
+            known.index = index;
+            known.until = at.saturating_add(LIFTED_MS);
+            known.lifted = true;
+        }
     }
 
     fn expire(&mut self, at: u64) {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -99,14 +99,11 @@
             What::Hold(fingerprint, hold) => {
                 self.quarantine
                     .hold(index, self.at, *fingerprint, hold.clone());
-                Outcome::Published(PublishOutcome::InForce)
+                Outcome::Done
             }
             What::Lift(fingerprint) => {
-                let lifted = self.quarantine.lift(index, self.at, fingerprint);
-                Outcome::Published(match lifted {
-                    true => PublishOutcome::InForce,
-                    false => PublishOutcome::Before,
-                })
+                self.quarantine.lift(index, self.at, fingerprint);
+                Outcome::Done
             }
         };
         self.claims.expire(self.at);
--- a/crates/control/tests/control.rs
+++ b/crates/control/tests/control.rs
@@ -121,6 +121,7 @@
         engines: Some(vec!["e1".parse().unwrap()]),
         busy: Vec::new(),
         shares: Vec::new(),
+        crashes: Default::default(),
         loads: 1,
     })
 }
--- a/crates/control/tests/cost.rs
+++ b/crates/control/tests/cost.rs
@@ -34,6 +34,7 @@
         engines: engines.map(|count| names(count).collect()),
         busy: Vec::new(),
         shares: Vec::new(),
+        crashes: Default::default(),
         loads: 3,
     }
 }
--- a/crates/controld/src/shell.rs
+++ b/crates/controld/src/shell.rs
@@ -310,6 +310,7 @@
             fence = fence
         ),
         Event::Published => {}
+        Event::Quarantine(change) => daemon::log_quarantine(&change, "log"),
         Event::Joined { instance } => event!(Line::PeerBack, instance = instance),
         Event::Admitted { instance } => event!(Line::PeerBack, instance = instance),
         Event::Dismissed { instance } => event!(Line::PeerSilent, instance = instance),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! drive.
 
 mod clock;
+mod crash;
 mod folder;
 mod links;
 mod pending;
@@ -12,6 +13,7 @@
 
 pub use crate::{
     clock::Clock,
+    crash::{Fate, log_quarantine},
     folder::{log_folder_state, start_writer, wall_clock},
     links::{Links, lock},
     pending::Pending,
--- a/crates/entryd/src/events.rs
+++ b/crates/entryd/src/events.rs
@@ -15,6 +15,7 @@
             metrics().text_version(version);
             event!(Line::TextInForce, version = version);
         }
+        Event::Quarantine(change) => daemon::log_quarantine(&change, "log"),
         Event::Services { brand, up, waiting } => services(&brand, up, waiting),
         Event::Owns(engine, fence) => event!(Line::EngineTaken, engine = engine, fence = fence),
         Event::Restricted(engine, fence) => {
--- a/crates/entryd/src/external.rs
+++ b/crates/entryd/src/external.rs
@@ -3,12 +3,14 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{Fence, Mark};
+use base::{Fence, Mark, TargetName};
 use bytes::Bytes;
+use daemon::Fate;
 use hyper::{HeaderMap, Method, header::HeaderValue};
 use node::{Input, Order, OrderEnd};
 use serde::{Serialize, de::DeserializeOwned};
 use telemetry::{Event, event};
+use tokio::time::sleep;
 use web::client::{Answer, Limits, Send};
 use wire::{
     engine::{Load, Report, Unload},
@@ -28,6 +30,10 @@
 /// weight store.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time between the first broken attempt at a target and the check: the others break
+/// within some milliseconds, and a process closes its listener last.
+const CHECK_DELAY: Duration = Duration::from_millis(30);
+
 /// Part of an engine's error text for a load of an adapter that is already resident.
 const ALREADY_LOADED: &str = "already been loaded";
 
@@ -59,6 +65,18 @@
     });
 }
 
+/// Finds out in the background whether a target still listens, and tells the node.
+pub(crate) fn check_target(state: &Arc<State>, target: TargetName, address: SocketAddr) {
+    let state = Arc::clone(state);
+    tokio::spawn(async move {
+        sleep(CHECK_DELAY).await;
+        let fate = Fate::of(address).await;
+        event!(Event::TargetChecked, target = target, fate = fate.as_str());
+        let crashed = fate == Fate::Crashed;
+        state.send_input(Input::TargetChecked { target, crashed });
+    });
+}
+
 /// Sends an order to an engine in the background and passes its result to the node.
 pub(crate) fn order(
     state: &Arc<State>,
--- a/crates/entryd/src/shell.rs
+++ b/crates/entryd/src/shell.rs
@@ -221,6 +221,9 @@
                 ..
             } => external::order(state, order, address, body, fence),
             Output::Poll { poll, address, .. } => external::poll(state, poll, address),
+            Output::CheckTarget { target, address } => {
+                external::check_target(state, target, address)
+            }
             Output::Call {
                 call,
                 address,
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -4,7 +4,6 @@
 
 mod edition_cache;
 mod orders;
-mod suspects;
 mod zones;
 
 use std::{
@@ -24,7 +23,7 @@
     zone_owner::{self, ZoneOwner},
 };
 use replog::HaltReason;
-use telemetry::event;
+use telemetry::{event, prom_metrics};
 use tokio::{
     sync::{mpsc, oneshot},
     time::sleep_until,
@@ -32,9 +31,10 @@
 use wire::{
     call::{Call, Reply},
     fleet::{Edition, Weights},
+    quarantine::CrashReport,
 };
 
-use self::{edition_cache::EditionCache, suspects::Suspects};
+use self::edition_cache::EditionCache;
 use super::{CallOutcome, HANDOVER_TIMEOUT, Setup};
 use crate::{Platform, names};
 
@@ -133,7 +133,6 @@
     editions: EditionCache,
     /// Versions of adapters, numbered by their changes.
     revisions: Revisions,
-    suspects: Suspects,
     writer: Writer,
     clock: Clock,
     platform: Platform,
@@ -200,7 +199,6 @@
             zone_owner: ZoneOwner::new(config, serial),
             editions: EditionCache::default(),
             revisions: Revisions::new(rand::random::<u64>() >> 2),
-            suspects: Suspects::default(),
             writer,
             clock,
             platform,
@@ -274,7 +272,7 @@
             self.next_seeds = now + SEEDS_INTERVAL;
             self.log_store();
             self.log_weights();
-            self.expire_suspects();
+            self.count_suspects();
             if let Some(seeds) = (self.platform.read_seeds)() {
                 let peers = seeds.into_iter().map(names::instance_name).collect();
                 self.input(Input::Peers { peers });
@@ -299,10 +297,15 @@
         if now >= self.next_owner {
             self.next_owner = now + OWNER_INTERVAL;
             self.owner_input(zone_owner::Input::Wake);
-            self.judge();
         }
     }
 
+    fn count_suspects(&self) {
+        let register = self.control.crash_register();
+        prom_metrics().suspects(register.suspects());
+        prom_metrics().held_requests(register.held());
+    }
+
     fn handle_job(&mut self, job: Job) {
         match job {
             Job::Input(input) => self.input(input),
@@ -326,7 +329,10 @@
     fn call(&mut self, call: Call, to: oneshot::Sender<Reply>) {
         match call {
             Call::Sync(sync) => {
-                self.add_evidence(&sync.crashes);
+                let report = CrashReport::clone(&sync.crashes);
+                if !(report.runs.is_empty() && report.answered.is_empty()) {
+                    self.input(Input::Crashes(report));
+                }
                 let ticket = self.wait(Waiter::Sync {
                     to,
                     revision: sync.revision,
@@ -458,10 +464,8 @@
                 event!(Line::LeaderLost);
                 self.granter.follow();
             }
-            Event::Published => {
-                self.editions_changed();
-                self.verdicts_changed();
-            }
+            Event::Published => self.editions_changed(),
+            Event::Quarantine(change) => daemon::log_quarantine(&change, "log"),
             Event::Halted { reason } => {
                 event!(Line::DiskFailed, why = reason.to_string());
                 self.end = Some(match reason {
--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -122,7 +122,8 @@
         else {
             return;
         };
-        synced.quarantine = self.suspects.since(self.clock.now(), verdict);
+        let register = self.control.crash_register();
+        synced.quarantine = register.since(self.clock.now(), verdict);
         let editions = self.control.state().editions();
         synced.edition = editions.newest().map_or(0, |newest| newest.number);
         let unknown = self.revisions.since(revision);
--- a/crates/frontd/src/entry/crash.rs
+++ b/crates/frontd/src/entry/crash.rs
@@ -6,20 +6,16 @@
 
 use std::{
     collections::{BTreeMap, btree_map::Entry},
-    fmt,
     net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use base::{Fingerprint, Time};
+use daemon::{Fate, log_quarantine};
 use quarantine::Change;
 use telemetry::{event, prom_metrics};
-use tokio::{
-    net::TcpStream,
-    time::{sleep, timeout},
-};
-
+use tokio::time::sleep;
 use wire::quarantine::{CrashedRun, QuarantineChange};
 
 use super::state::State;
@@ -28,10 +24,6 @@
 /// within some milliseconds, and a process closes its listener last.
 const CHECK_DELAY: Duration = Duration::from_millis(30);
 
-/// Time-out of the check's connection. A target that doesn't answer within it may be cut
-/// off.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Most runs that are remembered for one check.
 const MAX_RUNS: usize = 512;
 
@@ -50,33 +42,6 @@
 /// Runs that ended at targets that are being checked, by target.
 pub(super) type BrokenRuns = BTreeMap<String, Vec<BrokenRun>>;
 
-/// What became of a target whose connections broke.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fate {
-    /// It no longer listens.
-    Crashed,
-    /// It still answers.
-    Running,
-    /// It can't be reached: it may be cut off.
-    Silent,
-}
-
-impl Fate {
-    fn as_str(self) -> &'static str {
-        match self {
-            Fate::Crashed => "crashed",
-            Fate::Running => "running",
-            Fate::Silent => "silent",
-        }
-    }
-}
-
-impl fmt::Display for Fate {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
-
 /// Notes that the connection of a run at `target` broke. The first one starts a check of
 /// the target.
 pub(super) fn run_broke(state: &Arc<State>, target: &str, run: BrokenRun) {
@@ -103,7 +68,7 @@
 
 async fn check(state: Arc<State>, target: String, addr: SocketAddr) {
     sleep(CHECK_DELAY).await;
-    let fate = fate(addr).await;
+    let fate = Fate::of(addr).await;
     let runs = state.broken_runs().remove(&target).unwrap_or_default();
     prom_metrics().broken_runs(fate.as_str(), runs.len());
     for run in runs {
@@ -139,7 +104,9 @@
     let now = state.now();
     if !state.controls.any_heard(now) {
         let changes = state.guard().judge(now);
-        log_changes(&changes, "instance");
+        for change in &changes {
+            log_quarantine(change, "instance");
+        }
     }
 }
 
@@ -164,32 +131,7 @@
             state.controls.report_answered(*fingerprint);
         }
     }
-    log_changes(&changes, "log");
-}
-
-fn log_changes(changes: &[Change], by: &str) {
-    for change in changes {
-        match change {
-            Change::Held(fingerprint, held) => event!(
-                telemetry::Event::RequestHeld,
-                fingerprint = fingerprint.to_string(),
-                crashes = held.crashes,
-                left_ms = held.left.as_millis(),
-                by = by
-            ),
-            Change::Lifted(fingerprint) | Change::Disputed(fingerprint) => event!(
-                telemetry::Event::RequestCleared,
-                fingerprint = fingerprint.to_string()
-            ),
-        }
-    }
-}
-
-/// Returns what became of the target that listened at `addr`.
-async fn fate(addr: SocketAddr) -> Fate {
-    match timeout(CHECK_TIMEOUT, TcpStream::connect(addr)).await {
-        Ok(Ok(_)) => Fate::Running,
-        Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused => Fate::Crashed,
-        Ok(Err(_)) | Err(_) => Fate::Silent,
+    for change in &changes {
+        log_quarantine(change, "log");
     }
 }
--- a/crates/node/src/engines/calls.rs
+++ b/crates/node/src/engines/calls.rs
@@ -35,6 +35,7 @@
         let engines = self.zone_engines(shared);
         let changed = self.reported.as_ref() != Some(&engines);
         self.reported = Some(engines.clone());
+        let crashes = Box::new(shared.crashes.report(now));
         let settings = &shared.settings;
         let beat = Heartbeat {
             instance: settings.name.clone(),
@@ -50,6 +51,7 @@
             busy: self.lessee.busy(),
             loads: self.scheduler.loads_wanted(),
             shares: self.shares(shared, serial),
+            crashes,
         };
         // The lease is counted from before the heartbeat is sent, so that it
         // never ends later here than at the leader.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -6,6 +6,7 @@
 //! the engine's owner.
 
 mod active;
+mod crashed;
 mod explain;
 mod hop;
 mod ping;
@@ -95,6 +96,9 @@
                 step,
                 progress,
             }) => self.progress(shared, now, (ticket, attempt, step), progress, out),
+            Msg::Input(Input::TargetChecked { target, crashed }) => {
+                self.target_checked(shared, now, &target, crashed, out);
+            }
             Msg::TargetUpdate(update) => self.router.apply(now, update),
             Msg::Owner(target, owner, fence) => self.note_owner(target, owner, fence),
             Msg::Dispatch { ticket, priority } => self.dispatch(shared, now, ticket, priority, out),
@@ -212,6 +216,7 @@
                 Step::Piece { attempt, part }
             }
             Progress::End { whole, answer } => {
+                self.note_end(shared, now, (ticket, attempt), whole, out);
                 if let Some(active) = self.requests.get_mut(&ticket) {
                     active.answer = answer;
                 }
@@ -226,6 +231,9 @@
                 reason,
                 retry,
             } => {
+                if verdict != Verdict::NotRun && reason == Refusal::TargetFailed {
+                    self.note_end(shared, now, (ticket, attempt), false, out);
+                }
                 let reason = self.failure_reason(ticket, verdict, reason);
                 self.end_attempt(
                     now,
--- a/crates/node/src/entry/active.rs
+++ b/crates/node/src/entry/active.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use base::{
-    BrandName, Class, Failure, InstanceName, Mark, Refusal, TargetNo, Ticket, Time, Version,
+    BrandName, Class, Failure, Fingerprint, InstanceName, Mark, Refusal, TargetNo, Ticket, Time,
+    Version,
 };
 use request::{AttemptNo, Request, Start};
 use route::{RequestSpec, Router};
@@ -32,6 +33,8 @@
     pub(super) key: Option<IdempotencyKey>,
     /// Hash of method, path and body.
     pub(super) body: [u8; 16],
+    /// The same for all requests of a brand that ask one service for the same.
+    pub(super) content: Fingerprint,
     /// When it arrived.
     pub(super) arrived: Time,
     /// Engine owned here in whose queue it waits.
@@ -92,8 +95,8 @@
     /// # Errors
     ///
     /// Fails as `not run` if the brand has no such service or adapter version,
-    /// if the service has not come up, or if it requires an idempotency key and
-    /// the request has none.
+    /// if the service has not come up, if the request crashes targets, or if it
+    /// requires an idempotency key and has none.
     pub(super) fn new(
         shared: &mut Shared,
         router: &Router,
@@ -107,6 +110,11 @@
             base::hit!(service_not_up);
             return Err(Failure::not_run(Refusal::Unavailable).retry_after(UP_RETRY));
         }
+        let content = content(&arrival);
+        if let Some(left) = shared.crashes.held(now, &content) {
+            base::hit!(crashing_request_refused);
+            return Err(Failure::not_run(Refusal::Held).retry_after(left));
+        }
         let resident = resident(shared, router, now, service, arrival.version)?;
         let mark = mark(service, arrival.key.is_some())?;
         let class = arrival
@@ -143,6 +151,7 @@
             resident,
             key: arrival.key,
             body: arrival.body,
+            content,
             arrived: now,
             queued: None,
             local: false,
@@ -252,3 +261,8 @@
         Class::Batch => limits.batch_deadline,
     }
 }
+
+fn content(arrival: &Arrival) -> Fingerprint {
+    let (brand, service) = (arrival.brand.as_str(), arrival.service.as_str());
+    Fingerprint::of(&[brand.as_bytes(), service.as_bytes(), &arrival.body])
+}
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -51,6 +51,9 @@
         match output {
             RequestOutput::Claim => return self.claim(shared, ticket, out),
             RequestOutput::Place { avoid, retry } => {
+                if let Some(held) = self.held(shared, now, ticket) {
+                    return Some(held);
+                }
                 if retry && !self.may_retry(&avoid) {
                     let failure = Failure::not_run(Refusal::Unavailable);
                     return Some(Step::NoTarget(failure));
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use base::{InstanceName, Time, Verdict};
+use quarantine::Change;
 use wire::call::{HeartbeatReply, Reply};
 
 use crate::{
@@ -104,13 +105,18 @@
             Ok(Reply::Heartbeat(reply)) if reply.serial == serial => {
                 shared.leader = Some(control);
                 self.last_reply = Some(now);
+                let changes = shared.crashes.replied(now, &reply.quarantine);
+                log_changes(changes, out);
                 broadcast(reply, out);
             }
             Ok(Reply::Redirect { leader }) => {
+                shared.crashes.not_replied();
                 shared.leader = leader.filter(|name| *name != control);
                 self.try_next(now);
             }
             _ => {
+                shared.crashes.not_replied();
+                log_changes(shared.crashes.judge_alone(now), out);
                 shared.leader = None;
                 self.try_next(now);
             }
@@ -142,6 +148,12 @@
 /// Time limit for a heartbeat's reply.
 pub(crate) const HEARTBEAT_TIMEOUT: Duration = CALL_TIMEOUT;
 
+fn log_changes(changes: Vec<Change>, out: &mut Out) {
+    for change in changes {
+        out.emit(Output::Event(Event::Quarantine(change)));
+    }
+}
+
 fn broadcast(reply: HeartbeatReply, out: &mut Out) {
     for name in ALL.into_iter().filter(|name| *name != HEARTBEAT) {
         out.send(name, Msg::HeartbeatReply(Box::new(reply.clone())));
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -193,6 +193,13 @@
         /// The call.
         body: Call,
     },
+    /// The check requested by [`Output::CheckTarget`] ended.
+    TargetChecked {
+        /// The target.
+        target: TargetName,
+        /// Whether the target no longer listens.
+        crashed: bool,
+    },
     /// This process is to shut down gracefully.
     Drain,
     /// The time requested by [`Output::Wake`] has come.
@@ -321,6 +328,14 @@
         /// Address of the engine's listener.
         address: SocketAddr,
     },
+    /// Find out whether a target still listens after an attempt broke there, and report
+    /// it as [`Input::TargetChecked`]. Other attempts break within some milliseconds.
+    CheckTarget {
+        /// The target.
+        target: TargetName,
+        /// Address of the target's listener.
+        address: SocketAddr,
+    },
     /// Call another process.
     Call {
         /// Identifies the call in [`Input::Replied`].
@@ -485,6 +500,8 @@
         /// Time from arrival to the end.
         took: Duration,
     },
+    /// What is refused because it crashes targets has changed.
+    Quarantine(quarantine::Change),
     /// The leader of the control instances stopped answering heartbeats.
     LeaderSilent,
     /// The leader answers heartbeats again.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 //! to final answer. The embedding program provides clock, sockets and threads.
 
 mod config;
+mod crashes;
 mod engines;
 mod entry;
 mod fleet;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -13,7 +13,7 @@
 use text::model::{Model, Pool, PoolKind};
 use wire::{call::Call, platform};
 
-use crate::{io::Output, msg::Msg, names::Names, services::Up};
+use crate::{crashes::Crashes, io::Output, msg::Msg, names::Names, services::Up};
 
 /// The outbox of this node's services.
 pub(crate) type Out = Outbox<Msg, Output>;
@@ -140,6 +140,8 @@
     pub(crate) leader: Option<InstanceName>,
     /// Whether this process is shutting down.
     pub(crate) draining: bool,
+    /// Requests that crash targets.
+    pub(crate) crashes: Crashes,
     /// Outstanding calls, by number, with the service that made each.
     calls: BTreeMap<u64, (Name, Purpose)>,
     next_call: u64,
@@ -162,6 +164,7 @@
             up: Up::default(),
             leader: None,
             draining: false,
+            crashes: Crashes::default(),
             calls: BTreeMap::new(),
             next_call: 0,
             wakes: BTreeMap::new(),
--- a/crates/node/tests/node/world.rs
+++ b/crates/node/tests/node/world.rs
@@ -438,6 +438,7 @@
             peers: [me].into_iter().chain(zone_peers).collect(),
             removed: Vec::new(),
             want_engines: false,
+            quarantine: Default::default(),
         }
     }
 
--- a/crates/owner/src/grantor.rs
+++ b/crates/owner/src/grantor.rs
@@ -38,8 +38,9 @@
 }
 
 impl Grant {
-    /// Returns the complete reply to the heartbeat `serial`, where `text` is the newest
-    /// accepted version of the operators' configuration text.
+    /// Returns the reply to the heartbeat `serial`, where `text` is the newest
+    /// accepted version of the operators' configuration text. It names no request to
+    /// refuse.
     #[must_use]
     pub fn reply(self, serial: u64, text: TextVersion) -> HeartbeatReply {
         HeartbeatReply {
@@ -52,6 +53,7 @@
             peers: self.peers,
             removed: self.gone,
             want_engines: self.want_engines,
+            quarantine: Default::default(),
         }
     }
 }
--- a/crates/owner/tests/grantor.rs
+++ b/crates/owner/tests/grantor.rs
@@ -44,6 +44,7 @@
             engines: Some(engines.iter().map(|e| e.parse().unwrap()).collect()),
             busy: Vec::new(),
             shares: Vec::new(),
+            crashes: Default::default(),
             loads: 0,
         };
         let mut out = Vec::new();
--- a/crates/owner/tests/lessee.rs
+++ b/crates/owner/tests/lessee.rs
@@ -41,6 +41,7 @@
         peers: vec![peer("me"), peer("mate")],
         removed: Vec::new(),
         want_engines: false,
+        quarantine: Default::default(),
     }
 }
 
--- /dev/null
+++ b/crates/quarantine/src/register.rs
@@ -0,0 +1,168 @@
+//! What a control instance knows: the evidence, and the verdicts in the replicated log.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{Fingerprint, Time};
+use wire::quarantine::{CrashReport, Quarantine, QuarantineChange};
+
+use crate::{Change, Held, Ledger, Verdict};
+
+/// Time after which a verdict that isn't in the log is proposed again.
+const PROPOSE_AGAIN: Duration = Duration::from_secs(1);
+
+/// Most changes in one answer: some 40 KB.
+const MAX_CHANGES: usize = 1_000;
+
+/// A verdict, or its end, as the log has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Logged {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Index of its entry in the log.
+    pub index: u64,
+    /// For how much longer it holds.
+    pub left: Duration,
+    /// The number of crashes that the request was part of.
+    pub crashes: u32,
+    /// Whether the request was cleared.
+    pub lifted: bool,
+}
+
+/// Evidence and verdicts at one control instance.
+#[derive(Clone, Debug, Default)]
+pub struct Register {
+    ledger: Ledger,
+    /// Verdicts by the index of their entry in the log.
+    verdicts: BTreeMap<u64, Known>,
+    /// What was proposed, and when.
+    proposed: BTreeMap<Fingerprint, Time>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    fingerprint: Fingerprint,
+    until: Time,
+    crashes: u32,
+    lifted: bool,
+}
+
+impl Register {
+    /// Adds what an entry instance has seen. Returns the requests that are refused but
+    /// were answered in full, so that their verdicts have to be lifted.
+    pub fn add(&mut self, now: Time, report: &CrashReport) -> Vec<Fingerprint> {
+        for run in &report.runs {
+            self.ledger.crashed(now, run);
+        }
+        let mut lifts = Vec::new();
+        for fingerprint in &report.answered {
+            self.ledger.answered(fingerprint);
+            if self.holds(now, fingerprint) && self.may_propose(now, *fingerprint) {
+                lifts.push(*fingerprint);
+            }
+        }
+        lifts
+    }
+
+    /// Returns the verdicts that the leader has to propose now.
+    pub fn due(&mut self, now: Time) -> Vec<Verdict> {
+        let mut due = self.ledger.due(now);
+        due.retain(|verdict| self.may_propose(now, verdict.fingerprint));
+        due
+    }
+
+    /// Takes over the verdicts in the log, and returns what has changed.
+    pub fn logged(&mut self, now: Time, all: impl IntoIterator<Item = Logged>) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for new in all {
+            if self.verdicts.contains_key(&new.index) || new.left.is_zero() {
+                continue;
+            }
+            let id = new.fingerprint;
+            self.verdicts.retain(|_, known| known.fingerprint != id);
+            let known = Known {
+                fingerprint: id,
+                until: now + new.left,
+                crashes: new.crashes,
+                lifted: new.lifted,
+            };
+            self.verdicts.insert(new.index, known);
+            changes.push(self.take_over(now, &new));
+        }
+        changes
+    }
+
+    /// Returns the changes that a requester with those up to `known` lacks.
+    #[must_use]
+    pub fn since(&self, now: Time, known: u64) -> Quarantine {
+        let last = self.verdicts.keys().next_back().copied().unwrap_or(0);
+        // A requester that knows more has heard it of another log.
+        let from = if known > last { 0 } else { known };
+        let newer = self.verdicts.range(from + 1..).take(MAX_CHANGES);
+        let newer: Vec<_> = newer.collect();
+        let last = newer.last().map_or(last, |(index, _)| **index);
+        let changes = newer.into_iter().map(|(index, verdict)| QuarantineChange {
+            fingerprint: verdict.fingerprint,
+            index: *index,
+            left: if verdict.lifted {
+                Duration::ZERO
+            } else {
+                verdict.until.since(now)
+            },
+            crashes: verdict.crashes,
+        });
+        Quarantine {
+            changes: changes.collect(),
+            last,
+        }
+    }
+
+    /// Forgets what has ended.
+    pub fn expire(&mut self, now: Time) {
+        self.ledger.expire(now);
+        self.verdicts.retain(|_, known| known.until > now);
+    }
+
+    /// Returns the number of requests with evidence.
+    #[must_use]
+    pub fn suspects(&self) -> usize {
+        self.ledger.len()
+    }
+
+    /// Returns the number of requests that are refused.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.verdicts.values().filter(|known| !known.lifted).count()
+    }
+
+    fn take_over(&mut self, now: Time, new: &Logged) -> Change {
+        let id = new.fingerprint;
+        if new.lifted {
+            self.ledger.answered(&id);
+            return Change::Lifted(id);
+        }
+        let verdict = Verdict {
+            fingerprint: id,
+            crashes: new.crashes,
+            time: new.left,
+        };
+        self.ledger.judged(now, &verdict);
+        Change::Held(
+            id,
+            Held {
+                left: new.left,
+                crashes: new.crashes,
+            },
+        )
+    }
+
+    fn holds(&self, now: Time, fingerprint: &Fingerprint) -> bool {
+        self.verdicts
+            .values()
+            .any(|known| known.fingerprint == *fingerprint && !known.lifted && known.until > now)
+    }
+
+    fn may_propose(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.proposed.retain(|_, at| now.since(*at) < PROPOSE_AGAIN);
+        self.proposed.insert(fingerprint, now).is_none()
+    }
+}
--- a/crates/quetzalarch/examples/embed.rs
+++ b/crates/quetzalarch/examples/embed.rs
@@ -218,6 +218,7 @@
         }],
         removed: Vec::new(),
         want_engines: false,
+        quarantine: Default::default(),
     }
 }
 
--- a/crates/scenarios/src/entry.rs
+++ b/crates/scenarios/src/entry.rs
@@ -91,6 +91,7 @@
             engines: list_engines.then(|| self.engines.clone()),
             busy: self.lessee.busy(),
             shares: Vec::new(),
+            crashes: Default::default(),
             loads: 1,
         }
     }
--- a/crates/web/src/reply.rs
+++ b/crates/web/src/reply.rs
@@ -105,6 +105,7 @@
         Refusal::Moved => "the engine's owner has changed",
         Refusal::TargetFailed => "the target failed",
         Refusal::CallerGone => "the caller left",
+        Refusal::Held => "targets crashed each time they ran this request: don't send it again yet",
     };
     let outcome = match failure.verdict {
         Verdict::NotRun => "it did not run",
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -23,6 +23,7 @@
     fleet::{Part, Sync, Synced},
     operator::{Applied, Apply, Explain, Explained},
     patch::Patch,
+    quarantine::{CrashReport, Quarantine},
 };
 
 record! {
@@ -163,6 +164,10 @@
         pub loads: u32,
         /// Usage of the sender's engines by brand; not sent with every heartbeat.
         pub shares: Vec<Share>,
+        /// Requests that crash targets. An empty one is left out, so that instances of
+        /// earlier builds can read the message.
+        #[serde(default, skip_serializing_if = "CrashReport::is_empty")]
+        pub crashes: Box<CrashReport>,
     }
 
     /// Usage of one instance's engines by one brand, since the instance started.
@@ -206,6 +211,10 @@
         pub removed: Vec<InstanceName>,
         /// Whether the next heartbeat should contain [`Heartbeat::engines`].
         pub want_engines: bool,
+        /// Requests that have to be refused. An empty one is left out, so that instances
+        /// of earlier builds can read the message.
+        #[serde(default, skip_serializing_if = "Quarantine::is_empty")]
+        pub quarantine: Quarantine,
     }
 
     /// A lease on one engine.
--- a/xtask/src/capacity/control.rs
+++ b/xtask/src/capacity/control.rs
@@ -198,6 +198,7 @@
         busy: Vec::<(base::TargetName, Fence)>::new(),
         loads: 3,
         shares: Vec::new(),
+        crashes: Default::default(),
     })
 }
 
--- a/xtask/src/capacity/world.rs
+++ b/xtask/src/capacity/world.rs
@@ -331,6 +331,7 @@
             peers: if full { self.peers.clone() } else { Vec::new() },
             removed: Vec::new(),
             want_engines: false,
+            quarantine: Default::default(),
         }
     }
 
