Test verdicts, what ran beside a cause, and instances that start later

Tests of the ledger (what follows from which crashes), of an entry instance's guard, of the replicated verdicts, of a node without network, and of real instances over loopback: callers that send again at once are served while a cause ends engines, answers that break off aren't crashes, an instance that starts after the verdict refuses at once and says when to come back.

--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use base::{Incarnation, TextVersion};
-use control::{Command, Item, Limits, Outcome, Patch, State, Texts, What};
+use base::{Fingerprint, Incarnation, TextVersion};
+use control::{Command, Hold, Item, Limits, Outcome, Patch, State, Texts, What};
 use googletest::prelude::*;
 use owner::{Change, InstanceId};
 use proptest::prelude::*;
@@ -401,3 +401,47 @@
     assert_that!(texts.since(TextVersion(now.get() - 65)), none());
     assert_that!(texts.since(TextVersion(0)), none());
 }
+
+fn hold(log: &mut Log, content: &[u8], time: u64) -> Fingerprint {
+    let id = Fingerprint::of(&[content]);
+    log.put(What::Hold(id, Hold { time, crashes: 3 }));
+    id
+}
+
+/// Guards against verdicts on crashing requests that are lost with a snapshot, or with a
+/// restart of all instances.
+#[test]
+fn verdicts_outlast_a_snapshot() {
+    let mut log = Log::new(Limits::default());
+    let id = hold(&mut log, b"one", 60_000);
+    let restored = State::restore(&log.state.save()).unwrap();
+    assert_that!(restored.quarantine(), eq(log.state.quarantine()));
+    assert_that!(restored.quarantine().all().contains_key(&id), eq(true));
+}
+
+/// Guards against verdicts that stay in snapshots after they ended.
+#[test]
+fn ended_verdicts_leave_a_snapshot() {
+    let mut log = Log::new(Limits::default());
+    hold(&mut log, b"one", 1_000);
+    log.at += 2_000;
+    let id = hold(&mut log, b"two", 1_000);
+    assert_that!(log.state.quarantine().all().len(), eq(1));
+    log.at += 3_600_000;
+    log.put(What::Lift(id));
+    assert_that!(log.state.quarantine().all().is_empty(), eq(true));
+}
+
+/// Guards against a list of verdicts that grows without limit, and against one that is
+/// never lifted.
+#[test]
+fn verdicts_are_bounded_and_can_be_lifted() {
+    let mut log = Log::new(Limits::default());
+    for no in 0..2_000_u32 {
+        hold(&mut log, &no.to_le_bytes(), 60_000 + u64::from(no));
+    }
+    assert_that!(log.state.quarantine().all().len(), le(1_024));
+    let last = Fingerprint::of(&[&1_999_u32.to_le_bytes()]);
+    log.put(What::Lift(last));
+    assert_that!(log.state.quarantine().all()[&last].lifted, eq(true));
+}
--- a/crates/frontd/tests/crashes.rs
+++ b/crates/frontd/tests/crashes.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use deployment::Deployment;
-use engine::CRASHING;
+use engine::{ANSWER, BROKEN_OFF, CRASHING};
 use googletest::prelude::*;
 use tokio::time::sleep;
 
@@ -47,3 +47,63 @@
     let late = late.filter(|run| run.at > known_at).count();
     assert_that!(late, le(MORE_SENDS));
 }
+
+/// Guards against refusing what merely ran on engines as they crashed: its callers send
+/// it again at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_ran_beside_a_crashing_request_is_served() {
+    let deployment = Deployment::start(3, 6).await;
+    let until = Instant::now() + 2 * CONTACT;
+    let others = (0..24).map(|no| serve(&deployment, no));
+    let cause = repeat(&deployment, CRASHING, 3, until);
+    let (served, ()) = tokio::join!(futures::future::join_all(others), cause);
+    assert_that!(deployment.crashes().len(), ge(CRASHES));
+    for took in served {
+        assert_that!(took, le(4 * CONTACT));
+    }
+}
+
+/// Sends a request again at once until it is served; returns how long that took.
+async fn serve(deployment: &Deployment, no: u8) -> Duration {
+    let begun = Instant::now();
+    let body = format!("harmless {no}");
+    let mut entry = no % 3;
+    loop {
+        let told = deployment.ask(entry + 1, &body).await;
+        if told.status == 200 && told.body.as_deref() == Some(ANSWER) {
+            return begun.elapsed();
+        }
+        entry = (entry + 1) % 3;
+        let pause = told.again.unwrap_or(Duration::from_millis(20));
+        sleep(pause.min(Duration::from_millis(300))).await;
+    }
+}
+
+/// Guards against taking broken connections for crashes: the engines go on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_answers_break_off_is_not_refused() {
+    let deployment = Deployment::start(1, 3).await;
+    for _ in 0..8 {
+        assert_that!(deployment.ask(1, BROKEN_OFF).await.status, eq(200));
+    }
+    assert_that!(deployment.crashes().len(), eq(0));
+}
+
+/// Guards against instances that don't know a verdict, as they started after it, and
+/// against callers that wait or aren't told when to come back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_that_starts_later_refuses_at_once() {
+    let deployment = Deployment::start(1, 6).await;
+    while deployment.crashes().len() < CRASHES {
+        deployment.ask(1, CRASHING).await;
+    }
+    sleep(CONTACT).await;
+    deployment.start_entry(2);
+    deployment.wait_ready(2).await;
+    let runs = deployment.runs(CRASHING).len();
+    let told = deployment.ask(2, CRASHING).await;
+    assert_that!(told.status, eq(503));
+    assert_that!(told.again, some(ge(CONTACT)));
+    assert_that!(told.took, le(Duration::from_millis(200)));
+    assert_that!(deployment.runs(CRASHING).len(), eq(runs));
+}
--- a/crates/node/tests/node/world.rs
+++ b/crates/node/tests/node/world.rs
@@ -1,7 +1,7 @@
 //! A simulated environment of one node, in virtual time: the leader, peers,
 //! engines and the platform's list.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
 use base::{
     Fence, Incarnation, InstanceName, Refusal, Seed, TargetName, TextVersion, Ticket, Time, Tokens,
@@ -10,11 +10,13 @@
 use node::{
     Arrival, Attempt, Ending, Event, Input, Node, Order, OrderEnd, Output, Progress, Settings,
 };
+use quarantine::{Logged, Register};
 use wire::{
     call::{Call, Heartbeat, HeartbeatReply, Lease, Peer, Reply},
     engine::Report,
     patch::{self, Patch},
     platform,
+    quarantine::Quarantine,
 };
 
 /// A text with three services of one brand, on an engine pool and a plain pool.
@@ -77,6 +79,14 @@
 /// The node's own name.
 pub(crate) const ME: &str = "dubrava-1";
 
+/// What the leader knows of requests that crash targets. Worlds can share it.
+#[derive(Default)]
+pub(crate) struct Verdicts {
+    register: Register,
+    /// Index of the last entry of the log.
+    last: u64,
+}
+
 /// One node and its simulated environment.
 pub(crate) struct World {
     pub(crate) node: Node,
@@ -125,6 +135,11 @@
     orders: Vec<(u64, TargetName, Order)>,
     /// Last value of [`Output::Ready`].
     pub(crate) ready: bool,
+    /// The hash of the content of requests that arrive.
+    pub(crate) body: [u8; 16],
+    /// Whether a target whose attempts break no longer listens.
+    pub(crate) targets_crash: bool,
+    pub(crate) verdicts: Rc<RefCell<Verdicts>>,
     wake: Time,
     /// All outputs with their times, as text.
     pub(crate) trace: Vec<String>,
@@ -184,6 +199,9 @@
             asked: None,
             orders: Vec::new(),
             ready: false,
+            body: [0; 16],
+            targets_crash: false,
+            verdicts: Rc::default(),
             wake: Time::ZERO,
             trace: Vec::new(),
         }
@@ -259,7 +277,7 @@
                 hash: [key; 16],
                 dated: None,
             }),
-            body: [0; 16],
+            body: self.body,
             prefix: 0,
             tokens: Tokens(16),
             stream: true,
@@ -362,6 +380,10 @@
                 return Some(Input::Checked { version, model });
             }
             Output::Send(attempt) => self.sent.push(attempt),
+            Output::CheckTarget { target, .. } => {
+                let crashed = self.targets_crash;
+                return Some(Input::TargetChecked { target, crashed });
+            }
             Output::Finish { ticket, end } => {
                 self.ended.insert(ticket, end);
             }
@@ -438,7 +460,7 @@
             peers: [me].into_iter().chain(zone_peers).collect(),
             removed: Vec::new(),
             want_engines: false,
-            quarantine: Default::default(),
+            quarantine: self.verdicts.borrow_mut().beat(self.now, beat),
         }
     }
 
@@ -456,3 +478,22 @@
         OrderEnd::Done
     }
 }
+
+impl Verdicts {
+    /// Takes the evidence of a heartbeat, and returns what its reply says.
+    fn beat(&mut self, now: Time, beat: &Heartbeat) -> Quarantine {
+        self.register.add(now, &beat.crashes);
+        for verdict in self.register.due(now) {
+            self.last += 1;
+            let logged = Logged {
+                fingerprint: verdict.fingerprint,
+                index: self.last,
+                left: verdict.time,
+                crashes: verdict.crashes,
+                lifted: false,
+            };
+            self.register.logged(now, [logged]);
+        }
+        self.register.since(now, beat.crashes.known)
+    }
+}
