Show in logs and trace why a request was refused as crashing

A refused request left one line whose reason names no content, so its trace didn't lead to the crashes behind it. Each refusal now writes E5015 with the fingerprint, and trace adds all lines about the same content up to the request, however old. The late line about a broken connection (E5011) no longer hides how a request ended.

--- a/crates/cli/src/timeline.rs
+++ b/crates/cli/src/timeline.rs
@@ -19,7 +19,7 @@
 use thiserror::Error;
 
 pub(crate) use self::line::Line;
-use self::rules::{ENDINGS, RULES, Rule, Scope};
+use self::rules::{BROKEN, ENDINGS, RULES, Rule, Scope};
 
 /// The id that a caller gave to its request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -167,7 +167,11 @@
                 instances: owns.iter().map(|line| line.instance.clone()).collect(),
                 first: first.time,
                 last: last.time,
-                ending: Ending::of(last),
+                ending: Ending::of(
+                    owns.iter()
+                        .rfind(|line| line.event != BROKEN)
+                        .unwrap_or(&last),
+                ),
                 skipped: self.skipped,
                 lines: Vec::new(),
             }
@@ -212,6 +216,7 @@
     arrived: DateTime<Utc>,
     adapters: BTreeSet<String>,
     targets: BTreeSet<String>,
+    fingerprints: BTreeSet<String>,
     entries: BTreeSet<String>,
     reasons: BTreeSet<String>,
 }
@@ -232,6 +237,7 @@
             arrived,
             adapters: fields(&["adapter"]),
             targets: fields(&["target", "from", "engine"]),
+            fingerprints: fields(&["fingerprint"]),
             entries: owns().map(|(line, _)| line.instance.clone()).collect(),
             reasons: fields(&["why"]),
         }
@@ -246,6 +252,10 @@
             if within && (self.names_adapter(line) || self.names_target(line)) {
                 found.insert(at);
             }
+            // The crashes that led to a verdict may lie minutes before it.
+            if line.time <= self.end && self.names_content(line) {
+                found.insert(at);
+            }
             for rule in RULES.iter().filter(|rule| self.fits(rule, line)) {
                 if within {
                     found.insert(at);
@@ -284,6 +294,12 @@
         })
     }
 
+    /// Whether a line is about requests with the same content.
+    fn names_content(&self, line: &Line) -> bool {
+        let named = line.field("fingerprint");
+        named.is_some_and(|named| self.fingerprints.contains(&named))
+    }
+
     fn names_target(&self, line: &Line) -> bool {
         let named = ["target", "from", "engine"].iter();
         let mut named = named.filter_map(|name| line.field(name));
--- a/crates/cli/src/timeline/rules.rs
+++ b/crates/cli/src/timeline/rules.rs
@@ -63,6 +63,10 @@
     rule(Some("Deadline"), "E1006", Scope::Entry, false),
 ];
 
+/// The line about a broken connection, which is written some time after the line about
+/// what became of the request.
+pub(super) const BROKEN: &str = "E5011";
+
 /// What each event means as the last own line of a request, and which of its fields
 /// give details.
 pub(super) const ENDINGS: &[(&str, &str, &[&str])] = &[
@@ -71,5 +75,10 @@
     ("E5003", "answered from another adapter", &["target"]),
     ("E5005", "its stream went on elsewhere", &["from", "target"]),
     ("E5006", "refused, as it was marked", &["why"]),
+    (
+        BROKEN,
+        "its connection to its target broke",
+        &["target", "fate", "ran_ms"],
+    ),
     ("E5009", "answered late", &["head_ms", "place_ms", "target"]),
 ];
--- a/crates/cli/tests/unit/timeline.rs
+++ b/crates/cli/tests/unit/timeline.rs
@@ -71,6 +71,14 @@
             "none 0 c1 E4001 adapter= engine=",
             r#"none 0 c1 E4003 order=Evict("")"#,
         ],
+        crashes_of_the_same_content: &[
+            "near -90 e2 E5011 request=r-2 fingerprint=f1 target=i-1 fate=crashed",
+            "none -90 e2 E5011 request=r-3 fingerprint=f2 target=i-1 fate=crashed",
+            "near -60 c1 E5012 fingerprint=f1 crashes=3",
+            "own  0   e1 E5015 request=r-1 fingerprint=f1",
+            "own  0   e1 E5002 request=r-1 why=Held",
+            "none 9   c1 E5012 fingerprint=f1 crashes=4",
+        ],
         targets_of_each_field: &[
             "near 0 e2 E5002 request=r-2 target=i-1",
             "near 0 e2 E5005 request=r-3 from=i-1 target=i-9",
@@ -222,6 +230,13 @@
             &["1 e1 E5005 request=r-1 from=i-1 target=i-2", "0 e1 E5009 request=r-1"],
             "E5005 its stream went on elsewhere from=i-1 target=i-2",
         ),
+        went_on_and_its_target_was_checked: (
+            &[
+                "1 e1 E5005 request=r-1 from=i-1 target=i-2",
+                "2 e1 E5011 request=r-1 target=i-1 fate=crashed",
+            ],
+            "E5005 its stream went on elsewhere from=i-1 target=i-2",
+        ),
         late: (
             &["1 e1 E5009 request=r-1 head_ms=4000 place_ms=3900 target=i-1"],
             "E5009 answered late head_ms=4000 place_ms=3900 target=i-1",
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -263,6 +263,13 @@
             return Ok(());
         };
         base::hit!(crashing_request_refused);
+        event!(
+            telemetry::Event::HeldRefused,
+            request = self.id,
+            fingerprint = self.fingerprint().to_string(),
+            crashes = held.crashes,
+            left_ms = held.left.as_millis()
+        );
         if self.possible_runs > 0 {
             return Err(RequestError::Failed);
         }
