--- a/crates/lab/tests/processes/main.rs
+++ b/crates/lab/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! Process-level tests: real daemons and stand-ins on the loopback interface.
 
 mod common;
+mod crashes;
 mod cut;
 mod faults;
 mod measures;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -56,6 +56,8 @@
     /// Whether `POST /admin/freeze-connections` works; adds a hop, as all connections
     /// pass a gate then.
     pub freezable: bool,
+    /// A prompt that contains this text ends the process soon after its run has begun.
+    pub crash_on: Option<String>,
     /// Adapters loaded at the start, as `adapter@version`.
     pub resident: Vec<String>,
 }
@@ -75,6 +77,7 @@
             report_drop: 0,
             cache: 64,
             freezable: false,
+            crash_on: None,
             resident: Vec::new(),
         }
     }
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -64,6 +64,12 @@
     (0..n).map(|i| token(model, prompt, i)).collect()
 }
 
+/// Time from the beginning of a run to the crash that it causes.
+const CRASH_DELAY: Duration = Duration::from_millis(50);
+
+/// Exit status of an engine that a request crashed.
+const CRASHED: i32 = 70;
+
 /// A completion in progress; it counts as cancelled if it is dropped before its end.
 struct Completion {
     engine: Arc<Engine>,
@@ -95,6 +101,13 @@
             return refused.answer();
         }
     };
+    let crash_on = engine.config.crash_on.as_ref();
+    if crash_on.is_some_and(|text| run.prompt.contains(text)) {
+        tokio::spawn(async {
+            sleep(CRASH_DELAY).await;
+            std::process::exit(CRASHED);
+        });
+    }
     let named = engine.named_resident(&run.resident);
     let from = run.tokens.start.to_string();
     let mut resp = match chat.stream {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -100,6 +100,11 @@
         .arg(address("store"))
         .arg(flag("ignore-fence").help("Accepts orders with an outdated fencing number"))
         .arg(flag("freezable").help("Lets connections be frozen, by a gate that adds a hop"))
+        .arg(
+            Arg::new("crash-on")
+                .long("crash-on")
+                .help("Ends the process soon after it begins a prompt that contains this text"),
+        )
         .arg(
             Arg::new("resident")
                 .long("resident")
@@ -169,6 +174,7 @@
         report_drop: u64::from(count(args, "report-drop")),
         cache: size(args, "cache"),
         freezable: args.get_flag("freezable"),
+        crash_on: args.get_one::<String>("crash-on").cloned(),
         resident: names.unwrap_or_default().cloned().collect(),
     }
 }
