Ask for a marked request's claim before refusing it as crashing

What callers would see: a marked request ran, its target crashed, and its resend under the same key was told not run, as its content was refused on arrival. So its caller would hand it in again under another key.

Cause: the refusal came before the claim. Now a marked request is refused only once its claim is granted, before it is sent.

--- a/crates/node/src/entry/active.rs
+++ b/crates/node/src/entry/active.rs
@@ -111,10 +111,7 @@
             return Err(Failure::not_run(Refusal::Unavailable).retry_after(UP_RETRY));
         }
         let content = content(&arrival);
-        if let Some(left) = shared.crashes.held(now, &content) {
-            base::hit!(crashing_request_refused);
-            return Err(Failure::not_run(Refusal::Held).retry_after(left));
-        }
+        refuse_held(shared, now, &arrival, &content)?;
         let resident = resident(shared, router, now, service, arrival.version)?;
         let mark = mark(service, arrival.key.is_some())?;
         let class = arrival
@@ -262,6 +259,24 @@
     }
 }
 
+/// Refuses a request that crashes targets.
+///
+/// Guard: a marked request may have run when it was sent under its key before, and only
+/// its claim tells. It is refused once the claim is granted, before it is sent.
+fn refuse_held(
+    shared: &Shared,
+    now: Time,
+    arrival: &Arrival,
+    content: &Fingerprint,
+) -> Result<(), Failure> {
+    let held = shared.crashes.held(now, content);
+    let Some(left) = held.filter(|_| arrival.key.is_none()) else {
+        return Ok(());
+    };
+    base::hit!(crashing_request_refused);
+    Err(Failure::not_run(Refusal::Held).retry_after(left))
+}
+
 fn content(arrival: &Arrival) -> Fingerprint {
     let (brand, service) = (arrival.brand.as_str(), arrival.service.as_str());
     Fingerprint::of(&[brand.as_bytes(), service.as_bytes(), &arrival.body])
--- a/crates/node/tests/node/crashes.rs
+++ b/crates/node/tests/node/crashes.rs
@@ -5,6 +5,7 @@
 use base::{Refusal, Ticket, Verdict};
 use googletest::prelude::*;
 use node::{Ending, Input, Progress};
+use wire::call::{Call, ClaimReply, Reply};
 
 use crate::world::World;
 
@@ -124,3 +125,39 @@
     let refused = refusal(&mut other, 50).map(|(why, ..)| why);
     assert_that!(refused, some(eq(Refusal::Held)));
 }
+
+/// Sends a marked request and answers its claim; returns its ticket.
+fn claim(world: &mut World, ticket: u64, key: u8, claimed: ClaimReply) -> Ticket {
+    let ticket = world.arrive(ticket, "submissions", Some(key));
+    let (call, body) = world.held_calls.remove(0);
+    assert_that!(matches!(body, Call::Claim(_)), eq(true));
+    let reply = Ok(Reply::Claim(claimed));
+    world.input(Input::Replied { call, reply });
+    ticket
+}
+
+/// Guards against calling a marked request not run that ran when it was sent under its
+/// key before: its claim goes before the refusal.
+#[test]
+fn a_marked_request_that_may_have_run_is_not_called_not_run() {
+    let mut world = World::serving();
+    world.targets_crash = true;
+    for key in 1..=3 {
+        claim(&mut world, key.into(), key, ClaimReply::Granted);
+        let attempt = world.sent.pop().unwrap();
+        world.pass(Duration::from_millis(100));
+        world.fail(&attempt, Refusal::TargetFailed);
+        world.held_calls.clear();
+        world.pass(Duration::from_secs(2));
+    }
+    world.pass(CONTACT);
+    let again = claim(&mut world, 50, 1, ClaimReply::MayHaveRun);
+    let fresh = claim(&mut world, 51, 9, ClaimReply::Granted);
+    let ended = |ticket| match &world.ended[&ticket] {
+        Ending::Failed(failure) => (failure.reason, failure.verdict),
+        other => panic!("{other:?}"),
+    };
+    assert_that!(ended(again).1, eq(Verdict::MayHaveRun));
+    assert_that!(ended(fresh), eq((Refusal::Held, Verdict::NotRun)));
+    assert_that!(world.sent.is_empty(), eq(true));
+}
