Share what three socket tests of frontd had each for themselves

Names of headers, the addresses on loopback and the only configuration stood in two or three deployments of tests word for word.

--- /dev/null
+++ b/crates/frontd/tests/common/platform.rs
@@ -0,0 +1,35 @@
+//! Parts of the hosting platform that the tests over loopback share.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use frontd::HeaderNames;
+use hyper::header::HeaderName;
+
+/// Returns the names of all headers.
+pub(crate) fn header_names() -> HeaderNames {
+    let header = HeaderName::from_static;
+    HeaderNames {
+        request_id: header("attempt"),
+        deadline: header("deadline"),
+        target: header("target"),
+        adapter_version: header("version"),
+        weights_version: header("weights"),
+        priority: header("priority"),
+        not_run: header("refused"),
+        model: header("model"),
+        tokens: header("tokens"),
+        last_event: header("resume"),
+        cache_backup: header("backup"),
+        cache_source: header("restore"),
+        reserved: Vec::new(),
+    }
+}
+
+/// Returns an address that is unique to this process and `last`.
+///
+/// Failure: two checkouts are tested at the same time on one machine. With the same
+/// addresses their instances would connect to each other.
+pub(crate) fn loopback_ip(last: u8) -> IpAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, high | 128, low, last))
+}
--- a/crates/frontd/tests/crashes.rs
+++ b/crates/frontd/tests/crashes.rs
@@ -5,6 +5,10 @@
 mod deployment;
 #[path = "crashes/engine.rs"]
 mod engine;
+#[path = "common/engines.rs"]
+mod engines;
+#[path = "common/platform.rs"]
+mod platform;
 
 use std::time::{Duration, Instant};
 
--- a/crates/frontd/tests/editions.rs
+++ b/crates/frontd/tests/editions.rs
@@ -3,6 +3,8 @@
 
 #[path = "editions/deployment.rs"]
 mod deployment;
+#[path = "common/platform.rs"]
+mod platform;
 
 use std::time::Duration;
 
--- a/crates/frontd/tests/editions/deployment.rs
+++ b/crates/frontd/tests/editions/deployment.rs
@@ -2,7 +2,7 @@
 //! bandwidth.
 
 use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU8, AtomicUsize, Ordering},
@@ -10,13 +10,13 @@
     time::Duration,
 };
 
-use frontd::{CallOutcome, ControlSetup, Decoded, EntrySetup, HeaderNames, Operators, Platform};
+use frontd::{CallOutcome, ControlSetup, Decoded, EntrySetup, Operators, Platform};
 use futures::FutureExt;
 use gateway::{
     budget,
     table::{Kind, RawTable, Route, Service, Table},
 };
-use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::HeaderName};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -29,6 +29,8 @@
 };
 use wire::fleet::Edition;
 
+use crate::platform::{header_names, loopback_ip};
+
 /// Bandwidth of an entry instance's link: 10 Mbit/s.
 const LINK_BYTES_PER_SECOND: f64 = 1_250_000.0;
 
@@ -256,18 +258,8 @@
     own_ip(no, control)
 }
 
-/// Returns an address that is unique to this process and deployment.
-///
-/// Failure: two checkouts are tested at the same time on one machine. With the same
-/// addresses their instances would connect to each other.
 fn own_ip(no: u8, instance: u8) -> IpAddr {
-    let [.., high, low] = std::process::id().to_be_bytes();
-    IpAddr::V4(Ipv4Addr::new(
-        127,
-        high | 128,
-        low,
-        no * INSTANCES + instance,
-    ))
+    loopback_ip(no * INSTANCES + instance)
 }
 
 fn start_control(no: u8, control: u8, data: &std::path::Path, decoded: &Arc<AtomicUsize>) {
@@ -382,23 +374,8 @@
 
 fn platform(no: u8) -> Platform {
     let seeds: Vec<_> = (1..=CONTROLS).map(|c| control_ip(no, c)).collect();
-    let header = HeaderName::from_static;
     Platform {
-        header_names: Arc::new(HeaderNames {
-            request_id: header("attempt"),
-            deadline: header("deadline"),
-            target: header("target"),
-            adapter_version: header("version"),
-            weights_version: header("weights"),
-            priority: header("priority"),
-            not_run: header("refused"),
-            model: header("model"),
-            tokens: header("tokens"),
-            last_event: header("resume"),
-            cache_backup: header("backup"),
-            cache_source: header("restore"),
-            reserved: Vec::new(),
-        }),
+        header_names: Arc::new(header_names()),
         decode: Arc::new(decode),
         list_targets: Arc::new(|_| async { Some(Vec::new()) }.boxed()),
         send_order: Arc::new(|_| async { gateway::zone_owner::OrderOutcome::Refused }.boxed()),
--- a/crates/frontd/tests/memory.rs
+++ b/crates/frontd/tests/memory.rs
@@ -4,6 +4,10 @@
 
 #[path = "memory/deployment.rs"]
 mod deployment;
+#[path = "common/engines.rs"]
+mod engines;
+#[path = "common/platform.rs"]
+mod platform;
 
 use deployment::{ADAPTER, Deployment, Holds};
 use googletest::prelude::*;
--- a/crates/frontd/tests/memory/deployment.rs
+++ b/crates/frontd/tests/memory/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU8, Ordering},
@@ -11,14 +11,13 @@
 };
 
 use bytes::Bytes;
-use frontd::{CallOutcome, ControlSetup, Decoded, EntrySetup, HeaderNames, Operators, Platform};
+use frontd::{CallOutcome, ControlSetup, EntrySetup, Operators, Platform};
 use futures::FutureExt;
 use gateway::{
     budget,
-    table::{Engine as Spec, Kind, Model, RawTable, Route, Service, Table},
     zone_owner::{Held, ListedTarget, OrderOutcome, Report},
 };
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header::HeaderName};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming};
 use tokio::{net::TcpListener, sync::Notify, time::sleep};
 use tokio_util::sync::CancellationToken;
 use web::{
@@ -28,6 +27,11 @@
 };
 use wire::fleet::Edition;
 
+use crate::{
+    engines::decoded,
+    platform::{header_names, loopback_ip},
+};
+
 /// The adapter that every engine holds.
 pub(crate) const ADAPTER: &str = "m/a";
 
@@ -359,37 +363,14 @@
     resp
 }
 
-/// Returns an address that is unique to this process and deployment, so that two
-/// checkouts can be tested at the same time on one machine.
 fn own_ip(no: u8, instance: u8) -> IpAddr {
-    let [.., high, low] = std::process::id().to_be_bytes();
-    IpAddr::V4(Ipv4Addr::new(
-        127,
-        high | 128,
-        low,
-        no * INSTANCES + instance,
-    ))
+    loopback_ip(no * INSTANCES + instance)
 }
 
 fn platform(no: u8, fleet: &Arc<Fleet>) -> Platform {
-    let header = HeaderName::from_static;
     let (list, ask) = (Arc::clone(fleet), Arc::clone(fleet));
     Platform {
-        header_names: Arc::new(HeaderNames {
-            request_id: header("attempt"),
-            deadline: header("deadline"),
-            target: header("target"),
-            adapter_version: header("version"),
-            weights_version: header("weights"),
-            priority: header("priority"),
-            not_run: header("refused"),
-            model: header("model"),
-            tokens: header("tokens"),
-            last_event: header("resume"),
-            cache_backup: header("backup"),
-            cache_source: header("restore"),
-            reserved: Vec::new(),
-        }),
+        header_names: Arc::new(header_names()),
         decode: Arc::new(|_| Ok(decoded())),
         list_targets: Arc::new(move |_| {
             let list = listed(&list);
@@ -408,33 +389,3 @@
         read_seeds: Arc::new(move || Some(vec![own_ip(no, 1)])),
     }
 }
-
-/// Returns the only configuration: a route whose streams can't be resumed.
-fn decoded() -> Decoded {
-    let spec = Spec {
-        models: vec![Model {
-            name: "m".to_owned(),
-            weights_mb: 60.0,
-            adapter_mb: 1.0,
-        }],
-        adapter_slots: 4,
-        memory_mb: 100.0,
-    };
-    let mut table = RawTable::default();
-    let service = Service { engine: Some(spec) };
-    table.services.insert("s".to_owned(), service);
-    table.routes.push(Route {
-        name: "r".to_owned(),
-        host: "a.example".to_owned(),
-        prefix: "/".to_owned(),
-        kind: Kind::Stream { resumable: false },
-        limit: Duration::from_secs(20),
-        priority: 1,
-        split: vec![("s".to_owned(), 1)],
-        attempts: 1,
-    });
-    Decoded {
-        number: 0,
-        table: Table::try_from(table).expect("the table is valid"),
-    }
-}
