--- a/crates/entryd/src/shell.rs
+++ b/crates/entryd/src/shell.rs
@@ -240,13 +240,7 @@
                 if let Some(data) = &self.data {
                     saved::write(data.clone(), version, raw);
                 }
-                let keys = Keys::from(&*model);
-                let in_force = InForce {
-                    version,
-                    model,
-                    keys,
-                };
-                self.text_sender.send_replace(Arc::new(in_force));
+                self.put_in_force(version, model);
             }
             Output::Ready(ready) => state.ready.store(ready, Ordering::Relaxed),
             Output::Drained => {}
@@ -254,6 +248,16 @@
             Output::Wake(at) => self.wake = at,
         }
     }
+
+    fn put_in_force(&self, version: TextVersion, model: Arc<text::Model>) {
+        let keys = Keys::from(&*model);
+        let in_force = InForce {
+            version,
+            model,
+            keys,
+        };
+        self.text_sender.send_replace(Arc::new(in_force));
+    }
 }
 
 /// Parses a text on a blocking thread and passes the result to the node.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -231,17 +231,7 @@
                 reason,
                 retry,
             } => {
-                if verdict != Verdict::NotRun && reason == Refusal::TargetFailed {
-                    self.note_end(shared, now, (ticket, attempt), false, out);
-                }
-                let reason = self.failure_reason(ticket, verdict, reason);
-                self.end_attempt(
-                    now,
-                    ticket,
-                    attempt,
-                    !is_target_failure(reason, verdict),
-                    out,
-                );
+                let reason = self.failed(shared, now, (ticket, attempt), (verdict, reason), out);
                 Step::AttemptFailed {
                     attempt,
                     verdict,
@@ -253,6 +243,24 @@
         self.step(shared, now, ticket, step, input, out);
     }
 
+    /// Records the end of an attempt that failed; returns the reason to go by.
+    fn failed(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        (ticket, attempt): (Ticket, AttemptNo),
+        (verdict, reason): (Verdict, Refusal),
+        out: &mut Out,
+    ) -> Refusal {
+        if verdict != Verdict::NotRun && reason == Refusal::TargetFailed {
+            self.note_end(shared, now, (ticket, attempt), false, out);
+        }
+        let reason = self.failure_reason(ticket, verdict, reason);
+        let ok = !is_target_failure(reason, verdict);
+        self.end_attempt(now, ticket, attempt, ok, out);
+        reason
+    }
+
     /// Returns the reason of a failed attempt; [`Refusal::Moved`] if the owner
     /// it was forwarded to did not accept it, which is no failure of the engine.
     fn failure_reason(&mut self, ticket: Ticket, verdict: Verdict, reason: Refusal) -> Refusal {
