Retry a change that no majority accepts for the time of an election

What operators saw: apply ends with refused (no majority) though a leader is elected; a_drained_instance_ends_by_itself failed once by it, 63 ms before the leader could act.

Cause: the command gave up at the first round in which no instance reached a majority. A leader is named before its first entry is applied, and until then it accepts nothing.

Change: such a change is sent again for three seconds at most, under the same change id; after that the answer is as before. The new row of the command's tests failed before. That this was the cause of the failure in the list is by its lines and the code; it was never reproduced.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -14,7 +14,8 @@
 pub(crate) const TIMEOUT: &str = "timeout";
 pub(crate) const AROUND: &str = "around";
 
-/// Seconds for which `apply` retries a change whose outcome is unknown.
+/// Seconds for which `apply` retries a change whose outcome is unknown, and at most for
+/// the time of an election one that no majority accepts.
 const DEFAULT_WAIT: &str = "15";
 /// Seconds to wait for an instance that doesn't answer before the next one is
 /// asked; accepting a change takes three at most.
--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -21,6 +21,11 @@
 /// Pause between two rounds over all instances when none names a retry time.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// How long a change is sent again that no instance accepts for lack of a majority: an
+/// election takes about a second, and a new leader accepts nothing until its first entry
+/// is applied.
+const ELECTION_TIME: Duration = Duration::from_secs(3);
+
 pub(super) async fn run(args: &ArgMatches) -> Result<Outcome> {
     let text = read(args, "file")?;
     if let Err(errors) = Model::try_from(text.as_str()) {
@@ -84,9 +89,10 @@
 }
 
 /// Sends a change to one instance after the other until one gives a final
-/// answer; retries while the outcome is unknown and `wait` has not passed.
+/// answer; retries while the outcome is unknown and `wait` has not passed, or while no
+/// instance reaches a majority for [`ELECTION_TIME`] at most.
 async fn send(remote: &Remote, apply: &Apply, wait: Duration) -> Result<Outcome> {
-    let end = Instant::now() + wait;
+    let begun = Instant::now();
     let mut unknown = false;
     loop {
         let mut attempts = Attempts {
@@ -101,7 +107,12 @@
         }
         unknown = attempts.unknown;
         let pause = attempts.retry.unwrap_or(RETRY_PAUSE);
-        if !unknown || Instant::now() + pause > end {
+        let time = match (unknown, attempts.no_quorum) {
+            (true, _) => wait,
+            (false, true) => wait.min(ELECTION_TIME),
+            (false, false) => Duration::ZERO,
+        };
+        if begun.elapsed() + pause > time {
             return finish(&attempts, apply);
         }
         sleep(pause).await;
--- a/crates/cli/tests/commands/main.rs
+++ b/crates/cli/tests/commands/main.rs
@@ -349,6 +349,13 @@
             shows: &["accepted as version 8"],
             ..DEFAULT
         },
+        no_quorum_during_an_election: Row {
+            args: "apply - --base 7 --control C",
+            stdin: RATE_6,
+            replies: &[("c/v1/apply", &[Reply::Status(503, NO_QUORUM), Reply::Ok(ACCEPTED)])],
+            shows: &["accepted as version 8"],
+            ..DEFAULT
+        },
         nobody: Row {
             args: "apply - --base 7 --control X",
             stdin: RATE_6,
