Forget ended verdicts and old evidence at instances that don't lead

Seen by reading: only the leader forgot. Another control instance kept every verdict ever given, and told its end as if the request had been cleared; an entry instance answered the end of a verdict once for each control instance; a full ledger sought its oldest entry for each new one.

Change: taking verdicts over forgets ended ones; ended ones aren't told; the end of a verdict isn't disputed; an eighth of a full ledger goes at once.

--- a/crates/quarantine/src/guard.rs
+++ b/crates/quarantine/src/guard.rs
@@ -129,7 +129,7 @@
             if known.is_some_and(|known| known.index >= change.index) {
                 let disputed = known.is_some_and(|known| known.disputed && known.until > now);
                 // Another control instance has the same verdict.
-                return disputed.then_some(Change::Disputed(id));
+                return (disputed && !change.left.is_zero()).then_some(Change::Disputed(id));
             }
             if change.left.is_zero() {
                 return self.lift(now, id, change.index);
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -51,10 +51,13 @@
 /// Most crashes that are remembered of one request; older ones still count.
 const MAX_CRASHES: usize = 16;
 
-/// Most requests with evidence; beyond it the one whose last crash is the oldest is
+/// Most requests with evidence; beyond it those whose last crash is the oldest are
 /// forgotten.
 const MAX_SUSPECTS: usize = 8_192;
 
+/// How many are forgotten at once, so that room isn't sought for each new one.
+const FORGOTTEN_AT_ONCE: usize = MAX_SUSPECTS / 8;
+
 /// A request that has to be refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Verdict {
@@ -206,8 +209,13 @@
         if self.suspects.len() < MAX_SUSPECTS {
             return;
         }
-        let oldest = self.suspects.iter().min_by_key(|(_, suspect)| suspect.last);
-        if let Some(id) = oldest.map(|(id, _)| *id) {
+        let ages = self
+            .suspects
+            .iter()
+            .map(|(id, suspect)| (suspect.last, *id));
+        let mut ages: Vec<_> = ages.collect();
+        ages.sort_unstable();
+        for (_, id) in ages.into_iter().take(FORGOTTEN_AT_ONCE) {
             self.suspects.remove(&id);
         }
     }
--- a/crates/quarantine/src/register.rs
+++ b/crates/quarantine/src/register.rs
@@ -72,6 +72,7 @@
 
     /// Takes over the verdicts in the log, and returns what has changed.
     pub fn logged(&mut self, now: Time, all: impl IntoIterator<Item = Logged>) -> Vec<Change> {
+        self.expire(now);
         let mut changes = Vec::new();
         for new in all {
             if self.verdicts.contains_key(&new.index) || new.left.is_zero() {
@@ -100,7 +101,8 @@
         let newer = self.verdicts.range(from + 1..).take(MAX_CHANGES);
         let newer: Vec<_> = newer.collect();
         let last = newer.last().map_or(last, |(index, _)| **index);
-        let changes = newer.into_iter().map(|(index, verdict)| QuarantineChange {
+        let newer = newer.into_iter().filter(|(_, verdict)| verdict.until > now);
+        let changes = newer.map(|(index, verdict)| QuarantineChange {
             fingerprint: verdict.fingerprint,
             index: *index,
             left: if verdict.lifted {
--- a/crates/quarantine/tests/guard.rs
+++ b/crates/quarantine/tests/guard.rs
@@ -75,3 +75,15 @@
     assert_that!(held(&guard, 7), eq(true));
     assert_that!(held(&guard, 60), eq(false));
 }
+
+/// Guards against reporting the same answer once for each control instance that sends the
+/// end of a verdict.
+#[test]
+fn the_end_of_a_verdict_is_not_disputed() {
+    let mut guard = Guard::default();
+    guard.answered(seconds(1), request());
+    guard.told(seconds(2), &[verdict(7, 100)]);
+    guard.told(seconds(3), &[verdict(8, 0)]);
+    let again = guard.told(seconds(3), &[verdict(8, 0)]);
+    assert_that!(again.is_empty(), eq(true));
+}
