--- a/crates/frontd/src/entry/crash.rs
+++ b/crates/frontd/src/entry/crash.rs
@@ -119,7 +119,7 @@
 }
 
 /// Applies verdicts on requests that a control instance has sent.
-pub(super) fn verdicts(state: &State, verdicts: &[QuarantineChange]) {
+pub(super) fn apply_verdicts(state: &State, verdicts: &[QuarantineChange]) {
     let now = state.now();
     let mut guard = state.guard();
     let changes = guard.told(now, verdicts);
@@ -130,8 +130,6 @@
         if let Change::Disputed(fingerprint) = change {
             state.controls.report_answered(*fingerprint);
         }
-    }
-    for change in &changes {
         log_quarantine(change, "log");
     }
 }
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -386,7 +386,7 @@
         inner.update = synced.update;
     }
     drop(inner);
-    crash::verdicts(state, &synced.quarantine.changes);
+    crash::apply_verdicts(state, &synced.quarantine.changes);
     state.view().set_versions(state.now(), synced.versions);
     match synced.targets {
         Some(targets) if fits && synced.full => {
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -80,33 +80,23 @@
             "Log lines dropped because the queue was full",
         );
         let dropped = register(&registry, dropped.expect("a valid name"));
-        let head = HistogramOpts::new(
-            "quetzal_head_seconds",
-            "Seconds from a request's arrival to the head of its answer",
-        );
-        let head = HistogramVec::new(head.buckets(SECONDS_BUCKETS.to_vec()), &["kind"]);
-        let head = register(&registry, head.expect("a valid name"));
-        let place = HistogramOpts::new(
-            "quetzal_place_seconds",
-            "Seconds from a request's arrival to its first target",
-        );
-        let place = Histogram::with_opts(place.buckets(SECONDS_BUCKETS.to_vec()));
-        let place = register(&registry, place.expect("a valid name"));
-        let suspects = IntGauge::new(
+        let (head, place) = time_histograms(&registry);
+        let gauge = |name: &str, help: &str| {
+            let made = IntGauge::new(name, help);
+            register(&registry, made.expect("a valid name"))
+        };
+        let suspects = gauge(
             "quetzal_suspect_requests",
             "Contents of requests that were part of a crash of their target",
         );
-        let suspects = register(&registry, suspects.expect("a valid name"));
-        let held_requests = IntGauge::new(
+        let held_requests = gauge(
             "quetzal_held_requests",
             "Contents of requests that are refused because they crash targets",
         );
-        let held_requests = register(&registry, held_requests.expect("a valid name"));
-        let zones = IntGauge::new(
+        let zones = gauge(
             "quetzal_zones_owned",
             "Zones of which this instance is the zone owner",
         );
-        let zones = register(&registry, zones.expect("a valid name"));
         let edition_bytes = IntCounter::new(
             "quetzal_edition_bytes_total",
             "Bytes of editions sent to entry instances",
@@ -187,6 +177,24 @@
     }
 }
 
+/// Returns the histograms of the time to the head of an answer, and to the first target.
+fn time_histograms(registry: &Registry) -> (HistogramVec, Histogram) {
+    let head = HistogramOpts::new(
+        "quetzal_head_seconds",
+        "Seconds from a request's arrival to the head of its answer",
+    );
+    let head = HistogramVec::new(head.buckets(SECONDS_BUCKETS.to_vec()), &["kind"]);
+    let place = HistogramOpts::new(
+        "quetzal_place_seconds",
+        "Seconds from a request's arrival to its first target",
+    );
+    let place = Histogram::with_opts(place.buckets(SECONDS_BUCKETS.to_vec()));
+    (
+        register(registry, head.expect("a valid name")),
+        register(registry, place.expect("a valid name")),
+    )
+}
+
 fn register<C: prometheus::core::Collector + Clone + 'static>(registry: &Registry, made: C) -> C {
     let result = registry.register(Box::new(made.clone()));
     result.expect("each name is registered once");
