--- a/crates/quarantine/tests/fleet/world.rs
+++ b/crates/quarantine/tests/fleet/world.rs
@@ -72,10 +72,18 @@
     /// Time from which on it can exchange with control instances.
     pub(crate) linked: Time,
     pub(crate) starts: Time,
-    /// For each control instance: what isn't reported yet, and what is known from it.
+    /// What isn't reported yet, for each control instance.
     /// Whether the next exchange is due at once.
     urgent: bool,
-    reports: BTreeMap<usize, (Vec<(Time, CrashedRun)>, Vec<Fingerprint>, u64)>,
+    reports: BTreeMap<usize, Unreported>,
+}
+
+/// What isn't reported to one control instance yet, and what is known from it.
+#[derive(Debug, Default)]
+struct Unreported {
+    runs: Vec<(Time, CrashedRun)>,
+    answered: Vec<Fingerprint>,
+    known: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -307,7 +315,7 @@
         let known = changes.last().map_or(report.known, |last| last.index);
         let controls = self.ledgers.len();
         let entry = &mut self.entries[entry];
-        entry.reports.entry(control).or_default().2 = known;
+        entry.reports.entry(control).or_default().known = known;
         for change in entry.guard.told(now, &changes) {
             if let Change::Disputed(id) = change {
                 entry.report_answered(controls, id);
@@ -358,27 +366,27 @@
         self.urgent = true;
         for control in 0..controls {
             let report = self.reports.entry(control).or_default();
-            report.0.push((now, run.clone()));
+            report.runs.push((now, run.clone()));
         }
     }
 
     fn report_answered(&mut self, controls: usize, id: Fingerprint) {
         self.urgent = true;
         for control in 0..controls {
-            self.reports.entry(control).or_default().1.push(id);
+            self.reports.entry(control).or_default().answered.push(id);
         }
     }
 
     fn take_report(&mut self, now: Time, control: usize) -> CrashReport {
-        let (runs, answered, known) = self.reports.entry(control).or_default();
-        let runs = runs.drain(..).map(|(at, run)| CrashedRun {
+        let unreported = self.reports.entry(control).or_default();
+        let runs = unreported.runs.drain(..).map(|(at, run)| CrashedRun {
             ago: now.since(at),
             ..run
         });
         CrashReport {
             runs: runs.collect(),
-            answered: std::mem::take(answered),
-            known: *known,
+            answered: std::mem::take(&mut unreported.answered),
+            known: unreported.known,
         }
     }
 }
