--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -118,10 +118,10 @@
     RequestSlow 5009 Info "request slow" "The head of an answer took `head_ms`, of which `place_ms` passed before a target was found; `sends` and `refusals` count how often the request was sent and refused."
     BackupUnused 5010 Info "copy of a KV cache not used" "A copy of a run's KV cache, made with `weights` and `version` of the adapter, isn't used; `why` is `Weights` or `Version` where its target may have others loaded, `Outdated` where a newer version was named too long ago, `Gone` where its target is gone, `Silent` where no instance that knows the target was heard from lately, `Deadline` where the caller no longer waits, or `Repeats` where the retry budget is used up."
     RunBroken 5011 Info "run ended with its connection" "The connection to `target` broke `ran_ms` after the request was sent there; `fate` is `crashed` where the target then refused connections, `running` where it answered, or `silent`. `fingerprint` is the same for all requests of one content, whatever their id."
-    TargetChecked 5014 Info "target checked after a break" "Attempts at `target` broke; `fate` is `crashed` where it then refused connections, `running` where it answered, or `silent`."
-    HeldRefused 5015 Info "held request refused" "A request with `fingerprint` came again and was refused, as it was part of `crashes` crashes of targets; its caller was told to come back in `left_ms`."
     RequestHeld 5012 Warn "request held" "Requests with `fingerprint` were part of `crashes` crashes of targets and never ended well: they are refused for `left_ms`. `by` is `log` for a verdict of the replicated log, or `instance` where this instance alone saw enough."
     RequestCleared 5013 Info "request cleared" "Requests with `fingerprint` were answered in full and are no longer refused."
+    TargetChecked 5014 Info "target checked after a break" "Attempts at `target` broke; `fate` is `crashed` where it then refused connections, `running` where it answered, or `silent`."
+    HeldRefused 5015 Info "held request refused" "A request with `fingerprint` came again and was refused, as it was part of `crashes` crashes of targets; its caller was told to come back in `left_ms`."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
