Bound the answers that wait to be reported

A control instance that never answers again would have had every answer to a suspected request kept for it. At most 1,024 are, as of crashed runs. Seen by reading; no test, as the bound is a set's size.

--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -57,7 +57,8 @@
 /// orders.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Most crashed runs that are kept for a control instance that doesn't answer.
+/// Most crashed runs, and most answered requests, that are kept for a control instance
+/// that doesn't answer.
 const MAX_UNREPORTED: usize = 1_024;
 
 /// Most concurrent exchanges with one control instance that request loads.
@@ -111,7 +112,7 @@
     /// Reports a request that was answered in full to every control instance.
     pub(super) fn report_answered(&self, fingerprint: Fingerprint) {
         for peer in lock(&self.peers).values() {
-            lock(&peer.inner).answered.insert(fingerprint);
+            lock(&peer.inner).add_answered(fingerprint);
             peer.wanted.notify_one();
         }
     }
@@ -175,6 +176,13 @@
         }
     }
 
+    fn add_answered(&mut self, fingerprint: Fingerprint) {
+        self.answered.insert(fingerprint);
+        if self.answered.len() > MAX_UNREPORTED {
+            self.answered.pop_first();
+        }
+    }
+
     /// Takes what has to be reported about requests that crash targets.
     fn take_report(&mut self, now: Time) -> CrashReport {
         let runs = self.crashes.drain(..).map(|(at, run)| CrashedRun {
@@ -193,7 +201,9 @@
         for run in report.runs {
             self.add_crash(asked - run.ago, run);
         }
-        self.answered.extend(report.answered);
+        for fingerprint in report.answered {
+            self.add_answered(fingerprint);
+        }
     }
 
     /// Returns whether a target update can be applied that answers a request which said
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -17,7 +17,7 @@
 /// Most broken attempts that are remembered for one target.
 const MAX_BROKEN: usize = 512;
 
-/// Most crashed runs that wait to be reported.
+/// Most crashed runs, and most answered requests, that wait to be reported.
 const MAX_UNREPORTED: usize = 1_024;
 
 /// Time without a reply from the leader after which this instance judges alone.
@@ -108,7 +108,7 @@
     pub(crate) fn answered(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
         let suspected = self.guard.answered(now, fingerprint);
         if suspected {
-            self.answered.insert(fingerprint);
+            self.add_answered(fingerprint);
         }
         suspected
     }
@@ -138,7 +138,9 @@
             self.unreported.push_front((at - run.ago, run));
         }
         self.unreported.truncate(MAX_UNREPORTED);
-        self.answered.extend(report.answered);
+        for fingerprint in report.answered {
+            self.add_answered(fingerprint);
+        }
     }
 
     /// Applies what the leader replied.
@@ -149,7 +151,7 @@
         let changes = self.guard.told(now, &quarantine.changes);
         for change in &changes {
             if let Change::Disputed(fingerprint) = change {
-                self.answered.insert(*fingerprint);
+                self.add_answered(*fingerprint);
             }
         }
         self.guard.expire(now);
@@ -163,4 +165,11 @@
         }
         self.guard.judge(now)
     }
+
+    fn add_answered(&mut self, fingerprint: Fingerprint) {
+        self.answered.insert(fingerprint);
+        if self.answered.len() > MAX_UNREPORTED {
+            self.answered.pop_first();
+        }
+    }
 }
