Read and log the limits that targets name, and what is sent to them

An answer's limit is read (the platform's header is named in platform/ only), its beginning, change and end are logged (E5017, E5018), and so is what one instance sends to a limited target, once in 4 s (E5019). Nothing is decided by it.

The tests of engines that crash move to targets.rs, where those of limits join them.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -12,6 +12,7 @@
 mod marks;
 mod name;
 mod number;
+mod rate;
 mod size;
 mod time;
 mod verdict;
@@ -29,6 +30,7 @@
         ServiceName, StableHash, TargetName, ZoneName, stable_hash,
     },
     number::{AdapterKey, AdapterNo, BrandNo, InstanceNo, TargetNo, Ticket},
+    rate::{BadRequestRate, RequestRate},
     size::{BadNumber, Bytes, Fence, Incarnation, PerSecond, Seed, TextVersion, Tokens, Version},
     time::{DriftMargin, Time},
     verdict::{BadVerdict, Failure, Refusal, Verdict},
--- a/crates/base/tests/names.rs
+++ b/crates/base/tests/names.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{BrandName, Class, DriftMargin, Fence, Fingerprint, Time, Verdict};
+use base::{BrandName, Class, DriftMargin, Fence, Fingerprint, RequestRate, Time, Verdict};
 use googletest::prelude::*;
 
 base::cases! {
@@ -66,3 +66,31 @@
     assert_that!(whole.to_string().parse::<Fingerprint>(), ok(eq(&whole)));
     assert_that!("0123".parse::<Fingerprint>().is_err(), eq(true));
 }
+
+base::cases! {
+    /// A rate is a decimal number of requests a second.
+    rate_is_read: check_rate => {
+        fraction: ("2.25", Some("2.25")),
+        whole: (" 40 ", Some("40")),
+        below_a_thousandth: ("0.0004", Some("0")),
+        huge: ("1e300", Some("4294967.295")),
+        negative: ("-1", None),
+        not_a_number: ("NaN", None),
+        endless: ("inf", None),
+        word: ("many", None),
+        empty: ("", None),
+    }
+}
+
+fn check_rate((raw, shown): (&str, Option<&str>)) {
+    let rate = raw.parse::<RequestRate>();
+    assert_that!(rate.ok().map(|rate| rate.to_string()).as_deref(), eq(shown));
+}
+
+#[test]
+fn an_interval_has_an_end() {
+    let longest = Duration::from_secs(4);
+    let interval = |raw: &str| raw.parse::<RequestRate>().unwrap().interval(longest);
+    assert_that!(interval("2.5"), eq(Duration::from_millis(400)));
+    assert_that!(interval("0"), eq(longest));
+}
--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -5,6 +5,7 @@
 mod editions;
 mod forward;
 mod headers;
+mod limits;
 mod relay;
 mod state;
 mod sync;
--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -13,7 +13,7 @@
 use web::client::{Answer, Broken, Cause, Ending, Limits, Send};
 
 use super::{ActiveRequest, REFUSED_PAUSE, millis};
-use crate::entry::{answer::refused, headers, state::State};
+use crate::entry::{answer::refused, headers, limits, state::State};
 
 /// Answers with fewer tokens get no copy of the run's KV cache: they last about half a
 /// second as a stream.
@@ -245,6 +245,7 @@
             backlog,
             sent: Instant::now(),
         };
+        limits::note_sent(state, target);
         let until = self.deadline;
         let sent = match timeout_at(until, state.client.send(send)).await {
             Ok(sent) => sent,
@@ -271,6 +272,7 @@
             state.view().outcome(state.now(), target, false);
             return SendOutcome::Unknown;
         }
+        limits::note_answer(state, target, &answer.headers);
         if refused(answer.status, &answer.headers, names) {
             return self.refused(target, &answer);
         }
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -12,7 +12,9 @@
 use account::Meter;
 use base::{InstanceName, Seed, Time, stable_hash};
 use daemon::{Clock, Links, lock};
-use gateway::{budget::Budget, home::home, table::Table, view::View, warmup::Warmup};
+use gateway::{
+    budget::Budget, home::home, table::Table, target_limit::KnownLimits, view::View, warmup::Warmup,
+};
 use quarantine::Guard;
 use tokio::sync::Notify;
 use web::client::Client;
@@ -41,6 +43,7 @@
     broken_runs: Mutex<BrokenRuns>,
     guard: Mutex<Guard>,
     meter: Mutex<Meter<SocketAddr>>,
+    limits: Mutex<KnownLimits>,
     pub(super) controls: ControlPeers,
     pub(super) editions: Editions,
     /// Availability zone of this instance.
@@ -79,6 +82,7 @@
             broken_runs: Mutex::default(),
             guard: Mutex::default(),
             meter: Mutex::new(Meter::new(setup.slack, rand::random())),
+            limits: Mutex::default(),
             controls: ControlPeers::default(),
             editions: Editions::default(),
             zone: setup.zone.clone(),
@@ -104,6 +108,11 @@
         lock(&self.meter)
     }
 
+    /// Returns what is known of the limits that targets name.
+    pub(super) fn limits(&self) -> MutexGuard<'_, KnownLimits> {
+        lock(&self.limits)
+    }
+
     /// Exchanges with a control instance at once.
     pub(super) fn hurry(&self) {
         self.controls.hurry(self.now(), &self.zone);
--- a/crates/frontd/src/platform.rs
+++ b/crates/frontd/src/platform.rs
@@ -26,6 +26,9 @@
     pub priority: HeaderName,
     /// Says in an answer that the request has not run.
     pub not_run: HeaderName,
+    /// The requests a second that a target takes from all instances together; absent in the
+    /// answers of a target that doesn't limit them.
+    pub target_limit: HeaderName,
     /// The model, followed by a slash and the adapter if there is one.
     pub model: HeaderName,
     /// The number of prompt tokens, a comma, and the most tokens of the answer.
--- a/crates/frontd/tests/common/platform.rs
+++ b/crates/frontd/tests/common/platform.rs
@@ -21,6 +21,7 @@
         weights_version: header("weights"),
         priority: header("priority"),
         not_run: header("refused"),
+        target_limit: header("limit"),
         model: header("model"),
         tokens: header("tokens"),
         last_event: header("resume"),
--- /dev/null
+++ b/crates/frontd/tests/targets.rs
@@ -0,0 +1,18 @@
+//! Targets in trouble: real control and entry instances over loopback, and engines that
+//! crash and come back some time later.
+
+#[path = "targets/crashes.rs"]
+mod crashes;
+#[path = "targets/deployment.rs"]
+mod deployment;
+#[path = "targets/engine.rs"]
+mod engine;
+#[path = "common/engines.rs"]
+mod engines;
+#[path = "common/platform.rs"]
+mod platform;
+
+use std::time::Duration;
+
+/// Time after which every instance knows what another one has seen.
+const CONTACT: Duration = Duration::from_secs(3);
--- a/crates/frontd/tests/crashes.rs
+++ b/crates/frontd/tests/targets/crashes.rs
@@ -1,24 +1,15 @@
-//! Requests that crash the engines that run them: real control and entry instances over
-//! loopback, and engines that come back some time after a crash.
-
-#[path = "crashes/deployment.rs"]
-mod deployment;
-#[path = "crashes/engine.rs"]
-mod engine;
-#[path = "common/engines.rs"]
-mod engines;
-#[path = "common/platform.rs"]
-mod platform;
+//! Requests that crash the engines that run them.
 
 use std::time::{Duration, Instant};
 
-use deployment::Deployment;
-use engine::{ANSWER, BROKEN_OFF, CRASHING};
 use googletest::prelude::*;
 use tokio::time::sleep;
 
-/// Time after which every instance knows what another one has seen.
-const CONTACT: Duration = Duration::from_secs(3);
+use crate::{
+    CONTACT,
+    deployment::Deployment,
+    engine::{ANSWER, BROKEN_OFF, CRASHING},
+};
 
 /// Crashes after which a request counts as the cause.
 const CRASHES: usize = 3;
--- a/crates/frontd/tests/crashes/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -164,6 +164,11 @@
         runs
     }
 
+    /// Returns the engine with this number, from 0 on.
+    pub(crate) fn engine(&self, no: usize) -> &Engine {
+        &self.engines[no]
+    }
+
     /// Returns when engines crashed, the oldest first.
     pub(crate) fn crashes(&self) -> Vec<Instant> {
         let mut all: Vec<_> = self.engines.iter().flat_map(|e| e.crashes()).collect();
--- a/crates/frontd/tests/crashes/engine.rs
+++ b/crates/frontd/tests/targets/engine.rs
@@ -59,6 +59,8 @@
     incarnation: u64,
     up: bool,
     begun: Vec<Begun>,
+    /// The limit that it names in its answers.
+    limit: Option<String>,
     crashes: Vec<Instant>,
 }
 
@@ -94,6 +96,11 @@
         self.state.lock().unwrap().begun.clone()
     }
 
+    /// Names a limit in all answers from now on, or none.
+    pub(crate) fn name_limit(&self, limit: Option<&str>) {
+        self.state.lock().unwrap().limit = limit.map(str::to_owned);
+    }
+
     pub(crate) fn crashes(&self) -> Vec<Instant> {
         self.state.lock().unwrap().crashes.clone()
     }
@@ -157,6 +164,10 @@
         if let Some(id) = headers.get("attempt") {
             resp.headers_mut().insert("attempt", id.clone());
         }
+        let limit = self.state.lock().unwrap().limit.clone();
+        if let Some(limit) = limit {
+            resp.headers_mut().insert("limit", limit.parse().unwrap());
+        }
         if expected != Some(self.id()) {
             *resp.status_mut() = StatusCode::MISDIRECTED_REQUEST;
             return resp;
--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -21,6 +21,7 @@
             weights_version: header.clone(),
             priority: header.clone(),
             not_run: header.clone(),
+            target_limit: header.clone(),
             model: header.clone(),
             tokens: header.clone(),
             last_event: header.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod list_fallback;
 pub mod revisions;
 pub mod table;
+pub mod target_limit;
 pub mod view;
 pub mod warmup;
 pub mod zone_lease;
