--- a/crates/frontd/tests/targets.rs
+++ b/crates/frontd/tests/targets.rs
@@ -1,5 +1,5 @@
 //! Targets in trouble: real control and entry instances over loopback, and engines that
-//! crash and come back some time later.
+//! crash and come back some time later, or that name a limit.
 
 #[path = "targets/crashes.rs"]
 mod crashes;
@@ -9,6 +9,8 @@
 mod engine;
 #[path = "common/engines.rs"]
 mod engines;
+#[path = "targets/limits.rs"]
+mod limits;
 #[path = "common/platform.rs"]
 mod platform;
 
--- /dev/null
+++ b/crates/frontd/tests/targets/limits.rs
@@ -0,0 +1,79 @@
+//! Engines that name a limit of requests a second.
+
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+use crate::{
+    CONTACT,
+    deployment::{Deployment, Told},
+};
+
+/// The window in which requests to a limited engine are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Requests a second that a limited engine takes, and as it says so.
+const LIMIT: f64 = 2.5;
+const NAMED: &str = "2.5";
+
+/// Requests that a limited engine may get within [`WINDOW`].
+const ALLOWED: f64 = 1.5 * LIMIT * WINDOW.as_secs_f64() + 5.0;
+
+/// Time from an answer to the next request of the same caller, at least.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Callers at each entry instance, each with one request at a time.
+const CALLERS: u8 = 5;
+
+/// Sends requests to all entry instances until `until`, and returns what was answered.
+async fn ask_until(deployment: &Deployment, entries: u8, until: Instant) -> Vec<Told> {
+    let callers = (1..=entries).flat_map(|entry| (0..CALLERS).map(move |no| (entry, no)));
+    let callers = callers.map(|(entry, no)| call_until(deployment, entry, no, until));
+    join_all(callers).await.into_iter().flatten().collect()
+}
+
+/// Sends requests of one caller, who comes back after a refusal when told.
+async fn call_until(deployment: &Deployment, entry: u8, no: u8, until: Instant) -> Vec<Told> {
+    let mut answers = Vec::new();
+    sleep(u32::from(no) * PAUSE).await;
+    while Instant::now() < until {
+        let told = deployment.ask(entry, "harmless").await;
+        sleep(told.again.unwrap_or(PAUSE)).await;
+        answers.push(told);
+    }
+    answers
+}
+
+/// Returns the most requests that an engine got in a window that ends after `from`.
+fn most_in_window(deployment: &Deployment, engine: usize, from: Instant) -> usize {
+    let begun = deployment.engine(engine).begun();
+    let ends = begun.iter().filter(|run| run.at >= from);
+    let counts = ends.map(|last| {
+        let within = begun.iter().filter(|run| run.at <= last.at);
+        within.filter(|run| run.at + WINDOW > last.at).count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+/// Guards against instances that send a target as much as before, though it has named a
+/// limit that holds over all of them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_limit_that_a_target_names_holds_over_all_entry_instances() {
+    let deployment = Deployment::start(3, 3).await;
+    let begun = Instant::now();
+    let calm = Duration::from_secs(1);
+    let named = async {
+        sleep(calm).await;
+        deployment.engine(0).name_limit(Some(NAMED));
+    };
+    let until = begun + calm + 3 * CONTACT;
+    let (told, ()) = tokio::join!(ask_until(&deployment, 3, until), named);
+    let most = most_in_window(&deployment, 0, begun + calm + CONTACT);
+    assert_that!(most as f64, le(ALLOWED));
+    for told in told {
+        assert_that!(told.status, eq(200));
+    }
+    assert_that!(deployment.crashes().len(), eq(0));
+}
