Hold the limits that targets name over all entry instances

What callers saw: nothing.

Cause: nobody read the limit; a target was chosen by its load, its failures and what it holds.

Change: the zone owner of the target's zone grants permits, for all instances together, at the rate of the limit with what half a second leaves unused. Instances report what answers say at once, with what they had sent before, and hear of it with the targets' updates. Permits wait until little of what was sent before is left in the window. Urgent requests have their part, and so has each account. Without the owner an instance keeps to an even part that begins at a random point. Copies at a limited engine don't count, so that its adapters are loaded elsewhere; where no target has room, the caller is told at once when to come back.

--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -24,5 +24,6 @@
     directory::{Account, BadAccounts, Directory, Limit, RawAccount, Unit},
     key::KeyDigest,
     meter::{Denied, Meter, Slack},
+    rate::Rate,
     tally::Tally,
 };
--- a/crates/account/src/rate.rs
+++ b/crates/account/src/rate.rs
@@ -6,7 +6,7 @@
 
 /// Units a second, weighted by how recent they are.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Rate {
+pub struct Rate {
     /// Time in which it fades to a third.
     memory: Duration,
     per_s: f64,
@@ -14,7 +14,9 @@
 }
 
 impl Rate {
-    pub(crate) const fn new(memory: Duration) -> Self {
+    /// Creates a rate of zero that fades to a third within `memory`.
+    #[must_use]
+    pub const fn new(memory: Duration) -> Self {
         Rate {
             memory,
             per_s: 0.0,
@@ -23,7 +25,7 @@
     }
 
     /// Counts some units, which came in since the last count.
-    pub(crate) fn add(&mut self, now: Time, units: f64) {
+    pub fn add(&mut self, now: Time, units: f64) {
         let faded = self.at(now);
         self.per_s = (faded + units / self.memory.as_secs_f64()).max(0.0);
         self.at = self.at.max(now);
@@ -42,7 +44,8 @@
     }
 
     /// Returns the rate at `now`, if nothing was counted since.
-    pub(crate) fn at(&self, now: Time) -> f64 {
+    #[must_use]
+    pub fn at(&self, now: Time) -> f64 {
         self.per_s * fading(now.since(self.at), self.memory)
     }
 }
--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -41,11 +41,13 @@
             Call::Explain(_) => Reply::Explained(None),
             // The daemon answers these calls itself, from its own knowledge of targets,
             // zones and editions.
-            Call::Sync(_) | Call::SyncUsage { .. } | Call::Renew { .. } | Call::Edition { .. } => {
-                Reply::Redirect {
-                    leader: self.other_leader(),
-                }
-            }
+            Call::Sync(_)
+            | Call::SyncUsage { .. }
+            | Call::Limits(_)
+            | Call::Renew { .. }
+            | Call::Edition { .. } => Reply::Redirect {
+                leader: self.other_leader(),
+            },
             Call::Confirm(_) | Call::Residents(_) | Call::Handover(_) | Call::Drain => Reply::Done,
         };
         out.push(Output::Reply { ticket, reply });
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -342,6 +342,10 @@
                 let part = self.editions.part(self.clock.now(), number, from);
                 to.send(Reply::Edition(part)).ok();
             }
+            Call::Limits(report) => {
+                let permit = self.limit_report(&report);
+                to.send(Reply::Limits(permit)).ok();
+            }
             Call::Renew { instance, zone } => {
                 to.send(self.renew_for(&instance, &zone)).ok();
             }
--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -6,9 +6,11 @@
 use wire::{
     call::Reply,
     fleet::{Synced, Weights},
+    limit::{LimitReport, Permit},
 };
 
 use super::{Job, Shell, Waiter};
+use crate::limit_log;
 
 impl Shell {
     pub(super) fn read_list(&self, zone: String) {
@@ -45,6 +47,16 @@
         }
     }
 
+    /// Passes what an entry instance has heard of limits to the zone owner, and returns the
+    /// answer to its request for a permit.
+    pub(super) fn limit_report(&mut self, report: &LimitReport) -> Option<Permit> {
+        let (permit, changes) = self.zone_owner.limit_report(self.clock.now(), report);
+        for change in changes {
+            limit_log::log_change(&change, report.instance.as_str());
+        }
+        permit
+    }
+
     /// Logs what was learned about the weight store while adapters wait for it; called
     /// once a second at most.
     pub(super) fn log_store(&mut self) {
--- a/crates/frontd/src/entry/answer.rs
+++ b/crates/frontd/src/entry/answer.rs
@@ -57,6 +57,8 @@
     Waited,
     /// The shared budget of retries is used up.
     Repeats,
+    /// All targets that could take it have used up the limits that they name.
+    Limited,
     /// Targets have refused the request too often.
     Refusals,
     /// The deadline had passed.
--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -166,6 +166,10 @@
             self.log_unused_backup(&backup, unused);
             return None;
         }
+        if self.permit(&backup.target).await.is_err() {
+            self.log_unused_backup(&backup, Unused::Limited);
+            return None;
+        }
         let sent = self.send(&backup.target, Some(last), true).await;
         self.backup = None;
         match sent {
@@ -272,7 +276,7 @@
             state.view().outcome(state.now(), target, false);
             return SendOutcome::Unknown;
         }
-        limits::note_answer(state, target, &answer.headers);
+        limits::note_answer(state, target, answer.status, &answer.headers);
         if refused(answer.status, &answer.headers, names) {
             return self.refused(target, &answer);
         }
--- a/crates/frontd/src/entry/forward/wait.rs
+++ b/crates/frontd/src/entry/forward/wait.rs
@@ -6,7 +6,10 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::{ActiveRequest, DEFAULT_RETRY_AFTER};
-use crate::entry::answer::{RequestError, Why};
+use crate::entry::{
+    answer::{RequestError, Why},
+    limits,
+};
 
 /// Interval at which the zone's owner is asked again to load an adapter that no target
 /// holds.
@@ -66,8 +69,14 @@
             match choice {
                 Choice::Send(target) => {
                     self.state.request_copy(&self.service, &self.adapter);
-                    return Ok(target);
+                    if self.permit(&target).await.is_ok() {
+                        return Ok(target);
+                    }
+                }
+                Choice::Limited(wait) if now + wait > give_up_at => {
+                    return Err(self.reject_for(wait, Why::Limited));
                 }
+                Choice::Limited(wait) => sleep(wait).await,
                 Choice::Wait(wait) => sleep(wait.max(Duration::from_millis(1))).await,
                 Choice::NoTarget | Choice::Missing if now < settled_by && self.state.settling() => {
                     tokio::select! {
@@ -100,6 +109,19 @@
         }
     }
 
+    /// Gets a permit for this request at a target, if that names a limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which a permit may be had.
+    pub(super) async fn permit(&self, target: &str) -> Result<(), Duration> {
+        let sender = limits::Sender {
+            account: self.account.as_deref().map(|account| &account.name),
+            priority: self.route.priority,
+        };
+        limits::permit(&self.state, target, sender).await
+    }
+
     /// Returns the time until the adapter is loaded, if the request doesn't wait that
     /// long.
     ///
--- a/crates/frontd/src/entry/limits.rs
+++ b/crates/frontd/src/entry/limits.rs
@@ -1,15 +1,48 @@
-//! Limits that targets name in their answers.
+//! Limits that targets name in their answers, and permits for requests to such targets.
 
-use base::RequestRate;
-use gateway::target_limit::Change;
-use hyper::HeaderMap;
-use telemetry::event;
+use std::{sync::Arc, time::Duration};
 
-use super::{headers, state::State};
+use base::{AccountName, RequestRate};
+use gateway::target_limit::Access;
+use hyper::{HeaderMap, StatusCode};
+use telemetry::{event, prom_metrics};
+use wire::{
+    call::{Call, Reply},
+    limit::{LimitReport, Permit, PermitRequest},
+};
 
-/// Takes over the limit that an answer of a target names, or that it names none. A value
-/// that can't be read changes nothing.
-pub(super) fn note_answer(state: &State, target: &str, headers: &HeaderMap) {
+use super::{headers, state::State, sync::ControlPeer};
+use crate::limit_log::log_change;
+
+/// Time-out of a request for a permit: some times what a message between zones takes.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// Time-out of a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A request that waits for a permit.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sender<'a> {
+    /// The account that it counts for.
+    pub(super) account: Option<&'a AccountName>,
+    /// Rank of the request; 0 goes first.
+    pub(super) priority: u8,
+}
+
+/// Takes over the limit that an answer of a target names, or that it names none, and
+/// reports a change to the zone owner.
+///
+/// A value that can't be read changes nothing, and neither does an answer for which the
+/// target is not known: a refusal as misdirected may come from another one.
+pub(super) fn note_answer(
+    state: &Arc<State>,
+    target: &str,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
     let name = &state.platform.header_names.target_limit;
     let limit = match headers.get(name) {
         None => None,
@@ -18,21 +51,20 @@
             _ => return,
         },
     };
-    let change = state.limits().seen(state.now(), target, limit);
-    match change {
-        Some(Change::Named(limit)) => event!(
-            telemetry::Event::TargetLimited,
-            target = target,
-            limit = limit.per_second()
-        ),
-        Some(Change::Ended) => event!(telemetry::Event::TargetUnlimited, target = target),
-        None => {}
+    let change = state.view().limits().seen(state.now(), target, limit);
+    let Some(change) = change else {
+        return;
+    };
+    log_change(&change, "answer");
+    if let Some(owner) = owner(state, target) {
+        let state = Arc::clone(state);
+        tokio::spawn(async move { report(&state, &owner).await });
     }
 }
 
 /// Counts a request that is sent to a target.
 pub(super) fn note_sent(state: &State, target: &str) {
-    let Some(traffic) = state.limits().sent(state.now(), target) else {
+    let Some(traffic) = state.view().limits().sent(state.now(), target) else {
         return;
     };
     event!(
@@ -40,6 +72,116 @@
         target = target,
         limit = traffic.limit.per_second(),
         sent = traffic.sent,
+        denied = traffic.denied,
         ms = traffic.during.as_millis()
     );
 }
+
+/// Logs what a control instance has said of limits.
+pub(super) fn log_told(state: &State, peer: &ControlPeer) {
+    let changes = state.view().take_limit_changes();
+    for change in changes {
+        log_change(&change, &peer.address.to_string());
+    }
+}
+
+/// Reports what was heard of limits to the owner of the targets' zones.
+pub(super) async fn report(state: &State, owner: &ControlPeer) {
+    let report = next_report(state, owner, None);
+    if report.seen.is_empty() && report.before.is_empty() {
+        return;
+    }
+    call(state, owner, report, REPORT_TIMEOUT).await;
+}
+
+/// Gets a permit for a request to a target, if that names a limit.
+///
+/// # Errors
+///
+/// Returns the time after which a permit may be had.
+pub(super) async fn permit(
+    state: &State,
+    target: &str,
+    sender: Sender<'_>,
+) -> Result<(), Duration> {
+    let access = state.view().limits().take(state.now(), target);
+    let access = match access {
+        Access::Ask => ask(state, target, sender).await,
+        access => access,
+    };
+    match access {
+        Access::Blocked(wait) => Err(wait),
+        Access::Free | Access::Ask => Ok(()),
+    }
+}
+
+/// Asks the zone owner for a permit. Without an answer, this instance keeps to its own
+/// part of the limit.
+async fn ask(state: &State, target: &str, sender: Sender<'_>) -> Access {
+    let access = match owner(state, target) {
+        Some(owner) => ask_owner(state, target, sender, &owner).await,
+        None => Access::Ask,
+    };
+    if access != Access::Ask {
+        return access;
+    }
+    let access = state.view().limits().take_alone(state.now(), target);
+    let outcome = match access {
+        Access::Blocked(_) => "denied_alone",
+        Access::Free | Access::Ask => "granted_alone",
+    };
+    prom_metrics().permit(outcome);
+    access
+}
+
+async fn ask_owner(state: &State, target: &str, sender: Sender<'_>, owner: &ControlPeer) -> Access {
+    let want = PermitRequest {
+        target: target.to_owned(),
+        account: sender.account.cloned(),
+        priority: sender.priority,
+    };
+    let report = next_report(state, owner, Some(want));
+    let Some(permit) = call(state, owner, report, PERMIT_TIMEOUT).await else {
+        return Access::Ask;
+    };
+    prom_metrics().permit(match permit {
+        Permit::Granted(_) => "granted",
+        Permit::Denied { .. } => "denied",
+        Permit::Unlimited | Permit::NotOwner => "unknown",
+    });
+    state.view().limits().permitted(state.now(), target, permit)
+}
+
+fn next_report(state: &State, owner: &ControlPeer, want: Option<PermitRequest>) -> LimitReport {
+    let now = state.now();
+    let (seen, before) = state.view().take_limit_report(now, |zone| owner.owns(zone));
+    LimitReport {
+        instance: state.name.clone(),
+        seen,
+        before,
+        want,
+    }
+}
+
+/// Sends a report; one that is lost is sent again later.
+async fn call(
+    state: &State,
+    owner: &ControlPeer,
+    report: LimitReport,
+    within: Duration,
+) -> Option<Permit> {
+    let (seen, before) = (report.seen.clone(), report.before.clone());
+    let link = state.links.to(owner.address);
+    match link.call(Call::Limits(report), within).await {
+        Ok(Reply::Limits(permit)) => permit,
+        _ => {
+            state.view().limits().keep_report(&seen, &before);
+            None
+        }
+    }
+}
+
+fn owner(state: &State, target: &str) -> Option<Arc<ControlPeer>> {
+    let zone = state.view().zone_of(target).map(str::to_owned)?;
+    state.controls.owner(state.now(), &zone)
+}
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -12,9 +12,7 @@
 use account::Meter;
 use base::{InstanceName, Seed, Time, stable_hash};
 use daemon::{Clock, Links, lock};
-use gateway::{
-    budget::Budget, home::home, table::Table, target_limit::KnownLimits, view::View, warmup::Warmup,
-};
+use gateway::{budget::Budget, home::home, table::Table, view::View, warmup::Warmup};
 use quarantine::Guard;
 use tokio::sync::Notify;
 use web::client::Client;
@@ -43,7 +41,6 @@
     broken_runs: Mutex<BrokenRuns>,
     guard: Mutex<Guard>,
     meter: Mutex<Meter<SocketAddr>>,
-    limits: Mutex<KnownLimits>,
     pub(super) controls: ControlPeers,
     pub(super) editions: Editions,
     /// Availability zone of this instance.
@@ -82,7 +79,6 @@
             broken_runs: Mutex::default(),
             guard: Mutex::default(),
             meter: Mutex::new(Meter::new(setup.slack, rand::random())),
-            limits: Mutex::default(),
             controls: ControlPeers::default(),
             editions: Editions::default(),
             zone: setup.zone.clone(),
@@ -108,11 +104,6 @@
         lock(&self.meter)
     }
 
-    /// Returns what is known of the limits that targets name.
-    pub(super) fn limits(&self) -> MutexGuard<'_, KnownLimits> {
-        lock(&self.limits)
-    }
-
     /// Exchanges with a control instance at once.
     pub(super) fn hurry(&self) {
         self.controls.hurry(self.now(), &self.zone);
@@ -180,6 +171,7 @@
     pub(super) fn set_entry_count(&self, count: u32) {
         self.entry_count.store(count.max(1), Ordering::Relaxed);
         self.meter().set_instances(count);
+        self.view().limits().set_instances(self.now(), count);
     }
 
     /// Counts a request of a caller, which adds to the budget of retries.
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -29,7 +29,7 @@
     quarantine::{CrashReport, CrashedRun},
 };
 
-use super::{crash, state::State};
+use super::{crash, limits, state::State};
 use crate::names;
 
 /// Interval between two exchanges with one control instance. A change of the
@@ -71,8 +71,8 @@
 }
 
 /// One control instance.
-struct ControlPeer {
-    address: SocketAddr,
+pub(super) struct ControlPeer {
+    pub(super) address: SocketAddr,
     /// Notified when a load is requested from it.
     wanted: Notify,
     inner: Mutex<Inner>,
@@ -170,6 +170,13 @@
         }
     }
 
+    /// Returns the owner of `zone`, if it was heard from lately.
+    pub(super) fn owner(&self, now: Time, zone: &str) -> Option<Arc<ControlPeer>> {
+        let peers = lock(&self.peers);
+        let mut heard = peers.values().filter(|peer| peer.heard(now));
+        heard.find(|peer| peer.owns(zone)).map(Arc::clone)
+    }
+
     /// Adds the requests counted for each adapter, which are sent to every control
     /// instance.
     fn add_demand(&self, demand: &[(String, u32)]) {
@@ -235,6 +242,11 @@
 }
 
 impl ControlPeer {
+    /// Returns whether it owns a zone.
+    pub(super) fn owns(&self, zone: &str) -> bool {
+        lock(&self.inner).zones.iter().any(|own| own == zone)
+    }
+
     fn heard(&self, now: Time) -> bool {
         let heard = lock(&self.inner).last_heard;
         heard.is_some_and(|at| now.since(at) < OWNER_TIMEOUT)
@@ -252,6 +264,7 @@
             add_peer(&state, SocketAddr::new(ip, state.port));
         }
         state.meter().expire(state.now());
+        state.view().expire_limits(state.now());
         let demand = state.view().take_demand();
         state.controls.add_demand(&demand);
         crash::judge_alone(&state);
@@ -344,6 +357,10 @@
     let now = state.now();
     state.meter().told(now, peer.address, &usage, &others);
     apply(state, peer, asked, *synced);
+    limits::log_told(state, peer);
+    if regular {
+        limits::report(state, peer).await;
+    }
     true
 }
 
@@ -435,6 +452,7 @@
     match synced.targets {
         Some(targets) if fits && synced.full => {
             state.set_targets(now, &synced.zones, targets);
+            state.view().report_limits_again(&synced.zones);
         }
         targets if fits => {
             state.change_targets(now, targets.unwrap_or_default(), &synced.removed);
--- a/crates/frontd/src/lib.rs
+++ b/crates/frontd/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod control;
 mod entry;
+mod limit_log;
 mod metrics;
 mod names;
 mod platform;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -11,7 +11,12 @@
 };
 
 use base::{Seed, Time};
-use wire::fleet::{FirstUse, PromptTime, Running, Target};
+use wire::{
+    fleet::{FirstUse, PromptTime, Running, Target},
+    limit::SeenLimit,
+};
+
+use crate::target_limit::{KnownLimits, LimitChange, Standing};
 
 pub use self::backup::{Backup, Origin, Unused};
 use self::{
@@ -33,6 +38,10 @@
 /// about ten requests.
 const FAILURE_WEIGHT: f64 = 0.15;
 
+/// Added to the load of a target that names a limit, in parts of its slots: it is in need,
+/// and asking for a permit takes some milliseconds.
+const LIMITED_COST: f64 = 0.25;
+
 /// Half-life of the failure rate without any request: a target that recovers is tried
 /// again within seconds.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
@@ -44,6 +53,9 @@
 /// instance with waiting callers asks again every 300 ms.
 const EXPECTED_MAX_AGE: Duration = Duration::from_millis(400);
 
+/// Number of entry instances that is assumed until a control instance has told it.
+const INITIAL_INSTANCES: u32 = 12;
+
 /// Where a request can be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -54,6 +66,9 @@
     Wait(Duration),
     /// No target has the adapter or is loading it.
     Missing,
+    /// All targets that could take it have used up the limits that they name; a permit may
+    /// be had after this time.
+    Limited(Duration),
     /// The service has no target that takes requests.
     NoTarget,
 }
@@ -85,6 +100,10 @@
     /// Targets for which an announced adapter was dropped from this view, as they refused
     /// a request for it.
     stale: BTreeSet<String>,
+    /// The limits that targets name.
+    limits: KnownLimits,
+    /// What zone owners said of limits since it was last taken.
+    limit_changes: Vec<LimitChange>,
     /// Makes this instance's random choices differ from those of others.
     seed: u64,
     /// Number of requests sent so far.
@@ -124,6 +143,7 @@
         View {
             zone: zone.into(),
             seed: seed.0,
+            limits: KnownLimits::new(seed.0, INITIAL_INSTANCES),
             ..View::default()
         }
     }
@@ -157,6 +177,10 @@
     }
 
     fn add_target(&mut self, now: Time, target: Target, before: Option<TargetState>) {
+        if let Some(told) = target.limit {
+            let change = self.limits.told(now, &target.id, told);
+            self.limit_changes.extend(change);
+        }
         let residents = target.residents.iter().map(|resident| {
             let old = before.as_ref();
             let old = old.and_then(|known| known.residents.get(&resident.adapter));
@@ -341,6 +365,17 @@
         if holders.is_empty() {
             return Choice::Missing;
         }
+        let waits = holders.iter().map(|k| self.blocked_for(now, k));
+        if let Some(wait) = waits.min().flatten() {
+            let elsewhere = ready.iter().any(|k| !self.limits.is_limited(&k.target.id));
+            return match adapter.is_empty() || !elsewhere {
+                true => Choice::Limited(wait),
+                false => Choice::Missing,
+            };
+        }
+        let holders = holders.into_iter();
+        let holders = holders.filter(|k| self.blocked_for(now, k).is_none());
+        let holders: Vec<_> = holders.collect();
         let usable = holders.iter().filter(|k| usable(k, now, adapter));
         let rated: Vec<_> = usable.map(|k| (self.cost(now, k, tried), **k)).collect();
         if let Some(best) = self.pick(&rated) {
@@ -439,6 +474,55 @@
         held.version == 0 || held.version >= named
     }
 
+    /// Returns the time for which a target takes no request, as its limit is used up.
+    fn blocked_for(&self, now: Time, known: &TargetState) -> Option<Duration> {
+        match self.limits.standing(now, &known.target.id) {
+            Standing::Blocked(wait) => Some(wait),
+            Standing::Free | Standing::Limited => None,
+        }
+    }
+
+    /// Returns the limits that targets name.
+    pub fn limits(&mut self) -> &mut KnownLimits {
+        &mut self.limits
+    }
+
+    /// Has the limits of targets in `zones` reported again, as their owner may not know them.
+    pub fn report_limits_again(&mut self, zones: &[String]) {
+        let targets = &self.targets;
+        let in_zones = |id: &str| {
+            let known = targets.get(id);
+            known.is_some_and(|known| zones.contains(&known.target.zone))
+        };
+        self.limits.report_again(in_zones);
+    }
+
+    /// Removes and returns what has to be reported of limits to the owner of some zones: what
+    /// answers said, and what was sent before.
+    pub fn take_limit_report(
+        &mut self,
+        now: Time,
+        owned: impl Fn(&str) -> bool,
+    ) -> (Vec<SeenLimit>, Vec<(String, u32)>) {
+        let targets = &self.targets;
+        self.limits.take_report(now, |id| {
+            targets
+                .get(id)
+                .is_some_and(|known| owned(&known.target.zone))
+        })
+    }
+
+    /// Removes and returns what zone owners have said of limits.
+    pub fn take_limit_changes(&mut self) -> Vec<LimitChange> {
+        std::mem::take(&mut self.limit_changes)
+    }
+
+    /// Forgets what is known of limits of targets that are gone.
+    pub fn expire_limits(&mut self, now: Time) {
+        let targets = &self.targets;
+        self.limits.expire(now, |id| targets.contains_key(id));
+    }
+
     fn cost(&self, now: Time, known: &TargetState, tried: &BTreeSet<String>) -> f64 {
         let target = &known.target;
         let own: u32 = known.own.values().sum();
@@ -448,6 +532,9 @@
         if target.zone != self.zone {
             cost += CROSS_ZONE_COST;
         }
+        if self.limits.is_limited(&target.id) {
+            cost += LIMITED_COST;
+        }
         cost += self.backlog(known) / FULL_WAIT;
         cost += FAILURE_COST * known.failures.decayed_rate(now);
         if known.is_avoided(now) {
--- a/crates/gateway/src/view/backup.rs
+++ b/crates/gateway/src/view/backup.rs
@@ -40,6 +40,8 @@
     Deadline,
     /// The retry budget is exhausted.
     Repeats,
+    /// The limit that the target names is used up.
+    Limited,
 }
 
 /// A copy of a stream's KV cache.
@@ -60,7 +62,8 @@
         let origin = self.targets.get(id)?.origin(adapter)?;
         let others = self.targets.values().filter(|k| {
             let of_service = k.target.service == service && k.target.ready;
-            of_service && k.target.id != id && !k.is_avoided(now)
+            let open = !k.is_avoided(now) && !self.limits.is_limited(&k.target.id);
+            of_service && k.target.id != id && open
         });
         let alike = others.filter(|k| k.origin(adapter) == Some(origin));
         let holders = alike.filter(|k| self.holds(k, adapter) && usable(k, now, adapter));
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -9,6 +9,7 @@
 mod demand;
 mod engine;
 mod estimate;
+mod limits;
 mod message;
 mod placement;
 mod plan;
@@ -36,7 +37,7 @@
     target_updates::TargetUpdates,
     traffic::Traffic,
 };
-use crate::{table, zone_lease::ZoneLease};
+use crate::{table, target_limit::Granter, zone_lease::ZoneLease};
 
 /// An entry instance not heard from for this long is ignored: its requests have ended or
 /// its connections are gone.
@@ -196,6 +197,8 @@
     available: usize,
     full: usize,
     pending: Vec<PendingSync>,
+    /// The limits that targets name.
+    limits: Granter,
 }
 
 impl ZoneOwner {
@@ -233,6 +236,7 @@
             available: 0,
             full: 0,
             pending: Vec::new(),
+            limits: Granter::default(),
         }
     }
 
@@ -328,21 +332,31 @@
             let zone = targets.get(id).map(|t| &t.zone);
             zone.is_none_or(|zone| !gained.contains(zone))
         });
+        self.limits.retain(|id| {
+            let zone = targets.get(id).map(|t| &t.zone);
+            zone.is_none_or(|zone| !gained.contains(zone))
+        });
         self.lease = lease;
         self.placement = None;
         self.plan_due = true;
     }
 
     fn listed(&mut self, now: Time, asked: Time, zones: &[String], list: Vec<ListedTarget>) {
-        let mut targets = std::mem::take(&mut self.targets);
-        targets.retain(|_, listed| !zones.contains(&listed.zone));
+        let targets = std::mem::take(&mut self.targets).into_iter();
+        let (before, mut targets): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            targets.partition(|(_, listed)| zones.contains(&listed.zone));
         for listed in list {
             if self.specs.contains_key(&listed.service) {
                 let engine = self.engines.entry(listed.id.clone()).or_default();
                 engine.listed(now, asked, &listed, &self.config);
             }
+            let known = before.get(&listed.id);
+            if known.is_some_and(|known| known.born != listed.born) {
+                self.limits.end(now, &listed.id);
+            }
             targets.insert(listed.id.clone(), listed);
         }
+        self.limits.retain(|id| targets.contains_key(id));
         self.engines.retain(|id, _| targets.contains_key(id));
         self.changed.extend(targets.keys().cloned());
         self.changed.extend(self.updates.ids());
@@ -559,6 +573,7 @@
                 slowness: self.slowness.factor(&listed.id),
                 weights: engine.map(Engine::weights).unwrap_or_default(),
                 residents,
+                limit: self.limits.limit(&listed.id),
             };
             self.updates.set(target, ready);
         }
@@ -583,4 +598,13 @@
     fn serves(&self, id: &str) -> bool {
         !self.failing.contains_key(id) && self.targets.get(id).is_some_and(|t| t.ready)
     }
+
+    /// Returns whether a target serves all requests that are sent to it.
+    ///
+    /// Failure: an engine names a limit far below what its adapters are requested for.
+    /// Their other callers would wait in vain, as nobody loads what is held already. So
+    /// copies at a limited engine don't count, and nothing more is loaded there.
+    fn is_open(&self, id: &str) -> bool {
+        self.serves(id) && !self.limits.is_limited(id)
+    }
 }
--- a/crates/gateway/src/zone_owner/message.rs
+++ b/crates/gateway/src/zone_owner/message.rs
@@ -199,6 +199,7 @@
             slowness: 0,
             weights: weights.collect(),
             residents: residents.collect(),
+            limit: None,
         }
     }
 }
--- a/crates/gateway/src/zone_owner/placement.rs
+++ b/crates/gateway/src/zone_owner/placement.rs
@@ -74,7 +74,7 @@
         let mut placement = Placement::default();
         let mut steps = 0;
         for (id, engine) in &self.engines {
-            let serves = self.serves(id);
+            let serves = self.is_open(id);
             steps += engine.adapters.len() as u64 + 1;
             placement.loading += engine.loading(now);
             for (adapter, slot) in &engine.adapters {
--- a/crates/gateway/src/zone_owner/plan.rs
+++ b/crates/gateway/src/zone_owner/plan.rs
@@ -123,7 +123,7 @@
         let mut steps = self.engines.len();
         for (id, engine) in &self.engines {
             let free = engine.can_take_order(now) && engine.next_load.is_none();
-            let fit = free && engine.loads_in_flight(now) < LOADS_PER_ENGINE && self.serves(id);
+            let fit = free && engine.loads_in_flight(now) < LOADS_PER_ENGINE && self.is_open(id);
             if !fit || self.fence(now, id).is_none() {
                 continue;
             }
--- a/crates/gateway/src/zone_owner/queue.rs
+++ b/crates/gateway/src/zone_owner/queue.rs
@@ -104,7 +104,7 @@
     fn room_for_copy(&self, adapter: &str) -> bool {
         let mut engines = self.engines.iter();
         engines.any(|(id, engine)| {
-            self.serves(id) && self.holds_model(id, adapter) && !self.current(engine, adapter)
+            self.is_open(id) && self.holds_model(id, adapter) && !self.current(engine, adapter)
         })
     }
 }
--- a/crates/gateway/tests/backup.rs
+++ b/crates/gateway/tests/backup.rs
@@ -38,6 +38,7 @@
         slowness: 0,
         weights: weights.into_iter().collect(),
         residents: residents.into(),
+        limit: None,
     }
 }
 
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -26,6 +26,7 @@
             version: 1,
             ready_in: std::time::Duration::ZERO,
         }],
+        limit: None,
     }
 }
 
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -25,6 +25,7 @@
         slowness: 0,
         weights: Vec::new(),
         residents: residents.collect(),
+        limit: None,
     }
 }
 
--- a/crates/gateway/tests/warmup.rs
+++ b/crates/gateway/tests/warmup.rs
@@ -20,6 +20,7 @@
         slowness: 0,
         weights: Vec::new(),
         residents: Vec::new(),
+        limit: None,
     }
 }
 
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -123,9 +123,9 @@
     TargetChecked 5014 Info "target checked after a break" "Attempts at `target` broke; `fate` is `crashed` where it then refused connections, `running` where it answered, or `silent`."
     HeldRefused 5015 Info "held request refused" "A request with `fingerprint` came again and was refused, as it was part of `crashes` crashes of targets; its caller was told to come back in `left_ms`."
     LimitReached 5016 Info "account over its limit" "A request of `account` that counts for `units` was refused, as the limit of the account is used up, and its caller was told to come back in `left_ms`. `unsure` says that there were units left, but not for this instance by what it had heard of the others."
-    TargetLimited 5017 Info "target names a limit" "`target` takes `limit` requests a second from all instances together, as an answer of it says."
-    TargetUnlimited 5018 Info "target names no limit any more" "`target` takes requests without a limit again, as an answer of it says."
-    LimitedTraffic 5019 Info "requests sent to a limited target" "This instance has sent `sent` requests to `target` within `ms`, while that took `limit` a second from all instances together."
+    TargetLimited 5017 Info "target names a limit" "`target` takes `limit` requests a second from all instances together, as an answer of it said `age_ms` ago. `source` is `answer` where it came to this instance, or the instance that said so."
+    TargetUnlimited 5018 Info "target names no limit any more" "`target` takes requests without a limit again, as an answer of it said `age_ms` ago; `source` as in E5017."
+    LimitedTraffic 5019 Info "requests sent to a limited target" "Within `ms` this instance has sent `sent` requests to `target`, and got no permit for `denied` that then went elsewhere, waited or were refused, while the target took `limit` a second from all instances together."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -34,6 +34,7 @@
     sends: IntCounterVec,
     orders: IntCounterVec,
     broken_runs: IntCounterVec,
+    permits: IntCounterVec,
     suspects: IntGauge,
     held_requests: IntGauge,
     zones: IntGauge,
@@ -75,6 +76,11 @@
             "Runs whose connection to their target broke, by what became of the target",
             "fate",
         );
+        let permits = counters(
+            "quetzal_permits_total",
+            "Permits for requests to targets that name a limit",
+            "outcome",
+        );
         let dropped = IntCounter::new(
             "quetzal_log_left_out_total",
             "Log lines dropped because the queue was full",
@@ -112,6 +118,7 @@
             sends,
             orders,
             broken_runs,
+            permits,
             suspects,
             held_requests,
             zones,
@@ -148,6 +155,11 @@
         counter.inc_by(runs as u64);
     }
 
+    /// Counts a request for a permit at a target that names a limit, by its `outcome`.
+    pub fn permit(&self, outcome: &str) {
+        self.permits.with_label_values(&[outcome]).inc();
+    }
+
     /// Sets how many contents of requests there is evidence against.
     pub fn suspects(&self, count: usize) {
         self.suspects.set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -22,6 +22,7 @@
 use crate::{
     account::{OthersUsage, Usage},
     fleet::{Part, Sync, Synced},
+    limit::{LimitReport, Permit},
     operator::{Applied, Apply, Explain, Explained},
     patch::Patch,
     quarantine::{CrashReport, Quarantine},
@@ -81,6 +82,9 @@
             /// Offset of the part in the edition's text, in bytes.
             from: u64,
         },
+        /// Entry to zone owner: the limits that targets name, and a request for a permit. A
+        /// call of its own, as it is made for single requests of callers.
+        Limits(LimitReport),
         /// Control to leader: renews the caller's zone leases.
         Renew {
             /// The control instance that asks.
@@ -136,6 +140,8 @@
         },
         /// Answers [`Call::Edition`]; `None` if that edition isn't kept.
         Edition(Option<Part>),
+        /// Answers [`Call::Limits`]; `None` if it asked for no permit.
+        Limits(Option<Permit>),
         /// Answers [`Call::Renew`]: the zones that the caller owns, with its fencing numbers.
         Renewed(Vec<(String, u64)>),
         /// Answers [`Call::Explain`]; `None` if the text has no such service.
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -13,7 +13,10 @@
 
 use base::{InstanceName, record};
 
-use crate::quarantine::{CrashReport, Quarantine};
+use crate::{
+    limit::TargetLimit,
+    quarantine::{CrashReport, Quarantine},
+};
 
 pub use self::part::{PART_SIZE, Part};
 
@@ -164,6 +167,10 @@
         pub weights: Vec<Weights>,
         /// Adapters and base models that it has loaded or is loading.
         pub residents: Vec<Resident>,
+        /// The limit that it names, or has named. Left out where there is none, so that
+        /// instances of earlier builds can read the message.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub limit: Option<TargetLimit>,
     }
 
     /// The weights of a base model at a target. A target loads the newest version at its
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod header;
+pub mod limit;
 pub mod operator;
 pub mod patch;
 pub mod platform;
