--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -12,7 +12,13 @@
 use account::Meter;
 use base::{InstanceName, Seed, Time, stable_hash};
 use daemon::{Clock, Links, lock};
-use gateway::{budget::Budget, home::home, table::Table, view::View, warmup::Warmup};
+use gateway::{
+    budget::Budget,
+    home::{WeightedZone, home},
+    table::Table,
+    view::View,
+    warmup::Warmup,
+};
 use quarantine::Guard;
 use tokio::sync::Notify;
 use web::client::Client;
@@ -213,11 +219,11 @@
 
     /// Returns the zones that have targets of `service` and an owner that gives orders to
     /// them.
-    fn orderable_zones(&self, service: &str) -> Vec<String> {
-        let with_targets = self.view().zones_of(service);
-        let mut zones = self.controls.zones(self.now());
-        zones.retain(|zone| with_targets.contains(zone));
-        zones
+    fn orderable_zones(&self, service: &str) -> Vec<WeightedZone> {
+        let mut with_targets = self.view().zones_of(service);
+        let heard = self.controls.zones(self.now());
+        with_targets.retain(|zone| heard.contains(&zone.name));
+        with_targets
     }
 
     pub(super) fn ready(&self) -> bool {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -16,7 +16,10 @@
     limit::SeenLimit,
 };
 
-use crate::target_limit::{KnownLimits, LimitChange, Standing};
+use crate::{
+    home::WeightedZone,
+    target_limit::{KnownLimits, LimitChange, Standing},
+};
 
 pub use self::backup::{Backup, Origin, Unused};
 use self::{
@@ -271,12 +274,23 @@
         (now.since(*announced_at) < EXPECTED_MAX_AGE).then_some(*at)
     }
 
-    /// Returns the zones that have a target of `service` that takes requests.
+    /// Returns the zones that have a target of `service` that takes requests, weighted by the
+    /// part of these targets that names no limit.
     #[must_use]
-    pub fn zones_of(&self, service: &str) -> BTreeSet<String> {
+    pub fn zones_of(&self, service: &str) -> Vec<WeightedZone> {
         let ready = self.targets.values().map(|known| &known.target);
         let ready = ready.filter(|t| t.ready && t.service == service);
-        ready.map(|t| t.zone.clone()).collect()
+        let mut counts: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        for target in ready {
+            let (open, all) = counts.entry(&target.zone).or_default();
+            *open += f64::from(u8::from(!self.limits.is_limited(&target.id)));
+            *all += 1.0;
+        }
+        let zones = counts.into_iter().map(|(zone, (open, all))| WeightedZone {
+            name: zone.to_owned(),
+            weight: open / all,
+        });
+        zones.collect()
     }
 
     /// Returns the version on which requests for `adapter` have to run, if operators set
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -599,12 +599,18 @@
         !self.failing.contains_key(id) && self.targets.get(id).is_some_and(|t| t.ready)
     }
 
-    /// Returns whether a target serves all requests that are sent to it.
+    /// Returns the engines whose copies of adapters count and on which more are loaded: those
+    /// that name no limit, or all if each names one.
     ///
     /// Failure: an engine names a limit far below what its adapters are requested for.
-    /// Their other callers would wait in vain, as nobody loads what is held already. So
-    /// copies at a limited engine don't count, and nothing more is loaded there.
-    fn is_open(&self, id: &str) -> bool {
-        self.serves(id) && !self.limits.is_limited(id)
+    /// Their other callers would wait in vain, as nobody loads what is held already.
+    fn open_engines(&self) -> BTreeSet<&str> {
+        let serving = self.engines.keys().filter(|id| self.serves(id));
+        let unlimited = serving.clone().filter(|id| !self.limits.is_limited(id));
+        let open: BTreeSet<&str> = unlimited.map(String::as_str).collect();
+        if open.is_empty() {
+            return serving.map(String::as_str).collect();
+        }
+        open
     }
 }
--- a/crates/gateway/src/zone_owner/placement.rs
+++ b/crates/gateway/src/zone_owner/placement.rs
@@ -73,8 +73,9 @@
     pub(super) fn count_copies(&mut self, now: Time) -> Placement {
         let mut placement = Placement::default();
         let mut steps = 0;
+        let open = self.open_engines();
         for (id, engine) in &self.engines {
-            let serves = self.is_open(id);
+            let serves = open.contains(id.as_str());
             steps += engine.adapters.len() as u64 + 1;
             placement.loading += engine.loading(now);
             for (adapter, slot) in &engine.adapters {
--- a/crates/gateway/src/zone_owner/plan.rs
+++ b/crates/gateway/src/zone_owner/plan.rs
@@ -121,10 +121,11 @@
     pub(super) fn candidates(&mut self, now: Time, placement: &Placement) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         let mut steps = self.engines.len();
+        let open = self.open_engines();
         for (id, engine) in &self.engines {
             let free = engine.can_take_order(now) && engine.next_load.is_none();
-            let fit = free && engine.loads_in_flight(now) < LOADS_PER_ENGINE && self.is_open(id);
-            if !fit || self.fence(now, id).is_none() {
+            let fit = free && engine.loads_in_flight(now) < LOADS_PER_ENGINE;
+            if !fit || !open.contains(id.as_str()) || self.fence(now, id).is_none() {
                 continue;
             }
             let room = self.room(id) > 0;
--- a/crates/gateway/src/zone_owner/queue.rs
+++ b/crates/gateway/src/zone_owner/queue.rs
@@ -102,9 +102,12 @@
 
     /// Returns whether some engine that could hold the adapter doesn't.
     fn room_for_copy(&self, adapter: &str) -> bool {
+        let open = self.open_engines();
         let mut engines = self.engines.iter();
         engines.any(|(id, engine)| {
-            self.is_open(id) && self.holds_model(id, adapter) && !self.current(engine, adapter)
+            open.contains(id.as_str())
+                && self.holds_model(id, adapter)
+                && !self.current(engine, adapter)
         })
     }
 }
