--- a/crates/frontd/src/entry/forward/wait.rs
+++ b/crates/frontd/src/entry/forward/wait.rs
@@ -73,10 +73,12 @@
                         return Ok(target);
                     }
                 }
-                Choice::Limited(wait) if now + wait > give_up_at => {
-                    return Err(self.reject_for(wait, Why::Limited));
+                Choice::Limited(target, wait) => {
+                    let patience = give_up_at.saturating_duration_since(now);
+                    if !self.wait_unblocked(&target, wait, patience).await {
+                        return Err(self.reject_for(wait, Why::Limited));
+                    }
                 }
-                Choice::Limited(wait) => sleep(wait).await,
                 Choice::Wait(wait) => sleep(wait.max(Duration::from_millis(1))).await,
                 Choice::NoTarget | Choice::Missing if now < settled_by && self.state.settling() => {
                     tokio::select! {
@@ -109,6 +111,17 @@
         }
     }
 
+    /// Waits until `target` is no longer blocked, for `patience` at the most. Returns whether
+    /// that was worthwhile.
+    async fn wait_unblocked(&self, target: &str, wait: Duration, patience: Duration) -> bool {
+        if wait > patience || !self.state.view().limits().wait(target, patience) {
+            return false;
+        }
+        let _waiting = limits::Waiting::new(&self.state, target);
+        sleep(wait).await;
+        true
+    }
+
     /// Gets a permit for this request at a target, if that names a limit.
     ///
     /// # Errors
--- a/crates/frontd/src/entry/limits.rs
+++ b/crates/frontd/src/entry/limits.rs
@@ -6,6 +6,7 @@
 use gateway::target_limit::Access;
 use hyper::{HeaderMap, StatusCode};
 use telemetry::{event, prom_metrics};
+use tokio::time::sleep;
 use wire::{
     call::{Call, Reply},
     limit::{LimitReport, Permit, PermitRequest},
@@ -17,6 +18,9 @@
 /// Time-out of a request for a permit: some times what a message between zones takes.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// Time after which a request looks again whether another one got permits.
+const ASKED_PAUSE: Duration = Duration::from_millis(5);
+
 /// Time-out of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -29,6 +33,25 @@
     pub(super) priority: u8,
 }
 
+/// A request that waits for a target which is blocked; it no longer does when this is
+/// dropped.
+pub(super) struct Waiting<'a> {
+    state: &'a State,
+    target: &'a str,
+}
+
+impl<'a> Waiting<'a> {
+    pub(super) fn new(state: &'a State, target: &'a str) -> Self {
+        Waiting { state, target }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.state.view().limits().waited(self.target);
+    }
+}
+
 /// Takes over the limit that an answer of a target names, or that it names none, and
 /// reports a change to the zone owner.
 ///
@@ -104,14 +127,17 @@
     target: &str,
     sender: Sender<'_>,
 ) -> Result<(), Duration> {
-    let access = state.view().limits().take(state.now(), target);
-    let access = match access {
-        Access::Ask => ask(state, target, sender).await,
-        access => access,
-    };
-    match access {
-        Access::Blocked(wait) => Err(wait),
-        Access::Free | Access::Ask => Ok(()),
+    loop {
+        let access = state.view().limits().take(state.now(), target);
+        let access = match access {
+            Access::Ask => ask(state, target, sender).await,
+            access => access,
+        };
+        match access {
+            Access::Blocked(wait) => return Err(wait),
+            Access::Free | Access::Ask => return Ok(()),
+            Access::Asked => sleep(ASKED_PAUSE).await,
+        }
     }
 }
 
@@ -128,7 +154,7 @@
     let access = state.view().limits().take_alone(state.now(), target);
     let outcome = match access {
         Access::Blocked(_) => "denied_alone",
-        Access::Free | Access::Ask => "granted_alone",
+        Access::Free | Access::Ask | Access::Asked => "granted_alone",
     };
     prom_metrics().permit(outcome);
     access
--- a/crates/gateway/src/target_limit/granter.rs
+++ b/crates/gateway/src/target_limit/granter.rs
@@ -15,12 +15,12 @@
 /// they sent before.
 const HEARING_TIME: Duration = Duration::from_millis(600);
 
-/// Time over which denied requests are counted: most of those who asked ask again.
-const DENIED_MEMORY: Duration = Duration::from_secs(1);
+/// An instance that was denied within this time still waits.
+const WAITING_FOR: Duration = Duration::from_secs(2);
 
-/// Part of the denied requests that is expected to come before one that is denied now. With
-/// all of them some permits would find nobody who asks.
-const AHEAD_PART: f64 = 0.5;
+/// Permits that are asked for on average where one may be granted: with fewer, some would
+/// find nobody who asks.
+const ASKED_FOR_EACH: f64 = 4.0;
 
 /// Part of the unused limit that one instance gets beyond the permit it asked for, divided
 /// by the number of instances.
@@ -46,7 +46,8 @@
     filled: Time,
     /// Permits granted lately.
     granted: Rate,
-    denied: Rate,
+    /// Instances that were denied lately.
+    waiting: BTreeMap<InstanceName, Time>,
     turns: Turns,
     opening: Option<Opening>,
 }
@@ -108,10 +109,16 @@
         }
     }
 
-    /// Answers a request for permits of one of `instances` entry instances.
-    pub fn ask(&mut self, now: Time, want: &PermitRequest, instances: usize) -> Permit {
+    /// Answers a request for permits of `instance`, one of `instances` entry instances.
+    pub fn ask(
+        &mut self,
+        now: Time,
+        instance: &InstanceName,
+        want: &PermitRequest,
+        instances: usize,
+    ) -> Permit {
         match self.targets.get_mut(&want.target) {
-            Some(limited) => limited.ask(now, want, instances),
+            Some(limited) => limited.ask(now, instance, want, instances),
             None => Permit::Unlimited,
         }
     }
@@ -163,7 +170,7 @@
             level: 0.0,
             filled: now,
             granted: Rate::new(WINDOW),
-            denied: Rate::new(DENIED_MEMORY),
+            waiting: BTreeMap::new(),
             turns: Turns::default(),
             opening: Some(Opening::new(now)),
         }
@@ -198,7 +205,13 @@
         self.filled = now;
     }
 
-    fn ask(&mut self, now: Time, want: &PermitRequest, instances: usize) -> Permit {
+    fn ask(
+        &mut self,
+        now: Time,
+        instance: &InstanceName,
+        want: &PermitRequest,
+        instances: usize,
+    ) -> Permit {
         let Some(limit) = self.limit else {
             return Permit::Unlimited;
         };
@@ -214,20 +227,27 @@
             }
         };
         if let Some(wait) = wait {
-            // Those who were denied before ask again as well.
-            let ahead = self.denied.at(now) * DENIED_MEMORY.as_secs_f64() * AHEAD_PART / rate;
-            self.denied.add(now, 1.0);
-            let again = wait + Duration::from_secs_f64(ahead.min(LONGEST_WAIT.as_secs_f64()));
-            return Permit::Denied {
-                again: again.clamp(SHORTEST_WAIT, LONGEST_WAIT),
-            };
+            return self.deny(now, instance, rate, wait);
         }
+        self.waiting.remove(instance);
         let spare = (self.level - 1.0) * SPARE_PART / instances.max(1) as f64;
         let count = 1 + (spare.max(0.0) as u32).min(MAX_PERMITS - 1);
         self.grant(now, want, f64::from(count));
         Permit::Granted(count)
     }
 
+    /// Denies a permit that can't be granted for `wait`. Whoever else waits asks as well, so
+    /// all are told to come back when there is something for some of them.
+    fn deny(&mut self, now: Time, instance: &InstanceName, rate: f64, wait: Duration) -> Permit {
+        self.waiting.retain(|_, at| now.since(*at) < WAITING_FOR);
+        self.waiting.insert(instance.clone(), now);
+        let ahead = self.waiting.len() as f64 / ASKED_FOR_EACH / rate;
+        let ahead = Duration::from_secs_f64(ahead.min(LONGEST_WAIT.as_secs_f64()));
+        Permit::Denied {
+            again: wait.max(ahead).clamp(SHORTEST_WAIT, LONGEST_WAIT),
+        }
+    }
+
     fn grant(&mut self, now: Time, want: &PermitRequest, count: f64) {
         self.level -= count;
         self.granted.add(now, count);
--- a/crates/gateway/src/target_limit/known.rs
+++ b/crates/gateway/src/target_limit/known.rs
@@ -12,7 +12,7 @@
 use wire::limit::{Permit, SeenLimit, TargetLimit};
 
 use self::alone::Alone;
-use super::{LimitChange, WINDOW};
+use super::{LimitChange, WINDOW, send_rate};
 
 /// Interval at which the requests that were sent to a limited target are reported.
 const REPORT_INTERVAL: Duration = Duration::from_secs(4);
@@ -33,6 +33,13 @@
 /// Time after which the zone owner is asked again that didn't answer.
 const ALONE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time after which a request for a permit counts as lost.
+const ASKED_FOR: Duration = Duration::from_millis(200);
+
+/// Requests that may wait for permits of a target, in relation to those that this instance
+/// is likely to get within the time for which they wait.
+const WAITING_PART: f64 = 2.0;
+
 /// Most requests to one target that are remembered.
 const MAX_SENT: usize = 4_096;
 
@@ -54,6 +61,8 @@
     Free,
     /// It needs a permit of the zone owner.
     Ask,
+    /// Another request has asked for a permit and waits for the answer.
+    Asked,
     /// It may not for this time.
     Blocked(Duration),
 }
@@ -94,6 +103,10 @@
     unreported: bool,
     before: Option<u32>,
     blocked: Option<Time>,
+    /// When a permit was asked for whose answer hasn't come.
+    asked: Option<Time>,
+    /// Requests that wait until they are no longer blocked.
+    waiting: u32,
     permits: u32,
     permits_end: Time,
     alone: Option<Alone>,
@@ -198,7 +211,35 @@
             known.permits -= 1;
             return Access::Free;
         }
-        known.blocked_for(now).map_or(Access::Ask, Access::Blocked)
+        if let Some(wait) = known.blocked_for(now) {
+            return Access::Blocked(wait);
+        }
+        if known.asked.is_some_and(|at| now.since(at) < ASKED_FOR) {
+            return Access::Asked;
+        }
+        known.asked = Some(now);
+        Access::Ask
+    }
+
+    /// Notes that a request waits until a target is no longer blocked, for `patience` at the
+    /// most. Returns whether it may: of those that wait already only some will be served.
+    pub fn wait(&mut self, id: &str, patience: Duration) -> bool {
+        let instances = f64::from(self.instances.max(1));
+        let Some(known) = self.targets.get_mut(id) else {
+            return true;
+        };
+        let rate = known.limit.map_or(f64::MAX, send_rate);
+        let served = rate / instances * patience.as_secs_f64();
+        let may = f64::from(known.waiting) < (served * WAITING_PART).max(1.0);
+        known.waiting += u32::from(may);
+        may
+    }
+
+    /// Notes that a request no longer waits.
+    pub fn waited(&mut self, id: &str) {
+        if let Some(known) = self.targets.get_mut(id) {
+            known.waiting = known.waiting.saturating_sub(1);
+        }
     }
 
     /// Takes over the zone owner's answer to a request for a permit. Returns whether the
@@ -207,6 +248,7 @@
         let Some(known) = self.targets.get_mut(id) else {
             return Access::Free;
         };
+        known.asked = None;
         match permit {
             Permit::Granted(count) => {
                 let left = if known.has_permit(now) {
@@ -247,6 +289,7 @@
         let Some(known) = self.targets.get_mut(id) else {
             return Access::Free;
         };
+        known.asked = None;
         let Some(limit) = known.limit else {
             return Access::Free;
         };
@@ -384,6 +427,8 @@
             unreported: false,
             before: None,
             blocked: None,
+            asked: None,
+            waiting: 0,
             permits: 0,
             permits_end: now,
             alone: None,
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -69,9 +69,9 @@
     Wait(Duration),
     /// No target has the adapter or is loading it.
     Missing,
-    /// All targets that could take it have used up the limits that they name; a permit may
-    /// be had after this time.
-    Limited(Duration),
+    /// All targets that could take it have used up the limits that they name; a permit for
+    /// this one may be had after this time.
+    Limited(String, Duration),
     /// The service has no target that takes requests.
     NoTarget,
 }
@@ -379,11 +379,13 @@
         if holders.is_empty() {
             return Choice::Missing;
         }
-        let waits = holders.iter().map(|k| self.blocked_for(now, k));
-        if let Some(wait) = waits.min().flatten() {
+        let waits = holders
+            .iter()
+            .map(|k| (self.blocked_for(now, k), &k.target.id));
+        if let Some((Some(wait), soonest)) = waits.min() {
             let elsewhere = ready.iter().any(|k| !self.limits.is_limited(&k.target.id));
             return match adapter.is_empty() || !elsewhere {
-                true => Choice::Limited(wait),
+                true => Choice::Limited(soonest.clone(), wait),
                 false => Choice::Missing,
             };
         }
--- a/crates/gateway/src/zone_owner/limits.rs
+++ b/crates/gateway/src/zone_owner/limits.rs
@@ -1,6 +1,6 @@
 //! Limits that targets name: what entry instances report of them, and permits.
 
-use base::Time;
+use base::{InstanceName, Time};
 use wire::limit::{LimitReport, Permit, PermitRequest};
 
 use super::ZoneOwner;
@@ -20,15 +20,17 @@
         for change in &changes {
             self.engine_changed(&change.target);
         }
-        let permit = report.want.map(|want| self.permit(now, &want));
+        let want = report.want.as_ref();
+        let permit = want.map(|want| self.permit(now, &report.instance, want));
         (permit, changes)
     }
 
-    fn permit(&mut self, now: Time, want: &PermitRequest) -> Permit {
+    fn permit(&mut self, now: Time, instance: &InstanceName, want: &PermitRequest) -> Permit {
         if !self.owns(now, &want.target) {
             return Permit::NotOwner;
         }
-        self.limits.ask(now, want, self.traffic.entries())
+        let entries = self.traffic.entries();
+        self.limits.ask(now, instance, want, entries)
     }
 
     /// Returns whether a target is known and in a zone of this owner.
--- a/crates/gateway/tests/limit_fleet/world.rs
+++ b/crates/gateway/tests/limit_fleet/world.rs
@@ -324,7 +324,7 @@
     fn request_permit(&mut self, no: usize) {
         match self.entries[no].limits.take(self.now, TARGET) {
             Access::Free => self.send(no),
-            Access::Blocked(_) => {}
+            Access::Blocked(_) | Access::Asked => {}
             Access::Ask => {
                 if self.arrives(no) {
                     let report = self.report(no, true);
@@ -437,9 +437,9 @@
             Event::Report(no, report) => {
                 self.granter.report(now, &report);
                 let instances = self.load.entries;
-                let permit = report
-                    .want
-                    .map(|want| self.granter.ask(now, &want, instances));
+                let want = report.want.as_ref();
+                let permit =
+                    want.map(|want| self.granter.ask(now, &report.instance, want, instances));
                 self.events
                     .push_back((now + STEP, Event::Permit(no, permit)));
             }
@@ -447,7 +447,7 @@
                 match self.entries[no].limits.permitted(now, TARGET, permit) {
                     Access::Free => self.send(no),
                     Access::Ask => self.alone(no),
-                    Access::Blocked(_) => {}
+                    Access::Blocked(_) | Access::Asked => {}
                 }
             }
             Event::Permit(_, None) => {}
