--- a/crates/gateway/src/target_limit/known.rs
+++ b/crates/gateway/src/target_limit/known.rs
@@ -36,10 +36,6 @@
 /// Time after which a request for a permit counts as lost.
 const ASKED_FOR: Duration = Duration::from_millis(200);
 
-/// Requests that may wait for permits of a target, in relation to those that this instance
-/// is likely to get within the time for which they wait.
-const WAITING_PART: f64 = 2.0;
-
 /// Most requests to one target that are remembered.
 const MAX_SENT: usize = 4_096;
 
@@ -222,7 +218,8 @@
     }
 
     /// Notes that a request waits until a target is no longer blocked, for `patience` at the
-    /// most. Returns whether it may: of those that wait already only some will be served.
+    /// most. Returns whether it may: more than this instance is likely to get permits for by then
+    /// would wait in vain.
     pub fn wait(&mut self, id: &str, patience: Duration) -> bool {
         let instances = f64::from(self.instances.max(1));
         let Some(known) = self.targets.get_mut(id) else {
@@ -230,7 +227,7 @@
         };
         let rate = known.limit.map_or(f64::MAX, send_rate);
         let served = rate / instances * patience.as_secs_f64();
-        let may = f64::from(known.waiting) < (served * WAITING_PART).max(1.0);
+        let may = f64::from(known.waiting) < served.max(1.0);
         known.waiting += u32::from(may);
         may
     }
