Test what limits of targets have to stand, and leave each account an even part

A quiet account that asked for its even part got 29 of 40 permits beside a loud one (bound 32): the loud one had to leave permits only when a quarter above an even part. Now it does as soon as it is above.

--- a/crates/gateway/src/target_limit/granter/turns.rs
+++ b/crates/gateway/src/target_limit/granter/turns.rs
@@ -19,10 +19,6 @@
 /// An account that has asked within this time has its part.
 const ACTIVE_FOR: Duration = Duration::from_secs(2);
 
-/// Part by which an account may exceed an even one before it has to leave permits to
-/// others.
-const UNEVEN: f64 = 0.25;
-
 /// Most accounts that are counted; those that asked last.
 const MAX_ACCOUNTS: usize = 1_024;
 
@@ -88,6 +84,6 @@
         }
         let even = granted.iter().sum::<f64>() / granted.len() as f64;
         let own = self.accounts.get(&want.account);
-        own.is_some_and(|own| own.granted.at(now) > even * (1.0 + UNEVEN))
+        own.is_some_and(|own| own.granted.at(now) > even)
     }
 }
--- a/crates/gateway/tests/backup.rs
+++ b/crates/gateway/tests/backup.rs
@@ -174,3 +174,13 @@
     let later = view.check_restore(at(11_600), "m/x", &backup);
     assert_that!(later, eq(Err(Unused::Outdated)));
 }
+
+/// Guards against copies of KV caches at a target that takes no run which continues there.
+#[gtest]
+fn a_limited_target_keeps_no_copy() {
+    let mut view = view(&[("a", (4, 2)), ("b", (4, 2))]);
+    assert_that!(view.backup(NOW, "s", "m/x", "a"), some(anything()));
+    let limit = "2".parse().unwrap();
+    view.limits().seen(NOW, "b", Some(limit));
+    assert_that!(view.backup(NOW, "s", "m/x", "a"), none());
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -5,7 +5,10 @@
 use base::{Seed, Time};
 use gateway::view::{Choice, View};
 use googletest::prelude::*;
-use wire::fleet::{Resident, Target};
+use wire::{
+    fleet::{Resident, Target},
+    limit::Permit,
+};
 
 const NOW: Time = Time(1_000_000);
 
@@ -281,3 +284,58 @@
         eq(&vec!["b".to_owned()])
     );
 }
+
+/// Returns a view of one target that names a limit, and of others that don't.
+fn limited_view(targets: Vec<Target>) -> View {
+    let mut view = view(targets);
+    let limit = "2".parse().unwrap();
+    view.limits().seen(NOW, "a", Some(limit));
+    view
+}
+
+fn use_up(view: &mut View, id: &str) -> Duration {
+    let again = Duration::from_millis(800);
+    view.limits().permitted(NOW, id, Permit::Denied { again });
+    again
+}
+
+/// Guards against requests that go to a target in need while another one has room.
+#[gtest]
+fn a_target_without_limit_goes_first() {
+    let targets = vec![target("a", "za", &[]), target("b", "zb", &[])];
+    let view = limited_view(targets);
+    assert_that!(choose(&view, ""), eq(&send("b")));
+}
+
+/// Guards against requests that wait for a used up limit while another target has room.
+#[gtest]
+fn a_target_whose_limit_is_used_up_is_passed_over() {
+    let targets = vec![target("a", "za", &[]), target("b", "za", &[])];
+    let mut view = limited_view(targets);
+    use_up(&mut view, "a");
+    for _ in 0..9 {
+        view.begin("b", "", 0);
+    }
+    assert_that!(choose(&view, ""), eq(&send("b")));
+}
+
+/// Guards against callers who aren't told when to come back, though no target has room.
+#[gtest]
+fn the_wait_for_a_limit_is_told() {
+    let mut view = limited_view(vec![target("a", "za", &[("m/x", 0, 0)])]);
+    assert_that!(choose(&view, "m/x"), eq(&send("a")));
+    let again = use_up(&mut view, "a");
+    let limited = Choice::Limited("a".to_owned(), again);
+    assert_that!(choose(&view, "m/x"), eq(&limited));
+    assert_that!(choose(&view, ""), eq(&limited));
+    assert_that!(choose(&view, "m/y"), eq(&Choice::Missing));
+}
+
+/// Guards against an adapter that nobody loads elsewhere, as its only holder is limited.
+#[gtest]
+fn an_adapter_is_missing_if_its_holders_have_used_up_their_limits() {
+    let targets = vec![target("a", "za", &[("m/x", 0, 0)]), target("b", "za", &[])];
+    let mut view = limited_view(targets);
+    use_up(&mut view, "a");
+    assert_that!(choose(&view, "m/x"), eq(&Choice::Missing));
+}
--- a/crates/gateway/tests/zone_owner.rs
+++ b/crates/gateway/tests/zone_owner.rs
@@ -2,6 +2,8 @@
 
 #[path = "zone_owner/aging.rs"]
 mod aging;
+#[path = "zone_owner/limits.rs"]
+mod limits;
 #[path = "zone_owner/loads.rs"]
 mod loads;
 #[path = "zone_owner/many.rs"]
