--- a/crates/gateway/src/target_limit.rs
+++ b/crates/gateway/src/target_limit.rs
@@ -43,6 +43,10 @@
 /// Longest time after which a permit is asked for again.
 const LONGEST_WAIT: Duration = Duration::from_secs(4);
 
+/// Part of a target's slots in use, from which it takes no requests over from targets that
+/// name limits: the rest is for its own.
+pub(crate) const ROOM: f64 = 0.8;
+
 /// A change of what is known of a target's limit.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LimitChange {
--- a/crates/gateway/src/target_limit/granter.rs
+++ b/crates/gateway/src/target_limit/granter.rs
@@ -137,6 +137,12 @@
         known.is_some_and(|known| known.limit.is_some())
     }
 
+    /// Returns whether any target names a limit.
+    #[must_use]
+    pub fn any_limited(&self) -> bool {
+        self.targets.values().any(|known| known.limit.is_some())
+    }
+
     /// Ends the limit of a target that began anew: what was said of it before doesn't hold.
     pub fn end(&mut self, now: Time, target: &str) {
         if let Some(known) = self.targets.get_mut(target) {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     home::WeightedZone,
-    target_limit::{KnownLimits, LimitChange, Standing},
+    target_limit::{KnownLimits, LimitChange, ROOM, Standing},
 };
 
 pub use self::backup::{Backup, Origin, Unused};
@@ -383,7 +383,7 @@
             .iter()
             .map(|k| (self.blocked_for(now, k), &k.target.id));
         if let Some((Some(wait), soonest)) = waits.min() {
-            let elsewhere = ready.iter().any(|k| !self.limits.is_limited(&k.target.id));
+            let elsewhere = ready.iter().any(|k| self.takes_over(k));
             return match adapter.is_empty() || !elsewhere {
                 true => Choice::Limited(soonest.clone(), wait),
                 false => Choice::Missing,
@@ -498,6 +498,21 @@
         }
     }
 
+    /// Returns whether a target can take requests over from targets that name limits.
+    ///
+    /// Failure: most engines name limits, and all that goes beyond these is sent to the
+    /// others. Their queues grow until their own callers leave as well.
+    fn takes_over(&self, known: &TargetState) -> bool {
+        !self.limits.is_limited(&known.target.id) && self.load(known) < ROOM
+    }
+
+    /// Returns the requests that run at a target, as a part of its slots.
+    fn load(&self, known: &TargetState) -> f64 {
+        let own: u32 = known.own.values().sum();
+        let others = self.others.get(&known.target.id).copied().unwrap_or(0);
+        f64::from(own + others) / f64::from(known.target.slots.max(1))
+    }
+
     /// Returns the limits that targets name.
     pub fn limits(&mut self) -> &mut KnownLimits {
         &mut self.limits
@@ -541,10 +556,7 @@
 
     fn cost(&self, now: Time, known: &TargetState, tried: &BTreeSet<String>) -> f64 {
         let target = &known.target;
-        let own: u32 = known.own.values().sum();
-        let others = self.others.get(&target.id).copied().unwrap_or(0);
-        let slots = f64::from(target.slots.max(1));
-        let mut cost = f64::from(own + others) / slots * known.slow();
+        let mut cost = self.load(known) * known.slow();
         if target.zone != self.zone {
             cost += CROSS_ZONE_COST;
         }
--- a/crates/gateway/src/zone_owner/plan.rs
+++ b/crates/gateway/src/zone_owner/plan.rs
@@ -9,7 +9,7 @@
     engine::{Engine, ReportReason},
     placement::Placement,
 };
-use crate::table;
+use crate::{table, target_limit::ROOM};
 
 /// Loads in flight to one engine; an engine accepts at most four.
 const LOADS_PER_ENGINE: usize = 4;
@@ -122,10 +122,13 @@
         let mut candidates = Vec::new();
         let mut steps = self.engines.len();
         let open = self.open_engines();
+        let limited = self.limits.any_limited();
         for (id, engine) in &self.engines {
             let free = engine.can_take_order(now) && engine.next_load.is_none();
             let fit = free && engine.loads_in_flight(now) < LOADS_PER_ENGINE;
-            if !fit || !open.contains(id.as_str()) || self.fence(now, id).is_none() {
+            let full = limited && self.load_of(id) >= ROOM;
+            let fit = fit && !full && open.contains(id.as_str());
+            if !fit || self.fence(now, id).is_none() {
                 continue;
             }
             let room = self.room(id) > 0;
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -339,3 +339,19 @@
     use_up(&mut view, "a");
     assert_that!(choose(&view, "m/x"), eq(&Choice::Missing));
 }
+
+/// Guards against a target that is sent all that limited targets don't take, beyond its
+/// slots.
+#[gtest]
+fn a_full_target_takes_nothing_over() {
+    let targets = vec![target("a", "za", &[("m/x", 0, 0)]), target("b", "za", &[])];
+    let mut view = limited_view(targets);
+    let again = use_up(&mut view, "a");
+    for _ in 0..8 {
+        view.begin("b", "m/z", 0);
+    }
+    let limited = Choice::Limited("a".to_owned(), again);
+    assert_that!(choose(&view, "m/x"), eq(&limited));
+    view.end("b", "m/z");
+    assert_that!(choose(&view, "m/x"), eq(&Choice::Missing));
+}
--- a/crates/gateway/tests/zone_owner/limits.rs
+++ b/crates/gateway/tests/zone_owner/limits.rs
@@ -6,7 +6,7 @@
 use gateway::zone_owner::{Input, OrderOutcome};
 use googletest::prelude::*;
 use wire::{
-    fleet::Sync,
+    fleet::{Running, Sync},
     limit::{LimitReport, Permit, PermitRequest, SeenLimit, TargetLimit},
 };
 
@@ -73,6 +73,37 @@
     assert_that!(world.orders, is_empty());
 }
 
+/// Guards against an engine that gets the adapters of all limited ones, though its slots are
+/// in use.
+#[gtest]
+fn a_full_engine_takes_no_adapters_over() {
+    let mut world = World::new(2);
+    world.want(&["m/a"]);
+    let first = world.end(OrderOutcome::Accepted);
+    world.pass(700);
+    let other = if first.id == "e1" { "e2" } else { "e1" };
+    world.give(Input::Sync(Ticket(8), running(other, 8)));
+    name_limit(&mut world, &first.id, Some("0.5"));
+    world.want(&["m/a"]);
+    assert_that!(world.orders, is_empty());
+    world.give(Input::Sync(Ticket(8), running(other, 2)));
+    world.want(&["m/a"]);
+    assert_that!(world.orders.len(), eq(1));
+}
+
+/// Returns the report of an instance that runs requests at a target.
+fn running(target: &str, count: u32) -> Sync {
+    Sync {
+        instance: Some(InstanceName::try_from("e1").unwrap()),
+        running: vec![Running {
+            target: target.to_owned(),
+            adapter: "m/z".to_owned(),
+            count,
+        }],
+        ..Sync::default()
+    }
+}
+
 #[gtest]
 fn entry_instances_are_told_of_a_limit_and_of_its_end() {
     let mut world = World::new(1);
