--- a/crates/gateway/tests/zone_owner/limits.rs
+++ b/crates/gateway/tests/zone_owner/limits.rs
@@ -88,6 +88,7 @@
     assert_that!(world.orders, is_empty());
     world.give(Input::Sync(Ticket(8), running(other, 2)));
     world.want(&["m/a"]);
+    world.pass(10);
     assert_that!(world.orders.len(), eq(1));
 }
 
