--- a/crates/gateway/src/target_limit/granter.rs
+++ b/crates/gateway/src/target_limit/granter.rs
@@ -188,7 +188,15 @@
         let before = std::mem::replace(&mut self.limit, limit);
         match (before, limit) {
             (None, Some(limit)) => {
+                // Answers overtake each other, so a limit may end and be named again within
+                // a moment. What was sent before counts all the same.
+                let opening = self.opening.take();
                 *self = Limited::new(now, said, limit);
+                let before = opening.map(|opening| opening.before);
+                self.opening = Some(Opening {
+                    before: before.unwrap_or_default(),
+                    ..Opening::new(now)
+                });
             }
             (Some(before), Some(limit)) if limit < before => {
                 // What was granted under the higher limit counts under the lower one.
--- a/crates/gateway/tests/target_limit.rs
+++ b/crates/gateway/tests/target_limit.rs
@@ -100,6 +100,21 @@
     assert_that!(granted, all!(gt(0), le(6)));
 }
 
+/// Guards against forgetting what was sent before, as an answer from before the limit comes
+/// late and seems to end it.
+#[gtest]
+fn what_was_sent_before_counts_though_answers_overtake_each_other() {
+    let mut granter = Granter::default();
+    let mut report = seen(Some("2"), 0);
+    report.before = vec![("t".to_owned(), 40)];
+    granter.report(NOW, &report);
+    let soon = |ms| NOW + Duration::from_millis(ms);
+    granter.report(soon(50), &seen(None, 0));
+    granter.report(soon(90), &seen(Some("2"), 0));
+    let granted = asked(&mut granter, soon(100), 100, 18, &want(1, None));
+    assert_that!(granted, eq(0));
+}
+
 /// Guards against permits that are granted at once after an owner has begun anew, before
 /// others have said what they sent.
 #[gtest]
