--- a/crates/gateway/tests/target_limit.rs
+++ b/crates/gateway/tests/target_limit.rs
@@ -115,6 +115,21 @@
     assert_that!(granted, eq(0));
 }
 
+/// Guards against a limit that is lowered while the target still works on what it took
+/// before.
+#[gtest]
+fn what_was_granted_under_a_higher_limit_counts() {
+    let (mut granter, now) = granter("10");
+    let before = asked(&mut granter, now, 20, 300, &want(1, None));
+    assert_that!(before, ge(55));
+    let lowered = now + Duration::from_secs(6);
+    let mut report = seen(Some("2"), 0);
+    report.instance = name("e2");
+    granter.report(lowered, &report);
+    let granted = asked(&mut granter, lowered, 50, 40, &want(1, None));
+    assert_that!(granted, eq(0));
+}
+
 /// Guards against permits that are granted at once after an owner has begun anew, before
 /// others have said what they sent.
 #[gtest]
@@ -294,6 +309,25 @@
     assert_that!(known.wait("t", patience), eq(true));
 }
 
+/// Guards against an instance without the zone owner that goes on with its part, though it
+/// has just sent a target many requests.
+#[gtest]
+fn what_an_instance_alone_has_sent_counts() {
+    let mut known = KnownLimits::new(1, 1);
+    for _ in 0..20 {
+        known.sent(NOW, "t");
+    }
+    known.seen(NOW, "t", Some(rate("2")));
+    let mut free = 0;
+    for step in 0..30 {
+        let now = NOW + Duration::from_millis(step * 100);
+        free += u32::from(known.take_alone(now, "t") == Access::Free);
+    }
+    assert_that!(free, eq(0));
+    let later = NOW + Duration::from_millis(4_100);
+    assert_that!(known.take_alone(later, "t"), eq(Access::Free));
+}
+
 /// Guards against many instances that lose the zone owner at once and take all of the
 /// limit each.
 #[gtest]
