Log how many connections to targets are made and fail

Change: connections to targets are made by a dialer of the entry instance, which counts them (gateway::reach) and logs E5020 once a second while some fail. Nothing is decided by the counts.

--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -6,6 +6,7 @@
 mod forward;
 mod headers;
 mod limits;
+mod paths;
 mod relay;
 mod state;
 mod sync;
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -24,7 +24,7 @@
 use web::client::Client;
 use wire::fleet::Target;
 
-use super::{Setup, crash::BrokenRuns, editions::Editions, sync::ControlPeers};
+use super::{Setup, crash::BrokenRuns, editions::Editions, paths::Paths, sync::ControlPeers};
 use crate::{Platform, names};
 
 /// Shared by all requests and by the exchange with control instances.
@@ -68,12 +68,13 @@
     pub(super) fn new(setup: &Setup, platform: Platform) -> Self {
         let name = names::instance_name(setup.ip);
         let clock = Clock::start();
+        let paths = Paths::new(clock, Arc::clone(&platform.map_address));
         State {
             links: Links::new(name.clone()),
             name,
             port: setup.peer_port,
             platform,
-            client: Client::default(),
+            client: Client::new(paths.dialer()),
             changed: Notify::new(),
             settle: Mutex::new(Warmup::new(clock.now(), &setup.zones)),
             clock,
--- a/crates/frontd/src/platform.rs
+++ b/crates/frontd/src/platform.rs
@@ -1,6 +1,10 @@
 //! The interface to the hosting platform, as plain values and closures.
 
-use std::{fmt, net::IpAddr, sync::Arc};
+use std::{
+    fmt,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+};
 
 use futures::future::BoxFuture;
 use gateway::{
@@ -70,6 +74,9 @@
 /// Reads the addresses of control instances from the settings.
 pub type ReadSeeds = Arc<dyn Fn() -> Option<Vec<IpAddr>> + Send + Sync>;
 
+/// Returns the address at which this instance reaches the one that a target listens on.
+pub type MapAddress = Arc<dyn Fn(SocketAddr) -> SocketAddr + Send + Sync>;
+
 /// The hosting platform.
 #[derive(Clone)]
 pub struct Platform {
@@ -85,6 +92,8 @@
     pub read_report: ReadReport,
     /// Reads the configured control instances.
     pub read_seeds: ReadSeeds,
+    /// Translates the addresses of targets.
+    pub map_address: MapAddress,
 }
 
 impl fmt::Debug for Platform {
--- a/crates/frontd/tests/editions/deployment.rs
+++ b/crates/frontd/tests/editions/deployment.rs
@@ -375,6 +375,7 @@
         send_order: Arc::new(|_| async { gateway::zone_owner::OrderOutcome::Refused }.boxed()),
         read_report: Arc::new(|_, _| async { None }.boxed()),
         read_seeds: Arc::new(move || Some(seeds.clone())),
+        map_address: Arc::new(|addr| addr),
     }
 }
 
--- a/crates/frontd/tests/memory/deployment.rs
+++ b/crates/frontd/tests/memory/deployment.rs
@@ -381,5 +381,6 @@
             async { report }.boxed()
         }),
         read_seeds: Arc::new(move || Some(vec![own_ip(no, 1)])),
+        map_address: Arc::new(|addr| addr),
     }
 }
--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -39,6 +39,7 @@
         send_order: Arc::new(|_| async { OrderOutcome::Refused }.boxed()),
         read_report: Arc::new(|_, _| async { None }.boxed()),
         read_seeds: Arc::new(|| None),
+        map_address: Arc::new(|addr| addr),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod download;
 pub mod home;
 pub mod list_fallback;
+pub mod reach;
 pub mod revisions;
 pub mod table;
 pub mod target_limit;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -126,6 +126,7 @@
     TargetLimited 5017 Info "target names a limit" "`target` takes `limit` requests a second from all instances together, as an answer of it said `age_ms` ago. `source` is `answer` where it came to this instance, or the instance that said so."
     TargetUnlimited 5018 Info "target names no limit any more" "`target` takes requests without a limit again, as an answer of it said `age_ms` ago; `source` as in E5017."
     LimitedTraffic 5019 Info "requests sent to a limited target" "Within `ms` this instance has sent `sent` requests to `target`, and got no permit for `denied` that then went elsewhere, waited or were refused, while the target took `limit` a second from all instances together."
+    ConnectionsFailed 5020 Info "connections to targets failed" "Within `ms`, `failed` attempts of this instance to connect to `targets` different targets failed and `made` succeeded."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod broken;
+mod dial;
 mod link;
 mod pool;
 
@@ -19,6 +20,7 @@
 pub use self::{
     answer::Answer,
     broken::{Broken, Cause},
+    dial::{Connect, DialFn, Dialed, Dialer, direct},
 };
 use self::{link::Link, pool::Pool};
 
@@ -138,9 +140,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct Client {
     pool: Arc<Pool>,
+    dialer: Dialer,
 }
 
 impl Client {
+    /// Creates a client whose connections are made by `dialer`.
+    #[must_use]
+    pub fn new(dialer: Dialer) -> Self {
+        Client {
+            pool: Arc::default(),
+            dialer,
+        }
+    }
+
     /// Sends a request and returns once the head of the answer has arrived.
     ///
     /// # Errors
@@ -170,7 +182,13 @@
 
     async fn fresh(&self, send: &Send, end: Instant) -> Result<Answer, Broken> {
         let until = end.min(Instant::now() + send.limits.connect);
-        let link = Link::connect(send.addr, until).await?;
+        let connect = Connect {
+            addr: send.addr,
+            until,
+            end,
+        };
+        let dialed = self.dialer.dial(connect).await.map_err(Broken::unsent)?;
+        let link = Link::over(dialed).await?;
         self.exchange(link, send, end).await
     }
 
--- a/crates/web/src/client/broken.rs
+++ b/crates/web/src/client/broken.rs
@@ -40,6 +40,14 @@
 }
 
 impl Broken {
+    /// Creates the failure of a request of which nothing was written.
+    pub(crate) fn unsent(cause: Cause) -> Self {
+        Broken {
+            verdict: Verdict::NotRun,
+            cause,
+        }
+    }
+
     /// Combines this failure with an `earlier` one of the same request: keeps this cause
     /// and the more cautious of both verdicts.
     pub(crate) fn after(self, earlier: &Broken) -> Self {
--- /dev/null
+++ b/crates/web/src/client/dial.rs
@@ -0,0 +1,92 @@
+//! How a client connects to a server.
+
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+
+use futures::{FutureExt, future::BoxFuture};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout_at},
+};
+
+use super::broken::Cause;
+
+/// A connection to make.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Connect {
+    /// Address of the server.
+    pub addr: SocketAddr,
+    /// When the attempt is given up.
+    pub until: Instant,
+    /// When the exchange that needs the connection ends at the latest.
+    pub end: Instant,
+}
+
+/// A connection that was made.
+#[derive(Debug)]
+pub struct Dialed {
+    /// The connection.
+    pub stream: TcpStream,
+    /// Whether further requests may be sent on it.
+    pub reusable: bool,
+}
+
+/// Makes a connection. The error is the reason why there is none.
+pub type DialFn = dyn Fn(Connect) -> BoxFuture<'static, Result<Dialed, Cause>> + Send + Sync;
+
+/// Makes the connections of a client.
+#[derive(Clone)]
+pub struct Dialer(Arc<DialFn>);
+
+impl Dialer {
+    /// Creates a dialer that connects by `dial`.
+    pub fn new<F, Fut>(dial: F) -> Self
+    where
+        F: Fn(Connect) -> Fut + Send + Sync + 'static,
+        Fut: Future<Output = Result<Dialed, Cause>> + Send + 'static,
+    {
+        Dialer(Arc::new(move |connect| dial(connect).boxed()))
+    }
+
+    pub(super) async fn dial(&self, connect: Connect) -> Result<Dialed, Cause> {
+        (self.0)(connect).await
+    }
+}
+
+impl Default for Dialer {
+    fn default() -> Self {
+        Dialer::new(|connect: Connect| async move {
+            let stream = direct(connect.addr, connect.until).await?;
+            Ok(Dialed {
+                stream,
+                reusable: true,
+            })
+        })
+    }
+}
+
+impl fmt::Debug for Dialer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Dialer").finish_non_exhaustive()
+    }
+}
+
+/// Connects to `addr` until the time `until` at most.
+///
+/// # Errors
+///
+/// Fails with [`Cause::Connect`] or [`Cause::ConnectTimeout`].
+pub async fn direct(addr: SocketAddr, until: Instant) -> Result<TcpStream, Cause> {
+    match timeout_at(until, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(err)) => Err(Cause::Connect(err.to_string())),
+        Err(_) => Err(Cause::ConnectTimeout),
+    }
+}
+
+impl Connect {
+    /// Returns the time that is left for the exchange.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        self.end.saturating_duration_since(Instant::now())
+    }
+}
--- a/crates/web/src/client/link.rs
+++ b/crates/web/src/client/link.rs
@@ -5,7 +5,6 @@
 
 use std::{
     io,
-    net::SocketAddr,
     pin::Pin,
     sync::{Arc, Mutex, PoisonError},
     task::{Context, Poll},
@@ -20,10 +19,14 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     task::AbortHandle,
-    time::{Instant, timeout_at},
 };
 
-use super::broken::{Broken, Cause};
+#[cfg(test)]
+use super::dial::direct;
+use super::{
+    broken::{Broken, Cause},
+    dial::Dialed,
+};
 
 /// An open connection; dropping it closes the socket immediately.
 ///
@@ -37,26 +40,36 @@
     meter: Arc<Meter>,
     /// Bytes written before the current request.
     before: u64,
+    /// Whether further requests may be sent on it.
+    reusable: bool,
     task: AbortHandle,
 }
 
 impl Link {
+    #[cfg(test)]
     pub(crate) async fn connect(addr: SocketAddr, until: Instant) -> Result<Link, Broken> {
-        let stream = match timeout_at(until, TcpStream::connect(addr)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(err)) => return Err(not_run(Cause::Connect(err.to_string()))),
-            Err(_) => return Err(not_run(Cause::ConnectTimeout)),
-        };
+        let stream = direct(addr, until).await.map_err(Broken::unsent)?;
+        Link::over(Dialed {
+            stream,
+            reusable: true,
+        })
+        .await
+    }
+
+    /// Speaks HTTP over a connection.
+    pub(crate) async fn over(dialed: Dialed) -> Result<Link, Broken> {
+        let Dialed { stream, reusable } = dialed;
         // Without this, small writes would wait for the peer's delayed ACK.
         let nodelay = stream.set_nodelay(true);
-        nodelay.map_err(|err| not_run(Cause::Connect(err.to_string())))?;
+        nodelay.map_err(|err| Broken::unsent(Cause::Connect(err.to_string())))?;
         let meter = Arc::new(Meter::default());
         let io = TokioIo::new(Metered {
             stream,
             meter: Arc::clone(&meter),
         });
         let handshake = http1::handshake(io).await;
-        let (sender, conn) = handshake.map_err(|err| not_run(Cause::Connect(err.to_string())))?;
+        let (sender, conn) =
+            handshake.map_err(|err| Broken::unsent(Cause::Connect(err.to_string())))?;
         let task = tokio::spawn(async move {
             // The sender returns the same error.
             let _ = conn.await;
@@ -65,6 +78,7 @@
             sender,
             meter,
             before: 0,
+            reusable,
             task: task.abort_handle(),
         })
     }
@@ -83,8 +97,9 @@
         self.sender.ready().await.is_ok()
     }
 
+    /// Returns whether no further request may be sent.
     pub(crate) fn is_closed(&self) -> bool {
-        self.sender.is_closed()
+        !self.reusable || self.sender.is_closed()
     }
 
     /// Closes the connection and determines whether the current request may have run.
@@ -110,13 +125,6 @@
     }
 }
 
-fn not_run(cause: Cause) -> Broken {
-    Broken {
-        verdict: Verdict::NotRun,
-        cause,
-    }
-}
-
 /// Counts the bytes written to a socket.
 #[derive(Debug, Default)]
 struct Meter(Mutex<Written>);
