--- a/crates/frontd/tests/targets.rs
+++ b/crates/frontd/tests/targets.rs
@@ -1,8 +1,12 @@
 //! Targets in trouble: real control and entry instances over loopback, and engines that
 //! crash and come back some time later, or that name a limit.
 
+#[path = "targets/callers.rs"]
+mod callers;
 #[path = "targets/crashes.rs"]
 mod crashes;
+#[path = "targets/cuts.rs"]
+mod cuts;
 #[path = "targets/deployment.rs"]
 mod deployment;
 #[path = "targets/engine.rs"]
@@ -11,6 +15,8 @@
 mod engines;
 #[path = "targets/limits.rs"]
 mod limits;
+#[path = "targets/links.rs"]
+mod links;
 #[path = "common/platform.rs"]
 mod platform;
 
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -11,7 +11,7 @@
 };
 
 use frontd::{CallOutcome, ControlSetup, EntrySetup, Operators, Platform};
-use futures::FutureExt;
+use futures::{FutureExt, future::join_all};
 use gateway::zone_owner::{Held, ListedTarget, OrderOutcome, Report};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use tokio::time::sleep;
@@ -25,6 +25,7 @@
 use crate::{
     engine::{Begun, Engine},
     engines::decoded,
+    links::Links,
     platform::{header_names, loopback_ip, retries, slack},
 };
 
@@ -58,6 +59,8 @@
     no: u8,
     engines: Arc<Vec<Arc<Engine>>>,
     next_id: AtomicU64,
+    /// Links of each entry instance to the engines.
+    links: Vec<Arc<Links>>,
     _data: tempfile::TempDir,
 }
 
@@ -67,6 +70,7 @@
         let no = NEXT.fetch_add(1, Ordering::Relaxed);
         let engines = Arc::new((0..engines).map(Engine::start).collect::<Vec<_>>());
         let data = tempfile::tempdir().unwrap();
+        let links = join_all((1..INSTANCES).map(|_| Links::new())).await;
         tokio::spawn(frontd::serve_control(
             ControlSetup {
                 ip: own_ip(no, 0),
@@ -79,13 +83,14 @@
                 takeover_delay: Duration::from_secs(3),
                 list_lag: Duration::from_millis(2_300),
             },
-            platform(no, &engines),
+            platform(no, &engines, None),
             take,
         ));
         let deployment = Deployment {
             no,
             engines,
             next_id: AtomicU64::new(1),
+            links,
             _data: data,
         };
         for entry in 1..=entries {
@@ -113,10 +118,15 @@
                 retries: retries(),
                 slack: slack(),
             },
-            platform(self.no, &self.engines),
+            platform(self.no, &self.engines, Some(self.links(entry))),
         ));
     }
 
+    /// Returns the links of the entry instance with this number.
+    pub(crate) fn links(&self, entry: u8) -> &Arc<Links> {
+        &self.links[usize::from(entry) - 1]
+    }
+
     /// Waits until an entry instance answers a request.
     pub(crate) async fn wait_ready(&self, entry: u8) {
         while self.ask(entry, "are you ready").await.status != 200 {
@@ -239,7 +249,8 @@
     loopback_ip(no * INSTANCES + instance)
 }
 
-fn platform(no: u8, engines: &Arc<Vec<Arc<Engine>>>) -> Platform {
+fn platform(no: u8, engines: &Arc<Vec<Arc<Engine>>>, links: Option<&Arc<Links>>) -> Platform {
+    let links = links.map(Arc::clone);
     let (list, ask) = (Arc::clone(engines), Arc::clone(engines));
     Platform {
         header_names: Arc::new(header_names()),
@@ -259,5 +270,9 @@
             async { report }.boxed()
         }),
         read_seeds: Arc::new(move || Some(vec![own_ip(no, 0)])),
+        map_address: Arc::new(move |engine| {
+            let links = links.as_ref();
+            links.map_or(engine, |links| links.address(engine))
+        }),
     }
 }
--- a/crates/frontd/tests/targets/limits.rs
+++ b/crates/frontd/tests/targets/limits.rs
@@ -2,14 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use futures::future::join_all;
 use googletest::prelude::*;
 use tokio::time::sleep;
 
-use crate::{
-    CONTACT,
-    deployment::{Deployment, Told},
-};
+use crate::{CONTACT, callers::ask_until, deployment::Deployment};
 
 /// The window in which requests to a limited engine are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -21,31 +17,6 @@
 /// Requests that a limited engine may get within [`WINDOW`].
 const ALLOWED: f64 = 1.5 * LIMIT * WINDOW.as_secs_f64() + 5.0;
 
-/// Time from an answer to the next request of the same caller, at least.
-const PAUSE: Duration = Duration::from_millis(20);
-
-/// Callers at each entry instance, each with one request at a time.
-const CALLERS: u8 = 5;
-
-/// Sends requests to all entry instances until `until`, and returns what was answered.
-async fn ask_until(deployment: &Deployment, entries: u8, until: Instant) -> Vec<Told> {
-    let callers = (1..=entries).flat_map(|entry| (0..CALLERS).map(move |no| (entry, no)));
-    let callers = callers.map(|(entry, no)| call_until(deployment, entry, no, until));
-    join_all(callers).await.into_iter().flatten().collect()
-}
-
-/// Sends requests of one caller, who comes back after a refusal when told.
-async fn call_until(deployment: &Deployment, entry: u8, no: u8, until: Instant) -> Vec<Told> {
-    let mut answers = Vec::new();
-    sleep(u32::from(no) * PAUSE).await;
-    while Instant::now() < until {
-        let told = deployment.ask(entry, "harmless").await;
-        sleep(told.again.unwrap_or(PAUSE)).await;
-        answers.push(told);
-    }
-    answers
-}
-
 /// Returns the most requests that an engine got in a window that ends after `from`.
 fn most_in_window(deployment: &Deployment, engine: usize, from: Instant) -> usize {
     let begun = deployment.engine(engine).begun();
@@ -69,7 +40,7 @@
         deployment.engine(0).name_limit(Some(NAMED));
     };
     let until = begun + calm + 3 * CONTACT;
-    let (told, ()) = tokio::join!(ask_until(&deployment, 3, until), named);
+    let (told, ()) = tokio::join!(ask_until(&deployment, 1..=3, until), named);
     let most = most_in_window(&deployment, 0, begun + calm + CONTACT);
     assert_that!(most as f64, le(ALLOWED));
     for told in told {
@@ -85,16 +56,16 @@
     let deployment = Deployment::start(2, 1).await;
     let engine = deployment.engine(0);
     engine.name_limit(Some("0.5"));
-    ask_until(&deployment, 2, Instant::now() + CONTACT).await;
+    ask_until(&deployment, 1..=2, Instant::now() + CONTACT).await;
     for unreadable in ["many", "-3", "NaN"] {
         engine.name_limit(Some(unreadable));
         let begun = Instant::now();
-        ask_until(&deployment, 2, begun + CONTACT).await;
+        ask_until(&deployment, 1..=2, begun + CONTACT).await;
         assert_that!(most_in_window(&deployment, 0, begun + CONTACT / 2), le(8));
     }
     engine.name_limit(None);
     let begun = Instant::now();
-    ask_until(&deployment, 2, begun + 2 * CONTACT).await;
+    ask_until(&deployment, 1..=2, begun + 2 * CONTACT).await;
     let late = engine.begun().into_iter();
     let late = late.filter(|run| run.at > begun + CONTACT).count();
     assert_that!(late, ge(30));
@@ -106,8 +77,8 @@
 async fn what_a_limit_will_not_reach_is_refused_with_the_time_to_come_back() {
     let deployment = Deployment::start(2, 1).await;
     deployment.engine(0).name_limit(Some("1"));
-    ask_until(&deployment, 2, Instant::now() + CONTACT).await;
-    let told = ask_until(&deployment, 2, Instant::now() + CONTACT).await;
+    ask_until(&deployment, 1..=2, Instant::now() + CONTACT).await;
+    let told = ask_until(&deployment, 1..=2, Instant::now() + CONTACT).await;
     let refused: Vec<_> = told.iter().filter(|told| told.status != 200).collect();
     assert_that!(refused.len(), ge(5));
     for told in refused {
@@ -124,11 +95,11 @@
 async fn an_instance_that_starts_later_keeps_the_limit() {
     let deployment = Deployment::start(1, 2).await;
     deployment.engine(0).name_limit(Some(NAMED));
-    ask_until(&deployment, 1, Instant::now() + CONTACT).await;
+    ask_until(&deployment, [1], Instant::now() + CONTACT).await;
     deployment.start_entry(2);
     deployment.wait_ready(2).await;
     let begun = Instant::now();
-    ask_until(&deployment, 2, begun + CONTACT).await;
+    ask_until(&deployment, 1..=2, begun + CONTACT).await;
     let most = most_in_window(&deployment, 0, begun + Duration::from_secs(1));
     assert_that!(most as f64, le(ALLOWED));
 }
