Reach targets through other instances while cut off from all of them

Cause: an entry instance had one way to targets only. It took the cut for the failure of each single target, avoided all of them, and reported what it couldn't reach, though it and its callers reached instances that were sound. Change: gateway::reach decides from new connections alone whether an instance is cut off: one that fails or takes 100 ms raises a doubt unless a later one was made, then targets of all zones are tried at once; none made means cut off. Until two targets in a row can be connected to again, connections to targets are tunnels through another entry instance (web::tunnel): it passes on bytes and decides nothing, so attempts, deadlines, accounts, permits and verdicts stay with the first instance. A run in which the crash tests also went through the proxies of that test failed twice: such a proxy accepts connections to an engine that is down. In the second of these runs what_ran_beside_a_crashing_request_is_served took 121 s; not traced.

--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -44,6 +44,7 @@
             Call::Sync(_)
             | Call::SyncUsage { .. }
             | Call::Limits(_)
+            | Call::Entries(_)
             | Call::Renew { .. }
             | Call::Edition { .. } => Reply::Redirect {
                 leader: self.other_leader(),
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -19,6 +19,7 @@
 use daemon::{Clock, Links};
 use disk::Writer;
 use gateway::{
+    helpers::Roster,
     revisions::Revisions,
     zone_lease::{LeaseGranter, ZoneLease},
     zone_owner::{self, ZoneOwner},
@@ -137,6 +138,8 @@
     /// What entry instances have used of limited accounts.
     tally: Tally,
     editions: EditionCache,
+    /// Entry instances, and which of them can help others.
+    roster: Roster,
     /// Versions of adapters, numbered by their changes.
     revisions: Revisions,
     writer: Writer,
@@ -205,6 +208,7 @@
             zone_owner: ZoneOwner::new(config, serial),
             tally: Tally::new(clock.now(), rand::random::<u64>() >> 1),
             editions: EditionCache::default(),
+            roster: Roster::default(),
             revisions: Revisions::new(rand::random::<u64>() >> 2),
             writer,
             clock,
@@ -346,6 +350,10 @@
                 let permit = self.limit_report(&report);
                 to.send(Reply::Limits(permit)).ok();
             }
+            Call::Entries(report) => {
+                let helpers = self.roster.report(self.clock.now(), &report);
+                to.send(Reply::Entries(helpers)).ok();
+            }
             Call::Renew { instance, zone } => {
                 to.send(self.renew_for(&instance, &zone)).ok();
             }
--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -5,6 +5,7 @@
 mod editions;
 mod forward;
 mod headers;
+mod helping;
 mod limits;
 mod paths;
 mod relay;
@@ -23,10 +24,11 @@
 use gateway::budget;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use telemetry::event;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use web::{body::Body, server};
 
-use self::state::State;
+use self::{helping::Tunnels, state::State};
 use crate::Platform;
 
 /// How long new connections are accepted after a stop was requested. The platform probes
@@ -84,6 +86,7 @@
         at_stop.cancel();
     });
     tokio::spawn(sync::run(Arc::clone(&state)));
+    tokio::spawn(paths::run(Arc::clone(&state)));
     tokio::spawn(editions::run(Arc::clone(&state)));
     let at_ready = Arc::clone(&state);
     let ready = move |req| readiness(Arc::clone(&at_ready), req);
@@ -100,12 +103,37 @@
         ready,
         CancellationToken::new(),
     ));
+    let tunnels = Tunnels::new();
+    let (at_peers, for_others) = (Arc::clone(&state), tunnels.clone());
+    let helper = move |req| helping::answer(Arc::clone(&at_peers), for_others.clone(), req);
+    tokio::spawn(server::serve(
+        listen(SocketAddr::new(setup.ip, setup.peer_port)).await?,
+        server::Limits::default(),
+        helper,
+        CancellationToken::new(),
+    ));
     let listener = listen(setup.listen).await?;
     event!(telemetry::Event::Started, listen = setup.listen.to_string());
     let at_callers = Arc::clone(&state);
     let handler = move |req| forward::answer(Arc::clone(&at_callers), req);
-    let served = server::serve(listener, limits, handler, stop).await?;
-    event!(telemetry::Event::Stopped, running = served.cut);
+    let (begun, grace) = (stop.clone(), setup.grace.saturating_sub(KILL_MARGIN));
+    let killed = async move {
+        begun.cancelled().await;
+        sleep(grace).await;
+    };
+    let served = server::serve(listener, limits, handler, stop);
+    let all_served = async {
+        let served = served.await;
+        // Other instances' requests run on through the tunnels that stand.
+        tunnels.tasks.close();
+        tunnels.tasks.wait().await;
+        served
+    };
+    let running = tokio::select! {
+        served = all_served => served?.cut,
+        () = killed => tunnels.tasks.len(),
+    };
+    event!(telemetry::Event::Stopped, running = running);
     Ok(())
 }
 
--- a/crates/frontd/src/entry/answer.rs
+++ b/crates/frontd/src/entry/answer.rs
@@ -59,6 +59,8 @@
     Repeats,
     /// All targets that could take it have used up the limits that they name.
     Limited,
+    /// This instance is cut off from all targets, and no other one can reach them for it.
+    CutOff,
     /// Targets have refused the request too often.
     Refusals,
     /// The deadline had passed.
--- a/crates/frontd/src/entry/crash.rs
+++ b/crates/frontd/src/entry/crash.rs
@@ -68,7 +68,7 @@
 
 async fn check(state: Arc<State>, target: String, addr: SocketAddr) {
     sleep(CHECK_DELAY).await;
-    let fate = Fate::of(addr).await;
+    let fate = state.paths.fate(addr).await;
     let runs = state.broken_runs().remove(&target).unwrap_or_default();
     prom_metrics().broken_runs(fate.as_str(), runs.len());
     for run in runs {
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -177,6 +177,10 @@
                         return Err(self.give_up(Why::Refusals));
                     }
                 }
+                SendOutcome::NoPath => {
+                    self.log_attempt(&target, "no path");
+                    return Err(self.give_up(Why::CutOff));
+                }
                 SendOutcome::NotRun { missing_adapter } => {
                     self.log_attempt(&target, "not run");
                     self.refusals += 1;
--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -78,6 +78,8 @@
     Answered(Box<Answer>, InFlight),
     /// The request didn't reach the target.
     Unreached,
+    /// No target can be reached, neither directly nor through another instance.
+    NoPath,
     /// The request certainly hasn't run there.
     NotRun {
         /// Whether the target doesn't hold the adapter.
@@ -94,6 +96,7 @@
             SendOutcome::Answered(answer, _) if answer.status.is_server_error() => "failed",
             SendOutcome::Answered(..) => "answered",
             SendOutcome::Unreached => "unreached",
+            SendOutcome::NoPath => "no_path",
             SendOutcome::NotRun { .. } => "not_run",
             SendOutcome::Unknown => "in_doubt",
         }
@@ -180,7 +183,10 @@
                 self.log_unused_backup(&backup, Unused::Weights);
                 None
             }
-            SendOutcome::Unreached | SendOutcome::NotRun { .. } | SendOutcome::Unknown => {
+            SendOutcome::Unreached
+            | SendOutcome::NoPath
+            | SendOutcome::NotRun { .. }
+            | SendOutcome::Unknown => {
                 self.log_attempt(&backup.target, sent.label());
                 None
             }
@@ -289,6 +295,9 @@
 
     /// Notes a send that ended without an answer.
     fn unanswered(&self, in_flight: &InFlight, broken: &Broken) -> SendOutcome {
+        if broken.cause == Cause::NoPath {
+            return SendOutcome::NoPath;
+        }
         let may_have_run = broken.verdict != base::Verdict::NotRun;
         let now = self.state.now();
         if may_have_run && matches!(broken.cause, Cause::Cut(_)) {
@@ -354,6 +363,7 @@
         send.headers = headers;
         send.body = self.body.clone();
         send.ending = Ending::Framed;
+        send.label.clone_from(&self.id);
         send.mark = if self.route.kind == Kind::Safe {
             Mark::Repeatable
         } else {
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -33,6 +33,7 @@
     pub(super) port: u16,
     pub(super) platform: Platform,
     pub(super) client: Client,
+    pub(super) paths: Arc<Paths>,
     pub(super) links: Links,
     /// Notified when something about targets, zone owners or the configuration has
     /// changed.
@@ -41,7 +42,7 @@
     stopping: AtomicBool,
     entry_count: AtomicU32,
     table: Mutex<Option<(u64, Arc<Table>)>>,
-    view: Mutex<View>,
+    view: Arc<Mutex<View>>,
     settle: Mutex<Warmup>,
     budget: Mutex<Budget>,
     broken_runs: Mutex<BrokenRuns>,
@@ -50,7 +51,7 @@
     pub(super) controls: ControlPeers,
     pub(super) editions: Editions,
     /// Availability zone of this instance.
-    zone: String,
+    pub(super) zone: String,
     /// All availability zones.
     pub(super) zones: Vec<String>,
 }
@@ -68,20 +69,24 @@
     pub(super) fn new(setup: &Setup, platform: Platform) -> Self {
         let name = names::instance_name(setup.ip);
         let clock = Clock::start();
-        let paths = Paths::new(clock, Arc::clone(&platform.map_address));
+        let view = View::new(setup.zone.clone(), Seed(rand::random()));
+        let view = Arc::new(Mutex::new(view));
+        let address = Arc::clone(&platform.map_address);
+        let paths = Paths::new(setup, clock, address, Arc::clone(&view));
         State {
             links: Links::new(name.clone()),
             name,
             port: setup.peer_port,
             platform,
             client: Client::new(paths.dialer()),
+            paths,
             changed: Notify::new(),
             settle: Mutex::new(Warmup::new(clock.now(), &setup.zones)),
             clock,
             stopping: AtomicBool::new(false),
             entry_count: AtomicU32::new(INITIAL_ENTRY_COUNT),
             table: Mutex::default(),
-            view: Mutex::new(View::new(setup.zone.clone(), Seed(rand::random()))),
+            view,
             budget: Mutex::new(Budget::new(setup.retries)),
             broken_runs: Mutex::default(),
             guard: Mutex::default(),
@@ -231,6 +236,10 @@
         !self.stopping.load(Ordering::Relaxed) && lock(&self.table).is_some()
     }
 
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
     pub(super) fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
     }
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -29,7 +29,7 @@
     quarantine::{CrashReport, CrashedRun},
 };
 
-use super::{crash, limits, state::State};
+use super::{crash, helping, limits, state::State};
 use crate::names;
 
 /// Interval between two exchanges with one control instance. A change of the
@@ -53,6 +53,9 @@
 /// message between availability zones takes 2 ms.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Interval between two reports on whether this instance can help others.
+const HELPING_INTERVAL: Duration = Duration::from_secs(2);
+
 /// A control instance that has not been heard from for this long is not relied on to give
 /// orders.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -98,6 +101,8 @@
     answered: BTreeSet<Fingerprint>,
     /// Index of the last verdict on a request that it has sent.
     verdict: u64,
+    /// When it was last told whether this instance can help others.
+    told_helping: Option<Time>,
 }
 
 impl ControlPeers {
@@ -122,6 +127,14 @@
         lock(&self.peers).values().any(|peer| peer.heard(now))
     }
 
+    /// Reports to every control instance whether this instance can help others.
+    pub(super) fn report_helping(&self, state: &Arc<State>) {
+        for peer in lock(&self.peers).values() {
+            let (state, peer) = (Arc::clone(state), Arc::clone(peer));
+            tokio::spawn(async move { helping::report(&state, &peer).await });
+        }
+    }
+
     /// Returns the zones whose owner can give orders now.
     pub(super) fn zones(&self, now: Time) -> Vec<String> {
         let peers = lock(&self.peers);
@@ -247,6 +260,17 @@
         lock(&self.inner).zones.iter().any(|own| own == zone)
     }
 
+    /// Returns whether the regular report on helping others is due, and takes it as made.
+    fn helping_due(&self, now: Time) -> bool {
+        let mut inner = lock(&self.inner);
+        let last = inner.told_helping;
+        if last.is_some_and(|at| now.since(at) < HELPING_INTERVAL) {
+            return false;
+        }
+        inner.told_helping = Some(now);
+        true
+    }
+
     fn heard(&self, now: Time) -> bool {
         let heard = lock(&self.inner).last_heard;
         heard.is_some_and(|at| now.since(at) < OWNER_TIMEOUT)
@@ -360,6 +384,9 @@
     limits::log_told(state, peer);
     if regular {
         limits::report(state, peer).await;
+        if peer.helping_due(now) {
+            helping::report(state, peer).await;
+        }
     }
     true
 }
--- a/crates/frontd/tests/targets/cuts.rs
+++ b/crates/frontd/tests/targets/cuts.rs
@@ -35,7 +35,7 @@
 }
 
 async fn check_served(Case { cut, how }: Case) {
-    let deployment = Deployment::start(ENTRIES, ENGINES).await;
+    let deployment = Deployment::start_linked(ENTRIES, ENGINES).await;
     for entry in cut {
         deployment.links(*entry).set(how);
     }
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -59,7 +59,7 @@
     no: u8,
     engines: Arc<Vec<Arc<Engine>>>,
     next_id: AtomicU64,
-    /// Links of each entry instance to the engines.
+    /// Links of each entry instance to the engines, if they can be cut.
     links: Vec<Arc<Links>>,
     _data: tempfile::TempDir,
 }
@@ -67,10 +67,19 @@
 impl Deployment {
     /// Starts all instances and waits until each entry instance answers a request.
     pub(crate) async fn start(entries: u8, engines: usize) -> Deployment {
+        Deployment::start_with(entries, engines, Vec::new()).await
+    }
+
+    /// As [`Self::start`], with links to engines that can be cut.
+    pub(crate) async fn start_linked(entries: u8, engines: usize) -> Deployment {
+        let links = join_all((0..entries).map(|_| Links::new())).await;
+        Deployment::start_with(entries, engines, links).await
+    }
+
+    async fn start_with(entries: u8, engines: usize, links: Vec<Arc<Links>>) -> Deployment {
         let no = NEXT.fetch_add(1, Ordering::Relaxed);
         let engines = Arc::new((0..engines).map(Engine::start).collect::<Vec<_>>());
         let data = tempfile::tempdir().unwrap();
-        let links = join_all((1..INSTANCES).map(|_| Links::new())).await;
         tokio::spawn(frontd::serve_control(
             ControlSetup {
                 ip: own_ip(no, 0),
@@ -118,7 +127,11 @@
                 retries: retries(),
                 slack: slack(),
             },
-            platform(self.no, &self.engines, Some(self.links(entry))),
+            platform(
+                self.no,
+                &self.engines,
+                self.links.get(usize::from(entry) - 1),
+            ),
         ));
     }
 
--- a/crates/frontd/tests/targets/links.rs
+++ b/crates/frontd/tests/targets/links.rs
@@ -64,7 +64,9 @@
     /// Returns the address at which the instance finds the engine that listens at `engine`.
     pub(crate) fn address(&self, engine: SocketAddr) -> SocketAddr {
         match *self.state.borrow() {
-            Cut::No => self.proxy(engine),
+            // A proxy would accept connections to an engine that is down.
+            Cut::No if listens(engine) => self.proxy(engine),
+            Cut::No => self.refusing,
             Cut::Hangs => self.hanging,
             Cut::Resets | Cut::RefusesNew => self.refusing,
         }
@@ -136,6 +138,10 @@
     }
 }
 
+fn listens(engine: SocketAddr) -> bool {
+    std::net::TcpStream::connect_timeout(&engine, Duration::from_millis(50)).is_ok()
+}
+
 fn refusing() -> SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod budget;
 pub mod download;
+pub mod helpers;
 pub mod home;
 pub mod list_fallback;
 pub mod reach;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -7,6 +7,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -18,6 +19,7 @@
 
 use crate::{
     home::WeightedZone,
+    reach::Targets,
     target_limit::{KnownLimits, LimitChange, ROOM, Standing},
 };
 
@@ -306,6 +308,36 @@
         self.targets.get(id).map(|k| k.target.addr.as_str())
     }
 
+    /// Returns the addresses of all targets that take requests, by zone.
+    #[must_use]
+    pub fn addresses(&self) -> Targets {
+        let mut addresses = Targets::new();
+        for known in self.targets.values().filter(|known| known.target.ready) {
+            if let Ok(addr) = known.target.addr.parse() {
+                let of_zone = addresses.entry(known.target.zone.clone());
+                of_zone.or_default().insert(addr);
+            }
+        }
+        addresses
+    }
+
+    /// Returns whether a target listens at an address.
+    #[must_use]
+    pub fn is_target(&self, addr: SocketAddr) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|known| known.target.addr.parse() == Ok(addr))
+    }
+
+    /// Forgets all failures, as they were not those of targets.
+    ///
+    /// Failure: an instance is cut off from all targets, and avoids them for as long again
+    /// when it reaches them.
+    pub fn forgive(&mut self) {
+        for known in self.targets.values_mut() {
+            known.failures = Failures::default();
+        }
+    }
+
     /// Counts a request for an adapter.
     pub fn count_request(&mut self, adapter: &str) {
         *self.demand.entry(adapter.to_owned()).or_default() += 1;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -127,6 +127,10 @@
     TargetUnlimited 5018 Info "target names no limit any more" "`target` takes requests without a limit again, as an answer of it said `age_ms` ago; `source` as in E5017."
     LimitedTraffic 5019 Info "requests sent to a limited target" "Within `ms` this instance has sent `sent` requests to `target`, and got no permit for `denied` that then went elsewhere, waited or were refused, while the target took `limit` a second from all instances together."
     ConnectionsFailed 5020 Info "connections to targets failed" "Within `ms`, `failed` attempts of this instance to connect to `targets` different targets failed and `made` succeeded."
+    TargetsCutOff 5021 Warn "cut off from all targets" "No target can be connected to: `targets` were tried, and the first failed `evidence_ms` ago. Requests go through other instances."
+    TargetsReachable 5022 Info "targets can be reached again" "Targets can be connected to again, after `lasted_ms`."
+    SentThrough 5023 Info "sent through another instance" "This instance is cut off from all targets and asked `helper` for a tunnel to `target`; `outcome` is `opened`, `refused` or `silent` where the target is, or `no_help` where the helper is cut off as well, stops, is full or doesn't answer."
+    TunnelOpened 5024 Info "tunnel opened for another instance" "`from` is cut off from all targets and reaches `target` through this instance."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -35,6 +35,8 @@
     orders: IntCounterVec,
     broken_runs: IntCounterVec,
     permits: IntCounterVec,
+    tunnels: IntCounterVec,
+    helped: IntCounterVec,
     suspects: IntGauge,
     held_requests: IntGauge,
     zones: IntGauge,
@@ -81,6 +83,16 @@
             "Permits for requests to targets that name a limit",
             "outcome",
         );
+        let tunnels = counters(
+            "quetzal_tunnels_total",
+            "Tunnels to targets that this instance asked other instances for",
+            "outcome",
+        );
+        let helped = counters(
+            "quetzal_helped_total",
+            "Tunnels to targets that other instances asked this instance for",
+            "outcome",
+        );
         let dropped = IntCounter::new(
             "quetzal_log_left_out_total",
             "Log lines dropped because the queue was full",
@@ -119,6 +131,8 @@
             orders,
             broken_runs,
             permits,
+            tunnels,
+            helped,
             suspects,
             held_requests,
             zones,
@@ -160,6 +174,16 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a tunnel that another instance was asked for, by its `outcome`.
+    pub fn tunnel(&self, outcome: &str) {
+        self.tunnels.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a tunnel that another instance asked for, by its `outcome`.
+    pub fn helped(&self, outcome: &str) {
+        self.helped.with_label_values(&[outcome]).inc();
+    }
+
     /// Sets how many contents of requests there is evidence against.
     pub fn suspects(&self, count: usize) {
         self.suspects.set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -94,6 +94,8 @@
     pub mark: Mark,
     /// How the end of a complete answer is recognised.
     pub ending: Ending,
+    /// Names the request in logs.
+    pub label: String,
 }
 
 /// How the end of a complete answer is recognised.
@@ -119,6 +121,7 @@
             limits: Limits::default(),
             mark: Mark::Repeatable,
             ending: Ending::default(),
+            label: String::new(),
         }
     }
 
@@ -153,6 +156,11 @@
         }
     }
 
+    /// Closes all idle connections.
+    pub fn forget_connections(&self) {
+        self.pool.forget_all();
+    }
+
     /// Sends a request and returns once the head of the answer has arrived.
     ///
     /// # Errors
@@ -186,6 +194,7 @@
             addr: send.addr,
             until,
             end,
+            label: send.label.clone(),
         };
         let dialed = self.dialer.dial(connect).await.map_err(Broken::unsent)?;
         let link = Link::over(dialed).await?;
--- a/crates/web/src/client/broken.rs
+++ b/crates/web/src/client/broken.rs
@@ -22,6 +22,8 @@
     Connect(String),
     /// The connection was not established within the limit.
     ConnectTimeout,
+    /// No way to the server is known.
+    NoPath,
     /// The head of the answer did not arrive within the limit.
     FirstByte,
     /// The next piece of the answer's body did not arrive within the limit.
@@ -62,7 +64,7 @@
     pub fn reason(&self) -> Refusal {
         match self.cause {
             Cause::BadRequest => Refusal::BadRequest,
-            Cause::Connect(_) | Cause::ConnectTimeout => Refusal::Unavailable,
+            Cause::Connect(_) | Cause::ConnectTimeout | Cause::NoPath => Refusal::Unavailable,
             Cause::Deadline => Refusal::Deadline,
             _ => Refusal::TargetFailed,
         }
@@ -77,6 +79,7 @@
             }
             Cause::Connect(err) => write!(f, "no connection: {err}"),
             Cause::ConnectTimeout => f.write_str("no connection in time"),
+            Cause::NoPath => f.write_str("no way to the server is known"),
             Cause::FirstByte => f.write_str("no answer in time"),
             Cause::Idle => f.write_str("no data of the answer within the idle timeout"),
             Cause::Deadline => f.write_str("the deadline passed"),
--- a/crates/web/src/client/dial.rs
+++ b/crates/web/src/client/dial.rs
@@ -11,7 +11,7 @@
 use super::broken::Cause;
 
 /// A connection to make.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Connect {
     /// Address of the server.
     pub addr: SocketAddr,
@@ -19,6 +19,8 @@
     pub until: Instant,
     /// When the exchange that needs the connection ends at the latest.
     pub end: Instant,
+    /// Names the request in logs.
+    pub label: String,
 }
 
 /// A connection that was made.
--- a/crates/web/src/client/pool.rs
+++ b/crates/web/src/client/pool.rs
@@ -71,6 +71,12 @@
         idle.remove(&addr);
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn forget_all(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.clear();
+    }
+
     fn pop(&self, addr: SocketAddr) -> Option<Idle> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.get_mut(&addr)?.pop()
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`client`] knows for each failure whether any byte of the request was sent to the
 //! target. [`server`] limits the resources that a faulty or hostile caller can take.
 //! [`body`], [`reply`] and [`sse`] create and read bodies, answers and event streams,
-//! and [`timeout`] has a timeout that tolerates a busy process.
+//! [`timeout`] has a timeout that tolerates a busy process, and [`tunnel`] connects to a
+//! server through another instance.
 
 pub mod body;
 pub mod client;
@@ -12,6 +13,7 @@
 pub mod server;
 pub mod sse;
 pub mod timeout;
+pub mod tunnel;
 
 pub use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming};
 
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -29,7 +29,8 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use self::{refusal::Refusals, slots::Slots, stall::StallLimited};
+pub(crate) use self::stall::StallLimited;
+use self::{refusal::Refusals, slots::Slots};
 use crate::{body::Body, reply};
 
 /// Pause of the accept loop after an error of the system, such as too many open files;
--- a/crates/web/src/server/stall.rs
+++ b/crates/web/src/server/stall.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Returns the socket without the limit.
+    pub(crate) fn into_inner(self) -> TcpStream {
+        self.stream
+    }
+
     fn check_stall<T>(
         &mut self,
         cx: &mut Context<'_>,
--- /dev/null
+++ b/crates/web/src/tunnel.rs
@@ -0,0 +1,194 @@
+//! A connection to a server through another instance of our own.
+//!
+//! The helper connects to the server and passes bytes on in both directions; it neither
+//! reads nor decides anything. So whatever the client promises for a direct connection holds
+//! for a tunnel: nothing is sent before the tunnel stands, and a tunnel that breaks is a
+//! connection that breaks.
+
+mod splice;
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, HOST, HeaderMap, HeaderValue, UPGRADE},
+};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout_at},
+};
+
+pub use self::splice::splice;
+use crate::{
+    body::{Body, full},
+    header_value,
+    server::StallLimited,
+};
+
+/// Path of the request for a tunnel.
+const PATH: &str = "/quetzal/tunnel";
+
+/// Protocol to which the connection is upgraded.
+const PROTOCOL: &str = "quetzal-tunnel/1";
+
+/// Address of the server.
+const TARGET: &str = "target";
+
+/// Milliseconds after which the helper closes the tunnel.
+const LEFT: &str = "left-ms";
+
+/// The request that the tunnel is opened for, for the helper's log.
+const LABEL: &str = "label";
+
+/// The instance that asks, for the helper's log.
+const FROM: &str = "from";
+
+/// A tunnel to open.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tunnel {
+    /// Address of the server.
+    pub target: SocketAddr,
+    /// Time after which the helper closes it.
+    pub left: Duration,
+    /// The request that it is opened for.
+    pub label: String,
+    /// The instance that opens it.
+    pub from: String,
+}
+
+/// Why there is no tunnel.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum TunnelError {
+    /// The helper could not be reached, or can't help.
+    #[error("no help: {0}")]
+    NoHelp(String),
+    /// The server refuses connections.
+    #[error("the server refuses connections")]
+    Refused,
+    /// The server can't be connected to.
+    #[error("the server can't be reached")]
+    Silent,
+}
+
+impl TunnelError {
+    /// Returns the status by which a helper says so.
+    fn status(&self) -> StatusCode {
+        match self {
+            TunnelError::NoHelp(_) => StatusCode::SERVICE_UNAVAILABLE,
+            TunnelError::Refused => StatusCode::BAD_GATEWAY,
+            TunnelError::Silent => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    fn of(status: StatusCode) -> Self {
+        match status {
+            StatusCode::BAD_GATEWAY => TunnelError::Refused,
+            StatusCode::GATEWAY_TIMEOUT => TunnelError::Silent,
+            other => TunnelError::NoHelp(format!("the helper answered {other}")),
+        }
+    }
+
+    /// Returns the helper's answer.
+    #[must_use]
+    pub fn response(&self) -> Response<Body> {
+        let mut resp = Response::new(full(""));
+        *resp.status_mut() = self.status();
+        resp
+    }
+}
+
+/// Opens a tunnel through the instance at `helper`.
+///
+/// # Errors
+///
+/// Fails if the helper or the server can't be connected to until the time `until`.
+pub async fn open(
+    helper: SocketAddr,
+    tunnel: &Tunnel,
+    until: Instant,
+) -> Result<TcpStream, TunnelError> {
+    match timeout_at(until, ask(helper, tunnel)).await {
+        Ok(Ok(Ok(stream))) => Ok(stream),
+        Ok(Ok(Err(err))) => Err(err),
+        Ok(Err(err)) => Err(TunnelError::NoHelp(format!("{err:#}"))),
+        Err(_) => Err(TunnelError::NoHelp("no answer in time".to_owned())),
+    }
+}
+
+async fn ask(
+    helper: SocketAddr,
+    tunnel: &Tunnel,
+) -> anyhow::Result<Result<TcpStream, TunnelError>> {
+    let stream = TcpStream::connect(helper).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, conn) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(conn.with_upgrades());
+    let left = u64::try_from(tunnel.left.as_millis()).unwrap_or(u64::MAX);
+    let req = Request::get(PATH)
+        .header(HOST, header_value(&helper.to_string()))
+        .header(CONNECTION, "upgrade")
+        .header(UPGRADE, PROTOCOL)
+        .header(TARGET, header_value(&tunnel.target.to_string()))
+        .header(LEFT, left)
+        .header(LABEL, header_value(&tunnel.label))
+        .header(FROM, header_value(&tunnel.from))
+        .body(Empty::<Bytes>::new())?;
+    let answer = sender.send_request(req).await?;
+    if answer.status() != StatusCode::SWITCHING_PROTOCOLS {
+        return Ok(Err(TunnelError::of(answer.status())));
+    }
+    let upgraded = hyper::upgrade::on(answer).await?;
+    let parts = upgraded.downcast::<TokioIo<TcpStream>>();
+    let parts = parts.map_err(|_| anyhow::anyhow!("the connection is of another kind"))?;
+    anyhow::ensure!(parts.read_buf.is_empty(), "the server spoke first");
+    Ok(Ok(parts.io.into_inner()))
+}
+
+/// Returns the tunnel that a request asks for, or `None` if it asks for none.
+#[must_use]
+pub fn wanted(req: &Request<Incoming>) -> Option<Tunnel> {
+    let headers = req.headers();
+    let upgrade = headers.get(UPGRADE).is_some_and(|value| value == PROTOCOL);
+    if req.uri().path() != PATH || !upgrade {
+        return None;
+    }
+    let left: u64 = text(headers, LEFT)?.parse().ok()?;
+    Some(Tunnel {
+        target: text(headers, TARGET)?.parse().ok()?,
+        left: Duration::from_millis(left),
+        label: text(headers, LABEL).unwrap_or_default().to_owned(),
+        from: text(headers, FROM).unwrap_or_default().to_owned(),
+    })
+}
+
+/// Returns the answer to a request for a tunnel that stands.
+#[must_use]
+pub fn accepted() -> Response<Body> {
+    let mut resp = Response::new(full(""));
+    *resp.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
+    let headers = resp.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
+    headers.insert(UPGRADE, HeaderValue::from_static(PROTOCOL));
+    resp
+}
+
+/// Waits for the connection on which a tunnel was accepted.
+///
+/// # Errors
+///
+/// Fails if the other side has left.
+pub async fn upgraded(req: Request<Incoming>) -> anyhow::Result<(TcpStream, Bytes)> {
+    let upgraded = hyper::upgrade::on(req).await?;
+    let parts = upgraded.downcast::<TokioIo<StallLimited>>();
+    let parts = parts.map_err(|_| anyhow::anyhow!("the connection is of another kind"))?;
+    Ok((parts.io.into_inner().into_inner(), parts.read_buf))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -22,6 +22,7 @@
 use crate::{
     account::{OthersUsage, Usage},
     fleet::{Part, Sync, Synced},
+    helper::{EntryReport, Helper},
     limit::{LimitReport, Permit},
     operator::{Applied, Apply, Explain, Explained},
     patch::Patch,
@@ -85,6 +86,9 @@
         /// Entry to zone owner: the limits that targets name, and a request for a permit. A
         /// call of its own, as it is made for single requests of callers.
         Limits(LimitReport),
+        /// Entry to control: whether the caller can reach targets for other entry instances,
+        /// and which ones it may need itself.
+        Entries(EntryReport),
         /// Control to leader: renews the caller's zone leases.
         Renew {
             /// The control instance that asks.
@@ -142,6 +146,8 @@
         Edition(Option<Part>),
         /// Answers [`Call::Limits`]; `None` if it asked for no permit.
         Limits(Option<Permit>),
+        /// Answers [`Call::Entries`].
+        Entries(Vec<Helper>),
         /// Answers [`Call::Renew`]: the zones that the caller owns, with its fencing numbers.
         Renewed(Vec<(String, u64)>),
         /// Answers [`Call::Explain`]; `None` if the text has no such service.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`patch`]: patches between versions of the configuration text
 //! - [`quarantine`]: requests that crash targets (MessagePack)
 //! - [`header`]: names of HTTP headers
+//! - [`helper`]: entry instances that reach targets for others (MessagePack)
 //!
 //! These are plain data types without logic. The other crates convert them into types
 //! of their own, with `TryFrom` where a value can be invalid.
@@ -18,6 +19,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod header;
+pub mod helper;
 pub mod limit;
 pub mod operator;
 pub mod patch;
