Test when an instance finds itself cut off, and which others help it

Change: only the failure of a target that was connected to undoes that; where one target alone can be connected to, eight connections end the cut.

--- a/crates/frontd/src/entry/paths.rs
+++ b/crates/frontd/src/entry/paths.rs
@@ -221,6 +221,8 @@
                     lock(&self.helpers).no_help(self.clock.now(), &helper);
                     last = TunnelError::NoHelp(why);
                 }
+                // The helper may be cut off from this target only.
+                Err(TunnelError::Silent) => last = TunnelError::Silent,
                 opened => return opened,
             }
         }
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -39,10 +39,13 @@
 /// Least number of targets that have to fail before an instance counts as cut off.
 const MIN_TARGETS: usize = 2;
 
-/// Different targets that have to be connected to, one after the other, before a cut counts
-/// as over.
+/// Different targets that have to be connected to before a cut counts as over.
 const RESTORED_TARGETS: usize = 2;
 
+/// Connections to one target after which a cut counts as over though no other one can be
+/// connected to.
+const RESTORED_CONNECTIONS: u32 = 8;
+
 /// Links of an entry instance to targets.
 #[derive(Clone, Debug)]
 pub struct Reach {
@@ -76,8 +79,9 @@
 struct Cut {
     since: Time,
     next_probe: Time,
-    /// Targets that were connected to since the last failed probe.
-    restored: BTreeSet<SocketAddr>,
+    /// Connections to targets, of which none has failed since.
+    restored: BTreeMap<SocketAddr, u32>,
+    last_probe: Option<SocketAddr>,
 }
 
 /// What has changed.
@@ -195,13 +199,15 @@
                 self.state = State::Cut(Cut {
                     since,
                     next_probe: now + PROBE_INTERVAL,
-                    restored: BTreeSet::new(),
+                    restored: BTreeMap::new(),
+                    last_probe: None,
                 });
                 Some(Change::Cut { since, targets })
             }
             State::Cut(cut) if connected => {
-                cut.restored.insert(target);
-                if cut.restored.len() < RESTORED_TARGETS {
+                let made = cut.restored.entry(target).or_default();
+                *made += 1;
+                if *made < RESTORED_CONNECTIONS && cut.restored.len() < RESTORED_TARGETS {
                     return None;
                 }
                 let lasted = now.since(cut.since);
@@ -209,14 +215,16 @@
                 Some(Change::Over { lasted })
             }
             State::Cut(cut) => {
-                cut.restored.clear();
+                if cut.restored.contains_key(&target) {
+                    cut.restored.clear();
+                }
                 None
             }
         }
     }
 
-    /// Returns the target to try now, while the instance is cut off. A different one is tried
-    /// each time.
+    /// Returns the target to try now, while the instance is cut off: not the one that was tried
+    /// last, if there are others.
     pub fn next_probe(&mut self, now: Time, targets: &Targets) -> Option<SocketAddr> {
         let State::Cut(cut) = &mut self.state else {
             return None;
@@ -225,10 +233,15 @@
             return None;
         }
         cut.next_probe = now + PROBE_INTERVAL;
-        let restored = cut.restored.clone();
+        let last = cut.last_probe;
         self.round += 1;
-        let all = targets.values().flatten().filter(|t| !restored.contains(t));
-        all.min_by_key(|target| self.rank(target)).copied()
+        let all = targets.values().flatten();
+        let next = all.min_by_key(|target| (last == Some(**target), self.rank(target)));
+        let next = next.copied();
+        if let State::Cut(cut) = &mut self.state {
+            cut.last_probe = next;
+        }
+        next
     }
 
     /// Draws the targets that are tried in a doubt about `target`.
