--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -70,7 +70,8 @@
         Deployment::start_with(entries, engines, Vec::new()).await
     }
 
-    /// As [`Self::start`], with links to engines that can be cut.
+    /// As [`Self::start`], with links to engines that can be cut. The last entry instance
+    /// stands in a zone of its own.
     pub(crate) async fn start_linked(entries: u8, engines: usize) -> Deployment {
         let links = join_all((0..entries).map(|_| Links::new())).await;
         Deployment::start_with(entries, engines, links).await
@@ -115,10 +116,11 @@
     /// Starts the entry instance with this number.
     pub(crate) fn start_entry(&self, entry: u8) {
         let ip = own_ip(self.no, entry);
+        let last = usize::from(entry) == self.links.len();
         tokio::spawn(frontd::serve_entry(
             EntrySetup {
                 ip,
-                zone: "za".to_owned(),
+                zone: if last { "zb" } else { "za" }.to_owned(),
                 zones: vec!["za".to_owned()],
                 listen: SocketAddr::new(ip, CALLERS),
                 ready: SocketAddr::new(ip, READY),
--- a/crates/frontd/tests/targets/engine.rs
+++ b/crates/frontd/tests/targets/engine.rs
@@ -62,6 +62,8 @@
     /// The limit that it names in its answers.
     limit: Option<String>,
     crashes: Vec<Instant>,
+    /// Bodies of runs whose callers left before the end.
+    abandoned: Vec<String>,
 }
 
 impl Engine {
@@ -101,6 +103,11 @@
         self.state.lock().unwrap().limit = limit.map(str::to_owned);
     }
 
+    /// Returns the bodies of runs whose callers left before the end.
+    pub(crate) fn abandoned(&self) -> Vec<String> {
+        self.state.lock().unwrap().abandoned.clone()
+    }
+
     pub(crate) fn crashes(&self) -> Vec<Instant> {
         self.state.lock().unwrap().crashes.clone()
     }
@@ -192,7 +199,10 @@
             if body.contains(BROKEN_OFF) {
                 return;
             }
-            writer.piece(Bytes::from(rest)).await.ok();
+            if writer.piece(Bytes::from(rest)).await.is_err() {
+                self.state.lock().unwrap().abandoned.push(body);
+                return;
+            }
             writer.end().await.ok();
         });
         resp
