Never send brittle targets more than their slots, over all instances

What callers would see: a target that falls over as it refuses more requests a second than it says it bears takes its runs and adapters with it. Cause: instances know each other's requests as of up to half a second ago, so all fill the same target at once. Change: gateway::brittle. Each instance takes an even part of the slots that were free when it last heard of the others, less an eighth as reserve; after a refusal it stays away for as long as its even part of the refusals asks for. Such targets are passed over as those whose limit is used up. What can't be read changes nothing; a number of the header's text is rounded down. Why not permits as for named limits: refusals are to be avoided, not counted out, and room comes back with each run that ends, so each request would need one. The unit tests of web build again.

--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -322,6 +322,7 @@
                 missing_adapter: !self.adapter.is_empty(),
             };
         }
+        view.no_room(now, target);
         view.adapter_not_ready(now, target, &self.adapter, REFUSED_PAUSE);
         SendOutcome::NotRun {
             missing_adapter: false,
--- a/crates/frontd/src/entry/limits.rs
+++ b/crates/frontd/src/entry/limits.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{AccountName, RequestRate};
+use base::{AccountName, PerSecond, RequestRate};
 use gateway::target_limit::Access;
 use hyper::{HeaderMap, StatusCode};
 use telemetry::{event, prom_metrics};
@@ -66,6 +66,7 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
+    note_brittle(state, target, headers);
     let name = &state.platform.header_names.target_limit;
     let limit = match headers.get(name) {
         None => None,
@@ -85,6 +86,36 @@
     }
 }
 
+/// Takes over how many refusals a second a target bears, as an answer of it says. A value
+/// that can't be read changes nothing.
+fn note_brittle(state: &State, target: &str, headers: &HeaderMap) {
+    let name = &state.platform.header_names.target_brittle;
+    let bears = match headers.get(name) {
+        None => None,
+        Some(_) => match headers::text(headers, name).and_then(whole_number) {
+            Some(number) => Some(PerSecond(number)),
+            None => return,
+        },
+    };
+    if !state.view().seen_brittle(target, bears) {
+        return;
+    }
+    match bears {
+        Some(bears) => event!(
+            telemetry::Event::TargetBrittle,
+            target = target,
+            bears = bears.get()
+        ),
+        None => event!(telemetry::Event::TargetSturdy, target = target),
+    }
+}
+
+/// Reads a number, of which the fraction is left out.
+fn whole_number(raw: &str) -> Option<u32> {
+    let number: f64 = raw.trim().parse().ok()?;
+    (number.is_finite() && number >= 0.0).then_some(number as u32)
+}
+
 /// Counts a request that is sent to a target.
 pub(super) fn note_sent(state: &State, target: &str) {
     let Some(traffic) = state.view().limits().sent(state.now(), target) else {
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -183,7 +183,7 @@
     pub(super) fn set_entry_count(&self, count: u32) {
         self.entry_count.store(count.max(1), Ordering::Relaxed);
         self.meter().set_instances(count);
-        self.view().limits().set_instances(self.now(), count);
+        self.view().set_instances(self.now(), count);
     }
 
     /// Counts a request of a caller, which adds to the budget of retries.
--- a/crates/frontd/src/platform.rs
+++ b/crates/frontd/src/platform.rs
@@ -33,6 +33,9 @@
     /// The requests a second that a target takes from all instances together; absent in the
     /// answers of a target that doesn't limit them.
     pub target_limit: HeaderName,
+    /// How many requests a second a target may have to refuse for want of room before it
+    /// falls over; absent in the answers of a target that bears any number.
+    pub target_brittle: HeaderName,
     /// The model, followed by a slash and the adapter if there is one.
     pub model: HeaderName,
     /// The number of prompt tokens, a comma, and the most tokens of the answer.
--- a/crates/frontd/tests/common/platform.rs
+++ b/crates/frontd/tests/common/platform.rs
@@ -22,6 +22,7 @@
         priority: header("priority"),
         not_run: header("refused"),
         target_limit: header("limit"),
+        target_brittle: header("brittle"),
         model: header("model"),
         tokens: header("tokens"),
         last_event: header("resume"),
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -232,7 +232,7 @@
         service: "s".to_owned(),
         addr: engine.addr().to_string(),
         zone: "za".to_owned(),
-        slots: 64,
+        slots: engine.slots(),
         // An engine that crashed stays on the list for a while.
         ready: true,
         held: Some(held()),
--- a/crates/frontd/tests/targets/engine.rs
+++ b/crates/frontd/tests/targets/engine.rs
@@ -58,14 +58,28 @@
 struct State {
     incarnation: u64,
     up: bool,
+    running: usize,
     begun: Vec<Begun>,
     /// The limit that it names in its answers.
     limit: Option<String>,
     crashes: Vec<Instant>,
+    /// Room of a brittle engine.
+    brittle: Option<Brittle>,
+    /// When requests were refused for want of room, lately.
+    refused: Vec<Instant>,
     /// Bodies of runs whose callers left before the end.
     abandoned: Vec<String>,
 }
 
+/// An engine that falls over when it refuses too often.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Brittle {
+    /// Requests that it takes at the same time.
+    pub(crate) room: usize,
+    /// Refusals a second that it bears.
+    pub(crate) bears: usize,
+}
+
 impl Engine {
     /// Starts an engine that restarts after each crash for as long as the test runs.
     pub(crate) fn start(no: usize) -> Arc<Engine> {
@@ -98,6 +112,17 @@
         self.state.lock().unwrap().begun.clone()
     }
 
+    /// Makes the engine brittle, which it says in all answers.
+    pub(crate) fn make_brittle(&self, brittle: Brittle) {
+        self.state.lock().unwrap().brittle = Some(brittle);
+    }
+
+    /// Returns the number of slots that the platform lists.
+    pub(crate) fn slots(&self) -> u32 {
+        let brittle = self.state.lock().unwrap().brittle;
+        brittle.map_or(64, |brittle| brittle.room as u32)
+    }
+
     /// Names a limit in all answers from now on, or none.
     pub(crate) fn name_limit(&self, limit: Option<&str>) {
         self.state.lock().unwrap().limit = limit.map(str::to_owned);
@@ -147,6 +172,7 @@
         {
             let mut state = self.state.lock().unwrap();
             state.incarnation += 1;
+            state.running = 0;
             state.up = true;
         }
         runtime.spawn(async move {
@@ -179,6 +205,19 @@
             *resp.status_mut() = StatusCode::MISDIRECTED_REQUEST;
             return resp;
         }
+        if let Some(brittle) = self.state.lock().unwrap().brittle {
+            let bears = brittle.bears.to_string();
+            resp.headers_mut().insert("brittle", bears.parse().unwrap());
+        }
+        let Some(running) = self.begin() else {
+            if self.refuse() {
+                crash.send(()).await.ok();
+            }
+            *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            resp.headers_mut()
+                .insert("refused", "full".parse().unwrap());
+            return resp;
+        };
         let begun = Begun {
             body: body.clone(),
             at: Instant::now(),
@@ -187,6 +226,7 @@
         let (writer, events) = body::channel(4);
         *resp.body_mut() = events;
         tokio::spawn(async move {
+            let _running = running;
             let (first, rest) = ANSWER.split_at(ANSWER.len() / 2);
             writer.piece(Bytes::from(first)).await.ok();
             if body.contains(CRASHING) {
@@ -209,6 +249,42 @@
     }
 }
 
+impl Engine {
+    /// Takes a place if there is room.
+    fn begin(self: &Arc<Self>) -> Option<Running> {
+        let mut state = self.state.lock().unwrap();
+        if state.brittle.is_some_and(|b| state.running >= b.room) {
+            return None;
+        }
+        state.running += 1;
+        Some(Running(Arc::clone(self), state.incarnation))
+    }
+
+    /// Notes a refusal, and returns whether the engine falls over.
+    fn refuse(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        let now = Instant::now();
+        state
+            .refused
+            .retain(|at| *at + Duration::from_secs(1) > now);
+        state.refused.push(now);
+        let bears = state.brittle.map_or(usize::MAX, |brittle| brittle.bears);
+        state.refused.len() > bears
+    }
+}
+
+/// A run that takes a place.
+struct Running(Arc<Engine>, u64);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut state = self.0.state.lock().unwrap();
+        if state.incarnation == self.1 {
+            state.running -= 1;
+        }
+    }
+}
+
 fn wait_for_crash(mut crashed: mpsc::Receiver<()>) {
     crashed.blocking_recv();
 }
--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -22,6 +22,7 @@
             priority: header.clone(),
             not_run: header.clone(),
             target_limit: header.clone(),
+            target_brittle: header.clone(),
             model: header.clone(),
             tokens: header.clone(),
             last_event: header.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! requests run and which adapters are missing on all entry instances, and decides which
 //! engine loads which adapter.
 
+pub mod brittle;
 pub mod budget;
 pub mod download;
 pub mod helpers;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod backup;
+mod brittle;
 mod held;
 mod spread;
 
@@ -18,6 +19,7 @@
 };
 
 use crate::{
+    brittle::BrittleTargets,
     home::WeightedZone,
     reach::Targets,
     target_limit::{KnownLimits, LimitChange, ROOM, Standing},
@@ -43,7 +45,7 @@
 /// about ten requests.
 const FAILURE_WEIGHT: f64 = 0.15;
 
-/// Added to the load of a target that names a limit, in parts of its slots: it is in need,
+/// Added to the load of a target that names a limit or is brittle, in parts of its slots: it is in need,
 /// and asking for a permit takes some milliseconds.
 const LIMITED_COST: f64 = 0.25;
 
@@ -107,6 +109,8 @@
     stale: BTreeSet<String>,
     /// The limits that targets name.
     limits: KnownLimits,
+    /// Targets that fall over when they refuse many requests.
+    brittle: BrittleTargets,
     /// What zone owners said of limits since it was last taken.
     limit_changes: Vec<LimitChange>,
     /// Makes this instance's random choices differ from those of others.
@@ -149,6 +153,7 @@
             zone: zone.into(),
             seed: seed.0,
             limits: KnownLimits::new(seed.0, INITIAL_INSTANCES),
+            brittle: BrittleTargets::new(seed.0, INITIAL_INSTANCES),
             ..View::default()
         }
     }
@@ -257,6 +262,7 @@
         self.others
             .retain(|id, _| known_outside(targets, zones, id));
         self.others.extend(others);
+        self.divide_brittle(zones);
     }
 
     /// Applies the announced waits for adapters that this instance asked for.
@@ -524,10 +530,11 @@
 
     /// Returns the time for which a target takes no request, as its limit is used up.
     fn blocked_for(&self, now: Time, known: &TargetState) -> Option<Duration> {
-        match self.limits.standing(now, &known.target.id) {
+        let limit = match self.limits.standing(now, &known.target.id) {
             Standing::Blocked(wait) => Some(wait),
             Standing::Free | Standing::Limited => None,
-        }
+        };
+        limit.max(self.brittle_blocked(now, known))
     }
 
     /// Returns whether a target can take requests over from targets that name limits.
@@ -535,7 +542,7 @@
     /// Failure: most engines name limits, and all that goes beyond these is sent to the
     /// others. Their queues grow until their own callers leave as well.
     fn takes_over(&self, known: &TargetState) -> bool {
-        !self.limits.is_limited(&known.target.id) && self.load(known) < ROOM
+        !self.in_need(&known.target.id) && self.load(known) < ROOM
     }
 
     /// Returns the requests that run at a target, as a part of its slots.
@@ -584,6 +591,7 @@
     pub fn expire_limits(&mut self, now: Time) {
         let targets = &self.targets;
         self.limits.expire(now, |id| targets.contains_key(id));
+        self.brittle.retain(|id| targets.contains_key(id));
     }
 
     fn cost(&self, now: Time, known: &TargetState, tried: &BTreeSet<String>) -> f64 {
@@ -592,7 +600,7 @@
         if target.zone != self.zone {
             cost += CROSS_ZONE_COST;
         }
-        if self.limits.is_limited(&target.id) {
+        if self.in_need(&target.id) {
             cost += LIMITED_COST;
         }
         cost += self.backlog(known) / FULL_WAIT;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -131,6 +131,8 @@
     TargetsReachable 5022 Info "targets can be reached again" "Targets can be connected to again, after `lasted_ms`."
     SentThrough 5023 Info "sent through another instance" "This instance is cut off from all targets and asked `helper` for a tunnel to `target`; `outcome` is `opened`, `refused` or `silent` where the target is, or `no_help` where the helper is cut off as well, stops, is full or doesn't answer."
     TunnelOpened 5024 Info "tunnel opened for another instance" "`from` is cut off from all targets and reaches `target` through this instance."
+    TargetBrittle 5025 Info "target is brittle" "`target` falls over when it has to refuse more than `bears` requests a second for want of room, as its answer says."
+    TargetSturdy 5026 Info "target no longer brittle" "`target` no longer says that it falls over when it refuses requests."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
--- a/crates/web/src/client/link.rs
+++ b/crates/web/src/client/link.rs
@@ -21,8 +21,6 @@
     task::AbortHandle,
 };
 
-#[cfg(test)]
-use super::dial::direct;
 use super::{
     broken::{Broken, Cause},
     dial::Dialed,
@@ -46,16 +44,6 @@
 }
 
 impl Link {
-    #[cfg(test)]
-    pub(crate) async fn connect(addr: SocketAddr, until: Instant) -> Result<Link, Broken> {
-        let stream = direct(addr, until).await.map_err(Broken::unsent)?;
-        Link::over(Dialed {
-            stream,
-            reusable: true,
-        })
-        .await
-    }
-
     /// Speaks HTTP over a connection.
     pub(crate) async fn over(dialed: Dialed) -> Result<Link, Broken> {
         let Dialed { stream, reusable } = dialed;
--- a/crates/web/src/client/link/tests.rs
+++ b/crates/web/src/client/link/tests.rs
@@ -1,15 +1,29 @@
 //! Verdicts of connections that fail around the time of the write.
 
+use std::net::SocketAddr;
+
 use base::covers;
 use googletest::prelude::*;
-use tokio::{net::TcpListener, time::Duration};
+use tokio::{
+    net::TcpListener,
+    time::{Duration, Instant},
+};
 
 use super::*;
+use crate::client::direct;
 
 fn request() -> Request<Full<Bytes>> {
     Request::new(Full::new(Bytes::from_static(b"an application")))
 }
 
+async fn connect(addr: SocketAddr, until: Instant) -> Link {
+    let dialed = Dialed {
+        stream: direct(addr, until).await.unwrap(),
+        reusable: true,
+    };
+    Link::over(dialed).await.unwrap()
+}
+
 /// The timeout fires just before the connection's task writes. A caller that is told
 /// "not run" sends its request again, so it would run twice if the first one were still
 /// written.
@@ -20,7 +34,7 @@
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let until = Instant::now() + Duration::from_secs(20);
     let addr = listener.local_addr().unwrap();
-    let mut link = Link::connect(addr, until).await.unwrap();
+    let mut link = connect(addr, until).await;
     {
         let sent = std::pin::pin!(link.send(request()));
         assert!(futures::poll!(sent).is_pending());
@@ -53,7 +67,7 @@
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let until = Instant::now() + Duration::from_secs(20);
     let addr = listener.local_addr().unwrap();
-    let mut link = Link::connect(addr, until).await.unwrap();
+    let mut link = connect(addr, until).await;
     {
         let mut sent = std::pin::pin!(link.send(request()));
         let (mut peer, _) = listener.accept().await.unwrap();
