--- a/crates/frontd/tests/targets/cuts.rs
+++ b/crates/frontd/tests/targets/cuts.rs
@@ -8,6 +8,7 @@
     runtime::Builder,
     time::{sleep, timeout},
 };
+use web::tunnel::{self, Tunnel, TunnelError};
 
 use crate::{CONTACT, callers::ask_until, deployment::Deployment, engine::ANSWER, links::Cut};
 
@@ -199,3 +200,26 @@
     assert_that!(told.took, le(DETOUR));
     assert_that!(deployment.runs("second").len(), eq(0));
 }
+
+/// Guards against an instance that connects anyone to anything: only targets that it knows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_helper_connects_to_targets_only() {
+    let deployment = Deployment::start(2, ENGINES).await;
+    for (target, opens) in [
+        (deployment.engine(0).addr(), true),
+        (deployment.peer_addr(2), false),
+    ] {
+        let tunnel = Tunnel {
+            target,
+            left: CONTACT,
+            label: String::new(),
+            from: String::new(),
+        };
+        let until = tokio::time::Instant::now() + CONTACT;
+        let opened = tunnel::open(deployment.peer_addr(1), &tunnel, until).await;
+        assert_that!(opened.is_ok(), eq(opens));
+        if let Err(err) = opened {
+            assert_that!(err, matches_pattern!(TunnelError::NoHelp(_)));
+        }
+    }
+}
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -137,6 +137,11 @@
         ));
     }
 
+    /// Returns where an instance listens for others.
+    pub(crate) fn peer_addr(&self, entry: u8) -> SocketAddr {
+        SocketAddr::new(own_ip(self.no, entry), PEERS)
+    }
+
     /// Returns the links of the entry instance with this number.
     pub(crate) fn links(&self, entry: u8) -> &Arc<Links> {
         &self.links[usize::from(entry) - 1]
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -94,6 +94,18 @@
     assert_that!(choice, eq(&send("a")));
 }
 
+/// Guards against an instance that was cut off from all targets, and avoids them when it
+/// reaches them again.
+#[gtest]
+fn failures_of_a_cut_are_forgotten() {
+    let mut view = view(vec![target("a", "za", &[("m/x", 1, 0)])]);
+    view.unreachable(NOW, "a");
+    assert_that!(choose(&view, "m/x"), eq(&Choice::Missing));
+    view.forgive();
+    assert_that!(choose(&view, "m/x"), eq(&send("a")));
+    assert_that!(view.failing(NOW), is_empty());
+}
+
 /// A target executes its requests and loses every answer. It counted as unreachable, so
 /// the adapters it holds were loaded again elsewhere.
 #[gtest]
