--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -103,15 +103,7 @@
         ready,
         CancellationToken::new(),
     ));
-    let tunnels = Tunnels::new();
-    let (at_peers, for_others) = (Arc::clone(&state), tunnels.clone());
-    let helper = move |req| helping::answer(Arc::clone(&at_peers), for_others.clone(), req);
-    tokio::spawn(server::serve(
-        listen(SocketAddr::new(setup.ip, setup.peer_port)).await?,
-        server::Limits::default(),
-        helper,
-        CancellationToken::new(),
-    ));
+    let tunnels = serve_others(&state, &setup).await?;
     let listener = listen(setup.listen).await?;
     event!(telemetry::Event::Started, listen = setup.listen.to_string());
     let at_callers = Arc::clone(&state);
@@ -137,6 +129,20 @@
     Ok(())
 }
 
+/// Starts to reach targets for other instances.
+async fn serve_others(state: &Arc<State>, setup: &Setup) -> Result<Tunnels> {
+    let tunnels = Tunnels::new();
+    let (at_peers, for_others) = (Arc::clone(state), tunnels.clone());
+    let helper = move |req| helping::answer(Arc::clone(&at_peers), for_others.clone(), req);
+    tokio::spawn(server::serve(
+        listen(SocketAddr::new(setup.ip, setup.peer_port)).await?,
+        server::Limits::default(),
+        helper,
+        CancellationToken::new(),
+    ));
+    Ok(tunnels)
+}
+
 async fn readiness(state: Arc<State>, _: Request<Incoming>) -> Response<Body> {
     let mut resp = Response::new(web::body::full(""));
     if !state.ready() {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,8 +2,8 @@
 
 mod backlog;
 mod backup;
-mod brittle;
 mod held;
+mod need;
 mod spread;
 
 use std::{
@@ -13,16 +13,13 @@
 };
 
 use base::{Seed, Time};
-use wire::{
-    fleet::{FirstUse, PromptTime, Running, Target},
-    limit::SeenLimit,
-};
+use wire::fleet::{FirstUse, PromptTime, Running, Target};
 
 use crate::{
     brittle::BrittleTargets,
     home::WeightedZone,
     reach::Targets,
-    target_limit::{KnownLimits, LimitChange, ROOM, Standing},
+    target_limit::{KnownLimits, LimitChange},
 };
 
 pub use self::backup::{Backup, Origin, Unused};
@@ -528,23 +525,6 @@
         held.version == 0 || held.version >= named
     }
 
-    /// Returns the time for which a target takes no request, as its limit is used up.
-    fn blocked_for(&self, now: Time, known: &TargetState) -> Option<Duration> {
-        let limit = match self.limits.standing(now, &known.target.id) {
-            Standing::Blocked(wait) => Some(wait),
-            Standing::Free | Standing::Limited => None,
-        };
-        limit.max(self.brittle_blocked(now, known))
-    }
-
-    /// Returns whether a target can take requests over from targets that name limits.
-    ///
-    /// Failure: most engines name limits, and all that goes beyond these is sent to the
-    /// others. Their queues grow until their own callers leave as well.
-    fn takes_over(&self, known: &TargetState) -> bool {
-        !self.in_need(&known.target.id) && self.load(known) < ROOM
-    }
-
     /// Returns the requests that run at a target, as a part of its slots.
     fn load(&self, known: &TargetState) -> f64 {
         let own: u32 = known.own.values().sum();
@@ -552,48 +532,6 @@
         f64::from(own + others) / f64::from(known.target.slots.max(1))
     }
 
-    /// Returns the limits that targets name.
-    pub fn limits(&mut self) -> &mut KnownLimits {
-        &mut self.limits
-    }
-
-    /// Has the limits of targets in `zones` reported again, as their owner may not know them.
-    pub fn report_limits_again(&mut self, zones: &[String]) {
-        let targets = &self.targets;
-        let in_zones = |id: &str| {
-            let known = targets.get(id);
-            known.is_some_and(|known| zones.contains(&known.target.zone))
-        };
-        self.limits.report_again(in_zones);
-    }
-
-    /// Removes and returns what has to be reported of limits to the owner of some zones: what
-    /// answers said, and what was sent before.
-    pub fn take_limit_report(
-        &mut self,
-        now: Time,
-        owned: impl Fn(&str) -> bool,
-    ) -> (Vec<SeenLimit>, Vec<(String, u32)>) {
-        let targets = &self.targets;
-        self.limits.take_report(now, |id| {
-            targets
-                .get(id)
-                .is_some_and(|known| owned(&known.target.zone))
-        })
-    }
-
-    /// Removes and returns what zone owners have said of limits.
-    pub fn take_limit_changes(&mut self) -> Vec<LimitChange> {
-        std::mem::take(&mut self.limit_changes)
-    }
-
-    /// Forgets what is known of limits of targets that are gone.
-    pub fn expire_limits(&mut self, now: Time) {
-        let targets = &self.targets;
-        self.limits.expire(now, |id| targets.contains_key(id));
-        self.brittle.retain(|id| targets.contains_key(id));
-    }
-
     fn cost(&self, now: Time, known: &TargetState, tried: &BTreeSet<String>) -> f64 {
         let target = &known.target;
         let mut cost = self.load(known) * known.slow();
