Count callers' requests that a planned stop cuts, also beside tunnels

Cause: found by reading. The end of the grace time and the end of the callers' listener come at the same moment; where the former was seen first, E1004 told of tunnels only, and callers' requests that were cut went uncounted. Change: the callers' listener always ends by itself; only the wait for tunnels ends with the grace time. Both are counted.

--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -109,22 +109,18 @@
     let at_callers = Arc::clone(&state);
     let handler = move |req| forward::answer(Arc::clone(&at_callers), req);
     let (begun, grace) = (stop.clone(), setup.grace.saturating_sub(KILL_MARGIN));
-    let killed = async move {
+    let killed = tokio::spawn(async move {
         begun.cancelled().await;
         sleep(grace).await;
-    };
-    let served = server::serve(listener, limits, handler, stop);
-    let all_served = async {
-        let served = served.await;
-        // Other instances' requests run on through the tunnels that stand.
-        tunnels.tasks.close();
-        tunnels.tasks.wait().await;
-        served
-    };
-    let running = tokio::select! {
-        served = all_served => served?.cut,
-        () = killed => tunnels.tasks.len(),
-    };
+    });
+    let served = server::serve(listener, limits, handler, stop).await?;
+    // Other instances' requests run on through the tunnels that stand.
+    tunnels.tasks.close();
+    tokio::select! {
+        () = tunnels.tasks.wait() => {}
+        _ = killed => {}
+    }
+    let running = served.cut + tunnels.tasks.len();
     event!(telemetry::Event::Stopped, running = running);
     Ok(())
 }
