--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -6,10 +6,15 @@
 use anyhow::anyhow;
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
+use gateway::table::Kind;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use telemetry::{event, prom_metrics};
-use web::{body::Body, client::Answer};
+use web::{
+    body::Body,
+    client::{Answer, Broken, Cause},
+    sse::EventEnds,
+};
 
 use super::{
     forward::{ActiveRequest, InFlight},
@@ -26,6 +31,10 @@
     answer: Answer,
     in_flight: InFlight,
     resume: Option<Resume>,
+    /// Where the events end, if the answer is a stream.
+    events: Option<EventEnds>,
+    /// Bytes that the present target has sent.
+    bytes: usize,
     ended: bool,
 }
 
@@ -86,7 +95,11 @@
         in_flight: InFlight,
         resume: Option<Resume>,
     ) -> Self {
+        let streams = matches!(request.route.kind, Kind::Stream { .. });
+        let events = streams && answer.status.is_success();
         Relay {
+            events: events.then(EventEnds::default),
+            bytes: 0,
             request,
             answer,
             in_flight,
@@ -111,13 +124,18 @@
             let chunk = match self.answer.next().await {
                 None => {
                     self.ended = true;
+                    self.note_end();
                     self.request.note_answered(&self.answer);
                     let resume = self.resume.take()?;
                     let partial = resume.partial.freeze();
                     return (!partial.is_empty()).then_some(Ok(partial));
                 }
-                Some(Ok(chunk)) => chunk,
+                Some(Ok(chunk)) => {
+                    self.count(&chunk);
+                    chunk
+                }
                 Some(Err(broken)) => {
+                    self.note_break(&broken);
                     self.request.note_broken(&self.in_flight, &broken);
                     if self.resume_elsewhere().await {
                         continue;
@@ -151,6 +169,41 @@
         }
     }
 
+    fn count(&mut self, chunk: &[u8]) {
+        self.bytes += chunk.len();
+        if let Some(events) = &mut self.events {
+            events.push(chunk);
+        }
+    }
+
+    /// Returns whether the stream has stopped within an event.
+    fn is_within_event(&self) -> bool {
+        self.events.is_some_and(|events| events.is_within())
+    }
+
+    /// Notes how an answer ended that its framing shows to be complete, if it has one.
+    fn note_end(&self) {
+        let within = self.is_within_event();
+        if !self.answer.is_framed() {
+            prom_metrics().unframed(if within { "within_event" } else { "closed" });
+        }
+        if within {
+            event!(
+                telemetry::Event::StreamCutShort,
+                request = self.request.id,
+                target = self.in_flight.id,
+                bytes = self.bytes,
+                framed = self.answer.is_framed()
+            );
+        }
+    }
+
+    fn note_break(&self, broken: &Broken) {
+        if !self.answer.is_framed() && matches!(broken.cause, Cause::Cut(_)) {
+            prom_metrics().unframed("reset");
+        }
+    }
+
     /// Resumes a broken stream at another target, and returns whether it was resumed.
     async fn resume_elsewhere(&mut self) -> bool {
         let Some(resume) = &mut self.resume else {
@@ -180,6 +233,8 @@
         );
         self.answer = answer;
         self.in_flight = in_flight;
+        self.bytes = 0;
+        self.events = Some(EventEnds::default());
         true
     }
 
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -34,6 +34,7 @@
     sends: IntCounterVec,
     orders: IntCounterVec,
     broken_runs: IntCounterVec,
+    unframed: IntCounterVec,
     permits: IntCounterVec,
     tunnels: IntCounterVec,
     helped: IntCounterVec,
@@ -78,6 +79,11 @@
             "Runs whose connection to their target broke, by what became of the target",
             "fate",
         );
+        let unframed = counters(
+            "quetzal_unframed_total",
+            "Answers without a length or chunks, by how they ended",
+            "end",
+        );
         let permits = counters(
             "quetzal_permits_total",
             "Permits for requests to targets that name a limit",
@@ -130,6 +136,7 @@
             sends,
             orders,
             broken_runs,
+            unframed,
             permits,
             tunnels,
             helped,
@@ -169,6 +176,11 @@
         counter.inc_by(runs as u64);
     }
 
+    /// Counts an answer without a length or chunks, by how it `end`ed.
+    pub fn unframed(&self, end: &str) {
+        self.unframed.with_label_values(&[end]).inc();
+    }
+
     /// Counts a request for a permit at a target that names a limit, by its `outcome`.
     pub fn permit(&self, outcome: &str) {
         self.permits.with_label_values(&[outcome]).inc();
--- a/crates/web/src/client/answer.rs
+++ b/crates/web/src/client/answer.rs
@@ -80,6 +80,13 @@
         self.headers.get(name)?.to_str().ok()
     }
 
+    /// Returns whether a length or chunks show where the body ends. Otherwise it ends with
+    /// its connection.
+    #[must_use]
+    pub fn is_framed(&self) -> bool {
+        self.framed
+    }
+
     /// Returns whether the target refused the request without starting it: an engine
     /// reports this by `x-engine-started: false`, an instance by its verdict.
     #[must_use]
--- a/crates/web/src/sse.rs
+++ b/crates/web/src/sse.rs
@@ -3,10 +3,13 @@
 //! A stream is complete only if its last event is `data: [DONE]`. A body that ends
 //! without it was truncated by its sender, even if its HTTP framing is correct.
 
+mod ends;
+
 use base::{Failure, Refusal, Verdict};
 use bytes::Bytes;
 use serde::Deserialize;
 
+pub use self::ends::EventEnds;
 use crate::reply::{ErrorBody, ErrorInfo};
 
 /// Data of the last event of a complete stream.
--- a/crates/web/tests/web/sse.rs
+++ b/crates/web/tests/web/sse.rs
@@ -2,7 +2,7 @@
 
 use base::{Failure, Refusal};
 use googletest::prelude::*;
-use web::sse::{self, Event, Parser};
+use web::sse::{self, Event, EventEnds, Parser};
 
 fn stream() -> Vec<u8> {
     let token = r#"{"choices":[{"delta":{"content":"ab "}}]}"#;
@@ -68,3 +68,26 @@
     parser.push(&event.to_bytes(), &mut events).unwrap();
     expect_that!(events, elements_are![eq(&event)]);
 }
+
+/// Guards against a stream that is cut within an event and counts as complete.
+#[gtest]
+fn the_ends_of_events_are_found_wherever_they_are_cut() {
+    for bytes in [
+        &b"id: 1\ndata: a\n\n: x\n\n\nid: 2\n\n"[..],
+        b"id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n",
+    ] {
+        let lines = String::from_utf8_lossy(bytes).replace('\r', "");
+        for at in 0..=bytes.len() {
+            let before = String::from_utf8_lossy(&bytes[..at]).replace("\r\n", "\n");
+            let between = before.is_empty() || before.ends_with("\n\n");
+            let mut ends = EventEnds::default();
+            let first = ends.push(&bytes[..at]);
+            expect_that!(ends.is_within(), eq(!between), "cut at {at} of {lines}");
+            if between && at > 0 {
+                expect_that!(first, some(eq(at)));
+            }
+            ends.push(&bytes[at..]);
+            expect_that!(ends.is_within(), eq(false), "cut at {at} of {lines}");
+        }
+    }
+}
