--- a/crates/frontd/tests/targets.rs
+++ b/crates/frontd/tests/targets.rs
@@ -11,6 +11,8 @@
 mod cuts;
 #[path = "targets/deployment.rs"]
 mod deployment;
+#[path = "targets/ends.rs"]
+mod ends;
 #[path = "targets/engine.rs"]
 mod engine;
 #[path = "common/engines.rs"]
@@ -21,6 +23,10 @@
 mod links;
 #[path = "common/platform.rs"]
 mod platform;
+#[path = "targets/raw.rs"]
+mod raw;
+#[path = "targets/scripted.rs"]
+mod scripted;
 
 use std::time::Duration;
 
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 use web::{
     body::{Body, ReadLimits, full, read},
-    client::{Client, Send},
+    client::{self, Client},
     header_value,
 };
 use wire::fleet::Edition;
@@ -42,6 +42,16 @@
 /// Number of the next deployment in this test process.
 static NEXT: AtomicU8 = AtomicU8::new(1);
 
+/// A target as the platform lists it.
+pub(crate) struct Listed {
+    pub(crate) target: ListedTarget,
+    /// One that is down stays on the list for a while.
+    pub(crate) up: bool,
+}
+
+/// Lists all targets.
+pub(crate) type ListFn = Arc<dyn Fn() -> Vec<Listed> + Send + Sync>;
+
 /// What a caller was told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Told {
@@ -57,7 +67,8 @@
 /// A deployment in this process.
 pub(crate) struct Deployment {
     no: u8,
-    engines: Arc<Vec<Arc<Engine>>>,
+    engines: Vec<Arc<Engine>>,
+    list: ListFn,
     next_id: AtomicU64,
     /// Links of each entry instance to the engines, if they can be cut.
     links: Vec<Arc<Links>>,
@@ -77,9 +88,25 @@
         Deployment::start_with(entries, engines, links).await
     }
 
+    /// As [`Self::start_linked`], before other targets than engines.
+    pub(crate) async fn start_listed(entries: u8, list: ListFn) -> Deployment {
+        let links = join_all((0..entries).map(|_| Links::new())).await;
+        Deployment::start_before(entries, Vec::new(), list, links).await
+    }
+
     async fn start_with(entries: u8, engines: usize, links: Vec<Arc<Links>>) -> Deployment {
+        let engines: Vec<_> = (0..engines).map(Engine::start).collect();
+        let list = listed(engines.clone());
+        Deployment::start_before(entries, engines, list, links).await
+    }
+
+    async fn start_before(
+        entries: u8,
+        engines: Vec<Arc<Engine>>,
+        list: ListFn,
+        links: Vec<Arc<Links>>,
+    ) -> Deployment {
         let no = NEXT.fetch_add(1, Ordering::Relaxed);
-        let engines = Arc::new((0..engines).map(Engine::start).collect::<Vec<_>>());
         let data = tempfile::tempdir().unwrap();
         tokio::spawn(frontd::serve_control(
             ControlSetup {
@@ -93,12 +120,13 @@
                 takeover_delay: Duration::from_secs(3),
                 list_lag: Duration::from_millis(2_300),
             },
-            platform(no, &engines, None),
+            platform(no, &list, None),
             take,
         ));
         let deployment = Deployment {
             no,
             engines,
+            list,
             next_id: AtomicU64::new(1),
             links,
             _data: data,
@@ -129,14 +157,15 @@
                 retries: retries(),
                 slack: slack(),
             },
-            platform(
-                self.no,
-                &self.engines,
-                self.links.get(usize::from(entry) - 1),
-            ),
+            platform(self.no, &self.list, self.links.get(usize::from(entry) - 1)),
         ));
     }
 
+    /// Returns where an instance listens for callers.
+    pub(crate) fn caller_addr(&self, entry: u8) -> SocketAddr {
+        SocketAddr::new(own_ip(self.no, entry), CALLERS)
+    }
+
     /// Returns where an instance listens for others.
     pub(crate) fn peer_addr(&self, entry: u8) -> SocketAddr {
         SocketAddr::new(own_ip(self.no, entry), PEERS)
@@ -157,8 +186,7 @@
     /// Sends a request under a new id, and returns what its caller was told.
     pub(crate) async fn ask(&self, entry: u8, body: &str) -> Told {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed).to_string();
-        let addr = SocketAddr::new(own_ip(self.no, entry), CALLERS);
-        let mut send = Send::new(addr, Method::POST, "/x");
+        let mut send = client::Send::new(self.caller_addr(entry), Method::POST, "/x");
         let fields = [
             ("host", "a.example"),
             ("attempt", &id),
@@ -209,7 +237,7 @@
     async fn submit(&self, path: &str) {
         let addr = SocketAddr::new(own_ip(self.no, 0), OPERATORS);
         loop {
-            let send = Send::new(addr, Method::POST, path);
+            let send = client::Send::new(addr, Method::POST, path);
             let answer = Client::default().send(send).await;
             if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
                 return;
@@ -230,19 +258,28 @@
     }
 }
 
-fn listed(engines: &[Arc<Engine>]) -> Vec<ListedTarget> {
-    let listed = engines.iter().map(|engine| ListedTarget {
-        id: engine.id(),
+fn listed(engines: Vec<Arc<Engine>>) -> ListFn {
+    Arc::new(move || {
+        let listed = engines.iter().map(|engine| Listed {
+            target: listed_target(engine.id(), engine.addr(), engine.slots()),
+            up: engine.up(),
+        });
+        listed.collect()
+    })
+}
+
+/// Returns a target that holds the adapter.
+pub(crate) fn listed_target(id: String, addr: SocketAddr, slots: u32) -> ListedTarget {
+    ListedTarget {
+        id,
         born: 1,
         service: "s".to_owned(),
-        addr: engine.addr().to_string(),
+        addr: addr.to_string(),
         zone: "za".to_owned(),
-        slots: engine.slots(),
-        // An engine that crashed stays on the list for a while.
+        slots,
         ready: true,
         held: Some(held()),
-    });
-    listed.collect()
+    }
 }
 
 fn held() -> Held {
@@ -269,19 +306,21 @@
     loopback_ip(no * INSTANCES + instance)
 }
 
-fn platform(no: u8, engines: &Arc<Vec<Arc<Engine>>>, links: Option<&Arc<Links>>) -> Platform {
+fn platform(no: u8, list: &ListFn, links: Option<&Arc<Links>>) -> Platform {
     let links = links.map(Arc::clone);
-    let (list, ask) = (Arc::clone(engines), Arc::clone(engines));
+    let (list, ask) = (Arc::clone(list), Arc::clone(list));
     Platform {
         header_names: Arc::new(header_names()),
         decode: Arc::new(|_| Ok(decoded())),
         list_targets: Arc::new(move |_| {
-            let list = listed(&list);
+            let list = list().into_iter().map(|listed| listed.target).collect();
             async { Some(list) }.boxed()
         }),
         send_order: Arc::new(|_| async { OrderOutcome::Refused }.boxed()),
         read_report: Arc::new(move |id, _| {
-            let known = ask.iter().any(|engine| engine.id() == id && engine.up());
+            let known = ask()
+                .iter()
+                .any(|listed| listed.target.id == id && listed.up);
             let report = known.then(|| Report {
                 born: 1,
                 held: held(),
--- a/crates/frontd/tests/targets/links.rs
+++ b/crates/frontd/tests/targets/links.rs
@@ -102,38 +102,44 @@
     let passed = async {
         let (near_read, near_write) = near.split();
         let (far_read, far_write) = far.split();
-        tokio::join!(
+        tokio::try_join!(
             forward(near_read, far_write, state.clone()),
             forward(far_read, near_write, state),
-        );
+        )
     };
-    tokio::select! {
-        _ = reset.wait_for(|cut| *cut == Cut::Resets) => {
-            near.set_zero_linger().unwrap();
-            far.set_zero_linger().unwrap();
-        }
-        () = passed => {}
+    let was_reset = tokio::select! {
+        _ = reset.wait_for(|cut| *cut == Cut::Resets) => true,
+        ends = passed => ends.is_err(),
+    };
+    if was_reset {
+        near.set_zero_linger().unwrap();
+        far.set_zero_linger().unwrap();
     }
 }
 
-async fn forward(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, mut state: watch::Receiver<Cut>) {
+/// The connection to one end was reset.
+struct WasReset;
+
+/// Passes bytes on until `from` has closed its end.
+async fn forward(
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+    mut state: watch::Receiver<Cut>,
+) -> Result<(), WasReset> {
     let mut chunk = vec![0; 16 << 10];
     loop {
         let read = from.read(&mut chunk).await;
         if state.wait_for(|cut| *cut != Cut::Hangs).await.is_err() {
-            return;
+            return Ok(());
         }
         match read {
-            Ok(0) | Err(_) => {
+            Ok(0) => {
                 // Either end may be gone already.
                 to.shutdown().await.ok();
-                return;
-            }
-            Ok(n) => {
-                if to.write_all(&chunk[..n]).await.is_err() {
-                    return;
-                }
+                return Ok(());
             }
+            Ok(n) => to.write_all(&chunk[..n]).await.map_err(|_| WasReset)?,
+            Err(_) => return Err(WasReset),
         }
     }
 }
--- /dev/null
+++ b/crates/frontd/tests/targets/raw.rs
@@ -0,0 +1,106 @@
+//! A caller that reads raw bytes and judges by HTTP's framing alone whether an answer is
+//! complete.
+
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+/// Longest time that an answer may take here.
+const CEILING: Duration = Duration::from_secs(20);
+
+/// A request to send.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask<'a> {
+    pub(crate) path: &'a str,
+    pub(crate) id: String,
+    /// Version of HTTP, after the dot.
+    pub(crate) minor: u8,
+    pub(crate) deadline: Duration,
+    pub(crate) body: String,
+}
+
+/// What a caller has received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Received {
+    /// 0 without a head.
+    pub(crate) status: u16,
+    pub(crate) body: String,
+    /// Whether the framing shows the answer to be complete.
+    pub(crate) complete: bool,
+}
+
+/// Sends a request and reads until the connection ends.
+pub(crate) async fn ask(addr: SocketAddr, ask: &Ask<'_>) -> Received {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    let Ask {
+        path,
+        id,
+        minor,
+        deadline,
+        body,
+    } = ask;
+    let head = format!(
+        "POST {path} HTTP/1.{minor}\r\nhost: a.example\r\nattempt: {id}\r\nmodel: m/a\r\n\
+         tokens: 100,50\r\ndeadline: {}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        deadline.as_millis(),
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(body.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    let end = timeout(CEILING, stream.read_to_end(&mut bytes)).await;
+    let in_order = end.expect("the answer ends in time").is_ok();
+    received(&bytes, in_order)
+}
+
+fn received(bytes: &[u8], in_order: bool) -> Received {
+    let text = String::from_utf8_lossy(bytes).into_owned();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return Received {
+            status: 0,
+            body: String::new(),
+            complete: false,
+        };
+    };
+    let status = head.split(' ').nth(1).and_then(|raw| raw.parse().ok());
+    let (body, complete) = match field(head, "transfer-encoding") {
+        Some(_) => dechunked(body),
+        None => match field(head, "content-length") {
+            Some(length) => (body.to_owned(), length.parse() == Ok(body.len())),
+            None => (body.to_owned(), in_order),
+        },
+    };
+    Received {
+        status: status.unwrap_or(0),
+        body,
+        complete,
+    }
+}
+
+fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    let (_, value) = lines.find(|(key, _)| key.eq_ignore_ascii_case(name))?;
+    Some(value)
+}
+
+/// Returns what the chunks contain, and whether the last one has come.
+fn dechunked(mut raw: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, rest)) = raw.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).expect("a size of a chunk");
+        if size == 0 {
+            return (body, rest == "\r\n");
+        }
+        if rest.len() < size + 2 {
+            body.push_str(&rest[..size.min(rest.len())]);
+            return (body, false);
+        }
+        body.push_str(&rest[..size]);
+        raw = &rest[size + 2..];
+    }
+    (body, false)
+}
