Say no more of an answer's end than its target does

Cause: an answer with neither a length nor chunks ends with its connection, which ends as well when whoever writes it is cut short; the relay read an orderly close as the end, handed out the rest of an event, and added a last chunk that the target never sent.

- Streams are passed on by whole events.
One that ends within an event, whatever its framing, counts as broken off: it goes on elsewhere where it may, else the caller's connection breaks.
What came of the event reaches nobody.
- An answer without framing is passed on without, and ends with the caller's connection: in order after an orderly close, by a reset otherwise, also if this process is killed. hyper writes that in an answer of HTTP/1.0 only.
Callers of HTTP/1.0 get resets as well.
- A stream that goes on at a target without framing, after its caller was promised a last chunk, ends in order only if that target still takes connections.
- An orderly close raises the question whether the target has crashed, as a reset does.
- Framing is read from the last transfer coding, not from the header's presence.

Ruled out: to confirm each such end by a probe of its target.

--- a/crates/frontd/src/entry/crash.rs
+++ b/crates/frontd/src/entry/crash.rs
@@ -27,9 +27,18 @@
 /// Most runs that are remembered for one check.
 const MAX_RUNS: usize = 512;
 
-/// A run whose connection to its target broke.
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ended {
+    /// Its answer isn't complete.
+    Cut,
+    /// Its target closed the connection in order, by which the answer may be complete.
+    Closed,
+}
+
+/// A run that ended with its connection to its target.
 #[derive(Clone, Debug)]
-pub(super) struct BrokenRun {
+pub(super) struct EndedRun {
     /// The caller's id of the request.
     pub(super) request: String,
     pub(super) fingerprint: Fingerprint,
@@ -37,19 +46,20 @@
     pub(super) at: Time,
     /// Time from the send to the end.
     pub(super) ran: Duration,
+    pub(super) ended: Ended,
 }
 
 /// Runs that ended at targets that are being checked, by target.
-pub(super) type BrokenRuns = BTreeMap<String, Vec<BrokenRun>>;
+pub(super) type EndedRuns = BTreeMap<String, Vec<EndedRun>>;
 
-/// Notes that the connection of a run at `target` broke. The first one starts a check of
+/// Notes that a run at `target` ended with its connection. The first one starts a check of
 /// the target.
-pub(super) fn run_broke(state: &Arc<State>, target: &str, run: BrokenRun) {
+pub(super) fn run_ended(state: &Arc<State>, target: &str, run: EndedRun) {
     let addr = state.view().addr(target).map(str::to_owned);
     let Some(addr) = addr.and_then(|addr| addr.parse().ok()) else {
         return;
     };
-    let first = match state.broken_runs().entry(target.to_owned()) {
+    let first = match state.ended_runs().entry(target.to_owned()) {
         Entry::Vacant(none) => {
             none.insert(vec![run]);
             true
@@ -69,7 +79,12 @@
 async fn check(state: Arc<State>, target: String, addr: SocketAddr) {
     sleep(CHECK_DELAY).await;
     let fate = state.paths.fate(addr).await;
-    let runs = state.broken_runs().remove(&target).unwrap_or_default();
+    let runs = state.ended_runs().remove(&target).unwrap_or_default();
+    // A target that still runs has ended its answers itself.
+    let runs: Vec<_> = runs
+        .into_iter()
+        .filter(|run| run.ended == Ended::Cut || fate == Fate::Crashed)
+        .collect();
     prom_metrics().broken_runs(fate.as_str(), runs.len());
     for run in runs {
         if fate == Fate::Crashed {
@@ -87,7 +102,7 @@
 }
 
 /// Reports a run that ended as its target crashed.
-fn crashed(state: &State, target: &str, run: &BrokenRun) {
+fn crashed(state: &State, target: &str, run: &EndedRun) {
     let now = state.now();
     let seen = CrashedRun {
         fingerprint: run.fingerprint,
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -17,13 +17,14 @@
 use account::Account;
 use base::Fingerprint;
 use bytes::Bytes;
+use daemon::Fate;
 use gateway::{
     table::{Kind, Route},
     view::Backup,
 };
 use hyper::{
     HeaderMap, Method, Response,
-    header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+    header::{CONTENT_TYPE, HOST},
 };
 use telemetry::{event, prom_metrics};
 use tokio::time::{Instant, sleep};
@@ -36,9 +37,9 @@
 pub(super) use self::{receive::answer, send::InFlight};
 use super::{
     answer::{RequestError, Why, claims_not_run},
-    crash::{self, BrokenRun},
+    crash::{self, Ended, EndedRun},
     headers,
-    relay::{Relay, Resume},
+    relay::Relay,
     state::State,
 };
 
@@ -57,6 +58,9 @@
 /// that callers of live streams are promised.
 const SLOW_HEAD: Duration = Duration::from_millis(300);
 
+/// Content type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Size of a body, in bytes, up to which an answer is remembered though nothing speaks
 /// against the request; hashing a larger one takes a millisecond and more.
 const ANSWERED_BODY_MAX: usize = 256 << 10;
@@ -302,14 +306,19 @@
         })
     }
 
-    /// Notes that the answer has arrived in full.
-    ///
-    /// An answer that ends with its connection proves nothing: a crash ends it as well.
-    pub(super) fn note_answered(&self, answer: &Answer) {
-        let framed = [CONTENT_LENGTH, TRANSFER_ENCODING];
-        if !framed.iter().any(|name| answer.headers.contains_key(name)) {
-            return;
+    /// Returns whether a target's answer is a stream of events.
+    pub(super) fn streams(&self, answer: &Answer) -> bool {
+        if !answer.status.is_success() {
+            return false;
+        }
+        match headers::text(&answer.headers, &CONTENT_TYPE) {
+            Some(kind) => kind.starts_with(EVENT_STREAM),
+            None => matches!(self.route.kind, Kind::Stream { .. }),
         }
+    }
+
+    /// Notes that the answer has arrived in full.
+    pub(super) fn note_answered(&self) {
         let calm = self.state.guard().is_calm();
         if self.body.len() > ANSWERED_BODY_MAX && calm {
             return;
@@ -320,16 +329,41 @@
     /// Has the target checked if the connection of a run there broke.
     pub(super) fn note_broken(&self, in_flight: &InFlight, broken: &Broken) {
         if matches!(broken.cause, Cause::Cut(_)) {
-            let run = BrokenRun {
-                request: self.id.clone(),
-                fingerprint: self.fingerprint(),
-                at: self.state.now(),
-                ran: in_flight.ran(),
-            };
-            crash::run_broke(&self.state, &in_flight.id, run);
+            self.note_cut(in_flight);
         }
     }
 
+    /// Has the target checked after it has ended an answer that isn't complete.
+    pub(super) fn note_cut(&self, in_flight: &InFlight) {
+        self.check_target(in_flight, Ended::Cut);
+    }
+
+    /// Has the target checked after it has ended an answer by closing its connection, which
+    /// proves nothing: a crash closes it as well.
+    pub(super) fn note_closed(&self, in_flight: &InFlight) {
+        self.check_target(in_flight, Ended::Closed);
+    }
+
+    fn check_target(&self, in_flight: &InFlight, ended: Ended) {
+        let run = EndedRun {
+            request: self.id.clone(),
+            fingerprint: self.fingerprint(),
+            at: self.state.now(),
+            ran: in_flight.ran(),
+            ended,
+        };
+        crash::run_ended(&self.state, &in_flight.id, run);
+    }
+
+    /// Returns whether the target of a run takes connections.
+    pub(super) async fn still_runs(&self, in_flight: &InFlight) -> bool {
+        let addr = self.state.view().addr(&in_flight.id).map(str::to_owned);
+        let Some(Ok(addr)) = addr.map(|addr| addr.parse()) else {
+            return false;
+        };
+        self.state.paths.fate(addr).await == Fate::Running
+    }
+
     /// Continues a broken stream at another target, after its last complete event.
     pub(super) async fn continue_elsewhere(
         &mut self,
@@ -378,18 +412,11 @@
             base::hit!(false_promise);
             return RequestError::Failed.response(&self.headers, &names);
         }
-        let headers = headers::to_caller(&answer.headers);
-        let resume = match self.route.kind {
-            Kind::Stream { resumable } if status.is_success() => {
-                (resumable || self.backup.is_some()).then(Resume::default)
-            }
-            _ => None,
+        let resumable = match self.route.kind {
+            Kind::Stream { resumable } => resumable || self.backup.is_some(),
+            Kind::Safe | Kind::Unsafe => false,
         };
-        let relay = Relay::new(self, answer, in_flight, resume);
-        let mut resp = Response::new(relay.into_body());
-        *resp.status_mut() = status;
-        *resp.headers_mut() = headers;
-        resp
+        Relay::new(self, answer, in_flight, resumable).into_response()
     }
 }
 
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -3,89 +3,76 @@
 //! Dropping a [`Relay`] closes the connection to the target, so that a caller that
 //! disconnects frees the target at once.
 
+mod events;
+
+use std::sync::Arc;
+
 use anyhow::anyhow;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::StreamExt;
-use gateway::table::Kind;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use hyper::{Response, body::Frame, header::CONTENT_LENGTH};
 use telemetry::{event, prom_metrics};
 use web::{
-    body::Body,
-    client::{Answer, Broken, Cause},
-    sse::EventEnds,
+    body::{Body, end_with_connection},
+    client::{Answer, Broken, Cause, Framing},
 };
 
+pub(super) use self::events::Events;
 use super::{
     forward::{ActiveRequest, InFlight},
     headers,
 };
 
-/// Largest size of one event. The first larger one ends the stream with an error: what
-/// has been buffered of it isn't sent.
-const EVENT_MAX: usize = 1 << 20;
-
 /// An answer that is being relayed to its caller.
 pub(super) struct Relay {
     request: ActiveRequest,
     answer: Answer,
     in_flight: InFlight,
-    resume: Option<Resume>,
-    /// Where the events end, if the answer is a stream.
-    events: Option<EventEnds>,
+    /// Progress of the events, if the answer is a stream.
+    events: Option<Events>,
+    /// Whether a broken stream may go on at another target.
+    resumable: bool,
+    /// Whether the caller will see by a length or a last chunk that the answer is complete.
+    framed: bool,
     /// Bytes that the present target has sent.
     bytes: usize,
     ended: bool,
 }
 
-/// Progress of a stream that may be resumed.
-#[derive(Debug, Default)]
-pub(super) struct Resume {
-    /// The id of the last complete event.
-    last: Option<String>,
-    /// Bytes of an event that is not complete yet.
-    partial: BytesMut,
+/// How the answer of one target ended.
+enum End {
+    Complete,
+    /// The connection broke or fell silent, or the framing shows that bytes are missing.
+    Broken(Broken),
+    /// A stream ended within an event.
+    WithinEvent,
+    /// The connection was closed in order, and nothing shows that the answer is complete.
+    Unconfirmed,
 }
 
-impl Resume {
-    /// Takes a chunk and returns the events that it completes.
-    ///
-    /// Failure: a target stops in the middle of an event. If that part had been passed
-    /// on, the caller would see it joined to the complete event of the next target.
-    /// Therefore only complete events are returned.
-    fn push(&mut self, chunk: &[u8]) -> Bytes {
-        let from = self.partial.len().saturating_sub(3);
-        self.partial.extend_from_slice(chunk);
-        let Some(end) = end_of_events(&self.partial, from) else {
-            return Bytes::new();
-        };
-        let complete = self.partial.split_to(end).freeze();
-        if let Some(id) = last_id(&complete) {
-            self.last = Some(id);
+impl End {
+    /// Returns the value of the metrics label.
+    fn as_str(&self) -> &'static str {
+        match self {
+            End::Complete => "complete",
+            End::Broken(Broken {
+                cause: Cause::Cut(_),
+                ..
+            }) => "cut",
+            End::Broken(_) => "silent",
+            End::WithinEvent => "within_event",
+            End::Unconfirmed => "unconfirmed",
         }
-        complete
     }
-}
 
-/// Returns where the last complete event ends; an empty line ends an event.
-fn end_of_events(raw: &[u8], from: usize) -> Option<usize> {
-    let lf = raw[from..].windows(2).rposition(|w| w == b"\n\n");
-    let crlf = raw[from..].windows(4).rposition(|w| w == b"\r\n\r\n");
-    let lf = lf.map(|at| from + at + 2);
-    let crlf = crlf.map(|at| from + at + 4);
-    lf.max(crlf)
-}
-
-fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.rsplit(|b| *b == b'\n');
-    for line in lines {
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
-        if let Some(id) = line.strip_prefix(b"id:") {
-            let id = std::str::from_utf8(id).ok()?;
-            return Some(id.trim().to_owned());
+    /// Returns the text for the log.
+    fn reason(&self) -> String {
+        match self {
+            End::Broken(broken) => broken.to_string(),
+            other => other.as_str().to_owned(),
         }
     }
-    None
 }
 
 impl Relay {
@@ -93,22 +80,39 @@
         request: ActiveRequest,
         answer: Answer,
         in_flight: InFlight,
-        resume: Option<Resume>,
+        resumable: bool,
     ) -> Self {
-        let streams = matches!(request.route.kind, Kind::Stream { .. });
-        let events = streams && answer.status.is_success();
+        let events = request.streams(&answer).then(Events::default);
         Relay {
-            events: events.then(EventEnds::default),
-            bytes: 0,
+            resumable: resumable && events.is_some(),
+            framed: answer.framing() != Framing::Connection,
+            events,
             request,
             answer,
             in_flight,
-            resume,
+            bytes: 0,
             ended: false,
         }
     }
 
-    pub(super) fn into_body(self) -> Body {
+    /// Returns the response to the caller. Its end says no more than the target's.
+    pub(super) fn into_response(self) -> Response<Body> {
+        let (status, framed) = (self.answer.status, self.framed);
+        let mut headers = headers::to_caller(&self.answer.headers);
+        if self.resumable {
+            // The rest of another run may have another length.
+            headers.remove(CONTENT_LENGTH);
+        }
+        let mut resp = Response::new(self.into_body());
+        *resp.status_mut() = status;
+        *resp.headers_mut() = headers;
+        if !framed {
+            end_with_connection(&mut resp);
+        }
+        resp
+    }
+
+    fn into_body(self) -> Body {
         let chunks = futures::stream::unfold(self, |mut relay| async move {
             let chunk = relay.next().await?;
             Some((chunk.map(Frame::data), relay))
@@ -117,104 +121,122 @@
     }
 
     async fn next(&mut self) -> Option<anyhow::Result<Bytes>> {
-        loop {
-            if self.ended {
-                return None;
-            }
-            let chunk = match self.answer.next().await {
-                None => {
-                    self.ended = true;
-                    self.note_end();
-                    self.request.note_answered(&self.answer);
-                    let resume = self.resume.take()?;
-                    let partial = resume.partial.freeze();
-                    return (!partial.is_empty()).then_some(Ok(partial));
-                }
+        while !self.ended {
+            let end = match self.answer.next().await {
                 Some(Ok(chunk)) => {
-                    self.count(&chunk);
-                    chunk
-                }
-                Some(Err(broken)) => {
-                    self.note_break(&broken);
-                    self.request.note_broken(&self.in_flight, &broken);
-                    if self.resume_elsewhere().await {
+                    self.bytes += chunk.len();
+                    let passed = self.pass(chunk);
+                    if passed.as_ref().is_ok_and(Bytes::is_empty) {
                         continue;
                     }
-                    self.ended = true;
-                    prom_metrics().request("broken_off");
-                    event!(
-                        telemetry::Event::RequestFailed,
-                        request = self.request.id,
-                        adapter = self.request.adapter,
-                        target = self.in_flight.id,
-                        how = broken.to_string()
-                    );
-                    return Some(Err(anyhow!("the target broke off its answer")));
+                    self.ended = passed.is_err();
+                    return Some(passed);
                 }
+                Some(Err(broken)) => End::Broken(broken),
+                None => self.end_in_order().await,
             };
-            let Some(resume) = &mut self.resume else {
-                return Some(Ok(chunk));
-            };
-            let complete = resume.push(&chunk);
-            if resume.partial.len() > EVENT_MAX {
-                self.resume = None;
-                return Some(Err(anyhow!(
-                    "an event of the stream exceeds {EVENT_MAX} bytes"
-                )));
+            self.note_end(&end);
+            if matches!(end, End::Complete) {
+                self.ended = true;
+                return None;
             }
-            if !complete.is_empty() {
-                self.request.check_weights(&complete);
-                return Some(Ok(complete));
+            if !self.resume_elsewhere().await {
+                self.ended = true;
+                self.log_broken_off(&end);
+                return Some(Err(anyhow!("the target broke off its answer")));
             }
         }
+        None
     }
 
-    fn count(&mut self, chunk: &[u8]) {
-        self.bytes += chunk.len();
-        if let Some(events) = &mut self.events {
-            events.push(chunk);
-        }
-    }
-
-    /// Returns whether the stream has stopped within an event.
-    fn is_within_event(&self) -> bool {
-        self.events.is_some_and(|events| events.is_within())
+    /// Returns what of a chunk can be passed on.
+    fn pass(&mut self, chunk: Bytes) -> anyhow::Result<Bytes> {
+        let Some(events) = &mut self.events else {
+            return Ok(chunk);
+        };
+        let complete = events.push(chunk, self.resumable)?;
+        self.request.check_weights(&complete);
+        Ok(complete)
     }
 
-    /// Notes how an answer ended that its framing shows to be complete, if it has one.
-    fn note_end(&self) {
-        let within = self.is_within_event();
-        if !self.answer.is_framed() {
-            prom_metrics().unframed(if within { "within_event" } else { "closed" });
+    /// Finds out what it means that the target has ended its answer in order.
+    async fn end_in_order(&self) -> End {
+        if self.events.as_ref().is_some_and(Events::is_within) {
+            return End::WithinEvent;
         }
-        if within {
-            event!(
-                telemetry::Event::StreamCutShort,
-                request = self.request.id,
-                target = self.in_flight.id,
-                bytes = self.bytes,
-                framed = self.answer.is_framed()
-            );
+        if self.answer.framing() != Framing::Connection {
+            return End::Complete;
+        }
+        if self.events.is_some() && self.bytes == 0 {
+            // A run makes at least one event.
+            return End::Unconfirmed;
+        }
+        if !self.framed {
+            return End::Complete;
+        }
+        // The caller was promised a last chunk, which this target doesn't send.
+        if self.request.still_runs(&self.in_flight).await {
+            End::Complete
+        } else {
+            End::Unconfirmed
         }
     }
 
-    fn note_break(&self, broken: &Broken) {
-        if !self.answer.is_framed() && matches!(broken.cause, Cause::Cut(_)) {
-            prom_metrics().unframed("reset");
+    /// Notes the end of an answer, and what follows for its target.
+    fn note_end(&self, end: &End) {
+        let framing = self.answer.framing();
+        prom_metrics().answer_ended(framing.as_str(), end.as_str());
+        match end {
+            End::Complete if framing == Framing::Connection => {
+                self.request.note_closed(&self.in_flight);
+            }
+            End::Complete => self.request.note_answered(),
+            End::Broken(broken) => self.request.note_broken(&self.in_flight, broken),
+            End::Unconfirmed => self.request.note_cut(&self.in_flight),
+            End::WithinEvent => {
+                self.request.note_cut(&self.in_flight);
+                event!(
+                    telemetry::Event::StreamCutShort,
+                    request = self.request.id,
+                    target = self.in_flight.id,
+                    framing = framing.as_str(),
+                    bytes = self.bytes,
+                    last = self.last_event().unwrap_or_default()
+                );
+            }
         }
     }
 
+    fn log_broken_off(&self, end: &End) {
+        prom_metrics().request("broken_off");
+        event!(
+            telemetry::Event::RequestFailed,
+            request = self.request.id,
+            adapter = self.request.adapter,
+            target = self.in_flight.id,
+            how = end.reason(),
+            framing = self.answer.framing().as_str(),
+            bytes = self.bytes,
+            last = self.last_event().unwrap_or_default()
+        );
+    }
+
+    /// Returns the id of the last event that was passed on.
+    fn last_event(&self) -> Option<&str> {
+        self.events.as_ref()?.last()
+    }
+
     /// Resumes a broken stream at another target, and returns whether it was resumed.
     async fn resume_elsewhere(&mut self) -> bool {
-        let Some(resume) = &mut self.resume else {
+        let Some(events) = self.events.as_mut().filter(|_| self.resumable) else {
             return false;
         };
         let now = self.request.state.now();
-        let state = std::sync::Arc::clone(&self.request.state);
+        let state = Arc::clone(&self.request.state);
         state.view().outcome(now, &self.in_flight.id, false);
         self.request.mark_broken_off(&self.in_flight.id);
-        resume.partial.clear();
-        let last = resume.last.clone();
+        events.drop_partial();
+        let last = events.last().map(str::to_owned);
         let Some((answer, in_flight)) = self.request.continue_elsewhere(last.as_deref()).await
         else {
             return false;
@@ -234,7 +256,6 @@
         self.answer = answer;
         self.in_flight = in_flight;
         self.bytes = 0;
-        self.events = Some(EventEnds::default());
         true
     }
 
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -24,7 +24,7 @@
 use web::client::Client;
 use wire::fleet::Target;
 
-use super::{Setup, crash::BrokenRuns, editions::Editions, paths::Paths, sync::ControlPeers};
+use super::{Setup, crash::EndedRuns, editions::Editions, paths::Paths, sync::ControlPeers};
 use crate::{Platform, names};
 
 /// Shared by all requests and by the exchange with control instances.
@@ -45,7 +45,7 @@
     view: Arc<Mutex<View>>,
     settle: Mutex<Warmup>,
     budget: Mutex<Budget>,
-    broken_runs: Mutex<BrokenRuns>,
+    ended_runs: Mutex<EndedRuns>,
     guard: Mutex<Guard>,
     meter: Mutex<Meter<SocketAddr>>,
     pub(super) controls: ControlPeers,
@@ -88,7 +88,7 @@
             table: Mutex::default(),
             view,
             budget: Mutex::new(Budget::new(setup.retries)),
-            broken_runs: Mutex::default(),
+            ended_runs: Mutex::default(),
             guard: Mutex::default(),
             meter: Mutex::new(Meter::new(setup.slack, rand::random())),
             controls: ControlPeers::default(),
@@ -121,8 +121,8 @@
         self.controls.hurry(self.now(), &self.zone);
     }
 
-    pub(super) fn broken_runs(&self) -> MutexGuard<'_, BrokenRuns> {
-        lock(&self.broken_runs)
+    pub(super) fn ended_runs(&self) -> MutexGuard<'_, EndedRuns> {
+        lock(&self.ended_runs)
     }
 
     pub(super) fn table(&self) -> Option<Arc<Table>> {
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -133,7 +133,7 @@
     TunnelOpened 5024 Info "tunnel opened for another instance" "`from` is cut off from all targets and reaches `target` through this instance."
     TargetBrittle 5025 Info "target is brittle" "`target` falls over when it has to refuse more than `bears` requests a second for want of room, as its answer says."
     TargetSturdy 5026 Info "target no longer brittle" "`target` no longer says that it falls over when it refuses requests."
-    StreamCutShort 5027 Info "stream ended within an event" "`target` ended the stream of `request` within an event, after `bytes` bytes. `framed` says whether a length or chunks had shown this to be the end, or only the close of the connection."
+    StreamCutShort 5027 Info "stream ended within an event" "`target` ended the stream of `request` within an event, after `bytes` bytes and the complete event `last`. `framing` is `length` or `chunks` where these had shown this to be the end, and `connection` where only the close of the connection did. It counts as broken off."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -34,7 +34,7 @@
     sends: IntCounterVec,
     orders: IntCounterVec,
     broken_runs: IntCounterVec,
-    unframed: IntCounterVec,
+    answer_ends: IntCounterVec,
     permits: IntCounterVec,
     tunnels: IntCounterVec,
     helped: IntCounterVec,
@@ -79,11 +79,7 @@
             "Runs whose connection to their target broke, by what became of the target",
             "fate",
         );
-        let unframed = counters(
-            "quetzal_unframed_total",
-            "Answers without a length or chunks, by how they ended",
-            "end",
-        );
+        let answer_ends = answer_ends(&registry);
         let permits = counters(
             "quetzal_permits_total",
             "Permits for requests to targets that name a limit",
@@ -136,7 +132,7 @@
             sends,
             orders,
             broken_runs,
-            unframed,
+            answer_ends,
             permits,
             tunnels,
             helped,
@@ -176,9 +172,9 @@
         counter.inc_by(runs as u64);
     }
 
-    /// Counts an answer without a length or chunks, by how it `end`ed.
-    pub fn unframed(&self, end: &str) {
-        self.unframed.with_label_values(&[end]).inc();
+    /// Counts the end of a target's answer, by the `framing` that showed where it would be.
+    pub fn answer_ended(&self, framing: &str, end: &str) {
+        self.answer_ends.with_label_values(&[framing, end]).inc();
     }
 
     /// Counts a request for a permit at a target that names a limit, by its `outcome`.
@@ -225,6 +221,16 @@
     }
 }
 
+/// Returns the counter of the ends of answers.
+fn answer_ends(registry: &Registry) -> IntCounterVec {
+    let opts = Opts::new(
+        "quetzal_answer_ends_total",
+        "Answers of targets, by their framing and how they ended",
+    );
+    let made = IntCounterVec::new(opts, &["framing", "end"]);
+    register(registry, made.expect("a valid name"))
+}
+
 /// Returns the histograms of the time to the head of an answer, and to the first target.
 fn time_histograms(registry: &Registry) -> (HistogramVec, Histogram) {
     let head = HistogramOpts::new(
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -11,7 +11,11 @@
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
-use hyper::body::{Body as _, Frame};
+use hyper::{
+    Response, Version,
+    body::{Body as _, Frame},
+    header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
+};
 use tokio::{
     sync::mpsc,
     time::{Instant, timeout},
@@ -45,6 +49,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Gone;
 
+/// Makes the body of an answer end with its connection, without a length or chunks. A body
+/// that fails resets the connection.
+///
+/// hyper writes such a body only in an answer of HTTP/1.0, so its status line says this
+/// version.
+pub fn end_with_connection(resp: &mut Response<Body>) {
+    *resp.version_mut() = Version::HTTP_10;
+    resp.headers_mut().remove(CONTENT_LENGTH);
+    let close = HeaderValue::from_static("close");
+    resp.headers_mut().insert(CONNECTION, close);
+}
+
 /// Creates a streamed body that buffers up to `depth` pieces.
 ///
 /// # Panics
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 pub use self::{
-    answer::Answer,
+    answer::{Answer, Framing},
     broken::{Broken, Cause},
     dial::{Connect, DialFn, Dialed, Dialer, direct},
 };
--- a/crates/web/src/client/answer.rs
+++ b/crates/web/src/client/answer.rs
@@ -20,6 +20,46 @@
 };
 use crate::sse::Parser;
 
+/// How the end of a body is shown (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length, or there is none.
+    Length,
+    /// By a last chunk.
+    Chunks,
+    /// By the end of its connection: the end of the message, or of whoever sent it.
+    Connection,
+}
+
+impl Framing {
+    fn of(headers: &HeaderMap) -> Framing {
+        if let Some(codings) = headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+            let last = codings.as_bytes().rsplit(|b| *b == b',').next();
+            let last = last.unwrap_or_default().trim_ascii();
+            return if last.eq_ignore_ascii_case(b"chunked") {
+                Framing::Chunks
+            } else {
+                Framing::Connection
+            };
+        }
+        if headers.contains_key(CONTENT_LENGTH) {
+            Framing::Length
+        } else {
+            Framing::Connection
+        }
+    }
+
+    /// Returns the value of the metrics label.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Framing::Length => "length",
+            Framing::Chunks => "chunks",
+            Framing::Connection => "connection",
+        }
+    }
+}
+
 /// The head of an answer, and its body as a sequence of pieces.
 ///
 /// Dropping it before its end closes the connection: the target notices that nobody
@@ -31,8 +71,7 @@
     /// Its headers.
     pub headers: HeaderMap,
     body: Incoming,
-    /// Whether a length or chunks show where the body ends.
-    framed: bool,
+    framing: Framing,
     /// Parser that looks for `[DONE]` in an event stream.
     events: Option<Parser>,
     ending: Ending,
@@ -55,15 +94,18 @@
     ) -> Self {
         let (parts, body) = resp.into_parts();
         let bodiless = head || matches!(parts.status.as_u16(), 204 | 304);
-        let has = |h| parts.headers.contains_key(h);
-        let framed = bodiless || has(CONTENT_LENGTH) || has(TRANSFER_ENCODING);
+        let framing = if bodiless {
+            Framing::Length
+        } else {
+            Framing::of(&parts.headers)
+        };
         let kind = parts.headers.get(CONTENT_TYPE);
         let sse = kind.is_some_and(|k| k.as_bytes().starts_with(b"text/event-stream"));
         Answer {
             status: parts.status,
             headers: parts.headers,
             body,
-            framed,
+            framing,
             events: (sse && !bodiless && ending == Ending::Explicit).then(Parser::default),
             ending,
             link: Some(link),
@@ -80,11 +122,10 @@
         self.headers.get(name)?.to_str().ok()
     }
 
-    /// Returns whether a length or chunks show where the body ends. Otherwise it ends with
-    /// its connection.
+    /// Returns how the end of the body is shown.
     #[must_use]
-    pub fn is_framed(&self) -> bool {
-        self.framed
+    pub fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Returns whether the target refused the request without starting it: an engine
@@ -161,13 +202,16 @@
             base::hit!(stream_without_done);
             return Some(self.broken(Cause::NotDone));
         }
-        if !self.framed && self.events.is_none() && self.ending == Ending::Explicit {
+        if self.framing == Framing::Connection
+            && self.events.is_none()
+            && self.ending == Ending::Explicit
+        {
             base::hit!(unframed_body);
             return Some(self.broken(Cause::Unframed));
         }
         self.finished = true;
         if let Some(link) = self.link.take()
-            && self.framed
+            && self.framing != Framing::Connection
             && self.body.is_end_stream()
         {
             self.pool.0.keep(self.pool.1, link);
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -16,9 +16,9 @@
 use base::{Failure, Refusal, Verdict};
 use futures::FutureExt;
 use hyper::{
-    Request, Response,
+    Method, Request, Response, Version,
     body::{Body as _, Incoming},
-    header::{CONNECTION, HeaderValue},
+    header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
@@ -30,7 +30,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 pub(crate) use self::stall::StallLimited;
-use self::{refusal::Refusals, slots::Slots};
+use self::{refusal::Refusals, slots::Slots, stall::EndsWithConnection};
 use crate::{body::Body, reply};
 
 /// Pause of the accept loop after an error of the system, such as too many open files;
@@ -161,10 +161,19 @@
         return;
     }
     let slot = Arc::new(slot);
-    let io = TokioIo::new(StallLimited::new(stream, server.limits.write_stall));
+    let ends = EndsWithConnection::default();
+    let limited = StallLimited::new(stream, server.limits.write_stall, ends.clone());
+    let io = TokioIo::new(limited);
     let service = service_fn(|req| {
-        let (slot, server) = (Arc::clone(&slot), Arc::clone(&server));
-        async move { Ok::<_, Infallible>(answer(req, &slot, &server).await) }
+        let (slot, server, ends) = (Arc::clone(&slot), Arc::clone(&server), ends.clone());
+        async move {
+            let asked = (req.version(), req.method().clone());
+            let resp = answer(req, &slot, &server).await;
+            if ends_with_connection(&asked, &resp) {
+                ends.set();
+            }
+            Ok::<_, Infallible>(resp)
+        }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -210,6 +219,15 @@
     resp.map(|body| busy.until_end_of(body))
 }
 
+/// Returns whether an answer will have neither a length nor chunks, so that it ends with its
+/// connection.
+fn ends_with_connection((asked, method): &(Version, Method), resp: &Response<Body>) -> bool {
+    let chunked = *asked != Version::HTTP_10 && resp.version() != Version::HTTP_10;
+    let bodiless = *method == Method::HEAD || matches!(resp.status().as_u16(), 204 | 304);
+    let sized = resp.headers().contains_key(CONTENT_LENGTH);
+    !chunked && !bodiless && !sized && resp.body().size_hint().exact().is_none()
+}
+
 /// Runs the handler and turns a panic in it into an answer, so that one request can
 /// neither end the process nor leave its caller waiting.
 async fn catch_panic<H, F>(handler: &H, req: Request<Incoming>) -> Response<Body>
--- a/crates/web/src/sse/ends.rs
+++ b/crates/web/src/sse/ends.rs
@@ -5,15 +5,17 @@
 
 /// Finds the ends of events; its input may be split at any byte.
 ///
-/// An empty line ends an event. Lines end with LF or CRLF.
+/// An empty line ends an event. Lines end with LF, CRLF or CR.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EventEnds {
-    /// Whether the current line has anything but a CR.
+    /// Whether the current line has any byte.
     in_line: bool,
     /// Whether the current event has any line.
     in_event: bool,
-    /// Whether a CR is the last byte.
+    /// Whether the last byte is a CR.
     after_cr: bool,
+    /// Whether lines end with a CR alone, so that it needn't be waited for an LF.
+    cr_alone: bool,
 }
 
 impl EventEnds {
@@ -22,19 +24,24 @@
     pub fn push(&mut self, piece: &[u8]) -> Option<usize> {
         let mut end = None;
         for (at, byte) in piece.iter().enumerate() {
-            match byte {
-                b'\n' if self.in_line => {
-                    self.in_line = false;
-                    self.in_event = true;
-                }
-                b'\n' => {
-                    self.in_event = false;
+            let after_cr = std::mem::replace(&mut self.after_cr, *byte == b'\r');
+            if after_cr && *byte == b'\n' && self.cr_alone {
+                // The LF belongs to the CR that has ended the line.
+                if end == Some(at) {
                     end = Some(at + 1);
                 }
-                b'\r' if !self.after_cr => {}
+                continue;
+            }
+            if after_cr && *byte != b'\n' && !self.cr_alone {
+                self.cr_alone = true;
+                self.end_line(at, &mut end);
+            }
+            match byte {
+                b'\n' => self.end_line(at + 1, &mut end),
+                b'\r' if self.cr_alone => self.end_line(at + 1, &mut end),
+                b'\r' => {}
                 _ => self.in_line = true,
             }
-            self.after_cr = *byte == b'\r';
         }
         end
     }
@@ -42,6 +49,16 @@
     /// Returns whether an event has begun and not ended.
     #[must_use]
     pub fn is_within(&self) -> bool {
-        self.in_line || self.in_event || self.after_cr
+        self.in_line || self.in_event || (self.after_cr && !self.cr_alone)
+    }
+
+    fn end_line(&mut self, at: usize, end: &mut Option<usize>) {
+        if self.in_line {
+            self.in_event = true;
+        } else {
+            self.in_event = false;
+            *end = Some(at);
+        }
+        self.in_line = false;
     }
 }
--- a/crates/web/tests/web/sse.rs
+++ b/crates/web/tests/web/sse.rs
@@ -72,22 +72,27 @@
 /// Guards against a stream that is cut within an event and counts as complete.
 #[gtest]
 fn the_ends_of_events_are_found_wherever_they_are_cut() {
-    for bytes in [
-        &b"id: 1\ndata: a\n\n: x\n\n\nid: 2\n\n"[..],
-        b"id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n",
-    ] {
-        let lines = String::from_utf8_lossy(bytes).replace('\r', "");
+    for line_end in ["\n", "\r\n", "\r"] {
+        let text = "id: 1\ndata: a\n\n: x\n\n\nid: 2\n\n".replace('\n', line_end);
+        let bytes = text.as_bytes();
         for at in 0..=bytes.len() {
-            let before = String::from_utf8_lossy(&bytes[..at]).replace("\r\n", "\n");
-            let between = before.is_empty() || before.ends_with("\n\n");
+            let before = &text[..at];
+            // Only what comes next shows that a first CR ends its line.
+            let between = before.is_empty() || before.ends_with(&line_end.repeat(2));
             let mut ends = EventEnds::default();
             let first = ends.push(&bytes[..at]);
-            expect_that!(ends.is_within(), eq(!between), "cut at {at} of {lines}");
+            expect_that!(ends.is_within(), eq(!between), "cut at {at} of {text:?}");
             if between && at > 0 {
                 expect_that!(first, some(eq(at)));
             }
-            ends.push(&bytes[at..]);
-            expect_that!(ends.is_within(), eq(false), "cut at {at} of {lines}");
+            let all = ends.push(&bytes[at..]);
+            expect_that!(ends.is_within(), eq(false), "cut at {at} of {text:?}");
+            let rest = bytes.len() - at;
+            expect_that!(
+                all,
+                eq((rest > 0).then_some(rest)),
+                "cut at {at} of {text:?}"
+            );
         }
     }
 }
