--- a/crates/frontd/src/entry/helping.rs
+++ b/crates/frontd/src/entry/helping.rs
@@ -105,10 +105,7 @@
     let permit = permit.map_err(|_| no_help("too many tunnels"))?;
     let until = Instant::now() + CONNECT_TIMEOUT;
     match state.paths.connect(tunnel.target, until).await {
-        Ok(server) => match server.set_nodelay(true) {
-            Ok(()) => Ok((server, permit)),
-            Err(_) => Err(TunnelError::Silent),
-        },
+        Ok(server) => Ok((server, permit)),
         Err(_) if !state.paths.helps() => Err(no_help("cut off as well")),
         Err(Cause::Connect(_)) => Err(TunnelError::Refused),
         Err(_) => Err(TunnelError::Silent),
--- a/crates/frontd/src/entry/paths.rs
+++ b/crates/frontd/src/entry/paths.rs
@@ -24,7 +24,7 @@
 use web::{
     client::{Cause, Connect, Dialed, Dialer, direct},
     timeout::answer_by,
-    tunnel::{self, Tunnel, TunnelError},
+    tunnel::{self, Tunnel, TunnelError, TunnelStream},
 };
 use wire::helper::Helper;
 
@@ -177,7 +177,7 @@
             match made {
                 Some(Ok(stream)) => {
                     return Ok(Dialed {
-                        stream,
+                        stream: Box::new(stream),
                         reusable: true,
                     });
                 }
@@ -187,7 +187,7 @@
         }
         match self.open_tunnel(&connect).await {
             Ok(stream) => Ok(Dialed {
-                stream,
+                stream: Box::new(stream),
                 reusable: false,
             }),
             Err(TunnelError::Refused) => Err(Cause::Connect(TunnelError::Refused.to_string())),
@@ -197,7 +197,7 @@
     }
 
     /// Opens a tunnel through one of the helpers.
-    async fn open_tunnel(&self, connect: &Connect) -> Result<TcpStream, TunnelError> {
+    async fn open_tunnel(&self, connect: &Connect) -> Result<TunnelStream, TunnelError> {
         let mut last = TunnelError::NoHelp("no helper is known".to_owned());
         for _ in 0..MAX_HELPERS {
             let Some(helper) = lock(&self.helpers).choose(self.clock.now()) else {
@@ -233,7 +233,7 @@
         &self,
         helper: &InstanceName,
         connect: &Connect,
-        opened: &Result<TcpStream, TunnelError>,
+        opened: &Result<TunnelStream, TunnelError>,
     ) {
         let outcome = match opened {
             Ok(_) => "opened",
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -20,7 +20,7 @@
 pub use self::{
     answer::{Answer, Framing},
     broken::{Broken, Cause},
-    dial::{Connect, DialFn, Dialed, Dialer, direct},
+    dial::{Connect, DialFn, Dialed, Dialer, Stream, direct},
 };
 use self::{link::Link, pool::Pool};
 
--- a/crates/web/src/client/dial.rs
+++ b/crates/web/src/client/dial.rs
@@ -4,6 +4,7 @@
 
 use futures::{FutureExt, future::BoxFuture};
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::TcpStream,
     time::{Instant, timeout_at},
 };
@@ -23,11 +24,16 @@
     pub label: String,
 }
 
+/// A connection over which HTTP can be spoken.
+pub trait Stream: AsyncRead + AsyncWrite + Unpin + Send + fmt::Debug {}
+
+impl<S: AsyncRead + AsyncWrite + Unpin + Send + fmt::Debug> Stream for S {}
+
 /// A connection that was made.
 #[derive(Debug)]
 pub struct Dialed {
     /// The connection.
-    pub stream: TcpStream,
+    pub stream: Box<dyn Stream>,
     /// Whether further requests may be sent on it.
     pub reusable: bool,
 }
@@ -59,7 +65,7 @@
         Dialer::new(|connect: Connect| async move {
             let stream = direct(connect.addr, connect.until).await?;
             Ok(Dialed {
-                stream,
+                stream: Box::new(stream),
                 reusable: true,
             })
         })
@@ -78,11 +84,15 @@
 ///
 /// Fails with [`Cause::Connect`] or [`Cause::ConnectTimeout`].
 pub async fn direct(addr: SocketAddr, until: Instant) -> Result<TcpStream, Cause> {
-    match timeout_at(until, TcpStream::connect(addr)).await {
-        Ok(Ok(stream)) => Ok(stream),
-        Ok(Err(err)) => Err(Cause::Connect(err.to_string())),
-        Err(_) => Err(Cause::ConnectTimeout),
-    }
+    let stream = match timeout_at(until, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(err)) => return Err(Cause::Connect(err.to_string())),
+        Err(_) => return Err(Cause::ConnectTimeout),
+    };
+    // Without this, small writes would wait for the peer's delayed ACK.
+    let nodelay = stream.set_nodelay(true);
+    nodelay.map_err(|err| Cause::Connect(err.to_string()))?;
+    Ok(stream)
 }
 
 impl Connect {
--- a/crates/web/src/client/link.rs
+++ b/crates/web/src/client/link.rs
@@ -17,13 +17,12 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
     task::AbortHandle,
 };
 
 use super::{
     broken::{Broken, Cause},
-    dial::Dialed,
+    dial::{Dialed, Stream},
 };
 
 /// An open connection; dropping it closes the socket immediately.
@@ -47,9 +46,6 @@
     /// Speaks HTTP over a connection.
     pub(crate) async fn over(dialed: Dialed) -> Result<Link, Broken> {
         let Dialed { stream, reusable } = dialed;
-        // Without this, small writes would wait for the peer's delayed ACK.
-        let nodelay = stream.set_nodelay(true);
-        nodelay.map_err(|err| Broken::unsent(Cause::Connect(err.to_string())))?;
         let meter = Arc::new(Meter::default());
         let io = TokioIo::new(Metered {
             stream,
@@ -152,7 +148,7 @@
 /// A socket whose writes are counted.
 #[derive(Debug)]
 struct Metered {
-    stream: TcpStream,
+    stream: Box<dyn Stream>,
     meter: Arc<Meter>,
 }
 
--- a/crates/web/src/client/link/tests.rs
+++ b/crates/web/src/client/link/tests.rs
@@ -18,7 +18,7 @@
 
 async fn connect(addr: SocketAddr, until: Instant) -> Link {
     let dialed = Dialed {
-        stream: direct(addr, until).await.unwrap(),
+        stream: Box::new(direct(addr, until).await.unwrap()),
         reusable: true,
     };
     Link::over(dialed).await.unwrap()
--- a/crates/web/src/tunnel.rs
+++ b/crates/web/src/tunnel.rs
@@ -1,10 +1,11 @@
 //! A connection to a server through another instance of our own.
 //!
 //! The helper connects to the server and passes bytes on in both directions; it neither
-//! reads nor decides anything. So whatever the client promises for a direct connection holds
+//! reads nor decides anything, and says how the server's connection ended. So whatever the client promises for a direct connection holds
 //! for a tunnel: nothing is sent before the tunnel stands, and a tunnel that breaks is a
 //! connection that breaks.
 
+mod frames;
 mod splice;
 
 use std::{net::SocketAddr, time::Duration};
@@ -23,7 +24,7 @@
     time::{Instant, timeout_at},
 };
 
-pub use self::splice::splice;
+pub use self::{frames::TunnelStream, splice::splice};
 use crate::{
     body::{Body, full},
     header_value,
@@ -34,7 +35,7 @@
 const PATH: &str = "/quetzal/tunnel";
 
 /// Protocol to which the connection is upgraded.
-const PROTOCOL: &str = "quetzal-tunnel/1";
+const PROTOCOL: &str = "quetzal-tunnel/2";
 
 /// Address of the server.
 const TARGET: &str = "target";
@@ -111,7 +112,7 @@
     helper: SocketAddr,
     tunnel: &Tunnel,
     until: Instant,
-) -> Result<TcpStream, TunnelError> {
+) -> Result<TunnelStream, TunnelError> {
     match timeout_at(until, ask(helper, tunnel)).await {
         Ok(Ok(Ok(stream))) => Ok(stream),
         Ok(Ok(Err(err))) => Err(err),
@@ -123,7 +124,7 @@
 async fn ask(
     helper: SocketAddr,
     tunnel: &Tunnel,
-) -> anyhow::Result<Result<TcpStream, TunnelError>> {
+) -> anyhow::Result<Result<TunnelStream, TunnelError>> {
     let stream = TcpStream::connect(helper).await?;
     stream.set_nodelay(true)?;
     let (mut sender, conn) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
@@ -145,8 +146,8 @@
     let upgraded = hyper::upgrade::on(answer).await?;
     let parts = upgraded.downcast::<TokioIo<TcpStream>>();
     let parts = parts.map_err(|_| anyhow::anyhow!("the connection is of another kind"))?;
-    anyhow::ensure!(parts.read_buf.is_empty(), "the server spoke first");
-    Ok(Ok(parts.io.into_inner()))
+    let stream = TunnelStream::new(parts.io.into_inner(), &parts.read_buf);
+    Ok(Ok(stream))
 }
 
 /// Returns the tunnel that a request asks for, or `None` if it asks for none.
--- a/crates/web/src/tunnel/splice.rs
+++ b/crates/web/src/tunnel/splice.rs
@@ -9,8 +9,7 @@
     time::{Instant, timeout, timeout_at},
 };
 
-/// Size of the read buffers, in bytes.
-const CHUNK: usize = 16 << 10;
+use super::frames::{Frame, PIECE_MAX};
 
 /// How long a client may take to close its connection after the server has ended its own.
 const LINGER: Duration = Duration::from_secs(2);
@@ -37,8 +36,8 @@
 /// time `until`. `early` was received from the client already.
 ///
 /// A client that leaves closes the server's connection at once, so that the server stops
-/// working for it. A server's connection that breaks resets the client's: an orderly end
-/// would look like the end of an answer without a length.
+/// working for it. What the server sends comes in frames, of which the last says that it has
+/// closed its connection in order.
 pub async fn splice(mut client: TcpStream, mut server: TcpStream, early: Bytes, until: Instant) {
     let end = {
         let (client_read, mut client_write) = client.split();
@@ -54,7 +53,7 @@
             }
         };
         let down = async {
-            match pass(server_read, &mut client_write).await {
+            match pass_framed(server_read, &mut client_write).await {
                 Ok(()) => End::ServerDone,
                 Err(Failed::Read | Failed::Write) => End::Broken,
             }
@@ -77,7 +76,7 @@
 
 /// Passes all bytes on. Ends when there are no more.
 async fn pass(mut from: ReadHalf<'_>, mut to: impl AsyncWriteExt + Unpin) -> Result<(), Failed> {
-    let mut chunk = vec![0; CHUNK];
+    let mut chunk = vec![0; PIECE_MAX];
     loop {
         let read = from.read(&mut chunk).await.map_err(|_| Failed::Read)?;
         if read == 0 {
@@ -88,13 +87,29 @@
     }
 }
 
+/// Passes all bytes on in frames, and then the end.
+async fn pass_framed(
+    mut from: ReadHalf<'_>,
+    to: &mut (impl AsyncWriteExt + Unpin),
+) -> Result<(), Failed> {
+    let mut frame = Frame::new();
+    loop {
+        let read = from.read(frame.room()).await.map_err(|_| Failed::Read)?;
+        let written = to.write_all(frame.of(read)).await;
+        written.map_err(|_| Failed::Write)?;
+        if read == 0 {
+            return Ok(());
+        }
+    }
+}
+
 /// Closes a connection in order: while unread bytes are left, closing it would reset it, and
 /// the end of the answer could be lost.
 async fn close(mut client: TcpStream) {
     if client.shutdown().await.is_err() {
         return;
     }
-    let mut chunk = vec![0; CHUNK];
+    let mut chunk = vec![0; PIECE_MAX];
     let drained = async { while client.read(&mut chunk).await.is_ok_and(|n| n > 0) {} };
     // A client that doesn't close its connection is cut off.
     timeout(LINGER, drained).await.ok();
