Test the ends of answers at every byte, and crashes behind orderly closes

Answers with events in LF and CRLF and plain text, directly and through another instance, are cut at every byte by an orderly close, a reset and silence; streams that may go on elsewhere do after each cut within an event, in all framings. A request that crashes engines which close their connections in order before is held after three crashes like any other.

--- a/crates/frontd/tests/common/engines.rs
+++ b/crates/frontd/tests/common/engines.rs
@@ -5,7 +5,8 @@
 use frontd::Decoded;
 use gateway::table::{Engine, Kind, Model, RawTable, Route, Service, Table};
 
-/// Returns a configuration with one route, whose streams can't be resumed.
+/// Returns a configuration with one service and a route of each kind: by default streams that
+/// can't be resumed.
 pub(crate) fn decoded() -> Decoded {
     let engine = Engine {
         models: vec![Model {
@@ -21,17 +22,23 @@
         engine: Some(engine),
     };
     table.services.insert("s".to_owned(), service);
-    table.routes.push(Route {
-        name: "r".to_owned(),
-        host: "a.example".to_owned(),
-        prefix: "/".to_owned(),
-        kind: Kind::Stream { resumable: false },
-        limit: Duration::from_secs(20),
-        priority: 1,
-        split: vec![("s".to_owned(), 1)],
-        attempts: 1,
-        public: false,
-    });
+    for (prefix, kind, attempts) in [
+        ("/", Kind::Stream { resumable: false }, 1),
+        ("/resumable/", Kind::Stream { resumable: true }, 2),
+        ("/safe/", Kind::Safe, 1),
+    ] {
+        table.routes.push(Route {
+            name: format!("r{prefix}"),
+            host: "a.example".to_owned(),
+            prefix: prefix.to_owned(),
+            kind,
+            limit: Duration::from_secs(20),
+            priority: 1,
+            split: vec![("s".to_owned(), 1)],
+            attempts,
+            public: false,
+        });
+    }
     Decoded {
         number: 0,
         table: Table::try_from(table).expect("the table is valid"),
--- a/crates/frontd/tests/targets/crashes.rs
+++ b/crates/frontd/tests/targets/crashes.rs
@@ -3,12 +3,12 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use tokio::time::sleep;
+use tokio::{runtime::Builder, time::sleep};
 
 use crate::{
     CONTACT,
     deployment::Deployment,
-    engine::{ANSWER, BROKEN_OFF, CRASHING},
+    engine::{ANSWER, BROKEN_OFF, CRASHING, CRASHING_IN_ORDER},
 };
 
 /// Crashes after which a request counts as the cause.
@@ -28,21 +28,36 @@
     }
 }
 
-/// Guards against a request that comes again under new ids and crashes one engine after
-/// the other.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_request_that_crashed_three_engines_reaches_no_further_ones() {
+fn check_crashes(body: &str) {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(reaches_few_engines(body));
+}
+
+async fn reaches_few_engines(body: &str) {
     let deployment = Deployment::start(3, 6).await;
     let until = Instant::now() + 3 * CONTACT;
-    repeat(&deployment, CRASHING, 3, until).await;
+    repeat(&deployment, body, 3, until).await;
     let crashes = deployment.crashes();
     assert_that!(crashes.len(), ge(CRASHES));
     let known_at = crashes[CRASHES - 1] + CONTACT;
-    let late = deployment.runs(CRASHING).into_iter();
+    let late = deployment.runs(body).into_iter();
     let late = late.filter(|run| run.at > known_at).count();
     assert_that!(late, le(MORE_SENDS));
 }
 
+base::cases! {
+    /// Guards against a request that comes again under new ids and crashes one engine after
+    /// the other.
+    a_request_that_crashed_three_engines_reaches_no_further_ones: check_crashes => {
+        connections_break: CRASHING,
+        connections_are_closed_in_order: CRASHING_IN_ORDER,
+    }
+}
+
 /// Guards against refusing what merely ran on engines as they crashed: its callers send
 /// it again at once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -12,7 +12,10 @@
 
 use frontd::{CallOutcome, ControlSetup, EntrySetup, Operators, Platform};
 use futures::{FutureExt, future::join_all};
-use gateway::zone_owner::{Held, ListedTarget, OrderOutcome, Report};
+use gateway::{
+    budget,
+    zone_owner::{Held, ListedTarget, OrderOutcome, Report},
+};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use tokio::time::sleep;
 use web::{
@@ -39,6 +42,9 @@
 const CALLERS: u16 = 17_682;
 const READY: u16 = 17_683;
 
+/// Retries that are enough where every request needs one.
+const MANY_RETRIES: f64 = 10_000.0;
+
 /// Number of the next deployment in this test process.
 static NEXT: AtomicU8 = AtomicU8::new(1);
 
@@ -69,6 +75,7 @@
     no: u8,
     engines: Vec<Arc<Engine>>,
     list: ListFn,
+    retries: budget::Limits,
     next_id: AtomicU64,
     /// Links of each entry instance to the engines, if they can be cut.
     links: Vec<Arc<Links>>,
@@ -91,13 +98,17 @@
     /// As [`Self::start_linked`], before other targets than engines.
     pub(crate) async fn start_listed(entries: u8, list: ListFn) -> Deployment {
         let links = join_all((0..entries).map(|_| Links::new())).await;
-        Deployment::start_before(entries, Vec::new(), list, links).await
+        let retries = budget::Limits {
+            extra: MANY_RETRIES,
+            ..retries()
+        };
+        Deployment::start_before(entries, Vec::new(), list, links, retries).await
     }
 
     async fn start_with(entries: u8, engines: usize, links: Vec<Arc<Links>>) -> Deployment {
         let engines: Vec<_> = (0..engines).map(Engine::start).collect();
         let list = listed(engines.clone());
-        Deployment::start_before(entries, engines, list, links).await
+        Deployment::start_before(entries, engines, list, links, retries()).await
     }
 
     async fn start_before(
@@ -105,6 +116,7 @@
         engines: Vec<Arc<Engine>>,
         list: ListFn,
         links: Vec<Arc<Links>>,
+        retries: budget::Limits,
     ) -> Deployment {
         let no = NEXT.fetch_add(1, Ordering::Relaxed);
         let data = tempfile::tempdir().unwrap();
@@ -127,6 +139,7 @@
             no,
             engines,
             list,
+            retries,
             next_id: AtomicU64::new(1),
             links,
             _data: data,
@@ -154,7 +167,7 @@
                 ready: SocketAddr::new(ip, READY),
                 peer_port: PEERS,
                 grace: Duration::from_secs(8),
-                retries: retries(),
+                retries: self.retries,
                 slack: slack(),
             },
             platform(self.no, &self.list, self.links.get(usize::from(entry) - 1)),
@@ -183,9 +196,14 @@
         }
     }
 
+    /// Returns a number that no request has had.
+    pub(crate) fn next_id(&self) -> u64 {
+        self.next_id.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Sends a request under a new id, and returns what its caller was told.
     pub(crate) async fn ask(&self, entry: u8, body: &str) -> Told {
-        let id = self.next_id.fetch_add(1, Ordering::Relaxed).to_string();
+        let id = self.next_id().to_string();
         let mut send = client::Send::new(self.caller_addr(entry), Method::POST, "/x");
         let fields = [
             ("host", "a.example"),
--- a/crates/frontd/tests/targets/ends.rs
+++ b/crates/frontd/tests/targets/ends.rs
@@ -10,7 +10,7 @@
     deployment::Deployment,
     links::Cut,
     raw::{self, Ask, Received},
-    scripted::{End, Framing, Script, Target, answer, events},
+    scripted::{Content, End, Framing, Script, Seen, Target},
 };
 
 /// Targets of a deployment.
@@ -25,17 +25,16 @@
 /// Deadline of a request whose target falls silent.
 const SHORT: Duration = Duration::from_millis(600);
 
-const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Neither];
-
 /// Returns the id of a request; all are of the same length.
-fn id(no: usize) -> String {
+fn id(no: u64) -> String {
     format!("a{no:04}")
 }
 
 /// Starts a deployment whose first entry instance reaches targets through another one, if
 /// `through`.
 async fn start(through: bool) -> Deployment {
-    let targets = join_all((0..TARGETS).map(Target::start)).await;
+    let seen = Seen::default();
+    let targets = join_all((0..TARGETS).map(|no| Target::start(no, Arc::clone(&seen)))).await;
     let list = Arc::new(move || targets.iter().map(|target| target.listed()).collect());
     let deployment = Deployment::start_listed(3, list).await;
     if through {
@@ -52,22 +51,20 @@
     scripts: Vec<Script>,
 ) -> Vec<(Script, Received)> {
     let addr = deployment.caller_addr(1);
-    let asked = scripts
-        .into_iter()
-        .enumerate()
-        .map(|(no, script)| async move {
-            let ask = Ask {
-                path,
-                id: id(no),
-                minor: 1,
-                deadline: match script.end {
-                    End::Silence => SHORT,
-                    End::Close | End::Reset => DEADLINE,
-                },
-                body: script.body(),
-            };
-            (script, raw::ask(addr, &ask).await)
-        });
+    let asked = scripts.into_iter().map(|script| async move {
+        let no = deployment.next_id();
+        let ask = Ask {
+            path,
+            id: id(no),
+            minor: 1,
+            deadline: match script.end {
+                End::Silence => SHORT,
+                End::Close | End::Reset => DEADLINE,
+            },
+            body: script.body(),
+        };
+        (script, raw::ask(addr, &ask).await)
+    });
     stream::iter(asked)
         .buffer_unordered(AT_ONCE)
         .collect()
@@ -75,16 +72,21 @@
 }
 
 /// Returns the scripts of answers that end at every byte.
-fn every_byte(end: End) -> Vec<Script> {
+fn every_byte(content: Content, end: End) -> Vec<Script> {
     let mut scripts = Vec::new();
-    for framing in FRAMINGS {
-        let whole = answer(framing, &id(0), &events(0)).len();
+    for framing in [Framing::Length, Framing::Chunks, Framing::Neither] {
+        let script = Script {
+            content,
+            framing,
+            end,
+            sent: 0,
+        };
         // A target that is silent after a whole answer with framing hasn't ended it.
         let most = match (framing, end) {
-            (Framing::Length | Framing::Chunks, End::Silence) => whole - 1,
-            _ => whole,
+            (Framing::Length | Framing::Chunks, End::Silence) => script.whole(&id(0)) - 1,
+            _ => script.whole(&id(0)),
         };
-        scripts.extend((0..=most).map(|sent| Script { framing, end, sent }));
+        scripts.extend((0..=most).map(|sent| Script { sent, ..script }));
     }
     scripts
 }
@@ -94,71 +96,110 @@
 enum Expected {
     Complete,
     BrokenOff,
-    /// Closed in order between two events: nothing shows whether more was to come.
+    /// Closed in order where nothing shows whether more was to come.
     Unknown,
 }
 
-/// Returns what is expected of a stream that its target ends as in `script`.
+/// Returns what is expected of an answer that its target ends as in `script`.
 fn expected(script: Script) -> Expected {
-    let bytes = answer(script.framing, &id(0), &events(0));
-    let head = bytes.len() - body_bytes(script.framing);
-    let whole = script.sent == bytes.len();
+    let (head, body) = script.answer(&id(0), 0);
+    let whole = script.sent == head.len() + body.len();
     match (script.framing, script.end) {
         (Framing::Length | Framing::Chunks, _) if whole => Expected::Complete,
         (Framing::Neither, End::Close) if whole => Expected::Complete,
-        (Framing::Neither, End::Close) if script.sent > head => {
-            let body = &bytes[head..script.sent];
-            if body.ends_with(b"\n\n") {
-                Expected::Unknown
-            } else {
-                Expected::BrokenOff
+        (Framing::Neither, End::Close) if script.sent >= head.len() => {
+            let sent = &body[..script.sent - head.len()];
+            match script.content {
+                Content::Plain => Expected::Unknown,
+                Content::Lf if sent.ends_with(b"\n\n") => Expected::Unknown,
+                Content::Crlf if sent.ends_with(b"\r\n\r\n") => Expected::Unknown,
+                Content::Lf | Content::Crlf => Expected::BrokenOff,
             }
         }
         _ => Expected::BrokenOff,
     }
 }
 
-fn body_bytes(framing: Framing) -> usize {
-    let all = answer(framing, &id(0), &events(0)).len();
-    all - answer(Framing::Neither, &id(0), "").len()
+/// Returns whether a caller can tell what became of its answer.
+fn is_right(script: Script, received: &Received, expected: Expected) -> bool {
+    let whole = script.content.text(0);
+    if received.status == 200 && !whole.starts_with(&received.body) {
+        return false;
+    }
+    let complete = received.status == 200 && received.complete;
+    match expected {
+        Expected::Complete => complete && received.body == whole,
+        Expected::BrokenOff => !complete,
+        Expected::Unknown => true,
+    }
 }
 
-/// Checks what callers receive of streams that end at every byte.
-fn check(through: bool) {
+fn run(test: impl Future<Output = ()>) {
     let runtime = Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
         .build()
         .unwrap();
-    runtime.block_on(async {
+    runtime.block_on(test);
+}
+
+/// Checks what callers receive of answers that end at every byte.
+fn check((through, path, content): (bool, &str, Content)) {
+    run(async {
         let deployment = start(through).await;
         for end in [End::Close, End::Reset, End::Silence] {
-            let received = play(&deployment, "/x", every_byte(end)).await;
-            let wrong: Vec<_> = received.iter().filter(|(s, r)| !is_right(*s, r)).collect();
+            let received = play(&deployment, path, every_byte(content, end)).await;
+            let wrong: Vec<_> = received
+                .iter()
+                .filter(|(script, got)| !is_right(*script, got, expected(*script)))
+                .collect();
             assert_that!(wrong, is_empty());
         }
     });
 }
 
-/// Returns whether the caller of a stream can tell what became of it.
-fn is_right(script: Script, received: &Received) -> bool {
-    let whole = events(0);
-    if received.status == 200 && !whole.starts_with(&received.body) {
-        return false;
-    }
-    let complete = received.status == 200 && received.complete;
-    match expected(script) {
-        Expected::Complete => complete && received.body == whole,
-        Expected::BrokenOff => !complete,
-        Expected::Unknown => true,
+base::cases! {
+    /// Guards against an answer that its target breaks off and that its caller takes for
+    /// complete.
+    answers_that_are_broken_off_never_look_complete: check => {
+        events: (false, "/x", Content::Lf),
+        events_through_another_instance: (true, "/x", Content::Lf),
+        events_with_crlf: (false, "/x", Content::Crlf),
+        plain_text: (false, "/safe/x", Content::Plain),
+        plain_text_through_another_instance: (true, "/safe/x", Content::Plain),
     }
 }
 
+/// Checks streams that may go on elsewhere: an end within an event leads there.
+fn check_resumed(framing: Framing) {
+    run(async {
+        let deployment = start(false).await;
+        let scripts = every_byte(Content::Lf, End::Close).into_iter();
+        let scripts = scripts.filter(|script| script.framing == framing).collect();
+        let received = play(&deployment, "/resumable/x", scripts).await;
+        let wrong: Vec<_> = received
+            .iter()
+            .filter(|(script, got)| {
+                let head = script.answer(&id(0), 0).0.len();
+                let expected = match expected(*script) {
+                    // A target that never answers may have run it.
+                    Expected::BrokenOff if script.sent < head => Expected::Unknown,
+                    Expected::BrokenOff => Expected::Complete,
+                    other => other,
+                };
+                !is_right(*script, got, expected)
+            })
+            .collect();
+        assert_that!(wrong, is_empty());
+    });
+}
+
 base::cases! {
-    /// Guards against a stream that its target breaks off within an event and that its caller
-    /// takes for complete.
-    streams_that_are_broken_off_never_look_complete: check => {
-        directly: false,
-        through_another_instance: true,
+    /// Guards against a stream that is broken off within an event and doesn't go on elsewhere,
+    /// and against parts of that event that reach its caller.
+    streams_that_are_broken_off_go_on_elsewhere: check_resumed => {
+        with_a_length: Framing::Length,
+        with_chunks: Framing::Chunks,
+        with_neither: Framing::Neither,
     }
 }
--- a/crates/frontd/tests/targets/engine.rs
+++ b/crates/frontd/tests/targets/engine.rs
@@ -17,13 +17,19 @@
 };
 use tokio_util::sync::CancellationToken;
 use web::{
-    body::{self, Body, ReadLimits, full, read},
+    body::{self, Body, ReadLimits, end_with_connection, full, read},
     server,
 };
 
 /// Part of a body that crashes the engine that begins to run it.
 pub(crate) const CRASHING: &str = "crash";
 
+/// Part of a body whose answer has neither a length nor chunks.
+const UNFRAMED: &str = "unframed";
+
+/// A body that crashes the engine, which closes the connection of the answer in order before.
+pub(crate) const CRASHING_IN_ORDER: &str = "crash unframed";
+
 /// Part of a body that makes an engine break off the run and go on.
 pub(crate) const BROKEN_OFF: &str = "break off";
 
@@ -33,6 +39,9 @@
 /// Time from the beginning of a run to the crash that it causes.
 const FUSE: Duration = Duration::from_millis(30);
 
+/// Time that a connection takes to be closed in order.
+const CLOSING: Duration = Duration::from_millis(5);
+
 /// Time from a crash until the engine is back.
 const RESTART: Duration = Duration::from_millis(600);
 
@@ -225,12 +234,20 @@
         self.state.lock().unwrap().begun.push(begun);
         let (writer, events) = body::channel(4);
         *resp.body_mut() = events;
+        let unframed = body.contains(UNFRAMED);
+        if unframed {
+            end_with_connection(&mut resp);
+        }
         tokio::spawn(async move {
             let _running = running;
             let (first, rest) = ANSWER.split_at(ANSWER.len() / 2);
             writer.piece(Bytes::from(first)).await.ok();
             if body.contains(CRASHING) {
                 sleep(FUSE).await;
+                if unframed {
+                    writer.end().await.ok();
+                    sleep(CLOSING).await;
+                }
                 crash.send(()).await.ok();
                 sleep(RUN).await;
                 return;
--- a/crates/frontd/tests/targets/scripted.rs
+++ b/crates/frontd/tests/targets/scripted.rs
@@ -1,7 +1,12 @@
 //! A target that frames its answers in any way and ends them at any byte. What it does is
 //! written in the request's body.
 
-use std::{net::SocketAddr, str::FromStr, sync::Arc};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    str::FromStr,
+    sync::{Arc, Mutex},
+};
 
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
@@ -23,6 +28,14 @@
 /// Size of the chunks: they end within events.
 const CHUNK: usize = 7;
 
+/// A complete answer.
+const ALL: Script = Script {
+    content: Content::Lf,
+    framing: Framing::Length,
+    end: End::Close,
+    sent: usize::MAX,
+};
+
 /// How an answer shows where it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Framing {
@@ -40,9 +53,39 @@
     Silence,
 }
 
+/// What an answer contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Content {
+    /// Events whose lines end with LF.
+    Lf,
+    /// Events whose lines end with CRLF.
+    Crlf,
+    /// The same text, but no events.
+    Plain,
+}
+
+impl Content {
+    fn media_type(self) -> &'static str {
+        match self {
+            Content::Lf | Content::Crlf => "text/event-stream",
+            Content::Plain => "text/plain",
+        }
+    }
+
+    /// Returns a complete answer, or what is left of it after the event with the id `last`.
+    pub(crate) fn text(self, last: usize) -> String {
+        let text = EVENTS[last..].concat();
+        match self {
+            Content::Lf | Content::Plain => text,
+            Content::Crlf => text.replace('\n', "\r\n"),
+        }
+    }
+}
+
 /// What the target does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Script {
+    pub(crate) content: Content,
     pub(crate) framing: Framing,
     pub(crate) end: End,
     /// Bytes of the answer that are sent, its head included.
@@ -52,8 +95,13 @@
 impl Script {
     /// Returns the body of a request that asks for this.
     pub(crate) fn body(self) -> String {
-        let Script { framing, end, sent } = self;
-        format!("{framing:?} {end:?} {sent}")
+        let Script {
+            content,
+            framing,
+            end,
+            sent,
+        } = self;
+        format!("{content:?} {framing:?} {end:?} {sent}")
     }
 }
 
@@ -62,6 +110,12 @@
 
     fn from_str(raw: &str) -> Result<Self, ()> {
         let mut words = raw.split(' ');
+        let content = match words.next() {
+            Some("Lf") => Content::Lf,
+            Some("Crlf") => Content::Crlf,
+            Some("Plain") => Content::Plain,
+            _ => return Err(()),
+        };
         let framing = match words.next() {
             Some("Length") => Framing::Length,
             Some("Chunks") => Framing::Chunks,
@@ -75,31 +129,45 @@
             _ => return Err(()),
         };
         let sent = words.next().and_then(|raw| raw.parse().ok()).ok_or(())?;
-        Ok(Script { framing, end, sent })
+        Ok(Script {
+            content,
+            framing,
+            end,
+            sent,
+        })
     }
 }
 
-/// Returns the body of a complete answer that goes on after the event with the id `last`.
-pub(crate) fn events(last: usize) -> String {
-    EVENTS[last..].concat()
-}
+impl Script {
+    /// Returns the head and the body of the complete answer to the request `id` after the
+    /// event with the id `last`, as they are written.
+    pub(crate) fn answer(self, id: &str, last: usize) -> (Vec<u8>, Vec<u8>) {
+        let text = self.content.text(last);
+        let framed = match self.framing {
+            Framing::Length => format!("content-length: {}\r\n", text.len()),
+            Framing::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
+            Framing::Neither => "connection: close\r\n".to_owned(),
+        };
+        let kind = self.content.media_type();
+        let head =
+            format!("HTTP/1.1 200 OK\r\nattempt: {id}\r\ncontent-type: {kind}\r\n{framed}\r\n");
+        let body = match self.framing {
+            Framing::Length | Framing::Neither => text.into_bytes(),
+            Framing::Chunks => chunked(text.as_bytes()),
+        };
+        (head.into_bytes(), body)
+    }
 
-/// Returns the bytes of an answer with `body`.
-pub(crate) fn answer(framing: Framing, id: &str, body: &str) -> Vec<u8> {
-    let framed = match framing {
-        Framing::Length => format!("content-length: {}\r\n", body.len()),
-        Framing::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
-        Framing::Neither => "connection: close\r\n".to_owned(),
-    };
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nattempt: {id}\r\ncontent-type: text/event-stream\r\n{framed}\r\n"
-    );
-    let mut bytes = head.into_bytes();
-    if framing != Framing::Chunks {
-        bytes.extend_from_slice(body.as_bytes());
-        return bytes;
+    /// Returns the number of bytes of the complete answer.
+    pub(crate) fn whole(self, id: &str) -> usize {
+        let (head, body) = self.answer(id, 0);
+        head.len() + body.len()
     }
-    for chunk in body.as_bytes().chunks(CHUNK) {
+}
+
+fn chunked(text: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for chunk in text.chunks(CHUNK) {
         bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
         bytes.extend_from_slice(chunk);
         bytes.extend_from_slice(b"\r\n");
@@ -108,6 +176,9 @@
     bytes
 }
 
+/// Ids of the requests that have reached any target.
+pub(crate) type Seen = Arc<Mutex<BTreeSet<String>>>;
+
 /// A scripted target.
 #[derive(Debug)]
 pub(crate) struct Target {
@@ -116,13 +187,13 @@
 }
 
 impl Target {
-    pub(crate) async fn start(no: usize) -> Arc<Target> {
+    pub(crate) async fn start(no: usize, seen: Seen) -> Arc<Target> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let addr = listener.local_addr().unwrap();
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                tokio::spawn(play(stream));
+                tokio::spawn(play(stream, Arc::clone(&seen)));
             }
         });
         let id = format!("t{no}");
@@ -138,21 +209,17 @@
 }
 
 /// Answers the requests on one connection until an answer ends it.
-async fn play(stream: TcpStream) {
+async fn play(stream: TcpStream, seen: Seen) {
     let mut stream = BufReader::new(stream);
     while let Some(request) = read_request(&mut stream).await {
-        let body = events(request.last);
-        let all = Script {
-            framing: Framing::Length,
-            end: End::Close,
-            sent: usize::MAX,
-        };
-        // What goes on elsewhere is answered in full.
-        let script = match request.last {
-            0 => request.body.parse().unwrap_or(all),
-            _ => all,
+        // What comes again is answered in full.
+        let first = seen.lock().unwrap().insert(request.id.clone());
+        let script = match first {
+            true => request.body.parse().unwrap_or(ALL),
+            false => ALL,
         };
-        let bytes = answer(script.framing, &request.id, &body);
+        let (mut bytes, body) = script.answer(&request.id, request.last);
+        bytes.extend_from_slice(&body);
         let sent = &bytes[..script.sent.min(bytes.len())];
         if stream.get_mut().write_all(sent).await.is_err() {
             return;
--- a/crates/web/tests/web/main.rs
+++ b/crates/web/tests/web/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the HTTP server and client over sockets on the loopback interface.
 
 mod client;
+mod ends;
 mod peer;
 mod server;
 mod sse;
