Serve answers without framing in the product's own way as well

JSON shows by itself whether it is complete: a cut document counts as cut off, so it is sent again where it may be and never kept, and a whole one is answered with its length. Anything else ends with the caller's connection, isn't kept for a retry with the same key, and has its target checked for a crash as a broken connection has. Lists and reports of the platform and of engines are read as JSON documents in the same way, in both ways of serving; whatever isn't JSON stays refused.

Seen: answers_that_end_with_their_connection_are_served_if_they_are_complete passes; the stand-in service ends answers in this way on demand.

--- a/crates/controld/src/shell.rs
+++ b/crates/controld/src/shell.rs
@@ -173,7 +173,7 @@
     let mut send = Send::new(platform, hyper::Method::GET, "/v1/list");
     send.limits = Limits::within(POLL_INTERVAL);
     let answer = client.send(send).await.ok()?;
-    let body = answer.read_all(MAX_LIST_BYTES).await.ok()?;
+    let body = answer.read_json(MAX_LIST_BYTES).await.ok()?;
     serde_json::from_slice(&body).ok()
 }
 
--- a/crates/entryd/src/attempts.rs
+++ b/crates/entryd/src/attempts.rs
@@ -6,13 +6,13 @@
 use base::{Class, Mark, Refusal, Verdict};
 use bytes::{Bytes, BytesMut};
 use hyper::{HeaderMap, Method, header as http};
-use node::{Attempt, Input, Progress, Route};
+use node::{AnswerEnd, Attempt, Input, Progress, Route};
 use request::Part;
 use serde_json::Value;
 use telemetry::span;
 use tracing::{Instrument, Span};
 use web::{
-    client::{Answer, Broken, Limits, Send},
+    client::{Answer, Broken, Framing, Limits, Send, is_json},
     header_value,
     reply::ErrorInfo,
     sse::{self, Parser},
@@ -20,7 +20,7 @@
 use wire::{call, header};
 
 use crate::{
-    exchange::{CallerRequest, Exchange, Item},
+    exchange::{CallerRequest, Exchange, Head, Item},
     external::json_headers,
     hops,
     state::State,
@@ -184,6 +184,8 @@
         self.start_copy(&answer);
         self.head(&answer);
         let mut events = is_stream(&answer).then(Parser::default);
+        let closes = answer.framing() == Framing::Connection;
+        let mut document = (events.is_none() && closes).then(BytesMut::new);
         let mut size = 0;
         while let Some(piece) = answer.next().await {
             let piece = match piece {
@@ -192,7 +194,10 @@
             };
             size += piece.len();
             if events.is_none() && size > MAX_ANSWER_BYTES {
-                return self.end(false);
+                return self.end(AnswerEnd::Cut);
+            }
+            if let Some(document) = &mut document {
+                document.extend_from_slice(&piece);
             }
             let reported = match &mut events {
                 Some(parser) => self.events(parser, &piece).await,
@@ -202,7 +207,24 @@
                 return;
             }
         }
-        self.end(true);
+        let end = document.map_or(AnswerEnd::Complete, |document| {
+            self.closed(&answer, &document)
+        });
+        self.end(end);
+    }
+
+    /// Returns what it means that the connection of an answer without framing was closed in
+    /// order after `body`. JSON shows by itself whether it is complete.
+    fn closed(&self, answer: &Answer, body: &[u8]) -> AnswerEnd {
+        if is_json(body) {
+            return AnswerEnd::Complete;
+        }
+        let kind = answer.header(http::CONTENT_TYPE.as_str());
+        let says_json = kind.is_some_and(|kind| kind.starts_with("application/json"));
+        match &self.exchange.request {
+            CallerRequest::Plain { .. } if !says_json => AnswerEnd::Closed,
+            CallerRequest::Plain { .. } | CallerRequest::Chat { .. } => AnswerEnd::Cut,
+        }
     }
 
     /// Passes on complete events only. If the connection is cut within an event, the
@@ -211,7 +233,7 @@
     async fn events(&mut self, parser: &mut Parser, piece: &[u8]) -> Option<()> {
         let mut events = Vec::new();
         if parser.push(piece, &mut events).is_err() {
-            self.end(false);
+            self.end(AnswerEnd::Cut);
             return None;
         }
         for event in events {
@@ -270,7 +292,11 @@
             ran,
             resumed: resumed.and_then(|raw| raw.parse().ok()),
         };
-        let item = Item::Head(answer.status, headers_for_caller(&answer.headers));
+        let item = Item::Head(Head {
+            status: answer.status,
+            headers: headers_for_caller(&answer.headers),
+            closes: answer.framing() == Framing::Connection && !is_stream(answer),
+        });
         self.report(progress, Some(item));
     }
 
@@ -315,16 +341,17 @@
 
     fn cut(&mut self, broken: &Broken) {
         tracing::debug!("an answer was cut off: {broken}");
-        self.end(false);
+        self.end(AnswerEnd::Cut);
     }
 
-    fn end(&mut self, whole: bool) {
+    fn end(&mut self, end: AnswerEnd) {
+        let whole = end == AnswerEnd::Complete;
         let answer = self.copy.take().filter(|_| whole).map(|copy| call::Answer {
             status: copy.status,
             content: copy.content,
             body: copy.body.to_vec(),
         });
-        self.report(Progress::End { whole, answer }, None);
+        self.report(Progress::End { end, answer }, None);
     }
 
     /// Reports a step to the node; `item` waits in the exchange for the node's decision.
--- a/crates/entryd/src/exchange.rs
+++ b/crates/entryd/src/exchange.rs
@@ -22,6 +22,7 @@
 use tracing::Span;
 use web::{
     body::{self, Body, Writer},
+    client::is_json,
     reply, sse,
 };
 use wire::call::Answer;
@@ -59,10 +60,19 @@
     },
 }
 
+/// The head of an answer.
+#[derive(Debug)]
+pub(crate) struct Head {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    /// Whether only the end of the target's connection shows the end of the answer.
+    pub(crate) closes: bool,
+}
+
 /// The head or a piece of an answer.
 #[derive(Debug)]
 pub(crate) enum Item {
-    Head(StatusCode, HeaderMap),
+    Head(Head),
     Piece(Bytes, OwnedSemaphorePermit),
 }
 
@@ -87,7 +97,7 @@
     /// Takes the pieces of a body that is being passed on.
     pump: Option<mpsc::UnboundedSender<Write>>,
     /// Head of an answer that is held back until it is complete.
-    held_head: Option<(StatusCode, HeaderMap)>,
+    held_head: Option<Head>,
     /// Pieces of an answer that is held back until it is complete.
     held_body: Vec<Bytes>,
     /// Heads and pieces that the node has not decided about, by the number of their step.
@@ -175,12 +185,12 @@
 
     fn pass(self: &Arc<Self>, inner: &mut Inner, state: &Arc<State>, item: Item) {
         match item {
-            Item::Head(status, headers) => {
-                let (writer, body) = open_body(&headers);
+            Item::Head(head) => {
+                let (writer, body) = open_body(&head.headers);
                 let (tx, rx) = mpsc::unbounded_channel();
                 tokio::spawn(pump(Arc::clone(state), self.ticket, writer, rx));
                 inner.pump = Some(tx);
-                inner.respond(response(status, headers, body));
+                inner.respond(response(head, body));
             }
             Item::Piece(bytes, permit) => inner.write(Write::Piece(bytes, permit)),
         }
@@ -216,7 +226,7 @@
     /// held back have a size limit of their own.
     fn hold(&mut self, item: Item) {
         match item {
-            Item::Head(status, headers) => self.held_head = Some((status, headers)),
+            Item::Head(head) => self.held_head = Some(head),
             Item::Piece(bytes, _) => self.held_body.push(bytes),
         }
     }
@@ -229,9 +239,16 @@
     /// Sends an answer that was held back until it was complete to the caller.
     fn release(&mut self) {
         let body = std::mem::take(&mut self.held_body).concat();
-        if let Some((status, headers)) = self.held_head.take() {
-            self.respond(response(status, headers, body::full(body)));
-        }
+        let Some(mut head) = self.held_head.take() else {
+            return;
+        };
+        // A JSON document was checked to be complete, so its length may be said.
+        head.closes &= !is_json(&body);
+        let body = match head.closes {
+            true => body::unsized_full(body),
+            false => body::full(body),
+        };
+        self.respond(response(head, body));
     }
 
     fn respond(&mut self, resp: Response<Body>) {
@@ -299,10 +316,13 @@
     }
 }
 
-fn response(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+fn response(head: Head, body: Body) -> Response<Body> {
     let mut resp = Response::new(body);
-    *resp.status_mut() = status;
-    *resp.headers_mut() = headers;
+    *resp.status_mut() = head.status;
+    *resp.headers_mut() = head.headers;
+    if head.closes {
+        body::end_with_connection(&mut resp);
+    }
     resp
 }
 
--- a/crates/entryd/src/external.rs
+++ b/crates/entryd/src/external.rs
@@ -146,7 +146,7 @@
     if !answer.status.is_success() {
         return None;
     }
-    let body = answer.read_all(MAX_READ_BYTES).await.ok()?;
+    let body = answer.read_json(MAX_READ_BYTES).await.ok()?;
     serde_json::from_slice(&body).ok()
 }
 
--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -170,7 +170,7 @@
         }
         let mut answer = self.client.send(send).await?;
         let mut body = Vec::new();
-        let mut complete = true;
+        let mut complete = answer.shows_end();
         while let Some(piece) = answer.next().await {
             match piece {
                 Ok(piece) if body.len() + piece.len() <= BODY_MAX => {
--- a/crates/lab/tests/processes/once.rs
+++ b/crates/lab/tests/processes/once.rs
@@ -83,6 +83,33 @@
     Ok(())
 }
 
+/// Guards against a truncated answer that looks complete or is kept, and against sound answers
+/// that count as failures: the service ends answers with their connection only.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_that_end_with_their_connection_are_served_if_they_are_complete() -> Result<()> {
+    let mut lab = start("unframed", &two_entries()).await?;
+    let (here, there) = (lab.caller(0, KAZALISTE), lab.caller(1, KAZALISTE));
+    faults(&lab, json!({"unframed": 1})).await?;
+    let sound = apply(&here, "u-1", "dora").await?;
+    assert_that!(sound.status, eq(200));
+    let again = apply(&there, "u-1", "dora").await?;
+    assert_that!(again.body, eq(&sound.body));
+    faults(&lab, json!({"unframed": 1, "cut": 1})).await?;
+    let cut = apply(&here, "u-2", "dora").await?;
+    assert_that!(cut.status == 200 && cut.complete, eq(false), "{cut:?}");
+    let again = apply(&there, "u-2", "dora").await?;
+    assert_that!(again.verdict(), some(ge(Verdict::MayHaveRun)), "{again:?}");
+    assert_that!(executions(&lab, "u-2").await?, eq(1));
+    // Nothing shows whether text is complete: it is passed on as it came, and isn't kept.
+    faults(&lab, json!({"unframed": 1, "cut": 1, "text": true})).await?;
+    let text = apply(&here, "u-3", "dora").await?;
+    assert_that!(text.complete, eq(false), "{text:?}");
+    let again = apply(&there, "u-3", "dora").await?;
+    assert_that!(again.verdict(), some(ge(Verdict::MayHaveRun)), "{again:?}");
+    assert_that!(lab.stop().await?, eq(true));
+    lab.clean()
+}
+
 /// The entry instance is killed after it sent the request and before the answer; the
 /// caller retries through another instance.
 async fn a_killed_instance_leaves_no_second_run(lab: &mut Lab) -> Result<()> {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -27,7 +27,7 @@
 
 use self::{active::Active, hop::Hops};
 use crate::{
-    io::{Arrival, Input, Output, Progress},
+    io::{AnswerEnd, Arrival, Input, Output, Progress},
     msg::{ENGINES, ENTRY, Msg},
     shared::{Out, Purpose, Shared},
 };
@@ -215,8 +215,9 @@
                 self.note_piece(now, ticket, attempt, part, out);
                 Step::Piece { attempt, part }
             }
-            Progress::End { whole, answer } => {
-                self.note_end(shared, now, (ticket, attempt), whole, out);
+            Progress::End { end, answer } => {
+                let whole = end != AnswerEnd::Cut;
+                self.note_end(shared, now, (ticket, attempt), end, out);
                 if let Some(active) = self.requests.get_mut(&ticket) {
                     active.answer = answer;
                 }
@@ -253,7 +254,7 @@
         out: &mut Out,
     ) -> Refusal {
         if verdict != Verdict::NotRun && reason == Refusal::TargetFailed {
-            self.note_end(shared, now, (ticket, attempt), false, out);
+            self.note_end(shared, now, (ticket, attempt), AnswerEnd::Cut, out);
         }
         let reason = self.failure_reason(ticket, verdict, reason);
         let ok = !is_target_failure(reason, verdict);
--- a/crates/node/src/entry/crashed.rs
+++ b/crates/node/src/entry/crashed.rs
@@ -5,20 +5,20 @@
 
 use super::Entry;
 use crate::{
-    io::Output,
+    io::{AnswerEnd, Output},
     msg::{HEARTBEAT, Msg},
     shared::{Out, Shared},
 };
 
 impl Entry {
-    /// Notes the end of an attempt: the answer was complete (`whole`), or the connection
-    /// broke.
+    /// Notes the end of an attempt. A crash closes connections in order as well, so that also
+    /// an answer that ends with its connection has its target checked.
     pub(super) fn note_end(
         &mut self,
         shared: &mut Shared,
         now: Time,
         (ticket, attempt): (Ticket, AttemptNo),
-        whole: bool,
+        end: AnswerEnd,
         out: &mut Out,
     ) {
         let Some(active) = self.requests.get(&ticket) else {
@@ -27,7 +27,7 @@
         let Some(sent) = active.sent.as_ref().filter(|sent| sent.attempt == attempt) else {
             return;
         };
-        if whole {
+        if end == AnswerEnd::Complete {
             if shared.crashes.answered(now, active.content) {
                 out.send(HEARTBEAT, Msg::HeartbeatNow);
             }
--- a/crates/node/src/entry/hop.rs
+++ b/crates/node/src/entry/hop.rs
@@ -12,7 +12,7 @@
 
 use super::active;
 use crate::{
-    io::{Attempt, Ending, Flow, Hop, Output, Progress, Route},
+    io::{AnswerEnd, Attempt, Ending, Flow, Hop, Output, Progress, Route},
     msg::{ENGINES, Msg},
     shared::{Out, Shared},
 };
@@ -161,8 +161,14 @@
                 }
                 out.emit(Output::Flow { ticket, step, flow });
             }
-            Progress::End { whole: true, .. } => self.end(ticket, Ending::Whole, true, out),
-            Progress::End { whole: false, .. } => {
+            Progress::End {
+                end: AnswerEnd::Complete | AnswerEnd::Closed,
+                ..
+            } => self.end(ticket, Ending::Whole, true, out),
+            Progress::End {
+                end: AnswerEnd::Cut,
+                ..
+            } => {
                 let failure = Failure {
                     reason: Refusal::TargetFailed,
                     verdict: Verdict::MayHaveRun,
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -89,6 +89,18 @@
     pub mark: Mark,
 }
 
+/// How the body of an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// It is complete.
+    Complete,
+    /// Its connection was closed in order and nothing else marks its end: it is passed on as it
+    /// is, and proves nothing for its target.
+    Closed,
+    /// It was cut off.
+    Cut,
+}
+
 /// One step in the answer to an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Progress {
@@ -106,8 +118,8 @@
     Piece(request::Part),
     /// The response body ended.
     End {
-        /// Whether it is complete, as against cut off.
-        whole: bool,
+        /// Whether it is complete.
+        end: AnswerEnd,
         /// Copy of the answer, if the request has an idempotency key and the
         /// answer is small enough to be stored.
         answer: Option<Answer>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,8 +21,8 @@
 
 pub use crate::{
     io::{
-        Arrival, Attempt, Ending, Event, Flow, Hop, IdempotencyKey, Input, Order, OrderEnd, Output,
-        Progress, Route,
+        AnswerEnd, Arrival, Attempt, Ending, Event, Flow, Hop, IdempotencyKey, Input, Order,
+        OrderEnd, Output, Progress, Route,
     },
     names::Names,
     node::Node,
--- a/crates/node/tests/node/crashes.rs
+++ b/crates/node/tests/node/crashes.rs
@@ -4,7 +4,7 @@
 
 use base::{Refusal, Ticket, Verdict};
 use googletest::prelude::*;
-use node::{Ending, Input, Progress};
+use node::{AnswerEnd, Ending, Input, Progress};
 use wire::call::{Call, ClaimReply, Reply};
 
 use crate::world::World;
@@ -41,7 +41,7 @@
         resumed: None,
     };
     let end = Progress::End {
-        whole: true,
+        end: AnswerEnd::Complete,
         answer: None,
     };
     for (step, progress) in [(1, head), (2, end)] {
--- a/crates/quetzalarch/examples/embed.rs
+++ b/crates/quetzalarch/examples/embed.rs
@@ -11,7 +11,7 @@
 };
 
 use quetzalarch::{
-    Arrival, Input, Node, OrderEnd, Output, Progress, Settings,
+    AnswerEnd, Arrival, Input, Node, OrderEnd, Output, Progress, Settings,
     base::{Fence, Incarnation, Seed, TextVersion, Ticket, Time, Tokens},
     request::Part,
     wire::{
@@ -163,7 +163,7 @@
             },
             Progress::Piece(Part::Tokens(1)),
             Progress::End {
-                whole: true,
+                end: AnswerEnd::Complete,
                 answer: None,
             },
         ];
--- a/crates/quetzalarch/src/lib.rs
+++ b/crates/quetzalarch/src/lib.rs
@@ -53,6 +53,6 @@
 pub use wire;
 
 pub use node::{
-    Arrival, Attempt, Ending, Event, Flow, Hop, IdempotencyKey, Input, Node, Order, OrderEnd,
-    Output, Progress, Route, Settings,
+    AnswerEnd, Arrival, Attempt, Ending, Event, Flow, Hop, IdempotencyKey, Input, Node, Order,
+    OrderEnd, Output, Progress, Route, Settings,
 };
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -42,6 +42,11 @@
     pub cut: u32,
     /// Number of requests to execute and never answer.
     pub mute: u32,
+    /// Number of answers to send without a length or chunks. One that is cut as well has its
+    /// connection closed in order within it.
+    pub unframed: u32,
+    /// Whether such answers are plain text instead of JSON.
+    pub text: bool,
 }
 
 #[derive(Debug, Default)]
@@ -97,7 +102,12 @@
     if take_fault(&mut service.lock().0.mute) {
         return std::future::pending().await;
     }
-    if take_fault(&mut service.lock().0.cut) {
+    let is_cut = take_fault(&mut service.lock().0.cut);
+    if take_fault(&mut service.lock().0.unframed) {
+        let text = service.lock().0.text;
+        return unframed(&answer, is_cut, text);
+    }
+    if is_cut {
         return cut(&answer).await;
     }
     let mut resp = Response::new(web::body::full(answer));
@@ -118,6 +128,26 @@
     resp
 }
 
+/// Returns the answer, or half of it, which ends in order with its connection.
+fn unframed(answer: &str, is_cut: bool, text: bool) -> Response<Body> {
+    let length = if is_cut {
+        answer.len() / 2
+    } else {
+        answer.len()
+    };
+    let body = Bytes::copy_from_slice(&answer.as_bytes()[..length]);
+    let mut resp = Response::new(web::body::unsized_full(body));
+    web::body::end_with_connection(&mut resp);
+    let kind = if text {
+        "text/plain"
+    } else {
+        "application/json"
+    };
+    resp.headers_mut()
+        .insert("content-type", header_value(kind));
+    resp
+}
+
 /// Decrements the count of a fault; returns whether the fault happens.
 fn take_fault(left: &mut u32) -> bool {
     let some = *left > 0;
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -49,6 +49,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Gone;
 
+/// Creates a body whose length isn't said to the caller.
+pub fn unsized_full(bytes: impl Into<Bytes>) -> Body {
+    let frame = Ok(Frame::data(bytes.into()));
+    StreamBody::new(futures::stream::iter([frame])).boxed_unsync()
+}
+
 /// Makes the body of an answer end with its connection, without a length or chunks. A body
 /// that fails resets the connection.
 ///
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 pub use self::{
-    answer::{Answer, Framing},
+    answer::{Answer, Framing, is_json},
     broken::{Broken, Cause},
     dial::{Connect, DialFn, Dialed, Dialer, Stream, direct},
 };
@@ -101,11 +101,10 @@
 /// How the end of a complete answer is recognised.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Ending {
-    /// By `content-length` or the last chunk, and by `[DONE]` in event streams.
+    /// By the rules of HTTP/1.1, and by `[DONE]` in event streams.
     #[default]
     Explicit,
-    /// By the rules of HTTP/1.1: also by an orderly close of the connection, if the
-    /// answer has neither a length nor chunks.
+    /// By the rules of HTTP/1.1 alone.
     Framed,
 }
 
--- a/crates/web/src/client/answer.rs
+++ b/crates/web/src/client/answer.rs
@@ -74,7 +74,6 @@
     framing: Framing,
     /// Parser that looks for `[DONE]` in an event stream.
     events: Option<Parser>,
-    ending: Ending,
     link: Option<Link>,
     /// Where the connection is returned to after a complete answer.
     pool: (Arc<Pool>, SocketAddr),
@@ -107,7 +106,6 @@
             body,
             framing,
             events: (sse && !bodiless && ending == Ending::Explicit).then(Parser::default),
-            ending,
             link: Some(link),
             pool,
             idle,
@@ -128,6 +126,13 @@
         self.framing
     }
 
+    /// Returns whether more than the close of the connection shows that the body is complete,
+    /// once it has ended.
+    #[must_use]
+    pub fn shows_end(&self) -> bool {
+        self.framing != Framing::Connection || self.events.is_some()
+    }
+
     /// Returns whether the target refused the request without starting it: an engine
     /// reports this by `x-engine-started: false`, an instance by its verdict.
     #[must_use]
@@ -140,8 +145,9 @@
     }
 
     /// Returns the next piece of the body, or `None` if the body is complete: its length
-    /// was reached or its last chunk arrived, and an event stream had its `[DONE]`. With
-    /// [`Ending::Framed`], an orderly close is enough.
+    /// was reached or its last chunk arrived, and an event stream had its `[DONE]` where
+    /// [`Ending::Explicit`] asks for it. With [`Framing::Connection`] an orderly close is all
+    /// that shows the end, so the body may be truncated.
     pub async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
         loop {
             if self.finished {
@@ -165,8 +171,32 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body is incomplete or larger than `max`.
+    /// Fails when the body is incomplete or larger than `max`, or when nothing shows that it is
+    /// complete.
     pub async fn read_all(mut self, max: usize) -> Result<Bytes, Broken> {
+        let bytes = self.read_rest(max).await?;
+        if !self.shows_end() {
+            base::hit!(unframed_body);
+            return self.broken(Cause::Unframed);
+        }
+        Ok(bytes)
+    }
+
+    /// Reads the rest of a JSON document, at most `max` bytes. The end of a document shows that
+    /// it is complete, so it needs no other framing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the document is incomplete or larger than `max`.
+    pub async fn read_json(mut self, max: usize) -> Result<Bytes, Broken> {
+        let bytes = self.read_rest(max).await?;
+        if self.framing == Framing::Connection && !is_json(&bytes) {
+            return self.broken(Cause::Unframed);
+        }
+        Ok(bytes)
+    }
+
+    async fn read_rest(&mut self, max: usize) -> Result<Bytes, Broken> {
         let mut bytes = BytesMut::new();
         while let Some(piece) = self.next().await {
             let piece = piece?;
@@ -189,26 +219,17 @@
         }
     }
 
-    /// Checks at the end of the HTTP body whether the answer is complete.
+    /// Checks at the end of the HTTP body whether an event stream is complete.
     ///
     /// If the target or a proxy closes the connection in the middle of an answer, the part
     /// received may look complete. hyper reports bodies shorter than their length or
-    /// without a last chunk. This detects the two other cases: an answer with neither
-    /// length nor chunks, which ends with the close itself, and an event stream that was
-    /// closed in order but without `[DONE]`.
+    /// without a last chunk, but not a stream that was closed in order without `[DONE]`.
     fn finish(&mut self) -> Option<Result<Bytes, Broken>> {
         let done = self.events.as_ref().is_none_or(Parser::is_done);
         if self.events.is_some() && !done {
             base::hit!(stream_without_done);
             return Some(self.broken(Cause::NotDone));
         }
-        if self.framing == Framing::Connection
-            && self.events.is_none()
-            && self.ending == Ending::Explicit
-        {
-            base::hit!(unframed_body);
-            return Some(self.broken(Cause::Unframed));
-        }
         self.finished = true;
         if let Some(link) = self.link.take()
             && self.framing != Framing::Connection
@@ -228,3 +249,10 @@
         })
     }
 }
+
+/// Returns whether `bytes` are a complete JSON object or array; the beginning of one never is.
+#[must_use]
+pub fn is_json(bytes: &[u8]) -> bool {
+    let opens = matches!(bytes.trim_ascii_start().first(), Some(b'{' | b'['));
+    opens && serde_json::from_slice::<serde::de::IgnoredAny>(bytes).is_ok()
+}
--- a/xtask/src/capacity/world.rs
+++ b/xtask/src/capacity/world.rs
@@ -9,7 +9,7 @@
 
 use anyhow::Result;
 use base::{Fence, Incarnation, Seed, TargetName, TextVersion, Ticket, Time, Tokens};
-use node::{Arrival, Attempt, Input, Node, Order, OrderEnd, Output, Progress, Settings};
+use node::{AnswerEnd, Arrival, Attempt, Input, Node, Order, OrderEnd, Output, Progress, Settings};
 use request::Part;
 use wire::{
     call::{Call, Heartbeat, HeartbeatReply, Lease, Peer, Reply, Residents},
@@ -203,7 +203,7 @@
         }
         self.progress(&attempt, Progress::Piece(Part::Last))?;
         let end = Progress::End {
-            whole: true,
+            end: AnswerEnd::Complete,
             answer: None,
         };
         self.progress(&attempt, end)?;
