Tell targets that crashed together from a cut

Refusals now lead to further rounds, each four times larger, until a target can be connected to or 64 have refused; silence decides after one round as before, of eight targets at least, where there are so many. Ruled out: to read any refusal as proof that the way is open, since something on the way may refuse as well, which three cases of cuts play.

--- a/crates/frontd/src/entry/paths.rs
+++ b/crates/frontd/src/entry/paths.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::BTreeSet,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -12,7 +13,7 @@
 use daemon::{Clock, Fate, lock};
 use gateway::{
     helpers::Helpers,
-    reach::{Change, PROBE_TIMEOUT, Reach, SLOW_CONNECT, Summary, Targets},
+    reach::{Change, PROBE_TIMEOUT, Probe, Reach, SLOW_CONNECT, Summary, Targets},
     view::View,
 };
 use telemetry::{event, prom_metrics};
@@ -268,12 +269,16 @@
         let began = self.clock.now();
         let until = Instant::now() + PROBE_TIMEOUT;
         let made = answer_by(until, TcpStream::connect((self.address)(target))).await;
-        let connected = made.is_some_and(|made| made.is_ok());
-        let now = self.clock.now();
-        let change = lock(&self.reach).probed(now, began, target, connected);
-        if let Some(change) = &change {
+        let end = match made {
+            Some(Ok(_)) => Probe::Connected,
+            Some(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
+            Some(Err(_)) | None => Probe::Silent,
+        };
+        let probed = lock(&self.reach).probed(self.clock.now(), began, target, end);
+        if let Some(change) = &probed.change {
             self.apply(change);
         }
+        self.probe_all(probed.probes);
         self.changed.notify_waiters();
     }
 
--- a/crates/frontd/tests/targets/crashes.rs
+++ b/crates/frontd/tests/targets/crashes.rs
@@ -99,6 +99,20 @@
     assert_that!(deployment.crashes().len(), eq(0));
 }
 
+/// Guards against taking engines that crash together for a cut: what ran there would be
+/// forgiven.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_crashes_most_engines_at_once_is_refused() {
+    let deployment = Deployment::start(2, 6).await;
+    let asked = (0..5).map(|_| deployment.ask(1, CRASHING));
+    futures::future::join_all(asked).await;
+    assert_that!(deployment.crashes().len(), ge(CRASHES));
+    sleep(CONTACT).await;
+    let runs = deployment.runs(CRASHING).len();
+    assert_that!(deployment.ask(1, CRASHING).await.status, eq(503));
+    assert_that!(deployment.runs(CRASHING).len(), eq(runs));
+}
+
 /// Guards against instances that don't know a verdict, as they started after it, and
 /// against callers that wait or aren't told when to come back.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -8,6 +8,10 @@
 //! connection neither, since new ones may be refused. So only new connections count, and a
 //! failed one raises a doubt only if none was made since it was tried. Then targets of all
 //! zones are tried at once; the instance is cut off if none can be connected to.
+//!
+//! Targets that crash together refuse connections as well, and what ran there is evidence
+//! that a cut would forgive. So after refusals others are tried until one can be connected
+//! to, or so many have refused that they can't all have crashed.
 
 mod summary;
 
@@ -36,6 +40,15 @@
 const OWN_ZONE_PROBES: usize = 2;
 const OTHER_ZONE_PROBES: usize = 1;
 
+/// Targets that are tried at least in a doubt, where there are so many.
+const MIN_PROBES: usize = 8;
+
+/// Factor by which each further round of a doubt tries more targets.
+const ROUND_GROWTH: usize = 4;
+
+/// Most targets that are tried in a doubt.
+const MAX_PROBES: usize = 64;
+
 /// Least number of targets that have to fail before an instance counts as cut off.
 const MIN_TARGETS: usize = 2;
 
@@ -73,6 +86,30 @@
     /// Targets that have to answer; one connection ends the doubt.
     waiting: BTreeSet<SocketAddr>,
     failed: BTreeSet<SocketAddr>,
+    /// Targets that are tried next if these refuse.
+    untried: Vec<SocketAddr>,
+    /// Whether a target of this round has refused.
+    refused: bool,
+}
+
+/// How a probe of a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// A connection was made.
+    Connected,
+    /// The connection was refused: by the target's machine, or by something on the way.
+    Refused,
+    /// There was no answer.
+    Silent,
+}
+
+/// What follows from the end of a probe.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Probed {
+    /// What has changed.
+    pub change: Option<Change>,
+    /// Targets that have to be tried now.
+    pub probes: BTreeSet<SocketAddr>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -154,14 +191,18 @@
         if sound || self.state != State::Open {
             return BTreeSet::new();
         }
-        let probes = self.draw(target, targets);
-        if probes.len() + 1 < MIN_TARGETS {
+        let mut drawn = self.draw(target, targets);
+        if drawn.len() + 1 < MIN_TARGETS {
             return BTreeSet::new();
         }
+        let untried = drawn.split_off(self.first_round(&drawn, targets));
+        let probes: BTreeSet<_> = drawn.into_iter().collect();
         self.state = State::Doubted(Doubt {
             since: began,
             waiting: probes.clone(),
             failed: BTreeSet::from([target]),
+            untried,
+            refused: false,
         });
         probes
     }
@@ -172,28 +213,30 @@
         self.counted.failed(now, target)
     }
 
-    /// Notes the end of a probe that began at `began`: whether `target` was connected to.
-    pub fn probed(
-        &mut self,
-        now: Time,
-        began: Time,
-        target: SocketAddr,
-        connected: bool,
-    ) -> Option<Change> {
+    /// Notes the end of a probe of `target` that began at `began`.
+    pub fn probed(&mut self, now: Time, began: Time, target: SocketAddr, end: Probe) -> Probed {
+        let connected = end == Probe::Connected;
         if connected {
             self.connected = self.connected.max(Some(began));
         }
         match &mut self.state {
-            State::Open => None,
+            State::Open => Probed::default(),
             State::Doubted(_) if connected => {
                 self.state = State::Open;
-                None
+                Probed::default()
             }
             State::Doubted(doubt) => {
+                doubt.refused |= end == Probe::Refused;
                 doubt.waiting.remove(&target);
                 doubt.failed.insert(target);
                 if !doubt.waiting.is_empty() {
-                    return None;
+                    return Probed::default();
+                }
+                if let Some(probes) = doubt.next_round() {
+                    return Probed {
+                        change: None,
+                        probes,
+                    };
                 }
                 let (since, targets) = (doubt.since, doubt.failed.len());
                 self.state = State::Cut(Cut {
@@ -202,23 +245,23 @@
                     restored: BTreeMap::new(),
                     last_probe: None,
                 });
-                Some(Change::Cut { since, targets })
+                Change::Cut { since, targets }.into()
             }
             State::Cut(cut) if connected => {
                 let made = cut.restored.entry(target).or_default();
                 *made += 1;
                 if *made < RESTORED_CONNECTIONS && cut.restored.len() < RESTORED_TARGETS {
-                    return None;
+                    return Probed::default();
                 }
                 let lasted = now.since(cut.since);
                 self.state = State::Open;
-                Some(Change::Over { lasted })
+                Change::Over { lasted }.into()
             }
             State::Cut(cut) => {
                 if cut.restored.contains_key(&target) {
                     cut.restored.clear();
                 }
-                None
+                Probed::default()
             }
         }
     }
@@ -244,21 +287,40 @@
         next
     }
 
-    /// Draws the targets that are tried in a doubt about `target`.
-    fn draw(&mut self, target: SocketAddr, targets: &Targets) -> BTreeSet<SocketAddr> {
+    /// Draws the order in which targets are tried in a doubt about `target`: first some of
+    /// each zone.
+    fn draw(&mut self, target: SocketAddr, targets: &Targets) -> Vec<SocketAddr> {
         self.round += 1;
-        let mut drawn = BTreeSet::new();
+        let (mut first, mut rest) = (Vec::new(), Vec::new());
         for (zone, of_zone) in targets {
-            let most = if *zone == self.zone {
-                OWN_ZONE_PROBES
-            } else {
-                OTHER_ZONE_PROBES
-            };
-            let mut others: Vec<_> = of_zone.iter().filter(|other| **other != target).collect();
+            let mut others: Vec<_> = of_zone
+                .iter()
+                .copied()
+                .filter(|other| *other != target)
+                .collect();
             others.sort_by_cached_key(|other| self.rank(other));
-            drawn.extend(others.into_iter().take(most).copied());
+            let most = self.zone_probes(zone).min(others.len());
+            rest.extend(others.split_off(most));
+            first.extend(others);
+        }
+        rest.sort_by_cached_key(|other| self.rank(other));
+        first.extend(rest);
+        first.truncate(MAX_PROBES);
+        first
+    }
+
+    /// Returns how many of the drawn targets are tried at once.
+    fn first_round(&self, drawn: &[SocketAddr], targets: &Targets) -> usize {
+        let of_zones: usize = targets.keys().map(|zone| self.zone_probes(zone)).sum();
+        of_zones.max(MIN_PROBES).min(drawn.len())
+    }
+
+    fn zone_probes(&self, zone: &str) -> usize {
+        if zone == self.zone {
+            OWN_ZONE_PROBES
+        } else {
+            OTHER_ZONE_PROBES
         }
-        drawn
     }
 
     fn rank(&self, target: &SocketAddr) -> u64 {
@@ -267,3 +329,29 @@
         stable_hash(&[&seed, &round, target.as_bytes()])
     }
 }
+
+impl Doubt {
+    /// Begins the next round if a target has refused in this one and others are left.
+    fn next_round(&mut self) -> Option<BTreeSet<SocketAddr>> {
+        if !self.refused || self.untried.is_empty() {
+            return None;
+        }
+        let size = self.failed.len() * ROUND_GROWTH;
+        let rest = self.untried.split_off(size.min(self.untried.len()));
+        let probes: BTreeSet<_> = std::mem::replace(&mut self.untried, rest)
+            .into_iter()
+            .collect();
+        self.waiting.clone_from(&probes);
+        self.refused = false;
+        Some(probes)
+    }
+}
+
+impl From<Change> for Probed {
+    fn from(change: Change) -> Self {
+        Probed {
+            change: Some(change),
+            probes: BTreeSet::new(),
+        }
+    }
+}
