Check that callers see no framing that a target hasn't given

The test of answers that end at every byte read only whether they look complete. It also fails now where an answer without framing gets a length or chunks on its way.

--- a/crates/frontd/tests/targets/ends.rs
+++ b/crates/frontd/tests/targets/ends.rs
@@ -126,6 +126,12 @@
     if received.status == 200 && !whole.starts_with(&received.body) {
         return false;
     }
+    // The caller sees no sign of the end that the target hasn't given.
+    let (head, _) = script.answer(&id(0), 0);
+    let unframed = script.framing == Framing::Neither && script.sent >= head.len();
+    if unframed && received.status == 200 && received.framed {
+        return false;
+    }
     let complete = received.status == 200 && received.complete;
     match expected {
         Expected::Complete => complete && received.body == whole,
--- a/crates/frontd/tests/targets/raw.rs
+++ b/crates/frontd/tests/targets/raw.rs
@@ -29,8 +29,10 @@
     /// 0 without a head.
     pub(crate) status: u16,
     pub(crate) body: String,
-    /// Whether the framing shows the answer to be complete.
+    /// Whether the answer ended as its framing says that it would.
     pub(crate) complete: bool,
+    /// Whether there is a length, or are chunks.
+    pub(crate) framed: bool,
 }
 
 /// Sends a request and reads until the connection ends.
@@ -64,9 +66,13 @@
             status: 0,
             body: String::new(),
             complete: false,
+            framed: false,
         };
     };
     let status = head.split(' ').nth(1).and_then(|raw| raw.parse().ok());
+    let framed = ["transfer-encoding", "content-length"]
+        .iter()
+        .any(|name| field(head, name).is_some());
     let (body, complete) = match field(head, "transfer-encoding") {
         Some(_) => dechunked(body),
         None => match field(head, "content-length") {
@@ -78,6 +84,7 @@
         status: status.unwrap_or(0),
         body,
         complete,
+        framed,
     }
 }
 
