Reserve fewer addresses for each deployment of the tests of targets

Whole runs failed in six tests since the new ones: the 32nd deployment of a process had no addresses left (multiplication overflow), as each reserved eight of 256. None has more than five instances. Seen: 4 of 4 whole runs failed in this way, the same tests passed alone.

--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -35,8 +35,9 @@
 /// The adapter that every engine holds.
 const ADAPTER: &str = "m/a";
 
-/// Addresses reserved for the instances of one deployment.
-const INSTANCES: u8 = 8;
+/// Addresses reserved for the instances of one deployment: one control instance and up to four
+/// entry instances. The process has 255 of them for all deployments.
+const INSTANCES: u8 = 5;
 const PEERS: u16 = 17_680;
 const OPERATORS: u16 = 17_681;
 const CALLERS: u16 = 17_682;
