Refuse a request that has crashed three targets while its verdict is on its way

An instance that has seen three crashes itself refuses the request now, not run, to come back when the verdict is due, for 600 ms at most; what was answered in full since isn't refused.

Ruled out: to shorten the time in which all instances report (150 ms) or the leader's check, which would judge what merely ran there on less evidence.

--- a/crates/cli/src/timeline/rules.rs
+++ b/crates/cli/src/timeline/rules.rs
@@ -80,5 +80,10 @@
         "its connection to its target broke",
         &["target", "fate", "ran_ms"],
     ),
+    (
+        "E5027",
+        "its stream stopped within an event",
+        &["framing", "bytes", "last", "target"],
+    ),
     ("E5009", "answered late", &["head_ms", "place_ms", "target"]),
 ];
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -283,7 +283,7 @@
     /// Each send would end one more target with all that runs there.
     fn check_held(&self) -> Result<(), RequestError> {
         let guard = self.state.guard();
-        if guard.is_empty() {
+        if guard.is_calm() {
             return Ok(());
         }
         let Some(held) = guard.held(self.state.now(), &self.fingerprint()) else {
--- a/crates/quarantine/src/guard.rs
+++ b/crates/quarantine/src/guard.rs
@@ -54,9 +54,19 @@
 }
 
 impl Guard {
-    /// Returns whether a request is refused.
+    /// Returns whether a request is refused: by a verdict, or as one is on its way.
+    ///
+    /// Failure: a request that crashes targets at once is sent again at once. Until the verdict
+    /// comes it would end several more.
     #[must_use]
     pub fn held(&self, now: Time, fingerprint: &Fingerprint) -> Option<Held> {
+        self.judged(now, fingerprint).or_else(|| {
+            let (left, crashes) = self.ledger.awaited(now, fingerprint)?;
+            Some(Held { left, crashes })
+        })
+    }
+
+    fn judged(&self, now: Time, fingerprint: &Fingerprint) -> Option<Held> {
         let entry = self.held.get(fingerprint)?;
         let holds = entry.until > now && !entry.disputed;
         holds.then(|| Held {
@@ -65,12 +75,6 @@
         })
     }
 
-    /// Returns whether nothing is held, so that no request has to be looked up.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
-    }
-
     /// Returns whether nothing speaks against any request.
     #[must_use]
     pub fn is_calm(&self) -> bool {
@@ -81,7 +85,7 @@
     #[must_use]
     pub fn len(&self, now: Time) -> usize {
         let held = self.held.keys();
-        held.filter(|id| self.held(now, id).is_some()).count()
+        held.filter(|id| self.judged(now, id).is_some()).count()
     }
 
     /// Adds a run of this instance that ended as its target crashed.
@@ -96,7 +100,7 @@
         for verdict in self.ledger.due(now) {
             let (id, crashes) = (verdict.fingerprint, verdict.crashes);
             self.ledger.judged(now, &verdict);
-            if self.held(now, &id).is_some() {
+            if self.judged(now, &id).is_some() {
                 continue;
             }
             let time = verdict.time.min(OWN_TIME);
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -29,6 +29,10 @@
 /// Time until a verdict, in which all instances report what ran at the same target.
 const SETTLE: Duration = Duration::from_millis(150);
 
+/// Time within which the verdict on a request comes from the leader, once there is enough
+/// evidence: [`SETTLE`], the leader's check, an entry of the log and the way back.
+const VERDICT_TIME: Duration = Duration::from_millis(600);
+
 /// How long evidence is kept after the last crash.
 const EVIDENCE_TIME: Duration = Duration::from_secs(30 * 60);
 
@@ -139,6 +143,15 @@
         self.suspects.len()
     }
 
+    /// Returns for how much longer the verdict on a request may be on its way, if there is
+    /// enough evidence for one, and the number of its crashes.
+    #[must_use]
+    pub fn awaited(&self, now: Time, fingerprint: &Fingerprint) -> Option<(Duration, u32)> {
+        let suspect = self.suspects.get(fingerprint)?;
+        let left = VERDICT_TIME.checked_sub(now.since(suspect.enough_since?))?;
+        (!left.is_zero()).then_some((left, suspect.count))
+    }
+
     /// Returns whether there is no evidence at all.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/quarantine/tests/guard.rs
+++ b/crates/quarantine/tests/guard.rs
@@ -28,6 +28,19 @@
     guard.held(seconds(at), &request()).is_some()
 }
 
+/// Adds a crash of three targets each, the last one after five seconds.
+fn crash_three(guard: &mut Guard) {
+    for (at, target) in [(1, "a"), (3, "b"), (5, "c")] {
+        let run = CrashedRun {
+            fingerprint: request(),
+            target: target.to_owned(),
+            ago: Duration::ZERO,
+            ran: Duration::from_millis(50),
+        };
+        guard.crashed(seconds(at), &run);
+    }
+}
+
 #[test]
 fn a_verdict_holds_until_it_ends() {
     let mut guard = Guard::default();
@@ -61,15 +74,7 @@
 #[test]
 fn an_instance_alone_judges_by_its_own_evidence() {
     let mut guard = Guard::default();
-    for (at, target) in [(1, "a"), (3, "b"), (5, "c")] {
-        let run = CrashedRun {
-            fingerprint: request(),
-            target: target.to_owned(),
-            ago: Duration::ZERO,
-            ran: Duration::from_millis(50),
-        };
-        guard.crashed(seconds(at), &run);
-    }
+    crash_three(&mut guard);
     assert_that!(held(&guard, 6), eq(false));
     guard.judge(seconds(6));
     assert_that!(held(&guard, 7), eq(true));
@@ -87,3 +92,20 @@
     let again = guard.told(seconds(3), &[verdict(8, 0)]);
     assert_that!(again.is_empty(), eq(true));
 }
+
+/// Guards against a request that ends more targets while its verdict is on its way, and against
+/// one that is refused though no verdict comes.
+#[test]
+fn a_request_is_refused_while_its_verdict_is_on_its_way() {
+    let mut guard = Guard::default();
+    crash_three(&mut guard);
+    let held = |guard: &Guard, ms| guard.held(Time::from_millis(ms), &request());
+    let at_once = held(&guard, 5_010).map(|held| held.left);
+    assert_that!(at_once, some(le(Duration::from_secs(1))));
+    assert_that!(held(&guard, 5_300), some(anything()));
+    assert_that!(held(&guard, 6_000), none());
+    let mut guard = Guard::default();
+    crash_three(&mut guard);
+    guard.answered(seconds(5), request());
+    assert_that!(held(&guard, 5_010), none());
+}
