Split what had grown: metrics, the zone owner's answers, what follows from a send

No decision changes. telemetry::prom builds each metric where it is listed (82 lines to 55 and a part for gauges); what entry instances are told moves from zone_owner.rs (616 lines to 555) to zone_owner/synced.rs; send_until_answered and wait_for_target hand what follows from a failed send, and the request for a load, to functions of their own.

--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -172,44 +172,68 @@
                     self.confirm_backup(&answer);
                     return Ok((*answer, in_flight));
                 }
-                SendOutcome::Unreached => {
-                    self.log_attempt(&target, "unreached");
-                    self.possible_sends -= 1;
-                    self.refusals += 1;
+                failed => self.after_failed_send(target, &failed).await?,
+            }
+        }
+    }
+
+    /// Notes a send that brought no answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request may not be sent again.
+    async fn after_failed_send(
+        &mut self,
+        target: String,
+        failed: &SendOutcome,
+    ) -> Result<(), RequestError> {
+        match failed {
+            SendOutcome::Answered(..) => {}
+            SendOutcome::Unreached => {
+                self.log_attempt(&target, "unreached");
+                self.possible_sends -= 1;
+                self.tried.insert(target);
+                return self.note_refusal();
+            }
+            SendOutcome::NoPath => {
+                self.log_attempt(&target, "no path");
+                return Err(self.give_up(Why::CutOff));
+            }
+            SendOutcome::NotRun { missing_adapter } => {
+                self.log_attempt(&target, "not run");
+                self.note_refusal()?;
+                if *missing_adapter {
+                    sleep(REFUSED_PAUSE).await;
+                } else {
                     self.tried.insert(target);
-                    if self.refusals >= MAX_REFUSALS {
-                        return Err(self.give_up(Why::Refusals));
-                    }
-                }
-                SendOutcome::NoPath => {
-                    self.log_attempt(&target, "no path");
-                    return Err(self.give_up(Why::CutOff));
                 }
-                SendOutcome::NotRun { missing_adapter } => {
-                    self.log_attempt(&target, "not run");
-                    self.refusals += 1;
-                    if self.refusals >= MAX_REFUSALS {
-                        return Err(self.give_up(Why::Refusals));
-                    }
-                    if missing_adapter {
-                        sleep(REFUSED_PAUSE).await;
-                    } else {
-                        self.tried.insert(target);
-                    }
+            }
+            SendOutcome::Unknown => {
+                self.log_attempt(&target, "in doubt");
+                self.possible_runs += 1;
+                self.tried.insert(target);
+                if Instant::now() >= self.deadline {
+                    return Err(RequestError::Late);
                 }
-                SendOutcome::Unknown => {
-                    self.log_attempt(&target, "in doubt");
-                    self.possible_runs += 1;
-                    self.tried.insert(target);
-                    if Instant::now() >= self.deadline {
-                        return Err(RequestError::Late);
-                    }
-                    if !self.may_retry() {
-                        return Err(RequestError::Failed);
-                    }
+                if !self.may_retry() {
+                    return Err(RequestError::Failed);
                 }
             }
         }
+        Ok(())
+    }
+
+    /// Counts a refusal.
+    ///
+    /// # Errors
+    ///
+    /// Fails after too many.
+    fn note_refusal(&mut self) -> Result<(), RequestError> {
+        self.refusals += 1;
+        if self.refusals >= MAX_REFUSALS {
+            return Err(self.give_up(Why::Refusals));
+        }
+        Ok(())
     }
 
     /// Gives the account back what the request counted for, if it has not run.
--- a/crates/frontd/src/entry/forward/wait.rs
+++ b/crates/frontd/src/entry/forward/wait.rs
@@ -51,14 +51,7 @@
             let changed = self.state.changed.notified();
             let now = Instant::now();
             if now >= self.deadline {
-                return Err(if self.possible_runs > 0 {
-                    RequestError::Late
-                } else {
-                    RequestError::NotRun {
-                        again: DEFAULT_RETRY_AFTER,
-                        why: Why::Deadline,
-                    }
-                });
+                return Err(self.past_deadline());
             }
             let choice = self.state.view().choose(
                 self.state.now(),
@@ -96,10 +89,7 @@
                         return Err(self.reject_for(wait, Why::Queue));
                     }
                     if now >= ask_at {
-                        let waited = self.arrived.elapsed().as_millis();
-                        let round = waited / NEXT_ZONE_AFTER.as_millis();
-                        let round = usize::try_from(round).unwrap_or(usize::MAX);
-                        self.state.request_load(&self.service, &self.adapter, round);
+                        self.request_load();
                         ask_at = now + ASK_INTERVAL;
                     }
                     tokio::select! {
@@ -111,6 +101,24 @@
         }
     }
 
+    fn past_deadline(&self) -> RequestError {
+        if self.possible_runs > 0 {
+            return RequestError::Late;
+        }
+        RequestError::NotRun {
+            again: DEFAULT_RETRY_AFTER,
+            why: Why::Deadline,
+        }
+    }
+
+    /// Requests a load of the adapter: in its home zone, and later in its next ones.
+    fn request_load(&self) {
+        let waited = self.arrived.elapsed().as_millis();
+        let round = waited / NEXT_ZONE_AFTER.as_millis();
+        let round = usize::try_from(round).unwrap_or(usize::MAX);
+        self.state.request_load(&self.service, &self.adapter, round);
+    }
+
     /// Waits until `target` is no longer blocked, for `patience` at the most. Returns whether
     /// that was worthwhile.
     async fn wait_unblocked(&self, target: &str, wait: Duration, patience: Duration) -> bool {
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod queue;
 mod slowness;
+mod synced;
 mod target_updates;
 mod traffic;
 
@@ -24,7 +25,7 @@
 };
 
 use base::{InstanceName, Ticket, Time};
-use wire::fleet::{FirstUse, Resident, Sync, Synced, Target, Weights};
+use wire::fleet::{FirstUse, Sync, Weights};
 
 pub use self::message::{Action, Held, Input, ListedTarget, Order, OrderOutcome, Output, Report};
 use self::{
@@ -524,26 +525,6 @@
         self.placement = Some(placement);
     }
 
-    fn synced_for(&self, now: Time, zones: &[String], sync: &PendingSync) -> Synced {
-        let delta = self.updates.since(now, sync.known, &sync.resend);
-        let requester = sync.requester.as_ref();
-        let mut synced = Synced {
-            update: self.updates.last(),
-            targets: delta.targets,
-            full: delta.full,
-            removed: delta.gone,
-            waits: self.waits(&sync.wants),
-            zones: zones.to_vec(),
-            entries: u32::try_from(self.traffic.entries()).unwrap_or(u32::MAX),
-            ..Synced::default()
-        };
-        if !sync.brief {
-            synced.running = self.traffic.running_without(requester);
-            synced.unread = self.traffic.unread_without(requester);
-        }
-        synced
-    }
-
     /// Returns the count of adapter copies; counts them again only if something has
     /// changed.
     fn placement(&mut self, now: Time) -> Placement {
@@ -552,48 +533,6 @@
         placement.unwrap_or_else(|| self.count_copies(now))
     }
 
-    /// Assigns update numbers to the targets of `zones` that have changed.
-    fn number_changes(&mut self, zones: &[String]) {
-        for id in std::mem::take(&mut self.changed) {
-            let listed = self.targets.get(&id);
-            let Some(listed) = listed.filter(|listed| zones.contains(&listed.zone)) else {
-                self.updates.remove(&id);
-                continue;
-            };
-            let engine = self.engines.get(&id);
-            let held = engine.map(Engine::residents).unwrap_or_default();
-            let (residents, ready): (Vec<Resident>, Vec<Time>) = held.into_iter().unzip();
-            let target = Target {
-                id,
-                service: listed.service.clone(),
-                addr: listed.addr.clone(),
-                zone: listed.zone.clone(),
-                slots: listed.slots,
-                ready: listed.ready,
-                slowness: self.slowness.factor(&listed.id),
-                weights: engine.map(Engine::weights).unwrap_or_default(),
-                residents,
-                limit: self.limits.limit(&listed.id),
-            };
-            self.updates.set(target, ready);
-        }
-    }
-
-    /// Returns whether an adapter is so far back in the queue for the store that the
-    /// requester should get its estimated wait at once.
-    fn waits_too_long(&self, adapter: &str) -> bool {
-        self.queue
-            .get(adapter)
-            .is_some_and(|wait| *wait > SYNC_WAIT)
-    }
-
-    fn waits(&self, wants: &[String]) -> Vec<(String, Duration)> {
-        let waits = wants
-            .iter()
-            .filter_map(|a| Some((a.clone(), *self.queue.get(a)?)));
-        waits.collect()
-    }
-
     /// Returns whether a target takes requests and can be reached.
     fn serves(&self, id: &str) -> bool {
         !self.failing.contains_key(id) && self.targets.get(id).is_some_and(|t| t.ready)
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -38,10 +38,38 @@
     permits: IntCounterVec,
     tunnels: IntCounterVec,
     helped: IntCounterVec,
+    gauges: Gauges,
+    edition_bytes: IntCounter,
+}
+
+#[derive(Debug)]
+struct Gauges {
     suspects: IntGauge,
     held_requests: IntGauge,
     zones: IntGauge,
-    edition_bytes: IntCounter,
+}
+
+impl Gauges {
+    fn new(registry: &Registry) -> Self {
+        let gauge = |name, help| {
+            let made = IntGauge::new(name, help);
+            register(registry, made.expect("a valid name"))
+        };
+        Gauges {
+            suspects: gauge(
+                "quetzal_suspect_requests",
+                "Contents of requests that were part of a crash of their target",
+            ),
+            held_requests: gauge(
+                "quetzal_held_requests",
+                "Contents of requests that are refused because they crash targets",
+            ),
+            zones: gauge(
+                "quetzal_zones_owned",
+                "Zones of which this instance is the zone owner",
+            ),
+        }
+    }
 }
 
 /// Returns the process's Prometheus metrics.
@@ -62,84 +90,57 @@
 impl PromMetrics {
     fn new() -> Self {
         let registry = Registry::new();
-        let counters = |name: &str, help: &str, label: &str| {
-            let made = IntCounterVec::new(Opts::new(name, help), &[label]);
-            register(&registry, made.expect("a valid name"))
-        };
-        let events = counters("quetzal_events_total", "Events of the log", "event");
-        let requests = counters(
-            "quetzal_requests_total",
-            "Requests that ended at this instance",
-            "outcome",
-        );
-        let sends = counters("quetzal_sends_total", "Requests sent to targets", "outcome");
-        let orders = counters("quetzal_orders_total", "Orders to engines", "outcome");
-        let broken_runs = counters(
-            "quetzal_broken_runs_total",
-            "Runs whose connection to their target broke, by what became of the target",
-            "fate",
-        );
-        let answer_ends = answer_ends(&registry);
-        let permits = counters(
-            "quetzal_permits_total",
-            "Permits for requests to targets that name a limit",
-            "outcome",
-        );
-        let tunnels = counters(
-            "quetzal_tunnels_total",
-            "Tunnels to targets that this instance asked other instances for",
-            "outcome",
-        );
-        let helped = counters(
-            "quetzal_helped_total",
-            "Tunnels to targets that other instances asked this instance for",
-            "outcome",
-        );
-        let dropped = IntCounter::new(
-            "quetzal_log_left_out_total",
-            "Log lines dropped because the queue was full",
-        );
-        let dropped = register(&registry, dropped.expect("a valid name"));
+        let counters = |name, help, label| counters(&registry, name, help, &[label]);
         let (head, place) = time_histograms(&registry);
-        let gauge = |name: &str, help: &str| {
-            let made = IntGauge::new(name, help);
-            register(&registry, made.expect("a valid name"))
-        };
-        let suspects = gauge(
-            "quetzal_suspect_requests",
-            "Contents of requests that were part of a crash of their target",
-        );
-        let held_requests = gauge(
-            "quetzal_held_requests",
-            "Contents of requests that are refused because they crash targets",
-        );
-        let zones = gauge(
-            "quetzal_zones_owned",
-            "Zones of which this instance is the zone owner",
-        );
-        let edition_bytes = IntCounter::new(
-            "quetzal_edition_bytes_total",
-            "Bytes of editions sent to entry instances",
-        );
-        let edition_bytes = register(&registry, edition_bytes.expect("a valid name"));
         PromMetrics {
-            registry,
-            events,
-            dropped,
-            requests,
+            events: counters("quetzal_events_total", "Events of the log", "event"),
+            dropped: counter(
+                &registry,
+                "quetzal_log_left_out_total",
+                "Log lines dropped because the queue was full",
+            ),
+            requests: counters(
+                "quetzal_requests_total",
+                "Requests that ended at this instance",
+                "outcome",
+            ),
             head,
             place,
-            sends,
-            orders,
-            broken_runs,
-            answer_ends,
-            permits,
-            tunnels,
-            helped,
-            suspects,
-            held_requests,
-            zones,
-            edition_bytes,
+            sends: counters("quetzal_sends_total", "Requests sent to targets", "outcome"),
+            orders: counters("quetzal_orders_total", "Orders to engines", "outcome"),
+            broken_runs: counters(
+                "quetzal_broken_runs_total",
+                "Runs whose connection to their target broke, by what became of the target",
+                "fate",
+            ),
+            answer_ends: self::counters(
+                &registry,
+                "quetzal_answer_ends_total",
+                "Answers of targets, by their framing and how they ended",
+                &["framing", "end"],
+            ),
+            permits: counters(
+                "quetzal_permits_total",
+                "Permits for requests to targets that name a limit",
+                "outcome",
+            ),
+            tunnels: counters(
+                "quetzal_tunnels_total",
+                "Tunnels to targets that this instance asked other instances for",
+                "outcome",
+            ),
+            helped: counters(
+                "quetzal_helped_total",
+                "Tunnels to targets that other instances asked this instance for",
+                "outcome",
+            ),
+            gauges: Gauges::new(&registry),
+            edition_bytes: counter(
+                &registry,
+                "quetzal_edition_bytes_total",
+                "Bytes of editions sent to entry instances",
+            ),
+            registry,
         }
     }
 
@@ -194,18 +195,23 @@
 
     /// Sets how many contents of requests there is evidence against.
     pub fn suspects(&self, count: usize) {
-        self.suspects.set(i64::try_from(count).unwrap_or(i64::MAX));
+        self.gauges
+            .suspects
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
     /// Sets how many contents of requests are refused.
     pub fn held_requests(&self, count: usize) {
-        self.held_requests
+        self.gauges
+            .held_requests
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
     /// Sets of how many zones this instance is the zone owner.
     pub fn zones(&self, owned: usize) {
-        self.zones.set(i64::try_from(owned).unwrap_or(i64::MAX));
+        self.gauges
+            .zones
+            .set(i64::try_from(owned).unwrap_or(i64::MAX));
     }
 
     /// Counts bytes of an edition that were sent to an entry instance.
@@ -221,13 +227,13 @@
     }
 }
 
-/// Returns the counter of the ends of answers.
-fn answer_ends(registry: &Registry) -> IntCounterVec {
-    let opts = Opts::new(
-        "quetzal_answer_ends_total",
-        "Answers of targets, by their framing and how they ended",
-    );
-    let made = IntCounterVec::new(opts, &["framing", "end"]);
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let made = IntCounter::new(name, help);
+    register(registry, made.expect("a valid name"))
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let made = IntCounterVec::new(Opts::new(name, help), labels);
     register(registry, made.expect("a valid name"))
 }
 
