Test the two guards of ends of answers that no test held

Taken out, neither the framing by the last transfer coding nor the length that a stream which may go on elsewhere doesn't say made a test fail. The rest of a run elsewhere is longer in the tests now, and the client's framing is read for codings other than chunks.

--- a/crates/frontd/tests/targets/ends.rs
+++ b/crates/frontd/tests/targets/ends.rs
@@ -10,7 +10,7 @@
     deployment::Deployment,
     links::Cut,
     raw::{self, Ask, Received},
-    scripted::{Content, End, Framing, Script, Seen, Target},
+    scripted::{Content, End, Framing, MORE, Script, Seen, Target},
 };
 
 /// Targets of a deployment.
@@ -102,7 +102,7 @@
 
 /// Returns what is expected of an answer that its target ends as in `script`.
 fn expected(script: Script) -> Expected {
-    let (head, body) = script.answer(&id(0), 0);
+    let (head, body) = script.answer(&id(0));
     let whole = script.sent == head.len() + body.len();
     match (script.framing, script.end) {
         (Framing::Length | Framing::Chunks, _) if whole => Expected::Complete,
@@ -120,14 +120,14 @@
     }
 }
 
-/// Returns whether a caller can tell what became of its answer.
-fn is_right(script: Script, received: &Received, expected: Expected) -> bool {
-    let whole = script.content.text(0);
+/// Returns whether a caller can tell what became of its answer, which is `whole` if it is
+/// complete.
+fn is_right(script: Script, received: &Received, expected: Expected, whole: &str) -> bool {
     if received.status == 200 && !whole.starts_with(&received.body) {
         return false;
     }
     // The caller sees no sign of the end that the target hasn't given.
-    let (head, _) = script.answer(&id(0), 0);
+    let (head, _) = script.answer(&id(0));
     let unframed = script.framing == Framing::Neither && script.sent >= head.len();
     if unframed && received.status == 200 && received.framed {
         return false;
@@ -157,7 +157,10 @@
             let received = play(&deployment, path, every_byte(content, end)).await;
             let wrong: Vec<_> = received
                 .iter()
-                .filter(|(script, got)| !is_right(*script, got, expected(*script)))
+                .filter(|(script, got)| {
+                    let whole = script.content.text(0);
+                    !is_right(*script, got, expected(*script), &whole)
+                })
                 .collect();
             assert_that!(wrong, is_empty());
         }
@@ -186,14 +189,15 @@
         let wrong: Vec<_> = received
             .iter()
             .filter(|(script, got)| {
-                let head = script.answer(&id(0), 0).0.len();
-                let expected = match expected(*script) {
+                let head = script.answer(&id(0)).0.len();
+                let once = script.content.text(0);
+                let (expected, whole) = match expected(*script) {
                     // A target that never answers may have run it.
-                    Expected::BrokenOff if script.sent < head => Expected::Unknown,
-                    Expected::BrokenOff => Expected::Complete,
-                    other => other,
+                    Expected::BrokenOff if script.sent < head => (Expected::Unknown, once + MORE),
+                    Expected::BrokenOff => (Expected::Complete, once + MORE),
+                    other => (other, once),
                 };
-                !is_right(*script, got, expected)
+                !is_right(*script, got, expected, &whole)
             })
             .collect();
         assert_that!(wrong, is_empty());
--- a/crates/frontd/tests/targets/scripted.rs
+++ b/crates/frontd/tests/targets/scripted.rs
@@ -25,6 +25,9 @@
     "id: 3\ndata: three\n\n",
 ];
 
+/// An event more that a run has which goes on elsewhere.
+pub(crate) const MORE: &str = "id: 4\ndata: four\n\n";
+
 /// Size of the chunks: they end within events.
 const CHUNK: usize = 7;
 
@@ -139,10 +142,13 @@
 }
 
 impl Script {
-    /// Returns the head and the body of the complete answer to the request `id` after the
-    /// event with the id `last`, as they are written.
-    pub(crate) fn answer(self, id: &str, last: usize) -> (Vec<u8>, Vec<u8>) {
-        let text = self.content.text(last);
+    /// Returns the head and the body of the complete answer to the request `id`, as they are
+    /// written.
+    pub(crate) fn answer(self, id: &str) -> (Vec<u8>, Vec<u8>) {
+        self.answer_with(id, &self.content.text(0))
+    }
+
+    fn answer_with(self, id: &str, text: &str) -> (Vec<u8>, Vec<u8>) {
         let framed = match self.framing {
             Framing::Length => format!("content-length: {}\r\n", text.len()),
             Framing::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
@@ -152,7 +158,7 @@
         let head =
             format!("HTTP/1.1 200 OK\r\nattempt: {id}\r\ncontent-type: {kind}\r\n{framed}\r\n");
         let body = match self.framing {
-            Framing::Length | Framing::Neither => text.into_bytes(),
+            Framing::Length | Framing::Neither => text.as_bytes().to_owned(),
             Framing::Chunks => chunked(text.as_bytes()),
         };
         (head.into_bytes(), body)
@@ -160,7 +166,7 @@
 
     /// Returns the number of bytes of the complete answer.
     pub(crate) fn whole(self, id: &str) -> usize {
-        let (head, body) = self.answer(id, 0);
+        let (head, body) = self.answer(id);
         head.len() + body.len()
     }
 }
@@ -218,7 +224,9 @@
             true => request.body.parse().unwrap_or(ALL),
             false => ALL,
         };
-        let (mut bytes, body) = script.answer(&request.id, request.last);
+        let more = if first { "" } else { MORE };
+        let text = script.content.text(request.last) + more;
+        let (mut bytes, body) = script.answer_with(&request.id, &text);
         bytes.extend_from_slice(&body);
         let sent = &bytes[..script.sent.min(bytes.len())];
         if stream.get_mut().write_all(sent).await.is_err() {
--- a/crates/web/tests/web/client.rs
+++ b/crates/web/tests/web/client.rs
@@ -10,7 +10,7 @@
 };
 use web::{
     Method,
-    client::{Broken, Client, Limits, Send},
+    client::{Broken, Client, Framing, Limits, Send},
 };
 
 use super::peer::{Step, Target, read_to_close, sized};
@@ -111,6 +111,23 @@
     }
 }
 
+/// Guards against a body that ends with its connection and counts as chunked: only a last
+/// coding `chunked` marks its end.
+#[gtest]
+#[tokio::test]
+async fn the_last_transfer_coding_is_the_framing() {
+    for (coding, framing) in [
+        ("gzip", Framing::Connection),
+        ("gzip, chunked", Framing::Chunks),
+        ("Chunked", Framing::Chunks),
+    ] {
+        let head = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: {coding}\r\n\r\n");
+        let target = Target::start([Step::Close(head)]).await;
+        let answer = Client::default().send(get(target.addr)).await.unwrap();
+        expect_that!(answer.framing(), eq(framing), "{coding}");
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn without_a_connection_nothing_ran() {
