--- a/crates/frontd/tests/targets/ends.rs
+++ b/crates/frontd/tests/targets/ends.rs
@@ -80,6 +80,7 @@
             framing,
             end,
             sent: 0,
+            again: Framing::Length,
         };
         // A target that is silent after a whole answer with framing hasn't ended it.
         let most = match (framing, end) {
@@ -180,11 +181,12 @@
 }
 
 /// Checks streams that may go on elsewhere: an end within an event leads there.
-fn check_resumed(framing: Framing) {
+fn check_resumed((framing, again): (Framing, Framing)) {
     run(async {
         let deployment = start(false).await;
         let scripts = every_byte(Content::Lf, End::Close).into_iter();
-        let scripts = scripts.filter(|script| script.framing == framing).collect();
+        let scripts = scripts.filter(|script| script.framing == framing);
+        let scripts = scripts.map(|script| Script { again, ..script }).collect();
         let received = play(&deployment, "/resumable/x", scripts).await;
         let wrong: Vec<_> = received
             .iter()
@@ -208,8 +210,9 @@
     /// Guards against a stream that is broken off within an event and doesn't go on elsewhere,
     /// and against parts of that event that reach its caller.
     streams_that_are_broken_off_go_on_elsewhere: check_resumed => {
-        with_a_length: Framing::Length,
-        with_chunks: Framing::Chunks,
-        with_neither: Framing::Neither,
+        with_a_length: (Framing::Length, Framing::Length),
+        with_chunks: (Framing::Chunks, Framing::Length),
+        with_neither: (Framing::Neither, Framing::Length),
+        with_chunks_then_neither: (Framing::Chunks, Framing::Neither),
     }
 }
--- a/crates/frontd/tests/targets/scripted.rs
+++ b/crates/frontd/tests/targets/scripted.rs
@@ -37,6 +37,7 @@
     framing: Framing::Length,
     end: End::Close,
     sent: usize::MAX,
+    again: Framing::Length,
 };
 
 /// How an answer shows where it ends.
@@ -93,6 +94,8 @@
     pub(crate) end: End,
     /// Bytes of the answer that are sent, its head included.
     pub(crate) sent: usize,
+    /// Framing of the complete answer if the request comes again.
+    pub(crate) again: Framing,
 }
 
 impl Script {
@@ -103,8 +106,9 @@
             framing,
             end,
             sent,
+            again,
         } = self;
-        format!("{content:?} {framing:?} {end:?} {sent}")
+        format!("{content:?} {framing:?} {end:?} {sent} {again:?}")
     }
 }
 
@@ -119,12 +123,7 @@
             Some("Plain") => Content::Plain,
             _ => return Err(()),
         };
-        let framing = match words.next() {
-            Some("Length") => Framing::Length,
-            Some("Chunks") => Framing::Chunks,
-            Some("Neither") => Framing::Neither,
-            _ => return Err(()),
-        };
+        let framing = words.next().ok_or(())?.parse()?;
         let end = match words.next() {
             Some("Close") => End::Close,
             Some("Reset") => End::Reset,
@@ -132,15 +131,30 @@
             _ => return Err(()),
         };
         let sent = words.next().and_then(|raw| raw.parse().ok()).ok_or(())?;
+        let again = words.next().ok_or(())?.parse()?;
         Ok(Script {
             content,
             framing,
             end,
             sent,
+            again,
         })
     }
 }
 
+impl FromStr for Framing {
+    type Err = ();
+
+    fn from_str(raw: &str) -> Result<Self, ()> {
+        match raw {
+            "Length" => Ok(Framing::Length),
+            "Chunks" => Ok(Framing::Chunks),
+            "Neither" => Ok(Framing::Neither),
+            _ => Err(()),
+        }
+    }
+}
+
 impl Script {
     /// Returns the head and the body of the complete answer to the request `id`, as they are
     /// written.
@@ -220,9 +234,13 @@
     while let Some(request) = read_request(&mut stream).await {
         // What comes again is answered in full.
         let first = seen.lock().unwrap().insert(request.id.clone());
+        let asked: Script = request.body.parse().unwrap_or(ALL);
         let script = match first {
-            true => request.body.parse().unwrap_or(ALL),
-            false => ALL,
+            true => asked,
+            false => Script {
+                framing: asked.again,
+                ..ALL
+            },
         };
         let more = if first { "" } else { MORE };
         let text = script.content.text(request.last) + more;
