--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -24,7 +24,7 @@
 };
 use hyper::{
     HeaderMap, Method, Response,
-    header::{CONTENT_TYPE, HOST},
+    header::{CONTENT_ENCODING, CONTENT_TYPE, HOST},
 };
 use telemetry::{event, prom_metrics};
 use tokio::time::{Instant, sleep};
@@ -330,9 +330,10 @@
         })
     }
 
-    /// Returns whether a target's answer is a stream of events.
+    /// Returns whether a target's answer is a stream of events that can be told apart: not an
+    /// encoded one.
     pub(super) fn streams(&self, answer: &Answer) -> bool {
-        if !answer.status.is_success() {
+        if !answer.status.is_success() || answer.headers.contains_key(CONTENT_ENCODING) {
             return false;
         }
         match headers::text(&answer.headers, &CONTENT_TYPE) {
--- a/crates/frontd/tests/targets/ends.rs
+++ b/crates/frontd/tests/targets/ends.rs
@@ -111,7 +111,7 @@
         (Framing::Neither, End::Close) if script.sent >= head.len() => {
             let sent = &body[..script.sent - head.len()];
             match script.content {
-                Content::Plain => Expected::Unknown,
+                Content::Plain | Content::Encoded => Expected::Unknown,
                 Content::Lf if sent.ends_with(b"\n\n") => Expected::Unknown,
                 Content::Crlf if sent.ends_with(b"\r\n\r\n") => Expected::Unknown,
                 Content::Lf | Content::Crlf => Expected::BrokenOff,
@@ -175,6 +175,7 @@
         events: (false, "/x", Content::Lf),
         events_through_another_instance: (true, "/x", Content::Lf),
         events_with_crlf: (false, "/x", Content::Crlf),
+        encoded_events: (false, "/x", Content::Encoded),
         plain_text: (false, "/safe/x", Content::Plain),
         plain_text_through_another_instance: (true, "/safe/x", Content::Plain),
     }
--- a/crates/frontd/tests/targets/scripted.rs
+++ b/crates/frontd/tests/targets/scripted.rs
@@ -66,13 +66,16 @@
     Crlf,
     /// The same text, but no events.
     Plain,
+    /// A stream of events whose bytes are encoded, so that none can be told apart.
+    Encoded,
 }
 
 impl Content {
-    fn media_type(self) -> &'static str {
+    fn headers(self) -> &'static str {
         match self {
-            Content::Lf | Content::Crlf => "text/event-stream",
-            Content::Plain => "text/plain",
+            Content::Lf | Content::Crlf => "content-type: text/event-stream\r\n",
+            Content::Plain => "content-type: text/plain\r\n",
+            Content::Encoded => "content-type: text/event-stream\r\ncontent-encoding: x-bytes\r\n",
         }
     }
 
@@ -82,6 +85,7 @@
         match self {
             Content::Lf | Content::Plain => text,
             Content::Crlf => text.replace('\n', "\r\n"),
+            Content::Encoded => text.trim_end().to_owned(),
         }
     }
 }
@@ -121,6 +125,7 @@
             Some("Lf") => Content::Lf,
             Some("Crlf") => Content::Crlf,
             Some("Plain") => Content::Plain,
+            Some("Encoded") => Content::Encoded,
             _ => return Err(()),
         };
         let framing = words.next().ok_or(())?.parse()?;
@@ -168,9 +173,8 @@
             Framing::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
             Framing::Neither => "connection: close\r\n".to_owned(),
         };
-        let kind = self.content.media_type();
-        let head =
-            format!("HTTP/1.1 200 OK\r\nattempt: {id}\r\ncontent-type: {kind}\r\n{framed}\r\n");
+        let headers = self.content.headers();
+        let head = format!("HTTP/1.1 200 OK\r\nattempt: {id}\r\n{headers}{framed}\r\n");
         let body = match self.framing {
             Framing::Length | Framing::Neither => text.as_bytes().to_owned(),
             Framing::Chunks => chunked(text.as_bytes()),
