Take an answer without a content type for events only as far as its end needs it

Such an answer counts as events only where nothing but the end of its connection shows its end; otherwise what is held back is passed on at the end, as before.

--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -11,7 +11,11 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{Response, body::Frame, header::CONTENT_LENGTH};
+use hyper::{
+    Response,
+    body::Frame,
+    header::{CONTENT_LENGTH, CONTENT_TYPE},
+};
 use telemetry::{event, prom_metrics};
 use web::{
     body::{Body, end_with_connection},
@@ -138,7 +142,8 @@
             self.note_end(&end);
             if matches!(end, End::Complete) {
                 self.ended = true;
-                return None;
+                let rest = self.events.as_mut().map(Events::take_partial);
+                return rest.filter(|rest| !rest.is_empty()).map(Ok);
             }
             if !self.resume_elsewhere().await {
                 self.ended = true;
@@ -161,7 +166,8 @@
 
     /// Finds out what it means that the target has ended its answer in order.
     async fn end_in_order(&self) -> End {
-        if self.events.as_ref().is_some_and(Events::is_within) {
+        let within = self.events.as_ref().is_some_and(Events::is_within);
+        if within && self.consists_of_events() {
             return End::WithinEvent;
         }
         if self.answer.framing() != Framing::Connection {
@@ -182,6 +188,13 @@
         }
     }
 
+    /// Returns whether the answer is known to consist of events. One without a content type on
+    /// a route for streams may have another content, if its framing shows it to be complete.
+    fn consists_of_events(&self) -> bool {
+        let says = self.answer.headers.contains_key(CONTENT_TYPE);
+        says || self.answer.framing() == Framing::Connection
+    }
+
     /// Notes the end of an answer, and what follows for its target.
     fn note_end(&self, end: &End) {
         let framing = self.answer.framing();
--- a/crates/frontd/src/entry/relay/events.rs
+++ b/crates/frontd/src/entry/relay/events.rs
@@ -61,6 +61,11 @@
         self.ends.is_within()
     }
 
+    /// Returns what is held back of an event that isn't complete.
+    pub(super) fn take_partial(&mut self) -> Bytes {
+        self.partial.split().freeze()
+    }
+
     /// Drops what has come of an event that its target won't complete.
     pub(super) fn drop_partial(&mut self) {
         self.partial.clear();
