Log the software of targets, restored streams and streams that callers take up

E4015 says which software versions of a service's targets serve side by side, E5005 whether a stream continued from a copy of its KV cache, and E5028 that a caller took a stream up. The version is read from the platform's list, and so is the name of the header in which a caller says which attempt began its stream. Nothing is decided by them.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -14,6 +14,7 @@
 mod number;
 mod rate;
 mod size;
+mod software;
 mod time;
 mod verdict;
 
@@ -32,6 +33,7 @@
     number::{AdapterKey, AdapterNo, BrandNo, InstanceNo, TargetNo, Ticket},
     rate::{BadRequestRate, RequestRate},
     size::{BadNumber, Bytes, Fence, Incarnation, PerSecond, Seed, TextVersion, Tokens, Version},
+    software::{BadSoftwareVersion, SoftwareVersion},
     time::{DriftMargin, Time},
     verdict::{BadVerdict, Failure, Refusal, Verdict},
 };
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -14,7 +14,7 @@
 };
 
 use account::Tally;
-use base::{InstanceName, Ticket, Time};
+use base::{InstanceName, SoftwareVersion, Ticket, Time};
 use control::{Control, Event, Input, NotPublished, Output, What};
 use daemon::{Clock, Links};
 use disk::Writer;
@@ -166,6 +166,8 @@
     waiters: HashMap<Ticket, Waiter>,
     /// Number of engines by the weights they hold, as last logged.
     weights: BTreeMap<Weights, usize>,
+    /// Number of targets by service and software, as last logged.
+    software: BTreeMap<(String, SoftwareVersion), usize>,
     end: Option<End>,
 }
 
@@ -230,6 +232,7 @@
             tickets: 0,
             waiters: HashMap::new(),
             weights: BTreeMap::new(),
+            software: BTreeMap::new(),
             end: None,
         }
     }
@@ -283,6 +286,7 @@
             self.next_seeds = now + SEEDS_INTERVAL;
             self.log_store();
             self.log_weights();
+            self.log_software();
             self.count_suspects();
             self.tally.expire(now);
             if let Some(seeds) = (self.platform.read_seeds)() {
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -119,6 +119,7 @@
                 prom_metrics().answered(kind, self.placement_time, self.arrived.elapsed());
                 prom_metrics().request("answered");
                 self.log_if_slow(&in_flight.id);
+                self.log_if_taken_up(&in_flight.id);
                 self.into_response(answer, in_flight)
             }
             Err(err) => {
@@ -267,6 +268,22 @@
         );
     }
 
+    /// Logs a request whose caller has part of its stream already.
+    fn log_if_taken_up(&self, target: &str) {
+        let names = &self.state.platform.header_names;
+        let Some(last) = headers::text(&self.headers, &names.last_event) else {
+            return;
+        };
+        event!(
+            telemetry::Event::StreamTakenUp,
+            request = self.id,
+            resumes = headers::text(&self.headers, &names.resumes).unwrap_or_default(),
+            last = last,
+            service = self.service,
+            target = target
+        );
+    }
+
     fn log_attempt(&self, target: &str, how: &str) {
         event!(
             telemetry::Event::AttemptFailed,
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -250,6 +250,7 @@
         self.request.mark_broken_off(&self.in_flight.id);
         events.drop_partial();
         let last = events.last().map(str::to_owned);
+        let copy = last.is_some() && self.request.backup.is_some();
         let Some((answer, in_flight)) = self.request.continue_elsewhere(last.as_deref()).await
         else {
             return false;
@@ -263,6 +264,7 @@
             adapter = self.request.adapter,
             from = self.in_flight.id,
             target = in_flight.id,
+            copy = copy,
             from_weights = self.weights(&self.answer),
             weights = self.weights(&answer)
         );
--- a/crates/frontd/src/platform.rs
+++ b/crates/frontd/src/platform.rs
@@ -42,6 +42,9 @@
     pub tokens: HeaderName,
     /// The id of the last event that the caller has of a stream that is resumed.
     pub last_event: HeaderName,
+    /// The request id of the caller's attempt that brought the first event of a stream that is
+    /// resumed.
+    pub resumes: HeaderName,
     /// The address of the engine that keeps a copy of the run's KV cache.
     pub cache_backup: HeaderName,
     /// The place of the copy of a KV cache that a run continues from.
--- a/crates/frontd/tests/common/platform.rs
+++ b/crates/frontd/tests/common/platform.rs
@@ -26,6 +26,7 @@
         model: header("model"),
         tokens: header("tokens"),
         last_event: header("resume"),
+        resumes: header("resumes"),
         cache_backup: header("backup"),
         cache_source: header("restore"),
         key: header("key"),
--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -26,6 +26,7 @@
             model: header.clone(),
             tokens: header.clone(),
             last_event: header.clone(),
+            resumes: header.clone(),
             cache_backup: header.clone(),
             cache_source: header.clone(),
             key: header.clone(),
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -24,7 +24,7 @@
     time::Duration,
 };
 
-use base::{InstanceName, Ticket, Time};
+use base::{InstanceName, SoftwareVersion, Ticket, Time};
 use wire::fleet::{FirstUse, Sync, Weights};
 
 pub use self::message::{Action, Held, Input, ListedTarget, Order, OrderOutcome, Output, Report};
@@ -281,6 +281,19 @@
         counts
     }
 
+    /// Returns the number of targets of each service that run each version of its software.
+    #[must_use]
+    pub fn software(&self) -> BTreeMap<(String, SoftwareVersion), usize> {
+        let mut counts = BTreeMap::new();
+        for listed in self.targets.values() {
+            if let Some(software) = &listed.software {
+                let key = (listed.service.clone(), software.clone());
+                *counts.entry(key).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     /// Returns when [`Self::poll`] has to be called if no input arrives before.
     #[must_use]
     pub fn next_due(&self) -> Option<Time> {
--- a/crates/gateway/src/zone_owner/message.rs
+++ b/crates/gateway/src/zone_owner/message.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{Ticket, Time};
+use base::{SoftwareVersion, Ticket, Time};
 use wire::fleet::{Resident, Sync, Synced, Target, Weights};
 
 use crate::zone_lease::ZoneLease;
@@ -21,6 +21,8 @@
     pub addr: String,
     /// Availability zone.
     pub zone: String,
+    /// Version of its software, if the list names one.
+    pub software: Option<SoftwareVersion>,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Whether it takes new requests.
--- a/crates/gateway/tests/zone_owner/many.rs
+++ b/crates/gateway/tests/zone_owner/many.rs
@@ -67,6 +67,7 @@
             born: 1,
             service: "s".to_owned(),
             zone: "za".to_owned(),
+            software: None,
             slots: 64,
             ready: true,
             held: Some(holds(n)),
--- a/crates/gateway/tests/zone_owner/world.rs
+++ b/crates/gateway/tests/zone_owner/world.rs
@@ -98,6 +98,7 @@
             born: self.born,
             service: "s".to_owned(),
             zone: "za".to_owned(),
+            software: None,
             slots: 10,
             ready: true,
             held: Some(held.clone()),
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -104,13 +104,14 @@
     ServiceUp 4012 Info "service is up" "A service and all services that it depends on are up."
     StoreThrottled 4013 Info "loads wait for the store" "Loads wait for the weight store: `waiting` adapters have no load under way and `coming` adapters have one; `loads` loads run at once and take `load_ms` each. `memory` adapters load from an engine's own memory. `idle` engines accept orders, and on `full` of these no adapter can be unloaded."
     WeightsHeld 4014 Info "engines have different weights" "`engines` have `version` of the weights of `model` loaded, while others in the zones of this instance have another version: the same request may be answered by either."
+    SoftwareHeld 4015 Info "targets run different software" "`targets` of `service` run `software`, while others in the zones of this instance run another version."
 
     // 5xxx: requests.
     RequestDone 5001 Debug "request done" "A request ended; `adapter` and `version` name the adapter that it ran on."
     RequestFailed 5002 Info "request failed" "A request failed for good; `why` is the reason and `how` is what the caller saw."
     WrongAdapter 5003 Error "answer of another adapter" "A target answered with another adapter or version than the request asked for; the answer was not passed to the caller."
     AttemptFailed 5004 Debug "attempt failed" "One attempt at a request failed; another one follows if the request may be retried."
-    StreamResumed 5005 Info "stream resumed" "A broken stream was continued from where it stopped; `from_weights` and `weights` are the versions of the weights that the first and the second answer name."
+    StreamResumed 5005 Info "stream resumed" "A broken stream was continued from where it stopped; `copy` says whether it continued from a copy of its KV cache; `from_weights` and `weights` are the versions of the weights that the first and the second answer name."
     ClaimRefused 5006 Info "marked request refused" "A marked request (at most once) could not be registered under its idempotency key, or the key was used before."
     BadKey 5007 Info "unknown key" "A caller sent a key that belongs to no brand."
     ShareExceeded 5008 Info "over its share" "A brand's batch requests wait because other brands claim their share."
@@ -134,6 +135,7 @@
     TargetBrittle 5025 Info "target is brittle" "`target` falls over when it has to refuse more than `bears` requests a second for want of room, as its answer says."
     TargetSturdy 5026 Info "target no longer brittle" "`target` no longer says that it falls over when it refuses requests."
     StreamCutShort 5027 Info "stream ended within an event" "`target` ended the stream of `request` within an event, after `bytes` bytes and the complete event `last`. `framing` is `length` or `chunks` where these had shown this to be the end, and `connection` where only the close of the connection did. It counts as broken off."
+    StreamTakenUp 5028 Info "stream taken up by its caller" "A caller who has the event `last` and those before it asked for the rest of the stream that its attempt `resumes` began; `target` answered."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
