--- a/crates/frontd/tests/targets.rs
+++ b/crates/frontd/tests/targets.rs
@@ -27,6 +27,10 @@
 mod raw;
 #[path = "targets/scripted.rs"]
 mod scripted;
+#[path = "targets/versioned.rs"]
+mod versioned;
+#[path = "targets/versions.rs"]
+mod versions;
 
 use std::time::Duration;
 
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU8, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -17,7 +17,10 @@
     zone_owner::{Held, ListedTarget, OrderOutcome, Report},
 };
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use tokio::time::sleep;
+use tokio::{
+    runtime::{Builder, Handle, Runtime},
+    time::sleep,
+};
 use web::{
     body::{Body, ReadLimits, full, read},
     client::{self, Client},
@@ -80,6 +83,8 @@
     next_id: AtomicU64,
     /// Links of each entry instance to the engines, if they can be cut.
     links: Vec<Arc<Links>>,
+    /// Of the entry instances that can be killed.
+    runtimes: Mutex<BTreeMap<u8, Runtime>>,
     _data: tempfile::TempDir,
 }
 
@@ -143,6 +148,7 @@
             retries,
             next_id: AtomicU64::new(1),
             links,
+            runtimes: Mutex::default(),
             _data: data,
         };
         for entry in 1..=entries {
@@ -157,9 +163,30 @@
 
     /// Starts the entry instance with this number.
     pub(crate) fn start_entry(&self, entry: u8) {
+        self.start_entry_on(entry, &Handle::current());
+    }
+
+    /// As [`Self::start_entry`], on a runtime of its own, so that it can be killed.
+    pub(crate) fn start_entry_alone(&self, entry: u8) {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        self.start_entry_on(entry, runtime.handle());
+        self.runtimes.lock().unwrap().insert(entry, runtime);
+    }
+
+    /// Kills an entry instance: all its tasks end, and its connections are closed.
+    pub(crate) fn kill_entry(&self, entry: u8) {
+        let runtime = self.runtimes.lock().unwrap().remove(&entry);
+        runtime.unwrap().shutdown_background();
+    }
+
+    fn start_entry_on(&self, entry: u8, runtime: &Handle) {
         let ip = own_ip(self.no, entry);
         let last = usize::from(entry) == self.links.len();
-        tokio::spawn(frontd::serve_entry(
+        runtime.spawn(frontd::serve_entry(
             EntrySetup {
                 ip,
                 zone: if last { "zb" } else { "za" }.to_owned(),
@@ -266,6 +293,15 @@
     }
 }
 
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // Dropped where blocking isn't allowed.
+        for (_, runtime) in std::mem::take(&mut *self.runtimes.lock().unwrap()) {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 impl Told {
     fn nothing(begun: Instant) -> Told {
         Told {
--- a/crates/frontd/tests/targets/ends.rs
+++ b/crates/frontd/tests/targets/ends.rs
@@ -61,6 +61,7 @@
                 End::Silence => SHORT,
                 End::Close | End::Reset => DEADLINE,
             },
+            fields: Vec::new(),
             body: script.body(),
         };
         (script, raw::ask(addr, &ask).await)
--- a/crates/frontd/tests/targets/raw.rs
+++ b/crates/frontd/tests/targets/raw.rs
@@ -20,6 +20,8 @@
     /// Version of HTTP, after the dot.
     pub(crate) minor: u8,
     pub(crate) deadline: Duration,
+    /// Further headers.
+    pub(crate) fields: Vec<(&'static str, String)>,
     pub(crate) body: String,
 }
 
@@ -37,24 +39,46 @@
 
 /// Sends a request and reads until the connection ends.
 pub(crate) async fn ask(addr: SocketAddr, ask: &Ask<'_>) -> Received {
+    ask_until(addr, ask, |_| false).await
+}
+
+/// Sends a request and reads until the connection ends, or what has come is `enough`.
+pub(crate) async fn ask_until(
+    addr: SocketAddr,
+    ask: &Ask<'_>,
+    enough: impl Fn(&str) -> bool,
+) -> Received {
     let mut stream = TcpStream::connect(addr).await.unwrap();
     let Ask {
         path,
         id,
         minor,
         deadline,
+        fields,
         body,
     } = ask;
+    let fields: String = fields
+        .iter()
+        .map(|(name, value)| format!("{name}: {value}\r\n"))
+        .collect();
     let head = format!(
         "POST {path} HTTP/1.{minor}\r\nhost: a.example\r\nattempt: {id}\r\nmodel: m/a\r\n\
-         tokens: 100,50\r\ndeadline: {}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+         tokens: 100,200\r\ndeadline: {}\r\nconnection: close\r\n{fields}content-length: {}\r\n\r\n",
         deadline.as_millis(),
         body.len()
     );
     stream.write_all(head.as_bytes()).await.unwrap();
     stream.write_all(body.as_bytes()).await.unwrap();
     let mut bytes = Vec::new();
-    let end = timeout(CEILING, stream.read_to_end(&mut bytes)).await;
+    let read = async {
+        while stream.read_buf(&mut bytes).await? > 0 {
+            if enough(&String::from_utf8_lossy(&bytes)) {
+                break;
+            }
+        }
+        std::io::Result::Ok(())
+    };
+    let end = timeout(CEILING, read).await;
     let in_order = end.expect("the answer ends in time").is_ok();
     received(&bytes, in_order)
 }
