--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -45,6 +45,8 @@
             | Call::SyncUsage { .. }
             | Call::Limits(_)
             | Call::Entries(_)
+            | Call::Streams(_)
+            | Call::FindStream(_)
             | Call::Renew { .. }
             | Call::Edition { .. } => Reply::Redirect {
                 leader: self.other_leader(),
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -4,6 +4,7 @@
 
 mod edition_cache;
 mod orders;
+mod streams;
 mod zones;
 
 use std::{
@@ -14,7 +15,7 @@
 };
 
 use account::Tally;
-use base::{InstanceName, SoftwareVersion, Ticket, Time};
+use base::{InstanceName, Ticket, Time};
 use control::{Control, Event, Input, NotPublished, Output, What};
 use daemon::{Clock, Links};
 use disk::Writer;
@@ -37,7 +38,7 @@
     quarantine::CrashReport,
 };
 
-use self::edition_cache::EditionCache;
+use self::{edition_cache::EditionCache, streams::Streams};
 use super::{CallOutcome, HANDOVER_TIMEOUT, Setup};
 use crate::{Platform, names};
 
@@ -166,8 +167,7 @@
     waiters: HashMap<Ticket, Waiter>,
     /// Number of engines by the weights they hold, as last logged.
     weights: BTreeMap<Weights, usize>,
-    /// Number of targets by service and software, as last logged.
-    software: BTreeMap<(String, SoftwareVersion), usize>,
+    streams: Streams,
     end: Option<End>,
 }
 
@@ -180,7 +180,8 @@
     fn rank(&self) -> u8 {
         match self {
             Job::Call {
-                call: Call::Sync(_) | Call::SyncUsage { .. } | Call::Edition { .. },
+                call:
+                    Call::Sync(_) | Call::SyncUsage { .. } | Call::Streams(_) | Call::Edition { .. },
                 ..
             } => 2,
             Job::ZoneOwner(_) => 1,
@@ -232,7 +233,7 @@
             tickets: 0,
             waiters: HashMap::new(),
             weights: BTreeMap::new(),
-            software: BTreeMap::new(),
+            streams: Streams::new(rand::random::<u64>() >> 2),
             end: None,
         }
     }
@@ -358,6 +359,13 @@
                 let helpers = self.roster.report(self.clock.now(), &report);
                 to.send(Reply::Entries(helpers)).ok();
             }
+            Call::Streams(sync) => {
+                to.send(self.stream_sync(sync)).ok();
+            }
+            Call::FindStream(key) => {
+                let origin = self.streams.register.find(self.clock.now(), &key);
+                to.send(Reply::FoundStream(origin.cloned())).ok();
+            }
             Call::Renew { instance, zone } => {
                 to.send(self.renew_for(&instance, &zone)).ok();
             }
--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs of the zone owner.
 
-use base::{SoftwareVersion, Ticket};
+use base::Ticket;
 use gateway::zone_owner::{self, Action, Order, OrderOutcome};
 use telemetry::{event, prom_metrics};
 use wire::{
@@ -31,7 +31,11 @@
     /// Passes one input to the zone owner; what follows from it is done by
     /// [`Self::run_owner`].
     pub(super) fn owner_input(&mut self, input: zone_owner::Input) {
+        let listed = matches!(input, zone_owner::Input::Listed { .. });
         self.zone_owner.apply(self.clock.now(), input);
+        if listed {
+            self.software_listed();
+        }
     }
 
     /// Carries out the orders and answers that follow from all inputs of a batch.
@@ -96,26 +100,6 @@
         self.weights = held;
     }
 
-    /// Logs which software targets run, if it differs within a service and this has changed.
-    pub(super) fn log_software(&mut self) {
-        let held = self.zone_owner.software();
-        if held == self.software {
-            return;
-        }
-        for ((service, software), targets) in &held {
-            let other = |key: &(String, SoftwareVersion)| key.0 == *service && key.1 != *software;
-            if held.keys().any(other) {
-                event!(
-                    telemetry::Event::SoftwareHeld,
-                    service = service,
-                    software = software.to_string(),
-                    targets = *targets
-                );
-            }
-        }
-        self.software = held;
-    }
-
     fn execute(&mut self, output: zone_owner::Output) {
         let jobs = self.jobs.clone();
         match output {
--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -10,6 +10,7 @@
 mod paths;
 mod relay;
 mod state;
+mod streams;
 mod sync;
 
 use std::{
@@ -88,6 +89,7 @@
     tokio::spawn(sync::run(Arc::clone(&state)));
     tokio::spawn(paths::run(Arc::clone(&state)));
     tokio::spawn(editions::run(Arc::clone(&state)));
+    tokio::spawn(streams::run(Arc::clone(&state)));
     let at_ready = Arc::clone(&state);
     let ready = move |req| readiness(Arc::clone(&at_ready), req);
     let limits = server::Limits {
--- a/crates/frontd/src/entry/answer.rs
+++ b/crates/frontd/src/entry/answer.rs
@@ -65,6 +65,11 @@
     Refusals,
     /// The deadline had passed.
     Deadline,
+    /// The caller has part of a stream, and it isn't known which software version began it.
+    UnknownStream,
+    /// The caller has part of a stream, and no target of the software version that began it
+    /// can take the rest.
+    NoSoftware,
     /// The request crashes the targets that run it, as earlier sends of the same content
     /// have shown.
     Held,
@@ -117,6 +122,13 @@
                 "not run; targets crashed each time they ran this request: don't send it again \
                  before the time given in retry-after\n"
             }
+            RequestError::NotRun {
+                why: Why::UnknownStream | Why::NoSoftware,
+                ..
+            } => {
+                "not run; the rest of this stream can't be had from the software version that \
+                 began it: start it anew\n"
+            }
             RequestError::NotRun { .. } => "not run; try again later\n",
             RequestError::OverLimit { .. } => {
                 "not run; the account has used up its limit: come back after the time given in \
--- a/crates/frontd/src/entry/crash.rs
+++ b/crates/frontd/src/entry/crash.rs
@@ -86,6 +86,9 @@
         .filter(|run| run.ended == Ended::Cut || fate == Fate::Crashed)
         .collect();
     prom_metrics().broken_runs(fate.as_str(), runs.len());
+    if fate == Fate::Crashed {
+        state.view().ended(state.now(), &target);
+    }
     for run in runs {
         if fate == Fate::Crashed {
             crashed(&state, &target, &run);
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -15,7 +15,7 @@
 };
 
 use account::Account;
-use base::Fingerprint;
+use base::{Fingerprint, SoftwareVersion};
 use bytes::Bytes;
 use daemon::Fate;
 use gateway::{
@@ -41,6 +41,7 @@
     headers,
     relay::Relay,
     state::State,
+    streams::Stream,
 };
 
 /// Retry-After for a request that found no target or no adapter: an engine loads an
@@ -82,12 +83,16 @@
     /// Copy of the run's KV cache at another target, with the versions of weights and
     /// adapter that it was computed with.
     pub(super) backup: Option<Backup>,
+    /// What its caller has of the stream that it asks for.
+    stream: Stream,
     method: Method,
     path: String,
     headers: HeaderMap,
     body: Bytes,
     pub(super) deadline: Instant,
     arrived: Instant,
+    /// Since when a target is looked for: from its arrival, or since its stream broke.
+    waiting_from: Instant,
     tried: BTreeSet<String>,
     /// Computed when it is first needed.
     fingerprint: OnceLock<Fingerprint>,
@@ -119,7 +124,6 @@
                 prom_metrics().answered(kind, self.placement_time, self.arrived.elapsed());
                 prom_metrics().request("answered");
                 self.log_if_slow(&in_flight.id);
-                self.log_if_taken_up(&in_flight.id);
                 self.into_response(answer, in_flight)
             }
             Err(err) => {
@@ -268,22 +272,6 @@
         );
     }
 
-    /// Logs a request whose caller has part of its stream already.
-    fn log_if_taken_up(&self, target: &str) {
-        let names = &self.state.platform.header_names;
-        let Some(last) = headers::text(&self.headers, &names.last_event) else {
-            return;
-        };
-        event!(
-            telemetry::Event::StreamTakenUp,
-            request = self.id,
-            resumes = headers::text(&self.headers, &names.resumes).unwrap_or_default(),
-            last = last,
-            service = self.service,
-            target = target
-        );
-    }
-
     fn log_attempt(&self, target: &str, how: &str) {
         event!(
             telemetry::Event::AttemptFailed,
@@ -411,6 +399,10 @@
         &mut self,
         last: Option<&str>,
     ) -> Option<(Answer, InFlight)> {
+        if !self.stream.may_go_on() {
+            self.log_not_continued("software_unknown");
+            return None;
+        }
         if let Some(last) = last
             && self.backup.is_some()
         {
@@ -421,9 +413,30 @@
         if !may {
             return None;
         }
+        self.waiting_from = Instant::now();
         self.send_until_answered(last).await.ok()
     }
 
+    /// Notes that events that `in_flight` made were passed on.
+    pub(super) fn note_events(&mut self, in_flight: &InFlight) {
+        let software = in_flight.software();
+        self.stream
+            .passed_on(&self.state, &self.service, software.as_ref());
+    }
+
+    /// Returns the software version that began the stream, for the log.
+    pub(super) fn began_at(&self) -> &str {
+        self.stream.software().map_or("", SoftwareVersion::as_str)
+    }
+
+    fn log_not_continued(&self, why: &str) {
+        event!(
+            telemetry::Event::StreamRefused,
+            request = self.id,
+            why = why
+        );
+    }
+
     fn give_up(&self, why: Why) -> RequestError {
         if self.possible_runs > 0 {
             return RequestError::Failed;
--- a/crates/frontd/src/entry/forward/receive.rs
+++ b/crates/frontd/src/entry/forward/receive.rs
@@ -21,6 +21,7 @@
         answer::{RequestError, Why},
         headers,
         state::State,
+        streams,
     },
 };
 
@@ -89,13 +90,17 @@
         None => 0.0,
     };
     let body = read_body(&table, body).await?;
-    let service = route.service(rand::random()).to_owned();
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let stream = streams::resumed(&state, &route, &headers, path, arrived + timeout / 3).await?;
+    let service = match stream.origin() {
+        Some(origin) => origin.service.clone(),
+        None => route.service(rand::random()).to_owned(),
+    };
     let adapter = match table.engine(&service) {
         Some(_) => text(&names.model).to_owned(),
         None => String::new(),
     };
     let (prompt_tokens, max_answer_tokens) = tokens(&headers, &names);
-    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
     Ok(ActiveRequest {
         id: text(&names.request_id).to_owned(),
         service,
@@ -103,6 +108,7 @@
         prompt_tokens,
         max_answer_tokens,
         backup: None,
+        stream,
         method: parts.method,
         path: path.to_owned(),
         headers: target_headers(&table, &headers, &names, account.as_deref()),
@@ -111,6 +117,7 @@
         body,
         deadline: arrived + timeout.min(route.limit),
         arrived,
+        waiting_from: arrived,
         state,
         route,
         tried: BTreeSet::new(),
--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use base::Mark;
+use base::{Mark, SoftwareVersion};
 use gateway::{
     table::Kind,
     view::{Backup, Unused},
@@ -47,9 +47,19 @@
     /// included.
     backlog: u64,
     sent: Instant,
+    /// The software of the target as it was chosen, if that was known.
+    software: Option<SoftwareVersion>,
 }
 
 impl InFlight {
+    /// Returns the software of the target, if it is known.
+    pub(in crate::entry) fn software(&self) -> Option<SoftwareVersion> {
+        self.software.clone().or_else(|| {
+            let view = self.state.view();
+            view.software(self.state.now(), &self.id).cloned()
+        })
+    }
+
     /// Returns the time since the request was sent.
     pub(in crate::entry) fn ran(&self) -> Duration {
         self.sent.elapsed()
@@ -203,6 +213,9 @@
     /// adapter have been loaded, and a zone owner that was heard from lately has reported
     /// the new incarnation before that.
     fn may_restore(&self, backup: &Backup) -> Result<(), Unused> {
+        if self.stream.software() != Some(&backup.software) {
+            return Err(Unused::Software);
+        }
         if Instant::now() >= self.deadline {
             return Err(Unused::Deadline);
         }
@@ -244,6 +257,7 @@
         let Some(send) = self.build_send(target, last, restored) else {
             return SendOutcome::Unreached;
         };
+        let software = state.view().software(state.now(), target).cloned();
         let backlog = state
             .view()
             .begin(target, &self.adapter, self.prompt_tokens);
@@ -254,6 +268,7 @@
             unread: self.prompt_tokens,
             backlog,
             sent: Instant::now(),
+            software,
         };
         limits::note_sent(state, target);
         let until = self.deadline;
--- a/crates/frontd/src/entry/forward/wait.rs
+++ b/crates/frontd/src/entry/forward/wait.rs
@@ -4,6 +4,7 @@
 
 use gateway::view::Choice;
 use tokio::time::{Instant, sleep, sleep_until};
+use wire::stream::SoftwareWant;
 
 use super::{ActiveRequest, DEFAULT_RETRY_AFTER};
 use crate::entry::{
@@ -43,10 +44,11 @@
 impl ActiveRequest {
     /// Waits for a target that can take the request, and returns its id.
     pub(super) async fn wait_for_target(&self) -> Result<String, RequestError> {
-        let left = self.deadline.saturating_duration_since(self.arrived);
-        let mut ask_at = self.arrived;
-        let give_up_at = self.arrived + left.mul_f64(ADAPTER_WAIT_PART).min(ADAPTER_WAIT_MAX);
-        let settled_by = give_up_at.min(self.arrived + SETTLING_WAIT);
+        let from = self.waiting_from;
+        let left = self.deadline.saturating_duration_since(from);
+        let mut ask_at = from;
+        let give_up_at = from + left.mul_f64(ADAPTER_WAIT_PART).min(ADAPTER_WAIT_MAX);
+        let settled_by = give_up_at.min(from + SETTLING_WAIT);
         loop {
             let changed = self.state.changed.notified();
             let now = Instant::now();
@@ -58,10 +60,13 @@
                 &self.service,
                 &self.adapter,
                 &self.tried,
+                self.stream.software(),
             );
             match choice {
                 Choice::Send(target) => {
-                    self.state.request_copy(&self.service, &self.adapter);
+                    if self.stream.software().is_none() {
+                        self.state.request_copy(&self.service, &self.adapter);
+                    }
                     if self.permit(&target).await.is_ok() {
                         return Ok(target);
                     }
@@ -73,12 +78,15 @@
                     }
                 }
                 Choice::Wait(wait) => sleep(wait.max(Duration::from_millis(1))).await,
-                Choice::NoTarget | Choice::Missing if now < settled_by && self.state.settling() => {
+                Choice::NoTarget | Choice::Missing if now < settled_by && self.settling() => {
                     tokio::select! {
                         () = changed => {}
                         () = sleep_until(settled_by) => {}
                     }
                 }
+                Choice::NoTarget if self.stream.software().is_some() => {
+                    return Err(self.reject_rest());
+                }
                 Choice::NoTarget => return Err(self.give_up(Why::NoTarget)),
                 Choice::Missing if now >= give_up_at => return Err(self.give_up(Why::Waited)),
                 Choice::Missing if !self.state.can_order(&self.service) => {
@@ -101,6 +109,21 @@
         }
     }
 
+    /// Returns whether a target that could take the request may still be reported.
+    fn settling(&self) -> bool {
+        let rest = self.stream.software().is_some();
+        self.state.settling() || rest && self.state.view().awaits_software(&self.service)
+    }
+
+    /// Rejects the rest of a stream that no target of its software version can take. Coming
+    /// back is worthwhile only if one does by then.
+    fn reject_rest(&self) -> RequestError {
+        let why = Why::NoSoftware;
+        self.log_not_continued("no_target");
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        self.reject_for(left, why)
+    }
+
     fn past_deadline(&self) -> RequestError {
         if self.possible_runs > 0 {
             return RequestError::Late;
@@ -113,10 +136,17 @@
 
     /// Requests a load of the adapter: in its home zone, and later in its next ones.
     fn request_load(&self) {
-        let waited = self.arrived.elapsed().as_millis();
+        let waited = self.waiting_from.elapsed().as_millis();
         let round = waited / NEXT_ZONE_AFTER.as_millis();
         let round = usize::try_from(round).unwrap_or(usize::MAX);
-        self.state.request_load(&self.service, &self.adapter, round);
+        let Some(software) = self.stream.software() else {
+            return self.state.request_load(&self.service, &self.adapter, round);
+        };
+        let want = SoftwareWant {
+            adapter: self.adapter.clone(),
+            software: software.clone(),
+        };
+        self.state.request_load_at(&self.service, want, round);
     }
 
     /// Waits until `target` is no longer blocked, for `patience` at the most. Returns whether
@@ -151,6 +181,9 @@
     /// their second try. A request whose adapter is too far back in the queue is rejected
     /// at once.
     fn queue_wait(&self, give_up_at: Instant) -> Option<Duration> {
+        if self.stream.software().is_some() {
+            return None;
+        }
         let now = self.state.now();
         let at = self.state.view().expected(now, &self.adapter)?;
         let wait = at.since(now);
--- a/crates/frontd/src/entry/headers.rs
+++ b/crates/frontd/src/entry/headers.rs
@@ -62,6 +62,15 @@
     headers.insert(name.clone(), HeaderValue::from(number));
 }
 
+/// Returns a header that occurs once as text, or `None` where it is absent, occurs several
+/// times or isn't ASCII.
+pub(super) fn single<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    let mut all = headers.get_all(name).iter();
+    let (first, second) = (all.next()?, all.next());
+    let text = first.to_str().ok().filter(|text| !text.is_empty());
+    text.filter(|_| second.is_none())
+}
+
 /// Returns a header as text, or `None` where it is absent or isn't ASCII.
 pub(super) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -160,6 +160,9 @@
             return Ok(chunk);
         };
         let complete = events.push(chunk, self.resumable)?;
+        if !complete.is_empty() {
+            self.request.note_events(&self.in_flight);
+        }
         self.request.check_weights(&complete);
         Ok(complete)
     }
@@ -265,6 +268,11 @@
             from = self.in_flight.id,
             target = in_flight.id,
             copy = copy,
+            began_at = self.request.began_at(),
+            software = in_flight
+                .software()
+                .map(|s| s.to_string())
+                .unwrap_or_default(),
             from_weights = self.weights(&self.answer),
             weights = self.weights(&answer)
         );
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -10,7 +10,7 @@
 };
 
 use account::Meter;
-use base::{InstanceName, Seed, Time, stable_hash};
+use base::{InstanceName, Seed, SoftwareVersion, Time, stable_hash};
 use daemon::{Clock, Links, lock};
 use gateway::{
     budget::Budget,
@@ -22,9 +22,16 @@
 use quarantine::Guard;
 use tokio::sync::Notify;
 use web::client::Client;
-use wire::fleet::Target;
-
-use super::{Setup, crash::EndedRuns, editions::Editions, paths::Paths, sync::ControlPeers};
+use wire::{fleet::Target, stream::SoftwareWant};
+
+use super::{
+    Setup,
+    crash::EndedRuns,
+    editions::Editions,
+    paths::Paths,
+    streams::{self, Streams},
+    sync::{ControlPeer, ControlPeers},
+};
 use crate::{Platform, names};
 
 /// Shared by all requests and by the exchange with control instances.
@@ -50,6 +57,7 @@
     meter: Mutex<Meter<SocketAddr>>,
     pub(super) controls: ControlPeers,
     pub(super) editions: Editions,
+    pub(super) streams: Streams,
     /// Availability zone of this instance.
     pub(super) zone: String,
     /// All availability zones.
@@ -93,6 +101,7 @@
             meter: Mutex::new(Meter::new(setup.slack, rand::random())),
             controls: ControlPeers::default(),
             editions: Editions::default(),
+            streams: Streams::default(),
             zone: setup.zone.clone(),
             zones: setup.zones.clone(),
         }
@@ -199,18 +208,42 @@
 
     /// Returns whether any zone owner can order a load of an adapter of `service` now.
     pub(super) fn can_order(&self, service: &str) -> bool {
-        !self.orderable_zones(service).is_empty()
+        !self.orderable_zones(service, None).is_empty()
     }
 
     /// Requests a load of an adapter in its home zone; a later `round` requests it in its
     /// next zone.
     pub(super) fn request_load(&self, service: &str, adapter: &str, round: usize) {
-        let zones = self.orderable_zones(service);
+        let zones = self.orderable_zones(service, None);
         if let Some(zone) = home(adapter, &zones, round) {
             self.controls.want(zone, adapter);
         }
     }
 
+    /// Requests a load of an adapter at a target of one software version, in the adapter's
+    /// home zone among those that have one; a later `round` requests it in its next zone.
+    pub(super) fn request_load_at(
+        self: &Arc<Self>,
+        service: &str,
+        want: SoftwareWant,
+        round: usize,
+    ) {
+        let zones = self.orderable_zones(service, Some(&want.software));
+        if let Some(zone) = home(&want.adapter, &zones, round) {
+            streams::want(self, zone, want);
+        }
+    }
+
+    /// Returns the control instances that were heard from lately, `most` at most: the owner
+    /// of this instance's own zone first, the others in an order that differs between
+    /// instances.
+    pub(super) fn nearest_controls(&self, most: usize) -> Vec<Arc<ControlPeer>> {
+        let mut heard = self.controls.heard(self.now());
+        heard.sort_by_cached_key(|peer| self.source_rank(peer.address, &peer.zones()));
+        heard.truncate(most);
+        heard
+    }
+
     /// Requests one more copy of an adapter if all its holders have a long backlog.
     pub(super) fn request_copy(&self, service: &str, adapter: &str) {
         let now = self.now();
@@ -223,10 +256,14 @@
         }
     }
 
-    /// Returns the zones that have targets of `service` and an owner that gives orders to
-    /// them.
-    fn orderable_zones(&self, service: &str) -> Vec<WeightedZone> {
-        let mut with_targets = self.view().zones_of(service);
+    /// Returns the zones that have targets of `service`, of the software `wanted` if any is,
+    /// and an owner that gives orders to them.
+    fn orderable_zones(
+        &self,
+        service: &str,
+        wanted: Option<&SoftwareVersion>,
+    ) -> Vec<WeightedZone> {
+        let mut with_targets = self.view().zones_of(self.now(), service, wanted);
         let heard = self.controls.zones(self.now());
         with_targets.retain(|zone| heard.contains(&zone.name));
         with_targets
--- /dev/null
+++ b/crates/frontd/src/entry/streams.rs
@@ -0,0 +1,351 @@
+//! Which software version began a stream, and what follows for its rest.
+//!
+//! Each instance remembers the streams that it has passed on, and tells two control
+//! instances. A caller whose connection broke may come to any instance, which asks them.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{Fingerprint, SoftwareVersion, Time};
+use daemon::lock;
+use futures::{StreamExt, stream::FuturesUnordered};
+use gateway::{
+    streams::StreamRegister,
+    table::{Kind, Route},
+};
+use hyper::{HeaderMap, header::HOST};
+use telemetry::{event, prom_metrics};
+use tokio::{
+    sync::{Mutex, Notify},
+    time::{Instant, sleep, timeout_at},
+};
+use wire::{
+    call::{Call, Reply},
+    stream::{BegunStreams, SoftwareWant, StreamOrigin, StreamSync, StreamSynced},
+};
+
+use super::{
+    answer::{RequestError, Why},
+    headers,
+    state::State,
+    sync::ControlPeer,
+};
+
+/// Time from the beginning of a stream until it is told with those that begin meanwhile.
+const TELL_DELAY: Duration = Duration::from_millis(100);
+
+/// Control instances that are told of each stream.
+const TOLD: usize = 2;
+
+/// Interval at which a control instance is asked for the software of targets.
+const SOFTWARE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time-out of an exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Pause after an exchange that failed: an instance of an earlier build refuses it.
+const FAILED_PAUSE: Duration = Duration::from_secs(1);
+
+/// Longest time that control instances are asked where a stream began.
+const FIND_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Retry-After for the rest of a stream whose origin nobody in reach knows.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(700);
+
+/// Most streams that are kept for a control instance that doesn't answer.
+const MAX_UNTOLD: usize = 4_096;
+
+/// The streams that this instance knows.
+#[derive(Debug, Default)]
+pub(super) struct Streams {
+    register: std::sync::Mutex<StreamRegister>,
+    untold: Notify,
+}
+
+/// What a control instance has to be told, and was.
+#[derive(Debug, Default)]
+pub(super) struct Untold {
+    begun: Vec<BegunStreams>,
+    wants: Vec<SoftwareWant>,
+    /// Number of the last change of targets' software that it has sent.
+    revision: u64,
+    /// When the next exchange is due that nothing else calls for.
+    next: Time,
+    /// When an exchange may be tried again after one has failed.
+    paused_until: Time,
+}
+
+/// Serialises the exchanges with one control instance, so that no answer overtakes another.
+pub(super) type Turn = Mutex<()>;
+
+impl Untold {
+    fn begin(&mut self, key: Fingerprint, origin: &StreamOrigin) {
+        if self.begun.iter().map(|b| b.keys.len()).sum::<usize>() >= MAX_UNTOLD {
+            return;
+        }
+        match self.begun.iter_mut().find(|b| b.origin == *origin) {
+            Some(begun) => begun.keys.push(key),
+            None => self.begun.push(BegunStreams {
+                origin: origin.clone(),
+                keys: vec![key],
+            }),
+        }
+    }
+
+    fn want(&mut self, want: SoftwareWant) {
+        if !self.wants.contains(&want) {
+            self.wants.push(want);
+        }
+    }
+
+    /// Returns what has to be sent now, if anything.
+    fn take(&mut self, now: Time, lacks_software: bool) -> Option<StreamSync> {
+        let due = lacks_software || now >= self.next;
+        let nothing = self.begun.is_empty() && self.wants.is_empty() && !due;
+        if nothing || now < self.paused_until {
+            return None;
+        }
+        self.next = now + SOFTWARE_INTERVAL;
+        Some(StreamSync {
+            revision: if lacks_software { 0 } else { self.revision },
+            begun: std::mem::take(&mut self.begun),
+            wants: std::mem::take(&mut self.wants),
+        })
+    }
+
+    /// Keeps what was lost, to send it again. Adapters are asked for again by those who wait.
+    fn keep(&mut self, now: Time, sync: StreamSync) {
+        self.paused_until = now + FAILED_PAUSE;
+        for begun in sync.begun {
+            for key in begun.keys {
+                self.begin(key, &begun.origin);
+            }
+        }
+    }
+}
+
+/// The part of a stream that its caller has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Begun {
+    /// Nothing: any target may run the request.
+    No,
+    /// Events of this origin.
+    At(StreamOrigin),
+    /// Events of a target whose software isn't known.
+    Unknown,
+}
+
+/// A request as a stream, or as the rest of one.
+#[derive(Clone, Debug)]
+pub(super) struct Stream {
+    /// Names the stream over all attempts of its caller; absent where none may be resumed.
+    key: Option<Fingerprint>,
+    begun: Begun,
+    told: bool,
+}
+
+impl Stream {
+    fn new(key: Option<Fingerprint>) -> Self {
+        Stream {
+            key,
+            begun: Begun::No,
+            told: false,
+        }
+    }
+
+    /// Returns where the caller's part of the stream comes from.
+    pub(super) fn origin(&self) -> Option<&StreamOrigin> {
+        match &self.begun {
+            Begun::At(origin) => Some(origin),
+            Begun::No | Begun::Unknown => None,
+        }
+    }
+
+    /// Returns the software version at which it has to go on, if its caller has part of it.
+    pub(super) fn software(&self) -> Option<&SoftwareVersion> {
+        Some(&self.origin()?.software)
+    }
+
+    /// Returns whether it is known where it may go on.
+    pub(super) fn may_go_on(&self) -> bool {
+        self.begun != Begun::Unknown
+    }
+
+    /// Notes that events of a target that runs `software` were passed on.
+    pub(super) fn passed_on(
+        &mut self,
+        state: &State,
+        service: &str,
+        software: Option<&SoftwareVersion>,
+    ) {
+        if self.told {
+            return;
+        }
+        self.told = true;
+        if self.begun == Begun::No {
+            self.begun = software.map_or(Begun::Unknown, |software| {
+                Begun::At(StreamOrigin {
+                    service: service.to_owned(),
+                    software: software.clone(),
+                })
+            });
+        }
+        let (Some(key), Some(origin)) = (self.key, self.origin()) else {
+            return;
+        };
+        lock(&state.streams.register).note(state.now(), key, origin);
+        for peer in state.nearest_controls(TOLD) {
+            lock(&peer.untold).begin(key, origin);
+        }
+        state.streams.untold.notify_one();
+    }
+}
+
+/// Finds out which stream a request is the rest of, if it is one.
+///
+/// # Errors
+///
+/// Fails if the caller has part of a stream, and it isn't known which software version began
+/// that or the route no longer leads there.
+pub(super) async fn resumed(
+    state: &State,
+    route: &Route,
+    request: &HeaderMap,
+    path: &str,
+    until: Instant,
+) -> Result<Stream, RequestError> {
+    let Kind::Stream { resumable } = route.kind else {
+        return Ok(Stream::new(None));
+    };
+    let names = &state.platform.header_names;
+    let host = headers::text(request, &HOST).unwrap_or_default();
+    let key = |id: &str| Fingerprint::of(&[host.as_bytes(), path.as_bytes(), id.as_bytes()]);
+    let own = headers::text(request, &names.request_id).unwrap_or_default();
+    if request
+        .get(&names.last_event)
+        .is_none_or(|id| id.is_empty())
+    {
+        let named = resumable && !own.is_empty();
+        return Ok(Stream::new(named.then(|| key(own))));
+    }
+    let refuse = |why: &str| {
+        prom_metrics().stream_taken_up("refused", why);
+        event!(
+            telemetry::Event::StreamRefused,
+            request = own,
+            resumes = headers::text(request, &names.resumes).unwrap_or_default(),
+            why = why
+        );
+        RequestError::NotRun {
+            again: UNKNOWN_RETRY_AFTER,
+            why: Why::UnknownStream,
+        }
+    };
+    let Some(resumes) = headers::single(request, &names.resumes) else {
+        return Err(refuse("no_attempt_named"));
+    };
+    let key = key(resumes);
+    let Some((origin, source)) = find(state, key, until).await else {
+        return Err(refuse("unknown"));
+    };
+    if !route
+        .split
+        .iter()
+        .any(|(service, _)| *service == origin.service)
+    {
+        return Err(refuse("service_changed"));
+    }
+    prom_metrics().stream_taken_up("known", source);
+    event!(
+        telemetry::Event::StreamTakenUp,
+        request = own,
+        resumes = resumes,
+        service = origin.service,
+        software = origin.software.to_string(),
+        source = source
+    );
+    Ok(Stream {
+        begun: Begun::At(origin),
+        ..Stream::new(Some(key))
+    })
+}
+
+/// Returns where a stream began and who knows it.
+async fn find(
+    state: &State,
+    key: Fingerprint,
+    until: Instant,
+) -> Option<(StreamOrigin, &'static str)> {
+    let own = lock(&state.streams.register)
+        .find(state.now(), &key)
+        .cloned();
+    if let Some(origin) = own {
+        return Some((origin, "own"));
+    }
+    let until = until.min(Instant::now() + FIND_TIMEOUT);
+    let asked = state.nearest_controls(usize::MAX).into_iter();
+    let asked = asked.map(|peer| async move {
+        let link = state.links.to(peer.address);
+        match link.call(Call::FindStream(key), FIND_TIMEOUT).await {
+            Ok(Reply::FoundStream(found)) => found,
+            _ => None,
+        }
+    });
+    let mut answers: FuturesUnordered<_> = asked.collect();
+    while let Ok(Some(answer)) = timeout_at(until, answers.next()).await {
+        if let Some(origin) = answer {
+            return Some((origin, "control"));
+        }
+    }
+    None
+}
+
+/// Tells control instances of streams that begin, for as long as the process runs.
+pub(super) async fn run(state: Arc<State>) {
+    loop {
+        state.streams.untold.notified().await;
+        sleep(TELL_DELAY).await;
+        for peer in state.nearest_controls(usize::MAX) {
+            if !lock(&peer.untold).begun.is_empty() {
+                let state = Arc::clone(&state);
+                tokio::spawn(async move { exchange(&state, &peer).await });
+            }
+        }
+    }
+}
+
+/// Asks the owner of `zone` for an adapter at a target of one software version.
+pub(super) fn want(state: &Arc<State>, zone: &str, want: SoftwareWant) {
+    let Some(peer) = state.controls.owner(state.now(), zone) else {
+        return;
+    };
+    lock(&peer.untold).want(want);
+    let state = Arc::clone(state);
+    tokio::spawn(async move { exchange(&state, &peer).await });
+}
+
+/// Makes one exchange, if one is due.
+pub(super) async fn exchange(state: &State, peer: &ControlPeer) {
+    let _turn = peer.stream_turn.lock().await;
+    let lacks = state.view().lacks_software(&peer.zones());
+    let Some(sync) = lock(&peer.untold).take(state.now(), lacks) else {
+        return;
+    };
+    let sent = sync.clone();
+    let link = state.links.to(peer.address);
+    match link.call(Call::Streams(sync), EXCHANGE_TIMEOUT).await {
+        Ok(Reply::Streams(synced)) => apply(state, peer, synced),
+        _ => lock(&peer.untold).keep(state.now(), sent),
+    }
+}
+
+fn apply(state: &State, peer: &ControlPeer, synced: StreamSynced) {
+    lock(&peer.untold).revision = synced.revision;
+    if synced.software.is_empty() {
+        return;
+    }
+    let told = synced.software.into_iter();
+    state
+        .view()
+        .set_software(told.map(|known| (known.target, known.software)));
+    state.changed.notify_waiters();
+}
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -29,7 +29,11 @@
     quarantine::{CrashReport, CrashedRun},
 };
 
-use super::{crash, helping, limits, state::State};
+use super::{
+    crash, helping, limits,
+    state::State,
+    streams::{self, Turn, Untold},
+};
 use crate::names;
 
 /// Interval between two exchanges with one control instance. A change of the
@@ -79,6 +83,9 @@
     /// Notified when a load is requested from it.
     wanted: Notify,
     inner: Mutex<Inner>,
+    /// What it has to be told of streams.
+    pub(super) untold: Mutex<Untold>,
+    pub(super) stream_turn: Turn,
 }
 
 #[derive(Default)]
@@ -183,6 +190,13 @@
         }
     }
 
+    /// Returns the control instances that were heard from lately.
+    pub(super) fn heard(&self, now: Time) -> Vec<Arc<ControlPeer>> {
+        let peers = lock(&self.peers);
+        let heard = peers.values().filter(|peer| peer.heard(now));
+        heard.map(Arc::clone).collect()
+    }
+
     /// Returns the owner of `zone`, if it was heard from lately.
     pub(super) fn owner(&self, now: Time, zone: &str) -> Option<Arc<ControlPeer>> {
         let peers = lock(&self.peers);
@@ -260,6 +274,11 @@
         lock(&self.inner).zones.iter().any(|own| own == zone)
     }
 
+    /// Returns the zones that it owns.
+    pub(super) fn zones(&self) -> Vec<String> {
+        lock(&self.inner).zones.clone()
+    }
+
     /// Returns whether the regular report on helping others is due, and takes it as made.
     fn helping_due(&self, now: Time) -> bool {
         let mut inner = lock(&self.inner);
@@ -289,6 +308,7 @@
         }
         state.meter().expire(state.now());
         state.view().expire_limits(state.now());
+        state.view().expire_software(state.now());
         let demand = state.view().take_demand();
         state.controls.add_demand(&demand);
         crash::judge_alone(&state);
@@ -310,6 +330,8 @@
         address,
         wanted: Notify::new(),
         inner: Mutex::default(),
+        untold: Mutex::default(),
+        stream_turn: Turn::default(),
     });
     peers.insert(address, Arc::clone(&peer));
     tokio::spawn(run_peer(Arc::clone(state), peer));
@@ -384,6 +406,7 @@
     limits::log_told(state, peer);
     if regular {
         limits::report(state, peer).await;
+        streams::exchange(state, peer).await;
         if peer.helping_due(now) {
             helping::report(state, peer).await;
         }
@@ -510,6 +533,8 @@
             return;
         };
         let own = list.iter().filter(|listed| zones.contains(&listed.zone));
+        let software = own.clone().map(|l| (l.id.clone(), l.software.clone()));
+        state.view().set_software(software);
         targets.extend(own.map(ListedTarget::target));
     }
     let mut view = state.view();
--- a/crates/frontd/tests/memory/deployment.rs
+++ b/crates/frontd/tests/memory/deployment.rs
@@ -319,7 +319,7 @@
         service: "s".to_owned(),
         addr: engine.addr.to_string(),
         zone: "za".to_owned(),
-        software: None,
+        software: Some("v1".parse().unwrap()),
         slots: 10,
         ready: true,
         held: Some(held(*engine.holds.lock().unwrap())),
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -331,7 +331,7 @@
         service: "s".to_owned(),
         addr: addr.to_string(),
         zone: "za".to_owned(),
-        software: None,
+        software: Some("v1".parse().unwrap()),
         slots,
         ready: true,
         held: Some(held()),
--- a/crates/frontd/tests/targets/versions.rs
+++ b/crates/frontd/tests/targets/versions.rs
@@ -78,6 +78,11 @@
         software.len() > 1 || !in_order
     }
 
+    /// Returns whether its caller was told that the rest hasn't run.
+    fn was_refused(&self) -> bool {
+        self.rest.status == 503 && self.rest.ids.is_empty()
+    }
+
     /// Returns whether its caller took it up.
     fn is_open(&self) -> bool {
         self.rest.status != 0
@@ -94,6 +99,8 @@
     all: usize,
     /// Those that went on to their end.
     on: usize,
+    /// Those whose caller was told that the rest hasn't run.
+    refused: usize,
     wrong: usize,
 }
 
@@ -104,6 +111,7 @@
         for stream in open.filter(|s| s.begun.software[0] == version) {
             counts.all += 1;
             counts.on += usize::from(stream.went_on());
+            counts.refused += usize::from(stream.was_refused());
             counts.wrong += usize::from(stream.is_wrong());
         }
         counts
@@ -272,7 +280,8 @@
                 let serving = if version == "v1" { left } else { 2 };
                 let counts = Counts::of(&streams, version);
                 println!("{taker:?}, {version} ({serving} serve): {counts:?}");
-                if counts.wrong > 0 || serving > 0 && 2 * counts.on < counts.all {
+                let told = counts.on + counts.refused == counts.all;
+                if counts.wrong > 0 || !told || serving > 0 && 2 * counts.on < counts.all {
                     faults.push(format!("{taker:?}, {version}: {counts:?}"));
                 }
             }
--- /dev/null
+++ b/crates/gateway/src/streams.rs
@@ -0,0 +1,107 @@
+//! Which software version began each of the streams of the last minute.
+//!
+//! Pattern: a caller whose connection broke asks another instance for the rest of its
+//! stream. What two versions write doesn't fit together, and targets don't check it.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use base::{Fingerprint, Time};
+use wire::stream::StreamOrigin;
+
+/// How long a stream is remembered after the last report of it; callers wait for less.
+const MAX_AGE: Duration = Duration::from_secs(60);
+
+/// Most streams that are remembered: some 30 MB.
+pub const MAX_STREAMS: usize = 250_000;
+
+/// Most different origins.
+const MAX_ORIGINS: usize = 4_096;
+
+/// Origins of streams, by key.
+#[derive(Debug, Default)]
+pub struct StreamRegister {
+    streams: BTreeMap<Fingerprint, Entry>,
+    /// Reports by their time, the oldest first.
+    reports: VecDeque<(Time, Fingerprint)>,
+    origins: Vec<StreamOrigin>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    /// Index of the origin; `None` if reports contradict each other.
+    origin: Option<usize>,
+    /// When it was last reported.
+    reported: Time,
+}
+
+impl StreamRegister {
+    /// Notes where a stream began. A stream that is reported with two origins has none: two
+    /// callers use one id, and it is unknown whose is meant.
+    pub fn note(&mut self, now: Time, key: Fingerprint, origin: &StreamOrigin) {
+        self.expire(now);
+        let index = self.index(origin);
+        let new = Entry {
+            origin: index,
+            reported: now,
+        };
+        let entry = self.streams.entry(key).or_insert(new);
+        entry.reported = now;
+        if entry.origin != index {
+            entry.origin = None;
+        }
+        self.reports.push_back((now, key));
+    }
+
+    /// Returns where a stream began, if that is known.
+    #[must_use]
+    pub fn find(&self, now: Time, key: &Fingerprint) -> Option<&StreamOrigin> {
+        let entry = self.streams.get(key)?;
+        if now.since(entry.reported) >= MAX_AGE {
+            return None;
+        }
+        self.origins.get(entry.origin?)
+    }
+
+    /// Returns the number of streams that are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Returns whether no stream is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
+    }
+
+    fn expire(&mut self, now: Time) {
+        while let Some((at, key)) = self.reports.front().copied() {
+            let due = now.since(at) >= MAX_AGE || self.reports.len() >= MAX_STREAMS;
+            if !due {
+                return;
+            }
+            self.reports.pop_front();
+            if self.streams.get(&key).is_some_and(|e| e.reported == at) {
+                self.streams.remove(&key);
+            }
+        }
+        // No entry refers to an origin any more.
+        self.streams.clear();
+        self.origins.clear();
+    }
+
+    /// Returns the index of an origin; `None` if there are too many.
+    fn index(&mut self, origin: &StreamOrigin) -> Option<usize> {
+        if let Some(known) = self.origins.iter().rposition(|known| known == origin) {
+            return Some(known);
+        }
+        if self.origins.len() >= MAX_ORIGINS {
+            return None;
+        }
+        self.origins.push(origin.clone());
+        Some(self.origins.len() - 1)
+    }
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -4,6 +4,7 @@
 mod backup;
 mod held;
 mod need;
+mod software;
 mod spread;
 
 use std::{
@@ -12,7 +13,7 @@
     time::Duration,
 };
 
-use base::{Seed, Time};
+use base::{Seed, SoftwareVersion, Time};
 use wire::fleet::{FirstUse, PromptTime, Running, Target};
 
 use crate::{
@@ -27,6 +28,7 @@
     backlog::{FULL_WAIT, known_outside},
     backup::OUTDATED,
     held::Held,
+    software::KnownSoftware,
 };
 
 /// Added to the load of a target in another availability zone, in parts of its slots. A
@@ -73,7 +75,8 @@
     /// All targets that could take it have used up the limits that they name; a permit for
     /// this one may be had after this time.
     Limited(String, Duration),
-    /// The service has no target that takes requests.
+    /// The service has no target that takes requests, or none of the software version that
+    /// the request needs.
     NoTarget,
 }
 
@@ -106,6 +109,8 @@
     stale: BTreeSet<String>,
     /// The limits that targets name.
     limits: KnownLimits,
+    /// The software versions of targets.
+    software: KnownSoftware,
     /// Targets that fall over when they refuse many requests.
     brittle: BrittleTargets,
     /// What zone owners said of limits since it was last taken.
@@ -279,11 +284,19 @@
         (now.since(*announced_at) < EXPECTED_MAX_AGE).then_some(*at)
     }
 
-    /// Returns the zones that have a target of `service` that takes requests, weighted by the
-    /// part of these targets that names no limit.
+    /// Returns the zones that have a target of `service` that takes requests and runs the
+    /// software `wanted`, if any is wanted, weighted by the part of these targets that names
+    /// no limit.
     #[must_use]
-    pub fn zones_of(&self, service: &str) -> Vec<WeightedZone> {
-        let ready = self.targets.values().map(|known| &known.target);
+    pub fn zones_of(
+        &self,
+        now: Time,
+        service: &str,
+        wanted: Option<&SoftwareVersion>,
+    ) -> Vec<WeightedZone> {
+        let ready = self.targets.values();
+        let ready = ready.filter(|known| self.runs(now, known, wanted));
+        let ready = ready.map(|known| &known.target);
         let ready = ready.filter(|t| t.ready && t.service == service);
         let mut counts: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
         for target in ready {
@@ -388,7 +401,8 @@
     }
 
     /// Chooses a target of `service` for a request that uses `adapter` (empty for none)
-    /// and has already failed on the targets `tried`.
+    /// and has already failed on the targets `tried`. It goes on at the software `wanted`, if
+    /// it is the rest of a stream.
     #[must_use]
     pub fn choose(
         &self,
@@ -396,11 +410,19 @@
         service: &str,
         adapter: &str,
         tried: &BTreeSet<String>,
+        wanted: Option<&SoftwareVersion>,
     ) -> Choice {
         let of_service = self.targets.values();
-        let ready: Vec<_> = of_service
-            .filter(|k| k.target.service == service && k.target.ready)
-            .collect();
+        let ready = of_service.filter(|k| k.target.service == service && k.target.ready);
+        // Nobody waits for a version none of whose targets can take the rest.
+        let able = |k: &&TargetState| !k.is_avoided(now) && !tried.contains(&k.target.id);
+        let ready: Vec<_> = match wanted {
+            None => ready.collect(),
+            Some(_) => {
+                let alike = ready.filter(|k| self.runs(now, k, wanted));
+                alike.filter(able).collect()
+            }
+        };
         if ready.is_empty() {
             return Choice::NoTarget;
         }
--- a/crates/gateway/src/view/backup.rs
+++ b/crates/gateway/src/view/backup.rs
@@ -1,12 +1,12 @@
 //! Choice of the targets that keep a copy of a stream's KV cache, and the check before it
 //! is used.
 //!
-//! A KV cache is only valid for the weights and the adapter version that produced it.
-//! Engines that hold the same adapter may differ in both.
+//! A KV cache is only valid for the software, the weights and the adapter version that
+//! produced it. Engines that hold the same adapter may differ in all three.
 
 use std::{collections::BTreeSet, time::Duration};
 
-use base::Time;
+use base::{SoftwareVersion, Time};
 
 use super::{TargetState, View, usable};
 
@@ -42,6 +42,8 @@
     Repeats,
     /// The limit that the target names is used up.
     Limited,
+    /// The target runs other software, or it isn't known which.
+    Software,
 }
 
 /// A copy of a stream's KV cache.
@@ -51,21 +53,25 @@
     pub target: String,
     /// Weights and adapter version that produced it.
     pub origin: Origin,
+    /// The software that produced it.
+    pub software: SoftwareVersion,
 }
 
 impl View {
     /// Returns another target that can keep a copy of the KV cache of a stream at `id`,
     /// in case the latter dies: one that can use the adapter now with the same weights
-    /// and version. Returns `None` if these are not known of both.
+    /// and version, and runs the same software. Returns `None` if these are not known of both.
     #[must_use]
     pub fn backup(&self, now: Time, service: &str, adapter: &str, id: &str) -> Option<Backup> {
         let origin = self.targets.get(id)?.origin(adapter)?;
+        let software = self.software(now, id)?;
         let others = self.targets.values().filter(|k| {
             let of_service = k.target.service == service && k.target.ready;
             let open = !k.is_avoided(now) && !self.limits.is_limited(&k.target.id);
             of_service && k.target.id != id && open
         });
         let alike = others.filter(|k| k.origin(adapter) == Some(origin));
+        let alike = alike.filter(|k| self.runs(now, k, Some(software)));
         let holders = alike.filter(|k| self.holds(k, adapter) && usable(k, now, adapter));
         let none = BTreeSet::new();
         let best = holders.min_by(|a, b| {
@@ -75,11 +81,12 @@
         best.map(|known| Backup {
             target: known.target.id.clone(),
             origin,
+            software: software.clone(),
         })
     }
 
     /// Checks that a stream may continue from a copy: its target must still hold the
-    /// weights and version that produced the cache.
+    /// weights and version that produced the cache, and run the same software.
     ///
     /// # Errors
     ///
@@ -88,6 +95,9 @@
         let known = self.targets.get(&backup.target).ok_or(Unused::Gone)?;
         let weights = known.weights(adapter);
         let version = known.version(adapter);
+        if !self.runs(now, known, Some(&backup.software)) {
+            return Err(Unused::Software);
+        }
         if weights != Some(backup.origin.weights) {
             return Err(Unused::Weights);
         }
--- /dev/null
+++ b/crates/gateway/src/view/software.rs
@@ -0,0 +1,84 @@
+//! The software versions of targets, as far as they are known for certain.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{SoftwareVersion, Time};
+
+use super::{TargetState, View};
+
+/// How long the software of a target isn't relied on after its process was seen to have
+/// ended: it may start again under the same id with another version, which the platform's
+/// list shows some seconds later.
+const DOUBT: Duration = Duration::from_secs(4);
+
+/// What is known of the software of targets, by id.
+#[derive(Clone, Debug, Default)]
+pub(super) struct KnownSoftware {
+    versions: BTreeMap<String, Option<SoftwareVersion>>,
+    /// Targets whose process has ended, and when.
+    ended: BTreeMap<String, Time>,
+}
+
+impl View {
+    /// Takes over the software of targets; `None` where the platform's list names none.
+    pub fn set_software(
+        &mut self,
+        told: impl IntoIterator<Item = (String, Option<SoftwareVersion>)>,
+    ) {
+        self.software.versions.extend(told);
+    }
+
+    /// Returns the software version that a target certainly runs.
+    #[must_use]
+    pub fn software(&self, now: Time, id: &str) -> Option<&SoftwareVersion> {
+        let ended = self.software.ended.get(id);
+        if ended.is_some_and(|at| now.since(*at) < DOUBT) {
+            return None;
+        }
+        self.software.versions.get(id)?.as_ref()
+    }
+
+    /// Notes that the process of a target has ended.
+    pub fn ended(&mut self, now: Time, id: &str) {
+        if self.targets.contains_key(id) {
+            self.software.ended.insert(id.to_owned(), now);
+        }
+    }
+
+    /// Returns whether the software of some target in `zones` has never been told.
+    #[must_use]
+    pub fn lacks_software(&self, zones: &[String]) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|known| zones.contains(&known.target.zone) && self.is_untold(known))
+    }
+
+    /// Returns whether the software of some target of `service` has never been told.
+    #[must_use]
+    pub fn awaits_software(&self, service: &str) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|known| known.target.service == service && self.is_untold(known))
+    }
+
+    /// Forgets the software of targets that are gone.
+    pub fn expire_software(&mut self, now: Time) {
+        let targets = &self.targets;
+        self.software
+            .versions
+            .retain(|id, _| targets.contains_key(id));
+        self.software.ended.retain(|_, at| now.since(*at) < DOUBT);
+    }
+
+    /// Returns whether a target certainly runs the software `wanted`, if any is wanted.
+    pub(super) fn runs(
+        &self,
+        now: Time,
+        known: &TargetState,
+        wanted: Option<&SoftwareVersion>,
+    ) -> bool {
+        wanted.is_none() || self.software(now, &known.target.id) == wanted
+    }
+
+    fn is_untold(&self, known: &TargetState) -> bool {
+        known.target.ready && !self.software.versions.contains_key(&known.target.id)
+    }
+}
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -25,7 +25,10 @@
 };
 
 use base::{InstanceName, SoftwareVersion, Ticket, Time};
-use wire::fleet::{FirstUse, Sync, Weights};
+use wire::{
+    fleet::{FirstUse, Sync, Weights},
+    stream::SoftwareWant,
+};
 
 pub use self::message::{Action, Held, Input, ListedTarget, Order, OrderOutcome, Output, Report};
 use self::{
@@ -165,6 +168,8 @@
     store: StoreEstimate,
     memory: MemoryEstimate,
     wants: BTreeMap<String, Want>,
+    /// Adapters that streams need to go on, and when they were last asked for.
+    stream_wants: BTreeMap<SoftwareWant, Time>,
     aging: Aging,
     slowness: Slowness,
     /// When the speeds of engines were last compared.
@@ -218,6 +223,7 @@
             store: StoreEstimate::new(config.adapter_load, plan::INITIAL_LOADS, config.zones),
             memory: MemoryEstimate::default(),
             wants: BTreeMap::new(),
+            stream_wants: BTreeMap::new(),
             aging: Aging::default(),
             slowness: Slowness::default(),
             compared: Time::ZERO,
@@ -281,6 +287,15 @@
         counts
     }
 
+    /// Returns the software of all targets in the zones of this owner, by id.
+    #[must_use]
+    pub fn target_software(&self, now: Time) -> BTreeMap<String, Option<SoftwareVersion>> {
+        let owned = self.targets.values();
+        let owned = owned.filter(|listed| self.lease.fence(now, &listed.zone).is_some());
+        let each = owned.map(|listed| (listed.id.clone(), listed.software.clone()));
+        each.collect()
+    }
+
     /// Returns the number of targets of each service that run each version of its software.
     #[must_use]
     pub fn software(&self) -> BTreeMap<(String, SoftwareVersion), usize> {
@@ -318,6 +333,11 @@
                 self.plan_due = true;
             }
             Input::Sync(ticket, sync) => self.sync(now, ticket, sync),
+            Input::StreamWants(wants) => {
+                for want in wants {
+                    self.plan_due |= self.stream_wants.insert(want, now).is_none();
+                }
+            }
             Input::OrderEnded { id, outcome } => self.order_ended(now, &id, outcome),
             Input::Reported { id, report } => self.reported(now, &id, report),
             Input::Wake => self.plan_due = true,
@@ -497,6 +517,8 @@
         self.traffic.expire(now);
         self.wants
             .retain(|_, want| now.since(want.last_asked) < WANTED_TIME);
+        self.stream_wants
+            .retain(|_, at| now.since(*at) < WANTED_TIME);
         self.copies
             .retain(|_, at| now.since(*at) < COPY_WANTED_TIME);
         self.aging.expire(now);
--- a/crates/gateway/src/zone_owner/message.rs
+++ b/crates/gateway/src/zone_owner/message.rs
@@ -3,7 +3,10 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base::{SoftwareVersion, Ticket, Time};
-use wire::fleet::{Resident, Sync, Synced, Target, Weights};
+use wire::{
+    fleet::{Resident, Sync, Synced, Target, Weights},
+    stream::SoftwareWant,
+};
 
 use crate::zone_lease::ZoneLease;
 
@@ -131,6 +134,8 @@
         /// All their targets.
         list: Vec<ListedTarget>,
     },
+    /// Adapters that streams need to go on, at engines that run the software that began them.
+    StreamWants(Vec<SoftwareWant>),
     /// Adapter versions set by operators.
     Versions(BTreeMap<String, u32>),
     /// An entry instance's exchange, answered by [`Output::Answer`].
--- a/crates/gateway/src/zone_owner/plan.rs
+++ b/crates/gateway/src/zone_owner/plan.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use base::Time;
+use wire::stream::SoftwareWant;
 
 use super::{
     Action, MIN_PLAN_INTERVAL, Order, Output, ZoneOwner,
@@ -95,11 +96,12 @@
         out: &mut Vec<Output>,
     ) {
         self.queue.clear();
-        if self.wants.is_empty() && self.copies.is_empty() {
+        if self.wants.is_empty() && self.copies.is_empty() && self.stream_wants.is_empty() {
             return;
         }
         let missing = self.missing(now, placement);
         let mut candidates = self.candidates(now, placement);
+        self.load_for_streams(now, limit, &mut candidates, placement, out);
         let full = candidates
             .iter()
             .filter(|candidate| !candidate.room && candidate.victim.is_none());
@@ -117,6 +119,48 @@
         self.queue = self.estimate_waits(&waiting, limit);
     }
 
+    /// Loads adapters that streams need to go on, at engines that run the software that began
+    /// them. Their callers have part of an answer and leave within seconds.
+    fn load_for_streams(
+        &mut self,
+        now: Time,
+        limit: usize,
+        candidates: &mut Vec<Candidate>,
+        placement: &mut Placement,
+        out: &mut Vec<Output>,
+    ) {
+        if self.stream_wants.is_empty() {
+            return;
+        }
+        self.steps += (self.stream_wants.len() * self.engines.len()) as u64;
+        let wants: Vec<_> = self.stream_wants.keys().cloned().collect();
+        for want in wants {
+            if self.serves_stream(&want) {
+                continue;
+            }
+            let use_store = placement.loading < limit;
+            let targets = &self.targets;
+            let mut alike: Vec<_> = candidates
+                .extract_if(.., |candidate| {
+                    let listed = targets.get(&candidate.id);
+                    listed.is_some_and(|l| l.software.as_ref() == Some(&want.software))
+                })
+                .collect();
+            self.place(now, &want.adapter, use_store, &mut alike, placement, out);
+            candidates.append(&mut alike);
+        }
+    }
+
+    /// Returns whether an engine of the wanted software holds the adapter or is about to.
+    fn serves_stream(&self, want: &SoftwareWant) -> bool {
+        self.engines.iter().any(|(id, engine)| {
+            let listed = self.targets.get(id);
+            let alike = listed.is_some_and(|l| l.software.as_ref() == Some(&want.software));
+            let coming = engine.about_to_load() == Some(want.adapter.as_str());
+            alike && self.serves(id) && (coming || self.current(engine, &want.adapter))
+        })
+    }
+
     /// Returns the engines that can take an order now.
     pub(super) fn candidates(&mut self, now: Time, placement: &Placement) -> Vec<Candidate> {
         let mut candidates = Vec::new();
@@ -339,7 +383,11 @@
         placement: &Placement,
     ) -> Option<String> {
         let idle = engine.adapters.iter().filter(|(adapter, slot)| {
-            let wanted = self.wants.contains_key(*adapter);
+            let wanted = self.wants.contains_key(*adapter)
+                || self
+                    .stream_wants
+                    .keys()
+                    .any(|want| want.adapter == **adapter);
             slot.settled(now) && !slot.evicting && !wanted && self.traffic.of(id, adapter) == 0
         });
         let ranked = idle.map(|(adapter, _)| {
--- a/crates/gateway/tests/backup.rs
+++ b/crates/gateway/tests/backup.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{Seed, Time};
+use base::{Seed, SoftwareVersion, Time};
 use gateway::view::{Backup, Origin, Unused, View};
 use googletest::prelude::*;
 use wire::fleet::{Resident, Target, Weights};
@@ -46,9 +46,16 @@
     let mut view = View::new("za", Seed(1));
     let targets = held.iter().map(|(id, held)| target(id, *held));
     view.set_targets(NOW, &["za".to_owned()], targets.collect());
+    set_software(&mut view, held.iter().map(|(id, _)| *id));
     view
 }
 
+/// Sets the same software at all targets.
+fn set_software<'a>(view: &mut View, ids: impl Iterator<Item = &'a str>) {
+    let software: SoftwareVersion = "v1".parse().unwrap();
+    view.set_software(ids.map(|id| (id.to_owned(), Some(software.clone()))));
+}
+
 fn kept(held: (Held, Held), expected: Option<u32>) {
     let view = view(&[("a", held.0), ("b", held.1)]);
     let found = view.backup(NOW, "s", "m/x", "a");
@@ -83,6 +90,7 @@
     targets[2].residents.pop();
     let mut view = View::new("za", Seed(1));
     view.set_targets(NOW, &["za".to_owned(), "zb".to_owned()], targets);
+    set_software(&mut view, ["a", "b", "c"].into_iter());
     let kept = |adapter| view.backup(NOW, "s", adapter, "a").map(|b| b.target);
     assert_that!(kept("m/x"), some(eq("b")));
     assert_that!(kept("m/y"), none());
@@ -122,6 +130,7 @@
     let backup = Backup {
         target: "b".to_owned(),
         origin: ORIGIN,
+        software: "v1".parse().unwrap(),
     };
     assert_that!(
         view(&targets).check_restore(NOW, "m/x", &backup),
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -39,7 +39,7 @@
         let mut view = View::new("za", Seed(seed));
         view.set_targets(NOW, &zones, (0..TARGETS).map(target).collect());
         view.set_other_running(&zones, running.iter().cloned());
-        let choice = view.choose(NOW, "s", "m/x", &BTreeSet::new());
+        let choice = view.choose(NOW, "s", "m/x", &BTreeSet::new(), None);
         let Choice::Send(id) = choice else {
             panic!("nothing chosen: {choice:?}");
         };
@@ -79,7 +79,7 @@
     view.set_targets(NOW, &zones, (0..TARGETS).map(target).collect());
     let mut counts = BTreeMap::new();
     for _ in 0..TARGETS * 6 {
-        let Choice::Send(id) = view.choose(NOW, "s", "m/x", &BTreeSet::new()) else {
+        let Choice::Send(id) = view.choose(NOW, "s", "m/x", &BTreeSet::new(), None) else {
             panic!("nothing chosen");
         };
         view.begin(&id, "m/x", 0);
@@ -105,7 +105,7 @@
         for n in 4..TARGETS - 1 {
             view.unreachable(NOW, &format!("e{n}"));
         }
-        let choice = view.choose(NOW, "s", "", &tried);
+        let choice = view.choose(NOW, "s", "", &tried, None);
         expect_that!(choice, eq(&Choice::Send("e7".to_owned())));
     }
 }
@@ -121,7 +121,7 @@
     view.set_targets(NOW, &zones, targets);
     let mut counts = BTreeMap::new();
     for _ in 0..TARGETS * 9 {
-        let Choice::Send(id) = view.choose(NOW, "s", "m/x", &BTreeSet::new()) else {
+        let Choice::Send(id) = view.choose(NOW, "s", "m/x", &BTreeSet::new(), None) else {
             panic!("nothing chosen");
         };
         view.begin(&id, "m/x", 0);
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -39,7 +39,7 @@
 }
 
 fn choose(view: &View, adapter: &str) -> Choice {
-    view.choose(NOW, "s", adapter, &BTreeSet::new())
+    view.choose(NOW, "s", adapter, &BTreeSet::new(), None)
 }
 
 fn send(id: &str) -> Choice {
@@ -90,7 +90,7 @@
     assert_that!(choose(&view, "m/x"), eq(&Choice::Missing));
     assert_that!(view.failing(NOW), eq(&vec!["a".to_owned()]));
     let later = NOW + Duration::from_secs(2);
-    let choice = view.choose(later, "s", "m/x", &BTreeSet::new());
+    let choice = view.choose(later, "s", "m/x", &BTreeSet::new(), None);
     assert_that!(choice, eq(&send("a")));
 }
 
@@ -126,7 +126,7 @@
     }
     assert_that!(choose(&view, ""), eq(&send("b")));
     let later = NOW + Duration::from_secs(12);
-    let choice = view.choose(later, "s", "", &BTreeSet::new());
+    let choice = view.choose(later, "s", "", &BTreeSet::new(), None);
     assert_that!(choice, eq(&send("a")));
 }
 
@@ -166,7 +166,7 @@
     let mut view = view(vec![target("a", "za", &[("m/x", 1, 250)])]);
     let due = NOW + Duration::from_millis(250);
     view.adapter_missing(due, "a", "m/x");
-    let choice = view.choose(due, "s", "m/x", &BTreeSet::new());
+    let choice = view.choose(due, "s", "m/x", &BTreeSet::new(), None);
     assert_that!(choice, matches_pattern!(Choice::Wait(gt(&Duration::ZERO))));
     let firsts = view.take_firsts(&["za".to_owned()]);
     assert_that!(firsts.len(), eq(1));
--- a/crates/gateway/tests/zone_owner.rs
+++ b/crates/gateway/tests/zone_owner.rs
@@ -10,6 +10,8 @@
 mod many;
 #[path = "zone_owner/slowness.rs"]
 mod slowness;
+#[path = "zone_owner/streams.rs"]
+mod streams;
 #[path = "zone_owner/target_updates.rs"]
 mod target_updates;
 #[path = "zone_owner/world.rs"]
--- a/crates/gateway/tests/zone_owner/world.rs
+++ b/crates/gateway/tests/zone_owner/world.rs
@@ -20,6 +20,8 @@
     pub(crate) now: Time,
     pub(crate) engines: usize,
     pub(crate) born: u64,
+    /// The software of the first engines; that of the others isn't known.
+    pub(crate) software: Vec<&'static str>,
     pub(crate) orders: Vec<Order>,
     pub(crate) answers: Vec<Synced>,
     pub(crate) reports: Vec<String>,
@@ -47,6 +49,7 @@
             now: Time::from_millis(1_000),
             engines,
             born: 1,
+            software: Vec::new(),
             orders: Vec::new(),
             answers: Vec::new(),
             reports: Vec::new(),
@@ -91,14 +94,15 @@
     }
 
     fn list_of(&mut self, asked: Time, held: &Held) {
-        let ids = (1..=self.engines).map(|n| format!("e{n}"));
-        let listed = ids.map(|id| ListedTarget {
+        let software = |n: usize| self.software.get(n - 1).and_then(|raw| raw.parse().ok());
+        let ids = (1..=self.engines).map(|n| (format!("e{n}"), software(n)));
+        let listed = ids.map(|(id, software)| ListedTarget {
             addr: format!("{id}:1"),
             id,
             born: self.born,
             service: "s".to_owned(),
             zone: "za".to_owned(),
-            software: None,
+            software,
             slots: 10,
             ready: true,
             held: Some(held.clone()),
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -111,7 +111,7 @@
     RequestFailed 5002 Info "request failed" "A request failed for good; `why` is the reason and `how` is what the caller saw."
     WrongAdapter 5003 Error "answer of another adapter" "A target answered with another adapter or version than the request asked for; the answer was not passed to the caller."
     AttemptFailed 5004 Debug "attempt failed" "One attempt at a request failed; another one follows if the request may be retried."
-    StreamResumed 5005 Info "stream resumed" "A broken stream was continued from where it stopped; `copy` says whether it continued from a copy of its KV cache; `from_weights` and `weights` are the versions of the weights that the first and the second answer name."
+    StreamResumed 5005 Info "stream resumed" "A broken stream was continued from where it stopped; `copy` says whether it continued from a copy of its KV cache; `began_at` is the software version of the target that began it, and `software` that of the one where it goes on; `from_weights` and `weights` are the versions of the weights that the first and the second answer name."
     ClaimRefused 5006 Info "marked request refused" "A marked request (at most once) could not be registered under its idempotency key, or the key was used before."
     BadKey 5007 Info "unknown key" "A caller sent a key that belongs to no brand."
     ShareExceeded 5008 Info "over its share" "A brand's batch requests wait because other brands claim their share."
@@ -135,7 +135,8 @@
     TargetBrittle 5025 Info "target is brittle" "`target` falls over when it has to refuse more than `bears` requests a second for want of room, as its answer says."
     TargetSturdy 5026 Info "target no longer brittle" "`target` no longer says that it falls over when it refuses requests."
     StreamCutShort 5027 Info "stream ended within an event" "`target` ended the stream of `request` within an event, after `bytes` bytes and the complete event `last`. `framing` is `length` or `chunks` where these had shown this to be the end, and `connection` where only the close of the connection did. It counts as broken off."
-    StreamTakenUp 5028 Info "stream taken up by its caller" "A caller who has the event `last` and those before it asked for the rest of the stream that its attempt `resumes` began; `target` answered."
+    StreamTakenUp 5028 Info "stream taken up by its caller" "A caller asked for the rest of the stream that its attempt `resumes` began, at a target of `service` that runs `software`; `source` is `own` where this instance knew that, or `control` where a control instance did."
+    StreamRefused 5029 Info "stream not continued" "The rest of a stream was refused, or a broken stream ends here. `why` is `no_attempt_named` where the caller names no attempt that began it, `unknown` where nobody in reach knows which software version began it, `service_changed` where its route no longer leads there, `software_unknown` where the target that began it names no software, or `no_target` where no target of that version can take it."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -34,6 +34,7 @@
     sends: IntCounterVec,
     orders: IntCounterVec,
     broken_runs: IntCounterVec,
+    taken_up: IntCounterVec,
     answer_ends: IntCounterVec,
     permits: IntCounterVec,
     tunnels: IntCounterVec,
@@ -108,6 +109,12 @@
             place,
             sends: counters("quetzal_sends_total", "Requests sent to targets", "outcome"),
             orders: counters("quetzal_orders_total", "Orders to engines", "outcome"),
+            taken_up: self::counters(
+                &registry,
+                "quetzal_streams_taken_up_total",
+                "Streams whose caller asked for the rest, by outcome and by source or reason",
+                &["outcome", "source"],
+            ),
             broken_runs: counters(
                 "quetzal_broken_runs_total",
                 "Runs whose connection to their target broke, by what became of the target",
@@ -173,6 +180,12 @@
         counter.inc_by(runs as u64);
     }
 
+    /// Counts a stream whose caller asked for the rest, by `outcome`, and by who knew where it
+    /// began or why it is refused.
+    pub fn stream_taken_up(&self, outcome: &str, source: &str) {
+        self.taken_up.with_label_values(&[outcome, source]).inc();
+    }
+
     /// Counts the end of a target's answer, by the `framing` that showed where it would be.
     pub fn answer_ended(&self, framing: &str, end: &str) {
         self.answer_ends.with_label_values(&[framing, end]).inc();
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -14,8 +14,8 @@
 use std::time::Duration;
 
 use base::{
-    AdapterName, BrandName, Fence, Incarnation, InstanceName, TargetName, TextVersion, Version,
-    ZoneName, record,
+    AdapterName, BrandName, Fence, Fingerprint, Incarnation, InstanceName, TargetName, TextVersion,
+    Version, ZoneName, record,
 };
 use bytes::Bytes;
 
@@ -27,6 +27,7 @@
     operator::{Applied, Apply, Explain, Explained},
     patch::Patch,
     quarantine::{CrashReport, Quarantine},
+    stream::{StreamOrigin, StreamSync, StreamSynced},
 };
 
 record! {
@@ -89,6 +90,10 @@
         /// Entry to control: whether the caller can reach targets for other entry instances,
         /// and which ones it may need itself.
         Entries(EntryReport),
+        /// Entry to control: streams that have begun, and adapters that streams need to go on.
+        Streams(StreamSync),
+        /// Entry to control: asks where the stream with this key began.
+        FindStream(Fingerprint),
         /// Control to leader: renews the caller's zone leases.
         Renew {
             /// The control instance that asks.
@@ -146,6 +151,10 @@
         Edition(Option<Part>),
         /// Answers [`Call::Limits`]; `None` if it asked for no permit.
         Limits(Option<Permit>),
+        /// Answers [`Call::Streams`].
+        Streams(StreamSynced),
+        /// Answers [`Call::FindStream`]; `None` if it isn't known.
+        FoundStream(Option<StreamOrigin>),
         /// Answers [`Call::Entries`].
         Entries(Vec<Helper>),
         /// Answers [`Call::Renew`]: the zones that the caller owns, with its fencing numbers.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod patch;
 pub mod platform;
 pub mod quarantine;
+pub mod stream;
--- /dev/null
+++ b/crates/wire/src/stream.rs
@@ -0,0 +1,64 @@
+//! Which software version began a stream, and which one targets run: what entry instances
+//! tell control instances, and ask them.
+//!
+//! The calls are of their own, so that instances of earlier builds can read all others.
+
+use base::{Fingerprint, SoftwareVersion, record};
+
+record! {
+    /// Entry to control: streams that have begun, and what streams that go on need.
+    #[derive(Default)]
+    pub struct StreamSync {
+        /// Revision of the software of targets that the entry instance has from this control
+        /// instance; see [`StreamSynced::revision`].
+        pub revision: u64,
+        /// Streams that have begun since the last report.
+        pub begun: Vec<BegunStreams>,
+        /// Adapters that streams need to go on.
+        pub wants: Vec<SoftwareWant>,
+    }
+
+    /// Streams of one origin that have begun.
+    pub struct BegunStreams {
+        /// Where they began.
+        pub origin: StreamOrigin,
+        /// Keys of the streams.
+        pub keys: Vec<Fingerprint>,
+    }
+
+    /// Where a stream began and can go on.
+    #[derive(PartialOrd, Ord)]
+    pub struct StreamOrigin {
+        /// The service.
+        pub service: String,
+        /// The software version of the target that made its first event.
+        pub software: SoftwareVersion,
+    }
+
+    /// An adapter that a stream needs at a target of one software version.
+    #[derive(PartialOrd, Ord)]
+    pub struct SoftwareWant {
+        /// The adapter.
+        pub adapter: String,
+        /// The software version.
+        pub software: SoftwareVersion,
+    }
+
+    /// The answer to [`StreamSync`].
+    #[derive(Default)]
+    pub struct StreamSynced {
+        /// Targets whose software was learned after [`StreamSync::revision`].
+        pub software: Vec<TargetSoftware>,
+        /// Number of the last of these changes, counted within one incarnation of the
+        /// control instance.
+        pub revision: u64,
+    }
+
+    /// The software of a target.
+    pub struct TargetSoftware {
+        /// The target, by id.
+        pub target: String,
+        /// The version; `None` if the platform's list names none.
+        pub software: Option<SoftwareVersion>,
+    }
+}
