Let streams of unknown origin go on where there has been one software version only

Cause: what isn't told was unknown. Change: the instance asks the owners of all zones which versions of the service they have listed for as long as a stream may live; if these and its own view are one known version, the stream began there. An instance that begins a stream at a new version has heard of it from an owner, who remembers it. Owners also say which targets have ended lately, so that a target that starts again under its id with another version gets no rest while the list lags.

Ruled out: one version listed now, without the past minute: a roll-out may just have ended.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -362,9 +362,8 @@
             Call::Streams(sync) => {
                 to.send(self.stream_sync(sync)).ok();
             }
-            Call::FindStream(key) => {
-                let origin = self.streams.register.find(self.clock.now(), &key);
-                to.send(Reply::FoundStream(origin.cloned())).ok();
+            Call::FindStream(asked) => {
+                to.send(self.find_stream(&asked)).ok();
             }
             Call::Renew { instance, zone } => {
                 to.send(self.renew_for(&instance, &zone)).ok();
@@ -378,6 +377,9 @@
 
     fn sync(&mut self, sync: Sync, usage: Option<Usage>, to: oneshot::Sender<Reply>) {
         let report = CrashReport::clone(&sync.crashes);
+        for run in &report.runs {
+            self.target_ended(&run.target, run.ago);
+        }
         if !(report.runs.is_empty() && report.answered.is_empty()) {
             self.input(Input::Crashes(report));
         }
--- a/crates/frontd/src/entry/streams.rs
+++ b/crates/frontd/src/entry/streams.rs
@@ -9,7 +9,7 @@
 use daemon::lock;
 use futures::{StreamExt, stream::FuturesUnordered};
 use gateway::{
-    streams::StreamRegister,
+    streams::{StreamRegister, only_version},
     table::{Kind, Route},
 };
 use hyper::{HeaderMap, header::HOST};
@@ -20,7 +20,9 @@
 };
 use wire::{
     call::{Call, Reply},
-    stream::{BegunStreams, SoftwareWant, StreamOrigin, StreamSync, StreamSynced},
+    stream::{
+        BegunStreams, FindStream, FoundStream, SoftwareWant, StreamOrigin, StreamSync, StreamSynced,
+    },
 };
 
 use super::{
@@ -240,63 +242,100 @@
             why: Why::UnknownStream,
         }
     };
-    let Some(resumes) = headers::single(request, &names.resumes) else {
-        return Err(refuse("no_attempt_named"));
+    let resumes = headers::single(request, &names.resumes);
+    let key = resumes.map(key);
+    let only_service = match route.split.as_slice() {
+        [(service, _)] => Some(service.clone()),
+        _ => None,
     };
-    let key = key(resumes);
-    let Some((origin, source)) = find(state, key, until).await else {
-        return Err(refuse("unknown"));
+    let asked = FindStream {
+        key,
+        service: only_service,
     };
-    if !route
-        .split
-        .iter()
-        .any(|(service, _)| *service == origin.service)
-    {
+    let Some((origin, source)) = find(state, &asked, until).await else {
+        return Err(refuse(match key {
+            Some(_) => "unknown",
+            None => "no_attempt_named",
+        }));
+    };
+    let leads_there = |(service, _): &(String, u32)| *service == origin.service;
+    if !route.split.iter().any(leads_there) {
         return Err(refuse("service_changed"));
     }
     prom_metrics().stream_taken_up("known", source);
     event!(
         telemetry::Event::StreamTakenUp,
         request = own,
-        resumes = resumes,
+        resumes = resumes.unwrap_or_default(),
         service = origin.service,
         software = origin.software.to_string(),
         source = source
     );
     Ok(Stream {
         begun: Begun::At(origin),
-        ..Stream::new(Some(key))
+        ..Stream::new(key)
     })
 }
 
-/// Returns where a stream began and who knows it.
+/// Returns where a stream began and how that is known.
 async fn find(
     state: &State,
-    key: Fingerprint,
+    asked: &FindStream,
     until: Instant,
 ) -> Option<(StreamOrigin, &'static str)> {
-    let own = lock(&state.streams.register)
-        .find(state.now(), &key)
-        .cloned();
+    let own = asked.key.and_then(|key| {
+        let register = lock(&state.streams.register);
+        register.find(state.now(), &key).cloned()
+    });
     if let Some(origin) = own {
         return Some((origin, "own"));
     }
     let until = until.min(Instant::now() + FIND_TIMEOUT);
-    let asked = state.nearest_controls(usize::MAX).into_iter();
-    let asked = asked.map(|peer| async move {
+    let calls = state.nearest_controls(usize::MAX).into_iter();
+    let calls = calls.map(|peer| async move {
         let link = state.links.to(peer.address);
-        match link.call(Call::FindStream(key), FIND_TIMEOUT).await {
-            Ok(Reply::FoundStream(found)) => found,
+        let call = Call::FindStream(asked.clone());
+        match link.call(call, FIND_TIMEOUT).await {
+            Ok(Reply::FoundStream(found)) => Some(found),
             _ => None,
         }
     });
-    let mut answers: FuturesUnordered<_> = asked.collect();
+    let mut answers: FuturesUnordered<_> = calls.collect();
+    let mut all = Vec::new();
     while let Ok(Some(answer)) = timeout_at(until, answers.next()).await {
-        if let Some(origin) = answer {
+        let Some(found) = answer else { continue };
+        let now = state.now();
+        for (target, ago) in &found.ended {
+            state.view().ended(now - *ago, target);
+        }
+        if let Some(origin) = found.origin {
             return Some((origin, "control"));
         }
+        all.push(found);
+    }
+    let service = asked.service.as_ref()?;
+    let software = only_software(state, service, &all)?;
+    let origin = StreamOrigin {
+        service: service.clone(),
+        software,
+    };
+    Some((origin, "only_version"))
+}
+
+/// Returns the version that began every stream of `service` that a caller may have part of,
+/// if there was one only, by this instance's view and the owners of all zones.
+///
+/// A target that runs another version takes requests only after the owner of its zone has
+/// listed it, and is remembered there.
+fn only_software(state: &State, service: &str, answers: &[FoundStream]) -> Option<SoftwareVersion> {
+    let view = state.view();
+    let owned = |zone: &String| answers.iter().any(|found| found.zones.contains(zone));
+    if !view.zones_with(service).iter().all(owned) {
+        return None;
     }
-    None
+    let mut listed = view.listed_software(state.now(), service);
+    listed.extend(answers.iter().flat_map(|found| found.listed.clone()));
+    only_version(&listed).cloned()
 }
 
 /// Tells control instances of streams that begin, for as long as the process runs.
--- a/crates/frontd/tests/targets/versioned.rs
+++ b/crates/frontd/tests/targets/versioned.rs
@@ -35,8 +35,10 @@
     id: String,
     addr: SocketAddr,
     software: Mutex<String>,
+    /// The version on the platform's list.
+    shown: Mutex<String>,
     listed: AtomicBool,
-    down: CancellationToken,
+    down: Mutex<CancellationToken>,
     /// Requests that have reached it.
     seen: Mutex<BTreeSet<String>>,
 }
@@ -48,16 +50,35 @@
             id: id.to_owned(),
             addr: listener.local_addr().unwrap(),
             software: Mutex::new(software.to_owned()),
+            shown: Mutex::new(software.to_owned()),
             listed: AtomicBool::new(true),
-            down: CancellationToken::new(),
+            down: Mutex::default(),
             seen: Mutex::default(),
         });
-        let serve = Arc::clone(&target);
+        target.run(listener);
+        target
+    }
+
+    fn run(self: &Arc<Self>, listener: TcpListener) {
+        let (target, down) = (Arc::clone(self), self.down());
         tokio::spawn(async move {
-            let down = serve.down.clone();
-            down.run_until_cancelled(serve.serve(listener)).await
+            let serve = target.serve(listener);
+            down.run_until_cancelled(serve).await
         });
-        target
+    }
+
+    fn down(&self) -> CancellationToken {
+        self.down.lock().unwrap().clone()
+    }
+
+    /// Starts the target again under its id and at its address, with another version. The
+    /// list goes on to show the old one.
+    pub(crate) async fn restart(self: &Arc<Self>, software: &str, after: Duration) {
+        self.end();
+        sleep(after).await;
+        *self.software.lock().unwrap() = software.to_owned();
+        *self.down.lock().unwrap() = CancellationToken::new();
+        self.run(TcpListener::bind(self.addr).await.unwrap());
     }
 
     pub(crate) fn software(&self) -> String {
@@ -66,7 +87,7 @@
 
     /// Ends the target and all its connections.
     pub(crate) fn end(&self) {
-        self.down.cancel();
+        self.down().cancel();
     }
 
     /// Takes the target off the platform's list.
@@ -76,11 +97,11 @@
 
     pub(crate) fn list(&self) -> Option<Listed> {
         let mut target = listed_target(self.id.clone(), self.addr, SLOTS);
-        target.software = Some(self.software().parse().unwrap());
+        target.software = self.shown.lock().unwrap().parse().ok();
         let listed = self.listed.load(Ordering::Relaxed);
         listed.then_some(Listed {
             target,
-            up: !self.down.is_cancelled(),
+            up: !self.down().is_cancelled(),
         })
     }
 
@@ -89,7 +110,7 @@
             let (stream, _) = listener.accept().await.unwrap();
             let target = Arc::clone(self);
             tokio::spawn(async move {
-                let down = target.down.clone();
+                let down = target.down();
                 down.run_until_cancelled(target.answer_all(stream)).await
             });
         }
--- a/crates/frontd/tests/targets/versions.rs
+++ b/crates/frontd/tests/targets/versions.rs
@@ -164,19 +164,35 @@
 
     /// Takes a stream up under a new id.
     async fn take_up(&self, entry: u8, stream: &mut Stream) {
+        let named = vec![("resumes", stream.id.clone())];
+        self.take_up_with(entry, stream, named, EVENTS + 1).await;
+    }
+
+    /// Takes a stream up with these headers, and leaves it after the event `leave`.
+    async fn take_up_with(
+        &self,
+        entry: u8,
+        stream: &mut Stream,
+        named: Vec<(&'static str, String)>,
+        leave: usize,
+    ) {
         let last = stream.begun.ids.len();
         if last == 0 || last == EVENTS {
             return;
         }
+        let mut fields = vec![("resume", last.to_string())];
+        fields.extend(named);
         let ask = Ask {
             path: "/resumable/x",
             id: format!("s{}", self.deployment.next_id()),
             minor: 1,
             deadline: DEADLINE,
-            fields: vec![("resume", last.to_string()), ("resumes", stream.id.clone())],
+            fields,
             body: String::new(),
         };
-        let received = raw::ask(self.deployment.caller_addr(entry), &ask).await;
+        let enough = format!("id: {leave}\n");
+        let addr = self.deployment.caller_addr(entry);
+        let received = raw::ask_until(addr, &ask, |text| text.contains(&enough)).await;
         stream.rest = Part::from(received);
     }
 
@@ -332,3 +348,98 @@
         from_a_copy_no_other: (&["v1", "v2"], "/x", 0..=0),
     }
 }
+
+/// Returns the headers by which a caller names the attempt with an id.
+type Naming = fn(&str) -> Vec<(&'static str, String)>;
+
+/// Ways of naming no attempt, or none that can be read or was ever seen.
+const UNKNOWN: [Naming; 5] = [
+    |_| Vec::new(),
+    |id| vec![("resumes", format!("{id}\u{e9}"))],
+    |id| vec![("resumes", id.to_owned()), ("resumes", id.to_owned())],
+    |id| vec![("resumes", id.repeat(2_000))],
+    |_| vec![("resumes", String::new())],
+];
+
+/// Checks streams whose callers name no attempt that is known.
+fn check_unknown((software, goes_on): (&[&str], bool)) {
+    run(async {
+        let fleet = Fleet::start(software).await;
+        for naming in UNKNOWN {
+            let mut streams = fleet.begin_all(Taker::Another).await;
+            let taken_up = streams.iter_mut().map(|stream| {
+                let named = naming(&stream.id);
+                fleet.take_up_with(2, stream, named, EVENTS + 1)
+            });
+            join_all(taken_up).await;
+            let wrong = streams.iter().filter(|s| s.is_wrong()).count();
+            let on = streams.iter().filter(|s| s.went_on()).count();
+            let refused = streams.iter().filter(|s| s.was_refused()).count();
+            let expected = match goes_on {
+                true => (0, streams.len(), 0),
+                false => (0, 0, streams.len()),
+            };
+            assert_that!((wrong, on, refused), eq(expected));
+        }
+    });
+}
+
+base::cases! {
+    /// Guards against a stream of an unknown origin that goes on at any software version, and
+    /// against one that is refused though there has been one version only.
+    streams_of_unknown_origin_go_on_where_one_version_serves: check_unknown => {
+        one_version: (&["v1", "v1"], true),
+        two_versions: (&["v1", "v2"], false),
+        no_version: (&["", ""], false),
+    }
+}
+
+/// Guards against the third part of a stream at another version, where its caller has taken
+/// it up twice: the first attempt is named each time.
+#[test]
+fn a_stream_is_taken_up_twice_at_its_version() {
+    run(async {
+        let fleet = Fleet::start(&["v1", "v1", "v2", "v2", "v3"]).await;
+        let begun = (0..60).map(|_| fleet.begin(1, 2, "/resumable/x", String::new()));
+        let mut streams = join_all(begun).await;
+        let second = streams.iter_mut().map(|stream| {
+            let named = vec![("resumes", stream.id.clone())];
+            fleet.take_up_with(2, stream, named, 4)
+        });
+        join_all(second).await;
+        for stream in &mut streams {
+            let rest = std::mem::take(&mut stream.rest);
+            stream.begun.ids.extend(rest.ids);
+            stream.begun.software.extend(rest.software);
+        }
+        let third = streams.iter_mut().map(|s| fleet.take_up(1, s));
+        join_all(third).await;
+        let wrong = streams.iter().filter(|s| s.is_wrong()).count();
+        let on = streams.iter().filter(|s| s.went_on()).count();
+        assert_that!((wrong, on), eq((0, streams.len())));
+    });
+}
+
+/// Guards against a stream that goes on at a target that has started again under its id with
+/// another version, which the platform's list doesn't show yet.
+#[test]
+fn a_target_that_starts_again_with_another_version_gets_no_rest() {
+    run(async {
+        let fleet = Fleet::start(&["v1", "v1"]).await;
+        let mut streams = fleet.begin_all(Taker::Another).await;
+        // Streams that break as the target ends show that it does.
+        let broken = (0..20).map(|_| fleet.begin(1, EVENTS + 1, "/resumable/x", String::new()));
+        let restart = async {
+            sleep(PAUSE).await;
+            let again = Duration::from_millis(300);
+            fleet.targets[0].restart("v2", again).await;
+        };
+        let (broken, ()) = tokio::join!(join_all(broken), restart);
+        let taken_up = streams.iter_mut().map(|s| fleet.take_up(2, s));
+        join_all(taken_up).await;
+        let all = streams.iter().chain(&broken);
+        let wrong = all.filter(|s| s.is_wrong()).count();
+        let on = streams.iter().filter(|s| s.went_on()).count();
+        assert_that!((wrong, on), eq((0, streams.len())));
+    });
+}
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -1,4 +1,5 @@
-//! Which software version began each of the streams of the last minute.
+//! Which software version began each of the streams of the last minute, and which versions
+//! could have.
 //!
 //! Pattern: a caller whose connection broke asks another instance for the rest of its
 //! stream. What two versions write doesn't fit together, and targets don't check it.
@@ -8,7 +9,7 @@
     time::Duration,
 };
 
-use base::{Fingerprint, Time};
+use base::{Fingerprint, SoftwareVersion, Time};
 use wire::stream::StreamOrigin;
 
 /// How long a stream is remembered after the last report of it; callers wait for less.
@@ -105,3 +106,41 @@
         Some(self.origins.len() - 1)
     }
 }
+
+/// Software versions of services that were listed while a stream may have lived.
+#[derive(Clone, Debug, Default)]
+pub struct ListedSoftware {
+    /// When each was last seen; `None` stands for targets that name no version.
+    seen: BTreeMap<(String, Option<SoftwareVersion>), Time>,
+}
+
+impl ListedSoftware {
+    /// Notes that a target of `service` is listed with this version.
+    pub fn note(&mut self, now: Time, service: &str, software: Option<&SoftwareVersion>) {
+        let key = (service.to_owned(), software.cloned());
+        self.seen.insert(key, now);
+    }
+
+    /// Forgets what is too old for any stream.
+    pub fn expire(&mut self, now: Time) {
+        self.seen.retain(|_, at| now.since(*at) < MAX_AGE);
+    }
+
+    /// Returns the versions of `service`.
+    #[must_use]
+    pub fn of(&self, now: Time, service: &str) -> Vec<Option<SoftwareVersion>> {
+        let seen = self.seen.iter();
+        let seen = seen.filter(|((of, _), at)| of == service && now.since(**at) < MAX_AGE);
+        seen.map(|((_, software), _)| software.clone()).collect()
+    }
+}
+
+/// Returns the version that all of `listed` are, if they are one that is known.
+#[must_use]
+pub fn only_version(listed: &[Option<SoftwareVersion>]) -> Option<&SoftwareVersion> {
+    let (first, rest) = listed.split_first()?;
+    rest.iter()
+        .all(|other| other == first)
+        .then_some(first.as_ref())
+        .flatten()
+}
--- a/crates/gateway/src/view/software.rs
+++ b/crates/gateway/src/view/software.rs
@@ -1,10 +1,14 @@
 //! The software versions of targets, as far as they are known for certain.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use base::{SoftwareVersion, Time};
 
 use super::{TargetState, View};
+use crate::streams::ListedSoftware;
 
 /// How long the software of a target isn't relied on after its process was seen to have
 /// ended: it may start again under the same id with another version, which the platform's
@@ -15,6 +19,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct KnownSoftware {
     versions: BTreeMap<String, Option<SoftwareVersion>>,
+    /// The versions that services have had.
+    listed: ListedSoftware,
     /// Targets whose process has ended, and when.
     ended: BTreeMap<String, Time>,
 }
@@ -41,7 +47,8 @@
     /// Notes that the process of a target has ended.
     pub fn ended(&mut self, now: Time, id: &str) {
         if self.targets.contains_key(id) {
-            self.software.ended.insert(id.to_owned(), now);
+            let at = self.software.ended.entry(id.to_owned()).or_insert(now);
+            *at = now.max(*at);
         }
     }
 
@@ -59,9 +66,39 @@
         targets.any(|known| known.target.service == service && self.is_untold(known))
     }
 
-    /// Forgets the software of targets that are gone.
+    /// Returns the software versions that targets of `service` have had while a stream may
+    /// have lived; `None` stands for targets whose version isn't known.
+    #[must_use]
+    pub fn listed_software(&self, now: Time, service: &str) -> Vec<Option<SoftwareVersion>> {
+        let mut listed = self.software.listed.of(now, service);
+        let targets = self.targets.values().map(|known| &known.target);
+        for target in targets.filter(|target| target.service == service) {
+            let software = self.software.versions.get(&target.id).cloned().flatten();
+            if !listed.contains(&software) {
+                listed.push(software);
+            }
+        }
+        listed
+    }
+
+    /// Returns the availability zones that have targets of `service`.
+    #[must_use]
+    pub fn zones_with(&self, service: &str) -> BTreeSet<String> {
+        let targets = self.targets.values().map(|known| &known.target);
+        let of_service = targets.filter(|target| target.service == service);
+        of_service.map(|target| target.zone.clone()).collect()
+    }
+
+    /// Notes the versions that targets have, and forgets the software of those that are gone.
     pub fn expire_software(&mut self, now: Time) {
         let targets = &self.targets;
+        for (id, software) in &self.software.versions {
+            if let Some(known) = targets.get(id) {
+                let listed = &mut self.software.listed;
+                listed.note(now, &known.target.service, software.as_ref());
+            }
+        }
+        self.software.listed.expire(now);
         self.software
             .versions
             .retain(|id, _| targets.contains_key(id));
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -287,13 +287,10 @@
         counts
     }
 
-    /// Returns the software of all targets in the zones of this owner, by id.
-    #[must_use]
-    pub fn target_software(&self, now: Time) -> BTreeMap<String, Option<SoftwareVersion>> {
-        let owned = self.targets.values();
-        let owned = owned.filter(|listed| self.lease.fence(now, &listed.zone).is_some());
-        let each = owned.map(|listed| (listed.id.clone(), listed.software.clone()));
-        each.collect()
+    /// Returns the listed targets in the zones of this owner.
+    pub fn owned_targets(&self, now: Time) -> impl Iterator<Item = &ListedTarget> {
+        let listed = self.targets.values();
+        listed.filter(move |listed| self.lease.fence(now, &listed.zone).is_some())
     }
 
     /// Returns the number of targets of each service that run each version of its software.
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -4,7 +4,7 @@
 
 use base::{Fingerprint, Seed, SoftwareVersion, Time};
 use gateway::{
-    streams::{MAX_STREAMS, StreamRegister},
+    streams::{ListedSoftware, MAX_STREAMS, StreamRegister, only_version},
     view::{Choice, View},
 };
 use googletest::prelude::*;
@@ -179,3 +179,36 @@
     view.change_targets(NOW, vec![target("a")], &[]);
     expect_that!(view.software(NOW, "a"), none());
 }
+
+fn check_only((listed, expected): (&[&str], Option<&str>)) {
+    let listed: Vec<_> = listed.iter().map(|raw| raw.parse().ok()).collect();
+    let only = only_version(&listed).map(SoftwareVersion::as_str);
+    assert_that!(only, eq(expected));
+}
+
+base::cases! {
+    /// Guards against a version that is taken for the only one beside others, or beside
+    /// targets whose version isn't known.
+    one_version_is_the_only_one: check_only => {
+        one: (&["v1"], Some("v1")),
+        the_same: (&["v1", "v1", "v1"], Some("v1")),
+        two: (&["v1", "v2"], None),
+        one_unknown: (&["v1", ""], None),
+        all_unknown: (&["", ""], None),
+        none: (&[], None),
+    }
+}
+
+/// Guards against a version that is forgotten while streams that it began may live.
+#[gtest]
+fn versions_are_remembered_for_as_long_as_streams_live() {
+    let mut listed = ListedSoftware::default();
+    listed.note(NOW, "s", Some(&software("v1")));
+    listed.note(after(40), "s", Some(&software("v2")));
+    listed.note(after(40), "other", None);
+    let both = [Some(software("v1")), Some(software("v2"))];
+    expect_that!(listed.of(after(59), "s"), eq(&both));
+    expect_that!(listed.of(after(60), "s"), eq(&both[1..]));
+    listed.expire(after(100));
+    expect_that!(listed.of(after(60), "s"), is_empty());
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -14,8 +14,8 @@
 use std::time::Duration;
 
 use base::{
-    AdapterName, BrandName, Fence, Fingerprint, Incarnation, InstanceName, TargetName, TextVersion,
-    Version, ZoneName, record,
+    AdapterName, BrandName, Fence, Incarnation, InstanceName, TargetName, TextVersion, Version,
+    ZoneName, record,
 };
 use bytes::Bytes;
 
@@ -27,7 +27,7 @@
     operator::{Applied, Apply, Explain, Explained},
     patch::Patch,
     quarantine::{CrashReport, Quarantine},
-    stream::{StreamOrigin, StreamSync, StreamSynced},
+    stream::{FindStream, FoundStream, StreamSync, StreamSynced},
 };
 
 record! {
@@ -92,8 +92,8 @@
         Entries(EntryReport),
         /// Entry to control: streams that have begun, and adapters that streams need to go on.
         Streams(StreamSync),
-        /// Entry to control: asks where the stream with this key began.
-        FindStream(Fingerprint),
+        /// Entry to control: asks where a stream began.
+        FindStream(FindStream),
         /// Control to leader: renews the caller's zone leases.
         Renew {
             /// The control instance that asks.
@@ -153,8 +153,8 @@
         Limits(Option<Permit>),
         /// Answers [`Call::Streams`].
         Streams(StreamSynced),
-        /// Answers [`Call::FindStream`]; `None` if it isn't known.
-        FoundStream(Option<StreamOrigin>),
+        /// Answers [`Call::FindStream`].
+        FoundStream(FoundStream),
         /// Answers [`Call::Entries`].
         Entries(Vec<Helper>),
         /// Answers [`Call::Renew`]: the zones that the caller owns, with its fencing numbers.
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -3,6 +3,8 @@
 //!
 //! The calls are of their own, so that instances of earlier builds can read all others.
 
+use std::time::Duration;
+
 use base::{Fingerprint, SoftwareVersion, record};
 
 record! {
@@ -35,6 +37,28 @@
         pub software: SoftwareVersion,
     }
 
+    /// A question about a stream whose caller has part of it.
+    pub struct FindStream {
+        /// Names the stream; absent if its caller names no attempt that began it.
+        pub key: Option<Fingerprint>,
+        /// The only service that it may have come from; absent if there are several.
+        pub service: Option<String>,
+    }
+
+    /// What a control instance knows of a stream.
+    #[derive(Default)]
+    pub struct FoundStream {
+        /// Where it began, if that is known.
+        pub origin: Option<StreamOrigin>,
+        /// Software versions of the service that were listed in the zones of this control
+        /// instance while a stream may have lived; `None` for targets that name none.
+        pub listed: Vec<Option<SoftwareVersion>>,
+        /// Zones that it owns.
+        pub zones: Vec<String>,
+        /// Targets whose process was reported to have ended lately, and how long ago.
+        pub ended: Vec<(String, Duration)>,
+    }
+
     /// An adapter that a stream needs at a target of one software version.
     #[derive(PartialOrd, Ord)]
     pub struct SoftwareWant {
