Let streams of the product's own way go on only at their software version

Change: the platform's list names the software of a target; once tokens were passed on, only targets of the same known version are chosen. A list that names none lets no stream go on elsewhere. Callers of this way take no stream up themselves.

Open: an engine that starts again under its name with another version before the list shows it; its adapters are loaded anew first.

--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -313,7 +313,8 @@
         let targets: Vec<Value> = targets
             .map(|t| {
                 json!({"name": t.name, "pool": t.pool, "zone": t.zone,
-                    "address": t.listed.to_string(), "state": state(&t.name)})
+                    "address": t.listed.to_string(), "state": state(&t.name),
+                    "software": "v1"})
             })
             .collect();
         let list = json!({"serial": self.serial, "instances": instances, "targets": targets});
--- a/crates/member/tests/member.rs
+++ b/crates/member/tests/member.rs
@@ -14,6 +14,7 @@
         zone: "za".parse().unwrap(),
         address: (*name).to_owned(),
         state: *state,
+        software: None,
     });
     List {
         serial,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -294,12 +294,19 @@
         let Some(active) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let Some(sent) = active.sent.as_mut().filter(|sent| sent.attempt == attempt) else {
+        if active
+            .sent
+            .as_ref()
+            .is_none_or(|sent| sent.attempt != attempt)
+        {
             return;
-        };
+        }
         if let Part::Tokens(count) = part {
-            active.tokens.record(now, count);
+            active.note_tokens(now, count);
         }
+        let Some(sent) = &mut active.sent else {
+            return;
+        };
         if !std::mem::replace(&mut sent.began, true) {
             let took = now.since(sent.at);
             self.router
--- a/crates/node/src/entry/active.rs
+++ b/crates/node/src/entry/active.rs
@@ -1,11 +1,11 @@
 //! A request of one of this instance's own callers: what is known about it
 //! besides the state in [`Request`].
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use base::{
-    BrandName, Class, Failure, Fingerprint, InstanceName, Mark, Refusal, TargetNo, Ticket, Time,
-    Version,
+    BrandName, Class, Failure, Fingerprint, InstanceName, Mark, Refusal, SoftwareVersion, TargetNo,
+    Ticket, Time, Version,
 };
 use request::{AttemptNo, Request, Start};
 use route::{RequestSpec, Router};
@@ -14,7 +14,7 @@
 
 use crate::{
     io::{Arrival, Ending, Event, IdempotencyKey, Output},
-    shared::{Out, Shared},
+    shared::{Out, Shared, TargetInfo},
 };
 
 /// Retry-after time for callers of a service that has not come up.
@@ -47,6 +47,9 @@
     /// Targets whose owner did not accept it, and engines without a reachable
     /// owner; cleared when the request is parked.
     pub(super) rejected: Vec<TargetNo>,
+    /// Software of the target that made the first tokens of its answer; none if that isn't
+    /// known.
+    pub(super) software: Option<SoftwareVersion>,
     /// The current attempt.
     pub(super) sent: Option<Sent>,
     /// Number of times that a control instance did not accept its claim.
@@ -85,6 +88,8 @@
     pub(super) local: bool,
     /// Owner of the target, if the attempt was forwarded to it.
     pub(super) forwarded_to: Option<InstanceName>,
+    /// Software of the target as the platform listed it when the attempt was sent.
+    pub(super) software: Option<SoftwareVersion>,
     /// Whether a part of the response body has arrived.
     pub(super) began: bool,
 }
@@ -154,6 +159,7 @@
             local: false,
             priority: 0,
             rejected: Vec::new(),
+            software: None,
             sent: None,
             claim_retries: 0,
             parked: None,
@@ -168,20 +174,43 @@
         &mut self,
         now: Time,
         attempt: AttemptNo,
-        target: TargetNo,
+        target: &TargetInfo,
+        no: TargetNo,
         forwarded_to: Option<InstanceName>,
     ) {
         self.parked = None;
         self.sent = Some(Sent {
             attempt,
-            target,
+            target: no,
             at: now,
             local: self.local,
             forwarded_to,
+            software: target.listed.software.clone(),
             began: false,
         });
     }
 
+    /// Notes tokens of the current attempt's answer.
+    pub(super) fn note_tokens(&mut self, now: Time, count: u32) {
+        if self.tokens.count == 0 {
+            let sent = self.sent.as_ref();
+            self.software = sent.and_then(|sent| sent.software.clone());
+        }
+        self.tokens.record(now, count);
+    }
+
+    /// Returns the targets that can't go on with its answer: what two software versions make
+    /// doesn't fit together.
+    pub(super) fn unfit(&self, targets: &BTreeMap<TargetNo, TargetInfo>) -> Vec<TargetNo> {
+        if self.tokens.count == 0 {
+            return Vec::new();
+        }
+        let fits =
+            |info: &TargetInfo| self.software.is_some() && info.listed.software == self.software;
+        let unfit = targets.iter().filter(|(_, info)| !fits(info));
+        unfit.map(|(no, _)| *no).collect()
+    }
+
     /// Returns the owner that it was forwarded to, until the first part of the
     /// response body arrives.
     pub(super) fn awaited_owner(&self) -> Option<&InstanceName> {
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -189,11 +189,13 @@
     ) -> Option<Step> {
         loop {
             let active = self.requests.get_mut(&ticket)?;
-            let all: Vec<TargetNo> = avoid.iter().chain(&active.rejected).copied().collect();
+            let mut unfit = active.unfit(&shared.targets);
+            unfit.extend(&active.rejected);
+            let all: Vec<TargetNo> = avoid.iter().chain(&unfit).copied().collect();
             let choice = self.router.choose(now, &active.ask, &all);
             // With no other target left, one that failed this request may be
             // used again.
-            let choice = choice.or_else(|_| self.router.choose(now, &active.ask, &active.rejected));
+            let choice = choice.or_else(|_| self.router.choose(now, &active.ask, &unfit));
             let target = match choice {
                 Ok(choice) => choice.target,
                 Err(failure) if active.rejected.is_empty() => {
@@ -294,7 +296,7 @@
             },
         };
         let owner = forwarded.map(|(owner, _)| owner);
-        active.note_sent(now, attempt, target, owner.clone());
+        active.note_sent(now, attempt, info, target, owner.clone());
         if let Some(key) = active.start.adapter.filter(|_| active.local) {
             let using = Msg::Using {
                 ticket,
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -4,4 +4,5 @@
 mod crashes;
 mod guards;
 mod requests;
+mod software;
 mod world;
--- a/crates/node/tests/node/world.rs
+++ b/crates/node/tests/node/world.rs
@@ -139,6 +139,8 @@
     pub(crate) body: [u8; 16],
     /// Whether a target whose attempts break no longer listens.
     pub(crate) targets_crash: bool,
+    /// Software versions of targets.
+    pub(crate) software: BTreeMap<&'static str, &'static str>,
     pub(crate) verdicts: Rc<RefCell<Verdicts>>,
     wake: Time,
     /// All outputs with their times, as text.
@@ -201,6 +203,7 @@
             ready: false,
             body: [0; 16],
             targets_crash: false,
+            software: BTreeMap::new(),
             verdicts: Rc::default(),
             wake: Time::ZERO,
             trace: Vec::new(),
@@ -222,6 +225,7 @@
                 } else {
                     platform::State::Live
                 },
+                software: self.software.get(*target).and_then(|raw| raw.parse().ok()),
             });
         let list = platform::List {
             serial,
--- a/crates/quetzalarch/examples/embed.rs
+++ b/crates/quetzalarch/examples/embed.rs
@@ -232,6 +232,7 @@
             zone: "dubrava".parse().expect("a name"),
             address: "127.0.0.1:7201".to_owned(),
             state: platform::State::Live,
+            software: "v1".parse().ok(),
         }],
     }
 }
--- a/crates/scenarios/src/world/faults.rs
+++ b/crates/scenarios/src/world/faults.rs
@@ -159,6 +159,7 @@
             zone: node.zone.parse().unwrap(),
             address: name.clone(),
             state: State::Live,
+            software: "v1".parse().ok(),
         });
         List {
             serial: 1,
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -3,7 +3,7 @@
 //! The list lags behind: it may still contain entries that have stopped, and lack
 //! entries that have just started.
 
-use base::{InstanceName, PoolName, TargetName, ZoneName, record};
+use base::{InstanceName, PoolName, SoftwareVersion, TargetName, ZoneName, record};
 
 record! {
     /// The full list. `GET /v1/list`.
@@ -40,6 +40,10 @@
         pub address: String,
         /// Whether it is about to stop.
         pub state: State,
+        /// The version of its software. Without one, no stream that broke elsewhere goes on
+        /// there, and none that broke there goes on elsewhere.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub software: Option<SoftwareVersion>,
     }
 }
 
--- a/xtask/src/capacity/world.rs
+++ b/xtask/src/capacity/world.rs
@@ -388,6 +388,7 @@
             zone: format!("zone-{}", i % 8).parse()?,
             address: format!("127.0.0.1:{}", 10_000 + i),
             state: platform::State::Live,
+            software: "v1".parse().ok(),
         })
     };
     let engines = (0..targets).map(|i| target(engine(i)?, "drafting", i));
