--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -419,6 +419,9 @@
 
     /// Notes that events that `in_flight` made were passed on.
     pub(super) fn note_events(&mut self, in_flight: &InFlight) {
+        if self.stream.is_told() {
+            return;
+        }
         let software = in_flight.software();
         self.stream
             .passed_on(&self.state, &self.service, software.as_ref());
--- a/crates/frontd/src/entry/streams.rs
+++ b/crates/frontd/src/entry/streams.rs
@@ -172,16 +172,18 @@
         self.begun != Begun::Unknown
     }
 
-    /// Notes that events of a target that runs `software` were passed on.
+    /// Returns whether its first events were noted.
+    pub(super) fn is_told(&self) -> bool {
+        self.told
+    }
+
+    /// Notes that the first events, of a target that runs `software`, were passed on.
     pub(super) fn passed_on(
         &mut self,
         state: &State,
         service: &str,
         software: Option<&SoftwareVersion>,
     ) {
-        if self.told {
-            return;
-        }
         self.told = true;
         if self.begun == Begun::No {
             self.begun = software.map_or(Begun::Unknown, |software| {
--- a/crates/frontd/tests/editions/deployment.rs
+++ b/crates/frontd/tests/editions/deployment.rs
@@ -253,7 +253,7 @@
 }
 
 fn own_ip(no: u8, instance: u8) -> IpAddr {
-    loopback_ip(no * INSTANCES + instance)
+    loopback_ip(u16::from(no * INSTANCES + instance))
 }
 
 fn start_control(no: u8, control: u8, data: &std::path::Path, decoded: &Arc<AtomicUsize>) {
--- a/crates/frontd/tests/memory/deployment.rs
+++ b/crates/frontd/tests/memory/deployment.rs
@@ -359,7 +359,7 @@
 }
 
 fn own_ip(no: u8, instance: u8) -> IpAddr {
-    loopback_ip(no * INSTANCES + instance)
+    loopback_ip(u16::from(no * INSTANCES + instance))
 }
 
 fn platform(no: u8, fleet: &Arc<Fleet>) -> Platform {
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -5,7 +5,7 @@
     net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU8, AtomicU64, Ordering},
+        atomic::{AtomicU16, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -39,8 +39,8 @@
 const ADAPTER: &str = "m/a";
 
 /// Addresses reserved for the instances of one deployment: one control instance and up to four
-/// entry instances. The process has 255 of them for all deployments.
-const INSTANCES: u8 = 5;
+/// entry instances.
+const INSTANCES: u16 = 5;
 const PEERS: u16 = 17_680;
 const OPERATORS: u16 = 17_681;
 const CALLERS: u16 = 17_682;
@@ -50,7 +50,7 @@
 const MANY_RETRIES: f64 = 10_000.0;
 
 /// Number of the next deployment in this test process.
-static NEXT: AtomicU8 = AtomicU8::new(1);
+static NEXT: AtomicU16 = AtomicU16::new(1);
 
 /// A target as the platform lists it.
 pub(crate) struct Listed {
@@ -76,7 +76,7 @@
 
 /// A deployment in this process.
 pub(crate) struct Deployment {
-    no: u8,
+    no: u16,
     engines: Vec<Arc<Engine>>,
     list: ListFn,
     retries: budget::Limits,
@@ -358,11 +358,11 @@
     resp
 }
 
-fn own_ip(no: u8, instance: u8) -> IpAddr {
-    loopback_ip(no * INSTANCES + instance)
+fn own_ip(no: u16, instance: u8) -> IpAddr {
+    loopback_ip(no * INSTANCES + u16::from(instance))
 }
 
-fn platform(no: u8, list: &ListFn, links: Option<&Arc<Links>>) -> Platform {
+fn platform(no: u16, list: &ListFn, links: Option<&Arc<Links>>) -> Platform {
     let links = links.map(Arc::clone);
     let (list, ask) = (Arc::clone(list), Arc::clone(list));
     Platform {
