Take back the limit on weights that still load: it brought fewer loads

That engines refuse their first adapter as busy, and take one up to 25 s later, stands; why isn't known.

--- a/crates/gateway/src/zone_owner/engine.rs
+++ b/crates/gateway/src/zone_owner/engine.rs
@@ -61,8 +61,6 @@
     pub(super) paused_until: Time,
     /// Base models held, and the times from which they can be used.
     pub(super) models: BTreeMap<String, Time>,
-    /// When a base model was ordered whose load isn't known to have ended.
-    model_ordered: Option<Time>,
     /// Versions of their weights, as far as the engine has reported them.
     weights: BTreeMap<String, u32>,
     pub(super) adapters: BTreeMap<String, Slot>,
@@ -140,9 +138,6 @@
             return;
         }
         if let Some(held) = &listed.held {
-            if !held.models.is_empty() {
-                self.model_ordered = None;
-            }
             self.merge_held(now, asked, held, times.list_lag, times.list_lag);
         }
     }
@@ -159,22 +154,6 @@
         };
     }
 
-    /// Returns whether a base model is being loaded.
-    ///
-    /// Failure: weights load several times as long as expected while many engines load some.
-    /// Loads that counted as done after the expected time let all other engines begin as
-    /// well, and each took longer still.
-    pub(super) fn loads_model(&self) -> bool {
-        self.model_ordered.is_some() || matches!(self.order, Some(Action::LoadModel(_)))
-    }
-
-    /// Returns whether a base model should have been loaded by now, so that a report is
-    /// requested.
-    pub(super) fn model_overdue(&self, now: Time, expected: Duration) -> bool {
-        self.model_ordered
-            .is_some_and(|at| now.since(at) >= expected)
-    }
-
     /// Notes that an entry instance could not reach the engine.
     ///
     /// Failure: one entry instance is cut off from an engine, or an engine breaks off
@@ -218,9 +197,6 @@
             // slot is filled twice.
             OrderOutcome::Unknown => {
                 base::hit!(order_outcome_unknown);
-                if matches!(action, Action::LoadModel(_)) {
-                    self.model_ordered = Some(now);
-                }
                 self.unknown_seq = self.seq;
                 self.next_load = None;
                 self.paused_until = now + UNKNOWN_PAUSE;
@@ -267,7 +243,6 @@
                     times.model_load
                 };
                 self.models.insert(model, now + wait);
-                self.model_ordered = (outcome == OrderOutcome::Accepted).then_some(now);
                 self.paused_until = now + wait;
             }
             Action::Load { adapter, version } => {
@@ -383,7 +358,6 @@
             return;
         }
         self.seq = Some(report.seq);
-        self.model_ordered = None;
         // An order of this zone owner, or of its predecessor, may still be executed late
         // at this count.
         self.unknown_seq = self.seq;
--- a/crates/gateway/src/zone_owner/plan.rs
+++ b/crates/gateway/src/zone_owner/plan.rs
@@ -28,7 +28,7 @@
 /// a quarter of a second, and each instance reports about as often.
 const ELSEWHERE_MAX_AGE: Duration = Duration::from_millis(500);
 
-/// Base models loaded concurrently over all zones; the store is at full speed up to two.
+/// Base models loaded concurrently; the store is at full speed up to two.
 const MODELS_AT_ONCE: usize = 2;
 
 /// Added to an engine's load, in parts of its slots, if it would have to evict an adapter
@@ -218,8 +218,7 @@
             if self.lease.fence(now, &listed.zone).is_none() {
                 continue;
             }
-            let overdue = engine.model_overdue(now, self.config.model_load);
-            let why = if engine.seq.is_none() || overdue {
+            let why = if engine.seq.is_none() {
                 ReportReason::OrderCount
             } else if engine.suspect {
                 ReportReason::Liveness
@@ -239,12 +238,14 @@
 
     /// Loads a base model on engines that have none.
     fn load_models(&mut self, now: Time, out: &mut Vec<Output>) {
-        let own = self.lease.zones(now).len();
-        let most = (MODELS_AT_ONCE * own / self.config.zones.max(1)).max(1);
-        let mut busy = self.engines.values().filter(|e| e.loads_model()).count();
+        let loading = |engine: &Engine| {
+            let on_its_way = engine.models.values().any(|ready| *ready > now);
+            on_its_way || matches!(engine.order, Some(Action::LoadModel(_)))
+        };
+        let mut busy = self.engines.values().filter(|e| loading(e)).count();
         let ids: Vec<_> = self.engines.keys().cloned().collect();
         for id in ids {
-            if busy >= most {
+            if busy >= MODELS_AT_ONCE {
                 return;
             }
             let engine = &self.engines[&id];
@@ -499,7 +500,6 @@
 
     /// Returns whether an order may be given now.
     fn can_take_order(&self, now: Time) -> bool {
-        let free = self.order.is_none() && !self.loads_model();
-        self.seq.is_some() && free && now >= self.paused_until
+        self.seq.is_some() && self.order.is_none() && now >= self.paused_until
     }
 }
