Split what this change made long: streams taken up, the choice of a target, who sends

Code is moved and cut into shorter functions; what it does stays. The own id of a stream counts only where one header holds it, as the other one's.

--- a/crates/frontd/src/entry/forward/receive.rs
+++ b/crates/frontd/src/entry/forward/receive.rs
@@ -76,15 +76,7 @@
         why: Why::NoTable,
     })?;
     let mut route = route(&table, &headers, parts.uri.path()).ok_or(RequestError::NoRoute)?;
-    let key = headers.get(&names.key).map(|key| key.as_bytes());
-    let account = match table.sender(&route, key) {
-        Sender::Anyone => None,
-        Sender::Account(account) => Some(account),
-        Sender::Unknown => return Err(RequestError::UnknownKey),
-    };
-    if let Some(priority) = account.as_ref().and_then(|account| account.priority) {
-        route.priority = priority;
-    }
+    let account = sender(&table, &mut route, &headers, &names)?;
     let cost = match &account {
         Some(account) => admit(&state, account, &headers, arrived + timeout / 3).await?,
         None => 0.0,
@@ -130,6 +122,25 @@
     })
 }
 
+/// Returns the account that a request is sent for, whose priority the route takes over.
+fn sender(
+    table: &Table,
+    route: &mut Route,
+    headers: &HeaderMap,
+    names: &HeaderNames,
+) -> Result<Option<Arc<Account>>, RequestError> {
+    let key = headers.get(&names.key).map(|key| key.as_bytes());
+    let account = match table.sender(route, key) {
+        Sender::Anyone => return Ok(None),
+        Sender::Account(account) => account,
+        Sender::Unknown => return Err(RequestError::UnknownKey),
+    };
+    if let Some(priority) = account.priority {
+        route.priority = priority;
+    }
+    Ok(Some(account))
+}
+
 /// Admits a request of an account if that is within its limit, and returns the units that
 /// it counts for. Where that is not known, an exchange with a control instance is waited
 /// for, until `until` at most.
--- a/crates/frontd/src/entry/streams.rs
+++ b/crates/frontd/src/entry/streams.rs
@@ -223,29 +223,38 @@
     let names = &state.platform.header_names;
     let host = headers::text(request, &HOST).unwrap_or_default();
     let key = |id: &str| Fingerprint::of(&[host.as_bytes(), path.as_bytes(), id.as_bytes()]);
-    let own = headers::text(request, &names.request_id).unwrap_or_default();
     if request
         .get(&names.last_event)
         .is_none_or(|id| id.is_empty())
     {
-        let named = resumable && !own.is_empty();
-        return Ok(Stream::new(named.then(|| key(own))));
+        let own = headers::single(request, &names.request_id);
+        return Ok(Stream::new(own.filter(|_| resumable).map(key)));
     }
-    let refuse = |why: &str| {
-        prom_metrics().stream_taken_up("refused", why);
-        event!(
-            telemetry::Event::StreamRefused,
-            request = own,
-            resumes = headers::text(request, &names.resumes).unwrap_or_default(),
-            why = why
-        );
-        RequestError::NotRun {
-            again: UNKNOWN_RETRY_AFTER,
-            why: Why::UnknownStream,
-        }
-    };
     let resumes = headers::single(request, &names.resumes);
     let key = resumes.map(key);
+    match taken_up(state, route, key, until).await {
+        Ok((origin, source)) => {
+            log_taken_up(state, request, &origin, source);
+            Ok(Stream {
+                begun: Begun::At(origin),
+                ..Stream::new(key)
+            })
+        }
+        Err(why) => Err(refuse(state, request, why)),
+    }
+}
+
+/// Returns where a stream began that its caller takes up, and how that is known.
+///
+/// # Errors
+///
+/// Fails with what is missing.
+async fn taken_up(
+    state: &State,
+    route: &Route,
+    key: Option<Fingerprint>,
+    until: Instant,
+) -> Result<(StreamOrigin, &'static str), &'static str> {
     let only_service = match route.split.as_slice() {
         [(service, _)] => Some(service.clone()),
         _ => None,
@@ -254,29 +263,42 @@
         key,
         service: only_service,
     };
-    let Some((origin, source)) = find(state, &asked, until).await else {
-        return Err(refuse(match key {
-            Some(_) => "unknown",
-            None => "no_attempt_named",
-        }));
-    };
+    let unknown = key.map_or("no_attempt_named", |_| "unknown");
+    let (origin, source) = find(state, &asked, until).await.ok_or(unknown)?;
     let leads_there = |(service, _): &(String, u32)| *service == origin.service;
     if !route.split.iter().any(leads_there) {
-        return Err(refuse("service_changed"));
+        return Err("service_changed");
     }
+    Ok((origin, source))
+}
+
+fn log_taken_up(state: &State, request: &HeaderMap, origin: &StreamOrigin, source: &str) {
+    let names = &state.platform.header_names;
     prom_metrics().stream_taken_up("known", source);
     event!(
         telemetry::Event::StreamTakenUp,
-        request = own,
-        resumes = resumes.unwrap_or_default(),
+        request = headers::text(request, &names.request_id).unwrap_or_default(),
+        resumes = headers::text(request, &names.resumes).unwrap_or_default(),
         service = origin.service,
         software = origin.software.to_string(),
         source = source
     );
-    Ok(Stream {
-        begun: Begun::At(origin),
-        ..Stream::new(key)
-    })
+}
+
+/// Refuses the rest of a stream of an unknown origin.
+fn refuse(state: &State, request: &HeaderMap, why: &str) -> RequestError {
+    let names = &state.platform.header_names;
+    prom_metrics().stream_taken_up("refused", why);
+    event!(
+        telemetry::Event::StreamRefused,
+        request = headers::text(request, &names.request_id).unwrap_or_default(),
+        resumes = headers::text(request, &names.resumes).unwrap_or_default(),
+        why = why
+    );
+    RequestError::NotRun {
+        again: UNKNOWN_RETRY_AFTER,
+        why: Why::UnknownStream,
+    }
 }
 
 /// Returns where a stream began and how that is known.
