Look streams up before their callers' limits are charged

What callers would see: the rest of a stream that is refused as not run counts against the limit of their account all the same. Cause: the limit was charged before the stream was looked up, and such a refusal gave nothing back (found by reading). Change: the other way round. No test of its own.

--- a/crates/frontd/src/control/shell/streams.rs
+++ b/crates/frontd/src/control/shell/streams.rs
@@ -43,9 +43,7 @@
             logged: BTreeMap::new(),
         }
     }
-}
 
-impl Streams {
     fn ended(&self, now: Time) -> Vec<(String, Duration)> {
         let ended = self.ended.iter();
         let ended = ended.map(|(target, at)| (target.clone(), now.since(*at)));
--- a/crates/frontd/src/entry/forward/receive.rs
+++ b/crates/frontd/src/entry/forward/receive.rs
@@ -77,13 +77,14 @@
     })?;
     let mut route = route(&table, &headers, parts.uri.path()).ok_or(RequestError::NoRoute)?;
     let account = sender(&table, &mut route, &headers, &names)?;
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    // Before it counts against the account's limit: what is refused here hasn't run.
+    let stream = streams::resumed(&state, &route, &headers, path, arrived + timeout / 3).await?;
     let cost = match &account {
         Some(account) => admit(&state, account, &headers, arrived + timeout / 3).await?,
         None => 0.0,
     };
     let body = read_body(&table, body).await?;
-    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
-    let stream = streams::resumed(&state, &route, &headers, path, arrived + timeout / 3).await?;
     let service = match stream.origin() {
         Some(origin) => origin.service.clone(),
         None => route.service(rand::random()).to_owned(),
