Ask the owners of all zones before one version counts as the only one

What callers could see: the rest of a stream of unknown origin at another software version, up to 4 in a minute and a half. Cause: an instance that has just started and not heard of a cut zone asked for no answer of that zone's owner. Change: the owners of all zones of the deployment have to answer.

--- a/crates/frontd/src/entry/streams.rs
+++ b/crates/frontd/src/entry/streams.rs
@@ -9,7 +9,7 @@
 use daemon::lock;
 use futures::{StreamExt, stream::FuturesUnordered};
 use gateway::{
-    streams::{StreamRegister, only_version},
+    streams::{StreamRegister, only_origin},
     table::{Kind, Route},
 };
 use hyper::{HeaderMap, header::HOST};
@@ -20,9 +20,7 @@
 };
 use wire::{
     call::{Call, Reply},
-    stream::{
-        BegunStreams, FindStream, FoundStream, SoftwareWant, StreamOrigin, StreamSync, StreamSynced,
-    },
+    stream::{BegunStreams, FindStream, SoftwareWant, StreamOrigin, StreamSync, StreamSynced},
 };
 
 use super::{
@@ -338,30 +336,10 @@
         all.push(found);
     }
     let service = asked.service.as_ref()?;
-    let software = only_software(state, service, &all)?;
-    let origin = StreamOrigin {
-        service: service.clone(),
-        software,
-    };
+    let origin = only_origin(state.now(), &state.view(), &state.zones, service, &all)?;
     Some((origin, "only_version"))
 }
 
-/// Returns the version that began every stream of `service` that a caller may have part of,
-/// if there was one only, by this instance's view and the owners of all zones.
-///
-/// A target that runs another version takes requests only after the owner of its zone has
-/// listed it, and is remembered there.
-fn only_software(state: &State, service: &str, answers: &[FoundStream]) -> Option<SoftwareVersion> {
-    let view = state.view();
-    let owned = |zone: &String| answers.iter().any(|found| found.zones.contains(zone));
-    if !view.zones_with(service).iter().all(owned) {
-        return None;
-    }
-    let mut listed = view.listed_software(state.now(), service);
-    listed.extend(answers.iter().flat_map(|found| found.listed.clone()));
-    only_version(&listed).cloned()
-}
-
 /// Tells control instances of streams that begin, for as long as the process runs.
 pub(super) async fn run(state: Arc<State>) {
     loop {
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -10,7 +10,9 @@
 };
 
 use base::{Fingerprint, SoftwareVersion, Time};
-use wire::stream::StreamOrigin;
+use wire::stream::{FoundStream, StreamOrigin};
+
+use crate::view::View;
 
 /// How long a stream is remembered after the last report of it; callers wait for less.
 const MAX_AGE: Duration = Duration::from_secs(60);
@@ -144,3 +146,31 @@
         .then_some(first.as_ref())
         .flatten()
 }
+
+/// Returns where every stream of `service` began that a caller may have part of, if there has
+/// been one version only, by an entry instance's `view` and the answers of the owners of all
+/// `zones` of the deployment.
+///
+/// A target that runs another version takes requests only after the owner of its zone has
+/// listed it, and is remembered there. An instance that has just started may not have heard of
+/// a zone's targets.
+#[must_use]
+pub fn only_origin(
+    now: Time,
+    view: &View,
+    zones: &[String],
+    service: &str,
+    answers: &[FoundStream],
+) -> Option<StreamOrigin> {
+    let owned = |zone: &String| answers.iter().any(|found| found.zones.contains(zone));
+    if !zones.iter().chain(&view.zones_with(service)).all(owned) {
+        return None;
+    }
+    let mut listed = view.listed_software(now, service);
+    listed.extend(answers.iter().flat_map(|found| found.listed.clone()));
+    let software = only_version(&listed)?.clone();
+    Some(StreamOrigin {
+        service: service.to_owned(),
+        software,
+    })
+}
