--- a/crates/frontd/tests/targets/ends.rs
+++ b/crates/frontd/tests/targets/ends.rs
@@ -61,6 +61,7 @@
                 End::Silence => SHORT,
                 End::Close | End::Reset => DEADLINE,
             },
+            tokens: 50,
             fields: Vec::new(),
             body: script.body(),
         };
--- a/crates/frontd/tests/targets/raw.rs
+++ b/crates/frontd/tests/targets/raw.rs
@@ -20,6 +20,8 @@
     /// Version of HTTP, after the dot.
     pub(crate) minor: u8,
     pub(crate) deadline: Duration,
+    /// Most tokens of the answer: the run of a longer one is copied to a second target.
+    pub(crate) tokens: u32,
     /// Further headers.
     pub(crate) fields: Vec<(&'static str, String)>,
     pub(crate) body: String,
@@ -54,6 +56,7 @@
         id,
         minor,
         deadline,
+        tokens,
         fields,
         body,
     } = ask;
@@ -63,7 +66,7 @@
         .collect();
     let head = format!(
         "POST {path} HTTP/1.{minor}\r\nhost: a.example\r\nattempt: {id}\r\nmodel: m/a\r\n\
-         tokens: 100,200\r\ndeadline: {}\r\nconnection: close\r\n{fields}content-length: {}\r\n\r\n",
+         tokens: 100,{tokens}\r\ndeadline: {}\r\nconnection: close\r\n{fields}content-length: {}\r\n\r\n",
         deadline.as_millis(),
         body.len()
     );
--- a/crates/frontd/tests/targets/versions.rs
+++ b/crates/frontd/tests/targets/versions.rs
@@ -150,6 +150,7 @@
             id: id.clone(),
             minor: 1,
             deadline: DEADLINE,
+            tokens: 200,
             fields: Vec::new(),
             body,
         };
@@ -187,6 +188,7 @@
             id: format!("s{}", self.deployment.next_id()),
             minor: 1,
             deadline: DEADLINE,
+            tokens: 200,
             fields,
             body: String::new(),
         };
