--- a/crates/frontd/tests/common/engines.rs
+++ b/crates/frontd/tests/common/engines.rs
@@ -26,6 +26,8 @@
         ("/", Kind::Stream { resumable: false }, 1),
         ("/resumable/", Kind::Stream { resumable: true }, 2),
         ("/safe/", Kind::Safe, 1),
+        ("/repeatable/", Kind::Safe, 2),
+        ("/once/", Kind::Unsafe, 1),
     ] {
         table.routes.push(Route {
             name: format!("r{prefix}"),
--- a/crates/frontd/tests/targets.rs
+++ b/crates/frontd/tests/targets.rs
@@ -29,6 +29,8 @@
 mod raw;
 #[path = "targets/scripted.rs"]
 mod scripted;
+#[path = "targets/silence.rs"]
+mod silence;
 #[path = "targets/versioned.rs"]
 mod versioned;
 #[path = "targets/versions.rs"]
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -107,11 +107,13 @@
 
     /// As [`Self::start_linked`], before other targets than engines.
     pub(crate) async fn start_listed(entries: u8, list: ListFn) -> Deployment {
+        Deployment::start_allowing(entries, list, MANY_RETRIES).await
+    }
+
+    /// As [`Self::start_listed`], with `ratio` retries for each request.
+    pub(crate) async fn start_allowing(entries: u8, list: ListFn, ratio: f64) -> Deployment {
         let links = join_all((0..entries).map(|_| Links::new())).await;
-        let retries = budget::Limits {
-            ratio: MANY_RETRIES,
-            ..retries()
-        };
+        let retries = budget::Limits { ratio, ..retries() };
         Deployment::start_before(entries, Vec::new(), list, links, retries).await
     }
 
@@ -296,7 +298,8 @@
         all
     }
 
-    async fn submit(&self, path: &str) {
+    /// Publishes the edition whose number is in `path`.
+    pub(crate) async fn submit(&self, path: &str) {
         let addr = SocketAddr::new(own_ip(self.no, 0), OPERATORS);
         loop {
             let send = client::Send::new(addr, Method::POST, path);
--- a/crates/frontd/tests/targets/scripted.rs
+++ b/crates/frontd/tests/targets/scripted.rs
@@ -2,15 +2,17 @@
 //! written in the request's body.
 
 use std::{
-    collections::BTreeSet,
+    collections::BTreeMap,
     net::SocketAddr,
     str::FromStr,
     sync::{Arc, Mutex},
+    time::{Duration, Instant},
 };
 
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
+    time::sleep,
 };
 
 use crate::deployment::{Listed, listed_target};
@@ -55,6 +57,40 @@
     Close,
     Reset,
     Silence,
+    /// Silence for as many milliseconds, and then the rest of the answer.
+    Pause(u64),
+}
+
+impl FromStr for End {
+    type Err = ();
+
+    fn from_str(raw: &str) -> Result<Self, ()> {
+        match raw {
+            "Close" => Ok(End::Close),
+            "Reset" => Ok(End::Reset),
+            "Silence" => Ok(End::Silence),
+            _ => {
+                let ms = raw
+                    .strip_prefix("Pause(")
+                    .and_then(|raw| raw.strip_suffix(')'));
+                ms.and_then(|ms| ms.parse().ok()).map(End::Pause).ok_or(())
+            }
+        }
+    }
+}
+
+/// What a target does with a request that has reached a target before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Again {
+    /// Answers it in full.
+    #[default]
+    Answers,
+    /// Answers it in full after some milliseconds.
+    AnswersAfter(u64),
+    /// Says that it hasn't run it.
+    Refuses,
+    /// Does what is written in it once more.
+    Plays,
 }
 
 /// What an answer contains.
@@ -129,12 +165,7 @@
             _ => return Err(()),
         };
         let framing = words.next().ok_or(())?.parse()?;
-        let end = match words.next() {
-            Some("Close") => End::Close,
-            Some("Reset") => End::Reset,
-            Some("Silence") => End::Silence,
-            _ => return Err(()),
-        };
+        let end = words.next().ok_or(())?.parse()?;
         let sent = words.next().and_then(|raw| raw.parse().ok()).ok_or(())?;
         let again = words.next().ok_or(())?.parse()?;
         Ok(Script {
@@ -200,8 +231,19 @@
     bytes
 }
 
-/// Ids of the requests that have reached any target.
-pub(crate) type Seen = Arc<Mutex<BTreeSet<String>>>;
+/// What became of one request at all targets.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Runs {
+    /// When it reached a target.
+    pub(crate) reached: Vec<Instant>,
+    /// When a target that it had reached before any other was left by its sender.
+    pub(crate) left: Option<Instant>,
+    /// When a target that it had reached again began to answer.
+    pub(crate) begun_again: Option<Instant>,
+}
+
+/// The requests that have reached any target, by id.
+pub(crate) type Seen = Arc<Mutex<BTreeMap<String, Runs>>>;
 
 /// A scripted target.
 #[derive(Debug)]
@@ -212,12 +254,16 @@
 
 impl Target {
     pub(crate) async fn start(no: usize, seen: Seen) -> Arc<Target> {
+        Target::start_with(no, seen, Again::default()).await
+    }
+
+    pub(crate) async fn start_with(no: usize, seen: Seen, again: Again) -> Arc<Target> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let addr = listener.local_addr().unwrap();
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                tokio::spawn(play(stream, Arc::clone(&seen)));
+                tokio::spawn(play(stream, Arc::clone(&seen), again));
             }
         });
         let id = format!("t{no}");
@@ -232,44 +278,104 @@
     }
 }
 
+/// Notes that a request has reached a target, and returns whether it is the first one.
+fn note_reached(seen: &Seen, id: &str) -> bool {
+    let mut seen = seen.lock().unwrap();
+    let runs = seen.entry(id.to_owned()).or_default();
+    runs.reached.push(Instant::now());
+    runs.reached.len() == 1
+}
+
 /// Answers the requests on one connection until an answer ends it.
-async fn play(stream: TcpStream, seen: Seen) {
+async fn play(stream: TcpStream, seen: Seen, again: Again) {
     let mut stream = BufReader::new(stream);
     while let Some(request) = read_request(&mut stream).await {
-        // What comes again is answered in full.
-        let first = seen.lock().unwrap().insert(request.id.clone());
+        let first = note_reached(&seen, &request.id);
         let asked: Script = request.body.parse().unwrap_or(ALL);
-        let script = match first {
+        let script = match first || again == Again::Plays {
             true => asked,
             false => Script {
                 framing: asked.again,
                 ..ALL
             },
         };
+        if !first {
+            match again {
+                Again::Refuses => {
+                    let refusal = refusal(&request.id);
+                    if stream
+                        .get_mut()
+                        .write_all(refusal.as_bytes())
+                        .await
+                        .is_err()
+                    {
+                        return;
+                    }
+                    continue;
+                }
+                Again::AnswersAfter(ms) => sleep(Duration::from_millis(ms)).await,
+                Again::Answers | Again::Plays => {}
+            }
+            let mut seen = seen.lock().unwrap();
+            let runs = seen.get_mut(&request.id).unwrap();
+            runs.begun_again.get_or_insert_with(Instant::now);
+        }
         let more = if first { "" } else { MORE };
         let text = script.content.text(request.last) + more;
         let (mut bytes, body) = script.answer_with(&request.id, &text);
         bytes.extend_from_slice(&body);
-        let sent = &bytes[..script.sent.min(bytes.len())];
+        let (sent, rest) = bytes.split_at(script.sent.min(bytes.len()));
         if stream.get_mut().write_all(sent).await.is_err() {
             return;
         }
-        let whole = sent.len() == bytes.len();
+        let mut whole = rest.is_empty();
+        if let (End::Pause(ms), false) = (script.end, whole) {
+            if left_within(&mut stream, Duration::from_millis(ms)).await {
+                return note_left(&seen, &request.id, first);
+            }
+            if stream.get_mut().write_all(rest).await.is_err() {
+                return;
+            }
+            whole = true;
+        }
         if whole && script.framing != Framing::Neither {
             continue;
         }
         match script.end {
-            End::Close => return,
+            End::Close | End::Pause(_) => return,
             End::Reset => return stream.get_ref().set_zero_linger().unwrap(),
             End::Silence => {
                 // Until the other side has closed.
                 stream.read_u8().await.ok();
-                return;
+                return note_left(&seen, &request.id, first);
             }
         }
     }
 }
 
+/// Returns whether the other side closes the connection within `time`.
+async fn left_within(stream: &mut BufReader<TcpStream>, time: Duration) -> bool {
+    tokio::select! {
+        read = stream.read_u8() => {
+            assert!(read.is_err(), "a request is sent before the last one is answered");
+            true
+        }
+        () = sleep(time) => false,
+    }
+}
+
+fn note_left(seen: &Seen, id: &str, first: bool) {
+    if first {
+        seen.lock().unwrap().get_mut(id).unwrap().left = Some(Instant::now());
+    }
+}
+
+fn refusal(id: &str) -> String {
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nattempt: {id}\r\nrefused: full\r\ncontent-length: 0\r\n\r\n"
+    )
+}
+
 #[derive(Debug, Default)]
 struct Request {
     id: String,
--- a/crates/web/tests/web/timeout.rs
+++ b/crates/web/tests/web/timeout.rs
@@ -1,13 +1,23 @@
 //! Timeouts in a process that is too busy to check for the answer.
 
-use std::{thread, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+    thread,
+    time::Duration,
+};
 
 use googletest::prelude::*;
 use tokio::{
+    runtime::Builder,
     sync::oneshot,
     time::{Instant, sleep},
 };
-use web::timeout::{MAX_EXTENSION, answer_by};
+use web::{
+    Method,
+    client::{Client, Limits, Send},
+    timeout::{MAX_EXTENSION, answer_by},
+};
 
 const LIMIT: Duration = Duration::from_millis(30);
 
@@ -39,3 +49,52 @@
     assert_that!(start.elapsed(), lt(LIMIT + MAX_EXTENSION * 2));
     drop(answer);
 }
+
+/// Head and body of an answer.
+const PARTS: [&str; 2] = ["HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhe", "llo"];
+
+/// Starts a target on a thread of its own that writes each part `pause` after the one before.
+fn target(pauses: [Duration; 2]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.read_exact(&mut [0; 16]).unwrap();
+        for (part, pause) in PARTS.iter().zip(pauses) {
+            thread::sleep(pause);
+            stream.write_all(part.as_bytes()).unwrap();
+        }
+        thread::sleep(LIMIT * 10);
+    });
+    addr
+}
+
+/// Fetches an answer whose parts arrive before the limit, in a process whose only thread is busy
+/// from before that until long after it.
+fn check_busy((pauses, busy_after): ([Duration; 2], Duration)) {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    let body = runtime.block_on(async {
+        let mut send = Send::new(target(pauses), Method::GET, "/");
+        send.limits = Limits {
+            first: LIMIT * 3,
+            idle: LIMIT * 3,
+            ..Limits::default()
+        };
+        tokio::spawn(async move {
+            sleep(busy_after).await;
+            thread::sleep(LIMIT * 6);
+        });
+        let answer = Client::default().send(send).await?;
+        answer.read_all(16).await
+    });
+    assert_that!(body.as_deref(), ok(eq(b"hello")));
+}
+
+base::cases! {
+    /// Guards against an answer that arrived in time and is given up, as the process was busy
+    /// until after the timeout.
+    answers_that_arrive_while_the_process_is_busy_are_read: check_busy => {
+        head: ([LIMIT * 2, Duration::ZERO], LIMIT),
+        body: ([Duration::ZERO, LIMIT * 2], LIMIT),
+    }
+}
