Read what has arrived before a timeout counts in the HTTP client

What callers saw: a request failed or a stream was cut though its answer had arrived, where the process was busy (a large configuration on its only thread) until after the timeout. Cause: the timers of the client, unlike those of calls between instances, fired before the connection had been read.

Ruled out: polling the connection once more at the timeout, as its task runs only after the one that waits.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -16,15 +16,16 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Response, body::Incoming, header};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::Instant;
 
 pub use self::{
-    answer::{Answer, Framing, is_json},
+    answer::{Answer, Framing, Read, is_json},
     broken::{Broken, Cause},
     checks::{Check, Checks},
     dial::{Connect, DialFn, Dialed, Dialer, Stream, direct},
 };
 use self::{link::Link, pool::Pool};
+use crate::timeout::{answer_by, passed};
 
 /// Timeouts for the steps of an exchange (a request and its answer).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -214,7 +215,7 @@
         // and sending twice is allowed since the request is repeatable.
         let first = tokio::select! {
             res = &mut old => Some(res),
-            () = sleep(send.limits.hedge) => None,
+            () = passed(Instant::now() + send.limits.hedge) => None,
         };
         if let Some(res) = first {
             let Err(lost) = res else { return res };
@@ -251,11 +252,11 @@
             return Err(Broken::unsent(Cause::Withdrawn));
         }
         let until = end.min(Instant::now() + send.limits.first);
-        let resp = match timeout_at(until, link.send(req)).await {
-            Ok(Ok(resp)) => resp,
-            Ok(Err(err)) => return Err(link.broken(Cause::Cut(err.to_string()))),
-            Err(_) if until == end => return Err(link.broken(Cause::Deadline)),
-            Err(_) => return Err(link.broken(Cause::FirstByte)),
+        let resp = match answer_by(until, link.send(req)).await {
+            Some(Ok(resp)) => resp,
+            Some(Err(err)) => return Err(link.broken(Cause::Cut(err.to_string()))),
+            None if until == end => return Err(link.broken(Cause::Deadline)),
+            None => return Err(link.broken(Cause::FirstByte)),
         };
         Ok(self.answer(link, resp, send, end))
     }
--- a/crates/web/src/client/answer.rs
+++ b/crates/web/src/client/answer.rs
@@ -10,7 +10,7 @@
     body::{Body as _, Incoming},
     header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
 };
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::{
     Ending,
@@ -18,7 +18,7 @@
     link::Link,
     pool::Pool,
 };
-use crate::sse::Parser;
+use crate::{sse::Parser, timeout::answer_by};
 
 /// How the end of a body is shown (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +60,19 @@
     }
 }
 
+/// What came of waiting for the next piece of a body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Read {
+    /// A piece.
+    Piece(Bytes),
+    /// The body is complete, see [`Answer::next`].
+    End,
+    /// The rest of the body can't be read.
+    Broken(Broken),
+    /// Nothing has come. The rest may still be read.
+    Silent,
+}
+
 /// The head of an answer, and its body as a sequence of pieces.
 ///
 /// Dropping it before its end closes the connection: the target notices that nobody
@@ -149,21 +162,35 @@
     /// [`Ending::Explicit`] asks for it. With [`Framing::Connection`] an orderly close is all
     /// that shows the end, so the body may be truncated.
     pub async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        match self.next_by(Instant::now() + self.idle).await {
+            Read::Piece(piece) => Some(Ok(piece)),
+            Read::End => None,
+            Read::Broken(broken) => Some(Err(broken)),
+            Read::Silent => Some(self.broken(Cause::Idle)),
+        }
+    }
+
+    /// Waits for the next piece of the body until the time `until`.
+    pub async fn next_by(&mut self, until: Instant) -> Read {
+        let until = self.deadline.min(until);
         loop {
             if self.finished {
-                return None;
+                return Read::End;
             }
-            let until = self.deadline.min(Instant::now() + self.idle);
-            let frame = match timeout_at(until, self.body.frame()).await {
-                Err(_) if until == self.deadline => return Some(self.broken(Cause::Deadline)),
-                Err(_) => return Some(self.broken(Cause::Idle)),
-                Ok(None) => return self.finish(),
-                Ok(Some(Err(err))) => return Some(self.broken(Cause::Cut(err.to_string()))),
-                Ok(Some(Ok(frame))) => frame,
+            let next = match answer_by(until, self.body.frame()).await {
+                None if until == self.deadline => self.broken(Cause::Deadline),
+                None => return Read::Silent,
+                Some(None) => return self.finish(),
+                Some(Some(Err(err))) => self.broken(Cause::Cut(err.to_string())),
+                Some(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => self.piece(data),
+                    Err(_) => continue,
+                },
+            };
+            return match next {
+                Ok(piece) => Read::Piece(piece),
+                Err(broken) => Read::Broken(broken),
             };
-            if let Ok(data) = frame.into_data() {
-                return Some(self.piece(data));
-            }
         }
     }
 
@@ -224,11 +251,11 @@
     /// If the target or a proxy closes the connection in the middle of an answer, the part
     /// received may look complete. hyper reports bodies shorter than their length or
     /// without a last chunk, but not a stream that was closed in order without `[DONE]`.
-    fn finish(&mut self) -> Option<Result<Bytes, Broken>> {
+    fn finish(&mut self) -> Read {
         let done = self.events.as_ref().is_none_or(Parser::is_done);
         if self.events.is_some() && !done {
             base::hit!(stream_without_done);
-            return Some(self.broken(Cause::NotDone));
+            return Read::Broken(self.break_off(Cause::NotDone));
         }
         self.finished = true;
         if let Some(link) = self.link.take()
@@ -237,16 +264,21 @@
         {
             self.pool.0.keep(self.pool.1, link);
         }
-        None
+        Read::End
     }
 
     fn broken(&mut self, cause: Cause) -> Result<Bytes, Broken> {
+        Err(self.break_off(cause))
+    }
+
+    /// Closes the connection, as nothing more of the body can be used.
+    fn break_off(&mut self, cause: Cause) -> Broken {
         self.finished = true;
         self.link = None;
-        Err(Broken {
+        Broken {
             verdict: Verdict::MayHaveRun,
             cause,
-        })
+        }
     }
 }
 
--- a/crates/web/src/timeout.rs
+++ b/crates/web/src/timeout.rs
@@ -1,9 +1,9 @@
 //! Timeouts that don't count the time during which this process was too busy to check
 //! for the answer.
 
-use std::{pin::pin, time::Duration};
+use std::time::Duration;
 
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Delay of a timer from which on the process counts as having been busy or stopped.
 const LATE: Duration = Duration::from_millis(4);
@@ -18,14 +18,20 @@
 /// querying or repeating the operation would add to the overload. So if the timer fires
 /// late, the answer may arrive later by the same delay, at most by [`MAX_EXTENSION`].
 pub async fn answer_by<T>(until: Instant, answer: impl Future<Output = T>) -> Option<T> {
-    let mut answer = pin!(answer);
-    if let Ok(answer) = timeout_at(until, &mut answer).await {
-        return Some(answer);
+    tokio::select! {
+        biased;
+        answer = answer => Some(answer),
+        () = passed(until) => None,
     }
+}
+
+/// Waits until the time `until`, and longer where what has arrived by then may still wait to
+/// be read, as for [`answer_by`].
+pub async fn passed(until: Instant) {
+    sleep_until(until).await;
     let late = until.elapsed();
-    if late < LATE {
-        return None;
+    if late >= LATE {
+        base::hit!(looked_late);
+        sleep(late.min(MAX_EXTENSION)).await;
     }
-    base::hit!(looked_late);
-    timeout(late.min(MAX_EXTENSION), answer).await.ok()
 }
