Keep a silent target until another one has answered

What callers saw: part of an answer, or 502, though the target that ran their request went on a second or two later, without any trouble around it. Cause: 1.5 s without an event, or 0.4 of a request's time without a head, closed the connection to the target, and only then were a retry, a target and a permit looked for. No retry left, no other target, an adapter that is held nowhere else, a refusal by the next one: each left the caller nothing.

Now the silent run is kept while another target is looked for and asked; whichever says something first is taken, and the other connection is closed. The search for another target begins as early as before, and again after a pause if it failed. What a request was sent to counts against its attempts from the send on, so a run that is left unfinished counts too.

Ruled out: a longer timeout alone (targets that hang would be noticed later); asking the target by a second connection before it is left (says nothing of the run).

--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -1,11 +1,14 @@
 //! Forwards one request until the head of its answer has arrived.
 //!
-//! [`receive`] reads the request, [`wait`] chooses a target, [`send`] sends it there.
+//! [`receive`] reads the request, [`wait`] chooses a target, [`send`] sends it there, and
+//! [`silent`] sends it to another one while the first says nothing.
 //! This module decides whether a failed request may be retried and what the caller is
 //! told.
 
 mod receive;
 mod send;
+mod sending;
+mod silent;
 mod wait;
 
 use std::{
@@ -33,8 +36,8 @@
     client::{Answer, Broken, Cause},
 };
 
-use self::send::SendOutcome;
-pub(super) use self::{receive::answer, send::InFlight};
+pub(super) use self::{receive::answer, sending::InFlight};
+use self::{send::SendOutcome, sending::Sending};
 use super::{
     answer::{RequestError, Why, claims_not_run},
     crash::{self, Ended, EndedRun},
@@ -96,7 +99,7 @@
     tried: BTreeSet<String>,
     /// Computed when it is first needed.
     fingerprint: OnceLock<Fingerprint>,
-    /// Number of targets on which the request may have run.
+    /// Number of targets on which the request runs or may have run.
     pub(super) possible_runs: u32,
     refusals: u32,
     sends: u32,
@@ -154,30 +157,70 @@
         last: Option<&str>,
     ) -> Result<(Answer, InFlight), RequestError> {
         loop {
-            let target = self.wait_for_target().await?;
-            self.check_held()?;
-            if self.possible_sends > 0 && !self.state.try_retry(&self.service) {
-                return Err(self.give_up(Why::Repeats));
-            }
-            if self.sends == 0 {
-                self.placement_time = self.arrived.elapsed();
+            let target = self.next_target().await?;
+            let Some(mut sending) = self.dispatch(&target, last) else {
+                self.after_failed_send(target, &SendOutcome::Unreached)
+                    .await?;
+                continue;
+            };
+            let Some(result) = sending.ended_or_silent().await else {
+                // Boxed, as few targets are silent and each request would hold the space for it.
+                return Box::pin(self.outlast(sending, last)).await;
+            };
+            if let Some(answered) = self.take(sending, result).await? {
+                return Ok(answered);
             }
-            self.sends += 1;
-            self.possible_sends += 1;
-            self.backup = self.choose_backup(&target);
-            let sent = self.send(&target, last, false).await;
-            prom_metrics().send(sent.label());
-            match sent {
-                SendOutcome::Answered(answer, in_flight) => {
-                    if self.should_retry(&answer) {
-                        self.log_attempt(&target, answer.status.as_str());
-                        self.tried.insert(target);
-                        continue;
-                    }
-                    self.confirm_backup(&answer);
-                    return Ok((*answer, in_flight));
+        }
+    }
+
+    /// Waits for a target that the request may be sent to now.
+    async fn next_target(&mut self) -> Result<String, RequestError> {
+        let target = self.wait_for_target().await?;
+        self.check_held()?;
+        if self.possible_sends > 0 && !self.state.try_retry(&self.service) {
+            return Err(self.give_up(Why::Repeats));
+        }
+        Ok(target)
+    }
+
+    /// Begins to send the request to `target`, unless that is no longer known.
+    fn dispatch(&mut self, target: &str, last: Option<&str>) -> Option<Sending> {
+        if self.sends == 0 {
+            self.placement_time = self.arrived.elapsed();
+        }
+        self.sends += 1;
+        self.possible_sends += 1;
+        self.possible_runs += 1;
+        self.backup = self.choose_backup(target);
+        self.begin(target, last, false)
+    }
+
+    /// Takes what came of a send: the answer, if it is to be passed on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none and the request may not be sent again.
+    async fn take(
+        &mut self,
+        sending: Sending,
+        result: Result<Answer, Broken>,
+    ) -> Result<Option<(Answer, InFlight)>, RequestError> {
+        let target = sending.in_flight.id.clone();
+        let sent = self.outcome(sending.in_flight, result);
+        prom_metrics().send(sent.label());
+        match sent {
+            SendOutcome::Answered(answer, in_flight) => {
+                if answer.status.is_server_error() && self.may_retry() {
+                    self.log_attempt(&target, answer.status.as_str());
+                    self.tried.insert(target);
+                    return Ok(None);
                 }
-                failed => self.after_failed_send(target, &failed).await?,
+                self.confirm_backup(&answer);
+                Ok(Some((*answer, in_flight)))
+            }
+            failed => {
+                self.after_failed_send(target, &failed).await?;
+                Ok(None)
             }
         }
     }
@@ -197,15 +240,18 @@
             SendOutcome::Unreached => {
                 self.log_attempt(&target, "unreached");
                 self.possible_sends -= 1;
+                self.possible_runs -= 1;
                 self.tried.insert(target);
                 return self.note_refusal();
             }
             SendOutcome::NoPath => {
                 self.log_attempt(&target, "no path");
+                self.possible_runs -= 1;
                 return Err(self.give_up(Why::CutOff));
             }
             SendOutcome::NotRun { missing_adapter } => {
                 self.log_attempt(&target, "not run");
+                self.possible_runs -= 1;
                 self.note_refusal()?;
                 if *missing_adapter {
                     sleep(REFUSED_PAUSE).await;
@@ -215,7 +261,6 @@
             }
             SendOutcome::Unknown => {
                 self.log_attempt(&target, "in doubt");
-                self.possible_runs += 1;
                 self.tried.insert(target);
                 if Instant::now() >= self.deadline {
                     return Err(RequestError::Late);
@@ -296,16 +341,21 @@
         })
     }
 
-    fn may_retry(&self) -> bool {
+    /// Returns whether the request may be sent to one more target.
+    pub(super) fn may_retry(&self) -> bool {
         self.route.kind.retryable() && self.possible_runs < self.route.attempts
     }
 
-    /// Notes that a stream broke off at `target`.
-    pub(super) fn mark_broken_off(&mut self, target: &str) {
-        self.possible_runs += 1;
+    /// Sends the request to `target` no more.
+    pub(super) fn avoid(&mut self, target: &str) {
         self.tried.insert(target.to_owned());
     }
 
+    /// Allows `target` again, which goes on with the request.
+    pub(super) fn stay_at(&mut self, target: &str) {
+        self.tried.remove(target);
+    }
+
     /// Returns the rejection of a request that crashes the targets that run it.
     ///
     /// Failure: a caller resends such a request under new ids and at other instances.
@@ -457,16 +507,6 @@
         }
     }
 
-    /// Notes a server error that a target answered, and returns whether the request may
-    /// be retried at another target.
-    fn should_retry(&mut self, answer: &Answer) -> bool {
-        if !answer.status.is_server_error() {
-            return false;
-        }
-        self.possible_runs += 1;
-        self.may_retry()
-    }
-
     /// Passes a target's answer on to the caller.
     fn into_response(self, answer: Answer, in_flight: InFlight) -> Response<Body> {
         let names = Arc::clone(&self.state.platform.header_names);
--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -2,18 +2,22 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{Mark, SoftwareVersion};
+use base::{Mark, Verdict};
+use futures::FutureExt;
 use gateway::{
     table::Kind,
     view::{Backup, Unused},
 };
 use hyper::StatusCode;
 use telemetry::event;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use web::client::{Answer, Broken, Cause, Check, Checks, Ending, Limits, Send};
 
-use super::{ActiveRequest, REFUSED_PAUSE, millis};
-use crate::entry::{answer::refused, headers, limits, state::State};
+use super::{
+    ActiveRequest, REFUSED_PAUSE, millis,
+    sending::{InFlight, Sending},
+};
+use crate::entry::{answer::refused, headers, limits};
 
 /// Answers with fewer tokens get no copy of the run's KV cache: they last about half a
 /// second as a stream.
@@ -24,66 +28,13 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Part of the remaining time after which a request that may be retried is sent to
-/// another target if no answer has begun.
+/// another target as well if no answer has begun.
 const HEAD_TIMEOUT_PART: f64 = 0.4;
 
-/// Idle time-out of a stream that can be resumed. Its events are some tens of
-/// milliseconds apart.
-const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Longest idle time of a connection that is reused; see the connection pool of
 /// [`web::client`].
 const REUSE_IDLE_MAX: Duration = Duration::from_millis(1_000);
 
-/// A request that a target is running. The view counts it as load of the target until it
-/// is dropped.
-pub(in crate::entry) struct InFlight {
-    state: Arc<State>,
-    pub(in crate::entry) id: String,
-    adapter: String,
-    /// Prompt tokens of the request that the target hasn't read yet.
-    unread: u64,
-    /// Prompt tokens that the target had to read when the request was sent, its own
-    /// included.
-    backlog: u64,
-    sent: Instant,
-    /// Longest time between two pieces of its answer.
-    pub(in crate::entry) idle: Duration,
-    /// The software of the target as it was chosen, if that was known.
-    software: Option<SoftwareVersion>,
-}
-
-impl InFlight {
-    /// Returns the software of the target, if it is known.
-    pub(in crate::entry) fn software(&self) -> Option<SoftwareVersion> {
-        self.software.clone().or_else(|| {
-            let view = self.state.view();
-            view.software(self.state.now(), &self.id).cloned()
-        })
-    }
-
-    /// Returns the time since the request was sent.
-    pub(in crate::entry) fn ran(&self) -> Duration {
-        self.sent.elapsed()
-    }
-
-    /// Notes that the answer has begun, which means that the prompt has been read.
-    fn answer_begun(&mut self) {
-        let tokens = std::mem::take(&mut self.unread);
-        let mut view = self.state.view();
-        view.read(&self.id, tokens);
-        view.add_speed_sample(&self.id, self.backlog, self.sent.elapsed());
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let mut view = self.state.view();
-        view.read(&self.id, self.unread);
-        view.end(&self.id, &self.adapter);
-    }
-}
-
 /// Outcome of sending a request to a target once.
 pub(super) enum SendOutcome {
     /// The target answered and didn't refuse.
@@ -185,7 +136,7 @@
             self.log_unused_backup(&backup, Unused::Limited);
             return None;
         }
-        let sent = self.send(&backup.target, Some(last), true).await;
+        let sent = self.send_once(&backup.target, Some(last), true).await;
         self.backup = None;
         match sent {
             SendOutcome::Answered(answer, in_flight) if self.same_weights(&backup, &answer) => {
@@ -248,51 +199,56 @@
         );
     }
 
-    pub(super) async fn send(
+    /// Sends the request to a target and waits for the answer, until the deadline at most.
+    async fn send_once(&self, target: &str, last: Option<&str>, restored: bool) -> SendOutcome {
+        let Some(mut sending) = self.begin(target, last, restored) else {
+            return SendOutcome::Unreached;
+        };
+        let result = sending.ended().await;
+        self.outcome(sending.in_flight, result)
+    }
+
+    /// Begins to send the request to a target, unless that is no longer known.
+    pub(super) fn begin(
         &self,
         target: &str,
         last: Option<&str>,
         restored: bool,
+    ) -> Option<Sending> {
+        let state = &self.state;
+        let send = self.build_send(target, last, restored)?;
+        let in_flight = InFlight::begin(state, target, &self.adapter, self.prompt_tokens);
+        limits::note_sent(state, target);
+        let client = state.client.clone();
+        Some(Sending {
+            in_flight,
+            silent_at: self.silent_at(),
+            until: self.deadline,
+            answer: async move { client.send(send).await }.boxed(),
+        })
+    }
+
+    /// Returns when a target that a request is sent to now counts as silent, so that another
+    /// one is tried; none if no other one may be.
+    fn silent_at(&self) -> Option<Instant> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let patience = left.mul_f64(HEAD_TIMEOUT_PART);
+        self.may_retry().then(|| Instant::now() + patience)
+    }
+
+    /// Notes what came of a send.
+    pub(super) fn outcome(
+        &self,
+        mut in_flight: InFlight,
+        result: Result<Answer, Broken>,
     ) -> SendOutcome {
         let state = &self.state;
         let names = &state.platform.header_names;
-        let Some(send) = self.build_send(target, last, restored) else {
-            return SendOutcome::Unreached;
-        };
-        let software = state.view().software(state.now(), target).cloned();
-        let backlog = state
-            .view()
-            .begin(target, &self.adapter, self.prompt_tokens);
-        let mut in_flight = InFlight {
-            state: Arc::clone(state),
-            id: target.to_owned(),
-            adapter: self.adapter.clone(),
-            unread: self.prompt_tokens,
-            backlog,
-            sent: Instant::now(),
-            idle: send.limits.idle,
-            software,
-        };
-        limits::note_sent(state, target);
-        let until = self.deadline;
-        let first = send.limits.first;
-        let sent = match timeout_at(until, state.client.send(send)).await {
-            Ok(sent) => sent,
-            Err(_) => {
-                self.log_silent_head(&in_flight, first);
-                state.view().unreachable(state.now(), target);
-                return SendOutcome::Unknown;
-            }
-        };
-        let answer = match sent {
+        let answer = match result {
             Ok(answer) => answer,
-            Err(broken) => {
-                if matches!(broken.cause, Cause::FirstByte | Cause::Deadline) {
-                    self.log_silent_head(&in_flight, first);
-                }
-                return self.unanswered(&in_flight, &broken);
-            }
+            Err(broken) => return self.unanswered(&in_flight, &broken),
         };
+        let target = in_flight.id.clone();
         // Failure: a target sends a second or late answer where the answer to the next
         // request is due, and another caller would get it. Each answer repeats the id of
         // its request.
@@ -304,40 +260,32 @@
                 request = self.id,
                 target = target
             );
-            state.view().outcome(state.now(), target, false);
+            state.view().outcome(state.now(), &target, false);
             return SendOutcome::Unknown;
         }
-        limits::note_answer(state, target, answer.status, &answer.headers);
+        limits::note_answer(state, &target, answer.status, &answer.headers);
         if refused(answer.status, &answer.headers, names) {
-            return self.refused(target, &answer);
+            return self.refused(&target, &answer);
         }
         in_flight.answer_begun();
-        state.view().answer_started(target, &self.adapter);
+        state.view().answer_started(&target, &self.adapter);
         let good = !answer.status.is_server_error();
-        state.view().outcome(state.now(), target, good);
+        state.view().outcome(state.now(), &target, good);
         SendOutcome::Answered(Box::new(answer), in_flight)
     }
 
-    fn log_silent_head(&self, in_flight: &InFlight, limit: Duration) {
-        event!(
-            telemetry::Event::TargetSilent,
-            request = self.id,
-            target = in_flight.id,
-            phase = "head",
-            silent_ms = millis(in_flight.ran()),
-            limit_ms = millis(limit)
-        );
-    }
-
     /// Notes a send that ended without an answer.
     fn unanswered(&self, in_flight: &InFlight, broken: &Broken) -> SendOutcome {
         if broken.cause == Cause::NoPath {
             return SendOutcome::NoPath;
         }
-        let may_have_run = broken.verdict != base::Verdict::NotRun;
+        let may_have_run = broken.verdict != Verdict::NotRun;
         if broken.cause == Cause::Withdrawn && !may_have_run {
             return SendOutcome::Unreached;
         }
+        if matches!(broken.cause, Cause::FirstByte | Cause::Deadline) {
+            self.log_silent_head(in_flight);
+        }
         let now = self.state.now();
         if may_have_run && matches!(broken.cause, Cause::Cut(_)) {
             self.state.view().answer_lost(now, &in_flight.id);
@@ -352,6 +300,16 @@
         }
     }
 
+    pub(super) fn log_silent_head(&self, in_flight: &InFlight) {
+        event!(
+            telemetry::Event::TargetSilent,
+            request = self.id,
+            target = in_flight.id,
+            phase = "head",
+            silent_ms = millis(in_flight.ran())
+        );
+    }
+
     fn refused(&self, target: &str, answer: &Answer) -> SendOutcome {
         let mut view = self.state.view();
         let now = self.state.now();
@@ -409,7 +367,7 @@
         } else {
             Mark::Once
         };
-        send.limits = self.limits(left);
+        send.limits = limits_within(left);
         send.checks = self.checks(target);
         Some(send)
     }
@@ -424,25 +382,15 @@
         let repeat = Check::new(move || state.try_retry(&service));
         Checks { write, repeat }
     }
+}
 
-    fn limits(&self, left: Duration) -> Limits {
-        let again = self.may_retry() && self.possible_runs + 1 < self.route.attempts;
-        let silent = match self.route.kind {
-            Kind::Stream { resumable: true } if again => STREAM_IDLE_TIMEOUT,
-            _ => left,
-        };
-        let first = if again {
-            left.mul_f64(HEAD_TIMEOUT_PART)
-        } else {
-            left
-        };
-        Limits {
-            connect: CONNECT_TIMEOUT.min(left),
-            first,
-            idle: silent,
-            total: left,
-            reuse: REUSE_IDLE_MAX,
-            hedge: left,
-        }
+/// Returns the limits of a send. A target that is silent is left only once another one has
+/// answered.
+fn limits_within(left: Duration) -> Limits {
+    Limits {
+        connect: CONNECT_TIMEOUT.min(left),
+        reuse: REUSE_IDLE_MAX,
+        hedge: left,
+        ..Limits::within(left)
     }
 }
--- /dev/null
+++ b/crates/frontd/src/entry/forward/sending.rs
@@ -0,0 +1,103 @@
+//! A request on its way to a target, and one that a target is running.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{SoftwareVersion, Verdict};
+use futures::future::BoxFuture;
+use tokio::time::Instant;
+use web::{
+    client::{Answer, Broken, Cause},
+    timeout::answer_by,
+};
+
+use crate::entry::state::State;
+
+/// A request that a target is running. The view counts it as load of the target until it
+/// is dropped.
+pub(in crate::entry) struct InFlight {
+    state: Arc<State>,
+    pub(in crate::entry) id: String,
+    adapter: String,
+    /// Prompt tokens of the request that the target hasn't read yet.
+    unread: u64,
+    /// Prompt tokens that the target had to read when the request was sent, its own
+    /// included.
+    backlog: u64,
+    sent: Instant,
+    /// The software of the target as it was chosen, if that was known.
+    software: Option<SoftwareVersion>,
+}
+
+impl InFlight {
+    /// Counts a request that is sent to `target` now.
+    pub(super) fn begin(state: &Arc<State>, target: &str, adapter: &str, tokens: u64) -> InFlight {
+        let software = state.view().software(state.now(), target).cloned();
+        let backlog = state.view().begin(target, adapter, tokens);
+        InFlight {
+            state: Arc::clone(state),
+            id: target.to_owned(),
+            adapter: adapter.to_owned(),
+            unread: tokens,
+            backlog,
+            sent: Instant::now(),
+            software,
+        }
+    }
+
+    /// Returns the software of the target, if it is known.
+    pub(in crate::entry) fn software(&self) -> Option<SoftwareVersion> {
+        self.software.clone().or_else(|| {
+            let view = self.state.view();
+            view.software(self.state.now(), &self.id).cloned()
+        })
+    }
+
+    /// Returns the time since the request was sent.
+    pub(in crate::entry) fn ran(&self) -> Duration {
+        self.sent.elapsed()
+    }
+
+    /// Notes that the answer has begun, which means that the prompt has been read.
+    pub(super) fn answer_begun(&mut self) {
+        let tokens = std::mem::take(&mut self.unread);
+        let mut view = self.state.view();
+        view.read(&self.id, tokens);
+        view.add_speed_sample(&self.id, self.backlog, self.sent.elapsed());
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut view = self.state.view();
+        view.read(&self.id, self.unread);
+        view.end(&self.id, &self.adapter);
+    }
+}
+
+/// A request on its way to a target. Dropping it closes the connection.
+pub(super) struct Sending {
+    pub(super) in_flight: InFlight,
+    /// When its target counts as silent.
+    pub(super) silent_at: Option<Instant>,
+    pub(super) until: Instant,
+    pub(super) answer: BoxFuture<'static, Result<Answer, Broken>>,
+}
+
+impl Sending {
+    /// Waits for the answer, until the deadline at most.
+    pub(super) async fn ended(&mut self) -> Result<Answer, Broken> {
+        let answer = answer_by(self.until, &mut self.answer).await;
+        answer.unwrap_or(Err(Broken {
+            verdict: Verdict::MayHaveRun,
+            cause: Cause::Deadline,
+        }))
+    }
+
+    /// As [`Self::ended`], or returns `None` once the target counts as silent.
+    pub(super) async fn ended_or_silent(&mut self) -> Option<Result<Answer, Broken>> {
+        let Some(at) = self.silent_at else {
+            return Some(self.ended().await);
+        };
+        answer_by(at, self.ended()).await
+    }
+}
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -5,7 +5,7 @@
 
 mod events;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use anyhow::anyhow;
 use bytes::Bytes;
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 use web::{
     body::{Body, end_with_connection},
-    client::{Answer, Broken, Cause, Framing},
+    client::{Answer, Broken, Cause, Framing, Read},
 };
 
 pub(super) use self::events::Events;
@@ -29,6 +29,10 @@
     headers,
 };
 
+/// Time without a piece of a stream after which another target is tried as well. Its events are
+/// some tens of milliseconds apart.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// An answer that is being relayed to its caller.
 pub(super) struct Relay {
     request: ActiveRequest,
@@ -43,6 +47,8 @@
     /// Bytes that the present target has sent, and when it sent the last of them.
     bytes: usize,
     heard: Instant,
+    /// When another target is looked for again while the present one says nothing.
+    search_at: Option<Instant>,
     ended: bool,
 }
 
@@ -98,6 +104,7 @@
             in_flight,
             bytes: 0,
             heard: Instant::now(),
+            search_at: None,
             ended: false,
         }
     }
@@ -129,8 +136,8 @@
 
     pub(super) async fn next(&mut self) -> Option<anyhow::Result<Bytes>> {
         while !self.ended {
-            let end = match self.answer.next().await {
-                Some(Ok(chunk)) => {
+            let end = match self.read().await {
+                Read::Piece(chunk) => {
                     self.bytes += chunk.len();
                     self.heard = Instant::now();
                     let passed = self.pass(chunk);
@@ -140,8 +147,9 @@
                     self.ended = passed.is_err();
                     return Some(passed);
                 }
-                Some(Err(broken)) => End::Broken(broken),
-                None => self.end_in_order().await,
+                Read::Broken(broken) => End::Broken(broken),
+                Read::End => self.end_in_order().await,
+                Read::Silent => continue,
             };
             self.note_end(&end);
             if matches!(end, End::Complete) {
@@ -159,6 +167,55 @@
         None
     }
 
+    /// Reads from the present target, or from another one that has taken over while this one
+    /// said nothing.
+    async fn read(&mut self) -> Read {
+        let silent_at = self.silent_at();
+        match self.answer.next_by(silent_at).await {
+            // Boxed, as few targets are silent and each stream would hold the space for it.
+            Read::Silent => Box::pin(self.outlast()).await,
+            read => read,
+        }
+    }
+
+    /// Returns when the present target counts as silent, so that another one is tried; none if
+    /// no other one may be.
+    fn silent_at(&self) -> Option<Instant> {
+        let may = self.resumable && self.request.may_retry();
+        let at = self.heard + STREAM_SILENCE;
+        may.then(|| self.search_at.map_or(at, |search_at| at.max(search_at)))
+    }
+
+    /// Has the stream go on at another target, unless the present one says something before
+    /// that has answered.
+    async fn outlast(&mut self) -> Read {
+        self.log_silent();
+        let target = self.in_flight.id.clone();
+        let state = Arc::clone(&self.request.state);
+        state.view().outcome(state.now(), &target, false);
+        self.request.avoid(&target);
+        let last = self.last_event().map(str::to_owned);
+        let moved = tokio::select! {
+            biased;
+            read = self.answer.next_by(None) => {
+                self.request.stay_at(&target);
+                return read;
+            }
+            moved = self.request.continue_elsewhere(last.as_deref()) => moved,
+        };
+        match moved {
+            Some((answer, in_flight)) if answer.status.is_success() => {
+                prom_metrics().answer_ended(self.answer.framing().as_str(), "silent");
+                self.go_on_at(answer, in_flight, false);
+            }
+            _ => {
+                self.request.stay_at(&target);
+                self.search_at = Some(Instant::now() + STREAM_SILENCE);
+            }
+        }
+        Read::Silent
+    }
+
     /// Returns what of a chunk can be passed on.
     fn pass(&mut self, chunk: Bytes) -> anyhow::Result<Bytes> {
         let Some(events) = &mut self.events else {
@@ -213,7 +270,7 @@
             }
             End::Complete => self.request.note_answered(),
             End::Broken(broken) => {
-                if matches!(broken.cause, Cause::Idle | Cause::Deadline) {
+                if broken.cause == Cause::Deadline {
                     self.log_silent();
                 }
                 self.request.note_broken(&self.in_flight, broken);
@@ -240,7 +297,6 @@
             target = self.in_flight.id,
             phase = "body",
             silent_ms = self.heard.elapsed().as_millis(),
-            limit_ms = self.in_flight.idle.as_millis(),
             last = self.last_event().unwrap_or_default()
         );
     }
@@ -255,6 +311,7 @@
             how = end.reason(),
             framing = self.answer.framing().as_str(),
             bytes = self.bytes,
+            silent_ms = self.heard.elapsed().as_millis(),
             last = self.last_event().unwrap_or_default()
         );
     }
@@ -266,14 +323,13 @@
 
     /// Resumes a broken stream at another target, and returns whether it was resumed.
     async fn resume_elsewhere(&mut self) -> bool {
-        let Some(events) = self.events.as_mut().filter(|_| self.resumable) else {
+        let Some(events) = self.events.as_ref().filter(|_| self.resumable) else {
             return false;
         };
         let now = self.request.state.now();
         let state = Arc::clone(&self.request.state);
         state.view().outcome(now, &self.in_flight.id, false);
-        self.request.mark_broken_off(&self.in_flight.id);
-        events.drop_partial();
+        self.request.avoid(&self.in_flight.id);
         let last = events.last().map(str::to_owned);
         let copy = last.is_some() && self.request.backup.is_some();
         let Some((answer, in_flight)) = self.request.continue_elsewhere(last.as_deref()).await
@@ -283,6 +339,16 @@
         if !answer.status.is_success() {
             return false;
         }
+        self.go_on_at(answer, in_flight, copy);
+        true
+    }
+
+    /// Goes on with the answer of another target, after the last complete event; `copy` says
+    /// whether that has a copy of the run's KV cache.
+    fn go_on_at(&mut self, answer: Answer, in_flight: InFlight, copy: bool) {
+        if let Some(events) = &mut self.events {
+            events.drop_partial();
+        }
         event!(
             telemetry::Event::StreamResumed,
             request = self.request.id,
@@ -302,7 +368,7 @@
         self.in_flight = in_flight;
         self.bytes = 0;
         self.heard = Instant::now();
-        true
+        self.search_at = None;
     }
 
     /// Returns the version of the weights that an answer was computed with, as its
--- a/crates/web/src/client/answer.rs
+++ b/crates/web/src/client/answer.rs
@@ -162,7 +162,7 @@
     /// [`Ending::Explicit`] asks for it. With [`Framing::Connection`] an orderly close is all
     /// that shows the end, so the body may be truncated.
     pub async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
-        match self.next_by(Instant::now() + self.idle).await {
+        match self.next_by(Some(Instant::now() + self.idle)).await {
             Read::Piece(piece) => Some(Ok(piece)),
             Read::End => None,
             Read::Broken(broken) => Some(Err(broken)),
@@ -170,9 +170,10 @@
         }
     }
 
-    /// Waits for the next piece of the body until the time `until`.
-    pub async fn next_by(&mut self, until: Instant) -> Read {
-        let until = self.deadline.min(until);
+    /// Waits for the next piece of the body until the time `until`, if there is one, and not
+    /// beyond the deadline.
+    pub async fn next_by(&mut self, until: Option<Instant>) -> Read {
+        let until = until.map_or(self.deadline, |until| until.min(self.deadline));
         loop {
             if self.finished {
                 return Read::End;
