--- a/crates/web/src/client/dial.rs
+++ b/crates/web/src/client/dial.rs
@@ -6,11 +6,10 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
-    time::Instant,
+    time::{Instant, timeout_at},
 };
 
 use super::broken::Cause;
-use crate::timeout::answer_by;
 
 /// A connection to make.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,10 +84,10 @@
 ///
 /// Fails with [`Cause::Connect`] or [`Cause::ConnectTimeout`].
 pub async fn direct(addr: SocketAddr, until: Instant) -> Result<TcpStream, Cause> {
-    let stream = match answer_by(until, TcpStream::connect(addr)).await {
-        Some(Ok(stream)) => stream,
-        Some(Err(err)) => return Err(Cause::Connect(err.to_string())),
-        None => return Err(Cause::ConnectTimeout),
+    let stream = match timeout_at(until, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(err)) => return Err(Cause::Connect(err.to_string())),
+        Err(_) => return Err(Cause::ConnectTimeout),
     };
     // Without this, small writes would wait for the peer's delayed ACK.
     let nodelay = stream.set_nodelay(true);
