Allow silent targets of a service as long as others have taken to go on

A silence between 1.5 and 2 s of a sound target started a run of another one for nothing, which is charged to the budget of retries. Instances now learn per service the longest silence that ended by itself within five minutes and wait a tenth longer, 1.5 to 2.1 s; without such silences a target that hangs is noticed after 1.5 s as before. Weighed: a constant of 2 s, by which every target that hangs would be noticed half a second later.

The wait is measured from when a piece is asked for, so that a caller who doesn't read isn't taken for a silent target. quetzal_longest_wait_seconds shows how long streams wait.

--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -29,10 +29,6 @@
     headers,
 };
 
-/// Time without a piece of a stream after which another target is tried as well. Its events are
-/// some tens of milliseconds apart.
-const STREAM_SILENCE: Duration = Duration::from_millis(1_500);
-
 /// An answer that is being relayed to its caller.
 pub(super) struct Relay {
     request: ActiveRequest,
@@ -44,11 +40,12 @@
     resumable: bool,
     /// Whether the caller will see by a length or a last chunk that the answer is complete.
     framed: bool,
-    /// Bytes that the present target has sent, and when it sent the last of them.
+    /// Bytes that the present target has sent.
     bytes: usize,
-    heard: Instant,
-    /// When another target is looked for again while the present one says nothing.
-    search_at: Option<Instant>,
+    /// Since when a piece is waited for, if one is.
+    waiting_from: Option<Instant>,
+    /// The longest wait for a piece.
+    longest_wait: Duration,
     ended: bool,
 }
 
@@ -103,8 +100,8 @@
             answer,
             in_flight,
             bytes: 0,
-            heard: Instant::now(),
-            search_at: None,
+            waiting_from: None,
+            longest_wait: Duration::ZERO,
             ended: false,
         }
     }
@@ -139,7 +136,7 @@
             let end = match self.read().await {
                 Read::Piece(chunk) => {
                     self.bytes += chunk.len();
-                    self.heard = Instant::now();
+                    self.note_wait();
                     let passed = self.pass(chunk);
                     if passed.as_ref().is_ok_and(Bytes::is_empty) {
                         continue;
@@ -170,6 +167,7 @@
     /// Reads from the present target, or from another one that has taken over while this one
     /// said nothing.
     async fn read(&mut self) -> Read {
+        self.waiting_from.get_or_insert_with(Instant::now);
         let silent_at = self.silent_at();
         match self.answer.next_by(silent_at).await {
             // Boxed, as few targets are silent and each stream would hold the space for it.
@@ -181,9 +179,33 @@
     /// Returns when the present target counts as silent, so that another one is tried; none if
     /// no other one may be.
     fn silent_at(&self) -> Option<Instant> {
-        let may = self.resumable && self.request.may_retry();
-        let at = self.heard + STREAM_SILENCE;
-        may.then(|| self.search_at.map_or(at, |search_at| at.max(search_at)))
+        if !self.resumable || !self.request.may_retry() {
+            return None;
+        }
+        let state = &self.request.state;
+        let patience = state
+            .silences()
+            .patience(state.now(), &self.request.service);
+        Some(Instant::now() + patience)
+    }
+
+    /// Returns for how long the present target has said nothing.
+    fn silence(&self) -> Duration {
+        self.waiting_from.map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
+    /// Notes how long the piece that has come was waited for.
+    fn note_wait(&mut self) {
+        let wait = self.silence();
+        self.waiting_from = None;
+        if wait <= self.longest_wait {
+            return;
+        }
+        self.longest_wait = wait;
+        let state = &self.request.state;
+        state
+            .silences()
+            .ended(state.now(), &self.request.service, wait);
     }
 
     /// Has the stream go on at another target, unless the present one says something before
@@ -210,7 +232,6 @@
             }
             _ => {
                 self.request.stay_at(&target);
-                self.search_at = Some(Instant::now() + STREAM_SILENCE);
             }
         }
         Read::Silent
@@ -264,6 +285,9 @@
     fn note_end(&self, end: &End) {
         let framing = self.answer.framing();
         prom_metrics().answer_ended(framing.as_str(), end.as_str());
+        if self.events.is_some() {
+            prom_metrics().longest_wait(self.longest_wait);
+        }
         match end {
             End::Complete if framing == Framing::Connection => {
                 self.request.note_closed(&self.in_flight);
@@ -296,7 +320,7 @@
             request = self.request.id,
             target = self.in_flight.id,
             phase = "body",
-            silent_ms = self.heard.elapsed().as_millis(),
+            silent_ms = self.silence().as_millis(),
             last = self.last_event().unwrap_or_default()
         );
     }
@@ -311,7 +335,7 @@
             how = end.reason(),
             framing = self.answer.framing().as_str(),
             bytes = self.bytes,
-            silent_ms = self.heard.elapsed().as_millis(),
+            silent_ms = self.silence().as_millis(),
             last = self.last_event().unwrap_or_default()
         );
     }
@@ -367,8 +391,7 @@
         self.answer = answer;
         self.in_flight = in_flight;
         self.bytes = 0;
-        self.heard = Instant::now();
-        self.search_at = None;
+        self.waiting_from = None;
     }
 
     /// Returns the version of the weights that an answer was computed with, as its
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -16,6 +16,7 @@
     budget::Budget,
     home::{WeightedZone, home},
     list_fallback::{ListFallback, Timing},
+    silence::Silences,
     table::Table,
     view::View,
     warmup::Warmup,
@@ -54,6 +55,7 @@
     settle: Mutex<Warmup>,
     lists: Mutex<ListFallback>,
     budget: Mutex<Budget>,
+    silences: Mutex<Silences>,
     ended_runs: Mutex<EndedRuns>,
     guard: Mutex<Guard>,
     meter: Mutex<Meter<SocketAddr>>,
@@ -103,6 +105,7 @@
                 clock.now(),
                 Seed(rand::random()),
             )),
+            silences: Mutex::default(),
             ended_runs: Mutex::default(),
             guard: Mutex::default(),
             meter: Mutex::new(Meter::new(setup.slack, rand::random())),
@@ -137,6 +140,11 @@
         lock(&self.budget)
     }
 
+    /// Returns how long silent targets are waited for.
+    pub(super) fn silences(&self) -> MutexGuard<'_, Silences> {
+        lock(&self.silences)
+    }
+
     /// Returns what decides which requests are within the limits of accounts.
     pub(super) fn meter(&self) -> MutexGuard<'_, Meter<SocketAddr>> {
         lock(&self.meter)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod list_fallback;
 pub mod reach;
 pub mod revisions;
+pub mod silence;
 pub mod streams;
 pub mod table;
 pub mod target_limit;
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -31,6 +31,7 @@
     requests: IntCounterVec,
     head: HistogramVec,
     place: Histogram,
+    waits: Histogram,
     sends: IntCounterVec,
     orders: IntCounterVec,
     broken_runs: IntCounterVec,
@@ -98,6 +99,11 @@
         let registry = Registry::new();
         let counters = |name, help, label| counters(&registry, name, help, &[label]);
         let (head, place) = time_histograms(&registry);
+        let waits = histogram(
+            &registry,
+            "quetzal_longest_wait_seconds",
+            "Seconds of the longest wait for a piece of each stream",
+        );
         PromMetrics {
             events: counters("quetzal_events_total", "Events of the log", "event"),
             dropped: counter(
@@ -112,6 +118,7 @@
             ),
             head,
             place,
+            waits,
             sends: counters("quetzal_sends_total", "Requests sent to targets", "outcome"),
             orders: counters("quetzal_orders_total", "Orders to engines", "outcome"),
             taken_up: self::counters(
@@ -169,6 +176,11 @@
         heads.observe(head.as_secs_f64());
     }
 
+    /// Records the longest wait for a piece of a stream that has ended.
+    pub fn longest_wait(&self, wait: Duration) {
+        self.waits.observe(wait.as_secs_f64());
+    }
+
     /// Counts a request sent to a target, by its `outcome`.
     pub fn send(&self, outcome: &str) {
         self.sends.with_label_values(&[outcome]).inc();
@@ -268,15 +280,18 @@
         "Seconds from a request's arrival to the head of its answer",
     );
     let head = HistogramVec::new(head.buckets(SECONDS_BUCKETS.to_vec()), &["kind"]);
-    let place = HistogramOpts::new(
+    let place = histogram(
+        registry,
         "quetzal_place_seconds",
         "Seconds from a request's arrival to its first target",
     );
-    let place = Histogram::with_opts(place.buckets(SECONDS_BUCKETS.to_vec()));
-    (
-        register(registry, head.expect("a valid name")),
-        register(registry, place.expect("a valid name")),
-    )
+    (register(registry, head.expect("a valid name")), place)
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
+    let opts = HistogramOpts::new(name, help).buckets(SECONDS_BUCKETS.to_vec());
+    let made = Histogram::with_opts(opts);
+    register(registry, made.expect("a valid name"))
 }
 
 fn register<C: prometheus::core::Collector + Clone + 'static>(registry: &Registry, made: C) -> C {
