Begin no request on a connection that is closed to make room

What callers saw: with all connections of an instance taken, a request on a connection that had been idle was begun and ended without an answer, as the connection was being closed to make room for a new one. Cause: the server looked in random order at the order to close and at the connection, and could read and start a request after the order. The order is looked at first now.

Processes with more threads than one can still meet it between the two looks; entry instances on the users' platform have one.

--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -185,9 +185,11 @@
     let mut closing = false;
     loop {
         tokio::select! {
+            // First, so that no request is read from a connection that is being closed.
+            biased;
+            () = slot.closed() => return,
             // Errors of a connection concern its caller only, so they are ignored.
             _ = conn.as_mut() => return,
-            () = slot.closed() => return,
             () = server.closing.cancelled(), if !closing => {
                 closing = true;
                 conn.as_mut().graceful_shutdown();
--- a/crates/web/tests/web/server.rs
+++ b/crates/web/tests/web/server.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -14,12 +17,12 @@
     net::{TcpListener, TcpStream},
     sync::Notify,
     task::JoinHandle,
-    time::timeout,
+    time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 use web::{
     Incoming, Method, Request, Response, StatusCode,
-    body::{Body, ReadLimits, Writer, channel, keepalive_channel, read},
+    body::{Body, ReadLimits, Writer, channel, full, keepalive_channel, read},
     client::{Client, Send},
     reply,
     server::{Limits, Served, serve},
@@ -251,6 +254,46 @@
     }
 }
 
+/// Guards against a request that is begun on a connection that is being closed to make room: its
+/// caller would get no answer.
+#[gtest]
+#[tokio::test]
+async fn no_request_is_begun_on_a_connection_that_makes_room() {
+    let begun = Arc::new(AtomicUsize::new(0));
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let counted = Arc::clone(&begun);
+    let handler = move |_| {
+        counted.fetch_add(1, Ordering::Relaxed);
+        async {
+            sleep(SHORT / 30).await;
+            Response::new(full("answer"))
+        }
+    };
+    let one = Limits {
+        header_time: CEILING,
+        connections: 1,
+        ..limits()
+    };
+    tokio::spawn(serve(listener, one, handler, CancellationToken::new()));
+    let request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+    let mut answered = 0;
+    for _ in 0..60 {
+        let mut idle = connect_and_write(addr, request).await;
+        let mut first = [0; 256];
+        let read = idle.read(&mut first).await.unwrap();
+        answered += usize::from(first[..read].ends_with(b"answer"));
+        // Both arrive before the server runs again.
+        let other = std::net::TcpStream::connect(addr).unwrap();
+        idle.try_write(request.as_bytes()).unwrap();
+        let mut rest = Vec::new();
+        let read = timeout(SHORT, idle.read_to_end(&mut rest)).await;
+        answered += usize::from(rest.ends_with(b"answer"));
+        drop((read, other));
+    }
+    assert_that!(begun.load(Ordering::Relaxed), eq(answered));
+}
+
 /// Every connection is busy. One more is refused, and running requests continue.
 #[gtest]
 #[tokio::test]
