--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -55,6 +55,12 @@
 /// loaded.
 const REFUSED_PAUSE: Duration = Duration::from_millis(30);
 
+/// How long a sound target may take no connections.
+const LONGEST_SILENCE: Duration = Duration::from_secs(3);
+
+/// Pause between two checks of a target that takes no connections.
+const CHECK_PAUSE: Duration = Duration::from_millis(100);
+
 /// Refusals by targets after which a request is given up.
 const MAX_REFUSALS: u32 = 6;
 
@@ -435,13 +441,22 @@
         crash::run_ended(&self.state, &in_flight.id, run);
     }
 
-    /// Returns whether the target of a run takes connections.
+    /// Returns whether the target of a run takes connections. One that is silent is asked again
+    /// for as long as a sound target may be.
     pub(super) async fn still_runs(&self, in_flight: &InFlight) -> bool {
         let addr = self.state.view().addr(&in_flight.id).map(str::to_owned);
         let Some(Ok(addr)) = addr.map(|addr| addr.parse()) else {
             return false;
         };
-        self.state.paths.fate(addr).await == Fate::Running
+        let until = self.deadline.min(Instant::now() + LONGEST_SILENCE);
+        loop {
+            match self.state.paths.fate(addr).await {
+                Fate::Running => return true,
+                Fate::Crashed => return false,
+                Fate::Silent if Instant::now() >= until => return false,
+                Fate::Silent => sleep(CHECK_PAUSE).await,
+            }
+        }
     }
 
     /// Continues a broken stream at another target, after its last complete event.
