Don't take an account's assumed share for the others' demand

Cause: an instance that meets an account anew has an even share (1 of 57) and hears of it from several control instances. The first answer begins an estimate; the second was taken for a control instance that begins anew, for which the others' demand is set from the instance's own and its share, here 56 times its own. That fades as fast as its own demand does, so its share stayed at 0.02 to 0.16 where it was a half, the shares of the four instances added up to 0.30, and alone each kept to that.

Change: an estimate knows whether its share was counted. Until one was, each control instance's first answer begins an estimate of its own.

With the guard taken out a_small_account_is_served_without_control_instances fails.

--- a/crates/account/src/meter.rs
+++ b/crates/account/src/meter.rs
@@ -249,6 +249,7 @@
                 others_asked: Rate::new(DEMAND_MEMORY),
                 silent: 0.0,
                 share,
+                counted: false,
                 own_left: (share * capacity(&limit, &slack, 1.0) * START_PART)
                     .max(slack.extra * FLOOR_PART),
                 own_at: now,
@@ -389,7 +390,10 @@
                 estimate.count(now, &self.limit, full, own, others);
                 estimate
             }
-            None if self.views.is_empty() => self.first(now, full, told),
+            // An assumed share isn't known demand of the others.
+            None if !self.views.values().any(|view| view.estimate.counted) => {
+                self.first(now, full, told)
+            }
             None => self.assumed(now, &slack),
         };
         let silent = f64::from(told.silent.min(1_000)) / 1_000.0;
--- a/crates/account/src/meter/estimate.rs
+++ b/crates/account/src/meter/estimate.rs
@@ -33,6 +33,8 @@
     /// Part of the demand at this instance. It stays as it was while nobody answers: the
     /// demand may grow everywhere, and each instance would take its part for larger.
     pub(super) share: f64,
+    /// Whether that share was counted, not assumed.
+    pub(super) counted: bool,
     /// What this instance may use until the next answer, as of `own_at`.
     pub(super) own_left: f64,
     pub(super) own_at: Time,
@@ -79,6 +81,7 @@
         let (own, others) = (own.at(now), self.others_asked.at(now));
         let counted = own / (own + others).max(f64::MIN_POSITIVE);
         self.share = counted * (1.0 - self.silent);
+        self.counted = true;
     }
 
     /// Leaves part of the allowance to instances that aren't counted from now on.
