Let stand-ins fall silent for a bounded time and go on

Cause: a stand-in could stop its tokens for a time (`stall`) or lose its connections permanently (gate). A target that says nothing for a second at the heads of its answers, a plain service that does so, and connections that go on afterwards couldn't be played.

Change: `stall` takes `head`, and services know it too (at the head, or amid an answer of known length). `silence` of the gate and `freeze-connections` of an engine take `ms`: all connections, new ones too, carry nothing for that time, then everything passes. Without it they act as before.

Ruled out: a fault of its own beside each of these, as it would be the same order twice.

--- a/crates/standin/src/engine/admin.rs
+++ b/crates/standin/src/engine/admin.rs
@@ -3,11 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use tokio::time::Instant;
 use web::{Incoming, Request, Response, StatusCode, body::Body};
 
 use super::state::Engine;
-use crate::server::{self, Refused};
+use crate::{
+    gate::Silence,
+    server::{self, Refused},
+    stall::Stall,
+};
 
 /// Number of times that a fault happens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,8 +58,8 @@
             engine.state().faults.fail_loads = count;
         }
         "/admin/stall" => {
-            let Millis { ms } = server::body(req).await?;
-            engine.state().faults.stalled_until = Some(Instant::now() + Duration::from_millis(ms));
+            let stall: Stall = server::body(req).await?;
+            engine.state().faults.stalled = stall.into();
         }
         "/admin/late" => {
             let Millis { ms } = server::body(req).await?;
@@ -72,7 +75,8 @@
             engine.state().faults.wrong_adapter = count;
         }
         "/admin/freeze-connections" => {
-            if !engine.freeze_connections() {
+            let silence: Silence = server::body(req).await?;
+            if !engine.freeze_connections(silence.time()) {
                 let why = "the engine was started without --freezable";
                 return Err(Refused::new(StatusCode::CONFLICT, why));
             }
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -5,7 +5,7 @@
 use base::stable_hash;
 use serde::Deserialize;
 use serde_json::{Value, json};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use web::{
     HeaderMap, Incoming, Request, Response, StatusCode,
@@ -108,6 +108,8 @@
             std::process::exit(CRASHED);
         });
     }
+    let stalled = engine.state().faults.stalled;
+    stalled.before_head().await;
     let named = engine.named_resident(&run.resident);
     let from = run.tokens.start.to_string();
     let mut resp = match chat.stream {
@@ -298,10 +300,8 @@
 
     async fn wait_token(&mut self) {
         self.place.turn().await;
-        let stalled_until = self.engine.state().faults.stalled_until;
-        if let Some(until) = stalled_until.filter(|&until| until > Instant::now()) {
-            sleep_until(until).await;
-        }
+        let stalled = self.engine.state().faults.stalled;
+        stalled.before_body().await;
         sleep(self.engine.config.token_time).await;
     }
 }
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -10,12 +10,11 @@
 use anyhow::Result;
 use base::{Fence, Incarnation};
 use serde::{Deserialize, Serialize};
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use wire::engine::Resident;
 
 use super::{Config, batch::Batch, report::Reports};
-use crate::{gate::Gate, server::Running};
+use crate::{gate::Gate, server::Running, stall::Stalled};
 
 pub(crate) struct Engine {
     pub(crate) config: Config,
@@ -56,8 +55,8 @@
 pub(crate) struct Faults {
     /// Loads that are still to fail.
     pub(crate) fail_loads: u32,
-    /// No token is generated until then.
-    pub(crate) stalled_until: Option<Instant>,
+    /// Until when no token is generated.
+    pub(crate) stalled: Stalled,
     /// Delay before a completion starts.
     pub(crate) delay: Duration,
     /// Streams that are still to be cut.
@@ -149,10 +148,12 @@
         Running::new(addr, stop)
     }
 
-    /// Makes the present connections silent shortly after; returns false if there is no gate.
-    pub(crate) fn freeze_connections(&self) -> bool {
+    /// Makes the present connections silent shortly after, or for `time` the present and the
+    /// new ones; returns false if there is no gate.
+    pub(crate) fn freeze_connections(&self, time: Option<Duration>) -> bool {
         let gate = self.gate.lock().unwrap_or_else(PoisonError::into_inner);
-        gate.as_ref().map(|(gate, _)| gate.silence_soon()).is_some()
+        let frozen = gate.as_ref().map(|(gate, _)| gate.silence_soon(time));
+        frozen.is_some()
     }
 
     /// Starts a new incarnation without adapters.
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -1,5 +1,6 @@
 //! A TCP proxy that loses connections as a stateful middlebox does: present connections go
-//! silent without being closed, while new ones pass.
+//! silent without being closed, while new ones pass. All connections can also be silent for
+//! a bounded time and go on.
 
 use std::{
     net::SocketAddr,
@@ -19,6 +20,7 @@
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::watch,
+    time::{Instant, sleep_until},
 };
 use tokio_util::sync::CancellationToken;
 use web::{Incoming, Method, Request, Response, StatusCode, body::Body};
@@ -41,6 +43,21 @@
     pub open: u64,
 }
 
+/// Silence of a gate, as `POST /admin/silence` orders it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Silence {
+    /// Duration in milliseconds, in which new connections are silent as well and after which
+    /// all go on; without it the present ones are silent permanently and new ones pass.
+    pub ms: Option<u64>,
+}
+
+impl Silence {
+    pub(crate) fn time(self) -> Option<Duration> {
+        self.ms.map(Duration::from_millis)
+    }
+}
+
 /// A running gate; dropping it closes all its connections.
 #[derive(Debug)]
 pub struct Gate {
@@ -54,6 +71,8 @@
     target: SocketAddr,
     /// Connections up to this number are silent; they are numbered from one.
     silent: watch::Sender<u64>,
+    /// Until when nothing is forwarded on any connection.
+    paused: watch::Sender<Option<Instant>>,
     /// Connections up to this number are closed.
     cut: watch::Sender<u64>,
     connections: AtomicU64,
@@ -71,6 +90,7 @@
     let core = Arc::new(Core {
         target,
         silent: watch::Sender::new(0),
+        paused: watch::Sender::default(),
         cut: watch::Sender::new(0),
         connections: AtomicU64::new(0),
         open: AtomicU64::new(0),
@@ -97,7 +117,10 @@
 async fn order(core: Arc<Core>, req: Request<Incoming>) -> Response<Body> {
     match (req.method() == Method::GET, req.uri().path()) {
         (true, "/admin/stats") => return server::show(&core.stats()),
-        (false, "/admin/silence") => core.silence(),
+        (false, "/admin/silence") => match server::body::<Silence>(req).await {
+            Ok(silence) => core.silence(core.present(), silence.time()),
+            Err(refused) => return refused.answer(),
+        },
         (false, "/admin/cut") => core.cut(),
         _ => return server::refuse(StatusCode::NOT_FOUND, "no such path"),
     }
@@ -107,17 +130,23 @@
 impl Gate {
     /// Makes the present connections silent permanently; new ones pass.
     pub fn silence(&self) {
-        self.core.silence();
+        self.core.silence(self.core.present(), None);
+    }
+
+    /// Makes all connections silent for `time`, those that are opened meanwhile too; then
+    /// they go on, and nothing is lost.
+    pub fn pause(&self, time: Duration) {
+        self.core.silence(0, Some(time));
     }
 
-    /// Makes the present connections silent after [`SILENCE_DELAY`], so that the request to do
-    /// so can be answered on one of them.
-    pub(crate) fn silence_soon(&self) {
+    /// As [`Self::pause`], or as [`Self::silence`] without a time, but after
+    /// [`SILENCE_DELAY`], so that the request to do so can be answered.
+    pub(crate) fn silence_soon(&self, time: Option<Duration>) {
         let core = Arc::clone(&self.core);
-        let all = core.connections.load(Ordering::SeqCst);
+        let present = core.present();
         tokio::spawn(async move {
             tokio::time::sleep(SILENCE_DELAY).await;
-            core.silent.send_replace(all);
+            core.silence(present, time);
         });
     }
 
@@ -144,14 +173,36 @@
 }
 
 impl Core {
-    fn silence(&self) {
-        let all = self.connections.load(Ordering::SeqCst);
-        self.silent.send_replace(all);
+    /// Returns the number of the newest connection.
+    fn present(&self) -> u64 {
+        self.connections.load(Ordering::SeqCst)
+    }
+
+    /// Makes all connections silent for `time`, or those up to `present` permanently.
+    fn silence(&self, present: u64, time: Option<Duration>) {
+        match time {
+            Some(time) => {
+                self.paused.send_replace(Some(Instant::now() + time));
+            }
+            None => {
+                self.silent.send_replace(present);
+            }
+        }
+    }
+
+    /// Waits until connections aren't silent for a bounded time.
+    async fn resumed(&self) {
+        loop {
+            let until = *self.paused.borrow();
+            match until.filter(|&until| until > Instant::now()) {
+                Some(until) => sleep_until(until).await,
+                None => return,
+            }
+        }
     }
 
     fn cut(&self) {
-        let all = self.connections.load(Ordering::SeqCst);
-        self.cut.send_replace(all);
+        self.cut.send_replace(self.present());
     }
 
     fn stats(&self) -> Stats {
@@ -179,6 +230,7 @@
     }
 
     async fn forward(&self, near: TcpStream, id: u64) -> Result<()> {
+        self.resumed().await;
         let far = TcpStream::connect(self.target).await?;
         near.set_nodelay(true)?;
         far.set_nodelay(true)?;
@@ -198,12 +250,14 @@
             let n = tokio::select! {
                 biased;
                 _ = silent.wait_for(|&silent| silent >= id) => None,
-                n = from.read(&mut chunk) => Some(n?),
+                n = from.read(&mut chunk) => Some(n),
             };
-            let Some(n) = n else {
+            self.resumed().await;
+            let Some(n) = n.filter(|_| *silent.borrow() < id) else {
                 // Both sockets stay open, but no data is forwarded any more.
                 return std::future::pending().await;
             };
+            let n = n?;
             if n == 0 {
                 to.shutdown().await?;
                 return Ok(());
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod platform;
 mod server;
 pub mod service;
+mod stall;
 pub mod store;
 
 pub use server::{Running, listen};
+pub use stall::Stall;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -58,7 +58,7 @@
         .subcommand(
             with_listen(
                 "gate",
-                "A TCP proxy that can make its connections silent or close them",
+                "A TCP proxy that can make its connections silent, for good or for a time, or close them",
             )
             .arg(address("target").required(true))
             .arg(address("admin").default_value("127.0.0.1:0")),
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -15,7 +15,10 @@
 use web::{Incoming, Request, Response, StatusCode, body::Body, header_value};
 use wire::header;
 
-use crate::server::{self, Running};
+use crate::{
+    server::{self, Running},
+    stall::{Stall, Stalled},
+};
 
 /// Statistics of a service, as `GET /admin/stats` returns them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,6 +55,7 @@
 #[derive(Debug, Default)]
 struct Service {
     state: Mutex<(Faults, Stats)>,
+    stalled: Mutex<Stalled>,
 }
 
 /// Starts a plain service.
@@ -75,6 +79,13 @@
             }
             Err(refused) => refused.answer(),
         },
+        "/admin/stall" => match server::body::<Stall>(req).await {
+            Ok(stall) => {
+                service.stall(stall);
+                server::done()
+            }
+            Err(refused) => refused.answer(),
+        },
         _ => execute(&service, req).await,
     }
 }
@@ -102,6 +113,8 @@
     if take_fault(&mut service.lock().0.mute) {
         return std::future::pending().await;
     }
+    let stalled = service.stalled();
+    stalled.before_head().await;
     let is_cut = take_fault(&mut service.lock().0.cut);
     if take_fault(&mut service.lock().0.unframed) {
         let text = service.lock().0.text;
@@ -110,6 +123,9 @@
     if is_cut {
         return cut(&answer).await;
     }
+    if stalled.amid() {
+        return in_two_parts(&answer, stalled);
+    }
     let mut resp = Response::new(web::body::full(answer));
     let kind = header_value("application/json");
     resp.headers_mut().insert("content-type", kind);
@@ -128,6 +144,26 @@
     resp
 }
 
+/// Announces the length of the answer, and sends the second half of it after the silence.
+fn in_two_parts(answer: &str, stalled: Stalled) -> Response<Body> {
+    let (writer, body) = web::body::channel(2);
+    let length = answer.len();
+    let mut first = Bytes::copy_from_slice(answer.as_bytes());
+    let second = first.split_off(length / 2);
+    tokio::spawn(async move {
+        // The caller may have disconnected already.
+        let _ = writer.piece(first).await;
+        stalled.before_body().await;
+        let _ = writer.piece(second).await;
+        let _ = writer.end().await;
+    });
+    let mut resp = Response::new(body);
+    let out = resp.headers_mut();
+    out.insert("content-length", header_value(&length.to_string()));
+    out.insert("content-type", header_value("application/json"));
+    resp
+}
+
 /// Returns the answer, or half of it, which ends in order with its connection.
 fn unframed(answer: &str, is_cut: bool, text: bool) -> Response<Body> {
     let length = if is_cut {
@@ -160,6 +196,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn stall(&self, stall: Stall) {
+        *self.stalled.lock().unwrap_or_else(PoisonError::into_inner) = stall.into();
+    }
+
+    fn stalled(&self) -> Stalled {
+        *self.stalled.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts an execution; returns its number among those with the same key, or 0 without a
     /// key.
     fn count(&self, path: &str, key: Option<&str>) -> u64 {
