Let targets of the load tool fall silent and go on, and fail it on ends without a word

What ended without a word was printed, and was not a failure; a request whose connection ended before any answer was counted as if it were refused.

Change: silences of 0.5 to 3 s drawn from the seed, of one target or all of a kind: at heads, amid answers, or on all connections, beside the faults. A cut or short answer without a reason, and a request without any answer (a line of its own now), fail the run. The check of marked requests is as it was.

Ruled out: silences at fixed times, as they would never meet the other faults otherwise.

--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -79,7 +79,7 @@
                 .long("faults")
                 .action(ArgAction::SetTrue)
                 .conflicts_with("entry")
-                .help("Injects faults of engines and services during the run"),
+                .help("Injects faults and silences of engines and services during the run"),
         )
         .arg(number(
             "at-once",
@@ -93,7 +93,8 @@
 /// # Errors
 ///
 /// Fails when the deployment doesn't start or doesn't shut down cleanly, when answers are
-/// missing, when a marked request ran twice, or when answers contradict what ran.
+/// missing or were cut without a word, when a marked request ran twice, or when answers
+/// contradict what ran.
 pub(crate) fn run(args: &ArgMatches) -> Result<ExitCode> {
     let runtime = tokio::runtime::Runtime::new()?;
     let entries: Vec<SocketAddr> = args
@@ -127,6 +128,10 @@
 async fn with_lab(args: &ArgMatches) -> Result<()> {
     let plan = Plan {
         zones: ["dubrava", "jankomir"].map(str::to_owned).to_vec(),
+        engine_flags: match args.get_flag("faults") {
+            true => vec!["--freezable".to_owned()],
+            false => Vec::new(),
+        },
         ..Plan::small()
     };
     let mut lab = Lab::start("load", &plan).await?;
@@ -141,8 +146,9 @@
         if !args.get_flag("faults") {
             return Ok(());
         }
+        let seed = args.get_one::<u64>("seed").copied().unwrap_or(1);
         FaultTargets::of(&lab)
-            .run(Duration::from_secs(seconds))
+            .run(Duration::from_secs(seconds), seed)
             .await
     };
     let (tally, injected) = tokio::join!(send_all(site.clone(), args), faults);
--- a/xtask/src/load/faults.rs
+++ b/xtask/src/load/faults.rs
@@ -1,12 +1,20 @@
 //! Injects faults of the simulated engines and services while the load runs, one after the
-//! other.
+//! other, beside silences of some or all of them that are drawn from a seed.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, ops::RangeInclusive, time::Duration};
 
 use anyhow::Result;
 use lab::{Caller, Lab};
+use rand::{RngExt, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
+
+/// Duration of a silence, in milliseconds.
+const SILENCE_MS: RangeInclusive<u64> = 500..=3_000;
+
+/// Time from the beginning of a silence to that of the next, in milliseconds: they overlap.
+const GAP_MS: RangeInclusive<u64> = 500..=4_000;
 
 /// One fault: the kind of its targets, and the HTTP request that injects it.
 struct Fault {
@@ -61,8 +69,47 @@
         }
     }
 
-    /// Injects each fault at every target of its kind, spread evenly over `time`.
-    pub(crate) async fn run(self, time: Duration) -> Result<()> {
+    /// Injects each fault at every target of its kind, spread evenly over `time`, beside
+    /// silences drawn from `seed`.
+    pub(crate) async fn run(self, time: Duration, seed: u64) -> Result<()> {
+        tokio::try_join!(self.inject(time), self.silence(time, seed))?;
+        Ok(())
+    }
+
+    /// Makes targets silent until `time` has passed; all of them go on.
+    async fn silence(&self, time: Duration, seed: u64) -> Result<()> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let end = Instant::now() + time;
+        loop {
+            sleep(Duration::from_millis(rng.random_range(GAP_MS))).await;
+            if Instant::now() >= end {
+                return Ok(());
+            }
+            let is_engine = rng.random_ratio(2, 3);
+            let targets = if is_engine {
+                &self.engines
+            } else {
+                &self.services
+            };
+            let most = if rng.random_ratio(1, 3) {
+                targets.len()
+            } else {
+                1
+            };
+            let ms = rng.random_range(SILENCE_MS);
+            let (path, body) = match rng.random_range(0..3) {
+                0 if is_engine => ("/admin/freeze-connections", json!({"ms": ms})),
+                form => ("/admin/stall", json!({"ms": ms, "head": form == 1})),
+            };
+            let chosen: Vec<_> = targets.sample(&mut rng, most).collect();
+            for target in &chosen {
+                Caller::new(**target, "").post(path, &body).await?;
+            }
+            println!("silence {path} {body} at {} targets", chosen.len());
+        }
+    }
+
+    async fn inject(&self, time: Duration) -> Result<()> {
         let pause = time / (FAULTS.len() as u32 + 1);
         for fault in FAULTS {
             sleep(pause).await;
--- a/xtask/src/load/send.rs
+++ b/xtask/src/load/send.rs
@@ -55,6 +55,8 @@
     Broken(Verdict, String),
     /// The request failed with this verdict and reason.
     Failed(Verdict, String),
+    /// Neither an answer nor a refusal came; what the client makes of it.
+    Unanswered(Verdict, String),
 }
 
 impl Site {
@@ -93,7 +95,7 @@
             Ok(answer) => self.classify(answer, request, start).await,
             Err(broken) => {
                 let why = broken.reason().to_string();
-                (End::Failed(broken.verdict, why), None)
+                (End::Unanswered(broken.verdict, why), None)
             }
         };
         Outcome {
--- a/xtask/src/load/tally.rs
+++ b/xtask/src/load/tally.rs
@@ -60,7 +60,10 @@
         let ends = self.ends.entry(outcome.kind).or_default();
         *ends.entry(outcome.end.clone()).or_default() += 1;
         if let Some(key) = outcome.key {
-            let not_run = matches!(&outcome.end, End::Failed(Verdict::NotRun, _));
+            let not_run = matches!(
+                &outcome.end,
+                End::Failed(Verdict::NotRun, _) | End::Unanswered(Verdict::NotRun, _)
+            );
             *self.not_run.entry(key.clone()).or_insert(true) &= not_run;
             if outcome.end == End::Complete {
                 self.answered.insert(key);
@@ -91,6 +94,14 @@
         }
     }
 
+    /// Returns how many requests got neither a whole answer nor the reason why not.
+    fn wordless(&self) -> u64 {
+        let ends = self.ends.values().flatten();
+        ends.filter(|(end, _)| matches!(end, End::Cut | End::Short | End::Unanswered(..)))
+            .map(|(_, n)| n)
+            .sum()
+    }
+
     /// Checks the answers that callers got against the requests that the services ran.
     pub(crate) fn check(&self, ran: &BTreeMap<String, u64>) -> Result<()> {
         let twice = ran.values().filter(|n| **n > 1).count();
@@ -111,6 +122,8 @@
             twice + lost + not_run == 0,
             "answers to callers contradict what the services ran"
         );
+        let wordless = self.wordless();
+        ensure!(wordless == 0, "{wordless} requests ended without a word");
         Ok(())
     }
 }
@@ -122,5 +135,6 @@
         End::Cut => String::from("cut"),
         End::Broken(verdict, reason) => format!("broken: {verdict}, {reason}"),
         End::Failed(verdict, reason) => format!("{verdict}, {reason}"),
+        End::Unanswered(verdict, reason) => format!("no answer: {verdict}, {reason}"),
     }
 }
