Keep the port where connections are refused from other listeners in tests of cut links

Cause, suspected: both need an address where connections are refused. The test took the port of a listener that it had closed, and any listener opened later, by another test of the same process or by another process, can be given that port. The instance then finds itself connected to all targets, and its callers wait for whoever listens there.

Change: the port is bound without a listener for as long as the links exist, as in the test of tunnels before. What the tests ask for is unchanged.

Ruled out: load alone.

--- a/crates/frontd/tests/targets/links.rs
+++ b/crates/frontd/tests/targets/links.rs
@@ -39,8 +39,8 @@
 #[derive(Debug)]
 pub(crate) struct Links {
     state: watch::Sender<Cut>,
-    /// Where nothing listens.
-    refusing: SocketAddr,
+    /// Bound but not listening, so that no other listener gets the port.
+    refusing: TcpSocket,
     /// Where no connection is established.
     hanging: SocketAddr,
     proxies: Mutex<BTreeMap<SocketAddr, SocketAddr>>,
@@ -66,12 +66,17 @@
         match *self.state.borrow() {
             // A proxy would accept connections to an engine that is down.
             Cut::No if listens(engine) => self.proxy(engine),
-            Cut::No => self.refusing,
+            Cut::No => self.refusing(),
             Cut::Hangs => self.hanging,
-            Cut::Resets | Cut::RefusesNew => self.refusing,
+            Cut::Resets | Cut::RefusesNew => self.refusing(),
         }
     }
 
+    /// Returns where nothing listens.
+    fn refusing(&self) -> SocketAddr {
+        self.refusing.local_addr().unwrap()
+    }
+
     fn proxy(&self, engine: SocketAddr) -> SocketAddr {
         let mut proxies = self.proxies.lock().unwrap();
         *proxies.entry(engine).or_insert_with(|| {
@@ -148,9 +153,10 @@
     std::net::TcpStream::connect_timeout(&engine, Duration::from_millis(50)).is_ok()
 }
 
-fn refusing() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+fn refusing() -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    socket
 }
 
 /// Opens a listener whose queue is full, so that the first packet of each further connection
