Add a soak over sockets in which targets fall silent and go on, beside other trouble

Cause: nothing of our own played a sound target that says nothing for a second or so on the users' platform's way, beside changes, stops, kills, cuts, crashes and dark targets. So it wasn't seen that streams that may be resumed are left after 1.5 s, and given up where what they go on at fails.

One control instance, three entry instances as processes of the test program (a planned stop is a signal to a process), six targets behind links, 72 callers that keep their connections. Each request is judged by what its caller got and what targets saw of it: a whole answer, a refusal and no run, or an end at its deadline; one run at most; parts neither missing nor twice; 400 ms at most on two targets. A request is excused only if its instance was killed, cut off or had used up its grace period, or no target that it reached was sound until the request's end. The common configuration has a route that may run once now.

--- a/crates/frontd/tests/common/engines.rs
+++ b/crates/frontd/tests/common/engines.rs
@@ -8,6 +8,11 @@
 /// Returns a configuration with one service and a route of each kind: by default streams that
 /// can't be resumed.
 pub(crate) fn decoded() -> Decoded {
+    decoded_with(0)
+}
+
+/// As [`decoded`], with this many further routes.
+pub(crate) fn decoded_with(further: usize) -> Decoded {
     let engine = Engine {
         models: vec![Model {
             name: "m".to_owned(),
@@ -22,15 +27,19 @@
         engine: Some(engine),
     };
     table.services.insert("s".to_owned(), service);
-    for (prefix, kind, attempts) in [
+    let kinds = [
         ("/", Kind::Stream { resumable: false }, 1),
         ("/resumable/", Kind::Stream { resumable: true }, 2),
         ("/safe/", Kind::Safe, 1),
-    ] {
+        ("/once/", Kind::Unsafe, 1),
+    ];
+    let kinds = kinds.map(|(prefix, kind, attempts)| (prefix.to_owned(), kind, attempts));
+    let further = (0..further).map(|no| (format!("/further/{no}/"), Kind::Safe, 1));
+    for (prefix, kind, attempts) in kinds.into_iter().chain(further) {
         table.routes.push(Route {
             name: format!("r{prefix}"),
             host: "a.example".to_owned(),
-            prefix: prefix.to_owned(),
+            prefix,
             kind,
             limit: Duration::from_secs(20),
             priority: 1,
--- /dev/null
+++ b/crates/frontd/tests/soak/judge.rs
@@ -0,0 +1,177 @@
+//! What callers were told and targets ran, held against what is promised.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    callers::{Asked, Route},
+    fleet::Fleet,
+    target::Run,
+};
+
+/// Longest time on two targets at once, after the first event of the second.
+const TWICE: Duration = Duration::from_millis(400);
+
+/// How exactly times are known here.
+const MARGIN: Duration = Duration::from_millis(150);
+
+/// Longest time from a deadline to the end of an answer that isn't complete.
+const LATE: Duration = Duration::from_secs(1);
+
+/// Time in which instances know what another one has seen.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// How requests ended, and what breaks a promise.
+#[derive(Debug, Default)]
+pub(crate) struct Judged {
+    /// Requests by how they ended.
+    pub(crate) ends: BTreeMap<End, usize>,
+    pub(crate) faults: Vec<String>,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum End {
+    Complete,
+    Refused,
+    AtDeadline,
+    /// Its instance was killed or cut off, or no target that it reached was sound.
+    Excused,
+    Wrong(&'static str),
+}
+
+/// Judges all requests; times in faults are those since `start`.
+pub(crate) fn judge(fleet: &Fleet, asked: &[Asked], start: Instant) -> Judged {
+    let mut runs: BTreeMap<String, Vec<Run>> = BTreeMap::new();
+    for run in fleet.targets().iter().flat_map(|target| target.runs()) {
+        runs.entry(run.id.clone()).or_default().push(run);
+    }
+    let mut judged = Judged::default();
+    for asked in asked {
+        let mut runs = runs.remove(&asked.id).unwrap_or_default();
+        runs.sort_by_key(|run| run.reached);
+        let end = end(fleet, asked, &runs);
+        *judged.ends.entry(end).or_default() += 1;
+        let wrong = match end {
+            End::Wrong(why) => Some(why),
+            End::Complete | End::Refused | End::AtDeadline | End::Excused => None,
+        };
+        let found = [wrong, wrong_text(asked), wrong_runs(fleet, asked, &runs)];
+        let found = found.into_iter().flatten();
+        let found = found.map(|why| describe(why, asked, &runs, start));
+        judged.faults.extend(found);
+    }
+    judged
+}
+
+fn describe(why: &str, asked: &Asked, runs: &[Run], start: Instant) -> String {
+    let at = |time: Instant| time.duration_since(start).as_millis();
+    let runs: Vec<_> = runs
+        .iter()
+        .map(|run| {
+            let (begun, first) = (run.begun.map(at), run.first.map(at));
+            let (reached, ended) = (at(run.reached), run.ended.map(at));
+            format!("t{} {reached} {begun:?} {first:?} {ended:?}", run.target)
+        })
+        .collect();
+    let Asked {
+        id,
+        entry,
+        route,
+        got,
+        ..
+    } = asked;
+    format!(
+        "{why}: {id} entry {entry} {route:?} {:?} {} to {} ms, deadline {} ms, status {}, {} bytes, \
+         complete {}; runs {runs:?}",
+        asked.asked,
+        at(asked.sent),
+        at(asked.ended),
+        asked.deadline.as_millis(),
+        got.status,
+        got.body.len(),
+        got.complete,
+    )
+}
+
+/// Returns how a request ended: with an answer, a true refusal or at its deadline, unless it is
+/// wrong.
+fn end(fleet: &Fleet, asked: &Asked, runs: &[Run]) -> End {
+    let took = asked.ended - asked.sent;
+    let got = &asked.got;
+    match got.status {
+        200 if got.complete => return End::Complete,
+        408 | 421 | 429 | 503 if got.complete && ran(runs) == 0 => return End::Refused,
+        408 | 421 | 429 | 503 if got.complete => return End::Wrong("ran and was refused"),
+        _ => {}
+    }
+    let held_up = fleet.held_up(asked.sent, asked.ended);
+    if took > asked.deadline + LATE + held_up {
+        return End::Wrong("ended long after its deadline");
+    }
+    if took + MARGIN >= asked.deadline {
+        return End::AtDeadline;
+    }
+    if is_excused(fleet, asked, runs) {
+        return End::Excused;
+    }
+    End::Wrong(match got.status {
+        0 => "ended without an answer",
+        200 => "ended amid its answer",
+        _ => "failed",
+    })
+}
+
+/// Returns whether its instance was killed or cut off, or no target that it reached was sound.
+fn is_excused(fleet: &Fleet, asked: &Asked, runs: &[Run]) -> bool {
+    let (from, to) = (asked.sent, asked.ended);
+    if fleet.was_gone(asked.entry, from, to) || fleet.was_cut(asked.entry, from - CONTACT, to) {
+        return true;
+    }
+    let unsound = |target: usize, from| !fleet.targets()[target].is_sound(from, to);
+    match runs {
+        // It may have been sent to any target.
+        [] => (0..fleet.targets().len()).any(|target| unsound(target, from)),
+        runs => runs.iter().all(|run| unsound(run.target, run.reached)),
+    }
+}
+
+/// Checks that parts of an answer are neither missing nor there twice.
+fn wrong_text(asked: &Asked) -> Option<&'static str> {
+    let whole = asked.asked.events(&asked.id, 0).concat();
+    let got = &asked.got;
+    match got.status {
+        200 if got.complete && got.body != whole => Some("looks complete and isn't"),
+        200 if !whole.starts_with(&got.body) => Some("has wrong parts"),
+        _ => None,
+    }
+}
+
+/// Returns how often a request ran.
+fn ran(runs: &[Run]) -> usize {
+    runs.iter().filter(|run| run.begun.is_some()).count()
+}
+
+/// Checks how often a request ran, and for how long on two targets.
+fn wrong_runs(fleet: &Fleet, asked: &Asked, runs: &[Run]) -> Option<&'static str> {
+    if asked.route.runs_once() && ran(runs) > 1 {
+        return Some("ran more than once");
+    }
+    // The end of a run behind a cut link reaches its target late.
+    if fleet.was_cut(asked.entry, asked.sent - CONTACT, asked.ended + CONTACT) {
+        return None;
+    }
+    let now = Instant::now();
+    let twice = runs.windows(2).any(|pair| {
+        let first = match (asked.route, pair[1].first) {
+            (Route::Stream | Route::Resumable, Some(first)) => first,
+            _ => return false,
+        };
+        let ended = |run: &Run| run.ended.unwrap_or(now);
+        let ended = ended(&pair[0]).min(ended(&pair[1]));
+        ended > first + TWICE + MARGIN + fleet.held_up(first, ended)
+    });
+    twice.then_some("ran on two targets for too long")
+}
