Say in the soak's faults whether a request came on a kept connection

Cause: 7 of 61,232 requests ended without an answer some ms after they were sent. Whether on a connection that had been used before, or on one that waited to be accepted, wasn't told.

Change: callers note it, and each fault names it.

--- a/crates/frontd/tests/soak/callers.rs
+++ b/crates/frontd/tests/soak/callers.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Asked {
     pub(crate) id: String,
     pub(crate) entry: u8,
+    /// Whether it was sent on a connection that had been used before.
+    pub(crate) kept: bool,
     pub(crate) route: Route,
     pub(crate) asked: target::Asked,
     pub(crate) deadline: Duration,
@@ -72,7 +74,9 @@
     let (mut kept, mut all) = (None::<Connection>, Vec::new());
     while Instant::now() < until {
         sleep(Duration::from_millis(rng.random_range(5..150))).await;
-        let open = match kept.take().filter(Connection::is_open) {
+        let usable = kept.take().filter(Connection::is_open);
+        let is_kept = usable.is_some();
+        let open = match usable {
             Some(open) => Some(open),
             None => Connection::open(fleet.caller_addr(entry)).await,
         };
@@ -87,6 +91,7 @@
         let pause = got.again.unwrap_or_default().min(PAUSE);
         kept = got.keeps.then_some(open);
         all.push(Asked {
+            kept: is_kept,
             sent,
             ended: Instant::now(),
             got,
@@ -103,6 +108,7 @@
     Asked {
         id,
         entry,
+        kept: false,
         route: *Route::ALL.choose(rng).expect("there are routes"),
         asked: target::Asked {
             framing: rng.random_range(0..3),
--- a/crates/frontd/tests/soak/judge.rs
+++ b/crates/frontd/tests/soak/judge.rs
@@ -79,12 +79,13 @@
     let Asked {
         id,
         entry,
+        kept,
         route,
         got,
         ..
     } = asked;
     format!(
-        "{why}: {id} entry {entry} {route:?} {:?} {} to {} ms, deadline {} ms, status {}, {} bytes, \
+        "{why}: {id} entry {entry} kept {kept} {route:?} {:?} {} to {} ms, deadline {} ms, status {}, {} bytes, \
          complete {}; runs {runs:?}",
         asked.asked,
         at(asked.sent),
