Give each deployment of a test a folder of its own

Cause: the folder's name was the test's name and the process id. Folders of tests that failed are kept and process ids come again, so a deployment could begin with the data of another; two tests of one name in one process shared a folder, and the one that ended first removed it.

Change: a number is added, and a folder that is there isn't taken.

Measured: a new test with the name of another one waited 60 s for a leader, its folder gone; with this change and both names, 2 tests pass.

--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -125,9 +125,7 @@
     ///
     /// Fails when a process doesn't start or no leader is elected in time.
     pub async fn start(name: &str, plan: &Plan) -> Result<Lab> {
-        let unique = format!("quetzal-{name}-{}", std::process::id());
-        let folder = std::env::temp_dir().join(unique);
-        fs::create_dir_all(&folder)?;
+        let folder = new_folder(name)?;
         let mut standins = Vec::new();
         let rate = plan.store_rate.to_string();
         let flags = ["store", "--rate", &rate, "--load-ms", "50"];
@@ -468,6 +466,21 @@
     bail!("timed out after {TIMEOUT:?} waiting for: {what}")
 }
 
+/// Makes a folder of its own for a deployment. Folders of tests that failed are kept, and
+/// process ids come again.
+fn new_folder(name: &str) -> Result<PathBuf> {
+    let id = std::process::id();
+    for no in 0_u32.. {
+        let folder = std::env::temp_dir().join(format!("quetzal-{name}-{id}-{no}"));
+        match fs::create_dir(&folder) {
+            Ok(()) => return Ok(folder),
+            Err(err) if err.kind() == std::io::ErrorKind::AlreadyExists => {}
+            Err(err) => return Err(err.into()),
+        }
+    }
+    bail!("no name is free for a folder of {name}")
+}
+
 async fn standin(
     folder: &std::path::Path,
     name: &str,
