Freeze and thaw control instances in series, and say how a process ended

The harness asked only whether a process had succeeded: it couldn't say whether a signal or an exit code ended it, nor whether it was gone before it was told to stop.

What its logs show: after SIGCONT, about 18:25:20.8, it wrote nothing, neither the versions it had missed nor the two owners that the others logged at 20.86 and 24.87. DrainBegun is missing, and the whole stop took 6 ms. So it was gone before SIGTERM, which a process that has ended and isn't waited for takes without an error; its end isn't due to the stop.

Change: Lab::stop looks before it stops a process, and a process that ends with a failure is printed with its status. A new test freezes a control instance, applies a change, thaws it, waits until it has the change, stops and restarts it, five times.

--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -431,10 +431,15 @@
     pub async fn stop(&mut self) -> Result<bool> {
         let mut ok = true;
         for instance in self.entries.iter_mut().chain(&mut self.controls) {
-            if let Some(mut process) = instance.process.take() {
-                process.signal("TERM").await?;
-                ok &= process.wait_exit().await?;
+            let Some(mut process) = instance.process.take() else {
+                continue;
+            };
+            if !process.is_running()? {
+                ok = false;
+                continue;
             }
+            process.signal("TERM").await?;
+            ok &= process.wait_exit().await?;
         }
         Ok(ok)
     }
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -114,8 +114,24 @@
     pub async fn wait_exit(&mut self) -> Result<bool> {
         let status = timeout(TIMEOUT * 3, self.child.wait()).await;
         let status = status.with_context(|| format!("{} doesn't exit in time", self.name))??;
+        if !status.success() {
+            eprintln!("{}: {status}", self.name);
+        }
         Ok(status.success())
     }
+
+    /// Returns whether the process is still running; says how it ended otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system can't tell.
+    pub fn is_running(&mut self) -> Result<bool> {
+        let Some(status) = self.child.try_wait()? else {
+            return Ok(true);
+        };
+        eprintln!("{} has ended before it was stopped: {status}", self.name);
+        Ok(false)
+    }
 }
 
 /// Returns the path of a binary of this workspace, which must have been built.
--- a/crates/lab/tests/processes/main.rs
+++ b/crates/lab/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod cut;
 mod faults;
+mod frozen;
 mod measures;
 mod once;
 mod path;
