Write a numbered line for each way in which a daemon ends by a failure

By reading, controld and entryd can end in these ways: Ok, with E1004; errors of settings and of listening, with a text or E1005; an error of the shell (data folder, signal handlers, operators' listener), with a text on standard error but no event; a panic of the main thread, likewise; a signal whose action isn't changed, with nothing at all. Of those SIGHUP is one that operators send: it ended the daemons with their requests.

Change: E1010 before an error ends the process, E1011 for each panic, after the message on standard error; SIGHUP is logged as E1012 and ignored, as these settings are read at the start only.

Ruled out: SIGHUP as a planned stop, since operators expect it to reload and not to end; changing the other signals.

--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -69,12 +69,27 @@
         let listeners = bound.inspect_err(|err| {
             event!(Event::StartFailed, why = format!("{err:#}"));
         })?;
+        log_hangups()?;
         let ended = serve(settings, listeners).await;
+        if let Err(err) = &ended {
+            event!(Event::Failed, why = format!("{err:#}"));
+        }
         drop(guard);
         ended
     })
 }
 
+/// Logs each SIGHUP, which would end the process without a line.
+fn log_hangups() -> Result<()> {
+    let mut hangups = signal(SignalKind::hangup()).context("can't listen for SIGHUP")?;
+    tokio::spawn(async move {
+        while hangups.recv().await.is_some() {
+            event!(Event::HangupIgnored);
+        }
+    });
+    Ok(())
+}
+
 async fn bind(identity: &Identity) -> Result<Listeners> {
     let clients = listen(identity.listen).await?;
     let peers = listen(identity.peer_listen).await?;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -67,6 +67,10 @@
     SettingsRead 1008 Info "settings reloaded" "The settings have changed and were reloaded; `seeds` is the number of control instances that they name."
     SettingsBroken 1009 Error "settings can't be read" "The changed settings can't be read; `why` gives the reason. The previous ones stay in force."
 
+    Failed 1010 Error "process failed" "The process ends by a failure; `why` gives the cause. Requests in progress are cut off."
+    Panicked 1011 Error "panic" "A fault of the program: a thread or a task ended at `place`, `why` gives the message. The rest of the process goes on."
+    HangupIgnored 1012 Info "hangup ignored" "SIGHUP was received. These settings are read at the start only, so nothing is reloaded and the process goes on."
+
     // 2xxx: the replicated log.
     LeaderElected 2001 Info "leader elected" "A replica was elected leader of the log for `term`."
     LeaderLost 2002 Warn "leader lost" "A replica stopped being leader, or no longer hears from a leader."
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -4,7 +4,7 @@
 //! the format function [`line()`] puts time, level and origin before it. Lines logged
 //! by libraries pass through the same function as event number 0 (`E0`).
 
-use std::{io, sync::OnceLock};
+use std::{io, panic, sync::OnceLock};
 
 use anyhow::Result;
 use flexi_logger::{DeferredNow, FileSpec, LogSpecification, Logger, LoggerHandle, Record};
@@ -70,6 +70,21 @@
     }
 }
 
+/// Has panics logged, besides the message on standard error.
+pub(crate) fn log_panics() {
+    let before = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        before(info);
+        let place = info.location().map(ToString::to_string);
+        let why = info.payload_as_str().unwrap_or_default();
+        crate::event!(
+            Event::Panicked,
+            place = place.unwrap_or_default(),
+            why = why
+        );
+    }));
+}
+
 fn body(event: Event, fields: Fields) -> String {
     let body = Body {
         event: event.to_string(),
--- a/crates/telemetry/src/start.rs
+++ b/crates/telemetry/src/start.rs
@@ -36,6 +36,7 @@
 /// one process.
 pub fn start(service: &str, instance: &str, settings: &TelemetrySettings) -> Result<Guard> {
     let logger = logs::start(service, instance, settings).context("can't start the log")?;
+    logs::log_panics();
     let runtime = settings.otlp.map(|_| export_runtime()).transpose()?;
     let resource = resource(service, instance, settings);
     let tracer = tracer(settings, runtime.as_ref(), resource.clone())?;
