Don't take a busy process's own delay for the silence of a peer while it connects

What callers saw: nothing by itself; calls to peers (exchanges, questions for permits, editions, renewals) fail beside a process that is busy, such as one that reads a large configuration, and with them all calls that wait for the connection.

Cause: calls wait with answer_by, which adds the time by which a timer fires late, but the connection's two limits were plain timeouts. Connecting takes several steps (TCP, upgrade); after 250 ms without processor the first is done and the limit is over.

Change: both limits by answer_by. A process that isn't late waits no longer than before.

Ruled out: a longer CONNECT_TIMEOUT, which holds up all calls behind a machine without power. Steps of one poll, such as a plain connect, aren't touched: the answer is polled before the timer.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -100,10 +100,10 @@
     /// may have been carried out.
     pub async fn call(&self, call: Call, limit: Duration) -> Result<Reply, CallError> {
         let deadline = Instant::now() + limit;
-        let (serial, client) = match tokio::time::timeout(limit, self.client()).await {
-            Ok(connected) => connected?,
-            Err(_) => return Err(CallError::Connect("no connection in time".to_owned())),
+        let Some(connected) = answer_by(deadline, self.client()).await else {
+            return Err(CallError::Connect("no connection in time".to_owned()));
         };
+        let (serial, client) = connected?;
         let mut context = tarpc::context::current();
         context.deadline = (deadline + MAX_EXTENSION).into_std();
         let reply = client.call(context, self.inner.from.clone(), call);
@@ -139,8 +139,9 @@
         if let Some(client) = &slot.client {
             return Ok((slot.serial, client.clone()));
         }
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect(&self.inner.address)).await;
-        let connected = connected.unwrap_or_else(|_| Err(anyhow::anyhow!("no answer in time")));
+        let until = Instant::now() + CONNECT_TIMEOUT;
+        let connected = answer_by(until, connect(&self.inner.address)).await;
+        let connected = connected.unwrap_or_else(|| Err(anyhow::anyhow!("no answer in time")));
         let io = connected.map_err(|err| CallError::Connect(format!("{err:#}")))?;
         let client = CallerClient::new(tarpc::client::Config::default(), transport(io)).spawn();
         slot.serial += 1;
--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -170,3 +170,24 @@
     assert_that!(first.unwrap_err().verdict(), eq(Verdict::NotRun));
     assert_that!(second.unwrap(), eq(&Reply::Done));
 }
+
+/// Guards against a busy process that takes its own delay for the silence of a peer: the
+/// connection is given up though the peer accepted it at once, and with it all calls that
+/// wait for it.
+#[tokio::test]
+async fn a_process_that_was_busy_while_it_connected_makes_its_call() {
+    const BUSY: Duration = Duration::from_millis(400);
+    let (told, address) = tokio::sync::oneshot::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async {
+            told.send(start_peer().await).unwrap();
+            std::future::pending::<()>().await;
+        });
+    });
+    let link = Link::new(name(), address.await.unwrap());
+    let version = TextVersion(4);
+    let busy = async { std::thread::sleep(BUSY) };
+    let (reply, ()) = tokio::join!(link.call(Call::Text { have: version }, TIMEOUT), busy);
+    assert_that!(reply, ok(anything()));
+}
