--- a/crates/web/src/tunnel.rs
+++ b/crates/web/src/tunnel.rs
@@ -19,16 +19,14 @@
 };
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
-use tokio::{
-    net::TcpStream,
-    time::{Instant, timeout_at},
-};
+use tokio::{net::TcpStream, time::Instant};
 
 pub use self::{frames::TunnelStream, splice::splice};
 use crate::{
     body::{Body, full},
     header_value,
     server::StallLimited,
+    timeout::answer_by,
 };
 
 /// Path of the request for a tunnel.
@@ -113,11 +111,11 @@
     tunnel: &Tunnel,
     until: Instant,
 ) -> Result<TunnelStream, TunnelError> {
-    match timeout_at(until, ask(helper, tunnel)).await {
-        Ok(Ok(Ok(stream))) => Ok(stream),
-        Ok(Ok(Err(err))) => Err(err),
-        Ok(Err(err)) => Err(TunnelError::NoHelp(format!("{err:#}"))),
-        Err(_) => Err(TunnelError::NoHelp("no answer in time".to_owned())),
+    match answer_by(until, ask(helper, tunnel)).await {
+        Some(Ok(Ok(stream))) => Ok(stream),
+        Some(Ok(Err(err))) => Err(err),
+        Some(Err(err)) => Err(TunnelError::NoHelp(format!("{err:#}"))),
+        None => Err(TunnelError::NoHelp("no answer in time".to_owned())),
     }
 }
 
--- a/crates/web/tests/web/main.rs
+++ b/crates/web/tests/web/main.rs
@@ -6,3 +6,4 @@
 mod server;
 mod sse;
 mod timeout;
+mod tunnel;
