Show that a busy process leaves a sound target between two pieces of its answer

What callers see: their stream is taken from a target that sends on, and goes on elsewhere or is broken off, after a moment in which their instance had no processor, as beside a large configuration that is read on the only thread.

Cause: web::client::answer waits for the next piece with a plain timeout. A piece that has come lies in the socket; the task of the connection reads it only after the timer, which is late, was looked at.

That it is the cause of what the users saw isn't shown.

--- a/crates/web/tests/web/main.rs
+++ b/crates/web/tests/web/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the HTTP server and client over sockets on the loopback interface.
 
+mod busy;
 mod client;
 mod ends;
 mod peer;
