Show that an instance that has just started loses what a crashed engine ran

Callers see streams that end incomplete when an engine crashes soon after an entry instance has started. Since an instance that starts has one retry for each target, and streams that were under way spend the same credit as attempts that failed before they answered.

--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -5,4 +5,5 @@
 mod guards;
 mod requests;
 mod software;
+mod starts;
 mod world;
--- /dev/null
+++ b/crates/node/tests/node/starts.rs
@@ -0,0 +1,193 @@
+//! Retries of an instance that has just started, in virtual time.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use base::{Fence, Refusal, Ticket, Verdict};
+use googletest::prelude::*;
+use node::{AnswerEnd, Attempt, Input, Progress};
+use request::Part;
+
+use crate::world::{TEXT, World};
+
+/// Time after which what broke must have been sent again.
+const SENT_AGAIN: Duration = Duration::from_secs(1);
+
+/// A node that has just started, with two engines of its own.
+struct Started {
+    world: World,
+    /// Ticket of the last request.
+    ticket: u64,
+}
+
+impl Started {
+    fn new() -> Self {
+        let mut world = World::bare();
+        world.text.1 = TEXT.replace("batch = 4", "batch = 256");
+        for engine in ["e-1", "e-2"] {
+            world.software.insert(engine, "v1");
+            world.owned.insert(engine.to_owned(), Fence(7));
+        }
+        let targets = [("e-1", "drafting"), ("e-2", "drafting"), ("p-1", "portal")];
+        world.list(1, &targets);
+        world.pass(Duration::from_secs(20));
+        Started { world, ticket: 0 }
+    }
+
+    /// Sends one request; returns its first attempt.
+    fn arrive(&mut self) -> Attempt {
+        self.ticket += 1;
+        let ticket = self.world.arrive(self.ticket, "letters", None);
+        let sent = |world: &World| {
+            let first = world.sent.iter().find(|sent| sent.ticket == ticket);
+            first.cloned()
+        };
+        for _ in 0..200 {
+            if let Some(sent) = sent(&self.world) {
+                return sent;
+            }
+            self.world.pass(Duration::from_millis(10));
+        }
+        panic!("{ticket:?} isn't sent")
+    }
+
+    fn progress(&mut self, attempt: &Attempt, step: u64, progress: Progress) {
+        self.world.input(Input::Progress {
+            ticket: attempt.ticket,
+            attempt: attempt.attempt,
+            step,
+            progress,
+        });
+    }
+
+    /// Lets a stream begin with one token.
+    fn begin(&mut self, attempt: &Attempt) {
+        let head = Progress::Head {
+            status: 200,
+            ran: attempt.resident.clone().map(Ok),
+            resumed: (attempt.resume > 0).then_some(attempt.resume),
+        };
+        self.progress(attempt, 1, head);
+        self.progress(attempt, 2, Progress::Piece(Part::Tokens(1)));
+    }
+
+    fn end(&mut self, attempt: &Attempt) {
+        self.progress(attempt, 3, Progress::Piece(Part::Last));
+        let end = Progress::End {
+            end: AnswerEnd::Complete,
+            answer: None,
+        };
+        self.progress(attempt, 4, end);
+    }
+
+    fn break_off(&mut self, attempt: &Attempt) {
+        let broken = Progress::Failed {
+            verdict: Verdict::MayHaveRun,
+            reason: Refusal::TargetFailed,
+            retry: None,
+        };
+        self.progress(attempt, 3, broken);
+    }
+
+    /// Returns the number of attempts beyond the first of each request.
+    fn sent_again(&self) -> usize {
+        self.world
+            .sent
+            .iter()
+            .filter(|sent| sent.attempt > 1)
+            .count()
+    }
+}
+
+/// Breaks off `streams` streams of one engine at once, `at` after the start, and checks
+/// that all go on.
+fn crash((at, streams): (Duration, usize)) {
+    let mut node = Started::new();
+    let start = node.world.now;
+    let mut running = Vec::new();
+    let first = node.arrive();
+    let engine = first.target.clone();
+    node.begin(&first);
+    running.push(first);
+    while running.len() < streams {
+        let attempt = node.arrive();
+        node.begin(&attempt);
+        if attempt.target == engine {
+            running.push(attempt);
+        }
+    }
+    let left = at.saturating_sub(node.world.now.since(start));
+    node.world.pass(left);
+    for attempt in &running {
+        node.break_off(attempt);
+    }
+    node.world.pass(SENT_AGAIN);
+    let broken: BTreeSet<Ticket> = running.iter().map(|attempt| attempt.ticket).collect();
+    let again = node.world.sent.iter().filter(|sent| sent.attempt == 2);
+    let again = again.filter(|sent| broken.contains(&sent.ticket) && sent.resume == 1);
+    assert_that!(again.count(), eq(streams));
+}
+
+base::cases! {
+    /// Guards against streams that end incomplete when an engine crashes just after an
+    /// instance has started: it had one retry for each engine.
+    streams_go_on_after_a_crash_soon_after_a_start: crash => {
+        one_after_200_ms: (Duration::from_millis(200), 1),
+        ten_after_200_ms: (Duration::from_millis(200), 10),
+        sixty_after_200_ms: (Duration::from_millis(200), 60),
+        one_after_1_s: (Duration::from_secs(1), 1),
+        ten_after_1_s: (Duration::from_secs(1), 10),
+        sixty_after_1_s: (Duration::from_secs(1), 60),
+        one_after_5_s: (Duration::from_secs(5), 1),
+        ten_after_5_s: (Duration::from_secs(5), 10),
+        sixty_after_5_s: (Duration::from_secs(5), 60),
+    }
+}
+
+/// Guards against an instance that is killed again and again and retries each time as if it
+/// had made none before: targets fail all that they are sent, before they answer. Each
+/// start may retry once for each target, and once for ten first attempts.
+#[test]
+fn a_killed_instance_keeps_the_promise_on_retries() {
+    const STARTS: usize = 6;
+    const REQUESTS: usize = 30;
+    let mut again = 0;
+    for _ in 0..STARTS {
+        let mut node = Started::new();
+        for _ in 0..REQUESTS {
+            let attempt = node.arrive();
+            node.break_off(&attempt);
+            node.world.pass(Duration::from_millis(20));
+            let retries = node.world.sent.split_off(0);
+            again += retries.iter().filter(|sent| sent.attempt > 1).count();
+            for retry in retries.iter().filter(|sent| sent.attempt > 1) {
+                node.break_off(retry);
+            }
+        }
+        again += node.sent_again();
+    }
+    assert_that!(again, le(STARTS * (2 + REQUESTS / 10)));
+}
+
+/// Guards against a storm at engines that break each stream after its first tokens: what
+/// may go on beyond the one retry for ten requests is what runs at one crash.
+#[test]
+fn an_engine_that_breaks_all_streams_causes_no_storm() {
+    const REQUESTS: usize = 400;
+    let mut node = Started::new();
+    let mut done = 0;
+    for _ in 0..REQUESTS {
+        node.arrive();
+        while let Some(attempt) = node.world.sent.get(done).cloned() {
+            node.begin(&attempt);
+            node.break_off(&attempt);
+            node.world.pass(Duration::from_millis(20));
+            done += 1;
+        }
+    }
+    // Ten retries ahead and one at the start for each of two engines, and one for ten
+    // requests each of what is owed and what is earned.
+    assert_that!(node.sent_again(), le(2 * 11 + 2 * REQUESTS / 10));
+    let whole = node.arrive();
+    node.begin(&whole);
+    node.end(&whole);
+}
