Let answers that had begun go on after a crash without credit for retries

Callers saw streams end incomplete when an engine crashed soon after an entry instance had started. Cause: since an instance starts with one retry for each target, and what had begun at the target spent it like attempts that fail before they answer.

An answer that breaks after its head was accepted now goes on without credit, if less than one retry was owed for the target when it began. It is owed then, and half of what first attempts earn pays it back, so that a target that breaks answers all the time still gets one retry for ten requests. A start still gives one retry for each target to what fails before it answers.

Not covered: requests that wait for their head when their engine crashes.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -241,7 +241,24 @@
                 }
             }
         };
+        let head = matches!(input, Step::Head { .. });
         self.step(shared, now, ticket, step, input, out);
+        if head {
+            self.note_head(ticket, attempt);
+        }
+    }
+
+    /// Records that the answer of the current attempt has begun. An attempt whose head was
+    /// not accepted has ended.
+    fn note_head(&mut self, ticket: Ticket, attempt: AttemptNo) {
+        let Some(active) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let Some(sent) = active.sent.as_ref().filter(|sent| sent.attempt == attempt) else {
+            return;
+        };
+        let target = sent.target;
+        active.covered = self.budget.covers(target).then_some(target);
     }
 
     /// Records the end of an attempt that failed; returns the reason to go by.
--- a/crates/node/src/entry/active.rs
+++ b/crates/node/src/entry/active.rs
@@ -52,6 +52,9 @@
     pub(super) software: Option<SoftwareVersion>,
     /// The current attempt.
     pub(super) sent: Option<Sent>,
+    /// Target of the last attempt, if its answer has begun and may go on elsewhere without
+    /// credit for a retry.
+    pub(super) covered: Option<TargetNo>,
     /// Number of times that a control instance did not accept its claim.
     pub(super) claim_retries: u32,
     /// Since when it waits for an engine to get an owner.
@@ -161,6 +164,7 @@
             rejected: Vec::new(),
             software: None,
             sent: None,
+            covered: None,
             claim_retries: 0,
             parked: None,
             answer: None,
@@ -179,6 +183,7 @@
         forwarded_to: Option<InstanceName>,
     ) {
         self.parked = None;
+        self.covered = None;
         self.sent = Some(Sent {
             attempt,
             target: no,
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -54,7 +54,7 @@
                 if let Some(held) = self.held(shared, now, ticket) {
                     return Some(held);
                 }
-                if retry && !self.may_retry(&avoid) {
+                if retry && !self.may_retry(ticket, &avoid) {
                     let failure = Failure::not_run(Refusal::Unavailable);
                     return Some(Step::NoTarget(failure));
                 }
@@ -88,8 +88,18 @@
 
     /// Returns whether the retry budget of the target that failed last allows
     /// a retry, and charges it.
-    fn may_retry(&mut self, avoid: &[TargetNo]) -> bool {
-        avoid.last().is_none_or(|failed| self.budget.spend(*failed))
+    fn may_retry(&mut self, ticket: Ticket, avoid: &[TargetNo]) -> bool {
+        let Some(failed) = avoid.last() else {
+            return true;
+        };
+        let active = self.requests.get_mut(&ticket);
+        let covered = active.and_then(|active| active.covered.take());
+        if covered == Some(*failed) {
+            base::hit!(covered_answer_goes_on);
+            self.budget.owe(*failed);
+            return true;
+        }
+        self.budget.spend(*failed)
     }
 
     fn claim(&mut self, shared: &mut Shared, ticket: Ticket, out: &mut Out) -> Option<Step> {
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -21,9 +21,31 @@
 /// Guards against retries that multiply the load while a target is failing: each failure
 /// causes another attempt, which fails as well. Once the budget is used up, a failure is
 /// returned to the caller instead.
+///
+/// An answer that breaks after it has begun may go on elsewhere without credit: what one
+/// crash breaks ran before, so it goes on once and multiplies no load. Such retries are owed,
+/// and first attempts pay them back. An answer that begins while a retry is owed needs
+/// credit.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
-    credit: Vec<Option<u32>>,
+    targets: Vec<TargetBudget>,
+}
+
+/// The budget of one target, in thousandths of a retry.
+#[derive(Clone, Copy, Debug)]
+struct TargetBudget {
+    credit: u32,
+    /// What answers took that went on elsewhere without credit.
+    owed: u32,
+}
+
+impl Default for TargetBudget {
+    fn default() -> Self {
+        TargetBudget {
+            credit: CREDIT_PER_RETRY,
+            owed: 0,
+        }
+    }
 }
 
 impl RetryBudget {
@@ -38,28 +60,49 @@
 
     /// Adds the credit of one first attempt at `target`.
     pub fn earn(&mut self, target: TargetNo) {
-        let credit = self.credit(target);
-        *credit = CREDIT_MAX.min(*credit + CREDIT_PER_ATTEMPT);
+        let budget = self.target(target);
+        // Half of it is left to requests that fail before they begin, as those that are sent
+        // to an engine that has just crashed.
+        let paid = budget.owed.min(CREDIT_PER_ATTEMPT / 2);
+        budget.owed -= paid;
+        budget.credit = CREDIT_MAX.min(budget.credit + CREDIT_PER_ATTEMPT - paid);
     }
 
     /// Returns whether an attempt that failed at `target` may be retried elsewhere, and
     /// takes the retry out of the budget if so.
     pub fn spend(&mut self, target: TargetNo) -> bool {
-        let credit = self.credit(target);
-        if *credit < CREDIT_PER_RETRY {
+        let budget = self.target(target);
+        if budget.credit < CREDIT_PER_RETRY {
             base::hit!(retry_budget_spent);
             return false;
         }
-        *credit -= CREDIT_PER_RETRY;
+        budget.credit -= CREDIT_PER_RETRY;
         true
     }
 
-    fn credit(&mut self, target: TargetNo) -> &mut u32 {
+    /// Returns whether an answer that begins at `target` now may go on elsewhere without
+    /// credit if it breaks.
+    ///
+    /// Asked when the answer begins, so that all that one crash breaks goes on.
+    pub fn covers(&mut self, target: TargetNo) -> bool {
+        let covers = self.target(target).owed < CREDIT_PER_RETRY;
+        if !covers {
+            base::hit!(answer_not_covered);
+        }
+        covers
+    }
+
+    /// Records that an answer that was covered goes on elsewhere after it broke at `target`.
+    pub fn owe(&mut self, target: TargetNo) {
+        self.target(target).owed += CREDIT_PER_RETRY;
+    }
+
+    fn target(&mut self, target: TargetNo) -> &mut TargetBudget {
         let i = target.0 as usize;
-        if self.credit.len() <= i {
-            self.credit.resize(i + 1, None);
+        if self.targets.len() <= i {
+            self.targets.resize(i + 1, TargetBudget::default());
         }
-        self.credit[i].get_or_insert(CREDIT_PER_RETRY)
+        &mut self.targets[i]
     }
 }
 
