Show that silence ends requests whose engine or owner goes on

Callers see a stream end incomplete, or a request fail, while the engine or the owner that runs it goes on after some seconds. An attempt is closed at the idle timeout of its answer, or after two missed pings of its owner, before anything is there to replace it: with no retry left, no other engine or only refusals the request ends with it.

--- a/crates/lab/tests/processes/faults.rs
+++ b/crates/lab/tests/processes/faults.rs
@@ -13,7 +13,7 @@
 
 use crate::common::{FILM, KAZALISTE, TEXT, answered, expected, slow_engines, start};
 
-async fn admin(engine: std::net::SocketAddr, path: &str, body: Value) -> Result<()> {
+pub(crate) async fn admin(engine: std::net::SocketAddr, path: &str, body: Value) -> Result<()> {
     let engine = Caller::new(engine, "");
     let body = Bytes::from(body.to_string());
     let path = format!("/admin/{path}");
@@ -132,7 +132,7 @@
 }
 
 /// Waits until an engine runs a request; returns the engine's index.
-async fn running_engine(lab: &Lab) -> Result<usize> {
+pub(crate) async fn running_engine(lab: &Lab) -> Result<usize> {
     let busy = async || {
         for i in 0..lab.engines.len() {
             let running = stats(lab, i).await.ok()?["running"].as_u64()?;
--- a/crates/lab/tests/processes/main.rs
+++ b/crates/lab/tests/processes/main.rs
@@ -8,6 +8,7 @@
 mod once;
 mod path;
 mod rolling;
+mod silent;
 mod targets;
 mod timed;
 mod trace;
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod guards;
 mod requests;
+mod silent;
 mod software;
 mod starts;
 mod world;
