--- a/crates/entryd/src/attempts.rs
+++ b/crates/entryd/src/attempts.rs
@@ -1,7 +1,7 @@
 //! Sends one attempt of a request to a target, or to the instance that owns it, and
 //! reports the progress of the answer to the node.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use base::{Class, Mark, Refusal, Verdict};
 use bytes::{Bytes, BytesMut};
@@ -10,6 +10,7 @@
 use request::Part;
 use serde_json::Value;
 use telemetry::span;
+use tokio::time::{Instant, sleep_until};
 use tracing::{Instrument, Span};
 use web::{
     client::{Answer, Broken, Framing, Limits, Send, is_json},
@@ -26,17 +27,21 @@
     state::State,
 };
 
-/// Idle timeout of an answer. Tokens follow each other fast, but a request may wait
-/// inside the engine for a place in its batch.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time without a piece of an answer after which its target counts as silent. Tokens follow
+/// each other fast, but a request may wait inside the engine for a place in its batch.
+const SILENT_AFTER: Duration = Duration::from_secs(20);
 
-/// Idle timeout for critical and live requests that may be sent again. Nearly every first
-/// token arrives sooner.
-const LIVE_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The same for critical and live requests that may be sent again. Nearly every first token
+/// arrives sooner.
+const LIVE_SILENT_AFTER: Duration = Duration::from_secs(5);
 
-/// Idle timeout for an answer that passes through another instance. That instance writes a
-/// keep-alive comment each second while it waits; at the timeout, three are missing.
-const HOP_IDLE_TIMEOUT: Duration = Duration::from_millis(3_500);
+/// Time without a byte of an answer that passes through another instance. That instance
+/// writes a keep-alive comment each second while it waits; by then, three are missing.
+const HOP_SILENT_AFTER: Duration = Duration::from_millis(3_500);
+
+/// How many times as long an answer that may be replaced can be silent before it is given up
+/// although nothing has replaced it.
+const GIVEN_UP_AFTER: u32 = 4;
 
 /// Largest answer that isn't an event stream, in bytes; such answers may be held back
 /// until they are complete.
@@ -187,7 +192,9 @@
         let closes = answer.framing() == Framing::Connection;
         let mut document = (events.is_none() && closes).then(BytesMut::new);
         let mut size = 0;
-        while let Some(piece) = answer.next().await {
+        let mut silence = Silence::new(&self.attempt);
+        while let Some(piece) = self.next(&mut answer, &mut silence).await {
+            silence.since_byte = Instant::now();
             let piece = match piece {
                 Ok(piece) => piece,
                 Err(broken) => return self.cut(&broken),
@@ -199,6 +206,7 @@
             if let Some(document) = &mut document {
                 document.extend_from_slice(&piece);
             }
+            let steps = self.step;
             let reported = match &mut events {
                 Some(parser) => self.events(parser, &piece).await,
                 None => self.piece(Part::Raw, piece).await,
@@ -206,6 +214,11 @@
             if reported.is_none() {
                 return;
             }
+            // The caller may have been slow meanwhile, and nothing was read.
+            silence.since_byte = Instant::now();
+            if self.step > steps {
+                silence.since_piece = silence.since_byte;
+            }
         }
         let end = document.map_or(AnswerEnd::Complete, |document| {
             self.closed(&answer, &document)
@@ -213,6 +226,25 @@
         self.end(end);
     }
 
+    /// Returns the next piece of the answer, and reports meanwhile that its target is silent.
+    async fn next(
+        &mut self,
+        answer: &mut Answer,
+        silence: &mut Silence,
+    ) -> Option<Result<Bytes, Broken>> {
+        let mut next = pin!(answer.next());
+        loop {
+            tokio::select! {
+                biased;
+                piece = &mut next => return piece,
+                () = sleep_until(silence.next()) => {
+                    self.report(Progress::Silent, None);
+                    silence.reported();
+                }
+            }
+        }
+    }
+
     /// Returns what it means that the connection of an answer without framing was closed in
     /// order after `body`. JSON shows by itself whether it is complete.
     fn closed(&self, answer: &Answer, body: &[u8]) -> AnswerEnd {
@@ -371,6 +403,42 @@
     }
 }
 
+/// When the target of an answer counts as silent.
+struct Silence {
+    since_byte: Instant,
+    since_piece: Instant,
+    /// Longest time without a byte and without a piece.
+    max: (Duration, Duration),
+}
+
+impl Silence {
+    fn new(attempt: &Attempt) -> Self {
+        let now = Instant::now();
+        let piece = silent_after(attempt);
+        let byte = match attempt.route {
+            Route::Owner { .. } => HOP_SILENT_AFTER,
+            Route::Target { .. } => piece,
+        };
+        Silence {
+            since_byte: now,
+            since_piece: now,
+            max: (byte, piece),
+        }
+    }
+
+    /// Returns when silence is to be reported next.
+    fn next(&self) -> Instant {
+        let (byte, piece) = self.max;
+        (self.since_byte + byte).min(self.since_piece + piece)
+    }
+
+    /// Notes that the silence was reported; it is reported again if it lasts.
+    fn reported(&mut self) {
+        let now = Instant::now();
+        (self.since_byte, self.since_piece) = (now, now);
+    }
+}
+
 fn address(route: &Route) -> SocketAddr {
     match route {
         Route::Target { address, .. } | Route::Owner { address, .. } => *address,
@@ -386,9 +454,9 @@
     };
     Limits {
         first: attempt.timeout,
-        idle: match attempt.route {
-            Route::Owner { .. } => HOP_IDLE_TIMEOUT,
-            Route::Target { .. } => idle_timeout(attempt),
+        idle: match attempt.mark {
+            Mark::Repeatable => silent_after(attempt) * GIVEN_UP_AFTER,
+            Mark::Once => SILENT_AFTER,
         },
         total: attempt.timeout,
         reuse,
@@ -396,16 +464,16 @@
     }
 }
 
-/// Returns the idle timeout for an answer of a target.
+/// Returns how long the target of an answer may send nothing before it counts as silent.
 ///
 /// An engine may hang, or a middlebox may drop the state of its connection. Without the
-/// timeout the stream would stall until the caller's deadline; with it, the request
-/// continues at another engine. The timeout is longer where the request can't be sent
-/// again.
-fn idle_timeout(attempt: &Attempt) -> Duration {
+/// limit the stream would stall until the caller's deadline; with it, another engine is
+/// asked as well, and the request continues at whichever goes on first. The time is longer
+/// where the request can't be sent again.
+fn silent_after(attempt: &Attempt) -> Duration {
     match (attempt.class, attempt.mark) {
-        (Class::Critical | Class::Live, Mark::Repeatable) => LIVE_IDLE_TIMEOUT,
-        _ => IDLE_TIMEOUT,
+        (Class::Critical | Class::Live, Mark::Repeatable) => LIVE_SILENT_AFTER,
+        _ => SILENT_AFTER,
     }
 }
 
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -25,7 +25,10 @@
     engine::{BadResident, Resident},
 };
 
-use self::{active::Active, hop::Hops};
+use self::{
+    active::{Active, request_of},
+    hop::Hops,
+};
 use crate::{
     io::{AnswerEnd, Arrival, Input, Output, Progress},
     msg::{ENGINES, ENTRY, Msg},
@@ -227,6 +230,11 @@
                     complete: whole,
                 }
             }
+            Progress::Silent => {
+                self.note_silent(ticket, attempt);
+                let fault = true;
+                Step::Silent { attempt, fault }
+            }
             Progress::Failed {
                 verdict,
                 reason,
@@ -273,7 +281,7 @@
         if verdict != Verdict::NotRun && reason == Refusal::TargetFailed {
             self.note_end(shared, now, (ticket, attempt), AnswerEnd::Cut, out);
         }
-        let reason = self.failure_reason(ticket, verdict, reason);
+        let reason = self.failure_reason((ticket, attempt), verdict, reason);
         let ok = !is_target_failure(reason, verdict);
         self.end_attempt(now, ticket, attempt, ok, out);
         reason
@@ -281,25 +289,39 @@
 
     /// Returns the reason of a failed attempt; [`Refusal::Moved`] if the owner
     /// it was forwarded to did not accept it, which is no failure of the engine.
-    fn failure_reason(&mut self, ticket: Ticket, verdict: Verdict, reason: Refusal) -> Refusal {
+    fn failure_reason(
+        &mut self,
+        (ticket, attempt): (Ticket, AttemptNo),
+        verdict: Verdict,
+        reason: Refusal,
+    ) -> Refusal {
         let Some(active) = self.requests.get_mut(&ticket) else {
             return reason;
         };
-        let Some(sent) = active
-            .sent
-            .as_ref()
-            .filter(|sent| sent.forwarded_to.is_some())
-        else {
+        let sent = active.attempt(attempt);
+        let Some(sent) = sent.filter(|sent| sent.forwarded_to.is_some()) else {
             return reason;
         };
         let not_accepted = matches!(reason, Refusal::Unavailable | Refusal::Moved);
         if verdict != Verdict::NotRun || !not_accepted {
             return reason;
         }
-        active.rejected.push(sent.target);
+        let target = sent.target;
+        active.rejected.push(target);
         Refusal::Moved
     }
 
+    /// Records that an attempt's target has fallen silent.
+    fn note_silent(&mut self, ticket: Ticket, attempt: AttemptNo) {
+        let Some(active) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let sent = active.sent.as_mut();
+        if let Some(sent) = sent.filter(|sent| sent.attempt == attempt) {
+            sent.silent = true;
+        }
+    }
+
     fn note_piece(
         &mut self,
         now: Time,
@@ -324,17 +346,18 @@
         let Some(sent) = &mut active.sent else {
             return;
         };
+        sent.silent = false;
         if !std::mem::replace(&mut sent.began, true) {
             let took = now.since(sent.at);
             self.router
                 .apply(now, RouterUpdate::ResponseBegan(sent.target, took));
             if sent.local {
-                out.send(ENGINES, Msg::Began(ticket));
+                out.send(ENGINES, Msg::Began(sent.place));
             }
         }
     }
 
-    /// Records the end of the current attempt, if it has not been recorded.
+    /// Records the end of an attempt, if it has not been recorded.
     fn end_attempt(
         &mut self,
         now: Time,
@@ -346,13 +369,14 @@
         let Some(active) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let Some(sent) = active.sent.take_if(|sent| sent.attempt == attempt) else {
+        let Some(sent) = active.take_attempt(attempt) else {
             return;
         };
         let target = sent.target;
         self.router
             .apply(now, RouterUpdate::AttemptEnded { target, ok });
         if sent.local {
+            let ticket = sent.place;
             out.send(ENGINES, Msg::Ended { ticket, ok });
         }
     }
@@ -362,19 +386,22 @@
         &mut self,
         shared: &mut Shared,
         now: Time,
-        ticket: Ticket,
+        place: Ticket,
         priority: i32,
         out: &mut Out,
     ) {
-        if self.hops.has(ticket) {
-            self.hops.dispatch(shared, now, ticket, priority, out);
+        if self.hops.has(place) {
+            self.hops.dispatch(shared, now, place, priority, out);
             return;
         }
-        let Some(active) = self.requests.get_mut(&ticket) else {
-            out.send(ENGINES, Msg::Ended { ticket, ok: true });
-            return;
-        };
-        let Some(target) = active.queued.take() else {
+        let ticket = request_of(place);
+        let active = self.requests.get_mut(&ticket);
+        let queued = active.and_then(|active| {
+            let (_, target) = active.queued.take_if(|(queued, _)| *queued == place)?;
+            Some((active, target))
+        });
+        let Some((active, target)) = queued else {
+            let ticket = place;
             out.send(ENGINES, Msg::Ended { ticket, ok: true });
             return;
         };
@@ -389,17 +416,19 @@
         &mut self,
         shared: &mut Shared,
         now: Time,
-        ticket: Ticket,
+        place: Ticket,
         failure: Failure,
         out: &mut Out,
     ) {
-        if self.hops.refused(ticket, &failure, out) {
+        if self.hops.refused(place, &failure, out) {
             return;
         }
+        let ticket = request_of(place);
         let Some(active) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let Some(target) = active.queued.take() else {
+        let queued = active.queued.take_if(|(queued, _)| *queued == place);
+        let Some((_, target)) = queued else {
             return;
         };
         active.rejected.push(target);
@@ -416,19 +445,20 @@
 
     /// Cancels a running batch request in favour of more urgent work. It is
     /// sent again later and continues where it stopped.
-    fn preempt(&mut self, shared: &mut Shared, now: Time, ticket: Ticket, out: &mut Out) {
-        if self.hops.preempt(ticket, out) {
+    fn preempt(&mut self, shared: &mut Shared, now: Time, place: Ticket, out: &mut Out) {
+        if self.hops.preempt(place, out) {
             return;
         }
+        let ticket = request_of(place);
         let Some(active) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let Some(sent) = &active.sent else {
+        let Some(sent) = active.attempts().find(|sent| sent.place == place) else {
             return;
         };
         if active.start.mark == Mark::Once {
             // A marked request can't be sent again, so it runs to its end.
-            out.send(ENGINES, Msg::Dequeue(ticket));
+            out.send(ENGINES, Msg::Dequeue(place));
             return;
         }
         let attempt = sent.attempt;
@@ -442,7 +472,7 @@
             ticket,
             attempt: attempt.0,
         });
-        out.send(ENGINES, Msg::Dequeue(ticket));
+        out.send(ENGINES, Msg::Dequeue(place));
         self.end_attempt(now, ticket, attempt, true, out);
         self.step(shared, now, ticket, 0, input, out);
     }
--- a/crates/node/src/entry/active.rs
+++ b/crates/node/src/entry/active.rs
@@ -20,6 +20,15 @@
 /// Retry-after time for callers of a service that has not come up.
 const UP_RETRY: Duration = Duration::from_secs(2);
 
+/// Bit of a ticket that marks the place of a request's second attempt; the daemon counts
+/// tickets from one.
+const SPARE_PLACE: u64 = 1 << 63;
+
+/// Returns the request that holds a place at an engine.
+pub(super) fn request_of(place: Ticket) -> Ticket {
+    Ticket(place.0 & !SPARE_PLACE)
+}
+
 /// A request that has not been answered.
 #[derive(Debug)]
 pub(super) struct Active {
@@ -37,8 +46,8 @@
     pub(super) content: Fingerprint,
     /// When it arrived.
     pub(super) arrived: Time,
-    /// Engine owned here in whose queue it waits.
-    pub(super) queued: Option<TargetNo>,
+    /// Engine owned here in whose queue it waits, and the ticket of its place there.
+    pub(super) queued: Option<(Ticket, TargetNo)>,
     /// Whether it was dispatched by the scheduler of this instance, as the
     /// target is owned here.
     pub(super) local: bool,
@@ -52,6 +61,8 @@
     pub(super) software: Option<SoftwareVersion>,
     /// The current attempt.
     pub(super) sent: Option<Sent>,
+    /// The attempt that may replace the current one, which is silent.
+    pub(super) spare: Option<Sent>,
     /// Target of the last attempt, if its answer has begun and may go on elsewhere without
     /// credit for a retry.
     pub(super) covered: Option<TargetNo>,
@@ -89,6 +100,10 @@
     pub(super) target: TargetNo,
     pub(super) at: Time,
     pub(super) local: bool,
+    /// Ticket of its place at an engine owned here.
+    pub(super) place: Ticket,
+    /// Whether its target has fallen silent and has not gone on.
+    pub(super) silent: bool,
     /// Owner of the target, if the attempt was forwarded to it.
     pub(super) forwarded_to: Option<InstanceName>,
     /// Software of the target as the platform listed it when the attempt was sent.
@@ -164,6 +179,7 @@
             rejected: Vec::new(),
             software: None,
             sent: None,
+            spare: None,
             covered: None,
             claim_retries: 0,
             parked: None,
@@ -176,23 +192,62 @@
     /// Records the attempt that is sent now.
     pub(super) fn note_sent(
         &mut self,
-        now: Time,
+        (now, ticket): (Time, Ticket),
         attempt: AttemptNo,
         target: &TargetInfo,
         no: TargetNo,
         forwarded_to: Option<InstanceName>,
     ) {
         self.parked = None;
-        self.covered = None;
-        self.sent = Some(Sent {
+        let sent = Sent {
             attempt,
             target: no,
             at: now,
             local: self.local,
+            place: self.place(ticket),
+            silent: false,
             forwarded_to,
             software: target.listed.software.clone(),
             began: false,
-        });
+        };
+        if self.sent.is_some() {
+            self.spare = Some(sent);
+        } else {
+            self.covered = None;
+            self.sent = Some(sent);
+        }
+    }
+
+    /// Returns the ticket for a place at an engine owned here. The current attempt may still
+    /// hold another one.
+    pub(super) fn place(&self, ticket: Ticket) -> Ticket {
+        let taken = self.sent.as_ref().is_some_and(|sent| sent.place == ticket);
+        if taken {
+            Ticket(ticket.0 | SPARE_PLACE)
+        } else {
+            ticket
+        }
+    }
+
+    /// Returns the attempts that run.
+    pub(super) fn attempts(&self) -> impl Iterator<Item = &Sent> {
+        self.sent.iter().chain(&self.spare)
+    }
+
+    /// Returns a running attempt.
+    pub(super) fn attempt(&self, no: AttemptNo) -> Option<&Sent> {
+        self.attempts().find(|sent| sent.attempt == no)
+    }
+
+    /// Removes a running attempt; the one that may replace it takes its place.
+    pub(super) fn take_attempt(&mut self, no: AttemptNo) -> Option<Sent> {
+        if let Some(spare) = self.spare.take_if(|sent| sent.attempt == no) {
+            return Some(spare);
+        }
+        let sent = self.sent.take_if(|sent| sent.attempt == no)?;
+        self.covered = self.covered.filter(|_| self.spare.is_none());
+        self.sent = self.spare.take();
+        Some(sent)
     }
 
     /// Notes tokens of the current attempt's answer.
@@ -216,11 +271,11 @@
         unfit.map(|(no, _)| *no).collect()
     }
 
-    /// Returns the owner that it was forwarded to, until the first part of the
-    /// response body arrives.
-    pub(super) fn awaited_owner(&self) -> Option<&InstanceName> {
-        let sent = self.sent.as_ref().filter(|sent| !sent.began)?;
-        sent.forwarded_to.as_ref()
+    /// Returns the owners that it was forwarded to, each until the first part of its response
+    /// body arrives.
+    pub(super) fn awaited_owners(&self) -> impl Iterator<Item = &InstanceName> {
+        let awaited = self.attempts().filter(|sent| !sent.began);
+        awaited.filter_map(|sent| sent.forwarded_to.as_ref())
     }
 
     /// Emits the metrics of its end.
--- a/crates/node/src/entry/crashed.rs
+++ b/crates/node/src/entry/crashed.rs
@@ -24,7 +24,7 @@
         let Some(active) = self.requests.get(&ticket) else {
             return;
         };
-        let Some(sent) = active.sent.as_ref().filter(|sent| sent.attempt == attempt) else {
+        let Some(sent) = active.attempt(attempt) else {
             return;
         };
         if end == AnswerEnd::Complete {
--- a/crates/node/src/entry/hop.rs
+++ b/crates/node/src/entry/hop.rs
@@ -161,6 +161,8 @@
                 }
                 out.emit(Output::Flow { ticket, step, flow });
             }
+            // The forwarding instance notices it as well.
+            Progress::Silent => {}
             Progress::End {
                 end: AnswerEnd::Complete | AnswerEnd::Closed,
                 ..
--- a/crates/node/src/entry/ping.rs
+++ b/crates/node/src/entry/ping.rs
@@ -7,13 +7,15 @@
 
 use std::time::Duration;
 
-use base::{InstanceName, Refusal, Ticket, Time, Verdict};
+use base::{InstanceName, Ticket, Time, Verdict};
 use request::Input as Step;
 use wire::call::{Call, Reply};
 
-use super::Entry;
+use super::{
+    Entry,
+    active::{Active, Sent},
+};
 use crate::{
-    io::Output,
     msg::ENTRY,
     shared::{CALL_TIMEOUT, Out, Purpose, Shared},
 };
@@ -66,9 +68,9 @@
     ///
     /// Guard: if the owner is frozen, or a device in the network path has
     /// dropped the connection's state, a request would wait until its deadline,
-    /// though another instance owns the engine by then. The attempt is cancelled
-    /// and the request is placed again. It may have run, so a marked request is
-    /// not sent again.
+    /// though another instance owns the engine by then. The request is placed
+    /// once more; its attempt is cancelled once another one has answered. It may
+    /// have run, so a marked request is not sent again.
     pub(super) fn on_ping_reply(
         &mut self,
         shared: &mut Shared,
@@ -91,45 +93,47 @@
             return;
         }
         base::hit!(unresponsive_owner_abandoned);
-        self.liveness.remove(owner);
-        let stuck = self
-            .requests
-            .iter()
-            .filter(|(_, active)| active.awaited_owner() == Some(owner));
+        // While it stays silent, the same follows again.
+        liveness.missed = 0;
+        let waits = |active: &Active| active.awaited_owners().any(|awaited| awaited == owner);
+        let stuck = self.requests.iter().filter(|(_, active)| waits(active));
         let stuck: Vec<Ticket> = stuck.map(|(ticket, _)| *ticket).collect();
         for ticket in stuck {
-            self.abandon_owner(shared, now, ticket, out);
+            self.owner_silent(shared, now, ticket, owner, out);
         }
     }
 
-    /// Cancels the attempt that was forwarded to an unresponsive owner.
-    fn abandon_owner(&mut self, shared: &mut Shared, now: Time, ticket: Ticket, out: &mut Out) {
+    /// Tries another target beside the attempt that was forwarded to a silent owner.
+    fn owner_silent(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        ticket: Ticket,
+        owner: &InstanceName,
+        out: &mut Out,
+    ) {
         let Some(active) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let Some(sent) = &active.sent else {
+        let waits = |sent: &&Sent| !sent.began && sent.forwarded_to.as_ref() == Some(owner);
+        let Some(sent) = active.attempts().find(waits) else {
             return;
         };
         let (attempt, target) = (sent.attempt, sent.target);
-        active.rejected.push(target);
-        out.emit(Output::Cancel {
-            ticket,
-            attempt: attempt.0,
-        });
-        self.end_attempt(now, ticket, attempt, true, out);
-        let input = Step::AttemptFailed {
-            attempt,
-            verdict: Verdict::MayHaveRun,
-            reason: Refusal::Preempted,
-            retry: None,
-        };
-        self.step(shared, now, ticket, 0, input, out);
+        if active
+            .spare
+            .as_ref()
+            .is_some_and(|spare| spare.attempt == attempt)
+        {
+            active.rejected.push(target);
+        }
+        let fault = false;
+        self.step(shared, now, ticket, 0, Step::Silent { attempt, fault }, out);
     }
 
     /// Returns the owners of forwarded requests without an answer.
     fn awaited_owners(&self) -> impl Iterator<Item = &InstanceName> {
-        self.requests
-            .values()
-            .filter_map(|active| active.awaited_owner())
+        let requests = self.requests.values();
+        requests.flat_map(|active| active.awaited_owners())
     }
 }
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -1,9 +1,9 @@
 //! Carries out the outputs of a request: claims its key, places it on a target,
 //! sends attempts, and ends it.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use base::{Failure, Refusal, TargetNo, Ticket, Time, Verdict};
+use base::{Failure, Fence, InstanceName, Refusal, TargetNo, Ticket, Time, Verdict};
 use request::{
     AttemptNo, ClaimOutcome, ClaimReply as Claimed, Fault, Final, Input as Step,
     Output as RequestOutput,
@@ -11,9 +11,9 @@
 use route::RouterUpdate;
 use wire::call::{self, Call, Claim, ClaimReply, Reply, Settle};
 
-use super::Entry;
+use super::{Entry, active::Active};
 use crate::{
-    io::{Attempt, Ending, Event, Flow, Output, Route},
+    io::{AnswerEnd, Attempt, Ending, Event, Flow, Output, Route},
     msg::{ENGINES, ENTRY, Msg},
     shared::{CALL_TIMEOUT, Out, Purpose, Shared},
 };
@@ -65,7 +65,8 @@
                 target,
                 resume_from,
             } => self.send(shared, now, ticket, (attempt, target, resume_from), out),
-            RequestOutput::Cancel { attempt } => self.cancel(now, ticket, attempt, out),
+            RequestOutput::Cancel { attempt } => self.cancel(shared, now, (ticket, attempt), out),
+            RequestOutput::Withdraw => self.withdraw(ticket, out),
             RequestOutput::PassHead | RequestOutput::Pass => out.emit(flow(Flow::Pass)),
             RequestOutput::Hold => out.emit(flow(Flow::Hold)),
             RequestOutput::DropHeld => out.emit(flow(Flow::Drop)),
@@ -201,6 +202,7 @@
             let active = self.requests.get_mut(&ticket)?;
             let mut unfit = active.unfit(&shared.targets);
             unfit.extend(&active.rejected);
+            unfit.extend(silent_way(active, &self.owners, &shared.settings.name));
             let all: Vec<TargetNo> = avoid.iter().chain(&unfit).copied().collect();
             let choice = self.router.choose(now, &active.ask, &all);
             // With no other target left, one that failed this request may be
@@ -208,7 +210,7 @@
             let choice = choice.or_else(|_| self.router.choose(now, &active.ask, &unfit));
             let target = match choice {
                 Ok(choice) => choice.target,
-                Err(failure) if active.rejected.is_empty() => {
+                Err(failure) if active.rejected.is_empty() && !waits_for_owner(active) => {
                     return Some(Step::NoTarget(failure));
                 }
                 Err(failure) => return self.park(shared, now, ticket, failure),
@@ -219,7 +221,8 @@
             }
             let owner = self.owners.get(&target).map(|(owner, _)| owner);
             if owner == Some(&shared.settings.name) {
-                active.queued = Some(target);
+                let ticket = active.place(ticket);
+                active.queued = Some((ticket, target));
                 let ask = active.ask;
                 out.send(
                     ENGINES,
@@ -255,6 +258,7 @@
         let active = self.requests.get_mut(&ticket)?;
         let since = *active.parked.get_or_insert(now);
         if now.since(since) >= PARK_MAX {
+            active.parked = None;
             return Some(Step::NoTarget(failure));
         }
         base::hit!(parked_without_owner);
@@ -306,8 +310,10 @@
             },
         };
         let owner = forwarded.map(|(owner, _)| owner);
-        active.note_sent(now, attempt, info, target, owner.clone());
+        let place = active.place(ticket);
+        active.note_sent((now, ticket), attempt, info, target, owner.clone());
         if let Some(key) = active.start.adapter.filter(|_| active.local) {
+            let ticket = place;
             let using = Msg::Using {
                 ticket,
                 target,
@@ -336,13 +342,37 @@
         }
     }
 
-    fn cancel(&mut self, now: Time, ticket: Ticket, attempt: AttemptNo, out: &mut Out) {
+    fn cancel(
+        &mut self,
+        shared: &mut Shared,
+        now: Time,
+        (ticket, attempt): (Ticket, AttemptNo),
+        out: &mut Out,
+    ) {
         out.emit(Output::Cancel {
             ticket,
             attempt: attempt.0,
         });
-        out.send(ENGINES, Msg::Dequeue(ticket));
-        self.end_attempt(now, ticket, attempt, true, out);
+        let active = self.requests.get(&ticket);
+        let sent = active.and_then(|active| active.attempt(attempt));
+        let (place, silent) = sent.map_or((ticket, false), |sent| (sent.place, sent.silent));
+        out.send(ENGINES, Msg::Dequeue(place));
+        if silent {
+            self.note_end(shared, now, (ticket, attempt), AnswerEnd::Cut, out);
+        }
+        self.end_attempt(now, ticket, attempt, !silent, out);
+    }
+
+    /// Stops looking for a target beside a silent attempt.
+    fn withdraw(&mut self, ticket: Ticket, out: &mut Out) {
+        self.parked.retain(|(_, parked)| *parked != ticket);
+        let Some(active) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        active.parked = None;
+        if let Some((place, _)) = active.queued.take() {
+            out.send(ENGINES, Msg::Dequeue(place));
+        }
     }
 
     fn settle_claim(
@@ -391,8 +421,8 @@
         let Some(active) = self.requests.get_mut(&ticket) else {
             return;
         };
-        if active.queued.take().is_some() {
-            out.send(ENGINES, Msg::Dequeue(ticket));
+        if let Some((place, _)) = active.queued.take() {
+            out.send(ENGINES, Msg::Dequeue(place));
         }
         let failure = match &end {
             Final::Failed(failure) | Final::Broken(failure) => Some(failure.clone()),
@@ -416,6 +446,24 @@
     }
 }
 
+/// Returns the target of the silent attempt, unless another instance owns it by now.
+fn silent_way(
+    active: &Active,
+    owners: &BTreeMap<TargetNo, (InstanceName, Fence)>,
+    me: &InstanceName,
+) -> Option<TargetNo> {
+    let sent = active.sent.as_ref()?;
+    let owner = owners.get(&sent.target).map(|(owner, _)| owner);
+    let same = owner == Some(sent.forwarded_to.as_ref().unwrap_or(me));
+    (same || active.start.adapter.is_none()).then_some(sent.target)
+}
+
+/// Returns whether the request waits for a silent owner, so that another one may follow.
+fn waits_for_owner(active: &Active) -> bool {
+    let sent = active.sent.as_ref();
+    sent.is_some_and(|sent| !sent.began && sent.forwarded_to.is_some())
+}
+
 /// Converts the reply to a claim into the input of a [`request::Request`].
 pub(super) fn claim_reply(reply: &ClaimReply) -> Claimed {
     match reply {
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -116,6 +116,9 @@
     },
     /// A part of the response body arrived.
     Piece(request::Part),
+    /// The target has said nothing for some time; reported again while it stays silent. The
+    /// attempt runs on.
+    Silent,
     /// The response body ended.
     End {
         /// Whether it is complete.
--- a/crates/node/tests/node/silent.rs
+++ b/crates/node/tests/node/silent.rs
@@ -40,6 +40,15 @@
     progress(world, attempt, 9, end);
 }
 
+/// Returns whether an attempt was cancelled.
+fn cancelled(world: &World, attempt: &Attempt) -> bool {
+    let output = format!(
+        "Cancel {{ ticket: {:?}, attempt: {} }}",
+        attempt.ticket, attempt.attempt
+    );
+    world.trace.iter().any(|line| line.ends_with(&output))
+}
+
 /// Returns a node with a request that waits at its engine's owner, another instance.
 fn forwarded() -> (World, Attempt) {
     let mut world = World::bare();
@@ -72,6 +81,7 @@
 /// answers.
 #[test]
 fn a_marked_request_is_left_at_an_owner_that_falls_silent() {
+    base::covers!(silent_kept);
     let (mut world, _) = forwarded();
     world.held_calls.clear();
     world.arrive(2, "letters", Some(9));
@@ -91,3 +101,111 @@
     let ended = world.ended.get(&marked.ticket);
     assert_that!(ended, some(eq(&Ending::Whole)));
 }
+
+/// A node that owns two engines, and a stream that has begun at one of them and fallen
+/// silent.
+fn silent_stream() -> (World, Attempt) {
+    let mut world = World::bare();
+    for engine in ["e-1", "e-2"] {
+        world.software.insert(engine, "v1");
+        world.owned.insert(engine.to_owned(), Fence(7));
+    }
+    let targets = [("e-1", "drafting"), ("e-2", "drafting"), ("p-1", "portal")];
+    world.list(1, &targets);
+    world.pass(Duration::from_secs(20));
+    world.arrive(1, "letters", None);
+    world.pass(Duration::from_secs(2));
+    let first = world.sent[0].clone();
+    head(&mut world, &first);
+    tokens(&mut world, &first, 2);
+    progress(&mut world, &first, 3, Progress::Silent);
+    world.pass(Duration::from_secs(2));
+    (world, first)
+}
+
+/// Guards against a stream that is given up before another engine has answered: the second
+/// engine fails, and the silent one goes on.
+#[test]
+fn a_silent_stream_goes_on_after_its_replacement_fails() {
+    let (mut world, first) = silent_stream();
+    assert_that!(world.sent.len(), eq(2));
+    let second = world.sent[1].clone();
+    assert_that!(second.target, not(eq(&first.target)));
+    assert_that!(second.resume, eq(1));
+    assert_that!(cancelled(&world, &first), eq(false));
+    world.fail(&second, base::Refusal::TargetFailed);
+    tokens(&mut world, &first, 4);
+    end(&mut world, &first);
+    let ended = world.ended.get(&first.ticket);
+    assert_that!(ended, some(eq(&Ending::Whole)));
+}
+
+/// Guards against two engines that run one stream to its end: the one that goes on first
+/// wins, and the other one's place is free for the next request.
+#[test]
+fn a_silent_stream_that_goes_on_wins() {
+    base::covers!(silent_goes_on);
+    let (mut world, first) = silent_stream();
+    let second = world.sent[1].clone();
+    tokens(&mut world, &first, 4);
+    assert_that!(cancelled(&world, &second), eq(true));
+    assert_that!(cancelled(&world, &first), eq(false));
+    end(&mut world, &first);
+    let ended = world.ended.get(&first.ticket);
+    assert_that!(ended, some(eq(&Ending::Whole)));
+    all_places_are_free(&mut world);
+}
+
+/// Guards against an engine that hangs for good: the other one answers, and the first one is
+/// left.
+#[test]
+fn a_silent_stream_is_left_once_another_engine_answers() {
+    base::covers!(silent_replaced);
+    let (mut world, first) = silent_stream();
+    let second = world.sent[1].clone();
+    head(&mut world, &second);
+    assert_that!(cancelled(&world, &first), eq(true));
+    assert_that!(cancelled(&world, &second), eq(false));
+    tokens(&mut world, &second, 2);
+    end(&mut world, &second);
+    let ended = world.ended.get(&first.ticket);
+    assert_that!(ended, some(eq(&Ending::Whole)));
+    all_places_are_free(&mut world);
+}
+
+/// Checks that each engine takes as many streams as it has places.
+fn all_places_are_free(world: &mut World) {
+    let sent = world.sent.len();
+    for ticket in 100..120 {
+        world.arrive(ticket, "letters", None);
+    }
+    world.pass(Duration::from_secs(4));
+    for engine in ["e-1", "e-2"] {
+        let here = world.sent[sent..].iter();
+        let here = here.filter(|sent| sent.target.as_str() == engine);
+        assert_that!(here.count(), eq(4));
+    }
+}
+
+/// Guards against a silent engine that is sent the same request again beside the one that it
+/// runs, as no other engine is left.
+#[test]
+fn a_silent_stream_is_not_sent_to_its_own_engine() {
+    let mut world = World::serving();
+    world.software.insert("e-1", "v1");
+    world.list(2, &[("e-1", "drafting"), ("p-1", "portal")]);
+    world.arrive(1, "letters", None);
+    world.pass(Duration::from_secs(2));
+    let first = world.sent[0].clone();
+    head(&mut world, &first);
+    tokens(&mut world, &first, 2);
+    for step in 3..6 {
+        progress(&mut world, &first, step, Progress::Silent);
+        world.pass(Duration::from_secs(5));
+    }
+    assert_that!(world.sent.len(), eq(1));
+    tokens(&mut world, &first, 7);
+    end(&mut world, &first);
+    let ended = world.ended.get(&first.ticket);
+    assert_that!(ended, some(eq(&Ending::Whole)));
+}
--- a/crates/request/src/machine.rs
+++ b/crates/request/src/machine.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod failed;
 mod rules;
+mod silent;
 
 use std::time::Duration;
 
@@ -74,8 +75,8 @@
     Claiming(Start),
     /// A target is awaited.
     Placing(Start),
-    /// An attempt is running.
-    Sent(Start, Attempt),
+    /// An attempt is running, and another one may be there to replace it.
+    Sent(Start, Attempt, Spare),
     /// Finished while the claim was awaited: if it is granted after all, it must be
     /// settled as not run.
     ClaimAbandoned,
@@ -93,6 +94,19 @@
     reply: Reply,
 }
 
+/// What is there to replace a silent attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Spare {
+    None,
+    /// A target for it is awaited.
+    Placing {
+        /// Whether it counts towards the maximum of attempts.
+        counts: bool,
+    },
+    /// It was sent, and nothing of its answer has arrived.
+    Sent(Attempt),
+}
+
 /// What happens to the attempt's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reply {
@@ -118,7 +132,9 @@
             Stage::New => self.on_new(now, input, out),
             Stage::Claiming(start) => self.on_claiming(now, start, input, out),
             Stage::Placing(start) => self.on_placing(now, start, input, out),
-            Stage::Sent(start, attempt) => self.on_sent(now, start, attempt, input, out),
+            Stage::Sent(start, attempt, spare) => {
+                self.on_sent(now, start, (attempt, spare), input, out);
+            }
             Stage::ClaimAbandoned => self.on_claim_abandoned(&input, out),
             Stage::Over => self.stage = Stage::Over,
         }
@@ -232,6 +248,12 @@
     }
 
     fn send(&mut self, start: Start, target: TargetNo, out: &mut Vec<Output>) {
+        let attempt = self.attempt(target, out);
+        self.stage = Stage::Sent(start, attempt, Spare::None);
+    }
+
+    /// Sends one more attempt.
+    fn attempt(&mut self, target: TargetNo, out: &mut Vec<Output>) -> Attempt {
         self.sent.0 += 1;
         let no = self.sent;
         out.push(Output::Send {
@@ -239,47 +261,67 @@
             target,
             resume_from: self.tokens,
         });
-        let attempt = Attempt {
+        Attempt {
             no,
             target,
             from: self.tokens,
             reply: Reply::Awaited,
-        };
-        self.stage = Stage::Sent(start, attempt);
+        }
     }
 
     fn on_sent(
         &mut self,
         now: Time,
         start: Start,
-        attempt: Attempt,
+        (attempt, spare): (Attempt, Spare),
         input: Input,
         out: &mut Vec<Output>,
     ) {
-        if input.attempt().is_some_and(|no| no != attempt.no) {
+        let no = input.attempt();
+        if let Spare::Sent(second) = spare
+            && no == Some(second.no)
+        {
+            return self.on_spare(now, start, (attempt, second), input, out);
+        }
+        if no.is_some_and(|no| no != attempt.no) {
             // Guards against an answer that arrives after its attempt was given up and
             // another one was sent: passed on, it would mix two answers. The attempt
             // number tells them apart.
             base::hit!(late_attempt_ignored);
-            self.stage = Stage::Sent(start, attempt);
+            self.stage = Stage::Sent(start, attempt, spare);
             return;
         }
         match input {
-            Input::AttemptFailed {
-                verdict,
-                reason,
-                retry,
-                ..
+            Input::AttemptFailed { .. }
+            | Input::End {
+                complete: false, ..
             } => {
-                let fault = Fault::Failed;
-                let failed = Failed {
-                    verdict,
-                    reason,
-                    retry,
-                    fault,
-                };
-                self.on_failed(now, start, attempt, failed, out);
+                let failed = Failed::of(&input);
+                self.on_failed(now, start, (attempt, spare), failed, out);
+            }
+            Input::Silent { fault, .. } => self.on_silent(now, start, (attempt, spare), fault, out),
+            Input::Placed { target } => self.send_spare(start, (attempt, spare), target, out),
+            Input::NoTarget(_) => self.stage = Stage::Sent(start, attempt, Spare::None),
+            Input::Wake if now < start.deadline => {
+                self.stage = Stage::Sent(start, attempt, spare);
+            }
+            _ => {
+                self.drop_spare(spare, out);
+                self.on_answer(now, start, attempt, input, out);
             }
+        }
+    }
+
+    /// Handles what the attempt's target says, or the end of the request.
+    fn on_answer(
+        &mut self,
+        now: Time,
+        start: Start,
+        attempt: Attempt,
+        input: Input,
+        out: &mut Vec<Output>,
+    ) {
+        match input {
             Input::Head {
                 status,
                 ran_on,
@@ -287,17 +329,10 @@
                 ..
             } => self.on_head(now, start, attempt, (status, ran_on, resumed), out),
             Input::Piece { part, .. } => self.on_piece(start, attempt, part, out),
-            Input::End { complete: true, .. } => self.on_complete(now, start, attempt, out),
-            Input::End {
-                complete: false, ..
-            } => {
-                self.on_failed(now, start, attempt, Failed::broken(Fault::Failed), out);
-            }
+            Input::End { .. } => self.on_complete(now, start, attempt, out),
             Input::CallerGone => self.on_caller_gone(start, attempt, out),
-            Input::Wake if now >= start.deadline => {
-                self.abandon(&start, attempt, Refusal::Deadline, out);
-            }
-            _ => self.stage = Stage::Sent(start, attempt),
+            Input::Wake => self.abandon(&start, attempt, Refusal::Deadline, out),
+            _ => self.stage = Stage::Sent(start, attempt, Spare::None),
         }
     }
 
@@ -305,7 +340,7 @@
         if start.outlives && start.mark == Mark::Once && !self.end_passed {
             base::hit!(marked_outlives_caller);
             self.detached = true;
-            self.stage = Stage::Sent(start, attempt);
+            self.stage = Stage::Sent(start, attempt, Spare::None);
             return;
         }
         self.abandon(&start, attempt, Refusal::CallerGone, out);
@@ -358,6 +393,25 @@
 }
 
 impl Failed {
+    /// Returns the failure of an attempt, or of an answer that broke off.
+    fn of(input: &Input) -> Self {
+        let Input::AttemptFailed {
+            verdict,
+            reason,
+            retry,
+            ..
+        } = input
+        else {
+            return Failed::broken(Fault::Failed);
+        };
+        Failed {
+            verdict: *verdict,
+            reason: *reason,
+            retry: *retry,
+            fault: Fault::Failed,
+        }
+    }
+
     /// Returns the failure of an answer that began but can't be used.
     fn broken(fault: Fault) -> Self {
         Failed {
@@ -376,7 +430,8 @@
             Input::AttemptFailed { attempt, .. }
             | Input::Head { attempt, .. }
             | Input::Piece { attempt, .. }
-            | Input::End { attempt, .. } => Some(*attempt),
+            | Input::End { attempt, .. }
+            | Input::Silent { attempt, .. } => Some(*attempt),
             _ => None,
         }
     }
--- a/crates/request/src/machine/answer.rs
+++ b/crates/request/src/machine/answer.rs
@@ -2,7 +2,7 @@
 
 use base::{Failure, Mark, Refusal, Time, Verdict};
 
-use super::{Attempt, Failed, Reply, Request, Stage};
+use super::{Attempt, Failed, Reply, Request, Spare, Stage};
 use crate::{
     Start,
     message::{AttemptNo, ClaimOutcome, Fault, Final, Output, Part, RanOn},
@@ -18,7 +18,7 @@
         out: &mut Vec<Output>,
     ) {
         if attempt.reply != Reply::Awaited {
-            self.stage = Stage::Sent(start, attempt);
+            self.stage = Stage::Sent(start, attempt, Spare::None);
             return;
         }
         let good = (200..300).contains(&status);
@@ -26,18 +26,30 @@
             out.push(Output::Cancel {
                 attempt: attempt.no,
             });
-            self.on_failed(now, start, attempt, Failed::broken(fault), out);
+            self.on_failed(
+                now,
+                start,
+                (attempt, Spare::None),
+                Failed::broken(fault),
+                out,
+            );
             return;
         }
         if status >= 500 && self.may_retry(now, &start, Verdict::MayHaveRun) {
             out.push(Output::Cancel {
                 attempt: attempt.no,
             });
-            self.on_failed(now, start, attempt, Failed::broken(Fault::Failed), out);
+            self.on_failed(
+                now,
+                start,
+                (attempt, Spare::None),
+                Failed::broken(Fault::Failed),
+                out,
+            );
             return;
         }
         attempt.reply = self.pass_head(&start, good, out);
-        self.stage = Stage::Sent(start, attempt);
+        self.stage = Stage::Sent(start, attempt, Spare::None);
     }
 
     pub(super) fn pass_head(&mut self, start: &Start, good: bool, out: &mut Vec<Output>) -> Reply {
@@ -60,7 +72,7 @@
         part: Part,
         out: &mut Vec<Output>,
     ) {
-        self.stage = Stage::Sent(start, attempt);
+        self.stage = Stage::Sent(start, attempt, Spare::None);
         match attempt.reply {
             Reply::Awaited => {}
             Reply::Holding => out.push(Output::Hold),
@@ -101,7 +113,7 @@
     ) {
         if attempt.reply == Reply::Awaited {
             let failed = Failed::broken(Fault::Failed);
-            return self.on_failed(now, start, attempt, failed, out);
+            return self.on_failed(now, start, (attempt, Spare::None), failed, out);
         }
         self.finish_complete(&start, attempt, out);
     }
--- a/crates/request/src/machine/failed.rs
+++ b/crates/request/src/machine/failed.rs
@@ -2,7 +2,7 @@
 
 use base::{Failure, Mark, Refusal, Time, Verdict};
 
-use super::{Attempt, Failed, Reply, Request, Stage};
+use super::{Attempt, Failed, Reply, Request, Spare, Stage};
 use crate::{
     Start,
     message::{Fault, Output},
@@ -13,7 +13,7 @@
         &mut self,
         now: Time,
         mut start: Start,
-        attempt: Attempt,
+        (attempt, spare): (Attempt, Spare),
         failed: Failed,
         out: &mut Vec<Output>,
     ) {
@@ -22,11 +22,15 @@
             // the end of its framing: the caller has the complete answer, and must get
             // neither an error after `[DONE]` nor a second answer.
             base::hit!(cut_after_the_end);
+            self.drop_spare(spare, out);
             return self.finish_complete(&start, attempt, out);
         }
         if attempt.reply == Reply::Holding {
             out.push(Output::DropHeld);
         }
+        if spare != Spare::None {
+            return self.put_in(start, (attempt, spare), &failed, out);
+        }
         if failed.reason == Refusal::Preempted && start.mark == Mark::Repeatable {
             return self.on_preempted(now, start, out);
         }
@@ -40,6 +44,21 @@
             base::hit!(progress_not_counted);
             start.attempts += 1;
         }
+        let verdict = self.note_failed(attempt, &failed, out);
+        let retry = self.may_retry(now, &start, verdict);
+        if retry {
+            return self.place(start, out);
+        }
+        self.give_up(&start, Failure::not_run(failed.reason), out);
+    }
+
+    /// Records the failure of an attempt; returns its verdict.
+    pub(super) fn note_failed(
+        &mut self,
+        attempt: Attempt,
+        failed: &Failed,
+        out: &mut Vec<Output>,
+    ) -> Verdict {
         let target = attempt.target;
         if failed.verdict != Verdict::NotRun {
             let fault = failed.fault;
@@ -55,14 +74,10 @@
             Verdict::NotRun
         };
         let verdict = failed.verdict.max(least);
-        let retry = self.may_retry(now, &start, verdict);
         self.verdict = self.verdict.max(verdict);
         self.reason = Some(failed.reason);
         self.retry = failed.retry;
-        if retry {
-            return self.place(start, out);
-        }
-        self.give_up(&start, Failure::not_run(failed.reason), out);
+        verdict
     }
 
     /// Finds another target after the request was preempted by a more urgent one.
--- a/crates/request/src/message.rs
+++ b/crates/request/src/message.rs
@@ -147,6 +147,15 @@
         /// Whether the answer ended properly.
         complete: bool,
     },
+    /// An attempt has said nothing for so long that another target is to be tried beside it.
+    /// It runs on and may go on; handed in again while it stays silent.
+    Silent {
+        /// The attempt.
+        attempt: AttemptNo,
+        /// Whether the target itself is silent. A silent owner is no failure of its target
+        /// and uses up no attempt.
+        fault: bool,
+    },
     /// The caller left.
     CallerGone,
     /// The time of an [`Output::Wake`] has come.
@@ -166,6 +175,8 @@
         /// the answer when that is used up.
         retry: bool,
     },
+    /// Stop looking for the target that the last [`Output::Place`] asked for.
+    Withdraw,
     /// Send the request.
     Send {
         /// Number of the attempt.
--- a/crates/request/tests/every_step.rs
+++ b/crates/request/tests/every_step.rs
@@ -33,6 +33,10 @@
     next: u32,
     headed: bool,
     wrong: bool,
+    /// Whether its head can't be used.
+    bad: bool,
+    /// Whether it was silent.
+    silent: bool,
     /// Whether it sent the end marker.
     last: bool,
     over: bool,
@@ -41,6 +45,12 @@
     cancelled: bool,
 }
 
+impl Sent {
+    fn runs(&self) -> bool {
+        !self.over && !self.cancelled
+    }
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Environment {
     claiming: bool,
@@ -104,6 +114,11 @@
     };
     let failed = |verdict| why(verdict, Refusal::TargetFailed);
     let preempted = why(Verdict::MayHaveRun, Refusal::Preempted);
+    // Before its head only the owner of a target is known to be silent.
+    let silent = Input::Silent {
+        attempt,
+        fault: sent.headed,
+    };
     if !sent.headed {
         let head = |status, ran_on, resumed| Input::Head {
             attempt,
@@ -112,7 +127,7 @@
             resumed,
         };
         let from = (sent.from > 0).then_some(sent.from);
-        let all = vec![
+        let mut all = vec![
             preempted,
             why(Verdict::NotRun, Refusal::Moved),
             failed(Verdict::NotRun),
@@ -123,6 +138,7 @@
             // The engine starts from the beginning although it was asked to resume.
             head(200, RanOn::Named(KEY), None),
         ];
+        all.extend((!sent.silent).then_some(silent));
         return all.into_iter().map(|input| (input, vec![])).collect();
     }
     let piece = |part| Input::Piece { attempt, part };
@@ -132,6 +148,7 @@
     let may_have_run = failed(Verdict::MayHaveRun);
     let ends = [preempted, wrong, may_have_run, end(false)];
     let mut all: Vec<Event> = ends.map(|input| (input, vec![])).into();
+    all.extend((!sent.silent).then_some((silent, vec![])));
     let part = if raw { Part::Raw } else { Part::Tokens(1) };
     if sent.next < TOKENS {
         all.push((piece(part), vec![sent.next]));
@@ -178,16 +195,19 @@
             } => {
                 let sent = self.attempt(*attempt);
                 sent.over = true;
-                sent.ran = sent.headed || *verdict != Verdict::NotRun;
+                // What an attempt says after it was cancelled isn't heard.
+                sent.ran = sent.headed || sent.cancelled || *verdict != Verdict::NotRun;
             }
             Input::Head {
                 attempt,
                 ran_on,
                 resumed,
-                ..
+                status,
             } => {
                 let sent = self.attempt(*attempt);
                 sent.headed = true;
+                let resumes = sent.from == 0 || *resumed == Some(sent.from);
+                sent.bad = *status != 200 || *ran_on != RanOn::Named(KEY) || !resumes;
                 sent.next = resumed.unwrap_or_default();
                 sent.wrong = *ran_on != RanOn::Named(KEY);
             }
@@ -197,6 +217,7 @@
                 sent.next += u32::from(*part != Part::Last);
             }
             Input::End { attempt, .. } => self.attempt(*attempt).over = true,
+            Input::Silent { attempt, .. } => self.attempt(*attempt).silent = true,
             Input::Start(_) => {}
         }
     }
@@ -209,13 +230,22 @@
         let over = self.end.is_some();
         match output {
             Output::Claim => self.claiming = true,
-            Output::Place { .. } => self.placing = true,
+            Output::Place { .. } => {
+                assert!(!self.placing, "a second target looked for");
+                self.placing = true;
+            }
+            Output::Withdraw => {
+                assert!(self.placing, "nothing to withdraw");
+                self.placing = false;
+            }
             Output::Send {
                 attempt,
                 resume_from,
                 ..
             } => {
                 assert!(!over, "sent after the final answer");
+                let running = self.sent.iter().filter(|sent| sent.runs()).count();
+                assert!(running < 2, "a third attempt beside two");
                 let ran = self.sent.iter().any(|sent| sent.ran);
                 assert!(
                     start.mark == Mark::Repeatable || !ran,
@@ -235,6 +265,8 @@
                     next: *resume_from,
                     headed: false,
                     wrong: false,
+                    bad: false,
+                    silent: false,
                     last: false,
                     over: false,
                     ran: true,
@@ -244,6 +276,7 @@
             Output::Cancel { attempt } => {
                 let complete = self.ended || self.late;
                 let outlives = start.outlives && self.gone && !complete;
+                self.check_cancel(*attempt, input);
                 let bad = self.attempt(*attempt).headed && self.attempt(*attempt).wrong;
                 assert!(bad || !outlives, "cancelled though it outlives its caller");
                 self.attempt(*attempt).cancelled = true;
@@ -285,6 +318,34 @@
         }
     }
 
+    /// Checks that an attempt that may go on is cancelled only when its request ends, or
+    /// when another attempt has brought something.
+    fn check_cancel(&self, attempt: AttemptNo, input: &Input) {
+        let bad = self.sent.iter().any(|sent| sent.no == attempt && sent.bad);
+        let ends = *input == Input::CallerGone || *input == Input::Wake;
+        if ends || bad {
+            return;
+        }
+        let others = || {
+            self.sent
+                .iter()
+                .filter(|sent| sent.no != attempt && !sent.cancelled)
+        };
+        let replaced = match input {
+            Input::Silent { attempt: no, fault } => {
+                *no == attempt && !fault && others().any(Sent::runs)
+            }
+            Input::Head { attempt: no, .. }
+            | Input::Piece { attempt: no, .. }
+            | Input::End {
+                attempt: no,
+                complete: true,
+            } => others().any(|sent| sent.no == *no),
+            _ => false,
+        };
+        assert!(replaced, "{attempt:?} cancelled though nothing replaces it");
+    }
+
     fn check_source(&mut self, input: &Input) {
         let (Input::Head { attempt, .. } | Input::Piece { attempt, .. }) = input else {
             panic!("passed on an input without data");
--- a/crates/request/tests/paths.rs
+++ b/crates/request/tests/paths.rs
@@ -372,3 +372,105 @@
         no_quorum: (ClaimReply::Deferred { retry: HALF }, Refusal::NoQuorum, Verdict::NotRun, Some(HALF)),
     }
 }
+
+fn silent(no: u32, fault: bool) -> Input {
+    let attempt = AttemptNo(no);
+    Input::Silent { attempt, fault }
+}
+
+fn cancel(no: u32) -> Output {
+    Output::Cancel {
+        attempt: AttemptNo(no),
+    }
+}
+
+/// Returns a stream that has two tokens and whose first target is silent, with a second
+/// attempt beside it.
+fn doubled() -> Run {
+    let mut run = Run::new(live());
+    run.sent(1);
+    run.give(head(1, RanOn::Named(KEY), None));
+    run.give(piece(1, Part::Tokens(2)));
+    let (avoid, retry) = (vec![TargetNo(1)], true);
+    let out = run.give(silent(1, true));
+    assert_that!(out, eq(&vec![Output::Place { avoid, retry }]));
+    assert_that!(run.sent(2), elements_are![eq(&send(2, 2))]);
+    run
+}
+
+/// Guards against a stream that is given up for silence before another target has answered.
+#[gtest]
+fn a_silent_attempt_is_left_for_a_right_head_only() {
+    covers!(silent_replaced);
+    let mut run = doubled();
+    let out = run.give(head(2, RanOn::Named(OTHER), Some(2)));
+    expect_that!(out, contains(eq(&cancel(2))));
+    expect_that!(out, not(contains(eq(&cancel(1)))));
+    run.sent(3);
+    let out = run.give(head(3, RanOn::Named(KEY), Some(2)));
+    expect_that!(out, eq(&vec![cancel(1)]));
+    let out = run.give(piece(3, Part::Tokens(1)));
+    expect_that!(out, eq(&vec![Output::Pass]));
+    expect_that!(run.give(piece(1, Part::Tokens(1))), is_empty());
+}
+
+/// A silent target goes on: the replacement is given up, also while its target is looked for.
+#[gtest]
+fn a_silent_attempt_that_goes_on_wins() {
+    covers!(silent_goes_on);
+    let mut run = doubled();
+    let out = run.give(piece(1, Part::Tokens(1)));
+    expect_that!(out, eq(&vec![cancel(2), Output::Pass]));
+    expect_that!(run.give(head(2, RanOn::Named(KEY), Some(2))), is_empty());
+    run.give(silent(1, true));
+    let out = run.give(piece(1, Part::Tokens(1)));
+    expect_that!(out, eq(&vec![Output::Withdraw, Output::Pass]));
+}
+
+/// A silent target fails after all: the replacement goes on without one more attempt.
+#[gtest]
+fn a_replacement_takes_the_place_of_a_failed_attempt() {
+    covers!(silent_failed);
+    let mut run = doubled();
+    let out = run.give(end(1, false));
+    let place = |output: &Output| matches!(output, Output::Place { .. } | Output::Finish(_));
+    expect_that!(out.iter().any(place), eq(false));
+    expect_that!(run.give(head(2, RanOn::Named(KEY), Some(2))), is_empty());
+    let out = run.give(piece(2, Part::Tokens(1)));
+    expect_that!(out, eq(&vec![Output::Pass]));
+}
+
+/// Guards against an answer that ends for want of a replacement, and against more attempts
+/// than are allowed: each replacement fails, and the silent target goes on.
+#[gtest]
+fn a_silent_attempt_is_kept_when_nothing_replaces_it() {
+    covers!(silent_kept);
+    let mut run = Run::new(live());
+    run.sent(1);
+    run.give(head(1, RanOn::Named(KEY), None));
+    run.give(silent(1, true));
+    let none = Failure::not_run(Refusal::Unavailable);
+    expect_that!(run.give(Input::NoTarget(none)), is_empty());
+    run.give(silent(1, true));
+    for no in [2, 3] {
+        run.sent(no);
+        run.give(failed(no, Verdict::MayHaveRun));
+    }
+    expect_that!(run.give(silent(1, true)), is_empty());
+    let out = run.give(piece(1, Part::Tokens(1)));
+    expect_that!(out, eq(&vec![Output::Pass]));
+}
+
+/// Guards against a marked request that runs twice, as its target or the owner is silent.
+#[gtest]
+fn a_marked_request_is_not_sent_beside_a_silent_attempt() {
+    for fault in [true, false] {
+        let mut run = Run::new(marked());
+        run.give(Input::Claimed(ClaimReply::Granted));
+        run.sent(1);
+        expect_that!(run.give(silent(1, fault)), is_empty());
+        run.give(head(1, RanOn::Unnamed, None));
+        let out = run.give(end(1, true));
+        expect_that!(out, contains(eq(&Output::Finish(Final::Complete))));
+    }
+}
