Guard more of what a silent attempt and its replacement keep

Taking guards of the change before out one at a time left some without a failing test: progress that doesn't count, silent owners that use up no attempt, what was held back, the doubt about a cancelled replacement, an owner whose silence lasts. Each has a test now; they pass on the code as it is.

--- a/crates/node/tests/node/silent.rs
+++ b/crates/node/tests/node/silent.rs
@@ -209,3 +209,17 @@
     let ended = world.ended.get(&first.ticket);
     assert_that!(ended, some(eq(&Ending::Whole)));
 }
+
+/// Guards against a request that hangs at a frozen owner, as its silence was noticed once
+/// only: another instance owns the engine much later.
+#[test]
+fn a_silent_owner_is_noticed_again() {
+    let (mut world, _) = forwarded();
+    world.peers_silent = true;
+    world.pass(Duration::from_secs(15));
+    assert_that!(world.sent.len(), eq(1));
+    world.peer_owned.clear();
+    world.owned.insert("e-1".to_owned(), Fence(8));
+    world.pass(Duration::from_secs(8));
+    assert_that!(world.sent.len(), eq(2));
+}
--- a/crates/request/tests/paths.rs
+++ b/crates/request/tests/paths.rs
@@ -474,3 +474,65 @@
         expect_that!(out, contains(eq(&Output::Finish(Final::Complete))));
     }
 }
+
+/// Guards against a long stream that is given up at its third silence although each target
+/// brought it further.
+#[gtest]
+fn a_stream_that_makes_progress_is_replaced_again_and_again() {
+    let mut run = Run::new(live());
+    run.sent(1);
+    run.give(head(1, RanOn::Named(KEY), None));
+    for no in 1..20 {
+        run.give(piece(no, Part::Tokens(1)));
+        let out = run.give(silent(no, true));
+        let place = |output: &Output| matches!(output, Output::Place { .. });
+        expect_that!(out.iter().any(place), eq(true), "{no}");
+        run.sent(no + 1);
+        run.give(head(no + 1, RanOn::Named(KEY), Some(no)));
+    }
+}
+
+/// Owners fall silent one after the other, which uses up no attempt.
+#[gtest]
+fn silent_owners_use_up_no_attempt() {
+    let mut run = Run::new(live());
+    run.sent(1);
+    run.give(silent(1, false));
+    for no in 2..20 {
+        run.sent(no);
+        let out = run.give(silent(no, false));
+        let (avoid, retry) = (vec![], false);
+        let place = Output::Place { avoid, retry };
+        expect_that!(out, eq(&vec![cancel(no), place]));
+    }
+}
+
+/// Guards against two answers in one: what was held back of the silent attempt's answer is
+/// dropped when another one replaces it.
+#[gtest]
+fn a_replacement_drops_what_was_held_back() {
+    let mut run = Run::new(Start {
+        stream: false,
+        ..live()
+    });
+    run.sent(1);
+    run.give(head(1, RanOn::Named(KEY), None));
+    run.give(piece(1, Part::Tokens(1)));
+    run.give(silent(1, true));
+    run.sent(2);
+    let out = run.give(head(2, RanOn::Named(KEY), None));
+    expect_that!(out, eq(&vec![cancel(1), Output::DropHeld, Output::Hold]));
+}
+
+/// Guards against `not run` for a request of which a cancelled replacement may have run.
+#[gtest]
+fn a_cancelled_replacement_stays_in_doubt() {
+    let mut run = Run::new(live());
+    run.sent(1);
+    run.give(silent(1, false));
+    run.sent(2);
+    run.give(head(1, RanOn::Named(KEY), None));
+    let out = run.at(DEADLINE, Input::Wake);
+    let failure = failure(Refusal::Deadline, Verdict::MayHaveRun, RETRY);
+    expect_that!(out, contains(eq(&Output::Finish(Final::Broken(failure)))));
+}
