Write what came of an answer before it is broken off

A caller's connection was closed before the head of its answer, where a plain service broke off its answer at once: the caller couldn't tell it from an instance that had died. Cause: when a body fails, hyper drops what it hasn't written yet, also the head; if the head, a piece and the break are ready in one go, nothing of them is written. The body is pending once before it fails now, and hyper writes meanwhile what it has. Ruled out: the caller's own connection (each request of that test has a new one), a reset by the server (also with chunks).

--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -18,6 +18,7 @@
 };
 use tokio::{
     sync::mpsc,
+    task::yield_now,
     time::{Instant, timeout},
 };
 
@@ -111,12 +112,13 @@
         match step {
             Some(Step::Piece(bytes)) => Some((Ok(Frame::data(bytes)), Some((rx, keepalive)))),
             Some(Step::End) => None,
-            None => Some((
-                Err(anyhow!(
-                    "the body's writer was dropped before the end of the body"
-                )),
-                None,
-            )),
+            None => {
+                // hyper drops what it hasn't written when the body fails, also the head. It
+                // writes that while the body is pending.
+                yield_now().await;
+                let why = "the body's writer was dropped before the end of the body";
+                Some((Err(anyhow!(why)), None))
+            }
         }
     });
     StreamBody::new(steps.boxed()).boxed_unsync()
--- a/crates/web/tests/web/ends.rs
+++ b/crates/web/tests/web/ends.rs
@@ -32,6 +32,10 @@
     if path.contains("unframed") {
         end_with_connection(&mut resp);
     }
+    if path.contains("at-once") {
+        writer.piece(Bytes::from("half")).await.ok();
+        return resp;
+    }
     tokio::spawn(async move {
         writer.piece(Bytes::from("half")).await.ok();
         sleep(SHORT).await;
@@ -118,3 +122,15 @@
         expect_that!(text, ends_with("\r\n\r\n"), "{method} {path}");
     }
 }
+
+/// Guards against a caller whose connection is closed before the head of its answer, as the
+/// answer breaks off before anything of it was written.
+#[gtest]
+#[tokio::test]
+async fn what_breaks_off_at_once_arrives_as_far_as_it_came() {
+    for path in ["/at-once", "/at-once/unframed"] {
+        let (text, _) = ask("GET", path, 1).await;
+        expect_that!(text, starts_with("HTTP/1."), "{path}");
+        expect_that!(text, contains_substring("half"), "{path}");
+    }
+}
