Take a doubt out that the silent attempt's own answer raises anyway

A replacement is given up only when the silent attempt goes on or the request ends; both set the verdict by themselves.

--- a/crates/node/tests/node/silent.rs
+++ b/crates/node/tests/node/silent.rs
@@ -223,3 +223,28 @@
     world.pass(Duration::from_secs(8));
     assert_that!(world.sent.len(), eq(2));
 }
+
+/// Guards against a request that waits seconds longer for the next owner of its engine than
+/// one that isn't kept at the silent one.
+#[test]
+fn a_request_goes_to_the_next_owner_at_once() {
+    let (mut world, _) = forwarded();
+    world.peers_silent = true;
+    world.pass(Duration::from_secs(4));
+    let fresh = world.arrive(2, "letters", None);
+    world.peer_owned.clear();
+    world.owned.insert("e-1".to_owned(), Fence(8));
+    let sent = |world: &World, ticket| {
+        let to_engine = |sent: &&Attempt| matches!(sent.route, node::Route::Target { .. });
+        let here = world.sent.iter().filter(to_engine);
+        here.filter(|sent| sent.ticket == ticket).count()
+    };
+    for _ in 0..80 {
+        world.pass(Duration::from_millis(100));
+        if sent(&world, fresh) == 1 {
+            break;
+        }
+    }
+    assert_that!(sent(&world, fresh), eq(1));
+    assert_that!(sent(&world, base::Ticket(1)), eq(1));
+}
--- a/crates/request/src/machine/silent.rs
+++ b/crates/request/src/machine/silent.rs
@@ -73,7 +73,6 @@
                 base::hit!(silent_goes_on);
                 let attempt = second.no;
                 out.push(Output::Cancel { attempt });
-                self.verdict = self.verdict.max(Verdict::MayHaveRun);
             }
         }
     }
