--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -219,22 +219,15 @@
                 Step::Piece { attempt, part }
             }
             Progress::End { end, answer } => {
-                let whole = end != AnswerEnd::Cut;
                 self.note_end(shared, now, (ticket, attempt), end, out);
                 if let Some(active) = self.requests.get_mut(&ticket) {
                     active.answer = answer;
                 }
-                self.end_attempt(now, ticket, attempt, whole, out);
-                Step::End {
-                    attempt,
-                    complete: whole,
-                }
-            }
-            Progress::Silent => {
-                self.note_silent(ticket, attempt);
-                let fault = true;
-                Step::Silent { attempt, fault }
+                let complete = end != AnswerEnd::Cut;
+                self.end_attempt(now, ticket, attempt, complete, out);
+                Step::End { attempt, complete }
             }
+            Progress::Silent => self.silent(ticket, attempt),
             Progress::Failed {
                 verdict,
                 reason,
@@ -312,14 +305,14 @@
     }
 
     /// Records that an attempt's target has fallen silent.
-    fn note_silent(&mut self, ticket: Ticket, attempt: AttemptNo) {
-        let Some(active) = self.requests.get_mut(&ticket) else {
-            return;
-        };
-        let sent = active.sent.as_mut();
+    fn silent(&mut self, ticket: Ticket, attempt: AttemptNo) -> Step {
+        let active = self.requests.get_mut(&ticket);
+        let sent = active.and_then(|active| active.sent.as_mut());
         if let Some(sent) = sent.filter(|sent| sent.attempt == attempt) {
             sent.silent = true;
         }
+        let fault = true;
+        Step::Silent { attempt, fault }
     }
 
     fn note_piece(
