--- a/crates/node/tests/node/silent.rs
+++ b/crates/node/tests/node/silent.rs
@@ -7,37 +7,19 @@
 use node::{AnswerEnd, Attempt, Ending, Input, Progress};
 use request::Part;
 
-use crate::world::World;
-
-fn progress(world: &mut World, attempt: &Attempt, step: u64, progress: Progress) {
-    world.input(Input::Progress {
-        ticket: attempt.ticket,
-        attempt: attempt.attempt,
-        step,
-        progress,
-    });
-}
-
-fn head(world: &mut World, attempt: &Attempt) {
-    let head = Progress::Head {
-        status: 200,
-        ran: attempt.resident.clone().map(Ok),
-        resumed: (attempt.resume > 0).then_some(attempt.resume),
-    };
-    progress(world, attempt, 1, head);
-}
+use crate::world::{TEXT, World};
 
 fn tokens(world: &mut World, attempt: &Attempt, step: u64) {
-    progress(world, attempt, step, Progress::Piece(Part::Tokens(1)));
+    world.progress(attempt, step, Progress::Piece(Part::Tokens(1)));
 }
 
 fn end(world: &mut World, attempt: &Attempt) {
-    progress(world, attempt, 8, Progress::Piece(Part::Last));
+    world.progress(attempt, 8, Progress::Piece(Part::Last));
     let end = Progress::End {
         end: AnswerEnd::Complete,
         answer: None,
     };
-    progress(world, attempt, 9, end);
+    world.progress(attempt, 9, end);
 }
 
 /// Returns whether an attempt was cancelled.
@@ -70,7 +52,7 @@
     world.peer_owned.clear();
     world.pass(Duration::from_secs(9));
     world.peers_silent = false;
-    head(&mut world, &first);
+    world.head(&first);
     tokens(&mut world, &first, 2);
     end(&mut world, &first);
     let ended = world.ended.get(&first.ticket);
@@ -95,7 +77,7 @@
     let sent = world.sent.iter();
     let sent = sent.filter(|sent| sent.ticket == marked.ticket);
     assert_that!(sent.count(), eq(1));
-    head(&mut world, &marked);
+    world.head(&marked);
     tokens(&mut world, &marked, 2);
     end(&mut world, &marked);
     let ended = world.ended.get(&marked.ticket);
@@ -105,20 +87,13 @@
 /// A node that owns two engines, and a stream that has begun at one of them and fallen
 /// silent.
 fn silent_stream() -> (World, Attempt) {
-    let mut world = World::bare();
-    for engine in ["e-1", "e-2"] {
-        world.software.insert(engine, "v1");
-        world.owned.insert(engine.to_owned(), Fence(7));
-    }
-    let targets = [("e-1", "drafting"), ("e-2", "drafting"), ("p-1", "portal")];
-    world.list(1, &targets);
-    world.pass(Duration::from_secs(20));
+    let mut world = World::of_two_engines(TEXT);
     world.arrive(1, "letters", None);
     world.pass(Duration::from_secs(2));
     let first = world.sent[0].clone();
-    head(&mut world, &first);
+    world.head(&first);
     tokens(&mut world, &first, 2);
-    progress(&mut world, &first, 3, Progress::Silent);
+    world.progress(&first, 3, Progress::Silent);
     world.pass(Duration::from_secs(2));
     (world, first)
 }
@@ -163,7 +138,7 @@
     base::covers!(silent_replaced);
     let (mut world, first) = silent_stream();
     let second = world.sent[1].clone();
-    head(&mut world, &second);
+    world.head(&second);
     assert_that!(cancelled(&world, &first), eq(true));
     assert_that!(cancelled(&world, &second), eq(false));
     tokens(&mut world, &second, 2);
@@ -197,10 +172,10 @@
     world.arrive(1, "letters", None);
     world.pass(Duration::from_secs(2));
     let first = world.sent[0].clone();
-    head(&mut world, &first);
+    world.head(&first);
     tokens(&mut world, &first, 2);
     for step in 3..6 {
-        progress(&mut world, &first, step, Progress::Silent);
+        world.progress(&first, step, Progress::Silent);
         world.pass(Duration::from_secs(5));
     }
     assert_that!(world.sent.len(), eq(1));
--- a/crates/node/tests/node/software.rs
+++ b/crates/node/tests/node/software.rs
@@ -4,20 +4,11 @@
 
 use base::{Fence, Refusal, Ticket};
 use googletest::prelude::*;
-use node::{Attempt, Ending, Input, Progress};
+use node::{Ending, Progress};
 use request::Part;
 
 use crate::world::World;
 
-fn progress(world: &mut World, attempt: &Attempt, step: u64, progress: Progress) {
-    world.input(Input::Progress {
-        ticket: attempt.ticket,
-        attempt: attempt.attempt,
-        step,
-        progress,
-    });
-}
-
 /// Breaks a stream after `tokens` tokens, where `e-1` and `e-2` run these versions, and
 /// returns whether it goes on, and whether elsewhere.
 fn goes_on(software: [&'static str; 2], tokens: u32) -> (bool, bool) {
@@ -34,21 +25,16 @@
     world.arrive(1, "letters", None);
     world.pass(Duration::from_secs(2));
     let first = world.sent.remove(0);
-    let head = Progress::Head {
-        status: 200,
-        ran: first.resident.clone().map(Ok),
-        resumed: None,
-    };
-    progress(&mut world, &first, 1, head);
+    world.head(&first);
     if tokens > 0 {
-        progress(&mut world, &first, 2, Progress::Piece(Part::Tokens(tokens)));
+        world.progress(&first, 2, Progress::Piece(Part::Tokens(tokens)));
     }
     let broken = Progress::Failed {
         verdict: base::Verdict::MayHaveRun,
         reason: Refusal::TargetFailed,
         retry: None,
     };
-    progress(&mut world, &first, 3, broken);
+    world.progress(&first, 3, broken);
     world.pass(Duration::from_secs(4));
     match world.sent.first() {
         Some(second) => {
--- a/crates/node/tests/node/starts.rs
+++ b/crates/node/tests/node/starts.rs
@@ -2,9 +2,9 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use base::{Fence, Refusal, Ticket, Verdict};
+use base::{Refusal, Ticket, Verdict};
 use googletest::prelude::*;
-use node::{Attempt, Input, Progress};
+use node::{Attempt, Progress};
 use request::Part;
 
 use crate::world::{TEXT, World};
@@ -21,15 +21,8 @@
 
 impl Started {
     fn new() -> Self {
-        let mut world = World::bare();
-        world.text.1 = TEXT.replace("batch = 4", "batch = 256");
-        for engine in ["e-1", "e-2"] {
-            world.software.insert(engine, "v1");
-            world.owned.insert(engine.to_owned(), Fence(7));
-        }
-        let targets = [("e-1", "drafting"), ("e-2", "drafting"), ("p-1", "portal")];
-        world.list(1, &targets);
-        world.pass(Duration::from_secs(20));
+        let text = TEXT.replace("batch = 4", "batch = 256");
+        let world = World::of_two_engines(&text);
         Started { world, ticket: 0 }
     }
 
@@ -50,25 +43,12 @@
         panic!("{ticket:?} isn't sent")
     }
 
-    fn progress(&mut self, attempt: &Attempt, step: u64, progress: Progress) {
-        self.world.input(Input::Progress {
-            ticket: attempt.ticket,
-            attempt: attempt.attempt,
-            step,
-            progress,
-        });
-    }
-
     /// Lets a stream begin with one token, or with its head alone.
     fn begin(&mut self, attempt: &Attempt, tokens: u32) {
-        let head = Progress::Head {
-            status: 200,
-            ran: attempt.resident.clone().map(Ok),
-            resumed: (attempt.resume > 0).then_some(attempt.resume),
-        };
-        self.progress(attempt, 1, head);
+        self.world.head(attempt);
         if tokens > 0 {
-            self.progress(attempt, 2, Progress::Piece(Part::Tokens(tokens)));
+            self.world
+                .progress(attempt, 2, Progress::Piece(Part::Tokens(tokens)));
         }
     }
 
@@ -78,7 +58,7 @@
             reason: Refusal::TargetFailed,
             retry: None,
         };
-        self.progress(attempt, 3, broken);
+        self.world.progress(attempt, 3, broken);
     }
 
     /// Returns the number of attempts beyond the first of each request.
--- a/crates/node/tests/node/world.rs
+++ b/crates/node/tests/node/world.rs
@@ -164,6 +164,20 @@
         world
     }
 
+    /// Creates a node that owns two engines of one software version, with `text` in force.
+    pub(crate) fn of_two_engines(text: &str) -> World {
+        let mut world = World::bare();
+        world.text.1 = text.to_owned();
+        for engine in ["e-1", "e-2"] {
+            world.software.insert(engine, "v1");
+            world.owned.insert(engine.to_owned(), Fence(7));
+        }
+        let targets = [("e-1", "drafting"), ("e-2", "drafting"), ("p-1", "portal")];
+        world.list(1, &targets);
+        world.pass(Duration::from_secs(20));
+        world
+    }
+
     /// Creates a node that has received no input.
     pub(crate) fn bare() -> World {
         let controls = [("control-1", 9001), ("control-2", 9002)];
@@ -289,6 +303,26 @@
         ticket
     }
 
+    /// Reports one step in the answer to an attempt.
+    pub(crate) fn progress(&mut self, attempt: &Attempt, step: u64, progress: Progress) {
+        self.input(Input::Progress {
+            ticket: attempt.ticket,
+            attempt: attempt.attempt,
+            step,
+            progress,
+        });
+    }
+
+    /// Reports the right head of an answer.
+    pub(crate) fn head(&mut self, attempt: &Attempt) {
+        let head = Progress::Head {
+            status: 200,
+            ran: attempt.resident.clone().map(Ok),
+            resumed: (attempt.resume > 0).then_some(attempt.resume),
+        };
+        self.progress(attempt, 1, head);
+    }
+
     /// Fails an attempt that may have run.
     pub(crate) fn fail(&mut self, attempt: &Attempt, reason: Refusal) {
         self.input(Input::Progress {
