--- a/crates/lab/tests/processes/main.rs
+++ b/crates/lab/tests/processes/main.rs
@@ -9,6 +9,7 @@
 mod once;
 mod path;
 mod rolling;
+mod silent;
 mod targets;
 mod timed;
 mod trace;
