Count loads of weights until they have ended, over all zones

What callers saw: at the new customer, while engines are replaced and crash, new engines serve nothing for 4 to 35 s, and 16 to 19 of 111 adapters are never served. Engines counted as loaded were chosen for adapters as they were empty, and refused the first (409) of nearly each engine. Change: a load counts, and its engine takes no other order, until a report shows its end; entry instances say how many run in other zones; owners take turns; the number is learned from how long loads take against the configuration's `load_s`.

Ruled out: lost orders as the main cause (2 of some 40 loads of weights were unknown).

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -221,6 +221,7 @@
         let serial = u64::from(rand::random::<u32>());
         let config = zone_owner::Config {
             zones: setup.zones.len(),
+            rank: setup.zones.range(..setup.zone.clone()).count(),
             list_lag: setup.list_lag,
             ..zone_owner::Config::default()
         };
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -470,6 +470,8 @@
         },
         loading_elsewhere: (!state.settling())
             .then(|| view.loading_outside(state.now(), &inner.zones)),
+        models_elsewhere: (!state.settling())
+            .then(|| view.models_outside(state.now(), &inner.zones)),
         crashes: Box::new(inner.take_report(state.now())),
     }
 }
--- a/crates/frontd/tests/common/engines.rs
+++ b/crates/frontd/tests/common/engines.rs
@@ -13,6 +13,7 @@
             name: "m".to_owned(),
             weights_mb: 60.0,
             adapter_mb: 1.0,
+            load: None,
         }],
         adapter_slots: 4,
         memory_mb: 100.0,
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -92,6 +92,8 @@
     pub weights_mb: f64,
     /// Size of each of its adapters, in megabytes.
     pub adapter_mb: f64,
+    /// Time that an engine takes to load it while the weight store serves no other.
+    pub load: Option<Duration>,
 }
 
 /// Capacity of the engines of a service.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -422,11 +422,21 @@
     /// Returns the number of adapters being loaded by targets outside `zones`.
     #[must_use]
     pub fn loading_outside(&self, now: Time, zones: &[String]) -> u32 {
+        self.count_outside(now, zones, |name| name.contains('/'))
+    }
+
+    /// Returns the number of base models being loaded by targets outside `zones`.
+    #[must_use]
+    pub fn models_outside(&self, now: Time, zones: &[String]) -> u32 {
+        self.count_outside(now, zones, |name| !name.contains('/'))
+    }
+
+    fn count_outside(&self, now: Time, zones: &[String], kind: impl Fn(&str) -> bool) -> u32 {
         let others = self.targets.values();
         let others = others.filter(|known| !zones.contains(&known.target.zone));
-        let loading = others.flat_map(|known| known.residents.values());
-        let loading = loading.filter(|held| held.ready > now).count();
-        u32::try_from(loading).unwrap_or(u32::MAX)
+        let loading = others.flat_map(|known| &known.residents);
+        let loading = loading.filter(|(name, held)| kind(name) && held.ready > now);
+        u32::try_from(loading.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns the requests of this instance that run at the targets of `zones`.
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod lists;
 mod message;
+mod models;
 mod placement;
 mod plan;
 mod queue;
@@ -37,6 +38,7 @@
     demand::Demand,
     engine::{Engine, Source},
     estimate::{MemoryEstimate, StoreEstimate},
+    models::ModelEstimate,
     placement::Placement,
     slowness::Slowness,
     target_updates::TargetUpdates,
@@ -77,8 +79,12 @@
     /// Number of evicted adapters that an engine still keeps in host memory, from where
     /// it can reload them without the store; 0 for none.
     pub memory: usize,
-    /// Time that an engine takes to load a base model.
+    /// Time that an engine takes to load a base model from the weight store, until the
+    /// configuration names one.
     pub model_load: Duration,
+    /// Place of this instance's zone among all zones: which owner is the first to use room at
+    /// the weight store that all see at the same time.
+    pub rank: usize,
     /// Maximum age of an engine report on arrival; the effect of an order given less than
     /// this before may be missing in it.
     pub report_lag: Duration,
@@ -94,6 +100,7 @@
             adapter_load: Duration::from_millis(250),
             memory: 0,
             model_load: Duration::from_secs(2),
+            rank: 0,
             // Reports are up to a few hundred milliseconds old.
             report_lag: Duration::from_millis(350),
             // An engine sends its state every 1.2 s, and the platform's list lags up to
@@ -167,6 +174,9 @@
     traffic: Traffic,
     demand: Demand,
     store: StoreEstimate,
+    models: ModelEstimate,
+    /// When the next base model may be loaded from the weight store.
+    fetch_due: Option<Time>,
     memory: MemoryEstimate,
     wants: BTreeMap<String, Want>,
     /// Adapters that streams need to go on, and when they were last asked for.
@@ -224,6 +234,8 @@
             traffic: Traffic::default(),
             demand: Demand::default(),
             store: StoreEstimate::new(config.adapter_load, plan::INITIAL_LOADS, config.zones),
+            models: ModelEstimate::default(),
+            fetch_due: None,
             memory: MemoryEstimate::default(),
             wants: BTreeMap::new(),
             stream_wants: BTreeMap::new(),
@@ -253,6 +265,10 @@
 
     /// Sets the capacity of the engines of each service.
     pub fn set_specs(&mut self, specs: BTreeMap<String, table::Engine>) {
+        let models = specs.values().flat_map(|spec| &spec.models);
+        if let Some(load) = models.filter_map(|model| model.load).max() {
+            self.config.model_load = load;
+        }
         self.specs = specs;
     }
 
@@ -402,6 +418,9 @@
         if let Some(loads) = sync.loading_elsewhere {
             self.elsewhere = Some((now, loads));
         }
+        if let Some(loads) = sync.models_elsewhere {
+            self.models.heard(now, loads);
+        }
         if let Some(instance) = &sync.instance {
             self.traffic.heard(now, instance);
             if !sync.brief {
@@ -477,7 +496,10 @@
             self.failing.insert(id.to_owned(), now);
         }
         if let Some(engine) = self.engines.get_mut(id) {
-            engine.reported(now, report, &self.config);
+            let ended = engine.reported(now, report, &self.config);
+            if let Some(load) = ended {
+                self.models.ended(&load, self.config.model_load);
+            }
         }
         self.engine_changed(id);
     }
--- a/crates/gateway/src/zone_owner/engine.rs
+++ b/crates/gateway/src/zone_owner/engine.rs
@@ -61,6 +61,10 @@
     pub(super) paused_until: Time,
     /// Base models held, and the times from which they can be used.
     pub(super) models: BTreeMap<String, Time>,
+    /// The base model that is being loaded.
+    pub(super) coming: Option<Coming>,
+    /// Base models that the engine loads from a copy of its own, without the weight store.
+    own_copies: BTreeSet<String>,
     /// Versions of their weights, as far as the engine has reported them.
     weights: BTreeMap<String, u32>,
     pub(super) adapters: BTreeMap<String, Slot>,
@@ -116,6 +120,29 @@
     }
 }
 
+/// A base model that is being loaded.
+#[derive(Clone, Debug)]
+pub(super) struct Coming {
+    /// Its name; empty if another instance ordered it.
+    model: String,
+    ordered: Time,
+    /// When it is expected to be loaded, or a while after the last report that it isn't.
+    due: Time,
+    /// Whether it comes from the weight store, with how many others over all zones,
+    /// itself included.
+    pub(super) store: Option<usize>,
+}
+
+/// A load of a base model from the weight store that has ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StoreLoad {
+    /// How many ran when it began, itself included.
+    pub(super) together: usize,
+    /// How long it took at the most; the report that shows its end is late by a fraction
+    /// of a second.
+    pub(super) took: Duration,
+}
+
 /// Where an engine loads an adapter from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Source {
@@ -237,13 +264,12 @@
         let load = times.adapter_load;
         match action {
             Action::LoadModel(model) => {
-                let wait = if outcome == OrderOutcome::Done {
-                    Duration::ZERO
-                } else {
-                    times.model_load
-                };
-                self.models.insert(model, now + wait);
-                self.paused_until = now + wait;
+                if outcome == OrderOutcome::Done {
+                    self.coming = None;
+                    self.models.insert(model, now);
+                    return;
+                }
+                self.expect_model(now, model, times);
             }
             Action::Load { adapter, version } => {
                 let source = match self.depth(&adapter, version) {
@@ -283,6 +309,73 @@
         }
     }
 
+    /// Notes that the engine has begun to load a base model. Until a report shows the end,
+    /// it takes no other order.
+    ///
+    /// Failure: weights took 4 to 35 s to load where two were expected. Engines counted as
+    /// loaded were chosen for adapters that callers waited for, as they were empty, and
+    /// refused each of them; and as loads that counted as done left the limit of concurrent
+    /// ones, all engines without weights loaded at once, each for longer.
+    fn expect_model(&mut self, now: Time, model: String, times: &Config) {
+        let store = self.coming.as_ref().and_then(|coming| coming.store);
+        self.model_ordered(now, &model, store, times);
+        self.paused_until = self.coming.as_ref().map_or(now, |coming| coming.due);
+    }
+
+    /// Notes where an ordered base model comes from: the weight store, with how many
+    /// others over all zones, or a copy of its own.
+    pub(super) fn model_ordered(
+        &mut self,
+        now: Time,
+        model: &str,
+        store: Option<usize>,
+        times: &Config,
+    ) {
+        let wait = store.map_or(times.report_lag, |_| times.model_load);
+        self.coming = Some(Coming {
+            model: model.to_owned(),
+            ordered: now,
+            due: now + wait,
+            store,
+        });
+    }
+
+    /// Returns whether the engine has a copy of a base model of its own.
+    pub(super) fn has_copy(&self, model: &str) -> bool {
+        self.own_copies.contains(model)
+    }
+
+    /// Returns whether the engine is loading a base model from the weight store.
+    pub(super) fn uses_store(&self) -> bool {
+        self.coming
+            .as_ref()
+            .is_some_and(|coming| coming.store.is_some())
+    }
+
+    /// Applies what a report says of base models. Returns the load from the weight store
+    /// that it shows to have ended.
+    fn models_reported(&mut self, now: Time, report: &Report, lag: Duration) -> Option<StoreLoad> {
+        self.own_copies.clone_from(&report.own_copies);
+        if !report.busy {
+            let ended = self.coming.take()?;
+            let there = report.held.models.contains_key(&ended.model);
+            return ended.store.filter(|_| there).map(|together| StoreLoad {
+                together,
+                took: now.since(ended.ordered),
+            });
+        }
+        if report.held.models.is_empty() {
+            let coming = self.coming.get_or_insert(Coming {
+                model: String::new(),
+                ordered: now,
+                due: now,
+                store: Some(1),
+            });
+            coming.due = coming.due.max(now + lag * 2);
+        }
+        None
+    }
+
     /// Applies the outcome of the first request after a load. Returns where the load came
     /// from and when it was ordered, if this zone owner ordered it recently.
     ///
@@ -326,7 +419,14 @@
         self.own_evictions.insert(adapter, now);
     }
 
-    pub(super) fn reported(&mut self, now: Time, report: Option<Report>, times: &Config) {
+    /// Applies a report, or its absence. Returns the load of a base model from the weight
+    /// store that it shows to have ended.
+    pub(super) fn reported(
+        &mut self,
+        now: Time,
+        report: Option<Report>,
+        times: &Config,
+    ) -> Option<StoreLoad> {
         let (load, lag) = (times.adapter_load, times.report_lag);
         let (why, asked) = self
             .report_asked
@@ -335,7 +435,7 @@
         self.suspect = false;
         let Some(report) = report else {
             self.paused_until = now + lag;
-            return;
+            return None;
         };
         self.answered_at = now;
         if report.born > self.born {
@@ -345,17 +445,18 @@
         // time of zero means that it is not reported.
         if report.born > 0 && report.born < self.born {
             self.paused_until = now + lag;
-            return;
+            return None;
         }
         // A report is a few hundred milliseconds old. If the order count is known, the
         // state here is newer than the report; and if the count was lost after the report
         // was requested, the report may predate that.
         if why == ReportReason::Liveness {
-            return;
+            return None;
         }
+        let ended = self.models_reported(now, &report, lag);
         if report.busy {
             self.paused_until = now + lag;
-            return;
+            return None;
         }
         self.seq = Some(report.seq);
         // An order of this zone owner, or of its predecessor, may still be executed late
@@ -375,6 +476,7 @@
             };
             self.adapters.entry(adapter).or_insert(slot);
         }
+        ended
     }
 
     /// Merges what the engine says it holds, except where an order was given so shortly
@@ -478,6 +580,9 @@
         };
         let models = self.models.iter();
         let models = models.map(|(model, ready)| resident(model, 0, *ready));
+        let coming = self.coming.iter().filter(|coming| !coming.model.is_empty());
+        let coming = coming.filter(|coming| !self.models.contains_key(&coming.model));
+        let coming = coming.map(|coming| resident(&coming.model, 0, coming.due));
         let evicting: BTreeSet<_> = match &self.order {
             Some(Action::Evict(adapter)) => BTreeSet::from([adapter]),
             _ => BTreeSet::new(),
@@ -486,6 +591,6 @@
         let adapters =
             adapters.filter(|(adapter, slot)| !slot.evicting && !evicting.contains(adapter));
         let adapters = adapters.map(|(adapter, slot)| resident(adapter, slot.version, slot.ready));
-        models.chain(adapters).collect()
+        models.chain(coming).chain(adapters).collect()
     }
 }
--- a/crates/gateway/src/zone_owner/message.rs
+++ b/crates/gateway/src/zone_owner/message.rs
@@ -1,6 +1,9 @@
 //! Inputs and outputs of the zone owner.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use base::{SoftwareVersion, Ticket, Time};
 use wire::{
@@ -56,6 +59,9 @@
     pub held: Held,
     /// Adapters that it is loading, and their versions.
     pub pending: BTreeMap<String, u32>,
+    /// Base models of which it has a copy of its own, so that it loads them without the
+    /// weight store.
+    pub own_copies: BTreeSet<String>,
 }
 
 /// The action that an order asks for.
--- a/crates/gateway/src/zone_owner/plan.rs
+++ b/crates/gateway/src/zone_owner/plan.rs
@@ -8,6 +8,7 @@
 use super::{
     Action, MIN_PLAN_INTERVAL, Order, Output, ZoneOwner,
     engine::{Engine, ReportReason},
+    models::Turn,
     placement::Placement,
 };
 use crate::{table, target_limit::ROOM};
@@ -28,9 +29,6 @@
 /// a quarter of a second, and each instance reports about as often.
 const ELSEWHERE_MAX_AGE: Duration = Duration::from_millis(500);
 
-/// Base models loaded concurrently; the store is at full speed up to two.
-const MODELS_AT_ONCE: usize = 2;
-
 /// Added to an engine's load, in parts of its slots, if it would have to evict an adapter
 /// first, which costs one more round trip and possibly a later reload.
 const EVICTION_COST: f64 = 0.2;
@@ -61,12 +59,13 @@
 
     /// Appends the orders that are due.
     pub(super) fn plan(&mut self, now: Time, out: &mut Vec<Output>) {
-        self.request_reports(now, out);
-        self.load_models(now, out);
         let own = self.lease.zones(now).len().max(1);
         let engines = self.engines.len() * self.config.zones.max(1) / own;
         self.store
             .raise_window(engines as f64 * INITIAL_LOADS_PER_ENGINE);
+        self.models.raise_window(engines);
+        self.request_reports(now, out);
+        self.load_models(now, out);
         let limit = self.load_limit(now);
         self.load_into_freed(now, out);
         let mut placement = self.placement(now);
@@ -75,7 +74,8 @@
             self.copy_busy(now, limit, &mut placement, out);
         }
         let soon = now + MIN_PLAN_INTERVAL;
-        self.next_plan = placement.next.map(|at| at.max(soon));
+        let due = placement.next.into_iter().chain(self.fetch_due).min();
+        self.next_plan = due.map(|at| at.max(soon));
         // The count includes the orders just given; it is taken again once their answers
         // arrive.
         self.placement = Some(placement);
@@ -218,7 +218,7 @@
             if self.lease.fence(now, &listed.zone).is_none() {
                 continue;
             }
-            let why = if engine.seq.is_none() {
+            let why = if engine.seq.is_none() || engine.coming.is_some() {
                 ReportReason::OrderCount
             } else if engine.suspect {
                 ReportReason::Liveness
@@ -236,18 +236,20 @@
         }
     }
 
-    /// Loads a base model on engines that have none.
+    /// Loads a base model on engines that have none. Those that have a copy of their own load
+    /// at once; the others as far as the weight store serves them at full speed.
+    ///
+    /// Failure: engines that had crashed, and load in a second from a copy of their own,
+    /// waited behind others that load from the weight store.
     fn load_models(&mut self, now: Time, out: &mut Vec<Output>) {
-        let loading = |engine: &Engine| {
-            let on_its_way = engine.models.values().any(|ready| *ready > now);
-            on_its_way || matches!(engine.order, Some(Action::LoadModel(_)))
-        };
-        let mut busy = self.engines.values().filter(|e| loading(e)).count();
+        let outside = self.models.outside(now);
+        let fetching = self.engines.iter();
+        let fetching = fetching.filter(|(id, engine)| engine.uses_store() && self.serves(id));
+        let mut fetching = fetching.count();
+        let limit = self.models_limit(now, outside);
+        self.fetch_due = None;
         let ids: Vec<_> = self.engines.keys().cloned().collect();
         for id in ids {
-            if busy >= MODELS_AT_ONCE {
-                return;
-            }
             let engine = &self.engines[&id];
             if !engine.models.is_empty() || !engine.can_take_order(now) || !self.serves(&id) {
                 continue;
@@ -256,11 +258,50 @@
             let Some(model) = model.map(|model| model.name.clone()) else {
                 continue;
             };
-            busy += 1;
+            let from_store = !engine.has_copy(&model);
+            if self.fence(now, &id).is_none()
+                || from_store && !self.may_fetch(now, limit.saturating_sub(fetching))
+            {
+                continue;
+            }
+            fetching += usize::from(from_store);
+            let together = from_store.then_some(fetching + outside.unwrap_or(0));
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.model_ordered(now, &model, together, &self.config);
+            }
             self.order(now, &id, Action::LoadModel(model), out);
         }
     }
 
+    /// Returns whether one more base model may be loaded from the weight store now, where
+    /// `room` may.
+    fn may_fetch(&mut self, now: Time, room: usize) -> bool {
+        let turn = Turn {
+            rank: self.config.rank,
+            zones: self.config.zones.max(1),
+            load: self.config.model_load,
+        };
+        let due = self.models.turn(now, room, &turn);
+        if due.is_some_and(|due| now >= due) {
+            self.models.began(now);
+            return true;
+        }
+        self.fetch_due = due;
+        false
+    }
+
+    /// Returns how many base models may be loaded from the weight store in the zones of
+    /// this owner: what others leave, or the share of these zones if that isn't known.
+    fn models_limit(&self, now: Time, outside: Option<usize>) -> usize {
+        let all = self.models.window();
+        let zones = self.config.zones.max(1);
+        let own = self.lease.zones(now).len();
+        match outside {
+            Some(outside) => all.saturating_sub(outside),
+            None => (all * own / zones).max(1),
+        }
+    }
+
     /// Loads the adapters for which a slot was freed.
     fn load_into_freed(&mut self, now: Time, out: &mut Vec<Output>) {
         let due = |engine: &Engine| {
@@ -500,6 +541,7 @@
 
     /// Returns whether an order may be given now.
     fn can_take_order(&self, now: Time) -> bool {
-        self.seq.is_some() && self.order.is_none() && now >= self.paused_until
+        let free = self.order.is_none() && self.coming.is_none();
+        self.seq.is_some() && free && now >= self.paused_until
     }
 }
--- a/crates/gateway/tests/zone_owner/many.rs
+++ b/crates/gateway/tests/zone_owner/many.rs
@@ -38,6 +38,7 @@
                 name: "m".to_owned(),
                 weights_mb: 60.0,
                 adapter_mb: 1.0,
+                load: None,
             }],
             adapter_slots: SLOTS,
             memory_mb: 100.0,
--- a/crates/gateway/tests/zone_owner/world.rs
+++ b/crates/gateway/tests/zone_owner/world.rs
@@ -39,6 +39,7 @@
                 name: "m".to_owned(),
                 weights_mb: 60.0,
                 adapter_mb: 1.0,
+                load: None,
             }],
             adapter_slots: SLOTS,
             memory_mb: 100.0,
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -55,6 +55,10 @@
         /// Number of adapters being loaded at targets of other control instances; absent
         /// unless all of these were heard from.
         pub loading_elsewhere: Option<u32>,
+        /// The same for base models. Absent is left out, so that instances of earlier builds
+        /// can read the message.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub models_elsewhere: Option<u32>,
         /// Results of the first requests for newly loaded adapters, since the last
         /// exchange.
         pub first_uses: Vec<FirstUse>,
