Tell the loads elsewhere in one number, so that messages keep their fields

Change: base models go into the upper half of the number that exists; earlier builds read it as more adapters and keep to the share of their zones.

--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -469,9 +469,7 @@
             Vec::new()
         },
         loading_elsewhere: (!state.settling())
-            .then(|| view.loading_outside(state.now(), &inner.zones)),
-        models_elsewhere: (!state.settling())
-            .then(|| view.models_outside(state.now(), &inner.zones)),
+            .then(|| view.loading_outside(state.now(), &inner.zones).into()),
         crashes: Box::new(inner.take_report(state.now())),
     }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -15,7 +15,7 @@
 };
 
 use base::{Seed, SoftwareVersion, Time};
-use wire::fleet::{FirstUse, PromptTime, Running, Target};
+use wire::fleet::{FirstUse, LoadsElsewhere, PromptTime, Running, Target};
 
 use crate::{
     brittle::BrittleTargets,
@@ -419,16 +419,14 @@
         avoided.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Returns the number of adapters being loaded by targets outside `zones`.
-    #[must_use]
-    pub fn loading_outside(&self, now: Time, zones: &[String]) -> u32 {
-        self.count_outside(now, zones, |name| name.contains('/'))
-    }
-
-    /// Returns the number of base models being loaded by targets outside `zones`.
+    /// Returns the numbers of adapters and base models being loaded by targets outside
+    /// `zones`.
     #[must_use]
-    pub fn models_outside(&self, now: Time, zones: &[String]) -> u32 {
-        self.count_outside(now, zones, |name| !name.contains('/'))
+    pub fn loading_outside(&self, now: Time, zones: &[String]) -> LoadsElsewhere {
+        LoadsElsewhere {
+            adapters: self.count_outside(now, zones, |name| name.contains('/')),
+            models: self.count_outside(now, zones, |name| !name.contains('/')),
+        }
     }
 
     fn count_outside(&self, now: Time, zones: &[String], kind: impl Fn(&str) -> bool) -> u32 {
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -28,7 +28,7 @@
 
 use base::{InstanceName, SoftwareVersion, Ticket, Time};
 use wire::{
-    fleet::{FirstUse, Sync, Weights},
+    fleet::{FirstUse, LoadsElsewhere, Sync, Weights},
     stream::SoftwareWant,
 };
 
@@ -416,10 +416,9 @@
             self.first_use(now, first);
         }
         if let Some(loads) = sync.loading_elsewhere {
-            self.elsewhere = Some((now, loads));
-        }
-        if let Some(loads) = sync.models_elsewhere {
-            self.models.heard(now, loads);
+            let loads = LoadsElsewhere::from(loads);
+            self.elsewhere = Some((now, loads.adapters));
+            self.models.heard(now, loads.models);
         }
         if let Some(instance) = &sync.instance {
             self.traffic.heard(now, instance);
--- a/crates/gateway/tests/zone_owner/weights.rs
+++ b/crates/gateway/tests/zone_owner/weights.rs
@@ -2,7 +2,7 @@
 
 use gateway::zone_owner::{Action, Config, Held, Input, Order, OrderOutcome, Report};
 use googletest::prelude::*;
-use wire::fleet::Sync;
+use wire::fleet::{LoadsElsewhere, Sync};
 
 use base::Ticket;
 
@@ -56,6 +56,14 @@
     accepted
 }
 
+fn elsewhere(models: u32) -> u32 {
+    let loads = LoadsElsewhere {
+        adapters: 0,
+        models,
+    };
+    loads.into()
+}
+
 fn model() -> Action {
     Action::LoadModel("m".to_owned())
 }
@@ -145,7 +153,7 @@
     };
     let mut world = World::with(4, config);
     let sync = Sync {
-        models_elsewhere: Some(2),
+        loading_elsewhere: Some(elsewhere(2)),
         ..Sync::default()
     };
     world.give(Input::Sync(Ticket(5), sync));
@@ -159,7 +167,7 @@
     expect_that!(world.orders, is_empty());
     for _ in 0..4 {
         let sync = Sync {
-            models_elsewhere: Some(1),
+            loading_elsewhere: Some(elsewhere(1)),
             ..Sync::default()
         };
         world.pass(200);
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -20,6 +20,37 @@
 
 pub use self::part::{PART_SIZE, Part};
 
+/// Bits of [`Sync::loading_elsewhere`] that count adapters; those above count base models.
+const ADAPTER_BITS: u32 = 16;
+
+/// Loads at targets of other control instances.
+///
+/// Messages are arrays, which instances of earlier builds read only in full length; these
+/// take the packed number for more adapters, and keep to the share of their own zones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadsElsewhere {
+    /// Adapters being loaded.
+    pub adapters: u32,
+    /// Base models being loaded.
+    pub models: u32,
+}
+
+impl From<u32> for LoadsElsewhere {
+    fn from(packed: u32) -> Self {
+        LoadsElsewhere {
+            adapters: packed & ((1 << ADAPTER_BITS) - 1),
+            models: packed >> ADAPTER_BITS,
+        }
+    }
+}
+
+impl From<LoadsElsewhere> for u32 {
+    fn from(loads: LoadsElsewhere) -> Self {
+        let most = (1 << ADAPTER_BITS) - 1;
+        loads.adapters.min(most) | loads.models.min(most) << ADAPTER_BITS
+    }
+}
+
 record! {
     /// The request of an entry instance to a control instance.
     #[derive(Default)]
@@ -52,13 +83,10 @@
         pub copies: Vec<String>,
         /// Targets that were unreachable recently, by id.
         pub failing: Vec<String>,
-        /// Number of adapters being loaded at targets of other control instances; absent
-        /// unless all of these were heard from.
+        /// Number of adapters and base models being loaded at targets of other control
+        /// instances, as [`LoadsElsewhere`] packs them; absent unless all of these were heard
+        /// from.
         pub loading_elsewhere: Option<u32>,
-        /// The same for base models. Absent is left out, so that instances of earlier builds
-        /// can read the message.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        pub models_elsewhere: Option<u32>,
         /// Results of the first requests for newly loaded adapters, since the last
         /// exchange.
         pub first_uses: Vec<FirstUse>,
