--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -15,7 +15,7 @@
 };
 
 use base::{Seed, SoftwareVersion, Time};
-use wire::fleet::{FirstUse, PromptTime, Running, Target};
+use wire::fleet::{FirstUse, LoadsElsewhere, PromptTime, Running, Target};
 
 use crate::{
     brittle::BrittleTargets,
@@ -419,14 +419,22 @@
         avoided.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Returns the number of adapters being loaded by targets outside `zones`.
+    /// Returns the numbers of adapters and base models being loaded by targets outside
+    /// `zones`.
     #[must_use]
-    pub fn loading_outside(&self, now: Time, zones: &[String]) -> u32 {
+    pub fn loading_outside(&self, now: Time, zones: &[String]) -> LoadsElsewhere {
+        LoadsElsewhere {
+            adapters: self.count_outside(now, zones, |name| name.contains('/')),
+            models: self.count_outside(now, zones, |name| !name.contains('/')),
+        }
+    }
+
+    fn count_outside(&self, now: Time, zones: &[String], kind: impl Fn(&str) -> bool) -> u32 {
         let others = self.targets.values();
         let others = others.filter(|known| !zones.contains(&known.target.zone));
-        let loading = others.flat_map(|known| known.residents.values());
-        let loading = loading.filter(|held| held.ready > now).count();
-        u32::try_from(loading).unwrap_or(u32::MAX)
+        let loading = others.flat_map(|known| &known.residents);
+        let loading = loading.filter(|(name, held)| kind(name) && held.ready > now);
+        u32::try_from(loading.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns the requests of this instance that run at the targets of `zones`.
