--- a/crates/frontd/tests/targets/silence.rs
+++ b/crates/frontd/tests/targets/silence.rs
@@ -205,6 +205,32 @@
     }
 }
 
+base::cases! {
+    /// Guards against a request that ends without a whole answer, as its target said nothing for
+    /// some time and was left before another one had replaced it.
+    requests_outlast_a_silence_of_their_target: check => {
+        stream_that_may_not_go_on: (USUAL, STREAM, Content::Lf),
+        once_only: (USUAL, ONCE, Content::Plain),
+        resumable: (USUAL, RESUMABLE, Content::Lf),
+        resumable_without_retries: (NO_RETRY, RESUMABLE, Content::Lf),
+        resumable_at_the_only_target: (Place { targets: 1, ..USUAL }, RESUMABLE, Content::Lf),
+        resumable_refused_elsewhere: (Place { again: Again::Refuses, ..USUAL }, RESUMABLE, Content::Lf),
+        resumable_failed_elsewhere: (Place { again: Again::Fails, ..USUAL }, RESUMABLE, Content::Lf),
+        resumable_all_silent: (Place { again: Again::Plays, ..USUAL }, RESUMABLE, Content::Lf),
+        resumable_replaced_slowly: (Place { again: Again::AnswersAfter(1_000), ..USUAL }, RESUMABLE, Content::Lf),
+        resumable_through_another_instance: (Place { through: true, ..NO_RETRY }, RESUMABLE, Content::Lf),
+        resumable_beside_changes: (Place { changes: true, ..NO_RETRY }, RESUMABLE, Content::Lf),
+        repeatable: (USUAL, REPEATABLE, Content::Plain),
+        repeatable_without_retries: (NO_RETRY, REPEATABLE, Content::Plain),
+        repeatable_at_the_only_target: (Place { targets: 1, ..USUAL }, REPEATABLE, Content::Plain),
+        repeatable_refused_elsewhere: (Place { again: Again::Refuses, ..USUAL }, REPEATABLE, Content::Plain),
+        repeatable_failed_elsewhere: (Place { again: Again::Fails, ..USUAL }, REPEATABLE, Content::Plain),
+        repeatable_all_silent: (Place { again: Again::Plays, ..USUAL }, REPEATABLE, Content::Plain),
+        repeatable_through_another_instance: (Place { through: true, ..NO_RETRY }, REPEATABLE, Content::Plain),
+        repeatable_beside_changes: (Place { changes: true, ..NO_RETRY }, REPEATABLE, Content::Plain),
+    }
+}
+
 /// Plays answers whose target says nothing for longer than another one is waited for, and then
 /// resets its connection while that has the request. Each has targets of its own, so that no
 /// other request has found them silent.
--- a/xtask/tests/timeouts.rs
+++ b/xtask/tests/timeouts.rs
@@ -174,3 +174,35 @@
         assert_eq!(value(expression), shown);
     }
 }
+
+/// How long a sound target may say nothing, in milliseconds.
+const SOUND_SILENCE_MS: u64 = 2_000;
+
+/// Guards against a limit that gives up for silence alone what a sound target may still finish,
+/// before anything has replaced it.
+#[test]
+fn no_short_silence_ends_a_run() {
+    let page = root().join("docs/design/timeouts.md");
+    let page = fs::read_to_string(page).expect("the page is there");
+    let mut rows = 0;
+    let mut faults = Vec::new();
+    for line in page.lines() {
+        let cells: Vec<_> = line.trim_matches('|').split('|').map(str::trim).collect();
+        let [_, _, value, _, proof, _, certain] = cells[..] else {
+            continue;
+        };
+        if !proof.starts_with("silence only") {
+            continue;
+        }
+        rows += 1;
+        let ms: Option<u64> = value
+            .strip_suffix(" ms")
+            .and_then(|ms| ms.replace(',', "").parse().ok());
+        let short = ms.is_some_and(|ms| ms < SOUND_SILENCE_MS) || value.starts_with('`');
+        if short && certain.contains("**no**") {
+            faults.push(line);
+        }
+    }
+    assert!(rows > 0, "the page has no such rows");
+    assert!(faults.is_empty(), "{faults:#?}");
+}
