Wait in tests until the way through another instance was found

The tests cut an instance's links, sent one request to have it find the way, and didn't look at its answer; beside load that was refused, as the instance didn't know yet that it is cut off, and so were the next ones. They wait until one is answered now, as they do at the start. What the cases check is unchanged; how soon the way is found is checked by the tests of cuts.

--- a/crates/frontd/tests/targets/ends.rs
+++ b/crates/frontd/tests/targets/ends.rs
@@ -39,7 +39,7 @@
     let deployment = Deployment::start_listed(3, list).await;
     if through {
         deployment.links(1).set(Cut::RefusesNew);
-        deployment.ask(1, "finds the way").await;
+        deployment.wait_ready(1).await;
     }
     deployment
 }
--- a/crates/frontd/tests/targets/silence.rs
+++ b/crates/frontd/tests/targets/silence.rs
@@ -89,7 +89,7 @@
     let deployment = Deployment::start_allowing(3, list, place.ratio).await;
     if place.through {
         deployment.links(1).set(Cut::RefusesNew);
-        deployment.ask(1, "finds the way").await;
+        deployment.wait_ready(1).await;
     }
     (deployment, seen)
 }
