Call a request not run only if no send of it may have run

Cause, by reading: the client repeats a request on a new connection where a reused one stays silent, also at the very deadline; if no way to the target is known at that moment, the failure has that cause, and the verdict of the first send, may have run, beside it. The entry instance looked at the cause only and took the request for not sent. It looks at the verdict first now, and the client repeats nothing at the deadline.

--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -276,10 +276,10 @@
 
     /// Notes a send that ended without an answer.
     fn unanswered(&self, in_flight: &InFlight, broken: &Broken) -> SendOutcome {
-        if broken.cause == Cause::NoPath {
+        let may_have_run = broken.verdict != Verdict::NotRun;
+        if broken.cause == Cause::NoPath && !may_have_run {
             return SendOutcome::NoPath;
         }
-        let may_have_run = broken.verdict != Verdict::NotRun;
         if broken.cause == Cause::Withdrawn && !may_have_run {
             return SendOutcome::Unreached;
         }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -228,7 +228,7 @@
             base::hit!(closed_pooled_connection);
             return self.fresh(send, end).await.map_err(|b| b.after(&lost));
         }
-        if !send.checks.repeat.passes() {
+        if Instant::now() >= end || !send.checks.repeat.passes() {
             return old.await;
         }
         base::hit!(silent_pooled_connection);
--- a/crates/web/tests/web/client.rs
+++ b/crates/web/tests/web/client.rs
@@ -293,3 +293,24 @@
         expect_that!(target.requests(), eq(requests));
     }
 }
+
+/// Guards against a repeat at the deadline, which is in vain and whose failure hides that of the
+/// first send.
+#[gtest]
+#[tokio::test]
+async fn nothing_is_repeated_at_the_deadline() {
+    let target = Target::start([Step::Answer(sized("one")), Step::Silent(String::new())]).await;
+    let client = Client::default();
+    let mut send = get(target.addr);
+    send.limits.reuse = Duration::from_secs(5);
+    fetch(&client, send.clone()).await.unwrap();
+    send.limits = Limits {
+        hedge: SHORT,
+        reuse: Duration::from_secs(5),
+        ..Limits::within(SHORT)
+    };
+    let lost = fetch(&client, send).await.unwrap_err();
+    expect_that!(lost.verdict, eq(Verdict::MayHaveRun));
+    expect_that!(lost.cause, eq(&Cause::Deadline));
+    expect_that!(target.connections(), eq(1));
+}
