Read goals of routes, and tell where they are tight

Parts that count in time need to know whose callers can't wait. The configuration says it: `goal_ms` of a route, which nothing read. A goal of up to twice the time of one load of an adapter is tight: after one wait for a load nothing else may take as long. Nothing decides by it yet.

--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -175,7 +175,10 @@
         };
         self.editions.insert(self.clock.now(), newest);
         match (self.platform.decode)(&newest.body) {
-            Ok(decoded) => self.zone_owner.set_specs(decoded.table.engines()),
+            Ok(decoded) => {
+                self.zone_owner.set_specs(decoded.table.engines());
+                self.zone_owner.set_tight(decoded.table.has_tight_goals());
+            }
             Err(why) => event!(telemetry::Event::TextBroken, why = why),
         }
     }
--- a/crates/frontd/src/entry/editions.rs
+++ b/crates/frontd/src/entry/editions.rs
@@ -93,8 +93,14 @@
 fn put_in_force(state: &State, number: u64, text: &str) {
     match (state.platform.decode)(text) {
         Ok(decoded) => {
+            let tight = decoded.table.has_tight_goals();
             if state.set_table(number, decoded.table) {
-                event!(telemetry::Event::TextInForce, version = number);
+                state.view().set_tight(tight);
+                event!(
+                    telemetry::Event::TextInForce,
+                    version = number,
+                    tight = tight
+                );
                 state.changed.notify_waiters();
             }
         }
--- a/crates/frontd/tests/common/engines.rs
+++ b/crates/frontd/tests/common/engines.rs
@@ -44,6 +44,7 @@
             prefix,
             kind,
             limit: Duration::from_secs(20),
+            goal: None,
             priority: 1,
             split: vec![("s".to_owned(), 1)],
             attempts,
--- a/crates/frontd/tests/editions/deployment.rs
+++ b/crates/frontd/tests/editions/deployment.rs
@@ -183,6 +183,7 @@
         &self,
         path: &str,
         limit: Duration,
+        goal: None,
     ) -> Result<Duration, String> {
         let addr = SocketAddr::new(self.ip, CALLERS);
         let begun = Instant::now();
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -10,6 +10,10 @@
 use account::{Account, BadAccounts, Directory, RawAccount};
 use thiserror::Error;
 
+/// Longest goal that counts as tight: that of a caller who waits for one load of an adapter
+/// and is late if something takes as long again.
+const TIGHT_GOAL: Duration = Duration::from_millis(500);
+
 /// How requests of a route may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -56,6 +60,8 @@
     pub kind: Kind,
     /// Time limit of a request, from its arrival to the answer.
     pub limit: Duration,
+    /// Time within which its callers want an answer, or the first event of a stream.
+    pub goal: Option<Duration>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Services and the weights by which requests are split among them; at least one
@@ -284,6 +290,21 @@
         self.services.get(service)?.engine.as_ref()
     }
 
+    /// Returns whether a route to engines has a tight goal, so that targets have to be chosen and
+    /// adapters placed by the time that callers will wait.
+    #[must_use]
+    pub fn has_tight_goals(&self) -> bool {
+        let mut routes = self.hosts.values().flatten();
+        routes.any(|route| {
+            let tight = route.goal.is_some_and(|goal| goal <= TIGHT_GOAL);
+            tight
+                && route
+                    .split
+                    .iter()
+                    .any(|(name, _)| self.engine(name).is_some())
+        })
+    }
+
     /// Returns the maximum size of a request body, in bytes, if the operator sets one.
     #[must_use]
     pub fn body_bytes(&self) -> Option<usize> {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -122,6 +122,8 @@
     seed: u64,
     /// Number of requests sent so far.
     sent: u64,
+    /// Whether goals are tight, so that targets are chosen by expected time.
+    tight: bool,
 }
 
 /// An adapter version set by operators.
@@ -163,6 +165,11 @@
         }
     }
 
+    /// Sets whether a route has a tight goal; see [`crate::table::Table::has_tight_goals`].
+    pub fn set_tight(&mut self, tight: bool) {
+        self.tight = tight;
+    }
+
     /// Replaces the targets of `zones`.
     pub fn set_targets(&mut self, now: Time, zones: &[String], targets: Vec<Target>) {
         let all = std::mem::take(&mut self.targets);
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -218,6 +218,8 @@
     pending: Vec<PendingSync>,
     /// The limits that targets name.
     limits: Granter,
+    /// Whether goals are tight, so that copies are placed by the time that callers will wait.
+    tight: bool,
 }
 
 impl ZoneOwner {
@@ -260,6 +262,7 @@
             full: 0,
             pending: Vec::new(),
             limits: Granter::default(),
+            tight: false,
         }
     }
 
@@ -272,6 +275,11 @@
         self.specs = specs;
     }
 
+    /// Sets whether a route has a tight goal; see [`table::Table::has_tight_goals`].
+    pub fn set_tight(&mut self, tight: bool) {
+        self.tight = tight;
+    }
+
     /// Returns the current estimates of the store's speed and the engines' host memory,
     /// and the state of the last plan.
     #[must_use]
--- a/crates/gateway/tests/table.rs
+++ b/crates/gateway/tests/table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use gateway::table::{BadTable, Kind, RawTable, Route, Service, Table};
+use gateway::table::{BadTable, Engine, Kind, RawTable, Route, Service, Table};
 use googletest::prelude::*;
 
 fn route(prefix: &str) -> Route {
@@ -12,6 +12,7 @@
         prefix: prefix.to_owned(),
         kind: Kind::Safe,
         limit: Duration::from_secs(1),
+        goal: None,
         priority: 0,
         split: vec![("s".to_owned(), 1)],
         attempts: 1,
@@ -69,3 +70,46 @@
     let count = |name| (0..100).filter(|draw| split.service(*draw) == name).count();
     assert_that!((count("s"), count("t"), count("u")), eq((90, 10, 0)));
 }
+
+/// Returns whether goals are tight where a route to engines and one to plain targets have these.
+fn tight((engines, plain): (Option<u64>, Option<u64>)) -> bool {
+    let with_goal = |prefix, service: &str, goal: Option<u64>| Route {
+        goal: goal.map(Duration::from_millis),
+        split: vec![(service.to_owned(), 1)],
+        ..route(prefix)
+    };
+    let engine = Engine {
+        models: Vec::new(),
+        adapter_slots: 1,
+        memory_mb: 1.0,
+    };
+    let services = [
+        ("s".to_owned(), Service { engine: None }),
+        (
+            "e".to_owned(),
+            Service {
+                engine: Some(engine),
+            },
+        ),
+    ];
+    let raw = RawTable {
+        routes: vec![with_goal("/e/", "e", engines), with_goal("/s/", "s", plain)],
+        services: BTreeMap::from(services),
+        ..RawTable::default()
+    };
+    Table::try_from(raw).unwrap().has_tight_goals()
+}
+
+fn goals_are((goals, expected): ((Option<u64>, Option<u64>), bool)) {
+    assert_that!(tight(goals), eq(expected));
+}
+
+base::cases! {
+    /// Parts that count in time are on only where a route to engines has a tight goal.
+    tight_goals: goals_are => {
+        of_engines: ((Some(500), None), true),
+        wide: ((Some(600), None), false),
+        of_plain_targets_only: ((Some(600), Some(100)), false),
+        none: ((None, None), false),
+    }
+}
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -157,7 +157,7 @@
     // 7xxx: operators and the text (their configuration text).
     TextAccepted 7001 Info "text accepted" "A change of the text is synced to disk on a majority of replicas; `version`, `change` and `by` identify it."
     TextRefused 7002 Info "text refused" "A change of the text was refused; `why` gives the reason."
-    TextInForce 7003 Info "text in force" "This instance applies version `version` of the text from now on."
+    TextInForce 7003 Info "text in force" "This instance applies version `version` of the text from now on; on the users' platform `tight` tells whether a route to engines has a tight goal, so that targets are chosen by expected time."
     TextBroken 7004 Error "accepted text fails the check" "An accepted text fails this release's check: the instance keeps the previous one. The instances run different releases."
     ChangeResent 7005 Info "change resent" "A change arrived again with the same id and got the same answer as before."
 }
