Size copies of adapters by demand where goals are tight

Change, only where a route has a tight goal: the zone owner counts ten times a second what each adapter needs (Little's law, by what runs and by the rate of the last second) against what its holders have left, and loads what is missing at once, at engines with room; surplus copies are the first victims; engine and victim are chosen together; speeds are published from 40 to 400 percent with hysteresis; an owner that has just taken a zone or was frozen says that it doesn't know what runs (Synced::knows_running).

--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -6,6 +6,7 @@
 //! copies of busy ones, and evicts the least requested ones to make room.
 
 mod aging;
+mod copies;
 mod demand;
 mod engine;
 mod estimate;
@@ -16,10 +17,12 @@
 mod placement;
 mod plan;
 mod queue;
+mod rates;
 mod slowness;
 mod synced;
 mod target_updates;
 mod traffic;
+mod worth;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -35,6 +38,7 @@
 pub use self::message::{Action, Held, Input, ListedTarget, Order, OrderOutcome, Output, Report};
 use self::{
     aging::Aging,
+    copies::Sizing,
     demand::Demand,
     engine::{Engine, Source},
     estimate::{MemoryEstimate, StoreEstimate},
@@ -187,6 +191,8 @@
     compared: Time,
     /// Adapters of which entry instances want one more copy, and when they last said so.
     copies: BTreeMap<String, Time>,
+    /// How many copies adapters need, counted only where goals are tight.
+    sizing: Sizing,
     /// Wanted adapters whose load is not ordered yet, with the estimated time until they
     /// can be used.
     queue: BTreeMap<String, Duration>,
@@ -245,6 +251,7 @@
             slowness: Slowness::default(),
             compared: Time::ZERO,
             copies: BTreeMap::new(),
+            sizing: Sizing::default(),
             queue: BTreeMap::new(),
             failing: BTreeMap::new(),
             elsewhere: None,
@@ -278,6 +285,7 @@
     /// Sets whether a route has a tight goal; see [`table::Table::has_tight_goals`].
     pub fn set_tight(&mut self, tight: bool) {
         self.tight = tight;
+        self.slowness.set_tight(tight);
     }
 
     /// Returns the current estimates of the store's speed and the engines' host memory,
@@ -373,6 +381,7 @@
     pub fn poll(&mut self, now: Time, out: &mut Vec<Output>) {
         self.expire(now);
         self.compare_engines(now);
+        self.size_copies(now);
         if self.plan_due || self.next_plan.is_some_and(|at| now >= at) {
             self.plan_due = false;
             self.plan(now, out);
@@ -396,6 +405,9 @@
             zone.is_none_or(|zone| !gained.contains(zone))
         });
         self.lists.retain(|zone, _| !gained.contains(zone));
+        if !gained.is_empty() {
+            self.traffic.forget();
+        }
         self.lease = lease;
         self.placement = None;
         self.plan_due = true;
@@ -404,6 +416,9 @@
     fn sync(&mut self, now: Time, ticket: Ticket, sync: Sync) {
         for (adapter, count) in &sync.demand {
             self.plan_due |= self.demand.add(now, adapter, f64::from(*count));
+            if self.tight {
+                self.sizing.rates.add(now, adapter, f64::from(*count));
+            }
         }
         for adapter in &sync.wants {
             self.want(now, adapter);
--- a/crates/gateway/src/zone_owner/demand.rs
+++ b/crates/gateway/src/zone_owner/demand.rs
@@ -46,6 +46,11 @@
         decayed(*count, *at, now)
     }
 
+    /// Returns the rate of requests for an adapter, per second.
+    pub(super) fn rate(&self, now: Time, adapter: &str) -> f64 {
+        self.of(now, adapter) * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+    }
+
     /// Returns busy adapters.
     pub(super) fn busy(&self, now: Time) -> impl Iterator<Item = &String> {
         let busy = self.busy.iter();
--- a/crates/gateway/src/zone_owner/placement.rs
+++ b/crates/gateway/src/zone_owner/placement.rs
@@ -63,6 +63,12 @@
         self.loading += 1;
     }
 
+    /// Notes that the eviction of one copy of an adapter was just ordered.
+    pub(super) fn evicted(&mut self, adapter: &str) {
+        let copies = self.copies_mut(adapter);
+        copies.placed = copies.placed.saturating_sub(1);
+    }
+
     fn copies_mut(&mut self, adapter: &str) -> &mut Copies {
         self.adapters.entry(adapter.to_owned()).or_default()
     }
--- a/crates/gateway/src/zone_owner/plan.rs
+++ b/crates/gateway/src/zone_owner/plan.rs
@@ -39,13 +39,16 @@
 
 /// An engine that can take an order now.
 pub(super) struct Candidate {
-    id: String,
-    /// Requests running there, divided by the number of its slots.
-    load: f64,
+    pub(super) id: String,
+    /// Requests running there, divided by the number of its slots; where goals are tight, times
+    /// its slowness.
+    pub(super) load: f64,
     /// Whether an adapter slot is free.
     room: bool,
     /// If none is free, the adapter that would be evicted.
-    victim: Option<String>,
+    pub(super) victim: Option<String>,
+    /// The worth of that adapter, where goals are tight; see [`ZoneOwner::worth`].
+    pub(super) worth: f64,
 }
 
 impl ZoneOwner {
@@ -96,7 +99,9 @@
         out: &mut Vec<Output>,
     ) {
         self.queue.clear();
-        if self.wants.is_empty() && self.copies.is_empty() && self.stream_wants.is_empty() {
+        let short = self.shortages(now, placement);
+        let asked = self.wants.len() + self.copies.len() + self.stream_wants.len();
+        if asked == 0 && short.is_empty() {
             return;
         }
         let missing = self.missing(now, placement);
@@ -107,8 +112,9 @@
             .filter(|candidate| !candidate.room && candidate.victim.is_none());
         (self.available, self.full) = (candidates.len(), full.count());
         let mut waiting = Vec::new();
+        let reserved = self.reserved(&short, limit);
         for adapter in missing {
-            let use_store = placement.loading < limit;
+            let use_store = placement.loading + reserved < limit;
             let want = self.wants.get(&adapter);
             let cached = want.is_none_or(|want| want.cached);
             let tried = (use_store || cached) && !candidates.is_empty();
@@ -116,6 +122,7 @@
                 waiting.push(adapter);
             }
         }
+        self.load_copies(now, limit, &short, &mut candidates, placement, out);
         self.queue = self.estimate_waits(&waiting, limit);
     }
 
@@ -178,11 +185,13 @@
             let room = self.room(id) > 0;
             steps += engine.adapters.len();
             let victim = (!room).then(|| self.victim(now, id, engine, placement));
+            let (worth, victim) = victim.flatten().unzip();
             candidates.push(Candidate {
                 id: id.clone(),
-                load: self.load_of(id),
+                load: self.expected_load(id),
                 room,
-                victim: victim.flatten(),
+                victim,
+                worth: worth.unwrap_or(0.0),
             });
         }
         self.steps += steps as u64;
@@ -369,6 +378,7 @@
                     .get_mut(&candidate.id)
                     .expect("was just chosen");
                 engine.next_load = Some(adapter.to_owned());
+                self.evicted(now, &victim, candidates, placement);
                 self.order(now, &candidate.id, Action::Evict(victim), out);
             }
         }
@@ -403,6 +413,9 @@
         } else if !candidate.room {
             candidate.victim.as_ref()?;
             cost += EVICTION_COST;
+            if self.tight {
+                cost += Self::cost_of_evicting(candidate.worth);
+            }
         }
         Some(cost)
     }
@@ -415,26 +428,22 @@
     }
 
     /// Returns the adapter with the least demand per copy among those that are not in
-    /// use, the one to evict.
+    /// use, the one to evict, and its worth.
     fn victim(
         &self,
         now: Time,
         id: &str,
         engine: &Engine,
         placement: &Placement,
-    ) -> Option<String> {
-        let idle = engine.adapters.iter().filter(|(adapter, slot)| {
-            let wanted = self.wants.contains_key(*adapter)
-                || self
-                    .stream_wants
-                    .keys()
-                    .any(|want| want.adapter == **adapter);
-            slot.settled(now) && !slot.evicting && !wanted && self.traffic.of(id, adapter) == 0
-        });
+    ) -> Option<(f64, String)> {
+        let idle = engine.adapters.iter();
+        let idle = idle.filter(|(adapter, slot)| self.may_evict(now, id, adapter, slot));
         let ranked = idle.map(|(adapter, _)| {
             let outdated = !self.current(engine, adapter);
             let copies = placement.copies(adapter).max(1) as f64;
-            let rate = if outdated {
+            let rate = if self.tight {
+                self.worth(now, engine, adapter, placement)
+            } else if outdated {
                 0.0
             } else {
                 self.demand.of(now, adapter) / copies
@@ -442,10 +451,10 @@
             (rate, adapter)
         });
         let least = ranked.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        Some(least.1.clone())
+        Some((least.0, least.1.clone()))
     }
 
-    fn load_of(&self, id: &str) -> f64 {
+    pub(super) fn load_of(&self, id: &str) -> f64 {
         let slots = self.targets.get(id).map_or(1, |t| t.slots.max(1));
         f64::from(self.traffic.at(id)) / f64::from(slots)
     }
--- a/crates/gateway/src/zone_owner/synced.rs
+++ b/crates/gateway/src/zone_owner/synced.rs
@@ -21,7 +21,12 @@
             entries: u32::try_from(self.traffic.entries()).unwrap_or(u32::MAX),
             ..Synced::default()
         };
-        if !sync.brief {
+        if sync.brief {
+            return synced;
+        }
+        if self.tight && !self.traffic.is_known(now) {
+            synced.set_running_unknown();
+        } else {
             synced.running = self.traffic.running_without(requester);
             synced.unread = self.traffic.unread_without(requester);
         }
--- a/crates/gateway/src/zone_owner/traffic.rs
+++ b/crates/gateway/src/zone_owner/traffic.rs
@@ -5,18 +5,31 @@
 //! entry instance depends on the number of targets and not on the number of instances or
 //! requests.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use base::{InstanceName, Time};
 use wire::fleet::Running;
 
 use super::ENTRY_TIMEOUT;
 
+/// How long after the first report of an entry instance those of the others have arrived:
+/// each reports four times a second.
+const KNOWN_AFTER: Duration = Duration::from_millis(600);
+
+/// How long after the first report rates have settled: some three half-lives.
+const STEADY_AFTER: Duration = Duration::from_millis(2_100);
+
+/// Pause between two messages of entry instances after which the reports from before it are
+/// out of date: the owner was frozen or cut off.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+
 /// Running requests and unread prompt tokens at targets, by entry instance and in total.
 #[derive(Debug, Default)]
 pub(super) struct Traffic {
     entries: BTreeMap<InstanceName, Entry>,
     targets: BTreeMap<String, Totals>,
+    /// When the last entry instance was heard from, and since when without a pause.
+    heard: Option<(Time, Time)>,
 }
 
 #[derive(Debug, Default)]
@@ -39,6 +52,28 @@
     pub(super) fn heard(&mut self, now: Time, instance: &InstanceName) {
         let entry = self.entries.entry(instance.clone()).or_default();
         entry.heard = now;
+        let since = self.heard.filter(|(last, _)| now.since(*last) < MAX_PAUSE);
+        self.heard = Some((now, since.map_or(now, |(_, since)| since)));
+    }
+
+    /// Notes that targets have come of which entry instances didn't report what runs there.
+    pub(super) fn forget(&mut self) {
+        self.heard = None;
+    }
+
+    /// Returns whether all entry instances have had time to report what runs.
+    ///
+    /// Failure: an owner had just taken a zone, or was thawed, and answered that nothing ran
+    /// at its targets. Entry instances sent their requests to those that were full.
+    pub(super) fn is_known(&self, now: Time) -> bool {
+        self.heard
+            .is_some_and(|(_, since)| now.since(since) >= KNOWN_AFTER)
+    }
+
+    /// Returns whether rates that are averaged over about a second are complete.
+    pub(super) fn is_steady(&self, now: Time) -> bool {
+        self.heard
+            .is_some_and(|(_, since)| now.since(since) >= STEADY_AFTER)
     }
 
     /// Replaces the running requests and unread prompt tokens of an entry instance.
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -225,3 +225,23 @@
         pub ready_in: Duration,
     }
 }
+
+/// In place of a target's id, in [`Synced::running`]: it isn't known what runs at the targets.
+/// Instances of earlier builds take it for a target that they don't know.
+const RUNNING_UNKNOWN: &str = "";
+
+impl Synced {
+    /// States that the control instance doesn't know yet what runs at its targets.
+    pub fn set_running_unknown(&mut self) {
+        self.running = vec![(RUNNING_UNKNOWN.to_owned(), 0)];
+        self.unread.clear();
+    }
+
+    /// Returns whether [`Self::running`] and [`Self::unread`] say what runs, or the control
+    /// instance has just taken these targets, or was cut off, and hasn't heard it yet.
+    #[must_use]
+    pub fn knows_running(&self) -> bool {
+        let unknown = |(id, _): &(String, u32)| id == RUNNING_UNKNOWN;
+        !self.running.iter().any(unknown)
+    }
+}
