--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -498,6 +498,7 @@
             add_peer(state, address);
         }
     }
+    let knows_running = synced.knows_running();
     let mut inner = lock(&peer.inner);
     if inner.last_heard.replace(now).is_none() {
         event!(
@@ -526,7 +527,7 @@
         _ => {}
     }
     let mut view = state.view();
-    if !brief {
+    if !brief && knows_running {
         view.set_other_running(&synced.zones, synced.running);
         view.set_unread(&synced.zones, synced.unread);
         view.heard_load(now, &synced.zones, synced.entries);
