Expect of loads what late ones show, and keep copies that are needed

Now a late load raises it to a little more than was expected of that very load; a copy that its adapter needs is worth a request a second, and surplus is judged by the highest need of some seconds.

--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -492,7 +492,7 @@
             self.engine_changed(&first.target);
         }
         match (load, first.held) {
-            (Source::Store, true) => self.store.in_time(ordered),
+            (Source::Store, true) => self.store.in_time(now, ordered),
             (Source::Store, false) => self.store.late(now, ordered),
             (Source::Memory { depth }, there) => self.memory.observe(depth, there),
         }
--- a/crates/gateway/src/zone_owner/copies.rs
+++ b/crates/gateway/src/zone_owner/copies.rs
@@ -31,10 +31,16 @@
 /// Room that is kept for an adapter, relative to the need that is seen.
 const HEADROOM: f64 = 1.2;
 
-/// The same from which a copy is surplus. It lies well above [`HEADROOM`], so that no copy is
-/// given up and loaded again as demand varies.
+/// The same from which a copy is surplus, by the highest need of late. It lies well above
+/// [`HEADROOM`], so that no copy is given up and loaded again as demand varies.
 const SURPLUS_ROOM: f64 = 2.4;
 
+/// Half-life of the highest need that was seen: waves come again after some ten seconds.
+const PEAK_HALF_LIFE: Duration = Duration::from_secs(8);
+
+/// Highest need, decayed, from which it is forgotten.
+const MIN_PEAK: f64 = 0.5;
+
 /// Number of requests below which an adapter gets no further copy by its need; entry
 /// instances ask for one if its holders are full.
 const MIN_NEED: f64 = 4.0;
@@ -52,6 +58,8 @@
     /// When the needs were last counted.
     counted: Time,
     needs: BTreeMap<String, Need>,
+    /// The highest number of requests of each adapter of late, decaying.
+    peaks: BTreeMap<String, f64>,
 }
 
 /// What an adapter needs.
@@ -85,7 +93,32 @@
 }
 
 impl Sizing {
+    /// Returns whether an adapter has lately had so many requests that a copy which is given
+    /// up has to be loaded again.
+    pub(super) fn is_busy(&self, adapter: &str) -> bool {
+        self.peaks
+            .get(adapter)
+            .is_some_and(|peak| *peak >= MIN_NEED)
+    }
+
+    /// Lets the highest needs decay by `time` and raises them to those `seen` now.
+    fn note_peaks(&mut self, time: Duration, seen: &BTreeMap<String, f64>) {
+        let part = 0.5_f64.powf(time.as_secs_f64() / PEAK_HALF_LIFE.as_secs_f64());
+        self.peaks.retain(|_, peak| {
+            *peak *= part;
+            *peak >= MIN_PEAK
+        });
+        for (adapter, seen) in seen {
+            let peak = self.peaks.entry(adapter.clone()).or_default();
+            *peak = peak.max(*seen);
+        }
+    }
+
     /// Returns whether an adapter has more copies than it needs.
+    ///
+    /// Failure: an adapter's demand fell for a second and rose again. Its copies were the first
+    /// to make room and were loaded anew, up to 136 times in 40 s, while callers of others
+    /// waited for the store.
     pub(super) fn is_surplus(&self, adapter: &str, copies: usize) -> bool {
         let need = self.needs.get(adapter);
         need.is_some_and(|need| copies > need.most)
@@ -98,6 +131,7 @@
         if !self.tight || now.since(self.sizing.counted) < SIZE_INTERVAL {
             return;
         }
+        let passed = now.since(self.sizing.counted);
         self.sizing.counted = now;
         let open = self.open_engines();
         let running: u32 = open.iter().map(|id| self.traffic.at(id)).sum();
@@ -115,11 +149,17 @@
         }
         let adapters = offers.keys().chain(self.wants.keys());
         let adapters: BTreeSet<_> = adapters.filter(|a| !self.is_model(a)).collect();
-        let needs = adapters.into_iter().filter_map(|adapter| {
-            let offer = offers.get(adapter).copied().unwrap_or_default();
+        let seen = adapters.into_iter().map(|adapter| {
+            let running = offers.get(adapter).map_or(0.0, |offer| offer.running);
             let expected = self.sizing.rates.requests(now, adapter);
-            let need = need(&offer, expected, further, known)?;
-            Some((adapter.clone(), need))
+            (adapter.clone(), running.max(expected))
+        });
+        let seen: BTreeMap<String, f64> = seen.collect();
+        self.sizing.note_peaks(passed, &seen);
+        let needs = seen.into_iter().filter_map(|(adapter, seen)| {
+            let offer = offers.get(&adapter).copied().unwrap_or_default();
+            let peak = self.sizing.peaks.get(&adapter).copied().unwrap_or(seen);
+            Some((adapter, need(&offer, seen, peak, further, known)?))
         });
         self.sizing.needs = needs.collect();
         let placement = self.placement(now);
@@ -232,14 +272,16 @@
 }
 
 /// Returns the number of copies that an adapter has to have and may have.
-fn need(offer: &Offer, expected: f64, further: Option<f64>, known: bool) -> Option<Need> {
-    let seen = offer.running.max(expected);
+///
+/// `seen` requests need room now, and `peak` of late; a `further` copy takes so many, if an
+/// engine has room.
+fn need(offer: &Offer, seen: f64, peak: f64, further: Option<f64>, known: bool) -> Option<Need> {
     let lacking = seen * HEADROOM - offer.room;
     let short = seen >= MIN_NEED && lacking > 0.0;
     let more = further.filter(|_| short);
     let more = more.map_or(0, |room| (lacking / room).ceil() as usize);
     let each = (offer.room / offer.holders.max(1) as f64).max(1.0);
-    let most = ((seen * SURPLUS_ROOM / each).ceil() as usize).max(1);
+    let most = ((peak * SURPLUS_ROOM / each).ceil() as usize).max(1);
     let most = if known && more == 0 { most } else { usize::MAX };
     if more == 0 && most >= offer.holders {
         return None;
--- a/crates/gateway/src/zone_owner/estimate.rs
+++ b/crates/gateway/src/zone_owner/estimate.rs
@@ -11,10 +11,10 @@
 //! late. How long a load takes while few run isn't known either; only times longer than
 //! that are a sign of too many loads.
 //!
-//! Where goals are tight, each late load raises the expected time by a small step, not all that
-//! run together by one: the steps are such that one load in twenty is late.
+//! Where goals are tight, a late load raises the expected time to a little more than was
+//! expected of that load, however many are late with it.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use base::Time;
 
@@ -31,15 +31,18 @@
 /// [`LATE_STEP`] it makes about one load in forty late in a steady state.
 const IN_TIME_STEP: f64 = 0.000_6;
 
-/// [`LATE_STEP`] for each late load where goals are tight: what twenty loads in time take back by
-/// [`TIGHT_IN_TIME_STEP`] and [`EXCESS_DECAY`].
+/// What a load is expected to take at least after one that was late, more than was expected of
+/// that one, in seconds; where goals are tight.
 ///
 /// Failure: loads took 288 ms where 250 were expected. The rise was limited to one step for
-/// each load time, and dozens of loads in time between them undid it; the usual time wasn't
-/// learned, as too many were late. The expected time stood at 267 ms for most of the day, and
-/// two loads in five were late.
+/// each load time, and dozens of loads in time between them undid it. With a step for each
+/// late load, all that had been ordered before the first was known to be late raised it
+/// again, to 1,000 ms, and callers waited for as long.
 const TIGHT_LATE_STEP: f64 = 0.015;
 
+/// Number of expected times that are remembered: one for each load of some seconds.
+const MAX_EXPECTED: usize = 256;
+
 /// [`IN_TIME_STEP`] where goals are tight.
 const TIGHT_IN_TIME_STEP: f64 = 0.000_5;
 
@@ -103,6 +106,8 @@
     zones: f64,
     /// Whether goals are tight.
     tight: bool,
+    /// Where goals are tight: times that were expected, and from when on.
+    expected: VecDeque<(Time, f64)>,
 }
 
 impl StoreEstimate {
@@ -121,6 +126,7 @@
             in_time_since: false,
             zones: zones.max(1) as f64,
             tight: false,
+            expected: VecDeque::new(),
         }
     }
 
@@ -148,7 +154,7 @@
     }
 
     /// Notes a load that was complete at the announced time.
-    pub(super) fn in_time(&mut self, ordered: Time) {
+    pub(super) fn in_time(&mut self, now: Time, ordered: Time) {
         if ordered >= self.shrunk {
             self.late -= self.late * LATE_WEIGHT;
             self.in_time_since = true;
@@ -157,6 +163,7 @@
         self.time = (self.time - self.in_time_step() - EXCESS_DECAY * excess)
             .max(self.initial * TIME_BOUNDS.0);
         self.learn_usual();
+        self.note_expected(now);
         self.window = (self.window + GROW).min(self.zones * WINDOW_BOUNDS.1);
     }
 
@@ -177,13 +184,9 @@
         }
         // Compares with the time that was expected when the load was ordered, not with
         // later estimates.
-        let announced = if ordered <= self.raised {
-            self.time_before
-        } else {
-            self.time
-        };
+        let announced = self.announced(ordered);
         let too_many = self.late >= TOO_MANY_LATE && announced >= self.usual * TOO_MANY_TIME;
-        self.raise(now);
+        self.raise(now, announced);
         if !too_many || now.since(self.shrunk) < self.time() {
             return;
         }
@@ -203,19 +206,43 @@
         self.time = (self.time * factor).max(self.usual);
     }
 
-    /// Raises the expected time after a late load.
-    fn raise(&mut self, now: Time) {
-        let begins = now.since(self.raised) >= self.time();
-        if begins {
+    /// Raises the expected time after a late load for which `announced` was expected.
+    fn raise(&mut self, now: Time, announced: f64) {
+        if self.tight {
+            let least = announced + TIGHT_LATE_STEP;
+            self.time = self.time.max(least).min(self.initial * TIME_BOUNDS.1);
+            self.note_expected(now);
+            return;
+        }
+        if now.since(self.raised) >= self.time() {
             self.raised = now;
             self.time_before = self.time;
+            self.time = (self.time + LATE_STEP).min(self.initial * TIME_BOUNDS.1);
+        }
+    }
+
+    /// Returns the time that was expected of a load when it was ordered.
+    fn announced(&self, ordered: Time) -> f64 {
+        if self.tight {
+            let then = self.expected.iter().rev().find(|(at, _)| *at <= ordered);
+            return then.map_or(self.initial, |(_, time)| *time);
+        }
+        if ordered <= self.raised {
+            self.time_before
+        } else {
+            self.time
+        }
+    }
+
+    /// Remembers the time that is expected from now on.
+    fn note_expected(&mut self, now: Time) {
+        if !self.tight {
+            return;
+        }
+        self.expected.push_back((now, self.time));
+        if self.expected.len() > MAX_EXPECTED {
+            self.expected.pop_front();
         }
-        let step = match (self.tight, begins) {
-            (true, _) => TIGHT_LATE_STEP,
-            (false, true) => LATE_STEP,
-            (false, false) => 0.0,
-        };
-        self.time = (self.time + step).min(self.initial * TIME_BOUNDS.1);
     }
 
     fn in_time_step(&self) -> f64 {
--- a/crates/gateway/src/zone_owner/worth.rs
+++ b/crates/gateway/src/zone_owner/worth.rs
@@ -29,6 +29,10 @@
 /// Worth of a copy beyond what its adapter needs, relative to one that it needs.
 const SURPLUS_WORTH: f64 = 0.1;
 
+/// Least worth of a copy that its adapter needs, in requests a second: without it, its
+/// requests wait at the other holders until it is loaded again.
+const NEEDED_RATE: f64 = 1.0;
+
 impl ZoneOwner {
     /// Returns the worth of keeping a copy of an adapter at an engine: requests a second for
     /// each of its copies.
@@ -46,6 +50,8 @@
         let each = self.demand.rate(now, adapter) / copies as f64;
         if self.sizing.is_surplus(adapter, copies) {
             each * SURPLUS_WORTH
+        } else if self.sizing.is_busy(adapter) {
+            each.max(NEEDED_RATE)
         } else {
             each
         }
