Lend retries between entry instances where goals are tight

Cause: each instance keeps to a part of its own requests and an even share of the fixed number, and what it leaves unused is nobody's. Where a tenth of the instances has all the need, most of their retries are refused beside instances that use none.

Change: an instance lends what it doesn't need, on request, and counts it as sent until a window after it may last be used. A control instance passes it on. The sum of rights never grows, whatever is lost, late, cut off or restarted. Budget::try_early is for second sends that give way to failures. On only where Budget::set_tight was called; else nothing changes.

Ruled out: exchanged counts, Meter and Tally, leases of the fixed number; see docs/design/retry-shares.md. Keeping nothing for oneself, or only what is needed in two seconds, made more refusals than even shares where the need is sparse and everywhere; an instance now keeps what it needed in the window. Brokers that asked again in each answer looped without end with doubled messages; those that have just answered aren't asked.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -9,7 +9,12 @@
 //! What an instance has sent counts for a whole window, also after it has ended. So the
 //! fixed number is divided by all instances that were heard from for many windows
 //! ([`Sharers`]), and an instance takes its share a window after its start at the earliest.
+//!
+//! Where routes have tight goals, instances lend what they don't need to those that run out,
+//! by way of a control instance ([`Broker`]).
 
+mod broker;
+mod lending;
 mod sharers;
 
 use std::{
@@ -19,7 +24,8 @@
 
 use base::{Seed, Time};
 
-pub use self::sharers::Sharers;
+use self::lending::{LIFE, lent_for};
+pub use self::{broker::Broker, sharers::Sharers};
 
 /// The budget of one service, shared by all instances.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -37,6 +43,10 @@
 /// arrived.
 const USABLE: f64 = 0.7;
 
+/// Part of what an instance may send again up to which retries are allowed that aren't needed
+/// yet.
+const EARLY: f64 = 0.5;
+
 /// How long the largest number of instances that was told stays in use: longer than zones
 /// are cut off from each other.
 const TOLD_MAX_AGE: Duration = Duration::from_mins(10);
@@ -46,8 +56,10 @@
 pub struct Allowance {
     /// Requests of this instance within the window.
     pub requests: usize,
-    /// Its retries within the window, without this one.
+    /// Its retries within the window, without this one and those that it borrowed.
     pub retries: usize,
+    /// Retries that it has lent, and that others may have sent within the window.
+    pub lent: usize,
     /// Its share of the fixed number.
     pub share: f64,
     /// Whether one more retry was allowed.
@@ -62,6 +74,8 @@
     /// Part of a retry from which on it is allowed, above 0 and at most 1. It differs between
     /// instances, so that what they leave unused of a retry each adds up to nothing.
     rounding: f64,
+    /// Whether instances lend retries to each other.
+    tight: bool,
     /// Numbers of instances that were told: later ones are smaller.
     told: VecDeque<(Time, u32)>,
     services: BTreeMap<String, Counts>,
@@ -71,6 +85,12 @@
 struct Counts {
     requests: VecDeque<Time>,
     retries: VecDeque<Time>,
+    /// When retries were needed lately, where instances lend them.
+    needs: VecDeque<Time>,
+    /// When how many retries were lent.
+    lent: VecDeque<(Time, usize)>,
+    /// Until when how many retries of others may be sent.
+    borrowed: Vec<(Time, usize)>,
 }
 
 impl Budget {
@@ -82,6 +102,7 @@
             limits,
             started: now,
             rounding: (seed.0 as f64 + 1.0) / (u64::MAX as f64 + 1.0),
+            tight: false,
             told: VecDeque::new(),
             services: BTreeMap::new(),
         }
@@ -113,13 +134,41 @@
 
     /// Returns whether one more retry is allowed, and counts it if so.
     pub fn try_retry(&mut self, now: Time, service: &str) -> Allowance {
-        let limits = self.limits;
+        let tight = self.tight;
+        let counts = self.counts(now, service);
+        if tight {
+            counts.needs.push_back(now);
+        }
+        if counts.use_borrowed() {
+            let (requests, retries) = (counts.requests.len(), counts.retries.len());
+            let lent = counts.lent();
+            return Allowance {
+                requests,
+                retries,
+                lent,
+                share: self.share(now),
+                allowed: true,
+            };
+        }
+        self.try_own(now, service, 1.0)
+    }
+
+    /// Returns whether one more retry is allowed that isn't needed yet, such as one beside a
+    /// slow answer, and counts it if so. It leaves half of what this instance may send by
+    /// itself to failures.
+    pub fn try_early(&mut self, now: Time, service: &str) -> Allowance {
+        self.try_own(now, service, EARLY)
+    }
+
+    /// Returns whether one more retry is within `part` of what this instance may send by
+    /// itself, and counts it if so.
+    fn try_own(&mut self, now: Time, service: &str, part: f64) -> Allowance {
+        let (usable, used) = self.usable(now, service);
         let (share, rounding) = (self.share(now), self.rounding);
         let counts = self.counts(now, service);
-        let requests = counts.requests.len();
-        let retries = counts.retries.len();
-        let own = limits.ratio * requests as f64;
-        let allowed = retries as f64 + rounding <= USABLE * (own + share);
+        let (requests, retries) = (counts.requests.len(), counts.retries.len());
+        let lent = counts.lent();
+        let allowed = used as f64 + rounding <= part * usable;
         if allowed {
             counts.retries.push_back(now);
         } else {
@@ -128,16 +177,31 @@
         Allowance {
             requests,
             retries,
+            lent,
             share,
             allowed,
         }
     }
 
+    /// Returns what may be used of this instance's part of the budget, and what it has sent
+    /// and lent of that.
+    fn usable(&mut self, now: Time, service: &str) -> (f64, usize) {
+        let (ratio, share) = (self.limits.ratio, self.share(now));
+        let counts = self.counts(now, service);
+        let usable = USABLE * (ratio * counts.requests.len() as f64 + share);
+        (usable, counts.retries.len() + counts.lent())
+    }
+
     /// Returns this instance's share of the fixed number. What it sent before a restart
-    /// still counts until a window after that.
+    /// still counts until a window after that, and what it lent for as long as that may be used.
     fn share(&self, now: Time) -> f64 {
+        let lent_for = if self.tight {
+            lent_for()
+        } else {
+            Duration::ZERO
+        };
         match self.instances() {
-            Some(instances) if now.since(self.started) >= self.limits.window => {
+            Some(instances) if now.since(self.started) >= self.limits.window + lent_for => {
                 self.limits.extra / f64::from(instances.max(1))
             }
             _ => 0.0,
@@ -155,6 +219,7 @@
                 times.pop_front();
             }
         }
+        counts.expire(now, window);
         counts
     }
 }
--- a/crates/gateway/tests/budget_fleet.rs
+++ b/crates/gateway/tests/budget_fleet.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use world::{Kind, Load, Outcome, TRAFFIC, Trouble, World};
+use world::{Kind, Lending, Load, NOBODY, Outcome, TRAFFIC, Trouble, World};
 
 /// Seeds of each case.
 const SEEDS: u64 = 6;
@@ -154,6 +154,124 @@
     }
 }
 
+const fn lends(needy: f64) -> Lending {
+    Lending {
+        able: 1.0,
+        needy,
+        ..NOBODY
+    }
+}
+
+/// Messages are lost, or come after what they lend has ended.
+const BAD_LINKS: Lending = Lending {
+    lost: 0.3,
+    delay: Duration::from_secs(3),
+    ..lends(0.25)
+};
+
+/// Each message comes twice.
+const DOUBLED: Lending = Lending {
+    doubled: 1.0,
+    delay: Duration::from_millis(300),
+    ..lends(0.25)
+};
+
+/// Half of the instances are of the build before.
+const MIXED: Lending = Lending {
+    able: 0.5,
+    ..lends(0.25)
+};
+
+/// Those that have lent start again and again.
+const LENDERS_KILLED: [Trouble; 4] = [
+    at(3, Kind::EntriesKilled(0.5)),
+    at(5, Kind::EntriesKilled(0.5)),
+    at(15, Kind::EntriesKilled(0.5)),
+    at(27, Kind::EntriesKilled(0.5)),
+];
+
+fn check_lending((load, lending, troubles): (Load, Lending, &[Trouble])) {
+    let runs = (1..=SEEDS).map(|seed| World::new(load, troubles, seed).lending(lending).run(RUN));
+    let worst = runs.max_by(|a, b| a.worst.total_cmp(&b.worst));
+    let worst = worst.expect("there are seeds");
+    assert_that!(worst.worst, le(1.0), "{worst:?}");
+}
+
+base::cases! {
+    /// What is lent is sent by more than one instance, or still by its lender, and the sum
+    /// exceeds what is allowed in some window. Each case is a way to get there: all run out at
+    /// once, lenders forget, a side of a cut goes on by what it knows, brokers forget or are
+    /// two, rights come late or twice, instances don't know of lending, requests fade.
+    retries_that_are_lent_stay_within_the_budget: check_lending => {
+        need_at_all: (GROWN, lends(1.0), &[]),
+        need_at_all_quiet: (QUIET, lends(1.0), &[]),
+        need_at_all_idle: (IDLE, lends(1.0), &[]),
+        need_at_half: (TWELVE_QUIET, lends(0.5), &[]),
+        need_at_a_tenth: (GROWN, lends(0.1), &[]),
+        lenders_killed: (GROWN, lends(0.25), &LENDERS_KILLED),
+        lenders_killed_quiet: (QUIET, lends(0.25), &LENDERS_KILLED),
+        zone_cut: (QUIET, lends(0.5), &[at(15, Kind::ZoneCut)]),
+        zones_apart: (TWELVE, lends(0.5), &[at(15, Kind::ZonesApart)]),
+        controls_killed: (GROWN, lends(0.25), &[
+            at(3, Kind::ControlsKilled),
+            at(4, Kind::ControlsKilled),
+            at(15, Kind::ControlsKilled),
+        ]),
+        all_killed: (TWELVE_QUIET, lends(0.25), &[
+            at(15, Kind::ZoneCut),
+            at(16, Kind::EntriesKilled(1.0)),
+            at(16, Kind::ControlsKilled),
+        ]),
+        messages_lost_and_late: (GROWN, BAD_LINKS, &[]),
+        messages_lost_and_late_killed: (TWELVE_QUIET, BAD_LINKS, &LENDERS_KILLED),
+        messages_twice: (GROWN, DOUBLED, &[]),
+        messages_twice_quiet: (TWELVE_QUIET, DOUBLED, &[]),
+        mixed_builds: (GROWN, MIXED, &[]),
+        mixed_builds_cut: (TWELVE_QUIET, MIXED, &[at(15, Kind::ZonesApart)]),
+        requests_fade: (GROWN, lends(0.1), &[at(15, Kind::Faded)]),
+        requests_fade_at_all: (BUSY, lends(0.5), &[at(15, Kind::Faded)]),
+    }
+}
+
+/// Returns the part of needed retries that was refused.
+fn refused(load: Load, lending: Lending, troubles: &[Trouble]) -> f64 {
+    let runs = (1..=SEEDS).map(|seed| World::new(load, troubles, seed).lending(lending).run(RUN));
+    let counts = runs.map(|run| (run.refused, run.needed));
+    let (refused, needed) = counts.fold((0, 0), |all, run| (all.0 + run.0, all.1 + run.1));
+    refused as f64 / needed as f64
+}
+
+/// Most of the refusals of even shares that may be left.
+const LEFT: f64 = 0.25;
+
+fn check_refused((load, lending, most): (Load, Lending, f64)) {
+    let before = refused(
+        load,
+        Lending {
+            able: 0.0,
+            ..lending
+        },
+        &[],
+    );
+    let after = refused(load, lending, &[]);
+    assert_that!(after, le(most * before), "{before} before");
+}
+
+base::cases! {
+    /// Instances refuse retries that others leave unused; or those that all need are lost on
+    /// the way between them.
+    retries_go_where_they_are_needed: check_refused => {
+        a_tenth: (GROWN, lends(0.1), LEFT),
+        a_tenth_quiet: (QUIET, lends(0.1), LEFT),
+        a_tenth_few: (SMALL, lends(0.1), LEFT),
+        a_tenth_twelve: (TWELVE, lends(0.1), LEFT),
+        a_tenth_mixed: (GROWN, Lending { needy: 0.1, ..MIXED }, 0.75),
+        all: (GROWN, lends(1.0), 1.02),
+        all_quiet: (QUIET, lends(1.0), 1.02),
+        all_idle: (IDLE, lends(1.0), 1.02),
+    }
+}
+
 /// Prints what is used of the budget beside each trouble.
 #[gtest]
 #[ignore = "prints and doesn't check"]
@@ -178,3 +296,21 @@
         }
     }
 }
+
+/// Prints what is refused with even shares and with lending.
+#[gtest]
+#[ignore = "prints and doesn't check"]
+fn refused_where_needed() {
+    for (name, load) in [
+        ("grown", GROWN),
+        ("quiet", QUIET),
+        ("idle", IDLE),
+        ("twelve", TWELVE),
+    ] {
+        for needy in [0.1, 0.25, 0.5, 1.0] {
+            let before = refused(load, Lending { needy, ..NOBODY }, &[]);
+            let after = refused(load, lends(needy), &[]);
+            println!("{name}, need at {needy}: refused {before:.3}, with lending {after:.3}");
+        }
+    }
+}
--- a/crates/gateway/tests/budget_fleet/world.rs
+++ b/crates/gateway/tests/budget_fleet/world.rs
@@ -1,13 +1,19 @@
 //! Entry instances that repeat failed requests, and the control instances that count them, in
 //! virtual time.
 
+#[path = "lending.rs"]
+mod lending;
+
 use std::{collections::VecDeque, time::Duration};
 
 use base::{InstanceName, Seed, Time};
-use gateway::budget::{Budget, Limits, Sharers};
+use gateway::budget::{Broker, Budget, Limits, Sharers};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use self::lending::Post;
+pub(crate) use self::lending::{Lending, NOBODY};
+
 const START: Time = Time(10_000_000);
 const STEP: Duration = Duration::from_millis(10);
 const WINDOW: Duration = Duration::from_secs(10);
@@ -56,6 +62,8 @@
     ZonesApart,
     /// So many more instances begin, as a part of those that there were.
     Added(f64),
+    /// Callers ask for a twentieth of before.
+    Faded,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -67,6 +75,9 @@
     pub(crate) wanted: usize,
     /// Repeats that were allowed within the last window.
     pub(crate) allowed: f64,
+    /// Repeats that were needed, and those refused, in the whole run.
+    pub(crate) needed: usize,
+    pub(crate) refused: usize,
 }
 
 struct Entry {
@@ -75,10 +86,14 @@
     budget: Budget,
     phase: u64,
     down_until: Time,
+    /// Number of its run.
+    run: u32,
+    reported: Time,
 }
 
 struct Control {
     sharers: Sharers,
+    broker: Broker,
     down_until: Time,
 }
 
@@ -93,6 +108,8 @@
     wanted: VecDeque<Time>,
     outcome: Outcome,
     rng: ChaCha8Rng,
+    lending: Lending,
+    post: Post,
 }
 
 impl World {
@@ -108,10 +125,13 @@
             wanted: VecDeque::new(),
             outcome: Outcome::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            lending: NOBODY,
+            post: Post::default(),
         };
-        for _ in 0..load.zones {
+        for zone in 0..load.zones {
             world.controls.push(Control {
                 sharers: Sharers::default(),
+                broker: Broker::new(zone as u64),
                 down_until: START,
             });
         }
@@ -131,6 +151,8 @@
             budget: Budget::new(limits(&self.load), self.now, Seed(self.rng.random())),
             phase,
             down_until: self.now,
+            run: 0,
+            reported: self.now,
         });
     }
 
@@ -142,6 +164,7 @@
             self.now = self.now + STEP;
             self.begin_troubles(before);
             self.exchange();
+            self.lend();
             self.callers();
             self.judge();
         }
@@ -165,7 +188,7 @@
                         self.add_entry();
                     }
                 }
-                Kind::ZoneCut | Kind::ZonesApart => {}
+                Kind::ZoneCut | Kind::ZonesApart | Kind::Faded => {}
             }
         }
     }
@@ -178,6 +201,7 @@
                 self.entries[no].budget =
                     Budget::new(limits(&self.load), back, Seed(self.rng.random()));
                 self.entries[no].down_until = back;
+                self.entries[no].run += 1;
             }
         }
     }
@@ -185,6 +209,7 @@
     fn kill_controls(&mut self) {
         for control in &mut self.controls {
             control.sharers = Sharers::default();
+            control.broker = Broker::new(self.rng.random());
             control.down_until = self.now + RESTART;
         }
     }
@@ -230,14 +255,15 @@
         if self.now < START + TRAFFIC {
             return;
         }
-        let rate = self.load.requests * STEP.as_secs_f64();
+        let faded = if self.is_on(Kind::Faded) { 0.05 } else { 1.0 };
+        let rate = self.load.requests * faded * STEP.as_secs_f64();
         let mut due = rate.floor() as usize;
         due += usize::from(self.rng.random_bool(rate.fract()));
         for _ in 0..due {
             // Callers ask for it, also where the instance is down.
             self.requests.push_back(self.now);
             let no = self.rng.random_range(0..self.entries.len());
-            let failing = self.rng.random_bool(self.load.failing);
+            let failing = self.rng.random_bool(self.load.failing) && self.needs(no);
             let entry = &mut self.entries[no];
             if entry.down_until > self.now {
                 continue;
@@ -247,8 +273,11 @@
                 continue;
             }
             self.wanted.push_back(self.now);
+            self.outcome.needed += 1;
             if entry.budget.try_retry(self.now, SERVICE).allowed {
                 self.repeats.push_back(self.now);
+            } else {
+                self.outcome.refused += 1;
             }
         }
     }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -28,6 +28,7 @@
     operator::{Applied, Apply, Explain, Explained},
     patch::Patch,
     quarantine::{CrashReport, Quarantine},
+    retry::{RetryAnswer, RetryReport},
     stream::{FindStream, FoundStream, StreamSync, StreamSynced},
 };
 
@@ -106,6 +107,9 @@
         Streams(StreamSync),
         /// Entry to control: asks where a stream began.
         FindStream(FindStream),
+        /// Entry to control: retries that the caller wants, and those that it lends. A call of
+        /// its own, made only where lending is on.
+        Retries(RetryReport),
         /// Control to leader: renews the caller's zone leases.
         Renew {
             /// The control instance that asks.
@@ -173,6 +177,8 @@
         FoundStream(FoundStream),
         /// Answers [`Call::Entries`].
         Entries(Vec<Helper>),
+        /// Answers [`Call::Retries`].
+        Retries(RetryAnswer),
         /// Answers [`Call::Renew`]: the zones that the caller owns, with its fencing numbers.
         Renewed(Vec<(String, u64)>),
         /// Answers [`Call::Explain`]; `None` if the text has no such service.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`engine`]: orders to engines and their reports (JSON)
 //! - [`patch`]: patches between versions of the configuration text
 //! - [`quarantine`]: requests that crash targets (MessagePack)
+//! - [`retry`]: retries that entry instances lend to each other (MessagePack)
 //! - [`header`]: names of HTTP headers
 //! - [`helper`]: entry instances that reach targets for others (MessagePack)
 //!
@@ -27,4 +28,5 @@
 pub mod patch;
 pub mod platform;
 pub mod quarantine;
+pub mod retry;
 pub mod stream;
