Exchange lent retries between entry and control instances

Cause: budgets can lend retries, and nothing carried them.

Ruled out: a field in the answer to the regular exchange, which instances of the build before can't read; waiting in the caller's request until retries are borrowed.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -21,7 +21,7 @@
 use daemon::{Clock, Links};
 use disk::Writer;
 use gateway::{
-    budget::Sharers,
+    budget::{Broker, Sharers},
     helpers::Roster,
     revisions::Revisions,
     timing::LIST_INTERVAL,
@@ -153,6 +153,8 @@
     roster: Roster,
     /// Entry instances that share the budget of retries.
     sharers: Sharers,
+    /// Retries that entry instances lend to each other.
+    broker: Broker,
     /// Lists of zones for entry instances that ask for them.
     lists: ZoneLists,
     /// Versions of adapters, numbered by their changes.
@@ -198,6 +200,7 @@
                     Call::Sync(_)
                     | Call::SyncUsage { .. }
                     | Call::SyncLists { .. }
+                    | Call::Retries(_)
                     | Call::Streams(_)
                     | Call::Edition { .. },
                 ..
@@ -232,6 +235,7 @@
             editions: EditionCache::default(),
             roster: Roster::default(),
             sharers: Sharers::default(),
+            broker: Broker::new(rand::random()),
             lists: ZoneLists::default(),
             revisions: Revisions::new(rand::random::<u64>() >> 2),
             writer,
@@ -391,6 +395,10 @@
             Call::Streams(sync) => {
                 to.send(self.stream_sync(sync)).ok();
             }
+            Call::Retries(report) => {
+                let answer = self.broker.report(self.clock.now(), &report);
+                to.send(Reply::Retries(answer)).ok();
+            }
             Call::FindStream(asked) => {
                 to.send(self.find_stream(&asked)).ok();
             }
--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -6,6 +6,7 @@
 mod forward;
 mod headers;
 mod helping;
+mod lending;
 mod limits;
 mod lists;
 mod paths;
@@ -91,6 +92,7 @@
     });
     tokio::spawn(sync::run(Arc::clone(&state)));
     tokio::spawn(lists::run(Arc::clone(&state)));
+    tokio::spawn(lending::run(Arc::clone(&state)));
     tokio::spawn(paths::run(Arc::clone(&state)));
     tokio::spawn(editions::run(Arc::clone(&state)));
     tokio::spawn(streams::run(Arc::clone(&state)));
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -22,7 +22,7 @@
     warmup::Warmup,
 };
 use quarantine::Guard;
-use telemetry::event;
+use telemetry::{event, prom_metrics};
 use tokio::sync::Notify;
 use web::client::Client;
 use wire::{fleet::Target, stream::SoftwareWant};
@@ -48,6 +48,8 @@
     /// Notified when something about targets, zone owners or the configuration has
     /// changed.
     pub(super) changed: Notify,
+    /// Notified when a retry was needed where instances lend them to each other.
+    pub(super) retry_needed: Notify,
     clock: Clock,
     stopping: AtomicBool,
     table: Mutex<Option<(u64, Arc<Table>)>>,
@@ -89,6 +91,7 @@
             client: Client::new(paths.dialer()),
             paths,
             changed: Notify::new(),
+            retry_needed: Notify::new(),
             settle: Mutex::new(Warmup::new(clock.now(), &setup.zones)),
             clock,
             stopping: AtomicBool::new(false),
@@ -226,11 +229,16 @@
 
     /// Returns whether the budget allows a retry, and charges it if so.
     pub(super) fn try_retry(&self, service: &str) -> bool {
-        let (allowance, instances) = {
+        let (allowance, instances, tight) = {
             let mut budget = self.budget();
-            (budget.try_retry(self.now(), service), budget.instances())
+            let allowance = budget.try_retry(self.now(), service);
+            (allowance, budget.instances(), budget.is_tight())
         };
+        if tight {
+            self.retry_needed.notify_one();
+        }
         if !allowance.allowed {
+            prom_metrics().retries("denied", 1);
             event!(
                 telemetry::Event::RetryDenied,
                 service = service,
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -185,6 +185,13 @@
         heard.find(|peer| peer.owns(zone)).map(Arc::clone)
     }
 
+    /// Returns the control instance that passes on retries between entry instances: the same
+    /// for all that hear from the same control instances.
+    pub(super) fn broker(&self, now: Time) -> Option<Arc<ControlPeer>> {
+        let peers = self.heard(now).into_iter();
+        peers.max_by_key(|peer| stable_hash(&[peer.address.to_string().as_bytes()]))
+    }
+
     /// Returns the control instance that reads the list of `zone` for others than its owner: the
     /// same for all entry instances that hear from the same control instances, so that the
     /// platform gets few calls.
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -38,6 +38,7 @@
     taken_up: IntCounterVec,
     answer_ends: IntCounterVec,
     permits: IntCounterVec,
+    retries: IntCounterVec,
     tunnels: IntCounterVec,
     helped: IntCounterVec,
     gauges: Gauges,
@@ -143,6 +144,11 @@
                 "Permits for requests to targets that name a limit",
                 "outcome",
             ),
+            retries: counters(
+                "quetzal_retries_total",
+                "Retries that were denied, lent to other entry instances or borrowed from them",
+                "outcome",
+            ),
             tunnels: counters(
                 "quetzal_tunnels_total",
                 "Tunnels to targets that this instance asked other instances for",
@@ -213,6 +219,12 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts retries that were denied, lent or borrowed, by their `outcome`.
+    pub fn retries(&self, outcome: &str, count: u32) {
+        let retries = self.retries.with_label_values(&[outcome]);
+        retries.inc_by(u64::from(count));
+    }
+
     /// Counts a tunnel that another instance was asked for, by its `outcome`.
     pub fn tunnel(&self, outcome: &str) {
         self.tunnels.with_label_values(&[outcome]).inc();
