--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -117,3 +117,17 @@
     assert_that!(kept(|(a, b)| forward::answer(a, b)), le(8 << 10));
     assert_that!(kept(|relay: &'static mut Relay| relay.next()), le(1_280));
 }
+
+/// A retry that was needed starts a report to the broker where goals are tight, and nothing
+/// elsewhere.
+#[gtest]
+fn retries_are_reported_only_with_tight_goals() {
+    let state = state();
+    for tight in [false, true] {
+        state.budget().set_tight(tight);
+        state.try_retry("s");
+        let told = state.retry_needed.notified().now_or_never();
+        expect_that!(told.is_some(), eq(tight));
+        expect_that!(state.budget().wanted(state.now()).is_empty(), eq(!tight));
+    }
+}
