Decide when a late request is sent to a second target

The operators accept some extra work if it cuts the slowest answers.

Decisions alone, nothing calls them yet: a delay learned from recent times to the first event by route and size of the prompt, a limit as a part of requests that each instance keeps by its own, the second target, and half of the retry budget left to failures. The guard tells what is under suspicion.

Two faults were found by the tests: a restarted instance could use the limit twice within a window (now it waits one), and a target whose requests are taken from it looks idle (being outrun now counts as a failure).

Ruled out: a constant delay, an exchange between instances, saved-up credit. With the check of the limit, of room, of speed, of the machine, of tight goals or of repeatable routes taken out, tests fail (tried one by one, put back).

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -11,6 +11,7 @@
 //! ([`Sharers`]), and an instance takes its share a window after its start at the earliest.
 
 mod sharers;
+mod spare;
 
 use std::{
     collections::{BTreeMap, VecDeque},
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod brittle;
 pub mod budget;
 pub mod download;
+pub mod hedge;
 pub mod helpers;
 pub mod home;
 pub mod list_fallback;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod backup;
 mod choose;
+mod hedge;
 mod held;
 mod need;
 mod software;
@@ -25,6 +26,7 @@
 };
 
 pub use self::backup::{Backup, Origin, Unused};
+pub use self::hedge::Second;
 use self::{
     backlog::{FULL_WAIT, known_outside},
     backup::OUTDATED,
@@ -86,7 +88,6 @@
 pub struct View {
     zone: String,
     targets: BTreeMap<String, TargetState>,
-    /// Adapter versions set by operators.
     /// Versions of adapters, the oldest first: the newest that was set long ago, and all
     /// that were set since.
     versions: BTreeMap<String, Vec<Named>>,
--- a/crates/quarantine/src/guard.rs
+++ b/crates/quarantine/src/guard.rs
@@ -89,6 +89,14 @@
         })
     }
 
+    /// Returns whether anything speaks against a request or a part of a prompt, also if it is too
+    /// little for a verdict.
+    #[must_use]
+    pub fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
+        let known = self.held.contains_key(fingerprint) || self.ledger.suspects(fingerprint);
+        known || self.parts.waits(fingerprint)
+    }
+
     /// Returns whether nothing speaks against any request.
     #[must_use]
     pub fn is_calm(&self) -> bool {
--- a/crates/quarantine/src/parts.rs
+++ b/crates/quarantine/src/parts.rs
@@ -77,6 +77,11 @@
         false
     }
 
+    /// Returns whether crashes of a part wait to be counted.
+    pub(crate) fn waits(&self, part: &Fingerprint) -> bool {
+        self.waiting.contains_key(part)
+    }
+
     /// Takes the crashes that count from now on, with their times.
     pub(crate) fn ripe(&mut self, now: Time) -> Vec<(Time, CrashedRun)> {
         let mut ripe = Vec::new();
--- a/crates/quarantine/tests/guard.rs
+++ b/crates/quarantine/tests/guard.rs
@@ -69,6 +69,24 @@
     assert_that!(held(&guard, 3), eq(false));
 }
 
+/// Guards against an extra send of what may crash targets, before there is enough for a verdict.
+#[test]
+fn one_crash_makes_suspect() {
+    let mut guard = Guard::default();
+    assert_that!(guard.is_suspect(&request()), eq(false));
+    let run = CrashedRun {
+        fingerprint: request(),
+        target: "a".to_owned(),
+        ago: Duration::ZERO,
+        ran: Duration::from_millis(50),
+    };
+    guard.crashed(seconds(1), &run);
+    assert_that!(held(&guard, 1), eq(false));
+    assert_that!(guard.is_suspect(&request()), eq(true));
+    guard.answered(seconds(2), request());
+    assert_that!(guard.is_suspect(&request()), eq(false));
+}
+
 /// Guards against an instance that is cut off from all control instances: it judges by
 /// what it saw itself.
 #[test]
