--- a/crates/frontd/tests/editions/deployment.rs
+++ b/crates/frontd/tests/editions/deployment.rs
@@ -157,6 +157,7 @@
             grace: Duration::from_secs(8),
             drain: Duration::from_secs(3),
             retries: retries(),
+            hedge_limit: None,
             slack: slack(),
         };
         tokio::spawn(frontd::serve_entry(setup, platform(self.no)));
@@ -183,7 +184,6 @@
         &self,
         path: &str,
         limit: Duration,
-        goal: None,
     ) -> Result<Duration, String> {
         let addr = SocketAddr::new(self.ip, CALLERS);
         let begun = Instant::now();
@@ -396,6 +396,7 @@
             prefix: prefix.unwrap_or_default().to_owned(),
             kind: Kind::Safe,
             limit: Duration::from_secs(1),
+            goal: None,
             priority: 1,
             split: vec![("s".to_owned(), 1)],
             attempts: 1,
