Send late requests to a second target, within a limit

An entry instance with `--hedge-limit` sends a request that is late to a second target and takes whichever begins to answer first, in the race that silent targets have already. The loser's connection is closed at once; a second send that is refused or fails changes nothing for the request.

--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -23,7 +23,7 @@
 use account::Slack;
 use anyhow::Result;
 use daemon::listen;
-use gateway::budget;
+use gateway::{budget, hedge::HedgeLimit};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use telemetry::event;
 use tokio::time::sleep;
@@ -69,6 +69,8 @@
     pub drain: Duration,
     /// The budget of retries that all entry instances share.
     pub retries: budget::Limits,
+    /// Extra sends that are allowed as a part of requests; none go out without it.
+    pub hedge_limit: Option<HedgeLimit>,
     /// How far all entry instances together may exceed the limit of an account.
     pub slack: Slack,
 }
--- a/crates/frontd/src/entry/editions.rs
+++ b/crates/frontd/src/entry/editions.rs
@@ -96,6 +96,7 @@
             let tight = decoded.table.has_tight_goals();
             if state.set_table(number, decoded.table) {
                 state.view().set_tight(tight);
+                state.hedging().set_tight(tight);
                 event!(
                     telemetry::Event::TextInForce,
                     version = number,
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -1,10 +1,12 @@
 //! Forwards one request until the head of its answer has arrived.
 //!
 //! [`receive`] reads the request, [`wait`] chooses a target, [`send`] sends it there, and
-//! [`silent`] sends it to another one while the first says nothing.
+//! [`silent`] sends it to another one while the first says nothing, [`hedged`] sooner if that
+//! is late.
 //! This module decides whether a failed request may be retried and what the caller is
 //! told.
 
+mod hedged;
 mod receive;
 mod send;
 mod sending;
@@ -141,6 +143,9 @@
             Err(err) => {
                 prom_metrics().request(err.label());
                 self.give_back(err);
+                if matches!(err, RequestError::NotRun { .. }) {
+                    self.state.hedging().refused(self.state.now());
+                }
                 event!(
                     telemetry::Event::RequestFailed,
                     request = self.id,
@@ -172,11 +177,12 @@
                     .await?;
                 continue;
             };
-            let Some(result) = sending.ended_or_silent().await else {
-                // Boxed, as few targets are silent and each request would hold the space for it.
-                return Box::pin(self.outlast(sending, last)).await;
+            let taken = match sending.ended_or_late().await {
+                Ok(result) => self.take(sending, result).await?,
+                // Boxed, as few targets are late and each request would hold the space for it.
+                Err(late) => Box::pin(self.await_late(sending, late, last)).await?,
             };
-            if let Some(answered) = self.take(sending, result).await? {
+            if let Some(answered) = taken {
                 return Ok(answered);
             }
         }
--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -223,6 +223,8 @@
         Some(Sending {
             in_flight,
             silent_at: self.silent_at(),
+            hedge_at: self.hedge_at(last),
+            is_extra: false,
             until: self.deadline,
             answer: async move { client.send(send).await }.boxed(),
         })
@@ -271,6 +273,11 @@
         state.view().answer_started(&target, &self.adapter);
         let good = !answer.status.is_server_error();
         state.view().outcome(state.now(), &target, good);
+        if good {
+            let (tokens, took) = (self.prompt_tokens, in_flight.ran());
+            let mut hedging = state.hedging();
+            hedging.answered(state.now(), &self.route, tokens, took);
+        }
         SendOutcome::Answered(Box::new(answer), in_flight)
     }
 
--- a/crates/frontd/src/entry/forward/sending.rs
+++ b/crates/frontd/src/entry/forward/sending.rs
@@ -10,6 +10,7 @@
     timeout::answer_by,
 };
 
+use super::hedged::HedgeAt;
 use crate::entry::state::State;
 
 /// A request that a target is running. The view counts it as load of the target until it
@@ -83,11 +84,24 @@
     }
 }
 
+/// What a target has said nothing until.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Outlived {
+    /// A second target is tried.
+    Due(HedgeAt),
+    /// It counts as silent.
+    Silent,
+}
+
 /// A request on its way to a target. Dropping it closes the connection.
 pub(super) struct Sending {
     pub(super) in_flight: InFlight,
     /// When its target counts as silent.
     pub(super) silent_at: Option<Instant>,
+    /// When a second target is tried.
+    pub(super) hedge_at: Option<HedgeAt>,
+    /// Whether this is the send to the second target.
+    pub(super) is_extra: bool,
     pub(super) until: Instant,
     pub(super) answer: BoxFuture<'static, Result<Answer, Broken>>,
 }
@@ -102,6 +116,19 @@
         }))
     }
 
+    /// As [`Self::ended`], until a second target is tried or the target counts as silent.
+    pub(super) async fn ended_or_late(&mut self) -> Result<Result<Answer, Broken>, Outlived> {
+        let silent_at = self.silent_at;
+        let due = self.hedge_at.take();
+        let due = due.filter(|due| silent_at.is_none_or(|silent_at| due.at < silent_at));
+        let Some(due) = due else {
+            let ended = self.ended_or_silent().await;
+            return ended.ok_or(Outlived::Silent);
+        };
+        let ended = answer_by(due.at, self.ended()).await;
+        ended.ok_or(Outlived::Due(due))
+    }
+
     /// As [`Self::ended`], or returns `None` once the target counts as silent.
     pub(super) async fn ended_or_silent(&mut self) -> Option<Result<Answer, Broken>> {
         let Some(at) = self.silent_at else {
--- a/crates/frontd/src/entry/forward/silent.rs
+++ b/crates/frontd/src/entry/forward/silent.rs
@@ -16,8 +16,8 @@
 const SEARCH_PAUSE: Duration = Duration::from_millis(300);
 
 /// The targets that a request was sent to and that may still answer.
-struct Race {
-    /// Those that have said nothing for long.
+pub(super) struct Race {
+    /// Those that have said nothing for long, and the extra send of a hedged request.
     silent: Vec<Sending>,
     other: Option<Sending>,
     /// When another target is looked for.
@@ -26,18 +26,46 @@
     failed: Option<RequestError>,
     /// The first server error that a target has answered while others run.
     server_error: Option<(Answer, InFlight)>,
+    /// Whether it began with an extra send.
+    is_hedged: bool,
 }
 
 /// What happens next in a [`Race`].
 enum Step {
     /// A silent one has ended.
-    Ended(Sending, Result<Answer, Broken>),
+    Ended(Box<Sending>, Result<Answer, Broken>),
     OtherEnded(Result<Answer, Broken>),
     OtherSilent,
     Found(Result<String, RequestError>),
 }
 
 impl Race {
+    /// Begins a race with a silent target alone.
+    fn beside(silent: Sending) -> Race {
+        Race {
+            silent: vec![silent],
+            other: None,
+            search_at: Instant::now(),
+            failed: None,
+            server_error: None,
+            is_hedged: false,
+        }
+    }
+
+    /// Begins a race of a target that isn't silent yet with an extra send.
+    pub(super) fn hedged(first: Sending, extra: Sending) -> Race {
+        Race {
+            other: Some(first),
+            is_hedged: true,
+            ..Race::beside(extra)
+        }
+    }
+
+    /// Returns the sends that may still be answered.
+    fn running(&self) -> Vec<&Sending> {
+        self.silent.iter().chain(&self.other).collect()
+    }
+
     fn is_over(&self) -> bool {
         self.silent.is_empty() && self.other.is_none()
     }
@@ -60,16 +88,27 @@
         last: Option<&str>,
     ) -> Result<(Answer, InFlight), RequestError> {
         self.note_silent(&silent);
-        let mut race = Race {
-            silent: vec![silent],
-            other: None,
-            search_at: Instant::now(),
-            failed: None,
-            server_error: None,
-        };
+        self.race(Race::beside(silent), last).await
+    }
+
+    /// Waits for the first answer of a race.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::outlast`].
+    pub(super) async fn race(
+        &mut self,
+        mut race: Race,
+        last: Option<&str>,
+    ) -> Result<(Answer, InFlight), RequestError> {
         while !race.is_over() {
+            let mut extra = false;
             let taken = match self.step(&mut race).await {
-                Step::Ended(sending, result) => self.take(sending, result).await,
+                Step::Ended(sending, result) if sending.is_extra => {
+                    extra = true;
+                    Ok(self.take_extra(*sending, result))
+                }
+                Step::Ended(sending, result) => self.take(*sending, result).await,
                 Step::OtherEnded(result) => match race.other.take() {
                     Some(sending) => self.take(sending, result).await,
                     None => Ok(None),
@@ -97,17 +136,20 @@
                 Ok(Some(answered)) if answered.0.status.is_server_error() && !race.is_over() => {
                     race.server_error.get_or_insert(answered);
                 }
-                Ok(Some(answered)) => return Ok(answered),
+                Ok(Some(answered)) => {
+                    self.note_race(&answered.1, extra, &race.running());
+                    return Ok(answered);
+                }
                 Ok(None) => {}
                 Err(err) => race.note_failed(err),
             }
         }
-        if let Some(answered) = race.server_error {
-            return Ok(answered);
-        }
-        match race.failed {
-            Some(err) => Err(err),
-            None => Box::pin(self.send_until_answered(last)).await,
+        // The extra send has failed and may not have run: the request is where it was without.
+        let again = race.is_hedged && self.may_retry() && Instant::now() < self.deadline;
+        match (race.server_error, race.failed) {
+            (Some(answered), _) if !again => Ok(answered),
+            (_, Some(err)) if !again => Err(err),
+            _ => Box::pin(self.send_until_answered(last)).await,
         }
     }
 
@@ -121,7 +163,7 @@
         tokio::select! {
             biased;
             (at, result) = first_ended(&mut race.silent) => {
-                Step::Ended(race.silent.remove(at), result)
+                Step::Ended(Box::new(race.silent.remove(at)), result)
             }
             ended = ended_or_silent(&mut race.other) => {
                 ended.map_or(Step::OtherSilent, Step::OtherEnded)
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -14,6 +14,7 @@
 use daemon::{Clock, Links, lock};
 use gateway::{
     budget::Budget,
+    hedge::Hedging,
     home::{WeightedZone, home},
     list_fallback::{ListFallback, Timing},
     silence::Silences,
@@ -55,6 +56,7 @@
     settle: Mutex<Warmup>,
     lists: Mutex<ListFallback>,
     budget: Mutex<Budget>,
+    hedging: Mutex<Hedging>,
     silences: Mutex<Silences>,
     ended_runs: Mutex<EndedRuns>,
     guard: Mutex<Guard>,
@@ -105,6 +107,7 @@
                 clock.now(),
                 Seed(rand::random()),
             )),
+            hedging: Mutex::new(Hedging::new(setup.hedge_limit, clock.now())),
             silences: Mutex::default(),
             ended_runs: Mutex::default(),
             guard: Mutex::default(),
@@ -140,6 +143,11 @@
         lock(&self.budget)
     }
 
+    /// Returns what decides which requests are sent to a second target when they are late.
+    pub(super) fn hedging(&self) -> MutexGuard<'_, Hedging> {
+        lock(&self.hedging)
+    }
+
     /// Returns how long silent targets are waited for.
     pub(super) fn silences(&self) -> MutexGuard<'_, Silences> {
         lock(&self.silences)
@@ -222,6 +230,12 @@
     /// Counts a request of a caller, which adds to the budget of retries.
     pub(super) fn count_request(&self, service: &str) {
         self.budget().request(self.now(), service);
+        self.hedging().request(self.now(), service);
+    }
+
+    /// Returns whether the budget of retries allows an extra send, and charges it if so.
+    pub(super) fn may_hedge(&self, service: &str) -> bool {
+        self.budget().try_spare(self.now(), service)
     }
 
     /// Returns whether the budget allows a retry, and charges it if so.
--- a/crates/frontd/tests/memory/deployment.rs
+++ b/crates/frontd/tests/memory/deployment.rs
@@ -119,6 +119,7 @@
                 grace: Duration::from_secs(8),
                 drain: Duration::from_secs(3),
                 retries: retries(),
+                hedge_limit: None,
                 slack: slack(),
             },
             platform,
--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -62,6 +62,7 @@
             extra: 1.0,
             window: Duration::from_secs(10),
         },
+        hedge_limit: None,
         slack: account::Slack {
             window: Duration::from_secs(8),
             overrun: 0.1,
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -38,6 +38,7 @@
     taken_up: IntCounterVec,
     answer_ends: IntCounterVec,
     permits: IntCounterVec,
+    hedges: Hedges,
     tunnels: IntCounterVec,
     helped: IntCounterVec,
     gauges: Gauges,
@@ -79,6 +80,37 @@
     }
 }
 
+#[derive(Debug)]
+struct Hedges {
+    outcomes: IntCounterVec,
+    withheld: IntCounterVec,
+    vain: IntCounter,
+}
+
+impl Hedges {
+    fn new(registry: &Registry) -> Self {
+        Hedges {
+            outcomes: counters(
+                registry,
+                "quetzal_hedges_total",
+                "Extra sends to a second target, and what became of them",
+                &["outcome"],
+            ),
+            withheld: counters(
+                registry,
+                "quetzal_hedges_withheld_total",
+                "Extra sends that were due and did not go out, by reason",
+                &["reason"],
+            ),
+            vain: counter(
+                registry,
+                "quetzal_hedges_vain_milliseconds_total",
+                "Time for which targets had requests that a second target answered, or for nothing",
+            ),
+        }
+    }
+}
+
 /// Returns the process's Prometheus metrics.
 #[must_use]
 pub fn prom_metrics() -> &'static PromMetrics {
@@ -143,6 +175,7 @@
                 "Permits for requests to targets that name a limit",
                 "outcome",
             ),
+            hedges: Hedges::new(&registry),
             tunnels: counters(
                 "quetzal_tunnels_total",
                 "Tunnels to targets that this instance asked other instances for",
@@ -213,6 +246,23 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts an extra send, or what became of one.
+    pub fn hedge(&self, outcome: &str) {
+        self.hedges.outcomes.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts an extra send that was due and didn't go out.
+    pub fn hedge_withheld(&self, reason: &str) {
+        self.hedges.withheld.with_label_values(&[reason]).inc();
+    }
+
+    /// Adds the time for which a target had a request whose answer nobody took, as another one
+    /// answered it as well.
+    pub fn vain(&self, ran: Duration) {
+        let millis = u64::try_from(ran.as_millis()).unwrap_or(u64::MAX);
+        self.hedges.vain.inc_by(millis);
+    }
+
     /// Counts a tunnel that another instance was asked for, by its `outcome`.
     pub fn tunnel(&self, outcome: &str) {
         self.tunnels.with_label_values(&[outcome]).inc();
