--- a/crates/frontd/src/entry/editions.rs
+++ b/crates/frontd/src/entry/editions.rs
@@ -97,6 +97,7 @@
             if state.set_table(number, decoded.table) {
                 state.view().set_tight(tight);
                 state.budget().set_tight(tight);
+                state.hedging().set_tight(tight);
                 event!(
                     telemetry::Event::TextInForce,
                     version = number,
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -16,6 +16,7 @@
 mod broker;
 mod lending;
 mod sharers;
+mod spare;
 
 use std::{
     collections::{BTreeMap, VecDeque},
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -145,6 +145,10 @@
     TargetSilent 5031 Info "target silent" "`target` has said nothing to `request` for `silent_ms`; `phase` is `head` or `body`, and `last` is the event that the caller has. Another target is tried as well if the request may be sent again: E5005 if that took over, E5029 and E5002 if nothing did; the silent one may still go on."
     RetriesLent 5038 Debug "retries lent" "This instance was asked to lend `asked` retries of `service` to others and lends `lent`: for 12 s it counts them as sent."
     RetriesBorrowed 5039 Debug "retries borrowed" "This instance may send `count` requests of `service` again besides its own retries, within `life_ms`."
+    HedgeSent 5040 Info "sent to a second target as well" "`first` has not answered `request` for `waited_ms`; it was sent to `target` as well, and whichever answers first is taken."
+    HedgeWon 5041 Info "second target was first" "`target` answered `request`, `took_ms` after it was sent there as well; the first one was left."
+    HedgeLost 5042 Info "second target in vain" "The second target of `request` had it for `ran_ms` in vain; `outcome` is `cancelled` where the first one answered, else how it failed."
+    HedgeWithheld 5043 Debug "not sent to a second target" "`first` is late with `request`, which wasn't sent to a second target: `why` is `attempts`, `suspect`, `pressed`, `deadline`, `limit`, `room`, `budget` or `permit`."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -39,6 +39,7 @@
     answer_ends: IntCounterVec,
     permits: IntCounterVec,
     retries: IntCounterVec,
+    hedges: Hedges,
     tunnels: IntCounterVec,
     helped: IntCounterVec,
     gauges: Gauges,
@@ -80,6 +81,37 @@
     }
 }
 
+#[derive(Debug)]
+struct Hedges {
+    outcomes: IntCounterVec,
+    withheld: IntCounterVec,
+    vain: IntCounter,
+}
+
+impl Hedges {
+    fn new(registry: &Registry) -> Self {
+        Hedges {
+            outcomes: counters(
+                registry,
+                "quetzal_hedges_total",
+                "Extra sends to a second target, and what became of them",
+                &["outcome"],
+            ),
+            withheld: counters(
+                registry,
+                "quetzal_hedges_withheld_total",
+                "Extra sends that were due and did not go out, by reason",
+                &["reason"],
+            ),
+            vain: counter(
+                registry,
+                "quetzal_hedges_vain_milliseconds_total",
+                "Time for which targets had requests that a second target answered, or for nothing",
+            ),
+        }
+    }
+}
+
 /// Returns the process's Prometheus metrics.
 #[must_use]
 pub fn prom_metrics() -> &'static PromMetrics {
@@ -149,6 +181,7 @@
                 "Retries that were denied, lent to other entry instances or borrowed from them",
                 "outcome",
             ),
+            hedges: Hedges::new(&registry),
             tunnels: counters(
                 "quetzal_tunnels_total",
                 "Tunnels to targets that this instance asked other instances for",
@@ -225,6 +258,23 @@
         retries.inc_by(u64::from(count));
     }
 
+    /// Counts an extra send, or what became of one.
+    pub fn hedge(&self, outcome: &str) {
+        self.hedges.outcomes.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts an extra send that was due and didn't go out.
+    pub fn hedge_withheld(&self, reason: &str) {
+        self.hedges.withheld.with_label_values(&[reason]).inc();
+    }
+
+    /// Adds the time for which a target had a request whose answer nobody took, as another one
+    /// answered it as well.
+    pub fn vain(&self, ran: Duration) {
+        let millis = u64::try_from(ran.as_millis()).unwrap_or(u64::MAX);
+        self.hedges.vain.inc_by(millis);
+    }
+
     /// Counts a tunnel that another instance was asked for, by its `outcome`.
     pub fn tunnel(&self, outcome: &str) {
         self.tunnels.with_label_values(&[outcome]).inc();
