Decide which requests are let in when a service has too little room

Cause: nothing decides who is let in when a service is short of places. Entry instances let all in, engines queue beyond recall up to several requests for each place, and reject whoever comes then, urgent or not.

Change: a crate `admission` without clock and I/O. Entry instances count what accounts and ranks offer and what ends (`Gate`), control instances add that up (`Tally`) and tell it with the room of their own zones, and each entry instance computes the parts to let in: max-min by weight among accounts, ranks in order above a floor, and room moved where ranks are out of order over all accounts. A request that is refused comes back within a third of its time, urgent ranks first. Messages are a call of their own. Nothing calls any of this yet.

Ruled out: parts computed at control instances (each knows its zones' room only), queues at entry instances (each orders its own few requests), tickets (a round trip for all), strict ranks over all accounts.

--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -49,6 +49,7 @@
             | Call::Entries(_)
             | Call::Streams(_)
             | Call::FindStream(_)
+            | Call::Admission(_)
             | Call::Renew { .. }
             | Call::Edition { .. } => Reply::Redirect {
                 leader: self.other_leader(),
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     account::{OthersUsage, Usage},
+    admission::{AdmissionReport, AdmissionTold},
     fleet::{Part, Sync, Synced},
     helper::{EntryReport, Helper},
     limit::{LimitReport, Permit},
@@ -106,6 +107,9 @@
         Streams(StreamSync),
         /// Entry to control: asks where a stream began.
         FindStream(FindStream),
+        /// Entry to control: work that was offered and that has ended. A call of its own, made
+        /// only where admission is on.
+        Admission(AdmissionReport),
         /// Control to leader: renews the caller's zone leases.
         Renew {
             /// The control instance that asks.
@@ -173,6 +177,8 @@
         FoundStream(FoundStream),
         /// Answers [`Call::Entries`].
         Entries(Vec<Helper>),
+        /// Answers [`Call::Admission`].
+        Admission(AdmissionTold),
         /// Answers [`Call::Renew`]: the zones that the caller owns, with its fencing numbers.
         Renewed(Vec<(String, u64)>),
         /// Answers [`Call::Explain`]; `None` if the text has no such service.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages between processes, independent of the transport.
 //!
 //! - [`account`]: use of client accounts (MessagePack)
+//! - [`admission`]: work offered and ended, and the room of services (MessagePack)
 //! - [`call`]: calls between the instances of the serving layer (MessagePack)
 //! - [`fleet`]: exchange about targets between entry and control instances (MessagePack)
 //! - [`list`]: ages of lists of targets, and the list of a zone (MessagePack)
@@ -16,6 +17,7 @@
 //! of their own, with `TryFrom` where a value can be invalid.
 
 pub mod account;
+pub mod admission;
 pub mod call;
 pub mod engine;
 pub mod fleet;
