Compile the test of editions again

Cause: the field `goal` that routes got was added to the parameters of `until_served` rather than to the route that the test makes, so that the test target `editions` of crate frontd didn't compile.

Change: the field stands in the route. No check is changed. The test was compiled (clippy) and not run yet.

--- a/crates/frontd/tests/editions/deployment.rs
+++ b/crates/frontd/tests/editions/deployment.rs
@@ -183,7 +183,6 @@
         &self,
         path: &str,
         limit: Duration,
-        goal: None,
     ) -> Result<Duration, String> {
         let addr = SocketAddr::new(self.ip, CALLERS);
         let begun = Instant::now();
@@ -396,6 +395,7 @@
             prefix: prefix.unwrap_or_default().to_owned(),
             kind: Kind::Safe,
             limit: Duration::from_secs(1),
+            goal: None,
             priority: 1,
             split: vec![("s".to_owned(), 1)],
             attempts: 1,
