Let requests for engines in by shares while room is short

Cause: the crate `admission` decides who is let in, and nothing asked it.

Change: where the configuration in force has accounts with limits and a tight goal, entry instances ask their gate after the account's limit and before a target is chosen. Refused requests have not run, are answered 503 with a time to come back (`Why::Room`), and their account gets its units back. After each regular exchange an entry instance reports to the control instance in a call of its own, and control instances answer with the rooms of their zones and the sums. Rests of streams are let in, as they were before. Elsewhere no call is made and nothing counted.

Ruled out: a field of the regular exchange (instances of the build before could not read it), and counting targets for each caller (rooms are counted anew after 50 ms).

--- a/crates/account/src/directory.rs
+++ b/crates/account/src/directory.rs
@@ -34,6 +34,16 @@
 }
 
 impl Limit {
+    /// Returns the units of work a second that may be asked; `request` is what a request counts
+    /// for where the limit counts requests.
+    #[must_use]
+    pub fn work_rate(&self, request: f64) -> f64 {
+        match self.unit {
+            Unit::Requests => self.rate * request,
+            Unit::Tokens { .. } => self.rate,
+        }
+    }
+
     /// Returns the units that a request counts for; `tokens` are those of its prompt and
     /// its answer, if it says them.
     #[must_use]
@@ -138,6 +148,16 @@
 }
 
 impl Directory {
+    /// Returns the mean of the units of work a second that accounts with limits may ask, or
+    /// `None` if no account has one; `request` as in [`Limit::work_rate`].
+    #[must_use]
+    pub fn mean_rate(&self, request: f64) -> Option<f64> {
+        let accounts: BTreeMap<_, _> = self.keys.values().map(|own| (&own.name, own)).collect();
+        let limits = accounts.values().filter_map(|account| account.limit);
+        let rates: Vec<f64> = limits.map(|limit| limit.work_rate(request)).collect();
+        (!rates.is_empty()).then(|| rates.iter().sum::<f64>() / rates.len() as f64)
+    }
+
     /// Returns the account that holds a key.
     #[must_use]
     pub fn holder(&self, key: &[u8]) -> Option<&Arc<Account>> {
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -2,6 +2,7 @@
 //! replicated log ([`Control`]), the one that gives orders to the engines of owned zones,
 //! and the assignment of zones to their owners.
 
+mod admission;
 mod edition_cache;
 mod lists;
 mod orders;
@@ -41,7 +42,7 @@
     quarantine::CrashReport,
 };
 
-use self::{edition_cache::EditionCache, lists::ZoneLists, streams::Streams};
+use self::{admission::Admission, edition_cache::EditionCache, lists::ZoneLists, streams::Streams};
 use super::{CallOutcome, HANDOVER_TIMEOUT, Setup};
 use crate::{Platform, names};
 
@@ -148,6 +149,7 @@
     zone_owner: ZoneOwner,
     /// What entry instances have used of limited accounts.
     tally: Tally,
+    admission: Admission,
     editions: EditionCache,
     /// Entry instances, and which of them can help others.
     roster: Roster,
@@ -199,6 +201,7 @@
                     | Call::SyncUsage { .. }
                     | Call::SyncLists { .. }
                     | Call::Streams(_)
+                    | Call::Admission(_)
                     | Call::Edition { .. },
                 ..
             } => 2,
@@ -229,6 +232,7 @@
             control,
             zone_owner: ZoneOwner::new(config, serial),
             tally: Tally::new(clock.now(), rand::random::<u64>() >> 1),
+            admission: Admission::new(clock.now()),
             editions: EditionCache::default(),
             roster: Roster::default(),
             sharers: Sharers::default(),
@@ -311,6 +315,7 @@
             self.log_software();
             self.count_suspects();
             self.tally.expire(now);
+            self.admission.expire(now);
             let leader = self.control.replica().leader().is_some();
             self.sharers.leader(now, leader);
             if let Some(seeds) = (self.platform.read_seeds)() {
@@ -391,6 +396,10 @@
             Call::Streams(sync) => {
                 to.send(self.stream_sync(sync)).ok();
             }
+            Call::Admission(report) => {
+                to.send(Reply::Admission(self.admission_report(&report)))
+                    .ok();
+            }
             Call::FindStream(asked) => {
                 to.send(self.find_stream(&asked)).ok();
             }
--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -1,5 +1,6 @@
 //! An entry instance accepts requests of callers and forwards them to targets.
 
+mod admission;
 mod answer;
 mod crash;
 mod editions;
--- a/crates/frontd/src/entry/answer.rs
+++ b/crates/frontd/src/entry/answer.rs
@@ -66,6 +66,8 @@
     FalsePromise,
     /// All targets that could take it have used up the limits that they name.
     Limited,
+    /// The service has too little room for all, and others go first.
+    Room,
     /// This instance is cut off from all targets, and no other one can reach them for it.
     CutOff,
     /// Targets have refused the request too often.
@@ -104,6 +106,7 @@
             RequestError::BadRequest => "bad_request",
             RequestError::TooLarge => "too_large",
             RequestError::NotRun { why: Why::Held, .. } => "held",
+            RequestError::NotRun { why: Why::Room, .. } => "no_room",
             RequestError::NotRun { .. } => "not_run",
             RequestError::OverLimit { .. } => "over_limit",
             RequestError::Failed { .. } => "failed",
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -1,10 +1,12 @@
 //! Forwards one request until the head of its answer has arrived.
 //!
-//! [`receive`] reads the request, [`wait`] chooses a target, [`send`] sends it there, and
-//! [`silent`] sends it to another one while the first says nothing.
+//! [`receive`] reads the request, [`enter`] lets it in where room is shared, [`wait`] chooses a
+//! target, [`send`] sends it there, and [`silent`] sends it to another one while the first says
+//! nothing.
 //! This module decides whether a failed request may be retried and what the caller is
 //! told.
 
+mod enter;
 mod receive;
 mod send;
 mod sending;
@@ -40,6 +42,7 @@
 pub(super) use self::{receive::answer, sending::InFlight};
 use self::{send::SendOutcome, sending::Sending};
 use super::{
+    admission::Entered,
     answer::{RequestError, Why, claims_not_run},
     crash::{self, Ended, EndedRun},
     headers,
@@ -87,6 +90,8 @@
     /// counts for.
     account: Option<Arc<Account>>,
     cost: f64,
+    /// That it was let in, where room is shared.
+    entered: Option<Entered>,
     /// Tokens of the prompt, and the most tokens of the answer, as the caller says.
     prompt_tokens: u64,
     max_answer_tokens: u64,
@@ -126,9 +131,9 @@
         if !self.adapter.is_empty() {
             self.state.view().count_request(&self.adapter);
         }
-        let sent = match self.check_held() {
+        let sent = match self.check_held().and_then(|()| self.enter()) {
             Ok(()) => self.send_until_answered(None).await,
-            Err(held) => Err(held),
+            Err(refused) => Err(refused),
         };
         match sent {
             Ok((answer, in_flight)) => {
--- a/crates/frontd/src/entry/forward/receive.rs
+++ b/crates/frontd/src/entry/forward/receive.rs
@@ -107,6 +107,7 @@
         headers: target_headers(&table, &headers, &names, account.as_deref()),
         account,
         cost,
+        entered: None,
         body,
         deadline: arrived + timeout.min(route.limit),
         arrived,
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -10,6 +10,7 @@
 };
 
 use account::Meter;
+use admission::Gate;
 use base::{InstanceName, Seed, SoftwareVersion, Time, stable_hash};
 use daemon::{Clock, Links, lock};
 use gateway::{
@@ -59,6 +60,9 @@
     ended_runs: Mutex<EndedRuns>,
     guard: Mutex<Guard>,
     meter: Mutex<Meter<SocketAddr>>,
+    gate: Mutex<Gate<SocketAddr>>,
+    /// Whether requests for engines are let in by shares while room is short.
+    admission: AtomicBool,
     pub(super) controls: ControlPeers,
     pub(super) editions: Editions,
     pub(super) streams: Streams,
@@ -82,6 +86,8 @@
         let address = Arc::clone(&platform.map_address);
         let paths = Paths::new(setup, clock, address, Arc::clone(&view));
         State {
+            gate: Mutex::new(Gate::new(name.clone(), Seed(rand::random()))),
+            admission: AtomicBool::new(false),
             links: Links::new(name.clone()),
             name,
             port: setup.peer_port,
@@ -150,6 +156,16 @@
         lock(&self.meter)
     }
 
+    /// Returns what decides which requests are let in while room is short.
+    pub(super) fn gate(&self) -> MutexGuard<'_, Gate<SocketAddr>> {
+        lock(&self.gate)
+    }
+
+    /// Returns whether requests for engines are let in by shares while room is short.
+    pub(super) fn has_admission(&self) -> bool {
+        self.admission.load(Ordering::Relaxed)
+    }
+
     /// Exchanges with a control instance at once.
     pub(super) fn hurry(&self) {
         self.controls.hurry(self.now(), &self.zone);
@@ -198,6 +214,8 @@
         if held.as_ref().is_some_and(|(old, _)| *old >= number) {
             return false;
         }
+        let admission = table.has_admission();
+        self.admission.store(admission, Ordering::Relaxed);
         *held = Some((number, Arc::new(table)));
         true
     }
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -27,7 +27,7 @@
 };
 
 use super::{
-    crash, helping, limits, lists,
+    admission, crash, helping, limits, lists,
     state::State,
     streams::{self, Turn, Untold},
 };
@@ -309,6 +309,7 @@
         }
         state.meter().expire(state.now());
         state.view().expire_limits(state.now());
+        admission::expire(&state);
         state.view().expire_software(state.now());
         let demand = state.view().take_demand();
         state.controls.add_demand(&demand);
@@ -410,6 +411,7 @@
     limits::log_told(state, peer);
     if regular {
         limits::report(state, peer).await;
+        admission::report(state, peer).await;
         streams::exchange(state, peer).await;
         if peer.helping_due(now) {
             helping::report(state, peer).await;
--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -2,13 +2,25 @@
 
 use std::sync::Arc;
 
+use account::{Account, KeyDigest, Limit, RawAccount, Unit};
 use futures::FutureExt;
-use gateway::{table::RawTable, zone_owner::OrderOutcome};
+use gateway::{
+    table::{Engine, Kind, RawTable, Route, Service},
+    zone_owner::OrderOutcome,
+};
 use googletest::prelude::*;
 use hyper::header::HeaderName;
 
+use wire::admission::{AdmissionTold, Ended, Offered, Room};
+
 use super::*;
-use crate::{Decoded, HeaderNames};
+use crate::{
+    Decoded, HeaderNames,
+    entry::{
+        admission::{self, Entrant},
+        answer::{RequestError, Why},
+    },
+};
 
 fn platform() -> Platform {
     let header = HeaderName::from_static("x");
@@ -117,3 +129,126 @@
     assert_that!(kept(|(a, b)| forward::answer(a, b)), le(8 << 10));
     assert_that!(kept(|relay: &'static mut Relay| relay.next()), le(1_280));
 }
+
+/// Returns a configuration with one service of engines and one account.
+fn engines(goal: Option<Duration>, limited: bool) -> Table {
+    let engine = Some(Engine {
+        models: Vec::new(),
+        adapter_slots: 1,
+        memory_mb: 1.0,
+    });
+    let route = Route {
+        name: "r".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/".to_owned(),
+        kind: Kind::Safe,
+        limit: Duration::from_secs(9),
+        goal,
+        priority: 0,
+        split: vec![("s".to_owned(), 1)],
+        attempts: 1,
+        public: false,
+    };
+    let account = RawAccount {
+        name: "x".to_owned(),
+        keys: vec![KeyDigest::of(b"key")],
+        priority: None,
+        limit: limited.then_some(Limit {
+            rate: 5.0,
+            burst: 5.0,
+            unit: Unit::Requests,
+        }),
+    };
+    let raw = RawTable {
+        routes: vec![route],
+        services: [("s".to_owned(), Service { engine })].into(),
+        accounts: Some(vec![account]),
+        ..RawTable::default()
+    };
+    Table::try_from(raw).unwrap()
+}
+
+fn admission_is((goal, limited, expected): (Option<u64>, bool, bool)) {
+    let state = state();
+    assert_that!(state.has_admission(), eq(false));
+    state.set_table(1, engines(goal.map(Duration::from_millis), limited));
+    assert_that!(state.has_admission(), eq(expected));
+    state.set_table(2, table(7));
+    assert_that!(state.has_admission(), eq(false));
+}
+
+base::cases! {
+    /// Nothing is counted, reported or refused unless the configuration in force calls
+    /// for it.
+    admission_follows_the_configuration: admission_is => {
+        tight_and_limited: (Some(500), true, true),
+        wide: (Some(2_000), true, false),
+        unlimited: (Some(500), false, false),
+    }
+}
+
+/// Tells that 20 requests are under way at 10 places, and that nine of ten have to wait.
+fn short() -> AdmissionTold {
+    AdmissionTold {
+        rooms: vec![Room {
+            service: "s".to_owned(),
+            zone: "za".to_owned(),
+            slots: 10,
+            running: 20,
+            queued: 10,
+        }],
+        offered: vec![Offered {
+            service: "s".to_owned(),
+            account: Some("x".parse().unwrap()),
+            rank: 0,
+            weight: 5,
+            units: 1_000,
+        }],
+        ended: vec![Ended {
+            service: "s".to_owned(),
+            units: 145,
+            requests: 10_000,
+        }],
+    }
+}
+
+/// A refused request hasn't run, is told when to come back, and one that was let in counts
+/// until it ends.
+#[gtest]
+fn requests_that_are_not_let_in_have_not_run() {
+    let state = Arc::new(state());
+    state.set_table(1, engines(Some(Duration::from_millis(500)), true));
+    let control = "127.0.0.1:2".parse().unwrap();
+    state.gate().report(state.now(), control);
+    state.gate().told(state.now(), control, short());
+    let account = Account {
+        name: "x".parse().unwrap(),
+        priority: None,
+        limit: None,
+    };
+    let entrant = Entrant {
+        request: "r",
+        service: "s",
+        account: Some(&account),
+        rank: 0,
+        tokens: Some(10),
+        left: Duration::from_secs(3),
+    };
+    let each = (0..100).map(|n| admission::enter(&state, &entrant, || n));
+    let (entered, refused): (Vec<_>, Vec<_>) = each.partition(Result::is_ok);
+    assert_that!(entered.len(), all!(ge(5), le(15)));
+    for refused in refused {
+        let Err(RequestError::NotRun { again, why }) = refused else {
+            panic!("it isn't refused as not run");
+        };
+        assert_that!(why, eq(Why::Room));
+        assert_that!(again, all!(gt(Duration::ZERO), le(Duration::from_secs(1))));
+    }
+    let ended = |report: wire::admission::AdmissionReport| -> u64 {
+        report.ended.iter().map(|ended| ended.requests).sum()
+    };
+    let count = entered.len() as u64;
+    assert_that!(ended(state.gate().report(state.now(), control)), eq(0));
+    drop(entered);
+    assert_that!(ended(state.gate().report(state.now(), control)), eq(count));
+}
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -14,6 +14,9 @@
 /// and is late if something takes as long again.
 const TIGHT_GOAL: Duration = Duration::from_millis(500);
 
+/// Tokens that a request counts for in the weight of an account whose limit counts requests.
+const REQUEST_TOKENS: f64 = 1_000.0;
+
 /// How requests of a route may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -141,6 +144,8 @@
     services: BTreeMap<String, Service>,
     body_bytes: Option<usize>,
     accounts: Option<Directory>,
+    /// Mean weight of accounts that have limits, if any has one.
+    mean_weight: Option<f64>,
 }
 
 /// Who sends a request.
@@ -208,11 +213,15 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        let accounts = raw.accounts.map(Directory::try_from).transpose()?;
+        let mean_weight = accounts.as_ref();
+        let mean_weight = mean_weight.and_then(|accounts| accounts.mean_rate(REQUEST_TOKENS));
         Ok(Table {
             hosts,
             services: raw.services,
             body_bytes: raw.body_bytes,
-            accounts: raw.accounts.map(Directory::try_from).transpose()?,
+            accounts,
+            mean_weight,
         })
     }
 }
@@ -305,6 +314,22 @@
         })
     }
 
+    /// Returns whether requests for engines are let in by shares while room is short: where a route
+    /// has a tight goal and accounts have limits.
+    #[must_use]
+    pub fn has_admission(&self) -> bool {
+        self.mean_weight.is_some() && self.has_tight_goals()
+    }
+
+    /// Returns the weight of an account among others: tokens a second that it may ask. Who has
+    /// no limit has the mean weight of those who have one.
+    #[must_use]
+    pub fn weight(&self, account: Option<&Account>) -> u64 {
+        let own = account.and_then(|account| account.limit);
+        let own = own.map(|limit| limit.work_rate(REQUEST_TOKENS));
+        own.or(self.mean_weight).unwrap_or(0.0).round() as u64
+    }
+
     /// Returns the maximum size of a request body, in bytes, if the operator sets one.
     #[must_use]
     pub fn body_bytes(&self) -> Option<usize> {
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod plan;
 mod queue;
+mod rooms;
 mod slowness;
 mod synced;
 mod target_updates;
--- a/crates/gateway/tests/table.rs
+++ b/crates/gateway/tests/table.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use gateway::table::{BadTable, Engine, Kind, RawTable, Route, Service, Table};
+use account::{KeyDigest, Limit, RawAccount, Unit};
+use base::Tokens;
+use gateway::table::{BadTable, Engine, Kind, RawTable, Route, Sender, Service, Table};
 use googletest::prelude::*;
 
 fn route(prefix: &str) -> Route {
@@ -73,6 +75,14 @@
 
 /// Returns whether goals are tight where a route to engines and one to plain targets have these.
 fn tight((engines, plain): (Option<u64>, Option<u64>)) -> bool {
+    with_goals(engines, plain, None).has_tight_goals()
+}
+
+fn with_goals(
+    engines: Option<u64>,
+    plain: Option<u64>,
+    accounts: Option<Vec<RawAccount>>,
+) -> Table {
     let with_goal = |prefix, service: &str, goal: Option<u64>| Route {
         goal: goal.map(Duration::from_millis),
         split: vec![(service.to_owned(), 1)],
@@ -95,9 +105,64 @@
     let raw = RawTable {
         routes: vec![with_goal("/e/", "e", engines), with_goal("/s/", "s", plain)],
         services: BTreeMap::from(services),
+        accounts,
         ..RawTable::default()
     };
-    Table::try_from(raw).unwrap().has_tight_goals()
+    Table::try_from(raw).unwrap()
+}
+
+fn account(name: &str, limit: Option<(f64, Unit)>) -> RawAccount {
+    RawAccount {
+        name: name.to_owned(),
+        keys: vec![KeyDigest::of(name.as_bytes())],
+        priority: None,
+        limit: limit.map(|(rate, unit)| Limit {
+            rate,
+            burst: 1.0,
+            unit,
+        }),
+    }
+}
+
+const TOKENS: Unit = Unit::Tokens { unknown: Tokens(1) };
+
+fn admission((goal, limits, expected): (Option<u64>, Option<Vec<Option<f64>>>, bool)) {
+    let accounts = limits.map(|limits| {
+        let each = limits.iter().enumerate();
+        each.map(|(n, limit)| account(&format!("a{n}"), limit.map(|rate| (rate, TOKENS))))
+            .collect()
+    });
+    let table = with_goals(goal, None, accounts);
+    assert_that!(table.has_admission(), eq(expected));
+}
+
+base::cases! {
+    /// Room is shared only where a route to engines has a tight goal and accounts have
+    /// limits: nothing else changes.
+    admission_is_on: admission => {
+        both: (Some(500), Some(vec![None, Some(5.0)]), true),
+        wide_goals: (Some(600), Some(vec![Some(5.0)]), false),
+        no_limits: (Some(500), Some(vec![None]), false),
+        no_accounts: (Some(500), None, false),
+        neither: (None, None, false),
+    }
+}
+
+#[gtest]
+fn accounts_weigh_what_they_may_ask() {
+    let limited = account("a", Some((3_000.0, TOKENS)));
+    let counted = account("b", Some((2.0, Unit::Requests)));
+    let free = account("c", None);
+    let table = with_goals(Some(500), None, Some(vec![limited, counted, free]));
+    let weight = |name: &str| {
+        let route = route("/");
+        match table.sender(&route, Some(name.as_bytes())) {
+            Sender::Account(account) => table.weight(Some(&account)),
+            _ => table.weight(None),
+        }
+    };
+    assert_that!((weight("a"), weight("b")), eq((3_000, 2_000)));
+    assert_that!((weight("c"), weight("unknown")), eq((2_500, 2_500)));
 }
 
 fn goals_are((goals, expected): ((Option<u64>, Option<u64>), bool)) {
--- a/crates/gateway/tests/zone_owner.rs
+++ b/crates/gateway/tests/zone_owner.rs
@@ -8,6 +8,8 @@
 mod loads;
 #[path = "zone_owner/many.rs"]
 mod many;
+#[path = "zone_owner/rooms.rs"]
+mod rooms;
 #[path = "zone_owner/slowness.rs"]
 mod slowness;
 #[path = "zone_owner/streams.rs"]
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -38,6 +38,7 @@
     taken_up: IntCounterVec,
     answer_ends: IntCounterVec,
     permits: IntCounterVec,
+    admission: IntCounterVec,
     tunnels: IntCounterVec,
     helped: IntCounterVec,
     gauges: Gauges,
@@ -143,6 +144,12 @@
                 "Permits for requests to targets that name a limit",
                 "outcome",
             ),
+            admission: self::counters(
+                &registry,
+                "quetzal_admission_total",
+                "Requests that asked to be let in, by rank and outcome",
+                &["rank", "outcome"],
+            ),
             tunnels: counters(
                 "quetzal_tunnels_total",
                 "Tunnels to targets that this instance asked other instances for",
@@ -213,6 +220,13 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request that asked to be let in, where room is shared.
+    pub fn admission(&self, rank: u8, let_in: bool) {
+        let outcome = if let_in { "let_in" } else { "refused" };
+        let rank = rank.to_string();
+        self.admission.with_label_values(&[&rank, outcome]).inc();
+    }
+
     /// Counts a tunnel that another instance was asked for, by its `outcome`.
     pub fn tunnel(&self, outcome: &str) {
         self.tunnels.with_label_values(&[outcome]).inc();
