--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -18,6 +18,7 @@
 mod plan;
 mod queue;
 mod rates;
+mod rooms;
 mod slowness;
 mod synced;
 mod target_updates;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -149,6 +149,9 @@
     HedgeWon 5041 Info "second target was first" "`target` answered `request`, `took_ms` after it was sent there as well; the first one was left."
     HedgeLost 5042 Info "second target in vain" "The second target of `request` had it for `ran_ms` in vain; `outcome` is `cancelled` where the first one answered, else how it failed."
     HedgeWithheld 5043 Debug "not sent to a second target" "`first` is late with `request`, which wasn't sent to a second target: `why` is `attempts`, `suspect`, `pressed`, `deadline`, `limit`, `room`, `budget` or `permit`."
+    NotLetIn 5034 Info "request not let in" "`service` has too little room, and `request` of `account` with `rank` was refused before anything was sent: `part` of such requests is let in. Its caller was told to come back in `left_ms`."
+    RoomShort 5035 Info "service short of room" "`running` requests are under way at the engines of `service`, which have `slots` places; `queued` of them wait there. Callers offer `offered` tokens a second, `ended` end, and `part` is let in; again when that has changed by a tenth."
+    RoomEnough 5036 Info "service no longer short of room" "All requests for `service` are let in again, after `lasted_ms` in which this instance refused `refused`."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     account::{OthersUsage, Usage},
+    admission::{AdmissionReport, AdmissionTold},
     fleet::{Part, Sync, Synced},
     helper::{EntryReport, Helper},
     limit::{LimitReport, Permit},
@@ -110,6 +111,9 @@
         /// Entry to control: retries that the caller wants, and those that it lends. A call of
         /// its own, made only where lending is on.
         Retries(RetryReport),
+        /// Entry to control: work that was offered and that has ended. A call of its own, made
+        /// only where admission is on.
+        Admission(AdmissionReport),
         /// Control to leader: renews the caller's zone leases.
         Renew {
             /// The control instance that asks.
@@ -179,6 +183,8 @@
         Entries(Vec<Helper>),
         /// Answers [`Call::Retries`].
         Retries(RetryAnswer),
+        /// Answers [`Call::Admission`].
+        Admission(AdmissionTold),
         /// Answers [`Call::Renew`]: the zones that the caller owns, with its fencing numbers.
         Renewed(Vec<(String, u64)>),
         /// Answers [`Call::Explain`]; `None` if the text has no such service.
