Load copies by need with what callers leave of the store

They now take a quarter of the store's loads at most, while no caller waits for it, or an engine's host memory; copies that entry instances ask for stand in the queue as before.

The usual time of a load is learned as elsewhere, but also while many are late.

--- a/crates/gateway/src/zone_owner/copies.rs
+++ b/crates/gateway/src/zone_owner/copies.rs
@@ -16,9 +16,7 @@
 
 use base::Time;
 
-use super::{
-    Output, ZoneOwner, placement::Placement, plan::Candidate, queue::COPY_GAIN, rates::Rates,
-};
+use super::{Output, ZoneOwner, placement::Placement, plan::Candidate, rates::Rates};
 
 /// Interval at which the needed copies are counted. Entry instances report what runs four
 /// times a second, each at another time.
@@ -48,8 +46,9 @@
 /// Part of an engine's slots that has to be free up to [`TARGET_USE`] for a further copy.
 const MIN_ROOM: f64 = 0.15;
 
-/// Part of the store's loads kept for copies while adapters that callers wait for queue.
-const RESERVED_PART: usize = 4;
+/// Part of the store's loads at full speed up to which copies by need are loaded from it, while
+/// no caller waits for it; those in an engine's host memory are loaded in any case.
+pub(super) const STORE_PART: usize = 4;
 
 /// What each adapter needs in the zones of an owner.
 #[derive(Debug, Default)]
@@ -88,8 +87,8 @@
     adapter: String,
     /// Number of copies to load.
     count: usize,
-    /// Value of each, as of adapters that callers wait for.
-    gain: f64,
+    /// Number of requests that each takes over.
+    relief: f64,
 }
 
 impl Sizing {
@@ -163,7 +162,7 @@
         });
         self.sizing.needs = needs.collect();
         let placement = self.placement(now);
-        self.plan_due |= !self.shortages(now, &placement).is_empty();
+        self.plan_due |= !self.shortages(&placement).is_empty();
         self.placement = Some(placement);
     }
 
@@ -206,43 +205,27 @@
         (!rooms.is_empty()).then(|| rooms.iter().sum::<f64>() / rooms.len() as f64)
     }
 
-    /// Returns the adapters that lack copies, the one with the highest gain first.
-    pub(super) fn shortages(&self, now: Time, placement: &Placement) -> Vec<Shortage> {
+    /// Returns the adapters that lack copies, the one whose copies take over most first.
+    pub(super) fn shortages(&self, placement: &Placement) -> Vec<Shortage> {
         if !self.tight {
             return Vec::new();
         }
         let short = self.sizing.needs.iter();
-        let mut short: BTreeMap<&String, (usize, f64)> = short
-            .filter_map(|(adapter, need)| {
-                let count = need.least.saturating_sub(placement.copies(adapter));
-                (count > 0).then_some((adapter, (count, need.relief * COPY_GAIN)))
+        let short = short.filter_map(|(adapter, need)| {
+            let count = need.least.saturating_sub(placement.copies(adapter));
+            (count > 0).then(|| Shortage {
+                adapter: adapter.clone(),
+                count,
+                relief: need.relief,
             })
-            .collect();
-        let asked = self.copies.keys();
-        let asked = asked.filter(|a| !placement.copy_pending(now, a) && !self.is_model(a));
-        for adapter in asked {
-            let copies = placement.copies(adapter) as f64;
-            let gain = self.demand.of(now, adapter) / (copies + 1.0) * COPY_GAIN;
-            let entry = short.entry(adapter).or_insert((1, gain));
-            entry.1 = entry.1.max(gain);
-        }
-        let short = short.into_iter().map(|(adapter, (count, gain))| Shortage {
-            adapter: adapter.clone(),
-            count,
-            gain,
         });
         let mut short: Vec<_> = short.collect();
-        short.sort_by(|a, b| b.gain.total_cmp(&a.gain));
+        short.sort_by(|a, b| b.relief.total_cmp(&a.relief));
         short
     }
 
-    /// Returns how many of `limit` loads are kept for copies while wanted adapters queue.
-    pub(super) fn reserved(&self, short: &[Shortage], limit: usize) -> usize {
-        let lacking: usize = short.iter().map(|short| short.count).sum();
-        lacking.min(limit / RESERVED_PART)
-    }
-
-    /// Loads the copies that are short, at engines that have room for their requests.
+    /// Loads the copies that are short, at engines that have room for their requests; from the
+    /// store up to `limit` loads.
     pub(super) fn load_copies(
         &mut self,
         now: Time,
--- a/crates/gateway/src/zone_owner/estimate.rs
+++ b/crates/gateway/src/zone_owner/estimate.rs
@@ -38,7 +38,7 @@
 /// each load time, and dozens of loads in time between them undid it. With a step for each
 /// late load, all that had been ordered before the first was known to be late raised it
 /// again, to 1,000 ms, and callers waited for as long.
-const TIGHT_LATE_STEP: f64 = 0.015;
+const TIGHT_LATE_STEP: f64 = 0.02;
 
 /// Number of expected times that are remembered: one for each load of some seconds.
 const MAX_EXPECTED: usize = 256;
@@ -76,9 +76,6 @@
 /// little of the time added while too many loads ran enters the usual time.
 const USUAL_WEIGHT: f64 = 0.02;
 
-/// The same where goals are tight.
-const TIGHT_USUAL_WEIGHT: f64 = 0.05;
-
 /// Fraction by which the usual time moves towards the expected one when the limit shrinks
 /// again although no load has been in time since it last shrank: the limit was not the
 /// cause then.
@@ -256,12 +253,9 @@
     /// Updates the usual time from loads in time, unless so many are late that too many
     /// may run at once.
     fn learn_usual(&mut self) {
-        let weight = match self.tight {
-            true => TIGHT_USUAL_WEIGHT,
-            false if self.late < TOO_MANY_LATE => USUAL_WEIGHT,
-            false => return,
-        };
-        self.usual += (self.time - self.usual) * weight;
+        if self.tight || self.late < TOO_MANY_LATE {
+            self.usual += (self.time - self.usual) * USUAL_WEIGHT;
+        }
     }
 }
 
--- a/crates/gateway/src/zone_owner/plan.rs
+++ b/crates/gateway/src/zone_owner/plan.rs
@@ -7,6 +7,7 @@
 
 use super::{
     Action, MIN_PLAN_INTERVAL, Order, Output, ZoneOwner,
+    copies::STORE_PART,
     engine::{Engine, ReportReason},
     models::Turn,
     placement::Placement,
@@ -99,7 +100,7 @@
         out: &mut Vec<Output>,
     ) {
         self.queue.clear();
-        let short = self.shortages(now, placement);
+        let short = self.shortages(placement);
         let asked = self.wants.len() + self.copies.len() + self.stream_wants.len();
         if asked == 0 && short.is_empty() {
             return;
@@ -112,9 +113,8 @@
             .filter(|candidate| !candidate.room && candidate.victim.is_none());
         (self.available, self.full) = (candidates.len(), full.count());
         let mut waiting = Vec::new();
-        let reserved = self.reserved(&short, limit);
         for adapter in missing {
-            let use_store = placement.loading + reserved < limit;
+            let use_store = placement.loading < limit;
             let want = self.wants.get(&adapter);
             let cached = want.is_none_or(|want| want.cached);
             let tried = (use_store || cached) && !candidates.is_empty();
@@ -122,7 +122,11 @@
                 waiting.push(adapter);
             }
         }
-        self.load_copies(now, limit, &short, &mut candidates, placement, out);
+        let spare = match waiting.is_empty() {
+            true => limit.div_ceil(STORE_PART),
+            false => 0,
+        };
+        self.load_copies(now, spare, &short, &mut candidates, placement, out);
         self.queue = self.estimate_waits(&waiting, limit);
     }
 
--- a/crates/gateway/src/zone_owner/queue.rs
+++ b/crates/gateway/src/zone_owner/queue.rs
@@ -22,7 +22,7 @@
 
 /// Value of one more copy for callers whose holders have a backlog, relative to a load
 /// for callers whom nobody can serve: the former are served in any case, only later.
-pub(super) const COPY_GAIN: f64 = 0.3;
+const COPY_GAIN: f64 = 0.3;
 
 impl ZoneOwner {
     /// Returns the adapters to load, ranked by how many of the requests of the last
@@ -30,8 +30,6 @@
     /// holders have a backlog, where one more copy gets an even share of the requests.
     pub(super) fn missing(&mut self, now: Time, placement: &Placement) -> Vec<String> {
         self.steps += (self.wants.len() + self.copies.len()) as u64;
-        // Where goals are tight, copies are loaded by what is short.
-        let apart = self.tight;
         let wanted = self.wants.iter();
         let wanted = wanted.filter(|(a, _)| placement.copies(a) == 0 && !self.is_model(a));
         let wanted = wanted.map(|(adapter, want)| {
@@ -39,7 +37,7 @@
             let part = if late { LATE_GAIN } else { 1.0 };
             (self.demand.of(now, adapter) * part, adapter)
         });
-        let copies = self.copies.keys().filter(|_| !apart);
+        let copies = self.copies.keys();
         let copies = copies.filter(|a| !placement.copy_pending(now, a));
         let copies = copies.filter(|a| !self.is_model(a) && self.room_for_copy(a));
         let copies = copies.map(|adapter| {
