--- a/crates/frontd/tests/common/platform.rs
+++ b/crates/frontd/tests/common/platform.rs
@@ -36,19 +36,15 @@
     }
 }
 
-/// Returns an address that is unique to this process and `no`, of which there are 512.
+/// Returns an address that is unique to this process and `no`, of which there are 1,024.
 ///
 /// Failure: two checkouts are tested at the same time on one machine. With the same
 /// addresses their instances would connect to each other.
 pub(crate) fn loopback_ip(no: u16) -> IpAddr {
     let [.., high, low] = std::process::id().to_be_bytes();
     let [block, last] = no.to_be_bytes();
-    let high = match block {
-        0 => high | 128,
-        1 => high & 127,
-        _ => panic!("no address is left"),
-    };
-    IpAddr::V4(Ipv4Addr::new(127, high, low, last))
+    assert!(block < 4, "no address is left");
+    IpAddr::V4(Ipv4Addr::new(127, high & 63 | block << 6, low, last))
 }
 
 /// Returns the budget of retries of a deployment.
