--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -143,15 +143,15 @@
     StreamRefused 5029 Info "stream not continued" "The rest of a stream was refused, or a broken stream ends here. `why` is `no_attempt_named` where the caller names no attempt that began it, `unknown` where nobody in reach knows which software version began it, `service_changed` where its route no longer leads there, `software_unknown` where the target that began it names no software, `no_target` where no target of that version can take it, or why no other target was tried or answered."
     RetryDenied 5030 Debug "retry denied" "A request of `service` isn't sent again: within the window this instance has had `requests` requests and sent `retries` again; its share of the fixed number is `share`, as `instances` share that."
     TargetSilent 5031 Info "target silent" "`target` has said nothing to `request` for `silent_ms`; `phase` is `head` or `body`, and `last` is the event that the caller has. Another target is tried as well if the request may be sent again: E5005 if that took over, E5029 and E5002 if nothing did; the silent one may still go on."
+    NotLetIn 5034 Info "request not let in" "`service` has too little room, and `request` of `account` with `rank` was refused before anything was sent: `part` of such requests is let in. Its caller was told to come back in `left_ms`."
+    RoomShort 5035 Info "service short of room" "`running` requests are under way at the engines of `service`, which have `slots` places; `queued` of them wait there. Callers offer `offered` tokens a second, `ended` end, and `part` is let in; again when that has changed by a tenth."
+    RoomEnough 5036 Info "service no longer short of room" "All requests for `service` are let in again, after `lasted_ms` in which this instance refused `refused`."
     RetriesLent 5038 Debug "retries lent" "This instance was asked to lend `asked` retries of `service` to others and lends `lent`: for 12 s it counts them as sent."
     RetriesBorrowed 5039 Debug "retries borrowed" "This instance may send `count` requests of `service` again besides its own retries, within `life_ms`."
     HedgeSent 5040 Info "sent to a second target as well" "`first` has not answered `request` for `waited_ms`; it was sent to `target` as well, and whichever answers first is taken."
     HedgeWon 5041 Info "second target was first" "`target` answered `request`, `took_ms` after it was sent there as well; the first one was left."
     HedgeLost 5042 Info "second target in vain" "The second target of `request` had it for `ran_ms` in vain; `outcome` is `cancelled` where the first one answered, else how it failed."
     HedgeWithheld 5043 Debug "not sent to a second target" "`first` is late with `request`, which wasn't sent to a second target: `why` is `attempts`, `suspect`, `pressed`, `deadline`, `limit`, `room`, `budget` or `permit`."
-    NotLetIn 5034 Info "request not let in" "`service` has too little room, and `request` of `account` with `rank` was refused before anything was sent: `part` of such requests is let in. Its caller was told to come back in `left_ms`."
-    RoomShort 5035 Info "service short of room" "`running` requests are under way at the engines of `service`, which have `slots` places; `queued` of them wait there. Callers offer `offered` tokens a second, `ended` end, and `part` is let in; again when that has changed by a tenth."
-    RoomEnough 5036 Info "service no longer short of room" "All requests for `service` are let in again, after `lasted_ms` in which this instance refused `refused`."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
--- a/crates/wire/tests/running.rs
+++ b/crates/wire/tests/running.rs
@@ -7,7 +7,7 @@
 const THIRTEEN_FIELDS: u8 = 0x9d;
 
 /// Guards against a message that instances of the build before can't read.
-#[test]
+#[gtest]
 fn an_answer_without_what_runs_has_the_same_fields() {
     let known = Synced::default();
     let mut unknown = Synced {
