Split three long functions of the node, the stand-in and the capacity run

Each did more than one step: what a request starts with and what the router is asked for it; the cache of prompt heads; the calls of a claim and their sending. No behaviour changes: the tests of node and stand-in pass (cargo test -p node -p standin), the capacity run was only compiled.

--- a/crates/node/src/entry/active.rs
+++ b/crates/node/src/entry/active.rs
@@ -146,25 +146,18 @@
             .timeout
             .unwrap_or(default_timeout(&model.limits, class));
         let key = resident.as_ref().map(|r| shared.names.key(r));
+        let deadline = now + timeout;
         let start = Start {
             class,
             mark,
-            deadline: now + timeout,
+            deadline,
             stream: arrival.stream,
             resumable: key.is_some() && mark == Mark::Repeatable,
             outlives: key.is_none(),
             adapter: key,
             attempts: model.limits.attempts,
         };
-        let ask = RequestSpec {
-            pool: shared.names.pool(&service.pool),
-            key,
-            brand: shared.names.brand(&arrival.brand),
-            class,
-            prefix: arrival.prefix,
-            tokens: arrival.tokens,
-            deadline: now + timeout,
-        };
+        let ask = spec(shared, service, &arrival, &start);
         Ok(Active {
             request: Request::default(),
             start,
@@ -369,6 +362,19 @@
     Err(Failure::not_run(Refusal::Held).retry_after(left))
 }
 
+/// Returns what the router is asked for a request that begins as `start`.
+fn spec(shared: &mut Shared, service: &Service, arrival: &Arrival, start: &Start) -> RequestSpec {
+    RequestSpec {
+        pool: shared.names.pool(&service.pool),
+        key: start.adapter,
+        brand: shared.names.brand(&arrival.brand),
+        class: start.class,
+        prefix: arrival.prefix,
+        tokens: arrival.tokens,
+        deadline: start.deadline,
+    }
+}
+
 fn content(arrival: &Arrival) -> Fingerprint {
     let (brand, service) = (arrival.brand.as_str(), arrival.service.as_str());
     Fingerprint::of(&[brand.as_bytes(), service.as_bytes(), &arrival.body])
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -1,6 +1,6 @@
 //! `POST /v1/chat/completions`, with and without streaming.
 
-use std::{str::FromStr, sync::Arc, time::Duration};
+use std::{collections::VecDeque, str::FromStr, sync::Arc, time::Duration};
 
 use base::stable_hash;
 use serde::Deserialize;
@@ -158,13 +158,7 @@
     state.faults.cuts -= u32::from(cut.is_some());
     let head = text(header::PREFIX).and_then(|raw| u64::from_str_radix(raw, 16).ok());
     let head = head.unwrap_or_else(|| hash_head(&prompt));
-    let cached = state.cached.contains(&head);
-    if !cached {
-        state.cached.push_back(head);
-    }
-    if state.cached.len() > engine.config.cache {
-        state.cached.pop_front();
-    }
+    let cached = keep_head(&mut state.cached, head, engine.config.cache);
     let ending = state.ending.clone();
     drop(state);
     let urgent = text(header::PRIORITY).and_then(|raw| raw.parse().ok());
@@ -190,6 +184,18 @@
     })
 }
 
+/// Keeps the head of a prompt in a cache of `most`, and returns whether it was there.
+fn keep_head(heads: &mut VecDeque<u64>, head: u64, most: usize) -> bool {
+    let cached = heads.contains(&head);
+    if !cached {
+        heads.push_back(head);
+    }
+    if heads.len() > most {
+        heads.pop_front();
+    }
+    cached
+}
+
 fn hash_head(prompt: &str) -> u64 {
     let bytes = prompt.as_bytes();
     stable_hash(&[&bytes[..bytes.len().min(HEAD_BYTES)]])
--- a/xtask/src/capacity/control.rs
+++ b/xtask/src/capacity/control.rs
@@ -320,6 +320,29 @@
     key
 }
 
+/// Returns the claim of an idempotency key by its `n`th attempt.
+fn claim(n: u64) -> Result<Call> {
+    Ok(Call::Claim(Claim {
+        brand: "brand".parse()?,
+        key: key(n),
+        body: key(n),
+        instance: "instance-0000".parse()?,
+        attempt: n,
+        dated: None,
+    }))
+}
+
+/// Returns the call by which the attempt of [`claim`] says that it has run.
+fn settle(n: u64) -> Result<Call> {
+    Ok(Call::Settle(Settle {
+        brand: "brand".parse()?,
+        key: key(n),
+        instance: "instance-0000".parse()?,
+        attempt: n,
+        outcome: ClaimOutcome::Ran(None),
+    }))
+}
+
 fn claims(keys: usize) -> Result<Vec<f64>> {
     let mut sim = ControlSim::new(1, None, Vec::new())?;
     sim.become_leader()?;
@@ -327,43 +350,20 @@
         sim.call(Call::Heartbeat(beat(0, round, 0, Some(zone_engines(0)?))?));
         sim.advance(1_000);
     }
-    let instance: base::InstanceName = "instance-0000".parse()?;
-    let brand: base::BrandName = "brand".parse()?;
     let (before, log) = (resident_mib()?, sim.written);
     let mut spent = Duration::ZERO;
     let mut size = 0.0;
     for batch in 0..(keys as u64).div_ceil(CLAIMS_PER_WRITE) {
         let all = batch * CLAIMS_PER_WRITE..(batch + 1) * CLAIMS_PER_WRITE;
-        let claim = |n| {
-            Call::Claim(Claim {
-                brand: brand.clone(),
-                key: key(n),
-                body: key(n),
-                instance: instance.clone(),
-                attempt: n,
-                dated: None,
-            })
-        };
-        let settle = |n| {
-            Call::Settle(Settle {
-                brand: brand.clone(),
-                key: key(n),
-                instance: instance.clone(),
-                attempt: n,
-                outcome: ClaimOutcome::Ran(None),
-            })
-        };
+        let claims = all.clone().map(claim).collect::<Result<Vec<_>>>()?;
+        let settles = all.map(settle).collect::<Result<Vec<_>>>()?;
         let replies = [Reply::Claim(wire::call::ClaimReply::Granted), Reply::Done];
-        size = encoded_len(&claim(0))?
-            + encoded_len(&settle(0))?
+        size = encoded_len(&claim(0)?)?
+            + encoded_len(&settle(0)?)?
             + encoded_len(&replies[0])?
             + encoded_len(&replies[1])?;
-        let calls = [
-            all.clone().map(claim).collect::<Vec<_>>(),
-            all.map(settle).collect(),
-        ];
         let began = Instant::now();
-        for calls in calls {
+        for calls in [claims, settles] {
             sim.hold_syncs = true;
             for call in calls {
                 sim.call(call);
