Tell what a choice of a target has weighed

Change: what chooses a target tells a watcher what it passes over and the parts of what it costs; for requests nobody watches. gateway::explain keeps what was told. Costs are sums of the same parts in the same order as before. Accounts are found by name, and a meter says what is left of a limit.

Ruled out: a second reading of the state beside the choice, which would come to differ from it.

--- a/crates/account/src/directory.rs
+++ b/crates/account/src/directory.rs
@@ -163,4 +163,11 @@
     pub fn holder(&self, key: &[u8]) -> Option<&Arc<Account>> {
         self.keys.get(&KeyDigest::of(key))
     }
+
+    /// Returns the account of this name, if it holds any key.
+    #[must_use]
+    pub fn named(&self, name: &str) -> Option<&Arc<Account>> {
+        let mut accounts = self.keys.values();
+        accounts.find(|account| account.name.as_str() == name)
+    }
 }
--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -23,7 +23,7 @@
 pub use crate::{
     directory::{Account, BadAccounts, Directory, Limit, RawAccount, Unit},
     key::KeyDigest,
-    meter::{Denied, Meter, Slack},
+    meter::{Denied, Left, Meter, Slack},
     rate::Rate,
     tally::Tally,
 };
--- a/crates/account/src/meter.rs
+++ b/crates/account/src/meter.rs
@@ -64,6 +64,15 @@
     pub unsure: bool,
 }
 
+/// What is known to be left of an account's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Left {
+    /// Units that all instances together may still use; below 0 if more were used.
+    pub units: f64,
+    /// Time since a control instance has told what others use; none if none has.
+    pub age: Option<Duration>,
+}
+
 /// How far the sum of all instances may exceed a limit over a sliding window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Slack {
@@ -162,6 +171,20 @@
         }
     }
 
+    /// Returns what is left of an account's limit; none if it has none, or if this instance had
+    /// no request of it lately.
+    #[must_use]
+    pub fn left(&self, now: Time, account: &Account) -> Option<Left> {
+        account.limit?;
+        let metered = self.accounts.get(&account.name)?;
+        let estimate = metered.estimate(now, &self.slack);
+        let full = capacity(&metered.limit, &self.slack, 1.0);
+        Some(Left {
+            units: estimate.level(now, &metered.limit, full, metered.used),
+            age: estimate.at.map(|at| now.since(at)),
+        })
+    }
+
     /// Gives back what a request counted for that hasn't run.
     pub fn give_back(&mut self, account: &AccountName, cost: f64) {
         if let Some(metered) = self.accounts.get_mut(account) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod brittle;
 pub mod budget;
 pub mod download;
+pub mod explain;
 pub mod hedge;
 pub mod helpers;
 pub mod home;
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -279,6 +279,12 @@
         }
     }
 
+    /// Returns the account of this name, if it holds any key.
+    #[must_use]
+    pub fn account(&self, name: &str) -> Option<&Arc<Account>> {
+        self.accounts.as_ref()?.named(name)
+    }
+
     /// Returns a service.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     brittle::BrittleTargets,
+    explain::Part,
     home::WeightedZone,
     reach::Targets,
     target_limit::{KnownLimits, LimitChange},
@@ -32,6 +33,7 @@
 use self::{
     backlog::{FULL_WAIT, known_outside},
     backup::OUTDATED,
+    choose::sum,
     expected::ServiceTimes,
     held::Held,
     others::OthersLoad,
@@ -181,6 +183,12 @@
         self.tight = tight;
     }
 
+    /// Returns whether targets are chosen by expected time.
+    #[must_use]
+    pub fn is_tight(&self) -> bool {
+        self.tight
+    }
+
     /// Replaces the targets of `zones`.
     pub fn set_targets(&mut self, now: Time, zones: &[String], targets: Vec<Target>) {
         let all = std::mem::take(&mut self.targets);
@@ -568,23 +576,28 @@
     }
 
     fn cost(&self, now: Time, known: &TargetState, tried: &BTreeSet<String>) -> f64 {
+        sum(&self.cost_parts(now, known, tried))
+    }
+
+    /// Returns the parts of the cost of a target, as parts of its slots.
+    fn cost_parts(
+        &self,
+        now: Time,
+        known: &TargetState,
+        tried: &BTreeSet<String>,
+    ) -> [(Part, f64); 7] {
         let target = &known.target;
-        let mut cost = self.load(known) * known.slow();
-        if target.zone != self.zone {
-            cost += CROSS_ZONE_COST;
-        }
-        if self.in_need(&target.id) {
-            cost += LIMITED_COST;
-        }
-        cost += self.backlog(known) / FULL_WAIT;
-        cost += FAILURE_COST * known.failures.decayed_rate(now);
-        if known.is_avoided(now) {
-            cost += 10.0;
-        }
-        if tried.contains(&target.id) {
-            cost += 100.0;
-        }
-        cost
+        let when = |applies: bool, cost: f64| if applies { cost } else { 0.0 };
+        let failures = FAILURE_COST * known.failures.decayed_rate(now);
+        [
+            (Part::Load, self.load(known) * known.slow()),
+            (Part::Zone, when(target.zone != self.zone, CROSS_ZONE_COST)),
+            (Part::Need, when(self.in_need(&target.id), LIMITED_COST)),
+            (Part::Prompts, self.backlog(known) / FULL_WAIT),
+            (Part::Failures, failures),
+            (Part::Avoided, when(known.is_avoided(now), 10.0)),
+            (Part::Tried, when(tried.contains(&target.id), 100.0)),
+        ]
     }
 }
 
--- a/crates/gateway/src/view/choose.rs
+++ b/crates/gateway/src/view/choose.rs
@@ -1,10 +1,11 @@
 //! Choice of a target for a request.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use base::{SoftwareVersion, Time};
 
 use super::{Choice, TargetState, View, usable};
+use crate::explain::{Part, Passed, Watch};
 
 impl View {
     /// Chooses a target of `service` for a request that uses `adapter` (empty for none)
@@ -18,34 +19,67 @@
         adapter: &str,
         tried: &BTreeSet<String>,
         wanted: Option<&SoftwareVersion>,
+    ) -> Choice {
+        self.choose_watched(now, (service, adapter), tried, wanted, &())
+    }
+
+    /// Returns whether any target holds an adapter, or operators set a version of it.
+    #[must_use]
+    pub fn has_heard_of(&self, adapter: &str) -> bool {
+        let mut targets = self.targets.values();
+        self.versions.contains_key(adapter)
+            || targets.any(|known| known.residents.contains_key(adapter))
+    }
+
+    /// As [`Self::choose`], and tells `watch` what is weighed.
+    pub(crate) fn choose_watched(
+        &self,
+        now: Time,
+        (service, adapter): (&str, &str),
+        tried: &BTreeSet<String>,
+        wanted: Option<&SoftwareVersion>,
+        watch: &impl Watch,
     ) -> Choice {
         let of_service = self.targets.values();
-        let ready = of_service.filter(|k| k.target.service == service && k.target.ready);
+        let of_service = of_service.filter(|k| k.target.service == service);
+        let ready =
+            of_service.filter(|k| watch.check(&k.target, k.target.ready, || Passed::Leaving));
         // Nobody waits for a version none of whose targets can take the rest.
-        let able = |k: &&TargetState| !k.is_avoided(now) && !tried.contains(&k.target.id);
+        let able = |k: &TargetState| {
+            watch.check(&k.target, !k.is_avoided(now), || Passed::Unreachable)
+                && watch.check(&k.target, !tried.contains(&k.target.id), || Passed::Tried)
+        };
         let ready: Vec<_> = match wanted {
             None => ready.collect(),
             Some(_) => {
-                let alike = ready.filter(|k| self.runs(now, k, wanted));
-                alike.filter(able).collect()
+                let runs = |k: &TargetState| {
+                    watch.check(&k.target, self.runs(now, k, wanted), || Passed::Software)
+                };
+                ready.filter(|k| runs(k) && able(k)).collect()
             }
         };
         if ready.is_empty() {
             return Choice::NoTarget;
         }
-        let holders = ready.iter().filter(|k| self.holds(k, adapter));
+        let holds =
+            |k: &TargetState| watch.check(&k.target, self.holds(k, adapter), || k.lacks(adapter));
         // Failure: the only holder of an adapter has crashed, but is listed for seconds
         // more. Requests would go to it again and again. Another copy can be loaded in a
         // quarter of a second, so an unreachable target counts as no holder.
+        let holders = ready.iter().copied();
         let holders: Vec<_> = holders
-            .filter(|k| adapter.is_empty() || !(k.is_avoided(now) || tried.contains(&k.target.id)))
+            .filter(|k| holds(k) && (adapter.is_empty() || able(k)))
             .collect();
         if holders.is_empty() {
             return Choice::Missing;
         }
-        let waits = holders
-            .iter()
-            .map(|k| (self.blocked_for(now, k), &k.target.id));
+        let waits = holders.iter().map(|k| {
+            let wait = self.blocked_for(now, k);
+            watch.check(&k.target, wait.is_none(), || {
+                Passed::Blocked(wait.unwrap_or_default())
+            });
+            (wait, &k.target.id)
+        });
         if let Some((Some(wait), soonest)) = waits.min() {
             let elsewhere = ready.iter().any(|k| self.takes_over(k));
             return match adapter.is_empty() || !elsewhere {
@@ -55,14 +89,22 @@
         }
         let holders = holders.into_iter();
         let holders = holders.filter(|k| self.blocked_for(now, k).is_none());
-        let holders: Vec<_> = holders.collect();
+        let holders: Vec<&TargetState> = holders.collect();
         if self.tight {
-            let holders: Vec<&TargetState> = holders.into_iter().copied().collect();
-            return self.choose_by_time(now, &holders, adapter, tried);
+            return self.choose_by_time(now, &holders, adapter, tried, watch);
         }
-        let usable = holders.iter().filter(|k| usable(k, now, adapter));
-        let rated: Vec<_> = usable.map(|k| (self.cost(now, k, tried), **k)).collect();
-        if let Some(best) = self.pick(&rated) {
+        let usable = holders.iter().filter(|k| {
+            watch.check(&k.target, usable(k, now, adapter), || {
+                Passed::Loading(k.loads_for(now, adapter))
+            })
+        });
+        let rated = usable.map(|k| {
+            let parts = self.cost_parts(now, k, tried);
+            watch.rated(&k.target, &parts);
+            (sum(&parts), *k)
+        });
+        let rated: Vec<_> = rated.collect();
+        if let Some(best) = self.pick(&rated, watch) {
             return Choice::Send(best.target.id.clone());
         }
         let at = holders.iter().filter_map(|k| k.residents.get(adapter));
@@ -70,3 +112,24 @@
         Choice::Wait(soonest.unwrap_or_default())
     }
 }
+
+impl TargetState {
+    /// Returns why a target that doesn't hold an adapter as required is no holder.
+    fn lacks(&self, adapter: &str) -> Passed {
+        match self.residents.get(adapter) {
+            Some(held) => Passed::OldVersion(held.version),
+            None => Passed::NoAdapter,
+        }
+    }
+
+    /// Returns the time until an adapter that is held can be used.
+    pub(super) fn loads_for(&self, now: Time, adapter: &str) -> Duration {
+        let held = self.residents.get(adapter);
+        held.map_or(Duration::ZERO, |held| held.ready.since(now))
+    }
+}
+
+/// Returns the cost of a target of these parts.
+pub(super) fn sum(parts: &[(Part, f64)]) -> f64 {
+    parts.iter().map(|(_, cost)| cost).sum()
+}
--- a/crates/gateway/src/view/expected.rs
+++ b/crates/gateway/src/view/expected.rs
@@ -10,7 +10,8 @@
 
 use base::Time;
 
-use super::{Choice, TargetState, View, usable};
+use super::{Choice, TargetState, View, choose::sum, usable};
+use crate::explain::{Part, Passed, Watch};
 
 /// Initial estimate of the time that a request holds a slot.
 const INITIAL_HOLD: Duration = Duration::from_millis(1_000);
@@ -114,31 +115,37 @@
         }
     }
 
-    /// Chooses among the holders of an adapter, also of those that are still loading it.
+    /// Chooses among the holders of an adapter, also of those that are still loading it, and
+    /// tells `watch` what is weighed.
     pub(super) fn choose_by_time(
         &self,
         now: Time,
         holders: &[&TargetState],
         adapter: &str,
         tried: &BTreeSet<String>,
+        watch: &impl Watch,
     ) -> Choice {
         let rated = holders.iter().map(|known| {
-            let ready = known.residents.get(adapter).map(|held| held.ready);
-            let load = ready.map_or(Duration::ZERO, |ready| ready.since(now));
-            (
-                self.expected_cost(now, known, tried) + load.as_secs_f64(),
-                *known,
-            )
+            let load = known.loads_for(now, adapter);
+            let parts = self.expected_parts(now, known, tried, load);
+            watch.rated(&known.target, &parts);
+            (sum(&parts), *known)
         });
         let rated: Vec<_> = rated.collect();
         let Some(best) = self.pick_by_time(&rated) else {
             return Choice::Wait(Duration::ZERO);
         };
-        if usable(best, now, adapter) {
-            return Choice::Send(best.target.id.clone());
+        for known in holders {
+            let taken = known.target.id == best.target.id;
+            watch.check(&known.target, taken, || Passed::NotDrawn);
+        }
+        let wait = best.loads_for(now, adapter);
+        match watch.check(&best.target, usable(best, now, adapter), || {
+            Passed::Loading(wait)
+        }) {
+            true => Choice::Send(best.target.id.clone()),
+            false => Choice::Wait(wait),
         }
-        let ready = best.residents.get(adapter).map(|held| held.ready);
-        Choice::Wait(ready.map_or(Duration::ZERO, |ready| ready.since(now)))
     }
 
     /// Draws a target, the more probably the less it costs.
@@ -159,6 +166,13 @@
     /// Returns the expected time until a target begins to answer the next request, in
     /// seconds.
     pub(super) fn expected_time(&self, now: Time, known: &TargetState) -> f64 {
+        let (queue, prompts) = self.time_parts(now, known);
+        queue + prompts
+    }
+
+    /// Returns the expected time until a slot of a target is free for the next request, and then
+    /// until its prompt is read, in seconds.
+    fn time_parts(&self, now: Time, known: &TargetState) -> (f64, f64) {
         let times = self.times.of(&known.target.service);
         let factor = factor(known);
         let hold = times.hold * factor;
@@ -168,19 +182,32 @@
         let uncertain = (UNCERTAIN_PART * slots).max(1.0);
         let queued = softplus((running + 1.0 - slots) / uncertain) * uncertain;
         let read = self.read_time(self.ahead(known) as f64 + times.prompt);
-        queued * hold / slots + read * factor
+        (queued * hold / slots, read * factor)
     }
 
-    fn expected_cost(&self, now: Time, known: &TargetState, tried: &BTreeSet<String>) -> f64 {
+    /// Returns the parts of the cost of a target that has the adapter after `load`, in seconds.
+    fn expected_parts(
+        &self,
+        now: Time,
+        known: &TargetState,
+        tried: &BTreeSet<String>,
+        load: Duration,
+    ) -> [(Part, f64); 9] {
         let target = &known.target;
         let when = |applies: bool, time: f64| if applies { time } else { 0.0 };
-        self.expected_time(now, known)
-            + FAILURE_TIME * known.failures.decayed_rate(now)
-            + when(target.zone != self.zone, CROSS_ZONE_TIME)
-            + when(self.in_need(&target.id), LIMITED_TIME)
-            + when(known.full_until > now, FULL_TIME)
-            + when(known.is_avoided(now), AVOIDED_TIME)
-            + when(tried.contains(&target.id), TRIED_TIME)
+        let (queue, prompts) = self.time_parts(now, known);
+        let failures = FAILURE_TIME * known.failures.decayed_rate(now);
+        [
+            (Part::Queue, queue),
+            (Part::Prompts, prompts),
+            (Part::Failures, failures),
+            (Part::Zone, when(target.zone != self.zone, CROSS_ZONE_TIME)),
+            (Part::Need, when(self.in_need(&target.id), LIMITED_TIME)),
+            (Part::Full, when(known.full_until > now, FULL_TIME)),
+            (Part::Avoided, when(known.is_avoided(now), AVOIDED_TIME)),
+            (Part::Tried, when(tried.contains(&target.id), TRIED_TIME)),
+            (Part::Loading, load.as_secs_f64()),
+        ]
     }
 
     /// Returns the zone of the target that would serve a further copy of an adapter
--- a/crates/gateway/src/view/hedge.rs
+++ b/crates/gateway/src/view/hedge.rs
@@ -37,7 +37,7 @@
         let others = others.filter(|k| self.fits(now, k, asked) && self.is_fast(k, wanted));
         let rated = others.map(|k| (self.cost(now, k, asked.tried), k));
         let (away, near): (Vec<_>, Vec<_>) = rated.partition(|(_, k)| k.target.zone != first.zone);
-        let best = self.pick(&away).or_else(|| self.pick(&near))?;
+        let best = self.pick(&away, &()).or_else(|| self.pick(&near, &()))?;
         Some(best.target.id.clone())
     }
 
--- a/crates/gateway/src/view/others.rs
+++ b/crates/gateway/src/view/others.rs
@@ -73,6 +73,12 @@
 }
 
 impl View {
+    /// Returns when the owner of `zone` last reported the load there.
+    #[must_use]
+    pub fn load_heard(&self, zone: &str) -> Option<Time> {
+        self.load_known.zones.get(zone).map(|heard| heard.at)
+    }
+
     /// Notes that the owner of `zones` has just reported the load there, from as many
     /// `instances` as it hears from. It follows [`Self::set_other_running`].
     pub fn heard_load(&mut self, now: Time, zones: &[String], instances: u32) {
--- a/crates/gateway/src/view/spread.rs
+++ b/crates/gateway/src/view/spread.rs
@@ -9,6 +9,7 @@
 use base::{StableHash, stable_hash};
 
 use super::{TargetState, View};
+use crate::explain::{Passed, Watch};
 
 /// Number of targets drawn, of which the less loaded one is taken. However many instances
 /// there are, the least loaded of many targets gets no more than twice its share.
@@ -20,18 +21,35 @@
 
 impl View {
     /// Returns the less loaded of [`CANDIDATES`] targets, drawn among those in the zone
-    /// of the target with the lowest cost.
-    pub(super) fn pick<'a>(&self, rated: &[(f64, &'a TargetState)]) -> Option<&'a TargetState> {
+    /// of the target with the lowest cost, and tells `watch` why others are passed over.
+    pub(super) fn pick<'a>(
+        &self,
+        rated: &[(f64, &'a TargetState)],
+        watch: &impl Watch,
+    ) -> Option<&'a TargetState> {
         let least = |a: &&(f64, &TargetState), b: &&(f64, &TargetState)| a.0.total_cmp(&b.0);
         let best = rated.iter().min_by(least)?;
         let (lowest, zone) = (best.0, &best.1.target.zone);
-        let near = rated
-            .iter()
-            .filter(|(cost, _)| *cost <= lowest + MAX_EXCESS);
-        let near = near.filter(|(_, known)| known.target.zone == *zone);
+        let near = rated.iter().filter(|(cost, known)| {
+            let near = *cost <= lowest + MAX_EXCESS;
+            watch.check(&known.target, near, || Passed::Dearer)
+        });
+        let near = near.filter(|(_, known)| {
+            watch.check(&known.target, known.target.zone == *zone, || {
+                Passed::Elsewhere
+            })
+        });
         let mut near: Vec<_> = near.collect();
         near.sort_by_cached_key(|(_, known)| self.rank(known));
-        let (_, picked) = near.into_iter().take(CANDIDATES).min_by(least)?;
+        for (_, known) in near.iter().skip(CANDIDATES) {
+            watch.check(&known.target, false, || Passed::NotDrawn);
+        }
+        near.truncate(CANDIDATES);
+        let (_, picked) = near.iter().copied().min_by(least)?;
+        for (_, known) in near {
+            let taken = known.target.id == picked.target.id;
+            watch.check(&known.target, taken, || Passed::Dearer);
+        }
         Some(picked)
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`list`]: ages of lists of targets, and the list of a zone (MessagePack)
 //! - [`operator`]: requests of operators and their answers (JSON)
 //! - [`platform`]: the platform's list of instances and targets (JSON)
+//! - [`explain`]: where a request would go, for operators (JSON)
 //! - [`engine`]: orders to engines and their reports (JSON)
 //! - [`patch`]: patches between versions of the configuration text
 //! - [`quarantine`]: requests that crash targets (MessagePack)
@@ -21,6 +22,7 @@
 pub mod admission;
 pub mod call;
 pub mod engine;
+pub mod explain;
 pub mod fleet;
 pub mod header;
 pub mod helper;
