Explain at an entry instance where a request would go now

Change: the address of an entry instance's metrics answers POST /v1/explain. The question becomes the head of a request; route, account, limit, admission, choice, load and second send are asked by the functions that decide about requests, those that count on copies. The address is part of the set-up now, as the answer needs the state.

Ruled out: the peer listener, which trusts instances and isn't for operators; a query string, as a path would have to be escaped.

--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod crash;
 mod editions;
+mod explain;
 mod forward;
 mod headers;
 mod helping;
@@ -63,6 +64,8 @@
     pub listen: SocketAddr,
     /// Where the platform probes readiness.
     pub ready: SocketAddr,
+    /// Where operators read metrics and ask for explanations, if they may.
+    pub operators: Option<SocketAddr>,
     /// Port on which instances listen for each other.
     pub peer_port: u16,
     /// Time from the request to stop until the platform kills the process.
@@ -114,6 +117,16 @@
         ready,
         CancellationToken::new(),
     ));
+    if let Some(address) = setup.operators {
+        let at_operators = Arc::clone(&state);
+        let handler = move |req| explain::answer(Arc::clone(&at_operators), req);
+        tokio::spawn(server::serve(
+            listen(address).await?,
+            server::Limits::default(),
+            handler,
+            CancellationToken::new(),
+        ));
+    }
     let tunnels = serve_others(&state, &setup).await?;
     let listener = listen(setup.listen).await?;
     event!(telemetry::Event::Started, listen = setup.listen.to_string());
--- a/crates/frontd/src/entry/admission.rs
+++ b/crates/frontd/src/entry/admission.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use account::Account;
-use admission::{Ask, Change};
+use admission::{Ask, Change, Refused};
 use telemetry::{event, prom_metrics};
 use wire::call::{Call, Reply};
 
@@ -42,6 +42,37 @@
     }
 }
 
+impl<'a> Entrant<'a> {
+    fn ask(&self, state: &State) -> Ask<'a> {
+        let weight = state.table().map(|table| table.weight(self.account));
+        Ask {
+            service: self.service,
+            account: self.account.map(|account| &account.name),
+            weight: weight.unwrap_or(0),
+            rank: self.rank,
+            units: self.tokens,
+            left: self.left,
+        }
+    }
+}
+
+/// Returns whether requests for `adapter` are let in by shares while room is short.
+pub(super) fn concerns(state: &State, adapter: &str) -> bool {
+    !adapter.is_empty() && state.has_admission()
+}
+
+/// Returns whether a request that comes for the first time would be let in now, and counts
+/// nothing.
+///
+/// # Errors
+///
+/// Fails if it wouldn't.
+pub(super) fn would_enter(state: &State, entrant: &Entrant<'_>) -> Result<(), Refused> {
+    let mut gate = state.gate().clone();
+    let asked = gate.offer(state.now(), &entrant.ask(state), rand::random);
+    asked.map(|_| ())
+}
+
 /// Lets a request in, or refuses it. `id` is asked for what is the same when the request
 /// comes back.
 ///
@@ -53,15 +84,7 @@
     entrant: &Entrant<'_>,
     id: impl FnOnce() -> u64,
 ) -> Result<Entered, RequestError> {
-    let weight = state.table().map(|table| table.weight(entrant.account));
-    let ask = Ask {
-        service: entrant.service,
-        account: entrant.account.map(|account| &account.name),
-        weight: weight.unwrap_or(0),
-        rank: entrant.rank,
-        units: entrant.tokens,
-        left: entrant.left,
-    };
+    let ask = entrant.ask(state);
     let asked = state.gate().offer(state.now(), &ask, id);
     prom_metrics().admission(entrant.rank, asked.is_ok());
     match asked {
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -8,11 +8,11 @@
 
 mod enter;
 mod hedged;
-mod receive;
+pub(super) mod receive;
 mod send;
 mod sending;
 mod silent;
-mod wait;
+pub(super) mod wait;
 
 use std::{
     collections::BTreeSet,
--- a/crates/frontd/src/entry/forward/enter.rs
+++ b/crates/frontd/src/entry/forward/enter.rs
@@ -17,7 +17,7 @@
     /// Fails if too little room is left for it.
     pub(super) fn enter(&mut self) -> Result<(), RequestError> {
         let is_rest = self.stream.software().is_some();
-        if self.adapter.is_empty() || is_rest || !self.state.has_admission() {
+        if is_rest || !admission::concerns(&self.state, &self.adapter) {
             return Ok(());
         }
         let tokens = self.prompt_tokens.saturating_add(self.max_answer_tokens);
--- a/crates/frontd/src/entry/forward/receive.rs
+++ b/crates/frontd/src/entry/forward/receive.rs
@@ -29,7 +29,7 @@
 const DEFAULT_BODY_MAX: usize = 4 << 20;
 
 /// Time-out of a request whose caller sends no deadline.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+pub(in crate::entry) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// How long a request waits until a restarted instance has its first configuration:
 /// longer than an election takes, and short enough that a caller who is then rejected has
@@ -76,7 +76,9 @@
         why: Why::NoTable,
     })?;
     let mut route = route(&table, &headers, parts.uri.path()).ok_or(RequestError::NoRoute)?;
-    let account = sender(&table, &mut route, &headers, &names)?;
+    let key = headers.get(&names.key).map(|key| key.as_bytes());
+    let sender = table.sender(&route, key);
+    let account = account_of(&mut route, sender)?;
     let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
     // Before it counts against the account's limit: what is refused here hasn't run.
     let stream = streams::resumed(&state, &route, &headers, path, arrived + timeout / 3).await?;
@@ -89,10 +91,7 @@
         Some(origin) => origin.service.clone(),
         None => route.service(rand::random()).to_owned(),
     };
-    let adapter = match table.engine(&service) {
-        Some(_) => text(&names.model).to_owned(),
-        None => String::new(),
-    };
+    let adapter = adapter(&table, &service, &headers, &names).to_owned();
     let (prompt_tokens, max_answer_tokens) = tokens(&headers, &names);
     Ok(ActiveRequest {
         id: text(&names.request_id).to_owned(),
@@ -126,14 +125,15 @@
 }
 
 /// Returns the account that a request is sent for, whose priority the route takes over.
-fn sender(
-    table: &Table,
+///
+/// # Errors
+///
+/// Fails if it needs a key and has none of an account.
+pub(in crate::entry) fn account_of(
     route: &mut Route,
-    headers: &HeaderMap,
-    names: &HeaderNames,
+    sender: Sender,
 ) -> Result<Option<Arc<Account>>, RequestError> {
-    let key = headers.get(&names.key).map(|key| key.as_bytes());
-    let account = match table.sender(route, key) {
+    let account = match sender {
         Sender::Anyone => return Ok(None),
         Sender::Account(account) => account,
         Sender::Unknown => return Err(RequestError::UnknownKey),
@@ -181,13 +181,27 @@
 }
 
 /// Returns the tokens of the prompt and the answer, if the request says them.
-fn said_tokens(headers: &HeaderMap, names: &HeaderNames) -> Option<Tokens> {
+pub(in crate::entry) fn said_tokens(headers: &HeaderMap, names: &HeaderNames) -> Option<Tokens> {
     headers.get(&names.tokens)?;
     let (prompt, answer) = tokens(headers, names);
     let sum = prompt.saturating_add(answer);
     Some(Tokens(u32::try_from(sum).unwrap_or(u32::MAX)))
 }
 
+/// Returns the model and adapter that a request for `service` uses; none where that has no
+/// engines.
+pub(in crate::entry) fn adapter<'a>(
+    table: &Table,
+    service: &str,
+    headers: &'a HeaderMap,
+    names: &HeaderNames,
+) -> &'a str {
+    let said = table
+        .engine(service)
+        .and_then(|_| headers::text(headers, &names.model));
+    said.unwrap_or_default()
+}
+
 /// Returns the headers that targets get. Where callers have accounts, the name of the
 /// account replaces the key and whatever the caller said.
 fn target_headers(
@@ -222,7 +236,8 @@
     }
 }
 
-fn route(table: &Table, headers: &HeaderMap, path: &str) -> Option<Route> {
+/// Returns the route of a request.
+pub(in crate::entry) fn route(table: &Table, headers: &HeaderMap, path: &str) -> Option<Route> {
     let host = headers::text(headers, &HOST).unwrap_or_default();
     let host = host.to_ascii_lowercase();
     let host = host.split(':').next().unwrap_or_default();
@@ -245,7 +260,7 @@
 
 /// Returns the tokens of the prompt and the most tokens of the answer; 0 where the header
 /// doesn't say.
-fn tokens(headers: &HeaderMap, names: &HeaderNames) -> (u64, u64) {
+pub(in crate::entry) fn tokens(headers: &HeaderMap, names: &HeaderNames) -> (u64, u64) {
     let raw = headers::text(headers, &names.tokens).unwrap_or_default();
     let mut parts = raw.split(',').map(|part| part.trim().parse().unwrap_or(0));
     (parts.next().unwrap_or(0), parts.next().unwrap_or(0))
--- a/crates/frontd/src/entry/forward/wait.rs
+++ b/crates/frontd/src/entry/forward/wait.rs
@@ -36,7 +36,7 @@
 
 /// Retry-After while no reachable zone has an owner: control instances restart or elect a
 /// leader within about two seconds.
-const NO_OWNER_RETRY_AFTER: Duration = Duration::from_millis(2_000);
+pub(in crate::entry) const NO_OWNER_RETRY_AFTER: Duration = Duration::from_millis(2_000);
 
 /// Upper limit of Retry-After, as a part of the caller's remaining time.
 const RETRY_AFTER_PART: f64 = 0.32;
@@ -47,7 +47,7 @@
         let from = self.waiting_from;
         let left = self.deadline.saturating_duration_since(from);
         let mut ask_at = from;
-        let give_up_at = from + left.mul_f64(ADAPTER_WAIT_PART).min(ADAPTER_WAIT_MAX);
+        let give_up_at = from + patience(left);
         let settled_by = give_up_at.min(from + SETTLING_WAIT);
         loop {
             let changed = self.state.changed.notified();
@@ -201,9 +201,20 @@
         }
         base::hit!(told_to_come_back);
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let again = wait
-            .min(left.mul_f64(RETRY_AFTER_PART))
-            .max(DEFAULT_RETRY_AFTER);
+        let again = retry_after(wait, left);
         RequestError::NotRun { again, why }
     }
 }
+
+/// Returns how long a request waits for an adapter, or for a target that is blocked, if its
+/// caller has so much time `left`.
+pub(in crate::entry) fn patience(left: Duration) -> Duration {
+    left.mul_f64(ADAPTER_WAIT_PART).min(ADAPTER_WAIT_MAX)
+}
+
+/// Returns when a caller with so much time `left` is told to come back, if nothing can be done
+/// for `wait`.
+pub(in crate::entry) fn retry_after(wait: Duration, left: Duration) -> Duration {
+    wait.min(left.mul_f64(RETRY_AFTER_PART))
+        .max(DEFAULT_RETRY_AFTER)
+}
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -192,6 +192,11 @@
             .map(|(_, table)| Arc::clone(table))
     }
 
+    /// Returns the table in force and the number of its edition.
+    pub(super) fn edition_table(&self) -> Option<(u64, Arc<Table>)> {
+        lock(&self.table).clone()
+    }
+
     /// Sets the full list of targets of `zones`, as their owner has sent it.
     pub(super) fn set_targets(&self, now: Time, zones: &[String], targets: Vec<Target>) {
         lock(&self.settle).heard(&targets);
@@ -291,12 +296,17 @@
     /// Requests a load of an adapter in its home zone; a later `round` requests it in its
     /// next zone.
     pub(super) fn request_load(&self, service: &str, adapter: &str, round: usize) {
-        let zones = self.orderable_zones(service, None);
-        if let Some(zone) = home(adapter, &zones, round) {
-            self.controls.want(zone, adapter);
+        if let Some(zone) = self.load_zone(service, adapter, round) {
+            self.controls.want(&zone, adapter);
         }
     }
 
+    /// Returns the zone in which a load of an adapter is requested.
+    pub(super) fn load_zone(&self, service: &str, adapter: &str, round: usize) -> Option<String> {
+        let zones = self.orderable_zones(service, None);
+        home(adapter, &zones, round).map(str::to_owned)
+    }
+
     /// Requests a load of an adapter at a target of one software version, in the adapter's
     /// home zone among those that have one; a later `round` requests it in its next zone.
     pub(super) fn request_load_at(
@@ -323,14 +333,17 @@
 
     /// Requests one more copy of an adapter if all its holders have a long backlog.
     pub(super) fn request_copy(&self, service: &str, adapter: &str) {
+        if let Some(zone) = self.copy_zone(service, adapter) {
+            self.controls.copy(&zone, adapter);
+        }
+    }
+
+    /// Returns the zone in which one more copy of an adapter is requested, if one is.
+    pub(super) fn copy_zone(&self, service: &str, adapter: &str) -> Option<String> {
         let now = self.now();
         let view = self.view();
         let zone = view.zone_for_copy(now, service, adapter, COPY_BACKLOG);
-        let zone = zone.map(str::to_owned);
-        drop(view);
-        if let Some(zone) = zone {
-            self.controls.copy(&zone, adapter);
-        }
+        zone.map(str::to_owned)
     }
 
     /// Returns the zones that have targets of `service`, of the software `wanted` if any is,
@@ -365,4 +378,4 @@
 
 #[cfg(test)]
 #[path = "../../tests/unit/state.rs"]
-mod tests;
+pub(super) mod tests;
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -301,8 +301,14 @@
     }
 
     fn heard(&self, now: Time) -> bool {
+        self.silent_for(now)
+            .is_some_and(|time| time < OWNER_TIMEOUT)
+    }
+
+    /// Returns the time since it was last heard from.
+    pub(super) fn silent_for(&self, now: Time) -> Option<Duration> {
         let heard = lock(&self.inner).last_heard;
-        heard.is_some_and(|at| now.since(at) < OWNER_TIMEOUT)
+        heard.map(|at| now.since(at))
     }
 }
 
--- a/crates/frontd/src/metrics.rs
+++ b/crates/frontd/src/metrics.rs
@@ -34,6 +34,11 @@
 }
 
 async fn answer(_: Request<Incoming>) -> Response<Body> {
+    rendered()
+}
+
+/// Returns the process's counters and histograms as text.
+pub(crate) fn rendered() -> Response<Body> {
     let mut resp = Response::new(full(telemetry::prom_metrics().render()));
     let text = HeaderValue::from_static(TEXT);
     resp.headers_mut().insert(CONTENT_TYPE, text);
--- a/crates/frontd/tests/editions/deployment.rs
+++ b/crates/frontd/tests/editions/deployment.rs
@@ -153,6 +153,7 @@
             zones: vec!["za".to_owned()],
             listen: SocketAddr::new(ip, CALLERS),
             ready: SocketAddr::new(ip, READY),
+            operators: None,
             peer_port: port,
             grace: Duration::from_secs(8),
             drain: Duration::from_secs(3),
--- a/crates/frontd/tests/memory/deployment.rs
+++ b/crates/frontd/tests/memory/deployment.rs
@@ -115,6 +115,7 @@
                 zones: vec!["za".to_owned()],
                 listen: SocketAddr::new(own_ip(no, 2), CALLERS),
                 ready: SocketAddr::new(own_ip(no, 2), READY),
+                operators: None,
                 peer_port: PEERS,
                 grace: Duration::from_secs(8),
                 drain: Duration::from_secs(3),
--- a/crates/frontd/tests/soak/fleet.rs
+++ b/crates/frontd/tests/soak/fleet.rs
@@ -402,6 +402,7 @@
         zones: vec!["za".to_owned()],
         listen: SocketAddr::new(own, CALLERS),
         ready: SocketAddr::new(own, READY),
+        operators: None,
         peer_port: PEERS,
         grace: GRACE,
         drain: Duration::from_secs(3),
--- a/crates/frontd/tests/targets.rs
+++ b/crates/frontd/tests/targets.rs
@@ -19,6 +19,8 @@
 mod engine;
 #[path = "common/engines.rs"]
 mod engines;
+#[path = "targets/explained.rs"]
+mod explained;
 #[path = "targets/hedged.rs"]
 mod hedged;
 #[path = "targets/leaving.rs"]
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -233,6 +233,7 @@
                 zones: vec!["za".to_owned()],
                 listen: SocketAddr::new(ip, CALLERS),
                 ready: SocketAddr::new(ip, READY),
+                operators: Some(SocketAddr::new(ip, OPERATORS)),
                 peer_port: PEERS,
                 grace: Duration::from_secs(8),
                 drain: Duration::from_secs(3),
@@ -254,6 +255,11 @@
         SocketAddr::new(own_ip(self.no, entry), CALLERS)
     }
 
+    /// Returns where an entry instance answers operators.
+    pub(crate) fn operators_addr(&self, entry: u8) -> SocketAddr {
+        SocketAddr::new(own_ip(self.no, entry), OPERATORS)
+    }
+
     /// Returns where an instance listens for others.
     pub(crate) fn peer_addr(&self, entry: u8) -> SocketAddr {
         SocketAddr::new(own_ip(self.no, entry), PEERS)
--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -35,9 +35,9 @@
             not_run: header.clone(),
             target_limit: header.clone(),
             target_brittle: header.clone(),
-            model: header.clone(),
-            tokens: header.clone(),
-            prompt_parts: header.clone(),
+            model: HeaderName::from_static("model"),
+            tokens: HeaderName::from_static("tokens"),
+            prompt_parts: HeaderName::from_static("parts"),
             last_event: header.clone(),
             resumes: header.clone(),
             cache_backup: header.clone(),
@@ -58,7 +58,7 @@
     }
 }
 
-fn state() -> State {
+pub(in crate::entry) fn state() -> State {
     let address = "127.0.0.1:1".parse().unwrap();
     let setup = Setup {
         ip: "127.0.0.1".parse().unwrap(),
@@ -66,6 +66,7 @@
         zones: vec!["za".to_owned(), "zb".to_owned()],
         listen: address,
         ready: address,
+        operators: None,
         peer_port: 1,
         grace: Duration::from_secs(1),
         drain: Duration::from_secs(3),
@@ -146,7 +147,7 @@
 }
 
 /// Returns a configuration with one service of engines and one account.
-fn engines(goal: Option<Duration>, limited: bool) -> Table {
+pub(in crate::entry) fn engines(goal: Option<Duration>, limited: bool) -> Table {
     let engine = Some(Engine {
         models: Vec::new(),
         adapter_slots: 1,
@@ -203,7 +204,7 @@
 }
 
 /// Tells that 20 requests are under way at 10 places, and that nine of ten have to wait.
-fn short() -> AdmissionTold {
+pub(in crate::entry) fn short() -> AdmissionTold {
     AdmissionTold {
         rooms: vec![Room {
             service: "s".to_owned(),
