--- a/crates/cli/src/command/explain/shown.rs
+++ b/crates/cli/src/command/explain/shown.rs
@@ -18,7 +18,7 @@
     } = explained;
     let goal = route.goal_ms.map(|goal| format!(", goal {goal} ms"));
     let mut blocks = vec![format!(
-        "{instance} in {zone}, edition {edition}\nroute {}: rank {}, {}, {} attempts, limit {} ms{}",
+        "{instance} in {zone}, edition {edition}\nroute {}: rank {}, {}, on {} targets at most, limit {} ms{}",
         route.name,
         route.rank,
         route.kind,
@@ -199,11 +199,11 @@
 }
 
 fn zone_row(known: &ZoneKnown) -> Vec<String> {
-    let age = |age: Option<u64>| age.map_or("never".to_owned(), |age| format!("{age} ms"));
+    let age = |age: Option<u64>| age.map_or("-".to_owned(), |age| format!("{age} ms"));
     let owner = known.owner.map(|owner| owner.to_string());
     vec![
         known.zone.clone(),
-        owner.unwrap_or_else(|| "none".to_owned()),
+        owner.unwrap_or_else(|| "none heard".to_owned()),
         age(known.heard_ms),
         age(known.list_ms),
         age(known.load_ms),
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -185,11 +185,11 @@
         // Costs are small and never negative.
         let thousandths = |cost: f64| (cost * 1_000.0).round() as u64;
         let cost = weighed.parts.iter().map(|(_, cost)| cost).sum();
-        let parts = weighed.parts.iter().filter(|(_, cost)| *cost > 0.0);
-        let parts = parts.map(|(part, cost)| told::CostPart {
+        let parts = weighed.parts.iter().map(|(part, cost)| told::CostPart {
             part: (*part).into(),
             cost: thousandths(*cost),
         });
+        let parts = parts.filter(|part| part.cost > 0);
         told::Weighed {
             parts: parts.collect(),
             cost: (!weighed.parts.is_empty()).then(|| thousandths(cost)),
--- a/crates/wire/src/explain.rs
+++ b/crates/wire/src/explain.rs
@@ -203,7 +203,7 @@
         pub zone: String,
         /// Its cost; `None` if it was passed over before.
         pub cost: Option<u64>,
-        /// The parts of its cost that aren't 0.
+        /// The parts of its cost that aren't 0 when rounded.
         pub parts: Vec<CostPart>,
         /// Why it was passed over; `None` for the one that is chosen.
         pub passed: Option<Passed>,
