--- a/crates/gateway/tests/explain.rs
+++ b/crates/gateway/tests/explain.rs
@@ -113,7 +113,10 @@
             now: NOW + Duration::from_millis(rng.random_range(0..1_000)),
             adapter: ADAPTERS[rng.random_range(0..4)],
             tried,
-            wanted: versions.choose(&mut rng).filter(|_| seed % 5 == 0).cloned(),
+            wanted: versions
+                .choose(&mut rng)
+                .filter(|_| seed.is_multiple_of(5))
+                .cloned(),
             view,
         }
     }
