--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -1,6 +1,6 @@
 //! What a choice of a target has weighed, and why it passed targets over.
 //!
-//! The code that chooses tells a [`Watch`] what it looks at. For a request nobody watches; for
+//! The code that chooses tells a `Watch` what it looks at. For a request nobody watches; for
 //! an operator's question [`explain`] keeps what was told, and nothing is sent.
 
 use std::{cell::RefCell, collections::BTreeMap, collections::BTreeSet, time::Duration};
