--- a/crates/cli/tests/commands/main.rs
+++ b/crates/cli/tests/commands/main.rs
@@ -346,7 +346,7 @@
             shows: &["cannot be used with"],
             ..DEFAULT
         },
-        explain_tokens: Row {
+        explain_bad_pair: Row {
             args: "explain --host h --tokens many --entry C",
             exit: 2,
             shows: &["`many` is no pair of numbers"],
