Bring patient callers back late, as far as the order of ranks allows

Cause: refused callers came back within a third of their time, 4 s at most. Most found the same shortage and took room from new requests that would have begun in time.

Change: who has 6 s or more comes back after 0.4 to 0.8 of its time, others within a third as before. Callers of a less urgent rank count as having no more time than those of a more urgent one, but for the part by which less of them is let in.

Tests: four cases of ranks_are_in_order_though_callers_have_different_times fail on the code before and pass now. The test of times to come back bound all callers to a third of their time, which was the fault; it is replaced by three cases with a lower and an upper bound each, beside the old bound for those with little time. The worst account beside a hot one is checked too. Runs go on until counted requests have their answer: 25 s were too short for 20 s of time.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -6,6 +6,7 @@
 
 mod counts;
 mod shortage;
+mod wait;
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -36,15 +37,6 @@
 /// Most refused requests that are known.
 const MAX_REFUSED: usize = 4_096;
 
-/// Shortest time after which a refused caller comes back: that between two exchanges.
-const SHORTEST_WAIT: Duration = Duration::from_millis(250);
-
-/// Longest time after which a refused caller comes back.
-const LONGEST_WAIT: Duration = Duration::from_secs(4);
-
-/// Part of the time that a caller has left within which it comes back.
-const WAIT_PART: f64 = 0.32;
-
 /// A request that asks to be let in.
 #[derive(Clone, Debug)]
 pub struct Ask<'a> {
@@ -118,7 +110,7 @@
         ask: &Ask<'_>,
         id: impl FnOnce() -> u64,
     ) -> Result<u64, Refused> {
-        let credit = self.draw();
+        let [credit, later, drawn] = [self.draw(), self.draw(), self.draw()];
         let offerer = (ask.account.cloned(), ask.rank);
         let counts = get_or_insert(&mut self.counts, ask.service, || Counts::new(now));
         let units = counts.units(ask.units);
@@ -135,8 +127,11 @@
             }
             if counter.credit < 1.0 {
                 parts.refused += 1;
-                let section = parts.section(ask.rank);
-                return Err(self.refuse(now, ask.left, section, (id, part)));
+                let again = parts.again(ask.rank, ask.left, (later, drawn));
+                if self.refused.len() < MAX_REFUSED {
+                    self.refused.insert(id, now);
+                }
+                return Err(Refused { again, part });
             }
         }
         counter.credit -= 1.0;
@@ -208,25 +203,6 @@
         old.collect()
     }
 
-    fn refuse(
-        &mut self,
-        now: Time,
-        left: Duration,
-        (begin, length): (f64, f64),
-        (id, part): (u64, f64),
-    ) -> Refused {
-        if self.refused.len() < MAX_REFUSED {
-            self.refused.insert(id, now);
-        }
-        let longest = left.mul_f64(WAIT_PART).min(LONGEST_WAIT);
-        let shortest = SHORTEST_WAIT.min(longest);
-        let at = begin + length * self.draw();
-        Refused {
-            again: shortest + (longest - shortest).mul_f64(at),
-            part,
-        }
-    }
-
     /// Draws a number from 0 to 1.
     fn draw(&mut self) -> f64 {
         self.draws = self.draws.wrapping_add(1);
--- a/crates/admission/src/gate/shortage.rs
+++ b/crates/admission/src/gate/shortage.rs
@@ -1,14 +1,12 @@
 //! Whether a service is short of room at an entry instance, and the parts that it lets in
 //! then.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use base::Time;
 use wire::admission::{Ended, Offered};
 
+use super::wait::Waits;
 use crate::{Offerer, TOLD_FROM, share};
 
 /// Requests under way, as a part of the places, from which on a service is short: a quarter
@@ -96,7 +94,7 @@
     /// Since when everything could have been let in.
     calm_since: Option<Time>,
     kinds: BTreeMap<Offerer, f64>,
-    ranks: BTreeSet<u8>,
+    waits: Waits,
     mean: f64,
     told: f64,
     pub(super) refused: u64,
@@ -167,12 +165,15 @@
     let given = demands.iter().zip(&divided);
     let given: f64 = given.map(|(demand, part)| demand.offered * part).sum();
     let mean = if offered > 0.0 { given / offered } else { 1.0 };
-    let kinds = rates.offered.iter().zip(divided);
     let parts = parts.get_or_insert_with(|| Parts::new(now));
+    let ranks = demands.iter().zip(&divided);
+    parts
+        .waits
+        .update(ranks.map(|(demand, part)| (demand.rank, demand.offered, demand.offered * part)));
+    let kinds = rates.offered.iter().zip(divided);
     parts.kinds = kinds
         .map(|(offered, part)| ((offered.account.clone(), offered.rank), part))
         .collect();
-    parts.ranks = parts.kinds.keys().map(|(_, rank)| *rank).collect();
     parts.mean = mean;
     parts.at = now;
     Shortage {
@@ -203,7 +204,7 @@
             at: now,
             calm_since: None,
             kinds: BTreeMap::new(),
-            ranks: BTreeSet::new(),
+            waits: Waits::default(),
             mean: 1.0,
             told: 1.0,
             refused: 0,
@@ -228,11 +229,8 @@
         now.since(self.at) >= KEPT_FOR
     }
 
-    /// Returns the section of the time to come back in that belongs to a rank, as its begin
-    /// and its length.
-    pub(super) fn section(&self, rank: u8) -> (f64, f64) {
-        let ahead = self.ranks.range(..rank).count();
-        let ranks = self.ranks.len().max(ahead + 1);
-        (ahead as f64 / ranks as f64, 1.0 / ranks as f64)
+    /// Returns the time after which a refused caller comes back.
+    pub(super) fn again(&mut self, rank: u8, left: Duration, drawn: (f64, f64)) -> Duration {
+        self.waits.again(rank, left, drawn)
     }
 }
--- a/crates/admission/tests/fleet.rs
+++ b/crates/admission/tests/fleet.rs
@@ -12,7 +12,7 @@
 const END: u64 = 15_000;
 
 /// Length of a run: the last requests have their answer or have given up.
-const RUN: u64 = 25_000;
+const RUN: u64 = 36_000;
 
 /// Seeds of each case, whose requests are added up.
 const SEEDS: u64 = 2;
@@ -97,6 +97,13 @@
     sum * sum / (shares.len() as f64 * squares)
 }
 
+/// Returns the least part of any account but the one that asks for more than usual.
+fn worst(world: &World, part: impl Fn(Fate) -> f64) -> f64 {
+    let others = (0..ACCOUNTS).filter(|account| *account != HOT);
+    let parts = others.map(|account| part(of_account(world, account)));
+    parts.fold(1.0, f64::min)
+}
+
 fn show(name: &str, world: &World) {
     let ranks = (0..RANKS).map(|rank| {
         let fate = of_rank(world, rank);
@@ -106,12 +113,14 @@
     let all = sum(world.fates.iter().flatten());
     let others = others(world);
     println!(
-        "| {name} | {} | {:.3}/{:.3} | {:.3}/{:.3} | {} | {:.2} | {:.3} |",
+        "| {name} | {} | {:.3}/{:.3} | {:.3}/{:.3} | {:.3}/{:.3} | {} | {:.2} | {:.3} |",
         ranks.join(" | "),
         served(all),
         in_time(all),
         served(others),
         in_time(others),
+        worst(world, served),
+        worst(world, in_time),
         all.refused,
         world.fullest,
         jain(world)
@@ -124,6 +133,9 @@
 const URGENT: &[Kind] = &[Kind::AccountRank(HOT, 0, 15.0)];
 const RANK: &[Kind] = &[Kind::Rank(2, 2.4), Kind::Wave(1.3)];
 const RETRIES: &[Kind] = &[Kind::Wave(2.0), Kind::Impatient(0.3)];
+const ALL_RETRY: &[Kind] = &[Kind::Wave(2.0), Kind::Impatient(1.0)];
+const PERSISTENT: &[Kind] = &[Kind::Wave(2.0), Kind::Persistent];
+const MORE: &[Kind] = &[Kind::Wave(2.5)];
 const LOST: &[Kind] = &[Kind::Lost(0.34), Kind::Wave(1.2)];
 const NO_OWNER: &[Kind] = &[Kind::Wave(2.0), Kind::NoOwner(0)];
 const CUT: &[Kind] = &[Kind::Wave(2.0), Kind::Cut(0)];
@@ -137,10 +149,12 @@
     let rows = [
         ("calm", CALM),
         ("all twice as much", WAVE),
+        ("all 2.5 times as much", MORE),
         ("one account 7.5 times", ACCOUNT),
         ("one account 15 times, rank 0 only", URGENT),
         ("rank 2 2.4 times, all 1.3 times", RANK),
         ("all twice as much, 30% come back at once", RETRIES),
+        ("all twice as much, all come back three times", PERSISTENT),
         ("a third of engines lost, all 1.2 times", LOST),
         ("all twice as much, an owner lost", NO_OWNER),
         ("all twice as much, a zone cut", CUT),
@@ -164,6 +178,22 @@
     }
 }
 
+fn check_order_of(kinds: &[Kind]) {
+    check_order(&run(true, kinds));
+}
+
+base::cases! {
+    /// Guards against callers with much time who come back after the shortage, and are served
+    /// more than more urgent ones who had less.
+    ranks_are_in_order_though_callers_have_different_times: check_order_of => {
+        more_than_urgent_work_fills: MORE,
+        three_times: &[Kind::Wave(3.0)],
+        persistent: PERSISTENT,
+        engines_lost: &[Kind::Lost(0.34), Kind::Wave(2.0)],
+        urgent_of_one_and_all_retry: &[Kind::AccountRank(HOT, 0, 15.0), Kind::Impatient(1.0)],
+    }
+}
+
 /// Returns what became of all accounts but the one that asks for more than usual.
 fn others(world: &World) -> Fate {
     let others = (0..ACCOUNTS).filter(|account| *account != HOT);
@@ -195,6 +225,7 @@
         wave: WAVE,
         one_rank: &[Kind::Rank(2, 2.4), Kind::Wave(1.6)],
         retries: RETRIES,
+        all_retry: ALL_RETRY,
         engines_lost: &[Kind::Lost(0.34), Kind::Wave(1.4)],
         no_owner: NO_OWNER,
         cut: CUT,
@@ -216,6 +247,11 @@
 /// Checks that accounts that ask for no more than usual lose little to one that does.
 fn check_others(kinds: &[Kind]) {
     let (with, calm) = (run(true, kinds), run(true, CALM));
+    assert_that!(worst(&with, served), ge(worst(&calm, served) - OTHERS_LOSE));
+    assert_that!(
+        worst(&with, in_time),
+        ge(worst(&calm, in_time) - OTHERS_LOSE)
+    );
     let (with, calm) = (others(&with), others(&calm));
     assert_that!(served(with), ge(served(calm) - OTHERS_LOSE));
     assert_that!(in_time(with), ge(in_time(calm) - OTHERS_LOSE));
--- a/crates/admission/tests/fleet/world.rs
+++ b/crates/admission/tests/fleet/world.rs
@@ -26,6 +26,8 @@
 const FULL_AGAIN_MS: u64 = 700;
 const STEP: Duration = Duration::from_millis(10);
 const EXCHANGE_MS: u64 = 250;
+/// How often it is seen whether a run is over.
+const SETTLED_EACH_MS: u64 = 500;
 /// Time until a lost owner's zone has another.
 const TAKEOVER_MS: u64 = 2_000;
 /// Usual requests a second: about seven tenths of what the places serve.
@@ -61,6 +63,8 @@
     /// This part of the callers comes back at once when it is refused, and three times
     /// rather than once.
     Impatient(f64),
+    /// All callers come back three times rather than once, when they are told to.
+    Persistent,
     /// A part of the engines is gone.
     Lost(f64),
     /// The control instance of a zone is gone.
@@ -132,8 +136,12 @@
         }
     }
 
+    /// Runs until all requests that are counted have their answer or have given up, or else
+    /// until `until_ms`.
     pub(crate) fn run(&mut self, until_ms: u64) {
-        while self.now < until_ms {
+        while self.now < until_ms
+            && (!self.now.is_multiple_of(SETTLED_EACH_MS) || !self.is_settled())
+        {
             self.now += u64::try_from(STEP.as_millis()).expect("a step is short");
             self.disturb();
             self.arrive();
@@ -144,6 +152,17 @@
         }
     }
 
+    fn is_settled(&self) -> bool {
+        let counted = |request: &Request| (self.counted.0..self.counted.1).contains(&request.first);
+        let mut back = self.back.iter().map(|Reverse((_, request))| request);
+        let mut waiting = self
+            .waiting
+            .iter()
+            .flatten()
+            .map(|Reverse(request)| request);
+        self.now >= self.counted.1 && !back.any(counted) && !waiting.any(counted)
+    }
+
     fn time(&self) -> Time {
         Time::from_millis(self.now)
     }
@@ -292,7 +311,9 @@
         // The same callers each time.
         let drawn = (request.first + request.units * 7) % 100;
         let at_once = (drawn as f64) < part.unwrap_or(0.0) * 100.0;
-        let (most, wait) = if at_once { (3, 10) } else { (1, again_ms) };
+        let persistent = self.active().any(|kind| kind == Kind::Persistent);
+        let most = if at_once || persistent { 3 } else { 1 };
+        let wait = if at_once { 10 } else { again_ms };
         request.tries += 1;
         if request.tries <= most {
             self.back.push(Reverse((self.now + wait, request)));
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -179,25 +179,77 @@
     each.collect()
 }
 
-#[gtest]
-fn callers_come_back_spread_within_a_third_of_their_time_and_urgent_ones_first() {
-    let mut gate = gate(1);
+/// Tells that accounts offer two ranks, and that a tenth is let in.
+fn very_short() -> AdmissionTold {
     let mut told = short();
     told.offered = vec![offered("x", 0, 10_000), offered("x", 1, 10_000)];
-    gate.told(at(0), 1, told);
-    let left = Duration::from_secs(9);
-    let waits = |refused: Vec<Refused>| {
-        let waits = refused.iter().map(|refused| refused.again);
-        (waits.clone().min().unwrap(), waits.max().unwrap())
-    };
-    let urgent = waits(refused(&mut gate, 0, left));
-    let other = waits(refused(&mut gate, 1, left));
-    assert_that!(urgent.0, ge(Duration::from_millis(250)));
+    told
+}
+
+/// Returns the shortest and the longest time after which refused callers come back.
+fn waits(gate: &mut Gate<u8>, rank: u8, left: Duration) -> (Duration, Duration) {
+    let refused = refused(gate, rank, left);
+    let waits = refused.iter().map(|refused| refused.again);
+    (waits.clone().min().unwrap(), waits.max().unwrap())
+}
+
+/// Checks that refused callers come back spread between two parts of their time, and more
+/// urgent ones first.
+fn check_waits((left, from, to): (Duration, Duration, Duration)) {
+    let mut gate = gate(1);
+    gate.told(at(0), 1, very_short());
+    let urgent = waits(&mut gate, 0, left);
+    let other = waits(&mut gate, 1, left);
+    assert_that!(urgent.0, ge(from));
     assert_that!(urgent.1, le(other.0));
-    assert_that!(other.1, le(left / 3));
-    assert_that!(urgent.1 - urgent.0, gt(Duration::from_millis(1_000)));
+    assert_that!(other.1, le(to));
+    assert_that!(urgent.1 - urgent.0, gt((to - from).mul_f64(0.45)));
+}
+
+base::cases! {
+    /// Guards against callers who all come back at once, without time to be served, or into
+    /// the same shortage though they could outlast it.
+    callers_come_back_spread_and_urgent_ones_first: check_waits => {
+        hurried: (
+            Duration::from_secs(5),
+            Duration::from_millis(250),
+            Duration::from_millis(1_666)
+        ),
+        patient: (Duration::from_secs(9), Duration::from_millis(3_600), Duration::from_millis(7_200)),
+        very_patient: (Duration::from_secs(900), Duration::from_secs(8), Duration::from_secs(16)),
+    }
+}
+
+#[gtest]
+fn callers_with_little_time_come_back_within_a_third_of_it() {
+    let mut gate = gate(1);
+    gate.told(at(0), 1, very_short());
     let hurried = Duration::from_millis(300);
-    assert_that!(waits(refused(&mut gate, 1, hurried)).1, le(hurried / 3));
+    assert_that!(waits(&mut gate, 1, hurried).1, le(hurried / 3));
+}
+
+/// Returns the part of a less urgent rank's callers that come back later than a more urgent
+/// rank's can, whose time is short.
+fn late(urgent: u64, ended: u64) -> f64 {
+    let (mut gate, left) = (gate(1), Duration::from_secs(3));
+    let mut told = short();
+    told.rooms = vec![room(1_000, 1_250)];
+    told.ended[0].units = ended;
+    told.offered = vec![offered("x", 0, urgent), offered("x", 1, 1_000)];
+    gate.told(at(0), 1, told);
+    assert_that!(refused(&mut gate, 0, left), not(is_empty()));
+    let other = refused(&mut gate, 1, Duration::from_secs(20));
+    let late = other.iter().filter(|refused| refused.again > left);
+    late.count() as f64 / other.len() as f64
+}
+
+/// Of the less urgent rank as many come back late as it is let in less.
+#[gtest]
+fn who_has_long_comes_back_late_only_as_the_order_of_ranks_allows() {
+    // Of the urgent rank 0.9, and 0.1 of the other.
+    assert_that!(late(1_000, 1_000), near(0.9, 0.05));
+    // Of the urgent rank 0.18, and 0.1 of the other one.
+    assert_that!(late(10_000, 2_000), lt(0.2));
 }
 
 #[gtest]
