Tell whether a service is short at a rank

`Gate::is_short` is for those who send more than callers ask for, as hedged requests do: where not all of a rank is let in, they should send nothing more. Nothing calls it yet.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -185,6 +185,13 @@
         changes
     }
 
+    /// Returns whether a service has too little room for all that is offered at a rank.
+    #[must_use]
+    pub fn is_short(&self, now: Time, service: &str, rank: u8) -> bool {
+        let parts = self.short.get(service).and_then(Option::as_ref);
+        parts.is_some_and(|parts| parts.is_short(now, rank))
+    }
+
     /// Forgets what is old, and returns the services that count as short no more.
     pub fn expire(&mut self, now: Time) -> Vec<Change> {
         self.sources
--- a/crates/admission/src/gate/shortage.rs
+++ b/crates/admission/src/gate/shortage.rs
@@ -229,6 +229,11 @@
         now.since(self.at) >= KEPT_FOR
     }
 
+    /// Returns whether not all of a rank is let in.
+    pub(super) fn is_short(&self, now: Time, rank: u8) -> bool {
+        !self.forgotten(now) && self.waits.part(rank).unwrap_or(self.mean) < 1.0
+    }
+
     /// Returns the time after which a refused caller comes back.
     pub(super) fn again(&mut self, rank: u8, left: Duration, drawn: (f64, f64)) -> Duration {
         self.waits.again(rank, left, drawn)
--- a/crates/admission/src/gate/wait.rs
+++ b/crates/admission/src/gate/wait.rs
@@ -69,6 +69,11 @@
         begin + (end - begin).mul_f64((ahead as f64 + drawn) / ranks as f64)
     }
 
+    /// Returns the part of a rank that is let in, if any of it is offered.
+    pub(super) fn part(&self, rank: u8) -> Option<f64> {
+        self.parts.get(&rank).copied()
+    }
+
     /// Returns the part by which a rank is served less than any more urgent one.
     fn spare(&self, rank: u8) -> f64 {
         let own = self.parts.get(&rank).copied().unwrap_or(1.0);
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -252,6 +252,18 @@
     assert_that!(late(10_000, 2_000), lt(0.2));
 }
 
+#[gtest]
+fn a_service_is_short_at_the_ranks_that_are_refused() {
+    let mut gate = gate(1);
+    assert_that!(gate.is_short(at(0), SERVICE, 0), eq(false));
+    let mut told = short();
+    told.offered = vec![offered("x", 0, 100), offered("x", 1, 10_000)];
+    gate.told(at(0), 1, told);
+    assert_that!(gate.is_short(at(10), SERVICE, 1), eq(true));
+    assert_that!(gate.is_short(at(10_000), SERVICE, 1), eq(false));
+    assert_that!(gate.is_short(at(10), "other", 1), eq(false));
+}
+
 #[gtest]
 fn a_request_that_comes_back_is_let_in_more_often() {
     let let_in = |again: bool| {
