Test admission over sockets, also without its control instance

Two accounts and three ranks before two engines of four places, through three entry instances. Nothing is refused in calm; then one account asks for twenty times its usual, three times what there is: the other is served, its own urgent requests go before the rest, and whoever gets 503 is told when to come back and hasn't run. Once the control instance is lost, nobody is refused after 11 s.

The harness takes a configuration and engines of few places, which let requests wait rather than refuse them.

--- a/crates/frontd/tests/common/engines.rs
+++ b/crates/frontd/tests/common/engines.rs
@@ -13,6 +13,19 @@
 
 /// As [`decoded`], with this many further routes, and a goal of each route.
 pub(crate) fn decoded_with(further: usize, goal: Option<Duration>) -> Decoded {
+    checked(raw_table(further, goal))
+}
+
+/// Checks a configuration.
+pub(crate) fn checked(table: RawTable) -> Decoded {
+    Decoded {
+        number: 0,
+        table: Table::try_from(table).expect("the table is valid"),
+    }
+}
+
+/// Returns the configuration of [`decoded_with`] before it is checked.
+pub(crate) fn raw_table(further: usize, goal: Option<Duration>) -> RawTable {
     let engine = Engine {
         models: vec![Model {
             name: "m".to_owned(),
@@ -51,8 +64,5 @@
             public: false,
         });
     }
-    Decoded {
-        number: 0,
-        table: Table::try_from(table).expect("the table is valid"),
-    }
+    table
 }
--- a/crates/frontd/tests/targets.rs
+++ b/crates/frontd/tests/targets.rs
@@ -1,6 +1,8 @@
 //! Targets in trouble: real control and entry instances over loopback, and engines that
 //! crash and come back some time later, or that name a limit.
 
+#[path = "targets/admission.rs"]
+mod admission;
 #[path = "targets/brittle.rs"]
 mod brittle;
 #[path = "targets/callers.rs"]
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use frontd::{CallOutcome, ControlSetup, EntrySetup, Operators, Platform};
+use frontd::{CallOutcome, ControlSetup, Decoded, EntrySetup, Operators, Platform};
 use futures::{FutureExt, future::join_all};
 use gateway::{
     budget,
@@ -64,6 +64,9 @@
 /// Lists all targets.
 pub(crate) type ListFn = Arc<dyn Fn() -> Vec<Listed> + Send + Sync>;
 
+/// Returns the configuration.
+pub(crate) type ConfigFn = Arc<dyn Fn() -> Decoded + Send + Sync>;
+
 /// What a caller was told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Told {
@@ -91,6 +94,7 @@
     list: ListFn,
     retries: budget::Limits,
     hedging: Option<HedgingSettings>,
+    config: ConfigFn,
     next_id: AtomicU64,
     /// Links of each entry instance to the engines, if they can be cut.
     links: Vec<Arc<Links>>,
@@ -126,7 +130,8 @@
     pub(crate) async fn start_allowing(entries: u8, list: ListFn, ratio: f64) -> Deployment {
         let links = join_all((0..entries).map(|_| Links::new())).await;
         let retries = budget::Limits { ratio, ..retries() };
-        Deployment::start_before(entries, Vec::new(), list, links, retries, None).await
+        let options = (retries, None, default_config());
+        Deployment::start_before(entries, Vec::new(), list, links, options).await
     }
 
     /// As [`Self::start_listed`], with requests that are hedged.
@@ -135,13 +140,32 @@
             ratio: MANY_RETRIES,
             ..retries()
         };
-        Deployment::start_before(1, Vec::new(), list, Vec::new(), retries, Some(hedging)).await
+        let config: ConfigFn = Arc::new(move || decoded_with(0, Some(hedging.goal)));
+        let options = (retries, Some(hedging), config);
+        Deployment::start_before(1, Vec::new(), list, Vec::new(), options).await
+    }
+
+    /// As [`Self::start`], with a configuration of its own and few places at each engine.
+    pub(crate) async fn start_small(
+        entries: u8,
+        engines: usize,
+        places: u32,
+        config: ConfigFn,
+    ) -> Deployment {
+        let engines: Vec<_> = (0..engines).map(Engine::start).collect();
+        engines
+            .iter()
+            .for_each(|engine| engine.limit_places(places));
+        let list = listed(engines.clone());
+        let options = (retries(), None, config);
+        Deployment::start_before(entries, engines, list, Vec::new(), options).await
     }
 
     async fn start_with(entries: u8, engines: usize, links: Vec<Arc<Links>>) -> Deployment {
         let engines: Vec<_> = (0..engines).map(Engine::start).collect();
         let list = listed(engines.clone());
-        Deployment::start_before(entries, engines, list, links, retries(), None).await
+        let options = (retries(), None, default_config());
+        Deployment::start_before(entries, engines, list, links, options).await
     }
 
     async fn start_before(
@@ -149,8 +173,7 @@
         engines: Vec<Arc<Engine>>,
         list: ListFn,
         links: Vec<Arc<Links>>,
-        retries: budget::Limits,
-        hedging: Option<HedgingSettings>,
+        (retries, hedging, config): (budget::Limits, Option<HedgingSettings>, ConfigFn),
     ) -> Deployment {
         let no = NEXT.fetch_add(1, Ordering::Relaxed);
         let data = tempfile::tempdir().unwrap();
@@ -168,7 +191,7 @@
                 takeover_delay: Duration::from_secs(3),
                 list_lag: Duration::from_millis(2_300),
             },
-            half_blind(platform(no, &list, None, hedging), Arc::clone(&blind)),
+            half_blind(platform(no, &list, None, &config), Arc::clone(&blind)),
             take,
         ));
         let deployment = Deployment {
@@ -177,6 +200,7 @@
             list,
             retries,
             hedging,
+            config,
             next_id: AtomicU64::new(1),
             links,
             runtimes: Mutex::default(),
@@ -244,7 +268,7 @@
                 self.no,
                 &self.list,
                 self.links.get(usize::from(entry) - 1),
-                self.hedging,
+                &self.config,
             ),
         ));
     }
@@ -283,15 +307,26 @@
 
     /// As [`Self::ask`], with the parts of the prompt as the header names them.
     pub(crate) async fn ask_parts(&self, entry: u8, body: &str, parts: &str) -> Told {
+        self.ask_at(entry, "/x", body, ("parts", parts)).await
+    }
+
+    /// As [`Self::ask`], at a path and with one more field.
+    pub(crate) async fn ask_at(
+        &self,
+        entry: u8,
+        path: &str,
+        body: &str,
+        field: (&'static str, &str),
+    ) -> Told {
         let id = self.next_id().to_string();
-        let mut send = client::Send::new(self.caller_addr(entry), Method::POST, "/x");
+        let mut send = client::Send::new(self.caller_addr(entry), Method::POST, path);
         let fields = [
             ("host", "a.example"),
             ("attempt", &id),
             ("model", ADAPTER),
             ("tokens", "100,50"),
             ("deadline", "10000"),
-            ("parts", parts),
+            field,
         ];
         for (name, value) in fields {
             send.headers.insert(name, header_value(value));
@@ -449,6 +484,10 @@
     loopback_ip(no * INSTANCES + u16::from(instance))
 }
 
+fn default_config() -> ConfigFn {
+    Arc::new(decoded)
+}
+
 /// Returns a runtime for an instance that can be killed.
 fn own_runtime() -> Runtime {
     let mut builder = Builder::new_multi_thread();
@@ -467,20 +506,12 @@
     }
 }
 
-fn platform(
-    no: u16,
-    list: &ListFn,
-    links: Option<&Arc<Links>>,
-    hedging: Option<HedgingSettings>,
-) -> Platform {
-    let links = links.map(Arc::clone);
+fn platform(no: u16, list: &ListFn, links: Option<&Arc<Links>>, config: &ConfigFn) -> Platform {
+    let (links, config) = (links.map(Arc::clone), Arc::clone(config));
     let (list, ask) = (Arc::clone(list), Arc::clone(list));
     Platform {
         header_names: Arc::new(header_names()),
-        decode: Arc::new(move |_| {
-            let decoded = hedging.map_or_else(decoded, |h| decoded_with(0, Some(h.goal)));
-            Ok(decoded)
-        }),
+        decode: Arc::new(move |_| Ok(config())),
         list_targets: Arc::new(move |_| {
             let list = list().into_iter().map(|listed| listed.target).collect();
             async { Some(list) }.boxed()
--- a/crates/frontd/tests/targets/engine.rs
+++ b/crates/frontd/tests/targets/engine.rs
@@ -12,7 +12,7 @@
 use tokio::{
     net::TcpListener,
     runtime::{Builder, Runtime},
-    sync::mpsc,
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
     time::sleep,
 };
 use tokio_util::sync::CancellationToken;
@@ -81,6 +81,8 @@
     crashes: Vec<Instant>,
     /// Room of a brittle engine.
     brittle: Option<Brittle>,
+    /// Places of an engine with few, which lets what comes beyond them wait, and their number.
+    few: Option<(u32, Arc<Semaphore>)>,
     /// When requests were refused for want of room, lately.
     refused: Vec<Instant>,
     /// Bodies of runs whose callers left before the end.
@@ -144,10 +146,24 @@
         self.state.lock().unwrap().brittle = Some(brittle);
     }
 
+    /// Gives the engine this many places only.
+    pub(crate) fn limit_places(&self, places: u32) {
+        let few = Arc::new(Semaphore::new(places as usize));
+        self.state.lock().unwrap().few = Some((places, few));
+    }
+
     /// Returns the number of slots that the platform lists.
     pub(crate) fn slots(&self) -> u32 {
-        let brittle = self.state.lock().unwrap().brittle;
-        brittle.map_or(64, |brittle| brittle.room as u32)
+        let state = self.state.lock().unwrap();
+        let few = state.few.as_ref().map(|(places, _)| *places);
+        let brittle = state.brittle.map(|brittle| brittle.room as u32);
+        few.or(brittle).unwrap_or(64)
+    }
+
+    /// Waits for a place of an engine with few of them.
+    async fn place(&self) -> Option<OwnedSemaphorePermit> {
+        let few = self.state.lock().unwrap().few.clone();
+        few?.1.acquire_owned().await.ok()
     }
 
     /// Crashes from now on when it begins to answer on this part.
@@ -257,6 +273,7 @@
                 .insert("refused", "full".parse().unwrap());
             return resp;
         };
+        let place = self.place().await;
         let parts = text("parts").unwrap_or_default();
         let crashes = body.contains(CRASHING) || self.crashes_on(&parts);
         let begun = Begun {
@@ -272,7 +289,7 @@
             end_with_connection(&mut resp);
         }
         tokio::spawn(async move {
-            let _running = running;
+            let _taken = (running, place);
             let (first, rest) = ANSWER.split_at(ANSWER.len() / 2);
             writer.piece(Bytes::from(first)).await.ok();
             if crashes {
