End both sends of a hedged request when its caller leaves, by a test

Nothing showed that a caller that leaves while two targets have its request ends both runs; the scripted targets noted only when the first one is left.

They note it for the second one too, also while that hasn't answered. The test leaves before the head of a request and of a stream, and amid a stream whose target is silent. What the tests of hedged requests and of silent targets did alike is one file now.

--- a/crates/frontd/tests/targets.rs
+++ b/crates/frontd/tests/targets.rs
@@ -31,6 +31,8 @@
 mod parts;
 #[path = "common/platform.rs"]
 mod platform;
+#[path = "targets/played.rs"]
+mod played;
 #[path = "targets/raw.rs"]
 mod raw;
 #[path = "targets/rush.rs"]
--- a/crates/frontd/tests/targets/hedged.rs
+++ b/crates/frontd/tests/targets/hedged.rs
@@ -8,34 +8,27 @@
 use futures::future::join_all;
 use gateway::hedge::WINDOW_SECONDS;
 use googletest::prelude::*;
-use tokio::{runtime::Builder, time::sleep};
+use tokio::time::{sleep, timeout};
 
 use crate::{
     deployment::{Deployment, HedgingSettings},
-    raw::{self, Ask, Received},
-    scripted::{Again, Content, End, Framing, MORE, Runs, Script, Seen, Target},
+    played::{
+        self, DEADLINE, LEFT_WITHIN, ONCE, Outcome, REPEATABLE, RESUMABLE, STREAM, completed,
+        request, run, runs,
+    },
+    raw,
+    scripted::{Again, Content, End, Framing, Script, Seen, Target},
 };
 
 /// Goal of each route: an extra send goes out shortly before.
 const GOAL: Duration = Duration::from_millis(400);
 
-/// Deadline of a request. A target counts as silent after two seconds.
-const DEADLINE: Duration = Duration::from_secs(5);
-
-/// Time within which the target that isn't taken is left.
-const LEFT_WITHIN: Duration = Duration::from_millis(400);
-
 /// Requests that are answered at once, from which instances learn.
 const LEARNED: usize = 60;
 
 /// Targets of a deployment: some are avoided for a while after they were late.
 const TARGETS: usize = 8;
 
-const RESUMABLE: &str = "/resumable/x";
-const REPEATABLE: &str = "/repeatable/x";
-const STREAM: &str = "/x";
-const ONCE: &str = "/once/x";
-
 const ALL: [(&str, Content); 4] = [
     (RESUMABLE, Content::Lf),
     (REPEATABLE, Content::Plain),
@@ -43,30 +36,6 @@
     (ONCE, Content::Plain),
 ];
 
-#[derive(Clone, Debug)]
-struct Outcome {
-    path: &'static str,
-    script: Script,
-    received: Received,
-    took: Duration,
-    runs: Runs,
-}
-
-impl Outcome {
-    fn sends(&self) -> usize {
-        self.runs.reached.len()
-    }
-
-    fn is_first(&self) -> bool {
-        self.received.complete && self.received.body == self.script.content.text(0)
-    }
-
-    fn is_second(&self) -> bool {
-        let text = Content::Lf.text(0) + MORE;
-        self.received.complete && self.received.body == text
-    }
-}
-
 /// Returns an answer that ends as `end` says before its first byte.
 fn script(content: Content, end: End) -> Script {
     Script {
@@ -78,39 +47,12 @@
     }
 }
 
-async fn ask(deployment: &Deployment, seen: &Seen, path: &'static str, script: Script) -> Outcome {
-    let id = format!("a{:04}", deployment.next_id());
-    let ask = Ask {
-        path,
-        id: id.clone(),
-        minor: 1,
-        deadline: DEADLINE,
-        tokens: 50,
-        fields: Vec::new(),
-        body: script.body(),
-    };
-    let begun = Instant::now();
-    let received = raw::ask(deployment.caller_addr(1), &ask).await;
-    let took = begun.elapsed();
-    sleep(LEFT_WITHIN).await;
-    let runs = seen.lock().unwrap().get(&id).cloned().unwrap_or_default();
-    Outcome {
-        path,
-        script,
-        received,
-        took,
-        runs,
-    }
-}
-
-/// Starts an instance that may hedge each request, has it learn, and plays requests that end in
-/// each of these ways on each of these routes.
-async fn play(
+/// Starts an instance that may hedge each request on these routes, and has it learn.
+async fn start(
     limit: Option<&str>,
     again: Again,
     paths: &[(&'static str, Content)],
-    ends: &[End],
-) -> Vec<Outcome> {
+) -> (Deployment, Seen) {
     let seen = Seen::default();
     let targets = (0..TARGETS).map(|no| Target::start_with(no, Arc::clone(&seen), again));
     let targets = join_all(targets).await;
@@ -125,28 +67,31 @@
     }
     for (path, content) in paths {
         let usual = script(*content, End::Close);
-        let learned = (0..LEARNED).map(|_| ask(&deployment, &seen, path, usual));
+        let learned = (0..LEARNED).map(|_| played::play(&deployment, &seen, path, usual));
         join_all(learned).await;
     }
+    (deployment, seen)
+}
+
+/// Plays requests that end in each of these ways on each of these routes, at an instance as
+/// [`start`] returns it.
+async fn play(
+    limit: Option<&str>,
+    again: Again,
+    paths: &[(&'static str, Content)],
+    ends: &[End],
+) -> Vec<Outcome> {
+    let (deployment, seen) = start(limit, again, paths).await;
     let mut outcomes = Vec::new();
     for end in ends {
         let asked = paths
             .iter()
-            .map(|(path, content)| ask(&deployment, &seen, path, script(*content, *end)));
+            .map(|(path, content)| played::play(&deployment, &seen, path, script(*content, *end)));
         outcomes.extend(join_all(asked).await);
     }
     outcomes
 }
 
-fn run<T>(test: impl Future<Output = T>) -> T {
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .unwrap();
-    runtime.block_on(test)
-}
-
 /// Guards against callers that wait for a target that is late, against targets that work on
 /// for nobody, and against requests that run twice though they may not.
 #[test]
@@ -194,13 +139,63 @@
     for outcome in outcomes {
         assert_that!(outcome.received.complete, eq(false), "{outcome:?}");
         assert_that!(
-            (Content::Lf.text(0) + MORE).as_str(),
+            completed().as_str(),
             starts_with(outcome.received.body.as_str())
         );
         assert_that!(outcome.sends(), eq(2));
     }
 }
 
+/// Sends a request whose first target says nothing after `script`, leaves once it has reached a
+/// second one, and returns how long the two targets worked on after that.
+async fn leave(
+    deployment: &Deployment,
+    seen: &Seen,
+    path: &'static str,
+    script: Script,
+) -> Option<(Duration, Duration)> {
+    let ask = request(deployment, path, script);
+    let caller = raw::send(deployment.caller_addr(1), &ask).await;
+    let reached = async {
+        while runs(seen, &ask.id).reached.len() < 2 {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(DEADLINE, reached).await.ok()?;
+    drop(caller);
+    let at = Instant::now();
+    sleep(LEFT_WITHIN * 2).await;
+    let runs = runs(seen, &ask.id);
+    Some((runs.left? - at, runs.left_again? - at))
+}
+
+/// Guards against targets that work on for a caller that has left: before the head of an answer
+/// and amid a stream.
+#[test]
+fn a_caller_that_leaves_ends_both_sends() {
+    let again = Again::AnswersAfter(3_000);
+    run(async {
+        let (deployment, seen) = start(Some("100%"), again, &ALL[..2]).await;
+        let silent = script(Content::Lf, End::Silence);
+        let head = silent.answer("a0000").0.len();
+        let asked = [
+            (REPEATABLE, script(Content::Plain, End::Silence)),
+            (RESUMABLE, silent),
+            (
+                RESUMABLE,
+                Script {
+                    sent: head + 8,
+                    ..silent
+                },
+            ),
+        ];
+        let left = asked.map(|(path, script)| leave(&deployment, &seen, path, script));
+        for left in join_all(left).await {
+            assert_that!(left, some((le(LEFT_WITHIN), le(LEFT_WITHIN))));
+        }
+    });
+}
+
 fn check_waits((limit, again, sends): (Option<&str>, Again, usize)) {
     let outcomes = run(play(limit, again, &ALL[..2], &[End::Pause(900); 4]));
     for outcome in &outcomes {
--- a/crates/frontd/tests/targets/raw.rs
+++ b/crates/frontd/tests/targets/raw.rs
@@ -88,7 +88,7 @@
 }
 
 /// Sends a request on a new connection.
-async fn send(addr: SocketAddr, ask: &Ask<'_>) -> TcpStream {
+pub(crate) async fn send(addr: SocketAddr, ask: &Ask<'_>) -> TcpStream {
     let mut stream = TcpStream::connect(addr).await.unwrap();
     let Ask {
         path,
--- a/crates/frontd/tests/targets/scripted.rs
+++ b/crates/frontd/tests/targets/scripted.rs
@@ -303,6 +303,8 @@
     pub(crate) reached: Vec<Instant>,
     /// When a target that it had reached before any other was left by its sender.
     pub(crate) left: Option<Instant>,
+    /// When one was left that it had reached again.
+    pub(crate) left_again: Option<Instant>,
     /// When a target that it had reached again began to answer.
     pub(crate) begun_again: Option<Instant>,
 }
@@ -379,7 +381,11 @@
                     }
                     continue;
                 }
-                Again::AnswersAfter(ms) => sleep(Duration::from_millis(ms)).await,
+                Again::AnswersAfter(ms) => {
+                    if left_within(&mut stream, Duration::from_millis(ms)).await {
+                        return note_left(&seen, &request.id, first);
+                    }
+                }
                 Again::Answers | Again::Plays | Again::Breaks => {}
             }
             let mut seen = seen.lock().unwrap();
@@ -438,9 +444,13 @@
 }
 
 fn note_left(seen: &Seen, id: &str, first: bool) {
-    if first {
-        seen.lock().unwrap().get_mut(id).unwrap().left = Some(Instant::now());
-    }
+    let mut seen = seen.lock().unwrap();
+    let runs = seen.get_mut(id).unwrap();
+    let left = match first {
+        true => &mut runs.left,
+        false => &mut runs.left_again,
+    };
+    *left = Some(Instant::now());
 }
 
 /// Returns a server error, which says whether the request was refused.
--- a/crates/frontd/tests/targets/silence.rs
+++ b/crates/frontd/tests/targets/silence.rs
@@ -6,26 +6,23 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use futures::{StreamExt, future::join_all, stream};
 use googletest::prelude::*;
-use tokio::{runtime::Builder, time::sleep};
+use tokio::time::sleep;
 
 use crate::{
     deployment::Deployment,
     links::Cut,
-    raw::{self, Ask, Received},
-    scripted::{Again, Content, End, Framing, MORE, Runs, Script, Seen, Target},
+    played::{self, LEFT_WITHIN, ONCE, Outcome, REPEATABLE, RESUMABLE, STREAM, run},
+    scripted::{Again, Content, End, Framing, Runs, Script, Seen, Target},
 };
 
 /// How long targets say nothing, in milliseconds.
 const PAUSES: [u64; 5] = [500, 1_000, 1_600, 2_000, 3_000];
 
-/// Deadline of a request: the longest pause and some more.
-const DEADLINE: Duration = Duration::from_secs(5);
-
 /// Requests at the same time.
 const AT_ONCE: usize = 128;
 
@@ -35,9 +32,6 @@
 /// Time within which a stream goes on elsewhere if its target says nothing any more.
 const GOES_ON_WITHIN: Duration = Duration::from_millis(2_000);
 
-/// How long two targets may work on one request.
-const BOTH_AT_MOST: Duration = Duration::from_millis(400);
-
 /// Targets and what surrounds them.
 #[derive(Clone, Copy, Debug)]
 struct Place {
@@ -66,20 +60,6 @@
     ..USUAL
 };
 
-const STREAM: &str = "/x";
-const RESUMABLE: &str = "/resumable/x";
-const REPEATABLE: &str = "/repeatable/x";
-const ONCE: &str = "/once/x";
-
-/// What became of one request.
-#[derive(Clone, Debug)]
-struct Outcome {
-    script: Script,
-    received: Received,
-    took: Duration,
-    runs: Runs,
-}
-
 async fn start(place: Place) -> (Deployment, Seen) {
     let seen = Seen::default();
     let targets =
@@ -115,39 +95,14 @@
     scripts
 }
 
-async fn play_one(deployment: &Deployment, seen: &Seen, path: &str, script: Script) -> Outcome {
-    let id = format!("a{:04}", deployment.next_id());
-    let ask = Ask {
-        path,
-        id: id.clone(),
-        minor: 1,
-        deadline: DEADLINE,
-        tokens: 50,
-        fields: Vec::new(),
-        body: script.body(),
-    };
-    let begun = Instant::now();
-    let received = raw::ask(deployment.caller_addr(1), &ask).await;
-    let took = begun.elapsed();
-    // A target that was left notices it a moment later.
-    sleep(BOTH_AT_MOST).await;
-    let runs = seen.lock().unwrap().get(&id).cloned().unwrap_or_default();
-    Outcome {
-        script,
-        received,
-        took,
-        runs,
-    }
-}
-
 /// Plays all scripts at the same time.
-async fn play(place: Place, path: &str, scripts: Vec<Script>) -> Vec<Outcome> {
+async fn play(place: Place, path: &'static str, scripts: Vec<Script>) -> Vec<Outcome> {
     let (deployment, seen) = start(place).await;
     let over = AtomicBool::new(false);
     let plays = async {
         let asked = scripts
             .into_iter()
-            .map(|script| play_one(&deployment, &seen, path, script));
+            .map(|script| played::play(&deployment, &seen, path, script));
         let outcomes: Vec<_> = stream::iter(asked)
             .buffer_unordered(AT_ONCE)
             .collect()
@@ -166,26 +121,14 @@
     tokio::join!(plays, changes).0
 }
 
-fn run<T>(test: impl Future<Output = T>) -> T {
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .unwrap();
-    runtime.block_on(test)
-}
-
 /// Returns whether a caller got the whole answer of the target that fell silent or, if `moves`,
 /// one that another target completed.
 fn is_whole(outcome: &Outcome, moves: bool) -> bool {
-    let own = outcome.script.content.text(0);
-    let got = &outcome.received;
-    let right = got.body == own || moves && got.body == own + MORE;
-    got.status == 200 && got.complete && right
+    outcome.is_first() || moves && outcome.is_second()
 }
 
 /// Plays pauses of all lengths at all places; each request has to be answered in full.
-fn check((place, path, content): (Place, &str, Content)) {
+fn check((place, path, content): (Place, &'static str, Content)) {
     let moves = place.ratio > 0.0 && place.targets > 1 && matches!(path, RESUMABLE | REPEATABLE);
     let scripts = PAUSES
         .into_iter()
@@ -197,9 +140,7 @@
         .map(|outcome| (outcome.script.body(), &outcome.received, outcome.took))
         .collect();
     assert_that!(lost, is_empty());
-    let often = outcomes
-        .iter()
-        .filter(|outcome| outcome.runs.reached.len() > 1);
+    let often = outcomes.iter().filter(|outcome| outcome.sends() > 1);
     if path == ONCE {
         assert_that!(often.count(), eq(0));
     }
@@ -234,7 +175,7 @@
 /// Plays answers whose target says nothing for longer than another one is waited for, and then
 /// resets its connection while that has the request. Each has targets of its own, so that no
 /// other request has found them silent.
-fn check_reset((path, content, within_body): (&str, Content, bool)) {
+fn check_reset((path, content, within_body): (&'static str, Content, bool)) {
     let place = Place {
         again: Again::AnswersAfter(800),
         ..USUAL
@@ -286,7 +227,7 @@
     let whole = outcomes.iter().filter(|outcome| is_whole(outcome, true));
     assert_that!(whole.count(), eq(outcomes.len()));
     assert_that!(took, some(le(GOES_ON_WITHIN)));
-    assert_that!(longest, some(le(BOTH_AT_MOST)));
+    assert_that!(longest, some(le(LEFT_WITHIN)));
 }
 
 base::cases! {
