Count what is lent before a hedge, by one function for uses that give way

try_early (retry shares) and try_spare (hedged requests) both allowed a repeat up to half of what an instance may send again, but try_spare didn't count what was lent. An instance that had lent three quarters of its retries sent half of them again as hedges, so that together more went out than the seven tenths that may be used.

try_spare is gone. In virtual time, entry instances now also send requests twice by the decisions of hedging, beside retries, lending, kills, cuts and fading requests: both sums are checked in each window. That a hedge is withheld more often where much is lent is meant: failures go first.

--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -256,7 +256,8 @@
 
     /// Returns whether the budget of retries allows an extra send, and charges it if so.
     pub(super) fn may_hedge(&self, service: &str) -> bool {
-        self.budget().try_spare(self.now(), service)
+        let allowance = self.budget().try_early(self.now(), service);
+        allowance.allowed
     }
 
     /// Returns whether the budget allows a retry, and charges it if so.
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -16,7 +16,6 @@
 mod broker;
 mod lending;
 mod sharers;
-mod spare;
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -45,7 +44,7 @@
 const USABLE: f64 = 0.7;
 
 /// Part of what an instance may send again up to which retries are allowed that aren't needed
-/// yet.
+/// yet; the rest is left to failures.
 const EARLY: f64 = 0.5;
 
 /// How long the largest number of instances that was told stays in use: longer than zones
--- a/crates/gateway/tests/budget_fleet.rs
+++ b/crates/gateway/tests/budget_fleet.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use gateway::hedge::HedgeLimit;
 use googletest::prelude::*;
 use world::{Kind, Lending, Load, NOBODY, Outcome, TRAFFIC, Trouble, World};
 
@@ -233,6 +234,52 @@
     }
 }
 
+/// A request in ten is late where others fail, and one in twenty may be sent twice.
+const LATE: Lending = Lending {
+    late: 0.1,
+    limit: "5%",
+    ..lends(0.05)
+};
+
+/// All are late, and the retry budget alone limits extra sends.
+const ALL_LATE: Lending = Lending {
+    late: 1.0,
+    limit: "100%",
+    ..LATE
+};
+
+/// Most of what is allowed that retries may use, and so both together.
+const USABLE: f64 = 0.7;
+
+fn check_extra((load, lending, troubles): (Load, Lending, &[Trouble])) {
+    let runs = (1..=SEEDS).map(|seed| World::new(load, troubles, seed).lending(lending).run(RUN));
+    let limit: HedgeLimit = lending.limit.parse().unwrap();
+    let mut sent = 0;
+    for outcome in runs {
+        sent += outcome.extra;
+        assert_that!(outcome.extra_part, le(limit.fraction()), "{outcome:?}");
+        assert_that!(outcome.worst, le(USABLE), "{outcome:?}");
+    }
+    assert_that!(sent, gt(0));
+}
+
+base::cases! {
+    /// Extra sends and retries together exceed what is allowed in some window, or extra sends
+    /// their limit: an instance forgets at its start what it sent, one that has lent uses that
+    /// itself, a side of a cut goes on by what it knows, or requests fade.
+    extra_sends_and_retries_stay_within_both_limits: check_extra => {
+        nothing_wrong: (GROWN, LATE, &[]),
+        killed_twice: (GROWN, LATE, &[at(3, Kind::EntriesKilled(0.5)), at(15, Kind::EntriesKilled(0.5))]),
+        zones_apart: (BUSY, LATE, &[at(15, Kind::ZonesApart)]),
+        zone_cut_and_killed: (BUSY, LATE, &[at(15, Kind::ZoneCut), at(17, Kind::EntriesKilled(0.5))]),
+        requests_fade: (BUSY, LATE, &[at(15, Kind::Faded)]),
+        all_late: (GROWN, ALL_LATE, &[]),
+        all_late_and_killed: (TWELVE, ALL_LATE, &LENDERS_KILLED),
+        all_late_zones_apart: (TWELVE, ALL_LATE, &[at(15, Kind::ZonesApart)]),
+        all_late_and_fading: (BUSY, ALL_LATE, &[at(15, Kind::Faded)]),
+    }
+}
+
 /// Returns the part of needed retries that was refused.
 fn refused(load: Load, lending: Lending, troubles: &[Trouble]) -> f64 {
     let runs = (1..=SEEDS).map(|seed| World::new(load, troubles, seed).lending(lending).run(RUN));
--- a/crates/gateway/tests/budget_fleet/lending.rs
+++ b/crates/gateway/tests/budget_fleet/lending.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use wire::retry::{RetryAnswer, RetryReport};
 
-use super::{Kind, SERVICE, SYNC_INTERVAL, World};
+use super::{Kind, SERVICE, SYNC_INTERVAL, World, hedging};
 
 /// Interval of reports while an instance wants retries.
 const HURRIED: Duration = Duration::from_millis(100);
@@ -23,6 +23,9 @@
     pub(crate) doubled: f64,
     /// Longest time that a message takes.
     pub(crate) delay: Duration,
+    /// The part of the requests that would get an extra send, and the limit of these.
+    pub(crate) late: f64,
+    pub(crate) limit: &'static str,
 }
 
 /// Nobody lends, and all have need.
@@ -32,6 +35,8 @@
     lost: 0.0,
     doubled: 0.0,
     delay: Duration::from_millis(5),
+    late: 0.0,
+    limit: "0",
 };
 
 /// Messages on their way, each with the number and the run of its entry instance.
@@ -51,6 +56,9 @@
 impl World {
     pub(crate) fn lending(mut self, lending: Lending) -> Self {
         self.lending = lending;
+        for entry in &mut self.entries {
+            entry.hedging = hedging(&lending, self.now);
+        }
         self
     }
 
--- a/crates/gateway/tests/budget_fleet/world.rs
+++ b/crates/gateway/tests/budget_fleet/world.rs
@@ -7,7 +7,10 @@
 use std::{collections::VecDeque, time::Duration};
 
 use base::{InstanceName, Seed, Time};
-use gateway::budget::{Broker, Budget, Limits, Sharers};
+use gateway::{
+    budget::{Broker, Budget, Limits, Sharers},
+    hedge::{Due, Hedging, WINDOW_SECONDS},
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -78,12 +81,17 @@
     /// Repeats that were needed, and those refused, in the whole run.
     pub(crate) needed: usize,
     pub(crate) refused: usize,
+    /// Extra sends in the whole run, and the most within a window that ends with one, as a part
+    /// of the requests in it.
+    pub(crate) extra: usize,
+    pub(crate) extra_part: f64,
 }
 
 struct Entry {
     zone: usize,
     name: InstanceName,
     budget: Budget,
+    hedging: Hedging,
     phase: u64,
     down_until: Time,
     /// Number of its run.
@@ -106,6 +114,7 @@
     requests: VecDeque<Time>,
     repeats: VecDeque<Time>,
     wanted: VecDeque<Time>,
+    extra: VecDeque<Time>,
     outcome: Outcome,
     rng: ChaCha8Rng,
     lending: Lending,
@@ -123,6 +132,7 @@
             requests: VecDeque::new(),
             repeats: VecDeque::new(),
             wanted: VecDeque::new(),
+            extra: VecDeque::new(),
             outcome: Outcome::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             lending: NOBODY,
@@ -149,6 +159,7 @@
             zone: no % self.load.zones,
             name: name.as_str().try_into().expect("it is a name"),
             budget: Budget::new(limits(&self.load), self.now, Seed(self.rng.random())),
+            hedging: hedging(&self.lending, self.now),
             phase,
             down_until: self.now,
             run: 0,
@@ -200,6 +211,7 @@
                 let back = self.now + RESTART + spread;
                 self.entries[no].budget =
                     Budget::new(limits(&self.load), back, Seed(self.rng.random()));
+                self.entries[no].hedging = hedging(&self.lending, back);
                 self.entries[no].down_until = back;
                 self.entries[no].run += 1;
             }
@@ -269,9 +281,14 @@
                 continue;
             }
             entry.budget.request(self.now, SERVICE);
+            entry.hedging.request(self.now, SERVICE);
+            if self.lending.late > 0.0 && self.rng.random_bool(self.lending.late) {
+                self.send_extra(no);
+            }
             if !failing {
                 continue;
             }
+            let entry = &mut self.entries[no];
             self.wanted.push_back(self.now);
             self.outcome.needed += 1;
             if entry.budget.try_retry(self.now, SERVICE).allowed {
@@ -282,6 +299,33 @@
         }
     }
 
+    /// Sends a request to a second target while the first may still answer, if that is allowed.
+    fn send_extra(&mut self, no: usize) {
+        let Entry {
+            budget, hedging, ..
+        } = &mut self.entries[no];
+        let due = Due {
+            service: SERVICE,
+            typical: Duration::from_millis(100),
+            waited: Duration::from_millis(400),
+            left: Duration::from_secs(5),
+            may_repeat: true,
+            suspect: false,
+            pressed: false,
+        };
+        let choose = |_| Some(String::new());
+        let charge = || budget.try_early(self.now, SERVICE).allowed;
+        if hedging.decide(self.now, &due, choose, charge).is_ok() {
+            self.repeats.push_back(self.now);
+            self.extra.push_back(self.now);
+            self.outcome.extra += 1;
+            let from = self.now - Duration::from_secs(WINDOW_SECONDS);
+            let extra = count(&self.extra, from, self.now) as f64;
+            let part = extra / count(&self.requests, from, self.now) as f64;
+            self.outcome.extra_part = self.outcome.extra_part.max(part);
+        }
+    }
+
     fn judge(&mut self) {
         let repeats = count(&self.repeats, self.now - WINDOW, self.now) as f64;
         self.outcome.worst = self.outcome.worst.max(repeats / self.allowed());
@@ -300,6 +344,13 @@
     }
 }
 
+fn hedging(lending: &Lending, now: Time) -> Hedging {
+    let limit = lending.limit.parse().expect("it is a limit");
+    let mut hedging = Hedging::new(Some(limit), now);
+    hedging.set_tight(true);
+    hedging
+}
+
 fn limits(load: &Load) -> Limits {
     Limits {
         ratio: RATIO,
--- a/crates/gateway/tests/budget_lending.rs
+++ b/crates/gateway/tests/budget_lending.rs
@@ -115,6 +115,14 @@
     expect_that!(spend(&mut budget, START), eq(OWN / 2 + 3));
 }
 
+/// What an instance has lent is used once more by its own extra sends.
+#[gtest]
+fn what_is_lent_leaves_nothing_to_early_retries() {
+    let mut budget = budget(true);
+    expect_that!(budget.lend(START, "s", 999) as usize, ge(OWN / 2));
+    expect_that!(budget.try_early(START, "s").allowed, eq(false));
+}
+
 #[gtest]
 fn nothing_is_lent_or_wanted_without_tight_goals() {
     let mut budget = budget(false);
--- a/crates/gateway/tests/hedge.rs
+++ b/crates/gateway/tests/hedge.rs
@@ -198,11 +198,11 @@
     };
     let mut budget = Budget::new(limits, NOW, Seed(u64::MAX));
     (0..1_000).for_each(|_| budget.request(NOW, SERVICE));
-    let spare = (0..1_000).filter(|_| budget.try_spare(NOW, SERVICE));
+    let spare = (0..1_000).filter(|_| budget.try_early(NOW, SERVICE).allowed);
     assert_that!(spare.count(), all![ge(65), le(70)]);
     let retries = (0..1_000).filter(|_| budget.try_retry(NOW, SERVICE).allowed);
     assert_that!(retries.count(), all![ge(65), le(70)]);
-    assert_that!(budget.try_spare(NOW, SERVICE), eq(false));
+    assert_that!(budget.try_early(NOW, SERVICE).allowed, eq(false));
 }
 
 fn target(id: &str, ip: u8, zone: &str) -> Target {
--- a/crates/gateway/tests/hedge_fleet/world.rs
+++ b/crates/gateway/tests/hedge_fleet/world.rs
@@ -347,7 +347,7 @@
             now,
             &due,
             |wanted| view.second(now, &second, wanted),
-            || budget.try_spare(now, SERVICE),
+            || budget.try_early(now, SERVICE).allowed,
         );
         match decided {
             Ok(id) => {
