Withhold hedges while others wait for room or are refused elsewhere

A hedge was withheld only where its own instance had refused a request within a second. What admission knows of the rooms of all zones, and of the parts of each rank that are refused at all instances, wasn't asked.

The gate says whether a service is pressed for a rank: more requests are under way than there are places in all zones, or a part is refused of what is offered at that rank or a more urgent one. Zones' queues aren't asked: one slow target has a queue though others have room, which is what a hedge is for. A place that is waited for counts for all ranks, as no room says whose requests wait. Where room isn't shared, nothing changes.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -5,6 +5,7 @@
 //! counters that start at seeded numbers, and draws when each caller comes back.
 
 mod counts;
+mod pressed;
 mod shortage;
 
 use std::{collections::BTreeMap, time::Duration};
--- a/crates/admission/src/gate/shortage.rs
+++ b/crates/admission/src/gate/shortage.rs
@@ -223,6 +223,12 @@
         part.clamp(MIN_PART, 1.0)
     }
 
+    /// Returns whether a part is refused of what anyone offers at this rank or a more urgent one.
+    pub(super) fn refuses(&self, now: Time, rank: u8) -> bool {
+        let mut kinds = self.kinds.keys().filter(|(_, other)| *other <= rank);
+        kinds.any(|kind| self.of(now, kind) < 1.0)
+    }
+
     /// Returns whether the parts are so old that they are forgotten.
     pub(super) fn forgotten(&self, now: Time) -> bool {
         now.since(self.at) >= KEPT_FOR
--- a/crates/frontd/src/entry/forward/hedged.rs
+++ b/crates/frontd/src/entry/forward/hedged.rs
@@ -89,6 +89,7 @@
     fn decide_hedge(&self, first: &InFlight, at: HedgeAt) -> Result<String, Withheld> {
         let (state, now) = (&self.state, self.state.now());
         let suspect = self.is_suspect();
+        let pressed = state.is_pressed(&self.service, self.route.priority);
         let second = Second {
             service: &self.service,
             adapter: &self.adapter,
@@ -104,7 +105,7 @@
             left: self.deadline.saturating_duration_since(Instant::now()),
             may_repeat: self.may_retry(),
             suspect,
-            pressed: hedging.is_pressed(now),
+            pressed,
         };
         hedging.decide(
             now,
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -254,6 +254,14 @@
         self.hedging().request(self.now(), service);
     }
 
+    /// Returns whether anyone's request for `service` of this rank or a more urgent one waits for
+    /// room or is refused.
+    pub(super) fn is_pressed(&self, service: &str, rank: u8) -> bool {
+        let now = self.now();
+        let elsewhere = self.has_admission() && self.gate().is_pressed(now, service, rank);
+        elsewhere || self.hedging().is_pressed(now)
+    }
+
     /// Returns whether the budget of retries allows an extra send, and charges it if so.
     pub(super) fn may_hedge(&self, service: &str) -> bool {
         let allowance = self.budget().try_early(self.now(), service);
--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -227,6 +227,22 @@
     }
 }
 
+/// Guards against hedges that take the places of requests which wait or are refused elsewhere,
+/// and against a change where room isn't shared.
+#[gtest]
+fn hedges_give_way_where_room_is_short() {
+    for (goal_ms, pressed) in [(500, true), (2_000, false)] {
+        let state = state();
+        state.set_table(1, engines(Some(Duration::from_millis(goal_ms)), true));
+        let control = "127.0.0.1:2".parse().unwrap();
+        state.gate().told(state.now(), control, short());
+        assert_that!(state.is_pressed("s", 0), eq(pressed));
+        assert_that!(state.is_pressed("other", 0), eq(false));
+        state.hedging().refused(state.now());
+        assert_that!(state.is_pressed("other", 0), eq(true));
+    }
+}
+
 /// A refused request hasn't run, is told when to come back, and one that was let in counts
 /// until it ends.
 #[gtest]
