--- a/crates/gateway/src/view/hedge.rs
+++ b/crates/gateway/src/view/hedge.rs
@@ -53,11 +53,11 @@
     fn fits(&self, now: Time, known: &TargetState, asked: &Second<'_>) -> bool {
         let target = &known.target;
         let open = target.service == asked.service && target.ready;
-        let open = open && target.id != asked.first && !asked.tried.contains(&target.id);
+        let open = open && !asked.tried.contains(&target.id);
         let able = self.holds(known, asked.adapter) && usable(known, now, asked.adapter);
         let able = able && self.runs(now, known, asked.software);
         let sound = !known.is_avoided(now) && known.failures.decayed_rate(now) < FAILING;
-        open && able && sound && self.takes_over(known) && self.blocked_for(now, known).is_none()
+        open && able && sound && self.takes_over(known)
     }
 
     fn is_fast(&self, known: &TargetState, wanted: Wanted) -> bool {
