--- a/crates/admission/src/gate/shortage.rs
+++ b/crates/admission/src/gate/shortage.rs
@@ -224,16 +224,17 @@
         part.clamp(MIN_PART, 1.0)
     }
 
+    /// Returns whether a part is refused of what anyone offers at this rank or a more urgent one.
+    pub(super) fn refuses(&self, now: Time, rank: u8) -> bool {
+        let mut kinds = self.kinds.keys().filter(|(_, other)| *other <= rank);
+        kinds.any(|kind| self.of(now, kind) < 1.0)
+    }
+
     /// Returns whether the parts are so old that they are forgotten.
     pub(super) fn forgotten(&self, now: Time) -> bool {
         now.since(self.at) >= KEPT_FOR
     }
 
-    /// Returns whether not all of a rank is let in.
-    pub(super) fn is_short(&self, now: Time, rank: u8) -> bool {
-        !self.forgotten(now) && self.waits.part(rank).unwrap_or(self.mean) < 1.0
-    }
-
     /// Returns the time after which a refused caller comes back.
     pub(super) fn again(&mut self, rank: u8, left: Duration, drawn: (f64, f64)) -> Duration {
         self.waits.again(rank, left, drawn)
--- a/crates/frontd/src/entry/explain.rs
+++ b/crates/frontd/src/entry/explain.rs
@@ -392,13 +392,13 @@
             left: self.left().saturating_sub(plan.delay),
             may_repeat: self.route.kind.retryable() && self.route.attempts > 1,
             suspect,
-            pressed: hedging.is_pressed(now),
+            pressed: state.is_pressed(service, self.route.priority),
         };
         let decided = hedging.decide(
             now,
             &due,
             |wanted| state.view().second(now, &second, wanted),
-            || budget.try_spare(now, service),
+            || budget.try_early(now, service).allowed,
         );
         let withheld = decided.as_ref().err().map(ToString::to_string);
         Some(Hedge {
