Order no adapter that an engine has to refuse

Cause: a load counted as done when its expected time was over. Where the store was slower, the owner ordered a fifth adapter while four were on their way, and the engine answered 409: the order count had to be read again, and the engine took no order for 350 ms. The store's loads were undercounted alike, so that more began the slower it was.

Change, only where goals are tight: a load counts until a request has found its adapter, or for a quarter of its expected time more. Evictions under way count. An order that was refused at the right count lowers that engine's limit to what was under way; after 10 s one more is tried.

Ruled out: counting until the next report or list shows the adapter, which is up to seconds old and would leave places idle; a lower fixed limit.

Measured in virtual time: an engine that takes four at once and needs 300 ms for each refuses none of the loads; without the longer count it refuses one in 8 s. One that takes two refuses at most four in 8 s; 23 without the learned limit.

--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -23,6 +23,7 @@
 mod synced;
 mod target_updates;
 mod traffic;
+mod transit;
 mod worth;
 
 use std::{
@@ -32,7 +33,7 @@
 
 use base::{InstanceName, SoftwareVersion, Ticket, Time};
 use wire::{
-    fleet::{FirstUse, LoadsElsewhere, Sync, Weights},
+    fleet::{LoadsElsewhere, Sync, Weights},
     stream::SoftwareWant,
 };
 
@@ -41,7 +42,7 @@
     aging::Aging,
     copies::Sizing,
     demand::Demand,
-    engine::{Engine, Source},
+    engine::Engine,
     estimate::{MemoryEstimate, StoreEstimate},
     models::ModelEstimate,
     placement::Placement,
@@ -480,25 +481,6 @@
         self.plan_due = true;
     }
 
-    /// Updates the load estimates from the outcome of the first request for an adapter
-    /// that was just loaded.
-    fn first_use(&mut self, now: Time, first: &FirstUse) {
-        let Some(engine) = self.engines.get_mut(&first.target) else {
-            return;
-        };
-        let Some((load, ordered)) = engine.first_use(now, first, self.store.time()) else {
-            return;
-        };
-        if !first.held {
-            self.engine_changed(&first.target);
-        }
-        match (load, first.held) {
-            (Source::Store, true) => self.store.in_time(now, ordered),
-            (Source::Store, false) => self.store.late(now, ordered),
-            (Source::Memory { depth }, there) => self.memory.observe(depth, there),
-        }
-    }
-
     fn order_ended(&mut self, now: Time, id: &str, outcome: OrderOutcome) {
         self.config.adapter_load = self.store.time();
         self.config.memory = self.memory.size();
--- a/crates/gateway/src/zone_owner/engine.rs
+++ b/crates/gateway/src/zone_owner/engine.rs
@@ -8,7 +8,7 @@
 use base::Time;
 use wire::fleet::{FirstUse, Resident, Weights};
 
-use super::{Action, Config, Held, ListedTarget, OrderOutcome, Report};
+use super::{Action, Config, Held, ListedTarget, OrderOutcome, Report, transit::Transit};
 
 /// Number of evicted adapters that are remembered per engine. How many of them the engine
 /// still has in host memory is estimated by
@@ -74,6 +74,8 @@
     evicted: BTreeMap<String, Evicted>,
     /// Number of evictions so far.
     evictions: usize,
+    /// What is known of how many adapters it takes at once.
+    pub(super) transit: Transit,
     /// Adapters evicted by order of this zone owner, and when.
     own_evictions: BTreeMap<String, Time>,
 }
@@ -108,7 +110,7 @@
     pub(super) evicting: bool,
     /// Where the engine loaded it from by order of this zone owner; `None` if another one
     /// ordered it.
-    source: Option<Source>,
+    pub(super) source: Option<Source>,
 }
 
 impl Slot {
@@ -231,6 +233,8 @@
             // The engine has accepted an order that this zone owner doesn't know of. The
             // report is requested once it is recent enough to show that order.
             OrderOutcome::Conflict => {
+                let under_way = self.loads_in_flight(now, None);
+                self.transit.refused(self.seq, under_way);
                 self.next_load = None;
                 self.seq = None;
                 self.paused_until = now + lag;
@@ -282,6 +286,7 @@
                     (_, Source::Store) => load + LOAD_SLACK,
                 };
                 self.evicted.remove(&adapter);
+                self.transit.begun(&adapter);
                 self.own_evictions.remove(&adapter);
                 if self.next_load.as_ref() == Some(&adapter) {
                     self.next_load = None;
@@ -388,13 +393,15 @@
         first: &FirstUse,
         load: Duration,
     ) -> Option<(Source, Time)> {
-        let slot = self.adapters.get_mut(&first.adapter)?;
+        let slot = self.adapters.get(&first.adapter)?;
         let source = slot.source?;
         let ordered = slot.ordered?;
         if now.since(ordered) > load * FIRST_USE_MAX_LOADS {
             return None;
         }
-        if !first.held {
+        if first.held {
+            self.found(&first.adapter);
+        } else if let Some(slot) = self.adapters.get_mut(&first.adapter) {
             let due = match source {
                 Source::Memory { .. } => ordered + load,
                 Source::Store => now + load / MEMORY_SPEEDUP,
@@ -458,6 +465,8 @@
             self.paused_until = now + lag;
             return None;
         }
+        let pending = report.pending.len();
+        self.transit.reported(now, report.seq, pending);
         self.seq = Some(report.seq);
         // An order of this zone owner, or of its predecessor, may still be executed late
         // at this count.
@@ -541,14 +550,6 @@
         }
     }
 
-    /// Returns the number of adapters being loaded.
-    pub(super) fn loads_in_flight(&self, now: Time) -> usize {
-        self.adapters
-            .values()
-            .filter(|slot| slot.ready > now && !slot.evicting)
-            .count()
-    }
-
     /// Returns how many adapters the engine has evicted since `adapter`, if it evicted
     /// that in `version`, or in any version if that is `None`.
     pub(super) fn depth(&self, adapter: &str, version: Option<u32>) -> Option<usize> {
--- a/crates/gateway/src/zone_owner/plan.rs
+++ b/crates/gateway/src/zone_owner/plan.rs
@@ -14,9 +14,6 @@
 };
 use crate::{table, target_limit::ROOM};
 
-/// Loads in flight to one engine; an engine accepts at most four.
-const LOADS_PER_ENGINE: usize = 4;
-
 /// Initial estimate of the loads in flight over all zones that the weight store serves at
 /// full speed, kept until loads are found to take longer. Each zone owner uses only the
 /// share of its zones, as no instance counts the loads of all zones.
@@ -176,11 +173,11 @@
     pub(super) fn candidates(&mut self, now: Time, placement: &Placement) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         let mut steps = self.engines.len();
-        let open = self.open_engines();
+        let (open, overhang) = (self.open_engines(), self.overhang());
         let limited = self.limits.any_limited();
         for (id, engine) in &self.engines {
             let free = engine.can_take_order(now) && engine.next_load.is_none();
-            let fit = free && engine.loads_in_flight(now) < LOADS_PER_ENGINE;
+            let fit = free && engine.takes_load(now, overhang);
             let full = limited && self.load_of(id) >= ROOM;
             let fit = fit && !full && open.contains(id.as_str());
             if !fit || self.fence(now, id).is_none() {
@@ -531,12 +528,6 @@
 }
 
 impl Engine {
-    /// Returns the number of adapters being loaded, ordered or about to be ordered.
-    pub(super) fn loading(&self, now: Time) -> usize {
-        let ordered = matches!(self.order, Some(Action::Load { .. }));
-        self.loads_in_flight(now) + usize::from(ordered || self.next_load.is_some())
-    }
-
     /// Returns whether the eviction of an adapter is ordered but not confirmed.
     fn is_evicting(&self, adapter: &str) -> bool {
         let slot = self.adapters.get(adapter);
--- a/crates/gateway/tests/zone_owner.rs
+++ b/crates/gateway/tests/zone_owner.rs
@@ -20,6 +20,8 @@
 mod streams;
 #[path = "zone_owner/target_updates.rs"]
 mod target_updates;
+#[path = "zone_owner/transit.rs"]
+mod transit;
 #[path = "zone_owner/weights.rs"]
 mod weights;
 #[path = "zone_owner/world.rs"]
