Load from the host memory that engines report, also under a new owner

Cause: which adapters an engine has in host memory was known only from evictions that this owner had ordered. A new owner loaded them from the store, and their callers waited behind it.

Change: reports are read for adapters under available.in_memory (written as those that are being loaded); where goals are tight the owner takes them over as evicted just now. The plan already prefers such an engine, also for adapters that callers wait for, and loads there beside the store's window.

Ruled out: a field of the target list's entries, which every reader of lists would have to carry; owners that keep their zone know their own evictions. Not known: whether the platform names adapters there at all; its pages show weights. Entries that can't be read are left out.

Tests: a_new_owner_loads_from_the_memory_that_an_engine_reports, adapters_in_host_memory_are_read_from_reports; ordered as before elsewhere.

--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -12,6 +12,7 @@
 mod estimate;
 mod limits;
 mod lists;
+mod memory;
 mod message;
 mod models;
 mod placement;
@@ -512,7 +513,10 @@
             self.failing.insert(id.to_owned(), now);
         }
         if let Some(engine) = self.engines.get_mut(id) {
+            let in_memory = report.as_ref().filter(|_| self.tight);
+            let in_memory = in_memory.map(|report| report.in_memory.clone());
             let ended = engine.reported(now, report, &self.config);
+            engine.remember(in_memory.unwrap_or_default());
             if let Some(load) = ended {
                 self.models.ended(&load, self.config.model_load);
             }
--- a/crates/gateway/src/zone_owner/engine.rs
+++ b/crates/gateway/src/zone_owner/engine.rs
@@ -13,7 +13,7 @@
 /// Number of evicted adapters that are remembered per engine. How many of them the engine
 /// still has in host memory is estimated by
 /// [`MemoryEstimate`](super::estimate::MemoryEstimate).
-const EVICTED_MAX: usize = 256;
+pub(super) const EVICTED_MAX: usize = 256;
 
 /// An engine reloads an adapter from its host memory this many times as fast as from the
 /// store.
@@ -71,9 +71,9 @@
     /// The adapter to load once the ordered eviction has freed a slot.
     pub(super) next_load: Option<String>,
     /// Adapters that were evicted and may still be in host memory.
-    evicted: BTreeMap<String, Evicted>,
+    pub(super) evicted: BTreeMap<String, Evicted>,
     /// Number of evictions so far.
-    evictions: usize,
+    pub(super) evictions: usize,
     /// What is known of how many adapters it takes at once.
     pub(super) transit: Transit,
     /// Adapters evicted by order of this zone owner, and when.
@@ -82,11 +82,11 @@
 
 /// An adapter that an engine has evicted.
 #[derive(Clone, Copy, Debug)]
-struct Evicted {
+pub(super) struct Evicted {
     /// Number of evictions at the engine up to and including this one.
-    at: usize,
+    pub(super) at: usize,
     /// Its version; zero if it was loaded without one.
-    version: u32,
+    pub(super) version: u32,
 }
 
 /// Why an engine's report is requested.
