Count copies by need, loads held back and surplus let go

Cause: an operator saw from E4013 that adapters wait, but not whether the window of loads, places or copies by need were the reason, nor whether owners of other zones are heard.

Ruled out: a line for each copy; E4001 has these already.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -109,7 +109,7 @@
         /// What it says.
         said: StoreUse,
         /// The claim of this owner that it confirms.
-        confirmed: Option<u32>,
+        confirmed: u32,
     },
     /// Another zone owner didn't answer about the weight store.
     StoreSilent(InstanceName),
@@ -332,6 +332,7 @@
         if now >= self.next_seeds {
             self.next_seeds = now + SEEDS_INTERVAL;
             self.log_store();
+            self.log_by_need();
             self.log_weights();
             self.log_software();
             self.count_suspects();
@@ -390,8 +391,7 @@
                 to.send(self.newest()).ok();
             }
             Job::StoreUse { said, confirmed } => {
-                let now = self.clock.now();
-                self.zone_owner.hear_store(now, &said, confirmed);
+                self.store_answered(&said, confirmed);
             }
             Job::StoreSilent(owner) => self.store_silent(owner),
             Job::Stop => {}
--- a/crates/frontd/src/control/shell/store.rs
+++ b/crates/frontd/src/control/shell/store.rs
@@ -1,10 +1,15 @@
 //! Tells the owners of other zones what this one uses of the weight store, where goals are
 //! tight.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use base::{InstanceName, Time};
 use daemon::Links;
+use telemetry::{Event, event, prom_metrics};
 use wire::{
     call::{Call, Reply},
     store::StoreUse,
@@ -26,6 +31,8 @@
     links: Arc<Links>,
     /// Owners that didn't answer, and until when they are told nothing.
     paused: BTreeMap<InstanceName, Time>,
+    /// Owners that haven't answered since.
+    silent: BTreeSet<InstanceName>,
 }
 
 impl StoreLinks {
@@ -34,6 +41,7 @@
         StoreLinks {
             links: Arc::new(Links::new(name)),
             paused: BTreeMap::new(),
+            silent: BTreeSet::new(),
         }
     }
 }
@@ -48,7 +56,7 @@
         };
         self.store.paused.retain(|_, until| *until > now);
         let owners = self.control.state().zones().all().values();
-        let owners: std::collections::BTreeSet<_> = owners.map(|owner| &owner.instance).collect();
+        let owners: BTreeSet<_> = owners.map(|owner| &owner.instance).collect();
         for owner in owners {
             let paused = self.store.paused.contains_key(owner);
             let address = names::instance_address(owner, self.port);
@@ -69,7 +77,7 @@
                     }
                 };
                 if let Some(said) = said {
-                    let confirmed = Some(claim);
+                    let confirmed = claim;
                     jobs.send(Job::StoreUse { said, confirmed }).ok();
                 }
             });
@@ -86,7 +94,48 @@
 
     /// Notes that an owner didn't answer.
     pub(super) fn store_silent(&mut self, owner: InstanceName) {
+        if self.store.silent.insert(owner.clone()) {
+            event!(Event::StoreUnheard, owner = owner.as_str());
+        }
         let until = self.clock.now() + STORE_PAUSE;
         self.store.paused.insert(owner, until);
     }
+
+    /// Takes over what another owner answers, which confirms a claim of this one.
+    pub(super) fn store_answered(&mut self, said: &StoreUse, confirmed: u32) {
+        self.store.silent.remove(&said.instance);
+        let now = self.clock.now();
+        self.zone_owner.hear_store(now, said, Some(confirmed));
+    }
+
+    /// Logs and counts what was done by need; called once a second at most.
+    pub(super) fn log_by_need(&mut self) {
+        let now = self.clock.now();
+        let Some(stats) = self.zone_owner.take_store_stats(now) else {
+            return;
+        };
+        let metrics = prom_metrics();
+        metrics.copies("by_need", stats.by_need);
+        metrics.copies("surplus", stats.surplus);
+        metrics.store_loads("coming", stats.coming);
+        metrics.store_loads("limit", stats.limit);
+        metrics.store_loads("held_back", stats.held_back);
+        metrics.store_loads("window", stats.window);
+        if stats.by_need > 0 {
+            event!(Event::CopiesByNeed, copies = stats.by_need);
+        }
+        if stats.surplus > 0 {
+            event!(Event::SurplusLetGo, copies = stats.surplus);
+        }
+        if stats.held_back > 0 {
+            event!(
+                Event::LoadsWithheld,
+                adapters = stats.held_back,
+                copies = stats.short,
+                coming = stats.coming,
+                limit = stats.limit,
+                window = stats.window
+            );
+        }
+    }
 }
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -7,6 +7,7 @@
 
 mod aging;
 mod copies;
+mod counts;
 mod demand;
 mod engine;
 mod estimate;
@@ -39,10 +40,12 @@
     stream::SoftwareWant,
 };
 
+pub use self::counts::StoreStats;
 pub use self::message::{Action, Held, Input, ListedTarget, Order, OrderOutcome, Output, Report};
 use self::{
     aging::Aging,
     copies::Sizing,
+    counts::ByNeed,
     demand::Demand,
     engine::Engine,
     estimate::{MemoryEstimate, StoreEstimate},
@@ -198,6 +201,8 @@
     copies: BTreeMap<String, Time>,
     /// How many copies adapters need, counted only where goals are tight.
     sizing: Sizing,
+    /// Copies ordered and let go by need since they were last asked for.
+    by_need: ByNeed,
     /// Wanted adapters whose load is not ordered yet, with the estimated time until they
     /// can be used.
     queue: BTreeMap<String, Duration>,
@@ -262,6 +267,7 @@
             compared: Time::ZERO,
             copies: BTreeMap::new(),
             sizing: Sizing::default(),
+            by_need: ByNeed::default(),
             queue: BTreeMap::new(),
             failing: BTreeMap::new(),
             joint: JointWindow::default(),
--- a/crates/gateway/src/zone_owner/plan.rs
+++ b/crates/gateway/src/zone_owner/plan.rs
@@ -92,7 +92,7 @@
         out: &mut Vec<Output>,
     ) {
         self.queue.clear();
-        self.withheld = 0;
+        (self.withheld, self.sizing.short) = (0, 0);
         let short = self.shortages(placement);
         let asked = self.wants.len() + self.copies.len() + self.stream_wants.len();
         if asked == 0 && short.is_empty() {
--- a/crates/gateway/src/zone_owner/window.rs
+++ b/crates/gateway/src/zone_owner/window.rs
@@ -281,7 +281,7 @@
         self.load_limit(now, self.coming)
     }
 
-    fn own_use(&self, now: Time, loading: usize) -> OwnUse {
+    pub(super) fn own_use(&self, now: Time, loading: usize) -> OwnUse {
         OwnUse {
             zones: self.lease.zones(now).len(),
             all: self.config.zones.max(1),
