--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -33,4 +33,5 @@
 pub mod platform;
 pub mod quarantine;
 pub mod retry;
+pub mod store;
 pub mod stream;
