Bound the store's joint window by what callers need

Cause: the bounds of the new cases were set from measured figures, each case its own. Change: one bound for loads in flight (a load of 384 ms leaves 100 of a goal of 500) and one for the mean time (a tenth more than at full speed). Some were tighter before (46 to 50 in flight), most looser (60 to 68).

--- a/crates/gateway/tests/zone_owner/window.rs
+++ b/crates/gateway/tests/zone_owner/window.rs
@@ -22,6 +22,11 @@
 const FULL_SPEED: usize = 40;
 const LOAD_MS: u64 = 288;
 const STEP_MS: u64 = 5;
+/// Loads in flight over all zones that owners may reach together: a load then takes 384 ms, and
+/// who waits for it still begins within a goal of 500 ms.
+const MOST: usize = FULL_SPEED * 4 / 3;
+/// Mean time of a load: most who wait have the time of a prompt's queue left.
+const MEAN_MS: u64 = LOAD_MS * 11 / 10;
 /// Callers leave after this time.
 const PATIENCE_MS: u64 = 1_000;
 
@@ -340,33 +345,32 @@
     }
 }
 
-/// Runs a course and checks the bounds of loads in flight, of their mean time, and of the loads
-/// that zones began.
-fn keeps_within((course, most, mean_ms, least): (Course, usize, u64, [usize; ZONES])) {
+/// Runs a course and checks the loads in flight, their mean time, and that zones began as many
+/// as they need of what the store serves.
+fn keeps_within((course, least): (Course, [usize; ZONES])) {
     let store = Store::run(course, course.burst_ms + 6_000);
-    println!("{} {} {:?}", store.most, store.mean_ms(), store.begun());
-    assert_that!(store.most, le(most));
-    assert_that!(store.mean_ms(), le(mean_ms));
+    assert_that!(store.most, le(MOST));
+    assert_that!(store.mean_ms(), le(MEAN_MS));
     for (begun, least) in store.begun().into_iter().zip(least) {
         assert_that!(begun, ge(least));
     }
 }
 
 base::cases! {
-    /// Each owner used its share and half of what the others seemed to leave: up to 72 loads
-    /// were on their way where the store serves 40, and took 358 ms instead of 288.
+    /// Each owner used its share and half of what the others seemed to leave, so nearly twice as
+    /// many loads were on their way as the store serves at full speed, and all took longer.
     owners_share_the_store: keeps_within => {
-        one_needs_it: (Course { rates: [200, 0, 0], ..CALM }, 60, 312, [1_000, 0, 0]),
-        one_needs_most: (Course { rates: [200, 10, 10], ..CALM }, 62, 312, [850, 88, 88]),
-        all_need_it: (Course { rates: [100; 3], ..CALM }, 64, 312, [350; 3]),
-        uneven: (Course { rates: [100, 50, 20], ..CALM }, 64, 312, [500, 400, 175]),
-        late_messages: (Course { rates: [100; 3], delay_ms: 200, ..CALM }, 68, 312, [320; 3]),
-        owner_killed: (Course { rates: [100; 3], killed_ms: 4_000, ..CALM }, 64, 312, [350, 350, 100]),
-        zone_cut: (Course { rates: [100; 3], cut_ms: 4_000, ..CALM }, 64, 316, [300; 3]),
-        cut_from_busy: (Course { rates: [200, 0, 50], cut_ms: 4_000, ..CALM }, 64, 312, [600, 0, 350]),
-        all_at_once: (Course { burst: 80, delay_ms: 50, ..CALM }, 50, 320, [60; 3]),
-        burst_beside_a_busy_zone: (Course { rates: [200, 0, 0], burst: 80, delay_ms: 50, ..CALM }, 56, 305, [800, 70, 70]),
-        bursts_apart: (Course { burst: 120, delay_ms: 50, apart_ms: 120, ..CALM }, 46, 305, [100, 70, 70]),
-        burst_after_long_calm: (Course { rates: [25; 3], burst: 100, burst_ms: 25_000, ..CALM }, 50, 300, [600; 3]),
+        one_needs_it: (Course { rates: [200, 0, 0], ..CALM }, [1_000, 0, 0]),
+        one_needs_most: (Course { rates: [200, 10, 10], ..CALM }, [850, 88, 88]),
+        all_need_it: (Course { rates: [100; 3], ..CALM }, [350; 3]),
+        uneven: (Course { rates: [100, 50, 20], ..CALM }, [500, 400, 175]),
+        late_messages: (Course { rates: [100; 3], delay_ms: 200, ..CALM }, [320; 3]),
+        owner_killed: (Course { rates: [100; 3], killed_ms: 4_000, ..CALM }, [350, 350, 100]),
+        zone_cut: (Course { rates: [100; 3], cut_ms: 4_000, ..CALM }, [300; 3]),
+        cut_from_busy: (Course { rates: [200, 0, 50], cut_ms: 4_000, ..CALM }, [600, 0, 350]),
+        all_at_once: (Course { burst: 80, delay_ms: 50, ..CALM }, [60; 3]),
+        burst_beside_a_busy_zone: (Course { rates: [200, 0, 0], burst: 80, delay_ms: 50, ..CALM }, [800, 70, 70]),
+        bursts_apart: (Course { burst: 120, delay_ms: 50, apart_ms: 120, ..CALM }, [100, 70, 70]),
+        burst_after_long_calm: (Course { rates: [25; 3], burst: 100, burst_ms: 25_000, ..CALM }, [600; 3]),
     }
 }
