--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -51,7 +51,6 @@
             | Call::FindStream(_)
             | Call::Retries(_)
             | Call::Admission(_)
-            | Call::Store(_)
             | Call::Renew { .. }
             | Call::Edition { .. } => Reply::Redirect {
                 leader: self.other_leader(),
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -6,7 +6,6 @@
 mod edition_cache;
 mod lists;
 mod orders;
-mod store;
 mod streams;
 mod zones;
 
@@ -41,13 +40,9 @@
     call::{Call, Reply},
     fleet::{Edition, Sync, Weights},
     quarantine::CrashReport,
-    store::StoreUse,
 };
 
-use self::{
-    admission::Admission, edition_cache::EditionCache, lists::ZoneLists, store::StoreLinks,
-    streams::Streams,
-};
+use self::{admission::Admission, edition_cache::EditionCache, lists::ZoneLists, streams::Streams};
 use super::{CallOutcome, HANDOVER_TIMEOUT, Setup};
 use crate::{Platform, names};
 
@@ -104,15 +99,6 @@
         /// The zones that this instance owns, with their fencing numbers.
         zones: Vec<(String, u64)>,
     },
-    /// Another zone owner says what it uses of the weight store.
-    StoreUse {
-        /// What it says.
-        said: StoreUse,
-        /// The claim of this owner that it confirms.
-        confirmed: u32,
-    },
-    /// Another zone owner didn't answer about the weight store.
-    StoreSilent(InstanceName),
     /// A change by an operator.
     Change {
         /// The change.
@@ -180,7 +166,6 @@
     platform: Platform,
     jobs: mpsc::UnboundedSender<Job>,
     links: Arc<Links>,
-    store: StoreLinks,
     port: u16,
     /// When the state machine of the log is due.
     next_log: Time,
@@ -261,8 +246,7 @@
             clock,
             platform,
             jobs,
-            links: Arc::new(Links::new(name.clone())),
-            store: StoreLinks::new(name),
+            links: Arc::new(Links::new(name)),
             port: setup.peer_port,
             next_log: Time::ZERO,
             next_owner: Time::ZERO,
@@ -319,7 +303,6 @@
             }
             self.run_timers();
             self.run_owner();
-            self.tell_store();
         }
     }
 
@@ -332,7 +315,6 @@
         if now >= self.next_seeds {
             self.next_seeds = now + SEEDS_INTERVAL;
             self.log_store();
-            self.log_by_need();
             self.log_weights();
             self.log_software();
             self.count_suspects();
@@ -390,10 +372,6 @@
             Job::Newest(to) => {
                 to.send(self.newest()).ok();
             }
-            Job::StoreUse { said, confirmed } => {
-                self.store_answered(&said, confirmed);
-            }
-            Job::StoreSilent(owner) => self.store_silent(owner),
             Job::Stop => {}
         }
     }
@@ -430,9 +408,6 @@
                 to.send(Reply::Admission(self.admission_report(&report)))
                     .ok();
             }
-            Call::Store(said) => {
-                to.send(Reply::Store(self.store_told(&said))).ok();
-            }
             Call::FindStream(asked) => {
                 to.send(self.find_stream(&asked)).ok();
             }
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -7,13 +7,11 @@
 
 mod aging;
 mod copies;
-mod counts;
 mod demand;
 mod engine;
 mod estimate;
 mod limits;
 mod lists;
-mod memory;
 mod message;
 mod models;
 mod placement;
@@ -25,8 +23,6 @@
 mod synced;
 mod target_updates;
 mod traffic;
-mod transit;
-mod window;
 mod worth;
 
 use std::{
@@ -36,25 +32,22 @@
 
 use base::{InstanceName, SoftwareVersion, Ticket, Time};
 use wire::{
-    fleet::{LoadsElsewhere, Sync, Weights},
+    fleet::{FirstUse, LoadsElsewhere, Sync, Weights},
     stream::SoftwareWant,
 };
 
-pub use self::counts::StoreStats;
 pub use self::message::{Action, Held, Input, ListedTarget, Order, OrderOutcome, Output, Report};
 use self::{
     aging::Aging,
     copies::Sizing,
-    counts::ByNeed,
     demand::Demand,
-    engine::Engine,
+    engine::{Engine, Source},
     estimate::{MemoryEstimate, StoreEstimate},
     models::ModelEstimate,
     placement::Placement,
     slowness::Slowness,
     target_updates::TargetUpdates,
     traffic::Traffic,
-    window::JointWindow,
 };
 use crate::{table, target_limit::Granter, zone_lease::ZoneLease};
 
@@ -201,18 +194,11 @@
     copies: BTreeMap<String, Time>,
     /// How many copies adapters need, counted only where goals are tight.
     sizing: Sizing,
-    /// Copies ordered and let go by need since they were last asked for.
-    by_need: ByNeed,
     /// Wanted adapters whose load is not ordered yet, with the estimated time until they
     /// can be used.
     queue: BTreeMap<String, Duration>,
     /// Engines that did not answer a report request, and when that was noticed.
     failing: BTreeMap<String, Time>,
-    /// What the other owners use of the weight store, where goals are tight.
-    joint: JointWindow,
-    /// Loads under way after the last plan, and loads that it left to wait for the store.
-    coming: usize,
-    withheld: usize,
     /// Adapters being loaded under other zone owners, and when an entry instance last
     /// said so.
     elsewhere: Option<(Time, u32)>,
@@ -267,12 +253,8 @@
             compared: Time::ZERO,
             copies: BTreeMap::new(),
             sizing: Sizing::default(),
-            by_need: ByNeed::default(),
             queue: BTreeMap::new(),
             failing: BTreeMap::new(),
-            joint: JointWindow::default(),
-            coming: 0,
-            withheld: 0,
             elsewhere: None,
             versions: BTreeMap::new(),
             lease: ZoneLease::default(),
@@ -498,6 +480,25 @@
         self.plan_due = true;
     }
 
+    /// Updates the load estimates from the outcome of the first request for an adapter
+    /// that was just loaded.
+    fn first_use(&mut self, now: Time, first: &FirstUse) {
+        let Some(engine) = self.engines.get_mut(&first.target) else {
+            return;
+        };
+        let Some((load, ordered)) = engine.first_use(now, first, self.store.time()) else {
+            return;
+        };
+        if !first.held {
+            self.engine_changed(&first.target);
+        }
+        match (load, first.held) {
+            (Source::Store, true) => self.store.in_time(now, ordered),
+            (Source::Store, false) => self.store.late(now, ordered),
+            (Source::Memory { depth }, there) => self.memory.observe(depth, there),
+        }
+    }
+
     fn order_ended(&mut self, now: Time, id: &str, outcome: OrderOutcome) {
         self.config.adapter_load = self.store.time();
         self.config.memory = self.memory.size();
@@ -519,10 +520,7 @@
             self.failing.insert(id.to_owned(), now);
         }
         if let Some(engine) = self.engines.get_mut(id) {
-            let in_memory = report.as_ref().filter(|_| self.tight);
-            let in_memory = in_memory.map(|report| report.in_memory.clone());
             let ended = engine.reported(now, report, &self.config);
-            engine.remember(in_memory.unwrap_or_default());
             if let Some(load) = ended {
                 self.models.ended(&load, self.config.model_load);
             }
--- a/crates/gateway/src/zone_owner/copies.rs
+++ b/crates/gateway/src/zone_owner/copies.rs
@@ -57,8 +57,6 @@
     /// When the needs were last counted.
     counted: Time,
     needs: BTreeMap<String, Need>,
-    /// Copies that adapters lacked after the last plan.
-    pub(super) short: usize,
     /// The highest number of requests of each adapter of late, decaying.
     peaks: BTreeMap<String, f64>,
 }
@@ -237,7 +235,6 @@
         placement: &mut Placement,
         out: &mut Vec<Output>,
     ) {
-        self.sizing.short = short.iter().map(|short| short.count).sum();
         let most = TARGET_USE - MIN_ROOM;
         let mut idle: Vec<_> = candidates
             .extract_if(.., |candidate| candidate.load <= most)
@@ -246,13 +243,11 @@
             for _ in 0..short.count {
                 let use_store = placement.loading < limit;
                 if idle.is_empty() {
-                    break;
+                    return;
                 }
                 if !self.place(now, &short.adapter, use_store, &mut idle, placement, out) {
                     break;
                 }
-                self.by_need.ordered += 1;
-                self.sizing.short -= 1;
             }
         }
         candidates.append(&mut idle);
--- a/crates/gateway/src/zone_owner/engine.rs
+++ b/crates/gateway/src/zone_owner/engine.rs
@@ -8,12 +8,12 @@
 use base::Time;
 use wire::fleet::{FirstUse, Resident, Weights};
 
-use super::{Action, Config, Held, ListedTarget, OrderOutcome, Report, transit::Transit};
+use super::{Action, Config, Held, ListedTarget, OrderOutcome, Report};
 
 /// Number of evicted adapters that are remembered per engine. How many of them the engine
 /// still has in host memory is estimated by
 /// [`MemoryEstimate`](super::estimate::MemoryEstimate).
-pub(super) const EVICTED_MAX: usize = 256;
+const EVICTED_MAX: usize = 256;
 
 /// An engine reloads an adapter from its host memory this many times as fast as from the
 /// store.
@@ -71,22 +71,20 @@
     /// The adapter to load once the ordered eviction has freed a slot.
     pub(super) next_load: Option<String>,
     /// Adapters that were evicted and may still be in host memory.
-    pub(super) evicted: BTreeMap<String, Evicted>,
+    evicted: BTreeMap<String, Evicted>,
     /// Number of evictions so far.
-    pub(super) evictions: usize,
-    /// What is known of how many adapters it takes at once.
-    pub(super) transit: Transit,
+    evictions: usize,
     /// Adapters evicted by order of this zone owner, and when.
     own_evictions: BTreeMap<String, Time>,
 }
 
 /// An adapter that an engine has evicted.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Evicted {
+struct Evicted {
     /// Number of evictions at the engine up to and including this one.
-    pub(super) at: usize,
+    at: usize,
     /// Its version; zero if it was loaded without one.
-    pub(super) version: u32,
+    version: u32,
 }
 
 /// Why an engine's report is requested.
@@ -110,7 +108,7 @@
     pub(super) evicting: bool,
     /// Where the engine loaded it from by order of this zone owner; `None` if another one
     /// ordered it.
-    pub(super) source: Option<Source>,
+    source: Option<Source>,
 }
 
 impl Slot {
@@ -233,8 +231,6 @@
             // The engine has accepted an order that this zone owner doesn't know of. The
             // report is requested once it is recent enough to show that order.
             OrderOutcome::Conflict => {
-                let under_way = self.loads_in_flight(now, None);
-                self.transit.refused(self.seq, under_way);
                 self.next_load = None;
                 self.seq = None;
                 self.paused_until = now + lag;
@@ -286,7 +282,6 @@
                     (_, Source::Store) => load + LOAD_SLACK,
                 };
                 self.evicted.remove(&adapter);
-                self.transit.begun(&adapter);
                 self.own_evictions.remove(&adapter);
                 if self.next_load.as_ref() == Some(&adapter) {
                     self.next_load = None;
@@ -393,15 +388,13 @@
         first: &FirstUse,
         load: Duration,
     ) -> Option<(Source, Time)> {
-        let slot = self.adapters.get(&first.adapter)?;
+        let slot = self.adapters.get_mut(&first.adapter)?;
         let source = slot.source?;
         let ordered = slot.ordered?;
         if now.since(ordered) > load * FIRST_USE_MAX_LOADS {
             return None;
         }
-        if first.held {
-            self.found(&first.adapter);
-        } else if let Some(slot) = self.adapters.get_mut(&first.adapter) {
+        if !first.held {
             let due = match source {
                 Source::Memory { .. } => ordered + load,
                 Source::Store => now + load / MEMORY_SPEEDUP,
@@ -465,8 +458,6 @@
             self.paused_until = now + lag;
             return None;
         }
-        let pending = report.pending.len();
-        self.transit.reported(now, report.seq, pending);
         self.seq = Some(report.seq);
         // An order of this zone owner, or of its predecessor, may still be executed late
         // at this count.
@@ -550,6 +541,14 @@
         }
     }
 
+    /// Returns the number of adapters being loaded.
+    pub(super) fn loads_in_flight(&self, now: Time) -> usize {
+        self.adapters
+            .values()
+            .filter(|slot| slot.ready > now && !slot.evicting)
+            .count()
+    }
+
     /// Returns how many adapters the engine has evicted since `adapter`, if it evicted
     /// that in `version`, or in any version if that is `None`.
     pub(super) fn depth(&self, adapter: &str, version: Option<u32>) -> Option<usize> {
--- a/crates/gateway/src/zone_owner/estimate.rs
+++ b/crates/gateway/src/zone_owner/estimate.rs
@@ -43,10 +43,6 @@
 /// Number of expected times that are remembered: one for each load of some seconds.
 const MAX_EXPECTED: usize = 256;
 
-/// Half of the time over which the lowest expected time counts as the usual one, where goals are
-/// tight. The limit falls below what the store serves at full speed about as often.
-const LOW_TIME: Duration = Duration::from_secs(5);
-
 /// [`IN_TIME_STEP`] where goals are tight.
 const TIGHT_IN_TIME_STEP: f64 = 0.000_5;
 
@@ -56,10 +52,6 @@
 /// Factor by which the limit of concurrent loads shrinks when loads are late.
 const SHRINK: f64 = 0.85;
 
-/// The same where goals are tight and the owners of all zones learn together: a store that is
-/// used for nine tenths brings fewer adapters than one with a few loads too many.
-const TIGHT_SHRINK: f64 = 0.92;
-
 /// The same when it shrinks for the first time and is only an initial estimate.
 const FIRST_SHRINK: f64 = 0.5;
 
@@ -113,27 +105,6 @@
     tight: bool,
     /// Where goals are tight: times that were expected, and from when on.
     expected: VecDeque<(Time, f64)>,
-    lows: Lows,
-}
-
-/// The lowest value of some seconds, in two halves of that time.
-#[derive(Clone, Copy, Debug, Default)]
-struct Lows {
-    begun: Time,
-    before: Option<f64>,
-    low: Option<f64>,
-}
-
-impl Lows {
-    /// Notes a value and returns the lowest.
-    fn note(&mut self, now: Time, value: f64) -> f64 {
-        if now.since(self.begun) >= LOW_TIME {
-            (self.begun, self.before, self.low) = (now, self.low, None);
-        }
-        let low = self.low.map_or(value, |low| low.min(value));
-        self.low = Some(low);
-        self.before.map_or(low, |before| before.min(low))
-    }
 }
 
 impl StoreEstimate {
@@ -153,7 +124,6 @@
             zones: zones.max(1) as f64,
             tight: false,
             expected: VecDeque::new(),
-            lows: Lows::default(),
         }
     }
 
@@ -180,9 +150,8 @@
         }
     }
 
-    /// Notes a load that was complete at the announced time. Where goals are tight, it shows
-    /// that more may run only if the limit was `full` meanwhile.
-    pub(super) fn in_time(&mut self, now: Time, ordered: Time, full: bool) {
+    /// Notes a load that was complete at the announced time.
+    pub(super) fn in_time(&mut self, now: Time, ordered: Time) {
         if ordered >= self.shrunk {
             self.late -= self.late * LATE_WEIGHT;
             self.in_time_since = true;
@@ -190,11 +159,9 @@
         let excess = (self.time - self.usual).max(0.0);
         self.time = (self.time - self.in_time_step() - EXCESS_DECAY * excess)
             .max(self.initial * TIME_BOUNDS.0);
-        self.learn_usual(now);
+        self.learn_usual();
         self.note_expected(now);
-        if full || !self.tight {
-            self.window = (self.window + GROW).min(self.zones * WINDOW_BOUNDS.1);
-        }
+        self.window = (self.window + GROW).min(self.zones * WINDOW_BOUNDS.1);
     }
 
     /// Notes a load that took longer than announced. Loads that run at the same time
@@ -217,16 +184,11 @@
         let announced = self.announced(ordered);
         let too_many = self.late >= TOO_MANY_LATE && announced >= self.usual * TOO_MANY_TIME;
         self.raise(now, announced);
-        if self.tight {
-            self.learn_usual(now);
-        }
         if !too_many || now.since(self.shrunk) < self.time() {
             return;
         }
         base::hit!(store_slower);
-        let factor = if self.tight {
-            TIGHT_SHRINK
-        } else if self.shrunk == Time::ZERO {
+        let factor = if self.shrunk == Time::ZERO && !self.tight {
             FIRST_SHRINK
         } else {
             SHRINK
@@ -289,14 +251,9 @@
     }
 
     /// Updates the usual time from loads in time, unless so many are late that too many
-    /// may run at once; where goals are tight, to the lowest of some seconds.
-    ///
-    /// Failure: more loads than the store serves at full speed ran for so long that their time
-    /// became the usual one, and the limit was never found to be too high.
-    fn learn_usual(&mut self, now: Time) {
-        if self.tight {
-            self.usual = self.lows.note(now, self.time);
-        } else if self.late < TOO_MANY_LATE {
+    /// may run at once.
+    fn learn_usual(&mut self) {
+        if self.tight || self.late < TOO_MANY_LATE {
             self.usual += (self.time - self.usual) * USUAL_WEIGHT;
         }
     }
--- a/crates/gateway/src/zone_owner/message.rs
+++ b/crates/gateway/src/zone_owner/message.rs
@@ -62,8 +62,6 @@
     /// Base models of which it has a copy of its own, so that it loads them without the
     /// weight store.
     pub own_copies: BTreeSet<String>,
-    /// Adapters that it can load from its host memory, and their versions, as far as it says so.
-    pub in_memory: BTreeMap<String, u32>,
 }
 
 /// The action that an order asks for.
--- a/crates/gateway/src/zone_owner/placement.rs
+++ b/crates/gateway/src/zone_owner/placement.rs
@@ -79,17 +79,19 @@
     pub(super) fn count_copies(&mut self, now: Time) -> Placement {
         let mut placement = Placement::default();
         let mut steps = 0;
-        let (open, overhang) = (self.open_engines(), self.overhang());
+        let open = self.open_engines();
         for (id, engine) in &self.engines {
             let serves = open.contains(id.as_str());
             steps += engine.adapters.len() as u64 + 1;
-            placement.loading += engine.loading(now, overhang);
+            placement.loading += engine.loading(now);
             for (adapter, slot) in &engine.adapters {
                 let copies = placement.copies_mut(adapter);
                 copies.settled_at = copies.settled_at.max(slot.ready + COPY_SETTLE_TIME);
                 copies.placed += usize::from(serves && self.current(engine, adapter));
-                let until = engine.coming_until(now, adapter, slot, overhang);
-                placement.next = placement.next.into_iter().chain(until).min();
+                if slot.ready > now && !slot.evicting {
+                    placement.next =
+                        Some(placement.next.map_or(slot.ready, |at| at.min(slot.ready)));
+                }
             }
             if let Some(adapter) = engine.about_to_load() {
                 let held = self.current(engine, adapter);
--- a/crates/gateway/src/zone_owner/plan.rs
+++ b/crates/gateway/src/zone_owner/plan.rs
@@ -1,5 +1,7 @@
 //! Planning of the orders to engines.
 
+use std::time::Duration;
+
 use base::Time;
 use wire::stream::SoftwareWant;
 
@@ -12,6 +14,9 @@
 };
 use crate::{table, target_limit::ROOM};
 
+/// Loads in flight to one engine; an engine accepts at most four.
+const LOADS_PER_ENGINE: usize = 4;
+
 /// Initial estimate of the loads in flight over all zones that the weight store serves at
 /// full speed, kept until loads are found to take longer. Each zone owner uses only the
 /// share of its zones, as no instance counts the loads of all zones.
@@ -21,6 +26,10 @@
 /// sized for the number of engines that they serve.
 const INITIAL_LOADS_PER_ENGINE: f64 = 0.7;
 
+/// Maximum age of entry instances' reports on loads under other zone owners. A load takes
+/// a quarter of a second, and each instance reports about as often.
+const ELSEWHERE_MAX_AGE: Duration = Duration::from_millis(500);
+
 /// Added to an engine's load, in parts of its slots, if it would have to evict an adapter
 /// first, which costs one more round trip and possibly a later reload.
 const EVICTION_COST: f64 = 0.2;
@@ -61,14 +70,13 @@
         self.models.raise_window(engines);
         self.request_reports(now, out);
         self.load_models(now, out);
+        let limit = self.load_limit(now);
         self.load_into_freed(now, out);
         let mut placement = self.placement(now);
-        let limit = self.load_limit(now, placement.loading);
         self.load_missing(now, limit, &mut placement, out);
         if self.queue.is_empty() {
             self.copy_busy(now, limit, &mut placement, out);
         }
-        self.note_loading(now, placement.loading);
         let soon = now + MIN_PLAN_INTERVAL;
         let due = placement.next.into_iter().chain(self.fetch_due).min();
         self.next_plan = due.map(|at| at.max(soon));
@@ -92,7 +100,6 @@
         out: &mut Vec<Output>,
     ) {
         self.queue.clear();
-        (self.withheld, self.sizing.short) = (0, 0);
         let short = self.shortages(placement);
         let asked = self.wants.len() + self.copies.len() + self.stream_wants.len();
         if asked == 0 && short.is_empty() {
@@ -110,7 +117,6 @@
             let use_store = placement.loading < limit;
             let want = self.wants.get(&adapter);
             let cached = want.is_none_or(|want| want.cached);
-            self.withheld += usize::from(!(use_store || cached));
             let tried = (use_store || cached) && !candidates.is_empty();
             if !tried || !self.place(now, &adapter, use_store, &mut candidates, placement, out) {
                 waiting.push(adapter);
@@ -170,11 +176,11 @@
     pub(super) fn candidates(&mut self, now: Time, placement: &Placement) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         let mut steps = self.engines.len();
-        let (open, overhang) = (self.open_engines(), self.overhang());
+        let open = self.open_engines();
         let limited = self.limits.any_limited();
         for (id, engine) in &self.engines {
             let free = engine.can_take_order(now) && engine.next_load.is_none();
-            let fit = free && engine.takes_load(now, overhang);
+            let fit = free && engine.loads_in_flight(now) < LOADS_PER_ENGINE;
             let full = limited && self.load_of(id) >= ROOM;
             let fit = fit && !full && open.contains(id.as_str());
             if !fit || self.fence(now, id).is_none() {
@@ -196,6 +202,26 @@
         candidates
     }
 
+    /// Returns the limit of loads in flight in the zones of this owner.
+    ///
+    /// Failure: two zones lose engines and have up to 40 adapters waiting for their share
+    /// of the store, while the other zones use none of theirs. An owner may therefore use
+    /// half of what the others leave unused: all owners see the unused part at the same
+    /// time, and the store slows down for all if they use more than there is.
+    fn load_limit(&self, now: Time) -> usize {
+        let zones = self.config.zones.max(1) as f64;
+        let own = self.lease.zones(now).len().max(1) as f64;
+        let all = self.store.window();
+        let share = ((all * own / zones) as usize).max(1);
+        let all = all as usize;
+        let reported = self.elsewhere;
+        let reported = reported.filter(|(at, _)| now.since(*at) < ELSEWHERE_MAX_AGE);
+        let Some((_, elsewhere)) = reported else {
+            return share;
+        };
+        share + all.saturating_sub(share + elsewhere as usize) / 2
+    }
+
     /// Requests reports from engines whose order count is not known or that may be dead.
     fn request_reports(&mut self, now: Time, out: &mut Vec<Output>) {
         for (id, engine) in &mut self.engines {
@@ -505,6 +531,12 @@
 }
 
 impl Engine {
+    /// Returns the number of adapters being loaded, ordered or about to be ordered.
+    pub(super) fn loading(&self, now: Time) -> usize {
+        let ordered = matches!(self.order, Some(Action::Load { .. }));
+        self.loads_in_flight(now) + usize::from(ordered || self.next_load.is_some())
+    }
+
     /// Returns whether the eviction of an adapter is ordered but not confirmed.
     fn is_evicting(&self, adapter: &str) -> bool {
         let slot = self.adapters.get(adapter);
--- a/crates/gateway/src/zone_owner/worth.rs
+++ b/crates/gateway/src/zone_owner/worth.rs
@@ -60,7 +60,7 @@
     /// Notes an ordered eviction, where goals are tight: the other copies of that adapter are
     /// worth more to the rest of the plan.
     pub(super) fn evicted(
-        &mut self,
+        &self,
         now: Time,
         victim: &str,
         candidates: &mut [Candidate],
@@ -69,8 +69,6 @@
         if !self.tight {
             return;
         }
-        let surplus = self.sizing.is_surplus(victim, placement.copies(victim));
-        self.by_need.surplus += u64::from(surplus);
         placement.evicted(victim);
         let alike = candidates.iter_mut();
         for candidate in alike.filter(|c| c.victim.as_deref() == Some(victim)) {
--- a/crates/gateway/tests/zone_owner.rs
+++ b/crates/gateway/tests/zone_owner.rs
@@ -12,8 +12,6 @@
 mod loads;
 #[path = "zone_owner/many.rs"]
 mod many;
-#[path = "zone_owner/memory.rs"]
-mod memory;
 #[path = "zone_owner/rooms.rs"]
 mod rooms;
 #[path = "zone_owner/slowness.rs"]
@@ -22,12 +20,8 @@
 mod streams;
 #[path = "zone_owner/target_updates.rs"]
 mod target_updates;
-#[path = "zone_owner/transit.rs"]
-mod transit;
 #[path = "zone_owner/weights.rs"]
 mod weights;
-#[path = "zone_owner/window.rs"]
-mod window;
 #[path = "zone_owner/world.rs"]
 mod world;
 
--- a/crates/gateway/tests/zone_owner/copies.rs
+++ b/crates/gateway/tests/zone_owner/copies.rs
@@ -246,18 +246,3 @@
     expect_that!(orders_of(Some(false)), eq(&before));
     expect_that!(orders_of(Some(true)), not(eq(&before)));
 }
-
-/// Guards against metrics that tell a copy twice, or none.
-#[gtest]
-fn what_is_done_by_need_is_counted_once() {
-    let mut world = tight(&[&["m/hot"], &[], &[], &[], &[], &[]]);
-    report(&mut world, &[("e1", "m/hot", 20)], &[]);
-    world.pass(100);
-    let now = world.now;
-    let stats = world.owner.take_store_stats(now).unwrap();
-    expect_that!((stats.by_need, stats.surplus, stats.short), eq((3, 0, 0)));
-    expect_that!(stats.coming, eq(3));
-    expect_that!(world.owner.take_store_stats(now).unwrap().by_need, eq(0));
-    world.owner.set_tight(false);
-    expect_that!(world.owner.take_store_stats(now), none());
-}
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -109,10 +109,6 @@
     StoreThrottled 4013 Info "loads wait for the store" "Loads wait for the weight store: `waiting` adapters have no load under way and `coming` adapters have one; `loads` loads run at once and take `load_ms` each. `memory` adapters load from an engine's own memory. `idle` engines accept orders, and on `full` of these no adapter can be unloaded."
     WeightsHeld 4014 Info "engines have different weights" "`engines` have `version` of the weights of `model` loaded, while others in the zones of this instance have another version: the same request may be answered by either."
     SoftwareHeld 4015 Info "targets run different software" "`targets` of `service` run `software`, while others in the zones of this instance run another version."
-    CopiesByNeed 4016 Info "copies ordered by need" "The owner of a zone ordered `copies` further copies of adapters within about a second, as their holders have too little room for their requests."
-    LoadsWithheld 4017 Info "loads held back" "`adapters` that callers wait for, and `copies` that adapters lack, aren't loaded yet: this owner may have `limit` loads on their way, has `coming`, and the store serves `window` over all zones at full speed. The owners of all zones share these by need."
-    SurplusLetGo 4018 Info "surplus copies let go" "`copies` of adapters that had more than their requests of late needed made room for others within about a second."
-    StoreUnheard 4019 Warn "use of the store isn't told" "`owner`, which gives orders to other zones, doesn't say what it uses of the weight store. It counts with its last use, and after three seconds with its even share."
 
     // 5xxx: requests.
     RequestDone 5001 Debug "request done" "A request ended; `adapter` and `version` name the adapter that it ran on."
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -7,8 +7,8 @@
 use std::{sync::LazyLock, time::Duration};
 
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::Event;
@@ -34,7 +34,6 @@
     waits: Histogram,
     sends: IntCounterVec,
     orders: IntCounterVec,
-    copies: IntCounterVec,
     broken_runs: IntCounterVec,
     taken_up: IntCounterVec,
     answer_ends: IntCounterVec,
@@ -54,7 +53,6 @@
     held_requests: IntGauge,
     zones: IntGauge,
     list_age: IntGauge,
-    store: IntGaugeVec,
 }
 
 impl Gauges {
@@ -80,12 +78,6 @@
                 "quetzal_list_age_milliseconds",
                 "Age of the oldest list of a zone's targets by which this instance chooses",
             ),
-            store: gauges(
-                registry,
-                "quetzal_store_loads",
-                "Loads of adapters from the store: on their way and allowed under this owner, held back, and served at full speed over all zones",
-                "kind",
-            ),
         }
     }
 }
@@ -163,11 +155,6 @@
             waits,
             sends: counters("quetzal_sends_total", "Requests sent to targets", "outcome"),
             orders: counters("quetzal_orders_total", "Orders to engines", "outcome"),
-            copies: counters(
-                "quetzal_copies_total",
-                "Copies of adapters ordered by need, and surplus ones let go",
-                "outcome",
-            ),
             taken_up: self::counters(
                 &registry,
                 "quetzal_streams_taken_up_total",
@@ -250,17 +237,6 @@
         self.orders.with_label_values(&[outcome]).inc();
     }
 
-    /// Counts copies of adapters that were ordered by need or let go as surplus.
-    pub fn copies(&self, outcome: &str, copies: u64) {
-        self.copies.with_label_values(&[outcome]).inc_by(copies);
-    }
-
-    /// Sets a number of loads from the weight store.
-    pub fn store_loads(&self, kind: &str, loads: usize) {
-        let gauge = self.gauges.store.with_label_values(&[kind]);
-        gauge.set(i64::try_from(loads).unwrap_or(i64::MAX));
-    }
-
     /// Counts runs whose connection broke, by the `fate` of their target.
     pub fn broken_runs(&self, fate: &str, runs: usize) {
         let counter = self.broken_runs.with_label_values(&[fate]);
@@ -373,11 +349,6 @@
     register(registry, made.expect("a valid name"))
 }
 
-fn gauges(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
-    let made = IntGaugeVec::new(Opts::new(name, help), &[label]);
-    register(registry, made.expect("a valid name"))
-}
-
 /// Returns the histograms of the time to the head of an answer, and to the first target.
 fn time_histograms(registry: &Registry) -> (HistogramVec, Histogram) {
     let head = HistogramOpts::new(
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -30,7 +30,6 @@
     patch::Patch,
     quarantine::{CrashReport, Quarantine},
     retry::{RetryAnswer, RetryReport},
-    store::StoreUse,
     stream::{FindStream, FoundStream, StreamSync, StreamSynced},
 };
 
@@ -115,9 +114,6 @@
         /// Entry to control: work that was offered and that has ended. A call of its own, made
         /// only where admission is on.
         Admission(AdmissionReport),
-        /// Zone owner to zone owner: what the caller uses of the weight store. A call of its
-        /// own, made only where goals are tight.
-        Store(StoreUse),
         /// Control to leader: renews the caller's zone leases.
         Renew {
             /// The control instance that asks.
@@ -189,9 +185,6 @@
         Retries(RetryAnswer),
         /// Answers [`Call::Admission`].
         Admission(AdmissionTold),
-        /// Answers [`Call::Store`] with the callee's own use; `None` if it owns no zone or goals
-        /// aren't tight.
-        Store(Option<StoreUse>),
         /// Answers [`Call::Renew`]: the zones that the caller owns, with its fencing numbers.
         Renewed(Vec<(String, u64)>),
         /// Answers [`Call::Explain`]; `None` if the text has no such service.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -33,5 +33,4 @@
 pub mod platform;
 pub mod quarantine;
 pub mod retry;
-pub mod store;
 pub mod stream;
--- a/crates/wire/tests/loads.rs
+++ b/crates/wire/tests/loads.rs
@@ -34,24 +34,3 @@
     // What an earlier build says counts as adapters.
     assert_that!(LoadsElsewhere::from(9).adapters, eq(9));
 }
-
-/// Guards against a silent store: an instance of another build must find each field of what an
-/// owner says at its place.
-#[test]
-fn what_an_owner_says_of_the_store_is_read_by_position() {
-    let said = wire::store::StoreUse {
-        instance: "c1".parse().unwrap(),
-        zones: vec!["za".to_owned()],
-        loading: 1,
-        waiting: 2,
-        claim: 3,
-        window: 4,
-    };
-    let raw = rmp_serde::to_vec(&said).unwrap();
-    let fields: (String, Vec<String>, u32, u32, u32, u32) = rmp_serde::from_slice(&raw).unwrap();
-    assert_that!(
-        fields,
-        eq(&("c1".to_owned(), vec!["za".to_owned()], 1, 2, 3, 4))
-    );
-    assert_that!(raw.len(), le(16));
-}
