Say when a target asks for rest, and what is sent there meanwhile

E5044 tells that a target asks this instance for rest, E5045 at its end how much was sent there all the same, and quetzal_rests_total counts both. gateway::rest only keeps the times; nothing is decided by them yet.

--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -13,6 +13,7 @@
 mod lists;
 mod paths;
 mod relay;
+mod rests;
 mod state;
 mod streams;
 mod sync;
--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -17,7 +17,7 @@
     ActiveRequest, REFUSED_PAUSE, millis,
     sending::{InFlight, Sending},
 };
-use crate::entry::{answer::refused, headers, limits};
+use crate::entry::{answer::refused, headers, limits, rests};
 
 /// Answers with fewer tokens get no copy of the run's KV cache: they last about half a
 /// second as a stream.
@@ -219,6 +219,7 @@
         let send = self.build_send(target, last, restored)?;
         let in_flight = InFlight::begin(state, target, &self.adapter, self.prompt_tokens);
         limits::note_sent(state, target);
+        state.view().rests().sent(state.now(), target);
         let client = state.client.clone();
         Some(Sending {
             in_flight,
@@ -266,6 +267,7 @@
             return SendOutcome::Unknown;
         }
         limits::note_answer(state, &target, answer.status, &answer.headers);
+        rests::note_answer(state, &target, answer.status, &answer.headers);
         if refused(answer.status, &answer.headers, names) {
             return self.refused(&target, &answer);
         }
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -27,7 +27,7 @@
 };
 
 use super::{
-    admission, crash, helping, limits, lists,
+    admission, crash, helping, limits, lists, rests,
     state::State,
     streams::{self, Turn, Untold},
 };
@@ -322,6 +322,7 @@
         }
         state.meter().expire(state.now());
         state.view().expire_limits(state.now());
+        rests::log_ended(&state);
         admission::expire(&state);
         state.view().expire_software(state.now());
         let demand = state.view().take_demand();
--- a/crates/frontd/src/platform.rs
+++ b/crates/frontd/src/platform.rs
@@ -36,6 +36,8 @@
     /// How many requests a second a target may have to refuse for want of room before it
     /// falls over; absent in the answers of a target that bears any number.
     pub target_brittle: HeaderName,
+    /// Says in an answer that the target that gave it will stop and takes no further requests.
+    pub target_leaving: HeaderName,
     /// The model, followed by a slash and the adapter if there is one.
     pub model: HeaderName,
     /// The number of prompt tokens, a comma, and the most tokens of the answer.
--- a/crates/frontd/tests/common/platform.rs
+++ b/crates/frontd/tests/common/platform.rs
@@ -23,6 +23,7 @@
         not_run: header("refused"),
         target_limit: header("limit"),
         target_brittle: header("brittle"),
+        target_leaving: header("leaving"),
         model: header("model"),
         tokens: header("tokens"),
         prompt_parts: header("parts"),
--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -35,6 +35,7 @@
             not_run: header.clone(),
             target_limit: header.clone(),
             target_brittle: header.clone(),
+            target_leaving: header.clone(),
             model: HeaderName::from_static("model"),
             tokens: HeaderName::from_static("tokens"),
             prompt_parts: HeaderName::from_static("parts"),
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -25,6 +25,7 @@
     explain::Part,
     home::WeightedZone,
     reach::Targets,
+    rest::Rests,
     target_limit::{KnownLimits, LimitChange},
 };
 
@@ -123,6 +124,8 @@
     software: KnownSoftware,
     /// Targets that fall over when they refuse many requests.
     brittle: BrittleTargets,
+    /// Targets that have asked this instance for rest.
+    rests: Rests,
     /// Targets that have begun to leave, or are gone, since they were last taken.
     left: Vec<String>,
     /// What zone owners said of limits since it was last taken.
--- a/crates/gateway/src/view/need.rs
+++ b/crates/gateway/src/view/need.rs
@@ -9,6 +9,7 @@
 use super::{TargetState, View};
 use crate::{
     brittle::Load,
+    rest::Rests,
     target_limit::{KnownLimits, LimitChange, ROOM, Standing},
 };
 
@@ -82,6 +83,11 @@
         self.brittle.seen(id, bears, load)
     }
 
+    /// Returns the targets that have asked this instance for rest.
+    pub fn rests(&mut self) -> &mut Rests {
+        &mut self.rests
+    }
+
     /// Notes that a target refused a request for want of room.
     pub fn no_room(&mut self, now: Time, id: &str) {
         self.brittle.refused(now, id);
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -103,7 +103,7 @@
     EngineBack 4007 Info "engine responsive again" "An unresponsive engine answers again."
     ReportGap 4008 Info "report lost" "A gap in the serial numbers shows that an engine's report was lost; its list of resident adapters is read in full."
     DriftRepaired 4009 Info "drift repaired" "An engine had adapters loaded that the text doesn't ask for, or lacked some that it does, and was corrected."
-    TargetLeaving 4010 Info "target leaves" "The platform announced that a target will stop, or lists it no more: it gets no new requests. `source` is the control instance that said so, or `platform`; the list was requested `age_ms` before."
+    TargetLeaving 4010 Info "target leaves" "The platform announced that a target will stop, or lists it no more: it gets no new requests. `source` is the control instance that said so, `platform`, or `answer` where an answer of the target said so itself; the list was requested `age_ms` before."
     ServiceDown 4011 Warn "service can't be brought up" "A service waits for another one that it depends on, named in `needs`."
     ServiceUp 4012 Info "service is up" "A service and all services that it depends on are up."
     StoreThrottled 4013 Info "loads wait for the store" "Loads wait for the weight store: `waiting` adapters have no load under way and `coming` adapters have one; `loads` loads run at once and take `load_ms` each. `memory` adapters load from an engine's own memory. `idle` engines accept orders, and on `full` of these no adapter can be unloaded."
@@ -152,6 +152,8 @@
     HedgeWon 5041 Info "second target was first" "`target` answered `request`, `took_ms` after it was sent there as well; the first one was left."
     HedgeLost 5042 Info "second target in vain" "The second target of `request` had it for `ran_ms` in vain; `outcome` is `cancelled` where the first one answered, else how it failed."
     HedgeWithheld 5043 Debug "not sent to a second target" "`first` is late with `request`, which wasn't sent to a second target: `why` is `attempts`, `suspect`, `pressed`, `deadline`, `limit`, `room`, `budget` or `permit`."
+    TargetResting 5044 Info "target asks for rest" "`target` has turned a request away and wants nothing from this instance for `rest_ms`. Longer rests that it asks for before the end aren't told."
+    TargetRested 5045 Info "target's rest is over" "`target` has rested for `lasted_ms`; this instance has sent `sent` requests there meanwhile. They were on their way when it asked, or nobody kept to it."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -38,6 +38,7 @@
     taken_up: IntCounterVec,
     answer_ends: IntCounterVec,
     permits: IntCounterVec,
+    rests: IntCounterVec,
     retries: IntCounterVec,
     hedges: Hedges,
     admission: IntCounterVec,
@@ -177,6 +178,11 @@
                 "Permits for requests to targets that name a limit",
                 "outcome",
             ),
+            rests: counters(
+                "quetzal_rests_total",
+                "Wishes of targets for rest, and requests that were sent to them all the same",
+                "what",
+            ),
             retries: counters(
                 "quetzal_retries_total",
                 "Retries that were denied, lent to other entry instances or borrowed from them",
@@ -259,6 +265,17 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts an answer by which a target asked this instance for rest.
+    pub fn rest_asked(&self) {
+        self.rests.with_label_values(&["asked"]).inc();
+    }
+
+    /// Counts requests that were sent to a target while it rested.
+    pub fn sent_within_rest(&self, count: u32) {
+        let sent = self.rests.with_label_values(&["sent_within"]);
+        sent.inc_by(u64::from(count));
+    }
+
     /// Counts retries that were denied, lent or borrowed, by their `outcome`.
     pub fn retries(&self, outcome: &str, count: u32) {
         let retries = self.retries.with_label_values(&[outcome]);
