--- a/crates/frontd/tests/targets.rs
+++ b/crates/frontd/tests/targets.rs
@@ -39,6 +39,8 @@
 mod played;
 #[path = "targets/raw.rs"]
 mod raw;
+#[path = "targets/rests.rs"]
+mod rests;
 #[path = "targets/rush.rs"]
 mod rush;
 #[path = "targets/scripted.rs"]
--- a/crates/frontd/tests/targets/engine.rs
+++ b/crates/frontd/tests/targets/engine.rs
@@ -79,6 +79,12 @@
     /// The limit that it names in its answers.
     limit: Option<String>,
     crashes: Vec<Instant>,
+    /// For how long it asks for rest as it turns all requests away, if it does.
+    rest: Option<String>,
+    /// When it has turned requests away.
+    turned: Vec<Instant>,
+    /// Whether it says in all answers that it leaves.
+    says_leaving: bool,
     /// Room of a brittle engine.
     brittle: Option<Brittle>,
     /// Places of an engine with few, which lets what comes beyond them wait, and their number.
@@ -178,6 +184,35 @@
         ids.any(|id| id == CRASHING_PART || further.as_deref() == Some(id))
     }
 
+    /// Turns all requests away from now on and asks for so long a rest, or takes them again.
+    pub(crate) fn ask_rest(&self, rest: Option<&str>) {
+        self.state.lock().unwrap().rest = rest.map(str::to_owned);
+    }
+
+    /// Returns when it has turned requests away, the oldest first.
+    pub(crate) fn turned(&self) -> Vec<Instant> {
+        self.state.lock().unwrap().turned.clone()
+    }
+
+    /// Says in all answers from now on that it leaves.
+    pub(crate) fn say_leaving(&self) {
+        self.state.lock().unwrap().says_leaving = true;
+    }
+
+    /// Turns a request away, if it turns away all of them.
+    fn turn_away(&self, resp: &mut Response<Body>) -> bool {
+        let mut state = self.state.lock().unwrap();
+        let Some(rest) = state.rest.clone() else {
+            return false;
+        };
+        state.turned.push(Instant::now());
+        *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        let headers = resp.headers_mut();
+        headers.insert("refused", "rest".parse().unwrap());
+        headers.insert("retry-after", rest.parse().unwrap());
+        true
+    }
+
     /// Names a limit in all answers from now on, or none.
     pub(crate) fn name_limit(&self, limit: Option<&str>) {
         self.state.lock().unwrap().limit = limit.map(str::to_owned);
@@ -264,6 +299,12 @@
             let bears = brittle.bears.to_string();
             resp.headers_mut().insert("brittle", bears.parse().unwrap());
         }
+        if self.state.lock().unwrap().says_leaving {
+            resp.headers_mut().insert("leaving", "1".parse().unwrap());
+        }
+        if self.turn_away(&mut resp) {
+            return resp;
+        }
         let Some(running) = self.begin() else {
             if self.refuse() {
                 crash.send(()).await.ok();
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod guards;
 mod requests;
+mod rests;
 mod silent;
 mod software;
 mod starts;
