Give targets the rest that they ask for, and believe them that they leave

Callers saw drafts refused for want of retries while engines turned everything away: each refusal was one of a target that had asked for rest, which nobody read. A 503 counted for its own request only, so the idle-looking target was chosen for the next one.

The rest of a target holds until its own latest end, for this instance, on every way: one function (View::blocked_for, rests) is asked by the choice, by hedges, by copies of KV caches and by runs that go on from them, and View::may_write again as bytes are written. Holders that rest are waited for if the rest is shorter than a load; else the adapter is loaded elsewhere or the request is refused at once with a spread time to come back. After a rest one request goes first and more as these are answered. A target whose answer says that it leaves gets nothing more, whatever lists say; the last one of a service is used for half of the bound.

--- a/crates/cli/src/command/explain/shown.rs
+++ b/crates/cli/src/command/explain/shown.rs
@@ -67,6 +67,7 @@
         Refusal::Room => "the service has too little room, and others go first",
         Refusal::NoTarget => "the service has no target that takes requests",
         Refusal::Limited => "all targets that could take it have used up their limits",
+        Refusal::Resting => "all targets that could take it have asked this instance for rest",
         Refusal::NoOrders => "no zone owner can order a load now",
         Refusal::Queue => "the adapter can't be loaded in the time that it would wait",
     };
@@ -118,6 +119,9 @@
         Next::Limited { target, wait_ms } => {
             format!("waits {wait_ms} ms for {target}: the limits of all targets are used up")
         }
+        Next::Resting { target, wait_ms } => {
+            format!("waits {wait_ms} ms for {target}: all targets rest")
+        }
         Next::NoTarget => "nowhere: no target takes it".to_owned(),
     }
 }
@@ -190,6 +194,9 @@
         Passed::Unreachable => "could not be reached lately",
         Passed::Tried => "has failed this request",
         Passed::Blocked { left_ms } => return format!("limit used up for {left_ms} ms"),
+        Passed::Resting { left_ms } => {
+            return format!("has asked for rest, takes the next one in {left_ms} ms");
+        }
         Passed::Loading { left_ms } => return format!("loads the adapter for {left_ms} ms"),
         Passed::Dearer => "costs more",
         Passed::Elsewhere => "the best one is in another zone",
--- a/crates/frontd/src/entry/answer.rs
+++ b/crates/frontd/src/entry/answer.rs
@@ -66,6 +66,8 @@
     FalsePromise,
     /// All targets that could take it have used up the limits that they name.
     Limited,
+    /// All targets that could take it have asked this instance for rest.
+    Resting,
     /// The service has too little room for all, and others go first.
     Room,
     /// This instance is cut off from all targets, and no other one can reach them for it.
--- a/crates/frontd/src/entry/explain.rs
+++ b/crates/frontd/src/entry/explain.rs
@@ -12,7 +12,7 @@
     explain,
     hedge::Due,
     table::{Route, Sender, Table},
-    view::{Choice, Second},
+    view::{BRIEF_REST, Choice, Second},
 };
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
@@ -334,6 +334,8 @@
                 }
                 (Refusal::Limited, *after)
             }
+            Choice::Resting(_, after) if *after <= BRIEF_REST => return None,
+            Choice::Resting(_, after) => (Refusal::Resting, *after),
             Choice::Missing if !state.can_order(service) => {
                 (Refusal::NoOrders, wait::NO_OWNER_RETRY_AFTER)
             }
--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -219,7 +219,6 @@
         let send = self.build_send(target, last, restored)?;
         let in_flight = InFlight::begin(state, target, &self.adapter, self.prompt_tokens);
         limits::note_sent(state, target);
-        state.view().rests().sent(state.now(), target);
         let client = state.client.clone();
         Some(Sending {
             in_flight,
@@ -382,11 +381,11 @@
     }
 
     /// Returns what is checked just before the request is written to `target`: whether that
-    /// still takes requests, and for a repeat on another connection whether the budget allows
+    /// still takes requests and hasn't asked for rest, and for a repeat on another connection whether the budget allows
     /// it.
     fn checks(&self, target: &str) -> Checks {
         let (state, id) = (Arc::clone(&self.state), target.to_owned());
-        let write = Check::new(move || state.view().is_ready(&id));
+        let write = Check::new(move || state.view().may_write(state.now(), &id));
         let (state, service) = (Arc::clone(&self.state), self.service.clone());
         let repeat = Check::new(move || state.try_retry(&service));
         Checks { write, repeat }
--- a/crates/frontd/src/entry/forward/sending.rs
+++ b/crates/frontd/src/entry/forward/sending.rs
@@ -4,6 +4,7 @@
 
 use base::{SoftwareVersion, Verdict};
 use futures::future::BoxFuture;
+use rest::Trial;
 use tokio::time::Instant;
 use web::{
     client::{Answer, Broken, Cause},
@@ -28,6 +29,8 @@
     sent: Instant,
     /// When its answer began.
     begun: Option<Instant>,
+    /// Whether it is one of the first that the target gets after a rest.
+    trial: Trial,
     /// The software of the target as it was chosen, if that was known.
     software: Option<SoftwareVersion>,
 }
@@ -37,6 +40,7 @@
     pub(super) fn begin(state: &Arc<State>, target: &str, adapter: &str, tokens: u64) -> InFlight {
         let software = state.view().software(state.now(), target).cloned();
         let backlog = state.view().begin(target, adapter, tokens);
+        let trial = state.view().rests().begin(state.now(), target);
         InFlight {
             state: Arc::clone(state),
             id: target.to_owned(),
@@ -46,6 +50,7 @@
             backlog,
             sent: Instant::now(),
             begun: None,
+            trial,
             software,
         }
     }
@@ -74,6 +79,7 @@
         let tokens = std::mem::take(&mut self.unread);
         let mut view = self.state.view();
         view.read(&self.id, tokens);
+        view.rests().answered(self.id.as_str(), &mut self.trial);
         view.add_speed_sample(&self.id, self.backlog, self.sent.elapsed());
     }
 }
@@ -82,6 +88,7 @@
     fn drop(&mut self) {
         let mut view = self.state.view();
         view.read(&self.id, self.unread);
+        view.rests().lost(self.id.as_str(), &mut self.trial);
         if let Some(begun) = self.begun {
             view.add_hold_sample(&self.id, self.prompt, begun.elapsed());
         }
--- a/crates/frontd/src/entry/forward/wait.rs
+++ b/crates/frontd/src/entry/forward/wait.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gateway::view::Choice;
+use gateway::view::{BRIEF_REST, Choice};
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::stream::SoftwareWant;
 
@@ -38,6 +38,9 @@
 /// leader within about two seconds.
 pub(in crate::entry) const NO_OWNER_RETRY_AFTER: Duration = Duration::from_millis(2_000);
 
+/// Largest part by which callers are told to come back later than a target rests.
+const RETURN_SPREAD: f64 = 0.25;
+
 /// Upper limit of Retry-After, as a part of the caller's remaining time.
 const RETRY_AFTER_PART: f64 = 0.32;
 
@@ -77,6 +80,12 @@
                         return Err(self.reject_for(wait, Why::Limited));
                     }
                 }
+                Choice::Resting(_, wait) => {
+                    if wait > BRIEF_REST || now + wait > give_up_at {
+                        return Err(self.reject_for(spread(wait), Why::Resting));
+                    }
+                    sleep(wait).await;
+                }
                 Choice::Wait(wait) => sleep(wait.max(Duration::from_millis(1))).await,
                 Choice::NoTarget | Choice::Missing if now < settled_by && self.settling() => {
                     tokio::select! {
@@ -206,6 +215,12 @@
     }
 }
 
+/// Returns a random time of `wait` and somewhat more, so that callers who are refused together
+/// don't come back together.
+fn spread(wait: Duration) -> Duration {
+    wait.mul_f64(1.0 + RETURN_SPREAD * rand::random::<f64>())
+}
+
 /// Returns how long a request waits for an adapter, or for a target that is blocked, if its
 /// caller has so much time `left`.
 pub(in crate::entry) fn patience(left: Duration) -> Duration {
--- a/crates/frontd/src/entry/rests.rs
+++ b/crates/frontd/src/entry/rests.rs
@@ -1,34 +1,51 @@
-//! What targets ask for as they turn requests away: rest for a while.
+//! What targets say of themselves for all further requests of this instance: that they want rest,
+//! and that they leave.
 
-use gateway::rest::Rest;
-use hyper::{HeaderMap, StatusCode, header::RETRY_AFTER};
+use hyper::{HeaderMap, StatusCode};
 use telemetry::{event, prom_metrics};
+use web::rest::asked_rest;
 
-use super::{headers, state::State};
+use super::{headers, lists, state::State};
 
-/// Takes over for how long a target that has turned a request away wants nothing from this
-/// instance. A value that can't be read changes nothing.
+/// Value by which a target says that it leaves.
+const LEAVING: &str = "1";
+
+/// Takes over what an answer of a target says: for how long it wants nothing from this instance,
+/// and that it leaves. A value that can't be read changes nothing, and neither does a refusal as
+/// misdirected, which may come from another target.
 pub(super) fn note_answer(state: &State, target: &str, status: StatusCode, headers: &HeaderMap) {
-    if status != StatusCode::SERVICE_UNAVAILABLE {
+    if status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
-    let said = headers::text(headers, &RETRY_AFTER);
-    let Some(rest) = said.and_then(|raw| raw.parse::<Rest>().ok()) else {
-        return;
-    };
-    prom_metrics().rest_asked();
-    if state.view().rests().asked(state.now(), target, rest) {
-        event!(
-            telemetry::Event::TargetResting,
-            target = target,
-            rest_ms = rest.time().as_millis()
-        );
+    let name = &state.platform.header_names.target_leaving;
+    if headers::text(headers, name).map(str::trim) == Some(LEAVING) {
+        note_leaving(state, target);
     }
+    if let Some(rest) = asked_rest(status, headers) {
+        prom_metrics().rest_asked();
+        let began = state
+            .view()
+            .rests()
+            .asked(state.now(), &target.to_owned(), rest);
+        if began {
+            event!(
+                telemetry::Event::TargetResting,
+                target = target,
+                rest_ms = rest.as_millis()
+            );
+        }
+    }
+}
+
+fn note_leaving(state: &State, target: &str) {
+    let now = state.now();
+    state.view().says_leaving(now, target);
+    lists::log_left(state, "answer", now);
 }
 
 /// Logs the rests that are over.
 pub(super) fn log_ended(state: &State) {
-    let ended = state.view().rests().take_ended(state.now());
+    let ended = state.view().take_ended_rests(state.now());
     for rest in ended {
         prom_metrics().sent_within_rest(rest.sent);
         event!(
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -85,7 +85,8 @@
     pub(super) fn new(setup: &Setup, platform: Platform) -> Self {
         let name = names::instance_name(setup.ip);
         let clock = Clock::start();
-        let view = View::new(setup.zone.clone(), Seed(rand::random()));
+        let mut view = View::new(setup.zone.clone(), Seed(rand::random()));
+        view.set_leaving_bound(setup.drain);
         let view = Arc::new(Mutex::new(view));
         let address = Arc::clone(&platform.map_address);
         let paths = Paths::new(setup, clock, address, Arc::clone(&view));
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -52,6 +52,8 @@
     Tried,
     /// Its limit is used up for so long.
     Blocked(Duration),
+    /// It has asked this instance for rest, or has just rested and takes few requests.
+    Resting(Duration),
     /// It is still loading the adapter, for so long.
     Loading(Duration),
     /// It costs more than another one.
@@ -170,6 +172,9 @@
             Passed::Blocked(wait) => told::Passed::Blocked {
                 left_ms: told::millis(wait),
             },
+            Passed::Resting(wait) => told::Passed::Resting {
+                left_ms: told::millis(wait),
+            },
             Passed::Loading(wait) => told::Passed::Loading {
                 left_ms: told::millis(wait),
             },
@@ -212,6 +217,10 @@
                 target,
                 wait_ms: told::millis(wait),
             },
+            Choice::Resting(target, wait) => told::Next::Resting {
+                target,
+                wait_ms: told::millis(wait),
+            },
             Choice::NoTarget => told::Next::NoTarget,
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod home;
 pub mod list_fallback;
 pub mod reach;
-pub mod rest;
 pub mod revisions;
 pub mod silence;
 pub mod streams;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -6,6 +6,7 @@
 mod expected;
 mod hedge;
 mod held;
+mod leaving;
 mod need;
 mod others;
 mod software;
@@ -18,6 +19,7 @@
 };
 
 use base::{Seed, SoftwareVersion, Time};
+use rest::Rests;
 use wire::fleet::{FirstUse, LoadsElsewhere, PromptTime, Running, Target};
 
 use crate::{
@@ -25,11 +27,11 @@
     explain::Part,
     home::WeightedZone,
     reach::Targets,
-    rest::Rests,
     target_limit::{KnownLimits, LimitChange},
 };
 
 pub use self::backup::{Backup, Origin, Unused};
+pub use self::choose::BRIEF_REST;
 pub use self::hedge::Second;
 use self::{
     backlog::{FULL_WAIT, known_outside},
@@ -37,6 +39,7 @@
     choose::sum,
     expected::ServiceTimes,
     held::Held,
+    leaving::Leavers,
     others::OthersLoad,
     software::KnownSoftware,
 };
@@ -85,6 +88,9 @@
     /// All targets that could take it have used up the limits that they name; a permit for
     /// this one may be had after this time.
     Limited(String, Duration),
+    /// All targets that could take it rest, or have just rested and take few requests; this one
+    /// may take it after this time.
+    Resting(String, Duration),
     /// The service has no target that takes requests, or none of the software version that
     /// the request needs.
     NoTarget,
@@ -125,7 +131,9 @@
     /// Targets that fall over when they refuse many requests.
     brittle: BrittleTargets,
     /// Targets that have asked this instance for rest.
-    rests: Rests,
+    rests: Rests<String>,
+    /// Targets whose answers say that they leave.
+    leavers: Leavers,
     /// Targets that have begun to leave, or are gone, since they were last taken.
     left: Vec<String>,
     /// What zone owners said of limits since it was last taken.
@@ -177,6 +185,7 @@
             seed: seed.0,
             limits: KnownLimits::new(seed.0, INITIAL_INSTANCES),
             brittle: BrittleTargets::new(seed.0, INITIAL_INSTANCES),
+            rests: Rests::new(seed),
             ..View::default()
         }
     }
@@ -249,7 +258,7 @@
         std::mem::take(&mut self.left)
     }
 
-    /// Returns whether a target takes requests.
+    /// Returns whether a target is listed as taking requests.
     #[must_use]
     pub fn is_ready(&self, id: &str) -> bool {
         self.targets.get(id).is_some_and(|known| known.target.ready)
@@ -376,7 +385,9 @@
         let mut counts: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
         for target in ready {
             let (open, all) = counts.entry(&target.zone).or_default();
-            *open += f64::from(u8::from(!self.limits.is_limited(&target.id)));
+            let id = &target.id;
+            let is_open = !self.limits.is_limited(id) && !self.rests.is_resting(now, id);
+            *open += f64::from(u8::from(is_open));
             *all += 1.0;
         }
         let zones = counts.into_iter().map(|(zone, (open, all))| WeightedZone {
--- a/crates/gateway/src/view/backup.rs
+++ b/crates/gateway/src/view/backup.rs
@@ -42,6 +42,10 @@
     Repeats,
     /// The limit that the target names is used up.
     Limited,
+    /// The target has asked for rest.
+    Resting,
+    /// The target leaves.
+    Leaving,
     /// The target runs other software, or it isn't known which.
     Software,
 }
@@ -66,8 +70,9 @@
         let origin = self.targets.get(id)?.origin(adapter)?;
         let software = self.software(now, id)?;
         let others = self.targets.values().filter(|k| {
-            let of_service = k.target.service == service && k.target.ready;
+            let of_service = k.target.service == service && self.takes_new(now, k);
             let open = !k.is_avoided(now) && !self.limits.is_limited(&k.target.id);
+            let open = open && !self.rests.is_known(now, &k.target.id);
             of_service && k.target.id != id && open
         });
         let alike = others.filter(|k| k.origin(adapter) == Some(origin));
@@ -107,6 +112,12 @@
         if self.outdated(now, adapter, backup.origin.version) {
             return Err(Unused::Outdated);
         }
+        if self.has_said_leaving(now, &backup.target) {
+            return Err(Unused::Leaving);
+        }
+        if self.rests.wait(now, backup.target.as_str()).is_some() {
+            return Err(Unused::Resting);
+        }
         Ok(())
     }
 
--- a/crates/gateway/src/view/choose.rs
+++ b/crates/gateway/src/view/choose.rs
@@ -7,6 +7,10 @@
 use super::{Choice, TargetState, View, usable};
 use crate::explain::{Part, Passed, Watch};
 
+/// Longest rest of a target that is waited for rather than have the adapter loaded elsewhere:
+/// the time of a load.
+pub const BRIEF_REST: Duration = Duration::from_millis(250);
+
 impl View {
     /// Chooses a target of `service` for a request that uses `adapter` (empty for none)
     /// and has already failed on the targets `tried`. It goes on at the software `wanted`, if
@@ -41,9 +45,12 @@
         watch: &impl Watch,
     ) -> Choice {
         let of_service = self.targets.values();
-        let of_service = of_service.filter(|k| k.target.service == service);
-        let ready =
-            of_service.filter(|k| watch.check(&k.target, k.target.ready, || Passed::Leaving));
+        let of_service: Vec<_> = of_service.filter(|k| k.target.service == service).collect();
+        let none_stays = !of_service.iter().any(|k| self.takes_new(now, k));
+        let ready = of_service.into_iter().filter(|k| {
+            let takes = self.takes_new(now, k) || none_stays && self.is_last_resort(now, k);
+            watch.check(&k.target, takes, || Passed::Leaving)
+        });
         // Nobody waits for a version none of whose targets can take the rest.
         let able = |k: &TargetState| {
             watch.check(&k.target, !k.is_avoided(now), || Passed::Unreachable)
@@ -76,15 +83,23 @@
         let waits = holders.iter().map(|k| {
             let wait = self.blocked_for(now, k);
             watch.check(&k.target, wait.is_none(), || {
-                Passed::Blocked(wait.unwrap_or_default())
+                let wait = wait.unwrap_or_default();
+                match self.rests_for(now, k, wait) {
+                    true => Passed::Resting(wait),
+                    false => Passed::Blocked(wait),
+                }
             });
-            (wait, &k.target.id)
+            (wait, &k.target.id, *k)
         });
-        if let Some((Some(wait), soonest)) = waits.min() {
-            let elsewhere = ready.iter().any(|k| self.takes_over(k));
-            return match adapter.is_empty() || !elsewhere {
-                true => Choice::Limited(soonest.clone(), wait),
-                false => Choice::Missing,
+        let soonest = waits.min_by_key(|(wait, id, _)| (*wait, *id));
+        if let Some((Some(wait), id, soonest)) = soonest {
+            let rests = self.rests_for(now, soonest, wait);
+            let stays = adapter.is_empty() || rests && wait <= BRIEF_REST;
+            let elsewhere = !stays && ready.iter().any(|k| self.takes_over(now, k));
+            return match (elsewhere, rests) {
+                (true, _) => Choice::Missing,
+                (false, true) => Choice::Resting(id.clone(), wait),
+                (false, false) => Choice::Limited(id.clone(), wait),
             };
         }
         let holders = holders.into_iter();
--- a/crates/gateway/src/view/hedge.rs
+++ b/crates/gateway/src/view/hedge.rs
@@ -52,12 +52,12 @@
     /// Returns whether a target may take the request and is sound.
     fn fits(&self, now: Time, known: &TargetState, asked: &Second<'_>) -> bool {
         let target = &known.target;
-        let open = target.service == asked.service && target.ready;
+        let open = target.service == asked.service && self.takes_new(now, known);
         let open = open && !asked.tried.contains(&target.id);
         let able = self.holds(known, asked.adapter) && usable(known, now, asked.adapter);
         let able = able && self.runs(now, known, asked.software);
         let sound = !known.is_avoided(now) && known.failures.decayed_rate(now) < FAILING;
-        open && able && sound && self.takes_over(known)
+        open && able && sound && self.takes_over(now, known)
     }
 
     fn is_fast(&self, known: &TargetState, wanted: Wanted) -> bool {
--- a/crates/gateway/src/view/need.rs
+++ b/crates/gateway/src/view/need.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use base::{PerSecond, Time};
+use rest::{EndedRest, Rests};
 use wire::limit::SeenLimit;
 
 use super::{TargetState, View};
 use crate::{
     brittle::Load,
-    rest::Rests,
     target_limit::{KnownLimits, LimitChange, ROOM, Standing},
 };
 
@@ -54,23 +54,32 @@
         let targets = &self.targets;
         self.limits.expire(now, |id| targets.contains_key(id));
         self.brittle.retain(|id| targets.contains_key(id));
+        self.expire_leavers(now);
     }
 
-    /// Returns the time for which a target takes no request, as its limit is used up.
+    /// Returns the time for which a target takes no request: it has asked for rest, or its limit
+    /// is used up.
     pub(super) fn blocked_for(&self, now: Time, known: &TargetState) -> Option<Duration> {
         let limit = match self.limits.standing(now, &known.target.id) {
             Standing::Blocked(wait) => Some(wait),
             Standing::Free | Standing::Limited => None,
         };
-        limit.max(self.brittle_blocked(now, known))
+        let rest = self.rests.wait(now, &known.target.id);
+        rest.max(limit).max(self.brittle_blocked(now, known))
     }
 
-    /// Returns whether a target can take requests over from targets that name limits.
+    /// Returns whether a target takes no request for `wait`, as it has asked for rest.
+    pub(super) fn rests_for(&self, now: Time, known: &TargetState, wait: Duration) -> bool {
+        self.rests.wait(now, &known.target.id) == Some(wait)
+    }
+
+    /// Returns whether a target can take requests over from targets that name limits or rest.
     ///
     /// Failure: most engines name limits, and all that goes beyond these is sent to the
     /// others. Their queues grow until their own callers leave as well.
-    pub(super) fn takes_over(&self, known: &TargetState) -> bool {
-        !self.in_need(&known.target.id) && self.load(known) < ROOM
+    pub(super) fn takes_over(&self, now: Time, known: &TargetState) -> bool {
+        let id = &known.target.id;
+        !self.in_need(id) && !self.rests.is_known(now, id) && self.load(known) < ROOM
     }
 
     /// Takes over what an answer of a target says: how many refusals a second it bears, or
@@ -84,13 +93,31 @@
     }
 
     /// Returns the targets that have asked this instance for rest.
-    pub fn rests(&mut self) -> &mut Rests {
+    pub fn rests(&mut self) -> &mut Rests<String> {
         &mut self.rests
     }
 
+    /// Removes and returns the rests that are over.
+    pub fn take_ended_rests(&mut self, now: Time) -> Vec<EndedRest<String>> {
+        let targets = &self.targets;
+        self.rests.take_ended(now, |id| targets.contains_key(id))
+    }
+
+    /// Returns whether a request that was chosen a target may be written for it now: the target
+    /// takes requests, and hasn't asked for rest.
+    #[must_use]
+    pub fn may_write(&self, now: Time, id: &str) -> bool {
+        let Some(known) = self.targets.get(id) else {
+            return false;
+        };
+        let takes = self.takes_new(now, known) || self.is_last_resort(now, known);
+        takes && !self.rests.is_resting(now, id)
+    }
+
     /// Notes that a target refused a request for want of room.
     pub fn no_room(&mut self, now: Time, id: &str) {
         self.brittle.refused(now, id);
+        self.rests.refused(now, id);
         self.note_full(now, id);
     }
 
--- a/crates/gateway/src/view/software.rs
+++ b/crates/gateway/src/view/software.rs
@@ -46,6 +46,7 @@
 
     /// Notes that the process of a target has ended.
     pub fn ended(&mut self, now: Time, id: &str) {
+        self.forget_said(id);
         if self.targets.contains_key(id) {
             let at = self.software.ended.entry(id.to_owned()).or_insert(now);
             *at = now.max(*at);
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod body;
 pub mod client;
 pub mod reply;
+pub mod rest;
 pub mod server;
 pub mod sse;
 pub mod timeout;
--- a/crates/wire/src/explain.rs
+++ b/crates/wire/src/explain.rs
@@ -120,6 +120,8 @@
         NoTarget,
         /// All targets that could take it have used up the limits that they name.
         Limited,
+        /// All targets that could take it rest.
+        Resting,
         /// No zone owner can order a load now.
         NoOrders,
         /// The adapter can't be loaded in the time that the request would wait.
@@ -179,6 +181,13 @@
             /// After this time.
             wait_ms: u64,
         },
+        /// It waits as all targets that could take it rest or have just rested.
+        Resting {
+            /// The target that may take it first.
+            target: String,
+            /// After this time.
+            wait_ms: u64,
+        },
         /// No target can take it.
         NoTarget,
     }
@@ -268,6 +277,11 @@
             /// For so long.
             left_ms: u64,
         },
+        /// It has asked this instance for rest, or has just rested and takes few requests.
+        Resting {
+            /// For so long.
+            left_ms: u64,
+        },
         /// It is still loading the adapter.
         Loading {
             /// For so long.
