Load adapters elsewhere that only resting engines hold

Callers whose adapter's only holder rests would wait in vain, as a zone owner loads nothing that is held, and would rather load at the resting engine, which looks idle. Entry instances now tell the owner of the zone as a rest begins; an engine that half of them or more may send nothing to is closed for placement and for loads while it rests, unless all are. One instance alone asks for one more copy, as it does for a backlog.

--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -50,6 +50,7 @@
             | Call::Streams(_)
             | Call::FindStream(_)
             | Call::Retries(_)
+            | Call::Rests(_)
             | Call::Admission(_)
             | Call::Renew { .. }
             | Call::Edition { .. } => Reply::Redirect {
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -404,6 +404,10 @@
                 let answer = self.broker.report(self.clock.now(), &report);
                 to.send(Reply::Retries(answer)).ok();
             }
+            Call::Rests(report) => {
+                self.zone_owner.rest_report(self.clock.now(), &report);
+                to.send(Reply::Done).ok();
+            }
             Call::Admission(report) => {
                 to.send(Reply::Admission(self.admission_report(&report)))
                     .ok();
--- a/crates/frontd/src/entry/rests.rs
+++ b/crates/frontd/src/entry/rests.rs
@@ -1,19 +1,33 @@
 //! What targets say of themselves for all further requests of this instance: that they want rest,
 //! and that they leave.
 
+use std::{sync::Arc, time::Duration};
+
 use hyper::{HeaderMap, StatusCode};
 use telemetry::{event, prom_metrics};
 use web::rest::asked_rest;
+use wire::{
+    call::Call,
+    rest::{RestReport, RestingTarget},
+};
 
 use super::{headers, lists, state::State};
 
+/// Time-out of a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Value by which a target says that it leaves.
 const LEAVING: &str = "1";
 
 /// Takes over what an answer of a target says: for how long it wants nothing from this instance,
 /// and that it leaves. A value that can't be read changes nothing, and neither does a refusal as
 /// misdirected, which may come from another target.
-pub(super) fn note_answer(state: &State, target: &str, status: StatusCode, headers: &HeaderMap) {
+pub(super) fn note_answer(
+    state: &Arc<State>,
+    target: &str,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
     if status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
@@ -33,10 +47,31 @@
                 target = target,
                 rest_ms = rest.as_millis()
             );
+            let (state, target) = (Arc::clone(state), target.to_owned());
+            tokio::spawn(async move { report(&state, target).await });
         }
     }
 }
 
+/// Reports a target that rests to the owner of its zone, who has its adapters loaded elsewhere
+/// if it rests for many.
+async fn report(state: &State, target: String) {
+    let now = state.now();
+    let zone = state.view().zone_of(&target).map(str::to_owned);
+    let left = state.view().rests().left(now, target.as_str());
+    let owner = zone.and_then(|zone| state.controls.owner(now, &zone));
+    let (Some(owner), Some(left)) = (owner, left) else {
+        return;
+    };
+    let report = RestReport {
+        instance: state.name.clone(),
+        resting: vec![RestingTarget { target, left }],
+    };
+    let link = state.links.to(owner.address);
+    // Without it, the owner hears of the next rest.
+    link.call(Call::Rests(report), REPORT_TIMEOUT).await.ok();
+}
+
 fn note_leaving(state: &State, target: &str) {
     let now = state.now();
     state.view().says_leaving(now, target);
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -306,9 +306,14 @@
     /// Requests a load of an adapter in its home zone; a later `round` requests it in its
     /// next zone.
     pub(super) fn request_load(&self, service: &str, adapter: &str, round: usize) {
-        if let Some(zone) = self.load_zone(service, adapter, round) {
-            self.controls.want(&zone, adapter);
+        let Some(zone) = self.load_zone(service, adapter, round) else {
+            return;
+        };
+        if self.view().has_resting_holder(self.now(), adapter) {
+            // The owner loads nothing that is held, unless more copies are asked for.
+            self.controls.copy(&zone, adapter);
         }
+        self.controls.want(&zone, adapter);
     }
 
     /// Returns the zone in which a load of an adapter is requested.
--- a/crates/gateway/src/view/need.rs
+++ b/crates/gateway/src/view/need.rs
@@ -68,6 +68,16 @@
         rest.max(limit).max(self.brittle_blocked(now, known))
     }
 
+    /// Returns whether a target that holds an adapter has asked this instance for rest.
+    #[must_use]
+    pub fn has_resting_holder(&self, now: Time, adapter: &str) -> bool {
+        let mut resting = self.rests.resting(now);
+        resting.any(|(id, _)| {
+            let known = self.targets.get(id);
+            known.is_some_and(|known| self.holds(known, adapter))
+        })
+    }
+
     /// Returns whether a target takes no request for `wait`, as it has asked for rest.
     pub(super) fn rests_for(&self, now: Time, known: &TargetState, wait: Duration) -> bool {
         self.rests.wait(now, &known.target.id) == Some(wait)
--- a/crates/gateway/src/zone_owner.rs
+++ b/crates/gateway/src/zone_owner.rs
@@ -18,6 +18,7 @@
 mod plan;
 mod queue;
 mod rates;
+mod rests;
 mod rooms;
 mod slowness;
 mod synced;
@@ -45,6 +46,7 @@
     estimate::{MemoryEstimate, StoreEstimate},
     models::ModelEstimate,
     placement::Placement,
+    rests::RestingEngines,
     slowness::Slowness,
     target_updates::TargetUpdates,
     traffic::Traffic,
@@ -225,6 +227,7 @@
     pending: Vec<PendingSync>,
     /// The limits that targets name.
     limits: Granter,
+    rests: RestingEngines,
     /// Whether goals are tight, so that copies are placed by the time that callers will wait.
     tight: bool,
 }
@@ -270,6 +273,7 @@
             full: 0,
             pending: Vec::new(),
             limits: Granter::default(),
+            rests: RestingEngines::default(),
             tight: false,
         }
     }
@@ -539,6 +543,7 @@
 
     fn expire(&mut self, now: Time) {
         self.traffic.expire(now);
+        self.update_rests(now);
         self.wants
             .retain(|_, want| now.since(want.last_asked) < WANTED_TIME);
         self.stream_wants
@@ -598,14 +603,15 @@
     }
 
     /// Returns the engines whose copies of adapters count and on which more are loaded: those
-    /// that name no limit, or all if each names one.
+    /// that name no limit and don't rest, or all if none is left.
     ///
     /// Failure: an engine names a limit far below what its adapters are requested for.
     /// Their other callers would wait in vain, as nobody loads what is held already.
     fn open_engines(&self) -> BTreeSet<&str> {
         let serving = self.engines.keys().filter(|id| self.serves(id));
-        let unlimited = serving.clone().filter(|id| !self.limits.is_limited(id));
-        let open: BTreeSet<&str> = unlimited.map(String::as_str).collect();
+        let open = serving.clone();
+        let open = open.filter(|id| !self.limits.is_limited(id) && !self.rests.is_closed(id));
+        let open: BTreeSet<&str> = open.map(String::as_str).collect();
         if open.is_empty() {
             return serving.map(String::as_str).collect();
         }
--- a/crates/gateway/tests/explain.rs
+++ b/crates/gateway/tests/explain.rs
@@ -98,6 +98,11 @@
                         view.limits().sent(NOW, id);
                     });
                 }
+                5 => {
+                    let rest = Duration::from_millis(rng.random_range(0..1_500));
+                    view.rests().asked(NOW, id, rest);
+                }
+                6 if rng.random_bool(0.3) => view.says_leaving(NOW, id),
                 4 => {
                     view.seen_brittle(id, Some(PerSecond(rng.random_range(0..3))));
                 }
@@ -143,7 +148,7 @@
 /// that leaves the choice otherwise than it found it.
 #[gtest]
 fn what_is_explained_is_what_is_chosen() {
-    let mut kinds = [0; 5];
+    let mut kinds = [0; 6];
     for seed in 0..10_000 {
         let drawn = Drawn::new(seed);
         let before = format!("{:?}", drawn.view);
@@ -165,6 +170,7 @@
             Choice::Missing => 2,
             Choice::Limited(..) => 3,
             Choice::NoTarget => 4,
+            Choice::Resting(..) => 5,
         }] += 1;
     }
     // None of the choices is left out by how states are drawn.
--- a/crates/gateway/tests/zone_owner.rs
+++ b/crates/gateway/tests/zone_owner.rs
@@ -12,6 +12,8 @@
 mod loads;
 #[path = "zone_owner/many.rs"]
 mod many;
+#[path = "zone_owner/rests.rs"]
+mod rests;
 #[path = "zone_owner/rooms.rs"]
 mod rooms;
 #[path = "zone_owner/slowness.rs"]
--- /dev/null
+++ b/crates/gateway/tests/zone_owner/rests.rs
@@ -0,0 +1,51 @@
+//! Engines that have asked entry instances for rest.
+
+use std::time::Duration;
+
+use base::InstanceName;
+use gateway::zone_owner::{Input, OrderOutcome};
+use googletest::prelude::*;
+use wire::rest::{RestReport, RestingTarget};
+
+use crate::world::World;
+
+const REST: Duration = Duration::from_secs(3);
+
+fn report(world: &mut World, instance: &str, target: &str) {
+    let report = RestReport {
+        instance: InstanceName::try_from(instance).unwrap(),
+        resting: vec![RestingTarget {
+            target: target.to_owned(),
+            left: REST,
+        }],
+    };
+    world.owner.rest_report(world.now, &report);
+    world.give(Input::Wake);
+}
+
+/// Guards against callers who wait for an adapter whose only holder rests, and against loads at
+/// an engine that looks idle as it rests.
+#[gtest]
+fn an_adapter_of_a_resting_engine_is_loaded_elsewhere() {
+    let mut world = World::new(2);
+    world.want(&["m/a"]);
+    let first = world.end(OrderOutcome::Accepted);
+    world.pass(700);
+    report(&mut world, "f1", &first.id);
+    world.want(&["m/a"]);
+    assert_that!(world.orders.len(), eq(1));
+    assert_that!(world.orders[0].id, not(eq(&first.id)));
+}
+
+/// Guards against loads that outlast a rest, or that one instance alone causes.
+#[gtest]
+fn an_engine_that_rests_no_longer_counts_again() {
+    let mut world = World::new(2);
+    world.want(&["m/a"]);
+    let first = world.end(OrderOutcome::Accepted);
+    world.pass(700);
+    report(&mut world, "f1", &first.id);
+    world.pass(u64::try_from(REST.as_millis()).unwrap());
+    world.want(&["m/a"]);
+    assert_that!(world.orders, is_empty());
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -29,6 +29,7 @@
     operator::{Applied, Apply, Explain, Explained},
     patch::Patch,
     quarantine::{CrashReport, Quarantine},
+    rest::RestReport,
     retry::{RetryAnswer, RetryReport},
     stream::{FindStream, FoundStream, StreamSync, StreamSynced},
 };
@@ -121,6 +122,9 @@
             /// Its own zone.
             zone: String,
         },
+        /// Entry to zone owner: targets that have asked the caller for rest. A call of its own,
+        /// made only where some have.
+        Rests(RestReport),
     }
 
     /// The answer to a call.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod patch;
 pub mod platform;
 pub mod quarantine;
+pub mod rest;
 pub mod retry;
 pub mod stream;
