Give targets their rest in the product's own way of serving

A target's wish for rest reached the one request that it turned away, and its caller if that was the last attempt; the next request went there again. The router now passes such a target over with the same code as the users' way (crate rest), a queue at an engine's owner sends it nothing, what waits there goes elsewhere if the rest is longer than a load, and what an owner says of an attempt is no word of the engine. A plain 503 with Retry-After counts whether or not it says that it didn't start the request. A target whose answer says that it leaves (x-engine-leaving) gets nothing until it starts again.

--- a/crates/entryd/src/attempts.rs
+++ b/crates/entryd/src/attempts.rs
@@ -6,7 +6,7 @@
 use base::{Class, Mark, Refusal, Verdict};
 use bytes::{Bytes, BytesMut};
 use hyper::{HeaderMap, Method, header as http};
-use node::{AnswerEnd, Attempt, Input, Progress, Route};
+use node::{AnswerEnd, Attempt, Input, Progress, Route, Word};
 use request::Part;
 use serde_json::Value;
 use telemetry::span;
@@ -16,6 +16,7 @@
     client::{Answer, Broken, Framing, Limits, Send, is_json},
     header_value,
     reply::ErrorInfo,
+    rest::asked_rest,
     sse::{self, Parser},
 };
 use wire::{call, header};
@@ -182,6 +183,7 @@
     }
 
     async fn answer(&mut self, mut answer: Answer) {
+        self.note_words(&answer);
         if answer.refused() || refused_by_peer(&answer) {
             self.refused(&answer);
             return;
@@ -344,6 +346,22 @@
         });
     }
 
+    /// Reports what a target says in an answer about further requests. Owners of engines answer
+    /// for their engines, and these speak to the owners.
+    fn note_words(&self, answer: &Answer) {
+        if matches!(self.attempt.route, Route::Owner { .. }) {
+            return;
+        }
+        let rests = asked_rest(answer.status, &answer.headers).map(Word::Rests);
+        let leaves = answer.header(header::LEAVING) == Some("true");
+        for word in rests.into_iter().chain(leaves.then_some(Word::Leaves)) {
+            self.state.send_input(Input::Said {
+                target: self.attempt.target.clone(),
+                word,
+            });
+        }
+    }
+
     /// Reports the failure that the target, or the instance that owns it, answered with.
     fn refused(&mut self, answer: &Answer) {
         let reason = answer.header(header::REASON).and_then(|raw| {
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -133,6 +133,9 @@
                 target,
                 ask,
             } => self.on_queue(shared, now, ticket, target, ask, out),
+            Msg::Rests(target, rest) => {
+                self.drive_scheduler(shared, now, SchedulerInput::Rests(target, rest), out);
+            }
             Msg::Dequeue(ticket) => {
                 self.waits.left(ticket);
                 self.drive_scheduler(shared, now, SchedulerInput::Cancel(ticket), out);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -11,6 +11,7 @@
 mod hop;
 mod ping;
 mod place;
+mod words;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -102,6 +103,9 @@
             Msg::Input(Input::TargetChecked { target, crashed }) => {
                 self.target_checked(shared, now, &target, crashed, out);
             }
+            Msg::Input(Input::Said { target, word }) => {
+                self.said(shared, now, (&target, word), out);
+            }
             Msg::TargetUpdate(update) => self.router.apply(now, update),
             Msg::Owner(target, owner, fence) => self.note_owner(target, owner, fence),
             Msg::Dispatch { ticket, priority } => self.dispatch(shared, now, ticket, priority, out),
@@ -198,6 +202,7 @@
         progress: Progress,
         out: &mut Out,
     ) {
+        self.note_turned_away(now, (ticket, attempt), &progress, out);
         if self.hops.has(ticket) {
             self.hops.progress(ticket, step, progress, out);
             return;
--- a/crates/node/src/entry/explain.rs
+++ b/crates/node/src/entry/explain.rs
@@ -99,6 +99,7 @@
                 RouterStanding::Ejected => Standing::LeftOut,
                 RouterStanding::Leaving => Standing::Leaving,
                 RouterStanding::Unreachable => Standing::Unreachable,
+                RouterStanding::Resting => Standing::Resting,
             },
         })
     }
--- a/crates/node/src/entry/hop.rs
+++ b/crates/node/src/entry/hop.rs
@@ -45,6 +45,11 @@
         self.requests.contains_key(&ticket)
     }
 
+    /// Returns the target of a request that is forwarded here.
+    pub(super) fn target(&self, ticket: Ticket) -> Option<TargetNo> {
+        self.requests.get(&ticket).map(|forwarded| forwarded.target)
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.requests.is_empty()
     }
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -141,6 +141,15 @@
     },
 }
 
+/// What a target says in an answer about further requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// It wants nothing from this instance for so long.
+    Rests(Duration),
+    /// It leaves.
+    Leaves,
+}
+
 /// An event that the driver reports to the node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Input {
@@ -210,6 +219,13 @@
         /// The call.
         body: Call,
     },
+    /// An answer of a target says something about all further requests of this instance.
+    Said {
+        /// The target.
+        target: TargetName,
+        /// What it says.
+        word: Word,
+    },
     /// The check requested by [`Output::CheckTarget`] ended.
     TargetChecked {
         /// The target.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,7 +22,7 @@
 pub use crate::{
     io::{
         AnswerEnd, Arrival, Attempt, Ending, Event, Flow, Hop, IdempotencyKey, Input, Order,
-        OrderEnd, Output, Progress, Route,
+        OrderEnd, Output, Progress, Route, Word,
     },
     names::Names,
     node::Node,
--- a/crates/node/src/msg.rs
+++ b/crates/node/src/msg.rs
@@ -1,6 +1,6 @@
 //! Messages between the services of one node, and the names of the services.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use base::{AdapterKey, Failure, Fence, Incarnation, InstanceName, TargetNo, Ticket, Verdict};
 use kernel::Name;
@@ -57,6 +57,8 @@
     Drain,
     /// An update of the router's directory of targets and adapters.
     TargetUpdate(RouterUpdate),
+    /// A target wants nothing from this instance for so long.
+    Rests(TargetNo, Duration),
     /// An engine's owner and its fencing number, from the leader's roster.
     Owner(TargetNo, InstanceName, Fence),
     /// A request that uses this adapter was sent to an engine owned here.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -6,8 +6,11 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{AdapterKey, AdapterNo, Class, Failure, Refusal, StableHash, TargetNo, Time, Version};
+use base::{
+    AdapterKey, AdapterNo, Class, Failure, Refusal, Seed, StableHash, TargetNo, Time, Version,
+};
 use place::Demand;
+use rest::Rests;
 
 use crate::{
     Choice, PoolNo, Report, RequestSpec, Residents, RouterUpdate, Target, ZoneNo,
@@ -69,6 +72,8 @@
     holders: BTreeMap<AdapterKey, Vec<TargetNo>>,
     prefixes: Prefixes,
     upgrades: BTreeMap<AdapterNo, Upgrade>,
+    /// Targets that have asked this instance for rest.
+    rests: Rests<TargetNo>,
     /// Seconds to the first token: moving average over all targets.
     first_token: f32,
     rng: Rng,
@@ -103,6 +108,7 @@
             holders: BTreeMap::new(),
             prefixes: Prefixes::new(),
             upgrades: BTreeMap::new(),
+            rests: Rests::new(Seed(seed)),
             first_token: 0.0,
             rng: Rng::new(seed),
         }
@@ -116,6 +122,12 @@
             RouterUpdate::Leaving(target) => {
                 self.update_target(target, |state| state.leaving = true)
             }
+            RouterUpdate::Rests(target, rest) => {
+                self.rests.asked(now, &target, rest);
+            }
+            RouterUpdate::SaysLeaving(target) => {
+                self.update_target(target, |state| state.said_leaving = true);
+            }
             RouterUpdate::Reachable(target, yes) => {
                 self.update_target(target, |state| state.reachable = yes)
             }
@@ -123,6 +135,7 @@
             RouterUpdate::Residents(update) => self.residents(&update),
             RouterUpdate::Report(report) => self.report(&report),
             RouterUpdate::AttemptSent(target) => {
+                self.rests.begin(now, &target);
                 self.update_target(target, |state| state.in_flight += 1)
             }
             RouterUpdate::ResponseBegan(target, after) => self.began(target, after),
@@ -155,7 +168,7 @@
         };
         self.demand.note(now, key.adapter, 1.0);
         let Some(target) = self.pick(now, spec, key, avoid) else {
-            return Err(self.unavailable());
+            return Err(self.unavailable(now, spec.pool));
         };
         self.prefixes.note(now, spec.prefix, target);
         self.update_target(target, |state| state.count_chosen(spec.class));
@@ -223,7 +236,7 @@
         for target in holders.iter().filter(|t| !avoid.contains(t)) {
             let Some(state) = self
                 .state(*target)
-                .filter(|k| k.usable() && !k.is_ejected(now))
+                .filter(|k| self.takes(now, k) && !k.is_ejected(now))
             else {
                 continue;
             };
@@ -274,7 +287,7 @@
             if rank < homes[HOME_CANDIDATES - 1].0 || avoid.contains(&member.target) {
                 continue;
             }
-            let Some(state) = self.state(member.target).filter(|k| k.usable()) else {
+            let Some(state) = self.state(member.target).filter(|k| self.takes(now, k)) else {
                 continue;
             };
             if state.is_ejected(now) || state.load(now, spec.class, self.first_token) >= 1.0 {
@@ -320,7 +333,7 @@
                 target,
                 resident: true,
             }),
-            None => Err(self.unavailable()),
+            None => Err(self.unavailable(now, pool)),
         }
     }
 
@@ -342,7 +355,7 @@
         let mut best: Option<(bool, f32, TargetNo)> = None;
         for i in 0..members.len() {
             let target = members[(start + i) % members.len()].target;
-            let Some(state) = self.state(target).filter(|k| k.usable()) else {
+            let Some(state) = self.state(target).filter(|k| self.takes(now, k)) else {
                 continue;
             };
             if avoid.contains(&target) {
@@ -359,8 +372,17 @@
         best.map(|(_, _, target)| target)
     }
 
-    fn unavailable(&mut self) -> Failure {
+    /// Returns whether the next request may be sent to a target.
+    fn takes(&self, now: Time, state: &TargetState) -> bool {
+        state.usable() && self.rests.wait(now, &state.target.target).is_none()
+    }
+
+    fn unavailable(&mut self, now: Time, pool: PoolNo) -> Failure {
+        let members = self.pools.get(pool.0 as usize).into_iter().flatten();
+        let rests = members.filter_map(|member| self.rests.left(now, &member.target));
+        let rest = rests.min().unwrap_or_default().as_secs_f64();
         let wait = RETRY_AFTER_SECS * (0.5 + self.rng.next_f64());
+        let wait = if rest > 0.0 { rest.max(wait) } else { wait };
         Failure::not_run(Refusal::Unavailable).retry_after(Duration::from_secs_f64(wait))
     }
 
@@ -402,6 +424,7 @@
         }
         let held = std::mem::take(&mut state.residents);
         state.restarted(now, target);
+        self.rests.forget(&target.target);
         for key in held {
             self.remove_holder(key, target.target);
         }
@@ -418,6 +441,7 @@
         for key in state.residents {
             self.remove_holder(key, target);
         }
+        self.rests.forget(&target);
         self.pools[state.target.pool.0 as usize].retain(|m| m.target != target);
         self.prefixes.forget(target);
     }
--- a/crates/route/src/router/explain.rs
+++ b/crates/route/src/router/explain.rs
@@ -39,6 +39,8 @@
     Leaving,
     /// The target can't be reached from this instance.
     Unreachable,
+    /// The target has asked this instance for rest, or has just rested.
+    Resting,
 }
 
 impl Router {
@@ -67,14 +69,17 @@
             target: member.target,
             holds: spec.key.is_some_and(|key| state.residents.contains(&key)),
             load: state.load(now, spec.class, self.first_token),
-            eligibility: state.eligibility(now),
+            eligibility: match self.rests.wait(now, &member.target) {
+                Some(_) if state.usable() => Eligibility::Resting,
+                _ => state.eligibility(now),
+            },
         })
     }
 }
 
 impl TargetState {
     fn eligibility(&self, now: Time) -> Eligibility {
-        if self.leaving {
+        if self.leaving || self.said_leaving {
             return Eligibility::Leaving;
         }
         if !self.reachable {
--- a/crates/route/src/router/target_state.rs
+++ b/crates/route/src/router/target_state.rs
@@ -49,6 +49,8 @@
     pub(super) target: Target,
     pub(super) fence: Fence,
     pub(super) leaving: bool,
+    /// Whether an answer of this incarnation has said that it leaves.
+    pub(super) said_leaving: bool,
     pub(super) reachable: bool,
     pub(super) residents: Vec<AdapterKey>,
     /// Attempts sent by this instance and not ended.
@@ -78,6 +80,7 @@
             target,
             fence: Fence(0),
             leaving: false,
+            said_leaving: false,
             reachable: true,
             residents: Vec::new(),
             in_flight: 0,
@@ -105,7 +108,7 @@
     }
 
     pub(super) fn usable(&self) -> bool {
-        self.reachable && !self.leaving
+        self.reachable && !self.leaving && !self.said_leaving
     }
 
     /// Returns whether the target is ejected because of its failures.
--- a/crates/route/src/scheduler.rs
+++ b/crates/route/src/scheduler.rs
@@ -11,8 +11,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use base::{BrandNo, Class, Failure, Refusal, TargetNo, Ticket, Time};
+use base::{BrandNo, Class, Failure, Refusal, Seed, TargetNo, Ticket, Time};
 use place::{Backoff, Budget, Demand};
+use rest::Rests;
 
 use crate::{
     BrandShare, Input, Output, RequestSpec,
@@ -25,6 +26,8 @@
 pub struct Scheduler {
     engines: BTreeMap<TargetNo, OwnedEngine>,
     requests: BTreeMap<Ticket, Request>,
+    /// Engines that have asked this instance for rest.
+    rests: Rests<TargetNo>,
     demand: Demand,
     budget: Budget,
     backoff: Backoff,
@@ -75,6 +78,7 @@
         Scheduler {
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
+            rests: Rests::new(Seed(seed)),
             demand: Demand::new(),
             budget: Budget::new(Time::ZERO, 0),
             backoff: Backoff::default(),
@@ -96,6 +100,7 @@
         }
         match input {
             Input::Brand { brand, weight } => self.brand(brand).weight = weight.max(1),
+            Input::Rests(target, rest) => self.rest(now, target, rest, out),
             Input::Adapter { adapter, .. } => self.demand.reserve(adapter),
             Input::Owned {
                 engine,
@@ -302,7 +307,11 @@
         let due = self.engines.values().flat_map(|b| b.due.iter());
         let due = due.filter_map(|d| d.first().map(|(at, _)| *at)).min();
         let load = self.blocked.next(now, &self.budget);
-        let Some(at) = due.into_iter().chain(load).min() else {
+        let waits = |owned: &OwnedEngine| owned.due.iter().any(|due| !due.is_empty());
+        let waiting = self.engines.iter().filter(|(_, owned)| waits(owned));
+        let rests = waiting.filter_map(|(target, _)| self.rests.wait(now, target));
+        let rest = rests.min().map(|wait| now + wait);
+        let Some(at) = due.into_iter().chain(load).chain(rest).min() else {
             return;
         };
         if self.wake.is_none_or(|before| at < before) {
--- a/crates/route/src/scheduler/admit.rs
+++ b/crates/route/src/scheduler/admit.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use base::{BrandNo, Class, Failure, Refusal, TargetNo, Time};
+use base::{BrandNo, Class, Failure, Refusal, TargetNo, Ticket, Time};
 
 use crate::{
-    RequestSpec,
+    Output, RequestSpec,
     scheduler::{Scheduler, owned::OwnedEngine},
 };
 
@@ -23,6 +23,9 @@
 /// Longest `Retry-After` before it is spread, in seconds.
 const RETRY_AFTER_MAX_SECS: f64 = 60.0;
 
+/// Longest rest of an engine for which a new request is queued there.
+const REST_WAIT: Duration = Duration::from_millis(250);
+
 impl Scheduler {
     /// Checks a new request against class, brand and deadline.
     ///
@@ -41,6 +44,9 @@
         target: TargetNo,
         spec: &RequestSpec,
     ) -> Result<(), Failure> {
+        if let Some(failure) = self.resting(now, target) {
+            return Err(failure);
+        }
         let Some(owned) = self.engines.get(&target) else {
             return Err(Failure::not_run(Refusal::Unavailable));
         };
@@ -72,6 +78,41 @@
         Ok(())
     }
 
+    /// Notes that an engine wants nothing for so long. What is queued there goes elsewhere,
+    /// unless the rest is brief.
+    pub(super) fn rest(
+        &mut self,
+        now: Time,
+        target: TargetNo,
+        rest: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        self.rests.asked(now, &target, rest);
+        let Some(failure) = self.resting(now, target) else {
+            return;
+        };
+        let owned = self.engines.get(&target);
+        let queued = owned
+            .into_iter()
+            .flat_map(|owned| owned.due.iter().flatten());
+        let queued: Vec<Ticket> = queued.map(|(_, ticket)| *ticket).collect();
+        for ticket in queued {
+            self.refuse(ticket, failure.clone(), out);
+        }
+    }
+
+    /// Returns the refusal of a request for an engine that rests for longer than a request waits
+    /// there.
+    fn resting(&mut self, now: Time, target: TargetNo) -> Option<Failure> {
+        let rest = self.rests.left(now, &target)?;
+        if rest <= REST_WAIT {
+            return None;
+        }
+        base::hit!(resting_engine_refused);
+        let wait = self.retry_after(rest.as_secs_f64());
+        Some(Failure::not_run(Refusal::Unavailable).retry_after(wait.max(rest)))
+    }
+
     /// Returns a random `Retry-After` from half to one and a half of `secs`, so that
     /// callers refused at the same time don't return at the same time.
     pub(super) fn retry_after(&mut self, secs: f64) -> Duration {
--- a/crates/route/src/scheduler/engines.rs
+++ b/crates/route/src/scheduler/engines.rs
@@ -75,6 +75,7 @@
             evicting.filter(|s| matches!(s.state, SlotState::Unloading { next: Some(_) }));
         let evicting = evicting.count();
         self.engines.remove(&target);
+        self.rests.forget(&target);
         self.backoff.forget(target);
         self.drop_loads(target, evicting);
         for item in items {
--- a/crates/route/src/scheduler/send.rs
+++ b/crates/route/src/scheduler/send.rs
@@ -17,10 +17,13 @@
     pub(super) fn send_all(&mut self, now: Time, out: &mut Vec<Output>) {
         let targets: Vec<TargetNo> = self.engines.keys().copied().collect();
         for target in targets {
-            while let Some(class) = self.next_class(now, target) {
+            while self.rests.wait(now, &target).is_none()
+                && let Some(class) = self.next_class(now, target)
+            {
                 if !self.send_one(now, target, class, out) {
                     break;
                 }
+                self.rests.begin(now, &target);
             }
             self.preempt_for_urgent(now, target, out);
         }
--- a/crates/route/src/scheduler_io.rs
+++ b/crates/route/src/scheduler_io.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs of the owner's scheduler.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use base::{
     AdapterKey, AdapterNo, BrandNo, Failure, Incarnation, StableHash, TargetNo, Ticket, Time,
@@ -54,6 +54,8 @@
         /// The brand's share relative to the other brands' weights.
         weight: u32,
     },
+    /// An engine has turned a request away and wants nothing from this instance for so long.
+    Rests(TargetNo, Duration),
     /// An adapter exists.
     Adapter {
         /// Number of the adapter.
--- a/crates/route/src/update.rs
+++ b/crates/route/src/update.rs
@@ -22,6 +22,10 @@
     Target(Target),
     /// A target is leaving: it gets no new requests.
     Leaving(TargetNo),
+    /// A target has turned a request of this instance away and wants nothing from it for so long.
+    Rests(TargetNo, Duration),
+    /// An answer of a target says that it leaves, whatever the platform's list says.
+    SaysLeaving(TargetNo),
     /// A target became unreachable from this instance (`false`) or reachable again
     /// (`true`).
     Reachable(TargetNo, bool),
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -299,6 +299,23 @@
     assert_that!(failure.retry, some(gt(Duration::ZERO)));
 }
 
+/// Guards against requests to a target whose answers say that it leaves, while the list says
+/// that it is live, and against a target that has started again and gets none.
+#[test]
+fn a_target_that_says_it_leaves_gets_nothing_until_it_starts_again() {
+    let mut router = router();
+    let plain = spec(None, Class::Critical);
+    for no in [11, 12, 13] {
+        router.apply(Time::ZERO, RouterUpdate::Removed(TargetNo(no)));
+    }
+    router.apply(Time::ZERO, RouterUpdate::SaysLeaving(TargetNo(10)));
+    let live = |incarnation| RouterUpdate::Target(target(10, PLAIN, 0, incarnation));
+    router.apply(Time::ZERO, live(1));
+    assert_that!(router.choose(Time::ZERO, &plain, &[]), err(anything()));
+    router.apply(Time::ZERO, live(2));
+    assert_that!(chosen(&mut router, 0, &plain), eq(10));
+}
+
 #[test]
 fn a_plain_request_stays_in_its_zone_until_another_is_clearly_better() {
     let mut router = router();
--- a/crates/route/tests/scheduler.rs
+++ b/crates/route/tests/scheduler.rs
@@ -2,7 +2,7 @@
 //! the actions expected of the scheduler, as lines `> ...`. A comment at the top says
 //! what the fixture tests.
 
-use std::fmt::Write as _;
+use std::{fmt::Write as _, time::Duration};
 
 use base::{AdapterKey, AdapterNo, BrandNo, Incarnation, TargetNo, Ticket, Time, Tokens, Version};
 use googletest::prelude::*;
@@ -24,6 +24,7 @@
         batch_load: ("batch_load_due", include_str!("scheduler/batch_load.txt")),
         slot_cleared: ("slot_cleared", include_str!("scheduler/slot_cleared.txt")),
         broken_adapter: ("load_backed_off", include_str!("scheduler/broken_adapter.txt")),
+        resting: ("resting_engine_refused", include_str!("scheduler/resting.txt")),
         late: ("late_refused", include_str!("scheduler/late.txt")),
         out_of_reach: ("deadline_out_of_reach", include_str!("scheduler/out_of_reach.txt")),
         brand_over_share: ("brand_over_share", include_str!("scheduler/brand_over_share.txt")),
@@ -161,6 +162,7 @@
             old: key(first),
             new: key(words[2]),
         },
+        "rests" => Input::Rests(target(), Duration::from_millis(number(words[2]))),
         "wake" => Input::Wake,
         other => panic!("no event `{other}`"),
     }
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -31,6 +31,8 @@
 pub const PRIORITY: &str = "x-quetzal-priority";
 /// On an engine's refusal: `false` if the engine did not start the request.
 pub const STARTED: &str = "x-engine-started";
+/// On any answer of a target: `true` if the target will stop and takes no further requests.
+pub const LEAVING: &str = "x-engine-leaving";
 /// To an engine: number of tokens of an interrupted stream that the caller already has;
 /// on its answer: number of tokens after which the answer begins.
 pub const RESUME_FROM: &str = "x-engine-resume-from";
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -248,6 +248,8 @@
         Leaving,
         /// It can't be reached from this instance.
         Unreachable,
+        /// It has asked this instance for rest, or has just rested.
+        Resting,
     }
 }
 
