Keep orders from engines that have asked for rest

An order that an engine turns away with a time of rest had an unknown outcome: the next one went out after a fixed pause. It is now known not to be carried out, and the engine gets no order and no question for its state meanwhile. Test: an_engine_that_turns_an_order_away_gets_none_while_it_rests.

--- a/crates/gateway/src/zone_owner/engine.rs
+++ b/crates/gateway/src/zone_owner/engine.rs
@@ -217,6 +217,10 @@
                 self.next_load = None;
                 self.paused_until = now + lag;
             }
+            OrderOutcome::Resting(rest) => {
+                self.next_load = None;
+                self.paused_until = now + rest.min(rest::LONGEST);
+            }
             // Failure: an order without an answer may have been executed, or may be
             // later. The next order carries the same expected count: the engine accepts
             // it only if the earlier one was not executed before, and will then refuse
--- a/crates/gateway/src/zone_owner/message.rs
+++ b/crates/gateway/src/zone_owner/message.rs
@@ -107,6 +107,8 @@
     Conflict,
     /// It will not be executed.
     Refused,
+    /// It will not be executed, and the engine wants nothing from this instance for so long.
+    Resting(Duration),
     /// Unknown outcome: no answer arrived, and the order may still be executed seconds
     /// later.
     Unknown,
@@ -121,6 +123,7 @@
             OrderOutcome::Done => "done",
             OrderOutcome::Conflict => "conflict",
             OrderOutcome::Refused => "refused",
+            OrderOutcome::Resting(_) => "resting",
             OrderOutcome::Unknown => "unknown",
         }
     }
--- a/crates/gateway/tests/zone_owner/rests.rs
+++ b/crates/gateway/tests/zone_owner/rests.rs
@@ -49,3 +49,20 @@
     world.want(&["m/a"]);
     assert_that!(world.orders, is_empty());
 }
+
+/// Guards against orders to an engine that has asked the owner of its zone for rest.
+#[gtest]
+fn an_engine_that_turns_an_order_away_gets_none_while_it_rests() {
+    let mut world = World::new(1);
+    world.want(&["m/a"]);
+    world.end(OrderOutcome::Resting(REST));
+    let ms = u64::try_from(REST.as_millis()).unwrap();
+    for _ in 0..5 {
+        world.want(&["m/a"]);
+        assert_that!(world.orders, is_empty());
+        world.pass(ms / 6);
+    }
+    world.pass(ms);
+    world.want(&["m/a"]);
+    assert_that!(world.orders.len(), eq(1));
+}
