--- a/crates/frontd/src/entry/helping.rs
+++ b/crates/frontd/src/entry/helping.rs
@@ -20,7 +20,7 @@
     helper::EntryReport,
 };
 
-use super::{state::State, sync::ControlPeer};
+use super::{rests, state::State, sync::ControlPeer};
 
 /// Time that a connection to a target may take for another instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -53,6 +53,10 @@
     tunnels: Tunnels,
     req: Request<Incoming>,
 ) -> Response<Body> {
+    if let Some((server, rest)) = tunnel::told_rest(&req) {
+        rests::note_told(&state, server, rest);
+        return Response::new(full(""));
+    }
     let Some(tunnel) = tunnel::wanted(&req) else {
         let mut resp = Response::new(full(""));
         *resp.status_mut() = StatusCode::NOT_FOUND;
@@ -82,6 +86,7 @@
                 TunnelError::NoHelp(_) => "no_help",
                 TunnelError::Refused => "refused",
                 TunnelError::Silent => "silent",
+                TunnelError::Resting => "resting",
             });
             err.response()
         }
@@ -98,8 +103,11 @@
     if state.is_stopping() || !state.paths.helps() {
         return Err(no_help("stopping, or cut off as well"));
     }
-    if !state.view().is_target(tunnel.target) {
+    let Some(id) = state.view().id_at(tunnel.target).map(str::to_owned) else {
         return Err(no_help("not a target that is known here"));
+    };
+    if !state.view().may_write(state.now(), &id) {
+        return Err(TunnelError::Resting);
     }
     let permit = Arc::clone(&tunnels.free).try_acquire_owned();
     let permit = permit.map_err(|_| no_help("too many tunnels"))?;
--- a/crates/frontd/src/entry/paths.rs
+++ b/crates/frontd/src/entry/paths.rs
@@ -2,7 +2,7 @@
 //! is cut off from all of them.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -57,6 +57,8 @@
     view: Arc<Mutex<View>>,
     reach: Mutex<Reach>,
     helpers: Mutex<Helpers>,
+    /// The helper through which each target was reached last.
+    through: Mutex<BTreeMap<SocketAddr, InstanceName>>,
     /// Notified when a doubt or a cut begins or ends.
     changed: Notify,
 }
@@ -77,6 +79,7 @@
             view,
             reach: Mutex::new(Reach::new(setup.zone.clone(), seed)),
             helpers: Mutex::new(Helpers::new(setup.zone.clone(), seed)),
+            through: Mutex::default(),
             changed: Notify::new(),
         })
     }
@@ -168,7 +171,9 @@
         match self.open_tunnel(&connect).await {
             Ok(_) => Fate::Running,
             Err(TunnelError::Refused) => Fate::Crashed,
-            Err(TunnelError::Silent | TunnelError::NoHelp(_)) => Fate::Silent,
+            Err(TunnelError::Silent | TunnelError::Resting | TunnelError::NoHelp(_)) => {
+                Fate::Silent
+            }
         }
     }
 
@@ -196,10 +201,23 @@
             }),
             Err(TunnelError::Refused) => Err(Cause::Connect(TunnelError::Refused.to_string())),
             Err(TunnelError::Silent) => Err(Cause::ConnectTimeout),
+            Err(TunnelError::Resting) => Err(Cause::Withdrawn),
             Err(TunnelError::NoHelp(_)) => Err(Cause::NoPath),
         }
     }
 
+    /// Tells the helper through which a target was reached that this wants nothing from it: the
+    /// target sees the helper's address, and its answers pass there unread.
+    pub(super) async fn tell_rest(&self, target: SocketAddr, rest: Duration) {
+        let helper = lock(&self.through).get(&target).cloned();
+        let address = helper.and_then(|helper| names::instance_address(&helper, self.port));
+        if let Some(address) = address {
+            let until = Instant::now() + HELPER_TIMEOUT;
+            // A helper that isn't told hears it from the target itself.
+            tunnel::tell_rest(address, (target, rest), until).await.ok();
+        }
+    }
+
     /// Opens a tunnel through one of the helpers.
     async fn open_tunnel(&self, connect: &Connect) -> Result<TunnelStream, TunnelError> {
         let mut last = TunnelError::NoHelp("no helper is known".to_owned());
@@ -233,6 +251,7 @@
                 }
                 // The helper may be cut off from this target only.
                 Err(TunnelError::Silent) => last = TunnelError::Silent,
+                Err(TunnelError::Resting) => last = TunnelError::Resting,
                 opened => return opened,
             }
         }
@@ -250,7 +269,11 @@
             Err(TunnelError::NoHelp(_)) => "no_help",
             Err(TunnelError::Refused) => "refused",
             Err(TunnelError::Silent) => "silent",
+            Err(TunnelError::Resting) => "resting",
         };
+        if opened.is_ok() {
+            lock(&self.through).insert(connect.addr, helper.clone());
+        }
         prom_metrics().tunnel(outcome);
         event!(
             telemetry::Event::SentThrough,
--- a/crates/frontd/src/entry/rests.rs
+++ b/crates/frontd/src/entry/rests.rs
@@ -1,7 +1,7 @@
 //! What targets say of themselves for all further requests of this instance: that they want rest,
 //! and that they leave.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{HeaderMap, StatusCode};
 use telemetry::{event, prom_metrics};
@@ -35,22 +35,39 @@
     if headers::text(headers, name).map(str::trim) == Some(LEAVING) {
         note_leaving(state, target);
     }
-    if let Some(rest) = asked_rest(status, headers) {
-        prom_metrics().rest_asked();
-        let began = state
-            .view()
-            .rests()
-            .asked(state.now(), &target.to_owned(), rest);
-        if began {
-            event!(
-                telemetry::Event::TargetResting,
-                target = target,
-                rest_ms = rest.as_millis()
-            );
-            let (state, target) = (Arc::clone(state), target.to_owned());
-            tokio::spawn(async move { report(&state, target).await });
-        }
+    let Some(rest) = asked_rest(status, headers) else {
+        return;
+    };
+    prom_metrics().rest_asked();
+    note_rest(state, target, rest);
+    let addr = state.view().addr(target).and_then(|raw| raw.parse().ok());
+    if let Some(addr) = addr.filter(|_| state.paths.is_cut()) {
+        let paths = Arc::clone(&state.paths);
+        tokio::spawn(async move { paths.tell_rest(addr, rest).await });
+    }
+}
+
+/// Takes over that the target at an address has asked this instance for rest, as another one has
+/// read that it reaches through this one.
+pub(super) fn note_told(state: &Arc<State>, addr: SocketAddr, rest: Duration) {
+    let target = state.view().id_at(addr).map(str::to_owned);
+    if let Some(target) = target {
+        note_rest(state, &target, rest);
+    }
+}
+
+fn note_rest(state: &Arc<State>, target: &str, rest: Duration) {
+    let (now, target) = (state.now(), target.to_owned());
+    if !state.view().rests().asked(now, &target, rest) {
+        return;
     }
+    event!(
+        telemetry::Event::TargetResting,
+        target = target,
+        rest_ms = rest.as_millis()
+    );
+    let state = Arc::clone(state);
+    tokio::spawn(async move { report(&state, target).await });
 }
 
 /// Reports a target that rests to the owner of its zone, who has its adapters loaded elsewhere
--- a/crates/frontd/tests/targets/rests.rs
+++ b/crates/frontd/tests/targets/rests.rs
@@ -10,6 +10,7 @@
     callers::ask_until,
     deployment::{Deployment, Told},
     engine::Engine,
+    links::Cut,
 };
 
 const ENGINES: usize = 3;
@@ -140,6 +141,24 @@
     assert_that!(late, ge(8));
 }
 
+/// Guards against a rest that several instances use up which reach the target through the same
+/// one: the target sees its address only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_rest_holds_for_all_that_a_helper_reaches_the_target_for() {
+    let entries = 3;
+    let deployment = Deployment::start_linked(entries, 2).await;
+    for entry in 1..entries {
+        deployment.links(entry).set(Cut::Resets);
+    }
+    sleep(CONTACT).await;
+    deployment.engine(0).ask_rest(Some(ASKED));
+    let until = Instant::now() + 2 * REST;
+    let told = ask_until(&deployment, 1..=entries, until).await;
+    assert_that!(most_in_rest(deployment.engine(0), until), le(ALLOWED));
+    let part = served(&told) as f64 / told.len() as f64;
+    assert_that!(part, ge(0.95));
+}
+
 fn check_leaving(disturb: fn(&Deployment)) {
     let mut runtime = Builder::new_multi_thread();
     let runtime = runtime.worker_threads(2).enable_all().build().unwrap();
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -423,11 +423,12 @@
         addresses
     }
 
-    /// Returns whether a target listens at an address.
+    /// Returns the target that listens at an address.
     #[must_use]
-    pub fn is_target(&self, addr: SocketAddr) -> bool {
+    pub fn id_at(&self, addr: SocketAddr) -> Option<&str> {
         let mut targets = self.targets.values();
-        targets.any(|known| known.target.addr.parse() == Ok(addr))
+        let found = targets.find(|known| known.target.addr.parse() == Ok(addr))?;
+        Some(&found.target.id)
     }
 
     /// Forgets all failures, as they were not those of targets.
--- a/crates/web/src/tunnel.rs
+++ b/crates/web/src/tunnel.rs
@@ -32,6 +32,9 @@
 /// Path of the request for a tunnel.
 const PATH: &str = "/quetzal/tunnel";
 
+/// Path by which a helper is told of a server that has asked it for rest.
+const REST_PATH: &str = "/quetzal/rest";
+
 /// Protocol to which the connection is upgraded.
 const PROTOCOL: &str = "quetzal-tunnel/2";
 
@@ -72,6 +75,9 @@
     /// The server can't be connected to.
     #[error("the server can't be reached")]
     Silent,
+    /// The server has asked the helper for rest.
+    #[error("the server rests")]
+    Resting,
 }
 
 impl TunnelError {
@@ -81,6 +87,7 @@
             TunnelError::NoHelp(_) => StatusCode::SERVICE_UNAVAILABLE,
             TunnelError::Refused => StatusCode::BAD_GATEWAY,
             TunnelError::Silent => StatusCode::GATEWAY_TIMEOUT,
+            TunnelError::Resting => StatusCode::TOO_MANY_REQUESTS,
         }
     }
 
@@ -88,6 +95,7 @@
         match status {
             StatusCode::BAD_GATEWAY => TunnelError::Refused,
             StatusCode::GATEWAY_TIMEOUT => TunnelError::Silent,
+            StatusCode::TOO_MANY_REQUESTS => TunnelError::Resting,
             other => TunnelError::NoHelp(format!("the helper answered {other}")),
         }
     }
@@ -120,6 +128,47 @@
     }
 }
 
+/// Tells a helper that a server wants nothing from it for the time `rest`, as an answer that
+/// passed through it unread has said.
+///
+/// # Errors
+///
+/// Fails if the helper can't be told until the time `until`.
+pub async fn tell_rest(
+    helper: SocketAddr,
+    (server, rest): (SocketAddr, Duration),
+    until: Instant,
+) -> anyhow::Result<()> {
+    let told = async {
+        let stream = TcpStream::connect(helper).await?;
+        let (mut sender, conn) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(conn);
+        let left = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
+        let req = Request::post(REST_PATH)
+            .header(HOST, header_value(&helper.to_string()))
+            .header(TARGET, header_value(&server.to_string()))
+            .header(LEFT, left)
+            .body(Empty::<Bytes>::new())?;
+        sender.send_request(req).await?;
+        anyhow::Ok(())
+    };
+    let told = answer_by(until, Box::pin(told)).await;
+    told.unwrap_or_else(|| Err(anyhow::anyhow!("no answer in time")))
+}
+
+/// Returns the server that wants nothing from this helper, and for how long, if a request says
+/// so.
+#[must_use]
+pub fn told_rest(req: &Request<Incoming>) -> Option<(SocketAddr, Duration)> {
+    if req.uri().path() != REST_PATH {
+        return None;
+    }
+    let left: u64 = text(req.headers(), LEFT)?.parse().ok()?;
+    let server = text(req.headers(), TARGET)?.parse().ok()?;
+    Some((server, Duration::from_millis(left)))
+}
+
 async fn ask(
     helper: SocketAddr,
     tunnel: &Tunnel,
