--- a/crates/frontd/tests/targets/rests.rs
+++ b/crates/frontd/tests/targets/rests.rs
@@ -145,14 +145,16 @@
 /// one: the target sees its address only.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_rest_holds_for_all_that_a_helper_reaches_the_target_for() {
-    let entries = 3;
+    let entries = 4;
     let deployment = Deployment::start_linked(entries, 2).await;
     for entry in 1..entries {
         deployment.links(entry).set(Cut::Resets);
     }
     sleep(CONTACT).await;
     deployment.engine(0).ask_rest(Some(ASKED));
-    let until = Instant::now() + 2 * REST;
+    // The others send once the first one has been turned away, and later than the notice.
+    ask_until(&deployment, [1], Instant::now() + 2 * NOTICE).await;
+    let until = Instant::now() + REST - 2 * NOTICE;
     let told = ask_until(&deployment, 1..=entries, until).await;
     assert_that!(most_in_rest(deployment.engine(0), until), le(ALLOWED));
     let part = served(&told) as f64 / told.len() as f64;
