Have the soak play targets that ask for rest or say that they leave

Beside the soak's other trouble (silences, stops, kills, cuts, crashes, changes) targets turn requests away for 0.2 to 2 s and ask for 0.6 to 3 s of rest, and targets say that they leave while the list never does. Judged by the targets' own record of arrivals.

--- a/crates/frontd/tests/soak/judge.rs
+++ b/crates/frontd/tests/soak/judge.rs
@@ -23,6 +23,10 @@
 /// Time in which instances know what another one has seen.
 const CONTACT: Duration = Duration::from_secs(3);
 
+/// Time after which a target that has asked for rest counts what comes, and what may come.
+const NOTICE: Duration = Duration::from_millis(500);
+const IN_REST: usize = 2;
+
 /// Crashes after which a part is known to cause them, and sends that are allowed then.
 const PART_CRASHES: usize = 5;
 const MORE_SENDS: usize = 3;
@@ -190,6 +194,42 @@
     })
 }
 
+/// Checks that targets got the rest that they had asked for, and nothing of what was sent later
+/// than the bound after they had said that they leave.
+pub(crate) fn unheeded(fleet: &Fleet, asked: &[Asked]) -> Vec<String> {
+    let asked: BTreeMap<&str, &Asked> = asked.iter().map(|a| (a.id.as_str(), a)).collect();
+    let mut faults = Vec::new();
+    for (no, target) in fleet.targets().iter().enumerate() {
+        let runs = target.runs();
+        for word in target.words() {
+            let Some(told) = asked.get(word.id.as_str()) else {
+                continue;
+            };
+            let late = runs.iter().filter(|run| {
+                let own = asked.get(run.id.as_str()).filter(|a| a.entry == told.entry);
+                let within = own.is_some_and(|a| match word.rest {
+                    Some(rest) => run.reached > word.at + NOTICE && run.reached < word.at + rest,
+                    None => a.sent > word.at + CONTACT,
+                });
+                // A new instance or incarnation has heard nothing, and links decide who is seen.
+                let (from, to) = (word.at, run.reached);
+                let same = within && target.is_sound(from, to);
+                let same = same && !fleet.was_gone(told.entry, from, to);
+                same && !fleet.was_cut(told.entry, from - CONTACT, to)
+                    && fleet.held_up(from, to) < NOTICE
+            });
+            let (count, most) = (late.count(), if word.rest.is_some() { IN_REST } else { 0 });
+            if count > most {
+                let (entry, rest) = (told.entry, word.rest);
+                faults.push(format!(
+                    "t{no} told entry {entry} {rest:?} and got {count} requests"
+                ));
+            }
+        }
+    }
+    faults
+}
+
 /// Returns how often a request ran.
 fn ran(runs: &[Run]) -> usize {
     runs.iter().filter(|run| run.begun.is_some()).count()
--- a/crates/frontd/tests/soak/target.rs
+++ b/crates/frontd/tests/soak/target.rs
@@ -69,6 +69,21 @@
     unsound: Vec<(Instant, Instant)>,
     /// When it crashed because of a part.
     part_crashes: Vec<Instant>,
+    /// Until when it turns requests away, and for how long it asks for rest.
+    turns_away: Option<(Instant, Duration)>,
+    /// Whether this incarnation says that it leaves.
+    leaves: bool,
+    words: Vec<Word>,
+}
+
+/// What an answer of a target said for all further requests of an instance.
+#[derive(Clone, Debug)]
+pub(crate) struct Word {
+    /// The request that was answered.
+    pub(crate) id: String,
+    pub(crate) at: Instant,
+    /// For how long it asked for rest; none if it said that it leaves.
+    pub(crate) rest: Option<Duration>,
 }
 
 /// What a request asks for, as its body says it.
@@ -141,6 +156,42 @@
         self.state.lock().unwrap().runs.clone()
     }
 
+    /// Turns all requests away for `time` and asks for `rest`, as seconds.
+    pub(crate) fn turn_away(&self, time: Duration, rest: Duration) {
+        self.state.lock().unwrap().turns_away = Some((Instant::now() + time, rest));
+    }
+
+    /// Says in all answers of this incarnation from now on that it leaves.
+    pub(crate) fn leave(&self) {
+        self.state.lock().unwrap().leaves = true;
+    }
+
+    /// Returns what its answers said.
+    pub(crate) fn words(&self) -> Vec<Word> {
+        self.state.lock().unwrap().words.clone()
+    }
+
+    /// Returns the rest that a request is told to give, if it is turned away, and what is said
+    /// in the head of its answer.
+    fn say(&self, id: &str) -> (Option<Duration>, &'static str) {
+        let mut state = self.state.lock().unwrap();
+        let now = Instant::now();
+        let rest = state.turns_away.filter(|(until, _)| now < *until);
+        let rest = rest.map(|(_, rest)| rest);
+        let leaves = state.leaves;
+        let said = rest.map(Some).into_iter().chain(leaves.then_some(None));
+        let id = id.to_owned();
+        let words: Vec<_> = said
+            .map(|rest| Word {
+                id: id.clone(),
+                at: now,
+                rest,
+            })
+            .collect();
+        state.words.extend(words);
+        (rest, if leaves { "leaving: 1\r\n" } else { "" })
+    }
+
     /// Returns when it crashed because of a part.
     pub(crate) fn part_crashes(&self) -> Vec<Instant> {
         self.state.lock().unwrap().part_crashes.clone()
@@ -197,6 +248,7 @@
                 let mut state = self.state.lock().unwrap();
                 state.incarnation += 1;
                 state.up = true;
+                (state.leaves, state.turns_away) = (false, None);
                 state.ending = ending.clone();
             }
             self.voice.send_replace(Voice::Sounds);
@@ -272,12 +324,25 @@
                 // A silent process runs it all the same, as it learns of that afterwards.
                 self.speaks().await;
             }
+            let (rest, leaving) = self.say(&request.id);
+            if let Some(rest) = rest.filter(|_| !left) {
+                self.end(run);
+                let (id, rest) = (&request.id, rest.as_secs_f64());
+                let away = format!(
+                    "HTTP/1.1 503 Away\r\nattempt: {id}\r\nrefused: rest\r\n{leaving}retry-after: \
+                     {rest}\r\ncontent-length: 0\r\n\r\n"
+                );
+                if write.write_all(away.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             self.state.lock().unwrap().runs[run].begun = Some(Instant::now());
             if left {
                 return;
             }
             let goes_on = tokio::select! {
-                goes_on = self.answer(&request, run, write) => goes_on,
+                goes_on = self.answer(&request, (run, leaving), write) => goes_on,
                 // The other side sends nothing more before the answer.
                 _ = read.fill_buf() => false,
             };
@@ -318,7 +383,12 @@
     }
 
     /// Sends an answer; returns whether the connection can be used for another one.
-    async fn answer(&self, request: &Request, run: usize, write: &mut OwnedWriteHalf) -> bool {
+    async fn answer(
+        &self,
+        request: &Request,
+        (run, leaving): (usize, &str),
+        write: &mut OwnedWriteHalf,
+    ) -> bool {
         let default = Asked {
             framing: 0,
             events: 1,
@@ -336,8 +406,9 @@
             false => "text/plain",
         };
         let id = &request.id;
-        let head =
-            format!("HTTP/1.1 200 OK\r\nattempt: {id}\r\ncontent-type: {kind}\r\n{framed}\r\n\r\n");
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nattempt: {id}\r\n{leaving}content-type: {kind}\r\n{framed}\r\n\r\n"
+        );
         let gap = Duration::from_millis(asked.gap);
         sleep(gap).await;
         self.speaks().await;
--- a/crates/frontd/tests/soak/trouble.rs
+++ b/crates/frontd/tests/soak/trouble.rs
@@ -16,6 +16,9 @@
 /// Time that a target is dark until it is replaced.
 const DARK: Duration = Duration::from_secs(4);
 
+/// Time from the first word of a target that it leaves to its end: the list never says so.
+const LEAVES_FOR: Duration = Duration::from_millis(4_500);
+
 /// Causes trouble until `until`, and ends it.
 pub(crate) async fn cause_until(fleet: &Arc<Fleet>, seed: u64, until: Instant) {
     let rng = |series| StdRng::seed_from_u64((seed << 8) + series);
@@ -57,6 +60,39 @@
     }
 }
 
+/// Targets that turn requests away and ask for rest, or say that they leave, until `until`.
+pub(crate) async fn words_until(fleet: &Fleet, seed: u64, until: Instant) {
+    let rng = |series| StdRng::seed_from_u64((seed << 8) + series);
+    let series = async { tokio::join!(rests(fleet, rng(6)), leavings(fleet, rng(7))) };
+    timeout_at(until.into(), series).await.ok();
+}
+
+/// One target after the other says that it leaves, and ends some time later.
+async fn leavings(fleet: &Fleet, mut rng: StdRng) {
+    loop {
+        pause(&mut rng, 1_000, 4_000).await;
+        let target = fleet.targets().choose(&mut rng).expect("not empty");
+        target.leave();
+        sleep(LEAVES_FOR).await;
+        target.crash();
+    }
+}
+
+/// One target or some turn requests away for a while and ask for rest.
+async fn rests(fleet: &Fleet, mut rng: StdRng) {
+    loop {
+        pause(&mut rng, 500, 3_000).await;
+        let all = fleet.targets().len();
+        let n = *[1, 1, 2, all / 2].choose(&mut rng).expect("not empty");
+        let time = Duration::from_millis(rng.random_range(200..2_000));
+        let rest = Duration::from_millis(rng.random_range(600..=3_000));
+        let chosen: Vec<_> = fleet.targets().sample(&mut rng, n).collect();
+        for target in chosen {
+            target.turn_away(time, rest);
+        }
+    }
+}
+
 /// Changes of the configuration, alone and in quick succession.
 async fn configurations(fleet: &Fleet, mut rng: StdRng) {
     loop {
