--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -310,6 +310,8 @@
         self.running = 0
         self.server = None
         self.conns = set()
+        self.deadly = None        # a part of a prompt that crashes it
+        self.crashes = []
 
     def models(self):
         return [{"name": self.model, "version": 1, "adapters": []}] if self.held else []
@@ -340,6 +342,18 @@
             w.transport.abort()
         self.conns.clear()
 
+    async def crash(self, back_after=3.0):
+        """It crashes and starts again under its id; it holds nothing, and its counts start anew."""
+        if self.server is None:
+            return
+        self.crashes.append(time.monotonic())
+        self.world.note("crash", self.id)
+        self.stop()
+        await asyncio.sleep(back_after)
+        self.born, self.seq, self.held, self.busy_until = int(time.time() * 1000), 0, False, None
+        await self.begin()
+        self.world.note("back", self.id)
+
     async def serve(self, reader, writer):
         self.conns.add(writer)
         try:
@@ -409,6 +423,9 @@
         gone = asyncio.create_task(reader.read(1))
         try:
             await asyncio.sleep(self.pace)
+            if self.deadly and self.deadly in headers.get("prompt-prefix", ""):
+                self.world.tasks.append(asyncio.create_task(self.crash()))
+                return False
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
             for n in range(last + 1, self.events + 1):
                 if gone.done():
@@ -429,15 +446,18 @@
 class Stream:
     """A client's stream over all of its tries."""
 
-    def __init__(self, world, name, path, model=None, deadline=12.0, tries=3, pause=0.4, starts_at=0):
+    def __init__(self, world, name, path, model=None, deadline=12.0, tries=3, pause=0.4, starts_at=0, parts="5c1e07a2:198"):
         self.world, self.name, self.path, self.model = world, name, path, model
         self.end = time.monotonic() + deadline
-        self.tries, self.pause = tries, pause
+        self.tries, self.pause, self.parts = tries, pause, parts
         self.events = []          # (id, version, replica)
         self.first_attempt = None
         self.complete = False
         self.front = starts_at
         self.statuses = []
+        self.only_other = False   # retries go to the machine next to the first one only
+        self.take_ups = 0
+        self.went_on = False
 
     async def run(self):
         for turn in range(self.tries):
@@ -453,13 +473,15 @@
     async def attempt(self, turn, left):
         attempt = f"{random.getrandbits(64):016x}"
         fronts = self.world.fronts()
-        place = fronts[(self.front + turn) % len(fronts)]
+        step = min(turn, 1) if self.only_other else turn
+        place = fronts[(self.front + step) % len(fronts)]
         headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": str(int(left * 1000)),
                    "Content-Length": "2"}
         if self.model:
             headers |= {"Model": self.model, "Tokens": "826,300",
-                        "Prompt-Prefix": f"5c1e07a2:198,{attempt[:8]}:628"}
+                        "Prompt-Prefix": f"{self.parts},{attempt[:8]}:628"}
         if self.events:
+            self.take_ups += 1
             headers |= {"Last-Event-Id": str(self.events[-1][0]), "Resumes": self.first_attempt}
         self.world.note("client", self.name, "try", turn + 1, attempt, "at", place[0],
                         "after event", self.events[-1][0] if self.events else 0)
@@ -503,6 +525,8 @@
                 version, replica = fields["data"].split(" ")[:2]
                 if not self.events:
                     self.first_attempt = attempt
+                elif attempt != self.first_attempt:
+                    self.went_on = True
                 if not self.events or self.events[-1][1:] != (version, replica):
                     self.world.note("client", self.name, "event", fields["id"], "from", replica, version)
                 self.events.append((int(fields["id"]), version, replica))
