--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -74,6 +74,7 @@
         self.replicas = []
         self.lag = lag
         self.history = []
+        self.runs = []            # (when, Attempt-Id, replica)
         self.servers = []
         self.tasks = []
         self.first = True
@@ -415,6 +416,7 @@
             await writer.drain()
             return True
         last = int(headers.get("last-event-id") or 0)
+        self.world.runs.append((time.monotonic(), own["Attempt-Id"], self))
         self.world.note("run", own["Attempt-Id"], "at", self.id, self.version, path, "from", last + 1)
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked",
                  "Weight-Versions: 1"]
