Log how long those have noted versions that say where a stream began

Two causes predict that line: instances that have just started take the versions they have seen since for all there were, or versions are forgotten too early while instances run on (a target that drains, a list that lags).

Control instances now say for how long they have noted versions, and E5028 has it as `watched_ms`: some seconds in the first case, the time since the deployment began in the second.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -262,7 +262,7 @@
             tickets: 0,
             waiters: HashMap::new(),
             weights: BTreeMap::new(),
-            streams: Streams::new(rand::random::<u64>() >> 2),
+            streams: Streams::new(clock.now(), rand::random::<u64>() >> 2),
             end: None,
         }
     }
--- a/crates/frontd/src/control/shell/streams.rs
+++ b/crates/frontd/src/control/shell/streams.rs
@@ -28,18 +28,21 @@
     listed: ListedSoftware,
     /// Targets whose process was reported to have ended, and when.
     ended: BTreeMap<String, Time>,
+    /// When this incarnation began to note them.
+    since: Time,
     /// Number of targets by service and software, as last logged.
     logged: BTreeMap<(String, SoftwareVersion), usize>,
 }
 
 impl Streams {
     /// Creates an empty state; `first` has to differ between incarnations of the process.
-    pub(super) fn new(first: u64) -> Self {
+    pub(super) fn new(now: Time, first: u64) -> Self {
         Streams {
             register: StreamRegister::default(),
             software: Revisions::new(first),
             listed: ListedSoftware::default(),
             ended: BTreeMap::new(),
+            since: now,
             logged: BTreeMap::new(),
         }
     }
@@ -106,6 +109,7 @@
             listed: listed.unwrap_or_default(),
             zones: self.zone_lease.zones(now),
             ended: self.streams.ended(now),
+            watched: now.since(self.streams.since),
         })
     }
 
--- a/crates/frontd/src/entry/streams.rs
+++ b/crates/frontd/src/entry/streams.rs
@@ -134,6 +134,15 @@
     Unknown,
 }
 
+/// Where a stream began that its caller takes up, and how that is known.
+struct Found {
+    origin: StreamOrigin,
+    /// `own`, `control` or `only_version`.
+    source: &'static str,
+    /// How long those have noted versions whose answers it follows from.
+    watched: Duration,
+}
+
 /// A request as a stream, or as the rest of one.
 #[derive(Clone, Debug)]
 pub(super) struct Stream {
@@ -231,10 +240,10 @@
     let resumes = headers::single(request, &names.resumes);
     let key = resumes.map(key);
     match taken_up(state, route, key, until).await {
-        Ok((origin, source)) => {
-            log_taken_up(state, request, &origin, source);
+        Ok(found) => {
+            log_taken_up(state, request, &found);
             Ok(Stream {
-                begun: Begun::At(origin),
+                begun: Begun::At(found.origin),
                 ..Stream::new(key)
             })
         }
@@ -242,7 +251,7 @@
     }
 }
 
-/// Returns where a stream began that its caller takes up, and how that is known.
+/// Returns where a stream began that its caller takes up.
 ///
 /// # Errors
 ///
@@ -252,7 +261,7 @@
     route: &Route,
     key: Option<Fingerprint>,
     until: Instant,
-) -> Result<(StreamOrigin, &'static str), &'static str> {
+) -> Result<Found, &'static str> {
     let only_service = match route.split.as_slice() {
         [(service, _)] => Some(service.clone()),
         _ => None,
@@ -262,24 +271,25 @@
         service: only_service,
     };
     let unknown = key.map_or("no_attempt_named", |_| "unknown");
-    let (origin, source) = find(state, &asked, until).await.ok_or(unknown)?;
-    let leads_there = |(service, _): &(String, u32)| *service == origin.service;
+    let found = find(state, &asked, until).await.ok_or(unknown)?;
+    let leads_there = |(service, _): &(String, u32)| *service == found.origin.service;
     if !route.split.iter().any(leads_there) {
         return Err("service_changed");
     }
-    Ok((origin, source))
+    Ok(found)
 }
 
-fn log_taken_up(state: &State, request: &HeaderMap, origin: &StreamOrigin, source: &str) {
+fn log_taken_up(state: &State, request: &HeaderMap, found: &Found) {
     let names = &state.platform.header_names;
-    prom_metrics().stream_taken_up("known", source);
+    prom_metrics().stream_taken_up("known", found.source);
     event!(
         telemetry::Event::StreamTakenUp,
         request = headers::text(request, &names.request_id).unwrap_or_default(),
         resumes = headers::text(request, &names.resumes).unwrap_or_default(),
-        service = origin.service,
-        software = origin.software.to_string(),
-        source = source
+        service = found.origin.service,
+        software = found.origin.software.to_string(),
+        source = found.source,
+        watched_ms = found.watched.as_millis()
     );
 }
 
@@ -300,17 +310,17 @@
 }
 
 /// Returns where a stream began and how that is known.
-async fn find(
-    state: &State,
-    asked: &FindStream,
-    until: Instant,
-) -> Option<(StreamOrigin, &'static str)> {
+async fn find(state: &State, asked: &FindStream, until: Instant) -> Option<Found> {
     let own = asked.key.and_then(|key| {
         let register = lock(&state.streams.register);
         register.find(state.now(), &key).cloned()
     });
     if let Some(origin) = own {
-        return Some((origin, "own"));
+        return Some(Found {
+            origin,
+            source: "own",
+            watched: state.now().since(Time::ZERO),
+        });
     }
     let until = until.min(Instant::now() + FIND_TIMEOUT);
     let calls = state.nearest_controls(usize::MAX).into_iter();
@@ -331,13 +341,22 @@
             state.view().ended(now - *ago, target);
         }
         if let Some(origin) = found.origin {
-            return Some((origin, "control"));
+            return Some(Found {
+                origin,
+                source: "control",
+                watched: found.watched,
+            });
         }
         all.push(found);
     }
     let service = asked.service.as_ref()?;
     let origin = only_origin(state.now(), &state.view(), &state.zones, service, &all)?;
-    Some((origin, "only_version"))
+    let watched = all.iter().map(|found| found.watched).min();
+    Some(Found {
+        origin,
+        source: "only_version",
+        watched: watched.unwrap_or_default(),
+    })
 }
 
 /// Tells control instances of streams that begin, for as long as the process runs.
--- a/crates/gateway/tests/stream_fleet.rs
+++ b/crates/gateway/tests/stream_fleet.rs
@@ -269,6 +269,7 @@
                 listed: self.controls[zone].history.of(now, "s"),
                 zones: vec![ZONES[zone].to_owned()],
                 ended: Vec::new(),
+                watched: Duration::ZERO,
             })
             .collect();
         let told = answers.iter().find_map(|found| found.origin.clone());
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -57,6 +57,9 @@
         pub zones: Vec<String>,
         /// Targets whose process was reported to have ended lately, and how long ago.
         pub ended: Vec<(String, Duration)>,
+        /// How long it has noted versions: what was listed before isn't known to it.
+        #[serde(default)]
+        pub watched: Duration,
     }
 
     /// An adapter that a stream needs at a target of one software version.
