--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -104,7 +104,7 @@
     control: Mutex<Option<Runtime>>,
     /// Whether the control instance's calls to the platform fail.
     blind: Arc<AtomicBool>,
-    _data: tempfile::TempDir,
+    data: tempfile::TempDir,
 }
 
 impl Deployment {
@@ -176,24 +176,6 @@
         (retries, hedging, config): (budget::Limits, Option<HedgingSettings>, ConfigFn),
     ) -> Deployment {
         let no = NEXT.fetch_add(1, Ordering::Relaxed);
-        let data = tempfile::tempdir().unwrap();
-        let control = own_runtime();
-        let blind = Arc::new(AtomicBool::new(false));
-        control.spawn(frontd::serve_control(
-            ControlSetup {
-                ip: own_ip(no, 0),
-                listen: SocketAddr::new(own_ip(no, 0), OPERATORS),
-                peer_port: PEERS,
-                data_dir: data.path().to_owned(),
-                bootstrap: true,
-                zone: "za".to_owned(),
-                zones: ["za".to_owned()].into(),
-                takeover_delay: Duration::from_secs(3),
-                list_lag: Duration::from_millis(2_300),
-            },
-            half_blind(platform(no, &list, None, &config), Arc::clone(&blind)),
-            take,
-        ));
         let deployment = Deployment {
             no,
             engines,
@@ -204,10 +186,11 @@
             next_id: AtomicU64::new(1),
             links,
             runtimes: Mutex::default(),
-            control: Mutex::new(Some(control)),
-            blind,
-            _data: data,
+            control: Mutex::default(),
+            blind: Arc::default(),
+            data: tempfile::tempdir().unwrap(),
         };
+        deployment.start_control(true);
         for entry in 1..=entries {
             deployment.start_entry(entry);
         }
@@ -236,6 +219,28 @@
         runtime.unwrap().shutdown_background();
     }
 
+    /// Starts the control instance, on its disk as it is.
+    pub(crate) fn start_control(&self, bootstrap: bool) {
+        let runtime = own_runtime();
+        let platform = platform(self.no, &self.list, None, &self.config);
+        runtime.spawn(frontd::serve_control(
+            ControlSetup {
+                ip: own_ip(self.no, 0),
+                listen: SocketAddr::new(own_ip(self.no, 0), OPERATORS),
+                peer_port: PEERS,
+                data_dir: self.data.path().to_owned(),
+                bootstrap,
+                zone: "za".to_owned(),
+                zones: ["za".to_owned()].into(),
+                takeover_delay: Duration::from_secs(3),
+                list_lag: Duration::from_millis(2_300),
+            },
+            half_blind(platform, Arc::clone(&self.blind)),
+            take,
+        ));
+        *self.control.lock().unwrap() = Some(runtime);
+    }
+
     /// Kills the control instance.
     pub(crate) fn kill_control(&self) {
         let runtime = self.control.lock().unwrap().take();
--- a/crates/frontd/tests/targets/versioned.rs
+++ b/crates/frontd/tests/targets/versioned.rs
@@ -95,6 +95,11 @@
         self.listed.store(false, Ordering::Relaxed);
     }
 
+    /// Puts the target on the platform's list.
+    pub(crate) fn enlist(&self) {
+        self.listed.store(true, Ordering::Relaxed);
+    }
+
     pub(crate) fn list(&self) -> Option<Listed> {
         let mut target = listed_target(self.id.clone(), self.addr, SLOTS);
         target.software = self.shown.lock().unwrap().parse().ok();
--- a/crates/frontd/tests/targets/versions.rs
+++ b/crates/frontd/tests/targets/versions.rs
@@ -22,6 +22,9 @@
 /// Time after which all instances know that a target is gone.
 const LIST_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time for which instances that were killed are down.
+const DOWN_TIME: Duration = Duration::from_millis(800);
+
 /// Where a caller takes its stream up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Taker {
@@ -126,6 +129,15 @@
 impl Fleet {
     /// Starts targets of the software versions `software`, and two entry instances.
     async fn start(software: &[&str]) -> Fleet {
+        Fleet::start_with(software, 2).await
+    }
+
+    /// Starts targets of the software versions `software`, and no entry instance.
+    async fn start_alone(software: &[&str]) -> Fleet {
+        Fleet::start_with(software, 0).await
+    }
+
+    async fn start_with(software: &[&str], entries: u8) -> Fleet {
         let targets = software.iter().enumerate();
         let targets = targets.map(|(no, version)| {
             let id = format!("t{no}");
@@ -134,7 +146,7 @@
         let targets = join_all(targets).await;
         let listed = targets.clone();
         let list = Arc::new(move || listed.iter().filter_map(|target| target.list()).collect());
-        let deployment = Deployment::start_listed(2, list).await;
+        let deployment = Deployment::start_listed(entries, list).await;
         Fleet {
             targets,
             deployment,
@@ -351,6 +363,98 @@
     }
 }
 
+/// How a release goes that all instances are killed in, after streams have begun at v1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Release {
+    /// Targets of one version serve throughout.
+    None,
+    /// Targets of v2 join; those of both versions stay.
+    Joined,
+    /// Targets of v2 join, and those of v1 leave while all instances are down.
+    Replaced,
+}
+
+/// What is killed after streams have begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Killed {
+    /// All instances at the same moment.
+    All,
+    /// The control instance, and once it is back the entry instance where streams began.
+    InTurn,
+}
+
+/// Checks streams that callers take up after instances were killed and started again.
+fn check_killed((killed, release): (Killed, Release)) {
+    run(async {
+        let fleet = Fleet::start_alone(&["v1", "v1", "v2", "v2"]).await;
+        let (old, new) = fleet.targets.split_at(2);
+        new.iter().for_each(|target| target.unlist());
+        let deployment = &fleet.deployment;
+        for entry in [1, 2] {
+            deployment.start_entry_alone(entry);
+            deployment.wait_ready(entry).await;
+        }
+        sleep(LIST_TIME).await;
+        if release == Release::Joined {
+            new.iter().for_each(|target| target.enlist());
+            sleep(LIST_TIME).await;
+        }
+        let each = (1..EVENTS).flat_map(|event| std::iter::repeat_n(event, EACH));
+        let begun = each.map(|event| fleet.begin(1, event, "/resumable/x", String::new()));
+        let mut streams = join_all(begun).await;
+        if release == Release::Replaced {
+            new.iter().for_each(|target| target.enlist());
+        }
+        sleep(LIST_TIME).await;
+        deployment.kill_control();
+        if killed == Killed::All {
+            deployment.kill_entry(1);
+            deployment.kill_entry(2);
+        }
+        if release == Release::Replaced {
+            for target in old {
+                target.end();
+                target.unlist();
+            }
+        }
+        sleep(DOWN_TIME).await;
+        deployment.start_control(false);
+        match killed {
+            Killed::All => {
+                deployment.start_entry_alone(1);
+                deployment.start_entry_alone(2);
+            }
+            Killed::InTurn => {
+                sleep(LIST_TIME).await;
+                deployment.kill_entry(1);
+            }
+        }
+        deployment.wait_ready(2).await;
+        sleep(LIST_TIME).await;
+        join_all(streams.iter_mut().map(|s| fleet.take_up(2, s))).await;
+        let counts = ["v1", "v2"].map(|version| Counts::of(&streams, version));
+        println!("{killed:?}, {release:?}: {counts:?}");
+        for counts in counts {
+            assert_that!(counts.wrong, eq(0), "{counts:?}");
+            assert_that!(counts.on + counts.refused, eq(counts.all), "{counts:?}");
+            if release != Release::Replaced {
+                assert_that!(2 * counts.on, ge(counts.all), "{counts:?}");
+            }
+        }
+    });
+}
+
+base::cases! {
+    /// Guards against a stream whose caller takes it up after instances were killed, and gets
+    /// the rest of another software version, or nothing though targets of its own serve.
+    streams_are_taken_up_at_their_version_after_instances_were_killed: check_killed => {
+        all_with_one_version: (Killed::All, Release::None),
+        all_with_two_versions: (Killed::All, Release::Joined),
+        all_in_a_release: (Killed::All, Release::Replaced),
+        in_turn_with_two_versions: (Killed::InTurn, Release::Joined),
+    }
+}
+
 /// Returns the headers by which a caller names the attempt with an id.
 type Naming = fn(&str) -> Vec<(&'static str, String)>;
 
