Keep what is known of streams over the restarts of those who know it

A zone's owner that had just started, or just become its owner, answered with the versions it had seen since, and the entry instance took the one of them for the only one.

A zone owner says of which zones it knows all versions: only once the leader has told it the log's, asked after the zone became its own, and while its list isn't old.

Control instances have to be updated before entry instances: the answers of both have fields that earlier builds don't read.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -6,6 +6,7 @@
 use wire::{
     call::{Claim, Settle},
     fleet::Edition,
+    stream::ServiceSoftware,
 };
 
 use crate::{Hold, Patch};
@@ -72,6 +73,8 @@
         Hold(Fingerprint, Hold),
         /// A request that is refused was answered in full: it no longer is refused.
         Lift(Fingerprint),
+        /// Targets are listed with these software versions.
+        Software(Vec<ServiceSoftware>),
     }
 
     /// One claim, or the outcome of one.
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -285,9 +285,16 @@
         }
     }
 
+    /// Returns the time on the state clock by which this instance proposes commands as the
+    /// leader, in milliseconds.
+    #[must_use]
+    pub fn state_clock(&self, now: Time) -> u64 {
+        self.leading_since.1 + millis(now.since(self.leading_since.0))
+    }
+
     fn propose(&mut self, now: Time, what: What, waiting: Waiting, out: &mut Vec<Output>) {
         let command = Command {
-            at: self.leading_since.1 + millis(now.since(self.leading_since.0)),
+            at: self.state_clock(now),
             wall: self.wall.1 + millis(now.since(self.wall.0)),
             what,
         };
--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -51,6 +51,7 @@
             | Call::FindStream(_)
             | Call::Retries(_)
             | Call::Rests(_)
+            | Call::Software(_)
             | Call::Admission(_)
             | Call::Renew { .. }
             | Call::Edition { .. } => Reply::Redirect {
--- a/crates/control/src/control/drive.rs
+++ b/crates/control/src/control/drive.rs
@@ -96,6 +96,8 @@
             {
                 self.text_changed(out);
             }
+            // It concerns no edition.
+            (What::Software(_), _) => {}
             (_, Outcome::Published(PublishOutcome::InForce)) => {
                 out.push(Output::Event(Event::Published))
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! [`State`] is the state machine over the commands of the replicated log. It holds the
 //! operators' configuration text and its history, the newest edition, the zone owners,
-//! the table of entry instances and engine owners, the claims of marked requests, and the
-//! requests that are refused because they crash targets.
+//! the table of entry instances and engine owners, the claims of marked requests, the
+//! requests that are refused because they crash targets, and the software versions of targets
+//! that may have begun streams.
 //! [`Control`] is one control instance as a plain value without I/O: a replica of the
 //! log, the state and the leader's side of ownership. The design is explained in
 //! docs/design/configuration.md, docs/design/claims.md and docs/design/ownership.md.
@@ -13,6 +14,7 @@
 mod control;
 mod editions;
 mod quarantine;
+mod software;
 mod state;
 mod texts;
 mod zones;
@@ -23,6 +25,7 @@
     control::{Check, Checked, Config, Control, Event, Input, NotPublished, Output},
     editions::{Editions, PublishOutcome},
     quarantine::{Hold, Quarantine, Sentence},
+    software::SoftwareHistory,
     state::{BadState, Outcome, State},
     texts::{TextChange, Texts},
     zones::{ZoneGrant, ZoneGrants},
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -9,8 +9,8 @@
 pub use self::saved::BadState;
 use self::saved::Saved;
 use crate::{
-    Claims, Command, Editions, Item, Limits, PublishOutcome, Quarantine, TextChange, Texts, What,
-    ZoneGrants,
+    Claims, Command, Editions, Item, Limits, PublishOutcome, Quarantine, SoftwareHistory,
+    TextChange, Texts, What, ZoneGrants,
 };
 
 /// Retry delay for a claim of an instance that is not in the table yet: the change that
@@ -43,6 +43,7 @@
         table: Table,
         claims: Claims,
         quarantine: Quarantine,
+        software: SoftwareHistory,
     }
 }
 
@@ -105,6 +106,10 @@
                 self.quarantine.lift(index, self.at, fingerprint);
                 Outcome::Done
             }
+            What::Software(listed) => {
+                self.software.note(self.at, listed);
+                Outcome::Published(PublishOutcome::InForce)
+            }
         };
         self.claims.expire(self.at);
         outcome
@@ -152,6 +157,12 @@
         &self.quarantine
     }
 
+    /// Returns the software versions that may have begun streams.
+    #[must_use]
+    pub fn software(&self) -> &SoftwareHistory {
+        &self.software
+    }
+
     /// Encodes the state for a snapshot.
     ///
     /// # Panics
--- a/crates/control/src/state/saved.rs
+++ b/crates/control/src/state/saved.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 use super::State;
-use crate::{Claims, Editions, Quarantine, Texts, ZoneGrants};
+use crate::{Claims, Editions, Quarantine, SoftwareHistory, Texts, ZoneGrants};
 
 /// Number of the format written here. Snapshots in any other format are refused, as their
 /// fields might be misread.
@@ -34,14 +34,17 @@
     zones: Cow<'a, ZoneGrants>,
     table: Cow<'a, Table>,
     claims: Cow<'a, Claims>,
+    /// Missing in snapshots of earlier builds.
+    #[serde(default)]
+    quarantine: Cow<'a, Quarantine>,
     /// Missing in snapshots of earlier builds; left out where it is empty, so that these
     /// can read the others.
     #[serde(default, skip_serializing_if = "is_empty")]
-    quarantine: Cow<'a, Quarantine>,
+    software: Cow<'a, SoftwareHistory>,
 }
 
-fn is_empty(quarantine: &Quarantine) -> bool {
-    quarantine.all().is_empty()
+fn is_empty(software: &SoftwareHistory) -> bool {
+    software.is_empty()
 }
 
 impl<'a> From<&'a State> for Saved<'a> {
@@ -55,6 +58,7 @@
             table: Cow::Borrowed(&state.table),
             claims: Cow::Borrowed(&state.claims),
             quarantine: Cow::Borrowed(&state.quarantine),
+            software: Cow::Borrowed(&state.software),
         }
     }
 }
@@ -76,6 +80,7 @@
             table: saved.table.into_owned(),
             claims: saved.claims.into_owned(),
             quarantine: saved.quarantine.into_owned(),
+            software: saved.software.into_owned(),
         })
     }
 }
--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -5,6 +5,7 @@
 //! | `lock` | locked while a process uses the folder |
 //! | `log.N` | identity of the replica, then its records; `N` increases with each snapshot |
 //! | `snapshot.N` | the snapshot that `log.N` continues, if it does |
+//! | `streams.N` | where streams began; see [`Journal`] |
 //! | `reserve` | reserved space, deleted so that votes can still be written to a full disk |
 //! | `damaged.L` | corrupt files, moved aside when incarnation `L` started |
 //!
@@ -13,12 +14,14 @@
 
 mod calls;
 mod folder;
+mod journal;
 mod open;
 mod writer;
 
 pub use crate::{
     calls::SystemCalls,
     folder::Folder,
+    journal::Journal,
     open::{OpenOutcome, Opened, open},
     writer::{Report, Writer},
 };
--- a/crates/frontd/src/control.rs
+++ b/crates/frontd/src/control.rs
@@ -16,6 +16,7 @@
 use base::{Incarnation, InstanceName, Seed};
 use control::{Checked, Control};
 use daemon::{Clock, listen};
+use disk::Journal;
 use http_body_util::BodyExt;
 use hyper::{Request, Response, body::Incoming};
 use replog::{RawSettings, Replica};
@@ -57,6 +58,9 @@
 /// overtake the known incarnation.
 const INCARNATION_STEP: u64 = 1_000_000;
 
+/// Name of the journal of streams that have begun.
+const STREAM_JOURNAL: &str = "streams";
+
 /// Delay before the data folder is opened again after a disk failure.
 const REOPEN_DELAY: Duration = Duration::from_millis(500);
 
@@ -181,6 +185,13 @@
         replica,
         Box::new(reject_brand_text),
     );
+    let kept = match Journal::open(&setup.data_dir, STREAM_JOURNAL) {
+        Ok((journal, records)) => (Some(journal), records),
+        Err(err) => {
+            event!(telemetry::Event::JournalFailed, why = err.to_string());
+            (None, Vec::new())
+        }
+    };
     let at_disk = jobs.clone();
     let writer = daemon::start_writer(opened.folder, move |input| {
         // Once the shell has ended no one waits for the result.
@@ -190,6 +201,7 @@
         control,
         setup,
         writer,
+        kept,
         clock,
         platform.clone(),
         jobs.clone(),
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -6,6 +6,7 @@
 mod edition_cache;
 mod lists;
 mod orders;
+mod software;
 mod streams;
 mod zones;
 
@@ -20,7 +21,7 @@
 use base::{InstanceName, Ticket, Time};
 use control::{Control, Event, Input, NotPublished, Output, What};
 use daemon::{Clock, Links};
-use disk::Writer;
+use disk::{Journal, Writer};
 use gateway::{
     budget::{Broker, Sharers},
     helpers::Roster,
@@ -40,6 +41,7 @@
     call::{Call, Reply},
     fleet::{Edition, Sync, Weights},
     quarantine::CrashReport,
+    stream::ServiceSoftware,
 };
 
 use self::{admission::Admission, edition_cache::EditionCache, lists::ZoneLists, streams::Streams};
@@ -99,6 +101,15 @@
         /// The zones that this instance owns, with their fencing numbers.
         zones: Vec<(String, u64)>,
     },
+    /// The leader has said which software versions the log has.
+    SoftwareNoted {
+        /// When it was asked.
+        asked: Time,
+        /// The zones that this instance owned then.
+        zones: Vec<String>,
+        /// The versions.
+        versions: Vec<ServiceSoftware>,
+    },
     /// A change by an operator.
     Change {
         /// The change.
@@ -130,6 +141,8 @@
     Change(oneshot::Sender<CallOutcome>),
     /// No one; the zone's new owner is in the log once the ticket has its result.
     Zone(String),
+    /// A zone owner; the versions that it lists are in the log then.
+    Software(oneshot::Sender<Reply>),
     Sync {
         to: oneshot::Sender<Reply>,
         /// Number of the last change of adapter versions that the requester knows.
@@ -219,12 +232,16 @@
         control: Control,
         setup: &Setup,
         writer: Writer,
+        kept: (Option<Journal>, Vec<Vec<u8>>),
         clock: Clock,
         platform: Platform,
         jobs: mpsc::UnboundedSender<Job>,
     ) -> Self {
         let name = control.replica().id().instance.clone();
         let serial = u64::from(rand::random::<u32>());
+        let (journal, begun) = kept;
+        let mut streams = Streams::new(clock.now(), rand::random::<u64>() >> 2, journal);
+        streams.restore(clock.now(), &begun);
         let config = zone_owner::Config {
             zones: setup.zones.len(),
             rank: setup.zones.range(..setup.zone.clone()).count(),
@@ -262,7 +279,7 @@
             tickets: 0,
             waiters: HashMap::new(),
             weights: BTreeMap::new(),
-            streams: Streams::new(clock.now(), rand::random::<u64>() >> 2),
+            streams,
             end: None,
         }
     }
@@ -362,6 +379,11 @@
             Job::Call { call, to } => self.call(call, to),
             Job::Listed { zone, asked, list } => self.listed(zone, asked, list),
             Job::Renewed { asked, zones } => self.renewed(asked, zones),
+            Job::SoftwareNoted {
+                asked,
+                zones,
+                versions,
+            } => self.software_noted(asked, zones, versions),
             Job::Change { change, to } => {
                 let ticket = self.wait(Waiter::Change(to));
                 self.input(Input::Publish {
@@ -412,6 +434,7 @@
                 to.send(Reply::Admission(self.admission_report(&report)))
                     .ok();
             }
+            Call::Software(listed) => self.software_report(listed, to),
             Call::FindStream(asked) => {
                 to.send(self.find_stream(&asked)).ok();
             }
@@ -502,6 +525,13 @@
                     self.granting.remove(&zone);
                     self.next_renew = Time::ZERO;
                 }
+                Some(Waiter::Software(to)) => {
+                    let reply = match result {
+                        Ok(_) => self.software_in_log(),
+                        Err(_) => Reply::Redirect { leader: None },
+                    };
+                    to.send(reply).ok();
+                }
                 _ => {}
             },
             Output::Send { to, call } => self.send(&to, call),
--- a/crates/frontd/src/control/shell/streams.rs
+++ b/crates/frontd/src/control/shell/streams.rs
@@ -1,17 +1,19 @@
 //! What this control instance knows of streams and of the software of targets.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use base::{SoftwareVersion, Time};
+use disk::Journal;
 use gateway::{
-    revisions::Revisions,
-    streams::{ListedSoftware, StreamRegister},
-    zone_owner,
+    known_versions::KnownVersions, revisions::Revisions, streams::StreamRegister, zone_owner,
 };
 use telemetry::event;
 use wire::{
     call::Reply,
-    stream::{FindStream, FoundStream, StreamSync, StreamSynced, TargetSoftware},
+    stream::{BegunStreams, FindStream, FoundStream, StreamSync, StreamSynced, TargetSoftware},
 };
 
 use super::Shell;
@@ -23,9 +25,12 @@
 #[derive(Debug)]
 pub(super) struct Streams {
     register: StreamRegister,
+    /// Holds the same over a restart; absent if it can't be written.
+    journal: Option<Journal>,
     software: Revisions<Option<SoftwareVersion>>,
-    /// The versions that services have had in the zones of this instance.
-    listed: ListedSoftware,
+    pub(super) versions: KnownVersions,
+    /// Differs between incarnations of the process.
+    incarnation: u64,
     /// Targets whose process was reported to have ended, and when.
     ended: BTreeMap<String, Time>,
     /// When this incarnation began to note them.
@@ -36,17 +41,43 @@
 
 impl Streams {
     /// Creates an empty state; `first` has to differ between incarnations of the process.
-    pub(super) fn new(now: Time, first: u64) -> Self {
+    pub(super) fn new(now: Time, first: u64, journal: Option<Journal>) -> Self {
         Streams {
             register: StreamRegister::default(),
+            journal,
             software: Revisions::new(first),
-            listed: ListedSoftware::default(),
+            versions: KnownVersions::default(),
+            incarnation: first,
             ended: BTreeMap::new(),
             since: now,
             logged: BTreeMap::new(),
         }
     }
 
+    /// Takes over what the journal of an earlier incarnation holds.
+    pub(super) fn restore(&mut self, now: Time, records: &[Vec<u8>]) {
+        for record in records {
+            if let Ok(begun) = rmp_serde::from_slice::<Vec<BegunStreams>>(record) {
+                self.begun(now, &begun);
+            }
+        }
+    }
+
+    fn begun(&mut self, now: Time, begun: &[BegunStreams]) {
+        for begun in begun {
+            for key in &begun.keys {
+                self.register.note(now, *key, &begun.origin);
+            }
+        }
+    }
+
+    /// Appends streams that have begun to the journal, if there is one.
+    fn keep(&self, begun: &[BegunStreams]) {
+        if let (Some(journal), Ok(record)) = (&self.journal, rmp_serde::to_vec(begun)) {
+            journal.append(record);
+        }
+    }
+
     fn ended(&self, now: Time) -> Vec<(String, Duration)> {
         let ended = self.ended.iter();
         let ended = ended.map(|(target, at)| (target.clone(), now.since(*at)));
@@ -55,27 +86,34 @@
 }
 
 impl Shell {
-    /// Numbers the changes of the software of targets after their list was read.
+    /// Numbers the changes of the software of targets after their list was read. Versions that
+    /// the log doesn't have yet aren't told.
     pub(super) fn software_listed(&mut self) {
         let now = self.clock.now();
+        let mut ids = BTreeSet::new();
         let mut known = BTreeMap::new();
         for listed in self.zone_owner.owned_targets(now) {
-            let software = listed.software.as_ref();
-            self.streams.listed.note(now, &listed.service, software);
-            known.insert(listed.id.clone(), listed.software.clone());
+            let one = listed.service_software();
+            self.streams.versions.listed(now, &one);
+            ids.insert(listed.id.as_str());
+            if self.streams.versions.is_noted(&one) {
+                known.insert(listed.id.clone(), one.software);
+            } else if self.streams.software.contains(&listed.id) {
+                known.insert(listed.id.clone(), None);
+            }
         }
-        self.streams.listed.expire(now);
+        self.streams.versions.expire(now);
         let software = &mut self.streams.software;
-        software.retain(|id| known.contains_key(id));
+        software.retain(|id| ids.contains(id));
         software.update(&known);
+        self.note_software();
     }
 
     pub(super) fn stream_sync(&mut self, sync: StreamSync) -> Reply {
         let now = self.clock.now();
-        for begun in &sync.begun {
-            for key in &begun.keys {
-                self.streams.register.note(now, *key, &begun.origin);
-            }
+        if !sync.begun.is_empty() {
+            self.streams.begun(now, &sync.begun);
+            self.streams.keep(&sync.begun);
         }
         if !sync.wants.is_empty() {
             self.owner_input(zone_owner::Input::StreamWants(sync.wants));
@@ -87,6 +125,7 @@
                 .map(|(target, software)| TargetSoftware { target, software })
                 .collect(),
             revision: new.known,
+            incarnation: self.streams.incarnation,
         })
     }
 
@@ -103,11 +142,11 @@
         let register = &self.streams.register;
         let origin = asked.key.and_then(|key| register.find(now, &key).cloned());
         let listed = asked.service.as_ref();
-        let listed = listed.map(|service| self.streams.listed.of(now, service));
+        let listed = listed.map(|service| self.streams.versions.of(now, service));
         Reply::FoundStream(FoundStream {
             origin,
             listed: listed.unwrap_or_default(),
-            zones: self.zone_lease.zones(now),
+            covered: self.covered_zones(),
             ended: self.streams.ended(now),
             watched: now.since(self.streams.since),
         })
--- a/crates/frontd/src/control/shell/zones.rs
+++ b/crates/frontd/src/control/shell/zones.rs
@@ -60,6 +60,7 @@
         let before = self.zone_lease.zones(self.clock.now());
         self.zone_lease.granted(asked, zones);
         let after = self.zone_lease.zones(self.clock.now());
+        self.streams.versions.owned(&before, &after);
         prom_metrics().zones(after.len());
         if before != after {
             event!(telemetry::Event::EngineTaken, zones = after.join(","));
--- a/crates/frontd/src/entry/streams.rs
+++ b/crates/frontd/src/entry/streams.rs
@@ -3,7 +3,7 @@
 //! Each instance remembers the streams that it has passed on, and tells two control
 //! instances. A caller whose connection broke may come to any instance, which asks them.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use base::{Fingerprint, SoftwareVersion, Time};
 use daemon::lock;
@@ -51,6 +51,9 @@
 /// Retry-After for the rest of a stream whose origin nobody in reach knows.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// Most streams that a control instance is told again with one exchange.
+const RETOLD_MAX: usize = 500;
+
 /// Most streams that are kept for a control instance that doesn't answer.
 const MAX_UNTOLD: usize = 4_096;
 
@@ -66,6 +69,10 @@
 pub(super) struct Untold {
     begun: Vec<BegunStreams>,
     wants: Vec<SoftwareWant>,
+    /// Streams that it was told of in an earlier incarnation, or never, the next ones first.
+    retold: VecDeque<BegunStreams>,
+    /// Its incarnation.
+    incarnation: u64,
     /// Number of the last change of targets' software that it has sent.
     revision: u64,
     /// When the next exchange is due that nothing else calls for.
@@ -91,6 +98,18 @@
         }
     }
 
+    /// Tells all these streams again, some with each exchange.
+    fn retell(&mut self, all: Vec<BegunStreams>) {
+        self.retold.clear();
+        for BegunStreams { origin, keys } in all {
+            let parts = keys.chunks(RETOLD_MAX).map(|keys| BegunStreams {
+                origin: origin.clone(),
+                keys: keys.to_vec(),
+            });
+            self.retold.extend(parts);
+        }
+    }
+
     fn want(&mut self, want: SoftwareWant) {
         if !self.wants.contains(&want) {
             self.wants.push(want);
@@ -100,11 +119,12 @@
     /// Returns what has to be sent now, if anything.
     fn take(&mut self, now: Time, lacks_software: bool) -> Option<StreamSync> {
         let due = lacks_software || now >= self.next;
-        let nothing = self.begun.is_empty() && self.wants.is_empty() && !due;
-        if nothing || now < self.paused_until {
+        let nothing = self.begun.is_empty() && self.wants.is_empty() && self.retold.is_empty();
+        if nothing && !due || now < self.paused_until {
             return None;
         }
         self.next = now + SOFTWARE_INTERVAL;
+        self.begun.extend(self.retold.pop_front());
         Some(StreamSync {
             revision: if lacks_software { 0 } else { self.revision },
             begun: std::mem::take(&mut self.begun),
@@ -399,7 +419,19 @@
 }
 
 fn apply(state: &State, peer: &ControlPeer, synced: StreamSynced) {
-    lock(&peer.untold).revision = synced.revision;
+    let mut untold = lock(&peer.untold);
+    untold.revision = synced.revision;
+    if untold.incarnation != synced.incarnation {
+        untold.incarnation = synced.incarnation;
+        // Failure: all control instances are restarted in turn, and then the entry instance
+        // ends where a stream began: nobody knows any more which version began it.
+        let is_told = state.nearest_controls(TOLD);
+        if is_told.iter().any(|told| told.address == peer.address) {
+            let register = lock(&state.streams.register);
+            untold.retell(register.all(state.now()));
+        }
+    }
+    drop(untold);
     if synced.software.is_empty() {
         return;
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod hedge;
 pub mod helpers;
 pub mod home;
+pub mod known_versions;
 pub mod list_fallback;
 pub mod reach;
 pub mod revisions;
--- a/crates/gateway/src/revisions.rs
+++ b/crates/gateway/src/revisions.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// Returns whether a name has a value.
+    #[must_use]
+    pub fn contains(&self, name: &str) -> bool {
+        self.versions.contains_key(name)
+    }
+
     /// Applies the newest value of each name and numbers those that have changed.
     pub fn update(&mut self, versions: &BTreeMap<String, V>) {
         for (name, version) in versions {
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -10,7 +10,7 @@
 };
 
 use base::{Fingerprint, SoftwareVersion, Time};
-use wire::stream::{FoundStream, StreamOrigin};
+use wire::stream::{BegunStreams, FoundStream, StreamOrigin};
 
 use crate::view::View;
 
@@ -68,6 +68,29 @@
         self.origins.get(entry.origin?)
     }
 
+    /// Returns all streams whose origin is known, by origin.
+    #[must_use]
+    pub fn all(&self, now: Time) -> Vec<BegunStreams> {
+        let mut all: Vec<BegunStreams> = Vec::new();
+        let mut by_origin = BTreeMap::new();
+        for (key, entry) in &self.streams {
+            let recent = now.since(entry.reported) < MAX_AGE;
+            let Some(origin) = entry.origin.filter(|_| recent) else {
+                continue;
+            };
+            let at = *by_origin.entry(origin).or_insert_with(|| {
+                let origin = self.origins[origin].clone();
+                all.push(BegunStreams {
+                    origin,
+                    keys: Vec::new(),
+                });
+                all.len() - 1
+            });
+            all[at].keys.push(*key);
+        }
+        all
+    }
+
     /// Returns the number of streams that are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -151,9 +174,8 @@
 /// been one version only, by an entry instance's `view` and the answers of the owners of all
 /// `zones` of the deployment.
 ///
-/// A target that runs another version takes requests only after the owner of its zone has
-/// listed it, and is remembered there. An instance that has just started may not have heard of
-/// a zone's targets.
+/// A version that no owner in the answers covers may have begun the stream: the owner has just
+/// started, hasn't heard yet what earlier owners have listed, or can't read the list.
 #[must_use]
 pub fn only_origin(
     now: Time,
@@ -162,7 +184,7 @@
     service: &str,
     answers: &[FoundStream],
 ) -> Option<StreamOrigin> {
-    let owned = |zone: &String| answers.iter().any(|found| found.zones.contains(zone));
+    let owned = |zone: &String| answers.iter().any(|found| found.covered.contains(zone));
     if !zones.iter().chain(&view.zones_with(service)).all(owned) {
         return None;
     }
--- a/crates/gateway/src/zone_owner/message.rs
+++ b/crates/gateway/src/zone_owner/message.rs
@@ -8,7 +8,7 @@
 use base::{SoftwareVersion, Ticket, Time};
 use wire::{
     fleet::{Resident, Sync, Synced, Target, Weights},
-    stream::{SoftwareWant, TargetSoftware},
+    stream::{ServiceSoftware, SoftwareWant, TargetSoftware},
 };
 
 use crate::zone_lease::ZoneLease;
@@ -189,6 +189,15 @@
 }
 
 impl ListedTarget {
+    /// Returns its service with the software that it runs.
+    #[must_use]
+    pub fn service_software(&self) -> ServiceSoftware {
+        ServiceSoftware {
+            service: self.service.clone(),
+            software: self.software.clone(),
+        }
+    }
+
     /// Returns the software that it runs.
     #[must_use]
     pub fn software(&self) -> TargetSoftware {
--- a/crates/gateway/tests/stream_fleet.rs
+++ b/crates/gateway/tests/stream_fleet.rs
@@ -5,7 +5,8 @@
 
 use base::{Fingerprint, Seed, SoftwareVersion, Time};
 use gateway::{
-    streams::{ListedSoftware, StreamRegister, only_origin},
+    known_versions::KnownVersions,
+    streams::{StreamRegister, only_origin},
     view::{Choice, View},
 };
 use googletest::prelude::*;
@@ -13,7 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 use wire::{
     fleet::Target,
-    stream::{FoundStream, StreamOrigin},
+    stream::{FoundStream, ServiceSoftware, StreamOrigin},
 };
 
 const ZONES: [&str; 4] = ["za", "zb", "zc", "zd"];
@@ -50,11 +51,22 @@
 
 struct Control {
     register: StreamRegister,
-    history: ListedSoftware,
+    versions: KnownVersions,
     listed: Vec<Real>,
     next_list: u64,
 }
 
+impl Control {
+    fn new(register: StreamRegister) -> Control {
+        Control {
+            register,
+            versions: KnownVersions::default(),
+            listed: Vec::new(),
+            next_list: 0,
+        }
+    }
+}
+
 struct Entry {
     zone: usize,
     view: View,
@@ -89,12 +101,18 @@
     entries: Vec<Entry>,
     streams: Vec<Stream>,
     cut: Option<usize>,
+    /// Whether control instances are restarted, one or all with all entry instances.
+    restarts: bool,
+    /// Number of the newest version.
+    version: u64,
+    /// The versions in the replicated log.
+    log: BTreeSet<ServiceSoftware>,
     ids: usize,
     seen: Seen,
 }
 
 impl World {
-    fn new(seed: u64, entries: usize) -> World {
+    fn new(seed: u64, entries: usize, restarts: bool) -> World {
         let mut world = World {
             rng: ChaCha8Rng::seed_from_u64(seed),
             step: 0,
@@ -103,6 +121,9 @@
             entries: Vec::new(),
             streams: Vec::new(),
             cut: None,
+            restarts,
+            version: 1,
+            log: BTreeSet::new(),
             ids: 0,
             seen: Seen::default(),
         };
@@ -110,12 +131,8 @@
             for _ in 0..TARGETS {
                 world.start_target(zone, "v1");
             }
-            world.controls.push(Control {
-                register: StreamRegister::default(),
-                history: ListedSoftware::default(),
-                listed: Vec::new(),
-                next_list: 0,
-            });
+            let control = Control::new(StreamRegister::default());
+            world.controls.push(control);
         }
         world.entries = (0..entries).map(|no| entry(no, seed)).collect();
         world
@@ -142,7 +159,10 @@
 
     /// Replaces targets by new ones of a drawn version, kills instances, cuts zones.
     fn trouble(&mut self) {
-        if self.rng.random_bool(0.02) {
+        if self.restarts {
+            self.release();
+            self.restart();
+        } else if self.rng.random_bool(0.02) {
             let version = ["v1", "v2", "v3"][self.rng.random_range(0..3)];
             let old = self.rng.random_range(0..self.targets.len());
             let zone = self.targets[old].zone;
@@ -164,6 +184,65 @@
         }
     }
 
+    /// Goes on with a release, one target after the other, or begins the next one.
+    fn release(&mut self) {
+        if !self.rng.random_bool(0.05) {
+            return;
+        }
+        let next = format!("v{}", self.version);
+        let mut all = self.targets.iter();
+        let old = all.position(|target| target.software.to_string() != next);
+        let Some(old) = old else {
+            self.version += 1;
+            return;
+        };
+        let zone = self.targets[old].zone;
+        self.targets.remove(old);
+        self.start_target(zone, &next);
+    }
+
+    /// Restarts a control instance, or all instances after their power was lost.
+    fn restart(&mut self) {
+        if self.rng.random_bool(0.01) {
+            let zone = self.rng.random_range(0..ZONES.len());
+            let lost = self.rng.random_bool(0.2);
+            self.restart_control(zone, lost);
+        }
+        if self.rng.random_bool(0.002) {
+            for entry in &mut self.entries {
+                entry.register = StreamRegister::default();
+            }
+            let lost = self.rng.random_bool(0.5);
+            for zone in 0..ZONES.len() {
+                self.restart_control(zone, lost);
+            }
+            for stream in &mut self.streams {
+                stream.breaks = self.step;
+            }
+            let seed: u64 = self.rng.random();
+            let all = self.entries.len();
+            self.entries = (0..all).map(|no| entry(no, seed)).collect();
+        }
+    }
+
+    /// Starts a control instance again, on its disk or on an empty one. Entry instances tell
+    /// it again what began there.
+    fn restart_control(&mut self, zone: usize, lost: bool) {
+        let mut register = std::mem::take(&mut self.controls[zone].register);
+        if lost {
+            register = StreamRegister::default();
+            let now = self.now();
+            for entry in &self.entries {
+                for begun in entry.register.all(now) {
+                    for key in begun.keys {
+                        register.note(now, key, &begun.origin);
+                    }
+                }
+            }
+        }
+        self.controls[zone] = Control::new(register);
+    }
+
     fn read_lists(&mut self) {
         let now = self.now();
         for (zone, control) in self.controls.iter_mut().enumerate() {
@@ -173,8 +252,14 @@
             control.next_list = self.step + self.rng.random_range(1..=LIST_LAG);
             let targets = self.targets.iter();
             control.listed = targets.filter(|t| t.zone == zone).cloned().collect();
-            for target in &control.listed {
-                control.history.note(now, "s", Some(&target.software));
+            let listed: BTreeSet<_> = control.listed.iter().map(service_software).collect();
+            for one in &listed {
+                control.versions.listed(now, one);
+            }
+            let zones = [ZONES[zone].to_owned()];
+            if control.versions.ask(now, &zones, &listed) {
+                self.log.extend(listed);
+                control.versions.noted(now, zones.into(), self.log.clone());
             }
         }
     }
@@ -192,7 +277,9 @@
             let view = &mut self.entries[no].view;
             let targets = listed.iter().map(target).collect();
             view.set_targets(now, &[ZONES[zone].to_owned()], targets);
+            let versions = &self.controls[zone].versions;
             let software = listed.iter();
+            let software = software.filter(|t| versions.is_noted(&service_software(t)));
             view.set_software(software.map(|t| (t.id.clone(), Some(t.software.clone()))));
         }
         self.entries[no].view.expire_software(now);
@@ -218,6 +305,13 @@
         }
     }
 
+    /// Returns the zone of a control instance, if it knows all its versions.
+    fn covered(&self, zone: usize) -> Vec<String> {
+        let zones = vec![ZONES[zone].to_owned()];
+        let versions = &self.controls[zone].versions;
+        zones.into_iter().filter(|z| versions.covers(z)).collect()
+    }
+
     /// Returns the target of a request, if it still runs and can be reached.
     fn choose(&self, no: usize, wanted: Option<&SoftwareVersion>) -> Option<&Real> {
         let entry = &self.entries[no];
@@ -266,8 +360,8 @@
         let answers: Vec<_> = reached
             .map(|zone| FoundStream {
                 origin: self.controls[zone].register.find(now, &stream.key).cloned(),
-                listed: self.controls[zone].history.of(now, "s"),
-                zones: vec![ZONES[zone].to_owned()],
+                listed: self.controls[zone].versions.of(now, "s"),
+                covered: self.covered(zone),
                 ended: Vec::new(),
                 watched: Duration::ZERO,
             })
@@ -328,6 +422,13 @@
     }
 }
 
+fn service_software(real: &Real) -> ServiceSoftware {
+    ServiceSoftware {
+        service: "s".to_owned(),
+        software: Some(real.software.clone()),
+    }
+}
+
 fn target(real: &Real) -> Target {
     Target {
         id: real.id.clone(),
@@ -346,9 +447,9 @@
 /// Part of the streams that could go on and have to.
 const SHARE: f64 = 0.5;
 
-fn check((entries, seeds): (usize, u64)) {
+fn check((entries, seeds, restarts): (usize, u64, bool)) {
     for seed in 0..seeds {
-        let seen = World::new(seed, entries).run();
+        let seen = World::new(seed, entries, restarts).run();
         println!("{entries} instances, seed {seed}: {seen:?}");
         let share = seen.went_on as f64 / seen.could as f64;
         assert_that!(
@@ -363,8 +464,16 @@
     /// Guards against streams of two software versions, and against streams that could go on
     /// and don't, while roll-outs, kills and cuts overlap.
     drawn_roll_outs_mix_no_streams: check => {
-        six_instances: (6, 12),
-        fifty_seven_instances: (57, 3),
-        many_instances: (194, 1),
+        six_instances: (6, 12, false),
+        fifty_seven_instances: (57, 3, false),
+        many_instances: (194, 1, false),
+    }
+
+    /// Guards against streams of two software versions where nobody remembers what was listed
+    /// before a restart, and against streams that are lost with a restart of the core.
+    drawn_restarts_mix_no_streams: check => {
+        six_instances: (6, 12, true),
+        fifty_seven_instances: (57, 3, true),
+        many_instances: (194, 1, true),
     }
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -83,6 +83,7 @@
     DiskFailed 2009 Error "disk failed" "A write or sync in the data folder failed: the replica takes no further part in replication until it is restarted on a working disk."
     DiskTorn 2010 Warn "torn record cut off" "The last record of the log was only partly written when the process died; it was never confirmed and is truncated."
     DiskCorrupt 2011 Error "log corrupt" "A record before the last one fails its checksum: the replica refuses to start. Replace the replica by a new one."
+    JournalFailed 2012 Warn "journal of streams can't be used" "Where streams began isn't kept on the disk, so that this instance won't know it after a restart; `why` gives the cause."
 
     // 3xxx: ownership of engines.
     EngineTaken 3001 Info "engine taken" "This instance owns `engine` under the fencing number `fence`."
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -31,7 +31,7 @@
     quarantine::{CrashReport, Quarantine},
     rest::RestReport,
     retry::{RetryAnswer, RetryReport},
-    stream::{FindStream, FoundStream, StreamSync, StreamSynced},
+    stream::{FindStream, FoundStream, ServiceSoftware, StreamSync, StreamSynced},
 };
 
 record! {
@@ -125,6 +125,9 @@
         /// Entry to zone owner: targets that have asked the caller for rest. A call of its own,
         /// made only where some have.
         Rests(RestReport),
+        /// Zone owner to leader: the software versions that are listed in the caller's zones,
+        /// to be noted in the log.
+        Software(Vec<ServiceSoftware>),
     }
 
     /// The answer to a call.
@@ -191,6 +194,8 @@
         Admission(AdmissionTold),
         /// Answers [`Call::Renew`]: the zones that the caller owns, with its fencing numbers.
         Renewed(Vec<(String, u64)>),
+        /// Answers [`Call::Software`]: all versions in the log that may have begun a stream.
+        Software(Vec<ServiceSoftware>),
         /// Answers [`Call::Explain`]; `None` if the text has no such service.
         Explained(Option<Explained>),
         /// The callee can't answer this call; ask the leader instead.
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -37,6 +37,15 @@
         pub software: SoftwareVersion,
     }
 
+    /// A software version that targets of a service run.
+    #[derive(PartialOrd, Ord)]
+    pub struct ServiceSoftware {
+        /// The service.
+        pub service: String,
+        /// The version; `None` for targets that name none.
+        pub software: Option<SoftwareVersion>,
+    }
+
     /// A question about a stream whose caller has part of it.
     pub struct FindStream {
         /// Names the stream; absent if its caller names no attempt that began it.
@@ -50,11 +59,11 @@
     pub struct FoundStream {
         /// Where it began, if that is known.
         pub origin: Option<StreamOrigin>,
-        /// Software versions of the service that were listed in the zones of this control
-        /// instance while a stream may have lived; `None` for targets that name none.
+        /// Software versions of the service that this control instance knows of and that may
+        /// have begun a stream; `None` for targets that name none.
         pub listed: Vec<Option<SoftwareVersion>>,
-        /// Zones that it owns.
-        pub zones: Vec<String>,
+        /// Zones all of whose versions are in `listed`. Of other zones it may know too few.
+        pub covered: Vec<String>,
         /// Targets whose process was reported to have ended lately, and how long ago.
         pub ended: Vec<(String, Duration)>,
         /// How long it has noted versions: what was listed before isn't known to it.
@@ -79,6 +88,10 @@
         /// Number of the last of these changes, counted within one incarnation of the
         /// control instance.
         pub revision: u64,
+        /// Differs between incarnations of the control instance: what an earlier one was told
+        /// may be lost.
+        #[serde(default)]
+        pub incarnation: u64,
     }
 
     /// The software of a target.
