Refuse the rest of a stream whose service has weight 0 by now

Callers: after the weights of a route changed from 100/0 to 0/100, the rest of a stream ran at the service that gets nothing any more, 3 s after the acknowledgement (review/3, 8 of 8 requests). By the users' rule it is a request like others, and only the older version allows that service.

Cause: whether a route still leads to the service that began a stream was read from the names in its split, whatever their weights.

Change: only services with a weight above 0 count. Such a rest is refused as not run, as where the service is no longer named. Streams that go on within an answer aren't touched: their request was sent before.

--- a/crates/frontd/src/entry/streams.rs
+++ b/crates/frontd/src/entry/streams.rs
@@ -292,8 +292,7 @@
     };
     let unknown = key.map_or("no_attempt_named", |_| "unknown");
     let found = find(state, &asked, until).await.ok_or(unknown)?;
-    let leads_there = |(service, _): &(String, u32)| *service == found.origin.service;
-    if !route.split.iter().any(leads_there) {
+    if !route.leads_to(&found.origin.service) {
         return Err("service_changed");
     }
     Ok(found)
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -134,6 +134,16 @@
         Deployment::start_before(entries, Vec::new(), list, links, options).await
     }
 
+    /// As [`Self::start_listed`], with a configuration of its own.
+    pub(crate) async fn start_configured(
+        entries: u8,
+        list: ListFn,
+        config: ConfigFn,
+    ) -> Deployment {
+        let options = (retries(), None, config);
+        Deployment::start_before(entries, Vec::new(), list, Vec::new(), options).await
+    }
+
     /// As [`Self::start_listed`], with requests that are hedged.
     pub(crate) async fn start_hedging(list: ListFn, hedging: HedgingSettings) -> Deployment {
         let retries = budget::Limits {
--- a/crates/frontd/tests/targets/versions.rs
+++ b/crates/frontd/tests/targets/versions.rs
@@ -1,14 +1,22 @@
 //! Streams that break off while targets of two software versions serve, and that go on
 //! elsewhere or are taken up by their callers.
 
-use std::{ops::RangeInclusive, sync::Arc, time::Duration};
+use std::{
+    ops::RangeInclusive,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use futures::future::join_all;
 use googletest::prelude::*;
 use tokio::{runtime::Builder, time::sleep};
 
 use crate::{
-    deployment::Deployment,
+    deployment::{ConfigFn, Deployment, ListFn},
+    engines::{checked, raw_table},
     raw::{self, Ask},
     versioned::{EVENTS, PAUSE, Target},
 };
@@ -138,6 +146,21 @@
     }
 
     async fn start_with(software: &[&str], entries: u8) -> Fleet {
+        Fleet::start_by(software, |list| Deployment::start_listed(entries, list)).await
+    }
+
+    /// As [`Self::start`], with a configuration of its own.
+    async fn start_configured(software: &[&str], config: ConfigFn) -> Fleet {
+        Fleet::start_by(software, |list| {
+            Deployment::start_configured(2, list, config)
+        })
+        .await
+    }
+
+    async fn start_by<F>(software: &[&str], start: impl FnOnce(ListFn) -> F) -> Fleet
+    where
+        F: Future<Output = Deployment>,
+    {
         let targets = software.iter().enumerate();
         let targets = targets.map(|(no, version)| {
             let id = format!("t{no}");
@@ -145,8 +168,9 @@
         });
         let targets = join_all(targets).await;
         let listed = targets.clone();
-        let list = Arc::new(move || listed.iter().filter_map(|target| target.list()).collect());
-        let deployment = Deployment::start_listed(entries, list).await;
+        let list: ListFn =
+            Arc::new(move || listed.iter().filter_map(|target| target.list()).collect());
+        let deployment = start(list).await;
         Fleet {
             targets,
             deployment,
@@ -526,6 +550,41 @@
     });
 }
 
+/// Guards against the rest of a stream that runs at a service to which its route no longer
+/// sends anything.
+#[test]
+fn streams_do_not_go_on_at_a_service_of_weight_zero() {
+    run(async {
+        let moved = Arc::new(AtomicBool::new(false));
+        let is_moved = Arc::clone(&moved);
+        let config = Arc::new(move || {
+            let mut table = raw_table(0, None);
+            let other = table.services["s"].clone();
+            table.services.insert("t".to_owned(), other);
+            let weight = if is_moved.load(Ordering::Relaxed) {
+                0
+            } else {
+                100
+            };
+            let split = [("s", weight), ("t", 100 - weight)];
+            for route in &mut table.routes {
+                route.split = split.map(|(name, weight)| (name.to_owned(), weight)).into();
+            }
+            checked(table)
+        });
+        let fleet = Fleet::start_configured(&["v1", "v1"], config).await;
+        let mut streams = fleet.begin_all(Taker::Another).await;
+        moved.store(true, Ordering::Relaxed);
+        fleet.deployment.submit("/2").await;
+        sleep(LIST_TIME).await;
+        for (no, stream) in streams.iter_mut().enumerate() {
+            fleet.take_up(if no % 2 == 0 { 1 } else { 2 }, stream).await;
+        }
+        let counts = Counts::of(&streams, "v1");
+        assert_that!(counts.refused, eq(counts.all), "{counts:?}");
+    });
+}
+
 /// Guards against a stream that goes on at a target that has started again under its id with
 /// another version, which the platform's list doesn't show yet.
 #[test]
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -90,6 +90,13 @@
         }
         &self.split[0].0
     }
+
+    /// Returns whether some of its requests go to `service`.
+    #[must_use]
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut parts = self.split.iter();
+        parts.any(|(name, weight)| name == service && *weight > 0)
+    }
 }
 
 /// A base model of an engine service.
--- a/crates/gateway/tests/table.rs
+++ b/crates/gateway/tests/table.rs
@@ -73,6 +73,15 @@
     assert_that!((count("s"), count("t"), count("u")), eq((90, 10, 0)));
 }
 
+/// Guards against the rest of a stream that runs at a service which gets nothing any more.
+#[gtest]
+fn a_service_of_weight_zero_is_led_to_by_no_route() {
+    let mut split = route("/a/");
+    split.split = vec![("old".to_owned(), 0), ("new".to_owned(), 100)];
+    let led = ["old", "new", "other"].map(|service| split.leads_to(service));
+    expect_that!(led, eq([false, true, false]));
+}
+
 /// Returns whether goals are tight where a route to engines and one to plain targets have these.
 fn tight((engines, plain): (Option<u64>, Option<u64>)) -> bool {
     with_goals(engines, plain, None).has_tight_goals()
