Doubt streams that began before the list showed what their target runs

Cause: the version that begins a stream is what the list says as the request is sent, and the list lags. It wasn't looked at again when the list changed.

Change: an entry instance keeps for 5 s at which target each stream began. When it is told that a target runs another version than was known, streams of that time are reported again with that version: reports that contradict each other are no origin, at this instance at once, at control instances within 0.1 s. Their rest is refused, within the answer as well. Streams that really began at the former version and haven't been taken up by then are refused too: they broke at least the list's lag before.

Not covered: streams that can't be resumed and go on from a copy of a KV cache, whose requests have no key here; an instance killed within the list's lag.

--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -511,7 +511,7 @@
         &mut self,
         last: Option<&str>,
     ) -> Option<(Answer, InFlight)> {
-        if !self.stream.may_go_on() {
+        if !self.stream.may_go_on(&self.state) {
             self.log_not_continued("software_unknown");
             return None;
         }
@@ -542,8 +542,11 @@
             return;
         }
         let software = in_flight.software();
-        self.stream
-            .passed_on(&self.state, &self.service, software.as_ref());
+        self.stream.passed_on(
+            &self.state,
+            &self.service,
+            (&in_flight.id, software.as_ref()),
+        );
     }
 
     /// Returns the software version that began the stream, for the log.
--- a/crates/frontd/src/entry/lists.rs
+++ b/crates/frontd/src/entry/lists.rs
@@ -18,7 +18,7 @@
     list::{ListAge, ZoneList},
 };
 
-use super::state::State;
+use super::{state::State, streams};
 
 /// Gets lists from elsewhere when they are old, for as long as the process runs.
 pub(super) async fn run(state: Arc<State>) {
@@ -142,9 +142,8 @@
         before_ms = age.unwrap_or_default().as_millis(),
         age_ms = now.since(as_of).as_millis()
     );
-    let software = list.software.into_iter();
+    streams::set_software(state, list.software.into_iter());
     let mut view = state.view();
-    view.set_software(software.map(|told| (told.target, told.software)));
     view.relist(now, zone, list.targets);
     if state.controls.owner(now, zone).is_none() {
         // Nobody says any more what other instances run there.
--- a/crates/frontd/src/entry/streams.rs
+++ b/crates/frontd/src/entry/streams.rs
@@ -9,7 +9,7 @@
 use daemon::lock;
 use futures::{StreamExt, stream::FuturesUnordered};
 use gateway::{
-    streams::{StreamRegister, only_origin},
+    streams::{RecentStreams, StreamRegister, only_origin},
     table::{Kind, Route},
 };
 use hyper::{HeaderMap, header::HOST};
@@ -20,7 +20,10 @@
 };
 use wire::{
     call::{Call, Reply},
-    stream::{BegunStreams, FindStream, SoftwareWant, StreamOrigin, StreamSync, StreamSynced},
+    stream::{
+        BegunStreams, FindStream, SoftwareWant, StreamOrigin, StreamSync, StreamSynced,
+        TargetSoftware,
+    },
 };
 
 use super::{
@@ -61,6 +64,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Streams {
     register: std::sync::Mutex<StreamRegister>,
+    recent: std::sync::Mutex<RecentStreams>,
     untold: Notify,
 }
 
@@ -195,8 +199,10 @@
     }
 
     /// Returns whether it is known where it may go on.
-    pub(super) fn may_go_on(&self) -> bool {
-        self.begun != Begun::Unknown
+    pub(super) fn may_go_on(&self, state: &State) -> bool {
+        let register = lock(&state.streams.register);
+        let doubted = |key| register.is_contradicted(state.now(), &key);
+        self.begun != Begun::Unknown && !self.key.is_some_and(doubted)
     }
 
     /// Returns whether its first events were noted.
@@ -209,7 +215,7 @@
         &mut self,
         state: &State,
         service: &str,
-        software: Option<&SoftwareVersion>,
+        (target, software): (&str, Option<&SoftwareVersion>),
     ) {
         self.told = true;
         if self.begun == Begun::No {
@@ -223,11 +229,33 @@
         let (Some(key), Some(origin)) = (self.key, self.origin()) else {
             return;
         };
-        lock(&state.streams.register).note(state.now(), key, origin);
-        for peer in state.nearest_controls(TOLD) {
-            lock(&peer.untold).begin(key, origin);
+        lock(&state.streams.recent).note(state.now(), target, key, origin);
+        note(state, key, origin);
+    }
+}
+
+/// Notes where a stream began, and has control instances told.
+fn note(state: &State, key: Fingerprint, origin: &StreamOrigin) {
+    lock(&state.streams.register).note(state.now(), key, origin);
+    for peer in state.nearest_controls(TOLD) {
+        lock(&peer.untold).begin(key, origin);
+    }
+    state.streams.untold.notify_one();
+}
+
+/// Takes over the software of targets.
+///
+/// Failure: a target starts again under its id with another version, and the list shows that
+/// late. Streams that have begun there meanwhile would go on at the version before.
+pub(super) fn set_software(state: &State, told: impl Iterator<Item = TargetSoftware>) {
+    let told = told.map(|told| (told.target, told.software));
+    let changed = state.view().set_software(told);
+    for (target, software) in changed {
+        let now = state.now();
+        let doubted = lock(&state.streams.recent).doubted(now, &target, &software);
+        for (key, origin) in doubted {
+            note(state, key, &origin);
         }
-        state.streams.untold.notify_one();
     }
 }
 
@@ -332,9 +360,14 @@
 async fn find(state: &State, asked: &FindStream, until: Instant) -> Option<Found> {
     let own = asked.key.and_then(|key| {
         let register = lock(&state.streams.register);
-        register.find(state.now(), &key).cloned()
+        let now = state.now();
+        let doubted = register.is_contradicted(now, &key);
+        let origin = register.find(now, &key).cloned();
+        (doubted || origin.is_some()).then_some(origin)
     });
+    // Control instances may not have been told yet that it is in doubt.
     if let Some(origin) = own {
+        let origin = origin?;
         return Some(Found {
             origin,
             source: "own",
@@ -434,9 +467,6 @@
     if synced.software.is_empty() {
         return;
     }
-    let told = synced.software.into_iter();
-    state
-        .view()
-        .set_software(told.map(|known| (known.target, known.software)));
+    set_software(state, synced.software.into_iter());
     state.changed.notify_waiters();
 }
--- a/crates/frontd/tests/targets/versioned.rs
+++ b/crates/frontd/tests/targets/versioned.rs
@@ -85,6 +85,11 @@
         self.software.lock().unwrap().clone()
     }
 
+    /// Has the platform's list show the version that the target runs.
+    pub(crate) fn show(&self) {
+        *self.shown.lock().unwrap() = self.software();
+    }
+
     /// Ends the target and all its connections.
     pub(crate) fn end(&self) {
         self.down().cancel();
--- a/crates/frontd/tests/targets/versions.rs
+++ b/crates/frontd/tests/targets/versions.rs
@@ -585,6 +585,29 @@
     });
 }
 
+/// Guards against streams that began at a target while the platform's list still showed the
+/// version it ran before it started again, and that go on at that version.
+#[test]
+fn streams_of_a_target_that_was_listed_late_do_not_go_on_at_its_former_version() {
+    run(async {
+        let fleet = Fleet::start(&["v1", "v1"]).await;
+        let restarted = &fleet.targets[0];
+        restarted.restart("v2", Duration::ZERO).await;
+        let begun = (0..40).map(|_| fleet.begin(1, 2, "/resumable/x", String::new()));
+        let mut streams = join_all(begun).await;
+        restarted.show();
+        sleep(LIST_TIME).await;
+        for (no, stream) in streams.iter_mut().enumerate() {
+            fleet.take_up(if no % 2 == 0 { 1 } else { 2 }, stream).await;
+        }
+        let counts = ["v1", "v2"].map(|version| Counts::of(&streams, version));
+        println!("{counts:?}");
+        assert_that!(counts[1].all, gt(5));
+        assert_that!(counts[0].on, eq(counts[0].all));
+        assert_that!([counts[0].wrong, counts[1].wrong], eq([0, 0]));
+    });
+}
+
 /// Guards against a stream that goes on at a target that has started again under its id with
 /// another version, which the platform's list doesn't show yet.
 #[test]
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -17,6 +17,9 @@
 /// How long a stream is remembered after the last report of it; callers wait for less.
 const MAX_AGE: Duration = Duration::from_secs(60);
 
+/// Longest time until instances are told what a target runs that has started again.
+const SHOWN_WITHIN: Duration = Duration::from_secs(5);
+
 /// Most streams that are remembered: some 30 MB.
 pub const MAX_STREAMS: usize = 250_000;
 
@@ -68,6 +71,13 @@
         self.origins.get(entry.origin?)
     }
 
+    /// Returns whether reports of a stream contradict each other.
+    #[must_use]
+    pub fn is_contradicted(&self, now: Time, key: &Fingerprint) -> bool {
+        let entry = self.streams.get(key);
+        entry.is_some_and(|entry| entry.origin.is_none() && now.since(entry.reported) < MAX_AGE)
+    }
+
     /// Returns all streams whose origin is known, by origin.
     #[must_use]
     pub fn all(&self, now: Time) -> Vec<BegunStreams> {
@@ -132,6 +142,62 @@
     }
 }
 
+/// Streams that began at each target so lately that the platform's list may not have shown
+/// yet what it ran.
+#[derive(Debug, Default)]
+pub struct RecentStreams {
+    begun: VecDeque<Recent>,
+}
+
+#[derive(Debug)]
+struct Recent {
+    at: Time,
+    target: String,
+    key: Fingerprint,
+    origin: StreamOrigin,
+}
+
+impl RecentStreams {
+    /// Notes that a stream began at `target`, which was taken to run the software of `origin`.
+    pub fn note(&mut self, now: Time, target: &str, key: Fingerprint, origin: &StreamOrigin) {
+        self.expire(now);
+        self.begun.push_back(Recent {
+            at: now,
+            target: target.to_owned(),
+            key,
+            origin: origin.clone(),
+        });
+    }
+
+    /// Returns the streams that began at `target`, which is now told to run `software`, and
+    /// that may have begun at that already: each with that origin.
+    pub fn doubted(
+        &mut self,
+        now: Time,
+        target: &str,
+        software: &SoftwareVersion,
+    ) -> Vec<(Fingerprint, StreamOrigin)> {
+        self.expire(now);
+        let begun = self.begun.iter().filter(|begun| begun.target == target);
+        let other = begun.filter(|begun| begun.origin.software != *software);
+        let doubted = other.map(|begun| {
+            let service = begun.origin.service.clone();
+            let software = software.clone();
+            (begun.key, StreamOrigin { service, software })
+        });
+        doubted.collect()
+    }
+
+    fn expire(&mut self, now: Time) {
+        while let Some(first) = self.begun.front() {
+            if now.since(first.at) < SHOWN_WITHIN && self.begun.len() < MAX_STREAMS {
+                return;
+            }
+            self.begun.pop_front();
+        }
+    }
+}
+
 /// Software versions of services that were listed while a stream may have lived.
 #[derive(Clone, Debug, Default)]
 pub struct ListedSoftware {
--- a/crates/gateway/src/view/software.rs
+++ b/crates/gateway/src/view/software.rs
@@ -27,11 +27,18 @@
 
 impl View {
     /// Takes over the software of targets; `None` where the platform's list names none.
+    /// Returns the targets that run another version than was known.
     pub fn set_software(
         &mut self,
         told: impl IntoIterator<Item = (String, Option<SoftwareVersion>)>,
-    ) {
-        self.software.versions.extend(told);
+    ) -> Vec<(String, SoftwareVersion)> {
+        let versions = &mut self.software.versions;
+        let changed = told.into_iter().filter_map(|(id, software)| {
+            let old = versions.insert(id.clone(), software.clone());
+            let changed = old.is_some_and(|old| old != software);
+            software.filter(|_| changed).map(|software| (id, software))
+        });
+        changed.collect()
     }
 
     /// Returns the software version that a target certainly runs.
--- a/crates/gateway/tests/hedge.rs
+++ b/crates/gateway/tests/hedge.rs
@@ -336,16 +336,20 @@
         outrun: |view| (0..2).for_each(|_| view.outrun(NOW, "b")),
         limited: |view| { view.limits().seen(NOW, "b", Some("2".parse().unwrap())); },
         brittle: |view| { view.seen_brittle("b", Some("5".parse().unwrap())); },
-        other_software: |view| view.set_software([
-            ("a".to_owned(), Some("v1".parse().unwrap())),
-            ("b".to_owned(), Some("v2".parse().unwrap())),
-        ]),
+        other_software: |view| {
+            view.set_software([
+                ("a".to_owned(), Some("v1".parse().unwrap())),
+                ("b".to_owned(), Some("v2".parse().unwrap())),
+            ]);
+        },
     }
 }
 
 #[gtest]
 fn a_target_of_the_same_software_is_the_second() {
     let told = ["a", "b"].map(|id| (id.to_owned(), Some("v1".parse().unwrap())));
-    let found = second(vec![target("b", 2, "zb")], |view| view.set_software(told));
+    let found = second(vec![target("b", 2, "zb")], |view| {
+        view.set_software(told);
+    });
     assert_that!(found, some(eq("b")));
 }
