Show that an answer cut within its head is never taken for whole

Another operator's report: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

It can't happen here, as far as tried.

--- a/crates/frontd/tests/targets/ends.rs
+++ b/crates/frontd/tests/targets/ends.rs
@@ -10,7 +10,7 @@
     deployment::Deployment,
     links::Cut,
     raw::{self, Ask, Received},
-    scripted::{Content, End, Framing, MORE, Script, Seen, Target},
+    scripted::{Again, Content, End, Framing, MORE, Script, Seen, Target},
 };
 
 /// Targets of a deployment.
@@ -33,8 +33,14 @@
 /// Starts a deployment whose first entry instance reaches targets through another one, if
 /// `through`.
 async fn start(through: bool) -> Deployment {
+    start_with(through, Again::default()).await
+}
+
+/// As [`start`], with targets that do this to requests that come again.
+async fn start_with(through: bool, again: Again) -> Deployment {
     let seen = Seen::default();
-    let targets = join_all((0..TARGETS).map(|no| Target::start(no, Arc::clone(&seen)))).await;
+    let targets = (0..TARGETS).map(|no| Target::start_with(no, Arc::clone(&seen), again));
+    let targets = join_all(targets).await;
     let list = Arc::new(move || targets.iter().map(|target| target.listed()).collect());
     let deployment = Deployment::start_listed(3, list).await;
     if through {
@@ -185,6 +191,40 @@
     }
 }
 
+/// Checks streams whose target breaks off, and whose second one ends within its head after
+/// `sent` bytes.
+fn check_second_head((through, sent): (bool, usize)) {
+    run(async {
+        let deployment = start_with(through, Again::CutsHead(sent)).await;
+        let mut scripts = Vec::new();
+        for again in [Framing::Length, Framing::Chunks, Framing::Neither] {
+            let all = every_byte(Content::Lf, End::Close).into_iter();
+            scripts.extend(all.step_by(7).map(|script| Script { again, ..script }));
+        }
+        let received = play(&deployment, "/resumable/x", scripts).await;
+        let wrong: Vec<_> = received
+            .iter()
+            .filter(|(script, got)| {
+                let whole = script.content.text(0);
+                !is_right(*script, got, expected(*script), &whole)
+            })
+            .collect();
+        assert_that!(wrong, is_empty());
+    });
+}
+
+base::cases! {
+    /// Guards against a stream that looks complete though the target where it went on ended
+    /// within its head.
+    streams_that_go_on_at_a_head_cut_short_never_look_complete: check_second_head => {
+        nothing: (false, 0),
+        status_line: (false, 17),
+        header: (false, 30),
+        all_but_one_byte: (false, usize::MAX),
+        all_but_one_byte_through_another_instance: (true, usize::MAX),
+    }
+}
+
 /// Checks streams that may go on elsewhere: an end within an event leads there.
 fn check_resumed((framing, again): (Framing, Framing)) {
     run(async {
--- a/crates/frontd/tests/targets/scripted.rs
+++ b/crates/frontd/tests/targets/scripted.rs
@@ -142,6 +142,8 @@
     Fails,
     /// Does what is written in it once more.
     Plays,
+    /// Closes the connection after as many bytes of the head, and before its last one.
+    CutsHead(usize),
 }
 
 /// What an answer contains.
@@ -278,6 +280,19 @@
         }
     }
 
+    /// Returns an answer that ends within its head, after `sent` bytes at most.
+    fn cut_head(self, id: &str, sent: usize) -> Script {
+        let whole = Script {
+            framing: self.again,
+            ..ALL
+        };
+        let (head, _) = whole.answer_with(id, &whole.content.text(0));
+        Script {
+            sent: sent.min(head.len() - 1),
+            ..whole
+        }
+    }
+
     /// Returns the number of bytes of the complete answer.
     pub(crate) fn whole(self, id: &str) -> usize {
         let (head, body) = self.answer(id);
@@ -367,6 +382,7 @@
         let script = match (first, again) {
             (true, _) | (_, Again::Plays) => asked,
             (false, Again::Breaks) => asked.broken(&request.id),
+            (false, Again::CutsHead(sent)) => asked.cut_head(&request.id, sent),
             (false, _) => Script {
                 framing: asked.again,
                 ..ALL
@@ -386,7 +402,7 @@
                         return note_left(&seen, &request.id, first);
                     }
                 }
-                Again::Answers | Again::Plays | Again::Breaks => {}
+                Again::Answers | Again::Plays | Again::Breaks | Again::CutsHead(_) => {}
             }
             let mut seen = seen.lock().unwrap();
             let runs = seen.get_mut(&request.id).unwrap();
