Show that an instance out of step mixes no software versions

Another operator's report: an edge machine was out of step while replicas of a new version joined; streams that began there through others broke, were taken up at it and went on at another version.

Not told apart by a test: the bound on the age of an owner's list (taken out, all pass, as the instance where streams are taken up knows the new version itself).

--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -257,6 +257,16 @@
         runtime.unwrap().shutdown_background();
     }
 
+    /// Has an entry instance that can be killed stand still.
+    pub(crate) fn freeze_entry(&self, entry: u8, time: Duration) {
+        stand_still(&self.runtimes.lock().unwrap()[&entry], time);
+    }
+
+    /// Has the control instance stand still.
+    pub(crate) fn freeze_control(&self, time: Duration) {
+        stand_still(self.control.lock().unwrap().as_ref().unwrap(), time);
+    }
+
     /// Makes the calls of the control instance to the platform fail from now on.
     pub(crate) fn blind_control(&self) {
         self.blind.store(true, Ordering::Relaxed);
@@ -509,6 +519,11 @@
     Arc::new(decoded)
 }
 
+/// Blocks the only thread that runs the tasks of an instance.
+fn stand_still(runtime: &Runtime, time: Duration) {
+    runtime.spawn(async move { std::thread::sleep(time) });
+}
+
 /// Returns a runtime for an instance that can be killed.
 fn own_runtime() -> Runtime {
     let mut builder = Builder::new_multi_thread();
--- a/crates/frontd/tests/targets/versions.rs
+++ b/crates/frontd/tests/targets/versions.rs
@@ -12,7 +12,10 @@
 
 use futures::future::join_all;
 use googletest::prelude::*;
-use tokio::{runtime::Builder, time::sleep};
+use tokio::{
+    runtime::Builder,
+    time::{Instant, sleep, sleep_until},
+};
 
 use crate::{
     deployment::{ConfigFn, Deployment, ListFn},
@@ -479,6 +482,67 @@
     }
 }
 
+/// Which instance is out of step while targets of a new version join.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OutOfStep {
+    /// The entry instance where streams are taken up stands still.
+    Taker,
+    /// The control instance stands still, so that lists are read elsewhere.
+    Owner,
+}
+
+/// Checks streams that begin at a new version through one instance, while another one is out
+/// of step, and that are taken up as that goes on.
+fn check_out_of_step((out, is_named): (OutOfStep, bool)) {
+    /// For how long an instance is out of step: until the lists are read elsewhere.
+    const TIME: Duration = Duration::from_millis(5_000);
+
+    run(async {
+        let fleet = Fleet::start_alone(&["v1", "v1", "v2", "v2"]).await;
+        let (_, new) = fleet.targets.split_at(2);
+        new.iter().for_each(|target| target.unlist());
+        let deployment = &fleet.deployment;
+        for entry in [1, 2] {
+            deployment.start_entry_alone(entry);
+            deployment.wait_ready(entry).await;
+        }
+        sleep(LIST_TIME).await;
+        let back = Instant::now() + TIME;
+        match out {
+            OutOfStep::Taker => deployment.freeze_entry(2, TIME),
+            OutOfStep::Owner => deployment.freeze_control(TIME),
+        }
+        new.iter().for_each(|target| target.enlist());
+        sleep(TIME - PAUSE * 10).await;
+        let each = (1..EVENTS).flat_map(|event| std::iter::repeat_n(event, 2 * EACH));
+        let begun = each.map(|event| fleet.begin(1, event, "/resumable/x", String::new()));
+        let mut streams = join_all(begun).await;
+        deployment.kill_entry(1);
+        sleep_until(back + Duration::from_millis(10)).await;
+        let taken_up = streams.iter_mut().map(|stream| {
+            let named = vec![("resumes", stream.id.clone())];
+            let named = if is_named { named } else { Vec::new() };
+            fleet.take_up_with(2, stream, named, EVENTS + 1)
+        });
+        join_all(taken_up).await;
+        let counts = ["v1", "v2"].map(|version| Counts::of(&streams, version));
+        println!("{out:?}, named {is_named}: {counts:?}");
+        assert_that!(counts[1].all, gt(5));
+        assert_that!([counts[0].wrong, counts[1].wrong], eq([0, 0]));
+    });
+}
+
+base::cases! {
+    /// Guards against a stream that goes on at another software version, at an instance that
+    /// was out of step as the version that began it joined.
+    streams_are_not_mixed_by_an_instance_out_of_step: check_out_of_step => {
+        taker_named: (OutOfStep::Taker, true),
+        taker_unnamed: (OutOfStep::Taker, false),
+        owner_named: (OutOfStep::Owner, true),
+        owner_unnamed: (OutOfStep::Owner, false),
+    }
+}
+
 /// Returns the headers by which a caller names the attempt with an id.
 type Naming = fn(&str) -> Vec<(&'static str, String)>;
 
