--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -251,6 +251,16 @@
         *self.control.lock().unwrap() = Some(runtime);
     }
 
+    /// Removes the control instance's journal of streams, which may be lost with the power.
+    pub(crate) fn lose_journal(&self) {
+        for entry in std::fs::read_dir(self.data.path()).unwrap() {
+            let entry = entry.unwrap();
+            if entry.file_name().to_string_lossy().starts_with("streams.") {
+                std::fs::remove_file(entry.path()).unwrap();
+            }
+        }
+    }
+
     /// Kills the control instance.
     pub(crate) fn kill_control(&self) {
         let runtime = self.control.lock().unwrap().take();
--- a/crates/frontd/tests/targets/versions.rs
+++ b/crates/frontd/tests/targets/versions.rs
@@ -410,10 +410,21 @@
     InTurn,
 }
 
+/// Whether the control instance's journal of streams outlasts that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Journal {
+    Kept,
+    Lost,
+}
+
 /// Checks streams that callers take up after instances were killed and started again.
-fn check_killed((killed, release): (Killed, Release)) {
+fn check_killed((killed, release, journal): (Killed, Release, Journal)) {
     run(async {
-        let fleet = Fleet::start_alone(&["v1", "v1", "v2", "v2"]).await;
+        let software: &[&str] = match release {
+            Release::None => &["v1", "v1"],
+            Release::Joined | Release::Replaced => &["v1", "v1", "v2", "v2"],
+        };
+        let fleet = Fleet::start_alone(software).await;
         let (old, new) = fleet.targets.split_at(2);
         new.iter().for_each(|target| target.unlist());
         let deployment = &fleet.deployment;
@@ -445,6 +456,9 @@
             }
         }
         sleep(DOWN_TIME).await;
+        if journal == Journal::Lost {
+            deployment.lose_journal();
+        }
         deployment.start_control(false);
         match killed {
             Killed::All => {
@@ -460,7 +474,7 @@
         sleep(LIST_TIME).await;
         join_all(streams.iter_mut().map(|s| fleet.take_up(2, s))).await;
         let counts = ["v1", "v2"].map(|version| Counts::of(&streams, version));
-        println!("{killed:?}, {release:?}: {counts:?}");
+        println!("{killed:?}, {release:?}, {journal:?}: {counts:?}");
         for counts in counts {
             assert_that!(counts.wrong, eq(0), "{counts:?}");
             assert_that!(counts.on + counts.refused, eq(counts.all), "{counts:?}");
@@ -475,10 +489,13 @@
     /// Guards against a stream whose caller takes it up after instances were killed, and gets
     /// the rest of another software version, or nothing though targets of its own serve.
     streams_are_taken_up_at_their_version_after_instances_were_killed: check_killed => {
-        all_with_one_version: (Killed::All, Release::None),
-        all_with_two_versions: (Killed::All, Release::Joined),
-        all_in_a_release: (Killed::All, Release::Replaced),
-        in_turn_with_two_versions: (Killed::InTurn, Release::Joined),
+        all_with_one_version: (Killed::All, Release::None, Journal::Kept),
+        all_with_one_version_without_the_journal: (Killed::All, Release::None, Journal::Lost),
+        all_with_two_versions: (Killed::All, Release::Joined, Journal::Kept),
+        all_in_a_release: (Killed::All, Release::Replaced, Journal::Kept),
+        all_in_a_release_without_the_journal: (Killed::All, Release::Replaced, Journal::Lost),
+        in_turn_with_two_versions: (Killed::InTurn, Release::Joined, Journal::Kept),
+        in_turn_without_the_journal: (Killed::InTurn, Release::Joined, Journal::Lost),
     }
 }
 
