--- a/crates/frontd/tests/targets.rs
+++ b/crates/frontd/tests/targets.rs
@@ -39,6 +39,8 @@
 mod played;
 #[path = "targets/raw.rs"]
 mod raw;
+#[path = "targets/restarts.rs"]
+mod restarts;
 #[path = "targets/rests.rs"]
 mod rests;
 #[path = "targets/rush.rs"]
--- a/crates/frontd/tests/targets/ends.rs
+++ b/crates/frontd/tests/targets/ends.rs
@@ -160,20 +160,22 @@
     runtime.block_on(test);
 }
 
+/// Returns the answers of one target each whose callers can't tell what became of them.
+fn wrong(received: &[(Script, Received)]) -> Vec<&(Script, Received)> {
+    let wrong = received.iter().filter(|(script, got)| {
+        let whole = script.content.text(0);
+        !is_right(*script, got, expected(*script), &whole)
+    });
+    wrong.collect()
+}
+
 /// Checks what callers receive of answers that end at every byte.
 fn check((through, path, content): (bool, &str, Content)) {
     run(async {
         let deployment = start(through).await;
         for end in [End::Close, End::Reset, End::Silence] {
             let received = play(&deployment, path, every_byte(content, end)).await;
-            let wrong: Vec<_> = received
-                .iter()
-                .filter(|(script, got)| {
-                    let whole = script.content.text(0);
-                    !is_right(*script, got, expected(*script), &whole)
-                })
-                .collect();
-            assert_that!(wrong, is_empty());
+            assert_that!(wrong(&received), is_empty());
         }
     });
 }
@@ -202,14 +204,7 @@
             scripts.extend(all.step_by(7).map(|script| Script { again, ..script }));
         }
         let received = play(&deployment, "/resumable/x", scripts).await;
-        let wrong: Vec<_> = received
-            .iter()
-            .filter(|(script, got)| {
-                let whole = script.content.text(0);
-                !is_right(*script, got, expected(*script), &whole)
-            })
-            .collect();
-        assert_that!(wrong, is_empty());
+        assert_that!(wrong(&received), is_empty());
     });
 }
 
