Leave the form of answers as earlier builds read it

Two answers of control instances had got a field more.

Change: the number of a control instance's incarnation is the upper half of the revisions it counts. Who answers about streams no longer says for how long it has watched; E5028 says how long the entry instance has run instead. The zones of an answer are those of which all versions are known, also to earlier builds.

Measured: frontd's tests of versions and restarts (25) and gateway's of streams (21) pass.

--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -240,7 +240,7 @@
         let name = control.replica().id().instance.clone();
         let serial = u64::from(rand::random::<u32>());
         let (journal, begun) = kept;
-        let mut streams = Streams::new(clock.now(), rand::random::<u64>() >> 2, journal);
+        let mut streams = Streams::new(rand::random(), journal);
         streams.restore(clock.now(), &begun);
         let config = zone_owner::Config {
             zones: setup.zones.len(),
--- a/crates/frontd/src/control/shell/streams.rs
+++ b/crates/frontd/src/control/shell/streams.rs
@@ -13,7 +13,10 @@
 use telemetry::event;
 use wire::{
     call::Reply,
-    stream::{BegunStreams, FindStream, FoundStream, StreamSync, StreamSynced, TargetSoftware},
+    stream::{
+        BegunStreams, FindStream, FoundStream, StreamSync, StreamSynced, TargetSoftware,
+        first_revision,
+    },
 };
 
 use super::Shell;
@@ -29,27 +32,21 @@
     journal: Option<Journal>,
     software: Revisions<Option<SoftwareVersion>>,
     pub(super) versions: KnownVersions,
-    /// Differs between incarnations of the process.
-    incarnation: u64,
     /// Targets whose process was reported to have ended, and when.
     ended: BTreeMap<String, Time>,
-    /// When this incarnation began to note them.
-    since: Time,
     /// Number of targets by service and software, as last logged.
     logged: BTreeMap<(String, SoftwareVersion), usize>,
 }
 
 impl Streams {
-    /// Creates an empty state; `first` has to differ between incarnations of the process.
-    pub(super) fn new(now: Time, first: u64, journal: Option<Journal>) -> Self {
+    /// Creates an empty state; `incarnation` has to differ between those of the process.
+    pub(super) fn new(incarnation: u32, journal: Option<Journal>) -> Self {
         Streams {
             register: StreamRegister::default(),
             journal,
-            software: Revisions::new(first),
+            software: Revisions::new(first_revision(incarnation)),
             versions: KnownVersions::default(),
-            incarnation: first,
             ended: BTreeMap::new(),
-            since: now,
             logged: BTreeMap::new(),
         }
     }
@@ -125,7 +122,6 @@
                 .map(|(target, software)| TargetSoftware { target, software })
                 .collect(),
             revision: new.known,
-            incarnation: self.streams.incarnation,
         })
     }
 
@@ -148,7 +144,6 @@
             listed: listed.unwrap_or_default(),
             covered: self.covered_zones(),
             ended: self.streams.ended(now),
-            watched: now.since(self.streams.since),
         })
     }
 
--- a/crates/frontd/src/entry/streams.rs
+++ b/crates/frontd/src/entry/streams.rs
@@ -163,8 +163,6 @@
     origin: StreamOrigin,
     /// `own`, `control` or `only_version`.
     source: &'static str,
-    /// How long those have noted versions whose answers it follows from.
-    watched: Duration,
 }
 
 /// A request as a stream, or as the rest of one.
@@ -336,7 +334,7 @@
         service = found.origin.service,
         software = found.origin.software.to_string(),
         source = found.source,
-        watched_ms = found.watched.as_millis()
+        up_ms = state.now().since(Time::ZERO).as_millis()
     );
 }
 
@@ -371,7 +369,6 @@
         return Some(Found {
             origin,
             source: "own",
-            watched: state.now().since(Time::ZERO),
         });
     }
     let until = until.min(Instant::now() + FIND_TIMEOUT);
@@ -396,18 +393,15 @@
             return Some(Found {
                 origin,
                 source: "control",
-                watched: found.watched,
             });
         }
         all.push(found);
     }
     let service = asked.service.as_ref()?;
     let origin = only_origin(state.now(), &state.view(), &state.zones, service, &all)?;
-    let watched = all.iter().map(|found| found.watched).min();
     Some(Found {
         origin,
         source: "only_version",
-        watched: watched.unwrap_or_default(),
     })
 }
 
@@ -453,8 +447,8 @@
 fn apply(state: &State, peer: &ControlPeer, synced: StreamSynced) {
     let mut untold = lock(&peer.untold);
     untold.revision = synced.revision;
-    if untold.incarnation != synced.incarnation {
-        untold.incarnation = synced.incarnation;
+    if untold.incarnation != synced.incarnation() {
+        untold.incarnation = synced.incarnation();
         // Failure: all control instances are restarted in turn, and then the entry instance
         // ends where a stream began: nobody knows any more which version began it.
         let is_told = state.nearest_controls(TOLD);
--- a/crates/gateway/tests/stream_fleet.rs
+++ b/crates/gateway/tests/stream_fleet.rs
@@ -363,7 +363,6 @@
                 listed: self.controls[zone].versions.of(now, "s"),
                 covered: self.covered(zone),
                 ended: Vec::new(),
-                watched: Duration::ZERO,
             })
             .collect();
         let told = answers.iter().find_map(|found| found.origin.clone());
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -66,9 +66,6 @@
         pub covered: Vec<String>,
         /// Targets whose process was reported to have ended lately, and how long ago.
         pub ended: Vec<(String, Duration)>,
-        /// How long it has noted versions: what was listed before isn't known to it.
-        #[serde(default)]
-        pub watched: Duration,
     }
 
     /// An adapter that a stream needs at a target of one software version.
@@ -86,12 +83,8 @@
         /// Targets whose software was learned after [`StreamSync::revision`].
         pub software: Vec<TargetSoftware>,
         /// Number of the last of these changes, counted within one incarnation of the
-        /// control instance.
+        /// control instance, of which the upper half is the number.
         pub revision: u64,
-        /// Differs between incarnations of the control instance: what an earlier one was told
-        /// may be lost.
-        #[serde(default)]
-        pub incarnation: u64,
     }
 
     /// The software of a target.
@@ -102,3 +95,21 @@
         pub software: Option<SoftwareVersion>,
     }
 }
+
+/// Bits of a revision that count changes within one incarnation.
+const CHANGE_BITS: u32 = 32;
+
+/// Returns the revision before the first change of an incarnation.
+#[must_use]
+pub fn first_revision(incarnation: u32) -> u64 {
+    u64::from(incarnation) << CHANGE_BITS
+}
+
+impl StreamSynced {
+    /// Returns the number of the control instance's incarnation, which differs between them:
+    /// what an earlier one was told may be lost.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.revision >> CHANGE_BITS
+    }
+}
