--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -4,7 +4,7 @@
 
 use base::{Fingerprint, Seed, SoftwareVersion, Time};
 use gateway::{
-    streams::{ListedSoftware, MAX_STREAMS, StreamRegister, only_version},
+    streams::{ListedSoftware, MAX_STREAMS, RecentStreams, StreamRegister, only_version},
     view::{Choice, View},
 };
 use googletest::prelude::*;
@@ -212,3 +212,17 @@
     listed.expire(after(100));
     expect_that!(listed.of(after(60), "s"), is_empty());
 }
+
+/// Guards against streams that are doubted though their target ran the same, or long before the
+/// list could have been late.
+#[gtest]
+fn streams_are_doubted_where_the_list_may_have_been_late() {
+    let mut recent = RecentStreams::default();
+    recent.note(NOW, "a", key(1), &origin("v1"));
+    recent.note(after(4), "a", key(2), &origin("v1"));
+    recent.note(after(4), "b", key(3), &origin("v1"));
+    expect_that!(recent.doubted(after(4), "a", &software("v1")), is_empty());
+    let doubted = recent.doubted(after(6), "a", &software("v2"));
+    expect_that!(doubted, eq(&vec![(key(2), origin("v2"))]));
+    expect_that!(recent.doubted(after(9), "a", &software("v2")), is_empty());
+}
