Wait until a killed instance's sockets are closed before it starts again

Traced by the listeners of the hung process: one control instance listened nowhere, the other at its first address only. The runtime of the killed one was still being shut down after 0.8 s and held the ports, the new one failed to listen and its task ended. A process that is killed closes its sockets at once, so only the test's fleet had this.

The fleet waits until the addresses can be bound again.

--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    net::{IpAddr, SocketAddr},
+    net::{IpAddr, SocketAddr, TcpListener},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering},
@@ -267,6 +267,16 @@
         runtime.unwrap().shutdown_background();
     }
 
+    /// Waits until nothing listens at an instance's addresses any more: a killed one closes its
+    /// sockets some time later here, unlike a process.
+    pub(crate) async fn wait_gone(&self, instance: u8) {
+        let ports = [PEERS, OPERATORS, CALLERS, READY];
+        let addrs = ports.map(|port| SocketAddr::new(own_ip(self.no, instance), port));
+        while addrs.iter().any(|addr| TcpListener::bind(addr).is_err()) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Has an entry instance that can be killed stand still.
     pub(crate) fn freeze_entry(&self, entry: u8, time: Duration) {
         stand_still(&self.runtimes.lock().unwrap()[&entry], time);
--- a/crates/frontd/tests/targets/restarts.rs
+++ b/crates/frontd/tests/targets/restarts.rs
@@ -94,14 +94,17 @@
             }
         }
         sleep(DOWN_TIME).await;
+        deployment.wait_gone(0).await;
         if journal == Journal::Lost {
             deployment.lose_journal();
         }
         deployment.start_control(false);
         match killed {
             Killed::All => {
-                deployment.start_entry_alone(1);
-                deployment.start_entry_alone(2);
+                for entry in [1, 2] {
+                    deployment.wait_gone(entry).await;
+                    deployment.start_entry_alone(entry);
+                }
             }
             Killed::InTurn => {
                 sleep(LIST_TIME).await;
