--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -37,6 +37,8 @@
     pub store_rate: u32,
     /// Additional flags for every daemon.
     pub daemon_flags: Vec<String>,
+    /// Additional environment variables for every daemon.
+    pub daemon_env: Vec<(String, String)>,
     /// Whether instances and targets are reached over links that can be cut.
     pub links: bool,
 }
@@ -56,6 +58,7 @@
             engine_flags: Vec::new(),
             store_rate: 20,
             daemon_flags: Vec::new(),
+            daemon_env: Vec::new(),
             links: false,
         }
     }
@@ -75,6 +78,7 @@
     /// The process; `None` while it is stopped.
     pub process: Option<Process>,
     args: Vec<String>,
+    env: Vec<(String, String)>,
 }
 
 /// The stand-in of a target: of an engine or a plain service's replica.
@@ -207,6 +211,7 @@
             control.args.extend(flag("data", &data.to_string_lossy()));
             control.args.extend(flag("voters", &voters));
             control.args.extend(plan.daemon_flags.iter().cloned());
+            control.env.clone_from(&plan.daemon_env);
         }
         for zone in &plan.zones {
             for i in 1..=plan.entries {
@@ -214,6 +219,7 @@
                 entry.args.extend(flag("controls", &voters));
                 entry.args.extend(flag("drain-grace", "2000"));
                 entry.args.extend(plan.daemon_flags.iter().cloned());
+                entry.env.clone_from(&plan.daemon_env);
                 self.entries.push(entry);
             }
         }
@@ -246,6 +252,7 @@
             peer,
             process: None,
             args,
+            env: Vec::new(),
         })
     }
 
@@ -505,7 +512,8 @@
     instance: &mut Instance,
 ) -> Result<()> {
     let log = folder.join(format!("{}.log", instance.name));
-    let process = Process::start(&instance.name, &binary(program)?, &instance.args, &log)?;
+    let (name, program) = (&instance.name, binary(program)?);
+    let process = Process::start_with(name, &program, &instance.args, &instance.env, &log)?;
     if let (Some(links), Some(id)) = (links, process.id()) {
         links.register(id, &instance.name);
     }
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -39,10 +39,26 @@
     ///
     /// Fails when the program can't be started.
     pub fn start(name: &str, program: &Path, args: &[String], log: &Path) -> Result<Process> {
+        Process::start_with(name, program, args, &[], log)
+    }
+
+    /// Does the same with additional environment variables.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program can't be started.
+    pub fn start_with(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        env: &[(String, String)],
+        log: &Path,
+    ) -> Result<Process> {
         let file = std::fs::File::options().create(true).append(true).open(log);
         let file = file.with_context(|| format!("can't write {}", log.display()))?;
         let child = Command::new(program)
             .args(args)
+            .envs(env.iter().cloned())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(file)
@@ -74,7 +90,8 @@
     }
 
     /// Returns the process id; `None` once the process has exited.
-    pub(crate) fn id(&self) -> Option<u32> {
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
         self.child.id()
     }
 
