Bound the texts of a log line

What callers saw: nothing by themselves; a process that logs their refusals grows beyond its machine's memory and ends.

Change: each text of a line is cut at 1 KiB, so that the queue holds a few MB at most. Ruled out: a bound on the queue's bytes, which would have one client's ids push out the lines of others.

--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -10,12 +10,16 @@
 use flexi_logger::{DeferredNow, FileSpec, LogSpecification, Logger, LoggerHandle, Record};
 use log::LevelFilter;
 use serde::Serialize;
+use serde_json::Value;
 
 use crate::{Event, Fields, LogLevel, TelemetrySettings, prom, queue::Queue, trace};
 
 /// Log target of the lines written by [`event`], whose message is already JSON.
 const LOG_TARGET: &str = "quetzalarch";
 
+/// Most bytes of one text in a line.
+const TEXT_MAX: usize = 1 << 10;
+
 static ORIGIN: OnceLock<Origin> = OnceLock::new();
 
 /// The process that writes the lines.
@@ -85,13 +89,24 @@
     }));
 }
 
+/// Shortens the texts of a line, of which clients choose some: the queue of lines is bounded by
+/// their number.
+fn shortened(mut fields: Fields) -> Fields {
+    for value in fields.values_mut() {
+        if let Value::String(text) = value {
+            text.truncate(text.floor_char_boundary(TEXT_MAX));
+        }
+    }
+    fields
+}
+
 fn body(event: Event, fields: Fields) -> String {
     let body = Body {
         event: event.to_string(),
         name: format!("{event:?}"),
         message: event.message(),
         trace: trace::trace_id(&tracing::Span::current()),
-        fields,
+        fields: shortened(fields),
     };
     serde_json::to_string(&body).unwrap_or_default()
 }
