Bound the adapters that are counted by the names that callers give

What callers saw: control instances grow beyond their machines' memory.

Cause: entry instances count requests by the adapter that they name, and the owner of a zone keeps the counts for half a minute.

Change: 4,096 names between two exchanges and 100,000 at an owner; further ones aren't counted until others have faded. 48,000 adapters is the size that is designed for.

--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -72,6 +72,9 @@
 /// instance with waiting callers asks again every 300 ms.
 const EXPECTED_MAX_AGE: Duration = Duration::from_millis(400);
 
+/// Most adapters whose requests are counted between two exchanges; callers choose the names.
+const DEMAND_MAX: usize = 4_096;
+
 /// Number of entry instances that is assumed until a control instance has told it.
 const INITIAL_INSTANCES: u32 = 12;
 
@@ -443,7 +446,11 @@
 
     /// Counts a request for an adapter.
     pub fn count_request(&mut self, adapter: &str) {
-        *self.demand.entry(adapter.to_owned()).or_default() += 1;
+        if let Some(count) = self.demand.get_mut(adapter) {
+            *count += 1;
+        } else if self.demand.len() < DEMAND_MAX {
+            self.demand.insert(adapter.to_owned(), 1);
+        }
     }
 
     /// Returns and resets the counted requests.
--- a/crates/gateway/src/zone_owner/demand.rs
+++ b/crates/gateway/src/zone_owner/demand.rs
@@ -17,6 +17,9 @@
 /// Decayed count below which an adapter is removed.
 const MIN_COUNT: f64 = 0.01;
 
+/// Most adapters that are counted; callers choose the names.
+const ADAPTERS_MAX: usize = 100_000;
+
 /// Interval at which all adapters are checked for removal.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -33,6 +36,9 @@
 impl Demand {
     /// Counts requests for an adapter; returns whether it has just become busy.
     pub(super) fn add(&mut self, now: Time, adapter: &str, count: f64) -> bool {
+        if self.counts.len() >= ADAPTERS_MAX && !self.counts.contains_key(adapter) {
+            return false;
+        }
         let old = self.of(now, adapter);
         self.counts.insert(adapter.to_owned(), (old + count, now));
         old + count >= busy_count() && self.busy.insert(adapter.to_owned())
