Keep chat bodies as their callers sent them

Cause: a body was decoded to a tree of JSON values, three times at its arrival and once more for each send. A value takes 32 bytes, so `0,` becomes sixteen times as much.

Change: the body is kept as bytes. The few fields that routing needs are read beside it; contents of messages are decoded one at a time, and only up to 64 KiB (a larger one counts by its text as it was written). For an engine, `model` and `priority` are replaced while the object is copied, without decoding the rest. What waits for a slow caller is bounded by its bytes now (128 KiB), no longer by 64 pieces of any size.

Unknown ones are passed on as they are. The hash of a prompt whose content is larger than 64 KiB differs from earlier builds' (it only steers requests to engines that have read the prompt).

--- a/crates/entryd/src/attempts.rs
+++ b/crates/entryd/src/attempts.rs
@@ -25,6 +25,7 @@
     exchange::{CallerRequest, Exchange, Head, Item},
     external::json_headers,
     hops,
+    prompt::rewritten,
     state::State,
 };
 
@@ -151,10 +152,10 @@
         let mut send = Send::new(address, Method::POST, "/v1/chat/completions");
         send.headers = json_headers();
         let model = self.attempt.resident.as_ref().map(ToString::to_string);
-        send.body = self.chat_body(|body| {
-            body.insert("model".to_owned(), Value::from(model));
-            body.insert("priority".to_owned(), Value::from(priority));
-        });
+        send.body = self.chat_body(&[
+            ("model", Value::from(model)),
+            ("priority", Value::from(priority)),
+        ]);
         let prefix = match &self.exchange.request {
             CallerRequest::Chat { prefix, .. } => *prefix,
             CallerRequest::Plain { .. } => 0,
@@ -168,18 +169,20 @@
         let mut send = Send::new(address, Method::POST, hops::PATH);
         send.headers = json_headers();
         hops::write_headers(&mut send.headers, &self.attempt, timeout);
-        send.body = self.chat_body(|_| {});
+        send.body = self.chat_body(&[]);
         send
     }
 
-    fn chat_body(&self, change: impl FnOnce(&mut serde_json::Map<String, Value>)) -> Bytes {
+    /// Returns the caller's body with `fields` in place of its own.
+    fn chat_body(&self, fields: &[(&str, Value)]) -> Bytes {
         let CallerRequest::Chat { body, .. } = &self.exchange.request else {
             return Bytes::new();
         };
-        let mut body = body.clone();
-        change(&mut body);
-        // Serialising a map of JSON values can't fail.
-        serde_json::to_vec(&body).unwrap_or_default().into()
+        if fields.is_empty() {
+            return body.clone();
+        }
+        // It was read as an object when it arrived.
+        rewritten(body, fields).unwrap_or_default().into()
     }
 
     async fn answer(&mut self, mut answer: Answer) {
@@ -304,7 +307,7 @@
     }
 
     async fn piece(&mut self, part: Part, bytes: Bytes) -> Option<()> {
-        let permit = self.exchange.permit().await?;
+        let permit = self.exchange.permit(bytes.len()).await?;
         if let Some(copy) = &mut self.copy {
             copy.body.extend_from_slice(&bytes);
             if copy.body.len() > MAX_COPY_BYTES {
--- a/crates/entryd/src/callers.rs
+++ b/crates/entryd/src/callers.rs
@@ -105,7 +105,7 @@
     let (parts, body) = req.into_parts();
     let raw = body::read(body, read_limits(in_force)).await?;
     let bad = || Failure::not_run(Refusal::BadRequest);
-    let chat = Chat::try_from(&raw[..]).map_err(|_| bad())?;
+    let chat = Chat::try_from(raw.clone()).map_err(|_| bad())?;
     let (service, version) = model_name(&chat.model).ok_or_else(bad)?;
     let found = in_force.model.service(&brand, &service);
     let found = found.filter(|s| matches!(s.kind, ServiceKind::Assistant { .. }));
--- a/crates/entryd/src/exchange.rs
+++ b/crates/entryd/src/exchange.rs
@@ -14,7 +14,6 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Response, StatusCode, header::HeaderValue};
 use node::{Ending, Flow, Input};
-use serde_json::{Map, Value};
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot},
     task::AbortHandle,
@@ -29,9 +28,12 @@
 
 use crate::state::State;
 
-/// Most pieces of an answer that wait for a slow caller. Beyond them, the attempt's
-/// connection isn't read any further.
-const MAX_WAITING_PIECES: usize = 64;
+/// Most bytes of an answer that wait for a slow caller, in units of [`WAITING_UNIT`]. Beyond
+/// them, the attempt's connection isn't read any further.
+const MAX_WAITING: u32 = 64;
+
+/// Least that a waiting piece counts for, in bytes.
+const WAITING_UNIT: usize = 2 << 10;
 
 /// Time without an event after which a keep-alive comment is written to an event stream.
 /// A few of them fit into the shortest idle timeout of a reader.
@@ -42,9 +44,9 @@
 pub(crate) enum CallerRequest {
     /// A chat completion.
     Chat {
-        /// Its JSON body; `model` and `priority` are replaced when it is sent to an
-        /// engine.
-        body: Map<String, Value>,
+        /// Its JSON body as the caller sent it; `model` and `priority` are replaced when it is
+        /// sent to an engine.
+        body: Bytes,
         /// Whether the answer is to be streamed.
         stream: bool,
         /// Hash of the beginning of the prompt.
@@ -85,7 +87,7 @@
     /// gets only its hash.
     pub(crate) key: Option<String>,
     pub(crate) span: Span,
-    /// A permit for each piece that may wait, see [`MAX_WAITING_PIECES`].
+    /// Permits for pieces that may wait, see [`MAX_WAITING`].
     permits: Arc<Semaphore>,
     inner: Mutex<Inner>,
 }
@@ -132,15 +134,18 @@
             request,
             key,
             span,
-            permits: Arc::new(Semaphore::new(MAX_WAITING_PIECES)),
+            permits: Arc::new(Semaphore::new(MAX_WAITING as usize)),
             inner: Mutex::new(inner),
         };
         (Arc::new(exchange), rx)
     }
 
-    /// Waits until one more piece may be queued for the caller.
-    pub(crate) async fn permit(&self) -> Option<OwnedSemaphorePermit> {
-        Arc::clone(&self.permits).acquire_owned().await.ok()
+    /// Waits until one more piece of `bytes` may be queued for the caller.
+    pub(crate) async fn permit(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        let units = u32::try_from(bytes.div_ceil(WAITING_UNIT)).unwrap_or(u32::MAX);
+        let units = units.clamp(1, MAX_WAITING);
+        let permits = Arc::clone(&self.permits);
+        permits.acquire_many_owned(units).await.ok()
     }
 
     pub(crate) fn insert_attempt(&self, attempt: u32, task: AbortHandle) {
--- a/crates/entryd/src/hops.rs
+++ b/crates/entryd/src/hops.rs
@@ -61,7 +61,7 @@
     };
     let raw = body::read(body, limits).await?;
     let bad = Failure::not_run(Refusal::BadRequest);
-    let chat = Chat::try_from(&raw[..]).map_err(|_| bad.clone())?;
+    let chat = Chat::try_from(raw).map_err(|_| bad.clone())?;
     let ticket = state.next_ticket();
     let hop = read_headers(&parts.headers, &chat, ticket).ok_or(bad)?;
     let span = span!("hop", target = %hop.target, brand = %hop.brand);
