--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,6 +9,7 @@
 mod class;
 mod derives;
 mod fingerprint;
+mod machine;
 mod marks;
 mod name;
 mod number;
@@ -26,13 +27,17 @@
     account::{AccountName, BadAccountName},
     class::{BadClass, Class, Mark},
     fingerprint::{BadFingerprint, Fingerprint},
+    machine::{BadMachine, Machine, RawMachine},
     name::{
         AdapterName, BadName, BaseName, BrandName, ChangeId, InstanceName, NAME_MAX, PoolName,
         ServiceName, StableHash, TargetName, ZoneName, stable_hash,
     },
     number::{AdapterKey, AdapterNo, BrandNo, InstanceNo, TargetNo, Ticket},
     rate::{BadRequestRate, RequestRate},
-    size::{BadNumber, Bytes, Fence, Incarnation, PerSecond, Seed, TextVersion, Tokens, Version},
+    size::{
+        BadNumber, Bytes, Descriptors, Fence, Incarnation, PerSecond, Seed, TextVersion, Tokens,
+        Version,
+    },
     software::{BadSoftwareVersion, SoftwareVersion},
     time::{DriftMargin, Time},
     verdict::{BadVerdict, Failure, Refusal, Verdict},
--- a/crates/base/src/size.rs
+++ b/crates/base/src/size.rs
@@ -64,6 +64,8 @@
 numbers! {
     /// Bytes of memory, disk or network.
     Bytes(u64), "bytes"
+    /// Open descriptors of a process: sockets, pipes and files.
+    Descriptors(u32), "descriptors"
     /// Tokens of a prompt or an answer.
     Tokens(u32), "tokens"
     /// Events per second.
--- a/crates/controld/src/operators.rs
+++ b/crates/controld/src/operators.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 use web::{
     body::{self, Body, ReadLimits},
+    memory::Held,
     reply,
 };
 use wire::{
@@ -18,10 +19,13 @@
 
 use crate::state::{Job, Query, State};
 
-/// Largest body of an operator's request, in bytes. A configuration text counts as quoted
+/// Largest body of an operator's request, in bytes, where the machine has room for it. A configuration text counts as quoted
 /// in JSON.
 const MAX_BODY_BYTES: usize = 32 << 20;
 
+/// What a body takes with what is decoded of it, in parts of its length.
+const DECODED: u64 = 2;
+
 /// Time limit for the call that tells an instance to drain.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -136,10 +140,13 @@
 }
 
 async fn body_of<T: serde::de::DeserializeOwned>(req: Request<Incoming>) -> Result<T, Failure> {
+    let held = Held::of(req.extensions());
+    let most = held.most_body() / DECODED;
     let limits = ReadLimits {
-        bytes: MAX_BODY_BYTES,
+        bytes: usize::try_from(most).map_or(MAX_BODY_BYTES, |most| most.min(MAX_BODY_BYTES)),
         ..ReadLimits::default()
     };
-    let raw = body::read(req.into_body(), limits).await?;
+    let raw = body::read_held(req.into_body(), limits, &held).await?;
+    held.hold_body(raw.len() as u64 * DECODED)?;
     serde_json::from_slice(&raw).map_err(|_| Failure::not_run(Refusal::BadRequest))
 }
--- a/crates/controld/src/peers.rs
+++ b/crates/controld/src/peers.rs
@@ -6,7 +6,7 @@
 use control::Input;
 use http_body_util::BodyExt;
 use hyper::{Request, Response, body::Incoming};
-use web::{body::Body, reply};
+use web::{body::Body, memory::Memory, reply};
 use wire::{
     call::{Call, Reply},
     operator::Apply,
@@ -22,12 +22,16 @@
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Answers one request on the peer listener.
-pub(crate) async fn answer(state: Arc<State>, req: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn answer(
+    state: Arc<State>,
+    memory: Memory,
+    req: Request<Incoming>,
+) -> Response<Body> {
     if !peer::wants_upgrade(&req) {
         return reply::failure(&Failure::not_run(Refusal::NotFound));
     }
     let handler = move |_, call| handle(Arc::clone(&state), call);
-    let upgrade = peer::accept(req, handler);
+    let upgrade = peer::accept(req, memory, handler);
     upgrade.map(|empty| empty.map_err(|never| match never {}).boxed_unsync())
 }
 
--- a/crates/controld/src/shell.rs
+++ b/crates/controld/src/shell.rs
@@ -4,9 +4,9 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::{Context, Result};
-use base::{Incarnation, InstanceName, Seed, Time};
+use base::{Incarnation, InstanceName, Machine, Seed, Time};
 use control::{Checked, Control, Event, Input, Output};
-use daemon::{Clock, Listeners};
+use daemon::{Capacity, Clock, Listeners};
 use disk::Writer;
 use replog::{RawSettings, Replica};
 use settings::{Bootstrap, ControlSettings};
@@ -28,6 +28,18 @@
     state::{Job, Query, State},
 };
 
+/// Parts of sixteen of the descriptors for connections of operators.
+const OPERATOR_PARTS: u32 = 2;
+
+/// Operators' requests may take one of so many parts of the memory.
+const OPERATOR_SHARE: u64 = 3;
+
+/// Parts of sixteen of the descriptors for connections of other instances.
+const PEER_PARTS: u32 = 8;
+
+/// Calls of other instances may take one of so many parts of the memory.
+const PEER_SHARE: u64 = 4;
+
 /// Most jobs handled before timers are checked again.
 const MAX_BURST: usize = 256;
 
@@ -61,7 +73,7 @@
     });
     tokio::spawn(poll_platform(Arc::clone(&state), identity.platform));
     let stop = CancellationToken::new();
-    let operators = start_servers(&state, listeners, stop.clone());
+    let operators = start_servers(&state, listeners, settings.machine, stop.clone());
     event!(
         telemetry::Event::Started,
         listen = identity.listen.to_string()
@@ -108,22 +120,29 @@
 fn start_servers(
     state: &Arc<State>,
     listeners: Listeners,
+    machine: Machine,
     stop: CancellationToken,
 ) -> JoinHandle<Result<Served>> {
-    let limits = server::Limits {
+    let limits = |capacity: Capacity| server::Limits {
         body_bytes: 64 << 20,
+        connections: capacity.connections,
+        memory: capacity.memory,
         linger: Duration::from_millis(200),
         drain: Duration::from_secs(10),
         ..server::Limits::default()
     };
+    let at_operators = limits(Capacity::of(machine, OPERATOR_PARTS, OPERATOR_SHARE));
+    let at_peers = Capacity::of(machine, PEER_PARTS, PEER_SHARE);
+    let memory = at_peers.memory.clone();
     let operator_state = Arc::clone(state);
     let handler = move |req| operators::answer(Arc::clone(&operator_state), req);
-    let operators = tokio::spawn(server::serve(listeners.clients, limits, handler, stop));
+    let serving = server::serve(listeners.clients, at_operators, handler, stop);
+    let operators = tokio::spawn(serving);
     let peer_state = Arc::clone(state);
-    let handler = move |req| peers::answer(Arc::clone(&peer_state), req);
+    let handler = move |req| peers::answer(Arc::clone(&peer_state), memory.clone(), req);
     tokio::spawn(server::serve(
         listeners.peers,
-        limits,
+        limits(at_peers),
         handler,
         CancellationToken::new(),
     ));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! This crate makes no decisions; they are made by the state machines that the shells
 //! drive.
 
+mod capacity;
 mod clock;
 mod crash;
 mod folder;
@@ -12,6 +13,7 @@
 mod start;
 
 pub use crate::{
+    capacity::{Capacity, descriptors},
     clock::Clock,
     crash::{Fate, log_quarantine},
     folder::{log_folder_state, start_writer, wall_clock},
--- a/crates/entryd/src/callers.rs
+++ b/crates/entryd/src/callers.rs
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 use web::{
     body::{self, Body, ReadLimits},
+    memory::Held,
     reply,
 };
 use wire::header;
@@ -25,7 +26,7 @@
 use crate::{
     exchange::{CallerRequest, Exchange},
     hops::header_text,
-    prompt::Chat,
+    prompt::{CHAT_COPIES, Chat},
     state::{InForce, State},
 };
 
@@ -103,7 +104,9 @@
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Failure> {
     let (parts, body) = req.into_parts();
-    let raw = body::read(body, read_limits(in_force)).await?;
+    let held = Held::of(&parts.extensions);
+    let raw = body::read_held(body, read_limits(in_force), &held).await?;
+    held.hold_body(raw.len() as u64 * CHAT_COPIES)?;
     let bad = || Failure::not_run(Refusal::BadRequest);
     let chat = Chat::try_from(raw.clone()).map_err(|_| bad())?;
     let (service, version) = model_name(&chat.model).ok_or_else(bad)?;
@@ -145,7 +148,8 @@
     let found = found.filter(|s| s.kind == ServiceKind::Plain);
     found.ok_or_else(not_found)?;
     let (parts, body) = req.into_parts();
-    let raw = body::read(body, read_limits(in_force)).await?;
+    let held = Held::of(&parts.extensions);
+    let raw = body::read_held(body, read_limits(in_force), &held).await?;
     let query = parts.uri.query().map(|query| format!("?{query}"));
     let inner = format!("/{service}/{rest}{}", query.unwrap_or_default());
     let mut call = CallInfo::read(&parts.headers, brand, service)?;
--- a/crates/entryd/src/hops.rs
+++ b/crates/entryd/src/hops.rs
@@ -13,7 +13,9 @@
 use telemetry::span;
 use web::{
     body::{self, Body, ReadLimits},
-    header_value, reply,
+    header_value,
+    memory::{Held, Memory},
+    reply,
 };
 use wire::header;
 
@@ -22,7 +24,7 @@
     calls,
     exchange::{CallerRequest, Exchange},
     explain,
-    prompt::Chat,
+    prompt::{CHAT_COPIES, Chat},
     state::State,
 };
 
@@ -34,10 +36,14 @@
 const MARKED: &str = "x-quetzal-marked";
 
 /// Answers one request on the peer listener.
-pub(crate) async fn answer(state: Arc<State>, req: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn answer(
+    state: Arc<State>,
+    memory: Memory,
+    req: Request<Incoming>,
+) -> Response<Body> {
     if peer::wants_upgrade(&req) {
         let handler = move |from, call| calls::handle(Arc::clone(&state), from, call);
-        let upgrade = peer::accept(req, handler);
+        let upgrade = peer::accept(req, memory, handler);
         return upgrade.map(|empty| empty.map_err(|never| match never {}).boxed_unsync());
     }
     if req.uri().path() == explain::PATH {
@@ -59,7 +65,9 @@
         bytes: usize::try_from(limit).unwrap_or(usize::MAX),
         ..ReadLimits::default()
     };
-    let raw = body::read(body, limits).await?;
+    let held = Held::of(&parts.extensions);
+    let raw = body::read_held(body, limits, &held).await?;
+    held.hold_body(raw.len() as u64 * CHAT_COPIES)?;
     let bad = Failure::not_run(Refusal::BadRequest);
     let chat = Chat::try_from(raw).map_err(|_| bad.clone())?;
     let ticket = state.next_ticket();
--- a/crates/entryd/src/shell.rs
+++ b/crates/entryd/src/shell.rs
@@ -8,7 +8,7 @@
 
 use anyhow::{Context, Result};
 use base::{Incarnation, Seed, TextVersion, Time};
-use daemon::{Clock, Listeners};
+use daemon::{Capacity, Clock, Listeners};
 use node::{Input, Node, Output, Settings};
 use settings::EntrySettings;
 use telemetry::{Event, event};
@@ -28,9 +28,17 @@
 /// Most inputs handled before timers are checked again.
 const MAX_BURST: usize = 256;
 
-/// Most open connections of each listener; beyond them the one that has been idle longest
-/// is closed.
-const MAX_CONNECTIONS: usize = 4_096;
+/// Parts of sixteen of the descriptors for connections of callers.
+const CALLER_PARTS: u32 = 7;
+
+/// Callers' requests may take one of so many parts of the memory.
+const CALLER_SHARE: u64 = 3;
+
+/// Parts of sixteen of the descriptors for connections of other instances.
+const PEER_PARTS: u32 = 4;
+
+/// Requests and calls of other instances may take one of so many parts of the memory.
+const PEER_SHARE: u64 = 4;
 
 /// How long requests in progress may still run in a planned stop. Overnight batch
 /// requests run for hours, but they are resumed through another instance.
@@ -57,27 +65,31 @@
         stop_signal.await;
         drain_state.send_input(Input::Drain);
     });
-    let limits = Limits {
-        connections: MAX_CONNECTIONS,
+    let limits = |capacity: Capacity| Limits {
+        connections: capacity.connections,
+        memory: capacity.memory,
         linger: grace,
         drain: DRAIN_TIMEOUT,
         body_bytes: 64 << 20,
         ..Limits::default()
     };
+    let at_callers = Capacity::of(settings.machine, CALLER_PARTS, CALLER_SHARE);
+    let at_peers = Capacity::of(settings.machine, PEER_PARTS, PEER_SHARE);
     let peer_stop = CancellationToken::new();
     let caller_state = Arc::clone(&state);
     let handler = move |req| callers::answer(Arc::clone(&caller_state), req);
     let callers = tokio::spawn(server::serve(
         listeners.clients,
-        limits,
+        limits(at_callers),
         handler,
         stop.clone(),
     ));
     let peer_state = Arc::clone(&state);
-    let handler = move |req| hops::answer(Arc::clone(&peer_state), req);
+    let memory = at_peers.memory.clone();
+    let handler = move |req| hops::answer(Arc::clone(&peer_state), memory.clone(), req);
     tokio::spawn(server::serve(
         listeners.peers,
-        limits,
+        limits(at_peers),
         handler,
         peer_stop.clone(),
     ));
--- a/crates/frontd/src/control.rs
+++ b/crates/frontd/src/control.rs
@@ -13,9 +13,9 @@
 };
 
 use anyhow::{Context, Result};
-use base::{Incarnation, InstanceName, Seed};
+use base::{Incarnation, InstanceName, Machine, Seed};
 use control::{Checked, Control};
-use daemon::{Clock, listen};
+use daemon::{Capacity, Clock, listen};
 use disk::Journal;
 use http_body_util::BodyExt;
 use hyper::{Request, Response, body::Incoming};
@@ -23,7 +23,7 @@
 use telemetry::event;
 use tokio::{sync::mpsc, time::sleep};
 use tokio_util::sync::CancellationToken;
-use web::{body::Body, reply, server};
+use web::{body::Body, memory::Memory, reply, server};
 use wire::call::{Call, Reply};
 
 pub use self::operators::{CallOutcome, Operators};
@@ -58,6 +58,18 @@
 /// overtake the known incarnation.
 const INCARNATION_STEP: u64 = 1_000_000;
 
+/// Parts of sixteen of the descriptors for connections of operators.
+const OPERATOR_PARTS: u32 = 2;
+
+/// Operators' requests may take one of so many parts of the memory.
+const OPERATOR_SHARE: u64 = 3;
+
+/// Parts of sixteen of the descriptors for connections of other instances.
+const PEER_PARTS: u32 = 8;
+
+/// Messages of other instances may take one of so many parts of the memory.
+const PEER_SHARE: u64 = 5;
+
 /// Name of the journal of streams that have begun.
 const STREAM_JOURNAL: &str = "streams";
 
@@ -86,6 +98,8 @@
     pub takeover_delay: Duration,
     /// How old the platform's list of targets may be when it is read.
     pub list_lag: Duration,
+    /// What the process may use.
+    pub machine: Machine,
 }
 
 /// Serves until a planned stop has ended. `answer` answers requests of operators.
@@ -110,15 +124,17 @@
     let handler = move |req| answer(operators.clone(), req);
     let served = tokio::spawn(server::serve(
         listen(setup.listen).await?,
-        limits(),
+        limits(Capacity::of(setup.machine, OPERATOR_PARTS, OPERATOR_SHARE)),
         handler,
         stop.clone(),
     ));
     let at_peers = jobs.clone();
-    let handler = move |req| serve_peer(at_peers.clone(), req);
+    let capacity = Capacity::of(setup.machine, PEER_PARTS, PEER_SHARE);
+    let memory = capacity.memory.clone();
+    let handler = move |req| serve_peer(at_peers.clone(), memory.clone(), req);
     tokio::spawn(server::serve(
         listen(SocketAddr::new(setup.ip, setup.peer_port)).await?,
-        limits(),
+        limits(capacity),
         handler,
         CancellationToken::new(),
     ));
@@ -238,21 +254,27 @@
     Ok(())
 }
 
-fn limits() -> server::Limits {
+fn limits(capacity: Capacity) -> server::Limits {
     server::Limits {
         body_bytes: 64 << 20,
+        connections: capacity.connections,
+        memory: capacity.memory,
         linger: Duration::from_millis(300),
         drain: Duration::from_secs(3),
         ..server::Limits::default()
     }
 }
 
-async fn serve_peer(jobs: mpsc::UnboundedSender<Job>, req: Request<Incoming>) -> Response<Body> {
+async fn serve_peer(
+    jobs: mpsc::UnboundedSender<Job>,
+    memory: Memory,
+    req: Request<Incoming>,
+) -> Response<Body> {
     if !peer::wants_upgrade(&req) {
         return reply::failure(&base::Failure::not_run(base::Refusal::NotFound));
     }
     let handler = move |_: InstanceName, call| forward_call(jobs.clone(), call);
-    let upgrade = peer::accept(req, handler);
+    let upgrade = peer::accept(req, memory, handler);
     upgrade.map(|empty| empty.map_err(|never| match never {}).boxed_unsync())
 }
 
--- a/crates/frontd/src/control/operators.rs
+++ b/crates/frontd/src/control/operators.rs
@@ -1,6 +1,6 @@
 //! The requests that operators can make of a control instance.
 
-use std::{net::IpAddr, time::Duration};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use control::What;
 use tokio::{
@@ -55,7 +55,7 @@
     /// # Errors
     ///
     /// Fails where this instance doesn't lead the log, as it may lack the newest edition.
-    pub async fn newest(&self) -> Result<Option<Edition>, CallOutcome> {
+    pub async fn newest(&self) -> Result<Option<Arc<Edition>>, CallOutcome> {
         let (to, answer) = oneshot::channel();
         self.jobs.send(Job::Newest(to)).ok();
         match timeout(CHANGE_TIMEOUT, answer).await {
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -118,7 +118,7 @@
         to: oneshot::Sender<CallOutcome>,
     },
     /// A read of the newest edition by an operator.
-    Newest(oneshot::Sender<Result<Option<Edition>, CallOutcome>>),
+    Newest(oneshot::Sender<Result<Option<Arc<Edition>>, CallOutcome>>),
     /// A planned stop was requested.
     Stop,
 }
@@ -164,6 +164,8 @@
     tally: Tally,
     admission: Admission,
     editions: EditionCache,
+    /// The newest edition as operators last read it.
+    read: Option<Arc<Edition>>,
     /// Entry instances, and which of them can help others.
     roster: Roster,
     /// Entry instances that share the budget of retries.
@@ -254,6 +256,7 @@
             tally: Tally::new(clock.now(), rand::random::<u64>() >> 1),
             admission: Admission::new(clock.now()),
             editions: EditionCache::default(),
+            read: None,
             roster: Roster::default(),
             sharers: Sharers::default(),
             broker: Broker::new(rand::random()),
@@ -398,13 +401,19 @@
         }
     }
 
-    fn newest(&self) -> Result<Option<Edition>, CallOutcome> {
+    /// Returns the newest edition, of which all who read it share one copy.
+    fn newest(&mut self) -> Result<Option<Arc<Edition>>, CallOutcome> {
         // Failure: this instance was cut off, and another one leads and has accepted
         // newer editions. Only a leader whose lease is running knows the newest one.
         if !self.control.leads(self.clock.now()) {
             return Err(CallOutcome::NotLeader(self.leader_ip()));
         }
-        Ok(self.control.state().editions().newest().cloned())
+        let newest = self.control.state().editions().newest();
+        let number = newest.map(|edition| edition.number);
+        if self.read.as_ref().map(|read| read.number) != number {
+            self.read = newest.cloned().map(Arc::new);
+        }
+        Ok(self.read.clone())
     }
 
     fn leader(&self) -> Option<InstanceName> {
--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -26,7 +26,8 @@
 
 use account::Slack;
 use anyhow::Result;
-use daemon::listen;
+use base::Machine;
+use daemon::{Capacity, descriptors, listen};
 use gateway::{budget, hedge::HedgeLimit};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use telemetry::event;
@@ -52,6 +53,21 @@
 /// that is being closed.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Parts of sixteen of the descriptors for connections of callers.
+const CALLER_PARTS: u32 = 7;
+
+/// Callers' requests may take one of so many parts of the memory.
+const CALLER_SHARE: u64 = 2;
+
+/// Parts of sixteen of the descriptors for tunnels, each of which has two.
+const TUNNEL_PARTS: u32 = 1;
+
+/// Requests of other instances may take one of so many parts of the memory.
+const PEER_SHARE: u64 = 16;
+
+/// Largest head of a request that is no caller's, in bytes.
+const OWN_HEAD_MAX: usize = 8 << 10;
+
 /// Parameters of an entry instance, from the settings of its machine.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -79,6 +95,8 @@
     pub hedge_limit: Option<HedgeLimit>,
     /// How far all entry instances together may exceed the limit of an account.
     pub slack: Slack,
+    /// What the process may use.
+    pub machine: Machine,
 }
 
 /// Serves callers until a planned stop has ended.
@@ -105,16 +123,9 @@
     tokio::spawn(streams::run(Arc::clone(&state)));
     let at_ready = Arc::clone(&state);
     let ready = move |req| readiness(Arc::clone(&at_ready), req);
-    let limits = server::Limits {
-        header_time: CALLER_IDLE_TIMEOUT,
-        body_bytes: 64 << 20,
-        linger: ACCEPT_AFTER_STOP,
-        drain: setup.grace.saturating_sub(ACCEPT_AFTER_STOP + KILL_MARGIN),
-        ..server::Limits::default()
-    };
     tokio::spawn(server::serve(
         listen(setup.ready).await?,
-        limits,
+        own_limits(Capacity::of_probes()),
         ready,
         CancellationToken::new(),
     ));
@@ -123,7 +134,7 @@
         let handler = move |req| explain::answer(Arc::clone(&at_operators), req);
         tokio::spawn(server::serve(
             listen(address).await?,
-            server::Limits::default(),
+            own_limits(Capacity::of_probes()),
             handler,
             CancellationToken::new(),
         ));
@@ -138,7 +149,7 @@
         begun.cancelled().await;
         sleep(grace).await;
     });
-    let served = server::serve(listener, limits, handler, stop).await?;
+    let served = server::serve(listener, caller_limits(&setup), handler, stop).await?;
     // Other instances' requests run on through the tunnels that stand.
     tunnels.tasks.close();
     tokio::select! {
@@ -152,18 +163,42 @@
 
 /// Starts to reach targets for other instances.
 async fn serve_others(state: &Arc<State>, setup: &Setup) -> Result<Tunnels> {
-    let tunnels = Tunnels::new();
+    let tunnels = Tunnels::new(descriptors(setup.machine, TUNNEL_PARTS));
     let (at_peers, for_others) = (Arc::clone(state), tunnels.clone());
     let helper = move |req| helping::answer(Arc::clone(&at_peers), for_others.clone(), req);
     tokio::spawn(server::serve(
         listen(SocketAddr::new(setup.ip, setup.peer_port)).await?,
-        server::Limits::default(),
+        own_limits(Capacity::of(setup.machine, TUNNEL_PARTS, PEER_SHARE)),
         helper,
         CancellationToken::new(),
     ));
     Ok(tunnels)
 }
 
+fn caller_limits(setup: &Setup) -> server::Limits {
+    let capacity = Capacity::of(setup.machine, CALLER_PARTS, CALLER_SHARE);
+    server::Limits {
+        header_time: CALLER_IDLE_TIMEOUT,
+        body_bytes: 64 << 20,
+        connections: capacity.connections,
+        memory: capacity.memory,
+        linger: ACCEPT_AFTER_STOP,
+        drain: setup.grace.saturating_sub(ACCEPT_AFTER_STOP + KILL_MARGIN),
+        ..server::Limits::default()
+    }
+}
+
+/// Returns the limits of a listener for the platform, operators or other instances.
+fn own_limits(capacity: Capacity) -> server::Limits {
+    server::Limits {
+        header_time: CALLER_IDLE_TIMEOUT,
+        header_bytes: OWN_HEAD_MAX,
+        connections: capacity.connections,
+        memory: capacity.memory,
+        ..server::Limits::default()
+    }
+}
+
 async fn readiness(state: Arc<State>, _: Request<Incoming>) -> Response<Body> {
     let mut resp = Response::new(web::body::full(""));
     if !state.ready() {
--- a/crates/frontd/src/entry/answer.rs
+++ b/crates/frontd/src/entry/answer.rs
@@ -70,6 +70,8 @@
     Resting,
     /// The service has too little room for all, and others go first.
     Room,
+    /// This instance holds too many bytes for its callers.
+    Memory,
     /// This instance is cut off from all targets, and no other one can reach them for it.
     CutOff,
     /// Targets have refused the request too often.
@@ -108,7 +110,10 @@
             RequestError::BadRequest => "bad_request",
             RequestError::TooLarge => "too_large",
             RequestError::NotRun { why: Why::Held, .. } => "held",
-            RequestError::NotRun { why: Why::Room, .. } => "no_room",
+            RequestError::NotRun {
+                why: Why::Room | Why::Memory,
+                ..
+            } => "no_room",
             RequestError::NotRun { .. } => "not_run",
             RequestError::OverLimit { .. } => "over_limit",
             RequestError::Failed { .. } => "failed",
--- a/crates/frontd/src/entry/explain.rs
+++ b/crates/frontd/src/entry/explain.rs
@@ -20,7 +20,8 @@
     header::{HOST, HeaderName, HeaderValue},
 };
 use web::{
-    body::{Body, ReadLimits, read},
+    body::{Body, ReadLimits, read_held},
+    memory::Held,
     reply,
 };
 use wire::explain::{
@@ -69,7 +70,8 @@
         bytes: QUESTION_MAX,
         ..ReadLimits::default()
     };
-    let body = read(req.into_body(), limits).await.ok()?;
+    let held = Held::of(req.extensions());
+    let body = read_held(req.into_body(), limits, &held).await.ok()?;
     serde_json::from_slice(&body).ok()
 }
 
--- a/crates/frontd/src/entry/forward/receive.rs
+++ b/crates/frontd/src/entry/forward/receive.rs
@@ -7,12 +7,15 @@
 };
 
 use account::Account;
-use base::Tokens;
+use base::{Refusal, Tokens};
 use gateway::table::{Route, Sender, Table};
 use hyper::{HeaderMap, Request, Response, body::Incoming, header::HOST};
 use telemetry::{event, prom_metrics};
 use tokio::time::{Instant, timeout_at};
-use web::body::{Body, ReadLimits, read};
+use web::{
+    body::{Body, ReadLimits, read_held},
+    memory::Held,
+};
 
 use super::{ActiveRequest, DEFAULT_RETRY_AFTER};
 use crate::{
@@ -28,6 +31,9 @@
 /// Largest body that is accepted where the operator configures no limit.
 const DEFAULT_BODY_MAX: usize = 4 << 20;
 
+/// Longest name of a model with an adapter, in bytes.
+const ADAPTER_MAX: usize = 256;
+
 /// Time-out of a request whose caller sends no deadline.
 pub(in crate::entry) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -86,12 +92,15 @@
         Some(account) => admit(&state, account, &headers, arrived + timeout / 3).await?,
         None => 0.0,
     };
-    let body = read_body(&table, body).await?;
+    let body = read_body(&table, body, &Held::of(&parts.extensions)).await?;
     let service = match stream.origin() {
         Some(origin) => origin.service.clone(),
         None => route.service(rand::random()).to_owned(),
     };
     let adapter = adapter(&table, &service, &headers, &names).to_owned();
+    if adapter.len() > ADAPTER_MAX {
+        return Err(RequestError::BadRequest);
+    }
     let (prompt_tokens, max_answer_tokens) = tokens(&headers, &names);
     Ok(ActiveRequest {
         id: text(&names.request_id).to_owned(),
@@ -244,17 +253,23 @@
     table.find(host, path).cloned()
 }
 
-async fn read_body(table: &Table, body: Incoming) -> Result<bytes::Bytes, RequestError> {
+async fn read_body(
+    table: &Table,
+    body: Incoming,
+    held: &Held,
+) -> Result<bytes::Bytes, RequestError> {
     let limits = ReadLimits {
         bytes: table.body_bytes().unwrap_or(DEFAULT_BODY_MAX),
         ..ReadLimits::default()
     };
-    read(body, limits).await.map_err(|failure| {
-        if failure.reason == base::Refusal::TooLarge {
-            RequestError::TooLarge
-        } else {
-            RequestError::BadRequest
-        }
+    let read = read_held(body, limits, held).await;
+    read.map_err(|failure| match failure.reason {
+        Refusal::TooLarge => RequestError::TooLarge,
+        Refusal::Overloaded => RequestError::NotRun {
+            again: failure.retry.unwrap_or(DEFAULT_RETRY_AFTER),
+            why: Why::Memory,
+        },
+        _ => RequestError::BadRequest,
     })
 }
 
--- a/crates/frontd/src/entry/helping.rs
+++ b/crates/frontd/src/entry/helping.rs
@@ -25,9 +25,6 @@
 /// Time that a connection to a target may take for another instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Most tunnels at once: with their buffers they take some 16 MB.
-const MAX_TUNNELS: usize = 512;
-
 /// Time-out of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -39,10 +36,11 @@
 }
 
 impl Tunnels {
-    pub(super) fn new() -> Self {
+    /// Allows `most` tunnels at once.
+    pub(super) fn new(most: usize) -> Self {
         Tunnels {
             tasks: TaskTracker::new(),
-            free: Arc::new(Semaphore::new(MAX_TUNNELS)),
+            free: Arc::new(Semaphore::new(most)),
         }
     }
 }
--- a/crates/frontd/src/metrics.rs
+++ b/crates/frontd/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use anyhow::Result;
+use daemon::Capacity;
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -14,6 +15,9 @@
     server,
 };
 
+/// Largest head of a request, in bytes.
+const HEAD_MAX: usize = 8 << 10;
+
 /// Content type of the Prometheus text format.
 const TEXT: &str = "text/plain; version=0.0.4";
 
@@ -24,9 +28,16 @@
 /// Fails when the address can't be listened on.
 pub async fn serve(address: SocketAddr) -> Result<()> {
     let listener = daemon::listen(address).await?;
+    let capacity = Capacity::of_probes();
+    let limits = server::Limits {
+        header_bytes: HEAD_MAX,
+        connections: capacity.connections,
+        memory: capacity.memory,
+        ..server::Limits::default()
+    };
     tokio::spawn(server::serve(
         listener,
-        server::Limits::default(),
+        limits,
         answer,
         CancellationToken::new(),
     ));
--- a/crates/frontd/tests/editions/deployment.rs
+++ b/crates/frontd/tests/editions/deployment.rs
@@ -160,6 +160,7 @@
             retries: retries(),
             hedge_limit: None,
             slack: slack(),
+            machine: base::Machine::default(),
         };
         tokio::spawn(frontd::serve_entry(setup, platform(self.no)));
         Entry { ip, link }
@@ -271,6 +272,7 @@
         zones: ["za".to_owned()].into(),
         takeover_delay: Duration::from_secs(3),
         list_lag: Duration::from_millis(2_300),
+        machine: base::Machine::default(),
     };
     let decoded = Arc::clone(decoded);
     let mut platform = platform(no);
--- a/crates/frontd/tests/memory/deployment.rs
+++ b/crates/frontd/tests/memory/deployment.rs
@@ -104,6 +104,7 @@
                 zones: ["za".to_owned()].into(),
                 takeover_delay: Duration::from_secs(3),
                 list_lag: Duration::from_millis(2_300),
+                machine: base::Machine::default(),
             },
             platform.clone(),
             take,
@@ -122,6 +123,7 @@
                 retries: retries(),
                 hedge_limit: None,
                 slack: slack(),
+                machine: base::Machine::default(),
             },
             platform,
         ));
--- a/crates/frontd/tests/soak/fleet.rs
+++ b/crates/frontd/tests/soak/fleet.rs
@@ -152,6 +152,7 @@
             zones: ["za".to_owned()].into(),
             takeover_delay: Duration::from_secs(3),
             list_lag: Duration::from_millis(2_300),
+            machine: base::Machine::default(),
         };
         let served = frontd::serve_control(setup, platform(ip, Arc::new(list), |addr| addr), take);
         tokio::spawn(served);
@@ -413,6 +414,7 @@
         },
         hedge_limit: None,
         slack: slack(),
+        machine: base::Machine::default(),
     };
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let platform = platform(control, Arc::new(list), end);
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -244,6 +244,7 @@
                 zones: ["za".to_owned()].into(),
                 takeover_delay: Duration::from_secs(3),
                 list_lag: Duration::from_millis(2_300),
+                machine: base::Machine::default(),
             },
             half_blind(platform, Arc::clone(&self.blind)),
             take,
@@ -309,6 +310,7 @@
                 retries: self.retries,
                 hedge_limit: self.hedging.and_then(|hedging| hedging.limit),
                 slack: slack(),
+                machine: base::Machine::default(),
             },
             platform(
                 self.no,
--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -82,6 +82,7 @@
             overrun: 0.1,
             extra: 100.0,
         },
+        machine: base::Machine::default(),
     };
     State::new(&setup, platform())
 }
--- a/crates/lab/src/usage.rs
+++ b/crates/lab/src/usage.rs
@@ -30,6 +30,8 @@
 pub struct Usage {
     /// Resident memory and the bytes that wait unread in its sockets, in bytes.
     pub memory: u64,
+    /// The part of it that waits unread, in bytes.
+    pub unread: u64,
     /// Open descriptors.
     pub descriptors: usize,
 }
@@ -42,8 +44,10 @@
     /// Fails when the process has ended.
     pub fn of(pid: u32) -> Result<Usage> {
         let sockets = sockets(pid)?;
+        let unread = unread(pid, &sockets.inodes)?;
         Ok(Usage {
-            memory: resident(pid)? + unread(pid, &sockets.inodes)?,
+            memory: resident(pid)? + unread,
+            unread,
             descriptors: sockets.descriptors,
         })
     }
@@ -51,6 +55,7 @@
     fn peak(self, other: Usage) -> Usage {
         Usage {
             memory: self.memory.max(other.memory),
+            unread: self.unread.max(other.unread),
             descriptors: self.descriptors.max(other.descriptors),
         }
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`PROTOCOL`]. So a stalled body never delays a heartbeat or a claim, and no second
 //! port has to be opened between availability zones.
 
+mod bounded;
 mod link;
 mod rpc;
 mod server;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -143,7 +143,11 @@
         let connected = answer_by(until, Box::pin(connect(&self.inner.address))).await;
         let connected = connected.unwrap_or_else(|| Err(anyhow::anyhow!("no answer in time")));
         let io = connected.map_err(|err| CallError::Connect(format!("{err:#}")))?;
-        let client = CallerClient::new(tarpc::client::Config::default(), transport(io)).spawn();
+        let client = CallerClient::new(
+            tarpc::client::Config::default(),
+            transport(TokioIo::new(io)),
+        )
+        .spawn();
         slot.serial += 1;
         slot.client = Some(client.clone());
         Ok((slot.serial, client))
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -1,9 +1,8 @@
 //! The tarpc service and its framing, shared by client and server.
 
 use base::InstanceName;
-use hyper::upgrade::Upgraded;
-use hyper_util::rt::TokioIo;
 use tarpc::serde_transport::Transport;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio_serde::formats::MessagePack;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use wire::call::{Call, Reply};
@@ -24,19 +23,18 @@
     async fn call(from: InstanceName, call: Call) -> Reply;
 }
 
-type Wire<Item, SinkItem> =
-    Transport<TokioIo<Upgraded>, Item, SinkItem, MessagePack<Item, SinkItem>>;
+type Wire<S, Item, SinkItem> = Transport<S, Item, SinkItem, MessagePack<Item, SinkItem>>;
 
-/// Returns a transport that sends `SinkItem` and receives `Item` on an upgraded
-/// connection.
-pub(crate) fn transport<Item, SinkItem>(io: Upgraded) -> Wire<Item, SinkItem>
+/// Returns a transport that sends `SinkItem` and receives `Item` on a connection.
+pub(crate) fn transport<S, Item, SinkItem>(io: S) -> Wire<S, Item, SinkItem>
 where
+    S: AsyncRead + AsyncWrite,
     Item: for<'de> serde::Deserialize<'de>,
     SinkItem: serde::Serialize,
 {
     let codec = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_CALL_BYTES)
         .new_codec();
-    let framed = Framed::new(TokioIo::new(io), codec);
+    let framed = Framed::new(io, codec);
     tarpc::serde_transport::new(framed, MessagePack::default())
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -7,9 +7,13 @@
 use futures::StreamExt;
 use http_body_util::Empty;
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
+use hyper_util::rt::TokioIo;
 use tarpc::server::{BaseChannel, Channel};
+use tokio_util::sync::CancellationToken;
+use web::memory::Memory;
 use wire::call::{Call, Reply};
 
+use crate::bounded::Bounded;
 use crate::rpc::{Caller, PATH, PROTOCOL, transport};
 
 /// Most calls of one connection that run at once. Further calls wait, on this connection
@@ -24,15 +28,16 @@
 }
 
 /// Answers `req` with the upgrade and serves the connection's calls in the background
-/// until the peer closes it. `handler` gets the calling instance and the call.
-pub fn accept<F, Fut>(req: Request<Incoming>, handler: F) -> Response<Empty<Bytes>>
+/// until the peer closes it. `handler` gets the calling instance and the call; what is unfinished
+/// of a large call is held in `memory`.
+pub fn accept<F, Fut>(req: Request<Incoming>, memory: Memory, handler: F) -> Response<Empty<Bytes>>
 where
     F: Fn(InstanceName, Call) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Reply> + Send + 'static,
 {
     tokio::spawn(async move {
         match hyper::upgrade::on(req).await {
-            Ok(io) => serve(io, handler).await,
+            Ok(io) => serve(io, memory, handler).await,
             Err(err) => tracing::debug!("failed to upgrade a peer's connection: {err}"),
         }
     });
@@ -47,7 +52,7 @@
     answer
 }
 
-async fn serve<F, Fut>(io: hyper::upgrade::Upgraded, handler: F)
+async fn serve<F, Fut>(io: hyper::upgrade::Upgraded, memory: Memory, handler: F)
 where
     F: Fn(InstanceName, Call) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Reply> + Send + 'static,
@@ -55,13 +60,16 @@
     let server = Server {
         handler: Arc::new(handler),
     };
+    let closed = CancellationToken::new();
+    let io = Bounded::new(TokioIo::new(io), memory, closed.clone());
     let channel = BaseChannel::with_defaults(transport(io));
-    channel
-        .execute(server.serve())
-        .for_each_concurrent(MAX_CONCURRENT_CALLS, |call| async move {
+    let calls = channel.execute(server.serve()).for_each_concurrent(
+        MAX_CONCURRENT_CALLS,
+        |call| async move {
             tokio::spawn(call).await.ok();
-        })
-        .await;
+        },
+    );
+    closed.run_until_cancelled(calls).await;
 }
 
 struct Server<F> {
--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -40,7 +40,7 @@
             tokio::spawn(async move {
                 let service = service_fn(|req: Request<Incoming>| async move {
                     assert!(wants_upgrade(&req));
-                    Ok::<_, Infallible>(accept(req, answer))
+                    Ok::<_, Infallible>(accept(req, web::memory::Memory::default(), answer))
                 });
                 let server = hyper::server::conn::http1::Builder::new();
                 server
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -2,13 +2,13 @@
 
 use std::{collections::BTreeMap, ffi::OsString, net::SocketAddr, path::PathBuf};
 
-use base::{InstanceName, Seed};
+use base::{InstanceName, Machine, Seed};
 
 use crate::{
     errors::Errors,
     options::{Options, Spec},
     parse,
-    shared::{IDENTITY, Identity, TELEMETRY, Telemetry},
+    shared::{self, IDENTITY, Identity, MACHINE, TELEMETRY, Telemetry},
 };
 
 /// Most voters of the replicated log: deployments reserve at most seven instances for it.
@@ -57,6 +57,8 @@
     pub bootstrap: Bootstrap,
     /// Seed of the random number generators; chosen at random by the daemon if `None`.
     pub seed: Option<Seed>,
+    /// What the process may use.
+    pub machine: Machine,
     /// Where logs, metrics and traces go.
     pub telemetry: Telemetry,
 }
@@ -72,7 +74,7 @@
     env: impl IntoIterator<Item = (OsString, OsString)>,
 ) -> Result<ControlSettings, Errors> {
     let about = "Control instance: keeps the replicated log";
-    let specs = [IDENTITY, CONTROL, TELEMETRY];
+    let specs = [IDENTITY, CONTROL, MACHINE, TELEMETRY];
     let mut options = Options::read("controld", about, &specs, args, env)?;
     let settings = read(&mut options);
     options.finish(settings)
@@ -83,12 +85,14 @@
     let data = options.required("data", parse::path);
     let bootstrap = bootstrap(options, identity.as_ref());
     let seed = options.optional("seed", str::parse::<Seed>);
+    let machine = shared::machine(options);
     let telemetry = Telemetry::read(options, identity.as_ref().map(|id| &id.zone));
     Some(ControlSettings {
         identity: identity?,
         data: data?,
         bootstrap: bootstrap?,
         seed,
+        machine: machine?,
         telemetry: telemetry?,
     })
 }
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -2,13 +2,13 @@
 
 use std::{collections::BTreeMap, ffi::OsString, net::SocketAddr, path::PathBuf, time::Duration};
 
-use base::{InstanceName, Seed};
+use base::{InstanceName, Machine, Seed};
 
 use crate::{
     errors::Errors,
     options::{Options, Spec},
     parse,
-    shared::{IDENTITY, Identity, TELEMETRY, Telemetry},
+    shared::{self, IDENTITY, Identity, MACHINE, TELEMETRY, Telemetry},
 };
 
 /// Default time between readiness going down and requests being refused. A load balancer
@@ -55,6 +55,8 @@
     pub drain_grace: Duration,
     /// Seed of the random number generators; chosen at random by the daemon if `None`.
     pub seed: Option<Seed>,
+    /// What the process may use.
+    pub machine: Machine,
     /// Where logs, metrics and traces go.
     pub telemetry: Telemetry,
 }
@@ -70,7 +72,7 @@
     env: impl IntoIterator<Item = (OsString, OsString)>,
 ) -> Result<EntrySettings, Errors> {
     let about = "Entry instance: accepts callers' requests and owns engines";
-    let specs = [IDENTITY, ENTRY, TELEMETRY];
+    let specs = [IDENTITY, ENTRY, MACHINE, TELEMETRY];
     let mut options = Options::read("entryd", about, &specs, args, env)?;
     let settings = read(&mut options);
     options.finish(settings)
@@ -82,6 +84,7 @@
     let data = options.optional("data", parse::path);
     let grace = options.optional("drain-grace", |raw| parse::millis(raw, MAX_DRAIN_GRACE_MS));
     let seed = options.optional("seed", str::parse::<Seed>);
+    let machine = shared::machine(options);
     let telemetry = Telemetry::read(options, identity.as_ref().map(|id| &id.zone));
     Some(EntrySettings {
         identity: identity?,
@@ -89,6 +92,7 @@
         data,
         drain_grace: grace.unwrap_or(DRAIN_GRACE),
         seed,
+        machine: machine?,
         telemetry: telemetry?,
     })
 }
--- a/crates/settings/src/shared.rs
+++ b/crates/settings/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr, path::PathBuf, str::FromStr};
 
-use base::{InstanceName, ZoneName};
+use base::{BadMachine, Bytes, Descriptors, InstanceName, Machine, RawMachine, ZoneName};
 
 use crate::{
     options::{Options, Spec},
@@ -45,6 +45,36 @@
     },
 ];
 
+pub(crate) const MACHINE: &[Spec] = &[
+    Spec {
+        name: "memory",
+        value: "BYTES",
+        help: "Memory of the process, with what waits in its sockets; 512000000 if not set",
+    },
+    Spec {
+        name: "descriptors",
+        value: "N",
+        help: "Descriptors that the process may have open; 4096 if not set",
+    },
+];
+
+/// Reads what the process may use of its machine.
+pub(crate) fn machine(options: &mut Options) -> Option<Machine> {
+    let usual = Machine::default();
+    let memory = options.optional("memory", str::parse::<Bytes>);
+    let descriptors = options.optional("descriptors", str::parse::<Descriptors>);
+    let raw = RawMachine {
+        memory: memory.unwrap_or(usual.memory()),
+        descriptors: descriptors.unwrap_or(usual.descriptors()),
+    };
+    let checked = Machine::try_from(raw);
+    let name = match checked {
+        Err(BadMachine::Descriptors(_)) => "descriptors",
+        _ => "memory",
+    };
+    checked.map_err(|err| options.wrong(name, err)).ok()
+}
+
 pub(crate) const TELEMETRY: &[Spec] = &[
     Spec {
         name: "log-level",
--- a/crates/telemetry/src/prom.rs
+++ b/crates/telemetry/src/prom.rs
@@ -6,6 +6,7 @@
 
 use std::{sync::LazyLock, time::Duration};
 
+use base::Bytes;
 use prometheus::{
     Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -46,6 +47,7 @@
     helped: IntCounterVec,
     gauges: Gauges,
     edition_bytes: IntCounter,
+    client_limits: IntCounterVec,
 }
 
 #[derive(Debug)]
@@ -54,6 +56,7 @@
     held_requests: IntGauge,
     zones: IntGauge,
     list_age: IntGauge,
+    held_bytes: IntGauge,
 }
 
 impl Gauges {
@@ -79,6 +82,10 @@
                 "quetzal_list_age_milliseconds",
                 "Age of the oldest list of a zone's targets by which this instance chooses",
             ),
+            held_bytes: gauge(
+                "quetzal_client_bytes_held",
+                "Bytes that clients' requests held when one of them last met a limit",
+            ),
         }
     }
 }
@@ -206,6 +213,11 @@
                 "outcome",
             ),
             gauges: Gauges::new(&registry),
+            client_limits: counters(
+                "quetzal_client_limits_total",
+                "Limits that clients met which protect the process, by what was refused or closed",
+                "what",
+            ),
             edition_bytes: counter(
                 &registry,
                 "quetzal_edition_bytes_total",
@@ -316,6 +328,13 @@
         self.helped.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a limit that a client met, and notes the bytes that clients' requests hold.
+    pub fn client_limited(&self, what: &str, held: Bytes) {
+        self.client_limits.with_label_values(&[what]).inc();
+        let held = i64::try_from(held.get()).unwrap_or(i64::MAX);
+        self.gauges.held_bytes.set(held);
+    }
+
     /// Sets the age of the oldest list of a zone's targets.
     pub fn list_age(&self, age: Duration) {
         let age = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -8,7 +8,7 @@
 
 use anyhow::anyhow;
 use base::{Failure, Refusal};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::StreamExt;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
@@ -22,6 +22,8 @@
     time::{Instant, timeout},
 };
 
+use crate::memory::{self, Held};
+
 /// The body of an answer. An error in it cuts the connection, so that the caller never
 /// takes a truncated answer for a complete one.
 pub type Body = UnsyncBoxBody<Bytes, anyhow::Error>;
@@ -172,18 +174,47 @@
     }
 }
 
-/// Reads the complete body of a request.
+/// Reads the complete body of a request, whoever else has bodies here.
 ///
 /// # Errors
 ///
-/// Fails with [`Refusal::TooLarge`] if the body is larger than the limit, and with
-/// [`Refusal::BadRequest`] if it is truncated, malformed or sent too slowly. The verdict
-/// is "not run" in all cases.
-pub async fn read(mut body: hyper::body::Incoming, limits: ReadLimits) -> Result<Bytes, Failure> {
+/// Fails as [`read_held`] does, but for room.
+pub async fn read(body: hyper::body::Incoming, limits: ReadLimits) -> Result<Bytes, Failure> {
+    read_held(body, limits, &Held::default()).await
+}
+
+/// Reads the complete body of a request. What is returned is part of what the request holds,
+/// for as long as any clone of it lives.
+///
+/// # Errors
+///
+/// Fails with [`Refusal::TooLarge`] if the body is larger than the limit, with
+/// [`Refusal::BadRequest`] if it is truncated, malformed or sent too slowly, and with
+/// [`Refusal::Overloaded`] if there is no room for it. The verdict is "not run" in all cases.
+pub async fn read_held(
+    mut body: hyper::body::Incoming,
+    limits: ReadLimits,
+    held: &Held,
+) -> Result<Bytes, Failure> {
+    let announced = body.size_hint().lower();
+    if announced > limits.bytes as u64 {
+        base::hit!(body_too_large);
+        return Err(Failure::not_run(Refusal::TooLarge));
+    }
+    held.hold_body(announced)?;
     let start = Instant::now();
-    let mut bytes = BytesMut::new();
+    let mut bytes = Vec::with_capacity(usize::try_from(announced).unwrap_or_default());
+    let reading = held.reading();
     while !body.is_end_stream() {
-        let Ok(next) = timeout(limits.grace, body.frame()).await else {
+        let next = tokio::select! {
+            biased;
+            () = reading.given_up() => {
+                base::hit!(stalled_body_given_up);
+                return Err(memory::no_room());
+            }
+            next = timeout(limits.grace, body.frame()) => next,
+        };
+        let Ok(next) = next else {
             base::hit!(silent_sender);
             return Err(Failure::not_run(Refusal::BadRequest));
         };
@@ -196,13 +227,48 @@
             base::hit!(body_too_large);
             return Err(Failure::not_run(Refusal::TooLarge));
         }
+        reserve(&mut bytes, data.len(), limits, held)?;
         bytes.extend_from_slice(&data);
+        reading.progress();
         if too_slow(start.elapsed(), bytes.len(), limits) {
             base::hit!(slow_sender);
             return Err(Failure::not_run(Refusal::BadRequest));
         }
     }
-    Ok(bytes.freeze())
+    drop(reading);
+    Ok(Bytes::from_owner(HeldBody {
+        bytes,
+        _held: held.clone(),
+    }))
+}
+
+/// A body that is part of what its request holds.
+struct HeldBody {
+    bytes: Vec<u8>,
+    _held: Held,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Makes room for `more` bytes, in the buffer and in what the request holds.
+fn reserve(
+    bytes: &mut Vec<u8>,
+    more: usize,
+    limits: ReadLimits,
+    held: &Held,
+) -> Result<(), Failure> {
+    let needed = bytes.len() + more;
+    if needed <= bytes.capacity() {
+        return Ok(());
+    }
+    let capacity = (2 * bytes.capacity()).clamp(needed, limits.bytes.max(needed));
+    held.hold_body(capacity as u64)?;
+    bytes.reserve_exact(capacity - bytes.len());
+    Ok(())
 }
 
 /// Returns whether the average rate of a body is below the limit.
--- a/crates/web/src/client/dial.rs
+++ b/crates/web/src/client/dial.rs
@@ -1,11 +1,11 @@
 //! How a client connects to a server.
 
-use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::{FutureExt, future::BoxFuture};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     time::{Instant, timeout_at},
 };
 
@@ -78,13 +78,27 @@
     }
 }
 
+/// Size of the receive buffer of a connection to a target, in bytes. What of an answer its caller
+/// doesn't read waits there.
+const RECEIVE_BUFFER: u32 = 32 << 10;
+
+async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // Where the buffer can't be bounded, the kernel's own limit holds.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER).ok();
+    socket.connect(addr).await
+}
+
 /// Connects to `addr` until the time `until` at most.
 ///
 /// # Errors
 ///
 /// Fails with [`Cause::Connect`] or [`Cause::ConnectTimeout`].
 pub async fn direct(addr: SocketAddr, until: Instant) -> Result<TcpStream, Cause> {
-    let stream = match timeout_at(until, TcpStream::connect(addr)).await {
+    let stream = match timeout_at(until, connect(addr)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(err)) => return Err(Cause::Connect(err.to_string())),
         Err(_) => return Err(Cause::ConnectTimeout),
--- a/crates/web/src/client/link.rs
+++ b/crates/web/src/client/link.rs
@@ -28,6 +28,9 @@
     dial::{Dialed, Stream},
 };
 
+/// Most bytes that a connection buffers: heads of answers, and what of a body nobody takes.
+const BUFFER_MAX: usize = 32 << 10;
+
 /// An open connection; dropping it closes the socket immediately.
 ///
 /// When a caller leaves while a large request is half written to a target that reads
@@ -58,7 +61,10 @@
             meter: Arc::clone(&meter),
             unread: Arc::clone(&unread),
         });
-        let handshake = http1::handshake(io).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(BUFFER_MAX)
+            .handshake(io)
+            .await;
         let (sender, conn) =
             handshake.map_err(|err| Broken::unsent(Cause::Connect(err.to_string())))?;
         let task = tokio::spawn(async move {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -2,13 +2,15 @@
 //! needs.
 //!
 //! [`client`] knows for each failure whether any byte of the request was sent to the
-//! target. [`server`] limits the resources that a faulty or hostile caller can take.
+//! target. [`server`] limits the resources that a faulty or hostile caller can take, and
+//! [`memory`] what all of them together can.
 //! [`body`], [`reply`] and [`sse`] create and read bodies, answers and event streams,
 //! [`timeout`] has a timeout that tolerates a busy process, and [`tunnel`] connects to a
 //! server through another instance.
 
 pub mod body;
 pub mod client;
+pub mod memory;
 pub mod reply;
 pub mod rest;
 pub mod server;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -6,7 +6,7 @@
 
 mod refusal;
 mod slots;
-mod stall;
+mod socket;
 
 use std::{
     convert::Infallible, future::Future, panic::AssertUnwindSafe, sync::Arc, time::Duration,
@@ -16,29 +16,37 @@
 use base::{Failure, Refusal, Verdict};
 use futures::FutureExt;
 use hyper::{
-    Method, Request, Response, Version,
+    Method, Request, Response, StatusCode, Version,
     body::{Body as _, Incoming},
     header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     time::{sleep, timeout},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-pub(crate) use self::stall::StallLimited;
-use self::{refusal::Refusals, slots::Slots, stall::EndsWithConnection};
-use crate::{body::Body, reply};
+pub(crate) use self::socket::Socket;
+use self::{refusal::Refusals, slots::Slots, socket::Progress};
+use crate::{body::Body, memory::Memory, reply};
 
 /// Pause of the accept loop after an error of the system, such as too many open files;
 /// without it the loop would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Size of the receive buffer of a caller's connection, in bytes. What a caller sends that isn't
+/// read waits there, for each connection.
+const RECEIVE_BUFFER: usize = 16 << 10;
+
+/// Size of the send buffer of a caller's connection, in bytes.
+const SEND_BUFFER: usize = 64 << 10;
+
 /// Limits on the resources that callers can take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Limits {
     /// Time until the head of a request is read, counted from the end of the previous
     /// request on the connection.
@@ -52,6 +60,8 @@
     pub connections: usize,
     /// Time without any progress of a write after which the connection is cut.
     pub write_stall: Duration,
+    /// What all connections together can have the process hold.
+    pub memory: Memory,
     /// Time after the start of a shutdown during which new connections are still
     /// accepted, since the load balancer's list of instances lags behind.
     pub linger: Duration,
@@ -67,6 +77,7 @@
             body_bytes: 1 << 20,
             connections: 4_096,
             write_stall: Duration::from_secs(20),
+            memory: Memory::default(),
             linger: Duration::from_secs(3),
             drain: Duration::from_secs(300),
         }
@@ -98,17 +109,19 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     listener.local_addr()?;
+    bound_buffers(&listener);
+    let (drain, linger) = (limits.drain, limits.linger);
     let server = Arc::new(Server {
+        slots: Arc::new(Slots::new(limits.connections, limits.memory.clone())),
         handler,
         limits,
-        slots: Arc::new(Slots::new(limits.connections)),
         stopping: shutdown.clone(),
         closing: CancellationToken::new(),
     });
     let tasks = TaskTracker::new();
     let linger = async {
         shutdown.cancelled().await;
-        sleep(limits.linger).await;
+        sleep(linger).await;
     };
     tokio::select! {
         () = linger => {}
@@ -116,7 +129,7 @@
     }
     server.closing.cancel();
     tasks.close();
-    if timeout(limits.drain, tasks.wait()).await.is_ok() {
+    if timeout(drain, tasks.wait()).await.is_ok() {
         return Ok(Served::default());
     }
     let cut = server.slots.close_all();
@@ -124,6 +137,14 @@
     Ok(Served { cut })
 }
 
+/// Bounds the kernel's buffers of all connections that will be accepted. Where it can't, the
+/// kernel's own limits hold.
+fn bound_buffers(listener: &TcpListener) {
+    let socket = SockRef::from(listener);
+    socket.set_recv_buffer_size(RECEIVE_BUFFER).ok();
+    socket.set_send_buffer_size(SEND_BUFFER).ok();
+}
+
 /// State shared by all connections.
 struct Server<H> {
     handler: H,
@@ -161,16 +182,34 @@
         return;
     }
     let slot = Arc::new(slot);
-    let ends = EndsWithConnection::default();
-    let limited = StallLimited::new(stream, server.limits.write_stall, ends.clone());
-    let io = TokioIo::new(limited);
-    let service = service_fn(|req| {
-        let (slot, server, ends) = (Arc::clone(&slot), Arc::clone(&server), ends.clone());
+    let progress = Arc::<Progress>::default();
+    let limits = &server.limits;
+    let socket = Socket::new(
+        stream,
+        Arc::clone(&slot),
+        limits.memory.clone(),
+        Arc::clone(&progress),
+        limits.write_stall,
+    );
+    let io = TokioIo::new(socket);
+    let service = service_fn(|req: Request<Incoming>| {
+        let (slot, server, progress) = (
+            Arc::clone(&slot),
+            Arc::clone(&server),
+            Arc::clone(&progress),
+        );
         async move {
             let asked = (req.version(), req.method().clone());
-            let resp = answer(req, &slot, &server).await;
+            let has_body = !req.body().is_end_stream();
+            let resp = answer(req, &slot, &server, &progress).await;
             if ends_with_connection(&asked, &resp) {
-                ends.set();
+                progress.end_with_connection();
+            }
+            if resp.status() == StatusCode::SWITCHING_PROTOCOLS {
+                progress.upgrade();
+            }
+            if has_body && !resp.status().is_success() {
+                progress.linger();
             }
             Ok::<_, Infallible>(resp)
         }
@@ -199,28 +238,47 @@
 }
 
 async fn answer<H, F>(
-    req: Request<Incoming>,
+    mut req: Request<Incoming>,
     slot: &Arc<slots::Slot>,
     server: &Server<H>,
+    progress: &Arc<Progress>,
 ) -> Response<Body>
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let busy = slot.busy();
-    let mut resp = if req.body().size_hint().lower() > server.limits.body_bytes {
-        base::hit!(announced_too_large);
-        reply::failure(&Failure::not_run(Refusal::TooLarge))
-    } else {
-        catch_panic(&server.handler, req).await
+    let held = server.limits.memory.request();
+    let busy = slot.busy(
+        Arc::clone(progress),
+        held.as_ref().cloned().unwrap_or_default(),
+    );
+    let mut resp = match held {
+        _ if req.body().size_hint().lower() > server.limits.body_bytes => {
+            base::hit!(announced_too_large);
+            reply::failure(&Failure::not_run(Refusal::TooLarge))
+        }
+        Ok(held) => {
+            req.extensions_mut().insert(held);
+            catch_panic(&server.handler, req).await
+        }
+        Err(no_room) => {
+            base::hit!(request_without_room);
+            closing(reply::failure(&no_room))
+        }
     };
     if server.stopping.is_cancelled() && !resp.headers().contains_key(CONNECTION) {
-        let close = HeaderValue::from_static("close");
-        resp.headers_mut().insert(CONNECTION, close);
+        resp = closing(resp);
     }
     resp.map(|body| busy.until_end_of(body))
 }
 
+/// Returns an answer after which the connection is closed.
+fn closing(mut resp: Response<Body>) -> Response<Body> {
+    let close = HeaderValue::from_static("close");
+    resp.headers_mut().insert(CONNECTION, close);
+    resp
+}
+
 /// Returns whether an answer will have neither a length nor chunks, so that it ends with its
 /// connection.
 fn ends_with_connection((asked, method): &(Version, Method), resp: &Response<Body>) -> bool {
--- a/crates/web/src/server/slots.rs
+++ b/crates/web/src/server/slots.rs
@@ -1,4 +1,5 @@
-//! Limits the number of open connections and closes idle ones to make room.
+//! Limits the number of open connections and closes idle ones to make room: first those that
+//! have never sent a whole request, then the others, the longest idle first.
 
 use std::{
     collections::BTreeMap,
@@ -12,35 +13,49 @@
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use tokio_util::sync::{CancellationToken, WaitForCancellationFuture};
 
-use crate::body::Body;
+use super::socket::Progress;
+use crate::{
+    body::Body,
+    memory::{Held, Limited, Memory},
+};
 
 /// The slots for open connections.
 #[derive(Debug)]
 pub(crate) struct Slots {
     max: usize,
+    memory: Memory,
     state: Mutex<State>,
 }
 
+/// When a connection became idle, and whether it has had a request before; those that are
+/// closed first come first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Idle {
+    served: bool,
+    stamp: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     /// Incremented for each stamp; orders idle connections by the time they became idle.
     stamp: u64,
     /// Open connections by id, each with the token that closes it.
     open: BTreeMap<u64, CancellationToken>,
-    /// Ids of idle connections by stamp.
-    idle: BTreeMap<u64, u64>,
+    /// Ids of idle connections, the first one to close first.
+    idle: BTreeMap<Idle, u64>,
 }
 
 impl Slots {
-    pub(crate) fn new(max: usize) -> Self {
+    pub(crate) fn new(max: usize, memory: Memory) -> Self {
         Slots {
             max,
+            memory,
             state: Mutex::default(),
         }
     }
 
-    /// Takes a slot. If all are taken, closes the connection that has been idle longest;
-    /// returns `None` if every connection is busy.
+    /// Takes a slot. If all are taken, closes an idle connection; returns `None` if every
+    /// connection is busy.
     ///
     /// Otherwise thousands of connections that send nothing could take all slots, and
     /// callers would be refused while the instance has nothing to do. An idle connection
@@ -48,8 +63,12 @@
     pub(crate) fn open(self: &Arc<Self>) -> Option<Slot> {
         let mut state = self.lock();
         if state.open.len() >= self.max {
-            let (_, id) = state.idle.pop_first()?;
+            let Some((_, id)) = state.idle.pop_first() else {
+                self.memory.report(Limited::Connection);
+                return None;
+            };
             base::hit!(idle_connection_closed);
+            self.memory.report(Limited::Idle);
             if let Some(kill) = state.open.remove(&id) {
                 kill.cancel();
             }
@@ -57,13 +76,17 @@
         let kill = CancellationToken::new();
         state.stamp += 1;
         let id = state.stamp;
+        let idle = Idle {
+            served: false,
+            stamp: id,
+        };
         state.open.insert(id, kill.clone());
-        state.idle.insert(id, id);
+        state.idle.insert(idle, id);
         Some(Slot {
             slots: Arc::clone(self),
             id,
             kill,
-            stamp: Mutex::new(id),
+            idle: Mutex::new(idle),
         })
     }
 
@@ -85,7 +108,7 @@
     slots: Arc<Slots>,
     id: u64,
     kill: CancellationToken,
-    stamp: Mutex<u64>,
+    idle: Mutex<Idle>,
 }
 
 impl Slot {
@@ -94,11 +117,29 @@
         self.kill.cancelled()
     }
 
-    /// Marks the connection busy until the returned value is dropped.
-    pub(crate) fn busy(self: &Arc<Self>) -> Busy {
-        let stamp = *self.stamp.lock().unwrap_or_else(PoisonError::into_inner);
-        self.slots.lock().idle.remove(&stamp);
-        Busy(Arc::clone(self))
+    /// Returns the token that closes the connection.
+    pub(crate) fn token(&self) -> &CancellationToken {
+        &self.kill
+    }
+
+    /// Marks the connection busy until the returned value is dropped, and has it hold `held`
+    /// until then.
+    pub(crate) fn busy(self: &Arc<Self>, progress: Arc<Progress>, held: Held) -> Busy {
+        let idle = *self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        self.slots.lock().idle.remove(&idle);
+        progress.begin_answer();
+        Busy {
+            slot: Arc::clone(self),
+            progress,
+            _held: held,
+        }
+    }
+
+    /// Notes that an idle connection was used.
+    pub(crate) fn used(&self) {
+        let idle = *self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        self.slots.lock().idle.remove(&idle);
+        self.idle();
     }
 
     fn idle(&self) {
@@ -107,24 +148,31 @@
             return;
         }
         state.stamp += 1;
-        let now = state.stamp;
-        state.idle.insert(now, self.id);
-        *self.stamp.lock().unwrap_or_else(PoisonError::into_inner) = now;
+        let idle = Idle {
+            served: true,
+            stamp: state.stamp,
+        };
+        state.idle.insert(idle, self.id);
+        *self.idle.lock().unwrap_or_else(PoisonError::into_inner) = idle;
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let stamp = *self.stamp.lock().unwrap_or_else(PoisonError::into_inner);
+        let idle = *self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let mut state = self.slots.lock();
         state.open.remove(&self.id);
-        state.idle.remove(&stamp);
+        state.idle.remove(&idle);
     }
 }
 
 /// Keeps a connection marked as busy while a request is under way on it.
 #[derive(Debug)]
-pub(crate) struct Busy(Arc<Slot>);
+pub(crate) struct Busy {
+    slot: Arc<Slot>,
+    progress: Arc<Progress>,
+    _held: Held,
+}
 
 impl Busy {
     /// Returns `body` wrapped so that the connection stays busy until the body is written
@@ -136,7 +184,8 @@
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.idle();
+        self.progress.end_answer(self.slot.token());
+        self.slot.idle();
     }
 }
 
--- a/crates/web/src/tunnel.rs
+++ b/crates/web/src/tunnel.rs
@@ -25,7 +25,7 @@
 use crate::{
     body::{Body, full},
     header_value,
-    server::StallLimited,
+    server::Socket,
     timeout::answer_by,
 };
 
@@ -47,6 +47,9 @@
 /// The request that the tunnel is opened for, for the helper's log.
 const LABEL: &str = "label";
 
+/// Most bytes of a label.
+const LABEL_MAX: usize = 64;
+
 /// The instance that asks, for the helper's log.
 const FROM: &str = "from";
 
@@ -184,7 +187,7 @@
         .header(UPGRADE, PROTOCOL)
         .header(TARGET, header_value(&tunnel.target.to_string()))
         .header(LEFT, left)
-        .header(LABEL, header_value(&tunnel.label))
+        .header(LABEL, header_value(short(&tunnel.label)))
         .header(FROM, header_value(&tunnel.from))
         .body(Empty::<Bytes>::new())?;
     let answer = sender.send_request(req).await?;
@@ -233,11 +236,16 @@
 /// Fails if the other side has left.
 pub async fn upgraded(req: Request<Incoming>) -> anyhow::Result<(TcpStream, Bytes)> {
     let upgraded = hyper::upgrade::on(req).await?;
-    let parts = upgraded.downcast::<TokioIo<StallLimited>>();
+    let parts = upgraded.downcast::<TokioIo<Socket>>();
     let parts = parts.map_err(|_| anyhow::anyhow!("the connection is of another kind"))?;
     Ok((parts.io.into_inner().into_inner(), parts.read_buf))
 }
 
+/// Returns the beginning of a label, which names a request by an id that its caller chose.
+fn short(label: &str) -> &str {
+    &label[..label.floor_char_boundary(LABEL_MAX)]
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/crates/web/tests/web/server.rs
+++ b/crates/web/tests/web/server.rs
@@ -22,8 +22,9 @@
 use tokio_util::sync::CancellationToken;
 use web::{
     Incoming, Method, Request, Response, StatusCode,
-    body::{Body, ReadLimits, Writer, channel, full, keepalive_channel, read},
+    body::{Body, ReadLimits, Writer, channel, full, keepalive_channel, read_held},
     client::{Client, Send},
+    memory::{Held, Memory},
     reply,
     server::{Limits, Served, serve},
     sse::PING,
@@ -85,7 +86,8 @@
         rate: 100,
         grace: SHORT,
     };
-    match read(req.into_body(), limits).await {
+    let held = Held::of(req.extensions());
+    match read_held(req.into_body(), limits, &held).await {
         Ok(bytes) => Response::new(web::body::full(bytes)),
         Err(failure) => reply::failure(&failure),
     }
@@ -156,6 +158,7 @@
         body_bytes: BODY as u64,
         connections: 64,
         write_stall: SHORT,
+        memory: Memory::default(),
         linger: SHORT,
         drain: CEILING,
     }
@@ -241,7 +244,7 @@
         header_time: CEILING * 10,
         ..limits()
     };
-    let server = Server::start(patient).await;
+    let server = Server::start(patient.clone()).await;
     let mut idle = Vec::new();
     for _ in 0..2_000 {
         idle.push(TcpStream::connect(server.addr).await.unwrap());
--- a/xtask/src/capacity/calls.rs
+++ b/xtask/src/capacity/calls.rs
@@ -22,6 +22,7 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
 };
+use web::memory::Memory;
 use wire::call::{Call, Reply, Residents};
 
 use super::{Case, encoded_len};
@@ -87,7 +88,7 @@
                 transferred,
             };
             let service = service_fn(|req: Request<Incoming>| async move {
-                Ok::<_, Infallible>(accept(req, |_, _| async { Reply::Done }))
+                Ok::<_, Infallible>(accept(req, Memory::default(), |_, _| async { Reply::Done }))
             });
             let server = hyper::server::conn::http1::Builder::new();
             let io = TokioIo::new(counted);
