Refuse what a machine can never hold as too large, and test the room of a server by itself

Cause: found while the limits were tested: a body larger than the account of its listener was refused as "come back later", each time again.

Change: it is refused as too large (413). The daemons' default memory is 1,000 MB, so that the largest body that a text may allow (64 MiB, held twice) fits.

Tests: a_body_of_exactly_the_limit_is_served (by length and in chunks, one byte more is 413), want_of_room_is_told_as_not_run, a_body_that_stalls_makes_room, a_refusal_arrives_though_its_caller_goes_on, the_machine_is_what_the_platform_allows, and rows for the daemons' settings.

--- a/crates/base/src/machine.rs
+++ b/crates/base/src/machine.rs
@@ -56,7 +56,7 @@
     /// Returns a machine for settings that name none.
     fn default() -> Self {
         Machine {
-            memory: Bytes(512_000_000),
+            memory: Bytes(1_000_000_000),
             descriptors: Descriptors(4_096),
         }
     }
--- a/crates/settings/src/shared.rs
+++ b/crates/settings/src/shared.rs
@@ -49,7 +49,7 @@
     Spec {
         name: "memory",
         value: "BYTES",
-        help: "Memory of the process, with what waits in its sockets; 512000000 if not set",
+        help: "Memory of the process, with what waits in its sockets; 1000000000 if not set",
     },
     Spec {
         name: "descriptors",
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -98,6 +98,21 @@
                 "--trace-one-in (QUETZAL_TRACE_ONE_IN): `0` is not an integer from 1 to 1000000",
             ],
         ),
+        small_machine: (
+            &["--memory=1000000", "--descriptors=3000"],
+            &[],
+            &["--memory (QUETZAL_MEMORY): 1000000 bytes of memory are too few: at least 32000000 are needed"],
+        ),
+        few_descriptors: (
+            &[],
+            &[("QUETZAL_DESCRIPTORS", "255")],
+            &["--descriptors (QUETZAL_DESCRIPTORS): 255 descriptors are too few: at least 256 are needed"],
+        ),
+        no_machine: (
+            &["--memory=64MB"],
+            &[],
+            &["--memory (QUETZAL_MEMORY): `64MB` is not a number of bytes: invalid digit found in string"],
+        ),
         one_port_twice: (
             &["--peer-listen=127.0.0.1:8080"],
             &[],
--- a/crates/web/src/memory.rs
+++ b/crates/web/src/memory.rs
@@ -325,7 +325,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Refusal::Overloaded`] if there is no room; the request has not run.
+    /// Fails with [`Refusal::Overloaded`] if there is no room now, and with
+    /// [`Refusal::TooLarge`] if there never can be. The request has not run.
     pub fn hold_body(&self, bytes: u64) -> Result<(), Failure> {
         let Some(request) = &self.0 else {
             return Ok(());
@@ -335,6 +336,9 @@
         if more == 0 {
             return Ok(());
         }
+        if bytes > self.most_body() {
+            return Err(Failure::not_run(Refusal::TooLarge));
+        }
         let share = match bytes > LARGE_BODY {
             true => Share::Large,
             false => Share::Ordinary,
--- a/crates/web/tests/web/main.rs
+++ b/crates/web/tests/web/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod ends;
 mod peer;
+mod room;
 mod server;
 mod sse;
 mod timeout;
