--- a/review/10/case.py
+++ b/review/10/case.py
@@ -2,40 +2,35 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standin-2"))
-from kit import *
+from poison import *
 
-ACK_S, CONTACT_S = 4.0, 3.0
+PARTS = 19     # sound parts before the deadly one, as of a long conversation
 
 
 async def case(folder):
-    fleet = Fleet(folder, zones=("dubrava", "jankomir", "zitnjak", "blato"), controls=4, entries=2)
-    record = fleet.record
+    Brittle.framing = "chunks"
+    fleet = Fleet(folder, controls=3, entries=2)
     try:
-        for zone in fleet.zones:
-            await fleet.replica(service="portal", zone=zone)
+        for _ in range(6):
+            await fleet.replica(Brittle, service="assistant")
         await fleet.start()
-        if TROUBLE:
-            # The machine of the second seed is lost as the system starts, and doesn't come back.
-            fleet.controls[1].signal(signal.SIGKILL)
-        lost = record.now()
-        config = {"routes": [route("listing", "/listing/", "safe", "portal")], "services": [service("portal")], "limits": LIMITS}
-        try:
-            await fleet.put(config, within=60)
-            took = record.now() - lost
-        except CantRun:
-            took = None
-        served = 0
-        for n in range(20):
-            try:
-                got = (await call(fleet.front(n % 2), "GET", f"/listing/{n}", [("Deadline-Ms", "1500")], b"", 3, attempt_id())).status
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as err:
-                got = type(err).__name__
-            served += got == 200
-            record(f"client -> {got}")
-        text = f"the first configuration: {'not acknowledged within 60 s' if took is None else f'acknowledged after {took:.1f} s'}; {served} of 20 requests served"
-        record(text)
+        await fleet.put({"routes": [route("draft", "/draft/", "stream", "assistant", resumable=False, gap_goal_ms=300)],
+                         "services": [service("assistant")], "limits": LIMITS})
+        for n in range(2):
+            await fleet.served("/draft/first", [("Prompt-Prefix", "aa:10,bb:10")], method="POST", entry=n, attempt=attempt_id())
+        load = Load(fleet, "/draft/", [f"c0ffee{n:02x}" for n in range(PARTS)])
+        await load.play(12, 0)
+        await load.play(35, 10 if TROUBLE else 0)
+        await load.end()
+        crashes = [at for at, _ in Brittle.crashes]
+        fleet.record(f"crashes: {[round(at, 1) for at in crashes]}")
+        late = 0
+        if len(crashes) >= 5:
+            late = sum(1 for r in fleet.replicas for at, attempt, _ in r.ran if attempt[0] == "d" and at > crashes[4] + CONTACT)
+        text = f"{len(crashes)} crashes; {late} requests with the part reached replicas later than contact_ms after the fifth"
+        fleet.record(text)
         print(text)
-        return "Acks" if took is None or took > CONTACT_S + ACK_S else None
+        return "BUDGET" if late > 3 else None
     finally:
         fleet.stop()
 
