--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,7 +4,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standin-2"))
 from kit import *
 
-WORK = 0.12          # seconds of work on a request of the portal
+WORK = 0.2           # seconds of work on a request of the portal
 TRAFFIC = 100.0      # seconds of traffic
 REPLICAS = 6
 CRASHES = 10 if TROUBLE else 0     # of one replica at a time
