Break off a body that is written in chunks though its head doesn't say so

What callers saw: a target's head had `Transfer-Encodinh: chunked`, a sound line by itself, and the target closed after its last chunk. The caller got 200, an orderly end, and the sizes of the chunks as part of the body.

Cause: without a known length or coding a body ends with its connection, and nothing looked at what it consists of.

Change: such a body is read as chunks from its first byte, beside passing it on. What is a whole chunked body up to its last chunk, or whole chunks only up to the close, or whole chunks beyond 8 KiB, is broken off; until that is known, at most 8 KiB are held back. Nearly every sound body shows by its first bytes that it is none and waits for nothing.

Ruled out: refusing answers without a length, chunks and `connection: close`: HTTP lets a server leave the last out, and sound ones have to be served. Not told: a body that ends within its first chunk.

--- a/crates/entryd/src/attempts.rs
+++ b/crates/entryd/src/attempts.rs
@@ -403,6 +403,9 @@
     }
 
     fn cut(&mut self, broken: &Broken) {
+        if broken.cause == Cause::HiddenChunks {
+            prom_metrics().bad_answer("hidden_chunks");
+        }
         tracing::debug!("an answer was cut off: {broken}");
         self.end(AnswerEnd::Cut);
     }
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -324,8 +324,10 @@
             }
             End::Complete => self.request.note_answered(&self.in_flight),
             End::Broken(broken) => {
-                if broken.cause == Cause::Deadline {
-                    self.log_silent();
+                match broken.cause {
+                    Cause::Deadline => self.log_silent(),
+                    Cause::HiddenChunks => prom_metrics().bad_answer("hidden_chunks"),
+                    _ => {}
                 }
                 self.request.note_broken(&self.in_flight, broken);
             }
--- a/crates/frontd/tests/targets/broken.rs
+++ b/crates/frontd/tests/targets/broken.rs
@@ -181,20 +181,18 @@
 fn spoilt() -> Vec<String> {
     let length = format!("content-length: {}\r\n", BODY.len());
     let coding = "transfer-encoding: chunked\r\n";
-    let value = coding.find(':').unwrap() + 1;
-    let lengths = spoil(&length, 0).into_iter();
+    let lengths = spoil(&length).into_iter();
     let lengths = lengths.filter(|line| !tells_less(line));
-    let codings = spoil(coding, value).into_iter();
+    let codings = spoil(coding).into_iter();
     let lengths = lengths.map(|line| with(&line, BODY));
     lengths
         .chain(codings.map(|line| with(&line, &chunked())))
         .collect()
 }
 
-/// Returns a line with each byte from `first` on spoilt in turn.
-fn spoil(line: &str, first: usize) -> Vec<String> {
-    let places = first..line.len();
-    let all = places.flat_map(|at| {
+/// Returns a line with each byte spoilt in turn.
+fn spoil(line: &str) -> Vec<String> {
+    let all = (0..line.len()).flat_map(|at| {
         let (before, rest) = line.split_at(at);
         SPOILT.map(|byte| {
             let instead = format!("{before}{byte}{}", &rest[1..]);
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -11,6 +11,7 @@
 mod head;
 mod link;
 mod pool;
+mod unframed;
 
 use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
--- a/crates/web/src/client/answer.rs
+++ b/crates/web/src/client/answer.rs
@@ -17,6 +17,7 @@
     broken::{Broken, Cause},
     link::Link,
     pool::Pool,
+    unframed::{HiddenChunks, Unframed},
 };
 use crate::{sse::Parser, timeout::answer_by};
 
@@ -90,6 +91,8 @@
     pool: (Arc<Pool>, SocketAddr),
     idle: Duration,
     deadline: Instant,
+    /// What may be chunks of a body without framing.
+    unframed: Unframed,
     /// Bytes of the body that were read after the deadline.
     late_bytes: usize,
     finished: bool,
@@ -124,6 +127,7 @@
             pool,
             idle,
             deadline,
+            unframed: Unframed::default(),
             late_bytes: 0,
             finished: false,
         }
@@ -183,11 +187,19 @@
             let next = match answer_by(until, self.body.frame()).await {
                 None if until == self.deadline => self.broken(Cause::Deadline),
                 None => return Read::Silent,
-                Some(None) => return self.finish(),
+                Some(None) => match self.unframed.end() {
+                    Ok(held) if held.is_empty() => return self.finish(),
+                    Ok(held) => self.piece(held),
+                    Err(HiddenChunks) => self.broken(Cause::HiddenChunks),
+                },
                 Some(Some(Err(err))) => self.broken(Cause::Cut(err.to_string())),
                 Some(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) if self.is_overdue(&data) => self.broken(Cause::Deadline),
-                    Ok(data) => self.piece(data),
+                    Ok(data) => match self.unchunked(data) {
+                        Ok(data) if data.is_empty() => continue,
+                        Ok(data) => self.piece(data),
+                        Err(HiddenChunks) => self.broken(Cause::HiddenChunks),
+                    },
                     Err(_) => continue,
                 },
             };
@@ -249,6 +261,14 @@
         Ok(bytes.freeze())
     }
 
+    /// Returns what of a piece is known not to be part of chunks that the head doesn't tell of.
+    fn unchunked(&mut self, piece: Bytes) -> Result<Bytes, HiddenChunks> {
+        match self.framing {
+            Framing::Length | Framing::Chunks => Ok(piece),
+            Framing::Connection => self.unframed.push(piece),
+        }
+    }
+
     fn piece(&mut self, data: Bytes) -> Result<Bytes, Broken> {
         if self.status == StatusCode::RESET_CONTENT && !data.is_empty() {
             return self.broken(Cause::Cut(String::from("content where there is none")));
--- a/crates/web/src/client/broken.rs
+++ b/crates/web/src/client/broken.rs
@@ -38,6 +38,8 @@
     Cut(String),
     /// What came is not the head of an answer.
     Malformed(HeadFault),
+    /// The body ends with its connection as its head says, and consists of chunks.
+    HiddenChunks,
     /// The body has neither a length nor chunks, so its end can't be distinguished from
     /// a truncation.
     Unframed,
@@ -69,7 +71,10 @@
     /// something else, which a crash of the target may have caused.
     #[must_use]
     pub fn is_cut(&self) -> bool {
-        matches!(self.cause, Cause::Cut(_) | Cause::Malformed(_))
+        matches!(
+            self.cause,
+            Cause::Cut(_) | Cause::Malformed(_) | Cause::HiddenChunks
+        )
     }
 
     /// Returns the reason that callers are given.
@@ -101,6 +106,9 @@
             Cause::Deadline => f.write_str("the deadline passed"),
             Cause::Cut(err) => write!(f, "the connection broke: {err}"),
             Cause::Malformed(fault) => write!(f, "the answer has no valid head: {fault}"),
+            Cause::HiddenChunks => {
+                f.write_str("the body consists of chunks, and its head doesn't say so")
+            }
             Cause::Unframed => {
                 f.write_str("the answer has neither a length nor chunks, so it may be truncated")
             }
