Take a success only with the signs of a target's answer

What callers saw: a 2xx whose `Server-Stamp` was missing, or whose field name was spoilt by one byte, reached its caller as a complete 200. So did one that doesn't repeat the request's id, the sign that tells a late answer to another request, and one whose body was encoded though nobody asked for that.

Cause: the id was compared only where an answer had one, and nothing knew which signs targets give.

Change: the platform's adapter says which signs a success bears: a signature, the request's id, a body that isn't encoded. One that lacks any of them, or bears it twice, has run and counts as the target's failure (E5047, quetzal_bad_answers_total); its connection is closed. Failures and refusals come with or without signs and pass as before. Where the adapter names no signs, as in the daemons' own way, nothing changes.

Ruled out: asking failures for signs too, as a target that refuses a request may not have read it.

--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -14,6 +14,7 @@
 mod paths;
 mod relay;
 mod rests;
+mod signs;
 mod state;
 mod streams;
 mod sync;
--- a/crates/frontd/src/entry/forward/send.rs
+++ b/crates/frontd/src/entry/forward/send.rs
@@ -17,7 +17,7 @@
     ActiveRequest, REFUSED_PAUSE, millis,
     sending::{InFlight, Sending},
 };
-use crate::entry::{answer::refused, headers, limits, rests};
+use crate::entry::{answer::refused, headers, limits, rests, signs};
 
 /// Answers with fewer tokens get no copy of the run's KV cache: they last about half a
 /// second as a stream.
@@ -265,6 +265,12 @@
             state.view().outcome(state.now(), &target, false);
             return SendOutcome::Unknown;
         }
+        let signed = signs::check(answer.status, &answer.headers, (names, &self.id));
+        if let Err(missing) = signed {
+            self.log_unsigned(&target, missing);
+            state.view().outcome(state.now(), &target, false);
+            return SendOutcome::Unknown;
+        }
         // A refusal as misdirected may come from another target.
         if answer.status != StatusCode::MISDIRECTED_REQUEST {
             limits::note_answer(state, &target, &answer.headers);
@@ -314,6 +320,17 @@
         }
     }
 
+    fn log_unsigned(&self, target: &str, missing: signs::Missing) {
+        base::hit!(unsigned_answer);
+        prom_metrics().bad_answer(missing.as_str());
+        event!(
+            telemetry::Event::AnswerUnsigned,
+            request = self.id,
+            target = target,
+            missing = missing.as_str()
+        );
+    }
+
     fn log_malformed(&self, in_flight: &InFlight, fault: HeadFault) {
         prom_metrics().bad_answer(fault.rule.as_str());
         event!(
--- a/crates/frontd/src/lib.rs
+++ b/crates/frontd/src/lib.rs
@@ -19,7 +19,7 @@
     metrics::serve as serve_metrics,
     names::{instance_address, instance_name},
     platform::{
-        Decode, Decoded, HeaderNames, ListTargets, MapAddress, Platform, ReadReport, ReadSeeds,
-        SendOrder,
+        AnswerSigns, Decode, Decoded, HeaderNames, ListTargets, MapAddress, Platform, ReadReport,
+        ReadSeeds, SendOrder,
     },
 };
--- a/crates/frontd/src/platform.rs
+++ b/crates/frontd/src/platform.rs
@@ -60,6 +60,19 @@
     pub account: HeaderName,
     /// Headers that only this system may set; those of a caller are dropped.
     pub reserved: Vec<HeaderName>,
+    /// What shows that a success is the answer of a target to its request.
+    pub signs: AnswerSigns,
+}
+
+/// What shows that a success is the answer of a target to its request. By default nothing has to.
+#[derive(Clone, Debug, Default)]
+pub struct AnswerSigns {
+    /// Header by which targets sign their successes, once each; none if they don't.
+    pub signature: Option<HeaderName>,
+    /// Whether their successes repeat the id of the request.
+    pub repeats_id: bool,
+    /// Whether their bodies are never encoded.
+    pub unencoded: bool,
 }
 
 /// A configuration of the platform, decoded and checked.
--- a/crates/frontd/tests/common/platform.rs
+++ b/crates/frontd/tests/common/platform.rs
@@ -34,6 +34,7 @@
         key: header("key"),
         account: header("account"),
         reserved: Vec::new(),
+        signs: frontd::AnswerSigns::default(),
     }
 }
 
--- a/crates/frontd/tests/unit/state.rs
+++ b/crates/frontd/tests/unit/state.rs
@@ -46,6 +46,7 @@
             key: header.clone(),
             account: header,
             reserved: Vec::new(),
+            signs: crate::AnswerSigns::default(),
         }),
         decode: Arc::new(|_| {
             let table = Table::default();
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -158,6 +158,7 @@
     TargetResting 5044 Info "target asks for rest" "`target` has turned a request away and wants nothing from this instance for `rest_ms`. Longer rests that it asks for before the end aren't told."
     TargetRested 5045 Info "target's rest is over" "`target` has rested for `lasted_ms`; this instance has sent `sent` requests there meanwhile. They were on their way when it asked, or nobody kept to it."
     AnswerMalformed 5046 Warn "answer has no valid head" "What `target` sent as the answer to `request` is no head of HTTP: the line that begins at its byte `at` breaks `rule`, which is `status_line`, `status`, `line_end`, `field`, `length`, `coding`, `framing` or `size`. The request may have run; the connection is closed."
+    AnswerUnsigned 5047 Warn "success isn't the target's answer" "`target` answered `request` with a success that lacks a sign of its answers: `missing` is `signature`, `id` or `encoding` (its body is encoded). The request may have run; the connection is closed."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
