Bound what all targets together can have a process hold

What callers saw: targets that sent one event without end, or most of a large one and then nothing, brought an entry instance beyond the memory of its machine; it ended, and the requests of all others with it.

Cause: up to 1 MiB of an event that isn't complete is held back for each stream (in the daemons twice), up to 8 MiB of an answer, and nothing bounded all of them.

Change: one account for each process takes what is held back of answers (HeldBack, beside the accounts for callers): events, bodies that are read as a whole, answers of the daemons that are held until they are complete. 8 KiB of each are free, so the usual size never lacks room. What has stalled for 250 ms is given up for others, else whoever asks finds no room: its stream goes on elsewhere, and where it may not, its parts are passed on instead of held. The target counts as failed. A read from a target takes 8 KiB, so that hyper's buffer doesn't grow with what is there. E1013 says `answer`.

Bodies and documents of the daemons that stop short were held before (kept as tests: bodies_that_stop, documents_that_stop).

--- a/crates/daemon/src/capacity.rs
+++ b/crates/daemon/src/capacity.rs
@@ -68,6 +68,17 @@
     }
 }
 
+/// Returns what targets and the platform can have a process hold back of their answers: one of
+/// `share` parts of the memory.
+#[must_use]
+pub fn answers(machine: Machine, share: u64) -> Memory {
+    let quota = Quota {
+        bytes: Bytes(machine.memory().get() / share),
+        ..Quota::UNLIMITED
+    };
+    Memory::new(quota, report)
+}
+
 /// Returns `parts` of sixteen of the descriptors.
 #[must_use]
 pub fn descriptors(machine: Machine, parts: u32) -> usize {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,7 +13,7 @@
 mod start;
 
 pub use crate::{
-    capacity::{Capacity, descriptors},
+    capacity::{Capacity, answers, descriptors},
     clock::Clock,
     crash::{Fate, log_quarantine},
     folder::{log_folder_state, start_writer, wall_clock},
--- a/crates/entryd/src/attempts.rs
+++ b/crates/entryd/src/attempts.rs
@@ -1,7 +1,7 @@
 //! Sends one attempt of a request to a target, or to the instance that owns it, and
 //! reports the progress of the answer to the node.
 
-use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{future::pending, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use base::{Class, Mark, Refusal, Verdict};
 use bytes::{Bytes, BytesMut};
@@ -15,6 +15,7 @@
 use web::{
     client::{Answer, Broken, Cause, Framing, Limits, Send, is_json},
     header_value,
+    memory::HeldBack,
     reply::ErrorInfo,
     rest::asked_rest,
     sse::{self, Parser},
@@ -198,7 +199,8 @@
         let mut document = (events.is_none() && closes).then(BytesMut::new);
         let mut size = 0;
         let mut silence = Silence::new(&self.attempt);
-        while let Some(piece) = self.next(&mut answer, &mut silence).await {
+        let mut held = self.state.client.held_back();
+        while let Some(piece) = self.next(&mut answer, &mut silence, &held).await {
             silence.since_byte = Instant::now();
             let piece = match piece {
                 Ok(piece) => piece,
@@ -219,12 +221,17 @@
             if reported.is_none() {
                 return;
             }
+            let document = document.as_ref().map_or(0, BytesMut::len);
+            if !held.hold(self.exchange.held_bytes() + document) {
+                return self.end(AnswerEnd::Cut);
+            }
             // The caller may have been slow meanwhile, and nothing was read.
             silence.since_byte = Instant::now();
             if self.step > steps {
                 silence.since_piece = silence.since_byte;
             }
         }
+        self.exchange.keep(held);
         let end = document.map_or(AnswerEnd::Complete, |document| {
             self.closed(&answer, &document)
         });
@@ -236,12 +243,24 @@
         &mut self,
         answer: &mut Answer,
         silence: &mut Silence,
+        held: &HeldBack,
     ) -> Option<Result<Bytes, Broken>> {
         let mut next = pin!(answer.next());
+        let given_up = held.given_up();
+        let mut given_up = pin!(async move {
+            match given_up {
+                Some(given_up) => given_up.await,
+                None => pending().await,
+            }
+        });
         loop {
             tokio::select! {
                 biased;
                 piece = &mut next => return piece,
+                () = &mut given_up => return Some(Err(Broken {
+                    verdict: Verdict::MayHaveRun,
+                    cause: Cause::NoRoom,
+                })),
                 () = sleep_until(silence.next()) => {
                     self.report(Progress::Silent, None);
                     silence.reported();
--- a/crates/entryd/src/exchange.rs
+++ b/crates/entryd/src/exchange.rs
@@ -22,6 +22,7 @@
 use web::{
     body::{self, Body, Writer},
     client::is_json,
+    memory::HeldBack,
     reply, sse,
 };
 use wire::call::Answer;
@@ -102,6 +103,9 @@
     held_head: Option<Head>,
     /// Pieces of an answer that is held back until it is complete.
     held_body: Vec<Bytes>,
+    held_bytes: usize,
+    /// The room for them, once they are complete.
+    room: Option<HeldBack>,
     /// Heads and pieces that the node has not decided about, by the number of their step.
     undecided: BTreeMap<u64, Item>,
     /// Tasks of the attempts, by the number of the attempt.
@@ -164,6 +168,17 @@
         self.lock().undecided.insert(step, item);
     }
 
+    /// Returns the bytes of the answer that is held back.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.lock().held_bytes
+    }
+
+    /// Has a complete answer keep the room that it takes.
+    pub(crate) fn keep(&self, room: HeldBack) {
+        room.finish();
+        self.lock().room = Some(room);
+    }
+
     /// Drops the head or piece of `step` if it is still stored.
     pub(crate) fn discard(&self, step: u64) {
         self.lock().undecided.remove(&step);
@@ -232,23 +247,30 @@
     fn hold(&mut self, item: Item) {
         match item {
             Item::Head(head) => self.held_head = Some(head),
-            Item::Piece(bytes, _) => self.held_body.push(bytes),
+            Item::Piece(bytes, _) => {
+                self.held_bytes += bytes.len();
+                self.held_body.push(bytes);
+            }
         }
     }
 
     fn drop_held(&mut self) {
         self.held_head = None;
+        self.held_bytes = 0;
+        self.room = None;
         self.held_body.clear();
     }
 
     /// Sends an answer that was held back until it was complete to the caller.
     fn release(&mut self) {
         let body = std::mem::take(&mut self.held_body).concat();
+        let room = self.room.take();
         let Some(mut head) = self.held_head.take() else {
             return;
         };
         // A JSON document was checked to be complete, so its length may be said.
         head.closes &= !is_json(&body);
+        let body = Bytes::from_owner(HeldAnswer { body, _room: room });
         let body = match head.closes {
             true => body::unsized_full(body),
             false => body::full(body),
@@ -271,6 +293,18 @@
     }
 }
 
+/// A complete answer that was held back, with the room that it takes until it is written.
+struct HeldAnswer {
+    body: Vec<u8>,
+    _room: Option<HeldBack>,
+}
+
+impl AsRef<[u8]> for HeldAnswer {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
 /// Creates the body of an answer that is passed on. An event stream gets keep-alive
 /// comments between its events.
 fn open_body(headers: &HeaderMap) -> (Writer, Body) {
--- a/crates/entryd/src/shell.rs
+++ b/crates/entryd/src/shell.rs
@@ -55,7 +55,12 @@
     let (inputs, queue) = mpsc::unbounded_channel();
     let (text_sender, text) = watch::channel(Arc::new(InForce::default()));
     let identity = &settings.identity;
-    let state = Arc::new(State::new(identity.name.clone(), inputs, text));
+    let state = Arc::new(State::new(
+        identity.name.clone(),
+        inputs,
+        text,
+        settings.machine,
+    ));
     let stop = CancellationToken::new();
     let grace = settings.drain_grace;
     tokio::spawn(external::poll_list(Arc::clone(&state), identity.platform));
--- a/crates/entryd/src/state.rs
+++ b/crates/entryd/src/state.rs
@@ -8,7 +8,7 @@
     },
 };
 
-use base::{InstanceName, TextVersion, Ticket};
+use base::{InstanceName, Machine, TextVersion, Ticket};
 use daemon::{Links, Pending, lock};
 use node::Input;
 use text::{Keys, Model};
@@ -18,6 +18,9 @@
 
 use crate::exchange::Exchange;
 
+/// The memory is divided into so many parts, one of which is for answers that are held back.
+const ANSWER_SHARE: u64 = 8;
+
 /// The operators' configuration text in force, parsed, with an index of the API keys.
 #[derive(Debug, Default)]
 pub(crate) struct InForce {
@@ -54,12 +57,13 @@
         name: InstanceName,
         inputs: mpsc::UnboundedSender<Input>,
         text: watch::Receiver<Arc<InForce>>,
+        machine: Machine,
     ) -> Self {
         let links = Links::new(name.clone());
         State {
             name,
             inputs,
-            client: Client::default(),
+            client: Client::default().with_memory(daemon::answers(machine, ANSWER_SHARE)),
             text,
             ready: AtomicBool::new(false),
             last_ticket: AtomicU64::new(0),
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -8,6 +8,7 @@
 use std::{pin::pin, sync::Arc, time::Duration};
 
 use anyhow::anyhow;
+use base::Verdict;
 use bytes::Bytes;
 use futures::StreamExt;
 use http_body_util::{BodyExt, StreamBody};
@@ -56,7 +57,7 @@
     Broken(Broken),
     /// A stream ended within an event.
     WithinEvent,
-    /// An event is larger than any that is held back, or has no end.
+    /// An event is larger than any that is held back, has no end, or found no room.
     Oversized,
     /// The connection was closed in order, and nothing shows that the answer is complete.
     Unconfirmed,
@@ -67,10 +68,11 @@
     fn as_str(&self) -> &'static str {
         match self {
             End::Complete => "complete",
+            End::Broken(broken) if broken.is_cut() => "cut",
             End::Broken(Broken {
-                cause: Cause::Cut(_),
+                cause: Cause::NoRoom,
                 ..
-            }) => "cut",
+            }) => "no_room",
             End::Broken(_) => "silent",
             End::WithinEvent => "within_event",
             End::Oversized => "oversized",
@@ -94,7 +96,8 @@
         in_flight: InFlight,
         resumable: bool,
     ) -> Self {
-        let events = request.streams(&answer).then(Events::default);
+        let streams = request.streams(&answer);
+        let events = streams.then(|| Events::new(request.state.client.held_back()));
         Relay {
             resumable: resumable && events.is_some(),
             framed: answer.framing() != Framing::Connection,
@@ -147,6 +150,10 @@
                         None => End::Oversized,
                     }
                 }
+                Read::Broken(broken) if broken.cause == Cause::NoRoom && !self.resumable => {
+                    let parts = self.events.as_mut().map(Events::take_partial);
+                    return parts.map(Ok);
+                }
                 Read::Broken(broken) => End::Broken(broken),
                 Read::End => self.end_in_order().await,
                 Read::Silent => continue,
@@ -174,7 +181,16 @@
     async fn read(&mut self) -> Read {
         self.waiting_from.get_or_insert_with(Instant::now);
         let silent_at = self.silent_at();
-        match self.answer.next_by(silent_at).await {
+        let given_up = self.events.as_ref().and_then(Events::given_up);
+        let read = match given_up {
+            None => self.answer.next_by(silent_at).await,
+            // Boxed, as few streams hold back much and each would hold the space for it.
+            Some(given_up) => {
+                let next = self.answer.next_by(silent_at);
+                Box::pin(unless_given_up(next, given_up)).await
+            }
+        };
+        match read {
             // Boxed, as few targets are silent and each stream would hold the space for it.
             Read::Silent => Box::pin(self.outlast()).await,
             read => read,
@@ -332,7 +348,10 @@
                 self.request.note_broken(&self.in_flight, broken);
             }
             End::Unconfirmed => self.request.note_cut(&self.in_flight),
-            End::Oversized => {}
+            End::Oversized => {
+                let state = &self.request.state;
+                state.view().outcome(state.now(), &self.in_flight.id, false);
+            }
             End::WithinEvent => {
                 self.request.note_cut(&self.in_flight);
                 event!(
@@ -434,3 +453,18 @@
         headers::text(&answer.headers, weights).unwrap_or_default()
     }
 }
+
+/// Reads, unless what is held back of the answer is given up for others.
+async fn unless_given_up(
+    read: impl Future<Output = Read>,
+    given_up: impl Future<Output = ()>,
+) -> Read {
+    tokio::select! {
+        biased;
+        read = read => read,
+        () = given_up => Read::Broken(Broken {
+            verdict: Verdict::MayHaveRun,
+            cause: Cause::NoRoom,
+        }),
+    }
+}
--- a/crates/frontd/src/entry/relay/events.rs
+++ b/crates/frontd/src/entry/relay/events.rs
@@ -2,22 +2,34 @@
 
 use anyhow::{Result, ensure};
 use bytes::{Bytes, BytesMut};
-use web::sse::EventEnds;
+use web::{memory::HeldBack, sse::EventEnds};
 
 /// Largest size of one event, in bytes, that is held back until it is complete.
 const EVENT_MAX: usize = 1 << 20;
 
 /// The events of a stream.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(in crate::entry) struct Events {
     ends: EventEnds,
     /// The id of the last complete event.
     last: Option<String>,
     /// Bytes of an event that is not complete yet.
     partial: BytesMut,
+    /// The room for them.
+    held: HeldBack,
 }
 
 impl Events {
+    /// Creates the events of a stream that has just begun.
+    pub(super) fn new(held: HeldBack) -> Self {
+        Events {
+            ends: EventEnds::default(),
+            last: None,
+            partial: BytesMut::new(),
+            held,
+        }
+    }
+
     /// Takes a chunk and returns the events that it completes.
     ///
     /// Failure: a target stops in the middle of an event. If that part had been passed
@@ -26,29 +38,47 @@
     ///
     /// # Errors
     ///
-    /// Fails if an event is too large to be held back and the stream may go on at another
-    /// target. The parts of such an event are passed on where it may not.
+    /// Fails if an event is too large to be held back, or there is no room for it, and the stream
+    /// may go on at another target. The parts of such an event are passed on where it may not.
     pub(super) fn push(&mut self, chunk: Bytes, resumable: bool) -> Result<Bytes> {
         let end = self.ends.push(&chunk);
         if self.partial.is_empty() && end == Some(chunk.len()) {
             self.note_last(&chunk);
             return Ok(chunk);
         }
+        let Some(end) = end else {
+            return self.hold_back(chunk, resumable);
+        };
         let before = self.partial.len();
-        self.partial.extend_from_slice(&chunk);
-        if let Some(end) = end {
-            let complete = self.partial.split_to(before + end).freeze();
-            self.note_last(&complete);
-            return Ok(complete);
-        }
-        if self.partial.len() <= EVENT_MAX {
+        let mut complete = std::mem::take(&mut self.partial);
+        complete.extend_from_slice(&chunk);
+        // A buffer of its own, as the complete events keep theirs.
+        self.partial = BytesMut::from(&complete[before + end..]);
+        complete.truncate(before + end);
+        // The rest of one read always finds room.
+        let _ = self.held.hold(self.partial.len());
+        self.note_last(&complete);
+        Ok(complete.freeze())
+    }
+
+    /// Holds back a chunk in which no event ends.
+    fn hold_back(&mut self, chunk: Bytes, resumable: bool) -> Result<Bytes> {
+        let bytes = self.partial.len() + chunk.len();
+        if bytes <= EVENT_MAX && self.held.hold(bytes) {
+            self.partial.extend_from_slice(&chunk);
             return Ok(Bytes::new());
         }
-        ensure!(
-            !resumable,
-            "an event of the stream exceeds {EVENT_MAX} bytes"
-        );
-        Ok(self.partial.split().freeze())
+        ensure!(!resumable, "there is no room for an event of the stream");
+        if self.partial.is_empty() {
+            return Ok(chunk);
+        }
+        self.partial.extend_from_slice(&chunk);
+        Ok(self.take_partial())
+    }
+
+    /// Waits until an event that isn't complete is given up for others; none if none may be.
+    pub(super) fn given_up(&self) -> Option<impl Future<Output = ()> + Send + use<>> {
+        self.held.given_up()
     }
 
     /// Returns the id of the last complete event.
@@ -63,12 +93,14 @@
 
     /// Returns what is held back of an event that isn't complete.
     pub(super) fn take_partial(&mut self) -> Bytes {
-        self.partial.split().freeze()
+        self.held.clear();
+        std::mem::take(&mut self.partial).freeze()
     }
 
     /// Drops what has come of an event that its target won't complete.
     pub(super) fn drop_partial(&mut self) {
-        self.partial.clear();
+        self.partial = BytesMut::new();
+        self.held.clear();
         self.ends = EventEnds::default();
     }
 
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -39,6 +39,10 @@
 };
 use crate::{Platform, names};
 
+/// The memory is divided into so many parts, one of which is for events of targets that are held
+/// back until they are complete.
+const ANSWER_SHARE: u64 = 32;
+
 /// Shared by all requests and by the exchange with control instances.
 pub(super) struct State {
     pub(super) name: InstanceName,
@@ -97,7 +101,8 @@
             name,
             port: setup.peer_port,
             platform,
-            client: Client::new(paths.dialer()),
+            client: Client::new(paths.dialer())
+                .with_memory(daemon::answers(setup.machine, ANSWER_SHARE)),
             paths,
             changed: Notify::new(),
             retry_needed: Notify::new(),
--- a/crates/lab/tests/crowd.rs
+++ b/crates/lab/tests/crowd.rs
@@ -9,7 +9,12 @@
 use googletest::prelude::*;
 use lab::{Chat, Crowd, Lab, Plan, Script, Watch, until};
 use serde_json::json;
-use tokio::sync::Mutex;
+use tokio::{
+    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    net::TcpListener,
+    sync::Mutex,
+    time::sleep,
+};
 
 /// The configuration text; its bodies may be as large as the users' own.
 const TEXT: &str = include_str!("processes/text.toml");
@@ -47,6 +52,15 @@
 /// Size of an operator's body or of another instance's message, in bytes.
 const LARGE: usize = (31 << 20) - 1;
 
+/// Requests at the same time whose target is in trouble.
+const ANSWERS: usize = 100;
+
+/// Time in which a target sends what it does.
+const ANSWER_TIME: Duration = Duration::from_secs(3);
+
+/// Time in which the platform's list is read by all.
+const LIST_TIME: Duration = Duration::from_secs(2);
+
 /// One crowd at a time.
 static TURN: Mutex<()> = Mutex::const_new(());
 
@@ -269,3 +283,89 @@
         of_the_peers_of_a_control_instance: (FEW_DESCRIPTORS, Listener::ControlPeers, CONNECTIONS, silent),
     }
 }
+
+/// What a plain service answers whose answers don't end.
+#[derive(Clone, Copy, Debug)]
+struct Unfinished {
+    /// The head, and the beginning of the body.
+    head: &'static str,
+    /// Bytes of the body that are sent, and then nothing.
+    bytes: usize,
+}
+
+/// Answers each request on a connection of its own.
+async fn unfinished(answer: Unfinished) -> Result<SocketAddr> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    let addr = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut head = BufReader::new(&mut stream).lines();
+                while head.next_line().await?.is_some_and(|line| !line.is_empty()) {}
+                stream.write_all(answer.head.as_bytes()).await?;
+                let piece = vec![b'a'; 64 << 10];
+                for _ in 0..answer.bytes / piece.len() {
+                    stream.write_all(&piece).await?;
+                }
+                // Until the other side has closed.
+                stream.read_u8().await
+            });
+        }
+    });
+    Ok(addr)
+}
+
+/// Sends requests to a plain service that answers so.
+fn check_answers(answer: Unfinished) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let _turn = TURN.lock().await;
+        let mut lab = start(DESCRIPTORS).await.unwrap();
+        let sound = lab.services[0].listed;
+        lab.services[0].listed = unfinished(answer).await.unwrap();
+        lab.publish().await.unwrap();
+        sleep(LIST_TIME).await;
+        let pid = lab.entries[0].process.as_ref().unwrap().id().unwrap();
+        let watch = Watch::start(pid);
+        let ask = |_| Script::only(sized("/kazaliste/listing/x", 0));
+        let crowd = Crowd::send(lab.entries[0].listen, ANSWERS, ask).await;
+        sleep(ANSWER_TIME).await;
+        until_answered(&lab).await.unwrap();
+        drop(crowd);
+        lab.services[0].listed = sound;
+        lab.publish().await.unwrap();
+        until_answered(&lab).await.unwrap();
+        let used = watch.peak();
+        println!("{used:?}");
+        let process = lab.entries[0].process.as_mut().unwrap();
+        assert_that!(process.is_running().unwrap(), eq(true));
+        assert_that!(used.memory, le(MEMORY));
+        lab.clean().unwrap();
+    });
+}
+
+base::cases! {
+    /// Guards against a daemon that runs out of memory by what targets send.
+    targets_in_trouble_are_borne_by_daemons: check_answers => {
+        events_that_stop: Unfinished {
+            head: "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ",
+            bytes: 960 << 10,
+        },
+        events_without_end: Unfinished {
+            head: "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ",
+            bytes: 64 << 20,
+        },
+        bodies_that_stop: Unfinished {
+            head: "HTTP/1.1 200 OK\r\ncontent-length: 8000000\r\n\r\n",
+            bytes: 7 << 20,
+        },
+        documents_that_stop: Unfinished {
+            head: "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n[",
+            bytes: 7 << 20,
+        },
+    }
+}
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -71,7 +71,7 @@
     Panicked 1011 Error "panic" "A fault of the program: a thread or a task ended at `place`, `why` gives the message. The rest of the process goes on."
     HangupIgnored 1012 Info "hangup ignored" "SIGHUP was received. These settings are read at the start only, so nothing is reloaded and the process goes on."
 
-    ClientLimited 1013 Warn "client met a limit" "A client met a limit that protects this process, and `others` did since the last such line: `what` is `request`, `body`, `stalled_body`, `head`, `unread_answer`, `message`, `idle` or `connection`; clients' requests hold `held` bytes of `most`. What was refused has not run."
+    ClientLimited 1013 Warn "client met a limit" "A client met a limit that protects this process, and `others` did since the last such line: `what` is `request`, `body`, `stalled_body`, `head`, `unread_answer`, `message`, `idle`, `connection`, or `answer` for what a target sent and found no room; clients' requests hold `held` bytes of `most`. What was refused has not run, but for `answer`."
 
     // 2xxx: the replicated log.
     LeaderElected 2001 Info "leader elected" "A replica was elected leader of the log for `term`."
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -21,6 +21,7 @@
 use hyper::{HeaderMap, Method, Request, Response, body::Incoming, header};
 use tokio::time::Instant;
 
+use self::{answer::ReadBy, link::Link, pool::Pool};
 pub use self::{
     answer::{Answer, Framing, Read, is_json},
     broken::{Broken, Cause},
@@ -29,8 +30,10 @@
     dial::{Connect, DialFn, Dialed, Dialer, Stream, direct},
     head::{HeadFault, HeadReader, HeadRule, Upgrade},
 };
-use self::{link::Link, pool::Pool};
-use crate::timeout::{answer_by, passed};
+use crate::{
+    memory::{HeldBack, Memory},
+    timeout::{answer_by, passed},
+};
 
 /// Timeouts for the steps of an exchange (a request and its answer).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,6 +157,7 @@
 pub struct Client {
     pool: Arc<Pool>,
     dialer: Dialer,
+    memory: Memory,
 }
 
 impl Client {
@@ -161,11 +165,23 @@
     #[must_use]
     pub fn new(dialer: Dialer) -> Self {
         Client {
-            pool: Arc::default(),
             dialer,
+            ..Client::default()
         }
     }
 
+    /// Has what is held back of all answers be taken from `memory`.
+    #[must_use]
+    pub fn with_memory(self, memory: Memory) -> Self {
+        Client { memory, ..self }
+    }
+
+    /// Returns what holds back parts of an answer.
+    #[must_use]
+    pub fn held_back(&self) -> HeldBack {
+        HeldBack::new(&self.memory)
+    }
+
     /// Closes all idle connections.
     pub fn forget_connections(&self) {
         self.pool.forget_all();
@@ -269,8 +285,14 @@
     fn answer(&self, link: Link, resp: Response<Incoming>, send: &Send, end: Instant) -> Answer {
         let pool = (Arc::clone(&self.pool), send.addr);
         let is_head = send.method == Method::HEAD;
-        let head = (is_head, send.ending);
-        Answer::new(resp, link, pool, head, send.limits.idle, end)
+        let read = ReadBy {
+            is_head,
+            ending: send.ending,
+            idle: send.limits.idle,
+            deadline: end,
+            held: self.held_back(),
+        };
+        Answer::new(resp, link, pool, read)
     }
 }
 
--- a/crates/web/src/client/answer.rs
+++ b/crates/web/src/client/answer.rs
@@ -19,7 +19,7 @@
     pool::Pool,
     unframed::{HiddenChunks, Unframed},
 };
-use crate::{sse::Parser, timeout::answer_by};
+use crate::{memory::HeldBack, sse::Parser, timeout::answer_by};
 
 /// How the end of a body is shown (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,23 +93,43 @@
     deadline: Instant,
     /// What may be chunks of a body without framing.
     unframed: Unframed,
+    /// What is held back: an event that isn't complete, or a body that is read as a whole.
+    held: HeldBack,
     /// Bytes of the body that were read after the deadline.
     late_bytes: usize,
     finished: bool,
 }
 
+/// How an answer is read.
+#[derive(Debug)]
+pub(crate) struct ReadBy {
+    /// Whether the request's method is HEAD.
+    pub(crate) is_head: bool,
+    pub(crate) ending: Ending,
+    /// Time between two pieces.
+    pub(crate) idle: Duration,
+    pub(crate) deadline: Instant,
+    /// What is held back of it.
+    pub(crate) held: HeldBack,
+}
+
 impl Answer {
     pub(crate) fn new(
         resp: Response<Incoming>,
         link: Link,
         pool: (Arc<Pool>, SocketAddr),
-        (head, ending): (bool, Ending),
-        idle: Duration,
-        deadline: Instant,
+        read: ReadBy,
     ) -> Self {
+        let ReadBy {
+            is_head,
+            ending,
+            idle,
+            deadline,
+            held,
+        } = read;
         let (mut parts, body) = resp.into_parts();
         say_length_once(&mut parts.headers);
-        let bodiless = head || matches!(parts.status.as_u16(), 204 | 304);
+        let bodiless = is_head || matches!(parts.status.as_u16(), 204 | 304);
         let framing = if bodiless {
             Framing::Length
         } else {
@@ -128,6 +148,7 @@
             idle,
             deadline,
             unframed: Unframed::default(),
+            held,
             late_bytes: 0,
             finished: false,
         }
@@ -184,7 +205,17 @@
             if self.finished {
                 return Read::End;
             }
-            let next = match answer_by(until, self.body.frame()).await {
+            let given_up = self.held.given_up();
+            let frame = answer_by(until, self.body.frame());
+            let frame = match given_up {
+                None => Some(frame.await),
+                // Boxed, as few answers are held back and each would hold the space for it.
+                Some(given_up) => Box::pin(unless(given_up, frame)).await,
+            };
+            let Some(frame) = frame else {
+                return Read::Broken(self.break_off(Cause::NoRoom));
+            };
+            let next = match frame {
                 None if until == self.deadline => self.broken(Cause::Deadline),
                 None => return Read::Silent,
                 Some(None) => match self.unframed.end() {
@@ -256,6 +287,9 @@
             if bytes.len() + piece.len() > max {
                 return self.broken(Cause::TooLarge);
             }
+            if !self.held.hold(bytes.len() + piece.len()) {
+                return self.broken(Cause::NoRoom);
+            }
             bytes.extend_from_slice(&piece);
         }
         Ok(bytes.freeze())
@@ -278,7 +312,9 @@
         };
         let mut read = Vec::new();
         match events.push(&data, &mut read) {
-            Ok(()) => Ok(data),
+            // Whoever reads the events holds back as much.
+            Ok(()) if self.held.hold(2 * events.pending()) => Ok(data),
+            Ok(()) => self.broken(Cause::NoRoom),
             Err(_) => self.broken(Cause::Cut(String::from("malformed event stream"))),
         }
     }
@@ -319,6 +355,15 @@
     }
 }
 
+/// Waits for what comes first; none if that is `given_up`.
+async fn unless<T>(given_up: impl Future<Output = ()>, next: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        next = next => Some(next),
+        () = given_up => None,
+    }
+}
+
 /// Replaces several lengths, which are equal, by one, so that whoever gets the headers needn't
 /// know that they may be repeated.
 fn say_length_once(headers: &mut HeaderMap) {
--- a/crates/web/src/client/broken.rs
+++ b/crates/web/src/client/broken.rs
@@ -47,6 +47,8 @@
     NotDone,
     /// The body is larger than the caller accepts.
     TooLarge,
+    /// What has to be held back of the body found no room.
+    NoRoom,
 }
 
 impl Broken {
@@ -114,6 +116,7 @@
             }
             Cause::NotDone => f.write_str("the stream ended before its last event"),
             Cause::TooLarge => f.write_str("the answer is too large"),
+            Cause::NoRoom => f.write_str("there is no room for the answer"),
         }
     }
 }
--- a/crates/web/src/client/link.rs
+++ b/crates/web/src/client/link.rs
@@ -7,7 +7,7 @@
     io,
     pin::Pin,
     sync::{Arc, Mutex, PoisonError},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use base::Verdict;
@@ -30,6 +30,9 @@
 /// Most bytes that a connection buffers: heads of answers, and what of a body nobody takes.
 const BUFFER_MAX: usize = 32 << 10;
 
+/// Most bytes of one read, where hyper would let its buffer grow with what is there.
+const READ_MAX: usize = 8 << 10;
+
 /// An open connection; dropping it closes the socket immediately.
 ///
 /// When a caller leaves while a large request is half written to a target that reads
@@ -174,7 +177,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let most = buf.remaining().min(READ_MAX);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(most));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let read = part.filled().len();
+        buf.advance(read);
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/web/src/memory.rs
+++ b/crates/web/src/memory.rs
@@ -3,7 +3,8 @@
 //! Each connection, head and body has a limit of its own; with thousands of them the process
 //! would still run out of memory. So whatever grows with what callers send, or don't read, is
 //! taken from one [`Memory`]. Where it is used up, unfinished heads and bodies that have made
-//! no progress are given up, and else who asks is refused.
+//! no progress are given up, and else who asks is refused. What targets send and has to be held
+//! back, such as events that aren't complete, is taken from another one in the same way.
 
 mod ledger;
 
@@ -42,6 +43,9 @@
 /// connections, here and in the kernel.
 const UNREAD_ANSWER: u64 = 256 << 10;
 
+/// What may be held back of each answer of a target whatever others hold, in bytes.
+const FREE_ANSWER: u64 = 8 << 10;
+
 /// Time after which a caller may come back that found no room.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -60,6 +64,8 @@
     UnreadAnswer,
     /// A message of another instance was refused.
     Message,
+    /// What a target sent could not be held back, or was given up.
+    Answer,
     /// A connection was closed to make room for another one.
     Idle,
     /// A connection was refused.
@@ -77,6 +83,7 @@
             Limited::Head => "head",
             Limited::UnreadAnswer => "unread_answer",
             Limited::Message => "message",
+            Limited::Answer => "answer",
             Limited::Idle => "idle",
             Limited::Connection => "connection",
         }
@@ -107,6 +114,7 @@
 enum Waiter {
     Body(Weak<Request>),
     Connection(CancellationToken),
+    Answer(CancellationToken),
 }
 
 impl Memory {
@@ -188,11 +196,15 @@
         (self.0.report)(limited, held, quota.bytes);
     }
 
-    fn part(&self, limited: Limited, bytes: u64, share: Share) -> Option<Holder> {
-        let holder = Holder {
+    fn open(&self) -> Holder {
+        Holder {
             memory: self.clone(),
             id: self.lock().ledger.open(),
-        };
+        }
+    }
+
+    fn part(&self, limited: Limited, bytes: u64, share: Share) -> Option<Holder> {
+        let holder = self.open();
         let grown = self.change(limited, |now, ledger| {
             ledger.grow(now, holder.id, bytes, share)
         });
@@ -234,6 +246,10 @@
                 self.report(Limited::Head);
                 connection.cancel();
             }
+            Waiter::Answer(answer) => {
+                self.report(Limited::Answer);
+                answer.cancel();
+            }
         }
     }
 
@@ -299,6 +315,89 @@
     }
 }
 
+/// What is held back of one answer of a target.
+///
+/// A little needs no room, so that answers of the usual size never lack it; what is more counts
+/// with the growth of its buffer. It is given up for others once nothing has been added for a
+/// while.
+#[derive(Debug)]
+pub struct HeldBack {
+    memory: Memory,
+    holder: Option<Holder>,
+    /// Bytes that are counted.
+    counted: u64,
+    given_up: CancellationToken,
+}
+
+impl HeldBack {
+    /// Creates what holds nothing yet, and takes from `memory`.
+    #[must_use]
+    pub fn new(memory: &Memory) -> Self {
+        HeldBack {
+            memory: memory.clone(),
+            holder: None,
+            counted: 0,
+            given_up: CancellationToken::new(),
+        }
+    }
+
+    /// Has it hold `bytes` in all, and returns whether there is room.
+    #[must_use]
+    pub fn hold(&mut self, bytes: usize) -> bool {
+        let bytes = bytes as u64;
+        if bytes <= FREE_ANSWER {
+            self.clear();
+            return true;
+        }
+        if self.given_up.is_cancelled() {
+            return false;
+        }
+        let needed = bytes.next_power_of_two();
+        if needed > self.counted && !self.grow(needed - self.counted) {
+            return false;
+        }
+        self.counted = needed.max(self.counted);
+        if let Some(holder) = &self.holder {
+            holder.progress();
+        }
+        true
+    }
+
+    /// Gives back what it holds.
+    pub fn clear(&mut self) {
+        if self.holder.take().is_some() {
+            self.counted = 0;
+            self.given_up = CancellationToken::new();
+        }
+    }
+
+    /// Keeps it from being given up, as all has come that is held.
+    pub fn finish(&self) {
+        if let Some(holder) = &self.holder {
+            holder.finish();
+        }
+    }
+
+    /// Waits until it is given up for others; none if it holds no more than everyone may.
+    pub fn given_up(&self) -> Option<impl Future<Output = ()> + Send + use<>> {
+        let given_up = self.given_up.clone();
+        self.holder.as_ref().map(|_| given_up.cancelled_owned())
+    }
+
+    fn grow(&mut self, more: u64) -> bool {
+        let holder = self.holder.get_or_insert_with(|| {
+            let holder = self.memory.open();
+            holder.unfinished(Waiter::Answer(self.given_up.clone()));
+            holder
+        });
+        let id = holder.id;
+        let grown = self.memory.change(Limited::Answer, |now, ledger| {
+            ledger.grow(now, id, more, Share::Ordinary)
+        });
+        grown.is_ok()
+    }
+}
+
 /// What one request has the process hold.
 #[derive(Debug)]
 struct Request {
--- a/crates/web/src/sse.rs
+++ b/crates/web/src/sse.rs
@@ -85,6 +85,12 @@
         self.done
     }
 
+    /// Returns the bytes of the event that isn't complete.
+    #[must_use]
+    pub fn pending(&self) -> usize {
+        self.rest.len() + self.data.len()
+    }
+
     fn line(&mut self, line: &[u8], out: &mut Vec<Event>) -> Result<(), BadStream> {
         if line.is_empty() {
             return self.dispatch(out);
