Answer what has been sent when a planned stop ends

What callers saw: a planned stop of one entry instance, in calm. A request whose head came in time and whose body came late in the grace period was taken and sent to its target; at the end of the period its connection was closed without an answer. It had run and may not be repeated. So were requests whose run lasts longer than the period.

Cause: nothing looked at the time that is left when a request is sent, and the end of the drain time closed connections whose requests still ran.

Change: while an instance is being stopped, a request is sent only where its like typically end in time, or its own deadline does; else it is refused at once as not run, which is still true. At the end, what was never sent is told that it has not run, and what was sent that it may have. The server answers for every handler that has given no answer at the end of its drain time, so the daemons do the same. How long requests of a route run is noted as they end.

`stopping_ends_at_the_drain_limit` expected a close without a byte: that is the fault. It now asks for 502, may have run, and the close.

Ruled out: the longest of the last runs as measure, and refusing all that come late: both refuse what is served today.

--- a/crates/frontd/src/entry.rs
+++ b/crates/frontd/src/entry.rs
@@ -44,10 +44,13 @@
 /// would accept requests that may not finish before the process is killed.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_700);
 
-/// Part of the grace period that is left unused, so that the last answers are sent before
+/// Part of the grace period in which no request runs, so that the last answers are sent before
 /// the process is killed.
 const KILL_MARGIN: Duration = Duration::from_millis(200);
 
+/// Part of the grace period, at its end, in which connections are closed.
+const CUT_MARGIN: Duration = Duration::from_millis(150);
+
 /// Idle time-out of a caller's connection. Callers reuse a connection that has been idle
 /// for up to four fifths of the time-out that the operator configures, which is some ten
 /// seconds at most. This limit is above that, so that no request arrives on a connection
@@ -110,10 +113,11 @@
     let stop = CancellationToken::new();
     let stopping = daemon::stop_signal()?;
     let (at_stop, flag) = (stop.clone(), Arc::clone(&state));
+    let run = setup.grace.saturating_sub(KILL_MARGIN);
     tokio::spawn(async move {
         stopping.await;
         event!(telemetry::Event::DrainBegun);
-        flag.stop();
+        flag.stop(ACCEPT_AFTER_STOP, run);
         at_stop.cancel();
     });
     tokio::spawn(sync::run(Arc::clone(&state)));
@@ -184,7 +188,7 @@
         connections: capacity.connections,
         memory: capacity.memory,
         linger: ACCEPT_AFTER_STOP,
-        drain: setup.grace.saturating_sub(ACCEPT_AFTER_STOP + KILL_MARGIN),
+        drain: setup.grace.saturating_sub(ACCEPT_AFTER_STOP + CUT_MARGIN),
         ..server::Limits::default()
     }
 }
--- a/crates/frontd/src/entry/answer.rs
+++ b/crates/frontd/src/entry/answer.rs
@@ -78,6 +78,8 @@
     Refusals,
     /// The deadline had passed.
     Deadline,
+    /// This instance is being stopped, and ends before the request would.
+    Stopping,
     /// The caller has part of a stream, and it isn't known which software version began it.
     UnknownStream,
     /// The caller has part of a stream, and no target of the software version that began it
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -56,6 +56,9 @@
 /// adapter in a quarter of a second, an election takes about a second.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// Retry-After for a request that this instance has no time for, as others have.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Pause before a target is tried again that refused because an adapter is still being
 /// loaded.
 const REFUSED_PAUSE: Duration = Duration::from_millis(30);
@@ -133,7 +136,7 @@
             self.state.view().count_request(&self.adapter);
         }
         let sent = match self.check_held().and_then(|()| self.enter()) {
-            Ok(()) => self.send_until_answered(None).await,
+            Ok(()) => self.send_until_ended().await,
             Err(refused) => Err(refused),
         };
         match sent {
@@ -168,6 +171,21 @@
         }
     }
 
+    /// Sends the request until a target answers it, no further attempt is allowed, or this
+    /// instance ends.
+    async fn send_until_ended(&mut self) -> Result<(Answer, InFlight), RequestError> {
+        let state = Arc::clone(&self.state);
+        let sent = tokio::select! {
+            biased;
+            sent = self.send_until_answered(None) => Some(sent),
+            () = state.ended() => None,
+        };
+        sent.unwrap_or_else(|| {
+            base::hit!(answered_at_the_end);
+            Err(self.give_up(Why::Stopping))
+        })
+    }
+
     /// Sends the request until a target answers it or no further attempt is allowed.
     /// `last` is the id of the last event that the caller has, where a stream is resumed.
     pub(super) async fn send_until_answered(
@@ -196,6 +214,11 @@
     async fn next_target(&mut self) -> Result<String, RequestError> {
         let target = self.wait_for_target().await?;
         self.check_held()?;
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        if !self.state.may_begin(&self.route.name, left) {
+            base::hit!(refused_in_a_stop);
+            return Err(self.give_up(Why::Stopping));
+        }
         if self.possible_sends > 0 && !self.state.try_retry(&self.service) {
             return Err(self.give_up(Why::Repeats));
         }
@@ -566,10 +589,11 @@
         if self.possible_runs > 0 {
             return RequestError::Failed { why };
         }
-        RequestError::NotRun {
-            again: DEFAULT_RETRY_AFTER,
-            why,
-        }
+        let again = match why {
+            Why::Stopping => STOP_RETRY_AFTER,
+            _ => DEFAULT_RETRY_AFTER,
+        };
+        RequestError::NotRun { again, why }
     }
 
     /// Passes a target's answer on to the caller.
--- a/crates/frontd/src/entry/forward/receive.rs
+++ b/crates/frontd/src/entry/forward/receive.rs
@@ -17,7 +17,7 @@
     memory::Held,
 };
 
-use super::{ActiveRequest, DEFAULT_RETRY_AFTER};
+use super::{ActiveRequest, DEFAULT_RETRY_AFTER, STOP_RETRY_AFTER};
 use crate::{
     HeaderNames,
     entry::{
@@ -50,7 +50,15 @@
 pub(in crate::entry) async fn answer(state: Arc<State>, req: Request<Incoming>) -> Response<Body> {
     let headers = req.headers().clone();
     let names = Arc::clone(&state.platform.header_names);
-    match receive(Arc::clone(&state), req).await {
+    let received = tokio::select! {
+        biased;
+        received = receive(Arc::clone(&state), req) => received,
+        () = state.ended() => Err(RequestError::NotRun {
+            again: STOP_RETRY_AFTER,
+            why: Why::Stopping,
+        }),
+    };
+    match received {
         Ok(request) => request.run(&headers).await,
         Err(err) => {
             prom_metrics().request(err.label());
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -143,6 +143,10 @@
                 Read::Piece(chunk) => {
                     self.bytes += chunk.len();
                     self.note_wait();
+                    // Nobody asks for more of a body with a length.
+                    if self.answer.is_read() {
+                        self.note_run();
+                    }
                     let passed = self.pass(chunk);
                     match passed {
                         Some(passed) if passed.is_empty() => continue,
@@ -334,6 +338,9 @@
         if self.events.is_some() {
             prom_metrics().longest_wait(self.longest_wait);
         }
+        if matches!(end, End::Complete) && !self.answer.is_read() {
+            self.note_run();
+        }
         match end {
             End::Complete if framing == Framing::Connection => {
                 self.request.note_closed(&self.in_flight);
@@ -366,6 +373,14 @@
         }
     }
 
+    /// Notes for how long the request has run, which is answered in full.
+    fn note_run(&self) {
+        if self.answer.status.is_success() {
+            let state = &self.request.state;
+            state.note_run(&self.request.route.name, self.in_flight.ran());
+        }
+    }
+
     fn log_silent(&self) {
         event!(
             telemetry::Event::TargetSilent,
--- a/crates/frontd/src/entry/state.rs
+++ b/crates/frontd/src/entry/state.rs
@@ -3,7 +3,7 @@
 use std::{
     net::{IpAddr, SocketAddr},
     sync::{
-        Arc, Mutex, MutexGuard,
+        Arc, Mutex, MutexGuard, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -19,13 +19,15 @@
     home::{WeightedZone, home},
     list_fallback::{ListFallback, Timing},
     silence::Silences,
+    stop::{RunTimes, Stop},
     table::Table,
     view::View,
     warmup::Warmup,
 };
 use quarantine::Guard;
 use telemetry::{event, prom_metrics};
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::sleep_until};
+use tokio_util::sync::CancellationToken;
 use web::client::Client;
 use wire::{fleet::Target, stream::SoftwareWant};
 
@@ -57,7 +59,10 @@
     /// Notified when a retry was needed where instances lend them to each other.
     pub(super) retry_needed: Notify,
     clock: Clock,
-    stopping: AtomicBool,
+    /// Cancelled once a planned stop has begun.
+    stopping: CancellationToken,
+    stop: OnceLock<Stop>,
+    run_times: Mutex<RunTimes>,
     table: Mutex<Option<(u64, Arc<Table>)>>,
     view: Arc<Mutex<View>>,
     settle: Mutex<Warmup>,
@@ -108,7 +113,9 @@
             retry_needed: Notify::new(),
             settle: Mutex::new(Warmup::new(clock.now(), &setup.zones)),
             clock,
-            stopping: AtomicBool::new(false),
+            stopping: CancellationToken::new(),
+            stop: OnceLock::new(),
+            run_times: Mutex::default(),
             table: Mutex::default(),
             view,
             lists: Mutex::new(ListFallback::new(
@@ -380,15 +387,47 @@
     }
 
     pub(super) fn ready(&self) -> bool {
-        !self.stopping.load(Ordering::Relaxed) && lock(&self.table).is_some()
+        !self.is_stopping() && lock(&self.table).is_some()
     }
 
     pub(super) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping.is_cancelled()
     }
 
-    pub(super) fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Begins a planned stop, in which new connections are taken for the time `taken` and requests
+    /// run on for the time `run`.
+    pub(super) fn stop(&self, taken: Duration, run: Duration) {
+        let now = self.now();
+        // A second stop changes nothing.
+        self.stop.get_or_init(|| Stop {
+            taken_until: now + taken,
+            ends: now + run,
+        });
+        self.stopping.cancel();
+    }
+
+    /// Waits until what still runs has to be answered, as the instance ends.
+    pub(super) async fn ended(&self) {
+        self.stopping.cancelled().await;
+        if let Some(stop) = self.stop.get() {
+            sleep_until(self.clock.instant(stop.ends)).await;
+        }
+    }
+
+    /// Notes how long a request of a route has run.
+    pub(super) fn note_run(&self, route: &str, ran: Duration) {
+        lock(&self.run_times).note(route, ran);
+    }
+
+    /// Returns whether a request of a route can still end if it is sent now, whose caller waits
+    /// for the time `left`.
+    pub(super) fn may_begin(&self, route: &str, left: Duration) -> bool {
+        let Some(stop) = self.stop.get() else {
+            return true;
+        };
+        let now = self.now();
+        let typical = lock(&self.run_times).typical(route);
+        stop.may_begin(now, now + left, typical)
     }
 
     pub(super) fn seeds(&self) -> Vec<IpAddr> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod reach;
 pub mod revisions;
 pub mod silence;
+pub mod stop;
 pub mod streams;
 pub mod table;
 pub mod target_limit;
--- a/crates/web/src/client/answer.rs
+++ b/crates/web/src/client/answer.rs
@@ -184,6 +184,12 @@
             || self.header(wire::header::VERDICT) == Some(Verdict::NotRun.as_str())
     }
 
+    /// Returns whether all of a body with a length has been read.
+    #[must_use]
+    pub fn is_read(&self) -> bool {
+        self.framing == Framing::Length && self.body.is_end_stream()
+    }
+
     /// Returns the next piece of the body, or `None` if the body is complete: its length
     /// was reached or its last chunk arrived, and an event stream had its `[DONE]` where
     /// [`Ending::Explicit`] asks for it. With [`Framing::Connection`] an orderly close is all
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -45,6 +45,10 @@
 /// Size of the send buffer of a caller's connection, in bytes.
 const SEND_BUFFER: usize = 64 << 10;
 
+/// Time in which the last answers are written, once requests that still run are answered for
+/// their handlers.
+const LAST_ANSWERS: Duration = Duration::from_millis(50);
+
 /// Limits on the resources that callers can take.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -65,7 +69,8 @@
     /// Time after the start of a shutdown during which new connections are still
     /// accepted, since the load balancer's list of instances lags behind.
     pub linger: Duration,
-    /// Time after that during which running requests may finish.
+    /// Time after that during which running requests may finish. Those that don't are told that
+    /// they may have run.
     pub drain: Duration,
 }
 
@@ -87,7 +92,7 @@
 /// The result of a shutdown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Served {
-    /// Number of connections that were cut at the end of [`Limits::drain`].
+    /// Number of connections that were open at the end of [`Limits::drain`].
     pub cut: usize,
 }
 
@@ -117,6 +122,7 @@
         limits,
         stopping: shutdown.clone(),
         closing: CancellationToken::new(),
+        ending: CancellationToken::new(),
     });
     let tasks = TaskTracker::new();
     let linger = async {
@@ -132,7 +138,10 @@
     if timeout(drain, tasks.wait()).await.is_ok() {
         return Ok(Served::default());
     }
-    let cut = server.slots.close_all();
+    let cut = tasks.len();
+    server.ending.cancel();
+    timeout(LAST_ANSWERS, tasks.wait()).await.ok();
+    server.slots.close_all();
     tasks.wait().await;
     Ok(Served { cut })
 }
@@ -152,6 +161,8 @@
     slots: Arc<Slots>,
     stopping: CancellationToken,
     closing: CancellationToken,
+    /// Cancelled at the end of [`Limits::drain`].
+    ending: CancellationToken,
 }
 
 async fn accept<H, F>(listener: TcpListener, server: &Arc<Server<H>>, tasks: &TaskTracker)
@@ -259,7 +270,18 @@
         }
         Ok(held) => {
             req.extensions_mut().insert(held);
-            catch_panic(&server.handler, req).await
+            tokio::select! {
+                biased;
+                resp = catch_panic(&server.handler, req) => resp,
+                () = server.ending.cancelled() => {
+                    base::hit!(answered_for_its_handler);
+                    closing(reply::failure(&Failure {
+                        reason: Refusal::TargetFailed,
+                        verdict: Verdict::MayHaveRun,
+                        retry: None,
+                    }))
+                }
+            }
         }
         Err(no_room) => {
             base::hit!(request_without_room);
--- a/crates/web/src/server/slots.rs
+++ b/crates/web/src/server/slots.rs
@@ -90,11 +90,10 @@
         })
     }
 
-    /// Closes all connections and returns their number.
-    pub(crate) fn close_all(&self) -> usize {
+    /// Closes all connections.
+    pub(crate) fn close_all(&self) {
         let state = self.lock();
         state.open.values().for_each(CancellationToken::cancel);
-        state.open.len()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
--- a/crates/web/tests/web/server.rs
+++ b/crates/web/tests/web/server.rs
@@ -443,6 +443,8 @@
     assert_that!(server.task.await.unwrap(), eq(Served { cut: 0 }));
 }
 
+/// Guards against a request that has begun to run and whose connection is closed without an answer
+/// at the end of a stop.
 #[gtest]
 #[tokio::test]
 async fn stopping_ends_at_the_drain_limit() {
@@ -454,7 +456,13 @@
     let mut endless = connect_and_write(server.addr, &get("/wait")).await;
     server.shared.began.notified().await;
     server.stop.cancel();
-    expect_that!(read_to_close(&mut endless).await, eq(""));
+    let answer = read_to_close(&mut endless).await;
+    expect_that!(answer, starts_with("HTTP/1.1 502"));
+    expect_that!(answer, contains_substring("connection: close"));
+    expect_that!(
+        answer,
+        contains_substring(format!("{}: may-have-run", wire::header::VERDICT))
+    );
     assert_that!(server.task.await.unwrap(), eq(Served { cut: 1 }));
 }
 
