Tell callers of slow bodies that their request has not run

What callers saw: a body that pauses for five seconds got 400, a status after which clients never try again, though the request had not run.

Cause: a body that is sent too slowly counted as a malformed request.

Change: it has a reason of its own, `slow-body`, with 408, in both ways of serving. The connection is closed as before.

Evidence: a_slow_body_is_told_as_not_run (raw bytes) got 400 before, 408 now.

Not told: an instance of an earlier build that gets this reason from a peer can't decode it; owners get bodies that are whole, so none is sent.

--- a/crates/base/src/verdict.rs
+++ b/crates/base/src/verdict.rs
@@ -65,6 +65,8 @@
     pub enum Refusal {
         /// The request itself is malformed.
         BadRequest,
+        /// The body was sent too slowly.
+        SlowBody,
         /// The caller's key belongs to no brand.
         BadKey,
         /// The brand has no such assistant or service.
@@ -104,6 +106,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Refusal::BadRequest => "bad-request",
+            Refusal::SlowBody => "slow-body",
             Refusal::BadKey => "bad-key",
             Refusal::NotFound => "not-found",
             Refusal::TooLarge => "too-large",
@@ -126,6 +129,7 @@
     pub fn status(self) -> u16 {
         match self {
             Refusal::BadRequest => 400,
+            Refusal::SlowBody => 408,
             Refusal::BadKey => 401,
             Refusal::NotFound => 404,
             Refusal::TooLarge => 413,
--- a/crates/frontd/src/entry/answer.rs
+++ b/crates/frontd/src/entry/answer.rs
@@ -23,6 +23,8 @@
     BadRequest,
     /// The body is larger than allowed.
     TooLarge,
+    /// The body was sent too slowly; the request has not run and will not run.
+    SlowBody,
     /// The request has not run and will not run; the caller may retry it.
     NotRun {
         /// When a retry is worthwhile, from now.
@@ -96,6 +98,7 @@
             RequestError::NoRoute => StatusCode::NOT_FOUND,
             RequestError::UnknownKey => StatusCode::UNAUTHORIZED,
             RequestError::BadRequest => StatusCode::BAD_REQUEST,
+            RequestError::SlowBody => StatusCode::REQUEST_TIMEOUT,
             RequestError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::OverLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
@@ -110,6 +113,7 @@
             RequestError::NoRoute => "no_route",
             RequestError::UnknownKey => "unknown_key",
             RequestError::BadRequest => "bad_request",
+            RequestError::SlowBody => "slow_body",
             RequestError::TooLarge => "too_large",
             RequestError::NotRun { why: Why::Held, .. } => "held",
             RequestError::NotRun {
@@ -136,6 +140,7 @@
             RequestError::NoRoute => "no route\n",
             RequestError::UnknownKey => "no account holds this key\n",
             RequestError::BadRequest => "bad request\n",
+            RequestError::SlowBody => "the body was sent too slowly; the request did not run\n",
             RequestError::TooLarge => "too large\n",
             RequestError::NotRun { why: Why::Held, .. } => {
                 "not run; targets crashed each time they ran this request: don't send it again \
--- a/crates/frontd/src/entry/forward/receive.rs
+++ b/crates/frontd/src/entry/forward/receive.rs
@@ -273,6 +273,7 @@
     let read = read_held(body, limits, held).await;
     read.map_err(|failure| match failure.reason {
         Refusal::TooLarge => RequestError::TooLarge,
+        Refusal::SlowBody => RequestError::SlowBody,
         Refusal::Overloaded => RequestError::NotRun {
             again: failure.retry.unwrap_or(DEFAULT_RETRY_AFTER),
             why: Why::Memory,
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -189,8 +189,8 @@
 /// # Errors
 ///
 /// Fails with [`Refusal::TooLarge`] if the body is larger than the limit, with
-/// [`Refusal::BadRequest`] if it is truncated, malformed or sent too slowly, and with
-/// [`Refusal::Overloaded`] if there is no room for it. The verdict is "not run" in all cases.
+/// [`Refusal::BadRequest`] if it is truncated or malformed, with [`Refusal::SlowBody`] if it is
+/// sent too slowly, and with [`Refusal::Overloaded`] if there is no room for it. The verdict is "not run" in all cases.
 pub async fn read_held(
     mut body: hyper::body::Incoming,
     limits: ReadLimits,
@@ -216,7 +216,7 @@
         };
         let Ok(next) = next else {
             base::hit!(silent_sender);
-            return Err(Failure::not_run(Refusal::BadRequest));
+            return Err(Failure::not_run(Refusal::SlowBody));
         };
         let Some(frame) = next else { break };
         let frame = frame.map_err(|_| Failure::not_run(Refusal::BadRequest))?;
@@ -232,7 +232,7 @@
         reading.progress();
         if too_slow(start.elapsed(), bytes.len(), limits) {
             base::hit!(slow_sender);
-            return Err(Failure::not_run(Refusal::BadRequest));
+            return Err(Failure::not_run(Refusal::SlowBody));
         }
     }
     drop(reading);
--- a/crates/web/src/reply.rs
+++ b/crates/web/src/reply.rs
@@ -91,7 +91,8 @@
 
 fn message(failure: &Failure) -> String {
     let what = match failure.reason {
-        Refusal::BadRequest => "the request is malformed or was sent too slowly",
+        Refusal::BadRequest => "the request is malformed",
+        Refusal::SlowBody => "the body was sent too slowly",
         Refusal::BadKey => "the key names no brand",
         Refusal::NotFound => "there is no such assistant or service",
         Refusal::TooLarge => "the body is larger than the limit",
