Accept no connection while those that make room are still open

Cause: an idle connection that makes room for another counts as closed at once, but its socket is closed when its task is next polled. In a busy process the accept loop goes on meanwhile.

Change: sockets count until they are closed, and the accept loop waits for those that make room, 100 ms at most each.

Ruled out: more descriptors left free, as the number of sockets had no bound.

--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -172,6 +172,7 @@
 {
     let refusals = Refusals::default();
     loop {
+        server.slots.settled().await;
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
             continue;
--- a/crates/web/src/server/slots.rs
+++ b/crates/web/src/server/slots.rs
@@ -6,11 +6,13 @@
     pin::Pin,
     sync::{Arc, Mutex, PoisonError},
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use tokio::{sync::Notify, time::timeout};
 use tokio_util::sync::{CancellationToken, WaitForCancellationFuture};
 
 use super::socket::Progress;
@@ -19,12 +21,17 @@
     memory::{Held, Limited, Memory},
 };
 
+/// Longest wait for a socket that is to be closed.
+const CLOSE_WAIT: Duration = Duration::from_millis(100);
+
 /// The slots for open connections.
 #[derive(Debug)]
 pub(crate) struct Slots {
     max: usize,
     memory: Memory,
     state: Mutex<State>,
+    /// Notified when a socket has been closed.
+    closed: Notify,
 }
 
 /// When a connection became idle, and whether it has had a request before; those that are
@@ -39,6 +46,9 @@
 struct State {
     /// Incremented for each stamp; orders idle connections by the time they became idle.
     stamp: u64,
+    /// Sockets that aren't closed yet: those of open connections, and of connections that make
+    /// room.
+    sockets: usize,
     /// Open connections by id, each with the token that closes it.
     open: BTreeMap<u64, CancellationToken>,
     /// Ids of idle connections, the first one to close first.
@@ -51,6 +61,21 @@
             max,
             memory,
             state: Mutex::default(),
+            closed: Notify::new(),
+        }
+    }
+
+    /// Waits until the connections that make room for others have closed their sockets. A busy
+    /// process closes them late, and would accept others meanwhile.
+    pub(crate) async fn settled(&self) {
+        loop {
+            let closed = self.closed.notified();
+            if self.lock().sockets <= self.max {
+                return;
+            }
+            if timeout(CLOSE_WAIT, closed).await.is_err() {
+                return;
+            }
         }
     }
 
@@ -75,6 +100,7 @@
         }
         let kill = CancellationToken::new();
         state.stamp += 1;
+        state.sockets += 1;
         let id = state.stamp;
         let idle = Idle {
             served: false,
@@ -162,6 +188,9 @@
         let mut state = self.slots.lock();
         state.open.remove(&self.id);
         state.idle.remove(&idle);
+        state.sockets -= 1;
+        drop(state);
+        self.slots.closed.notify_one();
     }
 }
 
