Try every reader of answers, and keep what a stop does in one place

Client, list, report, order, tunnel, rest and peer before a server of raw bytes: what is no answer is one to none of them, what is one is one to all. They fail with the reader of heads out, and with the protocol of an upgrade not compared. 205 with content is among the broken heads, and fails with its rule out.

What is held back of an answer costs nothing until it is beyond what is free: the token that gives it up is made with its room. What a planned stop does to a request stands in a file of its own.

--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -2,7 +2,7 @@
 //!
 //! [`receive`] reads the request, [`enter`] lets it in where room is shared, [`wait`] chooses a
 //! target, [`send`] sends it there, and [`silent`] sends it to another one while the first says
-//! nothing, [`hedged`] sooner if that is late.
+//! nothing, [`hedged`] sooner if that is late. [`stop`] ends it with its instance.
 //! This module decides whether a failed request may be retried and what the caller is
 //! told.
 
@@ -12,6 +12,7 @@
 mod send;
 mod sending;
 mod silent;
+mod stop;
 pub(super) mod wait;
 
 use std::{
@@ -41,7 +42,7 @@
 };
 
 pub(super) use self::{receive::answer, sending::InFlight};
-use self::{send::SendOutcome, sending::Sending};
+use self::{send::SendOutcome, sending::Sending, stop::STOP_RETRY_AFTER};
 use super::{
     admission::Entered,
     answer::{RequestError, Why, claims_not_run},
@@ -56,9 +57,6 @@
 /// adapter in a quarter of a second, an election takes about a second.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(700);
 
-/// Retry-After for a request that this instance has no time for, as others have.
-const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Pause before a target is tried again that refused because an adapter is still being
 /// loaded.
 const REFUSED_PAUSE: Duration = Duration::from_millis(30);
@@ -171,21 +169,6 @@
         }
     }
 
-    /// Sends the request until a target answers it, no further attempt is allowed, or this
-    /// instance ends.
-    async fn send_until_ended(&mut self) -> Result<(Answer, InFlight), RequestError> {
-        let state = Arc::clone(&self.state);
-        let sent = tokio::select! {
-            biased;
-            sent = self.send_until_answered(None) => Some(sent),
-            () = state.ended() => None,
-        };
-        sent.unwrap_or_else(|| {
-            base::hit!(answered_at_the_end);
-            Err(self.give_up(Why::Stopping))
-        })
-    }
-
     /// Sends the request until a target answers it or no further attempt is allowed.
     /// `last` is the id of the last event that the caller has, where a stream is resumed.
     pub(super) async fn send_until_answered(
@@ -214,11 +197,7 @@
     async fn next_target(&mut self) -> Result<String, RequestError> {
         let target = self.wait_for_target().await?;
         self.check_held()?;
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        if !self.state.may_begin(&self.route.name, left) {
-            base::hit!(refused_in_a_stop);
-            return Err(self.give_up(Why::Stopping));
-        }
+        self.check_stop()?;
         if self.possible_sends > 0 && !self.state.try_retry(&self.service) {
             return Err(self.give_up(Why::Repeats));
         }
--- a/crates/frontd/src/entry/forward/receive.rs
+++ b/crates/frontd/src/entry/forward/receive.rs
@@ -17,7 +17,7 @@
     memory::Held,
 };
 
-use super::{ActiveRequest, DEFAULT_RETRY_AFTER, STOP_RETRY_AFTER};
+use super::{ActiveRequest, DEFAULT_RETRY_AFTER, stop::STOP_RETRY_AFTER};
 use crate::{
     HeaderNames,
     entry::{
--- a/crates/frontd/tests/targets/broken.rs
+++ b/crates/frontd/tests/targets/broken.rs
@@ -141,6 +141,7 @@
         "HTTP/1.1 600 OK",
         "HTTP/1.1 999 OK",
         "HTTP/1.1 101 OK",
+        "HTTP/1.1 205 OK",
         "HTTP/1.1  200 OK",
         "HTTP/1.1\t200 OK",
         "HTTP/1.1 200OK",
--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -15,7 +15,10 @@
 use hyper::{Request, body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
 use peer::{CallError, Link, accept, wants_upgrade};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 use wire::call::{Call, Reply};
 
 /// Time limit for calls that should succeed; only a failing test takes that long.
@@ -198,3 +201,40 @@
     }
     assert_that!(replies, contains(ok(anything())));
 }
+
+/// Guards against a server that is no peer and is taken for one.
+#[gtest]
+#[tokio::test]
+async fn what_does_not_accept_the_upgrade_is_no_peer() {
+    for head in [
+        "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\nupgrade: another/1\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\nupgrade: quetzal-call/1\r\nno field\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\nupgrade: quetzal-call/1\r\nna me: 1\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\nupgrade: quetzal-call/1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nupgrade: quetzal-call/1\r\ncontent-length: 0\r\n\r\n",
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.write_all(head.as_bytes()).await.unwrap();
+            // Until the other side has closed.
+            stream.read_to_end(&mut Vec::new()).await.ok();
+        });
+        let link = Link::new(InstanceName::try_from("a").unwrap(), address);
+        let called = link
+            .call(
+                Call::Text {
+                    have: TextVersion(0),
+                },
+                Duration::from_secs(2),
+            )
+            .await;
+        expect_that!(
+            matches!(called, Err(CallError::Connect(_))),
+            eq(true),
+            "{head}"
+        );
+    }
+}
--- a/crates/web/src/memory.rs
+++ b/crates/web/src/memory.rs
@@ -323,9 +323,16 @@
 #[derive(Debug)]
 pub struct HeldBack {
     memory: Memory,
-    holder: Option<Holder>,
+    /// What it has beyond what is free.
+    room: Option<Room>,
+}
+
+/// Room for what is held back of one answer.
+#[derive(Debug)]
+struct Room {
+    holder: Holder,
     /// Bytes that are counted.
-    counted: u64,
+    bytes: u64,
     given_up: CancellationToken,
 }
 
@@ -335,9 +342,7 @@
     pub fn new(memory: &Memory) -> Self {
         HeldBack {
             memory: memory.clone(),
-            holder: None,
-            counted: 0,
-            given_up: CancellationToken::new(),
+            room: None,
         }
     }
 
@@ -349,52 +354,54 @@
             self.clear();
             return true;
         }
-        if self.given_up.is_cancelled() {
-            return false;
-        }
-        let needed = bytes.next_power_of_two();
-        if needed > self.counted && !self.grow(needed - self.counted) {
-            return false;
-        }
-        self.counted = needed.max(self.counted);
-        if let Some(holder) = &self.holder {
-            holder.progress();
-        }
-        true
+        let memory = &self.memory;
+        let room = self.room.get_or_insert_with(|| Room::open(memory));
+        !room.given_up.is_cancelled() && room.grow(bytes.next_power_of_two())
     }
 
     /// Gives back what it holds.
     pub fn clear(&mut self) {
-        if self.holder.take().is_some() {
-            self.counted = 0;
-            self.given_up = CancellationToken::new();
-        }
+        self.room = None;
     }
 
     /// Keeps it from being given up, as all has come that is held.
     pub fn finish(&self) {
-        if let Some(holder) = &self.holder {
-            holder.finish();
+        if let Some(room) = &self.room {
+            room.holder.finish();
         }
     }
 
     /// Waits until it is given up for others; none if it holds no more than everyone may.
     pub fn given_up(&self) -> Option<impl Future<Output = ()> + Send + use<>> {
-        let given_up = self.given_up.clone();
-        self.holder.as_ref().map(|_| given_up.cancelled_owned())
+        let room = self.room.as_ref()?;
+        Some(room.given_up.clone().cancelled_owned())
     }
+}
 
-    fn grow(&mut self, more: u64) -> bool {
-        let holder = self.holder.get_or_insert_with(|| {
-            let holder = self.memory.open();
-            holder.unfinished(Waiter::Answer(self.given_up.clone()));
-            holder
-        });
-        let id = holder.id;
-        let grown = self.memory.change(Limited::Answer, |now, ledger| {
-            ledger.grow(now, id, more, Share::Ordinary)
+impl Room {
+    fn open(memory: &Memory) -> Room {
+        let (holder, given_up) = (memory.open(), CancellationToken::new());
+        holder.unfinished(Waiter::Answer(given_up.clone()));
+        Room {
+            holder,
+            bytes: 0,
+            given_up,
+        }
+    }
+
+    /// Has it count for `bytes` in all, and returns whether there is room.
+    fn grow(&mut self, bytes: u64) -> bool {
+        let more = bytes.saturating_sub(self.bytes);
+        let Holder { memory, id } = &self.holder;
+        let grown = memory.change(Limited::Answer, |now, ledger| {
+            ledger.grow(now, *id, more, Share::Ordinary)
         });
-        grown.is_ok()
+        if grown.is_err() {
+            return false;
+        }
+        self.bytes += more;
+        self.holder.progress();
+        true
     }
 }
 
