Note the end of an answer once nothing of it is left to read

Cause: that an answer is complete was noted as the relay's caller asked for the piece after the last one. The server asks for no more of a body whose length it has written, and for nothing where there is no content (204, a length of 0, HEAD), so such answers spoke for no request and no part, and verdicts were neither disputed nor lifted.

The part beside sound ones failed with a length and passed with chunks and with a closed connection (parts::a_part_that_crashed_five_engines...). So it is neither the verdicts nor the time that a run takes, but the end that isn't noted.

Change: the relay notes the end with the piece after which nothing is left, and before the head is passed on where there is nothing at all. What is held back of an event still waits for the next call, as the server does then. How long a run took, which had a special case of its own here, is noted in the same place.

Ruled out: to end the answer in the client at this point, so that its connection is kept as that of an answer in chunks. Connections are closed as before.

The cases of parts that were called `answers_have_a_frame` had chunks only; they are called so now, and a length is a case of its own.

--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -113,7 +113,8 @@
     }
 
     /// Returns the response to the caller. Its end says no more than the target's.
-    pub(super) fn into_response(self) -> Response<Body> {
+    pub(super) fn into_response(mut self) -> Response<Body> {
+        self.note_end_if_read();
         let (status, framed) = (self.answer.status, self.framed);
         let mut headers = headers::to_caller(&self.answer.headers);
         if self.resumable {
@@ -143,14 +144,12 @@
                 Read::Piece(chunk) => {
                     self.bytes += chunk.len();
                     self.note_wait();
-                    // Nobody asks for more of a body with a length.
-                    if self.answer.is_read() {
-                        self.note_run();
-                    }
-                    let passed = self.pass(chunk);
-                    match passed {
+                    match self.pass(chunk) {
                         Some(passed) if passed.is_empty() => continue,
-                        Some(passed) => return Some(Ok(passed)),
+                        Some(passed) => {
+                            self.note_end_if_read();
+                            return Some(Ok(passed));
+                        }
                         None => End::Oversized,
                     }
                 }
@@ -180,6 +179,24 @@
         None
     }
 
+    /// Notes the end of an answer of which nothing is left to be read and nothing is held back.
+    ///
+    /// Failure: the server asks for no more of a body whose length it has written, and for
+    /// nothing of one without content. An end that is noted only when more is asked for would
+    /// never be noted, and what the answer says for its request and target would be lost.
+    fn note_end_if_read(&mut self) {
+        let holds_back = self.events.as_ref().is_some_and(Events::holds_back);
+        if holds_back || !self.answer.is_read() {
+            return;
+        }
+        self.ended = true;
+        let end = match self.ends_within_event() {
+            true => End::WithinEvent,
+            false => End::Complete,
+        };
+        self.note_end(&end);
+    }
+
     /// Reads from the present target, or from another one that has taken over while this one
     /// said nothing.
     async fn read(&mut self) -> Read {
@@ -302,8 +319,7 @@
 
     /// Finds out what it means that the target has ended its answer in order.
     async fn end_in_order(&self) -> End {
-        let within = self.events.as_ref().is_some_and(Events::is_within);
-        if within && self.consists_of_events() {
+        if self.ends_within_event() {
             return End::WithinEvent;
         }
         if self.answer.framing() != Framing::Connection {
@@ -324,6 +340,12 @@
         }
     }
 
+    /// Returns whether an answer that ends here ends within an event.
+    fn ends_within_event(&self) -> bool {
+        let within = self.events.as_ref().is_some_and(Events::is_within);
+        within && self.consists_of_events()
+    }
+
     /// Returns whether the answer is known to consist of events. One without a content type on
     /// a route for streams may have another content, if its framing shows it to be complete.
     fn consists_of_events(&self) -> bool {
@@ -338,7 +360,7 @@
         if self.events.is_some() {
             prom_metrics().longest_wait(self.longest_wait);
         }
-        if matches!(end, End::Complete) && !self.answer.is_read() {
+        if matches!(end, End::Complete) {
             self.note_run();
         }
         match end {
--- a/crates/frontd/src/entry/relay/events.rs
+++ b/crates/frontd/src/entry/relay/events.rs
@@ -91,6 +91,11 @@
         self.ends.is_within()
     }
 
+    /// Returns whether a part of an event is held back.
+    pub(super) fn holds_back(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
     /// Returns what is held back of an event that isn't complete.
     pub(super) fn take_partial(&mut self) -> Bytes {
         self.held.clear();
--- a/crates/frontd/tests/targets.rs
+++ b/crates/frontd/tests/targets.rs
@@ -9,6 +9,8 @@
 mod broken;
 #[path = "targets/callers.rs"]
 mod callers;
+#[path = "targets/cleared.rs"]
+mod cleared;
 #[path = "targets/crashes.rs"]
 mod crashes;
 #[path = "targets/cuts.rs"]
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -370,9 +370,20 @@
         path: &str,
         body: &str,
         field: (&'static str, &str),
+    ) -> Told {
+        self.ask_by(entry, (Method::POST, path), body, field).await
+    }
+
+    /// As [`Self::ask_at`], with a method of its own.
+    pub(crate) async fn ask_by(
+        &self,
+        entry: u8,
+        (method, path): (Method, &str),
+        body: &str,
+        field: (&'static str, &str),
     ) -> Told {
         let id = self.next_id().to_string();
-        let mut send = client::Send::new(self.caller_addr(entry), Method::POST, path);
+        let mut send = client::Send::new(self.caller_addr(entry), method, path);
         let fields = [
             ("host", "a.example"),
             ("attempt", &id),
--- a/crates/frontd/tests/targets/engine.rs
+++ b/crates/frontd/tests/targets/engine.rs
@@ -27,6 +27,15 @@
 /// Part of a body whose answer has neither a length nor chunks.
 const UNFRAMED: &str = "unframed";
 
+/// Part of a body whose answer has a length.
+pub(crate) const LENGTH: &str = "length";
+
+/// Part of a body whose answer has a length of 0.
+pub(crate) const EMPTY: &str = "empty";
+
+/// Part of a body whose answer is 204 and has no content.
+pub(crate) const NO_CONTENT: &str = "nothing";
+
 /// A body that crashes the engine, which closes the connection of the answer in order before.
 pub(crate) const CRASHING_IN_ORDER: &str = "crash unframed";
 
@@ -95,6 +104,8 @@
     abandoned: Vec<String>,
     /// Id of another part that crashes it.
     crashing_part: Option<String>,
+    /// Ends the present incarnation.
+    crash: Option<mpsc::Sender<()>>,
 }
 
 /// An engine that falls over when it refuses too often.
@@ -172,6 +183,13 @@
         few?.1.acquire_owned().await.ok()
     }
 
+    /// Crashes now, whatever runs there; it comes back as after any crash.
+    pub(crate) fn crash(&self) {
+        if let Some(crash) = &self.state.lock().unwrap().crash {
+            crash.try_send(()).ok();
+        }
+    }
+
     /// Crashes from now on when it begins to answer on this part.
     pub(crate) fn crash_on(&self, part: &str) {
         self.state.lock().unwrap().crashing_part = Some(part.to_owned());
@@ -264,6 +282,7 @@
             state.incarnation += 1;
             state.running = 0;
             state.up = true;
+            state.crash = Some(crash.clone());
         }
         runtime.spawn(async move {
             let listener = TcpListener::from_std(socket).unwrap();
@@ -323,6 +342,17 @@
             at: Instant::now(),
         };
         self.state.lock().unwrap().begun.push(begun);
+        if let Some((status, answer)) = at_once(&body) {
+            let _taken = (running, place);
+            sleep(RUN).await;
+            if crashes {
+                crash.send(()).await.ok();
+                sleep(RUN).await;
+            }
+            *resp.status_mut() = status;
+            *resp.body_mut() = full(answer);
+            return resp;
+        }
         let (writer, events) = body::channel(4);
         *resp.body_mut() = events;
         let unframed = body.contains(UNFRAMED);
@@ -393,6 +423,19 @@
     }
 }
 
+/// Returns the status and the content of an answer that is written at once, after the run, if `body`
+/// asks for one.
+fn at_once(body: &str) -> Option<(StatusCode, &'static str)> {
+    let kinds = [
+        (LENGTH, StatusCode::OK, ANSWER),
+        (EMPTY, StatusCode::OK, ""),
+        (NO_CONTENT, StatusCode::NO_CONTENT, ""),
+    ];
+    let mut kinds = kinds.into_iter();
+    let (_, status, answer) = kinds.find(|(kind, ..)| body.contains(kind))?;
+    Some((status, answer))
+}
+
 fn wait_for_crash(mut crashed: mpsc::Receiver<()>) {
     crashed.blocking_recv();
 }
--- a/crates/frontd/tests/targets/parts.rs
+++ b/crates/frontd/tests/targets/parts.rs
@@ -10,7 +10,7 @@
 use crate::{
     CONTACT,
     deployment::Deployment,
-    engine::{ANSWER, CRASHING_PART},
+    engine::{ANSWER, CRASHING_PART, LENGTH},
 };
 
 /// Crashes after which a part counts as the cause.
@@ -37,8 +37,8 @@
 /// Callers of sound requests, which have one other part in common each.
 const SOUND_CALLERS: usize = 8;
 
-/// Beginning of bodies whose answers have a length or chunks.
-const FRAMED: &str = "framed";
+/// Beginning of bodies whose answers have chunks.
+const CHUNKS: &str = "chunks";
 
 /// Beginning of bodies whose answers end with their connection.
 const UNFRAMED: &str = "unframed";
@@ -135,7 +135,8 @@
     /// Guards against a part of a prompt that crashes one engine after the other, brought by
     /// requests that are all different, and against refusing what shares other parts with them.
     a_part_that_crashed_five_engines_reaches_no_further_ones: check => {
-        answers_have_a_frame: FRAMED,
+        answers_have_chunks: CHUNKS,
+        answers_have_a_length: LENGTH,
         answers_end_with_their_connection: UNFRAMED,
     }
 }
@@ -146,13 +147,13 @@
 async fn a_part_that_was_sound_before_is_found() {
     let deployment = Deployment::start(ENTRIES, ENGINES).await;
     let before = Instant::now() + CONTACT;
-    run(&deployment, TURNING_PART, FRAMED, before).await;
+    run(&deployment, TURNING_PART, CHUNKS, before).await;
     assert_that!(deployment.crashes().len(), eq(0));
     for no in 0..ENGINES {
         deployment.engine(no).crash_on(TURNING_PART);
     }
     let until = Instant::now() + 4 * CONTACT;
-    let sound = run(&deployment, TURNING_PART, FRAMED, until).await;
+    let sound = run(&deployment, TURNING_PART, CHUNKS, until).await;
     check_late_sends(&deployment, TURNING_PART);
     check_sound(&deployment, &sound);
 }
