Look at all parts of a prompt, on all lines of its header

The part stood behind nineteen others, as in a conversation of ten turns.

Cause: only the first 16 parts were looked at, and only the first line of the header. What isn't looked at is never a suspect, and as no two requests are alike, no whole request is one either. The other way of serving took the first 16 messages in the same way.

Evidence: by parts of the same traffic, only the place of the crashing one differs. As the second part it is refused (parts::a_part_that_crashed_five... passes on the same code); as the 17th, as the 301st and as the first of the second line 42 requests with it were late, where 3 are allowed (parts::a_part_that_crashes_is_found_wherever_it_stands, 3 of 3 failed before). Of 301 messages 16 were kept (messages_are_told_apart_wherever_they_stand, failed before).

Change: all parts count, over all lines as one list, each once; bytes that aren't ASCII no longer hide the others. What bounds them now is the header itself: 16 KiB have room for no more than 4,096 pairs of an id and a number, and the same number bounds messages. As a request may have far more parts, what is kept grows with them: parts that are known to be sound from 4,096 to 16,384 (some 0.7 MB), parts whose crashes wait and evidence that isn't reported yet from 1,024 to 8,192, as many as a control instance keeps. Of one crash the 4,096 parts whose runs began to answer last are evidence, as a part crashes a target that begins to answer on it. The guard is locked once for an answer, not for each part.

Ruled out: to keep a number such as 64 or 256, which only moves the place behind which a part is never found.

--- a/crates/entryd/src/prompt.rs
+++ b/crates/entryd/src/prompt.rs
@@ -22,8 +22,9 @@
 /// to one assistant share the beginning of their prompts.
 const PREFIX_BYTES: usize = 1_024;
 
-/// Most messages of one prompt that are told apart.
-const MAX_PARTS: usize = 16;
+/// Most messages of one prompt that are told apart: far more than the context of a model has room
+/// for.
+const MAX_PARTS: usize = 4_096;
 
 /// Size of a message's content, in bytes, up to which it is decoded.
 const DECODED_MAX: usize = 64 << 10;
@@ -83,7 +84,10 @@
         let content = normalised(message.content);
         Fingerprint::of_part(&[message.role.as_bytes(), content.as_bytes()])
     });
-    parts.collect()
+    let mut parts: Vec<_> = parts.collect();
+    parts.sort_unstable();
+    parts.dedup();
+    parts
 }
 
 fn prefix_hash(messages: &Messages<'_>) -> u64 {
--- a/crates/entryd/tests/unit/prompt.rs
+++ b/crates/entryd/tests/unit/prompt.rs
@@ -54,3 +54,24 @@
     expect_that!(one.parts.len(), eq(2));
     expect_that!(one.prefix, eq(two.prefix));
 }
+
+/// Guards against a message that crashes engines behind many others: what isn't looked at is never
+/// suspected.
+#[gtest]
+fn messages_are_told_apart_wherever_they_stand() {
+    let messages: Vec<_> = (0..300)
+        .map(|no| format!(r#"{{"role":"user","content":"{no}"}}"#))
+        .collect();
+    let parts = |last: &str| {
+        let messages = messages.join(",");
+        let body =
+            format!(r#"{{"model":"m","messages":[{messages},{{"content":"{last}"}},{{}}]}}"#);
+        chat(&body).unwrap().parts
+    };
+    let (one, other) = (parts("one"), parts("other"));
+    expect_that!(one.len(), eq(301));
+    expect_that!(
+        one.iter().filter(|part| !other.contains(part)).count(),
+        eq(1)
+    );
+}
--- a/crates/frontd/src/entry/crash.rs
+++ b/crates/frontd/src/entry/crash.rs
@@ -13,7 +13,7 @@
 
 use base::{Fingerprint, Time};
 use daemon::{Fate, log_quarantine};
-use quarantine::{BrokenRun, Change, Evidence};
+use quarantine::{BrokenRun, Change, Evidence, Guard};
 use telemetry::{event, prom_metrics};
 use tokio::time::sleep;
 use wire::quarantine::QuarantineChange;
@@ -144,22 +144,32 @@
 
 /// Notes that a run that was sent at `sent` was answered in full, by the parts of its prompt.
 pub(super) fn parts_answered(state: &State, parts: &[Fingerprint], sent: Time) {
-    for part in parts {
-        let now = state.now();
-        if state.guard().part_answered(now, *part, sent) {
-            state.controls.report_answered(*part);
-        }
-    }
+    clear_parts(state, parts, |guard, now, part| {
+        guard.part_answered(now, *part, sent)
+    });
 }
 
 /// Notes that a run that was sent at `sent` has written its answer for `wrote`, by the parts of its
 /// prompt.
 pub(super) fn parts_written(state: &State, parts: &[Fingerprint], sent: Time, wrote: Duration) {
-    for part in parts {
-        let now = state.now();
-        if state.guard().part_written(now, part, sent, wrote) {
-            state.controls.report_answered(*part);
-        }
+    clear_parts(state, parts, |guard, now, part| {
+        guard.part_written(now, part, sent, wrote)
+    });
+}
+
+/// Notes that parts of a prompt are sound, and reports those for which `note` says so.
+fn clear_parts(
+    state: &State,
+    parts: &[Fingerprint],
+    note: impl Fn(&mut Guard, Time, &Fingerprint) -> bool,
+) {
+    let now = state.now();
+    let mut guard = state.guard();
+    let told = parts.iter().filter(|part| note(&mut guard, now, part));
+    let told: Vec<_> = told.copied().collect();
+    drop(guard);
+    for part in told {
+        state.controls.report_answered(part);
     }
 }
 
--- a/crates/frontd/src/entry/headers.rs
+++ b/crates/frontd/src/entry/headers.rs
@@ -11,8 +11,9 @@
 
 use crate::HeaderNames;
 
-/// Most parts of one prompt that are told apart.
-const MAX_PARTS: usize = 16;
+/// Most parts of one prompt that are told apart: a header of 16 KiB has room for no more pairs of an
+/// id and a number.
+const MAX_PARTS: usize = 4_096;
 
 /// Returns whether a header concerns one connection only (RFC 9110, section 7.6.1).
 fn hop_by_hop(name: &HeaderName) -> bool {
@@ -76,16 +77,26 @@
 }
 
 /// Returns the fingerprints of the parts of a prompt that other requests may share: all but the
-/// last one.
+/// last one, in any order. Several lines of the header are one list (RFC 9110, section 5.3).
+///
+/// Failure: a part that crashes targets stands behind many others, or on the second line of the
+/// header. A part that isn't looked at is never suspected.
 pub(super) fn shared_parts(headers: &HeaderMap, name: &HeaderName) -> Vec<Fingerprint> {
-    let all = text(headers, name).unwrap_or_default().split(',');
-    let ids = all.map(|part| part.split(':').next().unwrap_or_default().trim());
-    let mut ids: Vec<_> = ids.collect();
+    let lines = headers.get_all(name).iter();
+    let all = lines.flat_map(|line| line.as_bytes().split(|b| *b == b','));
+    let mut ids: Vec<_> = all.map(part_id).collect();
     ids.pop();
+    ids.retain(|id| !id.is_empty());
+    ids.sort_unstable();
+    ids.dedup();
     ids.truncate(MAX_PARTS);
-    let ids = ids.into_iter().filter(|id| !id.is_empty());
-    ids.map(|id| Fingerprint::of_part(&[id.to_ascii_lowercase().as_bytes()]))
-        .collect()
+    ids.iter().map(|id| Fingerprint::of_part(&[id])).collect()
+}
+
+/// Returns the id of a part that is written as ID:TOKENS.
+fn part_id(part: &[u8]) -> Vec<u8> {
+    let id = part.split(|b| *b == b':').next().unwrap_or_default();
+    id.trim_ascii().to_ascii_lowercase()
 }
 
 /// Returns a header as text, or `None` where it is absent or isn't ASCII.
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -47,7 +47,7 @@
 
 /// Most crashed runs, and most answered requests, that are kept for a control instance
 /// that doesn't answer.
-const MAX_UNREPORTED: usize = 1_024;
+const MAX_UNREPORTED: usize = 8_192;
 
 /// Most concurrent exchanges with one control instance that request loads.
 const MAX_CONCURRENT_SYNCS: usize = 3;
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -374,7 +374,7 @@
         self.ask_by(entry, (Method::POST, path), body, field).await
     }
 
-    /// As [`Self::ask_at`], with a method of its own.
+    /// As [`Self::ask_at`], with a method of its own. Each line of the field is one of its own.
     pub(crate) async fn ask_by(
         &self,
         entry: u8,
@@ -390,10 +390,10 @@
             ("model", ADAPTER),
             ("tokens", "100,50"),
             ("deadline", "10000"),
-            field,
         ];
-        for (name, value) in fields {
-            send.headers.insert(name, header_value(value));
+        let lines = field.1.split('\n').map(|line| (field.0, line));
+        for (name, value) in fields.into_iter().chain(lines) {
+            send.headers.append(name, header_value(value));
         }
         send.body = body.to_owned().into();
         let begun = Instant::now();
--- a/crates/frontd/tests/targets/engine.rs
+++ b/crates/frontd/tests/targets/engine.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 use tokio::{
     net::TcpListener,
     runtime::{Builder, Runtime},
@@ -334,7 +334,7 @@
             return resp;
         };
         let place = self.place().await;
-        let parts = text("parts").unwrap_or_default();
+        let parts = all_lines(&headers, "parts");
         let crashes = body.contains(CRASHING) || self.crashes_on(&parts);
         let begun = Begun {
             body: body.clone(),
@@ -423,6 +423,13 @@
     }
 }
 
+/// Returns the values of all lines of a field as one list.
+fn all_lines(headers: &HeaderMap, name: &str) -> String {
+    let lines = headers.get_all(name).iter();
+    let lines: Vec<_> = lines.filter_map(|line| line.to_str().ok()).collect();
+    lines.join(",")
+}
+
 /// Returns the status and the content of an answer that is written at once, after the run, if `body`
 /// asks for one.
 fn at_once(body: &str) -> Option<(StatusCode, &'static str)> {
--- a/crates/frontd/tests/targets/parts.rs
+++ b/crates/frontd/tests/targets/parts.rs
@@ -31,6 +31,12 @@
 /// The part that all requests of the caller begin with.
 const FIRST: &str = "first:800";
 
+/// Parts that they begin with on two lines of the header.
+const TWO_LINES: &str = "first:800\nsecond:80";
+
+/// Most parts that all requests of the caller begin with: those of a conversation of some hours.
+const MANY: usize = 300;
+
 /// Pause between two requests with the crashing part.
 const PAUSE: Duration = Duration::from_millis(120);
 
@@ -49,13 +55,23 @@
     served: bool,
 }
 
+/// What all requests of the caller have in common.
+#[derive(Clone, Copy)]
+struct Prompt<'a> {
+    /// The parts that they begin with, as the header lists them.
+    first: &'a str,
+    /// Beginning of the body.
+    body: &'a str,
+}
+
 /// Sends requests with a part, no two of them alike, at all entry instances in turn.
-async fn keep_sending(deployment: &Deployment, part: &str, body: &str, until: Instant) {
+async fn keep_sending(deployment: &Deployment, part: &str, prompt: Prompt<'_>, until: Instant) {
+    let Prompt { first, body } = prompt;
     for (no, entry) in (1..=ENTRIES).cycle().enumerate() {
         if Instant::now() >= until {
             return;
         }
-        let parts = format!("{FIRST},{part}:200,{no:x}0b:10");
+        let parts = format!("{first},{part}:200,{no:x}0b:10");
         let body = format!("{body} {no}");
         deployment.ask_parts(entry, &body, &parts).await;
         sleep(PAUSE).await;
@@ -66,9 +82,10 @@
 async fn sound_requests(
     deployment: &Deployment,
     (caller, part): (usize, &str),
-    body: &str,
+    prompt: Prompt<'_>,
     until: Instant,
 ) -> Vec<Sound> {
+    let Prompt { first, body } = prompt;
     let mut sent = Vec::new();
     for no in caller.. {
         let begun = Instant::now();
@@ -76,7 +93,7 @@
             break;
         }
         let entry = 1 + (no % usize::from(ENTRIES)) as u8;
-        let parts = format!("{FIRST},{part}{caller}:200,{no:x}0a{caller}:10");
+        let parts = format!("{first},{part}{caller}:200,{no:x}0a{caller}:10");
         let body = format!("{body} sound {caller} {no}");
         let told = deployment.ask_parts(entry, &body, &parts).await;
         let served = told.status == 200 && told.body.as_deref() == Some(ANSWER);
@@ -87,9 +104,14 @@
 }
 
 /// Sends requests with a crashing part beside sound ones.
-async fn run(deployment: &Deployment, part: &str, body: &str, until: Instant) -> Vec<Sound> {
-    let sound = (0..SOUND_CALLERS).map(|no| sound_requests(deployment, (no, "s"), body, until));
-    let crashing = keep_sending(deployment, part, body, until);
+async fn run(
+    deployment: &Deployment,
+    part: &str,
+    prompt: Prompt<'_>,
+    until: Instant,
+) -> Vec<Sound> {
+    let sound = (0..SOUND_CALLERS).map(|no| sound_requests(deployment, (no, "s"), prompt, until));
+    let crashing = keep_sending(deployment, part, prompt, until);
     let (sound, ()) = join(join_all(sound), crashing).await;
     sound.into_iter().flatten().collect()
 }
@@ -116,7 +138,16 @@
     assert_that!(2 * served, ge(counted.len()));
 }
 
-fn check(body: &str) {
+fn check_body(body: &str) {
+    check(Prompt { first: FIRST, body });
+}
+
+fn check_first(first: &str) {
+    let body = CHUNKS;
+    check(Prompt { first, body });
+}
+
+fn check(prompt: Prompt<'_>) {
     let runtime = Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
@@ -125,7 +156,7 @@
     runtime.block_on(async {
         let deployment = Deployment::start(ENTRIES, ENGINES).await;
         let until = Instant::now() + 4 * CONTACT;
-        let sound = run(&deployment, CRASHING_PART, body, until).await;
+        let sound = run(&deployment, CRASHING_PART, prompt, until).await;
         check_late_sends(&deployment, CRASHING_PART);
         check_sound(&deployment, &sound);
     });
@@ -134,26 +165,46 @@
 base::cases! {
     /// Guards against a part of a prompt that crashes one engine after the other, brought by
     /// requests that are all different, and against refusing what shares other parts with them.
-    a_part_that_crashed_five_engines_reaches_no_further_ones: check => {
+    a_part_that_crashed_five_engines_reaches_no_further_ones: check_body => {
         answers_have_chunks: CHUNKS,
         answers_have_a_length: LENGTH,
         answers_end_with_their_connection: UNFRAMED,
     }
 }
 
+/// Returns a list of this many parts.
+fn list(count: usize) -> String {
+    let parts: Vec<_> = (0..count).map(|no| format!("c0ffee{no:02x}:10")).collect();
+    parts.join(",")
+}
+
+base::cases! {
+    /// Guards against a part that crashes engines wherever it stands in a prompt: behind many
+    /// others, or on a further line of the header.
+    a_part_that_crashes_is_found_wherever_it_stands: check_first => {
+        the_seventeenth: &list(16),
+        behind_many: &list(MANY),
+        on_the_second_line: TWO_LINES,
+    }
+}
+
 /// Guards against taking a part for harmless because it was, until now: targets of new software
 /// crash on it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_part_that_was_sound_before_is_found() {
     let deployment = Deployment::start(ENTRIES, ENGINES).await;
     let before = Instant::now() + CONTACT;
-    run(&deployment, TURNING_PART, CHUNKS, before).await;
+    let prompt = Prompt {
+        first: FIRST,
+        body: CHUNKS,
+    };
+    run(&deployment, TURNING_PART, prompt, before).await;
     assert_that!(deployment.crashes().len(), eq(0));
     for no in 0..ENGINES {
         deployment.engine(no).crash_on(TURNING_PART);
     }
     let until = Instant::now() + 4 * CONTACT;
-    let sound = run(&deployment, TURNING_PART, CHUNKS, until).await;
+    let sound = run(&deployment, TURNING_PART, prompt, until).await;
     check_late_sends(&deployment, TURNING_PART);
     check_sound(&deployment, &sound);
 }
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -18,7 +18,7 @@
 const MAX_BROKEN: usize = 512;
 
 /// Most crashed runs, and most answered requests, that wait to be reported.
-const MAX_UNREPORTED: usize = 1_024;
+const MAX_UNREPORTED: usize = 8_192;
 
 /// Time without a reply from the leader after which this instance judges alone.
 const LEADER_TIMEOUT: Duration = Duration::from_secs(3);
--- a/crates/quarantine/src/broken.rs
+++ b/crates/quarantine/src/broken.rs
@@ -7,6 +7,9 @@
 
 use crate::Guard;
 
+/// Most parts of prompts that one crash speaks against.
+const MAX_PARTS: usize = 4_096;
+
 /// A run that ended with its connection to its target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BrokenRun {
@@ -35,7 +38,7 @@
             self.crashed(now, &seen);
             told.push((run.at, seen));
         }
-        for (part, run) in last_begun(runs) {
+        for (part, run) in most_suspect(last_begun(runs)) {
             let seen = run.seen(now, target, part, run.begun_before());
             if self.part_crashed(now, &seen) {
                 told.push((run.at, seen));
@@ -45,6 +48,14 @@
     }
 }
 
+/// Returns the parts whose runs began to answer last, if there are too many.
+fn most_suspect(parts: BTreeMap<Fingerprint, &BrokenRun>) -> Vec<(Fingerprint, &BrokenRun)> {
+    let mut parts: Vec<_> = parts.into_iter().collect();
+    parts.sort_by_key(|(_, run)| run.begun_before());
+    parts.truncate(MAX_PARTS);
+    parts
+}
+
 /// Returns for each part of a prompt the run with it whose answer began last.
 fn last_begun(runs: &[BrokenRun]) -> BTreeMap<Fingerprint, &BrokenRun> {
     let mut last: BTreeMap<Fingerprint, &BrokenRun> = BTreeMap::new();
--- a/crates/quarantine/src/parts.rs
+++ b/crates/quarantine/src/parts.rs
@@ -29,10 +29,10 @@
 const CERTAIN: u32 = 4;
 
 /// Most parts that are known to be sound.
-const MAX_KNOWN: usize = 4_096;
+const MAX_KNOWN: usize = 16_384;
 
 /// Most parts whose crashes wait.
-const MAX_WAITING: usize = 1_024;
+const MAX_WAITING: usize = 8_192;
 
 /// Parts of prompts at one entry instance.
 #[derive(Clone, Debug, Default)]
