End what a process asked for as a later start is told under its id

What callers saw: the two targets of a service were restarted one after the other, each draining first, and started again under their ids and addresses.

Cause: an entry instance keeps by id that a target leaves and for how long it wants rest, and forgets it only as it sees the process end or the id go. It sends nothing to such a target, so it sees no end. When processes started is known to control instances only.

Change: entry instances are told with the lists when targets started (`TargetStart`), by the zone's owner and by a control instance that reads the list of a zone without one, and by the platform itself where they read it. Calls of their own carry it (`SyncStarts`, `ZoneStarts`), so that instances of earlier builds read the others; control instances have to be updated first. A start that is later than the one known ends the word and the rest; after a rest few requests are sent at first, as the wish may be one of the new process. The zone owner forgets its wish in the same way. E5048 names a target that started anew.

Ruled out: to send a request and see whether it is taken, which breaks what was promised to a target that does leave; to take "ready" on a list for a new start, as lists lag and would take back the word of one that leaves; to carry the start in `Target`, which earlier builds couldn't read.

--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -44,7 +44,9 @@
             Call::Sync(_)
             | Call::SyncUsage { .. }
             | Call::SyncLists { .. }
+            | Call::SyncStarts { .. }
             | Call::ZoneList(_)
+            | Call::ZoneStarts(_)
             | Call::Limits(_)
             | Call::Entries(_)
             | Call::Streams(_)
--- a/crates/frontd/src/control/shell.rs
+++ b/crates/frontd/src/control/shell.rs
@@ -151,11 +151,21 @@
         verdict: u64,
         /// What accounts have used at the requester, if it has said so.
         usage: Option<(InstanceName, Usage)>,
-        /// Whether it asks how old lists are.
-        lists: bool,
+        /// What else it asks for.
+        detail: Detail,
     },
 }
 
+/// What an exchange asks for besides the state of targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Detail {
+    Nothing,
+    /// How old lists are.
+    Lists,
+    /// The same, and when targets started.
+    Starts,
+}
+
 /// A control instance with its I/O.
 pub(crate) struct Shell {
     control: Control,
@@ -217,6 +227,7 @@
                     Call::Sync(_)
                     | Call::SyncUsage { .. }
                     | Call::SyncLists { .. }
+                    | Call::SyncStarts { .. }
                     | Call::Retries(_)
                     | Call::Streams(_)
                     | Call::Admission(_)
--- a/crates/frontd/src/control/shell/calls.rs
+++ b/crates/frontd/src/control/shell/calls.rs
@@ -10,18 +10,25 @@
     quarantine::CrashReport,
 };
 
-use super::{Shell, Waiter};
+use super::{Detail, Shell, Waiter, lists::Asker};
 
 impl Shell {
     pub(super) fn call(&mut self, call: Call, to: oneshot::Sender<Reply>) {
         match call {
-            Call::Sync(sync) => self.sync(*sync, None, false, to),
-            Call::SyncUsage { sync, usage } => self.sync(*sync, Some(usage), false, to),
+            Call::Sync(sync) => self.sync(*sync, None, Detail::Nothing, to),
+            Call::SyncUsage { sync, usage } => {
+                self.sync(*sync, Some(usage), Detail::Nothing, to);
+            }
             Call::SyncLists { sync, usage } => {
                 let usage = (!usage.accounts.is_empty()).then_some(usage);
-                self.sync(*sync, usage, true, to);
+                self.sync(*sync, usage, Detail::Lists, to);
+            }
+            Call::SyncStarts { sync, usage } => {
+                let usage = (!usage.accounts.is_empty()).then_some(usage);
+                self.sync(*sync, usage, Detail::Starts, to);
             }
-            Call::ZoneList(zone) => self.zone_list(zone, to),
+            Call::ZoneList(zone) => self.zone_list(zone, Asker { to, starts: false }),
+            Call::ZoneStarts(zone) => self.zone_list(zone, Asker { to, starts: true }),
             Call::Edition { number, from } => {
                 let part = self.editions.part(self.clock.now(), number, from);
                 to.send(Reply::Edition(part)).ok();
@@ -63,7 +70,13 @@
         }
     }
 
-    fn sync(&mut self, sync: Sync, usage: Option<Usage>, lists: bool, to: oneshot::Sender<Reply>) {
+    fn sync(
+        &mut self,
+        sync: Sync,
+        usage: Option<Usage>,
+        detail: Detail,
+        to: oneshot::Sender<Reply>,
+    ) {
         let report = CrashReport::clone(&sync.crashes);
         for run in &report.runs {
             self.target_ended(&run.target, run.ago);
@@ -86,7 +99,7 @@
             revision: sync.revision,
             verdict: sync.crashes.known,
             usage,
-            lists,
+            detail,
         });
         self.owner_input(zone_owner::Input::Sync(ticket, sync));
     }
--- a/crates/frontd/src/control/shell/lists.rs
+++ b/crates/frontd/src/control/shell/lists.rs
@@ -11,7 +11,10 @@
 use telemetry::event;
 use tokio::{sync::oneshot, time::Instant};
 use web::timeout::answer_by;
-use wire::{call::Reply, list::ZoneList};
+use wire::{
+    call::Reply,
+    list::{ZoneList, ZoneStarts},
+};
 
 use super::{Job, Shell};
 
@@ -25,7 +28,25 @@
 struct Zone {
     /// The last list, and when it was requested.
     last: Option<(Time, Vec<ListedTarget>)>,
-    waiting: Vec<oneshot::Sender<Reply>>,
+    waiting: Vec<Asker>,
+}
+
+/// An entry instance that waits for a list.
+#[derive(Debug)]
+pub(super) struct Asker {
+    pub(super) to: oneshot::Sender<Reply>,
+    /// Whether it asks when the targets started.
+    pub(super) starts: bool,
+}
+
+impl Asker {
+    fn answer(self, list: Option<ZoneList>) {
+        let reply = match self.starts {
+            true => Reply::ZoneStarts(list.map(ZoneStarts::from)),
+            false => Reply::ZoneList(list),
+        };
+        self.to.send(reply).ok();
+    }
 }
 
 impl Zone {
@@ -35,6 +56,7 @@
             age: now.since(*asked),
             targets: list.iter().map(ListedTarget::outline).collect(),
             software: list.iter().map(ListedTarget::software).collect(),
+            starts: list.iter().map(ListedTarget::start).collect(),
         })
     }
 }
@@ -57,15 +79,15 @@
 
     /// Answers an entry instance that asks for the list of a zone. All that ask while it is
     /// read get the same one.
-    pub(super) fn zone_list(&mut self, name: String, to: oneshot::Sender<Reply>) {
+    pub(super) fn zone_list(&mut self, name: String, asker: Asker) {
         let now = self.clock.now();
         let zone = self.lists.zones.entry(name.clone()).or_default();
         let last = zone.last.as_ref();
         if last.is_some_and(|(asked, _)| now.since(*asked) <= LIST_REUSE) {
-            to.send(Reply::ZoneList(zone.list(now))).ok();
+            asker.answer(zone.list(now));
             return;
         }
-        zone.waiting.push(to);
+        zone.waiting.push(asker);
         if zone.waiting.len() > 1 {
             return;
         }
@@ -78,17 +100,15 @@
         let waiting = std::mem::take(&mut zone.waiting);
         let Some(list) = list else {
             event!(telemetry::Event::ListStale);
-            for to in waiting {
-                to.send(Reply::ZoneList(None)).ok();
-            }
+            waiting.into_iter().for_each(|asker| asker.answer(None));
             return;
         };
         let later = zone.last.as_ref().is_none_or(|(last, _)| *last < asked);
         if later {
             zone.last = Some((asked, list.clone()));
         }
-        for to in waiting {
-            to.send(Reply::ZoneList(zone.list(now))).ok();
+        for asker in waiting {
+            asker.answer(zone.list(now));
         }
         if self.zone_lease.fence(now, &name).is_some() {
             let zones = vec![name];
--- a/crates/frontd/src/control/shell/orders.rs
+++ b/crates/frontd/src/control/shell/orders.rs
@@ -10,7 +10,7 @@
     list::SyncedLists,
 };
 
-use super::{Job, Shell, Waiter};
+use super::{Detail, Job, Shell, Waiter};
 use crate::limit_log;
 
 impl Shell {
@@ -121,7 +121,7 @@
             revision,
             verdict,
             usage,
-            lists,
+            detail,
         }) = self.waiters.remove(&ticket)
         else {
             return;
@@ -137,18 +137,24 @@
         }
         let now = self.clock.now();
         let others = usage.map(|(instance, usage)| self.tally.others(now, &instance, &usage));
-        let reply = match (lists, others) {
-            (true, others) => Reply::SyncLists(Box::new(SyncedLists {
-                synced,
-                others: others.unwrap_or_default(),
-                ages: self.zone_owner.list_ages(now),
-                sharers: self.sharers.count(),
-            })),
-            (false, Some(others)) => Reply::SyncUsage {
+        let reply = match (detail, others) {
+            (Detail::Nothing, Some(others)) => Reply::SyncUsage {
                 synced: Box::new(synced),
                 others,
             },
-            (false, None) => Reply::Sync(Box::new(synced)),
+            (Detail::Nothing, None) => Reply::Sync(Box::new(synced)),
+            (Detail::Lists | Detail::Starts, others) => {
+                let lists = SyncedLists {
+                    synced,
+                    others: others.unwrap_or_default(),
+                    ages: self.zone_owner.list_ages(now),
+                    sharers: self.sharers.count(),
+                };
+                match detail {
+                    Detail::Starts => Reply::SyncStarts(Box::new(lists.into())),
+                    Detail::Nothing | Detail::Lists => Reply::SyncLists(Box::new(lists)),
+                }
+            }
         };
         to.send(reply).ok();
     }
--- a/crates/frontd/src/entry/lists.rs
+++ b/crates/frontd/src/entry/lists.rs
@@ -15,6 +15,7 @@
 use web::timeout::answer_by;
 use wire::{
     call::{Call, Reply},
+    fleet::TargetStart,
     list::{ListAge, ZoneList},
 };
 
@@ -64,6 +65,16 @@
     }
 }
 
+/// Takes over when targets started. What a process has asked for ends with it.
+pub(super) fn note_starts(state: &State, starts: Vec<TargetStart>) {
+    let now = state.now();
+    let told = starts.into_iter().map(|start| (start.target, start.born));
+    let anew = state.view().set_starts(now, told);
+    for target in anew {
+        event!(telemetry::Event::TargetRestarted, target = target);
+    }
+}
+
 fn gauge_ages(state: &State, now: Time) {
     let oldest = state.lists().ages(now).map(|(_, age)| age).max();
     prom_metrics().list_age(oldest.unwrap_or_default());
@@ -99,10 +110,11 @@
     };
     let asked = state.now();
     let link = state.links.to(peer.address);
-    let call = Call::ZoneList(zone.to_owned());
+    let call = Call::ZoneStarts(zone.to_owned());
     // Without an answer the next step is due soon.
-    if let Ok(Reply::ZoneList(Some(list))) = link.call(call, LIST_TIMEOUT).await {
+    if let Ok(Reply::ZoneStarts(Some(told))) = link.call(call, LIST_TIMEOUT).await {
         let source = peer.address.to_string();
+        let list = ZoneList::from(told);
         apply(state, zone, asked - list.age, &source, list);
     }
 }
@@ -122,7 +134,8 @@
         let list = ZoneList {
             age: Duration::ZERO,
             targets: own.clone().map(ListedTarget::target).collect(),
-            software: own.map(ListedTarget::software).collect(),
+            software: own.clone().map(ListedTarget::software).collect(),
+            starts: own.map(ListedTarget::start).collect(),
         };
         apply(state, zone, asked, "platform", list);
     }
@@ -152,6 +165,7 @@
         view.set_unread(&zones, []);
     }
     drop(view);
+    note_starts(state, list.starts);
     log_left(state, source, as_of);
     state.controls.reset_updates(zone);
     state.changed.notify_waiters();
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -23,6 +23,7 @@
 use wire::{
     call::{Call, Reply},
     fleet::{Sync, Synced},
+    list::SyncedLists,
     quarantine::{CrashReport, CrashedRun},
 };
 
@@ -393,13 +394,13 @@
     let asked_at = state.now();
     let report = CrashReport::clone(&sync.crashes);
     let usage = state.meter().usage(asked_at);
-    let call = Call::SyncLists {
+    let call = Call::SyncStarts {
         sync: Box::new(sync),
         usage: usage.clone(),
     };
     let link = state.links.to(peer.address);
     let answer = match link.call(call, SYNC_TIMEOUT).await {
-        Ok(Reply::SyncLists(answer)) => *answer,
+        Ok(Reply::SyncStarts(answer)) => SyncedLists::from(*answer),
         answer => {
             lock(&peer.inner).keep_report(asked_at, report);
             let why = answer.map_or_else(|err| err.to_string(), |_| "another reply".to_owned());
@@ -542,6 +543,7 @@
         }
         _ => {}
     }
+    lists::note_starts(state, synced.starts);
     let mut view = state.view();
     if !brief && knows_running {
         view.set_other_running(&synced.zones, synced.running);
--- a/crates/frontd/tests/targets.rs
+++ b/crates/frontd/tests/targets.rs
@@ -3,6 +3,8 @@
 
 #[path = "targets/admission.rs"]
 mod admission;
+#[path = "targets/anew.rs"]
+mod anew;
 #[path = "targets/brittle.rs"]
 mod brittle;
 #[path = "targets/broken.rs"]
--- a/crates/frontd/tests/targets/deployment.rs
+++ b/crates/frontd/tests/targets/deployment.rs
@@ -501,6 +501,7 @@
         let listed = engines.iter().map(|engine| Listed {
             target: ListedTarget {
                 ready: !engine.leaves(),
+                born: engine.born(),
                 ..listed_target(engine.id(), engine.addr(), engine.slots())
             },
             up: engine.up(),
@@ -587,11 +588,10 @@
         }),
         send_order: Arc::new(|_| async { OrderOutcome::Refused }.boxed()),
         read_report: Arc::new(move |id, _| {
-            let known = ask()
-                .iter()
-                .any(|listed| listed.target.id == id && listed.up);
-            let report = known.then(|| Report {
-                born: 1,
+            let listed = ask().into_iter();
+            let mut known = listed.filter(|listed| listed.target.id == id && listed.up);
+            let report = known.next().map(|listed| Report {
+                born: listed.target.born,
                 held: held(),
                 ..Report::default()
             });
--- a/crates/frontd/tests/targets/engine.rs
+++ b/crates/frontd/tests/targets/engine.rs
@@ -104,6 +104,8 @@
     abandoned: Vec<String>,
     /// Id of another part that crashes it.
     crashing_part: Option<String>,
+    /// The incarnation whose id later ones keep, if they do.
+    kept: Option<u64>,
     /// Ends the present incarnation.
     crash: Option<mpsc::Sender<()>>,
 }
@@ -137,7 +139,20 @@
 
     /// Returns the id of the present incarnation, or of the last one while it is down.
     pub(crate) fn id(&self) -> String {
-        format!("e{}-{}", self.no, self.state.lock().unwrap().incarnation)
+        let state = self.state.lock().unwrap();
+        format!("e{}-{}", self.no, state.kept.unwrap_or(state.incarnation))
+    }
+
+    /// Returns when the present incarnation started, in any unit.
+    pub(crate) fn born(&self) -> u64 {
+        self.state.lock().unwrap().incarnation
+    }
+
+    /// Has all further incarnations start under the present id, and know nothing of what was asked of
+    /// those before.
+    pub(crate) fn keep_id(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.kept = Some(state.incarnation);
     }
 
     pub(crate) fn up(&self) -> bool {
@@ -283,6 +298,10 @@
             state.running = 0;
             state.up = true;
             state.crash = Some(crash.clone());
+            if state.kept.is_some() {
+                state.says_leaving = false;
+                state.rest = None;
+            }
         }
         runtime.spawn(async move {
             let listener = TcpListener::from_std(socket).unwrap();
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -137,6 +137,8 @@
     rests: Rests<String>,
     /// Targets whose answers say that they leave.
     leavers: Leavers,
+    /// When the processes of targets started, as the platform gives it.
+    starts: BTreeMap<String, u64>,
     /// Targets that have begun to leave, or are gone, since they were last taken.
     left: Vec<String>,
     /// What zone owners said of limits since it was last taken.
--- a/crates/gateway/src/view/leaving.rs
+++ b/crates/gateway/src/view/leaving.rs
@@ -37,6 +37,31 @@
         self.leavers.bound = bound;
     }
 
+    /// Takes over when targets started; 0 if that isn't known. Returns those that have started
+    /// anew under their ids.
+    ///
+    /// Failure: a target that leaves, or has asked for rest, ends and starts again under its id.
+    /// Nothing is sent there, so nobody sees its process end, and the next one would get nothing
+    /// for as long as the word of the one before stands.
+    pub fn set_starts(
+        &mut self,
+        now: Time,
+        told: impl IntoIterator<Item = (String, u64)>,
+    ) -> Vec<String> {
+        let mut anew = Vec::new();
+        for (id, born) in told {
+            let known = self.starts.entry(id.clone()).or_insert(born);
+            let before = std::mem::replace(known, born.max(*known));
+            if before == 0 || born <= before {
+                continue;
+            }
+            self.leavers.said.remove(&id);
+            self.rests.end(now, id.as_str());
+            anew.push(id);
+        }
+        anew
+    }
+
     /// Notes that an answer of a target says that it leaves. That holds for as long as its
     /// process runs, whatever a list says.
     pub fn says_leaving(&mut self, now: Time, id: &str) {
@@ -65,6 +90,7 @@
     /// Forgets what targets said that are gone.
     pub(super) fn expire_leavers(&mut self, now: Time) {
         let targets = &self.targets;
+        self.starts.retain(|id, _| targets.contains_key(id));
         self.leavers
             .said
             .retain(|id, said| targets.contains_key(id) && now.since(said.last) < rest::LONGEST);
--- a/crates/gateway/src/zone_owner/lists.rs
+++ b/crates/gateway/src/zone_owner/lists.rs
@@ -33,11 +33,13 @@
             let known = before.get(&listed.id);
             if known.is_some_and(|known| known.born != listed.born) {
                 self.limits.end(now, &listed.id);
+                self.rests.forget(&listed.id);
             }
             targets.insert(listed.id.clone(), listed);
         }
         self.limits.retain(|id| targets.contains_key(id));
         self.engines.retain(|id, _| targets.contains_key(id));
+        self.rests.retain(|id| targets.contains_key(id));
         self.changed.extend(targets.keys().cloned());
         self.changed.extend(self.updates.ids());
         self.targets = targets;
--- a/crates/gateway/src/zone_owner/message.rs
+++ b/crates/gateway/src/zone_owner/message.rs
@@ -7,7 +7,7 @@
 
 use base::{SoftwareVersion, Ticket, Time};
 use wire::{
-    fleet::{Resident, Sync, Synced, Target, Weights},
+    fleet::{Resident, Sync, Synced, Target, TargetStart, Weights},
     stream::{ServiceSoftware, SoftwareWant, TargetSoftware},
 };
 
@@ -207,6 +207,15 @@
         }
     }
 
+    /// Returns when it started.
+    #[must_use]
+    pub fn start(&self) -> TargetStart {
+        TargetStart {
+            target: self.id.clone(),
+            born: self.born,
+        }
+    }
+
     /// Returns the target with the base models, but without the adapters that it holds.
     #[must_use]
     pub fn outline(&self) -> Target {
--- a/crates/gateway/src/zone_owner/rests.rs
+++ b/crates/gateway/src/zone_owner/rests.rs
@@ -23,6 +23,16 @@
         self.closed.contains(id)
     }
 
+    /// Forgets what an engine has asked for, as it has started anew.
+    pub(super) fn forget(&mut self, id: &str) {
+        self.until.remove(id);
+    }
+
+    /// Forgets the engines that `keep` doesn't name.
+    pub(super) fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.until.retain(|id, _| keep(id));
+    }
+
     /// Forgets rests that are over. Returns the engines that are closed from now on, or no
     /// longer, of `entries` entry instances.
     fn update(&mut self, now: Time, entries: usize) -> Vec<String> {
--- a/crates/gateway/src/zone_owner/synced.rs
+++ b/crates/gateway/src/zone_owner/synced.rs
@@ -14,6 +14,7 @@
         let mut synced = Synced {
             update: self.updates.last(),
             targets: delta.targets,
+            starts: delta.starts,
             full: delta.full,
             removed: delta.gone,
             waits: self.waits(&sync.wants),
@@ -56,7 +57,7 @@
                 residents,
                 limit: self.limits.limit(&listed.id),
             };
-            self.updates.set(target, ready);
+            self.updates.set(target, ready, listed.born);
         }
     }
 
--- a/crates/gateway/src/zone_owner/target_updates.rs
+++ b/crates/gateway/src/zone_owner/target_updates.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use base::Time;
-use wire::fleet::{Resident, Target};
+use wire::fleet::{Resident, Target, TargetStart};
 
 /// Number of removed targets that are remembered; a requester with an older number gets
 /// the full state.
@@ -34,12 +34,15 @@
     /// `ready_in`.
     target: Target,
     ready: Vec<Time>,
+    born: u64,
 }
 
 /// The changes that a requester does not have yet.
 #[derive(Debug, Default)]
 pub(super) struct Delta {
     pub(super) targets: Option<Vec<Target>>,
+    /// When they started.
+    pub(super) starts: Vec<TargetStart>,
     pub(super) full: bool,
     pub(super) gone: Vec<String>,
 }
@@ -71,11 +74,12 @@
         self.gone.clear();
     }
 
-    /// Sets the current state of a target. The `ready_in` of its residents is zero;
-    /// `ready` holds their absolute times.
-    pub(super) fn set(&mut self, target: Target, ready: Vec<Time>) {
+    /// Sets the current state of a target that started at `born`. The `ready_in` of its residents
+    /// is zero; `ready` holds their absolute times.
+    pub(super) fn set(&mut self, target: Target, ready: Vec<Time>, born: u64) {
         let old = self.entries.get(&target.id);
-        if old.is_some_and(|old| old.target == target && old.ready == ready) {
+        let same = |old: &Entry| old.target == target && old.ready == ready && old.born == born;
+        if old.is_some_and(same) {
             return;
         }
         self.last += 1;
@@ -83,6 +87,7 @@
             number: self.last,
             ready,
             target,
+            born,
         };
         self.entries.insert(entry.target.id.clone(), entry);
     }
@@ -112,17 +117,14 @@
         let full = known < self.floor || known > self.last;
         let new =
             |entry: &&Entry| full || entry.number > known || resend.contains(&entry.target.id);
-        let targets: Vec<_> = self
-            .entries
-            .values()
-            .filter(new)
-            .map(|s| s.at(now))
-            .collect();
+        let new = self.entries.values().filter(new);
+        let targets: Vec<_> = new.clone().map(|entry| entry.at(now)).collect();
         let gone = self.gone.iter().rev();
         let gone = gone.take_while(|(number, _)| !full && *number > known);
         let gone = gone.filter(|(_, id)| !self.entries.contains_key(id));
         Delta {
             targets: (full || !targets.is_empty()).then_some(targets),
+            starts: new.map(Entry::start).collect(),
             full,
             gone: gone.map(|(_, id)| id.clone()).collect(),
         }
@@ -130,6 +132,13 @@
 }
 
 impl Entry {
+    fn start(&self) -> TargetStart {
+        TargetStart {
+            target: self.target.id.clone(),
+            born: self.born,
+        }
+    }
+
     fn at(&self, now: Time) -> Target {
         let residents = self.target.residents.iter().zip(&self.ready);
         let residents = residents.map(|(resident, ready)| Resident {
--- a/crates/gateway/tests/rests.rs
+++ b/crates/gateway/tests/rests.rs
@@ -206,3 +206,41 @@
     view.change_targets(NOW, vec![target("a", 1)], &[]);
     assert_that!(view.may_write(NOW, "a"), eq(true));
 }
+
+/// Returns when both targets started, `b` always at the same time.
+fn starts(born: u64) -> [(String, u64); 2] {
+    [("a".to_owned(), born), ("b".to_owned(), 1)]
+}
+
+/// Guards against a target that has started again unseen, as nothing was sent there, and is passed
+/// over for minutes for what the process before it said.
+#[gtest]
+fn what_a_target_said_ends_as_a_later_start_is_listed() {
+    let mut view = view();
+    view.set_starts(NOW, starts(5));
+    view.says_leaving(NOW, "a");
+    let now = NOW + BOUND;
+    for born in [5, 4, 0] {
+        assert_that!(view.set_starts(now, starts(born)), is_empty());
+        assert_that!(view.may_write(now, "a"), eq(false));
+    }
+    let anew = view.set_starts(now, starts(6));
+    assert_that!(anew, elements_are![eq("a")]);
+    assert_that!(view.may_write(now, "a"), eq(true));
+}
+
+/// Guards against all that waits arriving at once at a target that has started again: the process
+/// there may have asked for rest itself before its start was listed.
+#[gtest]
+fn a_target_that_rested_and_starts_again_gets_few_requests_first() {
+    let mut view = view();
+    view.set_starts(NOW, starts(5));
+    let minutes = Duration::from_secs(120);
+    view.rests().asked(NOW, &"a".to_owned(), minutes);
+    view.set_starts(NOW, starts(6));
+    assert_that!(view.may_write(NOW, "a"), eq(true));
+    view.rests().begin(NOW, "a");
+    assert_that!(view.rests().wait(NOW, "a"), some(anything()));
+    view.rests().asked(NOW, &"a".to_owned(), minutes);
+    assert_that!(view.may_write(NOW + REST, "a"), eq(false));
+}
--- a/crates/gateway/tests/zone_owner/rests.rs
+++ b/crates/gateway/tests/zone_owner/rests.rs
@@ -66,3 +66,27 @@
     world.want(&["m/a"]);
     assert_that!(world.orders.len(), eq(1));
 }
+
+/// Guards against an engine that is left out of placement for what the process before it under its
+/// id has asked for.
+#[gtest]
+fn an_engine_that_has_started_again_counts_again() {
+    let mut world = World::new(2);
+    world.want(&["m/a"]);
+    let first = world.end(OrderOutcome::Accepted);
+    world.pass(700);
+    report(&mut world, "f1", &first.id);
+    world.born = 2;
+    world.list(&[]);
+    world.report_all();
+    let mut used = Vec::new();
+    for adapter in ["m/a", "m/b", "m/c", "m/d"] {
+        world.want(&[adapter]);
+        while !world.orders.is_empty() {
+            used.push(world.end(OrderOutcome::Accepted).id);
+        }
+        world.pass(300);
+    }
+    assert_that!(used.len(), ge(2));
+    assert_that!(used, contains(eq(&first.id)));
+}
--- a/crates/rest/src/lib.rs
+++ b/crates/rest/src/lib.rs
@@ -262,6 +262,22 @@
         ended
     }
 
+    /// Ends the rest of a target now. It returns as after any rest, with few requests at first: the
+    /// wish may be one of the process that has started anew.
+    pub fn end<Q>(&mut self, now: Time, target: &Q)
+    where
+        K: Borrow<Q>,
+        Q: Ord + ?Sized,
+    {
+        if let Some(known) = self.targets.get_mut(target)
+            && now < known.back
+        {
+            known.until = known.until.min(now);
+            known.back = now;
+            (known.sent, known.answered) = (0, 0);
+        }
+    }
+
     /// Forgets a target, as it has started anew.
     pub fn forget<Q>(&mut self, target: &Q)
     where
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -159,6 +159,7 @@
     TargetRested 5045 Info "target's rest is over" "`target` has rested for `lasted_ms`; this instance has sent `sent` requests there meanwhile. They were on their way when it asked, or nobody kept to it."
     AnswerMalformed 5046 Warn "answer has no valid head" "What `target` sent as the answer to `request` is no head of HTTP: the line that begins at its byte `at` breaks `rule`, which is `status_line`, `status`, `line_end`, `field`, `length`, `coding`, `framing` or `size`. The request may have run; the connection is closed."
     AnswerUnsigned 5047 Warn "success isn't the target's answer" "`target` answered `request` with a success that lacks a sign of its answers: `missing` is `signature`, `id` or `encoding` (its body is encoded). The request may have run; the connection is closed."
+    TargetRestarted 5048 Info "target has started again" "`target` has started again under its id; what its answers asked for before, rest or nothing more as it leaves, is forgotten."
 
     // 6xxx: other instances and the platform.
     PeerSilent 6001 Warn "no heartbeats from peer" "An instance's heartbeats stopped; `silent_ms` is the time since the last one."
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -25,7 +25,7 @@
     fleet::{Part, Sync, Synced},
     helper::{EntryReport, Helper},
     limit::{LimitReport, Permit},
-    list::{SyncedLists, ZoneList},
+    list::{SyncedLists, SyncedStarts, ZoneList, ZoneStarts},
     operator::{Applied, Apply, Explain, Explained},
     patch::Patch,
     quarantine::{CrashReport, Quarantine},
@@ -89,6 +89,16 @@
             /// What accounts have used.
             usage: Usage,
         },
+        /// As [`Call::SyncLists`], and asks when targets started. A call of its own, so that
+        /// instances of earlier builds can read the others.
+        SyncStarts {
+            /// The exchange.
+            sync: Box<Sync>,
+            /// What accounts have used.
+            usage: Usage,
+        },
+        /// As [`Call::ZoneList`], and asks when the targets started.
+        ZoneStarts(String),
         /// Entry to control: asks for the platform's list of this zone, which its owner
         /// doesn't send.
         ZoneList(String),
@@ -176,6 +186,10 @@
         },
         /// Answers [`Call::SyncLists`].
         SyncLists(Box<SyncedLists>),
+        /// Answers [`Call::SyncStarts`].
+        SyncStarts(Box<SyncedStarts>),
+        /// Answers [`Call::ZoneStarts`]; `None` if the list can't be read.
+        ZoneStarts(Option<ZoneStarts>),
         /// Answers [`Call::ZoneList`]; `None` if the list can't be read.
         ZoneList(Option<ZoneList>),
         /// Answers [`Call::Edition`]; `None` if that edition isn't kept.
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -150,6 +150,10 @@
         pub full: bool,
         /// Targets removed since [`Sync::update`], by id.
         pub removed: Vec<String>,
+        /// When the targets in [`Self::targets`] started; sent in
+        /// [`crate::list::SyncedStarts`], so that instances of earlier builds can read the message.
+        #[serde(skip)]
+        pub starts: Vec<TargetStart>,
         /// Requests under way at each target, summed over all other entry instances;
         /// empty in the answer to a [`Sync::brief`] request.
         pub running: Vec<(String, u32)>,
@@ -205,6 +209,15 @@
         pub limit: Option<TargetLimit>,
     }
 
+    /// When the process of a target started.
+    pub struct TargetStart {
+        /// The target, by id.
+        pub target: String,
+        /// Its start as the platform gives it, only compared; a later one under the same id is of
+        /// another process. 0 if not known.
+        pub born: u64,
+    }
+
     /// The weights of a base model at a target. A target loads the newest version at its
     /// start, so targets that started at different times may have different versions.
     #[derive(PartialOrd, Ord)]
--- a/crates/wire/src/list.rs
+++ b/crates/wire/src/list.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     account::OthersUsage,
-    fleet::{Synced, Target},
+    fleet::{Synced, Target, TargetStart},
     stream::TargetSoftware,
 };
 
@@ -28,6 +28,22 @@
         pub sharers: Option<u32>,
     }
 
+    /// The answer to [`crate::call::Call::SyncStarts`].
+    pub struct SyncedStarts {
+        /// What the answer to [`crate::call::Call::SyncLists`] would be.
+        pub lists: SyncedLists,
+        /// When the targets in it started.
+        pub starts: Vec<TargetStart>,
+    }
+
+    /// The answer to [`crate::call::Call::ZoneStarts`].
+    pub struct ZoneStarts {
+        /// What the answer to [`crate::call::Call::ZoneList`] would be.
+        pub list: ZoneList,
+        /// When its targets started.
+        pub starts: Vec<TargetStart>,
+    }
+
     /// How old the list of a zone is.
     pub struct ListAge {
         /// The zone.
@@ -44,5 +60,40 @@
         pub targets: Vec<Target>,
         /// The software of each of them.
         pub software: Vec<TargetSoftware>,
+        /// When each of them started; sent in [`ZoneStarts`].
+        #[serde(skip)]
+        pub starts: Vec<TargetStart>,
+    }
+}
+
+impl From<ZoneList> for ZoneStarts {
+    fn from(mut list: ZoneList) -> Self {
+        let starts = std::mem::take(&mut list.starts);
+        ZoneStarts { list, starts }
+    }
+}
+
+impl From<ZoneStarts> for ZoneList {
+    fn from(told: ZoneStarts) -> Self {
+        let starts = told.starts;
+        ZoneList {
+            starts,
+            ..told.list
+        }
+    }
+}
+
+impl From<SyncedLists> for SyncedStarts {
+    fn from(mut lists: SyncedLists) -> Self {
+        let starts = std::mem::take(&mut lists.synced.starts);
+        SyncedStarts { lists, starts }
+    }
+}
+
+impl From<SyncedStarts> for SyncedLists {
+    fn from(told: SyncedStarts) -> Self {
+        let mut lists = told.lists;
+        lists.synced.starts = told.starts;
+        lists
     }
 }
