Tell processes under one id apart by any other start or address

Cause: only a later start counted. That was to keep lists that lag from naming the process before once more; but an earlier start is another process as well.

Change: a process is its start and its address. A later start counts at once unless it is the one before; anything else counts by a list that is younger, by more than lists may lag, than the one that named the present process first. Where no start is listed, a target that said that it leaves and was listed so for longer than lists lag is another process once it takes requests again, as one that leaves never does. What was said after the time of the list stands: it is the new process's own.

Ruled out: to go by the order in which lists come (they lag differently, and an owner that is cut off sends old ones); to take a start that is missing for another one (an entry of another writer may lack it, and each such list would end words).

--- a/crates/frontd/src/entry/lists.rs
+++ b/crates/frontd/src/entry/lists.rs
@@ -8,6 +8,7 @@
 use gateway::{
     list_fallback::Due,
     timing::{LIST_TIMEOUT, LOOK_INTERVAL, LOOK_PAUSE},
+    view::ListedStart,
     zone_owner::ListedTarget,
 };
 use telemetry::{event, prom_metrics};
@@ -65,11 +66,22 @@
     }
 }
 
-/// Takes over when targets started. What a process has asked for ends with it.
-pub(super) fn note_starts(state: &State, starts: Vec<TargetStart>) {
+/// Takes over when targets started, by lists as they were at the time that `as_of` gives for a
+/// zone. What a process has asked for ends with it.
+pub(super) fn note_starts(state: &State, starts: Vec<TargetStart>, as_of: impl Fn(&str) -> Time) {
     let now = state.now();
-    let told = starts.into_iter().map(|start| (start.target, start.born));
-    let anew = state.view().set_starts(now, told);
+    let mut view = state.view();
+    let told = starts.into_iter().filter_map(|start| {
+        let as_of = as_of(view.zone_of(&start.target)?);
+        Some(ListedStart {
+            target: start.target,
+            born: start.born,
+            as_of,
+        })
+    });
+    let told: Vec<_> = told.collect();
+    let anew = view.set_starts(now, told);
+    drop(view);
     for target in anew {
         event!(telemetry::Event::TargetRestarted, target = target);
     }
@@ -165,7 +177,7 @@
         view.set_unread(&zones, []);
     }
     drop(view);
-    note_starts(state, list.starts);
+    note_starts(state, list.starts, |_| as_of);
     log_left(state, source, as_of);
     state.controls.reset_updates(zone);
     state.changed.notify_waiters();
--- a/crates/frontd/src/entry/sync.rs
+++ b/crates/frontd/src/entry/sync.rs
@@ -23,7 +23,7 @@
 use wire::{
     call::{Call, Reply},
     fleet::{Sync, Synced},
-    list::SyncedLists,
+    list::{ListAge, SyncedLists},
     quarantine::{CrashReport, CrashedRun},
 };
 
@@ -416,7 +416,12 @@
         state.budget().told(now, sharers);
     }
     let overtaken = lists::note_sent(state, asked_at, &answer.ages);
-    apply(state, peer, asked, answer.synced, &overtaken);
+    let lists = HeardLists {
+        asked: asked_at,
+        ages: &answer.ages,
+        overtaken: &overtaken,
+    };
+    apply(state, peer, asked, answer.synced, lists);
     for zone in &overtaken {
         state.controls.reset_updates(zone);
     }
@@ -492,19 +497,37 @@
     }
 }
 
+/// The lists by which a zone owner has answered.
+#[derive(Clone, Copy, Debug)]
+struct HeardLists<'a> {
+    /// When it was asked.
+    asked: Time,
+    /// How old they were.
+    ages: &'a [ListAge],
+    /// Zones of which a later list is known, which says which targets take requests.
+    overtaken: &'a [String],
+}
+
+impl HeardLists<'_> {
+    /// Returns the time as of which a zone's list was read, at the earliest.
+    fn as_of(&self, zone: &str) -> Time {
+        let list = self.ages.iter().find(|list| list.zone == zone);
+        self.asked - list.map_or(Duration::ZERO, |list| list.age)
+    }
+}
+
 /// Applies the answer to a request that said that update `known` was in force and whether
-/// it was a `brief` one, without load and demand. Of the zones `overtaken` a later list is
-/// known, which says which targets take requests.
+/// it was a `brief` one, without load and demand.
 fn apply(
     state: &Arc<State>,
     peer: &ControlPeer,
     (known, brief): (u64, bool),
     mut synced: Synced,
-    overtaken: &[String],
+    lists: HeardLists<'_>,
 ) {
     let now = state.now();
     for target in synced.targets.iter_mut().flatten() {
-        if overtaken.contains(&target.zone) {
+        if lists.overtaken.contains(&target.zone) {
             target.ready &= state.view().is_ready(&target.id);
         }
     }
@@ -543,7 +566,7 @@
         }
         _ => {}
     }
-    lists::note_starts(state, synced.starts);
+    lists::note_starts(state, synced.starts, |zone| lists.as_of(zone));
     let mut view = state.view();
     if !brief && knows_running {
         view.set_other_running(&synced.zones, synced.running);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod need;
 mod others;
+mod processes;
 mod software;
 mod spread;
 
@@ -33,6 +34,7 @@
 pub use self::backup::{Backup, Origin, Unused};
 pub use self::choose::BRIEF_REST;
 pub use self::hedge::Second;
+pub use self::processes::ListedStart;
 use self::{
     backlog::{FULL_WAIT, known_outside},
     backup::OUTDATED,
@@ -41,6 +43,7 @@
     held::Held,
     leaving::Leavers,
     others::OthersLoad,
+    processes::KnownProcess,
     software::KnownSoftware,
 };
 
@@ -137,8 +140,8 @@
     rests: Rests<String>,
     /// Targets whose answers say that they leave.
     leavers: Leavers,
-    /// When the processes of targets started, as the platform gives it.
-    starts: BTreeMap<String, u64>,
+    /// The processes that targets' ids stand for.
+    processes: BTreeMap<String, KnownProcess>,
     /// Targets that have begun to leave, or are gone, since they were last taken.
     left: Vec<String>,
     /// What zone owners said of limits since it was last taken.
--- a/crates/gateway/src/view/leaving.rs
+++ b/crates/gateway/src/view/leaving.rs
@@ -4,7 +4,7 @@
 
 use base::Time;
 
-use super::{TargetState, View};
+use super::{ListedStart, TargetState, View};
 
 /// Part of the bound on leaving targets within which one still takes requests while its
 /// service has no other target.
@@ -15,7 +15,7 @@
 pub(super) struct Leavers {
     said: BTreeMap<String, Said>,
     /// Time within which requests have to stop going to a leaving target.
-    bound: Duration,
+    pub(super) bound: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +29,10 @@
         let said = self.said.get(id).copied()?;
         (now.since(said.last) < rest::LONGEST).then_some(said)
     }
+
+    pub(super) fn has_said(&self, id: &str) -> bool {
+        self.said.contains_key(id)
+    }
 }
 
 impl View {
@@ -37,31 +41,6 @@
         self.leavers.bound = bound;
     }
 
-    /// Takes over when targets started; 0 if that isn't known. Returns those that have started
-    /// anew under their ids.
-    ///
-    /// Failure: a target that leaves, or has asked for rest, ends and starts again under its id.
-    /// Nothing is sent there, so nobody sees its process end, and the next one would get nothing
-    /// for as long as the word of the one before stands.
-    pub fn set_starts(
-        &mut self,
-        now: Time,
-        told: impl IntoIterator<Item = (String, u64)>,
-    ) -> Vec<String> {
-        let mut anew = Vec::new();
-        for (id, born) in told {
-            let known = self.starts.entry(id.clone()).or_insert(born);
-            let before = std::mem::replace(known, born.max(*known));
-            if before == 0 || born <= before {
-                continue;
-            }
-            self.leavers.said.remove(&id);
-            self.rests.end(now, id.as_str());
-            anew.push(id);
-        }
-        anew
-    }
-
     /// Notes that an answer of a target says that it leaves. That holds for as long as its
     /// process runs, whatever a list says.
     pub fn says_leaving(&mut self, now: Time, id: &str) {
@@ -90,7 +69,7 @@
     /// Forgets what targets said that are gone.
     pub(super) fn expire_leavers(&mut self, now: Time) {
         let targets = &self.targets;
-        self.starts.retain(|id, _| targets.contains_key(id));
+        self.processes.retain(|id, _| targets.contains_key(id));
         self.leavers
             .said
             .retain(|id, said| targets.contains_key(id) && now.since(said.last) < rest::LONGEST);
@@ -102,6 +81,15 @@
         self.rests.forget(id);
     }
 
+    /// Ends what a target asked for before the list that says when it started.
+    pub(super) fn end_said(&mut self, now: Time, start: &ListedStart) {
+        let said = self.leavers.said.get(&start.target);
+        if said.is_some_and(|said| said.last <= start.as_of) {
+            self.leavers.said.remove(&start.target);
+        }
+        self.rests.end(now, start.target.as_str(), start.as_of);
+    }
+
     /// Returns whether a target takes new requests: it is listed so, and hasn't said that it
     /// leaves.
     pub(super) fn takes_new(&self, now: Time, known: &TargetState) -> bool {
--- a/crates/gateway/tests/rests.rs
+++ b/crates/gateway/tests/rests.rs
@@ -6,7 +6,7 @@
 use base::{Seed, SoftwareVersion, Time};
 use gateway::{
     hedge::Wanted,
-    view::{Choice, Second, View},
+    view::{Choice, ListedStart, Second, View},
 };
 use googletest::prelude::*;
 use wire::fleet::{Resident, Target, Weights};
@@ -207,26 +207,98 @@
     assert_that!(view.may_write(NOW, "a"), eq(true));
 }
 
-/// Returns when both targets started, `b` always at the same time.
-fn starts(born: u64) -> [(String, u64); 2] {
-    [("a".to_owned(), born), ("b".to_owned(), 1)]
+/// Returns when `a` started, by a list that is as of `as_of`.
+fn start(born: u64, as_of: Time) -> [ListedStart; 1] {
+    let target = "a".to_owned();
+    [ListedStart {
+        target,
+        born,
+        as_of,
+    }]
 }
 
-/// Guards against a target that has started again unseen, as nothing was sent there, and is passed
-/// over for minutes for what the process before it said.
-#[gtest]
-fn what_a_target_said_ends_as_a_later_start_is_listed() {
+/// Sets when `a` started, where it is, and whether it takes requests, by a list of `now`.
+/// Returns whether it has started anew.
+fn list(view: &mut View, now: Time, (born, addr, ready): Listed) -> bool {
+    let listed = Target {
+        ready,
+        ..target("a", addr)
+    };
+    view.change_targets(now, vec![listed], &[]);
+    !view.set_starts(now, start(born, now)).is_empty()
+}
+
+/// What lists say of `a`: when it started, its address, and whether it takes requests.
+type Listed = (u64, u16, bool);
+
+/// Checks what becomes of the word of `a` that it leaves. `before` is listed as it says it, and
+/// `after` once the time `later` has passed; `anew` says whether it is another process then.
+fn check_next((before, after, later, anew): (Listed, &[Listed], Duration, bool)) {
     let mut view = view();
-    view.set_starts(NOW, starts(5));
+    list(&mut view, NOW, before);
     view.says_leaving(NOW, "a");
-    let now = NOW + BOUND;
-    for born in [5, 4, 0] {
-        assert_that!(view.set_starts(now, starts(born)), is_empty());
-        assert_that!(view.may_write(now, "a"), eq(false));
+    view.rests().asked(NOW, &"a".to_owned(), 100 * BOUND);
+    let mut now = NOW;
+    let mut ended = false;
+    for listed in after {
+        now = now + later;
+        ended |= list(&mut view, now, *listed);
+    }
+    assert_that!(ended, eq(anew));
+    assert_that!(view.may_write(now, "a"), eq(anew));
+}
+
+/// Longer than a list may lag.
+const LATER: Duration = BOUND.saturating_mul(2);
+
+/// Time between two lists that lag differently.
+const SOON: Duration = Duration::from_millis(100);
+
+base::cases! {
+    /// Guards against a target that has started again unseen, as nothing was sent there, and is
+    /// passed over for minutes for what the process before it said.
+    what_a_target_said_ends_as_another_start_is_listed: check_next => {
+        the_same: ((5, 1, true), &[(5, 1, true)], LATER, false),
+        later: ((5, 1, true), &[(6, 1, true)], SOON, true),
+        later_elsewhere: ((5, 1, true), &[(6, 3, true)], SOON, true),
+        clock_set_back: ((5, 1, true), &[(4, 1, true)], LATER, true),
+        same_time_elsewhere: ((5, 1, true), &[(5, 3, true)], LATER, true),
+        not_said: ((5, 1, true), &[(0, 1, true)], LATER, false),
+        not_said_elsewhere: ((5, 1, true), &[(0, 3, true)], LATER, true),
+        never_said: ((0, 1, true), &[(0, 1, false), (0, 1, true)], LATER, true),
+        said_from_now_on: ((0, 1, true), &[(5, 1, true)], LATER, false),
+        drains: ((5, 1, true), &[(5, 1, false)], LATER, false),
+        drains_by_a_list_that_lags: ((5, 1, true), &[(5, 1, false), (5, 1, true)], SOON, false),
+    }
+}
+
+/// Guards against ending what a new process has said itself, as lists that lag name the one before
+/// it again: it would get requests after it has said that it leaves.
+#[gtest]
+fn a_list_that_lags_ends_nothing_that_a_later_process_said() {
+    let mut view = view();
+    list(&mut view, NOW, (5, 1, true));
+    let restarted = NOW + LATER;
+    assert_that!(list(&mut view, restarted, (6, 1, true)), eq(true));
+    view.says_leaving(restarted, "a");
+    let now = restarted + SOON;
+    for born in [5, 6, 5, 6] {
+        assert_that!(view.set_starts(now, start(born, now)), is_empty());
+        assert_that!(view.has_said_leaving(now, "a"), eq(true));
     }
-    let anew = view.set_starts(now, starts(6));
-    assert_that!(anew, elements_are![eq("a")]);
-    assert_that!(view.may_write(now, "a"), eq(true));
+}
+
+/// Guards against ending what a new process has said itself before a list names it.
+#[gtest]
+fn a_word_later_than_the_list_stands() {
+    let mut view = view();
+    list(&mut view, NOW, (5, 1, true));
+    view.says_leaving(NOW + LATER, "a");
+    view.rests()
+        .asked(NOW + LATER, &"a".to_owned(), 100 * BOUND);
+    let now = NOW + 2 * LATER;
+    view.set_starts(now, start(6, NOW + SOON));
+    assert_that!(view.may_write(now, "a"), eq(false));
 }
 
 /// Guards against all that waits arriving at once at a target that has started again: the process
@@ -234,10 +306,10 @@
 #[gtest]
 fn a_target_that_rested_and_starts_again_gets_few_requests_first() {
     let mut view = view();
-    view.set_starts(NOW, starts(5));
+    view.set_starts(NOW, start(5, NOW));
     let minutes = Duration::from_secs(120);
     view.rests().asked(NOW, &"a".to_owned(), minutes);
-    view.set_starts(NOW, starts(6));
+    view.set_starts(NOW, start(6, NOW));
     assert_that!(view.may_write(NOW, "a"), eq(true));
     view.rests().begin(NOW, "a");
     assert_that!(view.rests().wait(NOW, "a"), some(anything()));
--- a/crates/rest/src/lib.rs
+++ b/crates/rest/src/lib.rs
@@ -262,15 +262,16 @@
         ended
     }
 
-    /// Ends the rest of a target now. It returns as after any rest, with few requests at first: the
-    /// wish may be one of the process that has started anew.
-    pub fn end<Q>(&mut self, now: Time, target: &Q)
+    /// Ends the rest of a target now if it began by the time `as_of`. It returns as after any rest,
+    /// with few requests at first: the wish may be one of the process that has started anew.
+    pub fn end<Q>(&mut self, now: Time, target: &Q, as_of: Time)
     where
         K: Borrow<Q>,
         Q: Ord + ?Sized,
     {
         if let Some(known) = self.targets.get_mut(target)
             && now < known.back
+            && known.since <= as_of
         {
             known.until = known.until.min(now);
             known.back = now;
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -213,7 +213,7 @@
     pub struct TargetStart {
         /// The target, by id.
         pub target: String,
-        /// Its start as the platform gives it, only compared; a later one under the same id is of
+        /// Its start as the platform gives it, only compared; another one under the same id is of
         /// another process. 0 if not known.
         pub born: u64,
     }
