Let no failure of a target clear requests that crash others

What callers would see: engines end one after the other, with all that runs there, by a request that others among them answer with 500; it is never refused. Found by looking at what an answer may say, as more of them are noted now.

Cause: that an answer is complete was taken for a sign that its request ran soundly, whatever its status.

Change: 5xx, 429 and 421 speak for no request and no part (`quarantine::clears`), on both ways of serving. Other 4xx and 3xx do, as the target has run the request.

Ruled out: to let 2xx alone clear, which would refuse pages that are soundly answered with 404 or 304 beside crashes. To count crashes against how often a request ran before: see docs/design/crashing-requests.md.

--- a/crates/frontd/src/entry/crash.rs
+++ b/crates/frontd/src/entry/crash.rs
@@ -34,6 +34,8 @@
     Cut,
     /// Its target closed the connection in order, by which the answer may be complete.
     Closed,
+    /// The same, and the answer says nothing for its request; see [`quarantine::clears`].
+    ClosedUnsound,
 }
 
 /// A run that ended with its connection to its target.
@@ -78,7 +80,7 @@
     let fate = state.paths.fate(addr).await;
     let runs = state.ended_runs().remove(&target).unwrap_or_default();
     // A target that still runs has ended its answers itself.
-    let (runs, whole): (Vec<_>, Vec<_>) = runs
+    let (runs, ended): (Vec<_>, Vec<_>) = runs
         .into_iter()
         .partition(|run| run.ended == Ended::Cut || fate == Fate::Crashed);
     prom_metrics().broken_runs(fate.as_str(), runs.len());
@@ -87,7 +89,7 @@
         crashed(&state, &target, &runs);
     }
     if fate == Fate::Running {
-        for run in &whole {
+        for run in ended.iter().filter(|run| run.ended == Ended::Closed) {
             note_whole(&state, &run.run);
         }
     }
--- a/crates/frontd/src/entry/forward.rs
+++ b/crates/frontd/src/entry/forward.rs
@@ -436,7 +436,7 @@
         }
     }
 
-    /// Notes that the answer has arrived in full.
+    /// Notes that an answer that speaks for its request has arrived in full.
     pub(super) fn note_answered(&self, in_flight: &InFlight) {
         let sent = self.state.now() - in_flight.ran();
         crash::parts_answered(&self.state, self.parts(), sent);
@@ -469,9 +469,15 @@
     }
 
     /// Has the target checked after it has ended an answer by closing its connection, which
-    /// proves nothing: a crash closes it as well.
-    pub(super) fn note_closed(&self, in_flight: &InFlight) {
-        self.check_target(in_flight, Ended::Closed);
+    /// proves nothing: a crash closes it as well. `clears` says whether a complete answer like this
+    /// speaks for its request.
+    pub(super) fn note_closed(&self, in_flight: &InFlight, clears: bool) {
+        let ended = if clears {
+            Ended::Closed
+        } else {
+            Ended::ClosedUnsound
+        };
+        self.check_target(in_flight, ended);
     }
 
     fn check_target(&self, in_flight: &InFlight, ended: Ended) {
--- a/crates/frontd/src/entry/relay.rs
+++ b/crates/frontd/src/entry/relay.rs
@@ -364,10 +364,14 @@
             self.note_run();
         }
         match end {
-            End::Complete if framing == Framing::Connection => {
-                self.request.note_closed(&self.in_flight);
+            End::Complete => {
+                let clears = quarantine::clears(self.answer.status.as_u16());
+                match framing {
+                    Framing::Connection => self.request.note_closed(&self.in_flight, clears),
+                    _ if clears => self.request.note_answered(&self.in_flight),
+                    _ => {}
+                }
             }
-            End::Complete => self.request.note_answered(&self.in_flight),
             End::Broken(broken) => {
                 match broken.cause {
                     Cause::Deadline => self.log_silent(),
--- a/crates/frontd/tests/targets/crashes.rs
+++ b/crates/frontd/tests/targets/crashes.rs
@@ -8,12 +8,21 @@
 use crate::{
     CONTACT,
     deployment::Deployment,
-    engine::{ANSWER, BROKEN_OFF, CRASHING, CRASHING_IN_ORDER},
+    engine::{ANSWER, BROKEN_OFF, CRASHING, CRASHING_IN_ORDER, CRASHING_MIDWAY},
 };
 
 /// Crashes after which a request counts as the cause.
 const CRASHES: usize = 3;
 
+/// Entry instances.
+const ENTRIES: u8 = 3;
+
+/// Engines in trouble, beside some that aren't.
+const FAILING: usize = 3;
+
+/// Callers that send the same request.
+const CALLERS: u8 = 3;
+
 /// Sends that are allowed after that.
 const MORE_SENDS: usize = 3;
 
@@ -54,6 +63,54 @@
     /// the other.
     a_request_that_crashed_three_engines_reaches_no_further_ones: check_crashes => {
         connections_break: CRASHING,
+        answers_have_a_length: CRASHING_MIDWAY,
+        connections_are_closed_in_order: CRASHING_IN_ORDER,
+    }
+}
+
+async fn reaches_few_engines_beside_failures(body: &str) {
+    let deployment = Deployment::start(ENTRIES, 6).await;
+    for no in 0..FAILING {
+        deployment.engine(no).fail();
+    }
+    let until = Instant::now() + 4 * CONTACT;
+    let callers = (0..CALLERS).map(|no| repeat_once(&deployment, body, no, until));
+    futures::future::join_all(callers).await;
+    let crashes = deployment.crashes();
+    assert_that!(crashes.len(), ge(CRASHES));
+    let known_at = crashes[CRASHES - 1] + CONTACT;
+    let late = deployment.runs(body).into_iter();
+    let late = late.filter(|run| run.at > known_at).count();
+    assert_that!(late, le(MORE_SENDS));
+}
+
+/// Sends a request again and again, which each time reaches one engine only.
+async fn repeat_once(deployment: &Deployment, body: &str, from: u8, until: Instant) {
+    for entry in (1..=ENTRIES).cycle().skip(usize::from(from)) {
+        if Instant::now() >= until {
+            return;
+        }
+        let field = ("parts", "");
+        deployment.ask_at(entry, "/once/x", body, field).await;
+        sleep(Duration::from_millis(40)).await;
+    }
+}
+
+fn check_crashes_beside_failures(body: &str) {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(reaches_few_engines_beside_failures(body));
+}
+
+base::cases! {
+    /// Guards against taking the failures of engines in trouble for a sign that a request is
+    /// sound: it would crash the others one after the other.
+    a_request_that_crashes_engines_is_not_cleared_by_failures: check_crashes_beside_failures => {
+        connections_break: CRASHING,
+        answers_have_a_length: CRASHING_MIDWAY,
         connections_are_closed_in_order: CRASHING_IN_ORDER,
     }
 }
--- a/crates/frontd/tests/targets/engine.rs
+++ b/crates/frontd/tests/targets/engine.rs
@@ -8,7 +8,11 @@
 };
 
 use bytes::Bytes;
-use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_LENGTH, HeaderValue},
+};
 use tokio::{
     net::TcpListener,
     runtime::{Builder, Runtime},
@@ -39,6 +43,9 @@
 /// A body that crashes the engine, which closes the connection of the answer in order before.
 pub(crate) const CRASHING_IN_ORDER: &str = "crash unframed";
 
+/// A body whose answer has a length and breaks off behind its first event, as the engine crashes.
+pub(crate) const CRASHING_MIDWAY: &str = "crash midway";
+
 /// Id of a part of a prompt that crashes the engine that begins to answer on it.
 pub(crate) const CRASHING_PART: &str = "bad";
 
@@ -94,6 +101,8 @@
     turned: Vec<Instant>,
     /// Whether it says in all answers that it leaves.
     says_leaving: bool,
+    /// Whether it answers all runs at once with a failure.
+    fails: bool,
     /// Room of a brittle engine.
     brittle: Option<Brittle>,
     /// Places of an engine with few, which lets what comes beyond them wait, and their number.
@@ -198,6 +207,11 @@
         few?.1.acquire_owned().await.ok()
     }
 
+    /// Answers all runs with a failure from now on, at once and in full.
+    pub(crate) fn fail(&self) {
+        self.state.lock().unwrap().fails = true;
+    }
+
     /// Crashes now, whatever runs there; it comes back as after any crash.
     pub(crate) fn crash(&self) {
         if let Some(crash) = &self.state.lock().unwrap().crash {
@@ -360,7 +374,19 @@
             parts,
             at: Instant::now(),
         };
-        self.state.lock().unwrap().begun.push(begun);
+        let fails = {
+            let mut state = self.state.lock().unwrap();
+            state.begun.push(begun);
+            state.fails
+        };
+        if fails {
+            *resp.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            *resp.body_mut() = full("failed");
+            if body.contains(UNFRAMED) {
+                end_with_connection(&mut resp);
+            }
+            return resp;
+        }
         if let Some((status, answer)) = at_once(&body) {
             let _taken = (running, place);
             sleep(RUN).await;
@@ -374,6 +400,10 @@
         }
         let (writer, events) = body::channel(4);
         *resp.body_mut() = events;
+        if body == CRASHING_MIDWAY {
+            let length = HeaderValue::from(ANSWER.len());
+            resp.headers_mut().insert(CONTENT_LENGTH, length);
+        }
         let unframed = body.contains(UNFRAMED);
         if unframed {
             end_with_connection(&mut resp);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -247,22 +247,26 @@
                 }
             }
         };
-        let head = matches!(input, Step::Head { .. });
+        let head = match input {
+            Step::Head { status, .. } => Some(status),
+            _ => None,
+        };
         self.step(shared, now, ticket, step, input, out);
-        if head {
-            self.note_head(ticket, attempt);
+        if let Some(status) = head {
+            self.note_head(ticket, attempt, status);
         }
     }
 
     /// Records that the answer of the current attempt has begun. An attempt whose head was
     /// not accepted has ended.
-    fn note_head(&mut self, ticket: Ticket, attempt: AttemptNo) {
+    fn note_head(&mut self, ticket: Ticket, attempt: AttemptNo, status: u16) {
         let Some(active) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let Some(sent) = active.sent.as_ref().filter(|sent| sent.attempt == attempt) else {
+        let Some(sent) = active.sent.as_mut().filter(|sent| sent.attempt == attempt) else {
             return;
         };
+        sent.clears = quarantine::clears(status);
         let target = sent.target;
         active.covered = self.budget.covers(target).then_some(target);
     }
--- a/crates/node/src/entry/active.rs
+++ b/crates/node/src/entry/active.rs
@@ -112,6 +112,9 @@
     pub(super) software: Option<SoftwareVersion>,
     /// Whether a part of the response body has arrived.
     pub(super) began: bool,
+    /// Whether the answer speaks for its request once it is complete; see
+    /// [`quarantine::clears`].
+    pub(super) clears: bool,
 }
 
 impl Active {
@@ -205,6 +208,7 @@
             forwarded_to,
             software: target.listed.software.clone(),
             began: false,
+            clears: true,
         };
         if self.sent.is_some() {
             self.spare = Some(sent);
--- a/crates/node/src/entry/crashed.rs
+++ b/crates/node/src/entry/crashed.rs
@@ -29,6 +29,9 @@
             return;
         };
         if end == AnswerEnd::Complete {
+            if !sent.clears {
+                return;
+            }
             let (content, parts) = (active.content, &active.parts);
             if shared.crashes.answered(now, content, parts, sent.at) {
                 out.send(HEARTBEAT, Msg::HeartbeatNow);
--- a/crates/node/tests/node/crashes.rs
+++ b/crates/node/tests/node/crashes.rs
@@ -31,12 +31,12 @@
     }
 }
 
-/// Sends a request, and answers it in full.
-fn send_and_answer(world: &mut World, ticket: u64) {
+/// Sends a request, and answers it in full with this status.
+fn send_and_answer(world: &mut World, ticket: u64, status: u16) {
     world.arrive(ticket, "listing", None);
     let attempt = world.sent.pop().unwrap();
     let head = Progress::Head {
-        status: 200,
+        status,
         ran: None,
         resumed: None,
     };
@@ -95,12 +95,35 @@
     world.targets_crash = true;
     for ticket in 1..=4 {
         send_and_break(&mut world, 10 * ticket);
-        send_and_answer(&mut world, 10 * ticket + 1);
+        send_and_answer(&mut world, 10 * ticket + 1, 200);
     }
     world.pass(CONTACT);
     assert_that!(refusal(&mut world, 50), none());
 }
 
+fn check_failures(status: u16) {
+    let mut world = World::serving();
+    world.targets_crash = true;
+    for ticket in 1..=2 {
+        send_and_break(&mut world, 10 * ticket);
+        send_and_answer(&mut world, 10 * ticket + 1, status);
+    }
+    send_and_break(&mut world, 30);
+    world.pass(CONTACT);
+    let why = refusal(&mut world, 50).map(|(why, ..)| why);
+    assert_that!(why, some(eq(Refusal::Held)));
+}
+
+base::cases! {
+    /// Guards against taking the failures of targets in trouble for a sign that a request is
+    /// sound: it would crash the others one after the other.
+    a_request_that_crashes_targets_is_not_cleared_by_failures: check_failures => {
+        failed: 500,
+        turned_away: 429,
+        meant_for_another: 421,
+    }
+}
+
 /// Guards against taking broken connections for crashes: the target still listens.
 #[test]
 fn a_target_that_still_listens_has_not_crashed() {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -23,3 +23,19 @@
     ledger::{Ledger, Verdict},
     register::{Logged, Register},
 };
+
+/// Returns whether a complete answer with this status of HTTP shows that its request doesn't crash
+/// targets.
+///
+/// Failure: a target in trouble answers all that it gets with failures and runs none of it. A
+/// request that crashes the others would count as sound after each of them.
+#[must_use]
+pub fn clears(status: u16) -> bool {
+    /// Too many requests: it was turned away.
+    const TOO_MANY: u16 = 429;
+    /// Misdirected: it was meant for another target.
+    const MISDIRECTED: u16 = 421;
+    /// The first status of failures of a target.
+    const FAILURES: u16 = 500;
+    status < FAILURES && ![MISDIRECTED, TOO_MANY].contains(&status)
+}
