Test two guards on processes under one id that no test held

Cause: with the guard taken out that keeps the process before from counting as a new one, all tests of rests passed, as did they without the one that lets a word stand that is later than its list: that test looked at both wishes at once.

Change: a case of a clock that was set back and a list that lags then; the word and the rest are looked at one by one. No product code changes.

--- a/crates/gateway/tests/rests.rs
+++ b/crates/gateway/tests/rests.rs
@@ -288,6 +288,20 @@
     }
 }
 
+/// Guards against taking the process before for a new one, as a list that lags names it again
+/// after the clock was set back: its start is the later one.
+#[gtest]
+fn a_list_that_lags_names_no_new_process_after_a_clock_was_set_back() {
+    let mut view = view();
+    list(&mut view, NOW, (6, 1, true));
+    let restarted = NOW + LATER;
+    assert_that!(list(&mut view, restarted, (4, 1, true)), eq(true));
+    view.says_leaving(restarted, "a");
+    let now = restarted + SOON;
+    assert_that!(view.set_starts(now, start(6, now)), is_empty());
+    assert_that!(view.has_said_leaving(now, "a"), eq(true));
+}
+
 /// Guards against ending what a new process has said itself before a list names it.
 #[gtest]
 fn a_word_later_than_the_list_stands() {
@@ -298,7 +312,8 @@
         .asked(NOW + LATER, &"a".to_owned(), 100 * BOUND);
     let now = NOW + 2 * LATER;
     view.set_starts(now, start(6, NOW + SOON));
-    assert_that!(view.may_write(now, "a"), eq(false));
+    assert_that!(view.has_said_leaving(now, "a"), eq(true));
+    assert_that!(view.rests().is_resting(now, "a"), eq(true));
 }
 
 /// Guards against all that waits arriving at once at a target that has started again: the process
